--- /dev/null
+++ b/cmd/merlindockd/main.go
@@ -0,0 +1,4 @@
+// Command merlindockd is the merlindock daemon.
+package main
+
+func main() {}
