contract: admit by organisation share and priority

Cause: nothing decided which organisation's request runs when the fixed fleet is full. Change: a pure Admission core: start-time fair queueing in tokens over organisations, priorities that count only within a bounded lead over the contract, short queues by priority, refusals at once with a Retry-After that differs for each refused caller, reservations with an expiry, and digests between daemons from which each works out its part of the fleet. Silence of a peer alone frees nothing of its part.

--- /dev/null
+++ b/contract/admission_test.go
@@ -0,0 +1,331 @@
+package contract
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func newAdmission(t testing.TB, opts Options, slots int, shares ...Share) *Admission {
+	t.Helper()
+	a := NewAdmission(opts)
+	a.SetContract(epoch, shares)
+	a.SetCapacity(epoch, 1000, slots)
+	return a
+}
+
+func request(id int, org string, p Priority, tokens float64) Request {
+	return Request{ID: RequestID(id), Organisation: OrganisationID(org), Priority: p, Tokens: tokens}
+}
+
+func TestOfferVerdicts(t *testing.T) {
+	a := newAdmission(t, Options{}, 1, Share{"a", 1}, Share{"b", 1})
+	if d := a.Offer(epoch, request(1, "a", PriorityStandard, 100)); d.Verdict != Admitted {
+		t.Fatalf("first request: %+v", d)
+	}
+	if d := a.Offer(epoch, request(1, "a", PriorityStandard, 100)); d.Reason != DuplicateRequest {
+		t.Errorf("same id: %+v", d)
+	}
+	if d := a.Offer(epoch, request(2, "stranger", PriorityStandard, 100)); d.Reason != UnknownOrganisation {
+		t.Errorf("stranger: %+v", d)
+	}
+	late := request(3, "a", PriorityStandard, 100)
+	if d := a.Offer(epoch, late); d.Verdict != Queued {
+		t.Fatalf("second request: %+v", d)
+	}
+	late.ID, late.Deadline = 4, at(50*time.Millisecond)
+	if d := a.Offer(epoch, late); d.Verdict != Refused || d.Reason != TooLate || d.RetryAfter < time.Second {
+		t.Errorf("request that can't start in time: %+v", d)
+	}
+	if !a.Finish(at(time.Second), 1, 100) {
+		t.Error("finish of a running request failed")
+	}
+	got := a.Next(at(time.Second), nil)
+	if len(got) != 1 || got[0].ID != 3 || got[0].Verdict != Admitted {
+		t.Errorf("next after finish: %+v", got)
+	}
+}
+
+// An organisation's phones ask while long batch work of others fills the fleet
+// and more of it waits. Drivers would see the assistant hang behind whole
+// specification sheets.
+func TestInteractivePassesQueuedBatch(t *testing.T) {
+	a := newAdmission(t, Options{}, 4, Share{"phones", 1}, Share{"sheets", 1})
+	for i := range 10 {
+		a.Offer(epoch, request(i, "sheets", PriorityBatch, 500))
+	}
+	if d := a.Offer(epoch, request(20, "phones", PriorityInteractive, 50)); d.Verdict != Admitted {
+		t.Errorf("first interactive request: %+v", d)
+	}
+	if d := a.Offer(epoch, request(21, "phones", PriorityInteractive, 50)); d.Verdict != Queued {
+		t.Errorf("second interactive request: %+v", d)
+	}
+	a.Finish(at(100*time.Millisecond), 0, 500)
+	got := a.Next(at(100*time.Millisecond), nil)
+	if len(got) != 1 || got[0].ID != 21 {
+		t.Errorf("the first to run after the phone is %+v", got)
+	}
+	a.Finish(at(200*time.Millisecond), 1, 500)
+	a.Finish(at(200*time.Millisecond), 20, 50)
+	a.Finish(at(200*time.Millisecond), 21, 50)
+	a.Next(at(200*time.Millisecond), nil)
+	if a.Running() != 3 {
+		t.Errorf("batch work took the place kept for interactive requests: %d run", a.Running())
+	}
+}
+
+// A shell loses track of requests that it was told to send. Without an expiry
+// the daemon would admit less and less until it is restarted.
+func TestLostReservationsExpire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAdmission(Options{})
+		a.SetContract(epoch, []Share{{"a", 1}, {"b", 2}})
+		a.SetCapacity(epoch, 1000, 8)
+		n := rapid.IntRange(1, 60).Draw(t, "requests")
+		for i := range n {
+			r := request(i, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "org"), PriorityBatch, 10)
+			if rapid.Bool().Draw(t, "deadline") {
+				r.Deadline = at(time.Duration(rapid.IntRange(1, 100).Draw(t, "s")) * time.Second)
+			}
+			a.Offer(epoch, r)
+		}
+		for range n {
+			next, some := a.NextAt()
+			if !some {
+				break
+			}
+			a.Next(next, nil)
+		}
+		a.Next(at(3*DefaultHold), nil)
+		if a.Running() != 0 || a.Queued() != 0 || len(a.entries) != 0 {
+			t.Fatalf("left: %d running, %d queued, %d entries", a.Running(), a.Queued(), len(a.entries))
+		}
+	})
+}
+
+// Every request offered ends in exactly one way, and the tables stay within
+// their bounds, whatever the order of events.
+func TestWorkIsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAdmission(Options{QueuedEach: 4, QueuedAll: 10})
+		shares := []Share{{"a", 1}, {"b", 2}, {"c", 0.5}}
+		a.SetContract(epoch, shares)
+		slots := rapid.IntRange(1, 9).Draw(t, "slots")
+		a.SetCapacity(epoch, 500, slots)
+		var waiting, running []RequestID
+		now := epoch
+		settle := func() {
+			for _, o := range a.Next(now, nil) {
+				i := indexOf(waiting, o.ID)
+				if i < 0 {
+					t.Fatalf("outcome for %d, which doesn't wait", o.ID)
+				}
+				waiting = append(waiting[:i], waiting[i+1:]...)
+				if o.Verdict == Admitted {
+					running = append(running, o.ID)
+				}
+			}
+			if a.Queued() != len(waiting) || a.Running() != len(running) {
+				t.Fatalf("%d queued and %d running, want %d and %d", a.Queued(), a.Running(), len(waiting), len(running))
+			}
+			if a.Queued() > 10 || a.Running() > slots+overcommit(slots) {
+				t.Fatalf("bounds: %d queued, %d running", a.Queued(), a.Running())
+			}
+			if a.Queued() > 0 && a.hasPlace(PriorityBatch) {
+				t.Fatal("requests wait beside a free place")
+			}
+		}
+		for i := range 120 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			settle()
+			switch {
+			case len(running) > 0 && rapid.Bool().Draw(t, "finish"):
+				a.Finish(now, running[0], rapid.Float64Range(0, 500).Draw(t, "actual"))
+				running = running[1:]
+			case len(waiting) > 0 && rapid.IntRange(0, 9).Draw(t, "cancel") == 0:
+				a.Cancel(now, waiting[0])
+				waiting = waiting[1:]
+			default:
+				s := rapid.SampledFrom(shares).Draw(t, "org")
+				p := Priority(rapid.IntRange(0, 2).Draw(t, "priority"))
+				d := a.Offer(now, request(i, string(s.Organisation), p, rapid.Float64Range(1, 300).Draw(t, "tokens")))
+				if d.Verdict == Queued {
+					waiting = append(waiting, RequestID(i))
+				}
+				if d.Verdict == Admitted {
+					running = append(running, RequestID(i))
+				}
+				if d.Verdict == Refused && (d.RetryAfter < time.Second || d.RetryAfter > time.Minute) {
+					t.Fatalf("refusal without a usable time: %+v", d)
+				}
+			}
+			settle()
+		}
+	})
+}
+
+func indexOf(ids []RequestID, id RequestID) int {
+	for i, v := range ids {
+		if v == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// serve keeps the organisations' demand up and finishes each request after a
+// fixed time, for the given span. It returns the tokens
+// admitted by organisation.
+func serve(a *Admission, from, span time.Duration, owner map[RequestID]string, offered map[string]float64, p map[string]Priority) map[string]float64 {
+	const step = 20 * time.Millisecond
+	type running struct {
+		id    RequestID
+		until time.Duration
+	}
+	got := map[string]float64{}
+	credit := map[string]float64{}
+	orgs := []string{"a", "b", "c"}
+	var run []running
+	id := int(from/time.Millisecond) * 100
+	const tokens = 50
+	for now := from; now < from+span; now += step {
+		for len(run) > 0 && run[0].until <= now {
+			a.Finish(at(now), run[0].id, tokens)
+			run = run[1:]
+		}
+		start := func(id RequestID) {
+			got[owner[id]] += tokens
+			run = append(run, running{id, now + 400*time.Millisecond})
+		}
+		for _, o := range a.Next(at(now), nil) {
+			if o.Verdict == Admitted {
+				start(o.ID)
+			}
+		}
+		for _, org := range orgs {
+			for credit[org] += offered[org] * step.Seconds(); credit[org] >= tokens; credit[org] -= tokens {
+				id++
+				owner[RequestID(id)] = org
+				if d := a.Offer(at(now), request(id, org, p[org], tokens)); d.Verdict == Admitted {
+					start(RequestID(id))
+				}
+			}
+		}
+	}
+	for _, r := range run {
+		a.Cancel(at(from+span), r.id)
+	}
+	return got
+}
+
+// No organisation gets less than its share while it has demand and others get
+// more than theirs: tolerance 5% over 60 seconds.
+func TestShareHoldsUnderOverload(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAdmission(Options{})
+		a.SetContract(epoch, []Share{{"a", 0.5}, {"b", 0.3}, {"c", 0.2}})
+		a.SetCapacity(epoch, 1000, 8) // 8 places of 50 tokens in 0.4 s: 1,000 tokens/s
+		priorities := map[string]Priority{}
+		for _, org := range []string{"a", "b", "c"} {
+			priorities[org] = Priority(rapid.IntRange(1, 2).Draw(t, "priority "+org))
+		}
+		got := serve(a, 0, 60*time.Second, map[RequestID]string{}, map[string]float64{"a": 450, "b": 270, "c": 3000}, priorities)
+		for org, want := range map[string]float64{"a": 450, "b": 270, "c": 200} {
+			if got[org] < 0.95*want*60 {
+				t.Fatalf("%s got %.0f tokens/s of %.0f (all: %v, priorities %v)", org, got[org]/60, want, got, priorities)
+			}
+		}
+	})
+}
+
+// An organisation was quiet and lent its share. When its callers come back they
+// get it within seconds, as if it had never been lent.
+func TestLentShareIsCalledBack(t *testing.T) {
+	a := newAdmission(t, Options{}, 8, Share{"a", 0.5}, Share{"b", 0.5})
+	owner := map[RequestID]string{}
+	std := map[string]Priority{"a": PriorityStandard, "b": PriorityStandard}
+	alone := serve(a, 0, 30*time.Second, owner, map[string]float64{"b": 3000}, std)
+	if alone["b"] < 30*800 {
+		t.Errorf("b alone got %.0f tokens/s of 1000", alone["b"]/30)
+	}
+	first := serve(a, 30*time.Second, 2*time.Second, owner, map[string]float64{"a": 3000, "b": 3000}, std)
+	if part := first["a"] / (first["a"] + first["b"]); math.Abs(part-0.5) > 0.1 {
+		t.Errorf("in the first two seconds a got a part of %.2f, want 0.5", part)
+	}
+}
+
+// One organisation's callers are refused by the thousand in one second. If all
+// were told the same time to come back they would come as a herd.
+func TestRetryAfterSpreadsReturns(t *testing.T) {
+	a := newAdmission(t, Options{}, 1, Share{"a", 1})
+	times := map[time.Duration]int{}
+	for i := range 3000 {
+		d := a.Offer(epoch, request(i, "a", PriorityStandard, 10))
+		if d.Verdict == Refused {
+			times[d.RetryAfter]++
+		}
+	}
+	for after, n := range times {
+		if after < DefaultMaxRetryAfter && n > 150 {
+			t.Errorf("%d callers are told to come back in %v, the organisation's rate allows 100", n, after)
+		}
+	}
+	if len(times) < 20 {
+		t.Errorf("only %d different times", len(times))
+	}
+}
+
+// The clock of a VM jumps an hour forward and then back. Nothing may run twice,
+// and the daemon goes on admitting.
+func TestClockJumps(t *testing.T) {
+	a := newAdmission(t, Options{}, 2, Share{"a", 1})
+	a.Offer(epoch, request(1, "a", PriorityStandard, 10))
+	a.Offer(epoch, request(2, "a", PriorityStandard, 10))
+	a.Offer(epoch, request(3, "a", PriorityStandard, 10))
+	out := a.Next(at(time.Hour), nil)
+	if len(out) != 1 || out[0].Verdict != Refused {
+		t.Errorf("the queued request: %+v", out)
+	}
+	if a.Finish(at(time.Second), 1, 10) {
+		t.Error("an expired reservation was finished")
+	}
+	if d := a.Offer(at(2*time.Second), request(4, "a", PriorityStandard, 10)); d.Verdict != Admitted {
+		t.Errorf("after the clock went back: %+v", d)
+	}
+}
+
+// Many organisations over their shares fill the whole queue. One that has had
+// nothing yet must still get in.
+func TestFullQueueMakesRoomForUnderserved(t *testing.T) {
+	shares := []Share{{"quiet", 1}}
+	for i := range 20 {
+		shares = append(shares, Share{OrganisationID(fmt.Sprintf("loud%d", i)), 1})
+	}
+	a := newAdmission(t, Options{QueuedAll: 40, Refresh: time.Hour}, 2, shares...)
+	a.SetCapacity(epoch, 100_000, 2)
+	for i := range 400 {
+		a.Offer(epoch, request(i, fmt.Sprintf("loud%d", i%20), PriorityStandard, 100))
+	}
+	for i := range 60 {
+		a.Finish(epoch, RequestID(i), 100)
+		a.Next(epoch, nil)
+		a.Offer(epoch, request(1000+i, fmt.Sprintf("loud%d", i%20), PriorityStandard, 100))
+	}
+	if a.Queued() != 40 {
+		t.Fatalf("the queue isn't full: %d", a.Queued())
+	}
+	if d := a.Offer(epoch, request(5000, "quiet", PriorityStandard, 100)); d.Verdict != Queued {
+		t.Errorf("the quiet organisation: %+v", d)
+	}
+	out := a.Next(epoch, nil)
+	if len(out) == 0 || out[0].Verdict != Refused {
+		t.Errorf("the one displaced isn't told: %+v", out)
+	}
+}
--- /dev/null
+++ b/contract/use.go
@@ -0,0 +1,78 @@
+package contract
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// OrganisationUse is what an organisation uses at this daemon beside what it
+// was promised. Rates are in tokens a second.
+type OrganisationUse struct {
+	Organisation OrganisationID `json:"organisation"`
+	Share        float64        `json:"share"`     // part of the fleet by the contract
+	Fraction     float64        `json:"fraction"`  // of its demand that comes to this daemon
+	Guarantee    float64        `json:"guarantee"` // rate by the contract at this daemon
+	Demand       float64        `json:"demand"`    // offered
+	Use          float64        `json:"use"`       // admitted
+	Queued       int            `json:"queued"`
+	Running      int            `json:"running"`
+	Counts       Counts         `json:"counts"`
+}
+
+// UseReport is the state of admission for the administration API and the dump.
+type UseReport struct {
+	Part          float64           `json:"part"` // of the fleet that this daemon spends
+	Slots         int               `json:"slots"`
+	Reserve       int               `json:"reserve"`
+	Rate          float64           `json:"rate"`
+	Running       int               `json:"running"`
+	Queued        int               `json:"queued"`
+	Daemons       int               `json:"daemons"`
+	Silent        int               `json:"silent"` // peers counted though not heard
+	Organisations []OrganisationUse `json:"organisations"`
+	Omitted       int               `json:"omitted"` // active organisations beyond the limit
+}
+
+// Use reports at most limit organisations, the ones that use most first.
+func (a *Admission) Use(now time.Time, limit int) UseReport {
+	a.advance(now)
+	slots := a.localSlots()
+	r := UseReport{
+		Part: a.part, Slots: slots, Reserve: a.reserve(slots), Rate: a.localRate(),
+		Running: a.running, Queued: a.backlog.queued, Daemons: a.liveDaemons(), Silent: a.silentPeers(),
+	}
+	for _, o := range a.list {
+		r.Organisations = append(r.Organisations, a.useOf(o))
+	}
+	slices.SortFunc(r.Organisations, func(x, y OrganisationUse) int {
+		if x.Use != y.Use {
+			if x.Use > y.Use {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(string(x.Organisation), string(y.Organisation))
+	})
+	if over := len(r.Organisations) - max(limit, 0); over > 0 {
+		r.Omitted = over
+		r.Organisations = r.Organisations[:len(r.Organisations)-over]
+	}
+	return r
+}
+
+func (a *Admission) useOf(o *organisation) OrganisationUse {
+	constant := a.opts.Meter.Seconds()
+	u := OrganisationUse{
+		Organisation: o.id, Fraction: o.fraction, Guarantee: a.guarantee(o),
+		Demand: a.demand(o), Use: o.use.value(a.clock, constant),
+		Running: o.running, Counts: o.counts,
+	}
+	if a.weights > 0 {
+		u.Share = o.share / a.weights
+	}
+	for p := range o.queues {
+		u.Queued += o.queues[p].n
+	}
+	return u
+}
