--- /dev/null
+++ b/placement/endpoints.go
@@ -0,0 +1,226 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// retiredLives is how many earlier incarnations of an endpoint are told from a
+// new one, so that a late message of a dead engine does not bring it back.
+const retiredLives = 4
+
+// none marks the end of a list or an unused index.
+const none = int32(-1)
+
+// endpoint is the View's record of one endpoint.
+type endpoint struct {
+	id     fleet.EndpointID
+	zone   fleet.ZoneID
+	hash   uint64
+	pools  int // pools it is a member of; 0: the slot is free
+	gate   Gate
+	listed Gate // from the platform's list
+	drains bool // from its own load report
+
+	incarnation fleet.Incarnation
+	retired     [retiredLives]fleet.Incarnation
+	// life changes whenever what was learnt of the cache stops being true: a
+	// new incarnation, a failure, a cleared cache, another endpoint in the
+	// slot. Holders carry the life they were learnt in.
+	life uint32
+
+	load     fleet.Load
+	loadAt   time.Time
+	rate     float64 // prefill tokens/s
+	idleLife time.Duration
+
+	nextSeq  uint64 // of the cache events; 0: none seen
+	gaps     uint32 // changes when events were lost
+	follows  bool   // events of the present life have been seen
+	firstRes int32  // oldest reservation that no load report covers
+	lastRes  int32
+	pending  int // prompt tokens of those reservations
+	queued   int // their number
+}
+
+// pool is the set of endpoints that can serve one kind of request.
+type pool struct {
+	members []int32 // in order
+	epoch   uint32  // changes with the members
+}
+
+func (v *View) endpointOf(id fleet.EndpointID) *endpoint {
+	i, ok := v.byID[id]
+	if !ok {
+		return nil
+	}
+	return &v.endpoints[i]
+}
+
+// SetPool sets the endpoints that can serve a kind of request, for example
+// those that have one model loaded. What was learnt of endpoints that stay is
+// kept. Endpoints over MaxEndpoints are left out.
+func (v *View) SetPool(name string, members []fleet.Endpoint) {
+	p := v.pools[name]
+	if p == nil {
+		p = &pool{}
+		v.pools[name] = p
+	}
+	old := p.members
+	p.members = make([]int32, 0, len(members))
+	for _, m := range members {
+		if i := v.join(m); i != none {
+			p.members = append(p.members, i)
+		}
+	}
+	slices.Sort(p.members)
+	for i := len(p.members) - 1; i > 0; i-- {
+		if p.members[i] == p.members[i-1] {
+			v.leave(p.members[i])
+			p.members = slices.Delete(p.members, i, i+1)
+		}
+	}
+	for _, i := range old {
+		v.leave(i)
+	}
+	v.epochs++
+	p.epoch = v.epochs
+	v.scratch.grow(len(v.endpoints))
+}
+
+func (v *View) join(m fleet.Endpoint) int32 {
+	i, ok := v.byID[m.ID]
+	if !ok {
+		if i = v.freeSlot(); i == none {
+			return none
+		}
+		v.byID[m.ID] = i
+		v.lives++
+		v.endpoints[i] = endpoint{
+			id: m.ID, hash: xxhash.Sum64String(string(m.ID)), life: v.lives,
+			rate: v.o.PrefillRate, idleLife: v.o.CacheLife, firstRes: none, lastRes: none,
+		}
+	}
+	e := &v.endpoints[i]
+	e.pools++
+	e.zone = m.Zone
+	e.listed = GateOpen
+	if m.State == fleet.VMLeaving {
+		e.listed = GateDraining
+	}
+	return i
+}
+
+func (v *View) freeSlot() int32 {
+	if n := len(v.freeEndpoints); n > 0 {
+		i := v.freeEndpoints[n-1]
+		v.freeEndpoints = v.freeEndpoints[:n-1]
+		return i
+	}
+	if len(v.endpoints) >= MaxEndpoints {
+		return none
+	}
+	v.endpoints = append(v.endpoints, endpoint{})
+	return int32(len(v.endpoints) - 1)
+}
+
+func (v *View) leave(i int32) {
+	e := &v.endpoints[i]
+	e.pools--
+	if e.pools > 0 {
+		return
+	}
+	v.dropReservationsOf(i)
+	delete(v.byID, e.id)
+	v.lives++
+	*e = endpoint{life: v.lives}
+	v.freeEndpoints = append(v.freeEndpoints, i)
+}
+
+// SetGate tells whether an endpoint may be given work. It does not change the
+// rendezvous order, so an ejected endpoint gets its own prefixes back when it
+// returns and no others move.
+func (v *View) SetGate(id fleet.EndpointID, g Gate) {
+	if e := v.endpointOf(id); e != nil {
+		e.gate = g
+	}
+}
+
+func (e *endpoint) gated() Gate {
+	if e.drains {
+		return GateDraining
+	}
+	return max(e.gate, e.listed)
+}
+
+// meet notes the incarnation that a message came from. It returns false for a
+// message of a life that is over.
+//
+// An engine that crashed comes back empty under the same address. Requests
+// would be sent there for a cache that is gone, and recompute it all in one
+// queue. A new incarnation therefore ends everything learnt before. The ones
+// before it are remembered for a while, since a late message of the dead
+// engine would otherwise look like the next life.
+func (v *View) meet(e *endpoint, in fleet.Incarnation) bool {
+	if in == 0 || in == e.incarnation {
+		return true
+	}
+	for _, old := range e.retired {
+		if old == in {
+			return false
+		}
+	}
+	if e.incarnation != 0 {
+		copy(e.retired[1:], e.retired[:])
+		e.retired[0] = e.incarnation
+		v.forgetCache(e)
+		e.load, e.loadAt = fleet.Load{}, time.Time{}
+	}
+	e.incarnation = in
+	return true
+}
+
+// forgetCache ends the life that holders of the endpoint were learnt in.
+func (v *View) forgetCache(e *endpoint) {
+	v.lives++
+	e.life = v.lives
+	e.follows, e.nextSeq = false, 0
+}
+
+// LoadReported takes a report that did not come with an answer.
+func (v *View) LoadReported(id fleet.EndpointID, l fleet.Load) {
+	e := v.endpointOf(id)
+	if e == nil || !v.meet(e, l.Incarnation) {
+		return
+	}
+	v.takeLoad(e, l)
+}
+
+// takeLoad replaces the older report and lets go of the reservations that the
+// new one counts already.
+func (v *View) takeLoad(e *endpoint, l fleet.Load) {
+	if l.At.Before(e.loadAt) {
+		return
+	}
+	e.load, e.loadAt = l, l.At
+	e.drains = l.Draining
+	for i := e.firstRes; i != none; i = e.firstRes {
+		r := &v.reservations[i]
+		if r.placed.Add(v.delayTo(e)).After(l.At) {
+			return
+		}
+		v.cover(e, i)
+	}
+}
+
+// delayTo is the one-way delay between the daemon and the endpoint.
+func (v *View) delayTo(e *endpoint) time.Duration {
+	if e.zone == v.o.Zone {
+		return 0
+	}
+	return v.o.ZoneDelay
+}
--- /dev/null
+++ b/placement/shared.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// Shared lets a pool of workers use one View. It holds a single lock, taken for
+// one decision or one message at a time and never while another lock is
+// wanted, so there is no order to keep. Cutting a prompt into levels costs far
+// more than placing it and is done before, outside the lock.
+type Shared struct {
+	mu   sync.Mutex
+	view *View
+}
+
+// NewShared returns a Shared around a new View.
+func NewShared(o Options) *Shared { return &Shared{view: NewView(o)} }
+
+// Place is View.Place.
+func (s *Shared) Place(now time.Time, r Request) (Decision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Place(now, r)
+}
+
+// Answered is View.Answered.
+func (s *Shared) Answered(now time.Time, a Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Answered(now, a)
+}
+
+// Finished is View.Finished.
+func (s *Shared) Finished(now time.Time, id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Finished(now, id)
+}
+
+// Failed is View.Failed.
+func (s *Shared) Failed(now time.Time, f Failure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Failed(now, f)
+}
+
+// LoadReported is View.LoadReported.
+func (s *Shared) LoadReported(id fleet.EndpointID, l fleet.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.LoadReported(id, l)
+}
+
+// CacheEvents is View.CacheEvents.
+func (s *Shared) CacheEvents(b EventBatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.CacheEvents(b)
+}
+
+// Expire is View.Expire.
+func (s *Shared) Expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Expire(now)
+}
+
+// SetPool is View.SetPool.
+func (s *Shared) SetPool(name string, members []fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetPool(name, members)
+}
+
+// SetGate is View.SetGate.
+func (s *Shared) SetGate(id fleet.EndpointID, g Gate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetGate(id, g)
+}
+
+// SetStore is View.SetStore.
+func (s *Shared) SetStore(id fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetStore(id)
+}
+
+// SetDaemons is View.SetDaemons.
+func (s *Shared) SetDaemons(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetDaemons(n)
+}
+
+// Dump is View.Dump.
+func (s *Shared) Dump(now time.Time) Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Dump(now)
+}
--- /dev/null
+++ b/placement/view.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+// View is what one daemon believes of the fleet. Make it with NewView.
+type View struct {
+	o Options
+
+	endpoints     []endpoint
+	freeEndpoints []int32
+	byID          map[fleet.EndpointID]int32
+	pools         map[string]*pool
+	store         fleet.EndpointID
+	lives         uint32 // last life given out
+	epochs        uint32 // last pool epoch given out
+
+	prefixes table
+
+	reservations     []reservation
+	freeReservations []int32
+	byOwner          map[uint64]int32
+	ages             ageQueue
+	service          float64 // seconds from first token to last, averaged
+
+	scratch scratch
+}
+
+// NewView returns an empty View.
+func NewView(o Options) *View {
+	o = o.withDefaults()
+	return &View{
+		o:        o,
+		byID:     map[fleet.EndpointID]int32{},
+		pools:    map[string]*pool{},
+		prefixes: newTable(o.MaxPrefixes),
+		byOwner:  map[uint64]int32{},
+		service:  DefaultService.Seconds(),
+	}
+}
+
+// SetDaemons sets how many daemons share the fleet, this one included.
+func (v *View) SetDaemons(n int) { v.o.Daemons = max(n, 1) }
+
+// SetStore names the KV store that prefixes may be imported from; empty: none.
+func (v *View) SetStore(id fleet.EndpointID) { v.store = id }
+
+// Answered takes the beginning of an answer: where it was cached, and the load.
+func (v *View) Answered(now time.Time, a Answer) {
+	i, owned := v.byOwner[a.ID]
+	if owned {
+		v.reservations[i].first = now
+	}
+	e := v.endpointOf(a.Endpoint)
+	if e == nil || !v.meet(e, a.Incarnation) {
+		return
+	}
+	if a.Load != nil {
+		v.takeLoad(e, *a.Load)
+	}
+	if owned && a.Load == nil {
+		v.cover(&v.endpoints[v.reservations[i].endpoint], i)
+	}
+	v.learn(now, e, a)
+}
+
+// learn notes that the endpoint now holds the prompt, and how long entries
+// last there.
+func (v *View) learn(now time.Time, e *endpoint, a Answer) {
+	ep := v.byID[a.Endpoint]
+	h := holder{endpoint: ep, life: e.life, gaps: e.gaps, seen: now}
+	for i := range shared(a.Levels) {
+		l := &a.Levels[i]
+		t := v.prefixes.touch(l.Key)
+		v.learnLife(now, e, t, ep, l.Tokens <= a.CachedTokens)
+		t.hold(h)
+		t.stored = now
+	}
+}
+
+// shared is the number of leading levels worth remembering. The last one is
+// the question, which only this request has.
+func shared(levels []prefix.Level) int { return max(len(levels)-1, min(len(levels), 1)) }
+
+// lifeGain is the weight of one observation of how long cache entries last.
+const lifeGain = 0.1
+
+// learnLife compares a belief with what the answer said of it.
+func (v *View) learnLife(now time.Time, e *endpoint, t *entry, ep int32, hit bool) {
+	for _, h := range t.holders {
+		if h.endpoint != ep || h.life != e.life {
+			continue
+		}
+		age := now.Sub(h.seen)
+		if hit == (age > e.idleLife) {
+			e.idleLife += time.Duration(lifeGain * float64(age-e.idleLife))
+		}
+		e.idleLife = max(e.idleLife, minCacheLife)
+		return
+	}
+}
+
+const minCacheLife = 200 * time.Millisecond
+
+// Finished ends a request whose whole answer has come.
+func (v *View) Finished(now time.Time, id uint64) {
+	i, ok := v.byOwner[id]
+	if !ok {
+		return
+	}
+	if first := v.reservations[i].first; !first.IsZero() {
+		v.service += lifeGain * (now.Sub(first).Seconds() - v.service)
+	}
+	v.release(i)
+}
+
+// Failed ends an attempt without a whole answer.
+func (v *View) Failed(_ time.Time, f Failure) {
+	if i, ok := v.byOwner[f.ID]; ok {
+		v.release(i)
+	}
+	e := v.endpointOf(f.Endpoint)
+	if e == nil || !f.Dead {
+		return
+	}
+	v.forgetCache(e)
+}
+
+// CacheEvents takes events of one endpoint. A hole in the sequence makes all
+// that events said of that endpoint uncertain, not absent and not present: it
+// then counts as what an answer said, by its age.
+func (v *View) CacheEvents(b EventBatch) {
+	e := v.endpointOf(b.Endpoint)
+	if e == nil || !v.meet(e, b.Incarnation) {
+		return
+	}
+	if e.follows && b.Seq < e.nextSeq {
+		return
+	}
+	if !e.follows || b.Seq != e.nextSeq {
+		e.gaps++
+	}
+	e.follows = true
+	e.nextSeq = b.Seq + uint64(len(b.Events))
+	for _, ev := range b.Events {
+		v.event(e, v.byID[b.Endpoint], b.At, ev)
+	}
+}
+
+func (v *View) event(e *endpoint, ep int32, at time.Time, ev Event) {
+	switch ev.Kind {
+	case EventCleared:
+		seq := e.nextSeq
+		v.forgetCache(e)
+		e.follows, e.nextSeq = true, seq
+	case EventStored:
+		t := v.prefixes.touch(ev.Key)
+		t.hold(holder{endpoint: ep, life: e.life, gaps: e.gaps, event: true, seen: at})
+		if t.stored.Before(at) {
+			t.stored = at
+		}
+	case EventRemoved:
+		if t := v.prefixes.find(ev.Key); t != nil {
+			t.drop(ep, at)
+		}
+	}
+}
+
+// eventTrust is how sure a cache event that no removal and no gap followed is.
+// The removal may be on its way.
+const eventTrust = 0.97
+
+// belief is the probability that the holder still has the prefix.
+func (v *View) belief(now time.Time, h *holder) float64 {
+	e := &v.endpoints[h.endpoint]
+	if h.life != e.life {
+		return 0
+	}
+	if e.follows && h.gaps == e.gaps {
+		return eventTrust
+	}
+	return math.Exp2(-now.Sub(h.seen).Seconds() / e.idleLife.Seconds())
+}
--- /dev/null
+++ b/prefix/prefix_test.go
@@ -0,0 +1,147 @@
+package prefix
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func cutPrompt(c *Cutter, s Seed, messages ...string) []Level {
+	c.Reset(s)
+	for _, m := range messages {
+		c.Write([]byte(m))
+		c.EndMessage()
+	}
+	return append([]Level(nil), c.Levels()...)
+}
+
+func TestSharedBeginningSharesKeys(t *testing.T) {
+	c := NewCutter(Options{PieceTokens: 4, BytesPerToken: 1})
+	a := cutPrompt(c, Seed{Organisation: "o"}, "preamble", "sheet", "q1")
+	b := cutPrompt(c, Seed{Organisation: "o"}, "preamble", "sheet", "q2")
+	if len(a) != 5 || len(b) != 5 {
+		t.Fatalf("levels = %d and %d, want 5", len(a), len(b))
+	}
+	for i := range 4 {
+		if a[i] != b[i] {
+			t.Errorf("level %d differs below the question", i)
+		}
+	}
+	if a[4].Key == b[4].Key {
+		t.Error("different questions have one key")
+	}
+	if got := Affinity(a); got != 3 {
+		t.Errorf("Affinity = %d, want 3, the end of the sheet", got)
+	}
+}
+
+// Two organisations send the same text, or one whose bytes run together with
+// its name. If their keys met, one customer's answer time would tell what the
+// other had asked, and an import would carry its cache across.
+func TestSeedsNeverMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringN(1, 64, -1).Draw(t, "text")
+		word := rapid.StringN(0, 6, -1)
+		draw := func(name string) Seed {
+			return Seed{
+				Model: word.Draw(t, name+" model"), Version: word.Draw(t, name+" version"),
+				Adapter: word.Draw(t, name+" adapter"), AdapterVersion: word.Draw(t, name+" adapter version"),
+			}
+		}
+		one, two := draw("one"), draw("two")
+		c := NewCutter(Options{})
+		a, b := cutPrompt(c, one, text), cutPrompt(c, two, text)
+		if (a[0].Key == b[0].Key) != (one == two) {
+			t.Fatalf("seeds %+v and %+v: keys %v and %v", one, two, a[0].Key, b[0].Key)
+		}
+	})
+}
+
+func TestSplitWritesCutAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "text")
+		at := rapid.IntRange(0, len(text)).Draw(t, "at")
+		c := NewCutter(Options{PieceTokens: 7, BytesPerToken: 2})
+		whole := cutPrompt(c, Seed{}, string(text))
+		c.Reset(Seed{})
+		c.Write(text[:at])
+		c.Write(text[at:])
+		c.EndMessage()
+		for i, l := range c.Levels() {
+			if l != whole[i] {
+				t.Fatalf("level %d differs when written in two parts", i)
+			}
+		}
+		if c.Tokens() != (len(text)+1)/2 {
+			t.Fatalf("Tokens = %d for %d bytes", c.Tokens(), len(text))
+		}
+	})
+}
+
+func TestAffinity(t *testing.T) {
+	tests := []struct {
+		name   string
+		levels string // m ends a message, p a piece inside one
+		want   int
+	}{
+		{"nothing", "", -1},
+		{"one piece", "m", 0},
+		{"raw prompt", "pppm", 1},
+		{"short raw prompt", "pm", 0},
+		{"preamble and question", "mm", 0},
+		{"long preamble and question", "ppmm", 2},
+		{"document and question in one message", "mpppm", 1},
+		{"preamble, document, question", "mppmm", 3},
+		{"a later turn", "mppmmmm", 3},
+	}
+	for _, tt := range tests {
+		levels := make([]Level, len(tt.levels))
+		for i, kind := range tt.levels {
+			levels[i].Message = kind == 'm'
+		}
+		if got := Affinity(levels); got != tt.want {
+			t.Errorf("%s: Affinity = %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestKeyText(t *testing.T) {
+	want := Key{1, 2, 255}
+	text, _ := want.MarshalText()
+	var got Key
+	if err := got.UnmarshalText(text); err != nil || got != want {
+		t.Errorf("UnmarshalText(%s) = %v, %v", text, got, err)
+	}
+	if err := got.UnmarshalText([]byte("xyz")); err == nil {
+		t.Error("a short text was taken for a key")
+	}
+}
+
+func TestCutterBoundsLevelsAndAllocations(t *testing.T) {
+	c := NewCutter(Options{PieceTokens: 1, BytesPerToken: 1})
+	text := bytes.Repeat([]byte("x"), 2*MaxLevels)
+	if got := len(cutPrompt(c, Seed{}, string(text))); got != MaxLevels {
+		t.Errorf("levels = %d, want the bound %d", got, MaxLevels)
+	}
+	allocs := testing.AllocsPerRun(50, func() {
+		c.Reset(Seed{Organisation: "registre", Model: "m"})
+		c.Write(text)
+		c.EndMessage()
+	})
+	if allocs != 0 {
+		t.Errorf("allocations per prompt = %v, want 0", allocs)
+	}
+}
+
+func BenchmarkCut(b *testing.B) {
+	text := bytes.Repeat([]byte("specification "), 4000)
+	c := NewCutter(Options{})
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Reset(Seed{Organisation: "registre", Model: "m"})
+		c.Write(text)
+		c.EndMessage()
+	}
+}
