--- /dev/null
+++ b/lab/history/publish_test.go
@@ -0,0 +1,90 @@
+package history
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/standin/plog"
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/logio"
+	"github.com/merlindock/merlindock/platform"
+)
+
+func publish(t *testing.T, log platform.Log, base platform.Offset, loads int) logio.PublishResult {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), logio.PublishTimeout)
+	defer cancel()
+	r, err := logio.Publish(ctx, log, logio.PublishRequest{Base: base, Manifest: Sample(loads)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestPublisherIsToldTheTruth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := plog.New(plog.Options{})
+		check := func(r logio.PublishResult, o logio.PublishOutcome, offset, by platform.Offset) {
+			t.Helper()
+			if r.Outcome != o || r.Offset != offset || r.By != by {
+				t.Fatalf("got %+v, expected %s at %d by %d", r, o, offset, by)
+			}
+		}
+		check(publish(t, log, 0, 1), logio.PublishAccepted, 1, 0)
+		check(publish(t, log, 0, 2), logio.PublishRefused, 0, 1)
+		log.LoseAnswers(2)
+		check(publish(t, log, 1, 3), logio.PublishAccepted, 2, 0)
+		check(publish(t, log, 1, 3), logio.PublishAccepted, 2, 0)
+		log.SetOutage(true)
+		check(publish(t, log, 2, 4), logio.PublishNotAppended, 0, 0)
+		log.SetOutage(false)
+
+		// The log takes the record, and then nothing more is heard of it.
+		cut := log.View()
+		log.LoseAnswers(1)
+		done := make(chan logio.PublishResult)
+		go func() { done <- publish(t, &cutAfterAppend{cut}, 2, 5) }()
+		check(<-done, logio.PublishUnknown, 0, 0)
+		check(publish(t, log, 2, 5), logio.PublishAccepted, log.Head(ledger.StreamManifest)-1, 0)
+	})
+}
+
+// cutAfterAppend loses its way to the log with the first append.
+type cutAfterAppend struct{ *plog.Cut }
+
+func (c *cutAfterAppend) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+	defer c.Disconnect()
+	return c.Cut.Append(ctx, s, data)
+}
+
+func TestDaemonsFollowAndCheckpointBeforeExpiry(t *testing.T) {
+	// A manifest is published once and not for a day after. Its record expires
+	// after six hours; a daemon that starts then must still find it.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := plog.New(plog.Options{})
+		if r := publish(t, log, 0, 1); r.Outcome != logio.PublishAccepted {
+			t.Fatal(r)
+		}
+		for seed := range uint64(3) {
+			go func() {
+				_ = logio.NewManifests(logio.ManifestsOptions{Log: log, Seed: seed, Poll: time.Second}).Run(ctx)
+			}()
+		}
+		time.Sleep(24 * time.Hour)
+		appended := log.Counts().Appends
+		late := logio.NewManifests(logio.ManifestsOptions{Log: log, Seed: 9})
+		go func() { _ = late.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		if v := late.InForce(); v == nil || v.Revision.Offset != 1 {
+			t.Fatalf("the late daemon has %+v", v)
+		}
+		if appended > 20 {
+			t.Fatalf("%d appends in a day of rest", appended)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/lab/history/sample.go
@@ -0,0 +1,47 @@
+// Package history runs the real folds and shells of merlindock against
+// stand-ins with faults, records what callers and operators saw, and checks
+// the records with porcupine.
+package history
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/manifest"
+)
+
+// Sample is a small valid manifest; loads tells one from another.
+func Sample(loads int) manifest.Manifest { return SampleOf(loads, 1) }
+
+// SampleOf is Sample with a number of organisations.
+func SampleOf(loads, organisations int) manifest.Manifest {
+	m := manifest.Manifest{
+		Rules: manifest.RulesVersion, Name: "quebec-est",
+		Fleet: manifest.Fleet{
+			PieceTokens: 2000, BytesPerToken: 4, LoadsAtOnce: loads,
+			FirstTokenLimit: manifest.Duration(time.Second),
+		},
+		Models:  []manifest.Model{{ID: "plan-reader", Version: "v1"}},
+		Classes: []manifest.Class{{ID: "runner", Kind: fleet.KindModel, Models: []string{"plan-reader"}}},
+		Retention: manifest.Retention{
+			ClaimWindow: manifest.Duration(time.Hour), LogRecords: manifest.Duration(plogRetention),
+		},
+	}
+	for i := range organisations {
+		m.Organisations = append(m.Organisations, organisation(i))
+	}
+	return m
+}
+
+const plogRetention = 6 * time.Hour
+
+func organisation(i int) manifest.Organisation {
+	return manifest.Organisation{
+		ID:         contract.OrganisationID(fmt.Sprintf("organisation-%d", i)),
+		KeyHashes:  []string{fmt.Sprintf("%064x", i)},
+		Share:      1,
+		Priorities: []string{"interactive", "standard", "batch"},
+	}
+}
--- /dev/null
+++ b/lab/standin/plog/faults.go
@@ -0,0 +1,113 @@
+package plog
+
+import (
+	"context"
+	"time"
+
+	"github.com/merlindock/merlindock/platform"
+)
+
+// repeatDepth is how far back a duplicate delivery reaches.
+const repeatDepth = 3
+
+type faults struct {
+	outage      bool
+	outageUntil time.Time
+	delay       time.Duration
+	loseAnswers int
+	repeatReads int
+}
+
+func (f *faults) down(now time.Time) bool { return f.outage || now.Before(f.outageUntil) }
+
+func (f *faults) loseAnswer() bool {
+	if f.loseAnswers == 0 {
+		return false
+	}
+	f.loseAnswers--
+	return true
+}
+
+func (f *faults) repeatFrom(from, first platform.Offset) platform.Offset {
+	if f.repeatReads == 0 {
+		return from
+	}
+	f.repeatReads--
+	return max(first, from-repeatDepth)
+}
+
+// SetOutage starts or ends an outage: no append takes effect, no read is
+// answered.
+func (l *Log) SetOutage(on bool) { l.fault(func(f *faults) { f.outage = on }) }
+
+// OutageFor starts an outage that ends by itself.
+func (l *Log) OutageFor(d time.Duration) {
+	until := l.opt.Now().Add(d)
+	l.fault(func(f *faults) { f.outageUntil = until })
+}
+
+// SetDelay makes every call take d.
+func (l *Log) SetDelay(d time.Duration) { l.fault(func(f *faults) { f.delay = d }) }
+
+// LoseAnswers makes the next n appends take effect and fail.
+func (l *Log) LoseAnswers(n int) { l.fault(func(f *faults) { f.loseAnswers = n }) }
+
+// RepeatReads makes the next n reads deliver records again that were
+// delivered before.
+func (l *Log) RepeatReads(n int) { l.fault(func(f *faults) { f.repeatReads = n }) }
+
+func (l *Log) fault(change func(*faults)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.faults)
+}
+
+// Truncate drops the records of a stream before first, as if they had expired.
+func (l *Log) Truncate(name platform.Stream, first platform.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	s.drop(int(min(max(first, s.first), s.next()) - s.first))
+}
+
+// Cut is one daemon's way to the log, which can be interrupted while others
+// reach it.
+type Cut struct {
+	Log *Log
+	off chan struct{}
+}
+
+// View returns a way to the log that Disconnect interrupts.
+func (l *Log) View() *Cut { return &Cut{Log: l, off: make(chan struct{}, 1)} }
+
+// Disconnect makes every call by this way fail.
+func (c *Cut) Disconnect() {
+	select {
+	case c.off <- struct{}{}:
+	default:
+	}
+}
+
+// Reconnect ends Disconnect.
+func (c *Cut) Reconnect() {
+	select {
+	case <-c.off:
+	default:
+	}
+}
+
+// Append implements platform.Log.
+func (c *Cut) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+	if len(c.off) > 0 {
+		return 0, platform.ErrNotAppended
+	}
+	return c.Log.Append(ctx, s, data)
+}
+
+// Read implements platform.Log.
+func (c *Cut) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+	if len(c.off) > 0 {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return c.Log.Read(ctx, s, from, limit)
+}
--- /dev/null
+++ b/lab/standin/plog/http.go
@@ -0,0 +1,77 @@
+package plog
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/platform/httplog"
+)
+
+// Handler serves the log and the list as docs/PLATFORM.md states.
+func Handler(l *Log, v *VMs) http.Handler {
+	mux := http.NewServeMux()
+	records := httplog.PathStreams + "{stream}/records"
+	mux.HandleFunc("POST "+records, l.serveAppend)
+	mux.HandleFunc("GET "+records, l.serveRead)
+	mux.HandleFunc("GET "+httplog.PathEndpoints, func(w http.ResponseWriter, r *http.Request) {
+		list, err := v.Endpoints(r.Context())
+		answer(w, list, err)
+	})
+	mux.HandleFunc("GET "+httplog.PathDaemons, func(w http.ResponseWriter, r *http.Request) {
+		list, err := v.Daemons(r.Context())
+		answer(w, list, err)
+	})
+	return mux
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(l.opt.MaxRecordBytes)+1))
+	if err != nil {
+		w.Header().Set(httplog.HeaderNotAppended, "true")
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	offset, err := l.Append(r.Context(), platform.Stream(r.PathValue("stream")), body)
+	answer(w, httplog.Appended{Offset: offset}, err)
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is not an offset", http.StatusBadRequest)
+		return
+	}
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 1 {
+		http.Error(w, "limit is not a number of records", http.StatusBadRequest)
+		return
+	}
+	page, err := l.Read(r.Context(), platform.Stream(r.PathValue("stream")), platform.Offset(from), limit)
+	answer(w, page, err)
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	var truncated *platform.TruncatedError
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, v)
+	case errors.As(err, &truncated):
+		writeJSON(w, http.StatusGone, httplog.Truncated{First: truncated.First})
+	case errors.Is(err, platform.ErrNotAppended):
+		w.Header().Set(httplog.HeaderNotAppended, "true")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	// A failed write means that the caller has gone, who will ask again.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/lab/standin/plog/plog.go
@@ -0,0 +1,222 @@
+// Package plog stands in for the platform: its append-only log and its list
+// of VMs, in process or behind HTTP, with every fault of the real ones on
+// command.
+//
+// Lock order: each type has one mutex and calls nothing that locks while it
+// holds it.
+package plog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/merlindock/merlindock/platform"
+)
+
+// Defaults of the stand-in.
+const (
+	DefaultRetention      = 6 * time.Hour
+	DefaultAppendRate     = 300 // appends a second
+	DefaultMaxRecordBytes = 9 << 20
+	maxPage               = 1000 // records in one answer
+	maxPageBytes          = 32 << 20
+)
+
+// Options of a Log. Zero values take the defaults.
+type Options struct {
+	Now            func() time.Time // the log's clock
+	Retention      time.Duration    // how long a record is kept
+	AppendRate     float64          // appends a second over all streams; negative: no limit
+	MaxRecordBytes int
+}
+
+// Log is an in-memory platform.Log.
+type Log struct {
+	opt     Options
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[platform.Stream]*stream
+	faults  faults
+	counts  Counts
+}
+
+type stream struct {
+	first   platform.Offset // offset of records[0], or of the next append
+	records []platform.Record
+}
+
+func (s *stream) next() platform.Offset { return s.first + platform.Offset(len(s.records)) }
+
+// Counts tells what the log was asked.
+type Counts struct {
+	Appends     int `json:"appends"` // that took effect
+	Refused     int `json:"refused"` // certainly not appended
+	Reads       int `json:"reads"`
+	BytesIn     int `json:"bytes_in"`
+	BytesOut    int `json:"bytes_out"`
+	RecordsRead int `json:"records_read"`
+}
+
+// New returns an empty log.
+func New(o Options) *Log {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.AppendRate == 0 {
+		o.AppendRate = DefaultAppendRate
+	}
+	if o.MaxRecordBytes == 0 {
+		o.MaxRecordBytes = DefaultMaxRecordBytes
+	}
+	l := &Log{opt: o, streams: make(map[platform.Stream]*stream)}
+	if o.AppendRate > 0 {
+		l.limiter = rate.NewLimiter(rate.Limit(o.AppendRate), max(1, int(o.AppendRate/10)))
+	}
+	return l
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, name platform.Stream, data []byte) (platform.Offset, error) {
+	delay, err := l.beforeAppend(len(data))
+	if err != nil {
+		return 0, err
+	}
+	if err := wait(ctx, delay/2); err != nil {
+		return 0, fmt.Errorf("%w: %w", platform.ErrNotAppended, err)
+	}
+	offset, lost := l.add(name, data)
+	if err := wait(ctx, delay-delay/2); err != nil {
+		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if lost {
+		return 0, fmt.Errorf("%w: the answer was lost", platform.ErrUnavailable)
+	}
+	return offset, nil
+}
+
+func (l *Log) beforeAppend(size int) (time.Duration, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.opt.Now()
+	if size > l.opt.MaxRecordBytes {
+		l.counts.Refused++
+		return 0, fmt.Errorf("%w: record of %d bytes is too long", platform.ErrNotAppended, size)
+	}
+	if l.faults.down(now) {
+		l.counts.Refused++
+		return 0, fmt.Errorf("%w: outage", platform.ErrNotAppended)
+	}
+	if l.limiter != nil && !l.limiter.AllowN(now, 1) {
+		l.counts.Refused++
+		return 0, fmt.Errorf("%w: over the append rate", platform.ErrNotAppended)
+	}
+	return l.faults.delay, nil
+}
+
+func (l *Log) add(name platform.Stream, data []byte) (platform.Offset, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	r := platform.Record{Offset: s.next(), Time: l.opt.Now(), Data: append([]byte(nil), data...)}
+	s.records = append(s.records, r)
+	l.counts.Appends++
+	l.counts.BytesIn += len(data)
+	return r.Offset, l.faults.loseAnswer()
+}
+
+func (l *Log) stream(name platform.Stream) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{first: 1}
+		l.streams[name] = s
+	}
+	s.expire(l.opt.Now().Add(-l.opt.Retention))
+	return s
+}
+
+func (s *stream) expire(before time.Time) {
+	n := 0
+	for n < len(s.records) && s.records[n].Time.Before(before) {
+		n++
+	}
+	s.drop(n)
+}
+
+func (s *stream) drop(n int) {
+	s.records = s.records[n:]
+	s.first += platform.Offset(n)
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, name platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+	l.mu.Lock()
+	delay := l.faults.delay
+	l.mu.Unlock()
+	if err := wait(ctx, delay); err != nil {
+		return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Reads++
+	if l.faults.down(l.opt.Now()) {
+		return platform.Page{}, fmt.Errorf("%w: outage", platform.ErrUnavailable)
+	}
+	return l.read(name, from, limit)
+}
+
+func (l *Log) read(name platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+	s := l.stream(name)
+	if from < s.first {
+		return platform.Page{}, &platform.TruncatedError{Stream: name, From: from, First: s.first}
+	}
+	from = l.faults.repeatFrom(from, s.first)
+	page := platform.Page{First: s.first, Next: s.next()}
+	bytes := 0
+	for o := from; o < s.next() && len(page.Records) < min(limit, maxPage) && bytes < maxPageBytes; o++ {
+		r := s.records[o-s.first]
+		bytes += len(r.Data)
+		page.Records = append(page.Records, r)
+	}
+	l.counts.BytesOut += bytes
+	l.counts.RecordsRead += len(page.Records)
+	return page, nil
+}
+
+// Head returns the offset that the next append to a stream will get.
+func (l *Log) Head(name platform.Stream) platform.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream(name).next()
+}
+
+// Counts returns what the log was asked so far.
+func (l *Log) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/lab/standin/plog/vms.go
@@ -0,0 +1,90 @@
+package plog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// VMs is an in-memory platform.VMList. Its answers lag by Lag.
+type VMs struct {
+	now func() time.Time
+	lag time.Duration
+
+	mu     sync.Mutex
+	down   bool
+	states []vmState // oldest first
+}
+
+type vmState struct {
+	since     time.Time
+	endpoints []fleet.Endpoint
+	daemons   []platform.Daemon
+}
+
+// maxVMStates bounds the changes that are remembered for the lag.
+const maxVMStates = 1000
+
+// NewVMs returns an empty list that lags by the given time.
+func NewVMs(now func() time.Time, lag time.Duration) *VMs {
+	if now == nil {
+		now = time.Now
+	}
+	return &VMs{now: now, lag: lag}
+}
+
+// Set replaces the list. Readers see it after the lag; the first list is seen
+// at once.
+func (v *VMs) Set(endpoints []fleet.Endpoint, daemons []platform.Daemon) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.states = append(v.states, vmState{
+		since:     v.now(),
+		endpoints: append([]fleet.Endpoint(nil), endpoints...),
+		daemons:   append([]platform.Daemon(nil), daemons...),
+	})
+	if len(v.states) > maxVMStates {
+		v.states = v.states[1:]
+	}
+}
+
+// SetOutage makes every call fail, or ends that.
+func (v *VMs) SetOutage(on bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down = on
+}
+
+func (v *VMs) current() (vmState, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down {
+		return vmState{}, fmt.Errorf("%w: VM list", platform.ErrUnavailable)
+	}
+	seen := v.now().Add(-v.lag)
+	for i := len(v.states) - 1; i > 0; i-- {
+		if !v.states[i].since.After(seen) {
+			return v.states[i], nil
+		}
+	}
+	if len(v.states) == 0 {
+		return vmState{}, nil
+	}
+	return v.states[0], nil
+}
+
+// Endpoints implements platform.VMList.
+func (v *VMs) Endpoints(context.Context) ([]fleet.Endpoint, error) {
+	s, err := v.current()
+	return append([]fleet.Endpoint(nil), s.endpoints...), err
+}
+
+// Daemons implements platform.VMList.
+func (v *VMs) Daemons(context.Context) ([]platform.Daemon, error) {
+	s, err := v.current()
+	return append([]platform.Daemon(nil), s.daemons...), err
+}
--- /dev/null
+++ b/ledger/manifests.go
@@ -0,0 +1,367 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// Limits of a State. Zero values of Options take them.
+const (
+	DefaultHistory   = 256      // decisions remembered
+	DefaultHeld      = 1024     // records held until a gap is closed
+	DefaultHeldBytes = 32 << 20 // in all
+	maxRecent        = 64       // acceptances remembered to recognise repeats
+	maxAuthorBytes   = 256
+	maxDetailBytes   = 1024 // of a decision that is remembered
+)
+
+// Options of a State.
+type Options struct {
+	History   int
+	Held      int
+	HeldBytes int
+}
+
+// Version is an accepted manifest. It is never changed.
+type Version struct {
+	Revision Revision
+	Base     platform.Offset
+	Manifest manifest.Manifest
+}
+
+// State is the fold of the manifest stream.
+//
+// What a reader has seen may have a gap in front: records expire, and a
+// daemon may start late or read slowly. Behind a gap the fold accepts nothing,
+// since an expired record may have been accepted in between; a checkpoint or a
+// neighbour's proof that covers the gap lets it go on. Without that rule two
+// daemons could hold different manifests for true, and one would later revert.
+type State struct {
+	opt     Options
+	rules   int
+	behind  bool
+	through platform.Offset // every record up to here is folded
+	gapEnd  platform.Offset // first record after a gap; 0 without a gap
+	latest  *Version        // by the fold; nil before the first
+	adopted *Checkpoint     // newest proof of a neighbour
+	ahead   *Version        // the manifest of adopted
+	held    []platform.Record
+	bytes   int // of held
+	history []Decision
+	recent  []Acceptance // oldest first
+	carrier time.Time    // of the newest record that holds latest whole
+
+	conflicts int
+}
+
+// NewState returns a fold that has read nothing.
+func NewState(o Options) *State {
+	if o.History == 0 {
+		o.History = DefaultHistory
+	}
+	if o.Held == 0 {
+		o.Held = DefaultHeld
+	}
+	if o.HeldBytes == 0 {
+		o.HeldBytes = DefaultHeldBytes
+	}
+	return &State{opt: o, rules: 1}
+}
+
+// InForce returns the newest accepted manifest that is known by the fold or
+// by a neighbour's proof, and nil when there is none. It never goes back.
+func (s *State) InForce() *Version {
+	if s.ahead != nil && (s.latest == nil || s.ahead.Revision.Offset > s.latest.Revision.Offset) {
+		return s.ahead
+	}
+	return s.latest
+}
+
+// Revision returns the revision in force.
+func (s *State) Revision() Revision {
+	if v := s.InForce(); v != nil {
+		return v.Revision
+	}
+	return Revision{}
+}
+
+// Next is the offset that the fold wants to read next.
+func (s *State) Next() platform.Offset {
+	if n := len(s.held); n > 0 {
+		return s.held[n-1].Offset + 1
+	}
+	if s.gapEnd > 0 {
+		return s.gapEnd
+	}
+	return s.through + 1
+}
+
+// Decided tells whether the fold can decide the next record.
+func (s *State) Decided() bool { return s.gapEnd == 0 && !s.behind }
+
+// Behind tells whether rules newer than this release are in force.
+func (s *State) Behind() bool { return s.behind }
+
+// Conflicts counts records and proofs that contradicted the fold. Anything
+// but 0 means a faulty writer.
+func (s *State) Conflicts() int { return s.conflicts }
+
+// History returns the remembered decisions, oldest first.
+func (s *State) History() []Decision { return append([]Decision(nil), s.history...) }
+
+// Apply folds one record and returns the decisions it led to: its own last,
+// and before it those of held records that it allowed to decide.
+func (s *State) Apply(r platform.Record) []Decision {
+	if r.Offset < s.Next() {
+		return []Decision{{Offset: r.Offset, Time: r.Time, Outcome: Noted, Reason: ReasonSeen}}
+	}
+	var closed []Decision
+	if r.Offset > s.Next() {
+		closed = s.Gap(r.Offset)
+	}
+	switch {
+	case s.gapEnd > 0:
+		return s.hold(r)
+	case r.Offset <= s.through:
+		return append(closed, Decision{Offset: r.Offset, Time: r.Time, Outcome: Noted, Reason: ReasonSeen})
+	default:
+		return append(closed, s.fold(r))
+	}
+}
+
+// Gap tells the fold that the records before first have expired unread. It
+// returns the decisions that a neighbour's proof allows at once.
+func (s *State) Gap(first platform.Offset) []Decision {
+	if first <= s.Next() {
+		return nil
+	}
+	s.held, s.bytes = nil, 0
+	s.gapEnd = first
+	return s.close(s.adopted, s.ahead)
+}
+
+func (s *State) hold(r platform.Record) []Decision {
+	s.held = append(s.held, r)
+	s.bytes += len(r.Data)
+	for len(s.held) > s.opt.Held || s.bytes > s.opt.HeldBytes {
+		s.bytes -= len(s.held[0].Data)
+		s.gapEnd = s.held[0].Offset + 1
+		s.held = s.held[1:]
+	}
+	_, body, err := Decode(r.Data)
+	if c, ok := body.(*Checkpoint); err == nil && ok && c.Through < r.Offset {
+		if v, err := c.version(); err == nil {
+			if done := s.close(c, v); done != nil {
+				return done
+			}
+		}
+	}
+	if err != nil && reasonOf(err) == ReasonRules {
+		return []Decision{{Offset: r.Offset, Time: r.Time, Outcome: Undecided, Reason: ReasonBehind}}
+	}
+	return []Decision{{Offset: r.Offset, Time: r.Time, Outcome: Undecided, Reason: ReasonGap}}
+}
+
+// close ends a gap with a proof that covers it, and folds what was held.
+func (s *State) close(c *Checkpoint, v *Version) []Decision {
+	if c == nil || s.gapEnd == 0 || c.Through < s.gapEnd-1 {
+		return nil
+	}
+	if v.older(s.latest) {
+		s.conflicts++
+		return nil
+	}
+	held := s.held
+	s.gapEnd, s.held, s.bytes = 0, nil, 0
+	s.take(c, v)
+	decisions := []Decision{}
+	for _, r := range held {
+		if r.Offset > s.through {
+			decisions = append(decisions, s.fold(r))
+		}
+	}
+	return decisions
+}
+
+// take makes a proof the fold's own state.
+func (s *State) take(c *Checkpoint, v *Version) {
+	s.through, s.latest, s.rules, s.carrier = c.Through, v, c.Rules, c.Carried
+	s.recent = append([]Acceptance(nil), c.Recent...)
+}
+
+func (v *Version) offset() platform.Offset {
+	if v == nil {
+		return 0
+	}
+	return v.Revision.Offset
+}
+
+func (v *Version) older(than *Version) bool { return v.offset() < than.offset() }
+
+// fold decides r, the record after through.
+func (s *State) fold(r platform.Record) Decision {
+	d := s.decide(r)
+	d.Offset, d.Time = r.Offset, r.Time
+	s.through = r.Offset
+	s.remember(d)
+	return d
+}
+
+func (s *State) remember(d Decision) {
+	if d.Outcome == Noted {
+		return
+	}
+	if len(d.Detail) > maxDetailBytes {
+		d.Detail = d.Detail[:maxDetailBytes]
+	}
+	s.history = append(s.history, d)
+	if len(s.history) > s.opt.History {
+		s.history = s.history[1:]
+	}
+}
+
+func (s *State) decide(r platform.Record) Decision {
+	if s.behind {
+		return Decision{Outcome: Undecided, Reason: ReasonBehind}
+	}
+	rules, body, err := Decode(r.Data)
+	if err != nil {
+		return refused(err)
+	}
+	if rules != s.rules {
+		return Decision{Kind: body.kind(), Outcome: Refused, Reason: ReasonRules}
+	}
+	switch b := body.(type) {
+	case *ManifestRecord:
+		return s.propose(r, b)
+	case *Checkpoint:
+		return s.compare(r, b)
+	case *Raise:
+		return s.raise(b)
+	default:
+		return Decision{Kind: body.kind(), Outcome: Refused, Reason: ReasonMalformed}
+	}
+}
+
+func refused(err error) Decision {
+	var e *RecordError
+	if errors.As(err, &e) {
+		return Decision{Outcome: Refused, Reason: e.Reason, Detail: e.Detail}
+	}
+	return Decision{Outcome: Refused, Reason: ReasonMalformed, Detail: err.Error()}
+}
+
+func reasonOf(err error) Reason { return refused(err).Reason }
+
+// propose accepts a manifest only against the latest one. Two operators that
+// publish at once from the same base are thereby told apart by the log's
+// order, and the second learns which record came first.
+func (s *State) propose(r platform.Record, b *ManifestRecord) Decision {
+	d := Decision{Kind: KindManifest, Base: b.Base, Digest: b.Digest, Author: b.Author}
+	if len(b.Author) > maxAuthorBytes {
+		d.Outcome, d.Reason = Refused, ReasonTooLong
+		return d
+	}
+	if by := s.broughtBy(b); by > 0 {
+		d.Outcome, d.By = Repeated, by
+		return d
+	}
+	if b.Base != s.latest.offset() {
+		d.Outcome, d.Reason, d.By = Refused, ReasonStale, s.latest.offset()
+		return d
+	}
+	m, err := b.read()
+	if err != nil {
+		d.Outcome, d.Reason, d.Detail = Refused, reasonOf(err), err.Error()
+		return d
+	}
+	s.latest = &Version{Revision: Revision{Offset: r.Offset, Digest: b.Digest}, Base: b.Base, Manifest: m}
+	s.carrier = r.Time
+	s.accept(Acceptance{Offset: r.Offset, Base: b.Base, Digest: b.Digest})
+	s.checkAhead()
+	d.Outcome = Accepted
+	return d
+}
+
+// broughtBy finds the record that already brought the same content: the
+// latest, or an accepted one with the same base. A publisher whose answer was
+// lost and who repeats it thus has it accepted once.
+func (s *State) broughtBy(b *ManifestRecord) platform.Offset {
+	if s.latest != nil && s.latest.Revision.Digest == b.Digest {
+		return s.latest.Revision.Offset
+	}
+	for _, a := range s.recent {
+		if a.Base == b.Base && a.Digest == b.Digest {
+			return a.Offset
+		}
+	}
+	return 0
+}
+
+func (s *State) accept(a Acceptance) {
+	s.recent = append(s.recent, a)
+	if len(s.recent) > maxRecent {
+		s.recent = append([]Acceptance(nil), s.recent[1:]...)
+	}
+}
+
+// Recent returns the last acceptances, oldest first.
+func (s *State) Recent() []Acceptance { return append([]Acceptance(nil), s.recent...) }
+
+func (b *ManifestRecord) read() (manifest.Manifest, error) {
+	return readManifest(b.Manifest, b.Digest)
+}
+
+func readManifest(text []byte, want manifest.Digest) (manifest.Manifest, error) {
+	m, err := manifest.Decode(text)
+	if err != nil {
+		return manifest.Manifest{}, &RecordError{Reason: ReasonInvalid, Detail: err.Error()}
+	}
+	got, err := manifest.DigestOf(m)
+	if err != nil {
+		return manifest.Manifest{}, &RecordError{Reason: ReasonInvalid, Detail: err.Error()}
+	}
+	if got != want {
+		return manifest.Manifest{}, &RecordError{Reason: ReasonDigest, Detail: fmt.Sprintf("is %s", got)}
+	}
+	return m, nil
+}
+
+// compare holds a checkpoint against the fold's own state, which it never
+// changes. One that agrees keeps the manifest from expiring.
+func (s *State) compare(r platform.Record, c *Checkpoint) Decision {
+	d := Decision{Kind: KindCheckpoint, Base: c.Base, Digest: c.Revision.Digest, By: s.latest.offset()}
+	switch {
+	case c.Through >= r.Offset, manifest.SumText(c.Manifest) != c.Revision.Digest && c.Revision.Offset > 0:
+		d.Outcome, d.Reason = Refused, ReasonMalformed
+	case c.Revision == s.revisionFolded():
+		d.Outcome = Noted
+		s.carrier = r.Time
+	case c.Through >= s.latest.offset():
+		d.Outcome, d.Reason = Refused, ReasonConflict
+		s.conflicts++
+	default:
+		d.Outcome, d.Reason = Refused, ReasonStale
+	}
+	return d
+}
+
+func (s *State) revisionFolded() Revision {
+	if s.latest == nil {
+		return Revision{}
+	}
+	return s.latest.Revision
+}
+
+func (s *State) raise(b *Raise) Decision {
+	if b.To != s.rules+1 {
+		return Decision{Kind: KindRaise, Outcome: Refused, Reason: ReasonRules, Detail: fmt.Sprintf("rules %d are in force", s.rules)}
+	}
+	s.rules = b.To
+	s.behind = s.rules > RulesVersion
+	return Decision{Kind: KindRaise, Outcome: Accepted}
+}
--- /dev/null
+++ b/ledger/record.go
@@ -0,0 +1,191 @@
+// Package ledger folds the records of the platform's log into what all
+// daemons agree on: the manifest in force, leases, and claims of idempotency
+// keys.
+//
+// The package does no I/O and reads no clock. The log's order and the log's
+// own record times are the only inputs to a decision, so that every daemon
+// that reads the same records decides alike, whatever its clock says.
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// RulesVersion is the newest set of rules for folding that this release
+// knows. The rules in force are part of the folded state, see Raise.
+const RulesVersion = 1
+
+// MaxRecordBytes bounds one record: a whole manifest and its envelope.
+const MaxRecordBytes = manifest.MaxBytes + 64<<10
+
+// Streams of the log.
+const (
+	StreamManifest platform.Stream = "manifest"
+	StreamLeases   platform.Stream = "leases"
+)
+
+// Kind tells records apart.
+type Kind string
+
+// The kinds of record.
+const (
+	KindManifest   Kind = "manifest"
+	KindCheckpoint Kind = "checkpoint"
+	KindSection    Kind = "section"
+	KindRaise      Kind = "rules"
+	KindLease      Kind = "lease"
+	KindClaims     Kind = "claims"
+)
+
+// Revision identifies an accepted manifest: the offset of the record that
+// brought it and the digest of its content. Offset 0 means that none has been
+// accepted.
+type Revision struct {
+	Offset platform.Offset `json:"offset"`
+	Digest manifest.Digest `json:"digest"`
+}
+
+// Body is what a record says: *ManifestRecord, *Checkpoint, *SectionRecord,
+// *Raise, *LeaseRecord or *ClaimBatch.
+type Body interface{ kind() Kind }
+
+// ManifestRecord proposes a whole manifest.
+type ManifestRecord struct {
+	Base     platform.Offset `json:"base"` // the accepted manifest it was made against
+	Digest   manifest.Digest `json:"digest"`
+	Author   string          `json:"author,omitempty"`
+	Manifest json.RawMessage `json:"manifest"`
+}
+
+// Checkpoint repeats the accepted manifest, so that it outlives the record
+// that brought it. It is also the proof with which a neighbour passes its
+// accepted manifest on.
+type Checkpoint struct {
+	Through  platform.Offset `json:"through"` // every record up to here was folded
+	Revision Revision        `json:"revision"`
+	Base     platform.Offset `json:"base"`
+	Rules    int             `json:"rules"`            // in force after Through
+	Carried  time.Time       `json:"carried"`          // log's time of the newest record with the manifest; decides nothing
+	Recent   []Acceptance    `json:"recent,omitempty"` // oldest first, the revision last
+	Manifest json.RawMessage `json:"manifest,omitempty"`
+}
+
+// Acceptance remembers an accepted manifest without its content, so that a
+// late repeat of it is recognised.
+type Acceptance struct {
+	Offset platform.Offset `json:"offset"`
+	Base   platform.Offset `json:"base"`
+	Digest manifest.Digest `json:"digest"`
+}
+
+// SectionRecord proposes a change of one part of the manifest, so that a
+// change of one organisation among thousands does not carry them all.
+type SectionRecord struct {
+	Section SectionKind     `json:"section"`
+	ID      string          `json:"id"`
+	Base    platform.Offset `json:"base"` // the record that last set this section, or the whole
+	Digest  manifest.Digest `json:"digest"`
+	Delete  bool            `json:"delete,omitempty"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// SectionKind names a part of the manifest that can change by itself.
+type SectionKind string
+
+// The kinds of section.
+const (
+	SectionOrganisation SectionKind = "organisation"
+	SectionModel        SectionKind = "model"
+	SectionClass        SectionKind = "class"
+	SectionService      SectionKind = "service"
+)
+
+// Raise puts newer rules in force from the next record on. A release that
+// does not know them keeps what is accepted and decides nothing more.
+type Raise struct {
+	To int `json:"to"`
+}
+
+func (*ManifestRecord) kind() Kind { return KindManifest }
+func (*Checkpoint) kind() Kind     { return KindCheckpoint }
+func (*SectionRecord) kind() Kind  { return KindSection }
+func (*Raise) kind() Kind          { return KindRaise }
+
+type envelope struct {
+	Rules int             `json:"rules"`
+	Kind  Kind            `json:"kind"`
+	Body  json.RawMessage `json:"body"`
+}
+
+// Encode writes a record under the given rules.
+func Encode(rules int, b Body) ([]byte, error) {
+	body, err := json.Marshal(b)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: encode %s: %w", b.kind(), err)
+	}
+	data, err := json.Marshal(envelope{Rules: rules, Kind: b.kind(), Body: body})
+	if err != nil {
+		return nil, fmt.Errorf("ledger: encode %s: %w", b.kind(), err)
+	}
+	if len(data) > MaxRecordBytes {
+		return nil, &RecordError{Reason: ReasonTooLong, Detail: fmt.Sprintf("%d bytes", len(data))}
+	}
+	return data, nil
+}
+
+// Decode reads a record strictly. The rules come back also when the record is
+// of newer rules and cannot be read further. The error is a *RecordError.
+func Decode(data []byte) (rules int, b Body, err error) {
+	if len(data) > MaxRecordBytes {
+		return 0, nil, &RecordError{Reason: ReasonTooLong, Detail: fmt.Sprintf("%d bytes", len(data))}
+	}
+	var e envelope
+	if err := strict(data, &e); err != nil {
+		return 0, nil, &RecordError{Reason: ReasonMalformed, Detail: err.Error()}
+	}
+	if e.Rules < 1 || e.Rules > RulesVersion {
+		return e.Rules, nil, &RecordError{Reason: ReasonRules, Detail: fmt.Sprintf("rules %d", e.Rules)}
+	}
+	b = newBody(e.Kind)
+	if b == nil {
+		return e.Rules, nil, &RecordError{Reason: ReasonMalformed, Detail: fmt.Sprintf("kind %q", e.Kind)}
+	}
+	if err := strict(e.Body, b); err != nil {
+		return e.Rules, nil, &RecordError{Reason: ReasonMalformed, Detail: err.Error()}
+	}
+	return e.Rules, b, nil
+}
+
+func newBody(k Kind) Body {
+	switch k {
+	case KindManifest:
+		return &ManifestRecord{}
+	case KindCheckpoint:
+		return &Checkpoint{}
+	case KindSection:
+		return &SectionRecord{}
+	case KindRaise:
+		return &Raise{}
+	default:
+		return nil
+	}
+}
+
+func strict(data []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return fmt.Errorf("more than one value")
+	}
+	return nil
+}
--- /dev/null
+++ b/logio/manifests.go
@@ -0,0 +1,207 @@
+package logio
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// DefaultRetention is how long the platform is taken to keep records while no
+// manifest says otherwise.
+const DefaultRetention = 6 * time.Hour
+
+// checkpointLook is how often a daemon looks whether a checkpoint is due.
+const checkpointLook = 30 * time.Second
+
+// ManifestsOptions of a Manifests.
+type ManifestsOptions struct {
+	Log  platform.Log
+	Poll time.Duration // 0 takes DefaultPoll
+	Seed uint64        // of the jitter; must differ between daemons
+	// Changed is called after a newer manifest came into force, from one
+	// goroutine at a time and in order. May be nil.
+	Changed func(*ledger.Version)
+}
+
+// Manifests keeps the manifest in force: it follows the log, takes proofs of
+// neighbours and repeats the manifest in the log before its record expires.
+type Manifests struct {
+	opt    ManifestsOptions
+	tail   *Tail
+	wake   chan struct{}
+	jitter float64
+
+	mu     sync.Mutex // guards state and caught
+	state  *ledger.State
+	caught bool // has read to the end of the log once
+
+	told     sync.Mutex // taken before mu; orders Changed
+	reported platform.Offset
+}
+
+// NewManifests returns a Manifests that knows nothing yet.
+func NewManifests(o ManifestsOptions) *Manifests {
+	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{}), wake: make(chan struct{}, 1)}
+	m.jitter = rand.New(rand.NewPCG(o.Seed, 1)).Float64()
+	m.tail = NewTail(TailOptions{
+		Log: o.Log, Stream: ledger.StreamManifest, Sink: m, Poll: o.Poll, Seed: o.Seed, Wake: m.wake,
+	})
+	return m
+}
+
+// Run follows the log until the context ends.
+func (m *Manifests) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.tail.Run(ctx) })
+	g.Go(func() error { return m.keep(ctx) })
+	return g.Wait()
+}
+
+// InForce returns the manifest in force, nil before the first is known.
+func (m *Manifests) InForce() *ledger.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.InForce()
+}
+
+// Proof returns what a neighbour needs to take the manifest in force over.
+func (m *Manifests) Proof() (ledger.Checkpoint, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Proof()
+}
+
+// Adopt takes a neighbour's proof over. The error is a *ledger.RecordError;
+// one with ledger.ReasonConflict deserves an operator's attention.
+func (m *Manifests) Adopt(c ledger.Checkpoint) error {
+	defer m.tell()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, err := m.state.Adopt(c)
+	return err
+}
+
+// Publish proposes a manifest, see the function of that name.
+func (m *Manifests) Publish(ctx context.Context, base platform.Offset, next manifest.Manifest, author string) (PublishResult, error) {
+	req := PublishRequest{Base: base, Manifest: next, Author: author, Seed: m.opt.Seed}
+	if c, ok := m.Proof(); ok && c.Revision.Offset == base {
+		req.Proof = &c
+	}
+	r, err := Publish(ctx, m.opt.Log, req)
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+	return r, err
+}
+
+// ManifestsStatus is the state of a Manifests for operators.
+type ManifestsStatus struct {
+	Revision  ledger.Revision   `json:"revision"`
+	Next      platform.Offset   `json:"next"`    // to be read
+	Decided   bool              `json:"decided"` // false: a gap or newer rules keep the fold from deciding
+	Behind    bool              `json:"behind"`  // newer rules than this release knows are in force
+	CaughtUp  bool              `json:"caught_up"`
+	Conflicts int               `json:"conflicts"`
+	Failures  int               `json:"failures"` // reads of the log that failed since the last good one
+	History   []ledger.Decision `json:"history"`
+}
+
+// Status returns the state for operators.
+func (m *Manifests) Status() ManifestsStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return ManifestsStatus{
+		Revision: m.state.Revision(), Next: m.state.Next(), Decided: m.state.Decided(),
+		Behind: m.state.Behind(), CaughtUp: m.caught, Conflicts: m.state.Conflicts(),
+		Failures: m.tail.Failures(), History: m.state.History(),
+	}
+}
+
+// Next implements Sink.
+func (m *Manifests) Next() platform.Offset {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Next()
+}
+
+// Apply implements Sink.
+func (m *Manifests) Apply(r platform.Record) {
+	m.mu.Lock()
+	m.state.Apply(r)
+	m.mu.Unlock()
+	m.tell()
+}
+
+// Gap implements Sink.
+func (m *Manifests) Gap(first platform.Offset) {
+	m.mu.Lock()
+	m.state.Gap(first)
+	m.mu.Unlock()
+	m.tell()
+}
+
+// CaughtUp implements Sink.
+func (m *Manifests) CaughtUp(platform.Offset) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.caught = true
+}
+
+func (m *Manifests) tell() {
+	if m.opt.Changed == nil {
+		return
+	}
+	m.told.Lock()
+	defer m.told.Unlock()
+	v := m.InForce()
+	if v == nil || v.Revision.Offset <= m.reported {
+		return
+	}
+	m.reported = v.Revision.Offset
+	m.opt.Changed(v)
+}
+
+// keep appends a checkpoint when one is due. Two daemons that do so at once
+// do no harm.
+func (m *Manifests) keep(ctx context.Context) error {
+	for {
+		if err := sleep(ctx, checkpointLook); err != nil {
+			return err
+		}
+		data := m.checkpoint(time.Now())
+		if data == nil {
+			continue
+		}
+		// A failed append is tried again at the next look.
+		_, _ = m.opt.Log.Append(ctx, ledger.StreamManifest, data)
+	}
+}
+
+func (m *Manifests) checkpoint(now time.Time) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	retention := DefaultRetention
+	if v := m.state.InForce(); v != nil {
+		retention = time.Duration(v.Manifest.Retention.LogRecords)
+	}
+	if !m.state.CheckpointDue(now, retention, m.jitter) {
+		return nil
+	}
+	c, ok := m.state.Proof()
+	if !ok {
+		return nil
+	}
+	data, err := ledger.Encode(c.Rules, &c)
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/logio/publish.go
@@ -0,0 +1,197 @@
+package logio
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// PublishOutcome is what a publisher is told.
+type PublishOutcome string
+
+// The outcomes of a publication.
+const (
+	PublishAccepted    PublishOutcome = "accepted"
+	PublishRefused     PublishOutcome = "refused"
+	PublishNotAppended PublishOutcome = "not_appended" // certainly without effect, now and later
+	PublishUnknown     PublishOutcome = "unknown"      // may be accepted; publish the same again to learn
+)
+
+// PublishRequest proposes a manifest.
+type PublishRequest struct {
+	Base     platform.Offset // offset of the accepted manifest it was made against; 0 for the first
+	Manifest manifest.Manifest
+	Author   string
+	// Proof lets the publisher decide behind a log whose older records have
+	// expired. May be nil.
+	Proof *ledger.Checkpoint
+	Seed  uint64 // of the retries' jitter
+}
+
+// PublishResult tells what became of a publication.
+type PublishResult struct {
+	Outcome PublishOutcome  `json:"outcome"`
+	Offset  platform.Offset `json:"offset,omitempty"` // of the record that brought the manifest
+	By      platform.Offset `json:"by,omitempty"`     // refused: the record that came first
+	Latest  platform.Offset `json:"latest,omitempty"` // the manifest in force when this was answered
+	Reason  ledger.Reason   `json:"reason,omitempty"`
+	Detail  string          `json:"detail,omitempty"`
+	Digest  manifest.Digest `json:"digest"`
+}
+
+// Publish appends a manifest and reads the log until its fate is certain or
+// the context ends. It may be called again with the same request, and is told
+// the same: a record that was appended twice is accepted once. The error tells
+// of a manifest that no log would accept.
+func Publish(ctx context.Context, log platform.Log, req PublishRequest) (PublishResult, error) {
+	p, err := newPublisher(log, req)
+	if err != nil {
+		return PublishResult{}, err
+	}
+	r := p.publish(ctx)
+	r.Digest = p.digest
+	r.Latest = p.state.Revision().Offset
+	return r, nil
+}
+
+type publisher struct {
+	log    platform.Log
+	req    PublishRequest
+	state  *ledger.State
+	digest manifest.Digest
+	data   []byte
+	back   backoff
+	sent   bool // an append may have taken effect
+}
+
+func newPublisher(log platform.Log, req PublishRequest) (*publisher, error) {
+	if err := manifest.Check(req.Manifest); err != nil {
+		return nil, eris.Wrap(err, "logio: publish")
+	}
+	text, err := manifest.Encode(req.Manifest)
+	if err != nil {
+		return nil, eris.Wrap(err, "logio: publish")
+	}
+	digest := manifest.SumText(text)
+	record := ledger.ManifestRecord{Base: req.Base, Digest: digest, Author: req.Author, Manifest: text}
+	data, err := ledger.Encode(ledger.RulesVersion, &record)
+	if err != nil {
+		return nil, eris.Wrap(err, "logio: publish")
+	}
+	p := &publisher{log: log, req: req, state: ledger.NewState(ledger.Options{}), digest: digest, data: data}
+	p.back.random = newRand(req.Seed)
+	if req.Proof == nil {
+		return p, nil
+	}
+	_, err = p.state.Adopt(*req.Proof)
+	return p, eris.Wrap(err, "logio: publish")
+}
+
+func (p *publisher) publish(ctx context.Context) PublishResult {
+	if err := p.catchUp(ctx, 0); err != nil {
+		return p.undecided(err.Error())
+	}
+	if !p.state.Decided() {
+		return PublishResult{Outcome: PublishNotAppended, Reason: ledger.ReasonGap}
+	}
+	if r, ok := p.verdict(); ok {
+		return r
+	}
+	if latest := p.state.Revision().Offset; latest != p.req.Base {
+		return PublishResult{Outcome: PublishRefused, Reason: ledger.ReasonStale, By: latest}
+	}
+	for {
+		offset, err := p.log.Append(ctx, ledger.StreamManifest, p.data)
+		p.sent = p.sent || !errors.Is(err, platform.ErrNotAppended)
+		if err == nil || p.sent {
+			// A lost answer is followed by a look at the log, which may
+			// already hold the record; if not, it is appended once more.
+			err = errors.Join(err, p.catchUp(ctx, offset))
+		}
+		if r, ok := p.verdict(); ok {
+			return r
+		}
+		if ctx.Err() != nil {
+			return p.undecided(err.Error())
+		}
+		if waited := p.back.wait(ctx); waited != nil {
+			return p.undecided(errors.Join(err, waited).Error())
+		}
+	}
+}
+
+func (p *publisher) undecided(detail string) PublishResult {
+	if p.sent {
+		return PublishResult{Outcome: PublishUnknown, Detail: detail}
+	}
+	return PublishResult{Outcome: PublishNotAppended, Detail: detail}
+}
+
+// verdict looks for the fate of the manifest among the decisions read so far.
+// An acceptance counts before a refusal, since a repeat of an accepted record
+// may come too late to be recognised.
+func (p *publisher) verdict() (PublishResult, bool) {
+	for _, a := range p.state.Recent() {
+		if a.Digest == p.digest && a.Base == p.req.Base {
+			return PublishResult{Outcome: PublishAccepted, Offset: a.Offset}, true
+		}
+	}
+	var found PublishResult
+	for _, d := range p.state.History() {
+		if d.Kind != ledger.KindManifest || d.Digest != p.digest || d.Base != p.req.Base {
+			continue
+		}
+		switch d.Outcome {
+		case ledger.Repeated:
+			return PublishResult{Outcome: PublishAccepted, Offset: d.By}, true
+		case ledger.Refused:
+			found = PublishResult{Outcome: PublishRefused, Offset: d.Offset, By: d.By, Reason: d.Reason, Detail: d.Detail}
+		}
+	}
+	if v := p.state.InForce(); found.Outcome == "" && v != nil && v.Revision.Digest == p.digest {
+		return PublishResult{Outcome: PublishAccepted, Offset: v.Revision.Offset}, true
+	}
+	return found, found.Outcome != ""
+}
+
+// catchUp folds the log to its end, and at least through the given offset.
+func (p *publisher) catchUp(ctx context.Context, through platform.Offset) error {
+	for {
+		page, err := p.log.Read(ctx, ledger.StreamManifest, p.state.Next(), pageLimit)
+		var truncated *platform.TruncatedError
+		switch {
+		case errors.As(err, &truncated):
+			p.state.Gap(truncated.First)
+			continue
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err == nil:
+			p.back.reset()
+			p.fold(page.Records)
+			if p.state.Next() >= page.Next && p.state.Next() > through {
+				return nil
+			}
+			if len(page.Records) > 0 {
+				continue
+			}
+		}
+		if err := p.back.wait(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (p *publisher) fold(records []platform.Record) {
+	for _, r := range records {
+		p.state.Apply(r)
+	}
+}
+
+// PublishTimeout is a sensible bound for the context of a Publish.
+const PublishTimeout = 15 * time.Second
--- /dev/null
+++ b/manifest/faults.go
@@ -0,0 +1,51 @@
+package manifest
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with a manifest.
+type Fault struct {
+	Path   string `json:"path"` // such as organisations[3].share
+	Reason string `json:"reason"`
+}
+
+func (f Fault) String() string { return f.Path + " " + f.Reason }
+
+// Error lists the faults of a manifest.
+type Error struct {
+	Faults []Fault `json:"faults"`
+	More   int     `json:"more"` // further faults that are not listed
+}
+
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Faults)+1)
+	for _, f := range e.Faults {
+		lines = append(lines, f.String())
+	}
+	if e.More > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", e.More))
+	}
+	return "manifest: " + strings.Join(lines, "; ")
+}
+
+type faultList struct {
+	faults []Fault
+	more   int
+}
+
+func (l *faultList) add(p *path, format string, args ...any) {
+	if len(l.faults) >= MaxFaults {
+		l.more++
+		return
+	}
+	l.faults = append(l.faults, Fault{Path: p.String(), Reason: fmt.Sprintf(format, args...)})
+}
+
+func (l *faultList) err() error {
+	if len(l.faults) == 0 {
+		return nil
+	}
+	return &Error{Faults: l.faults, More: l.more}
+}
