--- /dev/null
+++ b/engine/answer.go
@@ -0,0 +1,179 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// CachedUnknown is the number of cached tokens when the endpoint gave none.
+const CachedUnknown = -1
+
+// Metadata is what an answer's header says beside the answer itself.
+type Metadata struct {
+	Attempt       string            // echo; empty when the endpoint gives none
+	Incarnation   fleet.Incarnation // zero: not known
+	CachedTokens  int               // CachedUnknown: not known
+	Load          fleet.Load
+	HasLoad       bool
+	NotRun        bool
+	WeightVersion string // empty: not said
+}
+
+func readMetadata(h http.Header) Metadata {
+	m := Metadata{
+		Attempt:       h.Get(HeaderAttempt),
+		CachedTokens:  CachedUnknown,
+		NotRun:        h.Get(HeaderNotRun) == "true",
+		WeightVersion: h.Get(HeaderWeightVersion),
+	}
+	if n, err := strconv.ParseUint(h.Get(HeaderIncarnation), 10, 64); err == nil {
+		m.Incarnation = fleet.Incarnation(n)
+	}
+	if n, err := strconv.Atoi(h.Get(HeaderCachedTokens)); err == nil && n >= 0 {
+		m.CachedTokens = n
+	}
+	if text := h.Get(HeaderLoad); text != "" {
+		m.HasLoad = json.Unmarshal([]byte(text), &m.Load) == nil
+	}
+	return m
+}
+
+// Answer is an endpoint's answer to one attempt, its header read and its body
+// not yet.
+type Answer struct {
+	Status int
+	Header http.Header
+	Meta   Metadata
+
+	client   *Client
+	endpoint fleet.EndpointID
+	body     io.ReadCloser
+	length   int64 // -1: not known
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+}
+
+// check tells why the answer must not be used, if so.
+func (ans *Answer) check(a *Attempt) error {
+	// An endpoint, or something between, may hand over the answer to an earlier
+	// attempt or to somebody else's request. The caller would see another's
+	// text; the echo shows it.
+	if ans.Meta.Attempt != "" && ans.Meta.Attempt != a.ID {
+		return ErrCrossed
+	}
+	if a.WeightVersion != "" && ans.Meta.WeightVersion != "" && ans.Meta.WeightVersion != a.WeightVersion && !ans.Meta.NotRun {
+		return ErrWeights
+	}
+	return nil
+}
+
+// NotRun returns the error that says that the endpoint did no part of the
+// request, or nil when the endpoint does not say so.
+func (ans *Answer) NotRun() error {
+	if !ans.Meta.NotRun {
+		return nil
+	}
+	return ans.fail(NotRun, errors.New("endpoint refused the request with status "+strconv.Itoa(ans.Status)))
+}
+
+// Fail returns the error for an answer that cannot be used for the given
+// cause. The request has run as far as anyone can tell.
+func (ans *Answer) Fail(cause error) error { return ans.fail(OutcomeUnknown, cause) }
+
+func (ans *Answer) fail(class Class, cause error) error {
+	return &Error{Class: class, Endpoint: string(ans.endpoint), Status: ans.Status, Cause: cause}
+}
+
+// Close ends the answer; an answer that was not read whole is cancelled at the
+// endpoint by closing its connection.
+func (ans *Answer) Close() {
+	ans.cancel(nil)
+	_ = ans.body.Close()
+}
+
+// Whole reads the body to its end. It fails with ErrTooLarge beyond the
+// client's limit and with ErrCut when the endpoint sent less than it announced.
+func (ans *Answer) Whole() ([]byte, error) {
+	body, more, err := ans.Head(ans.client.options.MaxAnswerBytes)
+	if err != nil {
+		return nil, err
+	}
+	if more {
+		return nil, ans.Fail(ErrTooLarge)
+	}
+	return body, nil
+}
+
+// Head reads the body up to limit bytes and tells whether there is more. The
+// rest is then read with Read.
+func (ans *Answer) Head(limit int64) (head []byte, more bool, err error) {
+	watch := ans.watch()
+	defer watch.stop()
+	size := int64(512)
+	if ans.length >= 0 {
+		size = min(ans.length, limit) + 1
+	}
+	head = make([]byte, 0, size)
+	for {
+		if int64(len(head)) > limit {
+			return head, true, nil
+		}
+		if len(head) == cap(head) {
+			head = append(head, 0)[:len(head)]
+		}
+		watch.reset()
+		n, err := ans.body.Read(head[len(head):cap(head)])
+		head = head[:len(head)+n]
+		if errors.Is(err, io.EOF) {
+			return head, int64(len(head)) > limit, nil
+		}
+		if err != nil {
+			return head, false, ans.Fail(ans.cause(err))
+		}
+	}
+}
+
+// Read reads the rest of the body after Head. It returns io.EOF only when the
+// endpoint sent all that it announced.
+func (ans *Answer) Read(p []byte) (int, error) {
+	n, err := ans.body.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = ans.Fail(ans.cause(err))
+	}
+	return n, err
+}
+
+// cause turns an error of the body into one of this package.
+func (ans *Answer) cause(err error) error {
+	switch {
+	case errors.Is(context.Cause(ans.ctx), ErrStalled):
+		return ErrStalled
+	case ans.ctx.Err() != nil:
+		return context.Cause(ans.ctx)
+	default:
+		return errors.Join(ErrCut, err)
+	}
+}
+
+// stallWatch cancels an answer whose endpoint sends nothing for too long. An
+// engine that hangs keeps its connection open, so without this the caller
+// would wait until its own timeout instead of being served elsewhere.
+type stallWatch struct {
+	timer *time.Timer
+	limit time.Duration
+}
+
+func (ans *Answer) watch() stallWatch {
+	limit := ans.client.options.StallTimeout
+	return stallWatch{limit: limit, timer: time.AfterFunc(limit, func() { ans.cancel(ErrStalled) })}
+}
+
+func (w stallWatch) reset() { w.timer.Reset(w.limit) }
+func (w stallWatch) stop()  { w.timer.Stop() }
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -21,6 +21,7 @@
 	HeaderCachedTokens = "Merlin-Cached-Tokens" // prompt tokens taken from its cache
 	HeaderLoad         = "Merlin-Load"          // fleet.Load as JSON
 	HeaderNotRun       = "Merlin-Not-Run"       // "true": the endpoint did no part of the request
+	// HeaderWeightVersion in an answer: the weight version that answered.
 )
 
 // Paths that an endpoint serves besides the model protocol.
--- /dev/null
+++ b/gateway/defaults.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// ErrNoEndpoint says that no endpoint can be used for an attempt.
+var ErrNoEndpoint = errors.New("gateway: no endpoint can be used")
+
+// AdmitAll admits every request at once.
+type AdmitAll struct{}
+
+// Admit implements Admitter.
+func (AdmitAll) Admit(context.Context, AdmitRequest) (func(int), error) {
+	return func(int) {}, nil
+}
+
+// NoClaims refuses keyed calls, since without a log nothing can promise that
+// they run at most once.
+type NoClaims struct{}
+
+// Claim implements Claimer.
+func (NoClaims) Claim(context.Context, ClaimRequest) (Claim, error) {
+	return Claim{}, notRun(CodeClaimUnavailable, "calls with an idempotency key are not served here", 0)
+}
+
+// SimpleRetry allows retries of what did not run or may be repeated, with a
+// wait that doubles.
+type SimpleRetry struct{}
+
+const firstRetryWait = 5 * time.Millisecond
+
+// Next implements RetryPolicy.
+func (SimpleRetry) Next(f Failure) (time.Duration, bool) {
+	if f.Class.Ran() && !f.Idempotent {
+		return 0, false
+	}
+	return firstRetryWait << min(f.Attempt-1, 6), true
+}
+
+type noObserver struct{}
+
+func (noObserver) Request(*Report)                            {}
+func (noObserver) Attempt(*PlaceRequest, *Placement, *Result) {}
+
+// RendezvousPlacer places by rendezvous hashing of the first level of the
+// prompt over the live endpoints that serve the model or class. It keeps no
+// state, so that all daemons place alike.
+type RendezvousPlacer struct {
+	// Endpoints returns the fleet as known at present.
+	Endpoints func() []fleet.Endpoint
+	// Serves tells whether a class serves the request.
+	Serves func(class string, r *PlaceRequest) bool
+}
+
+// Place implements Placer.
+func (p *RendezvousPlacer) Place(_ context.Context, r *PlaceRequest) (Placement, error) {
+	var best *fleet.Endpoint
+	var bestScore uint64
+	endpoints := p.Endpoints()
+	for i := range endpoints {
+		e := &endpoints[i]
+		if e.State == fleet.VMLeaving || slices.Contains(r.Exclude, e.ID) || !p.Serves(e.Class, r) {
+			continue
+		}
+		if s := score(r, e.ID); best == nil || s > bestScore {
+			best, bestScore = e, s
+		}
+	}
+	if best == nil {
+		return Placement{}, ErrNoEndpoint
+	}
+	return Placement{Endpoint: best.ID, Address: best.Address}, nil
+}
+
+func score(r *PlaceRequest, id fleet.EndpointID) uint64 {
+	h := fnv.New64a()
+	prompt := r.Prompt
+	if len(r.Levels) > 0 {
+		prompt = prompt[:r.Levels[0]]
+	}
+	_, _ = h.Write([]byte(r.Organisation))
+	_, _ = h.Write([]byte(r.Target.Model + r.Target.Version + r.Target.Adapter))
+	_, _ = h.Write(prompt)
+	_, _ = h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// mix spreads the last bytes hashed over the whole sum (splitmix64's finish);
+// FNV leaves sums of like endings close together.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/gateway/model.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/crc32"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/merlindock/merlindock/catalog"
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/stream"
+)
+
+// Paths of the model protocol.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathModels      = "/v1/models"
+)
+
+// modelCall is a model request on its way to an answer.
+type modelCall struct {
+	*call
+	request    *modelRequest
+	place      PlaceRequest
+	header     http.Header
+	assembler  stream.Assembler
+	out        *callerStream
+	mayHaveRun bool // some attempt may have run
+}
+
+func (c *call) serveModel() *Refusal {
+	m, refusal := c.parse(c.r.URL.Path == pathChat)
+	if refusal != nil {
+		return refusal
+	}
+	target, err := c.index.Resolve(c.org, m.Model, c.r.Header.Get(HeaderAdapter))
+	if err != nil {
+		return resolveRefusal(err)
+	}
+	cancel, refusal := c.bound(m.Priority, milliseconds(m.DeadlineMs))
+	if refusal != nil {
+		return refusal
+	}
+	defer cancel()
+	mc := c.newModelCall(m, target)
+	release, err := c.g.o.Admitter.Admit(c.ctx, mc.admitRequest())
+	if err != nil {
+		return c.portRefusal(err, false)
+	}
+	defer func() { release(mc.usedTokens()) }()
+	return mc.run()
+}
+
+func resolveRefusal(err error) *Refusal {
+	if errors.Is(err, catalog.ErrModelForbidden) || errors.Is(err, catalog.ErrAdapterForbidden) {
+		return refused(http.StatusForbidden, CodeNotPermitted, "the organisation may not use this model or adapter")
+	}
+	return refused(http.StatusNotFound, CodeModelNotFound, "the model or adapter is not known: %v", errors.Unwrap(err))
+}
+
+func (c *call) newModelCall(m *modelRequest, target catalog.Target) *modelCall {
+	prompt, ends := m.levels()
+	mc := &modelCall{call: c, request: m, place: c.placeRequest(fleet.KindModel)}
+	mc.place.Target = target
+	mc.place.Prompt, mc.place.Levels = prompt, ends
+	mc.place.PromptTokens = estimateTokens(len(prompt), c.index.Fleet().BytesPerToken)
+	mc.place.MaxTokens = m.outputTokens()
+	if m.Seed == nil {
+		// The same request gets the same seed on each attempt, and another
+		// request another one.
+		c.body = withSeed(c.body, crc32.ChecksumIEEE([]byte(c.id)))
+	}
+	mc.header = http.Header{"Content-Type": {contentJSON}}
+	if m.Stream {
+		mc.header.Set("Accept", contentEvents)
+		mc.out = newCallerStream(c)
+	}
+	c.report.Kind, c.report.Model = fleet.KindModel, m.Model
+	c.report.PromptTokens = mc.place.PromptTokens
+	return mc
+}
+
+func (mc *modelCall) admitRequest() AdmitRequest {
+	return AdmitRequest{
+		Organisation: mc.org.ID,
+		Priority:     mc.priority,
+		Tokens:       mc.place.PromptTokens + mc.place.MaxTokens,
+		PromptTokens: mc.place.PromptTokens,
+		Deadline:     mc.deadline,
+	}
+}
+
+// usedTokens is the work the request took: what was prefilled and generated.
+func (mc *modelCall) usedTokens() int {
+	used := mc.report.Tokens
+	if mc.report.Attempts > 0 {
+		used += max(mc.place.PromptTokens-max(mc.report.CachedTokens, 0), 0)
+	}
+	return used
+}
+
+// run makes attempts until one gives the whole answer or none may follow.
+func (mc *modelCall) run() *Refusal {
+	for {
+		mc.place.Attempt = mc.report.Attempts + 1
+		p, err := mc.g.o.Placer.Place(mc.ctx, &mc.place)
+		if err != nil {
+			return mc.giveUp(mc.portRefusal(err, mc.mayHaveRun))
+		}
+		err = mc.attempt(&p)
+		if err == nil {
+			return nil
+		}
+		if refusal := mc.next(&p, err); refusal != nil {
+			return mc.giveUp(refusal)
+		}
+	}
+}
+
+// next prepares another attempt after a failed one, or returns why there is
+// none.
+func (mc *modelCall) next(p *Placement, err error) *Refusal {
+	class := engine.ClassOf(err)
+	mc.mayHaveRun = mc.mayHaveRun || class.Ran()
+	if errors.Is(err, engine.ErrCrossed) {
+		mc.report.Crossed++
+	}
+	if mc.ctx.Err() != nil {
+		return mc.expired(mc.mayHaveRun)
+	}
+	if errors.Is(err, errCallerSlow) {
+		return unknown(http.StatusRequestTimeout, CodeStreamCut, "the caller read too slowly")
+	}
+	if mc.out != nil {
+		if _, ok := mc.assembler.Resume(); !ok {
+			return unknown(http.StatusBadGateway, CodeStreamCut, "the endpoint failed and its stream cannot be resumed")
+		}
+	}
+	mc.place.Exclude = append(mc.place.Exclude, p.Endpoint)
+	wait, ok := mc.g.o.Retry.Next(Failure{
+		Organisation: mc.org.ID,
+		Priority:     mc.priority,
+		Class:        class,
+		Attempt:      mc.report.Attempts,
+		Idempotent:   true,
+		Streaming:    mc.assembler.Delivered() > 0,
+		Deadline:     mc.deadline,
+	})
+	if !ok || mc.report.Attempts >= mc.g.o.Limits.Attempts {
+		return mc.failed(mc.mayHaveRun)
+	}
+	if !sleep(mc.ctx, wait) {
+		return mc.expired(mc.mayHaveRun)
+	}
+	return nil
+}
+
+// giveUp ends an answer that was begun with an explicit error, and otherwise
+// returns the refusal to be sent as the whole answer.
+func (mc *modelCall) giveUp(r *Refusal) *Refusal {
+	mc.report.Duplicates = mc.assembler.Duplicates()
+	if mc.out == nil || !mc.out.begun {
+		return r
+	}
+	// What was delivered has run, whatever became of the last attempt.
+	cut := unknown(r.Status, r.Code, r.Message)
+	if cut.Code != CodeDeadline {
+		cut.Code = CodeStreamCut
+	}
+	mc.report.Code, mc.report.Outcome = cut.Code, cut.Outcome
+	mc.out.fail(cut)
+	return nil
+}
+
+// attempt sends the request once and relays its answer. It returns nil when
+// the caller has the whole answer.
+func (mc *modelCall) attempt(p *Placement) error {
+	mc.report.Attempts++
+	began := time.Now()
+	res := Result{}
+	ctx, cancel := context.WithCancel(mc.ctx)
+	err := mc.exchange(ctx, p, &res)
+	cancel()
+	res.Duration = time.Since(began)
+	mc.settle(p, &mc.place, &res, err)
+	return err
+}
+
+func (mc *modelCall) exchange(ctx context.Context, p *Placement, res *Result) error {
+	began := time.Now()
+	ans, err := mc.g.o.Engine.Send(ctx, mc.engineAttempt(p))
+	if err != nil {
+		return err
+	}
+	defer ans.Close()
+	res.Status, res.Meta = ans.Status, ans.Meta
+	if err := ans.NotRun(); err != nil {
+		return err
+	}
+	if failedStatus(ans.Status) {
+		return ans.Fail(errServerStatus)
+	}
+	mc.report.CachedTokens = ans.Meta.CachedTokens
+	if mc.out == nil || ans.Status != http.StatusOK {
+		return mc.relayWhole(ans, res, began)
+	}
+	return mc.relayStream(ans, res, began)
+}
+
+// failedStatus tells whether a status speaks of the endpoint rather than of the
+// request, so that another endpoint may do better. Other errors, such as an
+// unknown field in the body, go to the caller.
+func failedStatus(status int) bool {
+	switch status {
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return true
+	default:
+		return status >= http.StatusInternalServerError
+	}
+}
+
+func (mc *modelCall) engineAttempt(p *Placement) *engine.Attempt {
+	last, _ := mc.assembler.Resume()
+	resume := last >= 0
+	if resume {
+		mc.report.Resumes++
+	}
+	return &engine.Attempt{
+		ID:            mc.id + "-" + strconv.Itoa(mc.report.Attempts),
+		Endpoint:      p.Endpoint,
+		Address:       p.Address,
+		Method:        http.MethodPost,
+		Path:          mc.r.URL.Path,
+		Header:        mc.header,
+		Body:          mc.body,
+		Organisation:  mc.org.ID,
+		WeightVersion: mc.place.Target.Version,
+		Adapter:       mc.place.Target.Adapter,
+		Priority:      mc.priority,
+		Deadline:      mc.deadline,
+		Resume:        resume,
+		ResumeFrom:    last,
+		ImportFrom:    p.ImportFrom,
+	}
+}
+
+// relayWhole passes on an answer that is not streamed, once all of it is here.
+func (mc *modelCall) relayWhole(ans *engine.Answer, res *Result, began time.Time) error {
+	body, err := ans.Whole()
+	if err != nil {
+		return err
+	}
+	// An answer without the length it should have can still end cleanly, for
+	// instance when an engine dies behind a proxy; half an object shows it.
+	if ans.Status == http.StatusOK && !json.Valid(body) {
+		return ans.Fail(engine.ErrMalformed)
+	}
+	if mc.out != nil && mc.out.begun {
+		return ans.Fail(errServerStatus)
+	}
+	res.FirstToken = time.Since(began)
+	if mc.report.Tokens = completionTokens(body); ans.Status == http.StatusOK {
+		res.Tokens = mc.report.Tokens
+		mc.report.FirstToken = time.Since(mc.start)
+	}
+	mc.writeWhole(ans.Status, ans.Header.Get("Content-Type"), body)
+	return nil
+}
+
+// writeWhole sends a whole answer to the caller.
+func (c *call) writeWhole(status int, contentType string, body []byte) {
+	h := c.w.Header()
+	if contentType != "" {
+		h.Set("Content-Type", contentType)
+	}
+	c.cachedHeader()
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.report.Status = status
+	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.StallBudget))
+	c.w.WriteHeader(status)
+	_, _ = c.w.Write(body)
+}
+
+func (c *call) cachedHeader() {
+	if c.report.CachedTokens >= 0 {
+		c.w.Header().Set(HeaderCachedTokens, strconv.Itoa(c.report.CachedTokens))
+	}
+}
+
+// completionTokens reads the number of generated tokens from an answer, 0 when
+// it says none.
+func completionTokens(body []byte) int {
+	var answer struct {
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(body, &answer) != nil {
+		return 0
+	}
+	return max(answer.Usage.CompletionTokens, 0)
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,255 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/merlindock/merlindock/catalog"
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+// claimTimeout bounds how long keeping an answer may hold it back from the
+// caller.
+const claimTimeout = 5 * time.Second
+
+// serviceCall is a call of a plain service on its way to an answer.
+type serviceCall struct {
+	*call
+	place      PlaceRequest
+	header     http.Header
+	path       string
+	idempotent bool
+	claim      Claim
+	mayHaveRun bool
+	begun      bool // part of the answer has gone to the caller
+}
+
+func (c *call) serveService(s *catalog.Service, rest string) *Refusal {
+	ms, err := c.deadlineHeader()
+	if err != nil {
+		return refused(http.StatusBadRequest, CodeInvalidRequest, "%s must be a number of milliseconds above 0", HeaderDeadline)
+	}
+	cancel, refusal := c.bound(c.r.Header.Get(HeaderPriority), milliseconds(ms))
+	if refusal != nil {
+		return refusal
+	}
+	defer cancel()
+	c.report.Kind, c.report.Service = fleet.KindService, s.ID
+	sc := &serviceCall{
+		call:       c,
+		place:      c.placeRequest(fleet.KindService),
+		header:     forwardable(c.r.Header),
+		path:       c.r.URL.RequestURI(),
+		idempotent: s.Idempotent(c.r.Method, rest),
+	}
+	sc.place.Class = s.Class
+	key := c.r.Header.Get(HeaderIdempotencyKey)
+	if sc.idempotent || key == "" {
+		return sc.run()
+	}
+	return sc.runClaimed(key)
+}
+
+// runClaimed runs a keyed call that may not be repeated, if the claim says so.
+func (sc *serviceCall) runClaimed(key string) *Refusal {
+	if len(key) > maxKeyBytes {
+		return refused(http.StatusBadRequest, CodeKeyInvalid, "the idempotency key exceeds %d bytes", maxKeyBytes)
+	}
+	claim, err := sc.g.o.Claimer.Claim(sc.ctx, ClaimRequest{Organisation: sc.org.ID, Key: key, Digest: sc.digest()})
+	if err != nil {
+		return sc.portRefusal(err, false)
+	}
+	switch claim.Decision {
+	case ClaimStored:
+		sc.writeWhole(claim.Stored.Status, claim.Stored.ContentType, claim.Stored.Body)
+		return nil
+	case ClaimUnknown:
+		return unknown(http.StatusConflict, CodeOutcomeUnknown, "a call with this key was begun and its outcome is not known")
+	}
+	sc.claim = claim
+	refusal := sc.run()
+	if refusal != nil && !sc.mayHaveRun && claim.Abandon != nil {
+		ctx, cancel := sc.detached()
+		defer cancel()
+		_ = claim.Abandon(ctx)
+	}
+	return refusal
+}
+
+// detached returns a context for keeping what became of a call. The caller may
+// have left, and yet its next try must find the answer.
+func (sc *serviceCall) detached() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(sc.ctx), claimTimeout)
+}
+
+// digest identifies the call, so that one key cannot stand for two.
+func (sc *serviceCall) digest() [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range []string{sc.r.Method, sc.path, sc.r.Header.Get("Content-Type")} {
+		_, _ = io.WriteString(h, strconv.Itoa(len(part))+":"+part)
+	}
+	_, _ = h.Write(sc.body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// run makes attempts until one gives an answer or none may follow.
+func (sc *serviceCall) run() *Refusal {
+	for {
+		sc.place.Attempt = sc.report.Attempts + 1
+		p, err := sc.g.o.Placer.Place(sc.ctx, &sc.place)
+		if err != nil {
+			return sc.portRefusal(err, sc.mayHaveRun)
+		}
+		err = sc.attempt(&p)
+		if err == nil {
+			return nil
+		}
+		if refusal := sc.next(&p, err); refusal != nil {
+			return sc.giveUp(refusal)
+		}
+	}
+}
+
+func (sc *serviceCall) next(p *Placement, err error) *Refusal {
+	class := engine.ClassOf(err)
+	sc.mayHaveRun = sc.mayHaveRun || class.Ran()
+	if errors.Is(err, engine.ErrCrossed) {
+		sc.report.Crossed++
+	}
+	if sc.ctx.Err() != nil {
+		return sc.expired(sc.mayHaveRun)
+	}
+	if sc.begun || class.Ran() && !sc.idempotent {
+		return sc.failed(true)
+	}
+	sc.place.Exclude = append(sc.place.Exclude, p.Endpoint)
+	wait, ok := sc.g.o.Retry.Next(Failure{
+		Organisation: sc.org.ID,
+		Priority:     sc.priority,
+		Class:        class,
+		Attempt:      sc.report.Attempts,
+		Idempotent:   sc.idempotent,
+		Deadline:     sc.deadline,
+	})
+	if !ok || sc.report.Attempts >= sc.g.o.Limits.Attempts {
+		return sc.failed(sc.mayHaveRun)
+	}
+	if !sleep(sc.ctx, wait) {
+		return sc.expired(sc.mayHaveRun)
+	}
+	return nil
+}
+
+// giveUp breaks off an answer that was begun, since ending it cleanly would
+// make half of it look whole.
+func (sc *serviceCall) giveUp(r *Refusal) *Refusal {
+	if !sc.begun {
+		return r
+	}
+	sc.report.Code, sc.report.Outcome = r.Code, r.Outcome
+	panic(http.ErrAbortHandler)
+}
+
+func (sc *serviceCall) attempt(p *Placement) error {
+	sc.report.Attempts++
+	began := time.Now()
+	res := Result{}
+	err := sc.exchange(p, &res)
+	res.Duration = time.Since(began)
+	sc.settle(p, &sc.place, &res, err)
+	return err
+}
+
+func (sc *serviceCall) exchange(p *Placement, res *Result) error {
+	ans, err := sc.g.o.Engine.Send(sc.ctx, &engine.Attempt{
+		ID:           sc.id + "-" + strconv.Itoa(sc.report.Attempts),
+		Endpoint:     p.Endpoint,
+		Address:      p.Address,
+		Method:       sc.r.Method,
+		Path:         sc.path,
+		Header:       sc.header,
+		Body:         sc.body,
+		Organisation: sc.org.ID,
+		Priority:     sc.priority,
+		Deadline:     sc.deadline,
+		Once:         !sc.idempotent,
+	})
+	if err != nil {
+		return err
+	}
+	defer ans.Close()
+	res.Status, res.Meta = ans.Status, ans.Meta
+	if err := ans.NotRun(); err != nil {
+		return err
+	}
+	return sc.relay(ans)
+}
+
+// relay passes a service's answer on as it is. What fits the buffer is held
+// until all of it is here, so that a failure on the way can still be told.
+func (sc *serviceCall) relay(ans *engine.Answer) error {
+	head, more, err := ans.Head(sc.g.o.Limits.AnswerBufferBytes)
+	if err != nil {
+		return err
+	}
+	if !more {
+		sc.keep(ans, head)
+	}
+	copyHeader(sc.w.Header(), ans.Header)
+	if !more && sc.r.Method != http.MethodHead {
+		sc.w.Header().Set("Content-Length", strconv.Itoa(len(head)))
+	}
+	sc.report.Status = ans.Status
+	sc.begun = true
+	_ = sc.rc.SetWriteDeadline(time.Now().Add(sc.g.o.Limits.StallBudget))
+	sc.w.WriteHeader(ans.Status)
+	if _, err := sc.w.Write(head); err != nil || !more {
+		return nil
+	}
+	return sc.relayRest(ans)
+}
+
+func (sc *serviceCall) relayRest(ans *engine.Answer) error {
+	buf := make([]byte, relayBufferBytes)
+	for {
+		n, err := ans.Read(buf)
+		_ = sc.rc.SetWriteDeadline(time.Now().Add(sc.g.o.Limits.StallBudget))
+		if _, werr := sc.w.Write(buf[:n]); werr != nil {
+			return nil
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+const relayBufferBytes = 32 << 10
+
+// keep stores the answer to a claimed call before the caller gets it, so that
+// a repeat gets the same one.
+func (sc *serviceCall) keep(ans *engine.Answer, body []byte) {
+	if sc.claim.Complete == nil {
+		return
+	}
+	ctx, cancel := sc.detached()
+	defer cancel()
+	// When keeping it fails, this caller still gets its answer; a repeat is
+	// told that the outcome is unknown, which is true of what daemons know.
+	_ = sc.claim.Complete(ctx, StoredAnswer{
+		Status:      ans.Status,
+		ContentType: ans.Header.Get("Content-Type"),
+		Body:        body,
+	})
+}
--- /dev/null
+++ b/lab/standin/generate.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/merlindock/merlindock/engine"
+)
+
+// contentWord returns what the tokens of an answer are made of. It depends on
+// all that an engine's answer depends on, so that two runners with the same
+// weights generate the same answer to the same request, and a test sees it when
+// an answer is somebody else's.
+func contentWord(prompt []byte, version string, seed int64) string {
+	d := xxhash.New()
+	_, _ = d.Write(prompt)
+	_, _ = d.WriteString("|" + version + "|" + strconv.FormatInt(seed, 10))
+	return fmt.Sprintf("%08x", uint32(d.Sum64()))
+}
+
+// Token returns the text of one token of an answer.
+func Token(word string, index int) string {
+	return word + "." + strconv.Itoa(index) + " "
+}
+
+// streamTokens sends the tokens as events, with the faults asked for.
+func (j *job) streamTokens() {
+	j.w.Header().Set("Content-Type", "text/event-stream")
+	j.w.WriteHeader(http.StatusOK)
+	rc := http.NewResponseController(j.w)
+	var frame []byte
+	for i := j.first; i <= j.last; i++ {
+		if !pause(j.ctx, j.r.o.Decode) {
+			j.broken()
+		}
+		if j.fault.at(i - j.first) {
+			j.midStream(i)
+		}
+		frame = j.appendToken(frame[:0], i)
+		if _, err := j.w.Write(frame); err != nil {
+			j.broken()
+		}
+		if err := rc.Flush(); err != nil {
+			j.broken()
+		}
+		j.generated(1)
+	}
+	if j.fault.Kind == FaultBeforeEnd {
+		panic(http.ErrAbortHandler)
+	}
+	if j.fault.Kind == FaultSilentEnd {
+		return
+	}
+	_, _ = io.WriteString(j.w, "data: [DONE]\n\n")
+}
+
+// broken ends an answer whose caller left or whose runner crashed.
+func (j *job) broken() {
+	if j.req.Context().Err() != nil {
+		j.r.cancelled()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (j *job) appendToken(b []byte, i int) []byte {
+	if !j.r.o.Plain {
+		b = append(b, "id: "...)
+		b = strconv.AppendInt(b, int64(i), 10)
+		b = append(b, '\n')
+	}
+	b = append(b, `data: {"id":"cmpl-`...)
+	b = append(b, j.word...)
+	b = append(b, `","object":"chat.completion.chunk","model":"`...)
+	b = append(b, j.body.Model...)
+	b = append(b, `","choices":[{"index":0,"delta":{"content":"`...)
+	b = append(b, j.word...)
+	b = append(b, '.')
+	b = strconv.AppendInt(b, int64(i), 10)
+	b = append(b, ` "},"finish_reason":`...)
+	if i == j.last {
+		b = append(b, `"stop"`...)
+	} else {
+		b = append(b, `null`...)
+	}
+	return append(b, "}]}\n\n"...)
+}
+
+type wholeAnswer struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   string        `json:"model"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   usage         `json:"usage"`
+}
+
+type wholeChoice struct {
+	Index        int          `json:"index"`
+	Message      wholeMessage `json:"message"`
+	FinishReason string       `json:"finish_reason"`
+}
+
+type wholeMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// answerWhole sends all tokens in one object.
+func (j *job) answerWhole() {
+	var text strings.Builder
+	for i := 0; i <= j.last; i++ {
+		if !pause(j.ctx, j.r.o.Decode) {
+			j.broken()
+		}
+		text.WriteString(Token(j.word, i))
+	}
+	j.generated(j.last + 1)
+	prompt := len(j.prompt)/j.r.o.BytesPerToken + 1
+	body, _ := json.Marshal(wholeAnswer{
+		ID:     "cmpl-" + j.word,
+		Object: "chat.completion",
+		Model:  j.body.Model,
+		Choices: []wholeChoice{{
+			Message:      wholeMessage{Role: "assistant", Content: text.String()},
+			FinishReason: "stop",
+		}},
+		Usage: usage{PromptTokens: prompt, CompletionTokens: j.last + 1, TotalTokens: prompt + j.last + 1},
+	})
+	j.w.Header().Set("Content-Type", "application/json")
+	if j.fault.Kind == FaultAfterRun {
+		panic(http.ErrAbortHandler)
+	}
+	if j.fault.Kind == FaultContentLength {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(body)+wrongLengthBytes))
+	}
+	_, _ = j.w.Write(body)
+}
+
+func (j *job) generated(tokens int) {
+	j.r.mu.Lock()
+	defer j.r.mu.Unlock()
+	j.r.stats.GeneratedTokens += tokens
+}
+
+// pieces returns the keys of the prompt's whole pieces. Each key depends on
+// all before it, and on whose cache it is.
+func (j *job) pieces() []uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(j.req.Header.Get(engine.HeaderOrganisation) + "|" + j.body.Model + "|")
+	_, _ = d.WriteString(j.req.Header.Get(engine.HeaderAdapter) + "|" + j.version + "|")
+	size := j.r.o.PieceTokens * j.r.o.BytesPerToken
+	keys := make([]uint64, 0, len(j.prompt)/size)
+	for at := 0; at+size <= len(j.prompt); at += size {
+		_, _ = d.Write(j.prompt[at : at+size])
+		keys = append(keys, d.Sum64())
+	}
+	return keys
+}
--- /dev/null
+++ b/lab/standin/runner.go
@@ -0,0 +1,392 @@
+// Package standin holds small stand-ins for what merlindock meets in
+// production: model runners and plain services. Each is an http.Handler with
+// faults that a test or the demo brings about on command.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// Defaults of a runner.
+const (
+	DefaultBytesPerToken = 4
+	DefaultPieceTokens   = 2000
+	DefaultCachePieces   = 64
+	DefaultAnswerTokens  = 16
+	DefaultSlots         = 64
+
+	maxBodyBytes = 16 << 20
+)
+
+// RunnerOptions describe a runner. Zero values take the defaults; zero delays
+// mean that it answers at once.
+type RunnerOptions struct {
+	ID            fleet.EndpointID
+	WeightVersion string        // loaded; empty: whatever is asked for
+	BytesPerToken int           // of a prompt
+	PieceTokens   int           // tokens in one piece of its cache
+	CachePieces   int           // pieces its cache holds
+	AnswerTokens  int           // generated when a request names no limit
+	Slots         int           // requests it generates at once
+	Prefill       time.Duration // per prompt token that is not cached
+	Decode        time.Duration // per token generated
+	Plain         bool          // knows none of merlindock's headers
+}
+
+// Runner is a stand-in for a model engine.
+type Runner struct {
+	o     RunnerOptions
+	mux   *http.ServeMux
+	slots chan struct{}
+
+	running atomic.Int64
+	waiting atomic.Int64
+	queued  atomic.Int64 // prompt tokens that wait or are prefilled
+
+	mu          sync.Mutex // guards what follows
+	incarnation fleet.Incarnation
+	alive       context.Context // cancelled by a crash
+	kill        context.CancelFunc
+	down        bool
+	draining    bool
+	version     string
+	cache       *pieceCache
+	faults      []Fault
+	stats       RunnerStats
+}
+
+// RunnerStats is what a runner has done since it was made.
+type RunnerStats struct {
+	Requests        int // taken, whether answered or not
+	Cancelled       int // whose caller left before the end
+	PromptTokens    int
+	CachedTokens    int // of the prompt tokens
+	GeneratedTokens int
+	Attempts        map[string]int // times each attempt id came
+}
+
+// NewRunner returns a runner that is up and empty.
+func NewRunner(o RunnerOptions) *Runner {
+	setDefault(&o.BytesPerToken, DefaultBytesPerToken)
+	setDefault(&o.PieceTokens, DefaultPieceTokens)
+	setDefault(&o.CachePieces, DefaultCachePieces)
+	setDefault(&o.AnswerTokens, DefaultAnswerTokens)
+	setDefault(&o.Slots, DefaultSlots)
+	r := &Runner{o: o, slots: make(chan struct{}, o.Slots), version: o.WeightVersion}
+	r.stats.Attempts = make(map[string]int)
+	r.live()
+	r.mux = http.NewServeMux()
+	r.mux.HandleFunc("POST /v1/chat/completions", r.complete)
+	r.mux.HandleFunc("POST /v1/completions", r.complete)
+	r.mux.HandleFunc("GET "+engine.PathLoad, r.serveLoad)
+	return r
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// live begins another life with an empty cache. The caller holds mu, or is
+// alone.
+func (r *Runner) live() {
+	r.incarnation++
+	r.alive, r.kill = context.WithCancel(context.Background())
+	r.down = false
+	r.cache = newPieceCache(r.o.CachePieces)
+}
+
+// Crash breaks off all answers and refuses connections until Restart.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+	r.kill()
+}
+
+// Restart brings the runner back empty, with another incarnation, under the
+// same address.
+func (r *Runner) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kill()
+	r.live()
+}
+
+// SetDraining makes the runner refuse new work, or take it again.
+func (r *Runner) SetDraining(draining bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = draining
+}
+
+// SetWeightVersion loads another weight version; what was cached is gone.
+func (r *Runner) SetWeightVersion(version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = version
+	r.cache = newPieceCache(r.o.CachePieces)
+}
+
+// Incarnation returns the runner's present incarnation.
+func (r *Runner) Incarnation() fleet.Incarnation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.incarnation
+}
+
+// Stats returns a copy of what the runner has done.
+func (r *Runner) Stats() RunnerStats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats
+	s.Attempts = make(map[string]int, len(r.stats.Attempts))
+	for id, n := range r.stats.Attempts {
+		s.Attempts[id] = n
+	}
+	return s
+}
+
+// Load returns what the runner reports of itself.
+func (r *Runner) Load() fleet.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fleet.Load{
+		At:            time.Now(),
+		Incarnation:   r.incarnation,
+		Running:       int(r.running.Load()),
+		Waiting:       int(r.waiting.Load()),
+		WaitingTokens: int(r.queued.Load()),
+		Slots:         r.o.Slots,
+		CachedBlocks:  r.cache.size(),
+		Draining:      r.draining,
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	down := r.down
+	r.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	r.mux.ServeHTTP(w, req)
+}
+
+func (r *Runner) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(r.Load())
+}
+
+// job is one request at a runner.
+type job struct {
+	r       *Runner
+	w       http.ResponseWriter
+	req     *http.Request
+	ctx     context.Context
+	body    completionRequest
+	prompt  []byte
+	fault   Fault
+	first   int // index of the first token to send
+	last    int // index of the last token
+	cached  int
+	version string
+	life    fleet.Incarnation
+	word    string // what the generated tokens are made of
+}
+
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	Messages  []chatMessage   `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+	MaxTokens int             `json:"max_tokens"`
+	Seed      int64           `json:"seed"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func (r *Runner) complete(w http.ResponseWriter, req *http.Request) {
+	j := &job{r: r, w: w, req: req}
+	if !j.read() || !j.begin() {
+		return
+	}
+	if j.fault.Kind == FaultBeforeFirstByte {
+		panic(http.ErrAbortHandler)
+	}
+	stop := j.bind()
+	defer stop()
+	if !j.prefill() {
+		r.cancelled()
+		return
+	}
+	if j.fault.raw(w) {
+		return
+	}
+	j.header()
+	if j.body.Stream {
+		j.streamTokens()
+		return
+	}
+	j.answerWhole()
+}
+
+// read takes the request apart and refuses what a runner refuses.
+func (j *job) read() bool {
+	raw, err := io.ReadAll(io.LimitReader(j.req.Body, maxBodyBytes))
+	if err != nil || json.Unmarshal(raw, &j.body) != nil {
+		http.Error(j.w, `{"error":{"message":"bad body"}}`, http.StatusBadRequest)
+		return false
+	}
+	var prompt bytes.Buffer
+	for _, m := range j.body.Messages {
+		fmt.Fprintf(&prompt, "%s\n%s\n", m.Role, m.Content)
+	}
+	prompt.Write(j.body.Prompt)
+	j.prompt = prompt.Bytes()
+	j.last = j.r.o.AnswerTokens - 1
+	if j.body.MaxTokens > 0 {
+		j.last = j.body.MaxTokens - 1
+	}
+	if text := j.req.Header.Get(engine.HeaderResumeFrom); text != "" && !j.r.o.Plain {
+		n, err := strconv.Atoi(text)
+		if err == nil {
+			j.first = n + 1
+		}
+	}
+	return true
+}
+
+// begin takes the request into the runner's books, unless it refuses it.
+func (j *job) begin() bool {
+	r := j.r
+	r.mu.Lock()
+	j.life, j.version, j.ctx = r.incarnation, r.version, r.alive
+	asked := j.req.Header.Get(engine.HeaderWeightVersion)
+	if j.version == "" {
+		j.version = asked
+	}
+	status := 0
+	switch {
+	case r.draining:
+		status = http.StatusServiceUnavailable
+	case !r.o.Plain && asked != "" && asked != j.version:
+		status = http.StatusConflict
+	}
+	if status == 0 {
+		j.fault = r.takeFault()
+		r.stats.Requests++
+		r.stats.Attempts[j.req.Header.Get(engine.HeaderAttempt)]++
+		tokens := len(j.prompt)/r.o.BytesPerToken + 1
+		j.cached = r.cache.hits(j.pieces()) * r.o.PieceTokens
+		r.stats.PromptTokens += tokens
+		r.stats.CachedTokens += j.cached
+	}
+	r.mu.Unlock()
+	j.word = contentWord(j.prompt, j.version, j.body.Seed)
+	if status != 0 {
+		j.refuse(status)
+	}
+	return status == 0
+}
+
+func (j *job) refuse(status int) {
+	j.header()
+	j.w.Header().Set(engine.HeaderNotRun, "true")
+	j.w.Header().Set("Content-Type", "application/json")
+	j.w.WriteHeader(status)
+	_, _ = io.WriteString(j.w, `{"error":{"message":"not taken"}}`)
+}
+
+// bind makes the job end with its caller or its runner, whichever goes first.
+func (j *job) bind() (stop func()) {
+	life := j.ctx
+	ctx, cancel := context.WithCancel(j.req.Context())
+	j.ctx = ctx
+	release := context.AfterFunc(life, cancel)
+	return func() {
+		release()
+		cancel()
+	}
+}
+
+// prefill waits for a slot and for the prompt tokens that are not cached.
+func (j *job) prefill() bool {
+	r := j.r
+	todo := int64(len(j.prompt)/r.o.BytesPerToken + 1 - j.cached)
+	r.waiting.Add(1)
+	r.queued.Add(todo)
+	defer r.queued.Add(-todo)
+	select {
+	case r.slots <- struct{}{}:
+		r.waiting.Add(-1)
+	case <-j.ctx.Done():
+		r.waiting.Add(-1)
+		return false
+	}
+	r.running.Add(1)
+	context.AfterFunc(j.ctx, func() {
+		<-r.slots
+		r.running.Add(-1)
+	})
+	return pause(j.ctx, time.Duration(todo)*r.o.Prefill)
+}
+
+// header sets what an answer says beside itself.
+func (j *job) header() {
+	if j.r.o.Plain {
+		return
+	}
+	h := j.w.Header()
+	load, _ := json.Marshal(j.r.Load())
+	h.Set(engine.HeaderAttempt, j.req.Header.Get(engine.HeaderAttempt))
+	h.Set(engine.HeaderIncarnation, strconv.FormatUint(uint64(j.life), 10))
+	h.Set(engine.HeaderCachedTokens, strconv.Itoa(j.cached))
+	h.Set(engine.HeaderLoad, string(load))
+	h.Set(engine.HeaderWeightVersion, j.version)
+	if j.fault.Kind == FaultCrossed {
+		h.Set(engine.HeaderAttempt, "another-request-1")
+	}
+	if j.fault.Kind == FaultOtherWeights {
+		h.Set(engine.HeaderWeightVersion, j.version+"-old")
+	}
+}
+
+func (r *Runner) cancelled() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.Cancelled++
+}
+
+// pause waits and tells whether the context is still good.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/lab/standin/service.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// Service is a stand-in for a plain service, such as the counter application.
+// Each call but a GET has an effect, which it counts.
+type Service struct {
+	ID    fleet.EndpointID
+	Plain bool          // knows none of merlindock's headers
+	Delay time.Duration // of each call
+
+	mu       sync.Mutex // guards what follows
+	effects  map[string]int
+	calls    int
+	faults   []Fault
+	draining bool
+}
+
+// NewService returns a service that is up.
+func NewService(id fleet.EndpointID) *Service {
+	return &Service{ID: id, effects: make(map[string]int)}
+}
+
+// Fail queues faults, one for each of the next calls.
+func (s *Service) Fail(faults ...Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, faults...)
+}
+
+// SetDraining makes the service refuse new work, or take it again.
+func (s *Service) SetDraining(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = draining
+}
+
+// Effects returns how often each effect has happened, by method, path and body.
+func (s *Service) Effects() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.effects))
+	for k, n := range s.effects {
+		out[k] = n
+	}
+	return out
+}
+
+// Calls returns how many calls the service has taken.
+func (s *Service) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if !s.Plain {
+		w.Header().Set(engine.HeaderAttempt, r.Header.Get(engine.HeaderAttempt))
+		w.Header().Set(engine.HeaderIncarnation, "1")
+	}
+	fault, number, ok := s.take(r, string(body))
+	if !ok {
+		w.Header().Set(engine.HeaderNotRun, "true")
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	if !pause(r.Context(), s.Delay) || fault.Kind == FaultAfterRun || fault.Kind == FaultBeforeFirstByte {
+		panic(http.ErrAbortHandler)
+	}
+	if fault.raw(w) {
+		return
+	}
+	if fault.Kind == FaultCrossed {
+		w.Header().Set(engine.HeaderAttempt, "another-request-1")
+	}
+	answer := fmt.Sprintf(`{"endpoint":%q,"number":%d,"method":%q,"path":%q,"bytes":%d}`,
+		s.ID, number, r.Method, r.URL.RequestURI(), len(body))
+	w.Header().Set("Content-Type", "application/json")
+	if fault.Kind == FaultContentLength {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)+wrongLengthBytes))
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+// take books the call and its effect.
+func (s *Service) take(r *http.Request, body string) (f Fault, number int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return Fault{}, 0, false
+	}
+	s.calls++
+	if len(s.faults) > 0 {
+		f, s.faults = s.faults[0], s.faults[1:]
+	}
+	if r.Method != http.MethodGet {
+		s.effects[r.Method+" "+r.URL.RequestURI()+" "+body]++
+	}
+	return f, s.calls, true
+}
--- /dev/null
+++ b/stream/stream.go
@@ -0,0 +1,168 @@
+// Package stream assembles one caller's answer from the token events of
+// several attempts. It decides which token goes to the caller, which is a
+// duplicate, where a new attempt has to resume, and when the answer is whole.
+//
+// The package does no I/O and reads no clock. An Assembler belongs to one
+// request and is not safe for use by several goroutines.
+package stream
+
+import "errors"
+
+// Unindexed is the index of a token whose endpoint does not number its tokens.
+const Unindexed int64 = -1
+
+// Errors of an attempt. Each ends the attempt, not the answer.
+var (
+	// ErrLateAttempt says that the event belongs to an attempt that is no
+	// longer the current one.
+	ErrLateAttempt = errors.New("stream: event of an earlier attempt")
+	// ErrGap says that the endpoint left out a token.
+	ErrGap = errors.New("stream: token missing")
+	// ErrMixed says that the endpoint numbers some tokens and others not.
+	ErrMixed = errors.New("stream: numbered and unnumbered tokens mixed")
+	// ErrNotResumable says that tokens have been delivered and the new attempt
+	// does not number its own, so that nobody can tell where it begins.
+	ErrNotResumable = errors.New("stream: attempt does not tell where it resumes")
+	// ErrEnded says that the event came after the end marker.
+	ErrEnded = errors.New("stream: event after the end")
+	// ErrShort says that an attempt sent the end marker before it reached the
+	// token that the caller has.
+	ErrShort = errors.New("stream: end before the resume position")
+)
+
+// AttemptNumber numbers the attempts of one request from 1 on.
+type AttemptNumber int
+
+// Verdict tells what to do with a token.
+type Verdict int
+
+// The verdicts.
+const (
+	Deliver   Verdict = iota + 1 // the next token for the caller
+	Duplicate                    // the caller has it; drop it
+)
+
+// numbering is what is known of an attempt's token indices.
+type numbering int
+
+const (
+	numberingUnknown numbering = iota
+	numberingGiven
+	numberingAbsent
+)
+
+// Assembler holds how far one answer has come.
+type Assembler struct {
+	attempt    AttemptNumber
+	numbering  numbering // of the current attempt
+	position   int64     // index of the current attempt's next token when it gives none
+	reached    int64     // index after the highest token the current attempt sent
+	next       int64     // index of the next token to deliver
+	unnumbered bool      // a delivered token came without an index
+	complete   bool
+	duplicates int
+	late       int
+}
+
+// Begin starts the next attempt and returns its number. Events of earlier
+// attempts are late from now on.
+func (a *Assembler) Begin() AttemptNumber {
+	a.attempt++
+	a.numbering = numberingUnknown
+	a.position = 0
+	a.reached = 0
+	return a.attempt
+}
+
+// Token takes a token event of an attempt. The index is Unindexed when the
+// endpoint gave none.
+func (a *Assembler) Token(n AttemptNumber, index int64) (Verdict, error) {
+	if err := a.current(n); err != nil {
+		return 0, err
+	}
+	if err := a.number(index); err != nil {
+		return 0, err
+	}
+	if index == Unindexed {
+		index = a.position
+		a.position++
+	}
+	a.reached = max(a.reached, index+1)
+	switch {
+	case index < a.next:
+		a.duplicates++
+		return Duplicate, nil
+	case index > a.next:
+		return 0, ErrGap
+	}
+	a.next++
+	if a.numbering == numberingAbsent {
+		a.unnumbered = true
+	}
+	return Deliver, nil
+}
+
+// number settles whether the current attempt numbers its tokens.
+func (a *Assembler) number(index int64) error {
+	given := numberingGiven
+	if index == Unindexed {
+		given = numberingAbsent
+	}
+	if a.numbering == numberingUnknown {
+		if given == numberingAbsent && a.next > 0 {
+			return ErrNotResumable
+		}
+		a.numbering = given
+	}
+	if a.numbering != given {
+		return ErrMixed
+	}
+	return nil
+}
+
+// End takes the end marker of an attempt. Only after it is the answer whole.
+//
+// An attempt that began at the front again and ended before the token that the
+// caller already has gave another, shorter answer: the caller would hold two
+// halves that do not belong together, so this is ErrShort. An attempt that
+// sent no token at all had none left to send.
+func (a *Assembler) End(n AttemptNumber) error {
+	if err := a.current(n); err != nil {
+		return err
+	}
+	if a.reached > 0 && a.reached < a.next {
+		return ErrShort
+	}
+	a.complete = true
+	return nil
+}
+
+func (a *Assembler) current(n AttemptNumber) error {
+	if n != a.attempt {
+		a.late++
+		return ErrLateAttempt
+	}
+	if a.complete {
+		return ErrEnded
+	}
+	return nil
+}
+
+// Complete tells whether the end marker has come.
+func (a *Assembler) Complete() bool { return a.complete }
+
+// Delivered is the number of tokens the caller has.
+func (a *Assembler) Delivered() int64 { return a.next }
+
+// Resume returns the index of the last token the caller has, and whether
+// another attempt can go on from it. With no token delivered, the index is
+// Unindexed and another attempt simply starts anew.
+func (a *Assembler) Resume() (last int64, ok bool) {
+	return a.next - 1, !a.complete && !a.unnumbered
+}
+
+// Duplicates counts the tokens dropped because the caller had them.
+func (a *Assembler) Duplicates() int { return a.duplicates }
+
+// Late counts the events dropped because their attempt was over.
+func (a *Assembler) Late() int { return a.late }
