Carry digests and accepted manifests between daemons over gRPC

Daemons cut off from the log must get an accepted manifest from their neighbours. Tests on loopback: nine daemons all have a manifest that one of them read, a starting daemon takes a neighbour's state, and a forged one is refused.

--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/peer/peerpb"
+)
+
+// link is a connection to one address.
+type link struct {
+	conn   *grpc.ClientConn
+	client peerpb.PeerClient
+}
+
+func (l *link) close() {
+	// Close fails only for a connection that is closed already.
+	_ = l.conn.Close()
+}
+
+// reconnect is how gRPC opens a lost connection again. Its own default waits up to
+// two minutes, so that a restarted neighbour would learn of a new manifest
+// long after the promised seconds; this keeps the wait below them.
+var reconnect = grpc.ConnectParams{
+	Backoff: backoff.Config{
+		BaseDelay:  100 * time.Millisecond,
+		Multiplier: 1.6,
+		Jitter:     0.2,
+		MaxDelay:   time.Second,
+	},
+	MinConnectTimeout: time.Second,
+}
+
+func dialOptions(o Options) ([]grpc.DialOption, error) {
+	creds := insecure.NewCredentials()
+	if o.TLS != nil {
+		config, err := o.TLS.config()
+		if err != nil {
+			return nil, err
+		}
+		creds = credentials.NewTLS(config)
+	}
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithConnectParams(reconnect),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(window),
+		grpc.WithInitialConnWindowSize(window),
+		grpc.WithIdleTimeout(idleAfter),
+	}
+	if o.Dial != nil {
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return o.Dial(ctx, address)
+		}))
+	}
+	return options, nil
+}
+
+// link returns the connection to an address, which gRPC opens when it is used.
+func (s *Service) link(address string) (*link, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, known := s.links[address]; known {
+		return l, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, s.dialling...)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peer: address %s", address)
+	}
+	l := &link{conn, peerpb.NewPeerClient(conn)}
+	s.links[address] = l
+	return l, nil
+}
+
+// exchange gives the own digest to a neighbour and takes its digest.
+func (s *Service) exchange(ctx context.Context, address string) (neighbour.Verdict, error) {
+	l, err := s.link(address)
+	if err != nil {
+		return neighbour.Verdict{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.o.CallTimeout)
+	defer cancel()
+	w, err := l.client.Exchange(ctx, s.digest(time.Now()), grpc.MaxCallRecvMsgSize(maxExchangeBytes))
+	if err != nil {
+		return neighbour.Verdict{}, eris.Wrap(ErrUnreachable, err.Error())
+	}
+	now := time.Now()
+	return s.receive(now, digestFromWire(now, w)), nil
+}
+
+// fetch gets a manifest from an address and checks that it is the one asked
+// for, or a later one.
+func (s *Service) fetch(ctx context.Context, address string, r neighbour.Revision) (Accepted, error) {
+	l, err := s.link(address)
+	if err != nil {
+		return Accepted{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.o.LoadTimeout)
+	defer cancel()
+	reply, err := l.client.Fetch(ctx, &peerpb.FetchRequest{Revision: revisionToWire(r)}, grpc.MaxCallRecvMsgSize(maxFetchBytes))
+	if err != nil {
+		return Accepted{}, eris.Wrap(ErrUnreachable, err.Error())
+	}
+	a := Accepted{
+		Revision: revisionFromWire(reply.GetRevision()),
+		Manifest: reply.GetManifest(),
+		Proof:    reply.GetProof(),
+	}
+	return a, a.check(r)
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/peer/peerpb"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// digest makes this daemon's next digest. Ages are sent in place of times,
+// since the daemons' clocks differ.
+func (s *Service) digest(now time.Time) *peerpb.Digest {
+	local := s.o.LocalDigest(now)
+	d := &peerpb.Digest{
+		Daemon:   s.o.Self.ID,
+		Life:     s.o.Life,
+		Sequence: s.sequence.Add(1),
+		Accepted: revisionToWire(local.Accepted),
+	}
+	if len(local.Usage) <= neighbour.MaxUsage {
+		d.Usage = local.Usage
+	}
+	for _, e := range local.Endpoints[:min(len(local.Endpoints), neighbour.MaxEndpoints)] {
+		age := min(max(now.Sub(e.At), 0), neighbour.MaxEvidenceAge)
+		d.Endpoints = append(d.Endpoints, &peerpb.Evidence{
+			Endpoint:    string(e.Endpoint),
+			Incarnation: uint64(e.Incarnation),
+			Draining:    e.Draining,
+			AgeMs:       uint32(age.Milliseconds()),
+		})
+	}
+	return d
+}
+
+// digestFromWire reads a digest; times are by the clock of now.
+func digestFromWire(now time.Time, w *peerpb.Digest) neighbour.Digest {
+	d := neighbour.Digest{
+		Daemon:   w.GetDaemon(),
+		Life:     w.GetLife(),
+		Sequence: w.GetSequence(),
+		Accepted: revisionFromWire(w.GetAccepted()),
+		Usage:    w.GetUsage(),
+	}
+	for _, e := range w.GetEndpoints() {
+		d.Endpoints = append(d.Endpoints, fleet.Evidence{
+			Endpoint:    fleet.EndpointID(e.GetEndpoint()),
+			Incarnation: fleet.Incarnation(e.GetIncarnation()),
+			Draining:    e.GetDraining(),
+			At:          now.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond),
+		})
+	}
+	return d
+}
+
+func revisionToWire(r neighbour.Revision) *peerpb.Revision {
+	if r.Offset == 0 {
+		return nil
+	}
+	return &peerpb.Revision{Offset: int64(r.Offset), Digest: r.Digest[:]}
+}
+
+// revisionFromWire reads a revision. One with a digest of another length is
+// read as offset -1, which no digest may carry.
+func revisionFromWire(w *peerpb.Revision) neighbour.Revision {
+	if w == nil {
+		return neighbour.Revision{}
+	}
+	r := neighbour.Revision{Offset: platform.Offset(w.GetOffset())}
+	if len(w.GetDigest()) != len(r.Digest) {
+		return neighbour.Revision{Offset: -1}
+	}
+	copy(r.Digest[:], w.GetDigest())
+	return r
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,251 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// node is a daemon that holds one accepted manifest and nothing else.
+type node struct {
+	daemon   platform.Daemon
+	service  *Service
+	listener net.Listener
+	events   chan Event
+
+	mu       sync.Mutex
+	accepted Accepted
+	changed  chan struct{} // closed and replaced on each change
+	heard    []neighbour.Digest
+}
+
+var errEarlier = errors.New("not later than the own")
+
+func (n *node) take(a Accepted) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if a.Revision.Offset <= n.accepted.Revision.Offset {
+		return errEarlier
+	}
+	n.accepted = a
+	close(n.changed)
+	n.changed = make(chan struct{})
+	return nil
+}
+
+func (n *node) state() (Accepted, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.accepted, n.changed
+}
+
+// waitFor returns when the node has the offset, and fails after a limit that
+// no healthy run comes near.
+func (n *node) waitFor(t *testing.T, offset platform.Offset) {
+	t.Helper()
+	limit := time.After(20 * time.Second)
+	for {
+		a, changed := n.state()
+		if a.Revision.Offset >= offset {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			t.Fatalf("%s has offset %d, want %d", n.daemon.ID, a.Revision.Offset, offset)
+		}
+	}
+}
+
+func manifestAt(offset platform.Offset, text string) Accepted {
+	return Accepted{
+		Revision: neighbour.Revision{Offset: offset, Digest: sha256.Sum256([]byte(text))},
+		Manifest: []byte(text),
+		Proof:    []byte("proof"),
+	}
+}
+
+// cluster starts count daemons on loopback; change alters the options of each.
+func cluster(t *testing.T, count, zones int, change func(i int, o *Options)) []*node {
+	t.Helper()
+	nodes := make([]*node, count)
+	list := make([]platform.Daemon, count)
+	for i := range nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		list[i] = platform.Daemon{
+			ID:          fmt.Sprintf("entry-%d", i),
+			Zone:        fleet.ZoneID(fmt.Sprintf("zone-%d", i%zones)),
+			PeerAddress: l.Addr().String(),
+			State:       fleet.VMLive,
+		}
+		nodes[i] = &node{daemon: list[i], listener: l, changed: make(chan struct{}), events: make(chan Event, 1024)}
+	}
+	for i, n := range nodes {
+		o := n.options(list)
+		o.Seed = uint64(i)
+		if change != nil {
+			change(i, &o)
+		}
+		n.start(t, o)
+	}
+	return nodes
+}
+
+func (n *node) options(list []platform.Daemon) Options {
+	return Options{
+		Self:    n.daemon,
+		Daemons: func() []platform.Daemon { return list },
+		LocalDigest: func(time.Time) Local {
+			a, _ := n.state()
+			return Local{Accepted: a.Revision}
+		},
+		Heard: func(_ time.Time, d neighbour.Digest) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.heard = append(n.heard, d)
+		},
+		FetchManifest: func(context.Context, neighbour.Revision) (Accepted, error) {
+			a, _ := n.state()
+			return a, nil
+		},
+		Merge: func(_ context.Context, _ string, a Accepted) error { return n.take(a) },
+		Observe: func(e Event) {
+			select {
+			case n.events <- e:
+			default:
+			}
+		},
+		// Machines under load are slow; the test's verdict must not hang on it.
+		CallTimeout: 5 * time.Second,
+		Interval:    200 * time.Millisecond,
+	}
+}
+
+func (n *node) start(t *testing.T, o Options) {
+	t.Helper()
+	s, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.service = s
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = s.Serve(ctx, n.listener) })
+	done.Go(func() { _ = s.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+		s.Close()
+	})
+}
+
+// The log is down for all daemons but one, which reads a new manifest. The
+// others must have it from their neighbours, or callers would meet the old
+// configuration on most daemons.
+func TestManifestReachesDaemonsCutOffFromTheLog(t *testing.T) {
+	nodes := cluster(t, 9, 3, nil)
+	for offset := platform.Offset(1); offset <= 3; offset++ {
+		from := nodes[int(offset)%len(nodes)]
+		if err := from.take(manifestAt(offset, fmt.Sprint("manifest ", offset))); err != nil {
+			t.Fatal(err)
+		}
+		from.service.Announce()
+		for _, n := range nodes {
+			n.waitFor(t, offset)
+		}
+	}
+}
+
+// A daemon starts while the log is down. With a neighbour's state it serves at
+// once; without any it must say so and not invent an empty configuration.
+func TestBootstrapFromNeighbours(t *testing.T) {
+	nodes := cluster(t, 3, 3, nil)
+	ctx := context.Background()
+	if _, err := nodes[0].service.Bootstrap(ctx); !errors.Is(err, ErrNoState) {
+		t.Errorf("error %v, want ErrNoState", err)
+	}
+	if err := nodes[1].take(manifestAt(7, "seven")); err != nil {
+		t.Fatal(err)
+	}
+	// The background exchange may have brought it before; both ways will do.
+	if a, err := nodes[0].service.Bootstrap(ctx); err == nil && a.Revision.Offset != 7 {
+		t.Errorf("offset %d, want 7", a.Revision.Offset)
+	}
+	nodes[0].waitFor(t, 7)
+}
+
+// A neighbour, or someone who has its certificate, claims a later manifest and
+// sends bytes that are not the ones it claimed. A daemon that took them would
+// serve a configuration that no operator published.
+func TestForgedManifestIsRefused(t *testing.T) {
+	nodes := cluster(t, 2, 1, func(i int, o *Options) {
+		if i == 1 {
+			o.FetchManifest = func(_ context.Context, r neighbour.Revision) (Accepted, error) {
+				return Accepted{Revision: r, Manifest: []byte("another")}, nil
+			}
+		}
+	})
+	if err := nodes[0].take(manifestAt(3, "three")); err != nil {
+		t.Fatal(err)
+	}
+	nodes[0].service.Announce()
+	nodes[1].waitFor(t, 3)
+	if err := nodes[1].take(manifestAt(9, "nine")); err != nil {
+		t.Fatal(err)
+	}
+	nodes[1].service.Announce()
+	for e := range nodes[0].events {
+		if e.Kind == EventRefused {
+			if !errors.Is(e.Err, ErrForged) {
+				t.Errorf("refused with %v, want ErrForged", e.Err)
+			}
+			break
+		}
+	}
+	if a, _ := nodes[0].state(); a.Revision.Offset != 3 {
+		t.Errorf("offset %d in force, want 3", a.Revision.Offset)
+	}
+}
+
+// Evidence of a leaving endpoint and organisations' use cross unharmed, with
+// ages in place of times.
+func TestDigestCrossesTheWire(t *testing.T) {
+	s := &Service{o: Options{
+		Self: platform.Daemon{ID: "a"}, Life: 5,
+		LocalDigest: func(now time.Time) Local {
+			return Local{
+				Accepted:  neighbour.Revision{Offset: 4, Digest: [32]byte{1}},
+				Endpoints: []fleet.Evidence{{Endpoint: "r1", Incarnation: 9, Draining: true, At: now.Add(-2 * time.Second)}},
+				Usage:     []byte("use"),
+			}
+		},
+	}}
+	sent := time.Unix(1000, 0)
+	received := time.Unix(5000, 0)
+	d := digestFromWire(received, s.digest(sent))
+	want := fleet.Evidence{Endpoint: "r1", Incarnation: 9, Draining: true, At: received.Add(-2 * time.Second)}
+	if len(d.Endpoints) != 1 || d.Endpoints[0] != want {
+		t.Errorf("endpoints %v", d.Endpoints)
+	}
+	if d.Accepted.Offset != 4 || d.Accepted.Digest != [32]byte{1} || string(d.Usage) != "use" || d.Sequence != 1 || d.Life != 5 {
+		t.Errorf("digest %+v", d)
+	}
+	short := s.digest(sent)
+	short.Accepted.Digest = []byte{1, 2}
+	table := neighbour.NewTable("b")
+	if v := table.Receive(received, neighbour.Revision{}, digestFromWire(received, short)); v.Reason != neighbour.DropInvalid {
+		t.Errorf("a digest of two bytes was judged %+v", v)
+	}
+}
--- /dev/null
+++ b/peer/run.go
@@ -0,0 +1,205 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// Run exchanges digests with the neighbours until ctx ends. Each neighbour is
+// told at once when Announce is called.
+func (s *Service) Run(ctx context.Context) error {
+	s.choose()
+	for {
+		timer := time.NewTimer(s.pause())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-s.news:
+			timer.Stop()
+			s.round(ctx, s.behind())
+		case <-timer.C:
+			s.choose()
+			s.round(ctx, s.due())
+		}
+	}
+}
+
+// Announce tells the neighbours at once that another manifest is in force, so
+// that daemons cut off from the log have it within seconds.
+func (s *Service) Announce() {
+	select {
+	case s.news <- struct{}{}:
+	default: // already about to
+	}
+}
+
+// pause is the interval with jitter.
+func (s *Service) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share := 1 + jitter*(2*s.rand.Float64()-1)
+	return time.Duration(share * float64(s.o.Interval))
+}
+
+// choose computes the neighbours from the newest list and closes connections
+// to daemons that are no neighbours any more.
+func (s *Service) choose() {
+	list := s.o.Daemons()
+	if len(list) == 0 {
+		return
+	}
+	chosen := neighbour.Choose(s.o.Self, list, s.o.Neighbours)
+	s.mu.Lock()
+	s.neighbours = chosen
+	var unused []*link
+	for address, l := range s.links {
+		if !slices.ContainsFunc(list, func(d platform.Daemon) bool { return d.PeerAddress == address }) {
+			unused = append(unused, l)
+			delete(s.links, address)
+		}
+	}
+	s.mu.Unlock()
+	for _, l := range unused {
+		l.close()
+	}
+}
+
+// due returns the neighbours to open an exchange with.
+func (s *Service) due() []platform.Daemon {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Daemon
+	for _, d := range s.neighbours {
+		if s.table.Due(now, d.ID, s.o.Interval) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// behind returns the neighbours that are not known to have the accepted
+// revision.
+func (s *Service) behind() []platform.Daemon {
+	own := s.o.LocalDigest(time.Now()).Accepted
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := map[string]neighbour.Revision{}
+	for _, sender := range s.table.Senders() {
+		known[sender.Daemon] = sender.Accepted
+	}
+	var out []platform.Daemon
+	for _, d := range s.neighbours {
+		if known[d.ID].Offset < own.Offset {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// round exchanges digests with the given daemons, a bounded number at once.
+func (s *Service) round(ctx context.Context, daemons []platform.Daemon) {
+	var g errgroup.Group
+	g.SetLimit(maxOutgoing)
+	for _, d := range daemons {
+		g.Go(func() error {
+			if _, err := s.exchange(ctx, d.PeerAddress); err != nil {
+				s.o.Observe(Event{EventUnreachable, d.ID, err})
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // errors were observed one by one
+}
+
+// fetchSoon fetches a later revision in the background, once at a time.
+func (s *Service) fetchSoon(daemon string, r neighbour.Revision) {
+	s.mu.Lock()
+	busy := s.fetching[r] || len(s.fetching) >= maxFetches || s.ctx.Err() != nil
+	if !busy {
+		s.fetching[r] = true
+		s.tasks.Add(1)
+	}
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer s.tasks.Done()
+		err := s.fetchAndMerge(s.ctx, daemon, r)
+		s.mu.Lock()
+		delete(s.fetching, r)
+		if err != nil {
+			s.table.FetchFailed(time.Now(), daemon, r)
+		}
+		s.mu.Unlock()
+		if err != nil {
+			s.o.Observe(Event{EventRefused, daemon, err})
+			return
+		}
+		s.o.Observe(Event{EventFetched, daemon, nil})
+		s.Announce()
+	}()
+}
+
+// fetchAndMerge brings a neighbour's revision into force.
+func (s *Service) fetchAndMerge(ctx context.Context, daemon string, r neighbour.Revision) error {
+	list := s.o.Daemons()
+	at := slices.IndexFunc(list, func(d platform.Daemon) bool { return d.ID == daemon })
+	if at < 0 {
+		return ErrUnlisted
+	}
+	a, err := s.fetch(ctx, list[at].PeerAddress, r)
+	if err != nil {
+		return err
+	}
+	return s.o.Merge(ctx, daemon, a)
+}
+
+// Bootstrap asks the neighbours for the latest accepted manifest and brings it
+// into force, for a daemon that starts while the log is down. It returns
+// ErrNoState when none of them has one; the daemon can then only answer that
+// requests were not run.
+func (s *Service) Bootstrap(ctx context.Context) (Accepted, error) {
+	s.choose()
+	s.round(ctx, s.Neighbours())
+	for _, sender := range s.latest() {
+		a, err := s.bootstrapFrom(ctx, sender)
+		if err == nil {
+			s.Announce()
+			return a, nil
+		}
+		s.o.Observe(Event{EventRefused, sender.Daemon, err})
+	}
+	return Accepted{}, ErrNoState
+}
+
+// latest returns the senders that have accepted something, the latest first.
+func (s *Service) latest() []neighbour.Sender {
+	senders := s.Senders()
+	senders = slices.DeleteFunc(senders, func(x neighbour.Sender) bool { return x.Accepted.Offset == 0 })
+	slices.SortFunc(senders, func(a, b neighbour.Sender) int {
+		return int(b.Accepted.Offset - a.Accepted.Offset)
+	})
+	return senders
+}
+
+func (s *Service) bootstrapFrom(ctx context.Context, sender neighbour.Sender) (Accepted, error) {
+	list := s.o.Daemons()
+	at := slices.IndexFunc(list, func(d platform.Daemon) bool { return d.ID == sender.Daemon })
+	if at < 0 {
+		return Accepted{}, ErrUnlisted
+	}
+	a, err := s.fetch(ctx, list[at].PeerAddress, sender.Accepted)
+	if err != nil {
+		return Accepted{}, err
+	}
+	return a, s.o.Merge(ctx, sender.Daemon, a)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,138 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/peer/peerpb"
+)
+
+// window is the size of gRPC's flow-control windows, in bytes. A fixed one also
+// turns off the pings by which gRPC would measure the path, which would cost
+// as many bytes as the digests.
+const window = 64 << 10
+
+// Times of a served connection.
+const (
+	idleAfter    = time.Minute
+	setupTimeout = 3 * time.Second
+	stopTimeout  = 2 * time.Second
+)
+
+// Serve answers neighbours on l until ctx ends, then closes l.
+func (s *Service) Serve(ctx context.Context, l net.Listener) error {
+	creds, err := serverCredentials(s.o.TLS)
+	if err != nil {
+		return err
+	}
+	server := grpc.NewServer(
+		grpc.Creds(creds),
+		grpc.MaxRecvMsgSize(maxExchangeBytes),
+		grpc.MaxSendMsgSize(maxFetchBytes),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(setupTimeout),
+		grpc.InitialWindowSize(window),
+		grpc.InitialConnWindowSize(window),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleAfter}),
+	)
+	peerpb.RegisterPeerServer(server, &handler{service: s})
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		stopServer(server)
+	})
+	err = server.Serve(l)
+	if !stop() {
+		<-stopped
+		return nil
+	}
+	server.Stop()
+	return eris.Wrap(err, "peer: serve")
+}
+
+// stopServer lets open calls end, but not for long.
+func stopServer(server *grpc.Server) {
+	timer := time.AfterFunc(stopTimeout, server.Stop)
+	defer timer.Stop()
+	server.GracefulStop()
+}
+
+func serverCredentials(files *TLSFiles) (credentials.TransportCredentials, error) {
+	if files == nil {
+		return insecure.NewCredentials(), nil
+	}
+	config, err := files.config()
+	if err != nil {
+		return nil, err
+	}
+	return credentials.NewTLS(config), nil
+}
+
+// handler is the served side of a Service.
+type handler struct {
+	peerpb.UnimplementedPeerServer
+	service *Service
+}
+
+// Exchange takes a neighbour's digest and gives the own.
+func (h *handler) Exchange(_ context.Context, w *peerpb.Digest) (*peerpb.Digest, error) {
+	s := h.service
+	if !s.exchanges.TryAcquire(1) {
+		return nil, status.Error(codes.ResourceExhausted, "too many exchanges at once")
+	}
+	defer s.exchanges.Release(1)
+	now := time.Now()
+	s.receive(now, digestFromWire(now, w))
+	return s.digest(now), nil
+}
+
+// Fetch gives an accepted manifest.
+func (h *handler) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	s := h.service
+	if !s.fetches.TryAcquire(1) {
+		return nil, status.Error(codes.ResourceExhausted, "too many fetches at once")
+	}
+	defer s.fetches.Release(1)
+	a, err := s.o.FetchManifest(ctx, revisionFromWire(r.GetRevision()))
+	if err != nil {
+		return nil, status.Error(codes.NotFound, err.Error())
+	}
+	if len(a.Manifest) > neighbour.MaxManifestBytes || len(a.Proof) > neighbour.MaxProofBytes {
+		return nil, status.Error(codes.OutOfRange, "manifest or proof is too large")
+	}
+	return &peerpb.FetchReply{
+		Revision: revisionToWire(a.Revision),
+		Manifest: a.Manifest,
+		Proof:    a.Proof,
+	}, nil
+}
+
+// receive judges a digest and does what the verdict asks for.
+func (s *Service) receive(now time.Time, d neighbour.Digest) neighbour.Verdict {
+	own := s.o.LocalDigest(now).Accepted
+	s.mu.Lock()
+	v := s.table.Receive(now, own, d)
+	s.mu.Unlock()
+	switch {
+	case v.Reason != "":
+		s.o.Observe(Event{EventDropped, d.Daemon, errors.New(string(v.Reason))})
+		return v
+	case v.Conflict:
+		s.o.Observe(Event{EventConflict, d.Daemon, nil})
+	case v.Fetch:
+		s.fetchSoon(d.Daemon, d.Accepted)
+	}
+	s.o.Heard(now, d)
+	return v
+}
