--- /dev/null
+++ b/lab/fairness/gates.go
@@ -0,0 +1,104 @@
+package fairness
+
+import (
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+)
+
+// Gate is the admission of one daemon, the real one or a baseline.
+type Gate interface {
+	Offer(now time.Time, r contract.Request) contract.Decision
+	Next(now time.Time, out []contract.Outcome) []contract.Outcome
+	Finish(now time.Time, id contract.RequestID, actualTokens float64) bool
+}
+
+// Open admits everything at once and leaves the queues to the engines.
+type Open struct{}
+
+// Offer admits the request.
+func (Open) Offer(time.Time, contract.Request) contract.Decision {
+	return contract.Decision{Verdict: contract.Admitted}
+}
+
+// Next has nothing to tell.
+func (Open) Next(_ time.Time, out []contract.Outcome) []contract.Outcome { return out }
+
+// Finish does nothing.
+func (Open) Finish(time.Time, contract.RequestID, float64) bool { return true }
+
+// FIFO is one queue for everybody before a fixed number of places.
+type FIFO struct {
+	Slots   int
+	Queue   int
+	queue   []contract.RequestID
+	running int
+}
+
+// Offer admits, queues or, with a full queue, refuses.
+func (f *FIFO) Offer(_ time.Time, r contract.Request) contract.Decision {
+	if f.running < f.Slots {
+		f.running++
+		return contract.Decision{Verdict: contract.Admitted}
+	}
+	if len(f.queue) >= f.Queue {
+		return contract.Decision{Reason: contract.NoCapacity, RetryAfter: time.Second}
+	}
+	f.queue = append(f.queue, r.ID)
+	return contract.Decision{Verdict: contract.Queued}
+}
+
+// Next admits in the order of arrival.
+func (f *FIFO) Next(_ time.Time, out []contract.Outcome) []contract.Outcome {
+	for f.running < f.Slots && len(f.queue) > 0 {
+		out = append(out, contract.Outcome{ID: f.queue[0], Decision: contract.Decision{Verdict: contract.Admitted}})
+		f.queue = f.queue[1:]
+		f.running++
+	}
+	return out
+}
+
+// Finish frees a place.
+func (f *FIFO) Finish(time.Time, contract.RequestID, float64) bool {
+	f.running--
+	return true
+}
+
+// Static gives each organisation a fixed rate at each daemon, its share over
+// the number of daemons, as a token bucket; nothing is lent.
+type Static struct {
+	Rates   map[contract.OrganisationID]float64 // tokens a second
+	Burst   float64                             // seconds of a rate
+	buckets map[contract.OrganisationID]*bucket
+}
+
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
+// Offer admits while the organisation's bucket is above zero.
+func (s *Static) Offer(now time.Time, r contract.Request) contract.Decision {
+	rate := s.Rates[r.Organisation]
+	if s.buckets == nil {
+		s.buckets = map[contract.OrganisationID]*bucket{}
+	}
+	b := s.buckets[r.Organisation]
+	if b == nil {
+		b = &bucket{level: rate * s.Burst, at: now}
+		s.buckets[r.Organisation] = b
+	}
+	b.level = min(b.level+rate*now.Sub(b.at).Seconds(), rate*s.Burst)
+	b.at = now
+	if b.level <= 0 {
+		return contract.Decision{Reason: contract.OverShare, RetryAfter: time.Second}
+	}
+	b.level -= r.Tokens
+	return contract.Decision{Verdict: contract.Admitted}
+}
+
+// Next has nothing to tell.
+func (s *Static) Next(_ time.Time, out []contract.Outcome) []contract.Outcome { return out }
+
+// Finish does nothing.
+func (s *Static) Finish(time.Time, contract.RequestID, float64) bool { return true }
