contract: give organisations that asked for less a few seconds of credit

Without credit the second of two that came together was taken for one over its share. Change: an idle organisation starts five seconds of its guarantee (at least 4,000 tokens) before the others; the wait is estimated from its virtual time, and priorities count up to the lead over the system's virtual time.

--- a/contract/admission.go
+++ b/contract/admission.go
@@ -253,13 +253,22 @@
 }
 
 // startTag is the virtual time at which the organisation's next request would
-// start: an organisation that was idle starts with the others, with no credit
-// for the past.
+// start: one that was idle starts before the others by no more than its credit.
 func (a *Admission) startTag(o *organisation) float64 {
 	if o.backlogged() {
 		return o.tag
 	}
-	return max(o.tag, a.virtual)
+	return max(o.tag, a.virtual-a.credit(o))
+}
+
+// credit is in virtual time. Over its length the contract is kept though an
+// organisation's callers come in bursts.
+func (a *Admission) credit(o *organisation) float64 {
+	credit := a.opts.CreditTokens / o.weight
+	if a.weights > 0 {
+		credit = max(credit, a.opts.Credit.Seconds()*a.tokensPerSecond/a.weights)
+	}
+	return credit
 }
 
 func (a *Admission) newEntry(o *organisation, r Request) *entry {
--- a/contract/options.go
+++ b/contract/options.go
@@ -22,6 +22,8 @@
 	DefaultQueuedAll      = 4096
 	DefaultRunning        = 16_384
 	DefaultLead           = 2 * time.Second
+	DefaultCredit         = 5 * time.Second
+	DefaultCreditTokens   = 4_000
 	DefaultHold           = 10 * time.Minute
 	DefaultMeter          = 5 * time.Second
 	DefaultRefresh        = 500 * time.Millisecond
@@ -61,6 +63,13 @@
 	// run ahead of the one served least before its priority counts no more.
 	Lead time.Duration
 
+	// Credit is how much of its guarantee an organisation that asked for less
+	// may have in hand, and CreditTokens what it may have at least: callers of a
+	// small organisation come a few at a time, and each asks for more than a
+	// second's worth of its share.
+	Credit       time.Duration
+	CreditTokens float64
+
 	Hold          time.Duration // longest life of a reservation without a Finish
 	Meter         time.Duration // time constant of the demand and use meters
 	Refresh       time.Duration // how often shares of this daemon are worked out anew
@@ -85,6 +94,8 @@
 	o.QueuedAll = orDefault(o.QueuedAll, DefaultQueuedAll)
 	o.Running = orDefault(o.Running, DefaultRunning)
 	o.Lead = orDefault(o.Lead, DefaultLead)
+	o.Credit = orDefault(o.Credit, DefaultCredit)
+	o.CreditTokens = orDefault(o.CreditTokens, DefaultCreditTokens)
 	o.Hold = orDefault(o.Hold, DefaultHold)
 	o.Meter = orDefault(o.Meter, DefaultMeter)
 	o.Refresh = orDefault(o.Refresh, DefaultRefresh)
--- a/contract/pick.go
+++ b/contract/pick.go
@@ -84,8 +84,7 @@
 	if a.backlog.queued == 0 {
 		return nil
 	}
-	least, _ := a.backlog.least()
-	limit := least + a.lead()
+	limit := a.virtual + a.lead()
 	for p := PriorityInteractive; p < PriorityCount; p++ {
 		if e := a.head(p); e != nil && e.org.tag <= limit {
 			return e
@@ -118,8 +117,7 @@
 	if a.backlog.queued == 0 {
 		return true
 	}
-	least, _ := a.backlog.least()
-	within := o.tag <= least+a.lead()
+	within := o.tag <= a.virtual+a.lead()
 	for q := PriorityInteractive; q < PriorityCount; q++ {
 		if q > p && within {
 			return true
--- a/contract/refusal.go
+++ b/contract/refusal.go
@@ -37,6 +37,13 @@
 	return NoCapacity
 }
 
+// wait estimates in seconds how long a new request would be queued: until the
+// virtual time has come to what the organisation has queued ahead of it.
+func (a *Admission) wait(o *organisation, p Priority) float64 {
+	ahead := o.queuedTokens(p) + (o.tag-a.virtual)*o.weight
+	return max(ahead, 0) / a.rate(o)
+}
+
 // cannotQueue tells why a request that can't start now may not wait: a caller
 // learns at once what it would learn later, while there is time to ask another
 // service or to come back.
@@ -45,7 +52,7 @@
 		return a.reason(o)
 	}
 	limit := a.opts.Wait[r.Priority].Seconds()
-	wait := o.queuedTokens(r.Priority) / a.rate(o)
+	wait := a.wait(o, r.Priority)
 	if !r.Deadline.IsZero() && a.start.Add(seconds(a.clock+wait)).After(r.Deadline) {
 		return TooLate
 	}
@@ -65,8 +72,7 @@
 // every request of the organisation. A person shouldn't wait behind batch work
 // only to be refused then.
 func (a *Admission) aheadOfOthers(o *organisation) bool {
-	least, waiting := a.backlog.least()
-	return waiting && o.tag > least+a.lead()
+	return a.backlog.queued > 0 && o.tag > a.virtual+a.lead()
 }
 
 // displace makes room in a full queue by giving up the newest and least urgent
