contract: keep places for the mean of urgent requests, within their contract only

Cause: phone requests were admitted at once but waited 270 ms (p50) at engines full of batch work, as the places kept for them ended at a quarter of the slots while they need 45%. Change: only requests within the contract count as urgent; the reserve is their mean over ten seconds and half a deviation over all daemons, up to three quarters of the slots.

--- a/contract/admission.go
+++ b/contract/admission.go
@@ -295,6 +295,7 @@
 // the place for ever, seen as a daemon that admits less and less.
 func (a *Admission) admit(e *entry) {
 	o := e.org
+	e.urgent = a.urgent(o, e.Priority)
 	started := o.tag
 	a.backlog.retag(o, o.tag+e.Tokens/o.weight)
 	if least, waiting := a.backlog.least(); waiting {
@@ -306,7 +307,7 @@
 	o.running++
 	o.counts.Admitted++
 	a.running++
-	if e.Priority == PriorityInteractive {
+	if e.urgent {
 		a.reserved.started(a.clock)
 	}
 	e.queued = false
@@ -322,7 +323,7 @@
 	e.org.running--
 	e.org.seen = a.clock
 	a.running--
-	if e.Priority == PriorityInteractive {
+	if e.urgent {
 		a.reserved.ended(a.clock)
 	}
 	a.due.remove(e.dueAt)
--- a/contract/options.go
+++ b/contract/options.go
@@ -33,7 +33,7 @@
 	DefaultMaxRetryAfter  = time.Minute
 	DefaultMinRetryAfter  = time.Second
 	DefaultDigestEntries  = 32
-	DefaultReserve        = 0.25
+	DefaultReserve        = 0.75
 	DefaultRetryJitter    = 0.25
 	defaultTokensPerSec   = 10_000
 	defaultSlots          = 64
--- a/contract/organisation.go
+++ b/contract/organisation.go
@@ -7,6 +7,7 @@
 	Request
 	org        *organisation
 	queued     bool
+	urgent     bool    // runs in a place kept for interactive requests
 	due        float64 // when the queue gives it up, or its reservation expires
 	since      float64
 	dueAt      int // place in the heap of due times
--- a/contract/pick.go
+++ b/contract/pick.go
@@ -6,27 +6,27 @@
 // that as many places are kept free of work that lasts long.
 type interactiveMeter struct {
 	running int
-	peak    float64
+	mean    float64
 	at      float64
 }
 
-const interactivePeakConstant = 30 // seconds
+const interactiveConstant = 10 // seconds
 
-func (m *interactiveMeter) decay(now float64) {
+func (m *interactiveMeter) settle(now float64) {
 	if now > m.at {
-		m.peak *= math.Exp((m.at - now) / interactivePeakConstant)
+		keep := math.Exp((m.at - now) / interactiveConstant)
+		m.mean = m.mean*keep + float64(m.running)*(1-keep)
 		m.at = now
 	}
 }
 
 func (m *interactiveMeter) started(now float64) {
-	m.decay(now)
+	m.settle(now)
 	m.running++
-	m.peak = max(m.peak, float64(m.running))
 }
 
 func (m *interactiveMeter) ended(now float64) {
-	m.decay(now)
+	m.settle(now)
 	m.running--
 }
 
@@ -37,27 +37,45 @@
 
 func (a *Admission) localRate() float64 { return a.tokensPerSecond * a.part }
 
-// reserve is the number of places that only interactive requests may take. A
-// fleet filled with long batch work can't be taken back when a driver asks:
-// engines finish what runs, and the driver would wait for whole
-// specification sheets. It follows the recent peak of interactive requests, so
-// that a fleet without any gives nothing away.
+// reserve is the number of places that only urgent requests may take. A fleet
+// filled with long batch work can't be taken back when a driver asks: engines
+// finish what runs, and the driver would wait for whole specification sheets.
+// It is the recent mean of urgent requests and a part of its standard deviation
+// over all daemons, as engines are shared and requests come independently of
+// each other. A fleet without any gives nothing away.
 func (a *Admission) reserve(slots int) int {
-	a.reserved.decay(a.clock)
-	want := int(math.Round(a.reserved.peak))
+	a.reserved.settle(a.clock)
+	mean := a.reserved.mean
+	spread := reserveDeviations * math.Sqrt(mean/(1+a.others))
+	want := int(math.Round(mean + spread))
 	return min(want, int(math.Ceil(a.opts.Reserve*float64(slots))), slots-1)
 }
 
-// overcommit is how many interactive requests may go beyond the slots, for the
-// first ones after a quiet time. The engines put them first in their own
-// queues.
+// overcommit is how many urgent requests may go beyond the slots, for the first
+// ones after a quiet time. The engines put them first in their own queues.
 func overcommit(slots int) int { return 1 + slots/overcommitPart }
 
+// reserveDeviations weighs first tokens against work done: see
+// docs/measurements/limits.md for other values.
+const reserveDeviations = 0.5
+
 const overcommitPart = 20
 
-func (a *Admission) hasPlace(p Priority) bool {
+// urgent reports whether an interactive request of the organisation may use the
+// places kept for such. One that is ahead of its contract may not: its requests
+// would have more and more places kept, and starve the batch work which others
+// have paid for.
+func (a *Admission) urgent(o *organisation, p Priority) bool {
+	return p == PriorityInteractive && a.withinContract(o)
+}
+
+func (a *Admission) withinContract(o *organisation) bool {
+	return o.tag <= a.virtual+a.lead()
+}
+
+func (a *Admission) hasPlace(urgent bool) bool {
 	slots := a.localSlots()
-	if p == PriorityInteractive {
+	if urgent {
 		return a.running < min(slots+overcommit(slots), a.opts.Running)
 	}
 	others := a.running - a.reserved.running
@@ -84,9 +102,8 @@
 	if a.backlog.queued == 0 {
 		return nil
 	}
-	limit := a.virtual + a.lead()
 	for p := PriorityInteractive; p < PriorityCount; p++ {
-		if e := a.head(p); e != nil && e.org.tag <= limit {
+		if e := a.head(p); e != nil && a.withinContract(e.org) {
 			return e
 		}
 	}
@@ -98,12 +115,18 @@
 	return nil
 }
 
+// head is the first request of the priority, or nil if there is none or no
+// place for it.
 func (a *Admission) head(p Priority) *entry {
 	heap := &a.backlog.heaps[p]
-	if heap.len() == 0 || !a.hasPlace(p) {
+	if heap.len() == 0 {
+		return nil
+	}
+	o := heap.min()
+	if !a.hasPlace(a.urgent(o, p)) {
 		return nil
 	}
-	return heap.min().queues[p].head
+	return o.queues[p].head
 }
 
 // startsAtOnce reports whether a request of the organisation may run before
@@ -111,13 +134,13 @@
 // an organisation that keeps to its contract; else only what has no place
 // itself is passed.
 func (a *Admission) startsAtOnce(o *organisation, p Priority) bool {
-	if !a.hasPlace(p) {
+	if !a.hasPlace(a.urgent(o, p)) {
 		return false
 	}
 	if a.backlog.queued == 0 {
 		return true
 	}
-	within := o.tag <= a.virtual+a.lead()
+	within := a.withinContract(o)
 	for q := PriorityInteractive; q < PriorityCount; q++ {
 		if q > p && within {
 			return true
