contract: 8,000 tokens of credit at least, measured against the rate the fleet has

The organisation that was short asked for 98.5% of what it was entitled to, as the bench told the daemons 50,000 tokens/s while engines do 46,000 with this mix; 95% of a share was 103% of it. Change: the bench tells 46,000; credit of at least 8,000 tokens.

--- a/contract/options.go
+++ b/contract/options.go
@@ -23,7 +23,7 @@
 	DefaultRunning        = 16_384
 	DefaultLead           = 2 * time.Second
 	DefaultCredit         = 5 * time.Second
-	DefaultCreditTokens   = 4_000
+	DefaultCreditTokens   = 8_000
 	DefaultHold           = 10 * time.Minute
 	DefaultMeter          = 5 * time.Second
 	DefaultRefresh        = 500 * time.Millisecond
--- a/lab/fairness/engine.go
+++ b/lab/fairness/engine.go
@@ -40,6 +40,8 @@
 	opts    EngineOptions
 	waiting [contract.PriorityCount][]*task
 	running []*task
+
+	prefilling []*task
 }
 
 func (e *fakeEngine) add(t *task) { e.waiting[t.priority] = append(e.waiting[t.priority], t) }
@@ -85,17 +87,20 @@
 }
 
 func (e *fakeEngine) prefill(budget float64) {
+	e.prefilling = e.prefilling[:0]
+	for _, t := range e.running {
+		if t.prefill > 0 {
+			e.prefilling = append(e.prefilling, t)
+		}
+	}
 	for p := contract.PriorityInteractive; p < contract.PriorityCount; p++ {
-		for _, t := range e.running {
-			if t.priority != p || t.prefill <= 0 {
+		for _, t := range e.prefilling {
+			if t.priority != p || budget <= 0 {
 				continue
 			}
 			part := min(t.prefill, budget)
 			t.prefill -= part
 			budget -= part
-			if budget <= 0 {
-				return
-			}
 		}
 	}
 }
--- a/lab/fairness/figures_test.go
+++ b/lab/fairness/figures_test.go
@@ -1,6 +1,7 @@
 package fairness
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,7 +10,7 @@
 
 const seeds = 5
 
-// summary is the worst of a figure over the seeds, and the mean of others.
+// summary is the worst of a figure over the seeds, or its mean.
 type summary struct {
 	worst, rate, load float64
 	p50, p99          time.Duration
@@ -17,9 +18,9 @@
 	refused           float64
 }
 
-func overSeeds(make func(seed uint64) Scenario) (s summary) {
+func overSeeds(scenario func(seed uint64) Scenario) (s summary) {
 	for seed := uint64(1); seed <= seeds; seed++ {
-		r := Run(make(seed))
+		r := Run(scenario(seed))
 		s.worst = max(s.worst, r.Worst())
 		s.rate += r.Served / seeds
 		s.load = max(s.load, r.PeakLoad)
@@ -33,26 +34,129 @@
 	return s
 }
 
-func (s summary) log(t *testing.T, name string) {
-	t.Helper()
-	t.Logf("%-22s worst shortfall %5.1f%%  %6.0f tokens/s  phone first token p50 %7v p99 %7v  behind batch %5d  peak load %5.2f  refusals per request %.2f",
-		name, 100*s.worst, s.rate, s.p50, s.p99, s.behind, s.load, s.refused)
+func (s summary) String() string {
+	return fmt.Sprintf("worst shortfall %5.1f%%  %6.0f tokens/s  phone first token p50 %7v p99 %7v  behind batch %5d  peak load %5.2f  refusals per request %.2f",
+		100*s.worst, s.rate, s.p50, s.p99, s.behind, s.load, s.refused)
 }
 
-// TestFigures prints the table of all policies under the overload, with -v.
-func TestFigures(t *testing.T) {
-	for _, policy := range Policies {
-		s := overSeeds(func(seed uint64) Scenario { return Tsukushi(policy, seed) })
-		s.log(t, string(policy))
+// BenchmarkOverload prints the table of all policies under the overload, with
+// callers that come evenly and unevenly. Run it with -benchtime 1x.
+func BenchmarkOverload(b *testing.B) {
+	for b.Loop() {
+		for _, policy := range Policies {
+			b.Logf("even    %-9s %v", policy, overSeeds(func(seed uint64) Scenario { return Tsukushi(policy, seed) }))
+		}
+		for _, policy := range Policies {
+			b.Logf("skewed  %-9s %v", policy, overSeeds(func(seed uint64) Scenario { return Skewed(policy, seed) }))
+		}
+		r := Run(Tsukushi(PolicyContract, 1))
+		b.Log(r)
+		for _, o := range r.Organisations {
+			b.Logf("    %s offered %8.0f served %8.0f entitled %8.0f: %+.1f%%, refused %d", o.ID, o.Offered, o.Served, o.Entitled, -100*o.Shortfall(), o.Refused)
+		}
+		b.Logf("    largest digest %d bytes", r.DigestBytes)
 	}
-	for _, policy := range Policies {
-		s := overSeeds(func(seed uint64) Scenario { return Skewed(policy, seed) })
-		s.log(t, "skewed "+string(policy))
+}
+
+// BenchmarkEstimates prints what a wrong estimate of the fleet's rate does, and
+// an overload by everybody, of which one asks for three times its share.
+func BenchmarkEstimates(b *testing.B) {
+	for b.Loop() {
+		for _, factor := range []float64{0.6, 0.8, 1, 1.2, 1.5} {
+			b.Logf("told %.1f of the rate  %v", factor, overSeeds(func(seed uint64) Scenario {
+				s := Tsukushi(PolicyContract, seed)
+				s.Rate *= factor
+				return s
+			}))
+		}
+		b.Logf("all ask for more      %v", overSeeds(func(seed uint64) Scenario {
+			s := Tsukushi(PolicyContract, seed)
+			for i := range s.Organisations {
+				for f := range s.Organisations[i].Flows {
+					flow := &s.Organisations[i].Flows[f]
+					if i != 1 {
+						flow.Rate = Constant(1.6 * flow.Rate(0))
+					}
+				}
+			}
+			return s
+		}))
 	}
-	r := Run(Tsukushi(PolicyContract, 1))
-	t.Log(r)
-	for _, o := range r.Organisations {
-		t.Logf("    %s offered %8.0f served %8.0f entitled %8.0f: %+.1f%%, refused %d", o.ID, o.Offered, o.Served, o.Entitled, -100*o.Shortfall(), o.Refused)
+}
+
+// BenchmarkDigests prints what lost and rare digests do to the shares.
+func BenchmarkDigests(b *testing.B) {
+	for b.Loop() {
+		for _, loss := range []float64{0, 0.3, 0.9, 1} {
+			b.Logf("lost %3.0f%%    %v", 100*loss, overSeeds(func(seed uint64) Scenario {
+				s := Skewed(PolicyContract, seed)
+				s.DigestLoss = loss
+				return s
+			}))
+		}
+		for _, every := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 5 * time.Second, 10 * time.Second} {
+			b.Logf("every %-5v  %v", every, overSeeds(func(seed uint64) Scenario {
+				s := Skewed(PolicyContract, seed)
+				s.DigestEvery = every
+				return s
+			}))
+		}
+	}
+}
+
+// BenchmarkFaults prints the shares over time when a daemon dies or is cut off
+// at 60 s.
+func BenchmarkFaults(b *testing.B) {
+	for b.Loop() {
+		for name, set := range map[string]func(*Scenario){
+			"none":                  func(*Scenario) {},
+			"dead":                  func(s *Scenario) { s.Dead = 4 },
+			"cut off":               func(s *Scenario) { s.Cut = 4 },
+			"cut off, counted dead": func(s *Scenario) { s.Cut, s.CountDead = 4, true },
+		} {
+			var windows []Window
+			for seed := uint64(1); seed <= seeds; seed++ {
+				s := faulty(seed)
+				set(&s)
+				windows = addWindows(windows, Run(s).Windows)
+			}
+			for _, w := range windows {
+				b.Logf("%-21s from %4v: %6.0f tokens/s, largest shortfall %5.1f%%, peak load %.2f", name, w.From, w.Served, 100*w.Worst, w.PeakLoad)
+			}
+		}
+	}
+}
+
+func faulty(seed uint64) Scenario {
+	s := Tsukushi(PolicyContract, seed)
+	s.Window = 30 * time.Second
+	s.FaultAt = 60 * time.Second
+	s.Length = 210 * time.Second
+	return s
+}
+
+func addWindows(sum, more []Window) []Window {
+	if sum == nil {
+		sum = make([]Window, len(more))
+	}
+	for i, w := range more {
+		sum[i].From = w.From
+		sum[i].Served += w.Served / seeds
+		sum[i].Worst += w.Worst / seeds
+		sum[i].PeakLoad = max(sum[i].PeakLoad, w.PeakLoad)
+	}
+	return sum
+}
+
+// BenchmarkLent prints how fast a lent share comes back.
+func BenchmarkLent(b *testing.B) {
+	const back = 40 * time.Second
+	for b.Loop() {
+		for seed := uint64(1); seed <= seeds; seed++ {
+			r := Run(Lent(PolicyContract, seed, back))
+			b.Logf("seed %d: given of what was offered in the first 1 s %.2f, 2 s %.2f, 5 s %.2f, 10 s %.2f, 30 s %.2f",
+				seed, r.Part(0, back, back+time.Second), r.Part(0, back, back+2*time.Second),
+				r.Part(0, back, back+5*time.Second), r.Part(0, back, back+10*time.Second), r.Part(0, back, back+30*time.Second))
+		}
 	}
-	t.Logf("    largest digest %d bytes", r.DigestBytes)
 }
--- a/lab/fairness/result.go
+++ b/lab/fairness/result.go
@@ -204,6 +204,19 @@
 	return worst
 }
 
+// Part is what an organisation was given, of what it offered, between two times.
+// It needs Windows.
+func (r *Result) Part(organisation int, from, to time.Duration) float64 {
+	offered, given := 0.0, 0.0
+	for _, w := range r.Windows {
+		if w.From >= from && w.From < to {
+			offered += w.offered[organisation]
+			given += w.served[organisation]
+		}
+	}
+	return given / offered
+}
+
 // FirstToken is a percentile, from 0 to 1, of the time to the first token.
 func (r *Result) FirstToken(p contract.Priority, part float64) time.Duration {
 	times := slices.Clone(r.FirstTokens[p])
--- a/lab/fairness/scenario.go
+++ b/lab/fairness/scenario.go
@@ -57,6 +57,7 @@
 	Dead        int           // daemon that dies, with callers going to the others; -1: none
 	Cut         int           // daemon that is cut off from the others; -1: none
 	FaultAt     time.Duration // of Dead and Cut
+	CountDead   bool          // trial: each daemon takes silent peers for dead
 	Returns     int           // times that a refused caller comes back after Retry-After
 	Window      time.Duration // of the figures over time; 0: none
 }
@@ -91,7 +92,7 @@
 // few of them large, and one that asks for three times its share. Each asks
 // half of its work for phones and half for batch reading of service histories.
 func Tsukushi(policy Policy, seed uint64) Scenario {
-	const capacity = 50_000 // tokens a second
+	const capacity = 46_000 // tokens a second, as measured with this mix
 	s := Scenario{
 		Policy: policy, Seed: seed, Daemons: 9, Rate: capacity,
 		Engines: EngineOptions{Count: 9, Slots: 16, Prefill: 9000, Decode: 40},
@@ -126,3 +127,23 @@
 	s.Organisations[2].Spread = []float64{1, 1, 1, 1, 8, 1, 1, 1, 1}
 	return s
 }
+
+// Lent is a fleet that all but the largest organisation fill beyond their
+// shares, until that one's callers come back at the given time.
+func Lent(policy Policy, seed uint64, back time.Duration) Scenario {
+	s := Tsukushi(policy, seed)
+	s.Length = back + 60*time.Second
+	s.Window = time.Second
+	for i := range s.Organisations {
+		for f := range s.Organisations[i].Flows {
+			flow := &s.Organisations[i].Flows[f]
+			usual := flow.Rate(0)
+			if i == 0 {
+				flow.Rate = Between(back, s.Length, usual)
+			} else {
+				flow.Rate = Constant(1.6 * usual)
+			}
+		}
+	}
+	return s
+}
--- a/lab/fairness/world.go
+++ b/lab/fairness/world.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	tick        = 5 * time.Millisecond
+	tick        = 10 * time.Millisecond
 	loadEvery   = 500 * time.Millisecond // reports of the endpoints
 	digestDelay = 50 * time.Millisecond
 )
@@ -165,6 +165,15 @@
 			}
 		}
 	}
+	if w.s.CountDead && w.s.Cut >= 0 && now == w.s.FaultAt+contract.DefaultSilentAfter {
+		for i, d := range w.daemons {
+			live := w.s.Daemons - 1
+			if i == w.s.Cut {
+				live = 1
+			}
+			d.core.SetDaemons(at(now), live)
+		}
+	}
 	if w.s.Policy == PolicyContract {
 		w.digests(now)
 	}
