--- /dev/null
+++ b/lab/replay/shares.go
@@ -0,0 +1,47 @@
+package replay
+
+import "math"
+
+// shares compares what each organisation got with what its contract gives it.
+func (m *meter) shares(b *bench, r *Report) {
+	done := 0.0
+	for _, o := range b.o.Trace.Header.Organisations {
+		r.Organisations = append(r.Organisations, Organisation{
+			ID: o.ID, Share: o.Share, Offered: m.offeredBy[o.ID], Done: m.doneBy[o.ID], Spent: m.spentBy[o.ID],
+		})
+		done += float64(m.doneBy[o.ID])
+	}
+	fair := fairShares(r.Organisations, done)
+	for i, o := range r.Organisations {
+		if fair[i] > 0 {
+			r.ShareError = max(r.ShareError, math.Abs(float64(o.Done)-fair[i])/fair[i])
+		}
+	}
+}
+
+// fairShares divides the work that was done by the contract: nobody gets more
+// than offered, and what one leaves unused is lent to the others by share.
+func fairShares(orgs []Organisation, work float64) []float64 {
+	fair := make([]float64, len(orgs))
+	for range orgs {
+		open := 0.0
+		for i, o := range orgs {
+			if fair[i] < float64(o.Offered) {
+				open += o.Share
+			}
+		}
+		if open == 0 || work < 1 {
+			break
+		}
+		given := 0.0
+		for i, o := range orgs {
+			if fair[i] < float64(o.Offered) {
+				more := min(work*o.Share/open, float64(o.Offered)-fair[i])
+				fair[i] += more
+				given += more
+			}
+		}
+		work -= given
+	}
+	return fair
+}
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -201,37 +201,3 @@
 		s = s[n:]
 	}
 }
-
-// affinityMessages is how many leading messages take part in placement: the
-// tenant preamble and the document that the questions are about.
-const affinityMessages = 2
-
-// Affinity returns the index of the level that a prompt is placed by, or -1
-// for a prompt with no level.
-//
-// It follows from the prompt alone, so that daemons agree on it without having
-// seen the same requests. The last message is the question, which nobody
-// shares; later turns of one conversation must stay with its first one. Hence
-// the end of the second message, if more follow. Where the document and the
-// question are one message, the first whole piece of it stands for the
-// document; where there is one message only, its second whole piece does.
-func Affinity(levels []Level) int {
-	last := len(levels) - 1
-	messages, first := 0, -1
-	for i := range last {
-		if !levels[i].Message {
-			continue
-		}
-		messages++
-		if messages == 1 {
-			first = i
-		}
-		if messages == affinityMessages {
-			return i
-		}
-	}
-	if messages == 1 {
-		return min(first+1, last-1)
-	}
-	return min(1, max(last-1, min(last, 0)))
-}
