Plan the orders that roll a manifest out over the fleet

An order whose answer was lost, a crash in mid-load or a new holder that does not know of loads under way would each begin more loads than the weight store bears. The planner counts an order as under way from before it is sent until the endpoint's own status settles it, lets a new holder read the fleet first, and keeps part of each model's endpoints serving. Requests are bound to one version by Bind.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -65,4 +65,12 @@
 	Slots         int         `json:"slots"`          // batch slots in all; 0 means not known
 	CachedBlocks  int         `json:"cached_blocks"`  // blocks in the endpoint's cache
 	Draining      bool        `json:"draining"`       // the endpoint takes no new work
+	Weights       []Weights   `json:"weights,omitempty"`
+}
+
+// Weights names the version of a model that an endpoint has loaded and serves.
+// An endpoint that has none ready, since it loads, gives an empty version.
+type Weights struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
 }
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -68,6 +68,7 @@
 	Kind   fleet.Kind `json:"kind"`
 	Models []string   `json:"models,omitempty"` // served by this class
 	Fences bool       `json:"fences"`           // refuses orders with an old fencing number
+	Role   string     `json:"role,omitempty"`   // that its endpoints are ordered to take; empty: any
 }
 
 // Service is a plain service that is routed to by path.
--- /dev/null
+++ b/rollout/plan_test.go
@@ -0,0 +1,436 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/manifest"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const (
+	tick     = 500 * time.Millisecond
+	loadTime = 90 * time.Second
+)
+
+// runner is an endpoint that carries orders out in the time of a load.
+type runner struct {
+	member  fleet.Member
+	status  Status
+	ends    time.Time
+	refuses bool // fails every load
+	cut     bool // cannot be reached
+}
+
+// world is a fleet under one planner, in virtual time.
+type world struct {
+	t        interface{ Fatalf(string, ...any) }
+	now      time.Time
+	planner  *Planner
+	manifest *manifest.Manifest
+	in       Input
+	runners  []*runner
+	lose     func() bool // whether the next answer to an order is lost
+	mostLoad int
+	leastUp  int
+}
+
+func declared(limit int, versions ...string) *manifest.Manifest {
+	m := &manifest.Manifest{Fleet: manifest.Fleet{LoadsAtOnce: limit}}
+	class := manifest.Class{ID: "large", Kind: fleet.KindModel}
+	for i, v := range versions {
+		id := fmt.Sprintf("model-%d", i)
+		m.Models = append(m.Models, manifest.Model{ID: id, Version: v})
+		class.Models = append(class.Models, id)
+	}
+	m.Classes = []manifest.Class{class}
+	return m
+}
+
+func newWorld(t interface{ Fatalf(string, ...any) }, count, limit int) *world {
+	w := &world{t: t, now: epoch, planner: NewPlanner(Options{}), leastUp: count}
+	w.manifest = declared(limit, "v1")
+	for i := range count {
+		r := &runner{}
+		r.member.ID = fleet.EndpointID(fmt.Sprintf("runner-%02d", i))
+		r.member.Class = "large"
+		r.status = Status{Incarnation: 1, Models: []Model{{ID: "model-0", Version: "v1"}}}
+		w.runners = append(w.runners, r)
+	}
+	w.lose = func() bool { return false }
+	w.hold(1)
+	return w
+}
+
+// hold makes a new holder begin, which knows nothing.
+func (w *world) hold(fence int) {
+	w.planner = NewPlanner(Options{})
+	w.in.Fence++
+	w.in.Since = w.now
+	_ = fence
+}
+
+func (w *world) members() []fleet.Member {
+	var out []fleet.Member
+	for _, r := range w.runners {
+		out = append(out, r.member)
+	}
+	return out
+}
+
+func (w *world) runner(id fleet.EndpointID) *runner {
+	for _, r := range w.runners {
+		if r.member.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// take is what an engine does with an order.
+func (r *runner) take(now time.Time, o Order) {
+	if o.Incarnation != r.status.Incarnation || r.status.Loading != nil {
+		return
+	}
+	switch o.Kind {
+	case KindLoad, KindLoadAdapter:
+		r.status.Loading, r.ends = &o, now.Add(loadTime)
+		if o.Kind == KindLoad {
+			r.drop(o.Model)
+		}
+	case KindUnload:
+		r.drop(o.Model)
+		r.status.Last = &Result{Order: o.ID, Done: true}
+	case KindRole:
+		r.status.Role = o.Role
+		r.status.Last = &Result{Order: o.ID, Done: true}
+	case KindUnloadAdapter:
+		m := r.status.model(o.Model)
+		m.Adapters = slices.DeleteFunc(m.Adapters, func(a Adapter) bool { return a.ID == o.Adapter })
+		r.status.Last = &Result{Order: o.ID, Done: true}
+	}
+}
+
+func (r *runner) drop(model string) {
+	r.status.Models = slices.DeleteFunc(slices.Clone(r.status.Models), func(m Model) bool { return m.ID == model })
+}
+
+// advance ends a load that is over.
+func (r *runner) advance(now time.Time) {
+	o := r.status.Loading
+	if o == nil || now.Before(r.ends) {
+		return
+	}
+	r.status.Loading = nil
+	r.status.Last = &Result{Order: o.ID, Done: !r.refuses}
+	if r.refuses {
+		return
+	}
+	if o.Kind == KindLoad {
+		r.status.Models = append(slices.Clone(r.status.Models), Model{ID: o.Model, Version: o.Version})
+		return
+	}
+	m := r.status.model(o.Model)
+	m.Adapters = append(slices.Clone(m.Adapters), Adapter{ID: o.Adapter, Version: o.Version})
+}
+
+// restart brings the runner back empty.
+func (r *runner) restart() {
+	r.status = Status{Incarnation: r.status.Incarnation + 1}
+}
+
+// step lets a tick pass and carries the plan out.
+func (w *world) step() Plan {
+	w.now = w.now.Add(tick)
+	for _, r := range w.runners {
+		r.advance(w.now)
+	}
+	w.in.Manifest, w.in.Endpoints = w.manifest, w.members()
+	plan := w.planner.Plan(w.now, w.in)
+	for _, id := range plan.Read {
+		if r := w.runner(id); r.cut {
+			w.planner.ReadFailed(w.now, id)
+		} else {
+			w.planner.Observed(w.now, w.now, id, r.status)
+		}
+	}
+	for _, o := range plan.Orders {
+		w.planner.Sent(w.now, o)
+		r := w.runner(o.Endpoint)
+		if r.cut {
+			continue
+		}
+		r.take(w.now, o)
+		if !w.lose() {
+			w.planner.Answered(o)
+		}
+	}
+	w.check()
+	return plan
+}
+
+// check holds the limits of the fleet against what the runners really do.
+func (w *world) check() {
+	loads, up := 0, 0
+	for _, r := range w.runners {
+		if r.status.Loading != nil {
+			loads++
+		}
+		if len(r.status.Models) > 0 {
+			up++
+		}
+	}
+	w.mostLoad, w.leastUp = max(w.mostLoad, loads), min(w.leastUp, up)
+	if loads > w.manifest.Fleet.LoadsAtOnce {
+		w.t.Fatalf("%d loads at once after %v", loads, w.now.Sub(epoch))
+	}
+}
+
+// finish steps until all that can be is as declared, and returns how long it
+// took.
+func (w *world) finish(want int) time.Duration {
+	began := w.now
+	for w.now.Sub(began) < 12*time.Hour {
+		if p := w.step(); p.Done >= want {
+			return w.now.Sub(began)
+		}
+	}
+	w.t.Fatalf("not finished: %+v", w.step())
+	return 0
+}
+
+func (w *world) serving(version string) int {
+	n := 0
+	for _, r := range w.runners {
+		if m := r.status.model("model-0"); m != nil && m.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRolloutKeepsToTheLimits(t *testing.T) {
+	for _, c := range []struct{ count, limit, leastUp int }{{18, 3, 15}, {9, 2, 7}, {3, 3, 2}, {1, 2, 0}} {
+		t.Run(fmt.Sprintf("%d by %d", c.count, c.limit), func(t *testing.T) {
+			w := newWorld(t, c.count, c.limit)
+			w.manifest = declared(c.limit, "v2")
+			took := w.finish(c.count)
+			t.Logf("%d runners, %d loads at once: %v in loads of %v", c.count, c.limit, took, loadTime)
+			if w.serving("v2") != c.count || w.leastUp < c.leastUp {
+				t.Errorf("%d serve v2; at the least %d served anything", w.serving("v2"), w.leastUp)
+			}
+		})
+	}
+}
+
+// The answer to an order is lost after the engine has taken it. A planner that
+// believed the order lost would begin a load elsewhere, and the weight store
+// would slow down all of them.
+func TestLostAnswersDoNotRaiseTheLoads(t *testing.T) {
+	w := newWorld(t, 18, 3)
+	n := 0
+	w.lose = func() bool { n++; return n%2 == 0 }
+	w.manifest = declared(3, "v2")
+	w.finish(18)
+}
+
+// An engine crashes in the middle of a load and comes back empty. Nobody would
+// load it again if the order counted as given.
+func TestEngineRestartsInMidLoad(t *testing.T) {
+	w := newWorld(t, 6, 2)
+	w.manifest = declared(2, "v2")
+	for w.serving("v1") == 6 {
+		w.step()
+	}
+	for _, r := range w.runners {
+		if r.status.Loading != nil {
+			r.restart()
+		}
+	}
+	w.finish(6)
+	if w.serving("v2") != 6 {
+		t.Errorf("%d serve v2", w.serving("v2"))
+	}
+}
+
+// The operators publish another manifest while a rollout runs, and then go back to
+// the first version. Engines that never left it are not loaded again.
+func TestManifestChangesInMidRollout(t *testing.T) {
+	w := newWorld(t, 18, 3)
+	w.manifest = declared(3, "v2")
+	for w.serving("v2") < 6 {
+		w.step()
+	}
+	w.manifest, w.in.Revision = declared(3, "v3"), 2
+	for w.serving("v3") < 3 {
+		w.step()
+	}
+	w.manifest, w.in.Revision = declared(3, "v1"), 3
+	kept := w.serving("v1")
+	w.finish(18)
+	if w.serving("v1") != 18 || kept == 0 {
+		t.Errorf("%d serve v1, %d had kept it", w.serving("v1"), kept)
+	}
+}
+
+// The holder dies in the middle of a rollout and another daemon takes the lease.
+// It must find the loads under way before it begins any.
+func TestNewHolderCountsLoadsUnderWay(t *testing.T) {
+	w := newWorld(t, 18, 3)
+	w.manifest = declared(3, "v2")
+	for holder := range 5 {
+		for range 40 + 31*holder {
+			w.step()
+		}
+		w.hold(holder)
+	}
+	w.finish(18)
+}
+
+// Two runners of a new holder's fleet are dead. It may wait for them a while, and
+// must go on then, or a dead runner would stop every rollout.
+func TestDeadRunnersDoNotStopARollout(t *testing.T) {
+	w := newWorld(t, 9, 2)
+	w.runners[0].cut, w.runners[1].cut = true, true
+	w.manifest = declared(2, "v2")
+	took := w.finish(7)
+	if took > 20*loadTime {
+		t.Errorf("took %v", took)
+	}
+}
+
+// One engine's disk is full and each load fails there. The others must be
+// loaded, and the broken one must not take the loads of the fleet for itself.
+func TestFailingEngineDoesNotHoldUpTheOthers(t *testing.T) {
+	w := newWorld(t, 6, 1)
+	w.runners[2].refuses = true
+	w.manifest = declared(1, "v2")
+	w.finish(5)
+}
+
+func TestAdaptersModelsAndRoles(t *testing.T) {
+	w := newWorld(t, 4, 2)
+	m := declared(2, "v1", "v7")
+	m.Models[0].Adapters = []manifest.Adapter{{ID: "a", Version: "1"}, {ID: "b", Version: "1"}}
+	m.Classes[0].Role = "prefill"
+	w.manifest = m
+	w.finish(4)
+	s := w.runners[0].status
+	if s.Role != "prefill" || s.model("model-1") == nil || len(s.model("model-0").Adapters) != 2 {
+		t.Errorf("status %+v", s)
+	}
+	m = declared(2, "v1")
+	m.Models[0].Adapters = []manifest.Adapter{{ID: "a", Version: "1"}}
+	w.manifest, w.in.Revision = m, 2
+	w.finish(4)
+	s = w.runners[0].status
+	if s.model("model-1") != nil || len(s.model("model-0").Adapters) != 1 {
+		t.Errorf("status %+v", s)
+	}
+}
+
+// The weight store is at its limit and says so. Loads begun then slow down the
+// ones that callers wait for.
+func TestBusyStorePausesLoads(t *testing.T) {
+	w := newWorld(t, 4, 2)
+	for range 20 {
+		w.step()
+	}
+	w.manifest = declared(2, "v2")
+	w.planner.StoreBusy(w.now, time.Minute)
+	for until := w.now.Add(59 * time.Second); w.now.Before(until); {
+		if p := w.step(); len(p.Orders) > 0 {
+			t.Fatalf("orders %v while the store is busy", p.Orders)
+		}
+	}
+	w.finish(4)
+}
+
+// Two daemons that both believe that they hold the lease see the same fleet.
+// They must say the same, so that the second order changes nothing.
+func TestTwoHoldersPlanTheSame(t *testing.T) {
+	w := newWorld(t, 9, 2)
+	other := NewPlanner(Options{})
+	w.manifest = declared(2, "v2")
+	w.in.Manifest, w.in.Endpoints = w.manifest, w.members()
+	for _, r := range w.runners {
+		w.planner.Observed(w.now, w.now, r.member.ID, r.status)
+		other.Observed(w.now, w.now, r.member.ID, r.status)
+	}
+	a := w.planner.Plan(w.now, w.in)
+	slices.Reverse(w.in.Endpoints)
+	b := other.Plan(w.now, w.in)
+	if len(a.Orders) != 2 || !slices.Equal(a.Orders, b.Orders) {
+		t.Errorf("%v and %v", a.Orders, b.Orders)
+	}
+}
+
+// Crashes, lost answers, cut runners, new holders and new manifests come in any
+// order. The limit of loads holds throughout, and what is declared last is
+// reached once the faults end.
+func TestRolloutUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "runners")
+		w := newWorld(t, count, rapid.IntRange(1, 3).Draw(t, "limit"))
+		limit := w.manifest.Fleet.LoadsAtOnce
+		lossy := true
+		w.lose = func() bool { return lossy && rapid.Bool().Draw(t, "lost") }
+		for i := range rapid.IntRange(1, 12).Draw(t, "faults") {
+			r := w.runners[rapid.IntRange(0, count-1).Draw(t, "runner")]
+			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			case 0:
+				r.restart()
+			case 1:
+				w.manifest = declared(limit, fmt.Sprintf("v%d", rapid.IntRange(1, 3).Draw(t, "version")))
+				w.in.Revision++
+			case 2:
+				w.hold(i)
+			case 3:
+				r.refuses = !r.refuses
+			}
+			for range rapid.IntRange(1, 200).Draw(t, "ticks") {
+				w.step()
+			}
+		}
+		lossy = false
+		for _, r := range w.runners {
+			r.refuses = false
+		}
+		w.finish(count)
+	})
+}
+
+func TestBindMovesPrefixesOneWay(t *testing.T) {
+	m := declared(3, "v2")
+	members := make([]fleet.Member, 18)
+	for i := range members {
+		members[i].ID = fleet.EndpointID(fmt.Sprint(i))
+		members[i].Class = "large"
+		members[i].Load.Weights = []fleet.Weights{{Model: "model-0", Version: "v1"}}
+	}
+	moved := map[uint64]bool{}
+	for done := range len(members) {
+		members[done].Load.Weights = []fleet.Weights{{Model: "model-0", Version: "v2"}}
+		shares := Shares(m, "model-0", members)
+		for i := range 100 {
+			key := uint64(i) * (1 << 64 / 100)
+			s, ok := Bind(shares, "v2", key)
+			if !ok || moved[key] && s.Version != "v2" {
+				t.Fatalf("key %d bound to %q with %d done", key, s.Version, done+1)
+			}
+			moved[key] = s.Version == "v2"
+		}
+	}
+	if len(moved) != 100 {
+		t.Errorf("%d keys", len(moved))
+	}
+	if _, ok := Bind(nil, "v2", 1); ok {
+		t.Error("bound without endpoints")
+	}
+}
