--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,80 @@
+// Package logging gives each part of a process a logger whose lines start with
+// that part's fixed prefix.
+//
+// Lines are short sentences with their figures as fields. Prompts, answers and
+// API keys are never logged.
+package logging
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/phuslu/log"
+)
+
+// Part names one part of the process. Its name is the prefix of each line.
+type Part string
+
+// The parts that log.
+const (
+	PartDaemon   Part = "daemon"
+	PartGateway  Part = "gateway"
+	PartLog      Part = "log"
+	PartManifest Part = "manifest"
+	PartClaims   Part = "claims"
+	PartFleet    Part = "fleet"
+	PartPeers    Part = "peers"
+	PartOrders   Part = "orders"
+	PartAdmin    Part = "admin"
+)
+
+// Logger writes the lines of one part.
+type Logger struct {
+	out  *log.Logger
+	part Part
+}
+
+// Factory makes the loggers of one process.
+type Factory struct {
+	out *log.Logger
+}
+
+// NewFactory returns a factory that writes JSON lines of at least the given
+// level ("debug", "info", "warn", "error") to w.
+func NewFactory(w io.Writer, level string) (*Factory, error) {
+	l := log.ParseLevel(level)
+	if l < log.DebugLevel || l > log.ErrorLevel {
+		return nil, fmt.Errorf("logging: level %q is unknown, expected debug, info, warn or error", level)
+	}
+	out := &log.Logger{Level: l, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: w}}
+	return &Factory{out: out}, nil
+}
+
+// Discard returns a factory that writes nothing.
+func Discard() *Factory {
+	return &Factory{out: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}}
+}
+
+// For returns the logger of one part.
+func (f *Factory) For(part Part) *Logger {
+	return &Logger{out: f.out, part: part}
+}
+
+func (l *Logger) line(e *log.Entry, sentence string, fields []any) {
+	if e == nil {
+		return
+	}
+	e.KeysAndValues(fields...).Msg(string(l.part) + ": " + sentence)
+}
+
+// Debug logs what helps to follow one request.
+func (l *Logger) Debug(sentence string, fields ...any) { l.line(l.out.Debug(), sentence, fields) }
+
+// Info logs a change of state.
+func (l *Logger) Info(sentence string, fields ...any) { l.line(l.out.Info(), sentence, fields) }
+
+// Warn logs what the process could handle but an operator may want to see.
+func (l *Logger) Warn(sentence string, fields ...any) { l.line(l.out.Warn(), sentence, fields) }
+
+// Error logs what the process could not handle.
+func (l *Logger) Error(sentence string, fields ...any) { l.line(l.out.Error(), sentence, fields) }
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// Bounds of settings.
+const (
+	maxNeighbours = 64
+	maxPartitions = 4096
+	minInterval   = 10 * time.Millisecond
+)
+
+// checker gathers every fault, so that an operator mends them in one go.
+type checker struct {
+	given lines
+	errs  []error
+}
+
+func (c *checker) refuse(setting, problem, expected string) {
+	where := c.given[setting]
+	c.errs = append(c.errs, &Error{Where: where, Setting: setting, Problem: problem, Expected: expected})
+}
+
+func (c *checker) text(setting, value string) {
+	if value == "" {
+		c.refuse(setting, "is missing", "a value")
+	}
+}
+
+func (c *checker) address(setting, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.refuse(setting, fmt.Sprintf("cannot listen on %q", value), "IP:port, such as 10.0.0.4:8080")
+	}
+}
+
+func (c *checker) atLeast(setting string, value, least time.Duration) {
+	if value < least {
+		c.refuse(setting, value.String()+" is too short", "at least "+least.String())
+	}
+}
+
+func (c *checker) within(setting string, value, least, most int64) {
+	if value < least || value > most {
+		c.refuse(setting, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("%d to %d", least, most))
+	}
+}
+
+func (c *checker) oneOf(setting, value string, allowed ...string) {
+	for _, a := range allowed {
+		if a == value {
+			return
+		}
+	}
+	c.refuse(setting, fmt.Sprintf("does not know %q", value), fmt.Sprintf("one of %v", allowed))
+}
+
+// both refuses a certificate without its key, which would silently mean plain
+// TCP.
+func (c *checker) both(first, a, second, b string) {
+	if (a == "") != (b == "") {
+		c.refuse(second, "goes with "+first, "both or neither")
+	}
+}
+
+func check(s Settings, given lines) error {
+	c := &checker{given: given}
+	c.text("daemon.id", s.Daemon.ID)
+	c.text("daemon.zone", string(s.Daemon.Zone))
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.admin", s.Listen.Admin)
+	c.address("listen.peers", s.Listen.Peers)
+	c.platform(s.Platform)
+	c.callers(s.Callers)
+	c.system(s)
+	c.both("tls.callers-cert", s.TLS.CallersCert, "tls.callers-key", s.TLS.CallersKey)
+	c.both("tls.peers-cert", s.TLS.PeersCert, "tls.peers-key", s.TLS.PeersKey)
+	c.both("tls.peers-cert", s.TLS.PeersCert, "tls.peers-ca", s.TLS.PeersCA)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	return errors.Join(c.errs...)
+}
+
+func (c *checker) platform(p Platform) {
+	u, err := url.Parse(p.URL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.refuse("platform.url", fmt.Sprintf("cannot use %q", p.URL), "a URL such as http://10.0.0.2:7000")
+	}
+	c.atLeast("platform.timeout", p.Timeout, minInterval)
+	c.atLeast("platform.poll-interval", p.PollInterval, minInterval)
+	c.atLeast("platform.list-interval", p.ListInterval, minInterval)
+}
+
+func (c *checker) callers(s Callers) {
+	c.within("callers.body-bytes", s.BodyBytes, 1<<10, 1<<30)
+	c.within("callers.header-bytes", int64(s.HeaderBytes), 1<<10, 1<<20)
+	c.within("callers.stream-bytes", s.StreamBytes, 1<<10, 1<<32)
+	c.within("callers.open-streams", int64(s.OpenStreams), 1, 1<<20)
+	c.atLeast("callers.write-timeout", s.WriteTimeout, minInterval)
+	c.atLeast("callers.deadline", s.Deadline, minInterval)
+}
+
+func (c *checker) system(s Settings) {
+	c.within("peers.neighbours", int64(s.Peers.Neighbours), 1, maxNeighbours)
+	c.atLeast("peers.interval", s.Peers.Interval, minInterval)
+	c.atLeast("peers.timeout", s.Peers.Timeout, minInterval)
+	c.within("routing.prefixes", int64(s.Routing.Prefixes), 1, 1<<24)
+	c.atLeast("routing.load-interval", s.Routing.LoadInterval, minInterval)
+	if s.Routing.RunnerTokens <= 0 {
+		c.refuse("routing.runner-tokens", "is not positive", "tokens a second, above 0")
+	}
+	c.within("routing.runner-slots", int64(s.Routing.RunnerSlots), 1, 1<<16)
+	c.atLeast("orders.lease", s.Orders.Lease, time.Second)
+	c.within("claims.partitions", int64(s.Claims.Partitions), 1, maxPartitions)
+	c.within("claims.result-bytes", int64(s.Claims.ResultBytes), 1, 1<<20)
+	c.within("claims.entries", int64(s.Claims.Entries), 1, 1<<24)
+	c.atLeast("drain.balancer-lag", s.Drain.BalancerLag, 0)
+	c.atLeast("drain.max-wait", s.Drain.MaxWait, 0)
+}
--- /dev/null
+++ b/settings/flags.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"flag"
+	"time"
+)
+
+// Defaults of the settings that have one.
+const (
+	defaultBodyBytes    = 8 << 20
+	defaultHeaderBytes  = 32 << 10
+	defaultStreamBytes  = 64 << 20
+	defaultOpenStreams  = 12000
+	defaultNeighbours   = 6
+	defaultPrefixes     = 200_000
+	defaultRunnerTokens = 8000
+	defaultRunnerSlots  = 16
+	defaultPartitions   = 1
+	defaultResultBytes  = 64 << 10
+	defaultEntries      = 100_000
+)
+
+// register adds one flag for each setting. The flag's name is "section.key" of
+// the INI file.
+func register(fs *flag.FlagSet, s *Settings) {
+	registerPlace(fs, s)
+	registerCallers(fs, s)
+	registerSystem(fs, s)
+	registerTLS(fs, s)
+}
+
+func registerPlace(fs *flag.FlagSet, s *Settings) {
+	fs.StringVar(&s.Daemon.ID, "daemon.id", "", "name of this daemon, unique among the daemons")
+	fs.StringVar((*string)(&s.Daemon.Zone), "daemon.zone", "", "availability zone of this VM")
+	fs.StringVar(&s.Daemon.Region, "daemon.region", "", "region of this VM")
+	fs.StringVar(&s.Listen.Callers, "listen.callers", "127.0.0.1:8080", "IP:port for callers")
+	fs.StringVar(&s.Listen.Admin, "listen.admin", "127.0.0.1:8081", "IP:port of the administration API")
+	fs.StringVar(&s.Listen.Peers, "listen.peers", "127.0.0.1:8082", "IP:port for other daemons")
+	fs.StringVar(&s.Platform.URL, "platform.url", "", "base URL of the platform's log and VM list")
+	fs.DurationVar(&s.Platform.Timeout, "platform.timeout", 2*time.Second, "for one call of the platform")
+	fs.DurationVar(&s.Platform.PollInterval, "platform.poll-interval", 250*time.Millisecond, "between reads of an idle log")
+	fs.DurationVar(&s.Platform.ListInterval, "platform.list-interval", time.Second, "between reads of the VM list")
+}
+
+func registerCallers(fs *flag.FlagSet, s *Settings) {
+	fs.Int64Var(&s.Callers.BodyBytes, "callers.body-bytes", defaultBodyBytes, "longest request body")
+	fs.IntVar(&s.Callers.HeaderBytes, "callers.header-bytes", defaultHeaderBytes, "longest request header")
+	fs.Int64Var(&s.Callers.StreamBytes, "callers.stream-bytes", defaultStreamBytes, "longest answer")
+	fs.IntVar(&s.Callers.OpenStreams, "callers.open-streams", defaultOpenStreams, "answers written at once")
+	fs.DurationVar(&s.Callers.WriteTimeout, "callers.write-timeout", 20*time.Second, "for one write to a slow caller")
+	fs.DurationVar(&s.Callers.Deadline, "callers.deadline", 2*time.Minute, "for a request that names no deadline")
+}
+
+func registerSystem(fs *flag.FlagSet, s *Settings) {
+	fs.IntVar(&s.Peers.Neighbours, "peers.neighbours", defaultNeighbours, "daemons to exchange digests with")
+	fs.DurationVar(&s.Peers.Interval, "peers.interval", time.Second, "between exchanges with one neighbour")
+	fs.DurationVar(&s.Peers.Timeout, "peers.timeout", time.Second, "for one exchange")
+	fs.IntVar(&s.Routing.Prefixes, "routing.prefixes", defaultPrefixes, "prefixes remembered at most")
+	fs.DurationVar(&s.Routing.LoadInterval, "routing.load-interval", time.Second, "between load reports of one endpoint")
+	fs.Float64Var(&s.Routing.RunnerTokens, "routing.runner-tokens", defaultRunnerTokens, "prompt tokens a second that a runner prefills")
+	fs.IntVar(&s.Routing.RunnerSlots, "routing.runner-slots", defaultRunnerSlots, "requests that a runner serves at once")
+	fs.BoolVar(&s.Orders.Enabled, "orders.enabled", true, "whether this daemon may give orders to endpoints")
+	fs.DurationVar(&s.Orders.Lease, "orders.lease", 15*time.Second, "length of the lease on giving orders")
+	fs.IntVar(&s.Claims.Partitions, "claims.partitions", defaultPartitions, "log streams that claims are spread over")
+	fs.DurationVar(&s.Claims.BatchDelay, "claims.batch-delay", 5*time.Millisecond, "longest wait to share an append")
+	fs.IntVar(&s.Claims.ResultBytes, "claims.result-bytes", defaultResultBytes, "longest result kept for a repeat")
+	fs.IntVar(&s.Claims.Entries, "claims.entries", defaultEntries, "claims remembered at most")
+	fs.DurationVar(&s.Drain.BalancerLag, "drain.balancer-lag", 5*time.Second, "how long the balancer may still send requests")
+	fs.DurationVar(&s.Drain.MaxWait, "drain.max-wait", 10*time.Minute, "longest wait for open streams")
+	fs.StringVar(&s.Admin.TokenFile, "admin.token-file", "", "file with the bearer token of the administration API")
+	fs.StringVar(&s.Log.Level, "log.level", "info", "debug, info, warn or error")
+}
+
+func registerTLS(fs *flag.FlagSet, s *Settings) {
+	fs.StringVar(&s.TLS.CallersCert, "tls.callers-cert", "", "certificate shown to callers")
+	fs.StringVar(&s.TLS.CallersKey, "tls.callers-key", "", "key of the callers' certificate")
+	fs.StringVar(&s.TLS.PeersCert, "tls.peers-cert", "", "certificate shown to other daemons")
+	fs.StringVar(&s.TLS.PeersKey, "tls.peers-key", "", "key of the peers' certificate")
+	fs.StringVar(&s.TLS.PeersCA, "tls.peers-ca", "", "certificates that peers are checked against")
+	fs.DurationVar(&s.TLS.ReloadInterval, "tls.reload-interval", time.Minute, "between looks at the certificate files")
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,261 @@
+package settings
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"gopkg.in/ini.v1"
+)
+
+// EnvPrefix starts the name of every environment variable that is a setting.
+const EnvPrefix = "MERLINDOCK"
+
+// maxFileBytes bounds the settings file; a longer one is no settings file.
+const maxFileBytes = 1 << 20
+
+// Error is a setting that was refused.
+type Error struct {
+	Where    string // file and line, environment variable or flag
+	Setting  string // "section.key"
+	Problem  string
+	Expected string
+}
+
+func (e *Error) Error() string {
+	text := "settings: "
+	if e.Where != "" {
+		text += e.Where + ": "
+	}
+	if e.Setting != "" {
+		text += e.Setting + ": "
+	}
+	text += e.Problem
+	if e.Expected != "" {
+		text += ", expected " + e.Expected
+	}
+	return text
+}
+
+// Input is where settings come from.
+type Input struct {
+	Args []string // without the program's name
+	Env  []string // as os.Environ gives them
+	File string   // path of the INI file; empty for none
+}
+
+// Load reads and checks the settings. Its error joins every *Error found.
+func Load(in Input) (Settings, error) {
+	var s Settings
+	fs := flag.NewFlagSet("merlindockd", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	register(fs, &s)
+	if err := unknownEnv(fs, in.Env); err != nil {
+		return s, err
+	}
+	if err := fs.Parse(in.Args); err != nil {
+		return s, &Error{Where: "flag", Problem: err.Error(), Expected: "a flag of merlindockd -help"}
+	}
+	if fs.NArg() > 0 {
+		return s, &Error{Where: "flag", Problem: fmt.Sprintf("unexpected argument %q", fs.Arg(0)), Expected: "flags only"}
+	}
+	given := lines{}
+	if err := applyEnv(fs, in.Env, given); err != nil {
+		return s, err
+	}
+	if err := applyFile(fs, in.File, given); err != nil {
+		return s, err
+	}
+	return s, check(s, given)
+}
+
+// Usage writes every setting with its default and meaning.
+func Usage(w io.Writer) {
+	var s Settings
+	fs := flag.NewFlagSet("merlindockd", flag.ContinueOnError)
+	register(fs, &s)
+	fs.SetOutput(w)
+	fs.PrintDefaults()
+}
+
+// lines tells where each given setting stands, by its name.
+type lines map[string]string
+
+// envName is the environment variable of the named setting, spelt as ff does.
+func envName(setting string) string {
+	name := strings.NewReplacer("-", "_", ".", "_").Replace(setting)
+	return EnvPrefix + "_" + strings.ToUpper(name)
+}
+
+func flagSet(fs *flag.FlagSet) map[string]bool {
+	given := map[string]bool{}
+	fs.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	return given
+}
+
+func applyEnv(fs *flag.FlagSet, environ []string, given lines) error {
+	byFlag := flagSet(fs)
+	for _, pair := range environ {
+		name, value, _ := strings.Cut(pair, "=")
+		setting := settingOfEnv(fs, name)
+		if setting == "" || byFlag[setting] {
+			continue
+		}
+		if err := fs.Set(setting, value); err != nil {
+			return wrongValue("environment variable "+name, setting, value, fs)
+		}
+		given[setting] = "environment variable " + name
+	}
+	return nil
+}
+
+func settingOfEnv(fs *flag.FlagSet, name string) string {
+	found := ""
+	fs.VisitAll(func(f *flag.Flag) {
+		if envName(f.Name) == name {
+			found = f.Name
+		}
+	})
+	return found
+}
+
+// unknownEnv refuses a variable with the prefix that is no setting. A misspelt
+// variable would otherwise leave the default in force without a word.
+func unknownEnv(fs *flag.FlagSet, environ []string) error {
+	var errs []error
+	for _, pair := range environ {
+		name, _, _ := strings.Cut(pair, "=")
+		if strings.HasPrefix(name, EnvPrefix+"_") && settingOfEnv(fs, name) == "" {
+			errs = append(errs, &Error{Where: "environment variable " + name, Problem: "unknown setting", Expected: "a name from merlindockd -help"})
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// applyFile parses the file with ff, which leaves alone what a flag or the
+// environment has set.
+func applyFile(fs *flag.FlagSet, path string, given lines) error {
+	if path == "" {
+		return nil
+	}
+	text, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	places := findLines(path, text)
+	parser := func(r io.Reader, set func(name, value string) error) error {
+		return parseINI(r, path, places, fs, set)
+	}
+	var args []string
+	for name := range flagSet(fs) {
+		args = append(args, "-"+name+"="+fs.Lookup(name).Value.String())
+	}
+	sort.Strings(args)
+	err = ff.Parse(fs, args, ff.WithConfigFile(path), ff.WithConfigFileParser(parser))
+	if err != nil {
+		var wrong *Error
+		if errors.As(err, &wrong) {
+			return wrong
+		}
+		return &Error{Where: path, Problem: err.Error()}
+	}
+	for name, place := range places {
+		if _, ok := given[name]; !ok {
+			given[name] = place
+		}
+	}
+	return nil
+}
+
+func readFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, &Error{Where: path, Problem: "cannot be opened", Expected: "a readable INI file"}
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err != nil {
+		return nil, &Error{Where: path, Problem: "cannot be read", Expected: "a readable INI file"}
+	}
+	if len(text) > maxFileBytes {
+		return nil, &Error{Where: path, Problem: "too long", Expected: fmt.Sprintf("at most %d bytes", maxFileBytes)}
+	}
+	return text, nil
+}
+
+func parseINI(r io.Reader, path string, places lines, fs *flag.FlagSet, set func(name, value string) error) error {
+	file, err := ini.LoadSources(ini.LoadOptions{}, io.NopCloser(r))
+	if err != nil {
+		return &Error{Where: path, Problem: err.Error(), Expected: "INI text: [section] lines and key = value lines"}
+	}
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			name := section.Name() + "." + key.Name()
+			where := places[name]
+			if fs.Lookup(name) == nil {
+				return &Error{Where: where, Setting: name, Problem: "unknown setting", Expected: "a name from merlindockd -help"}
+			}
+			if err := set(name, key.Value()); err != nil {
+				return wrongValue(where, name, key.Value(), fs)
+			}
+		}
+	}
+	return nil
+}
+
+func wrongValue(where, name, value string, fs *flag.FlagSet) error {
+	return &Error{
+		Where:    where,
+		Setting:  name,
+		Problem:  fmt.Sprintf("cannot take %q", value),
+		Expected: kindOf(fs.Lookup(name)),
+	}
+}
+
+// kindOf tells what values a setting takes, from its type and its default.
+func kindOf(f *flag.Flag) string {
+	getter, ok := f.Value.(flag.Getter)
+	if !ok {
+		return "another value"
+	}
+	kind := fmt.Sprintf("%T", getter.Get())
+	names := map[string]string{
+		"time.Duration": "a duration such as 1.5s",
+		"int":           "a whole number",
+		"int64":         "a whole number",
+		"float64":       "a number",
+		"bool":          "true or false",
+	}
+	if text, ok := names[kind]; ok {
+		return text + " (" + f.Usage + ")"
+	}
+	return f.Usage
+}
+
+// findLines gives file and line of each key. The INI library does not say
+// where a key stood, and without it an operator has to search a long file.
+func findLines(path string, text []byte) lines {
+	places := lines{}
+	section := ini.DefaultSection
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	for n := 1; scanner.Scan(); n++ {
+		line := strings.TrimSpace(scanner.Text())
+		if name, ok := strings.CutPrefix(line, "["); ok {
+			section = strings.TrimSpace(strings.TrimSuffix(name, "]"))
+			continue
+		}
+		key, _, ok := strings.Cut(line, "=")
+		if !ok || strings.HasPrefix(line, "#") || strings.HasPrefix(line, ";") {
+			continue
+		}
+		places[section+"."+strings.TrimSpace(key)] = fmt.Sprintf("%s:%d", path, n)
+	}
+	return places
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+[daemon]
+id = d1
+zone = quebec-est-a
+
+[platform]
+url = http://127.0.0.1:7000
+timeout = 3s
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "merlindock.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestFlagGoesBeforeEnvironmentBeforeFile(t *testing.T) {
+	path := write(t, good)
+	env := []string{"MERLINDOCK_DAEMON_ZONE=from-env", "MERLINDOCK_DAEMON_ID=from-env", "HOME=/x"}
+	s, err := Load(Input{File: path, Env: env, Args: []string{"-daemon.id=from-flag"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Daemon.ID != "from-flag" || s.Daemon.Zone != "from-env" || s.Platform.Timeout != 3*time.Second {
+		t.Errorf("got %+v %+v", s.Daemon, s.Platform)
+	}
+}
+
+// An operator misspells a key or writes a value of the wrong kind. A daemon
+// that started on the default instead would be noticed only when the setting
+// was needed, so it must not start, and say which line to mend.
+func TestWrongSettingIsRefusedWithItsPlace(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		args []string
+		env  []string
+		want []string
+	}{
+		{"unknown key", good + "\n[drain]\nbalancer_lag = 5s\n", nil, nil, []string{":11:", "drain.balancer_lag", "unknown"}},
+		{"wrong kind", good + "\n[drain]\nbalancer-lag = soon\n", nil, nil, []string{":11:", `"soon"`, "duration"}},
+		{"out of range", good + "\n[peers]\nneighbours = 0\n", nil, nil, []string{":11:", "1 to 64"}},
+		{"key outside a section", "id = d1\n" + good, nil, nil, []string{":1:", "unknown"}},
+		{"no zone", strings.Replace(good, "zone", "# zone", 1), nil, nil, []string{"daemon.zone", "is missing"}},
+		{"unknown variable", good, nil, []string{"MERLINDOCK_DAEMON_IDD=x"}, []string{"MERLINDOCK_DAEMON_IDD", "unknown"}},
+		{"wrong variable", good, nil, []string{"MERLINDOCK_PEERS_INTERVAL=1"}, []string{"MERLINDOCK_PEERS_INTERVAL", "duration"}},
+		{"unknown flag", good, []string{"-zone=x"}, nil, []string{"flag", "-zone"}},
+		{"certificate without key", good + "\n[tls]\ncallers-cert = a.pem\n", nil, nil, []string{"tls.callers-key", "both or neither"}},
+		{"host name to listen on", good + "\n[listen]\nadmin = localhost:80\n", nil, nil, []string{":11:", "IP:port"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Load(Input{File: write(t, test.text), Args: test.args, Env: test.env})
+			if err == nil {
+				t.Fatal("accepted")
+			}
+			for _, part := range test.want {
+				if !strings.Contains(err.Error(), part) {
+					t.Errorf("error %q lacks %q", err, part)
+				}
+			}
+		})
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add(good)
+	f.Add("[daemon\nid = 1")
+	f.Add("[daemon]\nid = \"\"\"x\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		path := filepath.Join(t.TempDir(), "fuzz.ini")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Load(Input{File: path})
+		if err == nil && (s.Daemon.ID == "" || s.Platform.URL == "") {
+			t.Errorf("settings without id or platform accepted: %q", text)
+		}
+	})
+}
