--- /dev/null
+++ b/admin/client/client.go
@@ -0,0 +1,108 @@
+// Package client calls a daemon's administration API.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/merlindock/merlindock/admin"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// maxAnswerBytes bounds what is read of an answer.
+const maxAnswerBytes = 16 << 20
+
+// DefaultTimeout is for one call.
+const DefaultTimeout = 15 * time.Second
+
+// Client speaks to one daemon.
+type Client struct {
+	BaseURL string
+	Token   string
+	HTTP    *http.Client // nil means one with DefaultTimeout
+}
+
+// StatusError is an answer that is no success.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("admin: the daemon answered %d: %s", e.Status, strings.TrimSpace(e.Body))
+}
+
+// Get returns the JSON text at the given path.
+func (c *Client) Get(ctx context.Context, path string) (json.RawMessage, error) {
+	status, body, err := c.call(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, &StatusError{Status: status, Body: string(body)}
+	}
+	return body, nil
+}
+
+// Drain starts a graceful shutdown of the daemon.
+func (c *Client) Drain(ctx context.Context) error {
+	status, body, err := c.call(ctx, http.MethodPost, "/v1/drain", nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusAccepted {
+		return &StatusError{Status: status, Body: string(body)}
+	}
+	return nil
+}
+
+// Publish offers the text of a manifest made against the given base. The
+// outcome is in the publication; an error means that the daemon refused the
+// text itself or gave no answer.
+func (c *Client) Publish(ctx context.Context, base platform.Offset, text []byte) (admin.Publication, error) {
+	header := http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(int64(base), 10))}}
+	status, body, err := c.call(ctx, http.MethodPost, "/v1/manifest", header, text)
+	if err != nil {
+		return admin.Publication{Outcome: admin.OutcomeUnknown}, err
+	}
+	var p admin.Publication
+	if json.Unmarshal(body, &p) != nil || p.Outcome == "" {
+		return p, &StatusError{Status: status, Body: string(body)}
+	}
+	return p, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.BaseURL, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("admin: %w", err)
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("admin: the daemon at %s gave no answer: %w", c.BaseURL, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return 0, nil, fmt.Errorf("admin: the answer broke off: %w", err)
+	}
+	return resp.StatusCode, text, nil
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return &http.Client{Timeout: DefaultTimeout}
+}
