--- a/admin/admin.go
+++ b/admin/admin.go
@@ -170,7 +170,7 @@
 		answer(w, http.StatusUnprocessableEntity, problem{Error: "the manifest is not valid", Faults: faults(err)})
 		return
 	}
-	p, err := a.System.Publish(r.Context(), base, m)
+	p, err := a.System.Publish(r.Context(), base, &m)
 	if err != nil {
 		a.Log.Warn("Publication has no known outcome.", "error", err.Error())
 		p.Outcome = OutcomeUnknown
