Tell the placer of an answer's header and the admitter of its model

Cause: placement corrects its reservation by the cached tokens in the header; with Done alone it would learn them only after a long stream has ended. Each model's runners are admitted to apart, which needs the model's name.

Change: Placement.Began is called when the header is there, AdmitRequest carries the model. Both are optional for the port's implementer.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -88,6 +88,7 @@
 func (mc *modelCall) admitRequest() AdmitRequest {
 	return AdmitRequest{
 		Organisation: mc.org.ID,
+		Model:        mc.place.Target.Model,
 		Priority:     mc.priority,
 		Tokens:       mc.place.PromptTokens + mc.place.MaxTokens,
 		PromptTokens: mc.place.PromptTokens,
@@ -199,6 +200,9 @@
 	}
 	defer ans.Close()
 	res.Status, res.Meta = ans.Status, ans.Meta
+	if p.Began != nil {
+		p.Began(ans.Meta)
+	}
 	if err := ans.NotRun(); err != nil {
 		return err
 	}
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -41,6 +41,9 @@
 	Incarnation    fleet.Incarnation
 	ExpectedCached int    // tokens expected in the endpoint's cache
 	ImportFrom     string // KV store to import the prefix from; empty: none
+	// Began, unless nil, is called when the header of an answer is there, so
+	// that what it says of the cache counts while the answer still runs.
+	Began func(engine.Metadata)
 	// Done, unless nil, is called exactly once when the attempt is over.
 	Done func(Result)
 }
@@ -78,6 +81,7 @@
 // AdmitRequest describes a request that wants to enter.
 type AdmitRequest struct {
 	Organisation contract.OrganisationID
+	Model        string
 	Priority     contract.Priority
 	Tokens       int // estimate of the work: prompt and generated tokens
 	PromptTokens int // the part of Tokens to prefill
