--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,10 +62,13 @@
 	Running       int         `json:"running"`        // requests in the batch
 	Waiting       int         `json:"waiting"`        // requests queued at the endpoint
 	WaitingTokens int         `json:"waiting_tokens"` // prompt tokens queued and not yet prefilled
-	Slots         int         `json:"slots"`          // batch slots in all; 0 means not known
-	CachedBlocks  int         `json:"cached_blocks"`  // blocks in the endpoint's cache
-	Draining      bool        `json:"draining"`       // the endpoint takes no new work
-	Weights       []Weights   `json:"weights,omitempty"`
+	// TokensAhead splits WaitingTokens by what a new request of each priority,
+	// the most urgent first, would wait for. All zero: not reported.
+	TokensAhead  [3]int    `json:"tokens_ahead,omitzero"`
+	Slots        int       `json:"slots"`         // batch slots in all; 0 means not known
+	CachedBlocks int       `json:"cached_blocks"` // blocks in the endpoint's cache
+	Draining     bool      `json:"draining"`      // the endpoint takes no new work
+	Weights      []Weights `json:"weights,omitempty"`
 }
 
 // Weights names the version of a model that an endpoint has loaded and serves.
--- a/lab/replay/runner.go
+++ b/lab/replay/runner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
@@ -165,14 +166,23 @@
 		Waiting: len(r.waiting), Slots: r.b.fleet.Slots, CachedBlocks: len(r.cache.index),
 	}
 	for _, j := range r.active {
-		l.WaitingTokens += j.left
+		count(&l, j.priority, j.left)
 	}
 	for _, j := range r.waiting {
-		l.WaitingTokens += j.tokens - tokensOf(j.levels, r.cache.match(j.levels))
+		count(&l, j.priority, j.tokens-tokensOf(j.levels, r.cache.match(j.levels)))
 	}
 	return l
 }
 
+// count adds queued tokens of one priority to those that it and all less
+// urgent ones wait for.
+func count(l *fleet.Load, p contract.Priority, tokens int) {
+	l.WaitingTokens += tokens
+	for i := int(p); i < len(l.TokensAhead); i++ {
+		l.TokensAhead[i] += tokens
+	}
+}
+
 // flush returns the events since the last flush.
 func (r *runner) flush() (placement.EventBatch, bool) {
 	if len(r.events) == 0 {
--- a/placement/dump.go
+++ b/placement/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 )
 
@@ -23,7 +24,7 @@
 	Load          fleet.Load        `json:"load"`
 	PendingTokens int               `json:"pending_tokens"` // sent and in no report yet
 	PendingCount  int               `json:"pending_count"`
-	WaitMS        float64           `json:"wait_ms"`       // expected in its queue
+	WaitMS        float64           `json:"wait_ms"`       // expected in its queue by the least urgent
 	CacheLifeMS   float64           `json:"cache_life_ms"` // learnt half-life of idle entries
 	FollowsEvents bool              `json:"follows_events"`
 	EventGaps     uint32            `json:"event_gaps"`
@@ -48,11 +49,19 @@
 		}
 		d.Endpoints = append(d.Endpoints, EndpointDump{
 			ID: e.id, Gate: e.gated().String(), Incarnation: e.incarnation, Load: e.load,
-			PendingTokens: e.pending, PendingCount: e.queued,
-			WaitMS:        v.wait(now, int32(i)) * 1000,
+			PendingTokens: e.pendingTokens(), PendingCount: e.queued,
+			WaitMS:        v.wait(now, int32(i), contract.PriorityBatch) * 1000,
 			CacheLifeMS:   float64(e.idleLife) / float64(time.Millisecond),
 			FollowsEvents: e.follows, EventGaps: e.gaps,
 		})
 	}
 	return d
 }
+
+func (e *endpoint) pendingTokens() int {
+	n := 0
+	for _, tokens := range e.pending {
+		n += tokens
+	}
+	return n
+}
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 )
 
@@ -43,8 +44,8 @@
 	follows  bool   // events of the present life have been seen
 	firstRes int32  // oldest reservation that no load report covers
 	lastRes  int32
-	pending  int // prompt tokens of those reservations
-	queued   int // their number
+	pending  [contract.PriorityCount]int // prompt tokens of those reservations
+	queued   int                         // their number
 }
 
 // pool is the set of endpoints that can serve one kind of request.
--- a/placement/place.go
+++ b/placement/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -99,7 +101,7 @@
 	}
 	v.expectCached(now, &r)
 	d, missing := v.choose(now, &r, home, reason)
-	v.reserve(now, r.ID, v.byID[d.Endpoint], missing)
+	v.reserve(now, &r, v.byID[d.Endpoint], missing)
 	return d, nil
 }
 
@@ -239,7 +241,7 @@
 		if c.rank < homes {
 			c.cached = max(c.cached, homePrior*float64(shared))
 		}
-		wait, missing := v.wait(now, c.endpoint), float64(r.Tokens)-c.cached
+		wait, missing := v.wait(now, c.endpoint, r.Priority), float64(r.Tokens)-c.cached
 		cost := wait + v.prefill(c, missing)*(1+wasteWeight)
 		cost += v.travel(c) + rankCost*float64(max(0, c.rank-homes+1))
 		if best < 0 || cost < bestCost {
@@ -283,18 +285,31 @@
 	return 2 * v.delayTo(&v.endpoints[c.endpoint]).Seconds()
 }
 
-// wait is the expected time in the endpoint's queue: what the last report
-// said, less what has been worked off since, and what was sent there since.
-func (v *View) wait(now time.Time, ep int32) float64 {
+// wait is the expected time in seconds before the endpoint begins a request of
+// the priority: what the last report said goes before it, less what has been
+// worked off since, and what was sent there since.
+func (v *View) wait(now time.Time, ep int32, p contract.Priority) float64 {
 	e := &v.endpoints[ep]
-	queued := float64(e.load.WaitingTokens) - e.rate*now.Sub(e.loadAt).Seconds()
-	wait := (max(queued, 0) + float64(e.pending)) / e.rate
+	queued := float64(ahead(&e.load, p)) - e.rate*now.Sub(e.loadAt).Seconds()
+	wait := max(queued, 0) / e.rate
+	for urgent := range p + 1 {
+		wait += float64(e.pending[urgent]) / e.rate
+	}
 	if over := e.load.Running + e.load.Waiting + e.queued + 1 - e.load.Slots; e.load.Slots > 0 && over > 0 {
 		wait += float64(over) * v.service / float64(e.load.Slots)
 	}
 	return wait
 }
 
+// ahead is the part of the reported queue that a request of the priority waits
+// for. An endpoint that does not split its queue is taken to serve in order.
+func ahead(l *fleet.Load, p contract.Priority) int {
+	if l.TokensAhead == [len(l.TokensAhead)]int{} {
+		return l.WaitingTokens
+	}
+	return l.TokensAhead[min(int(p), len(l.TokensAhead)-1)]
+}
+
 // storeLife is how long the KV store is thought to keep a prefix.
 const storeLife = time.Minute
 
--- a/placement/reservations.go
+++ b/placement/reservations.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+)
 
 // reservation is the work that the daemon has sent to an endpoint and that no
 // load report shows yet.
@@ -14,6 +18,7 @@
 	owner    uint64
 	endpoint int32
 	tokens   int
+	priority contract.Priority
 	placed   time.Time
 	first    time.Time // of the answer's first token
 	expires  time.Time
@@ -26,7 +31,8 @@
 // requests that have finished since.
 const agesPerReservation = 4
 
-func (v *View) reserve(now time.Time, owner uint64, ep int32, tokens int) {
+func (v *View) reserve(now time.Time, r *Request, ep int32, tokens int) {
+	owner := r.ID
 	if old, ok := v.byOwner[owner]; ok {
 		v.release(old)
 	}
@@ -35,7 +41,7 @@
 	}
 	i := v.freeReservation()
 	v.reservations[i] = reservation{
-		owner: owner, endpoint: ep, tokens: tokens, placed: now,
+		owner: owner, endpoint: ep, tokens: tokens, priority: r.Priority, placed: now,
 		expires: now.Add(v.o.ReservationTTL), prev: none, next: none,
 	}
 	v.byOwner[owner] = i
@@ -45,15 +51,14 @@
 	}
 	v.ages.push(aged{owner: owner, expires: v.reservations[i].expires})
 	e := &v.endpoints[ep]
-	r := &v.reservations[i]
-	r.prev = e.lastRes
+	v.reservations[i].prev = e.lastRes
 	if e.lastRes == none {
 		e.firstRes = i
 	} else {
 		v.reservations[e.lastRes].next = i
 	}
 	e.lastRes = i
-	e.pending += tokens
+	e.pending[r.Priority] += tokens
 	e.queued++
 }
 
@@ -85,7 +90,7 @@
 	} else {
 		v.reservations[r.next].prev = r.prev
 	}
-	e.pending -= r.tokens
+	e.pending[r.priority] -= r.tokens
 	e.queued--
 }
 
--- a/placement/view_test.go
+++ b/placement/view_test.go
@@ -199,15 +199,15 @@
 				t.Fatalf("%d reservations, bound 8", len(v.byOwner))
 			}
 			for i, e := range v.endpoints {
-				if e.pending < 0 || e.queued < 0 {
-					t.Fatalf("endpoint %d: pending %d, queued %d", i, e.pending, e.queued)
+				if e.pendingTokens() < 0 || e.queued < 0 {
+					t.Fatalf("endpoint %d: pending %d, queued %d", i, e.pendingTokens(), e.queued)
 				}
 			}
 		}
 		v.Expire(now.Add(time.Second))
 		for i, e := range v.endpoints {
-			if e.pending != 0 || e.queued != 0 {
-				t.Fatalf("endpoint %d keeps %d tokens after the expiry", i, e.pending)
+			if e.pendingTokens() != 0 || e.queued != 0 {
+				t.Fatalf("endpoint %d keeps %d tokens after the expiry", i, e.pendingTokens())
 			}
 		}
 		if len(v.byOwner) != 0 {
