--- a/lab/replay/oracle.go
+++ b/lab/replay/oracle.go
@@ -9,7 +9,7 @@
 )
 
 // oracleWaste counts a token that another runner holds as this many more.
-const oracleWaste = 1.0
+const oracleWaste = 3.0
 
 // oracle places with full knowledge: it sees every cache and queue as they
 // are, the requests on their way, and what those will have put into the cache
--- a/placement/place.go
+++ b/placement/place.go
@@ -21,10 +21,12 @@
 	maxCandidates = 96
 	// homePrior is how likely a home has the prefix when nothing is learnt:
 	// other daemons have probably sent it there.
-	homePrior = 0.5
+	homePrior = 0.9
 	// wasteWeight counts a recomputed token as this many more, since it also
-	// delays whoever comes next.
-	wasteWeight = 1.0
+	// delays whoever comes next. With a low weight a loaded fleet collapses:
+	// waits send prompts to cold endpoints, where they are computed once more,
+	// which makes the waits longer.
+	wasteWeight = 8.0
 	// rankCost separates endpoints that are otherwise equal. It is above the
 	// two-way delay between zones: daemons of different zones must agree
 	// where a cold prefix goes.
