--- a/lab/replay/bench.go
+++ b/lab/replay/bench.go
@@ -143,6 +143,7 @@
 		b.clock.every(AdmitTick, AdmitTick, d.tick)
 		phase := b.o.DigestEvery * time.Duration(d.index+1) / time.Duration(len(b.daemons))
 		b.clock.every(phase, b.o.DigestEvery, d.digest)
+		b.clock.every(phase, b.o.NoticeEvery, d.notify)
 	}
 }
 
--- a/lab/replay/daemon.go
+++ b/lab/replay/daemon.go
@@ -86,6 +86,26 @@
 	})
 }
 
+// notify sends the other daemons the notices of what was placed cold.
+func (d *daemon) notify() {
+	c, ok := d.chooser.(*viewChooser)
+	if !ok || !c.follows {
+		return
+	}
+	notices := c.v.Notices(nil)
+	d.b.m.notices += len(notices)
+	if len(notices) == 0 {
+		return
+	}
+	d.b.clock.push(d.b.clock.now.Add(d.b.o.NoticeLag), func() {
+		for _, peer := range d.b.daemons {
+			if peer != d {
+				peer.chooser.(*viewChooser).v.Heard(notices)
+			}
+		}
+	})
+}
+
 func (d *daemon) dispatch(j *job) {
 	decision, err := d.chooser.place(d.b.clock.now, j)
 	if err != nil {
--- a/lab/replay/options.go
+++ b/lab/replay/options.go
@@ -29,8 +29,8 @@
 	PolicyOracle Policy = "oracle"
 	// PolicyLearnt is the product: placement.View fed by all it can get.
 	PolicyLearnt Policy = "learnt"
-	// PolicyAnswers is the product without cache events, as at the target's
-	// size.
+	// PolicyAnswers is the product without cache events and notices, as at the
+	// target's size.
 	PolicyAnswers Policy = "answers"
 	// PolicyHomes is the product told only of load: rendezvous hashing with
 	// bounded waits.
@@ -85,6 +85,8 @@
 	EventLag    time.Duration
 	EventLoss   float64 // part of the batches that a daemon never gets
 	ZoneDelay   time.Duration
+	NoticeEvery time.Duration // between two batches of notices between daemons
+	NoticeLag   time.Duration
 
 	NewAdmitter func(daemon int, h trace.Header) Admitter // nil: all are admitted
 	DigestEvery time.Duration
@@ -99,6 +101,8 @@
 	DefaultEventLag    = 300 * time.Millisecond
 	DefaultEventLoss   = 0.01
 	DefaultZoneDelay   = 1500 * time.Microsecond
+	DefaultNoticeEvery = 100 * time.Millisecond
+	DefaultNoticeLag   = 50 * time.Millisecond
 	DefaultDownFor     = 4 * time.Second
 	DefaultDigestEvery = time.Second
 	DefaultDigestLag   = 200 * time.Millisecond
@@ -131,6 +135,8 @@
 	setDefault(&o.EventLag, DefaultEventLag)
 	setDefault(&o.EventLoss, DefaultEventLoss)
 	setDefault(&o.ZoneDelay, DefaultZoneDelay)
+	setDefault(&o.NoticeEvery, DefaultNoticeEvery)
+	setDefault(&o.NoticeLag, DefaultNoticeLag)
 	setDefault(&o.DigestEvery, DefaultDigestEvery)
 	setDefault(&o.DigestLag, DefaultDigestLag)
 	return o, nil
--- a/lab/replay/report.go
+++ b/lab/replay/report.go
@@ -32,6 +32,7 @@
 	ShareError    float64        `json:"share_error"` // greatest relative error against the fair share of the work done
 	Organisations []Organisation `json:"organisations"`
 
+	Notices    int      `json:"notices"`        // sent by all daemons, each to all others
 	Relied     int      `json:"relied_on_dead"` // began where the counted-on cache had died
 	Herd       float64  `json:"herd"`           // after a crash: the busiest other runner's new tokens / the mean
 	HotSettled float64  `json:"hot_settled_s"`  // until the hot prefix meets the first-token limit for good
@@ -72,6 +73,7 @@
 	requests, answered         int
 	prompt, reusable, reused   int
 	wasted, imported, relied   int
+	notices                    int
 	outcomes                   map[string]int
 	first                      [contract.PriorityCount][]time.Duration
 	offeredBy, doneBy, spentBy map[contract.OrganisationID]int
@@ -158,7 +160,7 @@
 		Trace: b.o.Trace.Header.Name, Policy: b.o.Policy, Daemons: b.o.Daemons, Seed: b.o.Seed, Speed: b.o.Speed,
 		Faults: b.o.Faults, Requests: m.requests, Answered: m.answered, Refusals: m.outcomes,
 		PromptTokens: m.prompt, HitRate: ratio(m.reused, m.reusable), Wasted: ratio(m.wasted, m.prompt),
-		Imported: ratio(m.imported, m.prompt), Relied: m.relied, FirstToken: map[string]Quantiles{},
+		Imported: ratio(m.imported, m.prompt), Relied: m.relied, Notices: m.notices, FirstToken: map[string]Quantiles{},
 		Timeline: m.seconds,
 	}
 	if len(b.o.Faults) > 0 {
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -39,10 +39,11 @@
 	rate     float64 // prefill tokens/s
 	idleLife time.Duration
 
-	nextSeq  uint64 // of the cache events; 0: none seen
-	gaps     uint32 // changes when events were lost
-	follows  bool   // events of the present life have been seen
-	firstRes int32  // oldest reservation that no load report covers
+	nextSeq  uint64    // of the cache events; 0: none seen
+	gaps     uint32    // changes when events were lost
+	follows  bool      // events of the present life have been seen
+	since    time.Time // with no large gap
+	firstRes int32     // oldest reservation that no load report covers
 	lastRes  int32
 	pending  [contract.PriorityCount]int // prompt tokens of those reservations
 	queued   int                         // their number
--- /dev/null
+++ b/placement/notices.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+// MaxNotices bounds the notices that wait to be sent. When it is reached the
+// oldest are dropped: the others then learn from events and answers, later.
+const MaxNotices = 256
+
+// Notice tells another daemon that a prefix is about to be computed somewhere.
+//
+// Until the first token of that request no answer and no event shows it. Other
+// daemons that get further questions on the same document in that time would
+// have it computed once more. A notice is sent for a cold prefix only, so
+// their number follows the documents and not the requests.
+type Notice struct {
+	Key         prefix.Key
+	Endpoint    fleet.EndpointID
+	Incarnation fleet.Incarnation
+	At          time.Time
+}
+
+// note writes down that a request has gone to the endpoint: there, the ends of
+// its messages will soon be cached. Those that nothing was believed of are put
+// into the outbox for the other daemons.
+func (v *View) note(now time.Time, ep int32, r *Request) {
+	e := &v.endpoints[ep]
+	for i := range shared(r.Levels) {
+		l := &r.Levels[i]
+		if !l.Message {
+			continue
+		}
+		t := v.prefixes.touch(l.Key)
+		if h := t.holderOf(ep); h != nil && v.belief(now, h) > noticeDoubt {
+			continue
+		}
+		t.hold(holder{endpoint: ep, life: e.life, gaps: e.gaps, coming: true, seen: now})
+		v.outbox.push(Notice{Key: l.Key, Endpoint: e.id, Incarnation: e.incarnation, At: now})
+	}
+}
+
+// noticeDoubt is the belief below which a prefix counts as cold.
+const noticeDoubt = 0.5
+
+// Notices appends what other daemons should hear of to dst and forgets it.
+// Call it every 100 ms or so and send the result to the neighbours.
+func (v *View) Notices(dst []Notice) []Notice {
+	for {
+		n, ok := v.outbox.pop()
+		if !ok {
+			return dst
+		}
+		dst = append(dst, n)
+	}
+}
+
+// Heard takes notices of another daemon. One of another life of the endpoint
+// is ignored.
+func (v *View) Heard(all []Notice) {
+	for _, n := range all {
+		e := v.endpointOf(n.Endpoint)
+		if e == nil || n.Incarnation != e.incarnation {
+			continue
+		}
+		ep := v.byID[n.Endpoint]
+		t := v.prefixes.touch(n.Key)
+		if h := t.holderOf(ep); h != nil && h.life == e.life && !h.seen.Before(n.At) {
+			continue
+		}
+		t.hold(holder{endpoint: ep, life: e.life, gaps: e.gaps, coming: true, seen: n.At})
+	}
+}
+
+// outbox is a ring of notices.
+type outbox struct {
+	ring [MaxNotices]Notice
+	head int
+	size int
+}
+
+func (o *outbox) push(n Notice) {
+	if o.size == MaxNotices {
+		o.pop()
+	}
+	o.ring[(o.head+o.size)%MaxNotices] = n
+	o.size++
+}
+
+func (o *outbox) pop() (Notice, bool) {
+	if o.size == 0 {
+		return Notice{}, false
+	}
+	n := o.ring[o.head]
+	o.ring[o.head] = Notice{}
+	o.head = (o.head + 1) % MaxNotices
+	o.size--
+	return n, true
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	// homePrior is how likely a home has the prefix when nothing is learnt:
 	// other daemons have probably sent it there.
 	homePrior = 0.9
+	// priorLife is how fast that fades once the daemon follows the events of an
+	// endpoint: the half-life in seconds.
+	priorLife = 2.0
 	// wasteWeight counts a recomputed token as this many more, since it also
 	// delays whoever comes next. With a low weight a loaded fleet collapses:
 	// waits send prompts to cold endpoints, where they are computed once more,
@@ -103,7 +107,9 @@
 	}
 	v.expectCached(now, &r)
 	d, missing := v.choose(now, &r, home, reason)
-	v.reserve(now, &r, v.byID[d.Endpoint], missing)
+	ep := v.byID[d.Endpoint]
+	v.reserve(now, &r, ep, missing)
+	v.note(now, ep, &r)
 	return d, nil
 }
 
@@ -241,7 +247,7 @@
 	for i := range v.scratch.candidates {
 		c := &v.scratch.candidates[i]
 		if c.rank < homes {
-			c.cached = max(c.cached, homePrior*float64(shared))
+			c.cached = max(c.cached, v.prior(now, c)*float64(shared))
 		}
 		wait, missing := v.wait(now, c.endpoint, r.Priority), float64(r.Tokens)-c.cached
 		cost := wait + v.prefill(c, missing)*(1+wasteWeight)
@@ -269,6 +275,19 @@
 	return d, int(bestMissing)
 }
 
+// prior is how likely a home has a prefix of which nothing is known there.
+//
+// A daemon that has followed the endpoint's events for a while would know, and
+// a cold prefix may go wherever the wait is short. One that has just restarted
+// knows nothing, and relies on the others having used the home.
+func (v *View) prior(now time.Time, c *candidate) float64 {
+	e := &v.endpoints[c.endpoint]
+	if !e.follows {
+		return homePrior
+	}
+	return homePrior * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // homesFor is the number of endpoints that the prefix's heat asks for.
--- a/placement/table.go
+++ b/placement/table.go
@@ -18,6 +18,7 @@
 	life     uint32 // of the endpoint when this was learnt
 	gaps     uint32 // of the endpoint's events when this was learnt
 	event    bool   // a cache event said so
+	coming   bool   // sent there, and not confirmed by an answer or event
 	seen     time.Time
 }
 
@@ -145,6 +146,15 @@
 	e.holders[oldest] = h
 }
 
+func (e *entry) holderOf(ep int32) *holder {
+	for i := range e.holders {
+		if e.holders[i].endpoint == ep {
+			return &e.holders[i]
+		}
+	}
+	return nil
+}
+
 // drop forgets that the endpoint has the prefix, unless that was learnt after
 // the given time.
 func (e *entry) drop(ep int32, at time.Time) {
--- a/placement/view.go
+++ b/placement/view.go
@@ -28,6 +28,7 @@
 	ages             ageQueue
 	service          float64 // seconds from first token to last, averaged
 
+	outbox  outbox
 	scratch scratch
 }
 
@@ -142,6 +143,9 @@
 	if e.follows && b.Seq < e.nextSeq {
 		return
 	}
+	if !e.follows || b.Seq > e.nextSeq+smallGap {
+		e.since = b.At
+	}
 	if !e.follows || b.Seq != e.nextSeq {
 		e.gaps++
 	}
@@ -152,6 +156,10 @@
 	}
 }
 
+// smallGap is the number of lost events up to which a prefix that nothing is
+// known of is still taken to be absent: few can have been stored in the gap.
+const smallGap = 256
+
 func (v *View) event(e *endpoint, ep int32, at time.Time, ev Event) {
 	switch ev.Kind {
 	case EventCleared:
@@ -181,7 +189,7 @@
 	if h.life != e.life {
 		return 0
 	}
-	if e.follows && h.gaps == e.gaps {
+	if e.follows && h.gaps == e.gaps && !h.coming {
 		return eventTrust
 	}
 	return math.Exp2(-now.Sub(h.seen).Seconds() / e.idleLife.Seconds())
