Give orders under a lease, with a gate at the last write

A holder that is paused after its check would send an order under a lease that has lapsed; engines that know no fencing number carry it out. The giver asks the monotonic clock in the body's Read, and a new holder plans only from statuses read after the old one's longest order. Loads of leaving endpoints now count too.

--- /dev/null
+++ b/lab/standin/orders.go
@@ -0,0 +1,303 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/rollout"
+)
+
+// WeightStore is a stand-in for the rate-limited store of weights, shared by
+// runners. Up to AtOnce loads go at full speed; with more of them, each one
+// slows in proportion. Beyond Refuse it takes no more.
+type WeightStore struct {
+	AtOnce int
+	Refuse int // 0: never
+	Load   time.Duration
+
+	mu   sync.Mutex // guards what follows
+	open int
+	most int
+}
+
+// begin starts a load and returns how long it takes; false when it is refused.
+func (s *WeightStore) begin() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Refuse > 0 && s.open >= s.Refuse {
+		return 0, false
+	}
+	s.open++
+	s.most = max(s.most, s.open)
+	slower := max(1, float64(s.open)/float64(max(1, s.AtOnce)))
+	return time.Duration(float64(s.Load) * slower), true
+}
+
+func (s *WeightStore) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+}
+
+// Most is the most loads that were ever open at once.
+func (s *WeightStore) Most() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.most
+}
+
+// OrderOptions describe how a runner takes orders.
+type OrderOptions struct {
+	Store  *WeightStore
+	Fences bool            // refuses an old fencing number; otherwise ignores it
+	Models []rollout.Model // loaded at first
+}
+
+// loadingVersion is what a runner that loads serves: no request asks for it, so
+// that it refuses all with "not run".
+const loadingVersion = "(loading)"
+
+// OrderedRunner is a runner that takes orders besides requests. It locks its
+// own mu before the Runner's.
+type OrderedRunner struct {
+	*Runner
+	o OrderOptions
+
+	mu     sync.Mutex // guards what follows
+	status rollout.Status
+	fence  platform.Offset
+	timer  *time.Timer
+	taken  []rollout.Order
+	lose   int
+	fail   bool
+	served string // version that the Runner was told to serve
+}
+
+// TakeOrders makes a runner take orders.
+func (r *Runner) TakeOrders(o OrderOptions) *OrderedRunner {
+	e := &OrderedRunner{Runner: r, o: o}
+	e.status.Models = slices.Clone(o.Models)
+	e.serveLoaded()
+	return e
+}
+
+// LoseAnswers drops the connection after each of the next n orders, which take
+// effect all the same.
+func (e *OrderedRunner) LoseAnswers(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lose = n
+}
+
+// FailLoads makes all loads fail at their end, or succeed again.
+func (e *OrderedRunner) FailLoads(fail bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fail = fail
+}
+
+// Taken returns the orders that took effect.
+func (e *OrderedRunner) Taken() []rollout.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.taken)
+}
+
+// Crash loses what is loaded and what is being loaded, see Runner.Crash.
+func (e *OrderedRunner) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.timer != nil && e.timer.Stop() {
+		e.o.Store.end()
+	}
+	e.status = rollout.Status{}
+	e.serveLoaded()
+	e.Runner.Crash()
+}
+
+// Status returns what the runner has loaded and what it is doing.
+func (e *OrderedRunner) Status() rollout.Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.status
+	s.Incarnation = e.Incarnation()
+	s.Models = slices.Clone(s.Models)
+	if e.o.Fences {
+		s.Fence = e.fence
+	}
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (e *OrderedRunner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path != engine.PathOrder {
+		e.Runner.ServeHTTP(w, req)
+		return
+	}
+	if e.isDown() {
+		panic(http.ErrAbortHandler)
+	}
+	if req.Method == http.MethodGet {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(e.Status())
+		return
+	}
+	e.serveOrder(w, req)
+}
+
+func (r *Runner) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
+func (e *OrderedRunner) serveOrder(w http.ResponseWriter, req *http.Request) {
+	text, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+	var o rollout.Order
+	if err != nil || json.Unmarshal(text, &o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	fence, _ := strconv.ParseInt(req.Header.Get(engine.HeaderFence), 10, 64)
+	o.Fence = platform.Offset(fence)
+	status, lost := e.take(o)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", "30")
+	}
+	if status >= http.StatusBadRequest {
+		w.Header().Set(engine.HeaderNotRun, "true")
+	}
+	w.WriteHeader(status)
+}
+
+// take carries an order out, and returns the answer's status and whether the
+// answer is lost.
+func (e *OrderedRunner) take(o rollout.Order) (status int, lost bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.o.Fences && o.Fence < e.fence {
+		return http.StatusPreconditionFailed, false
+	}
+	e.fence = max(e.fence, o.Fence)
+	if o.Incarnation != e.Incarnation() || e.status.Loading != nil {
+		return http.StatusConflict, false
+	}
+	status = e.begin(o)
+	if status == http.StatusAccepted {
+		e.taken = append(e.taken, o)
+		lost = e.lose > 0
+		e.lose--
+	}
+	return status, lost
+}
+
+// begin starts what the order asks for. The caller holds mu.
+func (e *OrderedRunner) begin(o rollout.Order) int {
+	switch o.Kind {
+	case rollout.KindLoad, rollout.KindLoadAdapter:
+		d, ok := e.o.Store.begin()
+		if !ok {
+			return http.StatusTooManyRequests
+		}
+		e.status.Loading = &o
+		if o.Kind == rollout.KindLoad {
+			e.drop(o.Model)
+		}
+		life := e.Incarnation()
+		e.timer = time.AfterFunc(d, func() {
+			e.o.Store.end()
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.Incarnation() == life && e.status.Loading != nil {
+				e.loaded(o)
+			}
+		})
+	case rollout.KindUnload:
+		e.drop(o.Model)
+	case rollout.KindRole:
+		e.status.Role = o.Role
+	case rollout.KindUnloadAdapter:
+		e.setAdapter(o, false)
+	default:
+		return http.StatusUnprocessableEntity
+	}
+	if e.status.Loading == nil {
+		e.status.Last = &rollout.Result{Order: o.ID, Done: true}
+	}
+	e.serveLoaded()
+	return http.StatusAccepted
+}
+
+// loaded ends a load. The caller holds mu.
+func (e *OrderedRunner) loaded(o rollout.Order) {
+	e.status.Loading = nil
+	e.status.Last = &rollout.Result{Order: o.ID, Done: !e.fail}
+	switch {
+	case e.fail:
+		e.status.Last.Detail = "no space left for weights"
+	case o.Kind == rollout.KindLoad:
+		e.status.Models = append(slices.Clone(e.status.Models), rollout.Model{ID: o.Model, Version: o.Version})
+	default:
+		e.setAdapter(o, true)
+	}
+	e.serveLoaded()
+}
+
+func (e *OrderedRunner) drop(model string) {
+	e.status.Models = slices.DeleteFunc(slices.Clone(e.status.Models), func(m rollout.Model) bool { return m.ID == model })
+}
+
+func (e *OrderedRunner) setAdapter(o rollout.Order, loaded bool) {
+	models := slices.Clone(e.status.Models)
+	for i := range models {
+		if models[i].ID != o.Model {
+			continue
+		}
+		as := slices.DeleteFunc(slices.Clone(models[i].Adapters), func(a rollout.Adapter) bool { return a.ID == o.Adapter })
+		if loaded {
+			as = append(as, rollout.Adapter{ID: o.Adapter, Version: o.Version})
+		}
+		models[i].Adapters = as
+	}
+	e.status.Models = models
+}
+
+// serveLoaded makes the runner serve the version that is loaded, or refuse
+// everything while none is, and report its weights. The caller holds mu.
+func (e *OrderedRunner) serveLoaded() {
+	version := loadingVersion
+	var weights []fleet.Weights
+	for _, m := range e.status.Models {
+		version = m.Version
+		weights = append(weights, fleet.Weights{Model: m.ID, Version: m.Version})
+	}
+	if l := e.status.Loading; l != nil && l.Kind == rollout.KindLoad {
+		weights = append(weights, fleet.Weights{Model: l.Model})
+	}
+	if len(weights) == 0 {
+		weights = []fleet.Weights{{}} // nothing is ready
+	}
+	e.setWeights(weights)
+	if version != e.served {
+		e.served = version
+		e.SetWeightVersion(version)
+	}
+}
+
+// setWeights makes the runner report weights in its load.
+func (r *Runner) setWeights(weights []fleet.Weights) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.weights = weights
+}
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -65,6 +65,7 @@
 	cache       *pieceCache
 	faults      []Fault
 	stats       RunnerStats
+	weights     []fleet.Weights // reported in its load, see TakeOrders
 }
 
 // RunnerStats is what a runner has done since it was made.
@@ -174,6 +175,7 @@
 		Slots:         r.o.Slots,
 		CachedBlocks:  r.cache.size(),
 		Draining:      r.draining,
+		Weights:       r.weights,
 	}
 }
 
--- /dev/null
+++ b/orders/sender.go
@@ -0,0 +1,160 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/rollout"
+)
+
+// Bounds of connections to endpoints.
+const (
+	dialTimeout    = time.Second
+	maxHeaderBytes = 16 << 10
+	maxRetryAfter  = 10 * time.Minute
+)
+
+// NewTransport returns a transport for orders. It opens a connection for each:
+// net/http repeats a request by itself when a kept connection turns out to be
+// lost, and an order must not leave twice.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// sender speaks to endpoints.
+type sender struct {
+	transport   http.RoundTripper
+	sendTimeout time.Duration
+	readTimeout time.Duration
+}
+
+// guardedBody is the body of an order. It asks at the moment when the
+// transport takes the bytes whether they may still leave. A holder that was
+// paused after its last check, in a garbage collection or with its VM, would
+// otherwise send an order under a lease that has lapsed meanwhile. The header
+// alone may have left then, and a request without its body is not an order.
+type guardedBody struct {
+	*bytes.Reader
+	allowed func() bool
+	lapsed  atomic.Bool // set by the transport's goroutine
+}
+
+func (b *guardedBody) Read(p []byte) (int, error) {
+	if !b.allowed() {
+		b.lapsed.Store(true)
+		return 0, ErrLapsed
+	}
+	return b.Reader.Read(p)
+}
+
+// WriteTo is the way by which the transport may take the bytes instead.
+func (b *guardedBody) WriteTo(w io.Writer) (int64, error) {
+	if !b.allowed() {
+		b.lapsed.Store(true)
+		return 0, ErrLapsed
+	}
+	return b.Reader.WriteTo(w)
+}
+
+func (b *guardedBody) Close() error { return nil }
+
+// order sends an order. The duration is the pause that the weight store asked
+// for, with ErrStoreBusy.
+func (s *sender) order(ctx context.Context, o rollout.Order, address string, allowed func() bool) (time.Duration, error) {
+	text, err := json.Marshal(o)
+	if err != nil {
+		return 0, eris.Wrap(ErrNotSent, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.sendTimeout)
+	defer cancel()
+	body := &guardedBody{Reader: bytes.NewReader(text), allowed: allowed}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.PathOrder, body)
+	if err != nil {
+		return 0, eris.Wrap(ErrNotSent, err.Error())
+	}
+	req.ContentLength = int64(len(text))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(engine.HeaderFence, strconv.FormatInt(int64(o.Fence), 10))
+	req.Header.Set(engine.HeaderDeadline, strconv.FormatInt(s.sendTimeout.Milliseconds(), 10))
+	resp, err := s.transport.RoundTrip(req)
+	if err != nil {
+		return 0, sendError(err, body)
+	}
+	defer resp.Body.Close()
+	return answerOf(resp)
+}
+
+// sendError tells what is known of an order whose sending failed.
+func sendError(err error, body *guardedBody) error {
+	if body.lapsed.Load() {
+		return ErrLapsed
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	return eris.Wrap(ErrUnknown, err.Error())
+}
+
+// answerOf reads an endpoint's answer to an order.
+func answerOf(resp *http.Response) (time.Duration, error) {
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+		return 0, nil
+	case http.StatusPreconditionFailed:
+		return 0, ErrFenced
+	case http.StatusTooManyRequests:
+		return retryAfter(resp.Header), ErrStoreBusy
+	}
+	if resp.StatusCode >= http.StatusInternalServerError && resp.Header.Get(engine.HeaderNotRun) != "true" {
+		return 0, eris.Wrapf(ErrUnknown, "status %d", resp.StatusCode)
+	}
+	return 0, eris.Wrapf(ErrRefused, "status %d", resp.StatusCode)
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+}
+
+// status reads what an endpoint has loaded and what it is doing.
+func (s *sender) status(ctx context.Context, address string) (rollout.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.readTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+engine.PathOrder, nil)
+	if err != nil {
+		return rollout.Status{}, eris.Wrap(err, "orders: status")
+	}
+	resp, err := s.transport.RoundTrip(req)
+	if err != nil {
+		return rollout.Status{}, eris.Wrap(err, "orders: status")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return rollout.Status{}, eris.Errorf("orders: status of endpoint answered with %d", resp.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, rollout.MaxStatusBytes+1))
+	if err != nil {
+		return rollout.Status{}, eris.Wrap(err, "orders: status")
+	}
+	return rollout.DecodeStatus(text)
+}
--- /dev/null
+++ b/orders/sender_test.go
@@ -0,0 +1,125 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/rollout"
+)
+
+func testSender() *sender {
+	return &sender{transport: NewTransport(), sendTimeout: 10 * time.Second, readTimeout: 10 * time.Second}
+}
+
+func always() bool { return true }
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestAnswersToAnOrder(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		header map[string]string
+		want   error
+		pause  time.Duration
+	}{
+		{http.StatusOK, nil, nil, 0},
+		{http.StatusAccepted, nil, nil, 0},
+		{http.StatusPreconditionFailed, nil, ErrFenced, 0},
+		{http.StatusTooManyRequests, map[string]string{"Retry-After": "30"}, ErrStoreBusy, 30 * time.Second},
+		{http.StatusTooManyRequests, map[string]string{"Retry-After": "soon"}, ErrStoreBusy, 0},
+		{http.StatusConflict, nil, ErrRefused, 0},
+		{http.StatusBadGateway, nil, ErrUnknown, 0},
+		{http.StatusServiceUnavailable, map[string]string{engine.HeaderNotRun: "true"}, ErrRefused, 0},
+	} {
+		address := serve(t, func(w http.ResponseWriter, req *http.Request) {
+			if req.Header.Get(engine.HeaderFence) != "7" {
+				t.Errorf("fence %q", req.Header.Get(engine.HeaderFence))
+			}
+			for k, v := range c.header {
+				w.Header().Set(k, v)
+			}
+			w.WriteHeader(c.status)
+		})
+		pause, err := testSender().order(context.Background(), rollout.Order{Fence: 7}, address, always)
+		if !errors.Is(err, c.want) || pause != c.pause {
+			t.Errorf("status %d: %v and %v, want %v and %v", c.status, err, pause, c.want, c.pause)
+		}
+	}
+}
+
+// An engine takes an order and its connection is lost before the answer. The
+// order must count as perhaps in effect, and net/http must not send it again
+// on its own.
+func TestAnswerLostAfterEffect(t *testing.T) {
+	var taken atomic.Int64
+	address := serve(t, func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		taken.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	s := testSender()
+	for i := range 5 {
+		if _, err := s.order(context.Background(), rollout.Order{}, address, always); !errors.Is(err, ErrUnknown) {
+			t.Errorf("error %v, want ErrUnknown", err)
+		}
+		if got := taken.Load(); got != int64(i+1) {
+			t.Errorf("taken %d times after %d orders", got, i+1)
+		}
+	}
+}
+
+// Nothing listens at the address. The order certainly did not leave, so that its
+// place among the loads is free at once.
+func TestOrderThatDidNotLeave(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(s.URL, "http://")
+	s.Close()
+	if _, err := testSender().order(context.Background(), rollout.Order{}, address, always); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want ErrNotSent", err)
+	}
+}
+
+// The lease lapses after the connection was opened. The engine sees a request
+// without its body and must have no order to carry out.
+func TestLeaseLapsesWhileTheOrderIsWritten(t *testing.T) {
+	var whole atomic.Int64
+	address := serve(t, func(_ http.ResponseWriter, req *http.Request) {
+		if _, err := io.ReadAll(req.Body); err == nil {
+			whole.Add(1)
+		}
+	})
+	_, err := testSender().order(context.Background(), rollout.Order{}, address, func() bool { return false })
+	if !errors.Is(err, ErrLapsed) || whole.Load() != 0 {
+		t.Errorf("error %v and %d whole orders", err, whole.Load())
+	}
+}
+
+// An engine's status is endless or no status at all, by a fault or another
+// program at its address. It must not be held in memory or relied on.
+func TestMalformedStatus(t *testing.T) {
+	for _, text := range []string{"{", strings.Repeat(" ", rollout.MaxStatusBytes+1), `{"models":3}`} {
+		address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) })
+		if _, err := testSender().status(context.Background(), address); !errors.Is(err, rollout.ErrStatus) {
+			t.Errorf("%d bytes: error %v", len(text), err)
+		}
+	}
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"incarnation":4}`) })
+	s, err := testSender().status(context.Background(), address)
+	if err != nil || s.Incarnation != fleet.Incarnation(4) {
+		t.Errorf("status %+v and error %v", s, err)
+	}
+}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -46,7 +46,9 @@
 	r.budget = in.Manifest.Fleet.LoadsAtOnce - r.plan.Loading
 	waits := unread > 0 && now.Sub(in.Since) < p.o.UnreadGrace
 	for _, c := range cs {
-		r.decide(c, waits)
+		if !c.member.Leaving {
+			r.decide(c, waits)
+		}
 	}
 	return r.plan
 }
@@ -59,9 +61,12 @@
 	var cs []*candidate
 	for _, m := range r.in.Endpoints {
 		t, declared := byClass[m.Class]
-		if !declared || m.Leaving || len(t.models) == 0 && t.role == "" {
+		if !declared || len(t.models) == 0 && t.role == "" {
 			continue
 		}
+		if !m.Leaving {
+			r.plan.Total++
+		}
 		c := &candidate{member: m, target: t, row: r.p.row(m.ID)}
 		c.fresh = !c.row.read.IsZero() && !c.row.read.Before(r.in.Since) && sameLife(m, &c.row.status)
 		if c.fresh {
@@ -75,7 +80,6 @@
 		}
 		return cmp.Compare(xxhash.Sum64String(string(a.member.ID)), xxhash.Sum64String(string(b.member.ID)))
 	})
-	r.plan.Total = len(cs)
 	return cs
 }
 
@@ -165,6 +169,9 @@
 		if c.loading() {
 			r.plan.Loading++
 		}
+		if c.member.Leaving {
+			continue // what it still loads counts, what it serves does not
+		}
 		for _, m := range c.target.models {
 			r.models[m.ID] = r.models[m.ID].plus(c, m.ID)
 		}
