Assemble the daemon from its parts

Cause: gateway, placement, admission, membership, the fold of the log and the neighbours stood each alone; no process served a request.

Change: package daemon guards each decision core with its lock, feeds it time and results, and serves callers, operators and neighbours; cmd/merlindockd reads settings and turns signals into a graceful shutdown. Placement is told of an answer's header at once, endpoints are asked for their load when no answer has told it, and a daemon without a manifest asks its neighbours.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -63,6 +63,8 @@
 	OutcomeAccepted Outcome = "accepted"
 	OutcomeRefused  Outcome = "refused"
 	OutcomeUnknown  Outcome = "unknown" // publish the same again to learn it
+	// OutcomeNotPublished is certainly without effect: the log took no record.
+	OutcomeNotPublished Outcome = "not_published"
 )
 
 // Publication is one publication and its outcome.
@@ -172,8 +174,7 @@
 	}
 	p, err := a.System.Publish(r.Context(), base, &m)
 	if err != nil {
-		a.Log.Warn("Publication has no known outcome.", "error", err.Error())
-		p.Outcome = OutcomeUnknown
+		a.Log.Warn("Publication failed.", "outcome", string(p.Outcome), "error", err.Error())
 		p.Reason = err.Error()
 	}
 	answer(w, statusOf(p.Outcome), p)
@@ -187,6 +188,8 @@
 		return http.StatusConflict
 	case OutcomeUnknown:
 		return http.StatusGatewayTimeout
+	case OutcomeNotPublished:
+		return http.StatusServiceUnavailable
 	}
 	return http.StatusInternalServerError
 }
--- a/cmd/merlindockd/main.go
+++ b/cmd/merlindockd/main.go
@@ -1,4 +1,99 @@
-// Command merlindockd is the merlindock daemon.
+// Command merlindockd is the merlindock daemon. It serves callers, exchanges
+// digests with its neighbours and follows the platform's log.
+//
+// Settings come from an INI file (-config), environment variables and flags;
+// -check checks them and starts nothing. The first SIGTERM or SIGINT starts a
+// graceful shutdown, the second ends open streams with an explicit error.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/merlindock/merlindock/daemon"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/platform/httplog"
+	"github.com/merlindock/merlindock/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Environ(), os.Stdout, os.Stderr))
+}
+
+func run(args, environ []string, out, errOut io.Writer) int {
+	s, err := settings.Load(settings.Input{Args: args, Env: environ})
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(out, "merlindockd: the merlindock daemon. Flags, also settable as environment variables and in the INI file:")
+		settings.Usage(out)
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitSettings
+	}
+	if s.CheckOnly {
+		fmt.Fprintln(out, "settings are valid")
+		return exitOK
+	}
+	if err := serve(s, errOut); err != nil {
+		fmt.Fprintln(errOut, eris.ToString(err, false))
+		return exitFailed
+	}
+	return exitOK
+}
+
+func serve(s settings.Settings, logOut io.Writer) error {
+	logs, err := logging.NewFactory(logOut, s.Log.Level)
+	if err != nil {
+		return err
+	}
+	token, err := readToken(s.Admin.TokenFile)
+	if err != nil {
+		return err
+	}
+	platform, err := httplog.New(httplog.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout})
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(daemon.Options{Settings: s, Token: token, Log: platform, VMs: platform, Logs: logs})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for range signals {
+			d.Drain()
+		}
+	}()
+	return d.Run(context.Background())
+}
+
+// readToken reads the token of the administration API. Without a file the
+// API's guarded calls are refused.
+func readToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", eris.Wrap(err, "admin.token-file cannot be read")
+	}
+	return strings.TrimSpace(string(text)), nil
+}
--- /dev/null
+++ b/daemon/admission.go
@@ -0,0 +1,233 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/manifest"
+)
+
+// admission lets requests enter by their organisation's share, one pool of
+// runners apart from the other.
+type admission struct {
+	daemon *Daemon
+	now    func() time.Time
+	ids    requestIDs
+
+	mu     sync.Mutex // guards the fields below, not the pools' own state
+	shares []contract.Share
+	pools  map[string]*admissionPool
+	open   int
+}
+
+// admissionPool guards the decisions for one pool and wakes those that wait.
+type admissionPool struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	core    *contract.Admission
+	waiting map[contract.RequestID]chan contract.Decision
+	out     []contract.Outcome
+	timer   *time.Timer
+}
+
+func newAdmission(d *Daemon) *admission {
+	return &admission{daemon: d, now: d.o.Now, pools: map[string]*admissionPool{}}
+}
+
+func (a *admission) setManifest(m *manifest.Manifest) {
+	var shares []contract.Share
+	for i := range m.Organisations {
+		o := &m.Organisations[i]
+		shares = append(shares, contract.Share{Organisation: o.ID, Weight: o.Share})
+	}
+	a.mu.Lock()
+	a.shares = shares
+	for i := range m.Models {
+		if a.pools[m.Models[i].ID] == nil {
+			a.pools[m.Models[i].ID] = a.newPool()
+		}
+	}
+	pools := a.snapshot()
+	a.mu.Unlock()
+	for _, p := range pools {
+		p.setContract(shares)
+	}
+}
+
+func (a *admission) newPool() *admissionPool {
+	d := a.daemon
+	p := &admissionPool{
+		now:     a.now,
+		waiting: map[contract.RequestID]chan contract.Decision{},
+		core: contract.NewAdmission(contract.Options{
+			Daemon: contract.DaemonID(d.o.Settings.Daemon.ID),
+			Epoch:  uint64(d.life.UnixMilli()),
+			Rand:   rand.New(rand.NewPCG(seedOf(d.o.Settings.Daemon.ID, d.life), a.ids.next())),
+		}),
+	}
+	p.timer = time.AfterFunc(time.Hour, p.wake)
+	return p
+}
+
+// snapshot copies the table of pools. The caller holds the lock.
+func (a *admission) snapshot() map[string]*admissionPool {
+	pools := make(map[string]*admissionPool, len(a.pools))
+	for name, p := range a.pools {
+		pools[name] = p
+	}
+	return pools
+}
+
+func (a *admission) all() map[string]*admissionPool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.snapshot()
+}
+
+// Admit implements gateway.Admitter.
+func (a *admission) Admit(ctx context.Context, r gateway.AdmitRequest) (func(int), error) {
+	if !a.enter() {
+		return nil, refusal(contract.Decision{Reason: contract.NoCapacity, RetryAfter: gateway.DefaultRetryAfter})
+	}
+	p := a.all()[r.Model]
+	if p == nil {
+		a.leave()
+		return nil, refusal(contract.Decision{Reason: contract.NoCapacity, RetryAfter: gateway.DefaultRetryAfter})
+	}
+	endpoints, slots := a.daemon.fleet.slots(modelPool(r.Model))
+	id := contract.RequestID(a.ids.next())
+	rate := float64(endpoints) * a.daemon.o.Settings.Routing.RunnerTokens
+	d, err := p.admit(ctx, rate, slots, contract.Request{
+		ID:           id,
+		Organisation: r.Organisation,
+		Priority:     priorityOf(r.Priority),
+		Tokens:       float64(r.Tokens),
+		Deadline:     r.Deadline,
+	})
+	if err != nil {
+		a.leave()
+		return nil, err
+	}
+	if d.Verdict != contract.Admitted {
+		a.leave()
+		return nil, refusal(d)
+	}
+	return func(used int) {
+		p.finish(id, float64(used))
+		a.leave()
+	}, nil
+}
+
+// enter counts an open request and tells whether there is room for it.
+func (a *admission) enter() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.open >= a.daemon.o.Settings.Callers.OpenStreams {
+		return false
+	}
+	a.open++
+	return true
+}
+
+func (a *admission) leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open--
+}
+
+func (p *admissionPool) setContract(shares []contract.Share) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.SetContract(p.now(), shares)
+	p.pump()
+}
+
+// admit returns the decision on a request, waiting for it if it is queued.
+func (p *admissionPool) admit(ctx context.Context, rate float64, slots int, r contract.Request) (contract.Decision, error) {
+	p.mu.Lock()
+	p.core.SetCapacity(p.now(), rate, slots)
+	d := p.core.Offer(p.now(), r)
+	if d.Verdict != contract.Queued {
+		p.pump()
+		p.mu.Unlock()
+		return d, nil
+	}
+	decided := make(chan contract.Decision, 1)
+	p.waiting[r.ID] = decided
+	p.pump()
+	p.mu.Unlock()
+	select {
+	case d := <-decided:
+		return d, nil
+	case <-ctx.Done():
+		p.cancel(r.ID)
+		return contract.Decision{}, ctx.Err()
+	}
+}
+
+func (p *admissionPool) cancel(id contract.RequestID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, id)
+	p.core.Cancel(p.now(), id)
+	p.pump()
+}
+
+func (p *admissionPool) finish(id contract.RequestID, used float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Finish(p.now(), id, used)
+	p.pump()
+}
+
+func (p *admissionPool) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pump()
+}
+
+// pump hands decisions to those that wait and sets the timer for the next one.
+// The caller holds the lock.
+func (p *admissionPool) pump() {
+	now := p.now()
+	p.out = p.core.Next(now, p.out[:0])
+	for _, o := range p.out {
+		if decided, ok := p.waiting[o.ID]; ok {
+			decided <- o.Decision
+			delete(p.waiting, o.ID)
+		}
+	}
+	if at, ok := p.core.NextAt(); ok {
+		p.timer.Reset(max(at.Sub(now), minWake))
+	}
+}
+
+// minWake keeps a decision that is due at once from spinning.
+const minWake = time.Millisecond
+
+// refusal tells the caller at once that nothing ran and when to come back.
+func refusal(d contract.Decision) *gateway.Refusal {
+	r := &gateway.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Code:       gateway.CodeOverloaded,
+		Outcome:    gateway.OutcomeNotRun,
+		Message:    "the fleet is busy: " + d.Reason.String(),
+		RetryAfter: d.RetryAfter,
+	}
+	switch d.Reason {
+	case contract.OverShare:
+		r.Status = http.StatusTooManyRequests
+		r.Message = "the organisation uses more than its share"
+	case contract.UnknownOrganisation:
+		r.Status = http.StatusForbidden
+		r.Code = gateway.CodeNotPermitted
+		r.Outcome = gateway.OutcomeRefused
+	}
+	return r
+}
--- /dev/null
+++ b/daemon/listen.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"hash/fnv"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// listen opens the listeners that were not given.
+func (d *Daemon) listen() (Listeners, error) {
+	l := d.o.Listeners
+	s := d.o.Settings
+	for _, each := range []struct {
+		l       *net.Listener
+		address string
+	}{
+		{&l.Callers, s.Listen.Callers},
+		{&l.Admin, s.Listen.Admin},
+		{&l.Peers, s.Listen.Peers},
+	} {
+		if *each.l != nil {
+			continue
+		}
+		opened, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return l, eris.Wrapf(err, "daemon: cannot listen on %s", each.address)
+		}
+		*each.l = opened
+	}
+	if s.TLS.CallersCert == "" {
+		return l, nil
+	}
+	cert, err := newCertificate(s.TLS.CallersCert, s.TLS.CallersKey, s.TLS.ReloadInterval, d.o.Now)
+	if err != nil {
+		return l, err
+	}
+	l.Callers = tls.NewListener(l.Callers, &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: cert.get,
+	})
+	return l, nil
+}
+
+// certificate is read again when its file changes, so that it can be renewed
+// without a restart. A file that cannot be read leaves the old one in use: an
+// expired certificate is noticed by callers, a daemon that stops serving by all.
+type certificate struct {
+	certFile, keyFile string
+	interval          time.Duration
+	now               func() time.Time
+
+	mu      sync.Mutex
+	current *tls.Certificate
+	looked  time.Time
+	changed time.Time // the file's own time of change
+}
+
+func newCertificate(certFile, keyFile string, interval time.Duration, now func() time.Time) (*certificate, error) {
+	c := &certificate{certFile: certFile, keyFile: keyFile, interval: interval, now: now}
+	c.changed = modified(certFile)
+	c.looked = now()
+	loaded, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, eris.Wrapf(err, "daemon: certificate %s", certFile)
+	}
+	c.current = &loaded
+	return c, nil
+}
+
+func (c *certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	if now.Sub(c.looked) < c.interval {
+		return c.current, nil
+	}
+	c.looked = now
+	if changed := modified(c.certFile); !changed.Equal(c.changed) {
+		if loaded, err := tls.LoadX509KeyPair(c.certFile, c.keyFile); err == nil {
+			c.current = &loaded
+			c.changed = changed
+		}
+	}
+	return c.current, nil
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// seedOf gives each life of each daemon another seed, so that daemons that
+// start together do not act together.
+func seedOf(id string, life time.Time) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum64() ^ uint64(life.UnixNano())
+}
--- /dev/null
+++ b/daemon/observer.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/telemetry"
+)
+
+// observer turns reports of requests into metrics.
+type observer struct {
+	scope      tally.Scope
+	priorities [contract.PriorityCount]priorityMetrics
+	crossed    tally.Counter
+	duplicates tally.Counter
+	resumes    tally.Counter
+	callerLeft tally.Counter
+	callerSlow tally.Counter
+}
+
+type priorityMetrics struct {
+	answered   tally.Counter
+	prompt     tally.Counter
+	cached     tally.Counter
+	tokens     tally.Counter
+	firstToken tally.Histogram
+	duration   tally.Histogram
+}
+
+func newObserver(scope tally.Scope) *observer {
+	o := &observer{
+		scope:      scope,
+		crossed:    scope.Counter("answers_crossed"),
+		duplicates: scope.Counter("tokens_duplicate"),
+		resumes:    scope.Counter("streams_resumed"),
+		callerLeft: scope.Counter("callers_left"),
+		callerSlow: scope.Counter("callers_slow"),
+	}
+	for p := range contract.PriorityCount {
+		s := scope.Tagged(map[string]string{"priority": p.String()})
+		o.priorities[p] = priorityMetrics{
+			answered:   s.Counter("requests_answered"),
+			prompt:     s.Counter("prompt_tokens"),
+			cached:     s.Counter("cached_tokens"),
+			tokens:     s.Counter("generated_tokens"),
+			firstToken: s.Histogram("first_token_seconds", telemetry.Durations()),
+			duration:   s.Histogram("request_seconds", telemetry.Durations()),
+		}
+	}
+	return o
+}
+
+// Request counts one request that ended.
+func (o *observer) Request(r *gateway.Report) {
+	o.crossed.Inc(int64(r.Crossed))
+	o.duplicates.Inc(int64(r.Duplicates))
+	o.resumes.Inc(int64(r.Resumes))
+	if r.CallerLeft {
+		o.callerLeft.Inc(1)
+	}
+	if r.CallerSlow {
+		o.callerSlow.Inc(1)
+	}
+	if r.Code != "" {
+		tags := map[string]string{"code": r.Code, "outcome": string(r.Outcome)}
+		o.scope.Tagged(tags).Counter("requests_failed").Inc(1)
+		return
+	}
+	m := &o.priorities[r.Priority]
+	m.answered.Inc(1)
+	m.prompt.Inc(int64(r.PromptTokens))
+	m.cached.Inc(int64(max(r.CachedTokens, 0)))
+	m.tokens.Inc(int64(r.Tokens))
+	m.duration.RecordDuration(r.Duration)
+	if r.FirstToken > 0 {
+		m.firstToken.RecordDuration(r.FirstToken)
+	}
+}
+
+// Attempt counts one attempt that ended.
+func (o *observer) Attempt(_ *gateway.PlaceRequest, _ *gateway.Placement, res *gateway.Result) {
+	o.scope.Tagged(map[string]string{"outcome": attemptNames[res.Outcome]}).Counter("attempts").Inc(1)
+}
+
+var attemptNames = map[gateway.AttemptOutcome]string{
+	gateway.AttemptAnswered:  "answered",
+	gateway.AttemptNotSent:   "not_sent",
+	gateway.AttemptNotRun:    "not_run",
+	gateway.AttemptFailed:    "failed",
+	gateway.AttemptCancelled: "cancelled",
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/peer"
+	"github.com/merlindock/merlindock/peer/peerpb"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// bootstrapEvery is how often a daemon without a manifest asks its neighbours.
+const bootstrapEvery = 250 * time.Millisecond
+
+// daemonList is the newest list of daemons. An empty one never replaces it.
+type daemonList struct {
+	list atomic.Pointer[[]platform.Daemon]
+}
+
+func (l *daemonList) get() []platform.Daemon {
+	if p := l.list.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// readDaemons reads the platform's list of daemons.
+func (d *Daemon) readDaemons(ctx context.Context) {
+	list, err := d.o.VMs.Daemons(ctx)
+	if err != nil || len(list) == 0 {
+		return
+	}
+	d.daemons.list.Store(&list)
+	live := 0
+	for i := range list {
+		if list[i].State != "leaving" {
+			live++
+		}
+	}
+	d.fleet.placement.SetDaemons(max(live, 1))
+}
+
+func (d *Daemon) peerOptions() peer.Options {
+	s := d.o.Settings
+	o := peer.Options{
+		Self: platform.Daemon{
+			ID:          s.Daemon.ID,
+			Zone:        s.Daemon.Zone,
+			PeerAddress: s.Listen.Peers,
+		},
+		Life:          uint64(d.life.UnixNano()),
+		Daemons:       d.daemons.get,
+		LocalDigest:   d.localDigest,
+		Heard:         d.heard,
+		FetchManifest: d.fetchManifest,
+		Merge:         d.merge,
+		Observe:       d.observePeers,
+		Interval:      s.Peers.Interval,
+		CallTimeout:   s.Peers.Timeout,
+		Seed:          seedOf(s.Daemon.ID, d.life),
+	}
+	if s.TLS.PeersCert != "" {
+		o.TLS = &peer.TLSFiles{
+			Certificate: s.TLS.PeersCert,
+			Key:         s.TLS.PeersKey,
+			Authority:   s.TLS.PeersCA,
+			Name:        s.TLS.PeersName,
+		}
+	}
+	return o
+}
+
+func (d *Daemon) observePeers(e peer.Event) {
+	d.metrics.Scope.Tagged(map[string]string{"kind": string(e.Kind)}).Counter("peer_events").Inc(1)
+	fields := []any{"kind", string(e.Kind), "daemon", e.Daemon}
+	if e.Err != nil {
+		fields = append(fields, "error", e.Err.Error())
+	}
+	log := d.o.Logs.For(logging.PartPeers)
+	if e.Kind == peer.EventConflict || e.Kind == peer.EventRefused {
+		log.Warn("Neighbour's manifest is not taken.", fields...)
+		return
+	}
+	log.Debug("Exchange.", fields...)
+}
+
+// revisionOf converts between the fold's and the neighbours' revision.
+func revisionOf(r ledger.Revision) neighbour.Revision {
+	out := neighbour.Revision{Offset: r.Offset}
+	sum, err := hex.DecodeString(string(r.Digest))
+	if err == nil && len(sum) == sha256.Size {
+		copy(out.Digest[:], sum)
+	}
+	return out
+}
+
+// localDigest is what the neighbours are told.
+func (d *Daemon) localDigest(now time.Time) peer.Local {
+	l := peer.Local{Endpoints: d.fleet.news(now), Usage: d.admission.usage(now, !d.shutdown.ready())}
+	if v := d.manifests.InForce(); v != nil {
+		l.Accepted = revisionOf(v.Revision)
+	}
+	return l
+}
+
+// heard takes what a neighbour told of endpoints and organisations.
+func (d *Daemon) heard(now time.Time, n neighbour.Digest) {
+	d.fleet.hearsay(now, n.Endpoints)
+	d.admission.heard(now, contract.DaemonID(n.Daemon), n.Usage)
+}
+
+// fetchManifest gives a neighbour the manifest in force and its proof.
+func (d *Daemon) fetchManifest(context.Context, neighbour.Revision) (peer.Accepted, error) {
+	c, ok := d.manifests.Proof()
+	if !ok || c.Revision.Offset == 0 {
+		return peer.Accepted{}, eris.New("daemon: no accepted manifest")
+	}
+	text := c.Manifest
+	c.Manifest = nil
+	proof, err := json.Marshal(c)
+	if err != nil {
+		return peer.Accepted{}, eris.Wrap(err, "daemon: proof")
+	}
+	return peer.Accepted{Revision: revisionOf(c.Revision), Manifest: text, Proof: proof}, nil
+}
+
+// merge brings a neighbour's manifest into force if the fold takes its proof.
+func (d *Daemon) merge(_ context.Context, from string, a peer.Accepted) error {
+	var c ledger.Checkpoint
+	if err := json.Unmarshal(a.Proof, &c); err != nil {
+		return eris.Wrapf(err, "daemon: proof from %s", from)
+	}
+	c.Manifest = a.Manifest
+	return eris.Wrapf(d.manifests.Adopt(c), "daemon: manifest from %s", from)
+}
+
+// bootstrap asks the neighbours for the manifest in force until there is one,
+// so that a daemon that starts while the log is down serves at once.
+func (d *Daemon) bootstrap(ctx context.Context) {
+	ticker := time.NewTicker(bootstrapEvery)
+	defer ticker.Stop()
+	for d.manifests.InForce() == nil {
+		if _, err := d.peers.Bootstrap(ctx); err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// usage writes the organisations' use of each pool for the neighbours, as many
+// pools as fit.
+func (a *admission) usage(now time.Time, leaving bool) []byte {
+	var u peerpb.Usage
+	size := 0
+	for name, p := range a.all() {
+		p.mu.Lock()
+		digest := p.core.Digest(now, leaving)
+		p.mu.Unlock()
+		text, err := digest.AppendBinary(nil)
+		size += len(name) + len(text) + usageOverhead
+		if err != nil || size > neighbour.MaxUsage {
+			continue
+		}
+		u.Pools = append(u.Pools, &peerpb.PoolUse{Pool: name, Digest: text})
+	}
+	text, err := proto.Marshal(&u)
+	if err != nil || len(text) > neighbour.MaxUsage {
+		return nil
+	}
+	return text
+}
+
+// usageOverhead bounds what the encoding adds to one pool's use.
+const usageOverhead = 16
+
+// heard takes a neighbour's use. What cannot be read is left out: the next
+// digest is whole in itself.
+func (a *admission) heard(now time.Time, from contract.DaemonID, usage []byte) {
+	var u peerpb.Usage
+	if proto.Unmarshal(usage, &u) != nil {
+		return
+	}
+	pools := a.all()
+	for _, use := range u.Pools {
+		p := pools[use.Pool]
+		digest, err := contract.ParseDigest(use.Digest)
+		if p == nil || err != nil {
+			continue
+		}
+		p.mu.Lock()
+		p.core.MergeDigest(now, from, digest)
+		p.pump()
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/daemon/placer.go
@@ -0,0 +1,173 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+// requestIDs numbers what one daemon places and admits.
+type requestIDs struct{ last atomic.Uint64 }
+
+func (r *requestIDs) next() uint64 { return r.last.Add(1) }
+
+func newRand(id string, life time.Time) *rand.Rand {
+	return rand.New(rand.NewPCG(seedOf(id, life), uint64(life.UnixNano())))
+}
+
+// Place implements gateway.Placer.
+func (v *fleetView) Place(_ context.Context, r *gateway.PlaceRequest) (gateway.Placement, error) {
+	id := v.ids.next()
+	levels := v.levels(r)
+	pool := classPool(r.Class)
+	if r.Kind == fleet.KindModel {
+		pool = modelPool(r.Target.Model)
+	}
+	decision, err := v.placement.Place(v.now(), placement.Request{
+		ID:       id,
+		Pool:     pool,
+		Levels:   levels,
+		Tokens:   r.PromptTokens,
+		Priority: priorityOf(r.Priority),
+		Avoid:    r.Exclude,
+	})
+	if err != nil {
+		return gateway.Placement{}, err
+	}
+	return v.placed(id, levels, &decision), nil
+}
+
+// levels cuts the prompt into the levels that placement counts in.
+func (v *fleetView) levels(r *gateway.PlaceRequest) []prefix.Level {
+	if r.Kind != fleet.KindModel {
+		return nil
+	}
+	v.mu.Lock()
+	pool := v.cutters
+	v.mu.Unlock()
+	c := pool.Get().(*prefix.Cutter)
+	defer pool.Put(c)
+	c.Reset(prefix.Seed{
+		Organisation:   r.Organisation,
+		Model:          r.Target.Model,
+		Version:        r.Target.Version,
+		Adapter:        r.Target.Adapter,
+		AdapterVersion: r.Target.AdapterVersion,
+	})
+	begin := 0
+	for _, end := range r.Levels {
+		c.Write(r.Prompt[begin:end])
+		c.EndMessage()
+		begin = end
+	}
+	return append([]prefix.Level(nil), c.Levels()...)
+}
+
+// placed turns a decision into a placement whose callbacks correct the view.
+func (v *fleetView) placed(id uint64, levels []prefix.Level, d *placement.Decision) gateway.Placement {
+	v.mu.Lock()
+	address := v.places[d.Endpoint].Address
+	store := v.places[d.ImportFrom].Address
+	v.mu.Unlock()
+	p := gateway.Placement{
+		Endpoint:       d.Endpoint,
+		Address:        address,
+		Incarnation:    d.Incarnation,
+		ExpectedCached: d.ExpectedCached,
+		ImportFrom:     store,
+	}
+	expected := d.ExpectedFirst
+	p.Began = func(m engine.Metadata) { v.began(id, p.Endpoint, levels, m) }
+	p.Done = func(r gateway.Result) { v.ended(id, p.Endpoint, expected, r) }
+	return p
+}
+
+func (v *fleetView) began(id uint64, e fleet.EndpointID, levels []prefix.Level, m engine.Metadata) {
+	if m.NotRun {
+		return
+	}
+	a := placement.Answer{
+		ID:           id,
+		Endpoint:     e,
+		Incarnation:  m.Incarnation,
+		CachedTokens: max(m.CachedTokens, 0),
+		Levels:       levels,
+	}
+	if m.HasLoad {
+		a.Load = &m.Load
+		a.Load.At = v.now()
+		v.reported(e, m.Load)
+	}
+	v.placement.Answered(v.now(), a)
+}
+
+// ended tells placement, membership and health how the attempt went.
+func (v *fleetView) ended(id uint64, e fleet.EndpointID, expected time.Duration, r gateway.Result) {
+	now := v.now()
+	if r.Outcome == gateway.AttemptAnswered || r.Outcome == gateway.AttemptCancelled {
+		v.placement.Finished(now, id)
+	} else {
+		dead := r.Outcome == gateway.AttemptNotSent
+		v.placement.Failed(now, placement.Failure{ID: id, Endpoint: e, Dead: dead})
+	}
+	switch r.Outcome {
+	case gateway.AttemptAnswered:
+		v.healthMu.Lock()
+		v.health.Success(now, e, r.Meta.Incarnation, slowness(r.FirstToken, expected))
+		v.healthMu.Unlock()
+	case gateway.AttemptNotSent:
+		v.refused(e)
+	case gateway.AttemptNotRun:
+		v.notRun(now, e, r.Meta)
+	case gateway.AttemptFailed:
+		v.healthMu.Lock()
+		v.health.Failure(now, e, r.Meta.Incarnation)
+		v.healthMu.Unlock()
+	case gateway.AttemptCancelled:
+	}
+}
+
+// notRun takes an endpoint's refusal: when it says that it is leaving, no new
+// work goes there, whatever the platform's list says.
+func (v *fleetView) notRun(now time.Time, e fleet.EndpointID, m engine.Metadata) {
+	if !m.HasLoad || !m.Load.Draining {
+		return
+	}
+	v.mu.Lock()
+	v.told(v.members.DrainingSeen(now, e))
+	v.refresh()
+	v.mu.Unlock()
+}
+
+// slowness is the time to the first token over the one expected; 0 means that
+// it is not known.
+func slowness(got, expected time.Duration) float64 {
+	if got <= 0 || expected <= 0 {
+		return 0
+	}
+	return float64(got) / float64(expected)
+}
+
+// readLoad asks an endpoint for its load.
+func readLoad(ctx context.Context, client *engine.Client, e fleet.Endpoint) (fleet.Load, error) {
+	ans, err := client.Send(ctx, &engine.Attempt{
+		ID:       "probe-" + string(e.ID),
+		Endpoint: e.ID,
+		Address:  e.Address,
+		Method:   "GET",
+		Path:     engine.PathLoad,
+		Deadline: time.Now().Add(fleet.DefaultProbeAfter),
+	})
+	if err != nil {
+		return fleet.Load{}, err
+	}
+	defer ans.Close()
+	return parseLoad(ans)
+}
--- /dev/null
+++ b/daemon/system.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/merlindock/merlindock/admin"
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/health"
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/logio"
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/settings"
+)
+
+// Bounds of what the administration API lists.
+const (
+	maxOrganisationsShown = 1000
+	maxEndpointsShown     = 10_000
+)
+
+// system is the daemon as its administration API sees it.
+type system Daemon
+
+// Live implements admin.System.
+func (s *system) Live() error { return nil }
+
+// Ready implements admin.System.
+func (s *system) Ready() error {
+	switch {
+	case !s.shutdown.ready():
+		return eris.New("the daemon shuts down")
+	case s.catalogue.index() == nil:
+		return eris.New("no manifest is known yet")
+	case !s.fleet.known():
+		return eris.New("no endpoint is known yet")
+	}
+	return nil
+}
+
+// Manifest implements admin.System.
+func (s *system) Manifest() (admin.Revision, *manifest.Manifest, error) {
+	v := s.manifests.InForce()
+	if v == nil {
+		return admin.Revision{}, nil, eris.New("no manifest is in force yet")
+	}
+	return shownRevision(v.Revision), &v.Manifest, nil
+}
+
+func shownRevision(r ledger.Revision) admin.Revision {
+	return admin.Revision{Offset: r.Offset, Digest: string(r.Digest)}
+}
+
+// History implements admin.System.
+func (s *system) History() []admin.Publication {
+	list := []admin.Publication{}
+	for _, d := range s.manifests.Status().History {
+		if d.Kind != ledger.KindManifest {
+			continue
+		}
+		list = append(list, admin.Publication{
+			Outcome:   admin.Outcome(d.Outcome),
+			Revision:  admin.Revision{Offset: d.Offset, Digest: string(d.Digest)},
+			Base:      d.Base,
+			RefusedBy: refusedBy(d.Outcome != ledger.Accepted, d.By),
+			Reason:    string(d.Reason),
+		})
+	}
+	return list
+}
+
+func refusedBy(refused bool, by platform.Offset) platform.Offset {
+	if refused {
+		return by
+	}
+	return 0
+}
+
+// Publish implements admin.System.
+func (s *system) Publish(ctx context.Context, base platform.Offset, m *manifest.Manifest) (admin.Publication, error) {
+	ctx, cancel := context.WithTimeout(ctx, logio.PublishTimeout)
+	defer cancel()
+	r, err := s.manifests.Publish(ctx, base, *m, s.o.Settings.Daemon.ID)
+	p := admin.Publication{
+		Revision:  admin.Revision{Offset: r.Offset, Digest: string(r.Digest)},
+		Base:      base,
+		RefusedBy: r.By,
+		Reason:    string(r.Reason),
+	}
+	switch r.Outcome {
+	case logio.PublishAccepted:
+		p.Outcome = admin.OutcomeAccepted
+	case logio.PublishRefused:
+		p.Outcome = admin.OutcomeRefused
+	case logio.PublishNotAppended:
+		p.Outcome = admin.OutcomeNotPublished
+	default:
+		p.Outcome = admin.OutcomeUnknown
+	}
+	if r.Detail != "" {
+		p.Reason += ": " + r.Detail
+	}
+	return p, err
+}
+
+// endpointShown is one endpoint for operators.
+type endpointShown struct {
+	fleet.Member
+	Gate string `json:"gate"`
+}
+
+// Endpoints implements admin.System.
+func (s *system) Endpoints() any {
+	v := s.fleet
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := []endpointShown{}
+	for _, m := range v.members.All(v.now()) {
+		if len(list) == maxEndpointsShown {
+			break
+		}
+		list = append(list, endpointShown{Member: m, Gate: v.gates[m.ID].String()})
+	}
+	return list
+}
+
+// Organisations implements admin.System.
+func (s *system) Organisations() any {
+	shown := map[string]contract.UseReport{}
+	for name, p := range s.admission.all() {
+		p.mu.Lock()
+		shown[name] = p.core.Use(p.now(), maxOrganisationsShown)
+		p.mu.Unlock()
+	}
+	return shown
+}
+
+// Drain implements admin.System.
+func (s *system) Drain() { (*Daemon)(s).Drain() }
+
+// dump is the state of the whole process. It holds no prompts and no keys.
+type dump struct {
+	At            time.Time               `json:"at"`
+	Started       time.Time               `json:"started"`
+	Settings      settings.Settings       `json:"settings"`
+	Open          int                     `json:"open_requests"`
+	Ready         bool                    `json:"ready"`
+	Manifest      logio.ManifestsStatus   `json:"manifest"`
+	Endpoints     any                     `json:"endpoints"`
+	Placement     placement.Dump          `json:"placement"`
+	Health        []health.EndpointHealth `json:"health"`
+	Organisations any                     `json:"organisations"`
+	Daemons       []platform.Daemon       `json:"daemons"`
+	Neighbours    []platform.Daemon       `json:"neighbours"`
+	Senders       []neighbour.Sender      `json:"senders"`
+}
+
+// Dump implements admin.System.
+func (s *system) Dump() any {
+	now := s.o.Now()
+	s.fleet.healthMu.Lock()
+	state := s.fleet.health.Snapshot(now, maxEndpointsShown)
+	s.fleet.healthMu.Unlock()
+	return dump{
+		At:            now,
+		Started:       s.life,
+		Settings:      s.o.Settings,
+		Open:          s.drainer.Open(),
+		Ready:         s.Ready() == nil,
+		Manifest:      s.manifests.Status(),
+		Endpoints:     s.Endpoints(),
+		Placement:     s.fleet.placement.Dump(now),
+		Health:        state,
+		Organisations: s.Organisations(),
+		Daemons:       s.daemons.get(),
+		Neighbours:    s.peers.Neighbours(),
+		Senders:       s.peers.Senders(),
+	}
+}
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -23,6 +23,8 @@
 // register adds one flag for each setting. The flag's name is "section.key" of
 // the INI file.
 func register(fs *flag.FlagSet, s *Settings) {
+	fs.StringVar(&s.File, "config", "", "INI file with the settings")
+	fs.BoolVar(&s.CheckOnly, "check", false, "check the settings and exit")
 	registerPlace(fs, s)
 	registerCallers(fs, s)
 	registerSystem(fs, s)
@@ -77,5 +79,6 @@
 	fs.StringVar(&s.TLS.PeersCert, "tls.peers-cert", "", "certificate shown to other daemons")
 	fs.StringVar(&s.TLS.PeersKey, "tls.peers-key", "", "key of the peers' certificate")
 	fs.StringVar(&s.TLS.PeersCA, "tls.peers-ca", "", "certificates that peers are checked against")
+	fs.StringVar(&s.TLS.PeersName, "tls.peers-name", "merlindock", "DNS name in every daemon's certificate")
 	fs.DurationVar(&s.TLS.ReloadInterval, "tls.reload-interval", time.Minute, "between looks at the certificate files")
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -48,7 +48,7 @@
 type Input struct {
 	Args []string // without the program's name
 	Env  []string // as os.Environ gives them
-	File string   // path of the INI file; empty for none
+	File string   // path of the INI file unless -config names one; empty for none
 }
 
 // Load reads and checks the settings. Its error joins every *Error found.
@@ -57,10 +57,13 @@
 	fs := flag.NewFlagSet("merlindockd", flag.ContinueOnError)
 	fs.SetOutput(io.Discard)
 	register(fs, &s)
+	s.File = in.File
 	if err := unknownEnv(fs, in.Env); err != nil {
 		return s, err
 	}
-	if err := fs.Parse(in.Args); err != nil {
+	if err := fs.Parse(in.Args); errors.Is(err, flag.ErrHelp) {
+		return s, err
+	} else if err != nil {
 		return s, &Error{Where: "flag", Problem: err.Error(), Expected: "a flag of merlindockd -help"}
 	}
 	if fs.NArg() > 0 {
@@ -70,7 +73,7 @@
 	if err := applyEnv(fs, in.Env, given); err != nil {
 		return s, err
 	}
-	if err := applyFile(fs, in.File, given); err != nil {
+	if err := applyFile(fs, s.File, given); err != nil {
 		return s, err
 	}
 	return s, check(s, given)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,8 @@
 
 // Settings is all that one daemon is told about its place in the system.
 type Settings struct {
+	File      string // the INI file they were read from; empty: none
+	CheckOnly bool   // check the settings and start nothing
 	Daemon   Daemon
 	Listen   Listen
 	Platform Platform
@@ -109,6 +111,7 @@
 	PeersCert      string
 	PeersKey       string
 	PeersCA        string
+	PeersName      string // DNS name that every daemon's certificate has
 	ReloadInterval time.Duration
 }
 
