--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -79,6 +79,7 @@
 		newStatus(s),
 		newDump(s),
 		newDrain(s),
+		newStandin(s),
 		newVersion(s),
 	}
 	root.Exec = func(context.Context, []string) error {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,18 +18,18 @@
 type Settings struct {
 	File      string // the INI file they were read from; empty: none
 	CheckOnly bool   // check the settings and start nothing
-	Daemon   Daemon
-	Listen   Listen
-	Platform Platform
-	Callers  Callers
-	Peers    Peers
-	Routing  Routing
-	Orders   Orders
-	Claims   Claims
-	Drain    Drain
-	Admin    Admin
-	TLS      TLS
-	Log      Log
+	Daemon    Daemon
+	Listen    Listen
+	Platform  Platform
+	Callers   Callers
+	Peers     Peers
+	Routing   Routing
+	Orders    Orders
+	Claims    Claims
+	Drain     Drain
+	Admin     Admin
+	TLS       TLS
+	Log       Log
 }
 
 // Daemon says which daemon this is.
