Break peers and digests in tests, and let news overtake rounds

A regular round waits for neighbours that do not answer, 0.8 s each time, and after the loss of a zone a manifest could lose that at every daemon on its way; news now go beside the rounds.

--- /dev/null
+++ b/neighbour/digest_test.go
@@ -0,0 +1,156 @@
+package neighbour
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/platform"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func revision(offset platform.Offset, tag byte) Revision {
+	return Revision{Offset: offset, Digest: [32]byte{tag}}
+}
+
+func from(daemon string, life, sequence uint64, r Revision) Digest {
+	return Digest{Daemon: daemon, Life: life, Sequence: sequence, Accepted: r}
+}
+
+func TestVerdicts(t *testing.T) {
+	own := revision(10, 1)
+	for _, c := range []struct {
+		name string
+		d    Digest
+		want Verdict
+	}{
+		{"same", from("b", 1, 1, own), Verdict{}},
+		{"later", from("b", 1, 1, revision(11, 2)), Verdict{Fetch: true}},
+		{"earlier", from("b", 1, 1, revision(9, 3)), Verdict{Behind: true}},
+		{"nothing accepted", from("b", 1, 1, Revision{}), Verdict{Behind: true}},
+		{"another at the same offset", from("b", 1, 1, revision(10, 9)), Verdict{Conflict: true}},
+		{"own", from("a", 1, 1, own), Verdict{Reason: DropOwn}},
+		{"negative offset", from("b", 1, 1, revision(-1, 1)), Verdict{Reason: DropInvalid}},
+		{"no name", from("", 1, 1, own), Verdict{Reason: DropInvalid}},
+		{"no life", from("b", 0, 1, own), Verdict{Reason: DropInvalid}},
+		{"endless use", Digest{Daemon: "b", Life: 1, Usage: make([]byte, MaxUsage+1)}, Verdict{Reason: DropInvalid}},
+		{"too much evidence", Digest{Daemon: "b", Life: 1, Endpoints: make([]fleet.Evidence, MaxEndpoints+1)}, Verdict{Reason: DropInvalid}},
+	} {
+		if got := NewTable("a").Receive(epoch, own, c.d); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+// A digest comes late, twice, or from before its sender's restart. Its news are
+// old: taken as new, they would bring an ended life of an endpoint back, or
+// count an organisation's use twice.
+func TestLateDigestsDoNotCount(t *testing.T) {
+	table := NewTable("a")
+	own := revision(10, 1)
+	steps := []struct {
+		after          time.Duration
+		life, sequence uint64
+		want           DropReason
+	}{
+		{0, 5, 1, ""},
+		{time.Second, 5, 3, ""},
+		{time.Second, 5, 3, DropRepeated},
+		{time.Second, 5, 2, DropRepeated},
+		{2 * time.Second, 9, 1, ""}, // restarted
+		{3 * time.Second, 5, 4, DropOldLife},
+		{31 * time.Second, 5, 5, DropOldLife},
+		// The VM was replaced by one whose clock runs behind.
+		{33 * time.Second, 5, 6, ""},
+	}
+	for i, s := range steps {
+		got := table.Receive(epoch.Add(s.after), own, from("b", s.life, s.sequence, own))
+		if got.Reason != s.want {
+			t.Errorf("step %d: %q, want %q", i, got.Reason, s.want)
+		}
+	}
+}
+
+// A neighbour claims a later revision and cannot give it, or gives a forged one.
+// Asking again at once would fill the control budget and change nothing.
+func TestFailedFetchPauses(t *testing.T) {
+	table := NewTable("a")
+	own, claimed := revision(10, 1), revision(99, 7)
+	if !table.Receive(epoch, own, from("b", 1, 1, claimed)).Fetch {
+		t.Fatal("a later revision is not fetched")
+	}
+	table.FetchFailed(epoch, "b", claimed)
+	if table.Receive(epoch.Add(time.Second), own, from("b", 1, 2, claimed)).Fetch {
+		t.Error("fetched again within the pause")
+	}
+	if !table.Receive(epoch.Add(time.Second), own, from("c", 1, 1, claimed)).Fetch {
+		t.Error("not fetched from another neighbour")
+	}
+	if !table.Receive(epoch.Add(3*time.Second), own, from("b", 1, 3, claimed)).Fetch {
+		t.Error("never fetched again")
+	}
+}
+
+// Hundreds of names send digests, from a fault or an attack. The table keeps its
+// bound, and forgets the silent ones in time.
+func TestTableOfSendersIsBounded(t *testing.T) {
+	table := NewTable("a")
+	for i := range maxSenders {
+		table.Receive(epoch, Revision{}, from(fmt.Sprint("d", i), 1, 1, Revision{}))
+	}
+	if v := table.Receive(epoch, Revision{}, from("more", 1, 1, Revision{})); v.Reason != DropTableFull {
+		t.Errorf("verdict %+v", v)
+	}
+	if v := table.Receive(epoch.Add(senderTimeout+time.Second), Revision{}, from("more", 1, 1, Revision{})); v.Reason != "" {
+		t.Errorf("verdict %+v after the others fell silent", v)
+	}
+}
+
+// Whatever comes in whatever order, a daemon only ever fetches later revisions.
+func TestNeverAsksToGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable("a")
+		own := Revision{}
+		now := epoch
+		for range rapid.IntRange(1, 50).Draw(t, "digests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40000).Draw(t, "ms")) * time.Millisecond)
+			r := revision(platform.Offset(rapid.IntRange(-1, 20).Draw(t, "offset")), rapid.Byte().Draw(t, "tag"))
+			d := from(rapid.SampledFrom([]string{"b", "c"}).Draw(t, "daemon"), uint64(rapid.IntRange(0, 3).Draw(t, "life")), uint64(rapid.IntRange(0, 9).Draw(t, "sequence")), r)
+			v := table.Receive(now, own, d)
+			if v.Fetch && r.Offset <= own.Offset {
+				t.Fatalf("fetches %d while %d is in force", r.Offset, own.Offset)
+			}
+			if v.Fetch {
+				own = r
+			}
+		}
+	})
+}
+
+// Of two neighbours one opens the exchanges, and the other one does when it
+// hears nothing: a daemon that has just started is not yet in the list that
+// its neighbours have.
+func TestOneSideOpensExchanges(t *testing.T) {
+	opener, other := "a", "b"
+	if !Initiates(opener, other) {
+		opener, other = other, opener
+	}
+	if Initiates(other, opener) {
+		t.Error("both initiate")
+	}
+	table := NewTable(other)
+	if !table.Due(epoch, opener, time.Second) {
+		t.Error("an unheard neighbour is not asked")
+	}
+	table.Receive(epoch, Revision{}, from(opener, 1, 1, Revision{}))
+	if table.Due(epoch.Add(2*time.Second), opener, time.Second) {
+		t.Error("a neighbour that speaks is asked too")
+	}
+	if !table.Due(epoch.Add(3*time.Second), opener, time.Second) {
+		t.Error("a silent neighbour is not asked")
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -5,13 +5,12 @@
 	"net"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer/peerpb"
 )
@@ -83,19 +82,20 @@
 }
 
 // exchange gives the own digest to a neighbour and takes its digest.
-func (s *Service) exchange(ctx context.Context, address string) (neighbour.Verdict, error) {
+func (s *Service) exchange(ctx context.Context, address string) error {
 	l, err := s.link(address)
 	if err != nil {
-		return neighbour.Verdict{}, err
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.o.CallTimeout)
 	defer cancel()
 	w, err := l.client.Exchange(ctx, s.digest(time.Now()), grpc.MaxCallRecvMsgSize(maxExchangeBytes))
 	if err != nil {
-		return neighbour.Verdict{}, eris.Wrap(ErrUnreachable, err.Error())
+		return eris.Wrap(ErrUnreachable, err.Error())
 	}
 	now := time.Now()
-	return s.receive(now, digestFromWire(now, w)), nil
+	s.receive(now, digestFromWire(now, w))
+	return nil
 }
 
 // fetch gets a manifest from an address and checks that it is the one asked
--- a/peer/run.go
+++ b/peer/run.go
@@ -13,17 +13,26 @@
 
 // Run exchanges digests with the neighbours until ctx ends. Each neighbour is
 // told at once when Announce is called.
+//
+// News go their own way beside the regular rounds: a round waits for
+// neighbours that do not answer, which after the loss of a zone is most of the
+// time, and a manifest would lose a timeout at each daemon on its way.
 func (s *Service) Run(ctx context.Context) error {
 	s.choose()
+	var g errgroup.Group
+	g.Go(func() error { return s.spread(ctx) })
+	g.Go(func() error { return s.beat(ctx) })
+	return g.Wait()
+}
+
+// beat opens the regular exchanges.
+func (s *Service) beat(ctx context.Context) error {
 	for {
 		timer := time.NewTimer(s.pause())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return ctx.Err()
-		case <-s.news:
-			timer.Stop()
-			s.round(ctx, s.behind())
 		case <-timer.C:
 			s.choose()
 			s.round(ctx, s.due())
@@ -31,6 +40,18 @@
 	}
 }
 
+// spread tells the neighbours of an announced manifest.
+func (s *Service) spread(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.news:
+			s.round(ctx, s.behind())
+		}
+	}
+}
+
 // Announce tells the neighbours at once that another manifest is in force, so
 // that daemons cut off from the log have it within seconds.
 func (s *Service) Announce() {
@@ -110,7 +131,7 @@
 	g.SetLimit(maxOutgoing)
 	for _, d := range daemons {
 		g.Go(func() error {
-			if _, err := s.exchange(ctx, d.PeerAddress); err != nil {
+			if err := s.exchange(ctx, d.PeerAddress); err != nil {
 				s.o.Observe(Event{EventUnreachable, d.ID, err})
 			}
 			return nil
--- a/peer/server.go
+++ b/peer/server.go
@@ -119,20 +119,20 @@
 }
 
 // receive judges a digest and does what the verdict asks for.
-func (s *Service) receive(now time.Time, d neighbour.Digest) neighbour.Verdict {
+func (s *Service) receive(now time.Time, d neighbour.Digest) {
 	own := s.o.LocalDigest(now).Accepted
 	s.mu.Lock()
 	v := s.table.Receive(now, own, d)
 	s.mu.Unlock()
-	switch {
-	case v.Reason != "":
+	if v.Reason != "" {
 		s.o.Observe(Event{EventDropped, d.Daemon, errors.New(string(v.Reason))})
-		return v
-	case v.Conflict:
+		return
+	}
+	if v.Conflict {
 		s.o.Observe(Event{EventConflict, d.Daemon, nil})
-	case v.Fetch:
+	}
+	if v.Fetch {
 		s.fetchSoon(d.Daemon, d.Accepted)
 	}
 	s.o.Heard(now, d)
-	return v
 }
