Prove what callers see when endpoints, callers and daemons fail

Cause: the path had no tests of the failures it is built for, and a review of it found gaps: a body with two "model" fields could be read one way here and another way by the engine; a path with dot segments could match a rule for idempotent calls and reach another call; "not run" was believed of an answer that named no attempt; the last token could be left out unnoticed; a stall timer ran while a slow caller was waited for. Change: fields may stand once, dot segments are refused, "not run" needs the echo, the end marker may carry the number of tokens and is compared, only time spent reading counts as a stall, a claimed call goes on when its caller leaves and its answer is kept.

--- a/engine/answer.go
+++ b/engine/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -30,9 +31,12 @@
 	m := Metadata{
 		Attempt:       h.Get(HeaderAttempt),
 		CachedTokens:  CachedUnknown,
-		NotRun:        h.Get(HeaderNotRun) == "true",
 		WeightVersion: h.Get(HeaderWeightVersion),
 	}
+	// An endpoint that answers "not run" makes the daemon send the request
+	// again. Without the echo it could be the answer to somebody else, and a
+	// booking would run twice; so it is believed only with the echo.
+	m.NotRun = m.Attempt != "" && h.Get(HeaderNotRun) == "true"
 	if n, err := strconv.ParseUint(h.Get(HeaderIncarnation), 10, 64); err == nil {
 		m.Incarnation = fleet.Incarnation(n)
 	}
@@ -45,6 +49,9 @@
 	return m
 }
 
+// Length returns the length of the body as announced, -1 if it was not.
+func (ans *Answer) Length() int64 { return ans.length }
+
 // Answer is an endpoint's answer to one attempt, its header read and its body
 // not yet.
 type Answer struct {
@@ -58,6 +65,7 @@
 	length   int64 // -1: not known
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
+	rest     *stallWatch // of Read
 }
 
 // check tells why the answer must not be used, if so.
@@ -94,6 +102,9 @@
 // Close ends the answer; an answer that was not read whole is cancelled at the
 // endpoint by closing its connection.
 func (ans *Answer) Close() {
+	if ans.rest != nil {
+		ans.rest.stop()
+	}
 	ans.cancel(nil)
 	_ = ans.body.Close()
 }
@@ -128,8 +139,9 @@
 		if len(head) == cap(head) {
 			head = append(head, 0)[:len(head)]
 		}
-		watch.reset()
+		watch.begin()
 		n, err := ans.body.Read(head[len(head):cap(head)])
+		watch.end()
 		head = head[:len(head)+n]
 		if errors.Is(err, io.EOF) {
 			return head, int64(len(head)) > limit, nil
@@ -143,7 +155,12 @@
 // Read reads the rest of the body after Head. It returns io.EOF only when the
 // endpoint sent all that it announced.
 func (ans *Answer) Read(p []byte) (int, error) {
+	if ans.rest == nil {
+		ans.rest = ans.watch()
+	}
+	ans.rest.begin()
 	n, err := ans.body.Read(p)
+	ans.rest.end()
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = ans.Fail(ans.cause(err))
 	}
@@ -164,16 +181,30 @@
 
 // stallWatch cancels an answer whose endpoint sends nothing for too long. An
 // engine that hangs keeps its connection open, so without this the caller
-// would wait until its own timeout instead of being served elsewhere.
+// would wait until its own timeout instead of being served elsewhere. Only the
+// time spent reading counts: while a slow caller is waited for, the endpoint
+// is not at fault.
 type stallWatch struct {
-	timer *time.Timer
-	limit time.Duration
+	timer   *time.Timer
+	limit   time.Duration
+	reading atomic.Bool
+}
+
+func (ans *Answer) watch() *stallWatch {
+	w := &stallWatch{limit: ans.client.options.StallTimeout}
+	w.timer = time.AfterFunc(w.limit, func() {
+		if w.reading.Load() {
+			ans.cancel(ErrStalled)
+		}
+	})
+	return w
 }
 
-func (ans *Answer) watch() stallWatch {
-	limit := ans.client.options.StallTimeout
-	return stallWatch{limit: limit, timer: time.AfterFunc(limit, func() { ans.cancel(ErrStalled) })}
+// begin starts the time anew for a read that may wait.
+func (w *stallWatch) begin() {
+	w.timer.Reset(w.limit)
+	w.reading.Store(true)
 }
 
-func (w stallWatch) reset() { w.timer.Reset(w.limit) }
-func (w stallWatch) stop()  { w.timer.Stop() }
+func (w *stallWatch) end()  { w.reading.Store(false) }
+func (w *stallWatch) stop() { w.timer.Stop() }
--- a/engine/events.go
+++ b/engine/events.go
@@ -23,8 +23,10 @@
 
 // Event is one event of a stream. Data is valid until the next call of Next.
 type Event struct {
-	Kind  EventKind
-	Index int64 // of a token; NoIndex when the endpoint gives none
+	Kind EventKind
+	// Index of a token, or the number of all tokens with the end marker;
+	// NoIndex when the endpoint gives none.
+	Index int64
 	Data  []byte
 }
 
@@ -45,7 +47,7 @@
 type Events struct {
 	answer *Answer
 	reader *bufio.Reader
-	watch  stallWatch
+	watch  *stallWatch
 	limit  int
 	data   []byte // of the event being read, reused
 	line   []byte // a line longer than the reader's buffer, reused
@@ -80,8 +82,9 @@
 // Next returns the next event. An error is an *Error; a stream that ends
 // without its end marker is ErrCut, never a silent end.
 func (e *Events) Next() (Event, error) {
-	if e.reader.Buffered() == 0 {
-		e.watch.reset()
+	if !e.Ready() {
+		e.watch.begin()
+		defer e.watch.end()
 	}
 	e.data = e.data[:0]
 	index, hasData := NoIndex, false
@@ -119,7 +122,7 @@
 func (e *Events) event(index int64) (Event, error) {
 	switch {
 	case bytes.Equal(e.data, endMarker):
-		return Event{Kind: EventEnd}, nil
+		return Event{Kind: EventEnd, Index: index}, nil
 	case bytes.HasPrefix(e.data, faultPrefix):
 		return Event{}, e.answer.Fail(ErrReported)
 	case len(e.data) == 0 || e.data[0] != '{' || e.data[len(e.data)-1] != '}':
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"path"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,8 @@
 	BodiesBytes       int64         // of all requests together
 	BodyTimeout       time.Duration // until a request's body is there
 	AnswerBufferBytes int64         // of a plain service's answer before it is passed on
-	StallBudget       time.Duration // that one caller may keep a stream waiting in all
+	StallBudget       time.Duration // that one caller may keep an endpoint waiting in all
+	WriteTimeout      time.Duration // until a caller has taken an answer that keeps no endpoint waiting
 	RequestTimeout    time.Duration // of one request from its header to its end
 	StreamBytes       int64         // of one streamed answer
 	Attempts          int           // of one request
@@ -61,6 +63,7 @@
 	DefaultBodyTimeout       = 20 * time.Second
 	DefaultAnswerBufferBytes = 256 << 10
 	DefaultStallBudget       = 20 * time.Second
+	DefaultWriteTimeout      = time.Minute
 	DefaultRequestTimeout    = 15 * time.Minute
 	DefaultStreamBytes       = 64 << 20
 	DefaultAttempts          = 4
@@ -113,6 +116,7 @@
 	setDefault(&l.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&l.AnswerBufferBytes, DefaultAnswerBufferBytes)
 	setDefault(&l.StallBudget, DefaultStallBudget)
+	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&l.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&l.StreamBytes, DefaultStreamBytes)
 	setDefault(&l.Attempts, DefaultAttempts)
@@ -161,7 +165,7 @@
 func (c *call) finish() {
 	c.report.Priority = c.priority
 	c.report.Duration = time.Since(c.start)
-	c.report.CallerLeft = c.r.Context().Err() != nil
+	c.report.CallerLeft = c.r.Context().Err() != nil && !c.report.CallerSlow
 	if c.org != nil {
 		c.report.Organisation = c.org.ID
 	}
@@ -171,7 +175,7 @@
 // refuse sends the error as the whole answer.
 func (c *call) refuse(r *Refusal) {
 	c.report.Status, c.report.Code, c.report.Outcome = r.Status, r.Code, r.Outcome
-	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.StallBudget))
+	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.WriteTimeout))
 	r.write(c.w, c.id)
 }
 
@@ -183,8 +187,11 @@
 	if r := c.authenticate(); r != nil {
 		return r
 	}
-	path := c.r.URL.Path
-	switch path {
+	p := c.r.URL.Path
+	if !plainPath(p) {
+		return refused(http.StatusBadRequest, CodeInvalidRequest, "the path must have no empty or dot segments")
+	}
+	switch p {
 	case pathChat, pathCompletions:
 		if c.r.Method != http.MethodPost {
 			return c.wrongMethod(http.MethodPost)
@@ -196,13 +203,20 @@
 		}
 		return c.serveModels()
 	}
-	service, rest, ok := c.index.Service(path)
+	service, rest, ok := c.index.Service(p)
 	if !ok {
-		return refused(http.StatusNotFound, CodeUnknownPath, "no model call or service has the path %s", path)
+		return refused(http.StatusNotFound, CodeUnknownPath, "no model call or service has the path %s", p)
 	}
 	return c.withBody(func() *Refusal { return c.serveService(service, rest) })
 }
 
+// plainPath tells whether a path means the same to every server. One with dot
+// segments could match a rule for calls that may be repeated here, and reach
+// another call at a service that resolves them.
+func plainPath(p string) bool {
+	return p == path.Clean(p) || p == path.Clean(p)+"/"
+}
+
 func (c *call) wrongMethod(allowed string) *Refusal {
 	c.w.Header().Set("Allow", allowed)
 	return refused(http.StatusMethodNotAllowed, CodeInvalidRequest, "method %s is not served here, use %s", c.r.Method, allowed)
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -25,7 +25,6 @@
 // modelCall is a model request on its way to an answer.
 type modelCall struct {
 	*call
-	request    *modelRequest
 	place      PlaceRequest
 	header     http.Header
 	assembler  stream.Assembler
@@ -64,11 +63,10 @@
 }
 
 func (c *call) newModelCall(m *modelRequest, target catalog.Target) *modelCall {
-	prompt, ends := m.levels()
-	mc := &modelCall{call: c, request: m, place: c.placeRequest(fleet.KindModel)}
+	mc := &modelCall{call: c, place: c.placeRequest(fleet.KindModel)}
 	mc.place.Target = target
-	mc.place.Prompt, mc.place.Levels = prompt, ends
-	mc.place.PromptTokens = estimateTokens(len(prompt), c.index.Fleet().BytesPerToken)
+	mc.place.Prompt, mc.place.Levels = m.levels()
+	mc.place.PromptTokens = estimateTokens(len(mc.place.Prompt), c.index.Fleet().BytesPerToken)
 	mc.place.MaxTokens = m.outputTokens()
 	if m.Seed == nil {
 		// The same request gets the same seed on each attempt, and another
@@ -108,7 +106,8 @@
 func (mc *modelCall) run() *Refusal {
 	for {
 		mc.place.Attempt = mc.report.Attempts + 1
-		p, err := mc.g.o.Placer.Place(mc.ctx, &mc.place)
+		_, mc.place.Resume = mc.resumeFrom()
+		p, err := mc.placeWithPrompt()
 		if err != nil {
 			return mc.giveUp(mc.portRefusal(err, mc.mayHaveRun))
 		}
@@ -122,6 +121,28 @@
 	}
 }
 
+// placeWithPrompt places an attempt. The prompt's text is let go of afterwards,
+// as the body holds it too and a stream may last for minutes; the rare second
+// attempt takes it from the body again.
+func (mc *modelCall) placeWithPrompt() (Placement, error) {
+	if mc.place.Prompt == nil {
+		var m modelRequest
+		if err := json.Unmarshal(mc.body, &m); err != nil {
+			return Placement{}, err
+		}
+		mc.place.Prompt, mc.place.Levels = m.levels()
+	}
+	p, err := mc.g.o.Placer.Place(mc.ctx, &mc.place)
+	mc.place.Prompt, mc.place.Levels = nil, nil
+	return p, err
+}
+
+// resumeFrom returns the index of the last token the caller has, if any.
+func (mc *modelCall) resumeFrom() (last int64, any bool) {
+	last, _ = mc.assembler.Resume()
+	return last, last >= 0
+}
+
 // next prepares another attempt after a failed one, or returns why there is
 // none.
 func (mc *modelCall) next(p *Placement, err error) *Refusal {
@@ -225,8 +246,7 @@
 }
 
 func (mc *modelCall) engineAttempt(p *Placement) *engine.Attempt {
-	last, _ := mc.assembler.Resume()
-	resume := last >= 0
+	last, resume := mc.resumeFrom()
 	if resume {
 		mc.report.Resumes++
 	}
@@ -281,7 +301,7 @@
 	c.cachedHeader()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.report.Status = status
-	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.StallBudget))
+	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.WriteTimeout))
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write(body)
 }
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -13,21 +15,89 @@
 const (
 	defaultMaxTokens     = 512
 	maxMaxTokens         = 1 << 20
+	maxFields            = 64 // of a request's object
 	defaultBytesPerToken = 4.0
 )
 
 // modelRequest is what the gateway reads of a model request's body. The body
-// itself goes to the endpoint as it is.
+// itself goes to the endpoint as it is, but for the seed.
 type modelRequest struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	Messages            []message       `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
-	MaxTokens           int             `json:"max_tokens"`
-	MaxCompletionTokens int             `json:"max_completion_tokens"`
-	Priority            string          `json:"priority"`
-	DeadlineMs          int64           `json:"deadline_ms"`
-	Seed                *int64          `json:"seed"`
+	Model               string
+	Stream              bool
+	Messages            []message
+	Prompt              json.RawMessage
+	MaxTokens           int
+	MaxCompletionTokens int
+	Priority            string
+	DeadlineMs          int64
+	Seed                *int64
+}
+
+// field returns where the value of a field goes, nil for one that is not read.
+func (m *modelRequest) field(name string) any {
+	switch name {
+	case "model":
+		return &m.Model
+	case "stream":
+		return &m.Stream
+	case "messages":
+		return &m.Messages
+	case "prompt":
+		return &m.Prompt
+	case "max_tokens":
+		return &m.MaxTokens
+	case "max_completion_tokens":
+		return &m.MaxCompletionTokens
+	case "priority":
+		return &m.Priority
+	case "deadline_ms":
+		return &m.DeadlineMs
+	case "seed":
+		return &m.Seed
+	default:
+		return nil
+	}
+}
+
+// UnmarshalJSON reads an object whose fields are unlike each other, also when
+// case is not looked at.
+//
+// Decoders differ in which of two fields "model", or of "model" and "Model",
+// they take. The gateway would check the organisation's right to one and the
+// endpoint would serve the other: another organisation's adapter.
+func (m *modelRequest) UnmarshalJSON(body []byte) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return errNoObject
+	}
+	seen := make(map[string]bool, maxFields)
+	for d.More() {
+		t, err := d.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := t.(string)
+		folded := strings.ToLower(name)
+		if seen[folded] || len(seen) == maxFields {
+			return fmt.Errorf("field %q stands twice, or there are more than %d fields", name, maxFields)
+		}
+		seen[folded] = true
+		if err := m.decodeField(d, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *modelRequest) decodeField(d *json.Decoder, name string) error {
+	target := m.field(name)
+	if target == nil {
+		target = new(json.RawMessage)
+	}
+	if err := d.Decode(target); err != nil {
+		return fmt.Errorf("field %q: %w", name, err)
+	}
+	return nil
 }
 
 type message struct {
@@ -64,6 +134,8 @@
 	return m, nil
 }
 
+var errNoObject = errors.New("gateway: body is not a JSON object")
+
 var errDeadline = errors.New("gateway: deadline is not a number of milliseconds above 0")
 
 // deadlineHeader returns the milliseconds the caller will wait, 0 if it does
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -45,11 +46,13 @@
 	defer cancel()
 	c.report.Kind, c.report.Service = fleet.KindService, s.ID
 	sc := &serviceCall{
-		call:       c,
-		place:      c.placeRequest(fleet.KindService),
-		header:     forwardable(c.r.Header),
-		path:       c.r.URL.RequestURI(),
-		idempotent: s.Idempotent(c.r.Method, rest),
+		call:   c,
+		place:  c.placeRequest(fleet.KindService),
+		header: forwardable(c.r.Header),
+		path:   requestURI(c.r.URL),
+		// A path with escapes may mean another call to the service than to the
+		// manifest's rules, so it counts as one that may not be repeated.
+		idempotent: c.r.URL.RawPath == "" && s.Idempotent(c.r.Method, rest),
 	}
 	sc.place.Class = s.Class
 	key := c.r.Header.Get(HeaderIdempotencyKey)
@@ -59,6 +62,13 @@
 	return sc.runClaimed(key)
 }
 
+func requestURI(u *url.URL) string {
+	if u.RawQuery == "" {
+		return u.EscapedPath()
+	}
+	return u.EscapedPath() + "?" + u.RawQuery
+}
+
 // runClaimed runs a keyed call that may not be repeated, if the claim says so.
 func (sc *serviceCall) runClaimed(key string) *Refusal {
 	if len(key) > maxKeyBytes {
@@ -76,6 +86,12 @@
 		return unknown(http.StatusConflict, CodeOutcomeUnknown, "a call with this key was begun and its outcome is not known")
 	}
 	sc.claim = claim
+	// The caller that leaves now comes back with its key, on another daemon.
+	// The call goes on without it, so that its answer can be kept; otherwise
+	// the key would stand for "outcome unknown" for good.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(sc.ctx), sc.deadline)
+	defer cancel()
+	sc.ctx = ctx
 	refusal := sc.run()
 	if refusal != nil && !sc.mayHaveRun && claim.Abandon != nil {
 		ctx, cancel := sc.detached()
@@ -205,26 +221,44 @@
 		sc.keep(ans, head)
 	}
 	copyHeader(sc.w.Header(), ans.Header)
-	if !more && sc.r.Method != http.MethodHead {
-		sc.w.Header().Set("Content-Length", strconv.Itoa(len(head)))
+	if length := wholeLength(ans, len(head), more); length >= 0 && allowsBody(ans.Status) {
+		sc.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	sc.report.Status = ans.Status
 	sc.begun = true
-	_ = sc.rc.SetWriteDeadline(time.Now().Add(sc.g.o.Limits.StallBudget))
+	_ = sc.rc.SetWriteDeadline(time.Now().Add(sc.g.o.Limits.WriteTimeout))
 	sc.w.WriteHeader(ans.Status)
-	if _, err := sc.w.Write(head); err != nil || !more {
+	if !more {
+		_, _ = sc.w.Write(head)
 		return nil
 	}
-	return sc.relayRest(ans)
+	return sc.relayRest(ans, head)
+}
+
+// wholeLength returns the length of the whole body, -1 if it is not known.
+func wholeLength(ans *engine.Answer, head int, more bool) int64 {
+	if ans.Length() >= 0 || more {
+		return ans.Length()
+	}
+	return int64(head)
+}
+
+func allowsBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-func (sc *serviceCall) relayRest(ans *engine.Answer) error {
+// relayRest passes on an answer that is too large to hold. When the endpoint
+// fails on the way, the caller sees its answer broken off.
+func (sc *serviceCall) relayRest(ans *engine.Answer, head []byte) error {
+	w := callerWriter{c: sc.call}
+	if err := w.write(head); err != nil {
+		return ans.Fail(err)
+	}
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := ans.Read(buf)
-		_ = sc.rc.SetWriteDeadline(time.Now().Add(sc.g.o.Limits.StallBudget))
-		if _, werr := sc.w.Write(buf[:n]); werr != nil {
-			return nil
+		if werr := w.write(buf[:n]); werr != nil {
+			return ans.Fail(werr)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/lab/e2e/path_test.go
+++ b/lab/e2e/path_test.go
@@ -15,7 +15,7 @@
 		if a.status != http.StatusOK || a.header.Get("Content-Type") != "text/event-stream" {
 			t.Errorf("got %d %q", a.status, a.header.Get("Content-Type"))
 		}
-		s.whole(t, 8)
+		s.whole(t)
 		if got := strings.Join(s.indices, " "); got != "0 1 2 3 4 5 6 7" {
 			t.Errorf("indices are %s", got)
 		}
--- a/lab/e2e/refusal_test.go
+++ b/lab/e2e/refusal_test.go
@@ -34,7 +34,7 @@
 			t.Errorf("the runner took %d requests", n)
 		}
 		_, s := w.stream(named)
-		s.whole(t, 8)
+		s.whole(t)
 	})
 }
 
--- a/lab/e2e/world_test.go
+++ b/lab/e2e/world_test.go
@@ -280,6 +280,8 @@
 		case name == "id":
 			out.indices = append(out.indices, value)
 		case name == "data" && value == "[DONE]":
+			// The marker's own number counts the tokens.
+			out.indices = out.indices[:len(out.indices)-1]
 			out.done = true
 		case name == "data":
 			out.add(value)
@@ -305,13 +307,13 @@
 	}
 }
 
-// whole fails the test unless the stream has all n tokens once, in order, all
+// whole fails the test unless the stream has all tokens once, in order, all
 // of one answer, and the end marker.
-func (s tokens) whole(t *testing.T, n int) {
+func (s tokens) whole(t *testing.T) {
 	t.Helper()
 	word, _, _ := strings.Cut(s.text, ".")
 	var want strings.Builder
-	for i := range n {
+	for i := range chatTokens {
 		want.WriteString(standin.Token(word, i))
 	}
 	if s.text != want.String() || !s.done || s.err != "" {
@@ -319,6 +321,9 @@
 	}
 }
 
+// chatTokens is how many tokens chatBody asks for.
+const chatTokens = 8
+
 const chatBody = `{"model":"codes","stream":true,"max_tokens":8,"messages":[{"role":"system","content":"The building code of Québec, part 3."},{"role":"user","content":"Does this deposit conform?"}]}`
 
 func (w *world) stream(body string) (answer, tokens) {
--- a/lab/standin/faults.go
+++ b/lab/standin/faults.go
@@ -59,23 +59,19 @@
 // at tells whether the fault comes before the token of the given count.
 func (f Fault) at(sent int) bool {
 	switch f.Kind {
-	case FaultMidStream, FaultMalformed, FaultEndlessLine, FaultSkip, FaultError, FaultHang:
+	case FaultMidStream, FaultMalformed, FaultEndlessLine, FaultError, FaultHang:
 		return sent == f.After
 	default:
 		return false
 	}
 }
 
-// midStream brings the fault about before token i is sent. It returns if the
-// stream goes on.
+// midStream brings the fault about before token i is sent. It does not return.
 func (j *job) midStream(i int) {
 	switch j.fault.Kind {
-	case FaultSkip:
-		j.fault.Kind = FaultNone
-		_, _ = j.w.Write(j.appendToken(nil, i+1))
-		return
 	case FaultMalformed:
-		_, _ = io.WriteString(j.w, "data: {\"choices\":[{\"delta\n\n")
+		token := j.appendToken(nil, i)
+		_, _ = j.w.Write(append(token[:len(token)/2], "\n\n"...))
 	case FaultEndlessLine:
 		endless(j.w, "data: {")
 	case FaultError:
--- a/lab/standin/generate.go
+++ b/lab/standin/generate.go
@@ -42,6 +42,9 @@
 		if j.fault.at(i - j.first) {
 			j.midStream(i)
 		}
+		if j.fault.Kind == FaultSkip && i-j.first == j.fault.After {
+			continue
+		}
 		frame = j.appendToken(frame[:0], i)
 		if _, err := j.w.Write(frame); err != nil {
 			j.broken()
@@ -57,7 +60,11 @@
 	if j.fault.Kind == FaultSilentEnd {
 		return
 	}
-	_, _ = io.WriteString(j.w, "data: [DONE]\n\n")
+	end := "data: [DONE]\n\n"
+	if !j.r.o.Plain {
+		end = "id: " + strconv.Itoa(j.last+1) + "\n" + end
+	}
+	_, _ = io.WriteString(j.w, end)
 }
 
 // broken ends an answer whose caller left or whose runner crashed.
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -43,6 +43,7 @@
 	Prefill       time.Duration // per prompt token that is not cached
 	Decode        time.Duration // per token generated
 	Plain         bool          // knows none of merlindock's headers
+	IgnoresResume bool          // begins at the first token whatever is asked
 }
 
 // Runner is a stand-in for a model engine.
@@ -266,7 +267,7 @@
 	if j.body.MaxTokens > 0 {
 		j.last = j.body.MaxTokens - 1
 	}
-	if text := j.req.Header.Get(engine.HeaderResumeFrom); text != "" && !j.r.o.Plain {
+	if text := j.req.Header.Get(engine.HeaderResumeFrom); text != "" && !j.r.o.Plain && !j.r.o.IgnoresResume {
 		n, err := strconv.Atoi(text)
 		if err == nil {
 			j.first = n + 1
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -25,9 +25,8 @@
 	ErrNotResumable = errors.New("stream: attempt does not tell where it resumes")
 	// ErrEnded says that the event came after the end marker.
 	ErrEnded = errors.New("stream: event after the end")
-	// ErrShort says that an attempt sent the end marker before it reached the
-	// token that the caller has.
-	ErrShort = errors.New("stream: end before the resume position")
+	// ErrShort says that the end marker came at another token than it should.
+	ErrShort = errors.New("stream: end marker at the wrong token")
 )
 
 // AttemptNumber numbers the attempts of one request from 1 on.
@@ -121,16 +120,19 @@
 }
 
 // End takes the end marker of an attempt. Only after it is the answer whole.
+// The total is the number of tokens of the whole answer as the endpoint counts
+// them, Unindexed when it does not say.
 //
-// An attempt that began at the front again and ended before the token that the
-// caller already has gave another, shorter answer: the caller would hold two
-// halves that do not belong together, so this is ErrShort. An attempt that
-// sent no token at all had none left to send.
-func (a *Assembler) End(n AttemptNumber) error {
+// An attempt may end before the token that the caller already has, or leave
+// out the last tokens: it gave another, shorter answer, or a broken one. The
+// caller would hold two halves that do not belong together, or a short answer
+// that looks whole, so this is ErrShort. Without a total, an attempt that sent
+// no token at all is taken to have had none left to send.
+func (a *Assembler) End(n AttemptNumber, total int64) error {
 	if err := a.current(n); err != nil {
 		return err
 	}
-	if a.reached > 0 && a.reached < a.next {
+	if total != Unindexed && total != a.next || a.reached > 0 && a.reached < a.next {
 		return ErrShort
 	}
 	a.complete = true
--- /dev/null
+++ b/stream/stream_test.go
@@ -0,0 +1,134 @@
+package stream
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Engines die and come back in any order, number their tokens or not, resume
+// where asked or begin again, leave tokens out, and send events of attempts
+// that are over. Whatever they do, the caller holds the first tokens of the
+// answer, each once and in order, and an answer that counts as complete is
+// whole.
+func TestCallerHoldsAPrefixOfTheAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		length := rapid.Int64Range(0, 12).Draw(t, "length")
+		var a Assembler
+		var got []int64
+		for range rapid.IntRange(1, 5).Draw(t, "attempts") {
+			numbered := rapid.Bool().Draw(t, "numbered")
+			last, resumable := a.Resume()
+			if !resumable {
+				break
+			}
+			n := a.Begin()
+			at := int64(0)
+			if numbered && rapid.Bool().Draw(t, "resumes") {
+				at = last + 1
+			}
+			got = runAttempt(t, &a, n, at, length, numbered, got)
+		}
+		for i, token := range got {
+			if token != int64(i) {
+				t.Fatalf("the caller holds %v", got)
+			}
+		}
+		if a.Delivered() != int64(len(got)) || a.Complete() && a.Delivered() != length {
+			t.Fatalf("complete %v with %d of %d tokens", a.Complete(), len(got), length)
+		}
+	})
+}
+
+// runAttempt plays one engine that sends tokens from at on and then the end,
+// unless it dies or leaves one out on the way.
+func runAttempt(t *rapid.T, a *Assembler, n AttemptNumber, at, length int64, numbered bool, got []int64) []int64 {
+	for ; at < length; at++ {
+		switch rapid.IntRange(0, 9).Draw(t, "event") {
+		case 0:
+			return got
+		case 1:
+			if numbered {
+				continue
+			}
+		case 2:
+			if _, err := a.Token(n-1, at); !errors.Is(err, ErrLateAttempt) {
+				t.Fatalf("a late token gave %v", err)
+			}
+		}
+		index := at
+		if !numbered {
+			index = Unindexed
+		}
+		verdict, err := a.Token(n, index)
+		if err != nil {
+			return got
+		}
+		if verdict == Deliver {
+			got = append(got, at)
+		}
+	}
+	total := length
+	if !numbered {
+		total = Unindexed
+	}
+	_ = a.End(n, total)
+	return got
+}
+
+func TestTokenVerdicts(t *testing.T) {
+	type step struct {
+		begin bool
+		index int64
+		want  Verdict
+		err   error
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"duplicates after a resume", []step{{begin: true}, {index: 0, want: Deliver}, {index: 1, want: Deliver}, {begin: true}, {index: 0, want: Duplicate}, {index: 1, want: Duplicate}, {index: 2, want: Deliver}}},
+		{"gap", []step{{begin: true}, {index: 0, want: Deliver}, {index: 2, err: ErrGap}}},
+		{"mixed", []step{{begin: true}, {index: 0, want: Deliver}, {index: Unindexed, err: ErrMixed}}},
+		{"unnumbered after a numbered one", []step{{begin: true}, {index: 0, want: Deliver}, {begin: true}, {index: Unindexed, err: ErrNotResumable}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var a Assembler
+			var n AttemptNumber
+			for i, s := range tt.steps {
+				if s.begin {
+					n = a.Begin()
+					continue
+				}
+				if got, err := a.Token(n, s.index); got != s.want || !errors.Is(err, s.err) {
+					t.Errorf("step %d gave %v, %v; want %v, %v", i, got, err, s.want, s.err)
+				}
+			}
+		})
+	}
+}
+
+// The runner that takes over generates another, shorter answer from the start.
+// The caller holds more than all of it, so its end is not the end of what the
+// caller holds.
+func TestShorterAnswerIsNotTheEnd(t *testing.T) {
+	var a Assembler
+	n := a.Begin()
+	for i := range int64(5) {
+		_, _ = a.Token(n, i)
+	}
+	n = a.Begin()
+	_, _ = a.Token(n, 0)
+	if err := a.End(n, Unindexed); !errors.Is(err, ErrShort) || a.Complete() {
+		t.Errorf("the end gave %v", err)
+	}
+	n = a.Begin()
+	if err := a.End(n, 6); !errors.Is(err, ErrShort) || a.Complete() {
+		t.Errorf("the end gave %v", err)
+	}
+	if err := a.End(n, 5); err != nil || !a.Complete() {
+		t.Errorf("the end gave %v", err)
+	}
+}
