--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -43,6 +43,7 @@
 	Prefill       time.Duration // per prompt token that is not cached
 	Decode        time.Duration // per token generated
 	Plain         bool          // knows none of merlindock's headers
+	IgnoresResume bool          // begins at the first token whatever is asked
 }
 
 // Runner is a stand-in for a model engine.
@@ -65,6 +66,7 @@
 	cache       *pieceCache
 	faults      []Fault
 	stats       RunnerStats
+	weights     []fleet.Weights // reported in its load, see TakeOrders
 }
 
 // RunnerStats is what a runner has done since it was made.
@@ -174,6 +176,7 @@
 		Slots:         r.o.Slots,
 		CachedBlocks:  r.cache.size(),
 		Draining:      r.draining,
+		Weights:       r.weights,
 	}
 }
 
@@ -266,7 +269,7 @@
 	if j.body.MaxTokens > 0 {
 		j.last = j.body.MaxTokens - 1
 	}
-	if text := j.req.Header.Get(engine.HeaderResumeFrom); text != "" && !j.r.o.Plain {
+	if text := j.req.Header.Get(engine.HeaderResumeFrom); text != "" && !j.r.o.Plain && !j.r.o.IgnoresResume {
 		n, err := strconv.Atoi(text)
 		if err == nil {
 			j.first = n + 1
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,18 +16,20 @@
 
 // Settings is all that one daemon is told about its place in the system.
 type Settings struct {
-	Daemon   Daemon
-	Listen   Listen
-	Platform Platform
-	Callers  Callers
-	Peers    Peers
-	Routing  Routing
-	Orders   Orders
-	Claims   Claims
-	Drain    Drain
-	Admin    Admin
-	TLS      TLS
-	Log      Log
+	File      string // the INI file they were read from; empty: none
+	CheckOnly bool   // check the settings and start nothing
+	Daemon    Daemon
+	Listen    Listen
+	Platform  Platform
+	Callers   Callers
+	Peers     Peers
+	Routing   Routing
+	Orders    Orders
+	Claims    Claims
+	Drain     Drain
+	Admin     Admin
+	TLS       TLS
+	Log       Log
 }
 
 // Daemon says which daemon this is.
@@ -109,6 +111,7 @@
 	PeersCert      string
 	PeersKey       string
 	PeersCA        string
+	PeersName      string // DNS name that every daemon's certificate has
 	ReloadInterval time.Duration
 }
 
