--- a/placement/place.go
+++ b/placement/place.go
@@ -35,6 +35,9 @@
 	// two-way delay between zones: daemons of different zones must agree
 	// where a cold prefix goes.
 	rankCost = 0.004
+	// homeSlack is the wait in seconds that a cold prefix takes to be at home.
+	// Daemons that restart together know nothing but the homes.
+	homeSlack = 2.0
 	// homeShare is the part of one endpoint's prefill time that a prefix may
 	// take before it gets another home.
 	homeShare = 0.5
@@ -252,6 +255,9 @@
 		wait, missing := v.wait(now, c.endpoint, r.Priority), float64(r.Tokens)-c.cached
 		cost := wait + v.prefill(c, missing)*(1+wasteWeight)
 		cost += v.travel(c) + rankCost*float64(max(0, c.rank-homes+1))
+		if c.rank >= homes {
+			cost += homeSlack
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost, bestWait, bestMissing = i, cost, wait, missing
 		}
