--- a/placement/place.go
+++ b/placement/place.go
@@ -48,7 +48,11 @@
 	endpoint int32
 	rank     int32 // in the rendezvous order; MaxHomes: behind all homes
 	present  float64
-	cached   float64 // expected tokens
+	cached   float64 // tokens believed to be in its cache
+	expected float64 // the same, or what a home probably has
+	wait     float64 // in its queue, in seconds
+	compute  float64 // until the prompt is prefilled, in seconds
+	cost     float64
 }
 
 // scratch is memory that Place uses again and again.
@@ -238,47 +242,88 @@
 	}
 }
 
-// choose takes the candidate of the lowest cost.
+// choose takes the candidate of the lowest cost. It returns the tokens that it
+// is expected to compute as well.
 func (v *View) choose(now time.Time, r *Request, home *entry, reason Reason) (Decision, int) {
-	homes, shared := int32(1), 0
-	if home != nil {
-		homes = v.homesFor(now, home, r)
-		shared = r.Levels[prefix.Affinity(r.Levels)].Tokens
-	}
-	best, bestCost := -1, 0.0
-	var bestWait, bestMissing float64
+	m := v.costModel(now, r, home)
+	var best *candidate
 	for i := range v.scratch.candidates {
 		c := &v.scratch.candidates[i]
-		if c.rank < homes {
-			c.cached = max(c.cached, v.prior(now, c)*float64(shared))
-		}
-		wait, missing := v.wait(now, c.endpoint, r.Priority), float64(r.Tokens)-c.cached
-		cost := wait + v.prefill(c, missing)*(1+wasteWeight)
-		cost += v.travel(c) + rankCost*float64(max(0, c.rank-homes+1))
-		if c.rank >= homes {
-			cost += homeSlack
-		}
-		if best < 0 || cost < bestCost {
-			best, bestCost, bestWait, bestMissing = i, cost, wait, missing
+		m.weigh(v, now, c)
+		if best == nil || c.cost < best.cost {
+			best = c
 		}
 	}
-	c := &v.scratch.candidates[best]
-	e := &v.endpoints[c.endpoint]
+	e := &v.endpoints[best.endpoint]
 	d := Decision{
-		Endpoint: e.id, Incarnation: e.incarnation, ExpectedCached: int(c.cached),
-		ExpectedWait:  seconds(bestWait),
-		ExpectedFirst: seconds(bestWait + v.prefill(c, bestMissing) + v.travel(c)),
+		Endpoint: e.id, Incarnation: e.incarnation, ExpectedCached: int(best.expected),
+		ExpectedWait:  seconds(best.wait),
+		ExpectedFirst: seconds(best.wait + best.compute + v.travel(best)),
 		Reason:        reason,
 	}
 	switch {
 	case reason == ReasonPanic:
-	case c.present > 0:
+	case best.present > 0:
 		d.Reason = ReasonHolder
-	case c.rank >= homes:
+	case best.rank >= m.homes:
 		d.Reason = ReasonSpill
 	}
-	v.weighImport(now, r, c, &d)
-	return d, int(bestMissing)
+	// What is believed counts here, without the prior of a home: an endpoint
+	// fetches only what it really lacks.
+	if _, fetch := v.computeTime(e, m.tokens-best.cached, m.stored-best.cached); fetch {
+		d.ImportFrom = v.store
+	}
+	return d, int(m.tokens - best.expected)
+}
+
+// costModel is what all candidates of one request have in common.
+type costModel struct {
+	priority contract.Priority
+	tokens   float64 // of the prompt
+	shared   float64 // tokens of the level that the request is placed by
+	stored   float64 // tokens that the KV store probably has
+	homes    int32   // endpoints that count as home
+	known    float64 // how sure some candidate holds the shared level
+}
+
+func (v *View) costModel(now time.Time, r *Request, home *entry) costModel {
+	m := costModel{priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r)}
+	if home == nil {
+		return m
+	}
+	m.homes = v.homesFor(now, home, r)
+	m.shared = float64(r.Levels[prefix.Affinity(r.Levels)].Tokens)
+	for i := range v.scratch.candidates {
+		m.known = max(m.known, min(1, v.scratch.candidates[i].cached/m.shared))
+	}
+	return m
+}
+
+// weigh works out the cost of a candidate in seconds.
+func (m *costModel) weigh(v *View, now time.Time, c *candidate) {
+	e := &v.endpoints[c.endpoint]
+	c.expected = c.cached
+	if c.rank < m.homes {
+		c.expected = max(c.cached, (1-m.known)*v.prior(now, e)*m.shared)
+	}
+	c.wait = v.wait(now, c.endpoint, m.priority)
+	c.compute, _ = v.computeTime(e, m.tokens-c.expected, m.stored-c.expected)
+	c.cost = c.wait + c.compute + v.travel(c) + rankCost*float64(max(0, c.rank-m.homes+1))
+	c.cost += wasteWeight * (m.tokens - c.expected) / e.rate
+	if c.rank >= m.homes {
+		c.cost += (1 - m.known) * homeSlack
+	}
+}
+
+// computeTime is the time in seconds for the missing tokens, of which some
+// could come from the KV store, and whether fetching those is the faster way.
+func (v *View) computeTime(e *endpoint, missing, stored float64) (float64, bool) {
+	prefill := missing / e.rate
+	if stored <= 0 {
+		return prefill, false
+	}
+	fetched := prefill - stored/e.rate + v.o.ImportLatency.Seconds() + stored/v.o.ImportRate
+	return min(prefill, fetched), fetched < prefill
 }
 
 // prior is how likely a home has a prefix of which nothing is known there.
@@ -286,8 +331,7 @@
 // A daemon that has followed the endpoint's events for a while would know, and
 // a cold prefix may go wherever the wait is short. One that has just restarted
 // knows nothing, and relies on the others having used the home.
-func (v *View) prior(now time.Time, c *candidate) float64 {
-	e := &v.endpoints[c.endpoint]
+func (v *View) prior(now time.Time, e *endpoint) float64 {
 	if !e.follows {
 		return homePrior
 	}
@@ -303,10 +347,6 @@
 	return min(t.homeCount, 1+int32(busy/homeShare))
 }
 
-func (v *View) prefill(c *candidate, tokens float64) float64 {
-	return tokens / v.endpoints[c.endpoint].rate
-}
-
 // travel is the time for the request to get there and the first token back.
 func (v *View) travel(c *candidate) float64 {
 	return 2 * v.delayTo(&v.endpoints[c.endpoint]).Seconds()
@@ -340,21 +380,16 @@
 // storeLife is how long the KV store is thought to keep a prefix.
 const storeLife = time.Minute
 
-// weighImport takes the KV store if it brings the missing tokens sooner than
-// the endpoint computes them.
-func (v *View) weighImport(now time.Time, r *Request, c *candidate, d *Decision) {
+// storedTokens is how much of the prompt the KV store probably has.
+func (v *View) storedTokens(now time.Time, r *Request) float64 {
 	if v.store == "" {
-		return
+		return 0
 	}
 	for i := shared(r.Levels) - 1; i >= 0; i-- {
 		t := v.prefixes.find(r.Levels[i].Key)
-		if t == nil || t.stored.IsZero() || now.Sub(t.stored) > storeLife {
-			continue
-		}
-		gain := float64(r.Levels[i].Tokens) - c.cached
-		if v.prefill(c, gain) > v.o.ImportLatency.Seconds()+gain/v.o.ImportRate {
-			d.ImportFrom = v.store
+		if t != nil && !t.stored.IsZero() && now.Sub(t.stored) < storeLife {
+			return float64(r.Levels[i].Tokens)
 		}
-		return
 	}
+	return 0
 }
