--- a/placement/place.go
+++ b/placement/place.go
@@ -270,7 +270,8 @@
 	}
 	// What is believed counts here, without the prior of a home: an endpoint
 	// fetches only what it really lacks.
-	if _, fetch := v.computeTime(e, m.tokens-best.cached, m.stored-best.cached); fetch {
+	lacks := m.stored - best.cached
+	if _, fetch := v.computeTime(e, m.tokens-best.cached, lacks); fetch && v.imports.take(now, lacks) {
 		d.ImportFrom = v.store
 	}
 	return d, int(m.tokens - best.expected)
@@ -315,17 +316,6 @@
 	}
 }
 
-// computeTime is the time in seconds for the missing tokens, of which some
-// could come from the KV store, and whether fetching those is the faster way.
-func (v *View) computeTime(e *endpoint, missing, stored float64) (float64, bool) {
-	prefill := missing / e.rate
-	if stored <= 0 {
-		return prefill, false
-	}
-	fetched := prefill - stored/e.rate + v.o.ImportLatency.Seconds() + stored/v.o.ImportRate
-	return min(prefill, fetched), fetched < prefill
-}
-
 // prior is how likely a home has a prefix of which nothing is known there.
 //
 // A daemon that has followed the endpoint's events for a while would know, and
@@ -376,20 +366,3 @@
 	}
 	return l.TokensAhead[min(int(p), len(l.TokensAhead)-1)]
 }
-
-// storeLife is how long the KV store is thought to keep a prefix.
-const storeLife = time.Minute
-
-// storedTokens is how much of the prompt the KV store probably has.
-func (v *View) storedTokens(now time.Time, r *Request) float64 {
-	if v.store == "" {
-		return 0
-	}
-	for i := shared(r.Levels) - 1; i >= 0; i-- {
-		t := v.prefixes.find(r.Levels[i].Key)
-		if t != nil && !t.stored.IsZero() && now.Sub(t.stored) < storeLife {
-			return float64(r.Levels[i].Tokens)
-		}
-	}
-	return 0
-}
--- a/placement/view.go
+++ b/placement/view.go
@@ -28,6 +28,7 @@
 	ages             ageQueue
 	service          float64 // seconds from first token to last, averaged
 
+	imports importBudget
 	outbox  outbox
 	scratch scratch
 }
@@ -35,7 +36,7 @@
 // NewView returns an empty View.
 func NewView(o Options) *View {
 	o = o.withDefaults()
-	return &View{
+	v := &View{
 		o:        o,
 		byID:     map[fleet.EndpointID]int32{},
 		pools:    map[string]*pool{},
@@ -43,10 +44,18 @@
 		byOwner:  map[uint64]int32{},
 		service:  DefaultService.Seconds(),
 	}
+	v.SetDaemons(o.Daemons)
+	return v
 }
 
 // SetDaemons sets how many daemons share the fleet, this one included.
-func (v *View) SetDaemons(n int) { v.o.Daemons = max(n, 1) }
+func (v *View) SetDaemons(n int) {
+	v.o.Daemons = max(n, 1)
+	v.imports.rate = importPart * v.o.ImportRate / float64(v.o.Daemons)
+}
+
+// importPart is how much of the store's link the daemons use together.
+const importPart = 1.5
 
 // SetStore names the KV store that prefixes may be imported from; empty: none.
 func (v *View) SetStore(id fleet.EndpointID) { v.store = id }
