--- a/placement/place.go
+++ b/placement/place.go
@@ -30,14 +30,14 @@
 	// delays whoever comes next. With a low weight a loaded fleet collapses:
 	// waits send prompts to cold endpoints, where they are computed once more,
 	// which makes the waits longer.
-	wasteWeight = 8.0
+	wasteWeight = 20.0
 	// rankCost separates endpoints that are otherwise equal. It is above the
 	// two-way delay between zones: daemons of different zones must agree
 	// where a cold prefix goes.
 	rankCost = 0.004
 	// homeSlack is the wait in seconds that a cold prefix takes to be at home.
 	// Daemons that restart together know nothing but the homes.
-	homeSlack = 2.0
+	homeSlack = 3.0
 	// homeShare is the part of one endpoint's prefill time that a prefix may
 	// take before it gets another home.
 	homeShare = 0.5
