Measure control, and stretch the interval to keep its budget

At an interval of one second, 100 daemons sent 1,692 B/s each with 8 organisations in a digest, so twice that with what they receive: over the 3 KB/s that control may cost. The interval now follows from the size of the digest and the number of neighbours.

--- /dev/null
+++ b/lab/measure/digest.go
@@ -0,0 +1,28 @@
+package measure
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/merlindock/merlindock/peer/peerpb"
+)
+
+// DigestBytes is the size of one digest between daemons, without what gRPC and
+// TCP add.
+func DigestBytes(evidence, organisations int) int {
+	d := &peerpb.Digest{
+		Daemon:   "entry-0001",
+		Life:     1_700_000_000_000_000_000,
+		Sequence: 100_000,
+		Accepted: &peerpb.Revision{Offset: 1_000_000, Digest: make([]byte, 32)},
+		Usage:    Usage(organisations),
+	}
+	for _, e := range Evidence(evidence) {
+		d.Endpoints = append(d.Endpoints, &peerpb.Evidence{
+			Endpoint:    string(e.Endpoint),
+			Incarnation: uint64(e.Incarnation),
+			Draining:    e.Draining,
+			AgeMs:       1000,
+		})
+	}
+	return proto.Size(d)
+}
--- a/neighbour/digest_test.go
+++ b/neighbour/digest_test.go
@@ -154,3 +154,19 @@
 		t.Error("a silent neighbour is not asked")
 	}
 }
+
+func TestIntervalKeepsTheBudget(t *testing.T) {
+	for _, c := range []struct {
+		neighbours, bytes int
+		want              time.Duration
+	}{
+		{0, 0, time.Second},
+		{2, 100, time.Second},
+		{6, 200, 1600 * time.Millisecond},
+		{10, 1000, 8 * time.Second},
+	} {
+		if got := Interval(time.Second, c.neighbours, c.bytes, 3000); got != c.want {
+			t.Errorf("%d neighbours, %d bytes: %v, want %v", c.neighbours, c.bytes, got, c.want)
+		}
+	}
+}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer/peerpb"
@@ -31,6 +33,7 @@
 			AgeMs:       uint32(age.Milliseconds()),
 		})
 	}
+	s.size.Store(int64(proto.Size(d)))
 	return d
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -65,7 +65,8 @@
 
 	TLS         *TLSFiles // nil: plain text, for tests and trials
 	Neighbours  neighbour.Options
-	Interval    time.Duration // between exchanges with a neighbour
+	Interval    time.Duration // between exchanges with a neighbour, at the least
+	Budget      float64       // bytes a second for exchanges, see neighbour.Interval
 	CallTimeout time.Duration // of an exchange
 	LoadTimeout time.Duration // of a fetch
 	// Dial opens connections; nil: TCP.
@@ -126,6 +127,7 @@
 type Service struct {
 	o         Options
 	sequence  atomic.Uint64
+	size      atomic.Int64 // of the last digest made, in bytes
 	exchanges *semaphore.Weighted
 	fetches   *semaphore.Weighted
 	news      chan struct{}
@@ -168,6 +170,9 @@
 	if o.Interval <= 0 {
 		o.Interval = DefaultInterval
 	}
+	if o.Budget <= 0 {
+		o.Budget = neighbour.DefaultBudget
+	}
 	if o.CallTimeout <= 0 {
 		o.CallTimeout = DefaultCallTimeout
 	}
--- a/peer/run.go
+++ b/peer/run.go
@@ -61,12 +61,18 @@
 	}
 }
 
+// interval is the time between exchanges that the budget allows for. The caller
+// holds mu.
+func (s *Service) interval() time.Duration {
+	return neighbour.Interval(s.o.Interval, len(s.neighbours), int(s.size.Load()), s.o.Budget)
+}
+
 // pause is the interval with jitter.
 func (s *Service) pause() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	share := 1 + jitter*(2*s.rand.Float64()-1)
-	return time.Duration(share * float64(s.o.Interval))
+	return time.Duration(share * float64(s.interval()))
 }
 
 // choose computes the neighbours from the newest list and closes connections
@@ -98,8 +104,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []platform.Daemon
+	interval := s.interval()
 	for _, d := range s.neighbours {
-		if s.table.Due(now, d.ID, s.o.Interval) {
+		if s.table.Due(now, d.ID, interval) {
 			out = append(out, d)
 		}
 	}
