--- /dev/null
+++ b/lab/history/counter.go
@@ -0,0 +1,90 @@
+package history
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Counter is a plain service whose calls may not be repeated: it issues a
+// numbered receipt for each call that reaches it, whatever was asked before.
+type Counter struct {
+	rec *Recorder
+
+	mu         sync.Mutex
+	issued     int
+	loseAnswer int
+	work       time.Duration
+}
+
+var errAnswerLost = errors.New("history: connection lost after the call was sent")
+
+// NewCounter returns a service that takes the given time for each call.
+func NewCounter(rec *Recorder, work time.Duration) *Counter {
+	return &Counter{rec: rec, work: work}
+}
+
+// LoseAnswers makes the next n calls run and lose their answers.
+func (c *Counter) LoseAnswers(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loseAnswer = n
+}
+
+// Slow changes how long the service takes for each half of a call.
+func (c *Counter) Slow(work time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.work = work
+}
+
+func (c *Counter) takes() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.work
+}
+
+// Issued is the number of receipts.
+func (c *Counter) Issued() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.issued
+}
+
+// Run issues a receipt.
+func (c *Counter) Run(ctx context.Context, call int, key string) (string, error) {
+	start := c.rec.Now()
+	if err := rest(ctx, c.takes()); err != nil {
+		return "", err
+	}
+	receipt, lost := c.issue()
+	c.rec.Add(0, start, keyed{kind: runEvent, key: key, call: call}, callOutput{result: receipt})
+	if lost {
+		return "", errAnswerLost
+	}
+	return receipt, rest(ctx, c.takes())
+}
+
+func (c *Counter) issue() (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.issued++
+	lost := c.loseAnswer > 0
+	if lost {
+		c.loseAnswer--
+	}
+	return fmt.Sprintf("receipt-%d", c.issued), lost
+}
+
+func rest(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/lab/history/manifests_test.go
@@ -0,0 +1,300 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/standin/plog"
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/logio"
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// inForceWithin is the promise: in force on all daemons within five seconds.
+const inForceWithin = 5 * time.Second
+
+// site is a number of daemons that follow manifests, each with two neighbours.
+type site struct {
+	t      *testing.T
+	log    *plog.Log
+	rec    *Recorder
+	stop   context.CancelFunc
+	ctx    context.Context
+	loads  int
+	opened uint64
+
+	mu        sync.Mutex
+	followers []*Follower
+}
+
+func newSite(t *testing.T, daemons int) *site {
+	s := &site{t: t, log: plog.New(plog.Options{KeepJournal: true, Retention: Retention}), rec: NewRecorder()}
+	s.ctx, s.stop = context.WithCancel(t.Context())
+	for range daemons {
+		s.followers = append(s.followers, s.follow())
+	}
+	go s.every(exchangeEvery, s.exchange)
+	go s.every(watchEvery, s.watch)
+	time.Sleep(2 * time.Second)
+	return s
+}
+
+func (s *site) follow() *Follower {
+	s.opened++
+	return Follow(s.ctx, s.log, fmt.Sprintf("daemon-%d", s.opened), s.opened)
+}
+
+func (s *site) every(d time.Duration, do func()) {
+	for rest(s.ctx, d) == nil {
+		do()
+	}
+}
+
+func (s *site) all() []*Follower {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*Follower(nil), s.followers...)
+}
+
+func (s *site) exchange() {
+	all := s.all()
+	for i, f := range all {
+		for _, step := range []int{1, 2} {
+			// A neighbour that is behind is refused, which is no fault.
+			_ = f.Hear(all[(i+step)%len(all)])
+		}
+	}
+}
+
+func (s *site) watch() {
+	for i, f := range s.all() {
+		s.rec.Add(100+i, s.rec.Now(), seen{daemon: f.Name}, f.Offset())
+	}
+}
+
+func (s *site) restart(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.followers[i].kill()
+	s.followers[i] = s.follow()
+}
+
+func (s *site) publish(client, daemon int, base platform.Offset) logio.PublishResult {
+	s.mu.Lock()
+	s.loads++
+	loads, f := s.loads, s.followers[daemon]
+	s.mu.Unlock()
+	r, err := f.Publish(s.ctx, s.rec, client, base, loads)
+	if err != nil {
+		s.t.Error(err)
+	}
+	return r
+}
+
+func (s *site) inForce(want platform.Offset) {
+	s.t.Helper()
+	for _, f := range s.all() {
+		if f.Offset() != want {
+			s.t.Fatalf("%s has offset %d in force, expected %d", f.Name, f.Offset(), want)
+		}
+	}
+}
+
+// check ends the run: after the faults the last accepted manifest is in force
+// everywhere, and the history holds.
+func (s *site) check() {
+	s.t.Helper()
+	time.Sleep(inForceWithin)
+	accepted, last := Judge(s.log.Journal(ledger.StreamManifest))
+	s.inForce(last.Offset)
+	events := s.rec.Events()
+	if !holds(register, settled(events, accepted, s.rec.Now())) {
+		s.t.Fatal("publications do not behave as one register")
+	}
+	if !holds(neverBack, watched(events)) {
+		s.t.Fatal("the manifest in force went back at a daemon")
+	}
+	s.stop()
+	synctest.Wait()
+}
+
+func TestManifestsUnderOneFault(t *testing.T) {
+	// Each fault strikes while operators publish. Operators are told the truth,
+	// and the last accepted manifest is in force everywhere and stays so.
+	tests := []struct {
+		name string
+		run  func(s *site)
+	}{
+		{"two operators race", func(s *site) {
+			var both sync.WaitGroup
+			var results [2]logio.PublishResult
+			for i := range results {
+				both.Go(func() { results[i] = s.publish(i, i, 0) })
+			}
+			both.Wait()
+			if (results[0].Outcome == logio.PublishAccepted) == (results[1].Outcome == logio.PublishAccepted) {
+				s.t.Fatalf("told %+v and %+v", results[0], results[1])
+			}
+		}},
+		{"the answer to the append is lost", func(s *site) {
+			s.log.LoseAnswers(1)
+			if r := s.publish(1, 0, 0); r.Outcome != logio.PublishAccepted || r.Offset != 1 {
+				s.t.Fatalf("told %+v", r)
+			}
+		}},
+		{"the append takes effect after the operator has gone", func(s *site) {
+			s.log.LateAppends(1000, time.Minute)
+			if r := s.publish(1, 0, 0); r.Outcome != logio.PublishUnknown {
+				s.t.Fatalf("told %+v", r)
+			}
+			s.log.LateAppends(0, 0)
+			time.Sleep(2 * time.Minute)
+			s.inForce(1)
+		}},
+		{"the log is out for ten minutes", func(s *site) {
+			s.publish(1, 0, 0)
+			s.log.OutageFor(10 * time.Minute)
+			if r := s.publish(1, 0, 1); r.Outcome != logio.PublishNotAppended {
+				s.t.Fatalf("told %+v", r)
+			}
+			s.restart(2) // starts in the outage, and serves from its neighbours
+			time.Sleep(2 * time.Second)
+			s.inForce(1)
+			time.Sleep(10 * time.Minute)
+			if r := s.publish(1, 2, 1); r.Outcome != logio.PublishAccepted {
+				s.t.Fatalf("told %+v", r)
+			}
+		}},
+		{"a daemon is cut from the log but not from its neighbours", func(s *site) {
+			s.followers[1].Log.Disconnect()
+			s.publish(1, 0, 0)
+			time.Sleep(inForceWithin)
+			s.inForce(1)
+		}},
+		{"records expire under a slow reader", func(s *site) {
+			s.publish(1, 0, 0)
+			time.Sleep(3 * time.Second)
+			s.followers[1].Log.Disconnect()
+			base := platform.Offset(1)
+			for range 4 {
+				time.Sleep(20 * time.Minute)
+				base = s.publish(1, 0, base).Offset
+			}
+			s.followers[1].Log.Reconnect()
+		}},
+		{"all daemons restart at once, long after the record expired", func(s *site) {
+			s.publish(1, 0, 0)
+			time.Sleep(3 * Retention)
+			for i := range s.followers {
+				s.restart(i)
+			}
+			time.Sleep(inForceWithin)
+			s.inForce(1)
+			if r := s.publish(1, 1, 1); r.Outcome != logio.PublishAccepted {
+				s.t.Fatalf("told %+v", r)
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 4)
+				tt.run(s)
+				s.check()
+			})
+		})
+	}
+}
+
+func TestManifestsUnderSeededPairsOfFaults(t *testing.T) {
+	// Three operators publish against what the daemon before them has in
+	// force, while faults strike two at a time. The checker judges the whole.
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 4)
+				s.storm(rand.New(rand.NewPCG(seed, 3)))
+				s.check()
+			})
+		})
+	}
+}
+
+func (s *site) storm(r *rand.Rand) {
+	var operators sync.WaitGroup
+	for range 8 {
+		s.fault(r)
+		s.fault(r)
+		for client := range 3 {
+			daemon, wait := r.IntN(len(s.followers)), time.Duration(r.IntN(5000))*time.Millisecond
+			operators.Go(func() {
+				time.Sleep(wait)
+				s.publish(client, daemon, s.all()[daemon].Offset())
+			})
+		}
+		time.Sleep(time.Duration(r.IntN(60)) * time.Second)
+		operators.Wait()
+		s.log.SetDelay(0)
+		s.log.LateAppends(0, 0)
+		for _, f := range s.all() {
+			f.Log.Reconnect()
+		}
+	}
+	time.Sleep(time.Minute) // the last outage and the last late append
+}
+
+func (s *site) fault(r *rand.Rand) {
+	d := r.IntN(len(s.followers))
+	switch r.IntN(8) {
+	case 0:
+		s.log.LoseAnswers(1 + r.IntN(4))
+	case 1:
+		s.log.LateAppends(1+r.IntN(10), time.Duration(r.IntN(40))*time.Second)
+	case 2:
+		s.log.OutageFor(time.Duration(r.IntN(30)) * time.Second)
+	case 3:
+		s.log.SetDelay(time.Duration(r.IntN(3000)) * time.Millisecond)
+	case 4:
+		s.log.RepeatReads(r.IntN(20))
+	case 5:
+		s.restart(d)
+	case 6:
+		s.followers[d].Log.Disconnect()
+	case 7:
+		for i := range s.followers {
+			s.restart(i)
+		}
+	}
+}
+
+func TestTheCheckerCatchesAFoldWhereTheLastWriterWins(t *testing.T) {
+	// A fold that ignores the base lets the second of two racing operators
+	// overwrite the first, who was told "accepted" a moment before.
+	rec := NewRecorder()
+	var latest platform.Offset
+	for i := range platform.Offset(2) {
+		latest = i + 1
+		rec.Add(int(i), rec.Now(), published{base: 0}, publishedOutput{outcome: logio.PublishAccepted, accepted: latest})
+	}
+	if holds(register, settled(rec.Events(), map[manifest.Digest]platform.Offset{}, rec.Now())) {
+		t.Fatal("two acceptances against one base passed the checker")
+	}
+}
+
+func TestTheCheckerCatchesAManifestThatGoesBack(t *testing.T) {
+	// A daemon that believes any neighbour falls back to an older manifest
+	// when it hears one that is behind.
+	rec := NewRecorder()
+	for _, heard := range []platform.Offset{1, 4, 1} {
+		rec.Add(0, rec.Now(), seen{daemon: "d"}, heard)
+	}
+	if holds(neverBack, watched(rec.Events())) {
+		t.Fatal("a manifest that went back passed the checker")
+	}
+}
--- a/lab/standin/plog/faults.go
+++ b/lab/standin/plog/faults.go
@@ -16,6 +16,8 @@
 	delay       time.Duration
 	loseAnswers int
 	repeatReads int
+	lateAppends int
+	lateBy      time.Duration
 }
 
 func (f *faults) down(now time.Time) bool { return f.outage || now.Before(f.outageUntil) }
@@ -56,6 +58,19 @@
 // delivered before.
 func (l *Log) RepeatReads(n int) { l.fault(func(f *faults) { f.repeatReads = n }) }
 
+// LateAppends makes the next n appends fail at once and take effect after d.
+func (l *Log) LateAppends(n int, d time.Duration) {
+	l.fault(func(f *faults) { f.lateAppends, f.lateBy = n, d })
+}
+
+func (f *faults) late() (time.Duration, bool) {
+	if f.lateAppends == 0 {
+		return 0, false
+	}
+	f.lateAppends--
+	return f.lateBy, true
+}
+
 func (l *Log) fault(change func(*faults)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,6 +85,15 @@
 	s.drop(int(min(max(first, s.first), s.next()) - s.first))
 }
 
+// TruncateAll drops every record of every stream.
+func (l *Log) TruncateAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.streams {
+		s.drop(len(s.records))
+	}
+}
+
 // Cut is one daemon's way to the log, which can be interrupted while others
 // reach it.
 type Cut struct {
--- a/lab/standin/plog/plog.go
+++ b/lab/standin/plog/plog.go
@@ -32,6 +32,7 @@
 	Retention      time.Duration    // how long a record is kept
 	AppendRate     float64          // appends a second over all streams; negative: no limit
 	MaxRecordBytes int
+	KeepJournal    bool // keep what expires, for Journal
 }
 
 // Log is an in-memory platform.Log.
@@ -48,6 +49,7 @@
 type stream struct {
 	first   platform.Offset // offset of records[0], or of the next append
 	records []platform.Record
+	journal []platform.Record
 }
 
 func (s *stream) next() platform.Offset { return s.first + platform.Offset(len(s.records)) }
@@ -92,6 +94,11 @@
 	if err := wait(ctx, delay/2); err != nil {
 		return 0, fmt.Errorf("%w: %w", platform.ErrNotAppended, err)
 	}
+	if by, late := l.late(); late {
+		data = append([]byte(nil), data...)
+		time.AfterFunc(by, func() { l.add(name, data) })
+		return 0, fmt.Errorf("%w: no answer", platform.ErrUnavailable)
+	}
 	offset, lost := l.add(name, data)
 	if err := wait(ctx, delay-delay/2); err != nil {
 		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
@@ -121,12 +128,21 @@
 	return l.faults.delay, nil
 }
 
+func (l *Log) late() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults.late()
+}
+
 func (l *Log) add(name platform.Stream, data []byte) (platform.Offset, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	r := platform.Record{Offset: s.next(), Time: l.opt.Now(), Data: append([]byte(nil), data...)}
 	s.records = append(s.records, r)
+	if l.opt.KeepJournal {
+		s.journal = append(s.journal, r)
+	}
 	l.counts.Appends++
 	l.counts.BytesIn += len(data)
 	return r.Offset, l.faults.loseAnswer()
@@ -177,7 +193,9 @@
 	if from < s.first {
 		return platform.Page{}, &platform.TruncatedError{Stream: name, From: from, First: s.first}
 	}
+	asked := from
 	from = l.faults.repeatFrom(from, s.first)
+	limit += int(asked - from)
 	page := platform.Page{First: s.first, Next: s.next()}
 	bytes := 0
 	for o := from; o < s.next() && len(page.Records) < min(limit, maxPage) && bytes < maxPageBytes; o++ {
@@ -197,6 +215,14 @@
 	return l.stream(name).next()
 }
 
+// Journal returns every record that a stream ever had, for a check of what
+// readers made of them. It is empty unless Options.KeepJournal is set.
+func (l *Log) Journal(name platform.Stream) []platform.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.Record(nil), l.stream(name).journal...)
+}
+
 // Counts returns what the log was asked so far.
 func (l *Log) Counts() Counts {
 	l.mu.Lock()
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -173,6 +173,10 @@
 		return &SectionRecord{}
 	case KindRaise:
 		return &Raise{}
+	case KindLease:
+		return &LeaseRecord{}
+	case KindClaims:
+		return &ClaimBatch{}
 	default:
 		return nil
 	}
--- /dev/null
+++ b/logio/batch.go
@@ -0,0 +1,224 @@
+package logio
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// Defaults of a Batcher.
+const (
+	DefaultBatchItems    = 100
+	DefaultBatchBytes    = 1 << 20
+	DefaultLinger        = 2 * time.Millisecond
+	DefaultAppendTimeout = time.Second
+	DefaultQueue         = 4096
+)
+
+// ErrQueueFull says that an item was not taken, since the log is slower than
+// what comes in.
+var ErrQueueFull = errors.New("logio: too many items wait for the log")
+
+// Item is one thing to append together with others.
+type Item[T any] struct {
+	Value T
+	Bytes int // about what it takes in a record
+	// Deadline after which the item is given up. Zero: kept until it is in
+	// the log, however long that takes.
+	Deadline time.Time
+	// Done is called once: with nil when the item is in the log, with
+	// platform.ErrNotAppended when it certainly is not and never will be, and
+	// with platform.ErrUnavailable when that is open.
+	Done func(error)
+
+	ambiguous bool
+}
+
+// BatchOptions of a Batcher.
+type BatchOptions[T any] struct {
+	Log     platform.Log
+	Stream  platform.Stream
+	Encode  func([]T) ([]byte, error)
+	Items   int           // most in one record; 0 takes DefaultBatchItems
+	Bytes   int           // about the most in one record
+	Linger  time.Duration // waited for company; 0 takes DefaultLinger, negative: none
+	Timeout time.Duration // of one append
+	Queue   int           // items waiting
+	Seed    uint64
+}
+
+// Batcher puts many items into one append. While an append is under way the
+// next batch gathers, so that batches grow by themselves as the log slows.
+//
+// A batch whose answer was lost is appended again, so items must be such that
+// a second time changes nothing.
+type Batcher[T any] struct {
+	opt   BatchOptions[T]
+	queue chan *Item[T]
+	back  backoff
+}
+
+// NewBatcher returns a batcher; Run does the work.
+func NewBatcher[T any](o BatchOptions[T]) *Batcher[T] {
+	if o.Items == 0 {
+		o.Items = DefaultBatchItems
+	}
+	o.Items = min(o.Items, ledger.MaxClaimOps)
+	if o.Bytes == 0 {
+		o.Bytes = DefaultBatchBytes
+	}
+	if o.Linger == 0 {
+		o.Linger = DefaultLinger
+	}
+	if o.Timeout == 0 {
+		o.Timeout = DefaultAppendTimeout
+	}
+	if o.Queue == 0 {
+		o.Queue = DefaultQueue
+	}
+	return &Batcher[T]{opt: o, queue: make(chan *Item[T], o.Queue), back: backoff{random: newRand(o.Seed)}}
+}
+
+// Add queues an item. After ErrQueueFull its Done is not called.
+func (b *Batcher[T]) Add(it Item[T]) error {
+	select {
+	case b.queue <- &it:
+		return nil
+	default:
+		return ErrQueueFull
+	}
+}
+
+// Run appends until the context ends. Items that wait then are given up as by
+// their deadline.
+func (b *Batcher[T]) Run(ctx context.Context) error {
+	var batch []*Item[T]
+	for {
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return b.stop(ctx, nil)
+			case it := <-b.queue:
+				batch = append(batch, it)
+			}
+			b.linger(ctx, &batch)
+		}
+		b.gather(&batch)
+		batch = expire(batch, time.Now())
+		if len(batch) == 0 {
+			continue
+		}
+		if b.append(ctx, batch) {
+			batch = nil
+			continue
+		}
+		if err := b.back.wait(ctx); err != nil {
+			return b.stop(ctx, batch)
+		}
+	}
+}
+
+// append appends the first items that fit one record, which is all of them
+// but after a failure. It reports success.
+func (b *Batcher[T]) append(ctx context.Context, batch []*Item[T]) bool {
+	values := make([]T, len(batch))
+	for i, it := range batch {
+		values[i] = it.Value
+	}
+	data, err := b.opt.Encode(values)
+	if err == nil {
+		call, cancel := context.WithTimeout(ctx, b.opt.Timeout)
+		_, err = b.opt.Log.Append(call, b.opt.Stream, data)
+		cancel()
+	} else {
+		err = errors.Join(platform.ErrNotAppended, err)
+	}
+	if err == nil {
+		b.back.reset()
+		for _, it := range batch {
+			it.Done(nil)
+		}
+		return true
+	}
+	if !errors.Is(err, platform.ErrNotAppended) {
+		for _, it := range batch {
+			it.ambiguous = true
+		}
+	}
+	return false
+}
+
+func (b *Batcher[T]) linger(ctx context.Context, batch *[]*Item[T]) {
+	if b.opt.Linger < 0 || b.opt.Items == 1 {
+		return
+	}
+	timer := time.NewTimer(b.opt.Linger)
+	defer timer.Stop()
+	for b.room(*batch) {
+		select {
+		case it := <-b.queue:
+			*batch = append(*batch, it)
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Batcher[T]) gather(batch *[]*Item[T]) {
+	for b.room(*batch) {
+		select {
+		case it := <-b.queue:
+			*batch = append(*batch, it)
+		default:
+			return
+		}
+	}
+}
+
+func (b *Batcher[T]) room(batch []*Item[T]) bool {
+	bytes := 0
+	for _, it := range batch {
+		bytes += it.Bytes
+	}
+	return len(batch) < b.opt.Items && bytes < b.opt.Bytes
+}
+
+// expire gives up the items whose time is over.
+func expire[T any](batch []*Item[T], now time.Time) []*Item[T] {
+	kept := batch[:0]
+	for _, it := range batch {
+		if it.Deadline.IsZero() || now.Before(it.Deadline) {
+			kept = append(kept, it)
+			continue
+		}
+		it.giveUp()
+	}
+	return kept
+}
+
+func (it *Item[T]) giveUp() {
+	if it.ambiguous {
+		it.Done(platform.ErrUnavailable)
+		return
+	}
+	it.Done(platform.ErrNotAppended)
+}
+
+func (b *Batcher[T]) stop(ctx context.Context, batch []*Item[T]) error {
+	for {
+		for _, it := range batch {
+			it.giveUp()
+		}
+		select {
+		case it := <-b.queue:
+			batch = []*Item[T]{it}
+		default:
+			return ctx.Err()
+		}
+	}
+}
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -35,7 +35,6 @@
 type Manifests struct {
 	opt    ManifestsOptions
 	tail   *Tail
-	wake   chan struct{}
 	jitter float64
 
 	mu     sync.Mutex // guards state and caught
@@ -48,10 +47,10 @@
 
 // NewManifests returns a Manifests that knows nothing yet.
 func NewManifests(o ManifestsOptions) *Manifests {
-	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{}), wake: make(chan struct{}, 1)}
+	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{})}
 	m.jitter = rand.New(rand.NewPCG(o.Seed, 1)).Float64()
 	m.tail = NewTail(TailOptions{
-		Log: o.Log, Stream: ledger.StreamManifest, Sink: m, Poll: o.Poll, Seed: o.Seed, Wake: m.wake,
+		Log: o.Log, Stream: ledger.StreamManifest, Sink: m, Poll: o.Poll, Seed: o.Seed,
 	})
 	return m
 }
@@ -94,12 +93,16 @@
 	if c, ok := m.Proof(); ok && c.Revision.Offset == base {
 		req.Proof = &c
 	}
-	r, err := Publish(ctx, m.opt.Log, req)
-	select {
-	case m.wake <- struct{}{}:
-	default:
+	r, state, err := publish(ctx, m.opt.Log, req)
+	if err != nil {
+		return r, err
+	}
+	// What the publication has read is in force here at once, and goes on to
+	// the neighbours, even if the log fails the moment after.
+	if c, ok := state.Proof(); ok {
+		_ = m.Adopt(c)
 	}
-	return r, err
+	return r, nil
 }
 
 // ManifestsStatus is the state of a Manifests for operators.
--- a/logio/publish.go
+++ b/logio/publish.go
@@ -50,14 +50,20 @@
 // the same: a record that was appended twice is accepted once. The error tells
 // of a manifest that no log would accept.
 func Publish(ctx context.Context, log platform.Log, req PublishRequest) (PublishResult, error) {
+	r, _, err := publish(ctx, log, req)
+	return r, err
+}
+
+// publish also returns the fold that the result rests on.
+func publish(ctx context.Context, log platform.Log, req PublishRequest) (PublishResult, *ledger.State, error) {
 	p, err := newPublisher(log, req)
 	if err != nil {
-		return PublishResult{}, err
+		return PublishResult{}, nil, err
 	}
 	r := p.publish(ctx)
 	r.Digest = p.digest
 	r.Latest = p.state.Revision().Offset
-	return r, nil
+	return r, p.state, nil
 }
 
 type publisher struct {
@@ -66,8 +72,9 @@
 	state  *ledger.State
 	digest manifest.Digest
 	data   []byte
-	back   backoff
-	sent   bool // an append may have taken effect
+	reads  backoff
+	writes backoff // apart from reads, whose success says nothing of appends
+	sent   bool    // an append may have taken effect
 }
 
 func newPublisher(log platform.Log, req PublishRequest) (*publisher, error) {
@@ -85,7 +92,8 @@
 		return nil, eris.Wrap(err, "logio: publish")
 	}
 	p := &publisher{log: log, req: req, state: ledger.NewState(ledger.Options{}), digest: digest, data: data}
-	p.back.random = newRand(req.Seed)
+	p.reads.random = newRand(req.Seed)
+	p.writes.random = p.reads.random
 	if req.Proof == nil {
 		return p, nil
 	}
@@ -120,7 +128,7 @@
 		if ctx.Err() != nil {
 			return p.undecided(err.Error())
 		}
-		if waited := p.back.wait(ctx); waited != nil {
+		if waited := p.writes.wait(ctx); waited != nil {
 			return p.undecided(errors.Join(err, waited).Error())
 		}
 	}
@@ -172,7 +180,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case err == nil:
-			p.back.reset()
+			p.reads.reset()
 			p.fold(page.Records)
 			if p.state.Next() >= page.Next && p.state.Next() > through {
 				return nil
@@ -181,7 +189,7 @@
 				continue
 			}
 		}
-		if err := p.back.wait(ctx); err != nil {
+		if err := p.reads.wait(ctx); err != nil {
 			return err
 		}
 	}
