--- a/placement/place.go
+++ b/placement/place.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -19,10 +22,15 @@
 	maxCandidates = 96
 	// homePrior is how likely a home has the prefix when nothing is learnt:
 	// other daemons have probably sent it there.
-	homePrior = 0.5
+	homePrior = 0.9
+	// priorLife is how fast that fades once the daemon follows the events of an
+	// endpoint: the half-life in seconds.
+	priorLife = 2.0
 	// wasteWeight counts a recomputed token as this many more, since it also
-	// delays whoever comes next.
-	wasteWeight = 1.0
+	// delays whoever comes next. With a low weight a loaded fleet collapses:
+	// waits send prompts to cold endpoints, where they are computed once more,
+	// which makes the waits longer.
+	wasteWeight = 8.0
 	// rankCost separates endpoints that are otherwise equal. It is above the
 	// two-way delay between zones: daemons of different zones must agree
 	// where a cold prefix goes.
@@ -99,7 +107,9 @@
 	}
 	v.expectCached(now, &r)
 	d, missing := v.choose(now, &r, home, reason)
-	v.reserve(now, r.ID, v.byID[d.Endpoint], missing)
+	ep := v.byID[d.Endpoint]
+	v.reserve(now, &r, ep, missing)
+	v.note(now, ep, &r)
 	return d, nil
 }
 
@@ -237,9 +247,9 @@
 	for i := range v.scratch.candidates {
 		c := &v.scratch.candidates[i]
 		if c.rank < homes {
-			c.cached = max(c.cached, homePrior*float64(shared))
+			c.cached = max(c.cached, v.prior(now, c)*float64(shared))
 		}
-		wait, missing := v.wait(now, c.endpoint), float64(r.Tokens)-c.cached
+		wait, missing := v.wait(now, c.endpoint, r.Priority), float64(r.Tokens)-c.cached
 		cost := wait + v.prefill(c, missing)*(1+wasteWeight)
 		cost += v.travel(c) + rankCost*float64(max(0, c.rank-homes+1))
 		if best < 0 || cost < bestCost {
@@ -265,6 +275,19 @@
 	return d, int(bestMissing)
 }
 
+// prior is how likely a home has a prefix of which nothing is known there.
+//
+// A daemon that has followed the endpoint's events for a while would know, and
+// a cold prefix may go wherever the wait is short. One that has just restarted
+// knows nothing, and relies on the others having used the home.
+func (v *View) prior(now time.Time, c *candidate) float64 {
+	e := &v.endpoints[c.endpoint]
+	if !e.follows {
+		return homePrior
+	}
+	return homePrior * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // homesFor is the number of endpoints that the prefix's heat asks for.
@@ -283,18 +306,31 @@
 	return 2 * v.delayTo(&v.endpoints[c.endpoint]).Seconds()
 }
 
-// wait is the expected time in the endpoint's queue: what the last report
-// said, less what has been worked off since, and what was sent there since.
-func (v *View) wait(now time.Time, ep int32) float64 {
+// wait is the expected time in seconds before the endpoint begins a request of
+// the priority: what the last report said goes before it, less what has been
+// worked off since, and what was sent there since.
+func (v *View) wait(now time.Time, ep int32, p contract.Priority) float64 {
 	e := &v.endpoints[ep]
-	queued := float64(e.load.WaitingTokens) - e.rate*now.Sub(e.loadAt).Seconds()
-	wait := (max(queued, 0) + float64(e.pending)) / e.rate
+	queued := float64(ahead(&e.load, p)) - e.rate*now.Sub(e.loadAt).Seconds()
+	wait := max(queued, 0) / e.rate
+	for urgent := range p + 1 {
+		wait += float64(e.pending[urgent]) / e.rate
+	}
 	if over := e.load.Running + e.load.Waiting + e.queued + 1 - e.load.Slots; e.load.Slots > 0 && over > 0 {
 		wait += float64(over) * v.service / float64(e.load.Slots)
 	}
 	return wait
 }
 
+// ahead is the part of the reported queue that a request of the priority waits
+// for. An endpoint that does not split its queue is taken to serve in order.
+func ahead(l *fleet.Load, p contract.Priority) int {
+	if l.TokensAhead == [len(l.TokensAhead)]int{} {
+		return l.WaitingTokens
+	}
+	return l.TokensAhead[min(int(p), len(l.TokensAhead)-1)]
+}
+
 // storeLife is how long the KV store is thought to keep a prefix.
 const storeLife = time.Minute
 
