Show the promises on stand-ins in one command

Cause: a newcomer had no way to see what the daemons promise.

Change: lab/world runs a cluster of in-process daemons behind real sockets; lab/demo sends a workload with nested prefixes beside a random baseline and brings about a dead runner, a runner back empty, a drained daemon, a log outage, a leaving endpoint and two operators racing.

--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -79,6 +79,7 @@
 		newStatus(s),
 		newDump(s),
 		newDrain(s),
+		newDemo(s),
 		newStandin(s),
 		newVersion(s),
 	}
--- /dev/null
+++ b/lab/demo/demo.go
@@ -0,0 +1,152 @@
+// Package demo shows the whole system on stand-ins in one process: three
+// daemons in front of six runners, and what each promise comes to when
+// something fails. Every line it prints is computed from what the stand-ins
+// and the callers saw in that run.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/world"
+	"github.com/merlindock/merlindock/settings"
+)
+
+// ErrBroken says that a promise did not hold.
+var ErrBroken = errors.New("demo: a promise was broken")
+
+// Options of the demo.
+type Options struct {
+	Out      io.Writer // results
+	Progress io.Writer // what is being done; nil: nowhere
+	Requests int       // of the workload; 0: 320
+}
+
+// Bounds of the demo.
+const (
+	defaultRequests = 320
+	maxTime         = 2 * time.Minute
+	daemons         = 3
+)
+
+// Promise is the outcome of one step.
+type Promise struct {
+	Name string `json:"name"`
+	Held bool   `json:"held"`
+	Seen string `json:"seen"`
+}
+
+// show is one run of the demo.
+type show struct {
+	o        Options
+	world    *world.World
+	cluster  *world.Cluster
+	prompts  []prompt
+	expected *expected
+	promises []Promise
+}
+
+// Run runs the demo. It returns ErrBroken when a promise did not hold.
+func Run(ctx context.Context, o Options) error {
+	if o.Requests == 0 {
+		o.Requests = defaultRequests
+	}
+	if o.Progress == nil {
+		o.Progress = io.Discard
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxTime)
+	defer cancel()
+	w, err := world.Start(world.Options{
+		Runners:       6,
+		Organisations: organisations,
+		Prefill:       prefillPerTok,
+		Decode:        decodePerTok,
+		AnswerTokens:  answerTokens,
+		PieceTokens:   pieceTokens,
+		CachePieces:   documents * organisations * 10,
+	})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	s := &show{o: o, world: w, prompts: workload(o.Requests)}
+	s.expected = expect(s.prompts)
+	s.cluster, err = w.StartCluster(daemons, func(*settings.Settings) {})
+	if err != nil {
+		return err
+	}
+	defer s.cluster.Close()
+	return s.run(ctx)
+}
+
+func (s *show) run(ctx context.Context) error {
+	steps := []struct {
+		name string
+		do   func(context.Context) (Promise, error)
+	}{
+		{"publish a manifest", s.publish},
+		{"send the workload and a baseline", s.measure},
+		{"kill a runner in mid-stream", s.killRunner},
+		{"bring the runner back empty", s.returnEmpty},
+		{"restart a daemon with a stream open and the log down", s.restartDaemon},
+		{"book a slot twice with one key", s.bookTwice},
+		{"book while the log is down", s.bookWithoutLog},
+		{"let an endpoint leave", s.leave},
+		{"publish against an old manifest", s.race},
+	}
+	for _, step := range steps {
+		fmt.Fprintf(s.o.Progress, "demo: %s\n", step.name)
+		p, err := step.do(ctx)
+		if err != nil {
+			return fmt.Errorf("demo: %s: %w", step.name, err)
+		}
+		s.promises = append(s.promises, p)
+	}
+	return s.report()
+}
+
+func (s *show) report() error {
+	broken := 0
+	fmt.Fprintln(s.o.Out, "\nPromise by promise:")
+	for _, p := range s.promises {
+		verdict := "held  "
+		if !p.Held {
+			verdict = "BROKEN"
+			broken++
+		}
+		fmt.Fprintf(s.o.Out, "  %s  %-58s %s\n", verdict, p.Name, p.Seen)
+	}
+	fmt.Fprintf(s.o.Out, "%d passed, %d failed\n", len(s.promises)-broken, broken)
+	if broken > 0 {
+		return ErrBroken
+	}
+	return nil
+}
+
+func (s *show) urls() []string {
+	var urls []string
+	for _, n := range s.cluster.Nodes {
+		urls = append(urls, n.CallersURL)
+	}
+	return urls
+}
+
+// table prints the figures of the workload beside the baseline's.
+func (s *show) table(ours, base *figures) {
+	fmt.Fprintf(s.o.Out, "\n%d requests with nested shared prefixes over %d daemons, %d runners:\n", ours.asked, daemons, len(s.world.Runners))
+	fmt.Fprintf(s.o.Out, "  %-36s %12s %12s\n", "", "merlindock", "random")
+	row := func(name string, a, b any) { fmt.Fprintf(s.o.Out, "  %-36s %12v %12v\n", name, a, b) }
+	percent := func(x float64) string { return fmt.Sprintf("%.1f%%", 100*x) }
+	row("whole answers", ours.right, base.right)
+	row("prefix hit rate", percent(ours.hitRate()), percent(base.hitRate()))
+	row("wasted recomputation, tokens", ours.waste(), base.waste())
+	for _, q := range []float64{0.50, 0.95, 0.99} {
+		row(fmt.Sprintf("time to first token, p%.0f", 100*q), ours.percentile(q).Round(100*time.Microsecond), base.percentile(q).Round(100*time.Microsecond))
+	}
+}
+
+func seen(parts ...string) string { return strings.Join(parts, ", ") }
--- /dev/null
+++ b/lab/world/cluster.go
@@ -0,0 +1,188 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/merlindock/merlindock/admin/client"
+	"github.com/merlindock/merlindock/daemon"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/platform/httplog"
+	"github.com/merlindock/merlindock/settings"
+)
+
+// Token is the administration token of a cluster's daemons.
+const Token = "demo-admin-token"
+
+// Node is one daemon of a cluster, in this process and behind real sockets.
+type Node struct {
+	ID         string
+	CallersURL string
+	AdminURL   string
+	PeerAddr   string
+	Daemon     *daemon.Daemon
+
+	listeners daemon.Listeners
+	ended     chan error
+}
+
+// Admin returns a client of the node's administration API.
+func (n *Node) Admin() *client.Client { return &client.Client{BaseURL: n.AdminURL, Token: Token} }
+
+// Ended gives what the daemon's Run returned.
+func (n *Node) Ended() <-chan error { return n.ended }
+
+// Cluster is daemons in front of a World.
+type Cluster struct {
+	World *World
+	Nodes []*Node
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tuning func(*settings.Settings)
+}
+
+// StartCluster starts daemons on ports of their own, one zone after the other.
+// Tuning may change their settings; nil leaves them.
+func (w *World) StartCluster(daemons int, tuning func(*settings.Settings)) (*Cluster, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Cluster{World: w, ctx: ctx, cancel: cancel, tuning: tuning}
+	for i := range daemons {
+		n, err := openNode(fmt.Sprintf("daemon-%d", i+1))
+		if err != nil {
+			c.Close()
+			return nil, err
+		}
+		c.Nodes = append(c.Nodes, n)
+	}
+	c.list()
+	for i := range c.Nodes {
+		if err := c.run(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func openNode(id string) (*Node, error) {
+	n := &Node{ID: id, ended: make(chan error, 1)}
+	for _, l := range []*net.Listener{&n.listeners.Callers, &n.listeners.Admin, &n.listeners.Peers} {
+		opened, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("world: %w", err)
+		}
+		*l = opened
+	}
+	n.CallersURL = "http://" + n.listeners.Callers.Addr().String()
+	n.AdminURL = "http://" + n.listeners.Admin.Addr().String()
+	n.PeerAddr = n.listeners.Peers.Addr().String()
+	return n, nil
+}
+
+// list puts the nodes on the platform's list of daemons.
+func (c *Cluster) list() {
+	var daemons []platform.Daemon
+	for i, n := range c.Nodes {
+		daemons = append(daemons, platform.Daemon{
+			ID:          n.ID,
+			Zone:        Zones[i%len(Zones)],
+			PeerAddress: n.PeerAddr,
+			State:       fleet.VMLive,
+		})
+	}
+	c.World.SetDaemons(daemons)
+}
+
+func (c *Cluster) run(i int) error {
+	n := c.Nodes[i]
+	s, err := settings.Load(settings.Input{Args: []string{
+		"-daemon.id=" + n.ID,
+		"-daemon.zone=" + string(Zones[i%len(Zones)]),
+		"-platform.url=" + c.World.PlatformURL,
+		"-listen.callers=" + n.listeners.Callers.Addr().String(),
+		"-listen.admin=" + n.listeners.Admin.Addr().String(),
+		"-listen.peers=" + n.PeerAddr,
+		"-drain.balancer-lag=100ms",
+		"-platform.poll-interval=50ms",
+		"-platform.list-interval=200ms",
+	}})
+	if err != nil {
+		return err
+	}
+	if c.tuning != nil {
+		c.tuning(&s)
+	}
+	plat, err := httplog.New(httplog.Options{BaseURL: c.World.PlatformURL, Timeout: s.Platform.Timeout})
+	if err != nil {
+		return err
+	}
+	n.Daemon, err = daemon.New(daemon.Options{
+		Settings:  s,
+		Token:     Token,
+		Log:       plat,
+		VMs:       plat,
+		Logs:      logging.Discard(),
+		Listeners: n.listeners,
+	})
+	if err != nil {
+		return err
+	}
+	go func() { n.ended <- n.Daemon.Run(c.ctx) }()
+	return nil
+}
+
+// Restart replaces an ended node by a new daemon of the same name.
+func (c *Cluster) Restart(i int) error {
+	n, err := openNode(c.Nodes[i].ID)
+	if err != nil {
+		return err
+	}
+	c.Nodes[i] = n
+	c.list()
+	return c.run(i)
+}
+
+// WaitReady waits until every node says that it is ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for _, n := range c.Nodes {
+		if err := n.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readyPoll is how often a node is asked whether it is ready.
+const readyPoll = 5 * time.Millisecond
+
+// WaitReady waits until the node says that it is ready.
+func (n *Node) WaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		_, err := n.Admin().Get(ctx, "/readyz")
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("world: %s is not ready: %w", n.ID, err)
+		case <-ticker.C:
+		}
+	}
+}
+
+// Close ends all daemons, cutting what is open.
+func (c *Cluster) Close() {
+	c.cancel()
+	for _, n := range c.Nodes {
+		if n.Daemon != nil {
+			<-n.ended
+		}
+	}
+}
