Bind requests to the weight version that runners serve

Cause: during a rollout the manifest names the new version while most runners still serve the old one; every request would have been refused by number until the first runner had loaded it.

Change: pools are kept for each model and served version, worked out only when the membership, the manifest or an endpoint's weights change; the gateway binds a request by its first level once, for all attempts. merlindock replay drives the decisions over a trace.

--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -80,6 +80,7 @@
 		newDump(s),
 		newDrain(s),
 		newDemo(s),
+		newReplay(s),
 		newStandin(s),
 		newVersion(s),
 	}
--- /dev/null
+++ b/cmd/merlindock/replay.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/merlindock/merlindock/lab/replay"
+	"github.com/merlindock/merlindock/lab/trace"
+)
+
+// replayFlags are the flags of the replay command.
+type replayFlags struct {
+	trace    string
+	policies string
+	faults   string
+	daemons  int
+	seed     uint64
+	seeds    int
+	speed    float64
+	asJSON   bool
+}
+
+func (f *replayFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.trace, "trace", "", "trace file, see docs/TRACES.md")
+	fs.StringVar(&f.policies, "policy", "all", "policies, separated by commas, or all: "+joined(replay.Policies()))
+	fs.StringVar(&f.faults, "fault", "", "faults, separated by commas: "+joined(replay.Faults()))
+	fs.IntVar(&f.daemons, "daemons", 0, "daemons that share the traffic; 0 for the trace's")
+	fs.Uint64Var(&f.seed, "seed", 1, "seed of the balancer and of what is lost")
+	fs.IntVar(&f.seeds, "seeds", 1, "seeds to run, from -seed on")
+	fs.Float64Var(&f.speed, "speed", 1, "how much faster than recorded requests arrive")
+	fs.BoolVar(&f.asJSON, "json", false, "print the whole reports as JSON")
+}
+
+func joined[T ~string](list []T) string {
+	texts := make([]string, len(list))
+	for i, t := range list {
+		texts[i] = string(t)
+	}
+	return strings.Join(texts, ", ")
+}
+
+// chosen returns the entries of a list that the flag names.
+func chosen[T ~string](text string, known []T) ([]T, error) {
+	var out []T
+	for name := range strings.SplitSeq(text, ",") {
+		name = strings.TrimSpace(name)
+		if name == "" {
+			continue
+		}
+		found := false
+		for _, k := range known {
+			found = found || string(k) == name
+		}
+		if !found {
+			return nil, usageError("%q is unknown, expected one of %s", name, joined(known))
+		}
+		out = append(out, T(name))
+	}
+	return out, nil
+}
+
+func newReplay(s streams) *ffcli.Command {
+	var f replayFlags
+	return command(s, "replay", "merlindock replay -trace FILE [flags]",
+		"Replay a trace in virtual time and compare policies.", f.register,
+		func(ctx context.Context, _ []string) error {
+			runs, err := f.runs()
+			if err != nil {
+				return err
+			}
+			var reports []replay.Report
+			for i := range runs {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				fmt.Fprintf(s.err, "replay: %d of %d, %s\n", i+1, len(runs), runs[i].Policy)
+				r, err := replay.Run(runs[i])
+				if err != nil {
+					return err
+				}
+				reports = append(reports, r)
+			}
+			if !f.asJSON {
+				return replay.WriteTable(s.out, reports)
+			}
+			enc := json.NewEncoder(s.out)
+			enc.SetIndent("", "  ")
+			return enc.Encode(reports)
+		})
+}
+
+// runs lists the replays that the flags ask for.
+func (f *replayFlags) runs() ([]replay.Options, error) {
+	if f.trace == "" {
+		return nil, usageError("-trace is missing, expected a trace file such as lab/trace/testdata/registre-synthetic.jsonl")
+	}
+	file, err := os.Open(f.trace)
+	if err != nil {
+		return nil, usageError("%v", err)
+	}
+	defer file.Close()
+	t, err := trace.Read(file)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", f.trace, err)
+	}
+	faults, err := chosen(f.faults, replay.Faults())
+	if err != nil {
+		return nil, err
+	}
+	policies := replay.Policies()
+	if f.policies != "all" {
+		if policies, err = chosen(f.policies, policies); err != nil {
+			return nil, err
+		}
+	}
+	var runs []replay.Options
+	for i := range f.seeds {
+		for _, p := range policies {
+			runs = append(runs, replay.Options{
+				Trace:   t,
+				Policy:  p,
+				Daemons: f.daemons,
+				Seed:    f.seed + uint64(i),
+				Speed:   f.speed,
+				Faults:  faults,
+			})
+		}
+	}
+	return runs, nil
+}
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -100,10 +100,10 @@
 		a.leave()
 		return nil, refusal(contract.Decision{Reason: contract.NoCapacity, RetryAfter: gateway.DefaultRetryAfter})
 	}
-	endpoints, slots := a.daemon.fleet.slots(modelPool(r.Model))
+	c := a.daemon.fleet.capacityOf(r.Model)
 	id := contract.RequestID(a.ids.next())
-	rate := float64(endpoints) * a.daemon.o.Settings.Routing.RunnerTokens
-	d, err := p.admit(ctx, rate, slots, contract.Request{
+	rate := float64(c.endpoints) * a.daemon.o.Settings.Routing.RunnerTokens
+	d, err := p.admit(ctx, rate, c.slots, contract.Request{
 		ID:           id,
 		Organisation: r.Organisation,
 		Priority:     priorityOf(r.Priority),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,6 +109,7 @@
 	s := d.o.Settings.Callers
 	return gateway.Options{
 		Catalogue: d.catalogue.index,
+		Bind:      d.fleet.bind,
 		Engine:    client,
 		Placer:    d.fleet,
 		Admitter:  d.admission,
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/merlindock/merlindock/catalog"
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
@@ -13,6 +17,7 @@
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
+	"github.com/merlindock/merlindock/rollout"
 )
 
 // Times and bounds of the fleet's upkeep.
@@ -37,7 +42,11 @@
 	members  *fleet.Membership
 	manifest *manifest.Manifest
 	listed   bool // the platform's list has been read once
-	pools    map[string]poolState
+	dirty    bool // pools must be worked out anew
+	pools    map[string][]fleet.Endpoint
+	capacity map[string]capacity // by model
+	shares   map[string][]rollout.Share
+	weights  map[fleet.EndpointID][]fleet.Weights
 	gates    map[fleet.EndpointID]placement.Gate
 	places   map[fleet.EndpointID]fleet.Endpoint
 
@@ -48,10 +57,10 @@
 	ids     requestIDs
 }
 
-// poolState remembers which members a pool was last given.
-type poolState struct {
-	members []fleet.Endpoint
-	slots   int
+// capacity is what the runners of a model can take.
+type capacity struct {
+	endpoints int
+	slots     int
 }
 
 func newFleetView(d *Daemon, client *engine.Client) *fleetView {
@@ -62,8 +71,9 @@
 		log:     d.o.Logs.For(logging.PartFleet),
 		now:     d.o.Now,
 		members: fleet.NewMembership(fleet.MembershipOptions{}),
-		pools:   map[string]poolState{},
+		pools:   map[string][]fleet.Endpoint{},
 		gates:   map[fleet.EndpointID]placement.Gate{},
+		weights: map[fleet.EndpointID][]fleet.Weights{},
 		places:  map[fleet.EndpointID]fleet.Endpoint{},
 		health:  health.New(health.Options{Rand: newRand(s.Daemon.ID, d.life)}),
 	}
@@ -81,6 +91,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.manifest = m
+	v.dirty = true
 	options := prefix.Options{PieceTokens: m.Fleet.PieceTokens, BytesPerToken: m.Fleet.BytesPerToken}
 	v.cutters = &sync.Pool{New: func() any { return prefix.NewCutter(options) }}
 	v.refresh()
@@ -134,8 +145,10 @@
 	v.refresh()
 }
 
-// told logs changes of the membership. The caller holds the lock.
+// told logs changes of the membership and has the pools worked out anew. The
+// caller holds the lock.
 func (v *fleetView) told(changes []fleet.Change) {
+	v.dirty = v.dirty || len(changes) > 0
 	for _, c := range changes {
 		v.log.Info("Endpoint has changed.", "endpoint", string(c.Endpoint), "change", string(c.Kind))
 	}
@@ -175,6 +188,10 @@
 	l.At = now
 	v.mu.Lock()
 	v.told(v.members.Reported(now, id, l))
+	if !slices.Equal(v.weights[id], l.Weights) {
+		v.weights[id] = l.Weights
+		v.dirty = true
+	}
 	v.mu.Unlock()
 	v.placement.LoadReported(id, l)
 	v.healthMu.Lock()
@@ -201,66 +218,101 @@
 	now := v.now()
 	all := v.members.All(now)
 	v.refreshGates(now, all)
-	for i := range v.manifest.Models {
-		id := v.manifest.Models[i].ID
-		v.setPool(modelPool(id), all, func(c *manifest.Class) bool { return serves(c, id) })
-	}
-	for i := range v.manifest.Services {
-		class := v.manifest.Services[i].Class
-		v.setPool(classPool(class), all, func(c *manifest.Class) bool { return c.ID == class })
+	if !v.dirty {
+		return
 	}
+	v.dirty = false
+	v.refreshPools(all)
 	v.setStore(all)
 }
 
-func serves(c *manifest.Class, model string) bool {
-	if c.Kind != fleet.KindModel {
-		return false
+// refreshPools works out which endpoints serve what. Leaving ones are in no
+// pool; those that fail stay in theirs, so that they find their own prefixes
+// again when they return.
+func (v *fleetView) refreshPools(all []fleet.Member) {
+	staying := make([]fleet.Member, 0, len(all))
+	for i := range all {
+		if !all[i].Leaving {
+			staying = append(staying, all[i])
+		}
 	}
-	for _, m := range c.Models {
-		if m == model {
-			return true
+	v.capacity = map[string]capacity{}
+	v.shares = map[string][]rollout.Share{}
+	for i := range v.manifest.Models {
+		model := v.manifest.Models[i].ID
+		shares := rollout.Shares(v.manifest, model, staying)
+		v.shares[model] = shares
+		for _, s := range shares {
+			v.setPool(modelPool(model, s.Version), s.Endpoints)
+			c := v.capacity[model]
+			c.endpoints += len(s.Endpoints)
+			v.capacity[model] = c
 		}
 	}
-	return false
+	v.countSlots(staying)
+	v.refreshServices(staying)
 }
 
-func modelPool(model string) string { return "model/" + model }
-func classPool(class string) string { return "class/" + class }
-
-// setPool hands placement the members of a pool when they have changed.
-func (v *fleetView) setPool(name string, all []fleet.Member, in func(*manifest.Class) bool) {
-	classes := map[string]bool{}
-	for i := range v.manifest.Classes {
-		c := &v.manifest.Classes[i]
-		classes[c.ID] = in(c)
-	}
-	next := poolState{}
-	for i := range all {
-		if !classes[all[i].Class] {
-			continue
+// countSlots adds up the batch slots behind each model.
+func (v *fleetView) countSlots(staying []fleet.Member) {
+	slots := make(map[fleet.EndpointID]int, len(staying))
+	for i := range staying {
+		m := &staying[i]
+		slots[m.ID] = m.Load.Slots
+		if m.Load.Slots == 0 {
+			slots[m.ID] = v.daemon.o.Settings.Routing.RunnerSlots
 		}
-		next.members = append(next.members, all[i].Endpoint)
-		if !all[i].Leaving {
-			next.slots += max(all[i].Load.Slots, v.daemon.o.Settings.Routing.RunnerSlots)
+	}
+	for model, shares := range v.shares {
+		c := v.capacity[model]
+		for _, s := range shares {
+			for i := range s.Endpoints {
+				c.slots += slots[s.Endpoints[i].ID]
+			}
 		}
+		v.capacity[model] = c
 	}
-	before := v.pools[name]
-	v.pools[name] = next
-	if !sameMembers(before.members, next.members) {
-		v.placement.SetPool(name, next.members)
+}
+
+func (v *fleetView) refreshServices(staying []fleet.Member) {
+	for i := range v.manifest.Services {
+		class := v.manifest.Services[i].Class
+		var members []fleet.Endpoint
+		for j := range staying {
+			if staying[j].Class == class {
+				members = append(members, staying[j].Endpoint)
+			}
+		}
+		v.setPool(classPool(class), members)
 	}
 }
 
-func sameMembers(a, b []fleet.Endpoint) bool {
-	if len(a) != len(b) {
-		return false
+func modelPool(model, version string) string { return "model/" + model + "@" + version }
+func classPool(class string) string          { return "class/" + class }
+
+// setPool hands placement the members of a pool when they have changed.
+func (v *fleetView) setPool(name string, members []fleet.Endpoint) {
+	before, known := v.pools[name]
+	if known && slices.Equal(before, members) {
+		return
 	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
+	v.pools[name] = members
+	v.placement.SetPool(name, members)
+}
+
+// bind implements the gateway's choice of a weight version: while a rollout is
+// under way some runners serve the old version and some the new one.
+func (v *fleetView) bind(org contract.OrganisationID, t catalog.Target, firstLevel []byte) catalog.Target {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(org) + "|" + t.Model + "|")
+	_, _ = d.Write(firstLevel)
+	v.mu.Lock()
+	shares := v.shares[t.Model]
+	v.mu.Unlock()
+	if s, ok := rollout.Bind(shares, t.Version, d.Sum64()); ok {
+		t.Version = s.Version
 	}
-	return true
+	return t
 }
 
 // refreshGates closes the gates of endpoints that leave or fail.
@@ -295,6 +347,7 @@
 	for id := range v.gates {
 		if _, ok := v.places[id]; !ok {
 			delete(v.gates, id)
+			delete(v.weights, id)
 		}
 	}
 }
@@ -338,12 +391,11 @@
 	v.told(v.members.Hearsay(now, es))
 }
 
-// slots returns the batch slots of a pool.
-func (v *fleetView) slots(pool string) (endpoints, slots int) {
+// capacityOf returns what the runners of a model can take.
+func (v *fleetView) capacityOf(model string) capacity {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	p := v.pools[pool]
-	return len(p.members), p.slots
+	return v.capacity[model]
 }
 
 // known tells whether there is any endpoint to serve from.
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -28,7 +28,7 @@
 	levels := v.levels(r)
 	pool := classPool(r.Class)
 	if r.Kind == fleet.KindModel {
-		pool = modelPool(r.Target.Model)
+		pool = modelPool(r.Target.Model, r.Target.Version)
 	}
 	decision, err := v.placement.Place(v.now(), placement.Request{
 		ID:       id,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,14 +73,17 @@
 type Options struct {
 	// Catalogue returns the index of the manifest in force, nil if there is none.
 	Catalogue func() *catalog.Index
-	Engine    *engine.Client
-	Placer    Placer
-	Admitter  Admitter    // nil: all are admitted
-	Claimer   Claimer     // nil: keyed calls are refused
-	Retry     RetryPolicy // nil: SimpleRetry
-	Observer  Observer    // nil: none
-	Drainer   *Drainer    // nil: one of its own
-	Limits    Limits
+	// Bind chooses the weight version that a request is bound to for all its
+	// attempts, by the first level of its prompt. Nil: the manifest's.
+	Bind     func(org contract.OrganisationID, t catalog.Target, firstLevel []byte) catalog.Target
+	Engine   *engine.Client
+	Placer   Placer
+	Admitter Admitter    // nil: all are admitted
+	Claimer  Claimer     // nil: keyed calls are refused
+	Retry    RetryPolicy // nil: SimpleRetry
+	Observer Observer    // nil: none
+	Drainer  *Drainer    // nil: one of its own
+	Limits   Limits
 }
 
 // Gateway is the caller-facing http.Handler.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -83,6 +83,19 @@
 	return mc
 }
 
+// bind fixes the weight version for all attempts: an answer that began on one
+// version and went on with another would be neither's.
+func (c *call) bind(t catalog.Target, prompt []byte, ends []int) catalog.Target {
+	if c.g.o.Bind == nil {
+		return t
+	}
+	first := len(prompt)
+	if len(ends) > 0 {
+		first = ends[0]
+	}
+	return c.g.o.Bind(c.org.ID, t, prompt[:first])
+}
+
 func (mc *modelCall) admitRequest() AdmitRequest {
 	return AdmitRequest{
 		Organisation: mc.org.ID,
