--- a/gateway/model.go
+++ b/gateway/model.go
@@ -25,7 +25,6 @@
 // modelCall is a model request on its way to an answer.
 type modelCall struct {
 	*call
-	request    *modelRequest
 	place      PlaceRequest
 	header     http.Header
 	assembler  stream.Assembler
@@ -64,16 +63,15 @@
 }
 
 func (c *call) newModelCall(m *modelRequest, target catalog.Target) *modelCall {
-	prompt, ends := m.levels()
-	mc := &modelCall{call: c, request: m, place: c.placeRequest(fleet.KindModel)}
+	mc := &modelCall{call: c, place: c.placeRequest(fleet.KindModel)}
 	mc.place.Target = target
-	mc.place.Prompt, mc.place.Levels = prompt, ends
-	mc.place.PromptTokens = estimateTokens(len(prompt), c.index.Fleet().BytesPerToken)
+	mc.place.Prompt, mc.place.Levels = m.prompt, m.ends
+	mc.place.PromptTokens = estimateTokens(len(mc.place.Prompt), c.index.Fleet().BytesPerToken)
 	mc.place.MaxTokens = m.outputTokens()
 	if m.Seed == nil {
 		// The same request gets the same seed on each attempt, and another
 		// request another one.
-		c.body = withSeed(c.body, crc32.ChecksumIEEE([]byte(c.id)))
+		c.addSeed(m, crc32.ChecksumIEEE([]byte(c.id)))
 	}
 	mc.header = http.Header{"Content-Type": {contentJSON}}
 	if m.Stream {
@@ -85,9 +83,23 @@
 	return mc
 }
 
+// bind fixes the weight version for all attempts: an answer that began on one
+// version and went on with another would be neither's.
+func (c *call) bind(t catalog.Target, prompt []byte, ends []int) catalog.Target {
+	if c.g.o.Bind == nil {
+		return t
+	}
+	first := len(prompt)
+	if len(ends) > 0 {
+		first = ends[0]
+	}
+	return c.g.o.Bind(c.org.ID, t, prompt[:first])
+}
+
 func (mc *modelCall) admitRequest() AdmitRequest {
 	return AdmitRequest{
 		Organisation: mc.org.ID,
+		Model:        mc.place.Target.Model,
 		Priority:     mc.priority,
 		Tokens:       mc.place.PromptTokens + mc.place.MaxTokens,
 		PromptTokens: mc.place.PromptTokens,
@@ -108,6 +120,7 @@
 func (mc *modelCall) run() *Refusal {
 	for {
 		mc.place.Attempt = mc.report.Attempts + 1
+		_, mc.place.Resume = mc.resumeFrom()
 		p, err := mc.g.o.Placer.Place(mc.ctx, &mc.place)
 		if err != nil {
 			return mc.giveUp(mc.portRefusal(err, mc.mayHaveRun))
@@ -122,6 +135,12 @@
 	}
 }
 
+// resumeFrom returns the index of the last token the caller has, if any.
+func (mc *modelCall) resumeFrom() (last int64, any bool) {
+	last, _ = mc.assembler.Resume()
+	return last, last >= 0
+}
+
 // next prepares another attempt after a failed one, or returns why there is
 // none.
 func (mc *modelCall) next(p *Placement, err error) *Refusal {
@@ -199,6 +218,9 @@
 	}
 	defer ans.Close()
 	res.Status, res.Meta = ans.Status, ans.Meta
+	if p.Began != nil {
+		p.Began(ans.Meta)
+	}
 	if err := ans.NotRun(); err != nil {
 		return err
 	}
@@ -225,8 +247,7 @@
 }
 
 func (mc *modelCall) engineAttempt(p *Placement) *engine.Attempt {
-	last, _ := mc.assembler.Resume()
-	resume := last >= 0
+	last, resume := mc.resumeFrom()
 	if resume {
 		mc.report.Resumes++
 	}
@@ -281,7 +302,7 @@
 	c.cachedHeader()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.report.Status = status
-	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.StallBudget))
+	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.WriteTimeout))
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write(body)
 }
