--- a/lab/history/follower.go
+++ b/lab/history/follower.go
@@ -13,7 +13,7 @@
 
 // Pace of the runs.
 const (
-	exchangeEvery = time.Second // proofs between neighbours
+	exchangeEvery = time.Second            // proofs between neighbours
 	watchEvery    = 500 * time.Millisecond // reads of the revision in force
 	followerPoll  = time.Second
 )
