--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -79,6 +79,8 @@
 		newStatus(s),
 		newDump(s),
 		newDrain(s),
+		newDemo(s),
+		newReplay(s),
 		newStandin(s),
 		newVersion(s),
 	}
