--- a/placement/view.go
+++ b/placement/view.go
@@ -28,13 +28,15 @@
 	ages             ageQueue
 	service          float64 // seconds from first token to last, averaged
 
+	imports importBudget
+	outbox  outbox
 	scratch scratch
 }
 
 // NewView returns an empty View.
 func NewView(o Options) *View {
 	o = o.withDefaults()
-	return &View{
+	v := &View{
 		o:        o,
 		byID:     map[fleet.EndpointID]int32{},
 		pools:    map[string]*pool{},
@@ -42,10 +44,18 @@
 		byOwner:  map[uint64]int32{},
 		service:  DefaultService.Seconds(),
 	}
+	v.SetDaemons(o.Daemons)
+	return v
 }
 
 // SetDaemons sets how many daemons share the fleet, this one included.
-func (v *View) SetDaemons(n int) { v.o.Daemons = max(n, 1) }
+func (v *View) SetDaemons(n int) {
+	v.o.Daemons = max(n, 1)
+	v.imports.rate = importPart * v.o.ImportRate / float64(v.o.Daemons)
+}
+
+// importPart is how much of the store's link the daemons use together.
+const importPart = 1.5
 
 // SetStore names the KV store that prefixes may be imported from; empty: none.
 func (v *View) SetStore(id fleet.EndpointID) { v.store = id }
@@ -142,6 +152,9 @@
 	if e.follows && b.Seq < e.nextSeq {
 		return
 	}
+	if !e.follows || b.Seq > e.nextSeq+smallGap {
+		e.since = b.At
+	}
 	if !e.follows || b.Seq != e.nextSeq {
 		e.gaps++
 	}
@@ -152,6 +165,10 @@
 	}
 }
 
+// smallGap is the number of lost events up to which a prefix that nothing is
+// known of is still taken to be absent: few can have been stored in the gap.
+const smallGap = 256
+
 func (v *View) event(e *endpoint, ep int32, at time.Time, ev Event) {
 	switch ev.Kind {
 	case EventCleared:
@@ -181,7 +198,7 @@
 	if h.life != e.life {
 		return 0
 	}
-	if e.follows && h.gaps == e.gaps {
+	if e.follows && h.gaps == e.gaps && !h.coming {
 		return eventTrust
 	}
 	return math.Exp2(-now.Sub(h.seen).Seconds() / e.idleLife.Seconds())
