--- a/contract/options.go
+++ b/contract/options.go
@@ -25,7 +25,7 @@
 	DefaultCredit         = 5 * time.Second
 	DefaultCreditTokens   = 8_000
 	DefaultHold           = 10 * time.Minute
-	DefaultMeter          = 5 * time.Second
+	DefaultMeter          = 10 * time.Second
 	DefaultRefresh        = 500 * time.Millisecond
 	DefaultIdle           = 30 * time.Second
 	DefaultSilentAfter    = 5 * time.Second
@@ -37,8 +37,8 @@
 	DefaultRetryJitter    = 0.25
 	defaultTokensPerSec   = 10_000
 	defaultSlots          = 64
-	priorDemand           = 500 // tokens/s, see fraction
-	priorPart             = 0.1 // of the capacity, see part
+	priorDemand           = 2000 // tokens/s, see fraction
+	priorPart             = 0.1  // of the capacity, see part
 	defaultInteractiveCap = 500 * time.Millisecond
 	defaultStandardCap    = 2 * time.Second
 	defaultBatchCap       = 10 * time.Second
--- a/lab/fairness/engine.go
+++ b/lab/fairness/engine.go
@@ -32,6 +32,7 @@
 	decode   float64       // left
 	tokens   float64       // in all
 	first    time.Duration // first token; 0 before
+	call     int           // in the result's list
 }
 
 // fakeEngine batches continuously: requests take a slot, the more urgent ones
