--- /dev/null
+++ b/lab/capacity/slope.go
@@ -0,0 +1,106 @@
+// Package capacity measures what each part of the system costs as its sizes
+// grow, and works out from the slopes what each role needs at a given size.
+package capacity
+
+import (
+	"runtime"
+	"slices"
+	"time"
+)
+
+// repeats is how often each point is measured; the least is kept, since
+// everything else that runs on the machine only adds.
+const repeats = 3
+
+// minRun is how long one timing goes on at the least.
+const minRun = 20 * time.Millisecond
+
+// Point is one measurement.
+type Point struct {
+	Size   float64 `json:"size"`
+	Value  float64 `json:"value"`
+	Spread float64 `json:"spread"` // greatest over least of the repeats, less 1
+}
+
+// Slope is how a cost grows with a size: value = Base + Each × size.
+type Slope struct {
+	Name   string  `json:"name"`
+	Size   string  `json:"size"`   // what the size counts
+	Unit   string  `json:"unit"`   // of the value
+	Each   float64 `json:"each"`   // added by one more
+	Base   float64 `json:"base"`   // at size 0
+	Spread float64 `json:"spread"` // the greatest of the points
+	Points []Point `json:"points"`
+}
+
+// At is the value at the given size. A line fitted through noise can cross
+// zero; a cost cannot.
+func (s *Slope) At(size float64) float64 { return max(s.Base+s.Each*size, 0) }
+
+// measure takes a point at each size and fits a line through them. The
+// function returns the value of one repeat.
+func measure(name, size, unit string, sizes []int, one func(size int) float64) Slope {
+	s := Slope{Name: name, Size: size, Unit: unit}
+	for _, n := range sizes {
+		var values []float64
+		for range repeats {
+			values = append(values, one(n))
+		}
+		least, most := slices.Min(values), slices.Max(values)
+		p := Point{Size: float64(n), Value: least}
+		if least > 0 {
+			p.Spread = most/least - 1
+		}
+		s.Points = append(s.Points, p)
+		s.Spread = max(s.Spread, p.Spread)
+	}
+	s.fit()
+	return s
+}
+
+// fit is the least-squares line, weighted by 1/size² so that the small sizes
+// of today count as much as the large ones.
+func (s *Slope) fit() {
+	var w, wx, wy, wxx, wxy float64
+	for _, p := range s.Points {
+		weight := 1 / (p.Size * p.Size)
+		w += weight
+		wx += weight * p.Size
+		wy += weight * p.Value
+		wxx += weight * p.Size * p.Size
+		wxy += weight * p.Size * p.Value
+	}
+	det := w*wxx - wx*wx
+	if det == 0 {
+		s.Base = wy / w
+		return
+	}
+	s.Each = (w*wxy - wx*wy) / det
+	s.Base = (wy - s.Each*wx) / w
+}
+
+// nanoseconds times f, which does its work n times.
+func nanoseconds(f func(n int)) float64 {
+	for n := 1; ; n *= 2 {
+		began := time.Now()
+		f(n)
+		took := time.Since(began)
+		if took >= minRun {
+			return float64(took.Nanoseconds()) / float64(n)
+		}
+	}
+}
+
+// heapBytes is what the value that make returns keeps on the heap.
+func heapBytes(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return max(float64(after.HeapAlloc)-float64(before.HeapAlloc), 0)
+}
