Wire claims and orders into the daemon

Cause: keyed calls were refused and nobody gave orders to endpoints.

The demo's daemons know their stand-ins' prefill rate.

--- a/daemon/catalogue.go
+++ b/daemon/catalogue.go
@@ -39,5 +39,6 @@
 	}
 	d.fleet.setManifest(&v.Manifest)
 	d.admission.setManifest(&v.Manifest)
+	d.claimer.setManifest(&v.Manifest)
 	d.peers.Announce()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,6 +67,8 @@
 	shutdown  *shutdown
 	peers     *peer.Service
 	gateway   *gateway.Gateway
+	claimer   *claimer
+	orders    *orderGiver
 }
 
 // New returns a daemon that is not yet running.
@@ -96,6 +98,8 @@
 	client := engine.New(engine.Options{DialContext: o.Dial})
 	d.fleet = newFleetView(d, client)
 	d.admission = newAdmission(d)
+	d.claimer = newClaimer(d)
+	d.orders = newOrderGiver(d)
 	peers, err := peer.New(d.peerOptions())
 	if err != nil {
 		return nil, eris.Wrap(err, "daemon: peers")
@@ -113,6 +117,7 @@
 		Engine:    client,
 		Placer:    d.fleet,
 		Admitter:  d.admission,
+		Claimer:   d.claimer,
 		Observer:  newObserver(d.metrics.Scope),
 		Drainer:   d.drainer,
 		Limits: gateway.Limits{
@@ -180,6 +185,8 @@
 	g.Go(func() error { return d.manifests.Run(ctx) })
 	g.Go(func() error { return d.fleet.run(ctx) })
 	g.Go(func() error { return d.peers.Run(ctx) })
+	g.Go(func() error { return d.claimer.run(ctx) })
+	g.Go(func() error { return d.orders.run(ctx) })
 	g.Go(func() error {
 		d.bootstrap(ctx)
 		return nil
--- /dev/null
+++ b/daemon/orders.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/logio"
+	"github.com/merlindock/merlindock/orders"
+)
+
+// ordersLease names the lease of the one giver of orders.
+const ordersLease = "orders"
+
+// leasePart is how much of a lease passes between two looks at it.
+const leasePart = 3
+
+// orderGiver gives orders to endpoints while this daemon holds the lease.
+type orderGiver struct {
+	daemon *Daemon
+	log    *logging.Logger
+	keeper *logio.LeaseKeeper
+	giver  *orders.Giver
+}
+
+func newOrderGiver(d *Daemon) *orderGiver {
+	s := d.o.Settings
+	g := &orderGiver{daemon: d, log: d.o.Logs.For(logging.PartOrders)}
+	g.keeper = logio.NewLeaseKeeper(logio.LeaseOptions{
+		Log:    d.o.Log,
+		Name:   ordersLease,
+		Holder: fmt.Sprintf("%s/%d", s.Daemon.ID, d.life.UnixNano()),
+		TTL:    s.Orders.Lease,
+		Poll:   s.Platform.PollInterval,
+		Seed:   seedOf(s.Daemon.ID, d.life),
+		Want:   d.shutdown.ready,
+	})
+	g.giver = orders.New(orders.Options{
+		Lease:     keptLease{g.keeper, d.o.Now},
+		Situation: d.situation,
+		Observe:   g.observe,
+		Renew:     s.Orders.Lease / leasePart,
+	})
+	return g
+}
+
+// run competes for the lease and gives orders until ctx ends.
+func (g *orderGiver) run(ctx context.Context) error {
+	if !g.daemon.o.Settings.Orders.Enabled {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	var running sync.WaitGroup
+	running.Go(func() { _ = g.keeper.Run(ctx) })
+	err := g.giver.Run(ctx)
+	running.Wait()
+	return err
+}
+
+func (g *orderGiver) observe(e orders.Event) {
+	g.daemon.metrics.Scope.Tagged(map[string]string{"kind": string(e.Kind)}).Counter("order_events").Inc(1)
+	fields := []any{"kind", string(e.Kind), "fence", int64(e.Fence), "endpoint", string(e.Endpoint)}
+	if e.Order != nil {
+		fields = append(fields, "order", e.Order.ID)
+	}
+	if e.Err != nil {
+		fields = append(fields, "error", e.Err.Error())
+	}
+	switch e.Kind {
+	case orders.EventTaken, orders.EventLost, orders.EventOrder:
+		g.log.Info("Orders to endpoints.", fields...)
+	default:
+		g.log.Debug("Orders to endpoints.", fields...)
+	}
+}
+
+// situation is what this daemon plans orders from.
+func (d *Daemon) situation(now time.Time) orders.Situation {
+	v := d.manifests.InForce()
+	if v == nil {
+		return orders.Situation{}
+	}
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	return orders.Situation{
+		Manifest:  &v.Manifest,
+		Revision:  v.Revision.Offset,
+		Endpoints: d.fleet.members.All(now),
+	}
+}
+
+// keptLease lets the giver of orders rely on a lease that the keeper competes
+// for and renews in the log.
+type keptLease struct {
+	keeper *logio.LeaseKeeper
+	now    func() time.Time
+}
+
+// Acquire implements orders.Lease.
+func (l keptLease) Acquire(context.Context) (orders.Grant, error) {
+	h, ok := l.keeper.Holding(l.now())
+	if !ok {
+		return orders.Grant{}, orders.ErrHeld
+	}
+	return orders.Grant{Fence: h.Fence, Until: h.Until}, nil
+}
+
+// Renew implements orders.Lease.
+func (l keptLease) Renew(ctx context.Context, g orders.Grant) (orders.Grant, error) {
+	next, err := l.Acquire(ctx)
+	if err == nil && next.Fence != g.Fence {
+		return orders.Grant{}, orders.ErrHeld
+	}
+	return next, err
+}
+
+// Release implements orders.Lease.
+func (l keptLease) Release(ctx context.Context, _ orders.Grant) error {
+	l.keeper.Release(ctx)
+	return nil
+}
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -31,6 +31,7 @@
 	defaultRequests = 320
 	maxTime         = 2 * time.Minute
 	daemons         = 3
+	runnerTokens    = float64(time.Second) / float64(prefillPerTok) // tokens/s of a stand-in
 )
 
 // Promise is the outcome of one step.
@@ -75,7 +76,7 @@
 	defer w.Close()
 	s := &show{o: o, world: w, prompts: workload(o.Requests)}
 	s.expected = expect(s.prompts)
-	s.cluster, err = w.StartCluster(daemons, func(*settings.Settings) {})
+	s.cluster, err = w.StartCluster(daemons, func(set *settings.Settings) { set.Routing.RunnerTokens = runnerTokens })
 	if err != nil {
 		return err
 	}
--- a/lab/demo/steps.go
+++ b/lab/demo/steps.go
@@ -287,12 +287,12 @@
 func (s *show) race(ctx context.Context) (Promise, error) {
 	p := Promise{Name: "an accepted configuration never reverts"}
 	m := s.world.Manifest()
-	m.Name = "stand-in, second"
+	m.Name = "stand-in-second"
 	second, err := manifest.Encode(m)
 	if err != nil {
 		return p, err
 	}
-	m.Name = "stand-in, late"
+	m.Name = "stand-in-late"
 	late, err := manifest.Encode(m)
 	if err != nil {
 		return p, err
