Give orders under the lease that the log keeps

The giver kept a lease of its own shape; now it asks logio.LeaseKeeper, which renews by itself, at the start of each round and in the last write of an order. The tests run the keeper against the stand-in log, cut off while the holder is paused.

--- a/orders/orders.go
+++ b/orders/orders.go
@@ -46,7 +46,6 @@
 	Observe   func(Event) // may be nil
 
 	Tick        time.Duration // between rounds
-	Renew       time.Duration // between renewals of the lease; a third of its time
 	SendTimeout time.Duration // for sending an order and its answer
 	ReadTimeout time.Duration // for reading a status
 	MaxReads    int           // statuses read at once
@@ -55,7 +54,6 @@
 // Defaults of Options.
 const (
 	DefaultTick        = time.Second
-	DefaultRenew       = 5 * time.Second
 	DefaultSendTimeout = 2 * time.Second
 	DefaultReadTimeout = 2 * time.Second
 	DefaultMaxReads    = 16
@@ -67,8 +65,6 @@
 
 // Errors of the package, for errors.Is.
 var (
-	// ErrHeld says that another daemon holds the lease.
-	ErrHeld = errors.New("orders: lease is held by another daemon")
 	// ErrLapsed says that the lease ended before an order was sent.
 	ErrLapsed = errors.New("orders: lease has lapsed")
 	// ErrFenced says that an endpoint has seen a higher fencing number.
@@ -83,8 +79,6 @@
 	ErrUnknown = errors.New("orders: outcome unknown")
 )
 
-func heldElsewhere(err error) bool { return errors.Is(err, ErrHeld) }
-
 // EventKind names what happened.
 type EventKind string
 
@@ -92,7 +86,6 @@
 const (
 	EventTaken EventKind = "lease taken"
 	EventLost  EventKind = "lease lost"
-	EventLease EventKind = "lease failed"
 	EventOrder EventKind = "order"       // sent, or tried
 	EventRead  EventKind = "read failed" // of a status
 )
@@ -109,7 +102,7 @@
 // Giver gives orders while it holds the lease.
 type Giver struct {
 	o       Options
-	keeper  keeper
+	tenure  tenure
 	planner *rollout.Planner
 	sender  sender
 }
@@ -119,7 +112,6 @@
 	o = o.withDefaults()
 	return &Giver{
 		o:       o,
-		keeper:  keeper{lease: o.Lease, renew: o.Renew, observe: o.Observe, settle: o.Rollout.LongestOrder},
 		planner: rollout.NewPlanner(o.Rollout),
 		sender:  sender{transport: o.Transport, sendTimeout: o.SendTimeout, readTimeout: o.ReadTimeout},
 	}
@@ -127,7 +119,6 @@
 
 func (o Options) withDefaults() Options {
 	setDuration(&o.Tick, DefaultTick)
-	setDuration(&o.Renew, DefaultRenew)
 	setDuration(&o.SendTimeout, DefaultSendTimeout)
 	setDuration(&o.ReadTimeout, DefaultReadTimeout)
 	setDuration(&o.Rollout.LongestOrder, rollout.DefaultLongestOrder)
@@ -153,7 +144,7 @@
 func (g *Giver) Run(ctx context.Context) error {
 	ticker := time.NewTicker(g.o.Tick)
 	defer ticker.Stop()
-	defer g.end(ctx)
+	defer g.release(ctx)
 	for {
 		g.Round(ctx)
 		select {
@@ -164,21 +155,22 @@
 	}
 }
 
-func (g *Giver) end(ctx context.Context) {
+// release gives the lease up after the last order has been answered.
+func (g *Giver) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.o.SendTimeout)
 	defer cancel()
-	g.keeper.release(ctx)
+	g.o.Lease.Release(ctx)
 }
 
-// Round keeps the lease and, if it is held, plans and gives the next orders.
-// The plan is returned for the administration API and tests; it is empty when
-// the lease is not held.
+// Round plans and gives the next orders if the lease is held. The plan is
+// returned for the administration API and tests; it is empty when the lease is
+// not held.
 func (g *Giver) Round(ctx context.Context) rollout.Plan {
-	if g.keeper.keep(ctx) {
-		// Under another lease, another holder may have given orders since.
+	held, taken := g.begin(time.Now())
+	if taken {
 		g.planner = rollout.NewPlanner(g.o.Rollout)
 	}
-	if !g.keeper.held {
+	if !held {
 		return rollout.Plan{}
 	}
 	now := time.Now()
@@ -189,8 +181,8 @@
 	plan := g.planner.Plan(now, rollout.Input{
 		Manifest:  s.Manifest,
 		Revision:  s.Revision,
-		Fence:     g.keeper.grant.Fence,
-		Since:     g.keeper.since,
+		Fence:     g.tenure.fence,
+		Since:     g.tenure.since,
 		Endpoints: s.Endpoints,
 	})
 	addresses := map[fleet.EndpointID]string{}
@@ -209,7 +201,7 @@
 		err := g.send(ctx, o, addresses[o.Endpoint])
 		g.o.Observe(Event{Kind: EventOrder, Fence: o.Fence, Endpoint: o.Endpoint, Order: &o, Err: err})
 		if errors.Is(err, ErrFenced) || errors.Is(err, ErrLapsed) {
-			g.keeper.drop(err)
+			g.end(err)
 			return
 		}
 	}
@@ -217,7 +209,7 @@
 
 // send sends one order and tells the planner what became of it.
 func (g *Giver) send(ctx context.Context, o rollout.Order, address string) error {
-	allowed := g.keeper.allowed(g.o.SendTimeout)
+	allowed := g.allowed()
 	if !allowed() {
 		return ErrLapsed
 	}
