--- a/placement/place.go
+++ b/placement/place.go
@@ -38,6 +38,9 @@
 	// homeSlack is the wait in seconds that a cold prefix takes to be at home.
 	// Daemons that restart together know nothing but the homes.
 	homeSlack = 3.0
+	// crowdWeight counts the waiting that a prompt brings to those who come to
+	// the endpoint while it is prefilled there.
+	crowdWeight = 0.1
 	// homeShare is the part of one endpoint's prefill time that a prefix may
 	// take before it gets another home.
 	homeShare = 0.5
@@ -311,6 +314,7 @@
 	c.compute, _ = v.computeTime(e, m.tokens-c.expected, m.stored-c.expected)
 	c.cost = c.wait + c.compute + v.travel(c) + rankCost*float64(max(0, c.rank-m.homes+1))
 	c.cost += wasteWeight * (m.tokens - c.expected) / e.rate
+	c.cost += crowdWeight * v.arrivals(e) * c.compute * c.compute / 2
 	if c.rank >= m.homes {
 		c.cost += (1 - m.known) * homeSlack
 	}
@@ -337,6 +341,12 @@
 	return min(t.homeCount, 1+int32(busy/homeShare))
 }
 
+// arrivals estimates the requests/s that the endpoint begins, by those that it
+// has running.
+func (v *View) arrivals(e *endpoint) float64 {
+	return float64(e.load.Running+e.queued) / v.service
+}
+
 // travel is the time for the request to get there and the first token back.
 func (v *View) travel(c *candidate) float64 {
 	return 2 * v.delayTo(&v.endpoints[c.endpoint]).Seconds()
