--- a/placement/place.go
+++ b/placement/place.go
@@ -313,7 +313,9 @@
 	c.wait = v.wait(now, c.endpoint, m.priority)
 	c.compute, _ = v.computeTime(e, m.tokens-c.expected, m.stored-c.expected)
 	c.cost = c.wait + c.compute + v.travel(c) + rankCost*float64(max(0, c.rank-m.homes+1))
-	c.cost += wasteWeight * (m.tokens - c.expected) / e.rate
+	if c.rank >= m.homes || m.homes == 1 {
+		c.cost += wasteWeight * (m.tokens - c.expected) / e.rate
+	}
 	c.cost += crowdWeight * v.arrivals(e) * c.compute * c.compute / 2
 	if c.rank >= m.homes {
 		c.cost += (1 - m.known) * homeSlack
@@ -334,10 +336,15 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// homesFor is the number of endpoints that the prefix's heat asks for.
+// homesFor is the number of endpoints that the prefix's heat asks for: those
+// that its requests would keep busy, by prefill or by batch slots.
 func (v *View) homesFor(now time.Time, t *entry, r *Request) int32 {
 	suffix := r.Tokens - r.Levels[prefix.Affinity(r.Levels)].Tokens
-	busy := t.heatNow(now) * float64(v.o.Daemons) * float64(suffix) / v.o.PrefillRate
+	each := float64(suffix) / v.o.PrefillRate
+	if slots := v.endpoints[t.homes[0]].load.Slots; slots > 0 {
+		each = max(each, v.service/float64(slots))
+	}
+	busy := t.heatNow(now) * float64(v.o.Daemons) * each
 	return min(t.homeCount, 1+int32(busy/homeShare))
 }
 
