Check by drawn records that readers of the log agree

Cause: a daemon that starts late or reads with gaps must never accept what one that missed nothing refused. Change: rapid machines for manifests, leases and claims, a fuzz target for records with a small corpus, and a refused renewal names no holder when there is none, which the lease machine found to differ between readers.

--- /dev/null
+++ b/ledger/agreement_test.go
@@ -0,0 +1,210 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// A fixed seed gives the same verdict on every run; -rapid.seed overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "20260301"); err != nil {
+		panic(err)
+	}
+}
+
+// The machines below draw records at random and fold them in one reader that
+// misses nothing and in others that start late, read with gaps and hear each
+// other's proofs. What any of them accepts, the first must have accepted too.
+
+func TestReadersOfManifestsAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		full, l := NewState(Options{}), &logbook{t: t}
+		readers := []*State{NewState(Options{Held: 3}), NewState(Options{}), NewState(Options{})}
+		before := make([]Revision, len(readers))
+		accepted := map[platform.Offset]Revision{0: {}}
+		rt.Repeat(map[string]func(*rapid.T){
+			"propose": func(rt *rapid.T) {
+				base := platform.Offset(rapid.IntRange(0, len(l.records)).Draw(rt, "base"))
+				if rapid.Bool().Draw(rt, "latest") {
+					base = full.Revision().Offset
+				}
+				feed(full, l.add(proposal(t, base, rapid.IntRange(1, 6).Draw(rt, "loads"))))
+				accepted[full.Revision().Offset] = full.Revision()
+			},
+			"checkpoint": func(rt *rapid.T) {
+				s := rapid.SampledFrom(append(readers, full)).Draw(rt, "writer")
+				if c, ok := s.Proof(); ok {
+					feed(full, l.add(&c))
+				}
+			},
+			"read": func(rt *rapid.T) {
+				s := rapid.SampledFrom(readers).Draw(rt, "reader")
+				to := platform.Offset(rapid.IntRange(0, len(l.records)).Draw(rt, "to"))
+				for s.Next() <= to {
+					feed(s, l.records[s.Next()-1])
+				}
+			},
+			"expire": func(rt *rapid.T) {
+				s := rapid.SampledFrom(readers).Draw(rt, "reader")
+				s.Gap(platform.Offset(rapid.IntRange(1, len(l.records)+1).Draw(rt, "first")))
+			},
+			"hear": func(rt *rapid.T) {
+				s, from := rapid.SampledFrom(readers).Draw(rt, "to"), rapid.SampledFrom(append(readers, full)).Draw(rt, "from")
+				if c, ok := from.Proof(); ok {
+					_, _ = s.Adopt(c) // one that is behind is refused
+				}
+			},
+			"": func(rt *rapid.T) {
+				for i, s := range readers {
+					r := s.Revision()
+					if accepted[r.Offset] != r || r.Offset < before[i].Offset || s.Conflicts() > 0 {
+						rt.Fatalf("reader %d went from %+v to %+v with %d conflicts", i, before[i], r, s.Conflicts())
+					}
+					before[i] = r
+				}
+			},
+		})
+	})
+}
+
+// drawnLog gives records rising times at random steps.
+type drawnLog struct {
+	logbook
+	now time.Time
+}
+
+func (l *drawnLog) put(rt *rapid.T, b Body, steps ...time.Duration) platform.Record {
+	l.now = l.now.Add(rapid.SampledFrom(steps).Draw(rt, "step"))
+	r := l.add(b)
+	r.Time = l.now
+	l.records[r.Offset-1] = r
+	return r
+}
+
+func TestReadersOfLeasesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := &drawnLog{logbook: logbook{t: t}, now: epoch}
+		full, late := NewLeases(), NewLeases()
+		n := rapid.IntRange(1, 60).Draw(rt, "records")
+		start := platform.Offset(rapid.IntRange(1, n).Draw(rt, "start"))
+		var fence platform.Offset
+		for range n {
+			b := &LeaseRecord{
+				Op:     rapid.SampledFrom([]LeaseOp{LeaseAcquire, LeaseAcquire, LeaseRenew, LeaseRenew, LeaseRelease}).Draw(rt, "op"),
+				Name:   "orders",
+				Holder: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "holder"),
+				TTL:    manifest.Duration(rapid.SampledFrom([]time.Duration{10 * time.Second, MaxLeaseTTL}).Draw(rt, "ttl")),
+				Fence:  max(0, fence-platform.Offset(rapid.IntRange(0, 1).Draw(rt, "old"))),
+			}
+			r := l.put(rt, b, 0, time.Second, 10*time.Second, time.Minute, MaxLeaseTTL)
+			want := full.Apply(r)
+			if want.Outcome == Accepted {
+				if b.Op == LeaseAcquire && want.Fence <= fence {
+					rt.Fatalf("fence fell from %d to %d", fence, want.Fence)
+				}
+				fence = want.Fence
+			}
+			if r.Offset < start {
+				continue
+			}
+			late.Gap(start)
+			got := late.Apply(r)
+			if got.Outcome != Undecided && (got.Outcome != want.Outcome || got.Fence != want.Fence) {
+				rt.Fatalf("record %d: %+v for a late reader, %+v in full", r.Offset, got, want)
+			}
+		}
+	})
+}
+
+func TestReadersOfClaimsAgree(t *testing.T) {
+	layout := Layout{Partitions: 1, Window: manifest.Duration(20 * time.Minute)}
+	request := IDOf("request")
+	rapid.Check(t, func(rt *rapid.T) {
+		l := &drawnLog{logbook: logbook{t: t}, now: epoch}
+		full, late := NewClaims(layout), NewClaims(layout)
+		n := rapid.IntRange(1, 80).Draw(rt, "records")
+		start := platform.Offset(rapid.IntRange(1, n).Draw(rt, "start"))
+		keyTimes := make(map[string]time.Time)
+		running := make(map[ID]ID) // attempt by key
+		for range n {
+			key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(rt, "key")
+			if keyTimes[key].IsZero() {
+				keyTimes[key] = l.now.Add(rapid.SampledFrom([]time.Duration{0, time.Minute, 8 * time.Minute}).Draw(rt, "ahead"))
+			}
+			op := ClaimOp{
+				Verb:  rapid.SampledFrom([]ClaimVerb{VerbClaim, VerbClaim, VerbComplete, VerbAbandon}).Draw(rt, "verb"),
+				Scope: IDOf(key), KeyTime: keyTimes[key].UnixMilli(),
+				Attempt: IDOf(fmt.Sprint(rapid.IntRange(1, 4).Draw(rt, "attempt"))),
+			}
+			switch op.Verb {
+			case VerbClaim:
+				op.Request = &request
+			case VerbComplete:
+				op.Result = &Result{Status: 200}
+				if running[op.Scope] != op.Attempt {
+					continue // only a granted attempt writes a result
+				}
+			}
+			r := l.put(rt, &ClaimBatch{Layout: layout, Ops: []ClaimOp{op}}, 0, time.Second, time.Minute, 10*time.Minute)
+			want := full.Apply(r)[0]
+			if want.Outcome == Accepted && op.Verb == VerbClaim {
+				if held := running[op.Scope]; held != (ID{}) {
+					rt.Fatalf("granted to %x while %x holds the key", op.Attempt, held)
+				}
+				running[op.Scope] = op.Attempt
+			}
+			if want.Outcome == Accepted && op.Verb == VerbAbandon && running[op.Scope] == op.Attempt {
+				delete(running, op.Scope)
+			}
+			if r.Offset < start {
+				continue
+			}
+			late.Gap(start)
+			got := late.Apply(r)[0]
+			if got.Outcome != Undecided && (got.Outcome != want.Outcome || got.Reason != want.Reason) {
+				rt.Fatalf("record %d: %+v for a late reader, %+v in full", r.Offset, got, want)
+			}
+		}
+	})
+}
+
+func FuzzRecord(f *testing.F) {
+	id := IDOf("x")
+	for _, b := range []Body{
+		proposal(f, 0, 1),
+		&Checkpoint{Through: 3, Rules: 1},
+		&Raise{To: 2},
+		&LeaseRecord{Op: LeaseAcquire, Name: "orders", Holder: "a", TTL: manifest.Duration(time.Minute)},
+		&ClaimBatch{Layout: Layout{1, manifest.Duration(time.Hour)}, Ops: []ClaimOp{{Verb: VerbClaim, Request: &id}}},
+	} {
+		data, err := Encode(1, b)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := platform.Record{Offset: 1, Time: epoch, Data: data}
+		NewState(Options{}).Apply(r)
+		NewLeases().Apply(r)
+		NewClaims(Layout{1, manifest.Duration(time.Hour)}).Apply(r)
+		rules, body, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(rules, body)
+		if err != nil {
+			t.Fatalf("what was read cannot be written: %v", err)
+		}
+		if _, _, err := Decode(again); err != nil {
+			t.Fatalf("what was written cannot be read: %v", err)
+		}
+	})
+}
--- a/ledger/leases.go
+++ b/ledger/leases.go
@@ -54,7 +54,7 @@
 }
 
 // LeaseDecision is the outcome of a lease record. Fence is the lease's after
-// an acceptance, and the present holder's after a refusal.
+// an acceptance, and the present holder's, if any, after a refusal.
 type LeaseDecision struct {
 	Offset  platform.Offset `json:"offset"`
 	Time    time.Time       `json:"time"`
@@ -235,7 +235,10 @@
 }
 
 func (e *leaseEntry) prolong(b *LeaseRecord, now time.Time) (Outcome, Reason, platform.Offset) {
-	if e.lease.Fence != b.Fence || e.lease.Holder != b.Holder || !now.Before(e.lease.Expires) {
+	if !now.Before(e.lease.Expires) {
+		return Refused, ReasonLapsed, 0
+	}
+	if e.lease.Fence != b.Fence || e.lease.Holder != b.Holder {
 		return Refused, ReasonLapsed, e.lease.Fence
 	}
 	if b.Op == LeaseRelease {
