Bind requests again, and follow the lease's new interface

Change: the call is back; the daemon's adapter between the two is gone.

A test of a rollout through whole daemons is still missing, which is why nothing failed.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -110,7 +110,7 @@
 		{"no base", "", "{}", http.StatusPreconditionRequired},
 		{"negative base", `"-1"`, "{}", http.StatusPreconditionRequired},
 		{"no JSON", `"0"`, "{", http.StatusUnprocessableEntity},
-		{"unknown field", `"0"`, `{"organizations":[]}`, http.StatusUnprocessableEntity},
+		{"unknown field", `"0"`, `{"tenants":[]}`, http.StatusUnprocessableEntity},
 		{"too long", `"0"`, strings.Repeat(" ", maxManifestBytes+1), http.StatusRequestEntityTooLarge},
 	}
 	for _, test := range tests {
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -14,9 +14,6 @@
 // ordersLease names the lease of the one giver of orders.
 const ordersLease = "orders"
 
-// leasePart is how much of a lease passes between two looks at it.
-const leasePart = 3
-
 // orderGiver gives orders to endpoints while this daemon holds the lease.
 type orderGiver struct {
 	daemon *Daemon
@@ -38,10 +35,9 @@
 		Want:   d.shutdown.ready,
 	})
 	g.giver = orders.New(orders.Options{
-		Lease:     keptLease{g.keeper, d.o.Now},
+		Lease:     g.keeper,
 		Situation: d.situation,
 		Observe:   g.observe,
-		Renew:     s.Orders.Lease / leasePart,
 	})
 	return g
 }
@@ -90,34 +86,3 @@
 		Endpoints: d.fleet.members.All(now),
 	}
 }
-
-// keptLease lets the giver of orders rely on a lease that the keeper competes
-// for and renews in the log.
-type keptLease struct {
-	keeper *logio.LeaseKeeper
-	now    func() time.Time
-}
-
-// Acquire implements orders.Lease.
-func (l keptLease) Acquire(context.Context) (orders.Grant, error) {
-	h, ok := l.keeper.Holding(l.now())
-	if !ok {
-		return orders.Grant{}, orders.ErrHeld
-	}
-	return orders.Grant{Fence: h.Fence, Until: h.Until}, nil
-}
-
-// Renew implements orders.Lease.
-func (l keptLease) Renew(ctx context.Context, g orders.Grant) (orders.Grant, error) {
-	next, err := l.Acquire(ctx)
-	if err == nil && next.Fence != g.Fence {
-		return orders.Grant{}, orders.ErrHeld
-	}
-	return next, err
-}
-
-// Release implements orders.Lease.
-func (l keptLease) Release(ctx context.Context, _ orders.Grant) error {
-	l.keeper.Release(ctx)
-	return nil
-}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -64,8 +64,8 @@
 
 func (c *call) newModelCall(m *modelRequest, target catalog.Target) *modelCall {
 	mc := &modelCall{call: c, place: c.placeRequest(fleet.KindModel)}
-	mc.place.Target = target
 	mc.place.Prompt, mc.place.Levels = m.prompt, m.ends
+	mc.place.Target = c.bind(target, m.prompt, m.ends)
 	mc.place.PromptTokens = estimateTokens(len(mc.place.Prompt), c.index.Fleet().BytesPerToken)
 	mc.place.MaxTokens = m.outputTokens()
 	if m.Seed == nil {
--- a/lab/replay/report.go
+++ b/lab/replay/report.go
@@ -32,14 +32,14 @@
 	ShareError    float64        `json:"share_error"` // greatest relative error against the fair share of the work done
 	Organisations []Organisation `json:"organisations"`
 
-	Notices    int      `json:"notices"`        // sent by all daemons, each to all others
-	Relied     int      `json:"relied_on_dead"` // began where the counted-on cache had died
-	Herd       float64  `json:"herd"`           // after a crash: the busiest other runner's new tokens / the mean
-	HotSettled float64  `json:"hot_settled_s"`  // until p95 of the hot prefix meets the first-token limit
+	Notices    int     `json:"notices"`        // sent by all daemons, each to all others
+	Relied     int     `json:"relied_on_dead"` // began where the counted-on cache had died
+	Herd       float64 `json:"herd"`           // after a crash: the busiest other runner's new tokens / the mean
+	HotSettled float64 `json:"hot_settled_s"`  // until p95 of the hot prefix meets the first-token limit
 	// HotFirstToken is of requests for the hot prefix, batch ones left out,
 	// that came 5 s after its appearance or later.
 	HotFirstToken Quantiles `json:"hot_first_token"`
-	Timeline   []Second `json:"timeline,omitempty"`
+	Timeline      []Second  `json:"timeline,omitempty"`
 }
 
 // Quantiles of a time, in milliseconds.
