--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -111,6 +111,7 @@
 	liveFrom time.Time // since when the list says live without a break
 	leaving  bool      // by the list, with ReturnAfter applied
 	missing  bool      // not in the newest list
+	cell     int       // place in Membership.counts
 }
 
 // Membership joins the platform's lagging list of VMs with what endpoints say
@@ -119,9 +120,9 @@
 type Membership struct {
 	o       MembershipOptions
 	members map[EndpointID]*member
-	order   []EndpointID // sorted
-	lists   int          // lists taken
-	dropped int          // entries of the newest list beyond MaxEndpoints
+	rows    []*member // the members by id
+	counts  []count   // by member.cell; scratch of AppendUsable
+	dropped int       // entries of the newest list beyond MaxEndpoints
 }
 
 // NewMembership returns a membership without endpoints.
@@ -142,7 +143,6 @@
 	if len(list) == 0 {
 		return m.Expire(now)
 	}
-	m.lists++
 	m.dropped = 0
 	for _, r := range m.members {
 		r.missing = true
@@ -301,13 +301,12 @@
 // every few hundred milliseconds.
 func (m *Membership) Expire(now time.Time) []Change {
 	var changes []Change
-	for _, id := range m.order {
-		r := m.members[id]
-		if r == nil || !m.forgettable(now, r) {
+	for _, r := range m.rows {
+		if !m.forgettable(now, r) {
 			continue
 		}
-		delete(m.members, id)
-		changes = append(changes, Change{ChangeGone, id, r.Incarnation})
+		delete(m.members, r.ID)
+		changes = append(changes, Change{ChangeGone, r.ID, r.Incarnation})
 	}
 	if len(changes) > 0 {
 		m.sort()
@@ -334,12 +333,18 @@
 	return !r.waiting.IsZero() && now.Sub(r.waiting) >= m.o.SilentAfter
 }
 
+// sort brings the rows and their cells in line with the table.
 func (m *Membership) sort() {
-	m.order = m.order[:0]
-	for id := range m.members {
-		m.order = append(m.order, id)
+	m.rows = m.rows[:0]
+	cells := map[cell]int{}
+	for _, r := range m.members {
+		m.rows = append(m.rows, r)
+		c := cell{r.Class, r.Zone}
+		if _, known := cells[c]; !known {
+			cells[c] = len(cells)
+		}
+		r.cell = cells[c]
 	}
-	slices.SortFunc(m.order, func(a, b EndpointID) int {
-		return strings.Compare(string(a), string(b))
-	})
+	m.counts = make([]count, len(cells))
+	slices.SortFunc(m.rows, func(a, b *member) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
--- a/fleet/usable.go
+++ b/fleet/usable.go
@@ -12,6 +12,14 @@
 	zone  ZoneID
 }
 
+// count is how many endpoints of a cell stay, and how many are not doubtful.
+type count struct{ staying, clear int }
+
+// belowFloor tells whether doubtful endpoints of the cell are to be tried.
+func (c count) belowFloor(share float64) bool {
+	return c.clear < int(math.Ceil(share*float64(c.staying)))
+}
+
 // Usable returns the endpoints that may get new work, by id.
 //
 // A leaving endpoint is never among them. A silent or refused one is, marked
@@ -19,42 +27,58 @@
 // when this daemon's own network is at fault every endpoint looks dead, and
 // trying them costs less than refusing everything.
 func (m *Membership) Usable(now time.Time) []Member {
-	all := m.All(now)
-	total, clear := map[cell]int{}, map[cell]int{}
-	for i := range all {
-		e := &all[i]
-		if e.Leaving {
+	return m.AppendUsable(make([]Member, 0, len(m.rows)), now)
+}
+
+// AppendUsable is Usable with a slice to append to, for callers that ask often.
+func (m *Membership) AppendUsable(to []Member, now time.Time) []Member {
+	clear(m.counts)
+	for _, r := range m.rows {
+		if r.stays() {
+			m.counts[r.cell].staying++
+			if !m.doubtful(now, r) {
+				m.counts[r.cell].clear++
+			}
+		}
+	}
+	for _, r := range m.rows {
+		if !r.stays() {
 			continue
 		}
-		c := cell{e.Class, e.Zone}
-		total[c]++
-		if !e.Doubtful {
-			clear[c]++
+		doubtful := m.doubtful(now, r)
+		if !doubtful || m.counts[r.cell].belowFloor(m.o.FloorShare) {
+			to = append(to, r.view(doubtful))
 		}
 	}
-	return slices.DeleteFunc(all, func(e Member) bool {
-		c := cell{e.Class, e.Zone}
-		floor := int(math.Ceil(m.o.FloorShare * float64(total[c])))
-		return e.Leaving || e.Doubtful && clear[c] >= floor
-	})
+	return to
 }
 
 // All returns every endpoint of the table, by id.
 func (m *Membership) All(now time.Time) []Member {
-	all := make([]Member, 0, len(m.order))
-	for _, id := range m.order {
-		r := m.members[id]
-		all = append(all, Member{
-			Endpoint:    r.Endpoint,
-			Incarnation: r.Incarnation,
-			Load:        r.load,
-			Heard:       r.heard,
-			Leaving:     r.leaving || r.Draining,
-			Doubtful:    m.doubtful(now, r),
-			Listed:      !r.missing,
-		})
+	return m.AppendAll(make([]Member, 0, len(m.rows)), now)
+}
+
+// AppendAll is All with a slice to append to, for callers that ask often.
+func (m *Membership) AppendAll(to []Member, now time.Time) []Member {
+	for _, r := range m.rows {
+		to = append(to, r.view(m.doubtful(now, r)))
+	}
+	return to
+}
+
+// stays tells whether the endpoint is not leaving.
+func (r *member) stays() bool { return !r.leaving && !r.Draining }
+
+func (r *member) view(doubtful bool) Member {
+	return Member{
+		Endpoint:    r.Endpoint,
+		Incarnation: r.Incarnation,
+		Load:        r.load,
+		Heard:       r.heard,
+		Leaving:     !r.stays(),
+		Doubtful:    doubtful,
+		Listed:      !r.missing,
 	}
-	return all
 }
 
 // Probes returns up to limit endpoints that should be asked for their load, the
@@ -62,8 +86,7 @@
 // too, so that a busy endpoint is never asked.
 func (m *Membership) Probes(now time.Time, limit int) []Endpoint {
 	var due []*member
-	for _, id := range m.order {
-		r := m.members[id]
+	for _, r := range m.rows {
 		last := r.asked
 		if r.heard.After(last) {
 			last = r.heard
@@ -87,8 +110,7 @@
 // would fill the budget for control.
 func (m *Membership) News(now time.Time, within time.Duration, limit int) []Evidence {
 	var rows []*member
-	for _, id := range m.order {
-		r := m.members[id]
+	for _, r := range m.rows {
 		if !r.changed.IsZero() && now.Sub(r.changed) <= within {
 			rows = append(rows, r)
 		}
--- a/lab/measure/control_test.go
+++ b/lab/measure/control_test.go
@@ -114,8 +114,9 @@
 		m, now := Members(count)
 		b.Run(fmt.Sprint(count, "/usable"), func(b *testing.B) {
 			b.ReportAllocs()
+			var members []fleet.Member
 			for b.Loop() {
-				m.Usable(now)
+				members = m.AppendUsable(members[:0], now)
 			}
 		})
 		load := fleet.Load{At: now, Incarnation: 1}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -83,8 +83,8 @@
 	return cs
 }
 
-func rank(serves bool) int {
-	if serves {
+func rank(later bool) int {
+	if later {
 		return 1
 	}
 	return 0
@@ -142,22 +142,37 @@
 	}
 }
 
-// reads lists the endpoints whose status is due, the longest unread first.
+// reads lists the endpoints whose status is due: those with an order under way
+// first, then the longest unread.
 func (r *round) reads(cs []*candidate) {
 	var due []*candidate
 	for _, c := range cs {
-		last := c.row.tried
-		pending := c.row.sent != nil || !c.fresh || c.row.status.Loading != nil
-		if r.now.Sub(last) >= r.p.o.ReadAfter || pending && r.now.Sub(last) >= r.p.o.ReadAfter/5 {
+		after := r.p.o.ReadAfter
+		if c.busy() || !c.fresh {
+			after /= busyReads
+		}
+		if r.now.Sub(c.row.tried) >= after {
 			due = append(due, c)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *candidate) int { return a.row.tried.Compare(b.row.tried) })
+	slices.SortStableFunc(due, func(a, b *candidate) int {
+		if a.busy() != b.busy() {
+			return cmp.Compare(rank(b.busy()), rank(a.busy()))
+		}
+		return a.row.tried.Compare(b.row.tried)
+	})
 	for _, c := range due {
 		r.plan.Read = append(r.plan.Read, c.member.ID)
 	}
 }
 
+// busyReads is how many times as often an endpoint is read that carries out an
+// order or is not known yet.
+const busyReads = 5
+
+// busy tells whether an order to the endpoint is under way.
+func (c *candidate) busy() bool { return c.row.sent != nil || c.row.status.Loading != nil }
+
 // count adds up the loads under way and the endpoints that serve each model,
 // and returns how many endpoints are not read yet.
 func (r *round) count(cs []*candidate) int {
