Fold changes of single sections of the manifest

Change: a section record holds if the section is still what it was and its base is among the last 128 revisions; proofs carry these acceptances and are refused without them, so that all readers decide alike; checkpoints are judged against the revision at the offset that they name.

--- a/lab/history/publish_test.go
+++ b/lab/history/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/merlindock/merlindock/lab/standin/plog"
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logio"
+	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/platform"
 )
 
@@ -88,3 +90,39 @@
 		synctest.Wait()
 	})
 }
+
+func TestASectionIsPublishedOnceThoughItsAnswerIsLost(t *testing.T) {
+	// The share of one organisation among many changes. The answer to the
+	// append is lost; the operator is still told the truth, and every daemon
+	// has the change without having read the other organisations again.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := plog.New(plog.Options{Retention: Retention})
+		a := logio.NewManifests(logio.ManifestsOptions{Log: log, Seed: 1, Poll: time.Second})
+		b := logio.NewManifests(logio.ManifestsOptions{Log: log, Seed: 2, Poll: time.Second})
+		go func() { _ = a.Run(ctx) }()
+		go func() { _ = b.Run(ctx) }()
+		if _, err := a.Publish(ctx, 0, SampleOf(1, 500), ""); err != nil {
+			t.Fatal(err)
+		}
+		before := log.Counts().BytesIn
+		text := []byte(`{"id":"organisation-7","key_hashes":["` + strings.Repeat("ab", 32) + `"],"share":5,"priorities":["batch"]}`)
+		change, err := ledger.NewSectionRecord(a.InForce(), manifest.SectionOrganisation, "organisation-7", text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		log.LoseAnswers(1)
+		if r, err := a.PublishSection(ctx, change); err != nil || r.Outcome != logio.PublishAccepted || r.Offset != 2 {
+			t.Fatalf("told %+v, %v", r, err)
+		}
+		time.Sleep(3 * time.Second)
+		if v := b.InForce(); v.Revision.Offset != 2 || v.Manifest.Organisations[7].Share != 5 {
+			t.Fatalf("in force %+v", v.Revision)
+		}
+		if n := log.Counts().BytesIn - before; n > 2048 {
+			t.Fatalf("the change took %d bytes", n)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/ledger/agreement_test.go
+++ b/ledger/agreement_test.go
@@ -38,6 +38,15 @@
 				feed(full, l.add(proposal(t, base, rapid.IntRange(1, 6).Draw(rt, "loads"))))
 				accepted[full.Revision().Offset] = full.Revision()
 			},
+			"change": func(rt *rapid.T) {
+				s := rapid.SampledFrom(append(readers, full)).Draw(rt, "against")
+				if s.InForce() == nil {
+					return
+				}
+				share := float64(rapid.IntRange(1, 3).Draw(rt, "share"))
+				feed(full, l.add(section(t, s, rapid.SampledFrom([]string{"registre", "x"}).Draw(rt, "id"), share)))
+				accepted[full.Revision().Offset] = full.Revision()
+			},
 			"checkpoint": func(rt *rapid.T) {
 				s := rapid.SampledFrom(append(readers, full)).Draw(rt, "writer")
 				if c, ok := s.Proof(); ok {
--- a/ledger/decision.go
+++ b/ledger/decision.go
@@ -49,6 +49,7 @@
 	Base    platform.Offset `json:"base,omitempty"`
 	Digest  manifest.Digest `json:"digest,omitempty"`
 	Author  string          `json:"author,omitempty"`
+	Section string          `json:"section,omitempty"` // kind and id, for a section's change
 }
 
 // RecordError says why a record cannot be read or a proof not be taken.
--- a/ledger/manifests.go
+++ b/ledger/manifests.go
@@ -14,7 +14,7 @@
 	DefaultHistory   = 256      // decisions remembered
 	DefaultHeld      = 1024     // records held until a gap is closed
 	DefaultHeldBytes = 32 << 20 // in all
-	maxRecent        = 64       // acceptances remembered to recognise repeats
+	MaxRecent        = 128      // acceptances remembered to recognise repeats
 	maxAuthorBytes   = 256
 	maxDetailBytes   = 1024 // of a decision that is remembered
 )
@@ -238,6 +238,8 @@
 	switch b := body.(type) {
 	case *ManifestRecord:
 		return s.propose(r, b)
+	case *SectionRecord:
+		return s.change(r, b)
 	case *Checkpoint:
 		return s.compare(r, b)
 	case *Raise:
@@ -266,7 +268,11 @@
 		d.Outcome, d.Reason = Refused, ReasonTooLong
 		return d
 	}
-	if by := s.broughtBy(b); by > 0 {
+	if s.latest != nil && s.latest.Revision.Digest == b.Digest {
+		d.Outcome, d.By = Repeated, s.latest.Revision.Offset
+		return d
+	}
+	if by := s.broughtBy(b.Base, b.Digest); by > 0 {
 		d.Outcome, d.By = Repeated, by
 		return d
 	}
@@ -287,15 +293,11 @@
 	return d
 }
 
-// broughtBy finds the record that already brought the same content: the
-// latest, or an accepted one with the same base. A publisher whose answer was
-// lost and who repeats it thus has it accepted once.
-func (s *State) broughtBy(b *ManifestRecord) platform.Offset {
-	if s.latest != nil && s.latest.Revision.Digest == b.Digest {
-		return s.latest.Revision.Offset
-	}
+// broughtBy finds the accepted record with the same base and content. A
+// publisher whose answer was lost and who repeats it thus has it accepted once.
+func (s *State) broughtBy(base platform.Offset, digest manifest.Digest) platform.Offset {
 	for _, a := range s.recent {
-		if a.Base == b.Base && a.Digest == b.Digest {
+		if a.Base == base && a.Digest == digest {
 			return a.Offset
 		}
 	}
@@ -304,7 +306,7 @@
 
 func (s *State) accept(a Acceptance) {
 	s.recent = append(s.recent, a)
-	if len(s.recent) > maxRecent {
+	if len(s.recent) > MaxRecent {
 		s.recent = append([]Acceptance(nil), s.recent[1:]...)
 	}
 }
@@ -331,32 +333,6 @@
 	return m, nil
 }
 
-// compare holds a checkpoint against the fold's own state, which it never
-// changes. One that agrees keeps the manifest from expiring.
-func (s *State) compare(r platform.Record, c *Checkpoint) Decision {
-	d := Decision{Kind: KindCheckpoint, Base: c.Base, Digest: c.Revision.Digest, By: s.latest.offset()}
-	switch {
-	case c.Through >= r.Offset, manifest.SumText(c.Manifest) != c.Revision.Digest && c.Revision.Offset > 0:
-		d.Outcome, d.Reason = Refused, ReasonMalformed
-	case c.Revision == s.revisionFolded():
-		d.Outcome = Noted
-		s.carrier = r.Time
-	case c.Through >= s.latest.offset():
-		d.Outcome, d.Reason = Refused, ReasonConflict
-		s.conflicts++
-	default:
-		d.Outcome, d.Reason = Refused, ReasonStale
-	}
-	return d
-}
-
-func (s *State) revisionFolded() Revision {
-	if s.latest == nil {
-		return Revision{}
-	}
-	return s.latest.Revision
-}
-
 func (s *State) raise(b *Raise) Decision {
 	if b.To != s.rules+1 {
 		return Decision{Kind: KindRaise, Outcome: Refused, Reason: ReasonRules, Detail: fmt.Sprintf("rules %d are in force", s.rules)}
--- a/ledger/manifests_test.go
+++ b/ledger/manifests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -186,12 +187,17 @@
 	want(t, feed(cut, l.add(proposal(t, 3, 4))), Accepted, "", 0)
 
 	forged := newer
-	forged.Through, forged.Revision.Offset = 9, 2
+	forged.Through, forged.Recent = 9, newer.Recent[:2]
+	forged.Revision, forged.Manifest = newer.Recent[1].revision(), proposal(t, 1, 2).Manifest
 	if _, err := cut.Adopt(forged); reasonOf(err) != ReasonConflict {
 		t.Fatalf("a proof that contradicts was answered %v", err)
 	}
 	forged = newer
-	forged.Revision.Offset, forged.Through, forged.Revision.Digest = 20, 20, "00"
+	forged.Through, forged.Revision = 20, Revision{Offset: 20, Digest: "00"}
+	if _, err := cut.Adopt(forged); reasonOf(err) != ReasonMalformed {
+		t.Fatalf("a proof without its acceptance was answered %v", err)
+	}
+	forged.Recent = slices.Concat(newer.Recent, []Acceptance{{Offset: 20, Base: 3, Digest: "00"}})
 	if _, err := cut.Adopt(forged); reasonOf(err) != ReasonDigest {
 		t.Fatalf("a proof with a wrong digest was answered %v", err)
 	}
@@ -229,3 +235,48 @@
 		t.Fatal("due again at once after another daemon's checkpoint")
 	}
 }
+
+func section(t *testing.T, s *State, id string, share float64) *SectionRecord {
+	t.Helper()
+	text := fmt.Sprintf(`{"id":%q,"key_hashes":["%x%x"],"share":%v,"priorities":["batch"]}`, id, IDOf(id), IDOf(id), share)
+	b, err := NewSectionRecord(s.InForce(), manifest.SectionOrganisation, id, []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestSectionsChangeSideBySide(t *testing.T) {
+	// Two operators change different organisations against the same manifest,
+	// and both are accepted; a third changes one of them without having seen
+	// the change, and is refused.
+	s, l := NewState(Options{}), &logbook{t: t}
+	feed(s, l.add(proposal(t, 0, 1)))
+	first, second, third := section(t, s, "tsukushi", 2), section(t, s, "registre", 3), section(t, s, "registre", 4)
+	want(t, feed(s, l.add(first)), Accepted, "", 0)
+	want(t, feed(s, l.add(second)), Accepted, "", 0)
+	want(t, feed(s, l.add(third)), Refused, ReasonStale, 3)
+	if got := s.InForce().Manifest.Organisations; len(got) != 2 || got[0].Share != 3 || got[1].Share != 2 {
+		t.Fatalf("organisations %+v", got)
+	}
+	late := NewState(Options{})
+	c, _ := s.Proof()
+	if _, err := late.Adopt(c); err != nil || late.Revision() != s.Revision() {
+		t.Fatalf("adopted %+v: %v", late.Revision(), err)
+	}
+}
+
+func TestALateRepeatDoesNotUndoALaterChange(t *testing.T) {
+	// An operator's change is appended twice, the second time late. Meanwhile
+	// another set the section back, so that the repeat would fit again.
+	s, l := NewState(Options{}), &logbook{t: t}
+	feed(s, l.add(proposal(t, 0, 1)))
+	change := section(t, s, "registre", 2)
+	feed(s, l.add(change))
+	feed(s, l.add(section(t, s, "registre", 1)))
+	want(t, feed(s, l.add(change)), Repeated, "", 2)
+	for i := range MaxRecent {
+		feed(s, l.add(section(t, s, "tsukushi", float64(i+1))))
+	}
+	want(t, feed(s, l.add(change)), Refused, ReasonStale, s.Revision().Offset)
+}
--- a/ledger/proof.go
+++ b/ledger/proof.go
@@ -80,8 +80,10 @@
 
 // proven reads the manifest of a proof, unless it is the one in force.
 func (s *State) proven(c *Checkpoint) (*Version, error) {
-	mine := s.InForce()
-	if len(c.Recent) <= maxRecent && mine != nil && c.Revision == mine.Revision && c.Through >= c.Revision.Offset && c.Rules >= 1 && c.Rules <= RulesVersion {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	if mine := s.InForce(); mine != nil && c.Revision == mine.Revision {
 		return mine, nil
 	}
 	return c.version()
@@ -104,18 +106,35 @@
 	return nil
 }
 
-// version checks the proof by itself and returns its manifest, nil for none.
-func (c *Checkpoint) version() (*Version, error) {
+// check judges the proof's figures by themselves. The acceptances are part of
+// what daemons agree on, since they decide on repeats and sections; a proof
+// without them would make its reader decide unlike the others.
+func (c *Checkpoint) check() error {
 	if c.Rules < 1 || c.Rules > RulesVersion {
-		return nil, &RecordError{Reason: ReasonRules, Detail: fmt.Sprintf("rules %d", c.Rules)}
+		return &RecordError{Reason: ReasonRules, Detail: fmt.Sprintf("rules %d", c.Rules)}
+	}
+	if len(c.Recent) > MaxRecent {
+		return &RecordError{Reason: ReasonTooLong, Detail: fmt.Sprintf("%d acceptances", len(c.Recent))}
+	}
+	var last Revision
+	for _, a := range c.Recent {
+		if a.Offset <= last.Offset || a.Base < 0 || a.Base >= a.Offset {
+			return &RecordError{Reason: ReasonMalformed, Detail: "acceptances are out of order"}
+		}
+		last = a.revision()
 	}
-	if len(c.Recent) > maxRecent {
-		return nil, &RecordError{Reason: ReasonTooLong, Detail: fmt.Sprintf("%d acceptances", len(c.Recent))}
+	if c.Through < c.Revision.Offset || last != c.Revision {
+		return &RecordError{Reason: ReasonMalformed, Detail: "offsets do not fit together"}
 	}
-	if c.Through < c.Revision.Offset || c.Revision.Offset < 0 || c.Base < 0 {
-		return nil, &RecordError{Reason: ReasonMalformed, Detail: "offsets do not fit together"}
+	return nil
+}
+
+// version checks the proof and returns its manifest, nil for none.
+func (c *Checkpoint) version() (*Version, error) {
+	if err := c.check(); err != nil {
+		return nil, err
 	}
-	if c.Revision == (Revision{}) && len(c.Manifest) == 0 {
+	if c.Revision == (Revision{}) {
 		return nil, nil
 	}
 	m, err := readManifest(c.Manifest, c.Revision.Digest)
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -82,31 +82,29 @@
 type Acceptance struct {
 	Offset platform.Offset `json:"offset"`
 	Base   platform.Offset `json:"base"`
-	Digest manifest.Digest `json:"digest"`
+	Digest manifest.Digest `json:"digest"`          // of what the record brought
+	Whole  manifest.Digest `json:"whole,omitempty"` // of the manifest after it, where a section came
+}
+
+func (a Acceptance) revision() Revision {
+	if a.Whole != "" {
+		return Revision{Offset: a.Offset, Digest: a.Whole}
+	}
+	return Revision{Offset: a.Offset, Digest: a.Digest}
 }
 
 // SectionRecord proposes a change of one part of the manifest, so that a
-// change of one organisation among thousands does not carry them all.
+// change of one organisation among thousands does not carry them all. It holds
+// if the part is still what it was, whatever else has changed since.
 type SectionRecord struct {
-	Section SectionKind     `json:"section"`
-	ID      string          `json:"id"`
-	Base    platform.Offset `json:"base"` // the record that last set this section, or the whole
-	Digest  manifest.Digest `json:"digest"`
-	Delete  bool            `json:"delete,omitempty"`
-	Value   json.RawMessage `json:"value,omitempty"`
+	Section manifest.SectionKind `json:"section"`
+	ID      string               `json:"id"`
+	Base    platform.Offset      `json:"base"`             // the revision it was made against, among the last MaxRecent
+	Was     manifest.Digest      `json:"was,omitempty"`    // of the section before; empty: none
+	Digest  manifest.Digest      `json:"digest,omitempty"` // of the section after; empty: removed
+	Value   json.RawMessage      `json:"value,omitempty"`
 }
 
-// SectionKind names a part of the manifest that can change by itself.
-type SectionKind string
-
-// The kinds of section.
-const (
-	SectionOrganisation SectionKind = "organisation"
-	SectionModel        SectionKind = "model"
-	SectionClass        SectionKind = "class"
-	SectionService      SectionKind = "service"
-)
-
 // Raise puts newer rules in force from the next record on. A release that
 // does not know them keeps what is accepted and decides nothing more.
 type Raise struct {
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -89,8 +89,18 @@
 
 // Publish proposes a manifest, see the function of that name.
 func (m *Manifests) Publish(ctx context.Context, base platform.Offset, next manifest.Manifest, author string) (PublishResult, error) {
-	req := PublishRequest{Base: base, Manifest: next, Author: author, Seed: m.opt.Seed}
-	if c, ok := m.Proof(); ok && c.Revision.Offset == base {
+	return m.propose(ctx, PublishRequest{Base: base, Manifest: next, Author: author})
+}
+
+// PublishSection proposes a change of one section, made with
+// ledger.NewSectionRecord from what is in force here.
+func (m *Manifests) PublishSection(ctx context.Context, change *ledger.SectionRecord) (PublishResult, error) {
+	return m.propose(ctx, PublishRequest{Section: change})
+}
+
+func (m *Manifests) propose(ctx context.Context, req PublishRequest) (PublishResult, error) {
+	req.Seed = m.opt.Seed
+	if c, ok := m.Proof(); ok {
 		req.Proof = &c
 	}
 	r, state, err := publish(ctx, m.opt.Log, req)
--- a/logio/publish.go
+++ b/logio/publish.go
@@ -23,11 +23,14 @@
 	PublishUnknown     PublishOutcome = "unknown"      // may be accepted; publish the same again to learn
 )
 
-// PublishRequest proposes a manifest.
+// PublishRequest proposes a manifest, or one section of it.
 type PublishRequest struct {
 	Base     platform.Offset // offset of the accepted manifest it was made against; 0 for the first
 	Manifest manifest.Manifest
-	Author   string
+	// Section proposes one section in place of a whole manifest, whose fields
+	// above are then left out. See ledger.NewSectionRecord.
+	Section *ledger.SectionRecord
+	Author  string
 	// Proof lets the publisher decide behind a log whose older records have
 	// expired. May be nil.
 	Proof *ledger.Checkpoint
@@ -61,37 +64,44 @@
 		return PublishResult{}, nil, err
 	}
 	r := p.publish(ctx)
-	r.Digest = p.digest
+	r.Digest = p.what.digest
 	r.Latest = p.state.Revision().Offset
 	return r, p.state, nil
 }
 
 type publisher struct {
 	log    platform.Log
-	req    PublishRequest
 	state  *ledger.State
-	digest manifest.Digest
+	what   proposal
 	data   []byte
 	reads  backoff
 	writes backoff // apart from reads, whose success says nothing of appends
 	sent   bool    // an append may have taken effect
 }
 
+// proposal is how the fold's decisions name what is published.
+type proposal struct {
+	kind    ledger.Kind
+	section string
+	base    platform.Offset
+	digest  manifest.Digest
+	key     manifest.Digest // among acceptances
+}
+
+func (w *proposal) is(d ledger.Decision) bool {
+	return d.Kind == w.kind && d.Section == w.section && d.Base == w.base && d.Digest == w.digest
+}
+
 func newPublisher(log platform.Log, req PublishRequest) (*publisher, error) {
-	if err := manifest.Check(req.Manifest); err != nil {
-		return nil, eris.Wrap(err, "logio: publish")
-	}
-	text, err := manifest.Encode(req.Manifest)
+	what, body, err := propose(req)
 	if err != nil {
 		return nil, eris.Wrap(err, "logio: publish")
 	}
-	digest := manifest.SumText(text)
-	record := ledger.ManifestRecord{Base: req.Base, Digest: digest, Author: req.Author, Manifest: text}
-	data, err := ledger.Encode(ledger.RulesVersion, &record)
+	data, err := ledger.Encode(ledger.RulesVersion, body)
 	if err != nil {
 		return nil, eris.Wrap(err, "logio: publish")
 	}
-	p := &publisher{log: log, req: req, state: ledger.NewState(ledger.Options{}), digest: digest, data: data}
+	p := &publisher{log: log, what: what, data: data, state: ledger.NewState(ledger.Options{})}
 	p.reads.random = newRand(req.Seed)
 	p.writes.random = p.reads.random
 	if req.Proof == nil {
@@ -101,6 +111,22 @@
 	return p, eris.Wrap(err, "logio: publish")
 }
 
+func propose(req PublishRequest) (proposal, ledger.Body, error) {
+	if s := req.Section; s != nil {
+		return proposal{kind: ledger.KindSection, section: s.Name(), base: s.Base, digest: s.Digest, key: s.Key()}, s, nil
+	}
+	if err := manifest.Check(req.Manifest); err != nil {
+		return proposal{}, nil, err
+	}
+	text, err := manifest.Encode(req.Manifest)
+	if err != nil {
+		return proposal{}, nil, err
+	}
+	digest := manifest.SumText(text)
+	record := &ledger.ManifestRecord{Base: req.Base, Digest: digest, Author: req.Author, Manifest: text}
+	return proposal{kind: ledger.KindManifest, base: req.Base, digest: digest, key: digest}, record, nil
+}
+
 func (p *publisher) publish(ctx context.Context) PublishResult {
 	if err := p.catchUp(ctx, 0); err != nil {
 		return p.undecided(err.Error())
@@ -111,7 +137,7 @@
 	if r, ok := p.verdict(); ok {
 		return r
 	}
-	if latest := p.state.Revision().Offset; latest != p.req.Base {
+	if latest := p.state.Revision().Offset; latest != p.what.base && p.what.kind == ledger.KindManifest {
 		return PublishResult{Outcome: PublishRefused, Reason: ledger.ReasonStale, By: latest}
 	}
 	for {
@@ -146,13 +172,13 @@
 // may come too late to be recognised.
 func (p *publisher) verdict() (PublishResult, bool) {
 	for _, a := range p.state.Recent() {
-		if a.Digest == p.digest && a.Base == p.req.Base {
+		if a.Digest == p.what.key && a.Base == p.what.base {
 			return PublishResult{Outcome: PublishAccepted, Offset: a.Offset}, true
 		}
 	}
 	var found PublishResult
 	for _, d := range p.state.History() {
-		if d.Kind != ledger.KindManifest || d.Digest != p.digest || d.Base != p.req.Base {
+		if !p.what.is(d) {
 			continue
 		}
 		switch d.Outcome {
@@ -162,7 +188,7 @@
 			found = PublishResult{Outcome: PublishRefused, Offset: d.Offset, By: d.By, Reason: d.Reason, Detail: d.Detail}
 		}
 	}
-	if v := p.state.InForce(); found.Outcome == "" && v != nil && v.Revision.Digest == p.digest {
+	if v := p.state.InForce(); found.Outcome == "" && v != nil && v.Revision.Digest == p.what.digest {
 		return PublishResult{Outcome: PublishAccepted, Offset: v.Revision.Offset}, true
 	}
 	return found, found.Outcome != ""
