Stop a rollout when loads fail and none succeeds

With the weight store down each load fails and leaves a runner that serves nothing. Failed loads now count as away until one succeeds, and one more is tried every ten minutes in case that engine alone is broken.

--- a/lab/standin/orders_test.go
+++ b/lab/standin/orders_test.go
@@ -390,3 +390,31 @@
 		}
 	})
 }
+
+// The weight store is down for ten minutes and each load that was begun fails. A
+// quarter of the runners at the most may wait for it; the rest serve on.
+func TestWeightStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12, true)
+		for _, r := range f.runners {
+			r.FailLoads(true)
+		}
+		f.holder()
+		time.Sleep(30 * time.Second)
+		f.publish("v2")
+		for range 60 {
+			time.Sleep(10 * time.Second)
+			serving := 0
+			for _, r := range f.runners {
+				serving += len(r.Status().Models)
+			}
+			if serving < 9 {
+				t.Fatalf("%d of 12 runners serve", serving)
+			}
+		}
+		for _, r := range f.runners {
+			r.FailLoads(false)
+		}
+		f.wait("v2")
+	})
+}
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -16,7 +16,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -42,8 +44,10 @@
 	// Transport sends orders and reads statuses. It must not repeat requests
 	// by itself; nil: one made by NewTransport.
 	Transport http.RoundTripper
-	Rollout   rollout.Options
-	Observe   func(Event) // may be nil
+	// Dial opens the connections of the transport that New makes; nil: TCP.
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Rollout rollout.Options
+	Observe func(Event) // may be nil
 
 	Tick        time.Duration // between rounds
 	SendTimeout time.Duration // for sending an order and its answer
@@ -105,6 +109,22 @@
 	tenure  tenure
 	planner *rollout.Planner
 	sender  sender
+	last    atomic.Pointer[Report]
+}
+
+// Report is the newest plan, for the administration API.
+type Report struct {
+	At    time.Time
+	Fence platform.Offset // of the lease under which it was made; 0: not held
+	Plan  rollout.Plan
+}
+
+// Report returns the newest plan. It may be called by any goroutine.
+func (g *Giver) Report() Report {
+	if r := g.last.Load(); r != nil {
+		return *r
+	}
+	return Report{}
 }
 
 // New returns a giver that does not hold the lease yet.
@@ -126,7 +146,7 @@
 		o.MaxReads = DefaultMaxReads
 	}
 	if o.Transport == nil {
-		o.Transport = NewTransport()
+		o.Transport = NewTransport(o.Dial)
 	}
 	if o.Observe == nil {
 		o.Observe = func(Event) {}
@@ -162,21 +182,21 @@
 	g.o.Lease.Release(ctx)
 }
 
-// Round plans and gives the next orders if the lease is held. The plan is
-// returned for the administration API and tests; it is empty when the lease is
-// not held.
-func (g *Giver) Round(ctx context.Context) rollout.Plan {
+// Round plans and gives the next orders if the lease is held. Its plan is then
+// in the report.
+func (g *Giver) Round(ctx context.Context) {
 	held, taken := g.begin(time.Now())
 	if taken {
 		g.planner = rollout.NewPlanner(g.o.Rollout)
 	}
 	if !held {
-		return rollout.Plan{}
+		g.last.Store(&Report{At: time.Now()})
+		return
 	}
 	now := time.Now()
 	s := g.o.Situation(now)
 	if s.Manifest == nil {
-		return rollout.Plan{}
+		return
 	}
 	plan := g.planner.Plan(now, rollout.Input{
 		Manifest:  s.Manifest,
@@ -185,13 +205,13 @@
 		Since:     g.tenure.since,
 		Endpoints: s.Endpoints,
 	})
+	g.last.Store(&Report{At: now, Fence: g.tenure.fence, Plan: plan})
 	addresses := map[fleet.EndpointID]string{}
 	for _, e := range s.Endpoints {
 		addresses[e.ID] = e.Address
 	}
 	g.give(ctx, plan.Orders, addresses)
 	g.read(ctx, plan.Read, addresses)
-	return plan
 }
 
 // give sends the orders one by one. The first that shows the lease to be lost
--- a/orders/sender.go
+++ b/orders/sender.go
@@ -27,10 +27,13 @@
 
 // NewTransport returns a transport for orders. It opens a connection for each:
 // net/http repeats a request by itself when a kept connection turns out to be
-// lost, and an order must not leave twice.
-func NewTransport() *http.Transport {
+// lost, and an order must not leave twice. Dial may be nil.
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/orders/sender_test.go
+++ b/orders/sender_test.go
@@ -17,7 +17,7 @@
 )
 
 func testSender() *sender {
-	return &sender{transport: NewTransport(), sendTimeout: 10 * time.Second, readTimeout: 10 * time.Second}
+	return &sender{transport: NewTransport(nil), sendTimeout: 10 * time.Second, readTimeout: 10 * time.Second}
 }
 
 func always() bool { return true }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -34,6 +34,8 @@
 	all     int // that should serve it
 	serving int // that serve it, in any version
 	ordered int // that an order keeps from serving
+	broken  int // that do not serve after a failed load
+	failed  int // of these, with no successful load anywhere since
 }
 
 // Plan decides what to read and which orders to send now.
@@ -188,14 +190,14 @@
 			continue // what it still loads counts, what it serves does not
 		}
 		for _, m := range c.target.models {
-			r.models[m.ID] = r.models[m.ID].plus(c, m.ID)
+			r.models[m.ID] = r.models[m.ID].plus(c, m.ID, r.p.loaded)
 		}
 	}
 	return unread
 }
 
-// plus counts one endpoint in; u may be nil.
-func (u *use) plus(c *candidate, model string) *use {
+// plus counts one endpoint in; u may be nil. Loaded is when a load last succeeded.
+func (u *use) plus(c *candidate, model string, loaded time.Time) *use {
 	if u == nil {
 		u = &use{}
 	}
@@ -203,8 +205,14 @@
 	if c.servesModel(model) {
 		u.serving++
 	}
-	if c.interrupted() {
+	switch {
+	case c.interrupted():
 		u.ordered++
+	case !c.row.failing.IsZero() && !c.servesModel(model):
+		u.broken++
+		if !loaded.After(c.row.failing) {
+			u.failed++
+		}
 	}
 	return u
 }
@@ -263,21 +271,25 @@
 
 // spare tells whether the models that this endpoint serves can do without it.
 // Without the rule a rollout would take a small model away whole, and its
-// callers would be refused until the first endpoint had loaded. Endpoints that
-// are dead or fail their loads count less than those that orders took away: if
-// they counted the same, a few of them would stop every rollout for good.
+// callers would be refused until the first endpoint had loaded.
 func (r *round) spare(c *candidate) bool {
 	for _, m := range c.target.models {
-		if c.servesModel(m.ID) && !r.models[m.ID].spares(r.p.o.AwayShare) {
+		if c.servesModel(m.ID) && !r.spares(r.models[m.ID]) {
 			return false
 		}
 	}
 	return true
 }
 
-// spares tells whether one more endpoint may be taken away.
-func (u *use) spares(share float64) bool {
-	if u.ordered >= max(1, int(share*float64(u.all))) {
+// spares tells whether one more endpoint of a model may be taken away. Those that
+// are dead count less than those that orders took away: if they counted the
+// same, a few of them would stop every rollout for good.
+func (r *round) spares(u *use) bool {
+	allowed := max(1, int(r.p.o.AwayShare*float64(u.all)))
+	if u.ordered >= allowed {
+		return false
+	}
+	if u.ordered+u.failed >= allowed && !r.retries(u, allowed) {
 		return false
 	}
 	left := u.serving - 1
@@ -287,6 +299,21 @@
 	return left >= 1 && u.ordered == 0
 }
 
+// retries tells whether to go on although loads failed. When the weight store is
+// down each load fails and leaves an endpoint that serves nothing; a rollout
+// that went on would empty the fleet. When only an engine is broken, another
+// one's load shows it. So one more is tried now and then, up to a bound.
+func (r *round) retries(u *use, allowed int) bool {
+	if u.ordered+u.broken >= max(allowed, maxBroken) {
+		return false
+	}
+	return r.now.Sub(r.p.failed) >= r.p.o.RetryAfter && r.now.Sub(r.p.probed) >= r.p.o.RetryAfter
+}
+
+// maxBroken is how many endpoints of a small model may have failed their loads
+// before no more is tried.
+const maxBroken = 2
+
 // spend books an order against the limits of this round.
 func (r *round) spend(c *candidate, o *Order) {
 	if o.loads() {
@@ -298,8 +325,12 @@
 	for _, m := range c.target.models {
 		u := r.models[m.ID]
 		u.ordered++
-		if c.servesModel(m.ID) {
-			u.serving--
+		if !c.servesModel(m.ID) {
+			continue
+		}
+		u.serving--
+		if u.failed > 0 {
+			r.p.probed = r.now
 		}
 	}
 }
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -23,6 +23,9 @@
 	// StorePause is how long no load is begun after the weight store was busy,
 	// when the endpoint named no time.
 	StorePause time.Duration
+	// RetryAfter is how long no further endpoint is taken out of service for a
+	// load after loads have failed and none has succeeded since.
+	RetryAfter time.Duration
 	// AwayShare is the share of a model's endpoints that may serve nothing at
 	// once, of which at least one endpoint.
 	AwayShare float64
@@ -35,6 +38,7 @@
 	DefaultUnreadGrace  = 20 * time.Second
 	DefaultFailPause    = 30 * time.Second
 	DefaultStorePause   = 15 * time.Second
+	DefaultRetryAfter   = 10 * time.Minute
 	DefaultAwayShare    = 0.25
 )
 
@@ -45,6 +49,7 @@
 	setDuration(&o.UnreadGrace, DefaultUnreadGrace)
 	setDuration(&o.FailPause, DefaultFailPause)
 	setDuration(&o.StorePause, DefaultStorePause)
+	setDuration(&o.RetryAfter, DefaultRetryAfter)
 	if o.AwayShare <= 0 {
 		o.AwayShare = DefaultAwayShare
 	}
@@ -105,6 +110,9 @@
 	o          Options
 	rows       map[fleet.EndpointID]*row
 	storeUntil time.Time
+	loaded     time.Time // when a load last succeeded
+	failed     time.Time // when an endpoint last began to fail
+	probed     time.Time // when an endpoint was last taken away in spite of failures
 }
 
 // row is what is known of one endpoint.
@@ -117,6 +125,7 @@
 	answered   bool // the endpoint answered the sent order
 	failed     string
 	failedTill time.Time
+	failing    time.Time // since when its loads fail; zero: they do not
 }
 
 // NewPlanner returns a planner that has observed nothing.
@@ -142,16 +151,36 @@
 		return // an answer overtaken by a newer one
 	}
 	r.read, r.tried = asked, asked
-	ended := r.status.Loading
+	p.ended(now, r, &s)
 	r.status = s
-	if ended != nil && s.Loading == nil && s.Last != nil && s.Last.Order == ended.ID && !s.Last.Done {
-		r.failed, r.failedTill = ended.ID, now.Add(p.o.FailPause)
-	}
 	if r.sent != nil && p.settled(r, asked) {
 		p.settle(now, r)
 	}
 }
 
+// ended takes note of how a load went, which tells of the endpoint and of the
+// weight store.
+func (p *Planner) ended(now time.Time, r *row, s *Status) {
+	if s.Loading != nil || s.Last == nil {
+		return
+	}
+	was := r.status.Loading
+	fresh := was != nil && was.ID == s.Last.Order
+	if s.Last.Done {
+		r.failing = time.Time{}
+		if fresh && was.loads() {
+			p.loaded = now
+		}
+		return
+	}
+	if r.failing.IsZero() {
+		r.failing, p.failed = now, now
+	}
+	if fresh {
+		r.failed, r.failedTill = was.ID, now.Add(p.o.FailPause)
+	}
+}
+
 // settled tells whether the status shows what became of the order sent. The
 // result alone does not if the endpoint has not answered, since it may be of
 // an earlier try of the same order.
