health: an endpoint that is due back is judged by whatever comes of it

Cause: only a request that had asked for the trial could send an endpoint away again or bring it back. A shell that asks for none kept a failing endpoint in use for good once its time away had passed, and a good one on trial for good. Change: after the time away any failure ejects and any success or answered probe ends the ejection. Test: TestDueBackWithoutTrial failed before (trial in place of ejected and of slow_start) and passes now. Conclusion: endpoints of plain services, whose calls may not be repeated, return by an answered probe.

--- a/health/health.go
+++ b/health/health.go
@@ -160,10 +160,20 @@
 	t.checkOutliers(now)
 }
 
-// answeredWhileAway ends an ejection by a trial's success. A success of a
-// request that was sent before the ejection proves nothing of the time after.
+// Probed tells that the endpoint answered a question of the daemon's own, such
+// as one for its load. That is as good as a trial, for endpoints whose requests
+// may not be sent twice.
+func (t *Tracker) Probed(now time.Time, id fleet.EndpointID, life fleet.Incarnation) {
+	e := t.endpoints[id]
+	if e != nil && t.sameLife(now, e, life) && e.away && !e.kept {
+		t.answeredWhileAway(now, e)
+	}
+}
+
+// answeredWhileAway ends an ejection by a trial's success. A success within the
+// time away is of a request that was sent before it, and proves nothing.
 func (t *Tracker) answeredWhileAway(now time.Time, e *endpoint) {
-	if !e.kept && e.trialUntil.IsZero() {
+	if !e.kept && now.Before(e.returnAt) {
 		return
 	}
 	e.away, e.kept = false, false
@@ -183,7 +193,7 @@
 	}
 	e.failedAt = now
 	e.failures++
-	trial := e.away && !e.kept && !e.trialUntil.IsZero()
+	trial := e.away && !e.kept && !now.Before(e.returnAt)
 	if trial || (!e.away && e.failures >= t.opts.Failures) {
 		t.eject(now, e)
 	}
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -91,6 +91,30 @@
 	}
 }
 
+// An endpoint that is due back is sent requests by a daemon that asked for no
+// trial, and still fails each. It must go away again, and an answer must bring
+// it back; neither was so, and a failing endpoint stayed in use for good.
+func TestDueBackWithoutTrial(t *testing.T) {
+	tr, list := tracker(1, 6)
+	bad, good, service := list[0].ID, list[1].ID, list[2].ID
+	for _, id := range []fleet.EndpointID{bad, good, service} {
+		fail(tr, epoch, id, 1)
+	}
+	now := at(DefaultEjection + time.Second)
+	tr.Probed(at(time.Second), service, 1)
+	if s := tr.Status(at(time.Second), service); s != Ejected {
+		t.Errorf("a probe within the time away makes it %v", s)
+	}
+	tr.Failure(now, bad, 1)
+	tr.Success(now, good, 1, 0)
+	tr.Probed(now, service, 1)
+	for id, want := range map[fleet.EndpointID]Status{bad: Ejected, good: SlowStart, service: SlowStart} {
+		if s := tr.Status(now, id); s != want {
+			t.Errorf("%s is %v, want %v", id, s, want)
+		}
+	}
+}
+
 // All endpoints of a zone fail at once for one daemon, because its network is
 // at fault. If it gave the zone up, its callers would be refused although the
 // endpoints are well.
