daemon: bound retries, tell admission of daemons and load, one request per trial

Cause: the daemon retried without a budget; a daemon that had heard no neighbour took the whole fleet for its own, and the part of a dead one was never taken over; all requests of a prefix went to an endpoint on trial together. Change: gateway.RetryPolicy by retry.Decide and one budget, from which broken streams may borrow; the platform's count of daemons and the endpoints' load reports go to each pool's admission; placement asks anew when an endpoint is on trial with another request.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -22,6 +22,7 @@
 	mu     sync.Mutex // guards the fields below, not the pools' own state
 	shares []contract.Share
 	pools  map[string]*admissionPool
+	live   int // daemons on the platform's list; 0: not known
 	open   int
 }
 
@@ -50,7 +51,9 @@
 	a.shares = shares
 	for i := range m.Models {
 		if a.pools[m.Models[i].ID] == nil {
-			a.pools[m.Models[i].ID] = a.newPool()
+			p := a.newPool()
+			p.core.SetDaemons(a.now(), a.live)
+			a.pools[m.Models[i].ID] = p
 		}
 	}
 	pools := a.snapshot()
@@ -90,6 +93,33 @@
 	return a.snapshot()
 }
 
+// setDaemons tells how many daemons are live by the platform's list. Without it
+// a daemon that has heard no neighbour yet would take the whole fleet for its
+// own.
+func (a *admission) setDaemons(live int) {
+	a.mu.Lock()
+	a.live = live
+	pools := a.snapshot()
+	a.mu.Unlock()
+	for _, p := range pools {
+		p.mu.Lock()
+		p.core.SetDaemons(p.now(), live)
+		p.mu.Unlock()
+	}
+}
+
+// setLoad tells how full the endpoints of a model say they are, from which
+// admission sees whether a silent neighbour still spends its part.
+func (a *admission) setLoad(model string, requests, slots int) {
+	p := a.all()[model]
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.SetLoad(p.now(), requests, slots)
+}
+
 // Admit implements gateway.Admitter.
 func (a *admission) Admit(ctx context.Context, r gateway.AdmitRequest) (func(int), error) {
 	if !a.enter() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,6 +63,7 @@
 	fleet     *fleetView
 	daemons   daemonList
 	admission *admission
+	retries   *retries
 	drainer   *gateway.Drainer
 	shutdown  *shutdown
 	peers     *peer.Service
@@ -98,6 +99,7 @@
 	client := engine.New(engine.Options{DialContext: o.Dial})
 	d.fleet = newFleetView(d, client)
 	d.admission = newAdmission(d)
+	d.retries = newRetries(o.Now, newRand(s.Daemon.ID, d.life))
 	d.claimer = newClaimer(d)
 	d.orders = newOrderGiver(d)
 	peers, err := peer.New(d.peerOptions())
@@ -118,6 +120,7 @@
 		Placer:    d.fleet,
 		Admitter:  d.admission,
 		Claimer:   d.claimer,
+		Retry:     d.retries,
 		Observer:  newObserver(d.metrics.Scope),
 		Drainer:   d.drainer,
 		Limits: gateway.Limits{
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -175,7 +175,11 @@
 		v.members.Asked(now, probes[i].ID)
 	}
 	v.refresh()
+	loads := v.loads(now)
 	v.mu.Unlock()
+	for model, l := range loads {
+		v.daemon.admission.setLoad(model, l.requests, l.slots)
+	}
 	for _, e := range probes {
 		go v.probe(ctx, e)
 	}
@@ -191,6 +195,9 @@
 		return
 	}
 	v.reported(e.ID, load)
+	v.healthMu.Lock()
+	v.health.Probed(v.now(), e.ID, load.Incarnation)
+	v.healthMu.Unlock()
 }
 
 // reported takes what an endpoint said of itself just now.
@@ -298,6 +305,35 @@
 	}
 }
 
+// poolLoad is how full the endpoints of one model say they are.
+type poolLoad struct {
+	requests int
+	slots    int
+}
+
+// loads adds up the load reports behind each model. The caller holds the lock.
+func (v *fleetView) loads(now time.Time) map[string]poolLoad {
+	reports := map[fleet.EndpointID]fleet.Load{}
+	for _, m := range v.members.All(now) {
+		reports[m.ID] = m.Load
+	}
+	sums := make(map[string]poolLoad, len(v.shares))
+	for model, shares := range v.shares {
+		sum := poolLoad{}
+		for _, s := range shares {
+			for i := range s.Endpoints {
+				l := reports[s.Endpoints[i].ID]
+				if l.Slots > 0 {
+					sum.requests += l.Running + l.Waiting
+					sum.slots += l.Slots
+				}
+			}
+		}
+		sums[model] = sum
+	}
+	return sums
+}
+
 func modelPool(model, version string) string { return "model/" + model + "@" + version }
 func classPool(class string) string          { return "class/" + class }
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -49,6 +49,7 @@
 		}
 	}
 	d.fleet.placement.SetDaemons(max(live, 1))
+	d.admission.setDaemons(live)
 }
 
 func (d *Daemon) peerOptions() peer.Options {
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/health"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
 )
@@ -22,26 +24,49 @@
 	return rand.New(rand.NewPCG(seedOf(id, life), uint64(life.UnixNano())))
 }
 
+// trialsAtOnce bounds how often a request is placed anew because the endpoint
+// that was chosen is on trial with another one.
+const trialsAtOnce = 3
+
 // Place implements gateway.Placer.
 func (v *fleetView) Place(_ context.Context, r *gateway.PlaceRequest) (gateway.Placement, error) {
-	id := v.ids.next()
-	levels := v.levels(r)
-	pool := classPool(r.Class)
-	if r.Kind == fleet.KindModel {
-		pool = modelPool(r.Target.Model, r.Target.Version)
+	if r.Attempt <= 1 {
+		v.daemon.retries.earn()
 	}
-	decision, err := v.placement.Place(v.now(), placement.Request{
-		ID:       id,
-		Pool:     pool,
+	levels := v.levels(r)
+	request := placement.Request{
+		Pool:     classPool(r.Class),
 		Levels:   levels,
 		Tokens:   r.PromptTokens,
 		Priority: priorityOf(r.Priority),
 		Avoid:    r.Exclude,
-	})
-	if err != nil {
-		return gateway.Placement{}, err
 	}
-	return v.placed(id, levels, &decision), nil
+	if r.Kind == fleet.KindModel {
+		request.Pool = modelPool(r.Target.Model, r.Target.Version)
+	}
+	for tries := 0; ; tries++ {
+		request.ID = v.ids.next()
+		decision, err := v.placement.Place(v.now(), request)
+		if err != nil {
+			return gateway.Placement{}, err
+		}
+		if tries == trialsAtOnce || v.mayTry(decision.Endpoint, r.Kind == fleet.KindModel) {
+			return v.placed(request.ID, levels, &decision), nil
+		}
+		v.placement.Finished(v.now(), request.ID)
+		request.Avoid = append(slices.Clone(request.Avoid), decision.Endpoint)
+	}
+}
+
+// mayTry reports whether an endpoint that is due back after failing may have
+// this request. One at a time finds out whether it is back; else all requests
+// of its prefixes would be lost on it together. A call that may not be repeated
+// is never the one.
+func (v *fleetView) mayTry(id fleet.EndpointID, repeatable bool) bool {
+	v.healthMu.Lock()
+	defer v.healthMu.Unlock()
+	now := v.now()
+	return v.health.Status(now, id) != health.Trial || v.health.Allow(now, id, repeatable)
 }
 
 // levels cuts the prompt into the levels that placement counts in.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -57,6 +57,19 @@
 	return true
 }
 
+// SpendResume takes one retry for a stream that the caller has a part of. It may
+// leave the budget in debt by as much as its burst, which other retries then
+// wait for: a stream that isn't resumed is lost in the caller's sight, while a
+// request that nothing came back of can be asked again.
+func (b *Budget) SpendResume(now time.Time) bool {
+	b.refill(now)
+	if b.tokens < 1-b.opts.Burst {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // Wait is the time until the floor alone allows another retry.
 func (b *Budget) Wait(now time.Time) time.Duration {
 	b.refill(now)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -99,6 +99,22 @@
 	excluded   [MaxAttempts]fleet.EndpointID
 }
 
+// Resume returns a request of which some attempts have failed before, for a
+// shell that keeps count of them itself. The attempt to decide on isn't among
+// them.
+func Resume(r Request, failed int, mayHaveRun bool) Request {
+	r.attempts = min(max(failed, 0), MaxAttempts)
+	r.mayHaveRun = mayHaveRun
+	return r
+}
+
+func (r *Request) count(e fleet.EndpointID) {
+	if r.attempts < MaxAttempts {
+		r.excluded[r.attempts] = e
+		r.attempts++
+	}
+}
+
 // Excluded lists the endpoints that attempts failed at. The next attempt goes
 // elsewhere if there is an elsewhere.
 func (r *Request) Excluded() []fleet.EndpointID { return r.excluded[:r.attempts] }
@@ -133,10 +149,7 @@
 	if a.Failure == Unknown || a.Failure == Broken {
 		r.mayHaveRun = true
 	}
-	if r.attempts < MaxAttempts {
-		r.excluded[r.attempts] = a.Endpoint
-		r.attempts++
-	}
+	r.count(a.Endpoint)
 	switch a.Failure {
 	case CallerLeft:
 		return r.giveUp(now, CodeCallerLeft, a, budget)
@@ -154,12 +167,19 @@
 	if r.tooLate(now.Add(after + minAttempt)) {
 		return r.giveUp(now, CodeDeadline, a, budget)
 	}
-	if !budget.Spend(now) {
+	if !r.spend(now, a.Failure, budget) {
 		return r.giveUp(now, CodeNoBudget, a, budget)
 	}
 	return Decision{Retry: true, After: after, ResumeFrom: r.Delivered}
 }
 
+func (r *Request) spend(now time.Time, f Failure, budget *Budget) bool {
+	if f == Broken && r.Resumable && r.Delivered > 0 {
+		return budget.SpendResume(now)
+	}
+	return budget.Spend(now)
+}
+
 // notRepeatable is the code of a request that must not be sent again, or "". A
 // booking that was sent twice sends two families to one inspection hour; it
 // would be noticed only there. So one attempt that may have run ends a request
