lab/fairness: put the real admission before the replay of both users' traces

Cause: the shares had been measured on engines whose batch slots are the bottleneck. Prefill is the bottleneck there; slots never fill, so admission lets work queue at the runners. And a request is charged its whole prompt until it ends, of which 90% is cached.

--- /dev/null
+++ b/lab/fairness/traces_test.go
@@ -0,0 +1,52 @@
+package fairness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/replay"
+	"github.com/merlindock/merlindock/lab/trace"
+)
+
+const traceLength = 60 * time.Second
+
+// workloads are the users' traces at rates that load the fleet well.
+var workloads = map[string]struct {
+	make func(trace.Generate) *trace.Trace
+	rate float64 // requests a second
+}{
+	"registre": {trace.Registre, 30},
+	"tsukushi": {trace.Tsukushi, 45},
+}
+
+// BenchmarkTraces prints the shares on the traces of both users, when the
+// largest organisation sends three times its traffic. Run it with
+// -benchtime 1x.
+func BenchmarkTraces(b *testing.B) {
+	for b.Loop() {
+		for name, w := range workloads {
+			for seed := uint64(1); seed <= seeds; seed++ {
+				logTrace(b, name+" open", replay.Options{Trace: w.make(trace.Generate{Seed: seed, Duration: traceLength, Rate: w.rate}), Seed: seed})
+				logTrace(b, name+" contract", replay.Options{Trace: w.make(trace.Generate{Seed: seed, Duration: traceLength, Rate: w.rate}), Seed: seed, NewAdmitter: NewAdmitter})
+			}
+		}
+	}
+}
+
+func logTrace(b *testing.B, name string, o replay.Options) {
+	b.Helper()
+	o.Policy = replay.PolicyLearnt
+	o.Faults = []replay.FaultKind{replay.FaultOverload}
+	r, err := replay.Run(o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Logf("%-18s seed %d: share error %.1f%%, answered %d of %d, hit rate %.3f, busy %.2f, interactive p50 %.0f p99 %.0f ms, standard p99 %.0f, batch p99 %.0f, refused %v",
+		name, o.Seed, 100*r.ShareError, r.Answered, r.Requests, r.HitRate, r.Utilisation,
+		r.FirstToken["interactive"].P50, r.FirstToken["interactive"].P99, r.FirstToken["standard"].P99, r.FirstToken["batch"].P99, r.Refusals)
+	if o.Seed == 1 {
+		for _, org := range r.Organisations {
+			b.Logf("    %-12s share %.2f offered %d done %d spent %d", org.ID, org.Share, org.Offered, org.Done, org.Spent)
+		}
+	}
+}
