--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -32,7 +32,9 @@
 	// life changes whenever what was learnt of the cache stops being true: a
 	// new incarnation, a failure, a cleared cache, another endpoint in the
 	// slot. Holders carry the life they were learnt in.
-	life uint32
+	life    uint32
+	emptied time.Time // when that happened last
+	lost    time.Time // when a connection to it was last lost
 
 	load     fleet.Load
 	loadAt   time.Time
@@ -167,7 +169,7 @@
 // queue. A new incarnation therefore ends everything learnt before. The ones
 // before it are remembered for a while, since a late message of the dead
 // engine would otherwise look like the next life.
-func (v *View) meet(e *endpoint, in fleet.Incarnation) bool {
+func (v *View) meet(e *endpoint, in fleet.Incarnation, at time.Time) bool {
 	if in == 0 || in == e.incarnation {
 		return true
 	}
@@ -179,7 +181,7 @@
 	if e.incarnation != 0 {
 		copy(e.retired[1:], e.retired[:])
 		e.retired[0] = e.incarnation
-		v.forgetCache(e)
+		v.forgetCache(e, at)
 		e.load, e.loadAt = fleet.Load{}, time.Time{}
 	}
 	e.incarnation = in
@@ -187,8 +189,9 @@
 }
 
 // forgetCache ends the life that holders of the endpoint were learnt in.
-func (v *View) forgetCache(e *endpoint) {
+func (v *View) forgetCache(e *endpoint, at time.Time) {
 	v.lives++
+	e.emptied = at
 	e.life = v.lives
 	e.follows, e.nextSeq = false, 0
 }
@@ -196,7 +199,7 @@
 // LoadReported takes a report that did not come with an answer.
 func (v *View) LoadReported(id fleet.EndpointID, l fleet.Load) {
 	e := v.endpointOf(id)
-	if e == nil || !v.meet(e, l.Incarnation) {
+	if e == nil || !v.meet(e, l.Incarnation, l.At) {
 		return
 	}
 	v.takeLoad(e, l)
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -11,16 +11,22 @@
 // oldest are dropped: the others then learn from events and answers, later.
 const MaxNotices = 256
 
-// Notice tells another daemon that a prefix is about to be computed somewhere.
+// Notice tells another daemon that a prefix is about to be computed somewhere,
+// or that an endpoint's cache is gone.
 //
 // Until the first token of that request no answer and no event shows it. Other
 // daemons that get further questions on the same document in that time would
 // have it computed once more. A notice is sent for a cold prefix only, so
 // their number follows the documents and not the requests.
+//
+// An engine may crash and be back empty before its next load report. Only the
+// daemons that had requests there have seen it; the others would count on a
+// cache that is gone.
 type Notice struct {
 	Key         prefix.Key
 	Endpoint    fleet.EndpointID
 	Incarnation fleet.Incarnation
+	Lost        bool // the connection was lost; Key is not used
 	At          time.Time
 }
 
@@ -66,6 +72,10 @@
 		if e == nil || n.Incarnation != e.incarnation {
 			continue
 		}
+		if n.Lost {
+			v.loseCache(e, n.At)
+			continue
+		}
 		ep := v.byID[n.Endpoint]
 		t := v.prefixes.touch(n.Key)
 		if h := t.holderOf(ep); h != nil && h.life == e.life && !h.seen.Before(n.At) {
@@ -75,6 +85,21 @@
 	}
 }
 
+// sameLoss is the time within which losses of one endpoint, seen by several
+// requests and daemons, count as one.
+const sameLoss = time.Second
+
+// loseCache forgets what the endpoint has cached. It returns false if that is
+// known already.
+func (v *View) loseCache(e *endpoint, at time.Time) bool {
+	if !e.lost.IsZero() && at.Before(e.lost.Add(sameLoss)) {
+		return false
+	}
+	e.lost = at
+	v.forgetCache(e, at)
+	return true
+}
+
 // outbox is a ring of notices.
 type outbox struct {
 	ring [MaxNotices]Notice
--- a/placement/notices_test.go
+++ b/placement/notices_test.go
@@ -46,3 +46,26 @@
 		t.Errorf("notices = %d, want the bound %d", got, MaxNotices)
 	}
 }
+
+// A runner crashes and is back within a fraction of a second, before its next
+// load report. Only one daemon had a request there; the others still count on
+// its cache and send it long prompts as if they were short.
+func TestNoticeOfALostCacheReachesTheOthers(t *testing.T) {
+	one, other := testView(18), testView(18)
+	r := ask(1, "a", "sheet")
+	d := place(t, one, epoch, r)
+	for _, v := range []*View{one, other} {
+		answer(v, epoch, r, d)
+	}
+	one.Notices(nil)
+	one.Failed(epoch.Add(time.Second), Failure{ID: 2, Endpoint: d.Endpoint, Dead: true})
+	one.Failed(epoch.Add(time.Second), Failure{ID: 3, Endpoint: d.Endpoint, Dead: true})
+	notices := one.Notices(nil)
+	if len(notices) != 1 || !notices[0].Lost {
+		t.Fatalf("notices = %v, want the loss once", notices)
+	}
+	other.Heard(notices)
+	if got := place(t, other, epoch.Add(2*time.Second), ask(4, "a", "sheet")); got.Reason == ReasonHolder {
+		t.Errorf("relies on the cache of the dead engine: %+v", got)
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -259,11 +259,14 @@
 	}
 	e := &v.endpoints[best.endpoint]
 	d := Decision{
-		Endpoint: e.id, Incarnation: e.incarnation, ExpectedCached: int(best.expected),
+		Endpoint: e.id, ExpectedCached: int(best.expected),
 		ExpectedWait:  seconds(best.wait),
 		ExpectedFirst: seconds(best.wait + best.compute + v.travel(best)),
 		Reason:        reason,
 	}
+	if best.cached > 0 {
+		d.Incarnation = e.incarnation
+	}
 	switch {
 	case reason == ReasonPanic:
 	case best.present > 0:
@@ -326,12 +329,17 @@
 //
 // A daemon that has followed the endpoint's events for a while would know, and
 // a cold prefix may go wherever the wait is short. One that has just restarted
-// knows nothing, and relies on the others having used the home.
+// knows nothing, and relies on the others having used the home. An endpoint
+// whose cache was lost has nothing, and fills up again over time.
 func (v *View) prior(now time.Time, e *endpoint) float64 {
+	filled := 1.0
+	if !e.emptied.IsZero() {
+		filled -= math.Exp2(-max(0, now.Sub(e.emptied).Seconds()) / v.o.CacheLife.Seconds())
+	}
 	if !e.follows {
-		return homePrior
+		return homePrior * filled
 	}
-	return homePrior * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
+	return homePrior * filled * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -111,7 +111,7 @@
 // Decision is where a request goes and what that relied on.
 type Decision struct {
 	Endpoint       fleet.EndpointID
-	Incarnation    fleet.Incarnation // the life whose cache was counted on; zero if not known
+	Incarnation    fleet.Incarnation // the life whose cache is believed in; zero: none, or not known
 	ExpectedCached int               // prompt tokens expected in its cache
 	ExpectedWait   time.Duration     // in its queue
 	ExpectedFirst  time.Duration     // until the first token
--- a/placement/view.go
+++ b/placement/view.go
@@ -67,7 +67,7 @@
 		v.reservations[i].first = now
 	}
 	e := v.endpointOf(a.Endpoint)
-	if e == nil || !v.meet(e, a.Incarnation) {
+	if e == nil || !v.meet(e, a.Incarnation, now) {
 		return
 	}
 	if a.Load != nil {
@@ -130,7 +130,7 @@
 }
 
 // Failed ends an attempt without a whole answer.
-func (v *View) Failed(_ time.Time, f Failure) {
+func (v *View) Failed(now time.Time, f Failure) {
 	if i, ok := v.byOwner[f.ID]; ok {
 		v.release(i)
 	}
@@ -138,7 +138,9 @@
 	if e == nil || !f.Dead {
 		return
 	}
-	v.forgetCache(e)
+	if v.loseCache(e, now) {
+		v.outbox.push(Notice{Endpoint: e.id, Incarnation: e.incarnation, Lost: true, At: now})
+	}
 }
 
 // CacheEvents takes events of one endpoint. A hole in the sequence makes all
@@ -146,7 +148,7 @@
 // then counts as what an answer said, by its age.
 func (v *View) CacheEvents(b EventBatch) {
 	e := v.endpointOf(b.Endpoint)
-	if e == nil || !v.meet(e, b.Incarnation) {
+	if e == nil || !v.meet(e, b.Incarnation, b.At) {
 		return
 	}
 	if e.follows && b.Seq < e.nextSeq {
@@ -173,7 +175,7 @@
 	switch ev.Kind {
 	case EventCleared:
 		seq := e.nextSeq
-		v.forgetCache(e)
+		v.forgetCache(e, at)
 		e.follows, e.nextSeq = true, seq
 	case EventStored:
 		t := v.prefixes.touch(ev.Key)
