--- a/contract/admission.go
+++ b/contract/admission.go
@@ -253,13 +253,22 @@
 }
 
 // startTag is the virtual time at which the organisation's next request would
-// start: an organisation that was idle starts with the others, with no credit
-// for the past.
+// start: one that was idle starts before the others by no more than its credit.
 func (a *Admission) startTag(o *organisation) float64 {
 	if o.backlogged() {
 		return o.tag
 	}
-	return max(o.tag, a.virtual)
+	return max(o.tag, a.virtual-a.credit(o))
+}
+
+// credit is in virtual time. Over its length the contract is kept though an
+// organisation's callers come in bursts.
+func (a *Admission) credit(o *organisation) float64 {
+	credit := a.opts.CreditTokens / o.weight
+	if a.weights > 0 {
+		credit = max(credit, a.opts.Credit.Seconds()*a.tokensPerSecond/a.weights)
+	}
+	return credit
 }
 
 func (a *Admission) newEntry(o *organisation, r Request) *entry {
@@ -286,6 +295,7 @@
 // the place for ever, seen as a daemon that admits less and less.
 func (a *Admission) admit(e *entry) {
 	o := e.org
+	e.urgent = a.urgent(o, e.Priority)
 	started := o.tag
 	a.backlog.retag(o, o.tag+e.Tokens/o.weight)
 	if least, waiting := a.backlog.least(); waiting {
@@ -297,7 +307,7 @@
 	o.running++
 	o.counts.Admitted++
 	a.running++
-	if e.Priority == PriorityInteractive {
+	if e.urgent {
 		a.reserved.started(a.clock)
 	}
 	e.queued = false
@@ -313,7 +323,7 @@
 	e.org.running--
 	e.org.seen = a.clock
 	a.running--
-	if e.Priority == PriorityInteractive {
+	if e.urgent {
 		a.reserved.ended(a.clock)
 	}
 	a.due.remove(e.dueAt)
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -16,7 +16,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -42,11 +44,12 @@
 	// Transport sends orders and reads statuses. It must not repeat requests
 	// by itself; nil: one made by NewTransport.
 	Transport http.RoundTripper
-	Rollout   rollout.Options
-	Observe   func(Event) // may be nil
+	// Dial opens the connections of the transport that New makes; nil: TCP.
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Rollout rollout.Options
+	Observe func(Event) // may be nil
 
 	Tick        time.Duration // between rounds
-	Renew       time.Duration // between renewals of the lease; a third of its time
 	SendTimeout time.Duration // for sending an order and its answer
 	ReadTimeout time.Duration // for reading a status
 	MaxReads    int           // statuses read at once
@@ -55,7 +58,6 @@
 // Defaults of Options.
 const (
 	DefaultTick        = time.Second
-	DefaultRenew       = 5 * time.Second
 	DefaultSendTimeout = 2 * time.Second
 	DefaultReadTimeout = 2 * time.Second
 	DefaultMaxReads    = 16
@@ -67,8 +69,6 @@
 
 // Errors of the package, for errors.Is.
 var (
-	// ErrHeld says that another daemon holds the lease.
-	ErrHeld = errors.New("orders: lease is held by another daemon")
 	// ErrLapsed says that the lease ended before an order was sent.
 	ErrLapsed = errors.New("orders: lease has lapsed")
 	// ErrFenced says that an endpoint has seen a higher fencing number.
@@ -83,8 +83,6 @@
 	ErrUnknown = errors.New("orders: outcome unknown")
 )
 
-func heldElsewhere(err error) bool { return errors.Is(err, ErrHeld) }
-
 // EventKind names what happened.
 type EventKind string
 
@@ -92,7 +90,6 @@
 const (
 	EventTaken EventKind = "lease taken"
 	EventLost  EventKind = "lease lost"
-	EventLease EventKind = "lease failed"
 	EventOrder EventKind = "order"       // sent, or tried
 	EventRead  EventKind = "read failed" // of a status
 )
@@ -109,9 +106,25 @@
 // Giver gives orders while it holds the lease.
 type Giver struct {
 	o       Options
-	keeper  keeper
+	tenure  tenure
 	planner *rollout.Planner
 	sender  sender
+	last    atomic.Pointer[Report]
+}
+
+// Report is the newest plan, for the administration API.
+type Report struct {
+	At    time.Time
+	Fence platform.Offset // of the lease under which it was made; 0: not held
+	Plan  rollout.Plan
+}
+
+// Report returns the newest plan. It may be called by any goroutine.
+func (g *Giver) Report() Report {
+	if r := g.last.Load(); r != nil {
+		return *r
+	}
+	return Report{}
 }
 
 // New returns a giver that does not hold the lease yet.
@@ -119,7 +132,6 @@
 	o = o.withDefaults()
 	return &Giver{
 		o:       o,
-		keeper:  keeper{lease: o.Lease, renew: o.Renew, observe: o.Observe, settle: o.Rollout.LongestOrder},
 		planner: rollout.NewPlanner(o.Rollout),
 		sender:  sender{transport: o.Transport, sendTimeout: o.SendTimeout, readTimeout: o.ReadTimeout},
 	}
@@ -127,7 +139,6 @@
 
 func (o Options) withDefaults() Options {
 	setDuration(&o.Tick, DefaultTick)
-	setDuration(&o.Renew, DefaultRenew)
 	setDuration(&o.SendTimeout, DefaultSendTimeout)
 	setDuration(&o.ReadTimeout, DefaultReadTimeout)
 	setDuration(&o.Rollout.LongestOrder, rollout.DefaultLongestOrder)
@@ -135,7 +146,7 @@
 		o.MaxReads = DefaultMaxReads
 	}
 	if o.Transport == nil {
-		o.Transport = NewTransport()
+		o.Transport = NewTransport(o.Dial)
 	}
 	if o.Observe == nil {
 		o.Observe = func(Event) {}
@@ -153,7 +164,7 @@
 func (g *Giver) Run(ctx context.Context) error {
 	ticker := time.NewTicker(g.o.Tick)
 	defer ticker.Stop()
-	defer g.end(ctx)
+	defer g.release(ctx)
 	for {
 		g.Round(ctx)
 		select {
@@ -164,42 +175,43 @@
 	}
 }
 
-func (g *Giver) end(ctx context.Context) {
+// release gives the lease up after the last order has been answered.
+func (g *Giver) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.o.SendTimeout)
 	defer cancel()
-	g.keeper.release(ctx)
+	g.o.Lease.Release(ctx)
 }
 
-// Round keeps the lease and, if it is held, plans and gives the next orders.
-// The plan is returned for the administration API and tests; it is empty when
-// the lease is not held.
-func (g *Giver) Round(ctx context.Context) rollout.Plan {
-	if g.keeper.keep(ctx) {
-		// Under another lease, another holder may have given orders since.
+// Round plans and gives the next orders if the lease is held. Its plan is then
+// in the report.
+func (g *Giver) Round(ctx context.Context) {
+	held, taken := g.begin(time.Now())
+	if taken {
 		g.planner = rollout.NewPlanner(g.o.Rollout)
 	}
-	if !g.keeper.held {
-		return rollout.Plan{}
+	if !held {
+		g.last.Store(&Report{At: time.Now()})
+		return
 	}
 	now := time.Now()
 	s := g.o.Situation(now)
 	if s.Manifest == nil {
-		return rollout.Plan{}
+		return
 	}
 	plan := g.planner.Plan(now, rollout.Input{
 		Manifest:  s.Manifest,
 		Revision:  s.Revision,
-		Fence:     g.keeper.grant.Fence,
-		Since:     g.keeper.since,
+		Fence:     g.tenure.fence,
+		Since:     g.tenure.since,
 		Endpoints: s.Endpoints,
 	})
+	g.last.Store(&Report{At: now, Fence: g.tenure.fence, Plan: plan})
 	addresses := map[fleet.EndpointID]string{}
 	for _, e := range s.Endpoints {
 		addresses[e.ID] = e.Address
 	}
 	g.give(ctx, plan.Orders, addresses)
 	g.read(ctx, plan.Read, addresses)
-	return plan
 }
 
 // give sends the orders one by one. The first that shows the lease to be lost
@@ -209,7 +221,7 @@
 		err := g.send(ctx, o, addresses[o.Endpoint])
 		g.o.Observe(Event{Kind: EventOrder, Fence: o.Fence, Endpoint: o.Endpoint, Order: &o, Err: err})
 		if errors.Is(err, ErrFenced) || errors.Is(err, ErrLapsed) {
-			g.keeper.drop(err)
+			g.end(err)
 			return
 		}
 	}
@@ -217,7 +229,7 @@
 
 // send sends one order and tells the planner what became of it.
 func (g *Giver) send(ctx context.Context, o rollout.Order, address string) error {
-	allowed := g.keeper.allowed(g.o.SendTimeout)
+	allowed := g.allowed()
 	if !allowed() {
 		return ErrLapsed
 	}
