contract: take prompts for mostly cached until requests have ended

Cause: with the Registre's trace at 35% of the fleet's prefill a daemon refused 14 to 181 of some 8,000 requests, most of them right after its start: each prompt was taken for wholly new until the first had ended. Change: until then a fifth of what is asked is charged (Options.FirstCost), and the first ends count for more. Test: the unit tests of verdicts set FirstCost to 1, so that they check the same figures as before.

--- a/contract/admission_test.go
+++ b/contract/admission_test.go
@@ -15,6 +15,7 @@
 
 func newAdmission(t testing.TB, opts Options, slots int, shares ...Share) *Admission {
 	t.Helper()
+	opts.FirstCost = orDefault(opts.FirstCost, 1) // what is asked is what is charged
 	a := NewAdmission(opts)
 	a.SetContract(epoch, shares)
 	a.SetCapacity(epoch, 1000, slots)
--- a/contract/cost.go
+++ b/contract/cost.go
@@ -11,9 +11,10 @@
 }
 
 const (
-	costKeep  = 0.98   // of the past, with each request
-	costPrior = 20_000 // tokens asked that count as known from all organisations
-	costMin   = 0.01
+	costKeep       = 0.99   // of the past, with each request
+	costPrior      = 20_000 // tokens asked that count as known from all organisations
+	costFirstPrior = 1_000  // the same before anything is known
+	costMin        = 0.01
 )
 
 func (c *cost) learn(asked, actual float64) {
@@ -22,15 +23,15 @@
 }
 
 // part is the part of what is asked for that is really taken, given the one of
-// others.
-func (c *cost) part(others float64) float64 {
-	return max((c.actual+costPrior*others)/(c.asked+costPrior), costMin)
+// others, which counts as much as prior tokens.
+func (c *cost) part(others, prior float64) float64 {
+	return max((c.actual+prior*others)/(c.asked+prior), costMin)
 }
 
 // charge is the expected work of a request.
 func (a *Admission) charge(o *organisation, r *Request) float64 {
-	all := a.costs[r.Priority].part(1)
-	return max(r.Tokens*o.costs[r.Priority].part(all), 1)
+	all := a.costs[r.Priority].part(a.opts.FirstCost, costFirstPrior)
+	return max(r.Tokens*o.costs[r.Priority].part(all, costPrior), 1)
 }
 
 func (a *Admission) learnCost(e *entry, actual float64) {
--- a/contract/cost_learn_test.go
+++ b/contract/cost_learn_test.go
@@ -54,3 +54,16 @@
 		t.Errorf("with nothing running %.0f tokens count as sent ahead", a.prefilling)
 	}
 }
+
+// A daemon starts while engines have most of each prompt cached. If it took
+// prompts for wholly new it would refuse callers for seconds beside free
+// engines.
+func TestStartTakesPromptsForCached(t *testing.T) {
+	a := newAdmission(t, Options{FirstCost: DefaultFirstCost}, 1000, Share{"a", 1})
+	a.Started(epoch, 0)
+	for i := range 5 {
+		if d := a.Offer(epoch, request(i, "a", PriorityStandard, 4000)); d.Verdict != Admitted {
+			t.Errorf("request %d: %+v", i, d)
+		}
+	}
+}
--- a/contract/options.go
+++ b/contract/options.go
@@ -25,6 +25,7 @@
 	DefaultCredit         = 5 * time.Second
 	DefaultCreditTokens   = 8_000
 	DefaultAhead          = 4 * time.Second
+	DefaultFirstCost      = 0.2
 	DefaultHold           = 10 * time.Minute
 	DefaultMeter          = 10 * time.Second
 	DefaultRefresh        = 500 * time.Millisecond
@@ -75,6 +76,11 @@
 	// time of the daemon's whole rate. It matters once Started is called.
 	Ahead time.Duration
 
+	// FirstCost is the part of the work asked for that requests are taken to
+	// need before any has ended. Too much has a daemon that has just started
+	// refuse callers while engines are free.
+	FirstCost float64
+
 	Hold          time.Duration // longest life of a reservation without a Finish
 	Meter         time.Duration // time constant of the demand and use meters
 	Refresh       time.Duration // how often shares of this daemon are worked out anew
@@ -102,6 +108,7 @@
 	o.Credit = orDefault(o.Credit, DefaultCredit)
 	o.CreditTokens = orDefault(o.CreditTokens, DefaultCreditTokens)
 	o.Ahead = orDefault(o.Ahead, DefaultAhead)
+	o.FirstCost = orDefault(o.FirstCost, DefaultFirstCost)
 	o.Hold = orDefault(o.Hold, DefaultHold)
 	o.Meter = orDefault(o.Meter, DefaultMeter)
 	o.Refresh = orDefault(o.Refresh, DefaultRefresh)
