--- a/lab/fairness/traces_test.go
+++ b/lab/fairness/traces_test.go
@@ -15,7 +15,7 @@
 	make func(trace.Generate) *trace.Trace
 	rate float64 // requests a second
 }{
-	"registre": {trace.Registre, 30},
+	"registre": {trace.Registre, 52},
 	"tsukushi": {trace.Tsukushi, 45},
 }
 
