--- a/contract/refusal.go
+++ b/contract/refusal.go
@@ -24,19 +24,22 @@
 	return max(a.localRate()*o.weight/all, 1)
 }
 
-// overShareMargin is the part of its guarantee from which on an organisation
-// that is refused is told that it is over its share.
-const overShareMargin = 0.95
-
-// reason tells an organisation that has what it was promised (OverShare) from
-// one that the fleet owes work (NoCapacity).
+// reason tells an organisation that asks for more than it was promised
+// (OverShare) from one that the fleet owes work (NoCapacity).
 func (a *Admission) reason(o *organisation) Reason {
-	if o.use.value(a.clock, a.opts.Meter.Seconds()) >= overShareMargin*a.guarantee(o) {
+	if a.demand(o) > a.guarantee(o) {
 		return OverShare
 	}
 	return NoCapacity
 }
 
+// wait estimates in seconds how long a new request would be queued: until the
+// virtual time has come to what the organisation has queued ahead of it.
+func (a *Admission) wait(o *organisation, p Priority) float64 {
+	ahead := o.queuedTokens(p) + (o.tag-a.virtual)*o.weight
+	return max(ahead, 0) / a.rate(o)
+}
+
 // cannotQueue tells why a request that can't start now may not wait: a caller
 // learns at once what it would learn later, while there is time to ask another
 // service or to come back.
@@ -45,7 +48,7 @@
 		return a.reason(o)
 	}
 	limit := a.opts.Wait[r.Priority].Seconds()
-	wait := o.queuedTokens(r.Priority) / a.rate(o)
+	wait := a.wait(o, r.Priority)
 	if !r.Deadline.IsZero() && a.start.Add(seconds(a.clock+wait)).After(r.Deadline) {
 		return TooLate
 	}
@@ -65,8 +68,7 @@
 // every request of the organisation. A person shouldn't wait behind batch work
 // only to be refused then.
 func (a *Admission) aheadOfOthers(o *organisation) bool {
-	least, waiting := a.backlog.least()
-	return waiting && o.tag > least+a.lead()
+	return a.backlog.queued > 0 && o.tag > a.virtual+a.lead()
 }
 
 // displace makes room in a full queue by giving up the newest and least urgent
