Let claim windows change, and tell partitions apart from windows

Cause: a new claim window in the manifest made daemons refuse keyed calls for a window and more, and a service begun anew in the same process could have taken an old attempt's number and sent a call twice. Change: only another number of partitions stops grants, and claims of that time are kept in mind; attempts carry a random life; keys ahead of the log's clock are refused before anything is appended; an old service runs on for two minutes so that its results are written.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -30,11 +30,12 @@
 	DefaultRepeatWait   = 5 * time.Second        // of a repeat for the first answer
 	DefaultPoll         = time.Second            // between reads while nothing is awaited
 	awaitPoll           = 200 * time.Millisecond // between reads while another's result is awaited
-	keyLen              = 36                     // of a key: a UUID in text
-	MaxKeys             = 1 << 18                // remembered in one partition
-	failuresDown        = 3                      // failed reads after which the log counts as down
-	retryAfter          = 5 * time.Second        // told to callers that were refused
-	marksPerWindow      = 4                      // marks of the layout in one window
+	maxOwnerBytes       = 64
+	keyLen              = 36              // of a key: a UUID in text
+	MaxKeys             = 1 << 18         // remembered in one partition
+	failuresDown        = 3               // failed reads after which the log counts as down
+	retryAfter          = 5 * time.Second // told to callers that were refused
+	marksPerWindow      = 4               // marks of the layout in one window
 )
 
 // Outcome is what a caller of Claim is told.
@@ -95,7 +96,7 @@
 // Options of a Service.
 type Options struct {
 	Log          platform.Log
-	Owner        string // unique to this life of the process
+	Owner        string // names the process to operators, at most 64 bytes
 	Layout       ledger.Layout
 	BatchItems   int           // claims in one append
 	Linger       time.Duration // waited for company, see logio.BatchOptions
@@ -114,6 +115,9 @@
 
 // New returns a service that is not ready until Run has read the log.
 func New(o Options) (*Service, error) {
+	if len(o.Owner) > maxOwnerBytes {
+		return nil, fmt.Errorf("claims: owner is longer than %d bytes", maxOwnerBytes)
+	}
 	if !o.Layout.Valid() {
 		return nil, fmt.Errorf("claims: layout %+v is out of range", o.Layout)
 	}
@@ -126,6 +130,9 @@
 	if o.Poll == 0 {
 		o.Poll = DefaultPoll
 	}
+	// Attempts and marks of an earlier service of this process must not pass
+	// for this one's: a repeated attempt is granted again.
+	o.Owner += "/" + uuid.NewString()
 	s := &Service{opt: o}
 	for i := range o.Layout.Partitions {
 		s.parts = append(s.parts, newPartition(o, i))
@@ -221,6 +228,8 @@
 		return Answer{}, true
 	case c.p.tail.Failures() >= failuresDown:
 		return refuse(ReasonLog), false
+	case c.p.early(c.keyTime, time.Now()):
+		return refuse(ReasonEarly), false
 	case !c.p.whole(c.keyTime):
 		return refuse(ReasonBehind), false
 	case keys >= MaxKeys:
--- a/claims/partition.go
+++ b/claims/partition.go
@@ -31,6 +31,7 @@
 	fold    *ledger.Claims
 	waiting map[ledger.ID]*waiter // by attempt
 	marked  time.Time             // when this daemon's last mark was read back
+	applied time.Time             // when the last record was read, by this process's clock
 	news    chan struct{}         // closed when the fold has changed
 }
 
@@ -121,6 +122,19 @@
 	return p.fold.Whole(keyTime)
 }
 
+// early tells whether a claim for a key of the given time might reach the log
+// before the log's clock is near enough. The log's clock is at least the last
+// record's time and what has passed here since it was read; this process's own
+// idea of the hour does not count. A claim that came early would be refused
+// by the fold, and so would its abandonment, and could yet arrive once more
+// when the key no longer is early, to hold it for nobody.
+func (p *partition) early(keyTime, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least := p.fold.Clock().Add(now.Sub(p.applied))
+	return keyTime.After(least.Add(ledger.MaxKeySkew))
+}
+
 func (p *partition) lookup(scope ledger.ID) (view ledger.ClaimView, keys int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -250,6 +264,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	decisions := p.fold.Apply(r)
+	p.applied = time.Now()
 	for _, d := range decisions {
 		p.decide(d)
 	}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -14,6 +14,9 @@
 	"github.com/merlindock/merlindock/manifest"
 )
 
+// oldClaimsGrace is how long a service runs on after the window has changed.
+const oldClaimsGrace = 2 * time.Minute
+
 // claimer runs the claims service with the window of the manifest in force.
 type claimer struct {
 	daemon *Daemon
@@ -62,7 +65,8 @@
 		return
 	}
 	if c.stop != nil {
-		c.stop()
+		// Calls that it has granted still have their results to write.
+		time.AfterFunc(oldClaimsGrace, c.stop)
 	}
 	c.stop = c.start(c.service)
 }
--- a/lab/history/desk.go
+++ b/lab/history/desk.go
@@ -52,6 +52,7 @@
 	Record  *Recorder
 	Owner   string
 	Seed    uint64
+	Layout  ledger.Layout // zero: two partitions and Window
 	// Claimer replaces the real one when given.
 	Claimer func(*plog.Cut) Claimer
 }
@@ -64,10 +65,10 @@
 		d.claimer = o.Claimer(d.Log)
 		return d, nil
 	}
-	s, err := claims.New(claims.Options{
-		Log: d.Log, Owner: o.Owner, Seed: o.Seed,
-		Layout: ledger.Layout{Partitions: 2, Window: manifest.Duration(Window)},
-	})
+	if o.Layout == (ledger.Layout{}) {
+		o.Layout = ledger.Layout{Partitions: 2, Window: manifest.Duration(Window)}
+	}
+	s, err := claims.New(claims.Options{Log: d.Log, Owner: o.Owner, Seed: o.Seed, Layout: o.Layout})
 	if err != nil {
 		return nil, err
 	}
--- a/ledger/agreement_test.go
+++ b/ledger/agreement_test.go
@@ -184,6 +184,56 @@
 	})
 }
 
+func TestFoldsWithOtherWindowsNeverGrantAKeyTwice(t *testing.T) {
+	windows := []Layout{
+		{Partitions: 1, Window: manifest.Duration(20 * time.Minute)},
+		{Partitions: 1, Window: manifest.Duration(40 * time.Minute)},
+		{Partitions: 2, Window: manifest.Duration(30 * time.Minute)}, // a daemon with a wrong setting
+	}
+	request := IDOf("request")
+	rapid.Check(t, func(rt *rapid.T) {
+		l := &drawnLog{logbook: logbook{t: t}, now: epoch}
+		var folds []*Claims
+		for _, w := range windows[:2] {
+			folds = append(folds, NewClaims(w))
+		}
+		keyTime := epoch.Add(time.Duration(rapid.IntRange(0, 12).Draw(rt, "key")) * 5 * time.Minute)
+		strays := rapid.IntRange(0, 2).Draw(rt, "strays") // first marks of the third layout
+		var sent string
+		givenUp := make(map[string]bool)
+		for i := range rapid.IntRange(1, 60).Draw(rt, "records") {
+			owner := rapid.IntRange(0, 1).Draw(rt, "owner")
+			if i < strays {
+				mark := l.put(rt, &ClaimBatch{Layout: windows[2]}, 0, time.Minute)
+				for _, f := range folds {
+					f.Apply(mark)
+				}
+				continue
+			}
+			if keyTime.After(l.now.Add(MaxKeySkew)) {
+				l.now = l.now.Add(time.Minute)
+				continue // daemons append nothing for a key that is ahead
+			}
+			attempt := fmt.Sprintf("%d/%d", owner, rapid.IntRange(1, 3).Draw(rt, "attempt"))
+			op := ClaimOp{Verb: VerbClaim, Scope: IDOf("key"), KeyTime: keyTime.UnixMilli(), Attempt: IDOf(attempt), Request: &request}
+			if sent != attempt && rapid.IntRange(0, 3).Draw(rt, "abandon") == 0 {
+				op.Verb, op.Request = VerbAbandon, nil
+				givenUp[attempt] = true
+			}
+			r := l.put(rt, &ClaimBatch{Layout: windows[owner], Ops: []ClaimOp{op}}, 0, time.Second, time.Minute, 5*time.Minute)
+			for i, f := range folds {
+				granted := f.Apply(r)[0].Outcome == Accepted && op.Verb == VerbClaim && i == owner
+				if granted && (sent != "" && sent != attempt || givenUp[attempt]) {
+					rt.Fatalf("granted to %s after %q was sent; given up: %v", attempt, sent, givenUp)
+				}
+				if granted {
+					sent = attempt
+				}
+			}
+		}
+	})
+}
+
 func FuzzRecord(f *testing.F) {
 	id := IDOf("x")
 	for _, b := range []Body{
--- a/ledger/claimrecord.go
+++ b/ledger/claimrecord.go
@@ -51,9 +51,9 @@
 	return ID(h.Sum(nil)[:idBytes])
 }
 
-// Layout is how claims are laid out in the log. All daemons must have the
-// same: one that looked for a key in another stream than its neighbours would
-// run it a second time.
+// Layout is how claims are laid out in the log. All daemons must have the same
+// partitions: one that looked for a key in another stream than its neighbours
+// would run it a second time. Windows may differ for a while.
 type Layout struct {
 	Partitions int               `json:"partitions"`
 	Window     manifest.Duration `json:"window"` // how old a key may be
--- a/ledger/claims.go
+++ b/ledger/claims.go
@@ -150,16 +150,17 @@
 	return decisions
 }
 
-// compare stops all grants when a batch of another layout turns up. Two
-// daemons that disagree on where or how long a key is looked for could each
-// find it free; this way the caller is told "not run" until no key of that
-// time can come any more, and operators see why.
+// compare stops all grants when a daemon with another number of partitions
+// turns up: it looks for the same key in another stream, and each could find
+// the key free in its own. This way callers are told "not run" until every key
+// that the other may have claimed is too old here, and operators see why.
+//
+// Windows may differ. A claim that one fold refuses as too old comes before
+// every later claim for that key, which is older still.
 func (c *Claims) compare(other Layout) {
-	if other == c.layout {
-		return
+	if other.Partitions != c.layout.Partitions {
+		c.poisoned = c.clock.Add(time.Duration(c.layout.Window) + MaxKeySkew)
 	}
-	window := max(time.Duration(other.Window), time.Duration(c.layout.Window))
-	c.poisoned = c.clock.Add(window + MaxKeySkew)
 }
 
 func (c *Claims) decide(o *ClaimOp, at Ref) ClaimDecision {
@@ -171,6 +172,8 @@
 	case keyTime.After(c.clock.Add(MaxKeySkew)):
 		d.Outcome, d.Reason = Refused, ReasonEarly
 	case o.Verb == VerbClaim && c.Poisoned():
+		// Kept in mind, since a fold with a shorter window may grant it.
+		c.doubt(o, at)
 		d.Outcome, d.Reason = Undecided, ReasonLayout
 	case !c.Whole(keyTime):
 		d.Outcome, d.Reason = c.doubt(o, at)
