Roll out under traffic through whole daemons

In the first run of the new test, with three daemons and six runners in virtual time, answer 1 was a 503: the daemon had heard no runner yet and bound to the version just declared. Answer 5,425 was another: the last runner of the old version had begun to load. Neighbours and orders take the daemon's Dial, so that all of it runs in memory.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,7 +39,7 @@
 	Logs     *logging.Factory
 	// Listeners replace listening on the settings' addresses, for tests.
 	Listeners Listeners
-	// Dial opens connections to endpoints; nil: TCP.
+	// Dial opens connections to endpoints and neighbours; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -202,6 +202,7 @@
 	if !slices.Equal(v.weights[id], l.Weights) {
 		v.weights[id] = l.Weights
 		v.dirty = true
+		v.refresh() // a request that was refused for it is bound again at once
 	}
 	v.mu.Unlock()
 	v.placement.LoadReported(id, l)
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -37,6 +37,7 @@
 	g.giver = orders.New(orders.Options{
 		Lease:     g.keeper,
 		Situation: d.situation,
+		Dial:      d.o.Dial,
 		Observe:   g.observe,
 	})
 	return g
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,9 @@
 		CallTimeout:   s.Peers.Timeout,
 		Seed:          seedOf(s.Daemon.ID, d.life),
 	}
+	if dial := d.o.Dial; dial != nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+	}
 	if s.TLS.PeersCert != "" {
 		o.TLS = &peer.TLSFiles{
 			Certificate: s.TLS.PeersCert,
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -125,7 +125,7 @@
 	case gateway.AttemptNotSent:
 		v.refused(e)
 	case gateway.AttemptNotRun:
-		v.notRun(now, e, r.Meta)
+		v.notRun(e, r.Meta)
 	case gateway.AttemptFailed:
 		v.healthMu.Lock()
 		v.health.Failure(now, e, r.Meta.Incarnation)
@@ -134,14 +134,15 @@
 	}
 }
 
-// notRun takes an endpoint's refusal: when it says that it is leaving, no new
-// work goes there, whatever the platform's list says.
-func (v *fleetView) notRun(now time.Time, e fleet.EndpointID, m engine.Metadata) {
-	if !m.HasLoad || !m.Load.Draining {
+// notRun takes an endpoint's refusal. What it says of itself counts at once: one
+// that is leaving gets no new work, whatever the platform's list says, and one
+// that serves another weight version gets requests for that.
+func (v *fleetView) notRun(e fleet.EndpointID, m engine.Metadata) {
+	if !m.HasLoad {
 		return
 	}
+	v.reported(e, m.Load)
 	v.mu.Lock()
-	v.told(v.members.DrainingSeen(now, e))
 	v.refresh()
 	v.mu.Unlock()
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -30,6 +30,7 @@
 	assembler  stream.Assembler
 	out        *callerStream
 	mayHaveRun bool // some attempt may have run
+	declared   catalog.Target
 }
 
 func (c *call) serveModel() *Refusal {
@@ -65,6 +66,7 @@
 func (c *call) newModelCall(m *modelRequest, target catalog.Target) *modelCall {
 	mc := &modelCall{call: c, place: c.placeRequest(fleet.KindModel)}
 	mc.place.Prompt, mc.place.Levels = m.prompt, m.ends
+	mc.declared = target
 	mc.place.Target = c.bind(target, m.prompt, m.ends)
 	mc.place.PromptTokens = estimateTokens(len(mc.place.Prompt), c.index.Fleet().BytesPerToken)
 	mc.place.MaxTokens = m.outputTokens()
@@ -83,8 +85,8 @@
 	return mc
 }
 
-// bind fixes the weight version for all attempts: an answer that began on one
-// version and went on with another would be neither's.
+// bind fixes the weight version for all attempts from the first token on: an
+// answer that began on one version and went on with another would be neither's.
 func (c *call) bind(t catalog.Target, prompt []byte, ends []int) catalog.Target {
 	if c.g.o.Bind == nil {
 		return t
@@ -96,6 +98,20 @@
 	return c.g.o.Bind(c.org.ID, t, prompt[:first])
 }
 
+// rebind chooses the weight version anew as long as nothing was delivered. When
+// the last runner of the old version begins to load, requests bound to it are
+// refused everywhere, and their callers would get an error in a rollout that
+// leaves enough runners to serve them.
+func (mc *modelCall) rebind() {
+	if mc.report.Attempts == 0 || mc.assembler.Delivered() > 0 {
+		return
+	}
+	if t := mc.bind(mc.declared, mc.place.Prompt, mc.place.Levels); t != mc.place.Target {
+		mc.place.Target = t
+		mc.place.Exclude = nil
+	}
+}
+
 func (mc *modelCall) admitRequest() AdmitRequest {
 	return AdmitRequest{
 		Organisation: mc.org.ID,
@@ -119,6 +135,7 @@
 // run makes attempts until one gives the whole answer or none may follow.
 func (mc *modelCall) run() *Refusal {
 	for {
+		mc.rebind()
 		mc.place.Attempt = mc.report.Attempts + 1
 		_, mc.place.Resume = mc.resumeFrom()
 		p, err := mc.g.o.Placer.Place(mc.ctx, &mc.place)
--- a/rollout/bind.go
+++ b/rollout/bind.go
@@ -16,8 +16,11 @@
 
 // Shares groups the endpoints that may get work for a model by the version
 // that they say they serve, by version. Each group is a pool for placement.
-// Endpoints of classes for the model that name no weights are taken to serve
-// the declared version; one that does not will refuse by its number.
+//
+// Endpoints that were heard and name no weights are taken to serve the declared
+// version; one that does not refuses by its number. Those that were not heard
+// yet, after a restart of this daemon, are taken to serve what most others do:
+// in the middle of a rollout the declared version would be refused by many.
 func Shares(m *manifest.Manifest, model string, members []fleet.Member) []Share {
 	declared := ""
 	for _, x := range m.Models {
@@ -26,14 +29,23 @@
 		}
 	}
 	groups := map[string][]fleet.Endpoint{}
+	var unheard []fleet.Endpoint
 	for _, e := range members {
 		if !servesClass(m, e.Class, model) {
 			continue
 		}
+		if e.Heard.IsZero() && len(e.Load.Weights) == 0 {
+			unheard = append(unheard, e.Endpoint)
+			continue
+		}
 		if v := versionOn(e.Load.Weights, model, declared); v != "" {
 			groups[v] = append(groups[v], e.Endpoint)
 		}
 	}
+	if len(unheard) > 0 {
+		v := commonest(groups, declared)
+		groups[v] = append(groups[v], unheard...)
+	}
 	shares := make([]Share, 0, len(groups))
 	for v, es := range groups {
 		shares = append(shares, Share{v, es})
@@ -42,6 +54,19 @@
 	return shares
 }
 
+// commonest returns the version with the most endpoints; the declared one if
+// there is none.
+func commonest(groups map[string][]fleet.Endpoint, declared string) string {
+	best := declared
+	for v, es := range groups {
+		most := len(groups[best])
+		if len(es) > most || len(es) == most && best != declared && v < best {
+			best = v
+		}
+	}
+	return best
+}
+
 func servesClass(m *manifest.Manifest, class, model string) bool {
 	return slices.ContainsFunc(m.Classes, func(c manifest.Class) bool {
 		return c.ID == class && c.Kind == fleet.KindModel && slices.Contains(c.Models, model)
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -410,6 +410,7 @@
 	m := declared(3, "v2")
 	members := make([]fleet.Member, 18)
 	for i := range members {
+		members[i].Heard = epoch
 		members[i].ID = fleet.EndpointID(fmt.Sprint(i))
 		members[i].Class = "large"
 		members[i].Load.Weights = []fleet.Weights{{Model: "model-0", Version: "v1"}}
@@ -434,3 +435,33 @@
 		t.Error("bound without endpoints")
 	}
 }
+
+// A daemon restarts when half of a rollout is done and has heard three runners.
+// If it took the others for the declared version, most requests would be
+// refused by the first runner that they meet.
+func TestSharesOfUnheardEndpoints(t *testing.T) {
+	m := declared(3, "v2")
+	var members []fleet.Member
+	for i, version := range []string{"v1", "v1", "v2", "", ""} {
+		e := fleet.Member{Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint(i)), Class: "large"}}
+		if version != "" {
+			e.Heard = epoch
+			e.Load.Weights = []fleet.Weights{{Model: "model-0", Version: version}}
+		}
+		members = append(members, e)
+	}
+	for _, c := range []struct {
+		members []fleet.Member
+		want    map[string]int
+	}{
+		{members, map[string]int{"v1": 4, "v2": 1}},
+		{members[3:], map[string]int{"v2": 2}},
+		{members[1:], map[string]int{"v1": 1, "v2": 3}},
+	} {
+		for _, s := range Shares(m, "model-0", c.members) {
+			if len(s.Endpoints) != c.want[s.Version] {
+				t.Errorf("%d of %d endpoints for %s, want %d", len(s.Endpoints), len(c.members), s.Version, c.want[s.Version])
+			}
+		}
+	}
+}
