--- a/contract/options.go
+++ b/contract/options.go
@@ -22,8 +22,11 @@
 	DefaultQueuedAll      = 4096
 	DefaultRunning        = 16_384
 	DefaultLead           = 2 * time.Second
+	DefaultCredit         = 5 * time.Second
+	DefaultCreditTokens   = 8_000
+	DefaultAhead          = 4 * time.Second
 	DefaultHold           = 10 * time.Minute
-	DefaultMeter          = 5 * time.Second
+	DefaultMeter          = 10 * time.Second
 	DefaultRefresh        = 500 * time.Millisecond
 	DefaultIdle           = 30 * time.Second
 	DefaultSilentAfter    = 5 * time.Second
@@ -31,12 +34,12 @@
 	DefaultMaxRetryAfter  = time.Minute
 	DefaultMinRetryAfter  = time.Second
 	DefaultDigestEntries  = 32
-	DefaultReserve        = 0.25
+	DefaultReserve        = 0.75
 	DefaultRetryJitter    = 0.25
 	defaultTokensPerSec   = 10_000
 	defaultSlots          = 64
-	priorDemand           = 500 // tokens/s, see fraction
-	priorPart             = 0.1 // of the capacity, see part
+	priorDemand           = 2000 // tokens/s, see fraction
+	priorPart             = 0.1  // of the capacity, see part
 	defaultInteractiveCap = 500 * time.Millisecond
 	defaultStandardCap    = 2 * time.Second
 	defaultBatchCap       = 10 * time.Second
@@ -61,6 +64,17 @@
 	// run ahead of the one served least before its priority counts no more.
 	Lead time.Duration
 
+	// Credit is how much of its guarantee an organisation that asked for less
+	// may have in hand, and CreditTokens what it may have at least: callers of a
+	// small organisation come a few at a time, and each asks for more than a
+	// second's worth of its share.
+	Credit       time.Duration
+	CreditTokens float64
+
+	// Ahead bounds the prompts that were sent and have not begun to answer, in
+	// time of the daemon's whole rate. It matters once Started is called.
+	Ahead time.Duration
+
 	Hold          time.Duration // longest life of a reservation without a Finish
 	Meter         time.Duration // time constant of the demand and use meters
 	Refresh       time.Duration // how often shares of this daemon are worked out anew
@@ -85,6 +99,9 @@
 	o.QueuedAll = orDefault(o.QueuedAll, DefaultQueuedAll)
 	o.Running = orDefault(o.Running, DefaultRunning)
 	o.Lead = orDefault(o.Lead, DefaultLead)
+	o.Credit = orDefault(o.Credit, DefaultCredit)
+	o.CreditTokens = orDefault(o.CreditTokens, DefaultCreditTokens)
+	o.Ahead = orDefault(o.Ahead, DefaultAhead)
 	o.Hold = orDefault(o.Hold, DefaultHold)
 	o.Meter = orDefault(o.Meter, DefaultMeter)
 	o.Refresh = orDefault(o.Refresh, DefaultRefresh)
