Ask neighbours often at first, and measure restarts and TLS

A daemon that started while the log was down gave its first answer after 253 to 256 ms: its first question found the list of daemons not yet read, and the next came a quarter of a second later.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -21,8 +21,11 @@
 	"github.com/merlindock/merlindock/platform"
 )
 
-// bootstrapEvery is how often a daemon without a manifest asks its neighbours.
-const bootstrapEvery = 250 * time.Millisecond
+// How often a daemon without a manifest asks its neighbours, at first and later.
+const (
+	bootstrapFirst = 5 * time.Millisecond
+	bootstrapEvery = 250 * time.Millisecond
+)
 
 // daemonList is the newest list of daemons. An empty one never replaces it.
 type daemonList struct {
@@ -151,18 +154,19 @@
 }
 
 // bootstrap asks the neighbours for the manifest in force until there is one,
-// so that a daemon that starts while the log is down serves at once.
+// so that a daemon that starts while the log is down serves at once. The first
+// times it asks often: the list of daemons is being read meanwhile.
 func (d *Daemon) bootstrap(ctx context.Context) {
-	ticker := time.NewTicker(bootstrapEvery)
-	defer ticker.Stop()
-	for d.manifests.InForce() == nil {
+	for pause := bootstrapFirst; d.manifests.InForce() == nil; pause = min(2*pause, bootstrapEvery) {
 		if _, err := d.peers.Bootstrap(ctx); err == nil {
 			return
 		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
--- a/lab/measure/control.go
+++ b/lab/measure/control.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +32,7 @@
 	Window        time.Duration // measured, after a warm-up
 	Evidence      int           // endpoints named in each digest
 	Organisations int           // whose use each digest carries
+	TLS           bool
 }
 
 // ControlCost is what control costs one daemon.
@@ -59,6 +61,8 @@
 	stop  context.CancelFunc
 	done  sync.WaitGroup
 	got   chan struct{} // one for each daemon that took a manifest
+	files *peer.TLSFiles
+	dir   string // of files
 }
 
 // countedConn counts the bytes written.
@@ -103,6 +107,10 @@
 func startControl(o ControlOptions) (*control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &control{stop: cancel, got: make(chan struct{}, o.Daemons)}
+	if err := c.secure(o); err != nil {
+		c.close()
+		return nil, err
+	}
 	list := Daemons(o.Daemons, o.Zones)
 	for i := range list {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -126,8 +134,22 @@
 	return c, nil
 }
 
+func (c *control) secure(o ControlOptions) (err error) {
+	if !o.TLS {
+		return nil
+	}
+	if c.dir, err = os.MkdirTemp("", "merlindock-measure"); err != nil {
+		return err
+	}
+	c.files, err = certificates(c.dir)
+	return err
+}
+
 func (c *control) close() {
 	c.stop()
+	if c.dir != "" {
+		defer os.RemoveAll(c.dir)
+	}
 	c.done.Wait()
 	for _, n := range c.nodes {
 		if n.service != nil {
@@ -154,6 +176,7 @@
 		Seed:     seed,
 		Interval: o.Interval,
 		Budget:   o.Budget,
+		TLS:      c.files,
 		Daemons:  func() []platform.Daemon { return list },
 		LocalDigest: func(now time.Time) peer.Local {
 			for i := range evidence {
--- a/lab/measure/control_test.go
+++ b/lab/measure/control_test.go
@@ -18,9 +18,10 @@
 		{Daemons: 200, Zones: 5, Organisations: 8, Evidence: 2},
 		{Daemons: 100, Zones: 5, Organisations: 64, Evidence: 16},
 		{Daemons: 100, Zones: 5, Organisations: 8, Evidence: 2, Budget: 1e6},
+		{Daemons: 100, Zones: 5, Organisations: 8, Evidence: 2, TLS: true},
 	} {
 		o.Window = 14 * time.Second
-		b.Run(fmt.Sprintf("%d/organisations=%d/budget=%v", o.Daemons, o.Organisations, o.Budget), func(b *testing.B) {
+		b.Run(fmt.Sprintf("%d/organisations=%d/budget=%v/tls=%v", o.Daemons, o.Organisations, o.Budget, o.TLS), func(b *testing.B) {
 			for b.Loop() {
 				c, err := Control(o)
 				if err != nil {
@@ -34,6 +35,17 @@
 	}
 }
 
+func BenchmarkRestart(b *testing.B) {
+	for b.Loop() {
+		c, err := Restart()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(c.LogUp.Milliseconds()), "log-up-ms")
+		b.ReportMetric(float64(c.LogDown.Milliseconds()), "log-down-ms")
+	}
+}
+
 func BenchmarkSpread(b *testing.B) {
 	for _, count := range []int{9, 100} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
--- /dev/null
+++ b/lab/measure/restart.go
@@ -0,0 +1,104 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/world"
+	"github.com/merlindock/merlindock/manifest"
+)
+
+// RestartCost is how long a daemon takes, from being made anew, to its first
+// whole answer.
+type RestartCost struct {
+	LogUp   time.Duration
+	LogDown time.Duration // with the manifest from a neighbour
+}
+
+// restartLimit is when a measurement is given up.
+const restartLimit = 30 * time.Second
+
+// Restart measures, on loopback, three daemons before six runners of which one
+// daemon is made anew, with the log up and down.
+func Restart() (RestartCost, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), restartLimit)
+	defer cancel()
+	w, err := world.Start(world.Options{})
+	if err != nil {
+		return RestartCost{}, err
+	}
+	defer w.Close()
+	c, err := w.StartCluster(3, nil)
+	if err != nil {
+		return RestartCost{}, err
+	}
+	defer c.Close()
+	text, err := manifest.Encode(w.Manifest())
+	if err != nil {
+		return RestartCost{}, err
+	}
+	if _, err := c.Nodes[0].Admin().Publish(ctx, 0, text); err != nil {
+		return RestartCost{}, err
+	}
+	if err := c.WaitReady(ctx); err != nil {
+		return RestartCost{}, err
+	}
+	var cost RestartCost
+	if cost.LogUp, err = restartNode(ctx, c); err != nil {
+		return cost, err
+	}
+	w.Log.SetOutage(true)
+	defer w.Log.SetOutage(false)
+	cost.LogDown, err = restartNode(ctx, c)
+	return cost, err
+}
+
+// restartNode ends the first node and measures its return.
+func restartNode(ctx context.Context, c *world.Cluster) (time.Duration, error) {
+	c.Nodes[0].Daemon.Drain()
+	select {
+	case err := <-c.Nodes[0].Ended():
+		if err != nil {
+			return 0, err
+		}
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	began := time.Now()
+	if err := c.Restart(0); err != nil {
+		return 0, err
+	}
+	for ctx.Err() == nil {
+		if err := askOnce(ctx, c.Nodes[0].CallersURL); err == nil {
+			return time.Since(began), nil
+		}
+	}
+	return 0, ctx.Err()
+}
+
+// errNotServed says that a request was refused.
+var errNotServed = errors.New("measure: request was not served")
+
+func askOnce(ctx context.Context, url string) error {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":1}`, world.Model)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+world.Key(0))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errNotServed
+	}
+	return err
+}
