Bring about failures in front of whole daemons, in virtual time

Cause: each part had its tests, the daemon put together from them had few; a lost call of Bind had passed every test.

Change: lab/cluster runs daemons as in production, with gRPC, HTTP and the log in memory, inside a synctest bubble. Tests: restart with the log down, herd restart without a log, a daemon cut from the log, a rollout under traffic with runners that fence and runners that do not, an endpoint that leaves with and without the list, the loss of a zone, a drain under a stream.

A leaving endpoint is kept away by two layers, its own word and the pools, so that taking either away alone leaves the test green.

--- a/daemon/system.go
+++ b/daemon/system.go
@@ -183,3 +183,11 @@
 		Senders:       s.peers.Senders(),
 	}
 }
+
+// Revision returns the manifest in force; its offset is 0 before the first.
+func (d *Daemon) Revision() ledger.Revision {
+	if v := d.manifests.InForce(); v != nil {
+		return v.Revision
+	}
+	return ledger.Revision{}
+}
--- /dev/null
+++ b/lab/cluster/cluster.go
@@ -0,0 +1,277 @@
+// Package cluster runs whole daemons, put together as in production, in front
+// of stand-ins in memory, so that its tests bring about failures in virtual
+// time and give the same verdict on every run.
+package cluster
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/merlindock/merlindock/daemon"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/lab/standin"
+	"github.com/merlindock/merlindock/lab/standin/plog"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/logio"
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/rollout"
+	"github.com/merlindock/merlindock/settings"
+)
+
+// Names of the deployment.
+const (
+	Model       = "codes"
+	Key         = "key-registre"
+	ServicePath = "/receipts/"
+)
+
+var zones = []fleet.ZoneID{"a", "b", "c"}
+
+// Options describe a cluster. Zero values take small defaults.
+type Options struct {
+	Daemons  int
+	Runners  int
+	Services int
+	Prefill  time.Duration // per prompt token
+	Decode   time.Duration // per generated token
+	Fences   bool          // runners refuse old fencing numbers
+	Store    *standin.WeightStore
+	ListLag  time.Duration
+}
+
+// Cluster is a running deployment. It belongs to one goroutine.
+type Cluster struct {
+	Log      *plog.Log
+	VMs      *plog.VMs
+	Store    *standin.WeightStore
+	Runners  []*standin.OrderedRunner
+	Services []*standin.Service
+	Nodes    []*Node
+	Client   *http.Client
+
+	network   standin.Network
+	endpoints []fleet.Endpoint
+	servers   []*http.Server
+	transport *http.Transport
+}
+
+// Node is one daemon.
+type Node struct {
+	ID     string
+	URL    string    // for callers
+	Way    *plog.Cut // to the log
+	Daemon *daemon.Daemon
+	Ended  chan error
+
+	index  int
+	cancel context.CancelFunc
+}
+
+// New starts a deployment whose log is empty. Close must be called.
+func New(o Options) (*Cluster, error) {
+	if o.Store == nil {
+		o.Store = &standin.WeightStore{AtOnce: 2, Load: 20 * time.Second}
+	}
+	c := &Cluster{
+		Log:   plog.New(plog.Options{Now: time.Now}),
+		VMs:   plog.NewVMs(time.Now, o.ListLag),
+		Store: o.Store,
+	}
+	c.transport = &http.Transport{DialContext: c.network.DialContext}
+	c.Client = &http.Client{Transport: c.transport}
+	c.startEndpoints(o)
+	for i := range o.Daemons {
+		c.Nodes = append(c.Nodes, &Node{ID: fmt.Sprintf("daemon-%d", i+1), index: i})
+	}
+	c.list()
+	for i := range c.Nodes {
+		if err := c.Start(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) startEndpoints(o Options) {
+	for i := range o.Runners {
+		id := fmt.Sprintf("runner-%d", i+1)
+		r := standin.NewRunner(standin.RunnerOptions{
+			ID:            fleet.EndpointID(id),
+			WeightVersion: "v1",
+			PieceTokens:   10,
+			Prefill:       o.Prefill,
+			Decode:        o.Decode,
+		})
+		ordered := r.TakeOrders(standin.OrderOptions{
+			Store:  o.Store,
+			Fences: o.Fences,
+			Models: []rollout.Model{{ID: Model, Version: "v1"}},
+		})
+		c.Runners = append(c.Runners, ordered)
+		c.endpoint(id, "runner", fmt.Sprintf("10.0.1.%d:8000", i+1), i, ordered)
+	}
+	for i := range o.Services {
+		id := fmt.Sprintf("counter-%d", i+1)
+		s := standin.NewService(fleet.EndpointID(id))
+		c.Services = append(c.Services, s)
+		c.endpoint(id, "counter", fmt.Sprintf("10.0.2.%d:8000", i+1), i, s)
+	}
+}
+
+func (c *Cluster) endpoint(id, class, address string, i int, h http.Handler) {
+	c.servers = append(c.servers, c.network.Serve(address, h))
+	c.endpoints = append(c.endpoints, fleet.Endpoint{
+		ID:      fleet.EndpointID(id),
+		VM:      fleet.VMID("vm-" + id),
+		Zone:    zones[i%len(zones)],
+		Class:   class,
+		Address: address,
+		State:   fleet.VMLive,
+	})
+}
+
+// list puts endpoints and daemons on the platform's list.
+func (c *Cluster) list() {
+	var daemons []platform.Daemon
+	for _, n := range c.Nodes {
+		daemons = append(daemons, platform.Daemon{
+			ID:          n.ID,
+			Zone:        zones[n.index%len(zones)],
+			PeerAddress: n.peerAddress(),
+			State:       fleet.VMLive,
+		})
+	}
+	c.VMs.Set(c.endpoints, daemons)
+}
+
+// Leaving has the platform's list call an endpoint leaving.
+func (c *Cluster) Leaving(id fleet.EndpointID) {
+	for i := range c.endpoints {
+		if c.endpoints[i].ID == id {
+			c.endpoints[i].State = fleet.VMLeaving
+		}
+	}
+	c.list()
+}
+
+func (n *Node) address() string      { return fmt.Sprintf("10.9.0.%d:8080", n.index+1) }
+func (n *Node) adminAddress() string { return fmt.Sprintf("10.9.0.%d:8081", n.index+1) }
+func (n *Node) peerAddress() string  { return fmt.Sprintf("10.9.0.%d:8082", n.index+1) }
+
+// Start starts a node, or starts it again after it has ended.
+func (c *Cluster) Start(i int) error {
+	n := c.Nodes[i]
+	n.URL = "http://" + n.address()
+	n.Way = c.Log.View()
+	n.Ended = make(chan error, 1)
+	s, err := settings.Load(settings.Input{Args: []string{
+		"-daemon.id=" + n.ID,
+		"-daemon.zone=" + string(zones[i%len(zones)]),
+		"-platform.url=http://10.8.0.1:7400",
+		"-listen.callers=" + n.address(),
+		"-listen.admin=" + n.adminAddress(),
+		"-listen.peers=" + n.peerAddress(),
+	}})
+	if err != nil {
+		return err
+	}
+	n.Daemon, err = daemon.New(daemon.Options{
+		Settings: s,
+		Token:    "token",
+		Log:      n.Way,
+		VMs:      c.VMs,
+		Logs:     logging.Discard(),
+		Dial:     c.network.DialContext,
+		Listeners: daemon.Listeners{
+			Callers: c.network.Listen(n.address()),
+			Admin:   c.network.Listen(n.adminAddress()),
+			Peers:   c.network.Listen(n.peerAddress()),
+		},
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() { n.Ended <- n.Daemon.Run(ctx) }()
+	return nil
+}
+
+// Kill ends a node at once, with whatever it has open, and waits for its end.
+func (c *Cluster) Kill(i int) {
+	n := c.Nodes[i]
+	if n.cancel == nil {
+		return
+	}
+	n.cancel()
+	n.cancel = nil
+	<-n.Ended //nolint:errcheck // cut off, so its error tells nothing
+}
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	for i := range c.Nodes {
+		c.Kill(i)
+	}
+	c.transport.CloseIdleConnections()
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+}
+
+// Ready tells whether a node is ready.
+func (c *Cluster) Ready(i int) bool {
+	resp, err := c.Client.Get("http://" + c.Nodes[i].adminAddress() + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Publish proposes a manifest by a node's way to the log.
+func (c *Cluster) Publish(ctx context.Context, i int, base platform.Offset, m manifest.Manifest) (logio.PublishResult, error) {
+	return logio.Publish(ctx, c.Nodes[i].Way, logio.PublishRequest{Base: base, Manifest: m, Author: "test"})
+}
+
+// Manifest is a manifest that declares the given weight version.
+func (c *Cluster) Manifest(version string) manifest.Manifest {
+	sum := sha256.Sum256([]byte(Key))
+	return manifest.Manifest{
+		Rules: manifest.RulesVersion,
+		Name:  "cluster",
+		Fleet: manifest.Fleet{
+			PieceTokens:     10,
+			BytesPerToken:   4,
+			LoadsAtOnce:     2,
+			FirstTokenLimit: manifest.Duration(time.Second),
+		},
+		Organisations: []manifest.Organisation{{
+			ID:         "registre",
+			KeyHashes:  []string{hex.EncodeToString(sum[:])},
+			Share:      1,
+			Priorities: []string{"interactive", "standard", "batch"},
+		}},
+		Models: []manifest.Model{{ID: Model, Version: version}},
+		Classes: []manifest.Class{
+			{ID: "runner", Kind: fleet.KindModel, Models: []string{Model}},
+			{ID: "counter", Kind: fleet.KindService},
+		},
+		Services: []manifest.Service{{
+			ID:         "receipts",
+			PathPrefix: ServicePath,
+			Class:      "counter",
+			Calls:      []manifest.Call{{Method: http.MethodGet, Path: "*", Idempotent: true}},
+		}},
+		Retention: manifest.Retention{
+			ClaimWindow: manifest.Duration(time.Hour),
+			LogRecords:  manifest.Duration(6 * time.Hour),
+		},
+	}
+}
--- /dev/null
+++ b/lab/cluster/recovery_test.go
@@ -0,0 +1,204 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/lab/standin"
+)
+
+var small = Options{Daemons: 3, Runners: 6, Services: 1, Prefill: 10 * time.Microsecond, Decode: 10 * time.Millisecond}
+
+// A daemon's VM is replaced while the platform's log is down. Its balancer
+// sends callers to the new daemon, who would be refused for as long as the
+// outage lasts if it could learn the manifest from the log only.
+func TestDaemonThatRestartsWithTheLogDownServesAtOnce(t *testing.T) {
+	inCluster(t, small, func(t *testing.T, c *Cluster) {
+		c.Kill(1)
+		c.Log.SetOutage(true)
+		if err := c.Start(1); err != nil {
+			t.Fatal(err)
+		}
+		took := c.waitReady(t, 1, 2*time.Second)
+		if a := c.ask(t, 1, "after the restart", 5); !a.whole(5) {
+			t.Errorf("%s after %s", a, took)
+		}
+	})
+}
+
+// All daemons are restarted at once while the log is down, so that nobody is
+// left who knows the manifest. A caller must be told that nothing ran and when
+// to come back, and be served soon after the log is back.
+func TestHerdRestartWithoutTheLogRefusesHonestly(t *testing.T) {
+	inCluster(t, small, func(t *testing.T, c *Cluster) {
+		for i := range c.Nodes {
+			c.Kill(i)
+		}
+		c.Log.SetOutage(true)
+		for i := range c.Nodes {
+			if err := c.Start(i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(10 * time.Second) // virtual
+		for i := range c.Nodes {
+			a := c.ask(t, i, "while nobody knows", 5)
+			if a.outcome != gateway.OutcomeNotRun || a.header.Get("Retry-After") == "" {
+				t.Errorf("%s", a)
+			}
+		}
+		for i, r := range c.Runners {
+			if n := r.Stats().Requests; n != 0 {
+				t.Errorf("runner %d ran %d requests that were called not run", i, n)
+			}
+		}
+		c.Log.SetOutage(false)
+		for i := range c.Nodes {
+			c.waitReady(t, i, 10*time.Second)
+		}
+		if a := c.ask(t, 0, "after the outage", 5); !a.whole(5) {
+			t.Errorf("%s", a)
+		}
+	})
+}
+
+// The way from one daemon to the log is cut while those of the others work.
+// Callers that meet it would be served by the old manifest for hours.
+func TestDaemonCutFromTheLogTakesTheManifestFromNeighbours(t *testing.T) {
+	inCluster(t, small, func(t *testing.T, c *Cluster) {
+		c.Nodes[2].Way.Disconnect()
+		second := c.Manifest("v1")
+		second.Organisations[0].ID = "renamed"
+		began := time.Now()
+		r, err := c.Publish(t.Context(), 0, 1, second)
+		if err != nil || r.Outcome != "accepted" {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		for c.Nodes[2].Daemon.Revision().Offset != r.Offset {
+			if time.Since(began) > 5*time.Second {
+				t.Fatalf("not in force after 5 s: %+v", c.Nodes[2].Daemon.Revision())
+			}
+			time.Sleep(50 * time.Millisecond) // virtual
+		}
+	})
+}
+
+// The weights of a model are replaced while callers ask. A load takes a runner
+// away for a while and too many at once slow down the store; a request that met
+// runners of both versions would get an answer that is neither's.
+func TestRolloutUnderTrafficCutsNothing(t *testing.T) {
+	for _, fences := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fences %v", fences), func(t *testing.T) {
+			o := small
+			o.Fences = fences
+			o.Store = &standin.WeightStore{AtOnce: 2, Load: 20 * time.Second}
+			inCluster(t, o, rollOut)
+		})
+	}
+}
+
+func rollOut(t *testing.T, c *Cluster) {
+	c.publish(t, 1, "v2")
+	began := time.Now()
+	for i := 0; !c.allServe("v2"); i++ {
+		if time.Since(began) > 5*time.Minute {
+			t.Fatal("the rollout is not over after 5 min")
+		}
+		if a := c.ask(t, i%len(c.Nodes), fmt.Sprintf("question %d", i), 20); !a.whole(20) {
+			t.Fatalf("request %d, %s after the publication: %s", i, time.Since(began), a)
+		}
+	}
+	if most := c.Store.Most(); most > 2 {
+		t.Errorf("%d loads at once, 2 are allowed", most)
+	}
+	time.Sleep(5 * time.Second) // virtual
+	if a := c.ask(t, 0, "on the new weights", 5); !a.whole(5) {
+		t.Errorf("%s", a)
+	}
+}
+
+func (c *Cluster) allServe(version string) bool {
+	for _, r := range c.Runners {
+		models := r.Status().Models
+		if len(models) != 1 || models[0].Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+// An endpoint leaves while the platform's list is down, so that only its own
+// refusals tell of it. Requests that still went there would be refused and
+// tried again elsewhere, which callers notice as a late first token.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	for _, listDown := range []bool{false, true} {
+		t.Run(fmt.Sprintf("list down %v", listDown), func(t *testing.T) {
+			inCluster(t, small, func(t *testing.T, c *Cluster) {
+				c.VMs.SetOutage(listDown)
+				c.Runners[0].SetDraining(true)
+				c.Leaving("runner-1")
+				time.Sleep(3 * time.Second) // virtual
+				before := tried(c.Runners[0])
+				for i := range 60 {
+					if a := c.ask(t, i%3, fmt.Sprintf("question %d", i), 2); !a.whole(2) {
+						t.Fatalf("%s", a)
+					}
+				}
+				if n := tried(c.Runners[0]) - before; n != 0 {
+					t.Errorf("%d requests went to the leaving endpoint", n)
+				}
+			})
+		})
+	}
+}
+
+// tried is how many requests came to the runner, taken or not.
+func tried(r *standin.OrderedRunner) int {
+	s := r.Stats()
+	return s.Requests + s.Refused
+}
+
+// A zone is lost with its runners and its daemon while streams are open. Every
+// caller of the other daemons must still get a whole answer.
+func TestLossOfAZoneCutsNoStreamOfOthers(t *testing.T) {
+	inCluster(t, small, func(t *testing.T, c *Cluster) {
+		answers := make(chan *answer)
+		const open = 30
+		for i := range open {
+			go func() { answers <- c.ask(t, i%2, fmt.Sprintf("long question %d", i), 100) }()
+		}
+		time.Sleep(300 * time.Millisecond) // virtual
+		c.Runners[2].Crash()
+		c.Runners[5].Crash()
+		c.Kill(2)
+		for range open {
+			if a := <-answers; !a.whole(100) {
+				t.Errorf("%s", a)
+			}
+		}
+	})
+}
+
+// A daemon is drained while it streams. The caller must get the rest.
+func TestDrainCutsNoStream(t *testing.T) {
+	inCluster(t, small, func(t *testing.T, c *Cluster) {
+		got := make(chan *answer)
+		go func() { got <- c.ask(t, 0, "long question", 2000) }()
+		time.Sleep(time.Second) // virtual
+		c.Nodes[0].Daemon.Drain()
+		synctest.Wait()
+		if c.Ready(0) {
+			t.Error("still ready")
+		}
+		if a := <-got; !a.whole(2000) {
+			t.Errorf("%s", a)
+		}
+		if err := <-c.Nodes[0].Ended; err != nil {
+			t.Errorf("drained daemon ended with %v", err)
+		}
+		c.Nodes[0].cancel = nil
+	})
+}
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -72,6 +72,7 @@
 // RunnerStats is what a runner has done since it was made.
 type RunnerStats struct {
 	Requests        int // taken, whether answered or not
+	Refused         int // not taken, since it drains or has other weights
 	Cancelled       int // whose caller left before the end
 	PromptTokens    int
 	CachedTokens    int // of the prompt tokens
@@ -294,7 +295,9 @@
 	case !r.o.Plain && asked != "" && asked != j.version:
 		status = http.StatusConflict
 	}
-	if status == 0 {
+	if status != 0 {
+		r.stats.Refused++
+	} else {
 		j.fault = r.takeFault()
 		r.stats.Requests++
 		r.stats.Attempts[j.req.Header.Get(engine.HeaderAttempt)]++
--- a/lab/world/cluster.go
+++ b/lab/world/cluster.go
@@ -182,7 +182,7 @@
 	c.cancel()
 	for _, n := range c.Nodes {
 		if n.Daemon != nil {
-			_ = <-n.ended // it was cut off, so its error tells nothing
+			<-n.ended //nolint:errcheck // it was cut off, so its error tells nothing
 		}
 	}
 }
