Keep one harness for whole daemons

The two tests move over: the one under traffic now replaces a daemon every two seconds of a rollout, which is stricter than asking before any runner was heard, and the one for nine daemons stays as it was, looked at every 10 ms.

--- /dev/null
+++ b/lab/cluster/rollout_test.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/standin"
+	"github.com/merlindock/merlindock/platform"
+)
+
+// A daemon is replaced again and again while a rollout runs, and callers meet it
+// before it has heard any runner. Bound to the declared version, their requests
+// would be refused by every runner that has not loaded it yet.
+func TestRestartsDuringARollout(t *testing.T) {
+	o := Options{Daemons: 3, Runners: 6, Decode: time.Millisecond, Store: &standin.WeightStore{AtOnce: 2, Load: 30 * time.Second}}
+	inCluster(t, o, func(t *testing.T, c *Cluster) {
+		c.publish(t, 1, "v2")
+		asked := 0
+		began := time.Now()
+		for !c.allServe("v2") {
+			if time.Since(began) > time.Hour {
+				t.Fatal("the rollout is not over after an hour")
+			}
+			c.Kill(2)
+			if err := c.Start(2); err != nil {
+				t.Fatal(err)
+			}
+			c.waitReady(t, 2, 5*time.Second)
+			for i := range 8 {
+				asked++
+				if a := c.ask(t, (2+i)%3, fmt.Sprintf("question %d", asked), 10); !a.whole(10) {
+					t.Fatalf("request %d, %v after the publication: %s", asked, time.Since(began), a)
+				}
+			}
+			time.Sleep(2 * time.Second) // virtual
+		}
+		t.Logf("%d answers in %v", asked, time.Since(began))
+	})
+}
+
+// Two of nine daemons are cut off from the log when a manifest is accepted, and
+// one starts while the log is down. All must follow within five seconds by way
+// of their neighbours, or callers meet two configurations.
+func TestManifestInForceOnNineDaemons(t *testing.T) {
+	inCluster(t, Options{Daemons: 9, Runners: 3}, func(t *testing.T, c *Cluster) {
+		c.Nodes[3].Way.Disconnect()
+		c.Nodes[6].Way.Disconnect()
+		c.publish(t, 1, "v2")
+		t.Logf("in force on all after %v", c.waitInForce(t, 2))
+		c.Log.SetOutage(true)
+		c.Kill(8)
+		if err := c.Start(8); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("in force on one that started without the log after %v", c.waitInForce(t, 2))
+	})
+}
+
+// waitInForce waits until the manifest at the offset is in force on each node,
+// for as long as is promised.
+func (c *Cluster) waitInForce(t *testing.T, offset platform.Offset) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for i := range c.Nodes {
+		for c.Nodes[i].Daemon.Revision().Offset != offset {
+			if time.Since(began) > 5*time.Second {
+				t.Fatalf("%s has offset %d after 5 s", c.Nodes[i].ID, c.Nodes[i].Daemon.Revision().Offset)
+			}
+			time.Sleep(10 * time.Millisecond) // virtual
+		}
+	}
+	return time.Since(began)
+}
--- a/lab/e2e/world_test.go
+++ b/lab/e2e/world_test.go
@@ -91,7 +91,6 @@
 // inWorld runs a test in virtual time with a world of its own.
 func inWorld(t *testing.T, o worldOptions, test func(w *world)) {
 	t.Helper()
-	defer oneProcessor()()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, o)
 		defer w.close()
