--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -168,8 +168,10 @@
 	}
 	v.reported(e, m.Load)
 	v.mu.Lock()
-	v.refresh()
-	v.mu.Unlock()
+	defer v.mu.Unlock()
+	if v.dirty {
+		v.refresh()
+	}
 }
 
 // slowness is the time to the first token over the one expected; 0 means that
--- a/daemon/system.go
+++ b/daemon/system.go
@@ -14,6 +14,7 @@
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/orders"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/platform"
 	"github.com/merlindock/merlindock/settings"
@@ -159,6 +160,7 @@
 	Daemons       []platform.Daemon       `json:"daemons"`
 	Neighbours    []platform.Daemon       `json:"neighbours"`
 	Senders       []neighbour.Sender      `json:"senders"`
+	Orders        orders.Report           `json:"orders"` // its plan is empty without the lease
 }
 
 // Dump implements admin.System.
@@ -181,6 +183,7 @@
 		Daemons:       s.daemons.get(),
 		Neighbours:    s.peers.Neighbours(),
 		Senders:       s.peers.Senders(),
+		Orders:        s.orders.giver.Report(),
 	}
 }
 
--- a/lab/measure/control_test.go
+++ b/lab/measure/control_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// A bad day closes and opens links between daemons. Those that stay must not
+// all have to open theirs anew.
+func TestGraphChanges(t *testing.T) {
+	for name, c := range map[string]GraphChange{
+		"1 of 1100 replaced":   Replacement(1100, 5, 1),
+		"100 of 1100 replaced": Replacement(1100, 5, 100),
+		"zone of 1100 lost":    ZoneLoss(1100, 5),
+		"zone of 9 lost":       ZoneLoss(9, 3),
+	} {
+		t.Logf("%s: %+v", name, c)
+		if c.Most > neighbour.MaxNeighbours {
+			t.Errorf("%s: one daemon opens %d links", name, c.Most)
+		}
+	}
+}
+
 // The sizes of digests are the ground of the budget for control.
 func TestDigestBytesGrowByTheirParts(t *testing.T) {
 	plain := DigestBytes(0, 0)
--- a/neighbour/choose_test.go
+++ b/neighbour/choose_test.go
@@ -112,6 +112,22 @@
 	}
 }
 
+// Two regions of three and two zones lose each other for an hour. A manifest that
+// one region still gets from the log must reach all of that region.
+func TestGraphStaysConnectedWithinARegion(t *testing.T) {
+	list := daemons(1100, 5)
+	g := graphOf(list)
+	for _, region := range [][]fleet.ZoneID{{"zone-0", "zone-1", "zone-2"}, {"zone-3", "zone-4"}} {
+		here := map[string]bool{}
+		for _, d := range list {
+			here[d.ID] = slices.Contains(region, d.Zone)
+		}
+		if !g.connected(func(id string) bool { return here[id] }) {
+			t.Errorf("not connected within %v", region)
+		}
+	}
+}
+
 // Zones are of uneven size after a bad day, and any of them may be lost next.
 func TestGraphOfUnevenZones(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
