Split the tests of orders from what they run on

Two test files had grown over 400 lines with the fleet that they drive in front. The fleets are in files of their own now, and a reader of bytes written by hand is the standard one.

--- /dev/null
+++ b/lab/standin/ordered_fleet_test.go
@@ -0,0 +1,227 @@
+package standin_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/lab/standin"
+	"github.com/merlindock/merlindock/lab/standin/plog"
+	"github.com/merlindock/merlindock/logio"
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/orders"
+	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/rollout"
+)
+
+const (
+	loadTime  = time.Minute
+	loadLimit = 2
+)
+
+// fleetOf is a fleet of runners that take orders, with one manifest.
+type fleetOf struct {
+	t       *testing.T
+	store   *standin.WeightStore
+	runners map[string]*standin.OrderedRunner // by address
+	members []fleet.Member
+	holders int
+	log     *plog.Log
+
+	mu       sync.Mutex
+	manifest *manifest.Manifest
+	revision platform.Offset
+}
+
+func newFleet(t *testing.T, count int, fences bool) *fleetOf {
+	f := &fleetOf{t: t, log: plog.New(plog.Options{}), runners: map[string]*standin.OrderedRunner{}}
+	f.store = &standin.WeightStore{AtOnce: loadLimit, Load: loadTime}
+	f.publish("v1")
+	for i := range count {
+		id := fleet.EndpointID(fmt.Sprintf("runner-%d", i))
+		r := standin.NewRunner(standin.RunnerOptions{ID: id}).TakeOrders(standin.OrderOptions{
+			Store:  f.store,
+			Fences: fences,
+			Models: []rollout.Model{{ID: "code", Version: "v1"}},
+		})
+		f.runners[string(id)] = r
+		f.members = append(f.members, fleet.Member{Endpoint: fleet.Endpoint{ID: id, Class: "large", Address: string(id)}})
+	}
+	return f
+}
+
+func (f *fleetOf) publish(version string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	f.manifest = &manifest.Manifest{
+		Fleet:   manifest.Fleet{LoadsAtOnce: loadLimit},
+		Models:  []manifest.Model{{ID: "code", Version: version}},
+		Classes: []manifest.Class{{ID: "large", Kind: fleet.KindModel, Models: []string{"code"}}},
+	}
+}
+
+func (f *fleetOf) situation(time.Time) orders.Situation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return orders.Situation{Manifest: f.manifest, Revision: f.revision, Endpoints: f.members}
+}
+
+// tookOnly tells whether a runner took orders for one version only.
+func (f *fleetOf) tookOnly(address, version string) bool {
+	return !slices.ContainsFunc(f.runners[address].Taken(), func(o rollout.Order) bool { return o.Version != version })
+}
+
+// leaving sets what the daemons believe of a runner.
+func (f *fleetOf) leaving(address string, leaving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = slices.Clone(f.members)
+	for i := range f.members {
+		if f.members[i].Address == address {
+			f.members[i].Leaving = leaving
+		}
+	}
+}
+
+// path is the way from one holder to the runners. Its pauses happen before or
+// after the order's bytes are taken.
+type path struct {
+	f       *fleetOf
+	mu      sync.Mutex
+	before  time.Duration // the holder stops before it writes
+	network time.Duration // the bytes are under way; the holder gives up meanwhile
+	late    atomic.Value  // address that they are under way to
+	log     *plog.Cut     // as the holder sees it
+}
+
+func (p *path) pause(before, network time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.before, p.network = before, network
+}
+
+// stop is the pause of the whole process: nothing goes to the log meanwhile.
+func (p *path) stop(d time.Duration) {
+	if d == 0 {
+		return
+	}
+	p.log.Disconnect()
+	time.Sleep(d)
+	time.AfterFunc(time.Second, p.log.Reconnect)
+}
+
+func (p *path) RoundTrip(req *http.Request) (*http.Response, error) {
+	var before, network time.Duration
+	if req.Method == http.MethodPost {
+		p.mu.Lock()
+		before, network = p.before, p.network
+		p.before, p.network = 0, 0
+		p.mu.Unlock()
+	}
+	p.stop(before)
+	taken := req.Clone(context.Background())
+	if req.Body != nil {
+		text, err := io.ReadAll(req.Body)
+		if err != nil {
+			return nil, err
+		}
+		taken.Body = io.NopCloser(bytes.NewReader(text))
+	}
+	if network == 0 {
+		return p.f.serve(req.URL.Host, taken)
+	}
+	p.late.Store(req.URL.Host)
+	time.AfterFunc(network, func() {
+		if resp, err := p.f.serve(req.URL.Host, taken); err == nil {
+			resp.Body.Close()
+		}
+	})
+	<-req.Context().Done()
+	return nil, req.Context().Err()
+}
+
+func (f *fleetOf) serve(address string, req *http.Request) (resp *http.Response, err error) {
+	defer func() {
+		if recover() != nil {
+			err = io.ErrUnexpectedEOF
+		}
+	}()
+	w := httptest.NewRecorder()
+	f.runners[address].ServeHTTP(w, req)
+	return w.Result(), nil
+}
+
+// holder starts a daemon that gives orders, and returns its path and a way to
+// stop it.
+func (f *fleetOf) holder() (*path, func()) {
+	p := &path{f: f, log: f.log.View()}
+	f.holders++
+	keeper := logio.NewLeaseKeeper(logio.LeaseOptions{
+		Log:    p.log,
+		Name:   "orders",
+		Holder: fmt.Sprintf("entry-%d", f.holders),
+		Poll:   200 * time.Millisecond,
+		Seed:   uint64(f.holders),
+	})
+	return p, f.give(p, keeper, keeper.Run)
+}
+
+// give starts the giving of orders under a lease, and returns how to stop it.
+func (f *fleetOf) give(p *path, l orders.Lease, run func(context.Context) error) func() {
+	g := orders.New(orders.Options{Lease: l, Situation: f.situation, Transport: p})
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = run(ctx) })
+	done.Go(func() { _ = g.Run(ctx) })
+	stop := func() {
+		cancel()
+		done.Wait()
+	}
+	f.t.Cleanup(stop)
+	return stop
+}
+
+// held is a lease that is held for the whole time.
+type held platform.Offset
+
+func (h held) Holding(now time.Time) (logio.Holding, bool) {
+	return logio.Holding{Fence: platform.Offset(h), Until: now.Add(time.Minute)}, true
+}
+
+func (held) Release(context.Context) {}
+
+func (held) run(context.Context) error { return nil }
+
+// all tells whether every runner has the version, and none else.
+func (f *fleetOf) all(version string) bool {
+	for _, r := range f.runners {
+		s := r.Status()
+		if s.Loading != nil || len(s.Models) != 1 || s.Models[0].Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleetOf) wait(version string) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for time.Since(began) < 2*time.Hour {
+		if f.all(version) {
+			return time.Since(began)
+		}
+		time.Sleep(time.Second)
+	}
+	f.t.Fatalf("not all have %s", version)
+	return 0
+}
--- /dev/null
+++ b/rollout/world_test.go
@@ -0,0 +1,213 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/manifest"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const (
+	tick     = 500 * time.Millisecond
+	loadTime = 90 * time.Second
+)
+
+// runner is an endpoint that carries orders out in the time of a load.
+type runner struct {
+	member  fleet.Member
+	status  Status
+	ends    time.Time
+	refuses bool // fails every load
+	cut     bool // cannot be reached
+}
+
+// world is a fleet under one planner, in virtual time.
+type world struct {
+	t        interface{ Fatalf(string, ...any) }
+	now      time.Time
+	planner  *Planner
+	manifest *manifest.Manifest
+	in       Input
+	runners  []*runner
+	lose     func() bool // whether the next answer to an order is lost
+	mostLoad int
+	leastUp  int
+}
+
+func declared(limit int, versions ...string) *manifest.Manifest {
+	m := &manifest.Manifest{Fleet: manifest.Fleet{LoadsAtOnce: limit}}
+	class := manifest.Class{ID: "large", Kind: fleet.KindModel}
+	for i, v := range versions {
+		id := fmt.Sprintf("model-%d", i)
+		m.Models = append(m.Models, manifest.Model{ID: id, Version: v})
+		class.Models = append(class.Models, id)
+	}
+	m.Classes = []manifest.Class{class}
+	return m
+}
+
+func newWorld(t interface{ Fatalf(string, ...any) }, count, limit int) *world {
+	w := &world{t: t, now: epoch, planner: NewPlanner(Options{}), leastUp: count}
+	w.manifest = declared(limit, "v1")
+	for i := range count {
+		r := &runner{}
+		r.member.ID = fleet.EndpointID(fmt.Sprintf("runner-%02d", i))
+		r.member.Class = "large"
+		r.status = Status{Incarnation: 1, Models: []Model{{ID: "model-0", Version: "v1"}}}
+		w.runners = append(w.runners, r)
+	}
+	w.lose = func() bool { return false }
+	w.hold(1)
+	return w
+}
+
+// hold makes a new holder begin, which knows nothing.
+func (w *world) hold(fence int) {
+	w.planner = NewPlanner(Options{})
+	w.in.Fence++
+	w.in.Since = w.now
+	_ = fence
+}
+
+func (w *world) members() []fleet.Member {
+	var out []fleet.Member
+	for _, r := range w.runners {
+		out = append(out, r.member)
+	}
+	return out
+}
+
+func (w *world) runner(id fleet.EndpointID) *runner {
+	for _, r := range w.runners {
+		if r.member.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// take is what an engine does with an order.
+func (r *runner) take(now time.Time, o Order) {
+	if o.Incarnation != r.status.Incarnation || r.status.Loading != nil {
+		return
+	}
+	switch o.Kind {
+	case KindLoad, KindLoadAdapter:
+		r.status.Loading, r.ends = &o, now.Add(loadTime)
+		if o.Kind == KindLoad {
+			r.drop(o.Model)
+		}
+	case KindUnload:
+		r.drop(o.Model)
+		r.status.Last = &Result{Order: o.ID, Done: true}
+	case KindRole:
+		r.status.Role = o.Role
+		r.status.Last = &Result{Order: o.ID, Done: true}
+	case KindUnloadAdapter:
+		m := r.status.model(o.Model)
+		m.Adapters = slices.DeleteFunc(m.Adapters, func(a Adapter) bool { return a.ID == o.Adapter })
+		r.status.Last = &Result{Order: o.ID, Done: true}
+	}
+}
+
+func (r *runner) drop(model string) {
+	r.status.Models = slices.DeleteFunc(slices.Clone(r.status.Models), func(m Model) bool { return m.ID == model })
+}
+
+// advance ends a load that is over.
+func (r *runner) advance(now time.Time) {
+	o := r.status.Loading
+	if o == nil || now.Before(r.ends) {
+		return
+	}
+	r.status.Loading = nil
+	r.status.Last = &Result{Order: o.ID, Done: !r.refuses}
+	if r.refuses {
+		return
+	}
+	if o.Kind == KindLoad {
+		r.status.Models = append(slices.Clone(r.status.Models), Model{ID: o.Model, Version: o.Version})
+		return
+	}
+	m := r.status.model(o.Model)
+	m.Adapters = append(slices.Clone(m.Adapters), Adapter{ID: o.Adapter, Version: o.Version})
+}
+
+// restart brings the runner back empty.
+func (r *runner) restart() {
+	r.status = Status{Incarnation: r.status.Incarnation + 1}
+}
+
+// step lets a tick pass and carries the plan out.
+func (w *world) step() Plan {
+	w.now = w.now.Add(tick)
+	for _, r := range w.runners {
+		r.advance(w.now)
+	}
+	w.in.Manifest, w.in.Endpoints = w.manifest, w.members()
+	plan := w.planner.Plan(w.now, w.in)
+	for _, id := range plan.Read {
+		if r := w.runner(id); r.cut {
+			w.planner.ReadFailed(w.now, id)
+		} else {
+			w.planner.Observed(w.now, w.now, id, r.status)
+		}
+	}
+	for _, o := range plan.Orders {
+		w.planner.Sent(w.now, o)
+		r := w.runner(o.Endpoint)
+		if r.cut {
+			continue
+		}
+		r.take(w.now, o)
+		if !w.lose() {
+			w.planner.Answered(o)
+		}
+	}
+	w.check()
+	return plan
+}
+
+// check holds the limits of the fleet against what the runners really do.
+func (w *world) check() {
+	loads, up := 0, 0
+	for _, r := range w.runners {
+		if r.status.Loading != nil {
+			loads++
+		}
+		if len(r.status.Models) > 0 {
+			up++
+		}
+	}
+	w.mostLoad, w.leastUp = max(w.mostLoad, loads), min(w.leastUp, up)
+	if loads > w.manifest.Fleet.LoadsAtOnce {
+		w.t.Fatalf("%d loads at once after %v", loads, w.now.Sub(epoch))
+	}
+}
+
+// finish steps until all that can be is as declared, and returns how long it
+// took.
+func (w *world) finish(want int) time.Duration {
+	began := w.now
+	for w.now.Sub(began) < 12*time.Hour {
+		if p := w.step(); p.Done >= want {
+			return w.now.Sub(began)
+		}
+	}
+	w.t.Fatalf("not finished: %+v", w.step())
+	return 0
+}
+
+func (w *world) serving(version string) int {
+	n := 0
+	for _, r := range w.runners {
+		if m := r.status.model("model-0"); m != nil && m.Version == version {
+			n++
+		}
+	}
+	return n
+}
