Give up the loads of endpoints that died loading

An order to an endpoint that was not read for 15 minutes, or its load, now stops counting, and the other seven are rolled out.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -70,7 +70,7 @@
 			r.plan.Total++
 		}
 		c := &candidate{member: m, target: t, row: r.p.row(m.ID)}
-		c.fresh = !c.row.read.IsZero() && !c.row.read.Before(r.in.Since) && sameLife(m, &c.row.status)
+		c.fresh = r.fresh(m, c.row)
 		if c.fresh {
 			c.next = t.next(&c.row.status)
 		}
@@ -85,6 +85,19 @@
 	return cs
 }
 
+// fresh tells whether a status may be relied on. An order to an endpoint that has
+// not been read for very long is given up with it: kept, the place among the
+// loads of an endpoint that died would be lost until the list forgot it.
+func (r *round) fresh(m fleet.Member, x *row) bool {
+	if x.sent != nil && r.now.Sub(x.sentAt) >= r.p.o.LostAfter {
+		x.sent = nil
+	}
+	if x.read.IsZero() || x.read.Before(r.in.Since) || r.now.Sub(x.read) >= r.p.o.LostAfter {
+		return false
+	}
+	return sameLife(m, &x.status)
+}
+
 func rank(later bool) int {
 	if later {
 		return 1
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -102,6 +102,26 @@
 	}
 }
 
+// Runners die in the middle of their loads and stay on the list. If each of them
+// kept its place among the loads for ever, the rollout would never end.
+func TestRunnersThatDieLoadingGiveTheirPlaceBack(t *testing.T) {
+	w := newWorld(t, 9, 2)
+	w.manifest = declared(2, "v2")
+	cut := 0
+	for cut < 2 {
+		w.step()
+		for _, r := range w.runners {
+			if r.status.Loading != nil && !r.cut {
+				r.cut, r.ends = true, epoch.Add(1000*time.Hour)
+				cut++
+			}
+		}
+	}
+	// The store is rid of the dead ones; they no longer count as loads.
+	w.gone = cut
+	w.finish(7)
+}
+
 // One engine's disk is full and each load fails there. The others must be
 // loaded, and the broken one must not take the loads of the fleet for itself.
 func TestFailingEngineDoesNotHoldUpTheOthers(t *testing.T) {
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -23,6 +23,9 @@
 	// StorePause is how long no load is begun after the weight store was busy,
 	// when the endpoint named no time.
 	StorePause time.Duration
+	// LostAfter is how long an endpoint that cannot be read any more counts as
+	// loading.
+	LostAfter time.Duration
 	// RetryAfter is how long no further endpoint is taken out of service for a
 	// load after loads have failed and none has succeeded since.
 	RetryAfter time.Duration
@@ -38,6 +41,7 @@
 	DefaultUnreadGrace  = 20 * time.Second
 	DefaultFailPause    = 30 * time.Second
 	DefaultStorePause   = 15 * time.Second
+	DefaultLostAfter    = 15 * time.Minute
 	DefaultRetryAfter   = 10 * time.Minute
 	DefaultAwayShare    = 0.25
 )
@@ -49,6 +53,7 @@
 	setDuration(&o.UnreadGrace, DefaultUnreadGrace)
 	setDuration(&o.FailPause, DefaultFailPause)
 	setDuration(&o.StorePause, DefaultStorePause)
+	setDuration(&o.LostAfter, DefaultLostAfter)
 	setDuration(&o.RetryAfter, DefaultRetryAfter)
 	if o.AwayShare <= 0 {
 		o.AwayShare = DefaultAwayShare
