Bound the connections that neighbours may open

A daemon bounded the calls it serves but not the connections, so that a fault that opens them without end would take its file descriptors from callers. Beyond 256 they are closed at once; the new test opens one more than allowed and finds it closed, and a place free after a close.

--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -10,6 +10,7 @@
 	"encoding/pem"
 	"errors"
 	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -120,6 +121,45 @@
 	}
 }
 
+// Someone opens connections without end. Those beyond the bound are closed, and
+// a place is free again when another one ends.
+func TestConnectionsAreBounded(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	l := &boundedListener{Listener: inner, most: 1}
+	accepted := make(chan net.Conn)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	defer dial().Close()
+	first := <-accepted
+	second := dial()
+	defer second.Close()
+	if _, err := second.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection beyond the bound is served")
+	}
+	first.Close()
+	first.Close()
+	defer dial().Close()
+	(<-accepted).Close()
+}
+
 // authority signs certificates for daemons.
 type authority struct {
 	t    *testing.T
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -89,6 +89,7 @@
 	maxExchanges     = 64 // served at once
 	maxFetches       = 4  // served at once; each may hold a whole manifest
 	maxStreams       = 16 // on one connection
+	maxConnections   = 256
 	maxOutgoing      = 16 // exchanges opened at once
 )
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -52,7 +52,7 @@
 		defer close(stopped)
 		stopServer(server)
 	})
-	err = server.Serve(l)
+	err = server.Serve(&boundedListener{Listener: l, most: maxConnections})
 	if !stop() {
 		<-stopped
 		return nil
