Tell neighbours at once that an endpoint leaves

In a large fleet a daemon asks each endpoint only now and then, and heard of a leaving one from its neighbours with the next regular exchange, up to six seconds later; a neighbour's word also had to be a second newer than the own. Such news now pass on at once, the first without delay and then once in an interval at the most, and count if newer at all. The new test sets the regular interval to an hour: nine daemons all hear of a draining endpoint that one of them met.

--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -161,6 +161,9 @@
 func (v *fleetView) told(changes []fleet.Change) {
 	v.dirty = v.dirty || len(changes) > 0
 	for _, c := range changes {
+		if c.Kind == fleet.ChangeLeaving || c.Kind == fleet.ChangeRestarted {
+			v.daemon.peers.AnnounceNews()
+		}
 		v.log.Info("Endpoint has changed.", "endpoint", string(c.Endpoint), "change", string(c.Kind))
 	}
 }
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -289,7 +289,7 @@
 		if e.At.After(now) {
 			e.At = now
 		}
-		if !r.At.IsZero() && e.At.Sub(r.At) < m.o.HearsayMargin {
+		if !r.At.IsZero() && e.At.Sub(r.At) < m.margin(r, e) {
 			continue
 		}
 		changes = m.take(now, r, e, changes)
@@ -297,6 +297,16 @@
 	return changes
 }
 
+// margin is how much newer than the own evidence a neighbour's must be. That the
+// same life now leaves counts without one: taken wrongly it costs the endpoint
+// some work until it speaks again, left out wrongly it costs a request.
+func (m *Membership) margin(r *member, e Evidence) time.Duration {
+	if e.Draining && e.Incarnation == r.Incarnation {
+		return time.Nanosecond
+	}
+	return m.o.HearsayMargin
+}
+
 // Expire applies what the passing of time alone decides. The shell calls it
 // every few hundred milliseconds.
 func (m *Membership) Expire(now time.Time) []Change {
--- a/fleet/membership_test.go
+++ b/fleet/membership_test.go
@@ -161,6 +161,15 @@
 	m := NewMembership(MembershipOptions{})
 	m.SetList(at(0), runners(3))
 	m.Reported(at(0), "runner-00", Load{At: at(0), Incarnation: 1})
+	m.Reported(at(9800*time.Millisecond), "runner-00", Load{At: at(9800 * time.Millisecond), Incarnation: 1})
+	m.Hearsay(at(10*time.Second), []Evidence{{Endpoint: "runner-00", Incarnation: 2, At: at(10 * time.Second)}})
+	if got := m.All(at(10 * time.Second))[0].Incarnation; got != 1 {
+		t.Errorf("incarnation %d on a word that may be older than the own", got)
+	}
+	m.Hearsay(at(10*time.Second), []Evidence{{Endpoint: "runner-00", Incarnation: 1, Draining: true, At: at(9700 * time.Millisecond)}})
+	if !slices.Contains(usable(m, at(10*time.Second)), "runner-00") {
+		t.Error("gets no work on an older word")
+	}
 	news := []Evidence{{Endpoint: "runner-00", Incarnation: 1, Draining: true, At: at(10 * time.Second)}}
 	m.Hearsay(at(10*time.Second), news)
 	if slices.Contains(usable(m, at(10*time.Second)), "runner-00") {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -84,6 +84,9 @@
 	// daemons that started together do not stay in step.
 	jitter = 0.2
 
+	// newsPause is the least time between two rounds of news of endpoints.
+	newsPause = time.Second
+
 	maxExchangeBytes = 32 << 10
 	maxFetchBytes    = neighbour.MaxManifestBytes + neighbour.MaxProofBytes + 1<<10
 	maxExchanges     = 64 // served at once
@@ -131,7 +134,8 @@
 	size      atomic.Int64 // of the last digest made, in bytes
 	exchanges *semaphore.Weighted
 	fetches   *semaphore.Weighted
-	news      chan struct{}
+	news      chan struct{} // a manifest is in force
+	endpoints chan struct{} // news of endpoints are there
 	dialling  []grpc.DialOption
 	tasks     sync.WaitGroup
 	ctx       context.Context // ends when the service closes
@@ -153,6 +157,7 @@
 		exchanges: semaphore.NewWeighted(maxExchanges),
 		fetches:   semaphore.NewWeighted(maxFetches),
 		news:      make(chan struct{}, 1),
+		endpoints: make(chan struct{}, 1),
 		rand:      rand.New(rand.NewPCG(o.Seed, o.Life)),
 		table:     neighbour.NewTable(o.Self.ID),
 		links:     map[string]*link{},
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,6 +169,37 @@
 	}
 }
 
+// An endpoint begins to leave and one daemon of nine meets it. The others must not
+// send it work until their regular exchange, which may be seconds away.
+func TestNewsOfEndpointsPassOnAtOnce(t *testing.T) {
+	known := make([]atomic.Bool, 9)
+	services := make([]atomic.Pointer[Service], 9)
+	heard := make(chan int, 9)
+	nodes := cluster(t, 9, 3, func(i int, o *Options) {
+		o.Interval = time.Hour
+		o.LocalDigest = func(now time.Time) Local {
+			if !known[i].Load() {
+				return Local{}
+			}
+			return Local{Endpoints: []fleet.Evidence{{Endpoint: "r1", Incarnation: 1, Draining: true, At: now}}}
+		}
+		o.Heard = func(_ time.Time, d neighbour.Digest) {
+			if len(d.Endpoints) == 1 && known[i].CompareAndSwap(false, true) {
+				services[i].Load().AnnounceNews()
+				heard <- i
+			}
+		}
+	})
+	for i, n := range nodes {
+		services[i].Store(n.service)
+	}
+	known[4].Store(true)
+	nodes[4].service.AnnounceNews()
+	for range 8 {
+		<-heard
+	}
+}
+
 // A daemon starts while the log is down. With a neighbour's state it serves at
 // once; without any it must say so and not invent an empty configuration.
 func TestBootstrapFromNeighbours(t *testing.T) {
--- a/peer/run.go
+++ b/peer/run.go
@@ -21,6 +21,7 @@
 	s.choose()
 	var g errgroup.Group
 	g.Go(func() error { return s.spread(ctx) })
+	g.Go(func() error { return s.spreadNews(ctx) })
 	g.Go(func() error { return s.beat(ctx) })
 	return g.Wait()
 }
@@ -52,6 +53,42 @@
 	}
 }
 
+// spreadNews tells the neighbours of announced news of endpoints, the first at
+// once and then what has come together during a pause. The loss of a zone brings
+// hundreds of news within a second; without the pause, which keeps to the
+// budget as the regular rounds do, each would cost an exchange with each
+// neighbour.
+func (s *Service) spreadNews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.endpoints:
+		}
+		s.round(ctx, s.Neighbours())
+		s.mu.Lock()
+		pause := max(newsPause, s.interval())
+		s.mu.Unlock()
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// AnnounceNews tells the neighbours soon that an endpoint leaves or has
+// restarted. A daemon of a large fleet asks each endpoint only now and then; by
+// the news it knows of a leaving one as soon as any daemon does.
+func (s *Service) AnnounceNews() {
+	select {
+	case s.endpoints <- struct{}{}:
+	default: // already about to
+	}
+}
+
 // Announce tells the neighbours at once that another manifest is in force, so
 // that daemons cut off from the log have it within seconds.
 func (s *Service) Announce() {
