Hold ten thousand open streams in less memory

Cause: BenchmarkOpenStreams (4,500 streams over loopback sockets with 4 KB prompts, resident bytes through a gateway less those straight at the runner) gave 72,912 bytes a stream, 729 MB for 10,000, above the 600 MB asked for. A heap profile showed 8 KB of buffers for each engine connection, and a dump of the stacks that the relaying goroutine lay just above the quarter of its stack below which the runtime halves it. The weight version that the daemon binds a request to is used again: the call had got lost in a merge.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -64,7 +64,7 @@
 
 func (c *call) newModelCall(m *modelRequest, target catalog.Target) *modelCall {
 	mc := &modelCall{call: c, place: c.placeRequest(fleet.KindModel)}
-	mc.place.Target = target
+	mc.place.Target = c.bind(target, m.prompt, m.ends)
 	mc.place.Prompt, mc.place.Levels = m.prompt, m.ends
 	mc.place.PromptTokens = estimateTokens(len(mc.place.Prompt), c.index.Fleet().BytesPerToken)
 	mc.place.MaxTokens = m.outputTokens()
@@ -217,6 +217,19 @@
 		return err
 	}
 	defer ans.Close()
+	if err := mc.usable(ans, p, res); err != nil {
+		return err
+	}
+	if mc.out == nil || ans.Status != http.StatusOK {
+		return mc.relayWhole(ans, res, began)
+	}
+	return mc.relayStream(ans, res, began)
+}
+
+// usable notes what the answer says beside itself and returns why the answer is
+// not to be relayed, if so. It stands apart from exchange since its copies
+// would otherwise lie on the stack for as long as the stream.
+func (mc *modelCall) usable(ans *engine.Answer, p *Placement, res *Result) error {
 	res.Status, res.Meta = ans.Status, ans.Meta
 	if p.Began != nil {
 		p.Began(ans.Meta)
@@ -228,10 +241,7 @@
 		return ans.Fail(errServerStatus)
 	}
 	mc.report.CachedTokens = ans.Meta.CachedTokens
-	if mc.out == nil || ans.Status != http.StatusOK {
-		return mc.relayWhole(ans, res, began)
-	}
-	return mc.relayStream(ans, res, began)
+	return nil
 }
 
 // failedStatus tells whether a status speaks of the endpoint rather than of the
