--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,7 +39,7 @@
 	Logs     *logging.Factory
 	// Listeners replace listening on the settings' addresses, for tests.
 	Listeners Listeners
-	// Dial opens connections to endpoints; nil: TCP.
+	// Dial opens connections to endpoints and neighbours; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
@@ -63,10 +63,13 @@
 	fleet     *fleetView
 	daemons   daemonList
 	admission *admission
+	retries   *retries
 	drainer   *gateway.Drainer
 	shutdown  *shutdown
 	peers     *peer.Service
 	gateway   *gateway.Gateway
+	claimer   *claimer
+	orders    *orderGiver
 }
 
 // New returns a daemon that is not yet running.
@@ -96,6 +99,9 @@
 	client := engine.New(engine.Options{DialContext: o.Dial})
 	d.fleet = newFleetView(d, client)
 	d.admission = newAdmission(d)
+	d.retries = newRetries(o.Now, newRand(s.Daemon.ID, d.life))
+	d.claimer = newClaimer(d)
+	d.orders = newOrderGiver(d)
 	peers, err := peer.New(d.peerOptions())
 	if err != nil {
 		return nil, eris.Wrap(err, "daemon: peers")
@@ -113,6 +119,8 @@
 		Engine:    client,
 		Placer:    d.fleet,
 		Admitter:  d.admission,
+		Claimer:   d.claimer,
+		Retry:     d.retries,
 		Observer:  newObserver(d.metrics.Scope),
 		Drainer:   d.drainer,
 		Limits: gateway.Limits{
@@ -155,14 +163,14 @@
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	d.background(ctx, g)
-	requests, cut := context.WithCancel(context.WithoutCancel(ctx))
-	defer cut()
+	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cut(nil)
 	g.Go(func() error { return d.serve(ctx, requests, listeners.Callers, d.gateway) })
 	g.Go(func() error { return d.serve(ctx, requests, listeners.Admin, d.AdminHandler()) })
 	g.Go(func() error { return d.peers.Serve(ctx, listeners.Peers) })
 	g.Go(func() error {
 		defer cancel()
-		return d.shutdown.run(ctx, cut)
+		return d.shutdown.run(ctx, func() { cut(gateway.ErrShutdown) })
 	})
 	d.log.Info("Daemon serves.", "callers", listeners.Callers.Addr().String())
 	err = g.Wait()
@@ -180,6 +188,8 @@
 	g.Go(func() error { return d.manifests.Run(ctx) })
 	g.Go(func() error { return d.fleet.run(ctx) })
 	g.Go(func() error { return d.peers.Run(ctx) })
+	g.Go(func() error { return d.claimer.run(ctx) })
+	g.Go(func() error { return d.orders.run(ctx) })
 	g.Go(func() error {
 		d.bootstrap(ctx)
 		return nil
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -23,6 +23,7 @@
 // Times and bounds of the fleet's upkeep.
 const (
 	fleetTick    = 200 * time.Millisecond
+	tickPerEach  = 250 * time.Microsecond // added for each endpoint
 	probesAtOnce = 8
 	newsWithin   = 10 * time.Second
 	newsLimit    = 32
@@ -100,18 +101,28 @@
 // run keeps the view up to date until ctx ends.
 func (v *fleetView) run(ctx context.Context) error {
 	go v.follow(ctx)
-	ticker := time.NewTicker(fleetTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		v.tick(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		v.tick(ctx)
+		timer.Reset(v.tickInterval())
 	}
 }
 
+// tickInterval grows with the fleet, so that the upkeep of thousands of
+// endpoints stays a small part of a core. Endpoints that leave do not wait for
+// it: their own word and the list's close the gate at once.
+func (v *fleetView) tickInterval() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return fleetTick + time.Duration(v.members.Len())*tickPerEach
+}
+
 // follow reads the platform's list. A failed read changes nothing: endpoints
 // tell for themselves whether they serve.
 func (v *fleetView) follow(ctx context.Context) {
@@ -164,7 +175,11 @@
 		v.members.Asked(now, probes[i].ID)
 	}
 	v.refresh()
+	loads := v.loads(now)
 	v.mu.Unlock()
+	for model, l := range loads {
+		v.daemon.admission.setLoad(model, l.requests, l.slots)
+	}
 	for _, e := range probes {
 		go v.probe(ctx, e)
 	}
@@ -180,6 +195,9 @@
 		return
 	}
 	v.reported(e.ID, load)
+	v.healthMu.Lock()
+	v.health.Probed(v.now(), e.ID, load.Incarnation)
+	v.healthMu.Unlock()
 }
 
 // reported takes what an endpoint said of itself just now.
@@ -191,6 +209,7 @@
 	if !slices.Equal(v.weights[id], l.Weights) {
 		v.weights[id] = l.Weights
 		v.dirty = true
+		v.refresh() // a request that was refused for it is bound again at once
 	}
 	v.mu.Unlock()
 	v.placement.LoadReported(id, l)
@@ -287,6 +306,35 @@
 	}
 }
 
+// poolLoad is how full the endpoints of one model say they are.
+type poolLoad struct {
+	requests int
+	slots    int
+}
+
+// loads adds up the load reports behind each model. The caller holds the lock.
+func (v *fleetView) loads(now time.Time) map[string]poolLoad {
+	reports := map[fleet.EndpointID]fleet.Load{}
+	for _, m := range v.members.All(now) {
+		reports[m.ID] = m.Load
+	}
+	sums := make(map[string]poolLoad, len(v.shares))
+	for model, shares := range v.shares {
+		sum := poolLoad{}
+		for _, s := range shares {
+			for i := range s.Endpoints {
+				l := reports[s.Endpoints[i].ID]
+				if l.Slots > 0 {
+					sum.requests += l.Running + l.Waiting
+					sum.slots += l.Slots
+				}
+			}
+		}
+		sums[model] = sum
+	}
+	return sums
+}
+
 func modelPool(model, version string) string { return "model/" + model + "@" + version }
 func classPool(class string) string          { return "class/" + class }
 
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -30,6 +30,8 @@
 	assembler  stream.Assembler
 	out        *callerStream
 	mayHaveRun bool // some attempt may have run
+	declared   catalog.Target
+	admission  Admission
 }
 
 func (c *call) serveModel() *Refusal {
@@ -47,14 +49,23 @@
 	}
 	defer cancel()
 	mc := c.newModelCall(m, target)
-	release, err := c.g.o.Admitter.Admit(c.ctx, mc.admitRequest())
+	admission, err := c.g.o.Admitter.Admit(c.ctx, mc.admitRequest())
 	if err != nil {
 		return c.portRefusal(err, false)
 	}
-	defer func() { release(mc.usedTokens()) }()
+	mc.admission = admission
+	defer func() { admission.Release(mc.usedTokens()) }()
 	return mc.run()
 }
 
+// firstToken notes that the caller's first token has come.
+func (mc *modelCall) firstToken() {
+	mc.report.FirstToken = time.Since(mc.start)
+	if mc.admission.Started != nil {
+		mc.admission.Started()
+	}
+}
+
 func resolveRefusal(err error) *Refusal {
 	if errors.Is(err, catalog.ErrModelForbidden) || errors.Is(err, catalog.ErrAdapterForbidden) {
 		return refused(http.StatusForbidden, CodeNotPermitted, "the organisation may not use this model or adapter")
@@ -64,8 +75,9 @@
 
 func (c *call) newModelCall(m *modelRequest, target catalog.Target) *modelCall {
 	mc := &modelCall{call: c, place: c.placeRequest(fleet.KindModel)}
-	mc.place.Target = c.bind(target, m.prompt, m.ends)
 	mc.place.Prompt, mc.place.Levels = m.prompt, m.ends
+	mc.declared = target
+	mc.place.Target = c.bind(target, m.prompt, m.ends)
 	mc.place.PromptTokens = estimateTokens(len(mc.place.Prompt), c.index.Fleet().BytesPerToken)
 	mc.place.MaxTokens = m.outputTokens()
 	if m.Seed == nil {
@@ -83,8 +95,8 @@
 	return mc
 }
 
-// bind fixes the weight version for all attempts: an answer that began on one
-// version and went on with another would be neither's.
+// bind fixes the weight version for all attempts from the first token on: an
+// answer that began on one version and went on with another would be neither's.
 func (c *call) bind(t catalog.Target, prompt []byte, ends []int) catalog.Target {
 	if c.g.o.Bind == nil {
 		return t
@@ -96,6 +108,20 @@
 	return c.g.o.Bind(c.org.ID, t, prompt[:first])
 }
 
+// rebind chooses the weight version anew as long as nothing was delivered. When
+// the last runner of the old version begins to load, requests bound to it are
+// refused everywhere, and their callers would get an error in a rollout that
+// leaves enough runners to serve them.
+func (mc *modelCall) rebind() {
+	if mc.report.Attempts == 0 || mc.assembler.Delivered() > 0 {
+		return
+	}
+	if t := mc.bind(mc.declared, mc.place.Prompt, mc.place.Levels); t != mc.place.Target {
+		mc.place.Target = t
+		mc.place.Exclude = nil
+	}
+}
+
 func (mc *modelCall) admitRequest() AdmitRequest {
 	return AdmitRequest{
 		Organisation: mc.org.ID,
@@ -103,6 +129,7 @@
 		Priority:     mc.priority,
 		Tokens:       mc.place.PromptTokens + mc.place.MaxTokens,
 		PromptTokens: mc.place.PromptTokens,
+		Streamed:     mc.out != nil,
 		Deadline:     mc.deadline,
 	}
 }
@@ -119,6 +146,7 @@
 // run makes attempts until one gives the whole answer or none may follow.
 func (mc *modelCall) run() *Refusal {
 	for {
+		mc.rebind()
 		mc.place.Attempt = mc.report.Attempts + 1
 		_, mc.place.Resume = mc.resumeFrom()
 		p, err := mc.g.o.Placer.Place(mc.ctx, &mc.place)
@@ -188,7 +216,7 @@
 	}
 	// What was delivered has run, whatever became of the last attempt.
 	cut := unknown(r.Status, r.Code, r.Message)
-	if cut.Code != CodeDeadline {
+	if cut.Code != CodeDeadline && cut.Code != CodeShutdown {
 		cut.Code = CodeStreamCut
 	}
 	mc.report.Code, mc.report.Outcome = cut.Code, cut.Outcome
@@ -297,7 +325,7 @@
 	res.FirstToken = time.Since(began)
 	if mc.report.Tokens = completionTokens(body); ans.Status == http.StatusOK {
 		res.Tokens = mc.report.Tokens
-		mc.report.FirstToken = time.Since(mc.start)
+		mc.firstToken()
 	}
 	mc.writeWhole(ans.Status, ans.Header.Get("Content-Type"), body)
 	return nil
--- a/lab/e2e/open_test.go
+++ b/lab/e2e/open_test.go
@@ -68,12 +68,10 @@
 	return conn, fmt.Errorf("stream ended before its first token: %w", lines.Err())
 }
 
-// held opens the streams and returns the resident bytes and goroutines beyond
-// those before.
-func held(b *testing.B, dial dialer, address string, streams int) (bytesPer, goroutinesPer float64) {
+// held opens the streams and returns what the process holds with them open.
+func held(b *testing.B, dial dialer, address string, streams int) (resident, goroutines float64) {
 	body := strings.Replace(chatBody, "The building code", strings.Repeat("x", openPromptSize), 1)
 	body = strings.Replace(body, `"max_tokens":8`, `"max_tokens":1000`, 1)
-	before, goroutines := residentBytes(b), runtime.NumGoroutine()
 	conns := make([]net.Conn, streams)
 	var g errgroup.Group
 	g.SetLimit(openAtOnce)
@@ -86,12 +84,11 @@
 	if err := g.Wait(); err != nil {
 		b.Fatal(err)
 	}
-	bytesPer = (residentBytes(b) - before) / float64(streams)
-	goroutinesPer = float64(runtime.NumGoroutine()-goroutines) / float64(streams)
+	resident, goroutines = residentBytes(b), float64(runtime.NumGoroutine())
 	for _, c := range conns {
 		_ = c.Close()
 	}
-	return bytesPer, goroutinesPer
+	return resident, goroutines
 }
 
 // BenchmarkOpenStreams gives the memory of streams that are open at once, for
@@ -120,12 +117,13 @@
 			address := tt.serve(b, runner)
 			front := tt.serve(b, benchGateway(b, address, engine.Options{DialContext: tt.dial}))
 			for range b.N {
-				direct, _ := held(b, tt.dial, address, tt.streams)
+				direct, directGoroutines := held(b, tt.dial, address, tt.streams)
 				whole, goroutines := held(b, tt.dial, front, tt.streams)
-				b.ReportMetric(whole*openStreams/1e6, "whole-MB/10000")
-				b.ReportMetric((whole-direct)*openStreams/1e6, "own-MB/10000")
-				b.ReportMetric(whole-direct, "own-B/stream")
-				b.ReportMetric(goroutines, "goroutines/stream")
+				n := float64(tt.streams)
+				b.ReportMetric(whole/1e6, "whole-MB")
+				b.ReportMetric((whole-direct)/n*openStreams/1e6, "own-MB/10000")
+				b.ReportMetric((whole-direct)/n, "own-B/stream")
+				b.ReportMetric((goroutines-directGoroutines)/n, "own-goroutines/stream")
 			}
 		})
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -30,11 +30,17 @@
 	// delays whoever comes next. With a low weight a loaded fleet collapses:
 	// waits send prompts to cold endpoints, where they are computed once more,
 	// which makes the waits longer.
-	wasteWeight = 8.0
+	wasteWeight = 20.0
 	// rankCost separates endpoints that are otherwise equal. It is above the
 	// two-way delay between zones: daemons of different zones must agree
 	// where a cold prefix goes.
 	rankCost = 0.004
+	// homeSlack is the wait in seconds that a cold prefix takes to be at home.
+	// Daemons that restart together know nothing but the homes.
+	homeSlack = 3.0
+	// crowdWeight counts the waiting that a prompt brings to those who come to
+	// the endpoint while it is prefilled there.
+	crowdWeight = 0.1
 	// homeShare is the part of one endpoint's prefill time that a prefix may
 	// take before it gets another home.
 	homeShare = 0.5
@@ -45,7 +51,11 @@
 	endpoint int32
 	rank     int32 // in the rendezvous order; MaxHomes: behind all homes
 	present  float64
-	cached   float64 // expected tokens
+	cached   float64 // tokens believed to be in its cache
+	expected float64 // the same, or what a home probably has
+	wait     float64 // in its queue, in seconds
+	compute  float64 // until the prompt is prefilled, in seconds
+	cost     float64
 }
 
 // scratch is memory that Place uses again and again.
@@ -235,70 +245,121 @@
 	}
 }
 
-// choose takes the candidate of the lowest cost.
+// choose takes the candidate of the lowest cost. It returns the tokens that it
+// is expected to compute as well.
 func (v *View) choose(now time.Time, r *Request, home *entry, reason Reason) (Decision, int) {
-	homes, shared := int32(1), 0
-	if home != nil {
-		homes = v.homesFor(now, home, r)
-		shared = r.Levels[prefix.Affinity(r.Levels)].Tokens
-	}
-	best, bestCost := -1, 0.0
-	var bestWait, bestMissing float64
+	m := v.costModel(now, r, home)
+	var best *candidate
 	for i := range v.scratch.candidates {
 		c := &v.scratch.candidates[i]
-		if c.rank < homes {
-			c.cached = max(c.cached, v.prior(now, c)*float64(shared))
-		}
-		wait, missing := v.wait(now, c.endpoint, r.Priority), float64(r.Tokens)-c.cached
-		cost := wait + v.prefill(c, missing)*(1+wasteWeight)
-		cost += v.travel(c) + rankCost*float64(max(0, c.rank-homes+1))
-		if best < 0 || cost < bestCost {
-			best, bestCost, bestWait, bestMissing = i, cost, wait, missing
+		m.weigh(v, now, c)
+		if best == nil || c.cost < best.cost {
+			best = c
 		}
 	}
-	c := &v.scratch.candidates[best]
-	e := &v.endpoints[c.endpoint]
+	e := &v.endpoints[best.endpoint]
 	d := Decision{
-		Endpoint: e.id, Incarnation: e.incarnation, ExpectedCached: int(c.cached),
-		ExpectedWait:  seconds(bestWait),
-		ExpectedFirst: seconds(bestWait + v.prefill(c, bestMissing) + v.travel(c)),
+		Endpoint: e.id, ExpectedCached: int(best.expected),
+		ExpectedWait:  seconds(best.wait),
+		ExpectedFirst: seconds(best.wait + best.compute + v.travel(best)),
 		Reason:        reason,
 	}
+	if best.cached > 0 {
+		d.Incarnation = e.incarnation
+	}
 	switch {
 	case reason == ReasonPanic:
-	case c.present > 0:
+	case best.present > 0:
 		d.Reason = ReasonHolder
-	case c.rank >= homes:
+	case best.rank >= m.homes:
 		d.Reason = ReasonSpill
 	}
-	v.weighImport(now, r, c, &d)
-	return d, int(bestMissing)
+	// What is believed counts here, without the prior of a home: an endpoint
+	// fetches only what it really lacks.
+	lacks := m.stored - best.cached
+	if _, fetch := v.computeTime(e, m.tokens-best.cached, lacks); fetch && v.imports.take(now, lacks) {
+		d.ImportFrom = v.store
+	}
+	return d, int(m.tokens - best.expected)
+}
+
+// costModel is what all candidates of one request have in common.
+type costModel struct {
+	priority contract.Priority
+	tokens   float64 // of the prompt
+	shared   float64 // tokens of the level that the request is placed by
+	stored   float64 // tokens that the KV store probably has
+	homes    int32   // endpoints that count as home
+	known    float64 // how sure some candidate holds the shared level
+}
+
+func (v *View) costModel(now time.Time, r *Request, home *entry) costModel {
+	m := costModel{priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r)}
+	if home == nil {
+		return m
+	}
+	m.homes = v.homesFor(now, home, r)
+	m.shared = float64(r.Levels[prefix.Affinity(r.Levels)].Tokens)
+	for i := range v.scratch.candidates {
+		m.known = max(m.known, min(1, v.scratch.candidates[i].cached/m.shared))
+	}
+	return m
+}
+
+// weigh works out the cost of a candidate in seconds.
+func (m *costModel) weigh(v *View, now time.Time, c *candidate) {
+	e := &v.endpoints[c.endpoint]
+	c.expected = c.cached
+	if c.rank < m.homes {
+		c.expected = max(c.cached, (1-m.known)*v.prior(now, e)*m.shared)
+	}
+	c.wait = v.wait(now, c.endpoint, m.priority)
+	c.compute, _ = v.computeTime(e, m.tokens-c.expected, m.stored-c.expected)
+	c.cost = c.wait + c.compute + v.travel(c) + rankCost*float64(max(0, c.rank-m.homes+1))
+	if c.rank >= m.homes || m.homes == 1 {
+		c.cost += wasteWeight * (m.tokens - c.expected) / e.rate
+	}
+	c.cost += crowdWeight * v.arrivals(e) * c.compute * c.compute / 2
+	if c.rank >= m.homes {
+		c.cost += (1 - m.known) * homeSlack
+	}
 }
 
 // prior is how likely a home has a prefix of which nothing is known there.
 //
 // A daemon that has followed the endpoint's events for a while would know, and
 // a cold prefix may go wherever the wait is short. One that has just restarted
-// knows nothing, and relies on the others having used the home.
-func (v *View) prior(now time.Time, c *candidate) float64 {
-	e := &v.endpoints[c.endpoint]
+// knows nothing, and relies on the others having used the home. An endpoint
+// whose cache was lost has nothing, and fills up again over time.
+func (v *View) prior(now time.Time, e *endpoint) float64 {
+	filled := 1.0
+	if !e.emptied.IsZero() {
+		filled -= math.Exp2(-max(0, now.Sub(e.emptied).Seconds()) / v.o.CacheLife.Seconds())
+	}
 	if !e.follows {
-		return homePrior
+		return homePrior * filled
 	}
-	return homePrior * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
+	return homePrior * filled * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// homesFor is the number of endpoints that the prefix's heat asks for.
+// homesFor is the number of endpoints that the prefix's heat asks for: those
+// that its requests would keep busy, by prefill or by batch slots.
 func (v *View) homesFor(now time.Time, t *entry, r *Request) int32 {
 	suffix := r.Tokens - r.Levels[prefix.Affinity(r.Levels)].Tokens
-	busy := t.heatNow(now) * float64(v.o.Daemons) * float64(suffix) / v.o.PrefillRate
+	each := float64(suffix) / v.o.PrefillRate
+	if slots := v.endpoints[t.homes[0]].load.Slots; slots > 0 {
+		each = max(each, v.service/float64(slots))
+	}
+	busy := t.heatNow(now) * float64(v.o.Daemons) * each
 	return min(t.homeCount, 1+int32(busy/homeShare))
 }
 
-func (v *View) prefill(c *candidate, tokens float64) float64 {
-	return tokens / v.endpoints[c.endpoint].rate
+// arrivals estimates the requests/s that the endpoint begins, by those that it
+// has running.
+func (v *View) arrivals(e *endpoint) float64 {
+	return float64(e.load.Running+e.queued) / v.service
 }
 
 // travel is the time for the request to get there and the first token back.
@@ -330,25 +391,3 @@
 	}
 	return l.TokensAhead[min(int(p), len(l.TokensAhead)-1)]
 }
-
-// storeLife is how long the KV store is thought to keep a prefix.
-const storeLife = time.Minute
-
-// weighImport takes the KV store if it brings the missing tokens sooner than
-// the endpoint computes them.
-func (v *View) weighImport(now time.Time, r *Request, c *candidate, d *Decision) {
-	if v.store == "" {
-		return
-	}
-	for i := shared(r.Levels) - 1; i >= 0; i-- {
-		t := v.prefixes.find(r.Levels[i].Key)
-		if t == nil || t.stored.IsZero() || now.Sub(t.stored) > storeLife {
-			continue
-		}
-		gain := float64(r.Levels[i].Tokens) - c.cached
-		if v.prefill(c, gain) > v.o.ImportLatency.Seconds()+gain/v.o.ImportRate {
-			d.ImportFrom = v.store
-		}
-		return
-	}
-}
--- a/placement/view.go
+++ b/placement/view.go
@@ -28,6 +28,7 @@
 	ages             ageQueue
 	service          float64 // seconds from first token to last, averaged
 
+	imports importBudget
 	outbox  outbox
 	scratch scratch
 }
@@ -35,7 +36,7 @@
 // NewView returns an empty View.
 func NewView(o Options) *View {
 	o = o.withDefaults()
-	return &View{
+	v := &View{
 		o:        o,
 		byID:     map[fleet.EndpointID]int32{},
 		pools:    map[string]*pool{},
@@ -43,10 +44,18 @@
 		byOwner:  map[uint64]int32{},
 		service:  DefaultService.Seconds(),
 	}
+	v.SetDaemons(o.Daemons)
+	return v
 }
 
 // SetDaemons sets how many daemons share the fleet, this one included.
-func (v *View) SetDaemons(n int) { v.o.Daemons = max(n, 1) }
+func (v *View) SetDaemons(n int) {
+	v.o.Daemons = max(n, 1)
+	v.imports.rate = importPart * v.o.ImportRate / float64(v.o.Daemons)
+}
+
+// importPart is how much of the store's link the daemons use together.
+const importPart = 1.5
 
 // SetStore names the KV store that prefixes may be imported from; empty: none.
 func (v *View) SetStore(id fleet.EndpointID) { v.store = id }
@@ -58,7 +67,7 @@
 		v.reservations[i].first = now
 	}
 	e := v.endpointOf(a.Endpoint)
-	if e == nil || !v.meet(e, a.Incarnation) {
+	if e == nil || !v.meet(e, a.Incarnation, now) {
 		return
 	}
 	if a.Load != nil {
@@ -121,7 +130,7 @@
 }
 
 // Failed ends an attempt without a whole answer.
-func (v *View) Failed(_ time.Time, f Failure) {
+func (v *View) Failed(now time.Time, f Failure) {
 	if i, ok := v.byOwner[f.ID]; ok {
 		v.release(i)
 	}
@@ -129,7 +138,9 @@
 	if e == nil || !f.Dead {
 		return
 	}
-	v.forgetCache(e)
+	if v.loseCache(e, now) {
+		v.outbox.push(Notice{Endpoint: e.id, Incarnation: e.incarnation, Lost: true, At: now})
+	}
 }
 
 // CacheEvents takes events of one endpoint. A hole in the sequence makes all
@@ -137,7 +148,7 @@
 // then counts as what an answer said, by its age.
 func (v *View) CacheEvents(b EventBatch) {
 	e := v.endpointOf(b.Endpoint)
-	if e == nil || !v.meet(e, b.Incarnation) {
+	if e == nil || !v.meet(e, b.Incarnation, b.At) {
 		return
 	}
 	if e.follows && b.Seq < e.nextSeq {
@@ -164,7 +175,7 @@
 	switch ev.Kind {
 	case EventCleared:
 		seq := e.nextSeq
-		v.forgetCache(e)
+		v.forgetCache(e, at)
 		e.follows, e.nextSeq = true, seq
 	case EventStored:
 		t := v.prefixes.touch(ev.Key)
