--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -25,8 +25,8 @@
 	return r
 }
 
-// expired is the refusal of a request whose deadline has passed, or whose
-// caller has left and will not read it.
+// expired is the refusal of a request whose deadline has passed, whose daemon
+// shuts down, or whose caller has left and will not read it.
 func (c *call) expired(mayHaveRun bool) *Refusal {
 	r := &Refusal{
 		Status:  http.StatusGatewayTimeout,
@@ -34,6 +34,10 @@
 		Outcome: OutcomeUnknown,
 		Message: "the deadline has passed",
 	}
+	if errors.Is(context.Cause(c.ctx), ErrShutdown) {
+		r.Status, r.Code = http.StatusServiceUnavailable, CodeShutdown
+		r.Message = "the daemon shuts down"
+	}
 	if !mayHaveRun {
 		r.Outcome, r.RetryAfter = OutcomeNotRun, DefaultRetryAfter
 	}
--- a/lab/e2e/caller_test.go
+++ b/lab/e2e/caller_test.go
@@ -157,3 +157,31 @@
 		}
 	})
 }
+
+// The bound of a shutdown passes with requests still open: a stream and a
+// claimed call. Each caller gets an explicit error that names the shutdown
+// before the daemon ends, instead of a connection that just closes.
+func TestShutdownPastItsBoundIsTold(t *testing.T) {
+	o := worldOptions{runners: 1, services: 1, claimer: newKeyRing(), runner: standin.RunnerOptions{Decode: time.Second}}
+	inWorld(t, o, func(w *world) {
+		w.services[0].Delay = time.Minute
+		ctx, cut := context.WithCancelCause(context.Background())
+		s := &http.Server{Handler: w.gateway, BaseContext: func(net.Listener) context.Context { return ctx }}
+		defer func() { _ = s.Close() }()
+		l := w.network.Listen("10.0.0.2:8080")
+		go func() { _ = s.Serve(l) }()
+		time.AfterFunc(2500*time.Millisecond, func() { cut(gateway.ErrShutdown) })
+		answers := make(chan answer, 1)
+		call := w.request(http.MethodPost, "/receipts/2", registreKey, "deed", "Idempotency-Key", "k1")
+		call.URL.Host = "10.0.0.2:8080"
+		go func() { answers <- w.do(call) }()
+		open := w.request(http.MethodPost, "/v1/chat/completions", registreKey, chatBody)
+		open.URL.Host = "10.0.0.2:8080"
+		got := parseStream(w.do(open).body)
+		if got.done || got.err != gateway.CodeShutdown || len(got.indices) != 2 {
+			t.Errorf("stream ended with done %v, error %q after %v", got.done, got.err, got.indices)
+		}
+		a := <-answers
+		a.expect(t, http.StatusServiceUnavailable, gateway.CodeShutdown, gateway.OutcomeUnknown)
+	})
+}
