Shorten pages that are too long, and name what keeps claims from being granted

Cause: a page of 256 whole manifests of 1.8 MB is longer than the 64 MiB that the client takes; the reader would have asked for the same again for ever. Daemons with other partitions were reported as not ready. Change: readers halve the number of records asked for; the reason settings_differ is given where it is so. Test: a log whose pages may hold three records is read through, gaps included; batches and deadlines are bounded.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -151,12 +151,23 @@
 
 // Ready tells whether claims can be granted now.
 func (s *Service) Ready() bool {
+	return s.hindrance() == ""
+}
+
+// hindrance is why no claim can be granted now, empty for none. It looks at
+// all partitions, since a daemon with fewer of them shows itself in the first
+// ones only.
+func (s *Service) hindrance() Reason {
+	now := time.Now()
 	for _, p := range s.parts {
-		if !p.ready(time.Now()) || p.poisoned() {
-			return false
+		if p.poisoned() {
+			return ReasonLayout
+		}
+		if !p.ready(now) {
+			return ReasonBehind
 		}
 	}
-	return true
+	return ""
 }
 
 // call is one Claim under way.
@@ -213,8 +224,8 @@
 // try answers from what is known, or claims. Again means that another attempt
 // holds the key and its result may still come.
 func (c *call) try(ctx context.Context) (a Answer, again bool) {
-	if !c.s.Ready() {
-		return refuse(ReasonBehind), false
+	if why := c.s.hindrance(); why != "" {
+		return refuse(why), false
 	}
 	view, keys := c.p.lookup(c.scope)
 	switch {
@@ -269,9 +280,9 @@
 
 func (c *call) decided(op ledger.ClaimOp, d ledger.ClaimDecision) (a Answer, again bool) {
 	if d.Outcome == ledger.Accepted || d.Outcome == ledger.Repeated {
-		if !c.s.Ready() {
+		if why := c.s.hindrance(); why != "" {
 			c.p.abandon(op)
-			return refuse(ReasonBehind), false
+			return refuse(why), false
 		}
 		return Answer{Outcome: Granted, Grant: &Grant{p: c.p, op: op}}, false
 	}
--- /dev/null
+++ b/logio/logio_test.go
@@ -0,0 +1,143 @@
+package logio
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/merlindock/merlindock/platform"
+)
+
+// fakeLog answers appends with the errors that are due, and then takes them.
+// Its pages may have three records.
+type fakeLog struct {
+	due     []error
+	records [][]byte
+	first   platform.Offset // oldest kept, less one
+}
+
+func (f *fakeLog) Append(_ context.Context, _ platform.Stream, data []byte) (platform.Offset, error) {
+	if len(f.due) > 0 {
+		err := f.due[0]
+		f.due = f.due[1:]
+		if err != nil {
+			return 0, err
+		}
+	}
+	f.records = append(f.records, data)
+	return platform.Offset(len(f.records)), nil
+}
+
+func (f *fakeLog) Read(_ context.Context, _ platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+	if limit > 3 {
+		return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, platform.ErrTooLong)
+	}
+	if from <= f.first {
+		return platform.Page{}, &platform.TruncatedError{From: from, First: f.first + 1}
+	}
+	p := platform.Page{First: f.first + 1, Next: platform.Offset(len(f.records) + 1)}
+	for o := from; o < p.Next && len(p.Records) < limit; o++ {
+		p.Records = append(p.Records, platform.Record{Offset: o, Data: f.records[o-1]})
+	}
+	return p, nil
+}
+
+func newBatcher(log platform.Log) *Batcher[int] {
+	encode := func(list []int) ([]byte, error) { return json.Marshal(list) }
+	return NewBatcher(BatchOptions[int]{Log: log, Encode: encode, Items: 3, Queue: 8})
+}
+
+func TestItemsAreToldWhatBecameOfThem(t *testing.T) {
+	// The log refuses, then loses an answer, then is well again. An item whose
+	// time is over meanwhile is told whether it may be in the log; one without
+	// a deadline is appended in the end.
+	tests := []struct {
+		name string
+		due  error
+		want error
+	}{
+		{"refused", platform.ErrNotAppended, platform.ErrNotAppended},
+		{"answer lost", platform.ErrUnavailable, platform.ErrUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				log := &fakeLog{}
+				for range 40 {
+					log.due = append(log.due, tt.due)
+				}
+				b := newBatcher(log)
+				brief, kept := make(chan error, 1), make(chan error, 1)
+				_ = b.Add(Item[int]{Value: 1, Deadline: time.Now().Add(time.Second), Done: func(err error) { brief <- err }})
+				_ = b.Add(Item[int]{Value: 2, Done: func(err error) { kept <- err }})
+				go func() { _ = b.Run(ctx) }()
+				if err := <-brief; !errors.Is(err, tt.want) {
+					t.Fatalf("the item with a deadline was told %v", err)
+				}
+				if err := <-kept; err != nil || string(log.records[0]) != "[2]" {
+					t.Fatalf("the other was told %v, the log has %s", err, log.records)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func TestBatchesAndQueueAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := &fakeLog{}
+		b := newBatcher(log)
+		for i := range 8 {
+			if err := b.Add(Item[int]{Value: i, Done: func(error) {}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := b.Add(Item[int]{}); !errors.Is(err, ErrQueueFull) {
+			t.Fatalf("a full queue answered %v", err)
+		}
+		go func() { _ = b.Run(ctx) }()
+		time.Sleep(time.Second)
+		if len(log.records) != 3 || string(log.records[2]) != "[6,7]" {
+			t.Fatalf("the log has %s", log.records)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// sink keeps what a tail delivers.
+type sink struct {
+	next platform.Offset
+	got  []platform.Offset
+	gaps []platform.Offset
+}
+
+func (s *sink) Next() platform.Offset     { return s.next }
+func (s *sink) CaughtUp(platform.Offset)  {}
+func (s *sink) Gap(first platform.Offset) { s.gaps, s.next = append(s.gaps, first), first }
+func (s *sink) Apply(r platform.Record)   { s.got, s.next = append(s.got, r.Offset), r.Offset+1 }
+
+func TestTailReportsAGapAndShortensItsPages(t *testing.T) {
+	// The log's pages are longer than the reader takes, and its oldest records
+	// have expired. The reader asks for fewer until they fit, and says what is
+	// missing rather than begin with what is there.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log, s := &fakeLog{first: 4, records: make([][]byte, 9)}, &sink{next: 1}
+		tail := NewTail(TailOptions{Log: log, Sink: s})
+		go func() { _ = tail.Run(ctx) }()
+		time.Sleep(time.Minute)
+		if fmt.Sprint(s.gaps) != "[5]" || fmt.Sprint(s.got) != "[5 6 7 8 9]" {
+			t.Fatalf("gaps %v, delivered %v", s.gaps, s.got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/logio/publish.go
+++ b/logio/publish.go
@@ -77,6 +77,7 @@
 	reads  backoff
 	writes backoff // apart from reads, whose success says nothing of appends
 	sent   bool    // an append may have taken effect
+	limit  int     // records asked for in one read
 }
 
 // proposal is how the fold's decisions name what is published.
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "logio: publish")
 	}
-	p := &publisher{log: log, what: what, data: data, state: ledger.NewState(ledger.Options{})}
+	p := &publisher{log: log, what: what, data: data, state: ledger.NewState(ledger.Options{}), limit: pageLimit}
 	p.reads.random = newRand(req.Seed)
 	p.writes.random = p.reads.random
 	if req.Proof == nil {
@@ -197,7 +198,7 @@
 // catchUp folds the log to its end, and at least through the given offset.
 func (p *publisher) catchUp(ctx context.Context, through platform.Offset) error {
 	for {
-		page, err := p.log.Read(ctx, ledger.StreamManifest, p.state.Next(), pageLimit)
+		page, err := p.log.Read(ctx, ledger.StreamManifest, p.state.Next(), p.limit)
 		var truncated *platform.TruncatedError
 		switch {
 		case errors.As(err, &truncated):
@@ -205,6 +206,8 @@
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
+		case errors.Is(err, platform.ErrTooLong):
+			p.limit = max(1, p.limit/2)
 		case err == nil:
 			p.reads.reset()
 			p.fold(page.Records)
--- a/logio/tail.go
+++ b/logio/tail.go
@@ -46,6 +46,7 @@
 type Tail struct {
 	opt    TailOptions
 	back   backoff
+	limit  int          // records asked for in the next read
 	failed atomic.Int64 // reads since the last good one
 	bytes  atomic.Int64
 }
@@ -55,7 +56,7 @@
 	if o.Poll == 0 {
 		o.Poll = DefaultPoll
 	}
-	return &Tail{opt: o, back: backoff{random: newRand(o.Seed)}}
+	return &Tail{opt: o, limit: pageLimit, back: backoff{random: newRand(o.Seed)}}
 }
 
 // Failures is the number of reads that failed since the last good one.
@@ -90,15 +91,22 @@
 // read takes one page and tells whether there is more at once.
 func (t *Tail) read(ctx context.Context) (bool, error) {
 	from := t.opt.Sink.Next()
-	page, err := t.opt.Log.Read(ctx, t.opt.Stream, from, pageLimit)
+	page, err := t.opt.Log.Read(ctx, t.opt.Stream, from, t.limit)
 	var truncated *platform.TruncatedError
 	if errors.As(err, &truncated) {
 		t.opt.Sink.Gap(truncated.First)
 		return true, nil
 	}
+	if errors.Is(err, platform.ErrTooLong) {
+		// A page of whole manifests can be longer than is taken. Asked for the
+		// same again, the log would give the same, and the reader would stand
+		// still for ever.
+		t.limit = max(1, t.limit/2)
+	}
 	if err != nil {
 		return false, err
 	}
+	t.limit = min(2*t.limit, pageLimit)
 	for _, r := range page.Records {
 		t.bytes.Add(int64(len(r.Data)))
 		t.opt.Sink.Apply(r)
