Work out the capacity page's tables from the slopes

Change: merlindock capacity measures 24 slopes, works out 27 rows against their limits, and finds on the way from Registre's sizes to the target's where each row passes its limit.

--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -81,6 +81,7 @@
 		newDrain(s),
 		newDemo(s),
 		newReplay(s),
+		newCapacity(s),
 		newStandin(s),
 		newVersion(s),
 	}
--- /dev/null
+++ b/lab/capacity/capacity_test.go
@@ -0,0 +1,58 @@
+package capacity
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+)
+
+func TestFitFindsALine(t *testing.T) {
+	s := measureOnce("x", "y", "z", []int{10, 100, 1000}, func(size int) float64 { return 5 + 3*float64(size) })
+	if math.Abs(s.Each-3) > 1e-9 || math.Abs(s.Base-5) > 1e-6 {
+		t.Errorf("each %g, base %g", s.Each, s.Base)
+	}
+}
+
+// fixedBook has slopes with known values, so that the sums can be checked.
+func fixedBook(each float64) *Book {
+	b := &Book{slopes: map[string]Slope{}}
+	for _, m := range Measurements() {
+		b.slopes[m.Key] = Slope{Name: m.Key, Each: each, Points: []Point{{Size: 1}}}
+		b.Order = append(b.Order, m.Key)
+	}
+	return b
+}
+
+func TestSumsFollowFromSlopes(t *testing.T) {
+	b := fixedBook(100)
+	for _, r := range b.Rows() {
+		if r.What == "membership and health" && r.Value(Target) != 460_000 {
+			t.Errorf("got %g", r.Value(Target))
+		}
+	}
+}
+
+// A page that leaves out the row that breaks would be read as if all were
+// well. Every row over its limit at the target must be listed with its size.
+func TestEveryRowOverItsLimitIsListed(t *testing.T) {
+	b := fixedBook(100)
+	rows := b.Rows()
+	over := 0
+	for i := range rows {
+		if rows[i].Over(Target) {
+			over++
+		}
+	}
+	breaks := Breaks(rows, Registre, Target)
+	if over == 0 || len(breaks) < over {
+		t.Errorf("%d rows over, %d listed", over, len(breaks))
+	}
+	var page bytes.Buffer
+	b.WriteTables(&page)
+	for _, x := range breaks {
+		if !strings.Contains(page.String(), x.Row.What) {
+			t.Errorf("page lacks %s", x.Row.What)
+		}
+	}
+}
--- a/lab/capacity/parts.go
+++ b/lab/capacity/parts.go
@@ -150,6 +150,12 @@
 	})
 }
 
+func admissionIdleBytes() Slope {
+	return measure("admission state, all idle", "organisations", "bytes", organisationSizes, func(size int) float64 {
+		return heapBytes(func() any { return admissionOf(size) })
+	})
+}
+
 func useDigestBytes() Slope {
 	return measure("digest of organisations' use", "active organisations, 64 at most", "bytes", []int{1, 8, 32}, func(size int) float64 {
 		a := admissionOf(size)
@@ -268,6 +274,7 @@
 		{keyPlacementPrefix, placementPrefixBytes},
 		{keyAdmit, admit},
 		{keyAdmissionBytes, admissionBytes},
+		{keyAdmissionIdle, admissionIdleBytes},
 		{keyUseDigest, useDigestBytes},
 		{keyManifestRecord, manifestBytes},
 		{keyFold, foldManifest},
@@ -277,6 +284,14 @@
 		{keyMembershipBytes, membershipBytes},
 		{keyListBytes, listBytes},
 		{keyNeighbours, chooseNeighbours},
+		{keyDigest, digestBytes},
+		{keySection, sectionBytes},
+		{keySectionFold, sectionFold},
+		{keyPoll, pollBytes},
+		{keyPlan, planOrders},
+		{keyControl, controlBytes},
+		{keyControlTime, controlTime},
+		{keyClaims, claimsPerSecond},
 	}
 }
 
@@ -288,6 +303,7 @@
 	keyPlacementPrefix   = "placement-prefix"
 	keyAdmit             = "admit"
 	keyAdmissionBytes    = "admission-bytes"
+	keyAdmissionIdle     = "admission-idle"
 	keyUseDigest         = "use-digest"
 	keyManifestRecord    = "manifest-record"
 	keyFold              = "fold"
@@ -297,4 +313,12 @@
 	keyMembershipBytes   = "membership-bytes"
 	keyListBytes         = "list-bytes"
 	keyNeighbours        = "neighbours"
+	keyDigest            = "digest"
+	keySection           = "section"
+	keySectionFold       = "section-fold"
+	keyPoll              = "poll"
+	keyPlan              = "plan"
+	keyControl           = "control"
+	keyControlTime       = "control-time"
+	keyClaims            = "claims"
 )
--- a/lab/capacity/slope.go
+++ b/lab/capacity/slope.go
@@ -40,10 +40,19 @@
 // measure takes a point at each size and fits a line through them. The
 // function returns the value of one repeat.
 func measure(name, size, unit string, sizes []int, one func(size int) float64) Slope {
+	return measureTimes(repeats, name, size, unit, sizes, one)
+}
+
+// measureOnce is measure without repeats, for what takes seconds.
+func measureOnce(name, size, unit string, sizes []int, one func(size int) float64) Slope {
+	return measureTimes(1, name, size, unit, sizes, one)
+}
+
+func measureTimes(times int, name, size, unit string, sizes []int, one func(size int) float64) Slope {
 	s := Slope{Name: name, Size: size, Unit: unit}
 	for _, n := range sizes {
 		var values []float64
-		for range repeats {
+		for range times {
 			values = append(values, one(n))
 		}
 		least, most := slices.Min(values), slices.Max(values)
--- /dev/null
+++ b/lab/capacity/sums.go
@@ -0,0 +1,255 @@
+package capacity
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Status tells how sure a row is.
+type Status string
+
+// The statuses.
+const (
+	Measured  Status = "measured"   // a slope, read off within the sizes it was measured at
+	WorkedOut Status = "worked out" // from slopes and the users' figures
+	NotBuilt  Status = "not yet built"
+)
+
+// Row is one need of one role.
+type Row struct {
+	Role      string  `json:"role"`
+	What      string  `json:"what"`
+	Unit      string  `json:"unit"`
+	Limit     float64 `json:"limit"` // 0: none
+	Status    Status  `json:"status"`
+	Mechanism string  `json:"mechanism"`
+	value     func(s Sizes) float64
+}
+
+// Value is the row's need at the given sizes.
+func (r *Row) Value(s Sizes) float64 { return r.value(s) }
+
+// Over tells whether the need passes the limit.
+func (r *Row) Over(s Sizes) bool { return r.Limit > 0 && r.value(s) > r.Limit }
+
+// Book holds the slopes that the sums are worked out from.
+type Book struct {
+	mu     sync.Mutex
+	slopes map[string]Slope
+	Order  []string
+}
+
+// Measure fills a book. Progress is called before each measurement.
+func Measure(progress func(name string, i, n int)) *Book {
+	b := &Book{slopes: map[string]Slope{}}
+	all := Measurements()
+	for i, m := range all {
+		progress(m.Key, i+1, len(all))
+		b.slopes[m.Key] = m.Run()
+		b.Order = append(b.Order, m.Key)
+	}
+	return b
+}
+
+// Slope returns the slope of a key.
+func (b *Book) Slope(key string) Slope {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.slopes[key]
+}
+
+func (b *Book) at(key string, size float64) float64 {
+	s := b.Slope(key)
+	return s.At(size)
+}
+
+const nano = 1e-9
+
+// Rows works out every need. The values are those of the code as it is, with
+// its default settings; the mechanism says what carries the target.
+func (b *Book) Rows() []Row {
+	rows := append(b.routerRows(), b.neighbourRows()...)
+	rows = append(rows, b.manifestRows()...)
+	rows = append(rows, b.membershipRows()...)
+	rows = append(rows, b.logRows()...)
+	return append(rows, b.orderRows()...)
+}
+
+func (b *Book) routerRows() []Row {
+	perDaemon := func(s Sizes) float64 { return s.Requests / s.Daemons }
+	return []Row{
+		{"router", "requests", "1/s", noLimit, WorkedOut, "the balancer spreads them; any daemon serves any", perDaemon},
+		{"router", "deciding on requests", "share of a core", noLimit, WorkedOut, "keys cut outside locks, tables built when members change", func(s Sizes) float64 {
+			each := b.at(keyCut, promptBytes) + b.at(keyPlace, s.Endpoints) + b.at(keyAdmit, s.Organisations)
+			return perDaemon(s) * each * nano
+		}},
+		{"router", "remembered prefixes", "bytes", limitMemory, Measured, "routing.prefixes bounds the table; rendezvous hashing needs none of it", func(Sizes) float64 {
+			return b.at(keyPlacementPrefix, prefixesKept)
+		}},
+		{"router", "endpoints in placement, all pools", "bytes", limitMemory, WorkedOut, "one row an endpoint; a pool for each model and version", func(s Sizes) float64 {
+			return b.at(keyPlacementEndpoint, s.Endpoints)
+		}},
+		{"router", "organisations in admission, idle in all pools", "bytes", limitMemory, WorkedOut, "an idle organisation keeps its weight only; one table of weights for all pools would carry more models", func(s Sizes) float64 {
+			return b.at(keyAdmissionIdle, s.Organisations) * s.Models
+		}},
+		{"router", "following every cache event", "bytes/s", limitBytes, WorkedOut, "not done at this size: placement by hash, learnt from answers", func(s Sizes) float64 {
+			return s.CacheEvents * eventBytes
+		}},
+	}
+}
+
+func (b *Book) neighbourRows() []Row {
+	return []Row{
+		{"neighbour", "digests sent", "bytes/s", limitBytes, Measured, "at most ten neighbours; the interval follows from the digest's size", func(s Sizes) float64 {
+			return b.at(keyControl, min(s.Daemons, 100))
+		}},
+		{"neighbour", "processor for digests", "share of a core", limitCore, Measured, "the same", func(s Sizes) float64 {
+			return b.at(keyControlTime, min(s.Daemons, 100))
+		}},
+		{"neighbour", "choosing neighbours, once a second", "share of a core", limitCore, Measured, "computed from the list, no message", func(s Sizes) float64 {
+			return b.at(keyNeighbours, s.Daemons) * nano
+		}},
+	}
+}
+
+func (b *Book) manifestRows() []Row {
+	return []Row{
+		{"daemon", "manifest and index", "bytes", limitMemory, Measured, "one copy, replaced in one step", func(s Sizes) float64 {
+			return b.at(keyIndexBytes, s.Organisations)
+		}},
+		{"daemon", "reading whole manifests", "bytes/s", limitBytes, WorkedOut, "changes go as sections, see the next row", func(s Sizes) float64 {
+			return b.at(keyPoll, b.at(keyManifestRecord, s.Organisations)) * s.Changes / day
+		}},
+		{"daemon", "reading changes as sections", "bytes/s", limitBytes, WorkedOut, "a record for one organisation, model, class or service", func(s Sizes) float64 {
+			return b.at(keyPoll, b.at(keySection, s.Organisations)) * s.Changes / day
+		}},
+		{"daemon", "folding whole manifests", "share of a core", limitCore, WorkedOut, "decoded and checked once a change", func(s Sizes) float64 {
+			return b.at(keyFold, s.Organisations) * nano * s.Changes / day
+		}},
+		{"daemon", "folding changes as sections", "share of a core", limitCore, WorkedOut, "the manifest is checked whole after each", func(s Sizes) float64 {
+			return b.at(keySectionFold, s.Organisations) * nano * s.Changes / day
+		}},
+		{"daemon", "reading the idle log", "bytes/s", limitBytes, WorkedOut, "two streams every 250 ms; platform.poll-interval = 2s carries the target, with neighbours' announcements in between", func(Sizes) float64 {
+			return 2 * b.at(keyPoll, 0) / pollSeconds
+		}},
+		{"daemon", "reading an idle claim stream", "bytes/s", limitBytes, WorkedOut, "every 200 ms for each partition followed", func(Sizes) float64 {
+			return b.at(keyPoll, 0) / claimsPoll
+		}},
+	}
+}
+
+func (b *Book) membershipRows() []Row {
+	return []Row{
+		{"daemon", "membership and health", "bytes", limitMemory, Measured, "one row an endpoint", func(s Sizes) float64 {
+			return b.at(keyMembershipBytes, s.Endpoints)
+		}},
+		{"daemon", "upkeep of the membership", "share of a core", limitCore, WorkedOut, "the interval grows with the fleet", func(s Sizes) float64 {
+			return 3 * b.at(keyUsable, s.Endpoints) * nano / (tickBase + tickEach*s.Endpoints)
+		}},
+		{"platform list", "read by one daemon every second", "bytes/s", limitBytes, NotBuilt, "a list read by section and digest, or passed on by neighbours; until then a longer platform.list-interval", func(s Sizes) float64 {
+			return (b.at(keyListBytes, s.Endpoints) + b.at(keyListBytes, s.Daemons)) / listSeconds
+		}},
+		{"platform list", "read by all daemons", "bytes/s", gbit, NotBuilt, "the same", func(s Sizes) float64 {
+			return s.Daemons * (b.at(keyListBytes, s.Endpoints) + b.at(keyListBytes, s.Daemons)) / listSeconds
+		}},
+	}
+}
+
+func (b *Book) logRows() []Row {
+	return []Row{
+		{"log", "appends of manifests and leases", "1/s", limitAppends, WorkedOut, "one record a change, a lease renewed every 5 s", func(s Sizes) float64 {
+			return s.Changes/day + 1.0/5
+		}},
+		{"log", "keyed calls it can carry, 100 to an append", "1/s", noLimit, Measured, "claims and results of many calls share an append", func(Sizes) float64 {
+			return b.at(keyClaims, 100)
+		}},
+		{"log", "keyed calls, if 1 request in 1,000 is one", "1/s", noLimit, WorkedOut, "the users give no figure", func(s Sizes) float64 {
+			return s.Requests * claimPart
+		}},
+		{"log", "reads by all daemons, idle", "1/s", noLimit, WorkedOut, "three streams; a longer poll interval at the target", func(s Sizes) float64 {
+			return s.Daemons * (2/pollSeconds + 1/claimsPoll)
+		}},
+		{"log", "one whole manifest to all daemons", "bytes", noLimit, WorkedOut, "sections; neighbours pass the whole on", func(s Sizes) float64 {
+			return s.Daemons * b.at(keyPoll, b.at(keyManifestRecord, s.Organisations))
+		}},
+	}
+}
+
+func (b *Book) orderRows() []Row {
+	return []Row{
+		{"giver of orders", "planning, once a second, on one daemon", "share of a core", limitCore, Measured, "one lease; the planner reads statuses in turn", func(s Sizes) float64 {
+			return b.at(keyPlan, s.Endpoints) * nano / ordersTick
+		}},
+		{"administration API", "status of endpoints, one answer", "bytes", noLimit, WorkedOut, "bounded at 10,000 endpoints and 1,000 organisations", func(s Sizes) float64 {
+			return 4 * b.at(keyListBytes, s.Endpoints)
+		}},
+	}
+}
+
+// Break tells where a row passes its limit on the way from one size to
+// another.
+type Break struct {
+	Row   Row
+	Sizes Sizes
+}
+
+// breakSteps is the number of steps on the way from today to the target.
+const breakSteps = 400
+
+// Breaks lists the rows that pass their limit on the way, the earliest first.
+func Breaks(rows []Row, from, to Sizes) []Break {
+	var breaks []Break
+	broken := map[int]bool{}
+	for step := 0; step <= breakSteps; step++ {
+		s := between(from, to, float64(step)/breakSteps)
+		for i := range rows {
+			if !broken[i] && rows[i].Over(s) {
+				broken[i] = true
+				breaks = append(breaks, Break{rows[i], s})
+			}
+		}
+	}
+	return breaks
+}
+
+// BadDay is what one kind of bad day brings.
+type BadDay struct {
+	What   string
+	Brings string
+	Bound  string
+}
+
+// BadDays works out the bad days of the target.
+func (b *Book) BadDays(s Sizes) []BadDay {
+	record := b.at(keyPoll, b.at(keyManifestRecord, s.Organisations))
+	list := b.at(keyListBytes, s.Endpoints)
+	plan := b.at(keyPlan, s.Endpoints)
+	return []BadDay{
+		{
+			"a zone is lost",
+			fmt.Sprintf("%.0f endpoints and %.0f daemons at once; each daemon left takes one list (%.1f ms) and rebuilds its pools; %.0f requests/s fall to %.0f daemons",
+				s.Endpoints/s.Zones, s.Daemons/s.Zones, b.at(keyListTake, s.Endpoints)/1e6, s.Requests, s.Daemons*(1-1/s.Zones)),
+			"retry budget of a tenth of the traffic; admission refuses the rest at once; rings of neighbours join every two zones, so that the others stay connected",
+		},
+		{
+			"regions parted for an hour",
+			fmt.Sprintf("%.0f changes are published meanwhile; the cut region serves by the manifest it has and refuses keyed calls as not run", s.Changes/24),
+			fmt.Sprintf("afterwards each daemon reads %.0f sections, %.1f kB, or one proof from a neighbour", s.Changes/24, s.Changes/24*b.at(keyPoll, b.at(keySection, s.Organisations))/1000),
+		},
+		{
+			"950 VMs replaced and 100 failed in a day",
+			fmt.Sprintf("a change every %.0f s; each would cost %.0f kB a daemon if the whole list were read for it", day/s.VMChanges, list/1000),
+			"neighbours change only beside the replaced daemon; a replaced runner moves only its own prefixes",
+		},
+		{
+			"all daemons restarted at once",
+			fmt.Sprintf("%.0f reads of a %.1f MB manifest, %.1f GB, and as many lists; %.0f s of a 1 Gbit/s log", s.Daemons, record/1e6, s.Daemons*record/1e9, s.Daemons*record/gbit),
+			"the first to read passes it on to its neighbours; the daemons' polls are jittered; placement needs no state",
+		},
+		{
+			"the giver of orders dies",
+			fmt.Sprintf("another reads %.0f statuses and plans (%.1f ms) after the lease and the longest order have run out", s.Endpoints, plan/1e6),
+			"reads are bounded a round; loads at once are bounded over the fleet",
+		},
+	}
+}
