--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -44,6 +44,7 @@
 		Owner:  fmt.Sprintf("%s/%d", s.Daemon.ID, c.daemon.life.UnixNano()),
 		Layout: ledger.Layout{Partitions: s.Claims.Partitions, Window: m.Retention.ClaimWindow},
 		Linger: s.Claims.BatchDelay,
+		Poll:   s.Platform.PollInterval,
 		Seed:   seedOf(s.Daemon.ID, c.daemon.life),
 	})
 	if err != nil {
--- a/lab/standin/plog/http.go
+++ b/lab/standin/plog/http.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/merlindock/merlindock/platform"
 	"github.com/merlindock/merlindock/platform/httplog"
 )
@@ -19,11 +22,11 @@
 	mux.HandleFunc("GET "+records, l.serveRead)
 	mux.HandleFunc("GET "+httplog.PathEndpoints, func(w http.ResponseWriter, r *http.Request) {
 		list, err := v.Endpoints(r.Context())
-		answer(w, list, err)
+		answerList(w, r, list, err)
 	})
 	mux.HandleFunc("GET "+httplog.PathDaemons, func(w http.ResponseWriter, r *http.Request) {
 		list, err := v.Daemons(r.Context())
-		answer(w, list, err)
+		answerList(w, r, list, err)
 	})
 	return mux
 }
@@ -69,6 +72,24 @@
 	}
 }
 
+// answerList answers with a tag of the list's content, and without the list
+// when the caller has it.
+func answerList(w http.ResponseWriter, r *http.Request, list any, err error) {
+	text, marshalErr := json.Marshal(list)
+	if err != nil || marshalErr != nil {
+		answer(w, list, errors.Join(err, marshalErr))
+		return
+	}
+	tag := fmt.Sprintf(`"%x"`, xxhash.Sum64(text))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text)
+}
+
 func writeJSON(w http.ResponseWriter, code int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -40,7 +40,7 @@
 	fs.StringVar(&s.Listen.Peers, "listen.peers", "127.0.0.1:8082", "IP:port for other daemons")
 	fs.StringVar(&s.Platform.URL, "platform.url", "", "base URL of the platform's log and VM list")
 	fs.DurationVar(&s.Platform.Timeout, "platform.timeout", 2*time.Second, "for one call of the platform")
-	fs.DurationVar(&s.Platform.PollInterval, "platform.poll-interval", 250*time.Millisecond, "between reads of an idle log")
+	fs.DurationVar(&s.Platform.PollInterval, "platform.poll-interval", time.Second, "between reads of an idle log")
 	fs.DurationVar(&s.Platform.ListInterval, "platform.list-interval", time.Second, "between reads of the VM list")
 }
 
