Fetch a manifest from another holder when the first one fails

Neighbours announce a manifest once. If the one that was asked for it died, the daemon had dropped the others' announcements meanwhile and waited for the next regular exchange, up to six seconds at the target, after a timeout of three. It now goes on with another sender that has announced it, three in all, with two seconds for each. In the new test the regular interval is an hour and the first holder fails.

--- a/neighbour/digest.go
+++ b/neighbour/digest.go
@@ -1,6 +1,9 @@
 package neighbour
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -171,6 +174,26 @@
 	}
 }
 
+// Holders returns the senders that have accepted the revision or a later one and
+// may be asked for it, the latest heard first and then by id.
+func (t *Table) Holders(now time.Time, r Revision) []string {
+	var holders []*Sender
+	for _, s := range t.senders {
+		paused := s.failed == s.Accepted && now.Before(s.failedUntil)
+		if s.Accepted.Offset >= r.Offset && !paused {
+			holders = append(holders, s)
+		}
+	}
+	slices.SortFunc(holders, func(a, b *Sender) int {
+		return cmp.Or(b.Heard.Compare(a.Heard), strings.Compare(a.Daemon, b.Daemon))
+	})
+	ids := make([]string, 0, len(holders))
+	for _, s := range holders {
+		ids = append(ids, s.Daemon)
+	}
+	return ids
+}
+
 // Heard is when the daemon's newest digest came; zero: never.
 func (t *Table) Heard(daemon string) time.Time {
 	if s, known := t.senders[daemon]; known {
--- a/neighbour/digest_test.go
+++ b/neighbour/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,9 +88,15 @@
 	if table.Receive(epoch.Add(time.Second), own, from("b", 1, 2, claimed)).Fetch {
 		t.Error("fetched again within the pause")
 	}
+	if got := table.Holders(epoch.Add(time.Second), claimed); len(got) != 0 {
+		t.Errorf("%v may be asked within the pause", got)
+	}
 	if !table.Receive(epoch.Add(time.Second), own, from("c", 1, 1, claimed)).Fetch {
 		t.Error("not fetched from another neighbour")
 	}
+	if got := table.Holders(epoch.Add(3*time.Second), claimed); !slices.Equal(got, []string{"b", "c"}) {
+		t.Errorf("%v may be asked after the pause", got)
+	}
 	if !table.Receive(epoch.Add(3*time.Second), own, from("b", 1, 3, claimed)).Fetch {
 		t.Error("never fetched again")
 	}
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -92,6 +92,38 @@
 	}
 }
 
+// Two neighbours announce a manifest, and the one that is asked for it dies. The
+// other's announcement came while the first was being asked and will not come
+// again for an hour.
+func TestFetchGoesOnWithAnotherHolder(t *testing.T) {
+	asked, announced := make(chan struct{}), make(chan struct{})
+	nodes := cluster(t, 3, 1, func(i int, o *Options) {
+		o.Interval = time.Hour
+		if i == 1 {
+			o.FetchManifest = func(context.Context, neighbour.Revision) (Accepted, error) {
+				close(asked)
+				<-announced
+				return Accepted{}, errEarlier
+			}
+		}
+	})
+	for _, n := range nodes[1:] {
+		if err := n.take(manifestAt(4, "four")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx := context.Background()
+	if err := nodes[1].service.exchange(ctx, nodes[0].daemon.PeerAddress); err != nil {
+		t.Fatal(err)
+	}
+	<-asked
+	if err := nodes[2].service.exchange(ctx, nodes[0].daemon.PeerAddress); err != nil {
+		t.Fatal(err)
+	}
+	close(announced)
+	nodes[0].waitFor(t, 4)
+}
+
 // The callee's state is asked for by more callers than it serves at once. It
 // refuses some instead of holding a whole manifest for each.
 func TestServedCallsAreBounded(t *testing.T) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -79,7 +79,7 @@
 const (
 	DefaultInterval    = time.Second
 	DefaultCallTimeout = 800 * time.Millisecond
-	DefaultLoadTimeout = 3 * time.Second
+	DefaultLoadTimeout = 2 * time.Second
 	// jitter is the share of the interval by which it is varied, so that
 	// daemons that started together do not stay in step.
 	jitter = 0.2
@@ -93,6 +93,7 @@
 	maxFetches       = 4  // served at once; each may hold a whole manifest
 	maxStreams       = 16 // on one connection
 	maxConnections   = 256
+	maxHolders       = 3  // asked for one revision, one after the other
 	maxOutgoing      = 16 // exchanges opened at once
 )
 
--- a/peer/run.go
+++ b/peer/run.go
@@ -198,22 +198,41 @@
 	}
 	go func() {
 		defer s.tasks.Done()
-		err := s.fetchAndMerge(s.ctx, daemon, r)
+		done := s.fetchFromAny(daemon, r)
 		s.mu.Lock()
 		delete(s.fetching, r)
-		if err != nil {
-			s.table.FetchFailed(time.Now(), daemon, r)
-		}
 		s.mu.Unlock()
-		if err != nil {
-			s.o.Observe(Event{EventRefused, daemon, err})
-			return
+		if done {
+			s.Announce()
 		}
-		s.o.Observe(Event{EventFetched, daemon, nil})
-		s.Announce()
 	}()
 }
 
+// fetchFromAny fetches a revision from the daemon that announced it or, if that
+// fails, from others that have announced it meanwhile. Their announcements come
+// only once: waiting for their next regular exchange could take longer than
+// the seconds in which a manifest is to be in force.
+func (s *Service) fetchFromAny(daemon string, r neighbour.Revision) bool {
+	for range maxHolders {
+		err := s.fetchAndMerge(s.ctx, daemon, r)
+		if err == nil {
+			s.o.Observe(Event{EventFetched, daemon, nil})
+			return true
+		}
+		s.o.Observe(Event{EventRefused, daemon, err})
+		s.mu.Lock()
+		now := time.Now()
+		s.table.FetchFailed(now, daemon, r)
+		holders := s.table.Holders(now, r)
+		s.mu.Unlock()
+		if len(holders) == 0 || s.ctx.Err() != nil {
+			return false
+		}
+		daemon = holders[0]
+	}
+	return false
+}
+
 // fetchAndMerge brings a neighbour's revision into force.
 func (s *Service) fetchAndMerge(ctx context.Context, daemon string, r neighbour.Revision) error {
 	list := s.o.Daemons()
