--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -38,12 +39,18 @@
 	CodeEndpointFailed   = "endpoint_failed"
 	CodeStreamCut        = "stream_cut"
 	CodeDeadline         = "deadline_exceeded"
+	CodeShutdown         = "shutting_down"
 	CodeOutcomeUnknown   = "outcome_unknown"
 	CodeKeyReused        = "idempotency_key_reused"
 	CodeKeyInvalid       = "idempotency_key_invalid"
 	CodeClaimUnavailable = "claim_unavailable"
 )
 
+// ErrShutdown is the cause with which a daemon cancels the context of its
+// requests when the bound of its shutdown has passed. Their callers are told so
+// instead of being taken for callers that left.
+var ErrShutdown = errors.New("gateway: daemon shuts down")
+
 // DefaultRetryAfter is what a caller is told to wait when nothing better is
 // known.
 const DefaultRetryAfter = time.Second
