--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,7 +169,7 @@
 func (c *call) finish() {
 	c.report.Priority = c.priority
 	c.report.Duration = time.Since(c.start)
-	c.report.CallerLeft = c.r.Context().Err() != nil && !c.report.CallerSlow
+	c.report.CallerLeft = c.r.Context().Err() != nil && !c.report.CallerSlow && c.report.Code != CodeShutdown
 	if c.org != nil {
 		c.report.Organisation = c.org.ID
 	}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -216,7 +216,7 @@
 	}
 	// What was delivered has run, whatever became of the last attempt.
 	cut := unknown(r.Status, r.Code, r.Message)
-	if cut.Code != CodeDeadline {
+	if cut.Code != CodeDeadline && cut.Code != CodeShutdown {
 		cut.Code = CodeStreamCut
 	}
 	mc.report.Code, mc.report.Outcome = cut.Code, cut.Outcome
@@ -245,6 +245,19 @@
 		return err
 	}
 	defer ans.Close()
+	if err := mc.usable(ans, p, res); err != nil {
+		return err
+	}
+	if mc.out == nil || ans.Status != http.StatusOK {
+		return mc.relayWhole(ans, res, began)
+	}
+	return mc.relayStream(ans, res, began)
+}
+
+// usable notes what the answer says beside itself and returns why the answer is
+// not to be relayed, if so. It stands apart from exchange since its copies
+// would otherwise lie on the stack for as long as the stream.
+func (mc *modelCall) usable(ans *engine.Answer, p *Placement, res *Result) error {
 	res.Status, res.Meta = ans.Status, ans.Meta
 	if p.Began != nil {
 		p.Began(ans.Meta)
@@ -256,10 +269,7 @@
 		return ans.Fail(errServerStatus)
 	}
 	mc.report.CachedTokens = ans.Meta.CachedTokens
-	if mc.out == nil || ans.Status != http.StatusOK {
-		return mc.relayWhole(ans, res, began)
-	}
-	return mc.relayStream(ans, res, began)
+	return nil
 }
 
 // failedStatus tells whether a status speaks of the endpoint rather than of the
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -89,7 +89,7 @@
 	// The caller that leaves now comes back with its key, on another daemon.
 	// The call goes on without it, so that its answer can be kept; otherwise
 	// the key would stand for "outcome unknown" for good.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(sc.ctx), sc.deadline)
+	ctx, cancel := sc.withoutCaller()
 	defer cancel()
 	sc.ctx = ctx
 	refusal := sc.run()
@@ -101,6 +101,24 @@
 	return refusal
 }
 
+// withoutCaller returns a context that ends at the deadline or with the daemon,
+// but not with the caller.
+func (sc *serviceCall) withoutCaller() (context.Context, context.CancelFunc) {
+	caller := sc.r.Context()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(caller), sc.deadline)
+	ctx, end := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(caller, func() {
+		if cause := context.Cause(caller); errors.Is(cause, ErrShutdown) {
+			end(cause)
+		}
+	})
+	return ctx, func() {
+		stop()
+		end(nil)
+		cancel()
+	}
+}
+
 // detached returns a context for keeping what became of a call. The caller may
 // have left, and yet its next try must find the answer.
 func (sc *serviceCall) detached() (context.Context, context.CancelFunc) {
