--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,7 +39,7 @@
 	Logs     *logging.Factory
 	// Listeners replace listening on the settings' addresses, for tests.
 	Listeners Listeners
-	// Dial opens connections to endpoints; nil: TCP.
+	// Dial opens connections to endpoints and neighbours; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
@@ -163,14 +163,14 @@
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	d.background(ctx, g)
-	requests, cut := context.WithCancel(context.WithoutCancel(ctx))
-	defer cut()
+	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cut(nil)
 	g.Go(func() error { return d.serve(ctx, requests, listeners.Callers, d.gateway) })
 	g.Go(func() error { return d.serve(ctx, requests, listeners.Admin, d.AdminHandler()) })
 	g.Go(func() error { return d.peers.Serve(ctx, listeners.Peers) })
 	g.Go(func() error {
 		defer cancel()
-		return d.shutdown.run(ctx, cut)
+		return d.shutdown.run(ctx, func() { cut(gateway.ErrShutdown) })
 	})
 	d.log.Info("Daemon serves.", "callers", listeners.Callers.Addr().String())
 	err = g.Wait()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -20,8 +21,11 @@
 	"github.com/merlindock/merlindock/platform"
 )
 
-// bootstrapEvery is how often a daemon without a manifest asks its neighbours.
-const bootstrapEvery = 250 * time.Millisecond
+// How often a daemon without a manifest asks its neighbours, at first and later.
+const (
+	bootstrapFirst = 5 * time.Millisecond
+	bootstrapEvery = 250 * time.Millisecond
+)
 
 // daemonList is the newest list of daemons. An empty one never replaces it.
 type daemonList struct {
@@ -71,6 +75,9 @@
 		CallTimeout:   s.Peers.Timeout,
 		Seed:          seedOf(s.Daemon.ID, d.life),
 	}
+	if dial := d.o.Dial; dial != nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+	}
 	if s.TLS.PeersCert != "" {
 		o.TLS = &peer.TLSFiles{
 			Certificate: s.TLS.PeersCert,
@@ -147,18 +154,19 @@
 }
 
 // bootstrap asks the neighbours for the manifest in force until there is one,
-// so that a daemon that starts while the log is down serves at once.
+// so that a daemon that starts while the log is down serves at once. The first
+// times it asks often: the list of daemons is being read meanwhile.
 func (d *Daemon) bootstrap(ctx context.Context) {
-	ticker := time.NewTicker(bootstrapEvery)
-	defer ticker.Stop()
-	for d.manifests.InForce() == nil {
+	for pause := bootstrapFirst; d.manifests.InForce() == nil; pause = min(2*pause, bootstrapEvery) {
 		if _, err := d.peers.Bootstrap(ctx); err == nil {
 			return
 		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
--- a/peer/run.go
+++ b/peer/run.go
@@ -21,6 +21,7 @@
 	s.choose()
 	var g errgroup.Group
 	g.Go(func() error { return s.spread(ctx) })
+	g.Go(func() error { return s.spreadNews(ctx) })
 	g.Go(func() error { return s.beat(ctx) })
 	return g.Wait()
 }
@@ -52,6 +53,42 @@
 	}
 }
 
+// spreadNews tells the neighbours of announced news of endpoints, the first at
+// once and then what has come together during a pause. The loss of a zone brings
+// hundreds of news within a second; without the pause, which keeps to the
+// budget as the regular rounds do, each would cost an exchange with each
+// neighbour.
+func (s *Service) spreadNews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.endpoints:
+		}
+		s.round(ctx, s.Neighbours())
+		s.mu.Lock()
+		pause := max(newsPause, s.interval())
+		s.mu.Unlock()
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// AnnounceNews tells the neighbours soon that an endpoint leaves or has
+// restarted. A daemon of a large fleet asks each endpoint only now and then; by
+// the news it knows of a leaving one as soon as any daemon does.
+func (s *Service) AnnounceNews() {
+	select {
+	case s.endpoints <- struct{}{}:
+	default: // already about to
+	}
+}
+
 // Announce tells the neighbours at once that another manifest is in force, so
 // that daemons cut off from the log have it within seconds.
 func (s *Service) Announce() {
@@ -161,22 +198,41 @@
 	}
 	go func() {
 		defer s.tasks.Done()
-		err := s.fetchAndMerge(s.ctx, daemon, r)
+		done := s.fetchFromAny(daemon, r)
 		s.mu.Lock()
 		delete(s.fetching, r)
-		if err != nil {
-			s.table.FetchFailed(time.Now(), daemon, r)
-		}
 		s.mu.Unlock()
-		if err != nil {
-			s.o.Observe(Event{EventRefused, daemon, err})
-			return
+		if done {
+			s.Announce()
 		}
-		s.o.Observe(Event{EventFetched, daemon, nil})
-		s.Announce()
 	}()
 }
 
+// fetchFromAny fetches a revision from the daemon that announced it or, if that
+// fails, from others that have announced it meanwhile. Their announcements come
+// only once: waiting for their next regular exchange could take longer than
+// the seconds in which a manifest is to be in force.
+func (s *Service) fetchFromAny(daemon string, r neighbour.Revision) bool {
+	for range maxHolders {
+		err := s.fetchAndMerge(s.ctx, daemon, r)
+		if err == nil {
+			s.o.Observe(Event{EventFetched, daemon, nil})
+			return true
+		}
+		s.o.Observe(Event{EventRefused, daemon, err})
+		s.mu.Lock()
+		now := time.Now()
+		s.table.FetchFailed(now, daemon, r)
+		holders := s.table.Holders(now, r)
+		s.mu.Unlock()
+		if len(holders) == 0 || s.ctx.Err() != nil {
+			return false
+		}
+		daemon = holders[0]
+	}
+	return false
+}
+
 // fetchAndMerge brings a neighbour's revision into force.
 func (s *Service) fetchAndMerge(ctx context.Context, daemon string, r neighbour.Revision) error {
 	list := s.o.Daemons()
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -12,209 +12,6 @@
 	"github.com/merlindock/merlindock/manifest"
 )
 
-var epoch = time.Unix(1_700_000_000, 0)
-
-const (
-	tick     = 500 * time.Millisecond
-	loadTime = 90 * time.Second
-)
-
-// runner is an endpoint that carries orders out in the time of a load.
-type runner struct {
-	member  fleet.Member
-	status  Status
-	ends    time.Time
-	refuses bool // fails every load
-	cut     bool // cannot be reached
-}
-
-// world is a fleet under one planner, in virtual time.
-type world struct {
-	t        interface{ Fatalf(string, ...any) }
-	now      time.Time
-	planner  *Planner
-	manifest *manifest.Manifest
-	in       Input
-	runners  []*runner
-	lose     func() bool // whether the next answer to an order is lost
-	mostLoad int
-	leastUp  int
-}
-
-func declared(limit int, versions ...string) *manifest.Manifest {
-	m := &manifest.Manifest{Fleet: manifest.Fleet{LoadsAtOnce: limit}}
-	class := manifest.Class{ID: "large", Kind: fleet.KindModel}
-	for i, v := range versions {
-		id := fmt.Sprintf("model-%d", i)
-		m.Models = append(m.Models, manifest.Model{ID: id, Version: v})
-		class.Models = append(class.Models, id)
-	}
-	m.Classes = []manifest.Class{class}
-	return m
-}
-
-func newWorld(t interface{ Fatalf(string, ...any) }, count, limit int) *world {
-	w := &world{t: t, now: epoch, planner: NewPlanner(Options{}), leastUp: count}
-	w.manifest = declared(limit, "v1")
-	for i := range count {
-		r := &runner{}
-		r.member.ID = fleet.EndpointID(fmt.Sprintf("runner-%02d", i))
-		r.member.Class = "large"
-		r.status = Status{Incarnation: 1, Models: []Model{{ID: "model-0", Version: "v1"}}}
-		w.runners = append(w.runners, r)
-	}
-	w.lose = func() bool { return false }
-	w.hold(1)
-	return w
-}
-
-// hold makes a new holder begin, which knows nothing.
-func (w *world) hold(fence int) {
-	w.planner = NewPlanner(Options{})
-	w.in.Fence++
-	w.in.Since = w.now
-	_ = fence
-}
-
-func (w *world) members() []fleet.Member {
-	var out []fleet.Member
-	for _, r := range w.runners {
-		out = append(out, r.member)
-	}
-	return out
-}
-
-func (w *world) runner(id fleet.EndpointID) *runner {
-	for _, r := range w.runners {
-		if r.member.ID == id {
-			return r
-		}
-	}
-	return nil
-}
-
-// take is what an engine does with an order.
-func (r *runner) take(now time.Time, o Order) {
-	if o.Incarnation != r.status.Incarnation || r.status.Loading != nil {
-		return
-	}
-	switch o.Kind {
-	case KindLoad, KindLoadAdapter:
-		r.status.Loading, r.ends = &o, now.Add(loadTime)
-		if o.Kind == KindLoad {
-			r.drop(o.Model)
-		}
-	case KindUnload:
-		r.drop(o.Model)
-		r.status.Last = &Result{Order: o.ID, Done: true}
-	case KindRole:
-		r.status.Role = o.Role
-		r.status.Last = &Result{Order: o.ID, Done: true}
-	case KindUnloadAdapter:
-		m := r.status.model(o.Model)
-		m.Adapters = slices.DeleteFunc(m.Adapters, func(a Adapter) bool { return a.ID == o.Adapter })
-		r.status.Last = &Result{Order: o.ID, Done: true}
-	}
-}
-
-func (r *runner) drop(model string) {
-	r.status.Models = slices.DeleteFunc(slices.Clone(r.status.Models), func(m Model) bool { return m.ID == model })
-}
-
-// advance ends a load that is over.
-func (r *runner) advance(now time.Time) {
-	o := r.status.Loading
-	if o == nil || now.Before(r.ends) {
-		return
-	}
-	r.status.Loading = nil
-	r.status.Last = &Result{Order: o.ID, Done: !r.refuses}
-	if r.refuses {
-		return
-	}
-	if o.Kind == KindLoad {
-		r.status.Models = append(slices.Clone(r.status.Models), Model{ID: o.Model, Version: o.Version})
-		return
-	}
-	m := r.status.model(o.Model)
-	m.Adapters = append(slices.Clone(m.Adapters), Adapter{ID: o.Adapter, Version: o.Version})
-}
-
-// restart brings the runner back empty.
-func (r *runner) restart() {
-	r.status = Status{Incarnation: r.status.Incarnation + 1}
-}
-
-// step lets a tick pass and carries the plan out.
-func (w *world) step() Plan {
-	w.now = w.now.Add(tick)
-	for _, r := range w.runners {
-		r.advance(w.now)
-	}
-	w.in.Manifest, w.in.Endpoints = w.manifest, w.members()
-	plan := w.planner.Plan(w.now, w.in)
-	for _, id := range plan.Read {
-		if r := w.runner(id); r.cut {
-			w.planner.ReadFailed(w.now, id)
-		} else {
-			w.planner.Observed(w.now, w.now, id, r.status)
-		}
-	}
-	for _, o := range plan.Orders {
-		w.planner.Sent(w.now, o)
-		r := w.runner(o.Endpoint)
-		if r.cut {
-			continue
-		}
-		r.take(w.now, o)
-		if !w.lose() {
-			w.planner.Answered(o)
-		}
-	}
-	w.check()
-	return plan
-}
-
-// check holds the limits of the fleet against what the runners really do.
-func (w *world) check() {
-	loads, up := 0, 0
-	for _, r := range w.runners {
-		if r.status.Loading != nil {
-			loads++
-		}
-		if len(r.status.Models) > 0 {
-			up++
-		}
-	}
-	w.mostLoad, w.leastUp = max(w.mostLoad, loads), min(w.leastUp, up)
-	if loads > w.manifest.Fleet.LoadsAtOnce {
-		w.t.Fatalf("%d loads at once after %v", loads, w.now.Sub(epoch))
-	}
-}
-
-// finish steps until all that can be is as declared, and returns how long it
-// took.
-func (w *world) finish(want int) time.Duration {
-	began := w.now
-	for w.now.Sub(began) < 12*time.Hour {
-		if p := w.step(); p.Done >= want {
-			return w.now.Sub(began)
-		}
-	}
-	w.t.Fatalf("not finished: %+v", w.step())
-	return 0
-}
-
-func (w *world) serving(version string) int {
-	n := 0
-	for _, r := range w.runners {
-		if m := r.status.model("model-0"); m != nil && m.Version == version {
-			n++
-		}
-	}
-	return n
-}
-
 func TestRolloutKeepsToTheLimits(t *testing.T) {
 	for _, c := range []struct{ count, limit, leastUp int }{{18, 3, 15}, {9, 2, 7}, {3, 3, 2}, {1, 2, 0}} {
 		t.Run(fmt.Sprintf("%d by %d", c.count, c.limit), func(t *testing.T) {
@@ -305,6 +102,26 @@
 	}
 }
 
+// Runners die in the middle of their loads and stay on the list. If each of them
+// kept its place among the loads for ever, the rollout would never end.
+func TestRunnersThatDieLoadingGiveTheirPlaceBack(t *testing.T) {
+	w := newWorld(t, 9, 2)
+	w.manifest = declared(2, "v2")
+	cut := 0
+	for cut < 2 {
+		w.step()
+		for _, r := range w.runners {
+			if r.status.Loading != nil && !r.cut {
+				r.cut, r.ends = true, epoch.Add(1000*time.Hour)
+				cut++
+			}
+		}
+	}
+	// The store is rid of the dead ones; they no longer count as loads.
+	w.gone = cut
+	w.finish(7)
+}
+
 // One engine's disk is full and each load fails there. The others must be
 // loaded, and the broken one must not take the loads of the fleet for itself.
 func TestFailingEngineDoesNotHoldUpTheOthers(t *testing.T) {
@@ -410,6 +227,7 @@
 	m := declared(3, "v2")
 	members := make([]fleet.Member, 18)
 	for i := range members {
+		members[i].Heard = epoch
 		members[i].ID = fleet.EndpointID(fmt.Sprint(i))
 		members[i].Class = "large"
 		members[i].Load.Weights = []fleet.Weights{{Model: "model-0", Version: "v1"}}
@@ -434,3 +252,33 @@
 		t.Error("bound without endpoints")
 	}
 }
+
+// A daemon restarts when half of a rollout is done and has heard three runners.
+// If it took the others for the declared version, most requests would be
+// refused by the first runner that they meet.
+func TestSharesOfUnheardEndpoints(t *testing.T) {
+	m := declared(3, "v2")
+	var members []fleet.Member
+	for i, version := range []string{"v1", "v1", "v2", "", ""} {
+		e := fleet.Member{Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint(i)), Class: "large"}}
+		if version != "" {
+			e.Heard = epoch
+			e.Load.Weights = []fleet.Weights{{Model: "model-0", Version: version}}
+		}
+		members = append(members, e)
+	}
+	for _, c := range []struct {
+		members []fleet.Member
+		want    map[string]int
+	}{
+		{members, map[string]int{"v1": 4, "v2": 1}},
+		{members[3:], map[string]int{"v2": 2}},
+		{members[1:], map[string]int{"v1": 1, "v2": 3}},
+	} {
+		for _, s := range Shares(m, "model-0", c.members) {
+			if len(s.Endpoints) != c.want[s.Version] {
+				t.Errorf("%d of %d endpoints for %s, want %d", len(s.Endpoints), len(c.members), s.Version, c.want[s.Version])
+			}
+		}
+	}
+}
