Cut runners off and let them leave in the random rollouts

The generated histories knew crashes, lost answers, failing loads, new holders and manifests. They now also cut runners off and back and mark them as leaving.

--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -117,8 +117,6 @@
 			}
 		}
 	}
-	// The store is rid of the dead ones; they no longer count as loads.
-	w.gone = cut
 	w.finish(7)
 }
 
@@ -200,7 +198,7 @@
 		w.lose = func() bool { return lossy && rapid.Bool().Draw(t, "lost") }
 		for i := range rapid.IntRange(1, 12).Draw(t, "faults") {
 			r := w.runners[rapid.IntRange(0, count-1).Draw(t, "runner")]
-			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
 			case 0:
 				r.restart()
 			case 1:
@@ -210,6 +208,10 @@
 				w.hold(i)
 			case 3:
 				r.refuses = !r.refuses
+			case 4:
+				r.cut = !r.cut
+			case 5:
+				r.member.Leaving = !r.member.Leaving
 			}
 			for range rapid.IntRange(1, 200).Draw(t, "ticks") {
 				w.step()
@@ -217,7 +219,7 @@
 		}
 		lossy = false
 		for _, r := range w.runners {
-			r.refuses = false
+			r.refuses, r.cut, r.member.Leaving = false, false, false
 		}
 		w.finish(count)
 	})
--- a/rollout/world_test.go
+++ b/rollout/world_test.go
@@ -23,6 +23,7 @@
 	ends    time.Time
 	refuses bool // fails every load
 	cut     bool // cannot be reached
+	hidden  bool // was cut during its load, which nobody need count then
 }
 
 // world is a fleet under one planner, in virtual time.
@@ -36,7 +37,6 @@
 	lose     func() bool // whether the next answer to an order is lost
 	mostLoad int
 	leastUp  int
-	gone     int // runners that died loading
 }
 
 func declared(limit int, versions ...string) *manifest.Manifest {
@@ -177,7 +177,8 @@
 func (w *world) check() {
 	loads, up := 0, 0
 	for _, r := range w.runners {
-		if r.status.Loading != nil {
+		r.hidden = r.status.Loading != nil && (r.hidden || r.cut)
+		if r.status.Loading != nil && !r.hidden {
 			loads++
 		}
 		if len(r.status.Models) > 0 {
@@ -185,7 +186,7 @@
 		}
 	}
 	w.mostLoad, w.leastUp = max(w.mostLoad, loads), min(w.leastUp, up)
-	if loads-w.gone > w.manifest.Fleet.LoadsAtOnce {
+	if loads > w.manifest.Fleet.LoadsAtOnce {
 		w.t.Fatalf("%d loads at once after %v", loads, w.now.Sub(epoch))
 	}
 }
