contract: the fraction follows each offer, twenty seconds of credit, holds to the deadline

A request was charged at its organisation's weight at this daemon from before it came, up to half a second old and too small for callers that come seldom; and credit ended before their bursts did. A reservation ended after ten minutes although the caller's deadline allowed more. Change: an offer moves the fraction at once; credit of 20 s of the guarantee; reservations last to the deadline and 5 s, an hour at most.

--- a/contract/admission.go
+++ b/contract/admission.go
@@ -154,6 +154,7 @@
 	o.seen = a.clock
 	o.counts.Offered++
 	o.demand.add(a.clock, r.Tokens, a.opts.Meter.Seconds())
+	a.reweigh(o)
 	o.tag = a.startTag(o)
 	if a.startsAtOnce(o, r.Priority) {
 		a.admit(a.newEntry(o, r, asked))
@@ -252,6 +253,7 @@
 	}
 	o := &organisation{id: id, hash: organisationHash(id), share: share}
 	o.demand.at, o.use.at = a.clock, a.clock
+	o.there = a.elsewhere(o.hash, 0)
 	o.fraction = a.fraction(o)
 	o.weight = o.share * o.fraction
 	a.active[id] = o
@@ -320,13 +322,25 @@
 	}
 	e.queued = false
 	e.since = a.clock
-	e.due = a.clock + a.opts.Hold.Seconds()
-	if !e.Deadline.IsZero() {
-		e.due = min(e.due, max(e.Deadline.Sub(a.start).Seconds(), a.clock))
-	}
+	e.due = a.holdUntil(e)
 	a.due.push(e)
 }
 
+// holdUntil leaves the shell a little time after the deadline to tell the end
+// itself.
+func (a *Admission) holdUntil(e *entry) float64 {
+	if e.Deadline.IsZero() {
+		return a.clock + a.opts.Hold.Seconds()
+	}
+	deadline := max(e.Deadline.Sub(a.start).Seconds(), a.clock) + deadlineGrace
+	return min(deadline, a.clock+maxHold)
+}
+
+const (
+	deadlineGrace = 5       // seconds
+	maxHold       = 60 * 60 // seconds, whatever the deadline
+)
+
 func (a *Admission) release(e *entry) {
 	a.prefillEnded(e)
 	e.org.running--
--- a/contract/options.go
+++ b/contract/options.go
@@ -22,7 +22,7 @@
 	DefaultQueuedAll      = 4096
 	DefaultRunning        = 16_384
 	DefaultLead           = 2 * time.Second
-	DefaultCredit         = 5 * time.Second
+	DefaultCredit         = 20 * time.Second
 	DefaultCreditTokens   = 8_000
 	DefaultAhead          = 4 * time.Second
 	DefaultFirstCost      = 0.2
--- a/contract/organisation.go
+++ b/contract/organisation.go
@@ -62,6 +62,7 @@
 	share    float64 // weight of the contract
 	weight   float64 // share times the fraction of its demand that comes here
 	fraction float64
+	there    float64 // demand at the other daemons
 
 	tag     float64 // virtual time at which its next request starts
 	queues  [PriorityCount]fifo
--- a/contract/peers.go
+++ b/contract/peers.go
@@ -161,6 +161,7 @@
 	a.sumPeers()
 	a.backlog.weight = 0
 	for _, o := range a.list {
+		o.there = a.elsewhere(o.hash, a.demand(o))
 		o.fraction = a.fraction(o)
 		o.weight = max(o.share*o.fraction, minWeight)
 		if o.backlogged() {
@@ -170,6 +171,16 @@
 	a.part = a.partOfFleet()
 }
 
+// reweigh takes a change of the organisation's demand here into account.
+func (a *Admission) reweigh(o *organisation) {
+	o.fraction = a.fraction(o)
+	weight := max(o.share*o.fraction, minWeight)
+	if o.backlogged() {
+		a.backlog.weight += weight - o.weight
+	}
+	o.weight = weight
+}
+
 // minWeight keeps the arithmetic finite for an organisation that has left the
 // contract while its requests run.
 const minWeight = 1e-12
@@ -230,7 +241,7 @@
 		return 1 / daemons
 	}
 	here := a.demand(o)
-	there := a.elsewhere(o.hash, here)
+	there := o.there
 	if len(a.peers) == 0 {
 		there = here * a.others
 	}
