Tell other daemons where cold prefixes went

Change: daemons tell all others every 100 ms, by a call of its own, what they placed cold and which caches they saw lost; not above 16 daemons, where each notice to all would outgrow the budget for control.

--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -25,6 +25,7 @@
 	fleetTick    = 200 * time.Millisecond
 	tickPerEach  = 250 * time.Microsecond // added for each endpoint
 	probesAtOnce = 8
+	noticeEvery  = 100 * time.Millisecond
 	newsWithin   = 10 * time.Second
 	newsLimit    = 32
 )
@@ -103,10 +104,15 @@
 	go v.follow(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	notices := time.NewTicker(noticeEvery)
+	defer notices.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-notices.C:
+			v.notify()
+			continue
 		case <-timer.C:
 		}
 		v.tick(ctx)
@@ -435,6 +441,21 @@
 	return v.members.News(now, newsWithin, newsLimit)
 }
 
+// notify tells the other daemons where cold prefixes went, so that the next
+// question on the same document follows to the same endpoint.
+func (v *fleetView) notify() {
+	notices := v.placement.Notices(nil)
+	if v.daemon.peers.Notify(v.now(), notices) > 0 {
+		v.daemon.metrics.Scope.Counter("notices_sent").Inc(int64(len(notices)))
+	}
+}
+
+// notified takes another daemon's notices.
+func (v *fleetView) notified(_ string, notices []placement.Notice) {
+	v.placement.Heard(notices)
+	v.daemon.metrics.Scope.Counter("notices_heard").Inc(int64(len(notices)))
+}
+
 // hearsay takes what a neighbour heard of endpoints.
 func (v *fleetView) hearsay(now time.Time, es []fleet.Evidence) {
 	v.mu.Lock()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -68,6 +68,7 @@
 		Daemons:       d.daemons.get,
 		LocalDigest:   d.localDigest,
 		Heard:         d.heard,
+		Notified:      d.fleet.notified,
 		FetchManifest: d.fetchManifest,
 		Merge:         d.merge,
 		Observe:       d.observePeers,
--- /dev/null
+++ b/peer/notify.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/peer/peerpb"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+// MaxNoticeDaemons is the number of listed daemons above which no notices are
+// sent: each goes to all others, so that their bytes grow with the number of
+// daemons, and with many daemons few of them meet the same cold document.
+const MaxNoticeDaemons = 16
+
+// maxNoticeAge bounds how long ago a notice may have been made.
+const maxNoticeAge = 5 * time.Second
+
+// Notify sends notices to all other listed daemons and returns how many were
+// told. It does not wait for them: a notice that is late is of no use, and one
+// that is lost only costs what the notice would have saved.
+func (s *Service) Notify(now time.Time, notices []placement.Notice) int {
+	list := s.o.Daemons()
+	if len(notices) == 0 || len(list) > MaxNoticeDaemons {
+		return 0
+	}
+	message := noticesToWire(now, s.o.Self.ID, notices)
+	told := 0
+	for _, d := range list {
+		if d.ID == s.o.Self.ID || d.State == fleet.VMLeaving || !s.exchanges.TryAcquire(1) {
+			continue
+		}
+		told++
+		s.tasks.Go(func() {
+			defer s.exchanges.Release(1)
+			s.notify(d, message)
+		})
+	}
+	return told
+}
+
+func (s *Service) notify(d platform.Daemon, message *peerpb.Notices) {
+	l, err := s.link(d.PeerAddress)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(s.ctx, s.o.CallTimeout)
+		defer cancel()
+		_, err = l.client.Notify(ctx, message)
+	}
+	if err != nil {
+		s.o.Observe(Event{EventUnreachable, d.ID, err})
+	}
+}
+
+// Notify takes another daemon's notices.
+func (h *handler) Notify(_ context.Context, w *peerpb.Notices) (*peerpb.NotifyReply, error) {
+	if len(w.GetNotices()) > placement.MaxNotices || len(w.GetDaemon()) > neighbour.MaxDaemonID {
+		return nil, status.Error(codes.InvalidArgument, "too many notices or too long a name")
+	}
+	h.service.o.Notified(w.GetDaemon(), noticesFromWire(time.Now(), w.GetNotices()))
+	return &peerpb.NotifyReply{}, nil
+}
+
+func noticesToWire(now time.Time, daemon string, notices []placement.Notice) *peerpb.Notices {
+	w := &peerpb.Notices{Daemon: daemon}
+	for i := range notices {
+		n := &notices[i]
+		p := &peerpb.Notice{
+			Endpoint:    string(n.Endpoint),
+			Incarnation: uint64(n.Incarnation),
+			Lost:        n.Lost,
+			AgeMs:       uint32(max(now.Sub(n.At), 0).Milliseconds()),
+		}
+		if !n.Lost {
+			p.Key = n.Key[:]
+		}
+		w.Notices = append(w.Notices, p)
+	}
+	return w
+}
+
+// noticesFromWire leaves out what is outside the bounds.
+func noticesFromWire(now time.Time, list []*peerpb.Notice) []placement.Notice {
+	var notices []placement.Notice
+	for _, p := range list {
+		age := time.Duration(p.GetAgeMs()) * time.Millisecond
+		whole := p.GetLost() || len(p.GetKey()) == prefix.KeySize
+		if !whole || age > maxNoticeAge || len(p.GetEndpoint()) > neighbour.MaxEndpointID {
+			continue
+		}
+		n := placement.Notice{
+			Endpoint:    fleet.EndpointID(p.GetEndpoint()),
+			Incarnation: fleet.Incarnation(p.GetIncarnation()),
+			Lost:        p.GetLost(),
+			At:          now.Add(-age),
+		}
+		copy(n.Key[:], p.GetKey())
+		notices = append(notices, n)
+	}
+	return notices
+}
--- /dev/null
+++ b/peer/notify_test.go
@@ -0,0 +1,40 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/merlindock/merlindock/peer/peerpb"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+func TestNoticesKeepTheirAgeOnTheWay(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	notices := []placement.Notice{
+		{Key: prefix.Key{1, 2}, Endpoint: "r1", Incarnation: 7, At: sent.Add(-30 * time.Millisecond)},
+		{Endpoint: "r2", Incarnation: 8, Lost: true, At: sent},
+	}
+	got := noticesFromWire(sent, noticesToWire(sent, "d1", notices).GetNotices())
+	if diff := cmp.Diff(notices, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A daemon of another release, or a faulty one, sends notices without a whole
+// key or from long ago. Taken over, they would send requests to a cache that
+// does not hold their prefix.
+func TestNoticesOutsideTheBoundsAreLeftOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []*peerpb.Notice{
+		{Endpoint: "r1", Key: []byte{1}},
+		{Endpoint: "r1"},
+		{Endpoint: "r1", Key: make([]byte, prefix.KeySize), AgeMs: 3_600_000},
+		{Endpoint: string(make([]byte, 1000)), Lost: true},
+	}
+	if got := noticesFromWire(now, list); len(got) != 0 {
+		t.Errorf("taken: %+v", got)
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/platform"
 )
 
@@ -54,6 +55,9 @@
 	// Heard takes the evidence and use that a neighbour told; times are by this
 	// daemon's clock.
 	Heard func(now time.Time, d neighbour.Digest)
+	// Notified takes another daemon's notices; times are by this daemon's
+	// clock. May be nil.
+	Notified func(from string, notices []placement.Notice)
 	// FetchManifest returns the accepted manifest of the given revision, for a
 	// neighbour. It may return a later one.
 	FetchManifest func(ctx context.Context, r neighbour.Revision) (Accepted, error)
@@ -192,6 +196,9 @@
 	if o.Heard == nil {
 		o.Heard = func(time.Time, neighbour.Digest) {}
 	}
+	if o.Notified == nil {
+		o.Notified = func(string, []placement.Notice) {}
+	}
 	if o.Life == 0 {
 		o.Life = uint64(time.Now().UnixNano())
 	}
