Name prefixes to engines, and have stand-ins tell what they cache

An engine could not say what it evicts: it did not know the keys that daemons place by, so a daemon counted on evicted prefixes until the belief had aged. Each model request now carries Merlin-Prefix, at most 64 key:tokens pairs in one string (one allocation, tested; round trip by a property). Stand-in runners stream stored, removed and cleared with sequence numbers, with delay and loss on command, and read the prompt's bytes as the daemon does, so that levels end on the same pieces. placement gets EventsLost for a stream that breaks. Nothing follows the events yet.

--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -107,6 +107,7 @@
 		Incarnation:    d.Incarnation,
 		ExpectedCached: d.ExpectedCached,
 		ImportFrom:     store,
+		Prefix:         prefix.Format(prefix.Shared(levels)),
 	}
 	expected := d.ExpectedFirst
 	p.Began = func(m engine.Metadata) { v.began(id, p.Endpoint, levels, m) }
--- a/engine/client.go
+++ b/engine/client.go
@@ -125,6 +125,7 @@
 	Resume        bool
 	ResumeFrom    int64  // index of the last token the caller has, with Resume
 	ImportFrom    string // KV store to import the prefix from; empty: none
+	Prefix        string // names of the prompt's levels, see prefix.Format; empty: none
 	Once          bool   // may not be repeated
 }
 
@@ -216,6 +217,7 @@
 	set(HeaderAdapter, a.Adapter)
 	set(HeaderPriority, a.Priority.String())
 	set(HeaderImportFrom, a.ImportFrom)
+	set(HeaderPrefix, a.Prefix)
 	set(HeaderDeadline, a.deadline())
 	resume := ""
 	if a.Resume {
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -14,6 +14,7 @@
 	HeaderDeadline      = "Merlin-Deadline-Ms"    // milliseconds left for the whole answer
 	HeaderResumeFrom    = "Last-Event-ID"         // index of the last token the caller has
 	HeaderImportFrom    = "Merlin-Import-From"    // KV store to import the prefix from
+	HeaderPrefix        = "Merlin-Prefix"         // names of the prompt's levels, see prefix.Format
 	HeaderFence         = "Merlin-Fence"          // fencing number of an order
 
 	// Sent with an answer.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -305,6 +305,7 @@
 		Resume:        resume,
 		ResumeFrom:    last,
 		ImportFrom:    p.ImportFrom,
+		Prefix:        p.Prefix,
 	}
 }
 
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -41,6 +41,7 @@
 	Incarnation    fleet.Incarnation
 	ExpectedCached int    // tokens expected in the endpoint's cache
 	ImportFrom     string // KV store to import the prefix from; empty: none
+	Prefix         string // names of the prompt's levels, for the engine; empty: none
 	// Began, unless nil, is called when the header of an answer is there, so
 	// that what it says of the cache counts while the answer still runs.
 	Began func(engine.Metadata)
--- a/lab/standin/cache.go
+++ b/lab/standin/cache.go
@@ -1,17 +1,34 @@
 package standin
 
-import "container/list"
+import (
+	"container/list"
+	"slices"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+// maxNames bounds the keys that one piece of a cache is known by.
+const maxNames = 8
 
 // pieceCache is a runner's cache of prompt pieces with eviction of the least
-// recently used.
+// recently used. A piece that ends a named level has that level's key.
 type pieceCache struct {
-	limit int
-	order *list.List // of uint64 keys, the most recently used first
-	index map[uint64]*list.Element
+	limit   int
+	order   *list.List // of uint64 keys, the most recently used first
+	index   map[uint64]*list.Element
+	names   map[uint64][]prefix.Key
+	changed func(kind string, key prefix.Key)
 }
 
-func newPieceCache(limit int) *pieceCache {
-	return &pieceCache{limit: limit, order: list.New(), index: make(map[uint64]*list.Element)}
+func newPieceCache(limit int, changed func(kind string, key prefix.Key)) *pieceCache {
+	return &pieceCache{
+		limit:   limit,
+		order:   list.New(),
+		index:   make(map[uint64]*list.Element),
+		names:   make(map[uint64][]prefix.Key),
+		changed: changed,
+	}
 }
 
 func (c *pieceCache) size() int { return c.order.Len() }
@@ -35,7 +52,24 @@
 	}
 	c.index[key] = c.order.PushFront(key)
 	for c.order.Len() > c.limit {
-		oldest := c.order.Back()
-		delete(c.index, c.order.Remove(oldest).(uint64))
+		c.evict(c.order.Remove(c.order.Back()).(uint64))
+	}
+}
+
+func (c *pieceCache) evict(key uint64) {
+	delete(c.index, key)
+	for _, name := range c.names[key] {
+		c.changed(engine.CacheRemoved, name)
+	}
+	delete(c.names, key)
+}
+
+// name notes that a level ends with the piece.
+func (c *pieceCache) name(piece uint64, key prefix.Key) {
+	names := c.names[piece]
+	if c.index[piece] == nil || len(names) == maxNames || slices.Contains(names, key) {
+		return
 	}
+	c.names[piece] = append(names, key)
+	c.changed(engine.CacheStored, key)
 }
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -7,8 +7,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,6 +17,7 @@
 
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/prefix"
 )
 
 // Defaults of a runner.
@@ -67,6 +68,9 @@
 	faults      []Fault
 	stats       RunnerStats
 	weights     []fleet.Weights // reported in its load, see TakeOrders
+	events      *eventLog
+	eventFaults EventFaults
+	eventRand   *rand.Rand
 }
 
 // RunnerStats is what a runner has done since it was made.
@@ -94,6 +98,7 @@
 	r.mux.HandleFunc("POST /v1/chat/completions", r.complete)
 	r.mux.HandleFunc("POST /v1/completions", r.complete)
 	r.mux.HandleFunc("GET "+engine.PathLoad, r.serveLoad)
+	r.mux.HandleFunc("GET "+engine.PathEvents, r.serveEvents)
 	return r
 }
 
@@ -110,7 +115,8 @@
 	r.incarnation++
 	r.alive, r.kill = context.WithCancel(context.Background())
 	r.down = false
-	r.cache = newPieceCache(r.o.CachePieces)
+	r.events = newEventLog(r.incarnation)
+	r.cache = newPieceCache(r.o.CachePieces, r.events.add)
 }
 
 // Crash breaks off all answers and refuses connections until Restart.
@@ -142,7 +148,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version = version
-	r.cache = newPieceCache(r.o.CachePieces)
+	r.cache = newPieceCache(r.o.CachePieces, r.events.add)
+	r.events.add(engine.CacheCleared, prefix.Key{})
 }
 
 // Incarnation returns the runner's present incarnation.
@@ -205,6 +212,7 @@
 	ctx     context.Context
 	body    completionRequest
 	prompt  []byte
+	levels  []prefix.Level
 	fault   Fault
 	first   int // index of the first token to send
 	last    int // index of the last token
@@ -217,17 +225,12 @@
 type completionRequest struct {
 	Model     string          `json:"model"`
 	Stream    bool            `json:"stream"`
-	Messages  []chatMessage   `json:"messages"`
+	Messages  json.RawMessage `json:"messages"`
 	Prompt    json.RawMessage `json:"prompt"`
 	MaxTokens int             `json:"max_tokens"`
 	Seed      int64           `json:"seed"`
 }
 
-type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
 func (r *Runner) complete(w http.ResponseWriter, req *http.Request) {
 	j := &job{r: r, w: w, req: req}
 	if !j.read() || !j.begin() {
@@ -260,12 +263,11 @@
 		http.Error(j.w, `{"error":{"message":"bad body"}}`, http.StatusBadRequest)
 		return false
 	}
-	var prompt bytes.Buffer
-	for _, m := range j.body.Messages {
-		fmt.Fprintf(&prompt, "%s\n%s\n", m.Role, m.Content)
+	// The same bytes as the daemon counts, so that its levels end where they do.
+	j.prompt = append(bytes.Trim(j.body.Messages, "[]"), j.body.Prompt...)
+	if !j.r.o.Plain {
+		j.levels, _ = prefix.Parse(j.req.Header.Get(engine.HeaderPrefix))
 	}
-	prompt.Write(j.body.Prompt)
-	j.prompt = prompt.Bytes()
 	j.last = j.r.o.AnswerTokens - 1
 	if j.body.MaxTokens > 0 {
 		j.last = j.body.MaxTokens - 1
@@ -302,7 +304,13 @@
 		r.stats.Requests++
 		r.stats.Attempts[j.req.Header.Get(engine.HeaderAttempt)]++
 		tokens := len(j.prompt)/r.o.BytesPerToken + 1
-		j.cached = r.cache.hits(j.pieces()) * r.o.PieceTokens
+		pieces := j.pieces()
+		j.cached = r.cache.hits(pieces) * r.o.PieceTokens
+		for _, l := range j.levels {
+			if n := l.Tokens / r.o.PieceTokens; n > 0 && n <= len(pieces) {
+				r.cache.name(pieces[n-1], l.Key)
+			}
+		}
 		r.stats.PromptTokens += tokens
 		r.stats.CachedTokens += j.cached
 	}
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -54,6 +54,13 @@
 	s.view.LoadReported(id, l)
 }
 
+// EventsLost is View.EventsLost.
+func (s *Shared) EventsLost(id fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.EventsLost(id)
+}
+
 // CacheEvents is View.CacheEvents.
 func (s *Shared) CacheEvents(b EventBatch) {
 	s.mu.Lock()
--- a/placement/view.go
+++ b/placement/view.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// EventsLost notes that an endpoint's events cannot be followed for now, so
+// that what they said counts by its age, as after a hole in the sequence.
+//
+// Nothing else shows it: with no event there is no hole to see, and a daemon
+// whose stream broke would go on counting on prefixes evicted since.
+func (v *View) EventsLost(id fleet.EndpointID) {
+	e := v.endpointOf(id)
+	if e == nil || !e.follows {
+		return
+	}
+	e.follows, e.nextSeq = false, 0
+	e.gaps++
+}
+
 // CacheEvents takes events of one endpoint. A hole in the sequence makes all
 // that events said of that endpoint uncertain, not absent and not present: it
 // then counts as what an answer said, by its age.
--- /dev/null
+++ b/prefix/wire.go
@@ -0,0 +1,80 @@
+package prefix
+
+import (
+	"encoding/hex"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Bounds of the text that names a prompt's levels to an engine. Engines refuse
+// requests whose header is over some 8 to 16 KiB; this leaves most of it.
+const (
+	MaxNamed      = 64 // levels, the outermost ones
+	MaxNamedBytes = MaxNamed * (2*KeySize + 1 + maxTokenDigits + 1)
+
+	maxTokenDigits = 9
+	maxNamedTokens = 999_999_999
+)
+
+// ErrLevels reports text that does not name levels.
+var ErrLevels = errors.New("prefix: levels are written as key:tokens,key:tokens with rising tokens")
+
+// Format names levels as "key:tokens,key:tokens", outermost first, at most
+// MaxNamed of them. It allocates the text and nothing else.
+func Format(levels []Level) string {
+	if len(levels) == 0 {
+		return ""
+	}
+	levels = levels[:min(len(levels), MaxNamed)]
+	var b strings.Builder
+	var digits [2 * KeySize]byte
+	b.Grow(len(levels) * (len(digits) + 1 + len("123456,")))
+	for i := range levels {
+		if levels[i].Tokens > maxNamedTokens {
+			break
+		}
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		hex.Encode(digits[:], levels[i].Key[:])
+		b.Write(digits[:])
+		b.WriteByte(':')
+		b.Write(strconv.AppendInt(digits[:0], int64(levels[i].Tokens), 10))
+	}
+	return b.String()
+}
+
+// Parse reads what Format wrote. It returns ErrLevels or ErrKey for other text.
+func Parse(text string) ([]Level, error) {
+	if text == "" {
+		return nil, nil
+	}
+	if len(text) > MaxNamedBytes {
+		return nil, ErrLevels
+	}
+	var levels []Level
+	for part := range strings.SplitSeq(text, ",") {
+		key, count, _ := strings.Cut(part, ":")
+		var l Level
+		if err := l.Key.UnmarshalText([]byte(key)); err != nil {
+			return nil, err
+		}
+		n, err := strconv.Atoi(count)
+		if err != nil || n < 0 || n > maxNamedTokens || len(levels) == MaxNamed {
+			return nil, ErrLevels
+		}
+		if len(levels) > 0 && n < levels[len(levels)-1].Tokens {
+			return nil, ErrLevels
+		}
+		l.Tokens = n
+		levels = append(levels, l)
+	}
+	return levels, nil
+}
+
+// Shared returns the leading levels worth remembering. The last one is the
+// question, which only this request has.
+func Shared(levels []Level) []Level {
+	return levels[:max(len(levels)-1, min(len(levels), 1))]
+}
