Split the fleet's view, list adopted manifests, and load from a shell

Trying the tools as processes showed two faults: the history of manifests was empty on a daemon that had published itself, since a proof is no folded record, and the load tool measured no gap between tokens, since it looked only whether the data line had to be waited for and not the line with its number.

--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -82,6 +82,7 @@
 		newDemo(s),
 		newReplay(s),
 		newCapacity(s),
+		newLoad(s),
 		newStandin(s),
 		newVersion(s),
 	}
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -6,9 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/merlindock/merlindock/catalog"
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
@@ -50,6 +47,9 @@
 	shares   map[string][]rollout.Share
 	weights  map[fleet.EndpointID][]fleet.Weights
 	gates    map[fleet.EndpointID]placement.Gate
+	all      []fleet.Member // as of the last refresh, by id
+	usable   []fleet.Member // of those, the ones that may get new work
+	failing  []fleet.EndpointID
 	places   map[fleet.EndpointID]fleet.Endpoint
 
 	healthMu sync.Mutex
@@ -59,12 +59,6 @@
 	ids     requestIDs
 }
 
-// capacity is what the runners of a model can take.
-type capacity struct {
-	endpoints int
-	slots     int
-}
-
 func newFleetView(d *Daemon, client *engine.Client) *fleetView {
 	s := d.o.Settings
 	v := &fleetView{
@@ -184,7 +178,7 @@
 		v.members.Asked(now, probes[i].ID)
 	}
 	v.refresh()
-	loads := v.loads(now)
+	loads := v.loads()
 	v.mu.Unlock()
 	for model, l := range loads {
 		v.daemon.admission.setLoad(model, l.requests, l.slots)
@@ -237,239 +231,6 @@
 	v.healthMu.Unlock()
 }
 
-// refresh brings pools and gates in line with the membership. The caller holds
-// the lock.
-func (v *fleetView) refresh() {
-	if v.manifest == nil {
-		return
-	}
-	now := v.now()
-	all := v.members.All(now)
-	v.refreshGates(now, all)
-	if !v.dirty {
-		return
-	}
-	v.dirty = false
-	v.refreshPools(all)
-	v.setStore(all)
-}
-
-// refreshPools works out which endpoints serve what. Leaving ones are in no
-// pool; those that fail stay in theirs, so that they find their own prefixes
-// again when they return.
-func (v *fleetView) refreshPools(all []fleet.Member) {
-	staying := make([]fleet.Member, 0, len(all))
-	for i := range all {
-		if !all[i].Leaving {
-			staying = append(staying, all[i])
-		}
-	}
-	v.capacity = map[string]capacity{}
-	v.shares = map[string][]rollout.Share{}
-	for i := range v.manifest.Models {
-		model := v.manifest.Models[i].ID
-		shares := rollout.Shares(v.manifest, model, staying)
-		v.shares[model] = shares
-		for _, s := range shares {
-			v.setPool(modelPool(model, s.Version), s.Endpoints)
-			c := v.capacity[model]
-			c.endpoints += len(s.Endpoints)
-			v.capacity[model] = c
-		}
-	}
-	v.countSlots(staying)
-	v.refreshServices(staying)
-}
-
-// countSlots adds up the batch slots behind each model.
-func (v *fleetView) countSlots(staying []fleet.Member) {
-	slots := make(map[fleet.EndpointID]int, len(staying))
-	for i := range staying {
-		m := &staying[i]
-		slots[m.ID] = m.Load.Slots
-		if m.Load.Slots == 0 {
-			slots[m.ID] = v.daemon.o.Settings.Routing.RunnerSlots
-		}
-	}
-	for model, shares := range v.shares {
-		c := v.capacity[model]
-		for _, s := range shares {
-			for i := range s.Endpoints {
-				c.slots += slots[s.Endpoints[i].ID]
-			}
-		}
-		v.capacity[model] = c
-	}
-}
-
-func (v *fleetView) refreshServices(staying []fleet.Member) {
-	for i := range v.manifest.Services {
-		class := v.manifest.Services[i].Class
-		var members []fleet.Endpoint
-		for j := range staying {
-			if staying[j].Class == class {
-				members = append(members, staying[j].Endpoint)
-			}
-		}
-		v.setPool(classPool(class), members)
-	}
-}
-
-// poolLoad is how full the endpoints of one model say they are.
-type poolLoad struct {
-	requests int
-	slots    int
-}
-
-// loads adds up the load reports behind each model. The caller holds the lock.
-func (v *fleetView) loads(now time.Time) map[string]poolLoad {
-	reports := map[fleet.EndpointID]fleet.Load{}
-	for _, m := range v.members.All(now) {
-		reports[m.ID] = m.Load
-	}
-	sums := make(map[string]poolLoad, len(v.shares))
-	for model, shares := range v.shares {
-		sum := poolLoad{}
-		for _, s := range shares {
-			for i := range s.Endpoints {
-				l := reports[s.Endpoints[i].ID]
-				if l.Slots > 0 {
-					sum.requests += l.Running + l.Waiting
-					sum.slots += l.Slots
-				}
-			}
-		}
-		sums[model] = sum
-	}
-	return sums
-}
-
-func modelPool(model, version string) string { return "model/" + model + "@" + version }
-func classPool(class string) string          { return "class/" + class }
-
-// setPool hands placement the members of a pool when they have changed.
-func (v *fleetView) setPool(name string, members []fleet.Endpoint) {
-	before, known := v.pools[name]
-	if known && slices.Equal(before, members) {
-		return
-	}
-	v.pools[name] = members
-	v.placement.SetPool(name, members)
-}
-
-// bind implements the gateway's choice of a weight version: while a rollout is
-// under way some runners serve the old version and some the new one.
-func (v *fleetView) bind(org contract.OrganisationID, t catalog.Target, firstLevel []byte) catalog.Target {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(org) + "|" + t.Model + "|")
-	_, _ = d.Write(firstLevel)
-	v.mu.Lock()
-	shares := v.shares[t.Model]
-	v.mu.Unlock()
-	if s, ok := rollout.Bind(shares, t.Version, d.Sum64()); ok {
-		t.Version = s.Version
-	}
-	return t
-}
-
-// refreshGates closes the gates of endpoints that leave or fail.
-func (v *fleetView) refreshGates(now time.Time, all []fleet.Member) {
-	clear(v.places)
-	usable := map[fleet.EndpointID]bool{}
-	for _, m := range v.members.Usable(now) {
-		usable[m.ID] = true
-	}
-	v.healthMu.Lock()
-	bad := v.health.AppendUnusable(now, nil)
-	v.healthMu.Unlock()
-	failing := make(map[fleet.EndpointID]bool, len(bad))
-	for _, id := range bad {
-		failing[id] = true
-	}
-	for i := range all {
-		m := &all[i]
-		v.places[m.ID] = m.Endpoint
-		gate := placement.GateOpen
-		switch {
-		case m.Leaving:
-			gate = placement.GateDraining
-		case failing[m.ID] || !usable[m.ID]:
-			gate = placement.GateEjected
-		}
-		if before, ok := v.gates[m.ID]; !ok || before != gate {
-			v.gates[m.ID] = gate
-			v.placement.SetGate(m.ID, gate)
-		}
-	}
-	for id := range v.gates {
-		if _, ok := v.places[id]; !ok {
-			delete(v.gates, id)
-			delete(v.weights, id)
-		}
-	}
-}
-
-// setStore names the KV store to import from: the first usable one of the own
-// zone, or else of any.
-func (v *fleetView) setStore(all []fleet.Member) {
-	var chosen fleet.EndpointID
-	for i := range all {
-		m := &all[i]
-		if m.Leaving || m.Doubtful || !v.isStore(m.Class) {
-			continue
-		}
-		if chosen == "" || m.Zone == v.daemon.o.Settings.Daemon.Zone {
-			chosen = m.ID
-		}
-	}
-	v.placement.SetStore(chosen)
-}
-
-func (v *fleetView) isStore(class string) bool {
-	for i := range v.manifest.Classes {
-		if v.manifest.Classes[i].ID == class {
-			return v.manifest.Classes[i].Kind == fleet.KindStore
-		}
-	}
-	return false
-}
-
-// news is what the neighbours are told of endpoints.
-func (v *fleetView) news(now time.Time) []fleet.Evidence {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.members.News(now, newsWithin, newsLimit)
-}
-
-// notify tells the other daemons where cold prefixes went, so that the next
-// question on the same document follows to the same endpoint.
-func (v *fleetView) notify() {
-	notices := v.placement.Notices(nil)
-	if v.daemon.peers.Notify(v.now(), notices) > 0 {
-		v.daemon.metrics.Scope.Counter("notices_sent").Inc(int64(len(notices)))
-	}
-}
-
-// notified takes another daemon's notices.
-func (v *fleetView) notified(_ string, notices []placement.Notice) {
-	v.placement.Heard(notices)
-	v.daemon.metrics.Scope.Counter("notices_heard").Inc(int64(len(notices)))
-}
-
-// hearsay takes what a neighbour heard of endpoints.
-func (v *fleetView) hearsay(now time.Time, es []fleet.Evidence) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.told(v.members.Hearsay(now, es))
-}
-
-// capacityOf returns what the runners of a model can take.
-func (v *fleetView) capacityOf(model string) capacity {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.capacity[model]
-}
-
 // known tells whether there is any endpoint to serve from.
 func (v *fleetView) known() bool {
 	v.mu.Lock()
--- /dev/null
+++ b/daemon/news.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/placement"
+)
+
+// news is what the neighbours are told of endpoints.
+func (v *fleetView) news(now time.Time) []fleet.Evidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members.News(now, newsWithin, newsLimit)
+}
+
+// notify tells the other daemons where cold prefixes went, so that the next
+// question on the same document follows to the same endpoint.
+func (v *fleetView) notify() {
+	notices := v.placement.Notices(nil)
+	if v.daemon.peers.Notify(v.now(), notices) > 0 {
+		v.daemon.metrics.Scope.Counter("notices_sent").Inc(int64(len(notices)))
+	}
+}
+
+// notified takes another daemon's notices.
+func (v *fleetView) notified(_ string, notices []placement.Notice) {
+	v.placement.Heard(notices)
+	v.daemon.metrics.Scope.Counter("notices_heard").Inc(int64(len(notices)))
+}
+
+// hearsay takes what a neighbour heard of endpoints.
+func (v *fleetView) hearsay(now time.Time, es []fleet.Evidence) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.told(v.members.Hearsay(now, es))
+}
--- a/daemon/system.go
+++ b/daemon/system.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -58,24 +61,40 @@
 	return admin.Revision{Offset: r.Offset, Digest: string(r.Digest)}
 }
 
-// History implements admin.System.
+// History implements admin.System. A manifest that came with a proof, from a
+// neighbour or from publishing it here, was never folded as a record; it is
+// listed by its acceptance.
 func (s *system) History() []admin.Publication {
-	list := []admin.Publication{}
+	byOffset := map[platform.Offset]admin.Publication{}
+	if proof, ok := s.manifests.Proof(); ok {
+		for _, a := range proof.Recent {
+			byOffset[a.Offset] = admin.Publication{
+				Outcome:  admin.OutcomeAccepted,
+				Revision: admin.Revision{Offset: a.Offset, Digest: string(a.Digest)},
+				Base:     a.Base,
+			}
+		}
+	}
 	for _, d := range s.manifests.Status().History {
-		if d.Kind != ledger.KindManifest {
-			continue
+		if d.Kind == ledger.KindManifest || d.Kind == ledger.KindSection {
+			byOffset[d.Offset] = shownDecision(d)
 		}
-		list = append(list, admin.Publication{
-			Outcome:   admin.Outcome(d.Outcome),
-			Revision:  admin.Revision{Offset: d.Offset, Digest: string(d.Digest)},
-			Base:      d.Base,
-			RefusedBy: refusedBy(d.Outcome != ledger.Accepted, d.By),
-			Reason:    string(d.Reason),
-		})
 	}
+	list := slices.Collect(maps.Values(byOffset))
+	slices.SortFunc(list, func(a, b admin.Publication) int { return cmp.Compare(a.Revision.Offset, b.Revision.Offset) })
 	return list
 }
 
+func shownDecision(d ledger.Decision) admin.Publication {
+	return admin.Publication{
+		Outcome:   admin.Outcome(d.Outcome),
+		Revision:  admin.Revision{Offset: d.Offset, Digest: string(d.Digest)},
+		Base:      d.Base,
+		RefusedBy: refusedBy(d.Outcome != ledger.Accepted, d.By),
+		Reason:    string(d.Reason),
+	}
+}
+
 func refusedBy(refused bool, by platform.Offset) platform.Offset {
 	if refused {
 		return by
--- a/lab/capacity/parts.go
+++ b/lab/capacity/parts.go
@@ -224,9 +224,10 @@
 func membershipUsable() Slope {
 	return measure("work out the usable endpoints", "endpoints", "ns", endpointSizes, func(size int) float64 {
 		m := membershipOf(size)
+		var kept []fleet.Member
 		return nanoseconds(func(n int) {
 			for range n {
-				m.Usable(epoch)
+				kept = m.AppendUsable(kept[:0], epoch)
 			}
 		})
 	})
--- a/lab/demo/steps.go
+++ b/lab/demo/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
@@ -305,7 +306,30 @@
 	if err != nil {
 		return p, err
 	}
-	p.Held = a.Outcome == admin.OutcomeAccepted && b.Outcome == admin.OutcomeRefused && b.RefusedBy == a.Revision.Offset
+	listed, err := historyOf(ctx, s.cluster.Nodes[1])
+	if err != nil {
+		return p, err
+	}
+	p.Held = listed >= 2 && a.Outcome == admin.OutcomeAccepted && b.Outcome == admin.OutcomeRefused && b.RefusedBy == a.Revision.Offset
 	p.Seen = fmt.Sprintf("two operators against manifest 1: %s, then %s by manifest %d", a.Outcome, b.Outcome, b.RefusedBy)
 	return p, nil
 }
+
+// historyOf is how many accepted manifests a daemon lists.
+func historyOf(ctx context.Context, n *world.Node) (int, error) {
+	text, err := n.Admin().Get(ctx, "/v1/manifest/history")
+	if err != nil {
+		return 0, err
+	}
+	var list []admin.Publication
+	if err := json.Unmarshal(text, &list); err != nil {
+		return 0, err
+	}
+	accepted := 0
+	for _, p := range list {
+		if p.Outcome == admin.OutcomeAccepted {
+			accepted++
+		}
+	}
+	return accepted, nil
+}
--- a/lab/load/call.go
+++ b/lab/load/call.go
@@ -81,8 +81,9 @@
 // read reads the events up to the end marker.
 func (c *call) read(began time.Time) string {
 	last := began
+	waited := false // for a line since the last token, such as the one with its number
 	for {
-		waits := c.reader.Buffered() == 0
+		waited = waited || c.reader.Buffered() == 0
 		line, err := c.reader.ReadSlice('\n')
 		c.bytes += len(line)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
@@ -102,10 +103,10 @@
 		now := time.Now()
 		if c.tokens == 0 {
 			c.first = now.Sub(began)
-		} else if waits {
+		} else if waited {
 			c.gaps = append(c.gaps, now.Sub(last))
 		}
-		last = now
+		last, waited = now, false
 		c.tokens++
 	}
 }
