Ask neighbours for a proof while records of the log are missing

Cause: neighbours announce only newer manifests, so a daemon that had been cut off past the retention could not decide, nor publish, until the next checkpoint, up to half the retention later. Change: a daemon with a gap asks a neighbour every ten seconds and takes the proof over.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -190,6 +190,7 @@
 	g.Go(func() error { return d.peers.Run(ctx) })
 	g.Go(func() error { return d.claimer.run(ctx) })
 	g.Go(func() error { return d.orders.run(ctx) })
+	g.Go(func() error { return d.closeGaps(ctx) })
 	g.Go(func() error {
 		d.bootstrap(ctx)
 		return nil
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -25,6 +25,7 @@
 const (
 	bootstrapFirst = 5 * time.Millisecond
 	bootstrapEvery = 250 * time.Millisecond
+	gapLook        = 10 * time.Second // between looks whether records were missed
 )
 
 // daemonList is the newest list of daemons. An empty one never replaces it.
@@ -171,6 +172,26 @@
 	}
 }
 
+// closeGaps asks the neighbours for a proof while records of the log are
+// missing here. Neighbours announce only what is newer; without asking, a daemon
+// that was cut off past the retention could not publish until the next
+// checkpoint, hours later.
+func (d *Daemon) closeGaps(ctx context.Context) error {
+	ticker := time.NewTicker(gapLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if d.manifests.NeedsProof() {
+			// Without an answer the next look asks again.
+			_, _ = d.peers.Bootstrap(ctx)
+		}
+	}
+}
+
 // usage writes the organisations' use of each pool for the neighbours, as many
 // pools as fit.
 func (a *admission) usage(now time.Time, leaving bool) []byte {
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -70,6 +70,14 @@
 	return m.state.InForce()
 }
 
+// NeedsProof tells whether records expired before they were read here, so that
+// only a checkpoint or a neighbour's proof lets this daemon decide again.
+func (m *Manifests) NeedsProof() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.state.Decided() && !m.state.Behind()
+}
+
 // Proof returns what a neighbour needs to take the manifest in force over.
 func (m *Manifests) Proof() (ledger.Checkpoint, bool) {
 	m.mu.Lock()
