--- a/contract/admission_test.go
+++ b/contract/admission_test.go
@@ -15,6 +15,7 @@
 
 func newAdmission(t testing.TB, opts Options, slots int, shares ...Share) *Admission {
 	t.Helper()
+	opts.FirstCost = orDefault(opts.FirstCost, 1) // what is asked is what is charged
 	a := NewAdmission(opts)
 	a.SetContract(epoch, shares)
 	a.SetCapacity(epoch, 1000, slots)
@@ -144,7 +145,7 @@
 			if a.Queued() > 10 || a.Running() > slots+overcommit(slots) {
 				t.Fatalf("bounds: %d queued, %d running", a.Queued(), a.Running())
 			}
-			if a.Queued() > 0 && a.hasPlace(false) {
+			if a.Queued() > 0 && a.pick() != nil {
 				t.Fatal("requests wait beside a free place")
 			}
 		}
