Write the operators' page and wire or drop every setting

Cause: five settings were registered and read by nobody (peers.neighbours, claims.result-bytes, claims.entries, routing.load-interval, daemon.region), and two log prefixes were never written.

Change: the load interval and the zones a zone is linked with reach their parts, the other settings are gone; requests with an unknown outcome and the platform's log going down or coming back are logged; gauges of the daemon's own state. docs/OPERATING.md with settings, API, metrics, prefixes and what to look at; a test fails when the page lacks a setting.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,7 +121,7 @@
 		Admitter:  d.admission,
 		Claimer:   d.claimer,
 		Retry:     d.retries,
-		Observer:  newObserver(d.metrics.Scope),
+		Observer:  newObserver(d.metrics.Scope, d.o.Logs.For(logging.PartGateway)),
 		Drainer:   d.drainer,
 		Limits: gateway.Limits{
 			BodyBytes:      s.BodyBytes,
@@ -189,6 +189,7 @@
 	g.Go(func() error { return d.fleet.run(ctx) })
 	g.Go(func() error { return d.peers.Run(ctx) })
 	g.Go(func() error { return d.claimer.run(ctx) })
+	g.Go(func() error { return d.watch(ctx) })
 	g.Go(func() error { return d.orders.run(ctx) })
 	g.Go(func() error { return d.closeGaps(ctx) })
 	g.Go(func() error {
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -66,7 +66,7 @@
 		client:  client,
 		log:     d.o.Logs.For(logging.PartFleet),
 		now:     d.o.Now,
-		members: fleet.NewMembership(fleet.MembershipOptions{}),
+		members: fleet.NewMembership(fleet.MembershipOptions{ProbeAfter: s.Routing.LoadInterval}),
 		pools:   map[string][]fleet.Endpoint{},
 		gates:   map[fleet.EndpointID]placement.Gate{},
 		weights: map[fleet.EndpointID][]fleet.Weights{},
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -5,12 +5,14 @@
 
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/telemetry"
 )
 
 // observer turns reports of requests into metrics.
 type observer struct {
 	scope      tally.Scope
+	log        *logging.Logger
 	priorities [contract.PriorityCount]priorityMetrics
 	crossed    tally.Counter
 	duplicates tally.Counter
@@ -28,9 +30,10 @@
 	duration   tally.Histogram
 }
 
-func newObserver(scope tally.Scope) *observer {
+func newObserver(scope tally.Scope, log *logging.Logger) *observer {
 	o := &observer{
 		scope:      scope,
+		log:        log,
 		crossed:    scope.Counter("answers_crossed"),
 		duplicates: scope.Counter("tokens_duplicate"),
 		resumes:    scope.Counter("streams_resumed"),
@@ -65,6 +68,7 @@
 	if r.Code != "" {
 		tags := map[string]string{"code": r.Code, "outcome": string(r.Outcome)}
 		o.scope.Tagged(tags).Counter("requests_failed").Inc(1)
+		o.failed(r)
 		return
 	}
 	m := &o.priorities[r.Priority]
@@ -78,6 +82,17 @@
 	}
 }
 
+// failed logs a request that may have run without an answer: its caller needs
+// help to learn what became of it. Refusals are counted only, since in an
+// overload their lines would cost more than the refusals.
+func (o *observer) failed(r *gateway.Report) {
+	if r.Outcome != gateway.OutcomeUnknown {
+		return
+	}
+	o.log.Warn("Outcome of a request is unknown.", "request", r.ID, "organisation", string(r.Organisation),
+		"service", r.Service, "model", r.Model, "code", r.Code, "attempts", r.Attempts, "caller_left", r.CallerLeft)
+}
+
 // Attempt counts one attempt that ended.
 func (o *observer) Attempt(_ *gateway.PlaceRequest, _ *gateway.Placement, res *gateway.Result) {
 	o.scope.Tagged(map[string]string{"outcome": attemptNames[res.Outcome]}).Counter("attempts").Inc(1)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -73,6 +73,7 @@
 		FetchManifest: d.fetchManifest,
 		Merge:         d.merge,
 		Observe:       d.observePeers,
+		Neighbours:    neighbour.Options{ZonePairs: s.Peers.ZonePairs},
 		Interval:      s.Peers.Interval,
 		CallTimeout:   s.Peers.Timeout,
 		Seed:          seedOf(s.Daemon.ID, d.life),
--- a/settings/check.go
+++ b/settings/check.go
@@ -10,7 +10,7 @@
 
 // Bounds of settings.
 const (
-	maxNeighbours = 64
+	maxZonePairs  = 8
 	maxPartitions = 4096
 	minInterval   = 10 * time.Millisecond
 )
@@ -104,7 +104,7 @@
 }
 
 func (c *checker) system(s Settings) {
-	c.within("peers.neighbours", int64(s.Peers.Neighbours), 1, maxNeighbours)
+	c.within("peers.zone-pairs", int64(s.Peers.ZonePairs), 1, maxZonePairs)
 	c.atLeast("peers.interval", s.Peers.Interval, minInterval)
 	c.atLeast("peers.timeout", s.Peers.Timeout, minInterval)
 	c.within("routing.prefixes", int64(s.Routing.Prefixes), 1, 1<<24)
@@ -115,8 +115,6 @@
 	c.within("routing.runner-slots", int64(s.Routing.RunnerSlots), 1, 1<<16)
 	c.atLeast("orders.lease", s.Orders.Lease, time.Second)
 	c.within("claims.partitions", int64(s.Claims.Partitions), 1, maxPartitions)
-	c.within("claims.result-bytes", int64(s.Claims.ResultBytes), 1, 1<<20)
-	c.within("claims.entries", int64(s.Claims.Entries), 1, 1<<24)
 	c.atLeast("drain.balancer-lag", s.Drain.BalancerLag, 0)
 	c.atLeast("drain.max-wait", s.Drain.MaxWait, 0)
 }
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -11,13 +11,11 @@
 	defaultHeaderBytes  = 32 << 10
 	defaultStreamBytes  = 64 << 20
 	defaultOpenStreams  = 12000
-	defaultNeighbours   = 6
+	defaultZonePairs    = 2
 	defaultPrefixes     = 200_000
 	defaultRunnerTokens = 8000
 	defaultRunnerSlots  = 16
 	defaultPartitions   = 1
-	defaultResultBytes  = 64 << 10
-	defaultEntries      = 100_000
 )
 
 // register adds one flag for each setting. The flag's name is "section.key" of
@@ -34,7 +32,6 @@
 func registerPlace(fs *flag.FlagSet, s *Settings) {
 	fs.StringVar(&s.Daemon.ID, "daemon.id", "", "name of this daemon, unique among the daemons")
 	fs.StringVar((*string)(&s.Daemon.Zone), "daemon.zone", "", "availability zone of this VM")
-	fs.StringVar(&s.Daemon.Region, "daemon.region", "", "region of this VM")
 	fs.StringVar(&s.Listen.Callers, "listen.callers", "127.0.0.1:8080", "IP:port for callers")
 	fs.StringVar(&s.Listen.Admin, "listen.admin", "127.0.0.1:8081", "IP:port of the administration API")
 	fs.StringVar(&s.Listen.Peers, "listen.peers", "127.0.0.1:8082", "IP:port for other daemons")
@@ -54,19 +51,17 @@
 }
 
 func registerSystem(fs *flag.FlagSet, s *Settings) {
-	fs.IntVar(&s.Peers.Neighbours, "peers.neighbours", defaultNeighbours, "daemons to exchange digests with")
+	fs.IntVar(&s.Peers.ZonePairs, "peers.zone-pairs", defaultZonePairs, "other zones on each side that a zone is linked with")
 	fs.DurationVar(&s.Peers.Interval, "peers.interval", time.Second, "between exchanges with one neighbour")
 	fs.DurationVar(&s.Peers.Timeout, "peers.timeout", time.Second, "for one exchange")
 	fs.IntVar(&s.Routing.Prefixes, "routing.prefixes", defaultPrefixes, "prefixes remembered at most")
-	fs.DurationVar(&s.Routing.LoadInterval, "routing.load-interval", time.Second, "between load reports of one endpoint")
+	fs.DurationVar(&s.Routing.LoadInterval, "routing.load-interval", time.Second, "silence of an endpoint after which it is asked for its load")
 	fs.Float64Var(&s.Routing.RunnerTokens, "routing.runner-tokens", defaultRunnerTokens, "prompt tokens a second that a runner prefills")
 	fs.IntVar(&s.Routing.RunnerSlots, "routing.runner-slots", defaultRunnerSlots, "requests that a runner serves at once")
 	fs.BoolVar(&s.Orders.Enabled, "orders.enabled", true, "whether this daemon may give orders to endpoints")
 	fs.DurationVar(&s.Orders.Lease, "orders.lease", 15*time.Second, "length of the lease on giving orders")
 	fs.IntVar(&s.Claims.Partitions, "claims.partitions", defaultPartitions, "log streams that claims are spread over")
 	fs.DurationVar(&s.Claims.BatchDelay, "claims.batch-delay", 5*time.Millisecond, "longest wait to share an append")
-	fs.IntVar(&s.Claims.ResultBytes, "claims.result-bytes", defaultResultBytes, "longest result kept for a repeat")
-	fs.IntVar(&s.Claims.Entries, "claims.entries", defaultEntries, "claims remembered at most")
 	fs.DurationVar(&s.Drain.BalancerLag, "drain.balancer-lag", 5*time.Second, "how long the balancer may still send requests")
 	fs.DurationVar(&s.Drain.MaxWait, "drain.max-wait", 10*time.Minute, "longest wait for open streams")
 	fs.StringVar(&s.Admin.TokenFile, "admin.token-file", "", "file with the bearer token of the administration API")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,9 +34,8 @@
 
 // Daemon says which daemon this is.
 type Daemon struct {
-	ID     string       // unique among the daemons
-	Zone   fleet.ZoneID // availability zone of this VM
-	Region string       // region of this VM
+	ID   string       // unique among the daemons
+	Zone fleet.ZoneID // availability zone of this VM
 }
 
 // Listen holds the addresses to listen on, as IP:port.
@@ -66,15 +65,15 @@
 
 // Peers tells how daemons exchange digests.
 type Peers struct {
-	Neighbours int           // how many other daemons to exchange digests with
-	Interval   time.Duration // between two exchanges with one neighbour
-	Timeout    time.Duration // for one exchange
+	ZonePairs int           // other zones on each side that a zone is linked with
+	Interval  time.Duration // between two exchanges with one neighbour
+	Timeout   time.Duration // for one exchange
 }
 
 // Routing bounds what placement remembers.
 type Routing struct {
 	Prefixes     int           // remembered prefixes
-	LoadInterval time.Duration // between two load reports of one endpoint
+	LoadInterval time.Duration // silence of an endpoint after which it is asked for its load
 	RunnerTokens float64       // prompt tokens a second that one runner prefills
 	RunnerSlots  int           // requests that one runner serves at once
 }
@@ -87,10 +86,8 @@
 
 // Claims bounds what is kept of idempotent calls.
 type Claims struct {
-	Partitions  int           // streams of the log that claims are spread over
-	BatchDelay  time.Duration // longest wait for other claims to share an append
-	ResultBytes int           // longest result that is kept
-	Entries     int           // claims remembered at most
+	Partitions int           // streams of the log that claims are spread over
+	BatchDelay time.Duration // longest wait for other claims to share an append
 }
 
 // Drain tells how a daemon leaves.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -52,7 +53,7 @@
 	}{
 		{"unknown key", good + "\n[drain]\nbalancer_lag = 5s\n", nil, nil, []string{":11:", "drain.balancer_lag", "unknown"}},
 		{"wrong kind", good + "\n[drain]\nbalancer-lag = soon\n", nil, nil, []string{":11:", `"soon"`, "duration"}},
-		{"out of range", good + "\n[peers]\nneighbours = 0\n", nil, nil, []string{":11:", "1 to 64"}},
+		{"out of range", good + "\n[peers]\nzone-pairs = 0\n", nil, nil, []string{":11:", "1 to 8"}},
 		{"key outside a section", "id = d1\n" + good, nil, nil, []string{":1:", "unknown"}},
 		{"no zone", strings.Replace(good, "zone", "# zone", 1), nil, nil, []string{"daemon.zone", "is missing"}},
 		{"unknown variable", good, nil, []string{"MERLINDOCK_DAEMON_IDD=x"}, []string{"MERLINDOCK_DAEMON_IDD", "unknown"}},
@@ -76,6 +77,23 @@
 	}
 }
 
+// The page for operators names every setting: one that it lacks would be found
+// only by reading the code.
+func TestOperatorsPageNamesEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATING.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Settings
+	fs := flag.NewFlagSet("", flag.ContinueOnError)
+	register(fs, &s)
+	fs.VisitAll(func(f *flag.Flag) {
+		if !strings.Contains(string(page), "`"+f.Name+"`") {
+			t.Errorf("docs/OPERATING.md lacks %s", f.Name)
+		}
+	})
+}
+
 func FuzzLoad(f *testing.F) {
 	f.Add(good)
 	f.Add("[daemon\nid = 1")
