--- a/placement/shared.go
+++ b/placement/shared.go
@@ -61,6 +61,20 @@
 	s.view.CacheEvents(b)
 }
 
+// Notices is View.Notices.
+func (s *Shared) Notices(dst []Notice) []Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Notices(dst)
+}
+
+// Heard is View.Heard.
+func (s *Shared) Heard(all []Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Heard(all)
+}
+
 // Expire is View.Expire.
 func (s *Shared) Expire(now time.Time) {
 	s.mu.Lock()
