--- a/placement/place.go
+++ b/placement/place.go
@@ -40,7 +40,7 @@
 	homeSlack = 3.0
 	// crowdWeight counts the waiting that a prompt brings to those who come to
 	// the endpoint while it is prefilled there.
-	crowdWeight = 0.1
+	crowdWeight = 0.2
 	// homeShare is the part of one endpoint's prefill time that a prefix may
 	// take before it gets another home.
 	homeShare = 0.5
