--- a/claims/claims.go
+++ b/claims/claims.go
@@ -28,12 +28,14 @@
 const (
 	DefaultClaimTimeout = 2 * time.Second        // until a claim is read back
 	DefaultRepeatWait   = 5 * time.Second        // of a repeat for the first answer
-	DefaultPoll         = 200 * time.Millisecond // between reads while nothing is awaited
-	keyLen              = 36                     // of a key: a UUID in text
-	MaxKeys             = 1 << 18                // remembered in one partition
-	failuresDown        = 3                      // failed reads after which the log counts as down
-	retryAfter          = 5 * time.Second        // told to callers that were refused
-	marksPerWindow      = 4                      // marks of the layout in one window
+	DefaultPoll         = time.Second            // between reads while nothing is awaited
+	awaitPoll           = 200 * time.Millisecond // between reads while another's result is awaited
+	maxOwnerBytes       = 64
+	keyLen              = 36              // of a key: a UUID in text
+	MaxKeys             = 1 << 18         // remembered in one partition
+	failuresDown        = 3               // failed reads after which the log counts as down
+	retryAfter          = 5 * time.Second // told to callers that were refused
+	marksPerWindow      = 4               // marks of the layout in one window
 )
 
 // Outcome is what a caller of Claim is told.
@@ -94,7 +96,7 @@
 // Options of a Service.
 type Options struct {
 	Log          platform.Log
-	Owner        string // unique to this life of the process
+	Owner        string // names the process to operators, at most 64 bytes
 	Layout       ledger.Layout
 	BatchItems   int           // claims in one append
 	Linger       time.Duration // waited for company, see logio.BatchOptions
@@ -113,6 +115,9 @@
 
 // New returns a service that is not ready until Run has read the log.
 func New(o Options) (*Service, error) {
+	if len(o.Owner) > maxOwnerBytes {
+		return nil, fmt.Errorf("claims: owner is longer than %d bytes", maxOwnerBytes)
+	}
 	if !o.Layout.Valid() {
 		return nil, fmt.Errorf("claims: layout %+v is out of range", o.Layout)
 	}
@@ -125,6 +130,9 @@
 	if o.Poll == 0 {
 		o.Poll = DefaultPoll
 	}
+	// Attempts and marks of an earlier service of this process must not pass
+	// for this one's: a repeated attempt is granted again.
+	o.Owner += "/" + uuid.NewString()
 	s := &Service{opt: o}
 	for i := range o.Layout.Partitions {
 		s.parts = append(s.parts, newPartition(o, i))
@@ -143,12 +151,23 @@
 
 // Ready tells whether claims can be granted now.
 func (s *Service) Ready() bool {
+	return s.hindrance() == ""
+}
+
+// hindrance is why no claim can be granted now, empty for none. It looks at
+// all partitions, since a daemon with fewer of them shows itself in the first
+// ones only.
+func (s *Service) hindrance() Reason {
+	now := time.Now()
 	for _, p := range s.parts {
-		if !p.ready(time.Now()) || p.poisoned() {
-			return false
+		if p.poisoned() {
+			return ReasonLayout
+		}
+		if !p.ready(now) {
+			return ReasonBehind
 		}
 	}
-	return true
+	return ""
 }
 
 // call is one Claim under way.
@@ -179,9 +198,7 @@
 		if !again {
 			return a
 		}
-		select {
-		case <-news:
-		case <-wait.Done():
+		if !c.p.await(wait, news) {
 			return Answer{Outcome: Unknown, Reason: ReasonRunning, RetryAfter: retryAfter}
 		}
 	}
@@ -207,8 +224,8 @@
 // try answers from what is known, or claims. Again means that another attempt
 // holds the key and its result may still come.
 func (c *call) try(ctx context.Context) (a Answer, again bool) {
-	if !c.s.Ready() {
-		return refuse(ReasonBehind), false
+	if why := c.s.hindrance(); why != "" {
+		return refuse(why), false
 	}
 	view, keys := c.p.lookup(c.scope)
 	switch {
@@ -222,6 +239,8 @@
 		return Answer{}, true
 	case c.p.tail.Failures() >= failuresDown:
 		return refuse(ReasonLog), false
+	case c.p.early(c.keyTime, time.Now()):
+		return refuse(ReasonEarly), false
 	case !c.p.whole(c.keyTime):
 		return refuse(ReasonBehind), false
 	case keys >= MaxKeys:
@@ -261,9 +280,9 @@
 
 func (c *call) decided(op ledger.ClaimOp, d ledger.ClaimDecision) (a Answer, again bool) {
 	if d.Outcome == ledger.Accepted || d.Outcome == ledger.Repeated {
-		if !c.s.Ready() {
+		if why := c.s.hindrance(); why != "" {
 			c.p.abandon(op)
-			return refuse(ReasonBehind), false
+			return refuse(why), false
 		}
 		return Answer{Outcome: Granted, Grant: &Grant{p: c.p, op: op}}, false
 	}
--- a/claims/partition.go
+++ b/claims/partition.go
@@ -31,6 +31,7 @@
 	fold    *ledger.Claims
 	waiting map[ledger.ID]*waiter // by attempt
 	marked  time.Time             // when this daemon's last mark was read back
+	applied time.Time             // when the last record was read, by this process's clock
 	news    chan struct{}         // closed when the fold has changed
 }
 
@@ -121,6 +122,19 @@
 	return p.fold.Whole(keyTime)
 }
 
+// early tells whether a claim for a key of the given time might reach the log
+// before the log's clock is near enough. The log's clock is at least the last
+// record's time and what has passed here since it was read; this process's own
+// idea of the hour does not count. A claim that came early would be refused
+// by the fold, and so would its abandonment, and could yet arrive once more
+// when the key no longer is early, to hold it for nobody.
+func (p *partition) early(keyTime, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least := p.fold.Clock().Add(now.Sub(p.applied))
+	return keyTime.After(least.Add(ledger.MaxKeySkew))
+}
+
 func (p *partition) lookup(scope ledger.ID) (view ledger.ClaimView, keys int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -142,6 +156,23 @@
 	return p.news
 }
 
+// await waits for news while it reads more often, and is false when the
+// context ends first.
+func (p *partition) await(ctx context.Context, news <-chan struct{}) bool {
+	ticker := time.NewTicker(awaitPoll)
+	defer ticker.Stop()
+	for {
+		p.look()
+		select {
+		case <-news:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
 // claim queues a claim and returns who is told of its fate.
 func (p *partition) claim(op ledger.ClaimOp, deadline time.Time) *waiter {
 	w := &waiter{decided: make(chan ledger.ClaimDecision, 1), failed: make(chan error, 1)}
@@ -233,6 +264,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	decisions := p.fold.Apply(r)
+	p.applied = time.Now()
 	for _, d := range decisions {
 		p.decide(d)
 	}
--- a/contract/options.go
+++ b/contract/options.go
@@ -24,6 +24,8 @@
 	DefaultLead           = 2 * time.Second
 	DefaultCredit         = 5 * time.Second
 	DefaultCreditTokens   = 8_000
+	DefaultAhead          = 4 * time.Second
+	DefaultFirstCost      = 0.2
 	DefaultHold           = 10 * time.Minute
 	DefaultMeter          = 10 * time.Second
 	DefaultRefresh        = 500 * time.Millisecond
@@ -70,6 +72,15 @@
 	Credit       time.Duration
 	CreditTokens float64
 
+	// Ahead bounds the prompts that were sent and have not begun to answer, in
+	// time of the daemon's whole rate. It matters once Started is called.
+	Ahead time.Duration
+
+	// FirstCost is the part of the work asked for that requests are taken to
+	// need before any has ended. Too much has a daemon that has just started
+	// refuse callers while engines are free.
+	FirstCost float64
+
 	Hold          time.Duration // longest life of a reservation without a Finish
 	Meter         time.Duration // time constant of the demand and use meters
 	Refresh       time.Duration // how often shares of this daemon are worked out anew
@@ -96,6 +107,8 @@
 	o.Lead = orDefault(o.Lead, DefaultLead)
 	o.Credit = orDefault(o.Credit, DefaultCredit)
 	o.CreditTokens = orDefault(o.CreditTokens, DefaultCreditTokens)
+	o.Ahead = orDefault(o.Ahead, DefaultAhead)
+	o.FirstCost = orDefault(o.FirstCost, DefaultFirstCost)
 	o.Hold = orDefault(o.Hold, DefaultHold)
 	o.Meter = orDefault(o.Meter, DefaultMeter)
 	o.Refresh = orDefault(o.Refresh, DefaultRefresh)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -20,8 +21,12 @@
 	"github.com/merlindock/merlindock/platform"
 )
 
-// bootstrapEvery is how often a daemon without a manifest asks its neighbours.
-const bootstrapEvery = 250 * time.Millisecond
+// How often a daemon without a manifest asks its neighbours, at first and later.
+const (
+	bootstrapFirst = 5 * time.Millisecond
+	bootstrapEvery = 250 * time.Millisecond
+	gapLook        = 10 * time.Second // between looks whether records were missed
+)
 
 // daemonList is the newest list of daemons. An empty one never replaces it.
 type daemonList struct {
@@ -64,6 +69,7 @@
 		Daemons:       d.daemons.get,
 		LocalDigest:   d.localDigest,
 		Heard:         d.heard,
+		Notified:      d.fleet.notified,
 		FetchManifest: d.fetchManifest,
 		Merge:         d.merge,
 		Observe:       d.observePeers,
@@ -71,6 +77,9 @@
 		CallTimeout:   s.Peers.Timeout,
 		Seed:          seedOf(s.Daemon.ID, d.life),
 	}
+	if dial := d.o.Dial; dial != nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+	}
 	if s.TLS.PeersCert != "" {
 		o.TLS = &peer.TLSFiles{
 			Certificate: s.TLS.PeersCert,
@@ -147,19 +156,40 @@
 }
 
 // bootstrap asks the neighbours for the manifest in force until there is one,
-// so that a daemon that starts while the log is down serves at once.
+// so that a daemon that starts while the log is down serves at once. The first
+// times it asks often: the list of daemons is being read meanwhile.
 func (d *Daemon) bootstrap(ctx context.Context) {
-	ticker := time.NewTicker(bootstrapEvery)
-	defer ticker.Stop()
-	for d.manifests.InForce() == nil {
+	for pause := bootstrapFirst; d.manifests.InForce() == nil; pause = min(2*pause, bootstrapEvery) {
 		if _, err := d.peers.Bootstrap(ctx); err == nil {
 			return
 		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
+		case <-timer.C:
+		}
+	}
+}
+
+// closeGaps asks the neighbours for a proof while records of the log are
+// missing here. Neighbours announce only what is newer; without asking, a daemon
+// that was cut off past the retention could not publish until the next
+// checkpoint, hours later.
+func (d *Daemon) closeGaps(ctx context.Context) error {
+	ticker := time.NewTicker(gapLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
 		case <-ticker.C:
 		}
+		if d.manifests.NeedsProof() {
+			// Without an answer the next look asks again.
+			_, _ = d.peers.Bootstrap(ctx)
+		}
 	}
 }
 
--- a/daemon/system.go
+++ b/daemon/system.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +17,7 @@
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/orders"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/platform"
 	"github.com/merlindock/merlindock/settings"
@@ -57,24 +61,40 @@
 	return admin.Revision{Offset: r.Offset, Digest: string(r.Digest)}
 }
 
-// History implements admin.System.
+// History implements admin.System. A manifest that came with a proof, from a
+// neighbour or from publishing it here, was never folded as a record; it is
+// listed by its acceptance.
 func (s *system) History() []admin.Publication {
-	list := []admin.Publication{}
+	byOffset := map[platform.Offset]admin.Publication{}
+	if proof, ok := s.manifests.Proof(); ok {
+		for _, a := range proof.Recent {
+			byOffset[a.Offset] = admin.Publication{
+				Outcome:  admin.OutcomeAccepted,
+				Revision: admin.Revision{Offset: a.Offset, Digest: string(a.Digest)},
+				Base:     a.Base,
+			}
+		}
+	}
 	for _, d := range s.manifests.Status().History {
-		if d.Kind != ledger.KindManifest {
-			continue
+		if d.Kind == ledger.KindManifest || d.Kind == ledger.KindSection {
+			byOffset[d.Offset] = shownDecision(d)
 		}
-		list = append(list, admin.Publication{
-			Outcome:   admin.Outcome(d.Outcome),
-			Revision:  admin.Revision{Offset: d.Offset, Digest: string(d.Digest)},
-			Base:      d.Base,
-			RefusedBy: refusedBy(d.Outcome != ledger.Accepted, d.By),
-			Reason:    string(d.Reason),
-		})
 	}
+	list := slices.Collect(maps.Values(byOffset))
+	slices.SortFunc(list, func(a, b admin.Publication) int { return cmp.Compare(a.Revision.Offset, b.Revision.Offset) })
 	return list
 }
 
+func shownDecision(d ledger.Decision) admin.Publication {
+	return admin.Publication{
+		Outcome:   admin.Outcome(d.Outcome),
+		Revision:  admin.Revision{Offset: d.Offset, Digest: string(d.Digest)},
+		Base:      d.Base,
+		RefusedBy: refusedBy(d.Outcome != ledger.Accepted, d.By),
+		Reason:    string(d.Reason),
+	}
+}
+
 func refusedBy(refused bool, by platform.Offset) platform.Offset {
 	if refused {
 		return by
@@ -159,6 +179,7 @@
 	Daemons       []platform.Daemon       `json:"daemons"`
 	Neighbours    []platform.Daemon       `json:"neighbours"`
 	Senders       []neighbour.Sender      `json:"senders"`
+	Orders        orders.Report           `json:"orders"` // its plan is empty without the lease
 }
 
 // Dump implements admin.System.
@@ -181,5 +202,14 @@
 		Daemons:       s.daemons.get(),
 		Neighbours:    s.peers.Neighbours(),
 		Senders:       s.peers.Senders(),
+		Orders:        s.orders.giver.Report(),
+	}
+}
+
+// Revision returns the manifest in force; its offset is 0 before the first.
+func (d *Daemon) Revision() ledger.Revision {
+	if v := d.manifests.InForce(); v != nil {
+		return v.Revision
 	}
+	return ledger.Revision{}
 }
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -10,6 +10,7 @@
 	"encoding/pem"
 	"errors"
 	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -91,6 +92,38 @@
 	}
 }
 
+// Two neighbours announce a manifest, and the one that is asked for it dies. The
+// other's announcement came while the first was being asked and will not come
+// again for an hour.
+func TestFetchGoesOnWithAnotherHolder(t *testing.T) {
+	asked, announced := make(chan struct{}), make(chan struct{})
+	nodes := cluster(t, 3, 1, func(i int, o *Options) {
+		o.Interval = time.Hour
+		if i == 1 {
+			o.FetchManifest = func(context.Context, neighbour.Revision) (Accepted, error) {
+				close(asked)
+				<-announced
+				return Accepted{}, errEarlier
+			}
+		}
+	})
+	for _, n := range nodes[1:] {
+		if err := n.take(manifestAt(4, "four")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx := context.Background()
+	if err := nodes[1].service.exchange(ctx, nodes[0].daemon.PeerAddress); err != nil {
+		t.Fatal(err)
+	}
+	<-asked
+	if err := nodes[2].service.exchange(ctx, nodes[0].daemon.PeerAddress); err != nil {
+		t.Fatal(err)
+	}
+	close(announced)
+	nodes[0].waitFor(t, 4)
+}
+
 // The callee's state is asked for by more callers than it serves at once. It
 // refuses some instead of holding a whole manifest for each.
 func TestServedCallsAreBounded(t *testing.T) {
@@ -120,6 +153,45 @@
 	}
 }
 
+// Someone opens connections without end. Those beyond the bound are closed, and
+// a place is free again when another one ends.
+func TestConnectionsAreBounded(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	l := &boundedListener{Listener: inner, most: 1}
+	accepted := make(chan net.Conn)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	defer dial().Close()
+	first := <-accepted
+	second := dial()
+	defer second.Close()
+	if _, err := second.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection beyond the bound is served")
+	}
+	first.Close()
+	first.Close()
+	defer dial().Close()
+	(<-accepted).Close()
+}
+
 // authority signs certificates for daemons.
 type authority struct {
 	t    *testing.T
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
+	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/platform"
 )
 
@@ -54,6 +55,9 @@
 	// Heard takes the evidence and use that a neighbour told; times are by this
 	// daemon's clock.
 	Heard func(now time.Time, d neighbour.Digest)
+	// Notified takes another daemon's notices; times are by this daemon's
+	// clock. May be nil.
+	Notified func(from string, notices []placement.Notice)
 	// FetchManifest returns the accepted manifest of the given revision, for a
 	// neighbour. It may return a later one.
 	FetchManifest func(ctx context.Context, r neighbour.Revision) (Accepted, error)
@@ -79,16 +83,21 @@
 const (
 	DefaultInterval    = time.Second
 	DefaultCallTimeout = 800 * time.Millisecond
-	DefaultLoadTimeout = 3 * time.Second
+	DefaultLoadTimeout = 2 * time.Second
 	// jitter is the share of the interval by which it is varied, so that
 	// daemons that started together do not stay in step.
 	jitter = 0.2
 
+	// newsPause is the least time between two rounds of news of endpoints.
+	newsPause = time.Second
+
 	maxExchangeBytes = 32 << 10
 	maxFetchBytes    = neighbour.MaxManifestBytes + neighbour.MaxProofBytes + 1<<10
 	maxExchanges     = 64 // served at once
 	maxFetches       = 4  // served at once; each may hold a whole manifest
 	maxStreams       = 16 // on one connection
+	maxConnections   = 256
+	maxHolders       = 3  // asked for one revision, one after the other
 	maxOutgoing      = 16 // exchanges opened at once
 )
 
@@ -130,7 +139,8 @@
 	size      atomic.Int64 // of the last digest made, in bytes
 	exchanges *semaphore.Weighted
 	fetches   *semaphore.Weighted
-	news      chan struct{}
+	news      chan struct{} // a manifest is in force
+	endpoints chan struct{} // news of endpoints are there
 	dialling  []grpc.DialOption
 	tasks     sync.WaitGroup
 	ctx       context.Context // ends when the service closes
@@ -152,6 +162,7 @@
 		exchanges: semaphore.NewWeighted(maxExchanges),
 		fetches:   semaphore.NewWeighted(maxFetches),
 		news:      make(chan struct{}, 1),
+		endpoints: make(chan struct{}, 1),
 		rand:      rand.New(rand.NewPCG(o.Seed, o.Life)),
 		table:     neighbour.NewTable(o.Self.ID),
 		links:     map[string]*link{},
@@ -185,6 +196,9 @@
 	if o.Heard == nil {
 		o.Heard = func(time.Time, neighbour.Digest) {}
 	}
+	if o.Notified == nil {
+		o.Notified = func(string, []placement.Notice) {}
+	}
 	if o.Life == 0 {
 		o.Life = uint64(time.Now().UnixNano())
 	}
