--- a/placement/shared.go
+++ b/placement/shared.go
@@ -82,20 +82,6 @@
 	s.view.Expire(now)
 }
 
-// Notices is View.Notices.
-func (s *Shared) Notices(dst []Notice) []Notice {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view.Notices(dst)
-}
-
-// Heard is View.Heard.
-func (s *Shared) Heard(all []Notice) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.view.Heard(all)
-}
-
 // SetPool is View.SetPool.
 func (s *Shared) SetPool(name string, members []fleet.Endpoint) {
 	s.mu.Lock()
