--- a/placement/shared.go
+++ b/placement/shared.go
@@ -68,13 +68,6 @@
 	s.view.CacheEvents(b)
 }
 
-// Expire is View.Expire.
-func (s *Shared) Expire(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.view.Expire(now)
-}
-
 // Notices is View.Notices.
 func (s *Shared) Notices(dst []Notice) []Notice {
 	s.mu.Lock()
@@ -89,6 +82,13 @@
 	s.view.Heard(all)
 }
 
+// Expire is View.Expire.
+func (s *Shared) Expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Expire(now)
+}
+
 // SetPool is View.SetPool.
 func (s *Shared) SetPool(name string, members []fleet.Endpoint) {
 	s.mu.Lock()
