--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -81,6 +81,8 @@
 		newDrain(s),
 		newDemo(s),
 		newReplay(s),
+		newCapacity(s),
+		newLoad(s),
 		newStandin(s),
 		newVersion(s),
 	}
--- a/lab/fairness/traces_test.go
+++ b/lab/fairness/traces_test.go
@@ -15,7 +15,7 @@
 	make func(trace.Generate) *trace.Trace
 	rate float64 // requests a second
 }{
-	"registre": {trace.Registre, 30},
+	"registre": {trace.Registre, 52},
 	"tsukushi": {trace.Tsukushi, 45},
 }
 
@@ -37,6 +37,7 @@
 	b.Helper()
 	o.Policy = replay.PolicyLearnt
 	o.Faults = []replay.FaultKind{replay.FaultOverload}
+	o.FaultAt = time.Second
 	r, err := replay.Run(o)
 	if err != nil {
 		b.Fatal(err)
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -54,6 +54,13 @@
 	s.view.LoadReported(id, l)
 }
 
+// EventsLost is View.EventsLost.
+func (s *Shared) EventsLost(id fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.EventsLost(id)
+}
+
 // CacheEvents is View.CacheEvents.
 func (s *Shared) CacheEvents(b EventBatch) {
 	s.mu.Lock()
@@ -61,6 +68,20 @@
 	s.view.CacheEvents(b)
 }
 
+// Notices is View.Notices.
+func (s *Shared) Notices(dst []Notice) []Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Notices(dst)
+}
+
+// Heard is View.Heard.
+func (s *Shared) Heard(all []Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Heard(all)
+}
+
 // Expire is View.Expire.
 func (s *Shared) Expire(now time.Time) {
 	s.mu.Lock()
