--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -211,6 +211,9 @@
 	}
 	n.cancel()
 	n.cancel = nil
+	// A caller's idle connection to the dead daemon would take its next request
+	// and break: the caller's own affair, and not what the tests are about.
+	defer c.transport.CloseIdleConnections()
 	<-n.Ended //nolint:errcheck // cut off, so its error tells nothing
 }
 
