Make the test of a daemon with a gap able to fail

Change: a record that no proof covers expires too, and the daemon has read again before it is looked at. Test: with the asking switched off it now fails with "no decision 30 s after the log was back"; with it, it passes.

--- a/lab/cluster/recovery_test.go
+++ b/lab/cluster/recovery_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/merlindock/merlindock/gateway"
 	"github.com/merlindock/merlindock/lab/standin"
+	"github.com/merlindock/merlindock/ledger"
 )
 
 var small = Options{Daemons: 3, Runners: 6, Services: 1, Prefill: 10 * time.Microsecond, Decode: 10 * time.Millisecond}
@@ -215,8 +216,14 @@
 		c.Nodes[2].Way.Disconnect()
 		c.publish(t, 1, "v1b")
 		time.Sleep(5 * time.Second) // virtual
+		// One more record, refused by all, which the proof of v1b does not cover.
+		if _, err := c.Log.Append(t.Context(), ledger.StreamManifest, []byte("no manifest")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second) // virtual
 		c.Log.TruncateAll()
 		c.Nodes[2].Way.Reconnect()
+		time.Sleep(3 * time.Second) // virtual; until it has read again
 		began := time.Now()
 		for !c.decided(t, 2) {
 			if time.Since(began) > 30*time.Second {
