--- /dev/null
+++ b/lab/replay/figures/figures.go
@@ -0,0 +1,117 @@
+// Package figures replays generated traces under every policy and sums the
+// reports up as a table and as plots.
+package figures
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/lab/replay"
+	"github.com/merlindock/merlindock/lab/trace"
+)
+
+// Load is one workload at one rate of requests.
+type Load struct {
+	Name     string
+	Generate func(trace.Generate) *trace.Trace
+	Rate     float64 // requests/s
+}
+
+// Loads lists the loads of the comparison. The oracle's runners prefill or
+// import for about half of the time in the first of each workload, and for
+// about 85% in the second.
+func Loads() []Load {
+	return []Load{
+		{Name: "Registre 35/s", Generate: trace.Registre, Rate: 35},
+		{Name: "Registre 52/s", Generate: trace.Registre, Rate: 52},
+		{Name: "Tsukushi 20/s", Generate: trace.Tsukushi, Rate: 20},
+		{Name: "Tsukushi 30/s", Generate: trace.Tsukushi, Rate: 30},
+	}
+}
+
+// Row is the mean over the seeds of one policy under one load.
+type Row struct {
+	Load     string
+	Policy   replay.Policy
+	HitRate  float64
+	WorstHit float64 // least of HitRate over the oracle's
+	Wasted   float64
+	MostWast float64 // greatest of Wasted over the oracle's
+	Busy     float64
+	P50      float64 // first token of interactive requests, ms
+	P95      float64
+	P99      float64
+	Standard float64 // p99 of standard requests, ms
+}
+
+// Compare replays every load under every policy with the seeds 1 to seeds.
+func Compare(seeds int, duration time.Duration) ([]Row, error) {
+	policies := replay.Policies()
+	var rows []Row
+	for _, l := range Loads() {
+		reports := make([][]replay.Report, len(policies))
+		var group errgroup.Group
+		group.SetLimit(max(1, runtime.GOMAXPROCS(0)/3))
+		for i, p := range policies {
+			reports[i] = make([]replay.Report, seeds)
+			for s := range seeds {
+				group.Go(func() (err error) {
+					seed := uint64(s + 1)
+					tr := l.Generate(trace.Generate{Seed: seed, Duration: duration, Rate: l.Rate})
+					reports[i][s], err = replay.Run(replay.Options{Trace: tr, Policy: p, Seed: seed})
+					return err
+				})
+			}
+		}
+		if err := group.Wait(); err != nil {
+			return nil, err
+		}
+		for i := range policies {
+			rows = append(rows, sum(l, reports[i], reports[0]))
+		}
+	}
+	return rows, nil
+}
+
+// sum averages the reports of one policy and compares each with the oracle's.
+func sum(l Load, reports, oracle []replay.Report) Row {
+	row := Row{Load: l.Name, Policy: reports[0].Policy, WorstHit: 1e9}
+	n := float64(len(reports))
+	for i, r := range reports {
+		row.HitRate += r.HitRate / n
+		row.Wasted += r.Wasted / n
+		row.Busy += r.Utilisation / n
+		q := r.FirstToken[contract.PriorityInteractive.String()]
+		row.P50 += q.P50 / n
+		row.P95 += q.P95 / n
+		row.P99 += q.P99 / n
+		row.Standard += r.FirstToken[contract.PriorityStandard.String()].P99 / n
+		row.WorstHit = min(row.WorstHit, r.HitRate/oracle[i].HitRate)
+		row.MostWast = max(row.MostWast, r.Wasted/oracle[i].Wasted)
+	}
+	return row
+}
+
+// WriteTable writes the rows as a Markdown table.
+func WriteTable(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	_, err := fmt.Fprintln(t, "| load\t| policy\t| hit rate\t| of oracle, least\t| wasted\t| of oracle, most"+
+		"\t| busy\t| interactive p50 / p95 / p99 ms\t| standard p99 ms\t|\n|---|---|---|---|---|---|---|---|---|")
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		_, err := fmt.Fprintf(t, "| %s\t| %s\t| %.4f\t| %.3f\t| %.4f\t| %.1f\t| %.2f\t| %.0f / %.0f / %.0f\t| %.0f\t|\n",
+			r.Load, r.Policy, r.HitRate, r.WorstHit, r.Wasted, r.MostWast, r.Busy, r.P50, r.P95, r.P99, r.Standard)
+		if err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
