cmd/merlindock: replay with the contract's admission

Cause: the replay command drove all policies with an open door, so shares and refusals could only be seen in a benchmark. An unknown name is refused with the names that are known. Conclusion: operators can replay their own recordings against their contract.

--- a/cmd/merlindock/replay.go
+++ b/cmd/merlindock/replay.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/merlindock/merlindock/lab/fairness"
 	"github.com/merlindock/merlindock/lab/replay"
 	"github.com/merlindock/merlindock/lab/trace"
 )
@@ -19,6 +20,7 @@
 	trace    string
 	policies string
 	faults   string
+	admit    string
 	daemons  int
 	seed     uint64
 	seeds    int
@@ -30,6 +32,7 @@
 	fs.StringVar(&f.trace, "trace", "", "trace file, see docs/TRACES.md")
 	fs.StringVar(&f.policies, "policy", "all", "policies, separated by commas, or all: "+joined(replay.Policies()))
 	fs.StringVar(&f.faults, "fault", "", "faults, separated by commas: "+joined(replay.Faults()))
+	fs.StringVar(&f.admit, "admission", string(admitOpen), "how requests enter: "+joined(admissions)+" (by the organisations' shares)")
 	fs.IntVar(&f.daemons, "daemons", 0, "daemons that share the traffic; 0 for the trace's")
 	fs.Uint64Var(&f.seed, "seed", 1, "seed of the balancer and of what is lost")
 	fs.IntVar(&f.seeds, "seeds", 1, "seeds to run, from -seed on")
@@ -37,6 +40,37 @@
 	fs.BoolVar(&f.asJSON, "json", false, "print the whole reports as JSON")
 }
 
+// admission names how requests enter.
+type admission string
+
+const (
+	admitOpen     admission = "open"
+	admitContract admission = "contract"
+)
+
+var admissions = []admission{admitOpen, admitContract}
+
+// newAdmitter returns the maker of each daemon's admission, nil for an open
+// door.
+func (f *replayFlags) newAdmitter() (func(int, trace.Header) replay.Admitter, error) {
+	named, err := chosen(f.admit, admissions)
+	if err != nil {
+		return nil, err
+	}
+	if len(named) != 1 {
+		return nil, usageError("-admission is %q, expected one of %s", f.admit, joined(admissions))
+	}
+	if named[0] == admitOpen {
+		return nil, nil
+	}
+	return func(daemon int, h trace.Header) replay.Admitter {
+		if f.daemons > 0 {
+			h.Fleet.Daemons = f.daemons
+		}
+		return fairness.NewAdmitter(daemon, h)
+	}, nil
+}
+
 func joined[T ~string](list []T) string {
 	texts := make([]string, len(list))
 	for i, t := range list {
@@ -113,6 +147,10 @@
 	if err != nil {
 		return nil, err
 	}
+	newAdmitter, err := f.newAdmitter()
+	if err != nil {
+		return nil, err
+	}
 	policies := replay.Policies()
 	if f.policies != "all" {
 		if policies, err = chosen(f.policies, policies); err != nil {
@@ -129,6 +167,8 @@
 				Seed:    f.seed + uint64(i),
 				Speed:   f.speed,
 				Faults:  faults,
+
+				NewAdmitter: newAdmitter,
 			})
 		}
 	}
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -1,7 +1,11 @@
 // Package contract holds what an organisation was promised: its share of the
 // fixed fleet and the priorities it may use, and decides admission by them.
 //
-// The package does no I/O and reads no clock.
+// The package does no I/O and reads no clock. An Admission isn't safe for
+// concurrent use: its tables (organisations, requests, peers) are one unit under
+// one lock of the shell for each pool of runners. That lock is taken before the
+// ones of membership, placement, health and retries, and two pools' locks are
+// never held together.
 package contract
 
 import "fmt"
