--- a/cmd/merlindock/standin.go
+++ b/cmd/merlindock/standin.go
@@ -18,7 +18,7 @@
 
 // Ports of the daemons that the stand-in's settings files name.
 const (
-	firstCallersPort = 8080
+	defaultFirstPort = 8080
 	portsPerDaemon   = 10
 )
 
@@ -26,7 +26,7 @@
 // that daemons can be tried as real processes.
 func newStandin(s streams) *ffcli.Command {
 	var o world.Options
-	var daemons int
+	var daemons, firstPort int
 	var dir string
 	flags := func(fs *flag.FlagSet) {
 		fs.IntVar(&o.PlatformPort, "platform-port", 7400, "port of the platform's stand-in; 0 for any")
@@ -35,6 +35,7 @@
 		fs.DurationVar(&o.Prefill, "prefill", 20*time.Microsecond, "time per prompt token that is not cached")
 		fs.DurationVar(&o.Decode, "decode", 5*time.Millisecond, "time per generated token")
 		fs.IntVar(&daemons, "daemons", 3, "daemons to put on the platform's list and to write settings for")
+		fs.IntVar(&firstPort, "first-port", defaultFirstPort, "callers' port of the first daemon; each takes the next two as well and is ten on from the one before")
 		fs.StringVar(&dir, "dir", "", "existing directory to write manifest.json, token and daemon-N.ini to")
 	}
 	return command(s, "standin", "merlindock standin -dir DIR [flags]",
@@ -48,16 +49,16 @@
 				return err
 			}
 			defer w.Close()
-			if err := writeTrial(dir, w, daemons); err != nil {
+			if err := writeTrial(dir, w, daemons, firstPort); err != nil {
 				return err
 			}
-			tellTrial(s, dir, daemons)
+			tellTrial(s, dir, daemons, firstPort)
 			return w.Wait(ctx)
 		})
 }
 
 // writeTrial writes what daemons and an operator need to try the stand-ins.
-func writeTrial(dir string, w *world.World, daemons int) error {
+func writeTrial(dir string, w *world.World, daemons, firstPort int) error {
 	text, err := manifest.Encode(w.Manifest())
 	if err != nil {
 		return err
@@ -66,7 +67,7 @@
 	var list []platform.Daemon
 	for i := range daemons {
 		zone := world.Zones[i%len(world.Zones)]
-		port := firstCallersPort + i*portsPerDaemon
+		port := firstPort + i*portsPerDaemon
 		id := fmt.Sprintf("daemon-%d", i+1)
 		files[id+".ini"] = trialSettings(id, zone, port, w.PlatformURL, filepath.Join(dir, "token"))
 		list = append(list, platform.Daemon{
@@ -103,13 +104,13 @@
 `, id, zone, port, port+1, port+2, platformURL, tokenFile)
 }
 
-func tellTrial(s streams, dir string, daemons int) {
+func tellTrial(s streams, dir string, daemons, firstPort int) {
 	fmt.Fprintf(s.out, "Stand-ins are running. In other shells:\n\n")
 	for i := range daemons {
 		fmt.Fprintf(s.out, "  go run ./cmd/merlindockd -config %s/daemon-%d.ini\n", dir, i+1)
 	}
-	fmt.Fprintf(s.out, "  go run ./cmd/merlindock publish -token-file %s/token -base 0 %s/manifest.json\n", dir, dir)
-	fmt.Fprintf(s.out, "  curl -N http://127.0.0.1:%d/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", firstCallersPort, world.Key(0))
+	fmt.Fprintf(s.out, "  go run ./cmd/merlindock publish -admin http://127.0.0.1:%d -token-file %s/token -base 0 %s/manifest.json\n", firstPort+1, dir, dir)
+	fmt.Fprintf(s.out, "  curl -N http://127.0.0.1:%d/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", firstPort, world.Key(0))
 	fmt.Fprintf(s.out, "    -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Does sheet 12 conform?\"}]}'\n\n", world.Model)
 	fmt.Fprintln(s.out, "Interrupt to end.")
 }
