Bound open requests in the gateway, for every kind of call

Cause: the bound on open streams stood in the daemon's admission, which calls of plain services never pass, so that they were not bounded at all; each admission also copied the table of pools.

Change: the gateway refuses what passes callers.open-streams, at once and as not run; admission looks its pool up.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -23,7 +23,6 @@
 	shares []contract.Share
 	pools  map[string]*admissionPool
 	live   int // daemons on the platform's list; 0: not known
-	open   int
 }
 
 // admissionPool guards the decisions for one pool and wakes those that wait.
@@ -122,12 +121,8 @@
 
 // Admit implements gateway.Admitter.
 func (a *admission) Admit(ctx context.Context, r gateway.AdmitRequest) (gateway.Admission, error) {
-	if !a.enter() {
-		return gateway.Admission{}, refusal(contract.Decision{Reason: contract.NoCapacity, RetryAfter: gateway.DefaultRetryAfter})
-	}
-	p := a.all()[r.Model]
+	p := a.pool(r.Model)
 	if p == nil {
-		a.leave()
 		return gateway.Admission{}, refusal(contract.Decision{Reason: contract.NoCapacity, RetryAfter: gateway.DefaultRetryAfter})
 	}
 	c := a.daemon.fleet.capacityOf(r.Model)
@@ -142,37 +137,21 @@
 		Unseen:       !r.Streamed,
 	})
 	if err != nil {
-		a.leave()
 		return gateway.Admission{}, err
 	}
 	if d.Verdict != contract.Admitted {
-		a.leave()
 		return gateway.Admission{}, refusal(d)
 	}
 	return gateway.Admission{
 		Started: func() { p.started(id) },
-		Release: func(used int) {
-			p.finish(id, float64(used))
-			a.leave()
-		},
+		Release: func(used int) { p.finish(id, float64(used)) },
 	}, nil
 }
 
-// enter counts an open request and tells whether there is room for it.
-func (a *admission) enter() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.open >= a.daemon.o.Settings.Callers.OpenStreams {
-		return false
-	}
-	a.open++
-	return true
-}
-
-func (a *admission) leave() {
+func (a *admission) pool(model string) *admissionPool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.open--
+	return a.pools[model]
 }
 
 func (p *admissionPool) setContract(shares []contract.Share) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,6 +128,7 @@
 			StallBudget:    s.WriteTimeout,
 			RequestTimeout: s.Deadline,
 			StreamBytes:    s.StreamBytes,
+			OpenRequests:   s.OpenStreams,
 		},
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,7 @@
 	RequestTimeout    time.Duration // of one request from its header to its end
 	StreamBytes       int64         // of one streamed answer
 	Attempts          int           // of one request
+	OpenRequests      int           // at once, of all callers
 }
 
 // The defaults of Limits.
@@ -67,6 +68,7 @@
 	DefaultRequestTimeout    = 15 * time.Minute
 	DefaultStreamBytes       = 64 << 20
 	DefaultAttempts          = 4
+	DefaultOpenRequests      = 12_000
 )
 
 // Options are what a Gateway needs.
@@ -123,6 +125,7 @@
 	setDefault(&l.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&l.StreamBytes, DefaultStreamBytes)
 	setDefault(&l.Attempts, DefaultAttempts)
+	setDefault(&l.OpenRequests, DefaultOpenRequests)
 	return l
 }
 
@@ -185,6 +188,11 @@
 
 // serve answers the request, or returns the refusal to send instead.
 func (c *call) serve() *Refusal {
+	// Past this bound each further request would cost memory that the streams
+	// under way need; the caller is told at once and another daemon can serve.
+	if c.g.o.Drainer.Open() > c.g.o.Limits.OpenRequests {
+		return notRun(CodeOverloaded, "too many requests are open at this daemon", DefaultRetryAfter)
+	}
 	if c.index = c.g.o.Catalogue(); c.index == nil {
 		return notRun(CodeNoManifest, "no manifest is in force yet", DefaultRetryAfter)
 	}
--- a/lab/e2e/caller_test.go
+++ b/lab/e2e/caller_test.go
@@ -121,6 +121,29 @@
 	})
 }
 
+// More callers come to one daemon than it has memory for. The one too many is
+// told at once that nothing ran, and the streams under way go on.
+func TestRequestsBeyondTheBoundAreRefused(t *testing.T) {
+	o := worldOptions{
+		runners: 1,
+		runner:  standin.RunnerOptions{Decode: time.Second},
+		limits:  gateway.Limits{OpenRequests: 1},
+	}
+	inWorld(t, o, func(w *world) {
+		first := make(chan tokens)
+		go func() {
+			_, s := w.stream(chatBody)
+			first <- s
+		}()
+		time.Sleep(time.Second) // virtual
+		a, _ := w.stream(chatBody)
+		a.expect(t, http.StatusServiceUnavailable, gateway.CodeOverloaded, gateway.OutcomeNotRun)
+		if s := <-first; !s.done {
+			t.Errorf("the stream under way was cut: %+v", s)
+		}
+	})
+}
+
 // A daemon is replaced while streams are open and the balancer still sends it
 // requests. No stream may be cut, and none refused that still comes in.
 func TestShutdownCutsNothing(t *testing.T) {
