retry: streams may borrow as many retries as a failing zone needs

Cause: the debt was tied to the burst of 20, while at the target's size a zone that fails breaks some 54 streams at each daemon; the rest would have been cut though other zones could go on with them. Change: a bound of its own for the debt, 64; other retries wait until it is paid. Test: with the budget spent 64 of 100 broken streams are resumed (20 before), and none but streams for 63 s after.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,6 +17,7 @@
 	Fraction float64 // retries for each request, DefaultFraction
 	Floor    float64 // retries a second whatever the traffic, DefaultFloor
 	Burst    float64 // most retries saved up, DefaultBurst
+	Debt     float64 // retries that resumed streams may borrow, DefaultDebt
 }
 
 // Defaults of BudgetOptions.
@@ -24,6 +25,7 @@
 	DefaultFraction = 0.1
 	DefaultFloor    = 1
 	DefaultBurst    = 20
+	DefaultDebt     = 64 // the streams a zone breaks at one daemon, at 250 open ones and five zones
 )
 
 // NewBudget returns a Budget with half its burst saved up, so that a daemon
@@ -38,6 +40,9 @@
 	if opts.Burst <= 0 {
 		opts.Burst = DefaultBurst
 	}
+	if opts.Debt <= 0 {
+		opts.Debt = DefaultDebt
+	}
 	return &Budget{opts: opts, tokens: opts.Burst / 2}
 }
 
@@ -58,12 +63,12 @@
 }
 
 // SpendResume takes one retry for a stream that the caller has a part of. It may
-// leave the budget in debt by as much as its burst, which other retries then
+// leave the budget in debt, which other retries then
 // wait for: a stream that isn't resumed is lost in the caller's sight, while a
 // request that nothing came back of can be asked again.
 func (b *Budget) SpendResume(now time.Time) bool {
 	b.refill(now)
-	if b.tokens < 1-b.opts.Burst {
+	if b.tokens < 1-b.opts.Debt {
 		return false
 	}
 	b.tokens--
