Follow the runners' cache events with at most 64 streams

placement could take cache events and nothing sent it any, so an eviction was known only by the age of a belief. cacheevents follows each runner's stream with one goroutine, bounds messages at 64 KiB and 1,024 events, gives a stream up that cannot be read, stalls for 30 s or goes back in its sequence, and returns after 0.5 to 30 s with jitter, after some five minutes where events are not known. A lost stream makes all that it said uncertain at once. Setting routing.event-endpoints (default 64, 0 = never) is checked; counts are in the dump.

--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlindock/merlindock/cacheevents"
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
@@ -55,6 +56,8 @@
 	healthMu sync.Mutex
 	health   *health.Tracker
 
+	events *cacheevents.Follower
+
 	cutters *sync.Pool // of *prefix.Cutter, guarded by mu
 	ids     requestIDs
 }
@@ -79,6 +82,7 @@
 		MaxPrefixes: s.Routing.Prefixes,
 	})
 	v.cutters = &sync.Pool{New: func() any { return prefix.NewCutter(prefix.Options{}) }}
+	v.events = newFollower(d, v.placement)
 	return v
 }
 
@@ -96,6 +100,7 @@
 // run keeps the view up to date until ctx ends.
 func (v *fleetView) run(ctx context.Context) error {
 	go v.follow(ctx)
+	defer v.events.Close()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	notices := time.NewTicker(noticeEvery)
@@ -179,7 +184,9 @@
 	}
 	v.refresh()
 	loads := v.loads()
+	runners := v.runners()
 	v.mu.Unlock()
+	v.events.Set(runners)
 	for model, l := range loads {
 		v.daemon.admission.setLoad(model, l.requests, l.slots)
 	}
--- a/daemon/system.go
+++ b/daemon/system.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/merlindock/merlindock/admin"
+	"github.com/merlindock/merlindock/cacheevents"
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/health"
@@ -174,6 +175,7 @@
 	Manifest      logio.ManifestsStatus   `json:"manifest"`
 	Endpoints     any                     `json:"endpoints"`
 	Placement     placement.Dump          `json:"placement"`
+	CacheEvents   cacheevents.Stats       `json:"cache_events"`
 	Health        []health.EndpointHealth `json:"health"`
 	Organisations any                     `json:"organisations"`
 	Daemons       []platform.Daemon       `json:"daemons"`
@@ -197,6 +199,7 @@
 		Manifest:      s.manifests.Status(),
 		Endpoints:     s.Endpoints(),
 		Placement:     s.fleet.placement.Dump(now),
+		CacheEvents:   s.fleet.events.Stats(),
 		Health:        state,
 		Organisations: s.Organisations(),
 		Daemons:       s.daemons.get(),
--- a/settings/check.go
+++ b/settings/check.go
@@ -10,9 +10,10 @@
 
 // Bounds of settings.
 const (
-	maxZonePairs  = 8
-	maxPartitions = 4096
-	minInterval   = 10 * time.Millisecond
+	maxZonePairs      = 8
+	maxEventEndpoints = 1024 // one connection and goroutine each
+	maxPartitions     = 4096
+	minInterval       = 10 * time.Millisecond
 )
 
 // checker gathers every fault, so that an operator mends them in one go.
@@ -112,6 +113,7 @@
 	if s.Routing.RunnerTokens <= 0 {
 		c.refuse("routing.runner-tokens", "is not positive", "tokens a second, above 0")
 	}
+	c.within("routing.event-endpoints", int64(s.Routing.EventEndpoints), 0, maxEventEndpoints)
 	c.within("routing.runner-slots", int64(s.Routing.RunnerSlots), 1, 1<<16)
 	c.atLeast("orders.lease", s.Orders.Lease, time.Second)
 	c.within("claims.partitions", int64(s.Claims.Partitions), 1, maxPartitions)
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -7,15 +7,16 @@
 
 // Defaults of the settings that have one.
 const (
-	defaultBodyBytes    = 8 << 20
-	defaultHeaderBytes  = 32 << 10
-	defaultStreamBytes  = 64 << 20
-	defaultOpenStreams  = 12000
-	defaultZonePairs    = 2
-	defaultPrefixes     = 200_000
-	defaultRunnerTokens = 8000
-	defaultRunnerSlots  = 16
-	defaultPartitions   = 1
+	defaultBodyBytes      = 8 << 20
+	defaultHeaderBytes    = 32 << 10
+	defaultStreamBytes    = 64 << 20
+	defaultOpenStreams    = 12000
+	defaultZonePairs      = 2
+	defaultPrefixes       = 200_000
+	defaultRunnerTokens   = 8000
+	defaultEventEndpoints = 64
+	defaultRunnerSlots    = 16
+	defaultPartitions     = 1
 )
 
 // register adds one flag for each setting. The flag's name is "section.key" of
@@ -56,6 +57,7 @@
 	fs.DurationVar(&s.Peers.Timeout, "peers.timeout", time.Second, "for one exchange")
 	fs.IntVar(&s.Routing.Prefixes, "routing.prefixes", defaultPrefixes, "prefixes remembered at most")
 	fs.DurationVar(&s.Routing.LoadInterval, "routing.load-interval", time.Second, "silence of an endpoint after which it is asked for its load")
+	fs.IntVar(&s.Routing.EventEndpoints, "routing.event-endpoints", defaultEventEndpoints, "model runners up to which their cache events are followed; 0: never")
 	fs.Float64Var(&s.Routing.RunnerTokens, "routing.runner-tokens", defaultRunnerTokens, "prompt tokens a second that a runner prefills")
 	fs.IntVar(&s.Routing.RunnerSlots, "routing.runner-slots", defaultRunnerSlots, "requests that a runner serves at once")
 	fs.BoolVar(&s.Orders.Enabled, "orders.enabled", true, "whether this daemon may give orders to endpoints")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,10 +72,11 @@
 
 // Routing bounds what placement remembers.
 type Routing struct {
-	Prefixes     int           // remembered prefixes
-	LoadInterval time.Duration // silence of an endpoint after which it is asked for its load
-	RunnerTokens float64       // prompt tokens a second that one runner prefills
-	RunnerSlots  int           // requests that one runner serves at once
+	Prefixes       int           // remembered prefixes
+	LoadInterval   time.Duration // silence of an endpoint after which it is asked for its load
+	EventEndpoints int           // model runners up to which their cache events are followed; 0: never
+	RunnerTokens   float64       // prompt tokens a second that one runner prefills
+	RunnerSlots    int           // requests that one runner serves at once
 }
 
 // Orders tells whether this daemon may give orders to endpoints.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -59,6 +59,8 @@
 		{"unknown variable", good, nil, []string{"MERLINDOCK_DAEMON_IDD=x"}, []string{"MERLINDOCK_DAEMON_IDD", "unknown"}},
 		{"wrong variable", good, nil, []string{"MERLINDOCK_PEERS_INTERVAL=1"}, []string{"MERLINDOCK_PEERS_INTERVAL", "duration"}},
 		{"unknown flag", good, []string{"-zone=x"}, nil, []string{"flag", "-zone"}},
+		{"too many event streams", good + "\n[routing]\nevent-endpoints = 1025\n", nil, nil, []string{":11:", "routing.event-endpoints", "0 to 1024"}},
+		{"negative event streams", good, []string{"-routing.event-endpoints=-1"}, nil, []string{"routing.event-endpoints", "0 to 1024"}},
 		{"certificate without key", good + "\n[tls]\ncallers-cert = a.pem\n", nil, nil, []string{"tls.callers-key", "both or neither"}},
 		{"host name to listen on", good + "\n[listen]\nadmin = localhost:80\n", nil, nil, []string{":11:", "IP:port"}},
 	}
