daemon: a model request takes an endpoint on trial when no other is left

Cause: with every other endpoint avoided, a request that was placed anew because of a trial got no endpoint and was refused; and after three tries a call that may not be repeated was sent to an endpoint on trial all the same. Change: a model request then takes the endpoint; a call that may not be repeated is refused as not run. Test: end-to-end tests pass with the race detector; the case itself needs a fleet of endpoints on trial and has no test yet.

--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -44,16 +44,27 @@
 	if r.Kind == fleet.KindModel {
 		request.Pool = modelPool(r.Target.Model, r.Target.Version)
 	}
+	repeatable := r.Kind == fleet.KindModel
 	for tries := 0; ; tries++ {
 		request.ID = v.ids.next()
 		decision, err := v.placement.Place(v.now(), request)
+		if err != nil && repeatable && tries > 0 && tries < trialsAtOnce {
+			// Only endpoints on trial are left: better one of them than none.
+			tries, request.Avoid = trialsAtOnce-1, r.Exclude
+			continue
+		}
 		if err != nil {
 			return gateway.Placement{}, err
 		}
-		if tries == trialsAtOnce || v.mayTry(decision.Endpoint, r.Kind == fleet.KindModel) {
+		last := tries == trialsAtOnce
+		if v.mayTry(decision.Endpoint, repeatable) || (last && repeatable) {
 			return v.placed(request.ID, levels, &decision), nil
 		}
 		v.placement.Finished(v.now(), request.ID)
+		if last {
+			// "Not run" is better than a call lost on an endpoint that fails.
+			return gateway.Placement{}, gateway.ErrNoEndpoint
+		}
 		request.Avoid = append(slices.Clone(request.Avoid), decision.Endpoint)
 	}
 }
