Take the lock where a history test replaces its daemons

Cause: the race detector reports that the test of a manifest that goes back wrote the list of daemons while the watcher read it; the test is on main and had run without -race only. Test: the histories pass three times with -race, 66 s in all.

--- a/lab/history/manifests_test.go
+++ b/lab/history/manifests_test.go
@@ -325,7 +325,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 0)
 		ahead, cut := s.follow(), s.follow()
+		s.mu.Lock()
 		s.followers = []*Follower{ahead}
+		s.mu.Unlock()
 		s.publish(1, 0, 0)
 		time.Sleep(2 * time.Second)
 		cut.Log.Disconnect()
