lab/cluster: keyed calls over whole daemons under failure

Until now keyed calls were brought to fail only against the claims package. These tests go through whole daemons: one key at two daemons at once, the log down between claim and result, the daemon lost between claim and send and between send and answer, keys that cannot be used, a call without a key.

--- /dev/null
+++ b/lab/cluster/keyed_test.go
@@ -0,0 +1,215 @@
+package cluster
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/lab/standin"
+)
+
+var booking = Options{Daemons: 3, Runners: 1, Services: 1}
+
+// serviceAddress is where the first service listens.
+const serviceAddress = "10.0.2.1:8000"
+
+// keyAt is an idempotency key, a UUIDv7, of the given time. The library's own
+// keys never go back in time, and each test begins at the same virtual time.
+func keyAt(at time.Time, n byte) string {
+	ms := at.UnixMilli()
+	b := [16]byte{byte(ms >> 40), byte(ms >> 32), byte(ms >> 24), byte(ms >> 16), byte(ms >> 8), byte(ms), 0x70, 0, 0x80}
+	b[15] = n
+	s := hex.EncodeToString(b[:])
+	return fmt.Sprintf("%s-%s-%s-%s-%s", s[:8], s[8:12], s[12:16], s[16:20], s[20:])
+}
+
+// book sends a call that may not be repeated; an empty key is left out.
+func (c *Cluster) book(t *testing.T, node int, key, slot string) *answer {
+	t.Helper()
+	if key == "" {
+		return c.do(t, node, http.MethodPost, ServicePath+"slots", slot)
+	}
+	return c.do(t, node, http.MethodPost, ServicePath+"slots", slot, gateway.HeaderIdempotencyKey, key)
+}
+
+// bookLater books slot 7 and gives the answer when it is there.
+func (c *Cluster) bookLater(t *testing.T, node int, key string) <-chan *answer {
+	got := make(chan *answer, 1)
+	go func() { got <- c.book(t, node, key, "slot 7") }()
+	return got
+}
+
+// wantEffects fails the test if the calls had another number of effects.
+func (c *Cluster) wantEffects(t *testing.T, want int) {
+	t.Helper()
+	got := 0
+	for _, s := range c.Services {
+		for _, n := range s.Effects() {
+			got += n
+		}
+	}
+	if got != want {
+		t.Errorf("%d effects, want %d", got, want)
+	}
+}
+
+func wantOutcome(t *testing.T, a *answer, status int, outcome gateway.Outcome) {
+	t.Helper()
+	if a.status != status || a.outcome != outcome {
+		t.Errorf("want status %d and outcome %q: %s", status, outcome, a)
+	}
+}
+
+// A caller's client times out early and repeats its booking through the
+// balancer, which takes it to another daemon while the first is at work. The
+// slot would be booked twice, or the two answers would differ.
+func TestOneKeyAtTwoDaemonsAtOnce(t *testing.T) {
+	inCluster(t, booking, func(t *testing.T, c *Cluster) {
+		c.Services[0].Delay = 300 * time.Millisecond
+		key := keyAt(time.Now(), 1)
+		first, second := c.bookLater(t, 0, key), c.bookLater(t, 1, key)
+		a, b := <-first, <-second
+		wantOutcome(t, a, http.StatusOK, "")
+		if a.status != b.status || a.body != b.body {
+			t.Errorf("two answers to one call: %s and %s", a, b)
+		}
+		c.wantEffects(t, 1)
+	})
+}
+
+// The log goes down when a booking is claimed and sent but its result is not
+// kept yet. The caller still gets its answer. One who repeats it elsewhere
+// during the outage is told "unknown" by a daemon that has read the claim, and
+// by one that has not that this repeat was not run; afterwards it gets the first
+// answer. Sent again, the slot would be booked twice.
+func TestLogDownBetweenClaimAndResult(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		read    time.Duration // that the other daemons have for the claim
+		status  int
+		outcome gateway.Outcome
+	}{
+		{"claim read by all", 1500 * time.Millisecond, http.StatusConflict, gateway.OutcomeUnknown},
+		{"claim not read by the others", 100 * time.Millisecond, http.StatusServiceUnavailable, gateway.OutcomeNotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCluster(t, booking, func(t *testing.T, cluster *Cluster) {
+				cluster.logDownInMidCall(t, c.read, c.status, c.outcome)
+			})
+		})
+	}
+}
+
+func (c *Cluster) logDownInMidCall(t *testing.T, read time.Duration, status int, outcome gateway.Outcome) {
+	c.Services[0].Delay = 3 * time.Second
+	key := keyAt(time.Now(), 1)
+	got := c.bookLater(t, 0, key)
+	for len(c.Services[0].Effects()) == 0 {
+		time.Sleep(10 * time.Millisecond) // virtual
+	}
+	time.Sleep(read) // virtual
+	c.Log.SetOutage(true)
+	first := <-got
+	wantOutcome(t, first, http.StatusOK, "")
+	wantOutcome(t, c.book(t, 1, key, "slot 7"), status, outcome)
+	fresh := c.book(t, 2, keyAt(time.Now(), 2), "slot 8")
+	wantOutcome(t, fresh, http.StatusServiceUnavailable, gateway.OutcomeNotRun)
+	if fresh.header.Get("Retry-After") == "" {
+		t.Errorf("not told when to come back: %s", fresh)
+	}
+	time.Sleep(10 * time.Minute) // virtual
+	c.Log.SetOutage(false)
+	time.Sleep(time.Minute) // virtual
+	again := c.book(t, 2, key, "slot 7")
+	wantOutcome(t, again, http.StatusOK, "")
+	if again.body != first.body {
+		t.Errorf("first %s, again %s", first, again)
+	}
+	c.wantEffects(t, 1)
+}
+
+// A daemon's VM is lost right after it was granted a key, before it reached the
+// service. Nobody can know that it did not; the repeat at another daemon must
+// say so instead of running the call.
+func TestDaemonLostBetweenClaimAndSend(t *testing.T) {
+	inCluster(t, booking, func(t *testing.T, c *Cluster) {
+		c.network.Listen(serviceAddress) // nobody accepts
+		key := keyAt(time.Now(), 1)
+		got := c.bookLater(t, 0, key)
+		time.Sleep(300 * time.Millisecond) // virtual; it tries to connect for longer
+		c.lose(0)
+		<-got
+		c.servers = append(c.servers, c.network.Serve(serviceAddress, c.Services[0]))
+		repeat := c.book(t, 1, key, "slot 7")
+		wantOutcome(t, repeat, http.StatusConflict, gateway.OutcomeUnknown)
+		c.wantEffects(t, 0)
+		other := c.book(t, 2, keyAt(time.Now(), 2), "slot 7")
+		wantOutcome(t, other, http.StatusOK, "")
+		c.wantEffects(t, 1)
+	})
+}
+
+// A daemon's VM is lost while a service works on a call that it sent. The call
+// runs; were the repeat sent again by another daemon, or by the lost one after
+// its restart, it would run twice.
+func TestDaemonLostBetweenSendAndAnswer(t *testing.T) {
+	inCluster(t, booking, func(t *testing.T, c *Cluster) {
+		c.Services[0].Delay = 2 * time.Second
+		key := keyAt(time.Now(), 1)
+		got := c.bookLater(t, 0, key)
+		time.Sleep(time.Second) // virtual
+		c.wantEffects(t, 1)
+		c.lose(0)
+		<-got
+		if err := c.Start(0); err != nil {
+			t.Fatal(err)
+		}
+		c.waitReady(t, 0, 5*time.Second)
+		time.Sleep(2 * time.Second) // virtual
+		for node := range c.Nodes {
+			wantOutcome(t, c.book(t, node, key, "slot 7"), http.StatusConflict, gateway.OutcomeUnknown)
+		}
+		c.wantEffects(t, 1)
+	})
+}
+
+// lose ends a node as the loss of its VM does: nothing more gets to the log.
+// What its requests still wait for ends within the time that it sleeps.
+func (c *Cluster) lose(i int) {
+	c.Nodes[i].Way.Disconnect()
+	c.Kill(i)
+	time.Sleep(10 * time.Second) // virtual
+}
+
+// A caller takes one key for two calls, or repeats a call after its key has
+// been forgotten. Run, the one would get an answer that is another call's and
+// the other might have a second effect.
+func TestKeysThatCannotBeUsed(t *testing.T) {
+	inCluster(t, booking, func(t *testing.T, c *Cluster) {
+		key := keyAt(time.Now(), 1)
+		wantOutcome(t, c.book(t, 0, key, "slot 7"), http.StatusOK, "")
+		wantOutcome(t, c.book(t, 1, key, "slot 8"), http.StatusUnprocessableEntity, gateway.OutcomeRefused)
+		old := keyAt(time.Now().Add(-2*time.Hour), 1)
+		wantOutcome(t, c.book(t, 1, old, "slot 9"), http.StatusConflict, gateway.OutcomeNotRun)
+		wantOutcome(t, c.book(t, 2, "slot-10", "slot 10"), http.StatusBadRequest, gateway.OutcomeRefused)
+		c.wantEffects(t, 1)
+	})
+}
+
+// A service books a slot and its connection breaks before the answer. The call
+// had no key, so it is not sent again, and the caller is told that it may have
+// run.
+func TestCallWithoutAKeyIsSentOnceByADaemon(t *testing.T) {
+	two := booking
+	two.Services = 2
+	inCluster(t, two, func(t *testing.T, c *Cluster) {
+		for _, s := range c.Services {
+			s.Fail(standin.Fault{Kind: standin.FaultAfterRun})
+		}
+		wantOutcome(t, c.book(t, 0, "", "slot 7"), http.StatusBadGateway, gateway.OutcomeUnknown)
+		c.wantEffects(t, 1)
+	})
+}
--- a/lab/cluster/rollout_test.go
+++ b/lab/cluster/rollout_test.go
@@ -100,25 +100,41 @@
 func (c *Cluster) fetched(t *testing.T) int {
 	t.Helper()
 	total := 0
-	for _, n := range c.Nodes {
-		resp, err := c.Client.Get("http://" + n.adminAddress() + "/metrics")
+	for i := range c.Nodes {
+		total += c.counted(t, i, "peer_events", "fetched")
+	}
+	return total
+}
+
+// counted adds up the counters on a node's metrics page whose lines hold both
+// texts.
+func (c *Cluster) counted(t *testing.T, i int, name, tag string) int {
+	t.Helper()
+	total := 0
+	for line := range strings.Lines(c.metrics(t, i)) {
+		if !strings.Contains(line, name) || !strings.Contains(line, tag) {
+			continue
+		}
+		count, err := strconv.Atoi(line[strings.LastIndexByte(line, ' ')+1 : len(line)-1])
 		if err != nil {
 			t.Fatal(err)
 		}
-		body, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		if err != nil || resp.StatusCode != http.StatusOK {
-			t.Fatalf("metrics: %d, %v", resp.StatusCode, err)
-		}
-		for line := range strings.Lines(string(body)) {
-			if strings.Contains(line, "peer_events") && strings.Contains(line, "fetched") {
-				count, err := strconv.Atoi(line[strings.LastIndexByte(line, ' ')+1 : len(line)-1])
-				if err != nil {
-					t.Fatal(err)
-				}
-				total += count
-			}
-		}
+		total += count
 	}
 	return total
 }
+
+// metrics is a node's page for the scraper.
+func (c *Cluster) metrics(t *testing.T, i int) string {
+	t.Helper()
+	resp, err := c.Client.Get("http://" + c.Nodes[i].adminAddress() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("metrics: %d, %v", resp.StatusCode, err)
+	}
+	return string(body)
+}
