lab/cluster: one organisation asks three times its share everywhere

Nothing showed admission over whole daemons in virtual time. Two organisations with equal shares ask at three daemons; the greedy one asks 48 prompts a second of a share of 16, the other 12. The test wants the other served, interactive first, refusals within the queue's bound with Retry-After and "not run", and no runner that saw a refused request.

--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -39,6 +39,7 @@
 	Services int
 	Prefill  time.Duration // per prompt token
 	Decode   time.Duration // per generated token
+	Slots    int           // requests at once of a runner; 0: the stand-in's default
 	Fences   bool          // runners refuse old fencing numbers
 	Store    *standin.WeightStore
 	ListLag  time.Duration
@@ -107,6 +108,7 @@
 			PieceTokens:   10,
 			Prefill:       o.Prefill,
 			Decode:        o.Decode,
+			Slots:         o.Slots,
 		})
 		ordered := r.TakeOrders(standin.OrderOptions{
 			Store:  o.Store,
--- /dev/null
+++ b/lab/cluster/shares_test.go
@@ -0,0 +1,125 @@
+package cluster
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/manifest"
+)
+
+// What the two organisations of these tests ask for.
+const (
+	otherKey     = "key-tsukushi"
+	promptTokens = 500
+	tenantsAsk   = 10 * time.Second
+	queueBound   = 2 * time.Second // longest wait of a standard request in a queue
+)
+
+// tenants are callers of two organisations with equal shares.
+type tenants struct {
+	c *Cluster
+
+	mu      sync.Mutex // guards what follows
+	served  map[string]int
+	refused map[string]int
+	slowest map[string]time.Duration // of those served
+	faults  []string
+	running sync.WaitGroup
+}
+
+// ask sends one prompt that no cache holds and books what became of it.
+func (s *tenants) ask(t *testing.T, n int, key, priority string) {
+	began := time.Now()
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":2,"messages":[{"role":"user","content":%q}]}`,
+		Model, fmt.Sprintf("%s %d ", key, n)+strings.Repeat("word", promptTokens))
+	a := s.c.post(t, n%3, "/v1/chat/completions", body,
+		"Authorization", "Bearer "+key, gateway.HeaderPriority, priority)
+	took := time.Since(began)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.status == http.StatusOK && strings.Contains(a.body, "[DONE]") {
+		s.served[key+" "+priority]++
+		s.slowest[key+" "+priority] = max(s.slowest[key+" "+priority], took)
+		return
+	}
+	s.refused[key+" "+priority]++
+	if took > queueBound+100*time.Millisecond || a.header.Get("Retry-After") == "" || a.outcome != gateway.OutcomeNotRun {
+		s.faults = append(s.faults, fmt.Sprintf("after %v: %s", took, a))
+	}
+}
+
+// every sends requests in even steps while the test lasts.
+func (s *tenants) every(t *testing.T, step time.Duration, key string, priorities ...string) {
+	s.running.Go(func() {
+		for n := 0; time.Duration(n)*step < tenantsAsk; n++ {
+			s.running.Go(func() { s.ask(t, n, key, priorities[n/3%len(priorities)]) })
+			time.Sleep(step) // virtual
+		}
+	})
+}
+
+// One organisation asks for three times its share at every daemon. The other,
+// which keeps within its own, would be crowded out; the callers who are turned
+// away must learn at once that nothing ran, and when to come back.
+func TestGreedyOrganisationTakesNothingFromTheOther(t *testing.T) {
+	o := Options{Daemons: 3, Runners: 2, Slots: 6, Prefill: 6 * time.Second / 8000}
+	inCluster(t, o, func(t *testing.T, c *Cluster) {
+		m := c.Manifest("v1")
+		sum := sha256.Sum256([]byte(otherKey))
+		m.Organisations = append(m.Organisations, manifest.Organisation{
+			ID:         "tsukushi",
+			KeyHashes:  []string{hex.EncodeToString(sum[:])},
+			Share:      1,
+			Priorities: []string{"interactive", "standard"},
+		})
+		if r, err := c.Publish(t.Context(), 0, 1, m); err != nil || r.Outcome != "accepted" {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		c.waitInForce(t, 2)
+		time.Sleep(5 * time.Second) // virtual; until the daemons have heard each other
+		s := &tenants{c: c, served: map[string]int{}, refused: map[string]int{}, slowest: map[string]time.Duration{}}
+		// Two runners prefill 16,000 tokens a second, 16 prompts for each share.
+		s.every(t, time.Second/48, Key, "interactive", "standard")
+		s.every(t, time.Second/12, otherKey, "interactive")
+		s.running.Wait()
+		t.Logf("served %v, refused %v, slowest %v", s.served, s.refused, s.slowest)
+		s.check(t)
+	})
+}
+
+func (s *tenants) check(t *testing.T) {
+	t.Helper()
+	for i, f := range s.faults {
+		if i < 3 {
+			t.Errorf("refused %s", f)
+		}
+	}
+	other := otherKey + " interactive"
+	if all := s.served[other] + s.refused[other]; s.served[other] < all*9/10 {
+		t.Errorf("%d of %d requests within the share were served", s.served[other], all)
+	}
+	if slowest := s.slowest[other]; slowest > 1500*time.Millisecond {
+		t.Errorf("a request within the share took %v", slowest)
+	}
+	first, later := s.served[Key+" interactive"], s.served[Key+" standard"]
+	if s.refused[Key+" interactive"]+s.refused[Key+" standard"] == 0 || first <= later {
+		t.Errorf("of the greedy organisation %d interactive and %d standard requests were served", first, later)
+	}
+	total, ran := 0, 0
+	for _, n := range s.served {
+		total += n
+	}
+	for _, r := range s.c.Runners {
+		ran += r.Stats().Requests
+	}
+	if ran != total {
+		t.Errorf("runners saw %d requests, %d were served", ran, total)
+	}
+}
