--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -43,6 +43,8 @@
 	Fences   bool          // runners refuse old fencing numbers
 	Store    *standin.WeightStore
 	ListLag  time.Duration
+	Logs     *logging.Factory // nil: no lines
+	Token    string           // of the administration API; empty: "token"
 }
 
 // Cluster is a running deployment. It belongs to one goroutine.
@@ -55,6 +57,8 @@
 	Nodes    []*Node
 	Client   *http.Client
 
+	logs      *logging.Factory
+	token     string
 	network   standin.Network
 	endpoints []fleet.Endpoint
 	servers   []*http.Server
@@ -78,10 +82,18 @@
 	if o.Store == nil {
 		o.Store = &standin.WeightStore{AtOnce: 2, Load: 20 * time.Second}
 	}
+	if o.Logs == nil {
+		o.Logs = logging.Discard()
+	}
+	if o.Token == "" {
+		o.Token = "token"
+	}
 	c := &Cluster{
 		Log:   plog.New(plog.Options{Now: time.Now}),
 		VMs:   plog.NewVMs(time.Now, o.ListLag),
 		Store: o.Store,
+		logs:  o.Logs,
+		token: o.Token,
 	}
 	c.transport = &http.Transport{DialContext: c.network.DialContext}
 	c.Client = &http.Client{Transport: c.transport}
@@ -185,10 +197,10 @@
 	}
 	n.Daemon, err = daemon.New(daemon.Options{
 		Settings: s,
-		Token:    "token",
+		Token:    c.token,
 		Log:      n.Way,
 		VMs:      c.VMs,
-		Logs:     logging.Discard(),
+		Logs:     c.logs,
 		Dial:     c.network.DialContext,
 		Listeners: daemon.Listeners{
 			Callers: c.network.Listen(n.address()),
--- a/lab/standin/faults.go
+++ b/lab/standin/faults.go
@@ -46,6 +46,13 @@
 	r.faults = append(r.faults, faults...)
 }
 
+// Mend takes the queued faults back.
+func (r *Runner) Mend() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = nil
+}
+
 // takeFault returns the next request's fault. The caller holds mu.
 func (r *Runner) takeFault() Fault {
 	if len(r.faults) == 0 {
