lab/cluster: a zone parted from the others and from the log

A daemon that could reach neither neighbours nor the log was not tested as a whole. The cluster's network now parts two nodes: open connections break and no new ones are opened. Ten minutes of virtual time (an hour costs too much under the race detector), three manifests published meanwhile: the parted daemon serves by the old one and then has the newest without going back.

No fault found.

--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -60,6 +60,7 @@
 	logs      *logging.Factory
 	token     string
 	network   standin.Network
+	ways      ways
 	endpoints []fleet.Endpoint
 	servers   []*http.Server
 	transport *http.Transport
@@ -201,7 +202,7 @@
 		Log:      n.Way,
 		VMs:      c.VMs,
 		Logs:     c.logs,
-		Dial:     c.network.DialContext,
+		Dial:     c.dial(i),
 		Listeners: daemon.Listeners{
 			Callers: c.network.Listen(n.address()),
 			Admin:   c.network.Listen(n.adminAddress()),
--- /dev/null
+++ b/lab/cluster/part_test.go
@@ -0,0 +1,61 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/platform"
+)
+
+// A zone is parted from the others and from the log for ten minutes while three
+// manifests are published. Its daemon serves by the one that it has; once the
+// ways are open again it must have the newest within seconds, by its neighbours
+// if the log stays away, and never go back to an older one.
+func TestPartedZoneServesAndCatchesUp(t *testing.T) {
+	for _, logBack := range []bool{true, false} {
+		t.Run(fmt.Sprintf("log back %v", logBack), func(t *testing.T) {
+			inCluster(t, Options{Daemons: 3, Runners: 3, Decode: time.Millisecond}, func(t *testing.T, c *Cluster) {
+				c.partedZone(t, logBack)
+			})
+		})
+	}
+}
+
+func (c *Cluster) partedZone(t *testing.T, logBack bool) {
+	time.Sleep(2 * time.Second) // virtual; until the daemons have met
+	c.Part(0, 2)
+	c.Part(1, 2)
+	c.Nodes[2].Way.Disconnect()
+	for n := range 3 {
+		m := c.Manifest("v1")
+		m.Name = fmt.Sprintf("change-%d", n)
+		r, err := c.Publish(t.Context(), n%2, platform.Offset(n+1), m)
+		if err != nil || r.Outcome != "accepted" {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		time.Sleep(200 * time.Second) // virtual
+		if offset := c.Nodes[2].Daemon.Revision().Offset; offset != 1 {
+			t.Fatalf("the parted daemon has offset %d", offset)
+		}
+		for node := range c.Nodes {
+			if a := c.ask(t, node, fmt.Sprintf("question %d", n), 3); !a.whole(3) {
+				t.Errorf("node %d, change %d: %s", node, n, a)
+			}
+		}
+	}
+	c.Join(0, 2)
+	c.Join(1, 2)
+	if logBack {
+		c.Nodes[2].Way.Reconnect()
+	}
+	t.Logf("in force on all after %v", c.waitInForce(t, 4))
+	for range 100 {
+		time.Sleep(100 * time.Millisecond) // virtual
+		for _, n := range c.Nodes {
+			if offset := n.Daemon.Revision().Offset; offset != 4 {
+				t.Fatalf("%s went back to offset %d", n.ID, offset)
+			}
+		}
+	}
+}
