Start from the newest checkpoint, and write one after many changes

Change: such a reader reads to the end and takes the newest checkpoint; one is also due after 64 to 128 changes.

--- a/ledger/agreement_test.go
+++ b/ledger/agreement_test.go
@@ -30,7 +30,7 @@
 func TestReadersOfManifestsAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		full, l := NewState(Options{}), &logbook{t: t}
-		readers := []*State{NewState(Options{Held: 3}), NewState(Options{}), NewState(Options{})}
+		readers := []*State{NewState(Options{Held: 3}), NewState(Options{}), NewState(Options{Lazy: true})}
 		before := make([]Revision, len(readers))
 		accepted := map[platform.Offset]Revision{0: {}}
 		rt.Repeat(map[string]func(*rapid.T){
@@ -64,6 +64,7 @@
 					feed(s, l.records[s.Next()-1])
 				}
 			},
+			"settle": func(*rapid.T) { readers[2].Settle() },
 			"expire": func(rt *rapid.T) {
 				s := rapid.SampledFrom(readers).Draw(rt, "reader")
 				s.Gap(platform.Offset(rapid.IntRange(1, len(l.records)+1).Draw(rt, "first")))
--- a/ledger/checkpoints.go
+++ b/ledger/checkpoints.go
@@ -22,7 +22,7 @@
 		// A manifest accepted after Through has its own record, which is
 		// younger than this one's predecessors.
 		d.Outcome = Noted
-		s.carrier = r.Time
+		s.carrier, s.since = r.Time, 0
 	}
 	return d
 }
--- a/ledger/manifests.go
+++ b/ledger/manifests.go
@@ -24,6 +24,10 @@
 	History   int
 	Held      int
 	HeldBytes int
+	// Lazy makes a fold that begins behind a gap wait for Settle, which takes
+	// the newest checkpoint instead of the first. A reader of a long stream is
+	// then spared the changes that the newest one already holds.
+	Lazy bool
 }
 
 // Version is an accepted manifest. It is never changed.
@@ -54,6 +58,8 @@
 	history []Decision
 	recent  []Acceptance // oldest first
 	carrier time.Time    // of the newest record that holds latest whole
+	since   int          // acceptances since then
+	lazy    bool         // until Settle
 
 	conflicts int
 }
@@ -69,7 +75,7 @@
 	if o.HeldBytes == 0 {
 		o.HeldBytes = DefaultHeldBytes
 	}
-	return &State{opt: o, rules: 1}
+	return &State{opt: o, rules: 1, lazy: o.Lazy}
 }
 
 // InForce returns the newest accepted manifest that is known by the fold or
@@ -152,20 +158,39 @@
 		s.gapEnd = s.held[0].Offset + 1
 		s.held = s.held[1:]
 	}
-	_, body, err := Decode(r.Data)
-	if c, ok := body.(*Checkpoint); err == nil && ok && c.Through < r.Offset {
-		if v, err := c.version(); err == nil {
-			if done := s.close(c, v); done != nil {
-				return done
-			}
+	if !s.lazy {
+		if done := s.closeBy(r); done != nil {
+			return done
 		}
 	}
-	if err != nil && reasonOf(err) == ReasonRules {
-		return []Decision{{Offset: r.Offset, Time: r.Time, Outcome: Undecided, Reason: ReasonBehind}}
-	}
 	return []Decision{{Offset: r.Offset, Time: r.Time, Outcome: Undecided, Reason: ReasonGap}}
 }
 
+// Settle ends the lazy beginning, once the stream was read to its end.
+func (s *State) Settle() []Decision {
+	s.lazy = false
+	for i := len(s.held) - 1; i >= 0; i-- {
+		if done := s.closeBy(s.held[i]); done != nil {
+			return done
+		}
+	}
+	return nil
+}
+
+// closeBy ends a gap with a held record, if that is a checkpoint which does.
+func (s *State) closeBy(r platform.Record) []Decision {
+	_, body, err := Decode(r.Data)
+	c, ok := body.(*Checkpoint)
+	if err != nil || !ok || c.Through >= r.Offset || c.Through < s.gapEnd-1 {
+		return nil
+	}
+	v, err := c.version()
+	if err != nil {
+		return nil
+	}
+	return s.close(c, v)
+}
+
 // close ends a gap with a proof that covers it, and folds what was held.
 func (s *State) close(c *Checkpoint, v *Version) []Decision {
 	if c == nil || s.gapEnd == 0 || c.Through < s.gapEnd-1 {
@@ -191,6 +216,7 @@
 func (s *State) take(c *Checkpoint, v *Version) {
 	s.through, s.latest, s.rules, s.carrier = c.Through, v, c.Rules, c.Carried
 	s.recent = append([]Acceptance(nil), c.Recent...)
+	s.since = 0
 }
 
 func (v *Version) offset() platform.Offset {
@@ -286,8 +312,8 @@
 		return d
 	}
 	s.latest = &Version{Revision: Revision{Offset: r.Offset, Digest: b.Digest}, Base: b.Base, Manifest: m}
-	s.carrier = r.Time
 	s.accept(Acceptance{Offset: r.Offset, Base: b.Base, Digest: b.Digest})
+	s.carrier, s.since = r.Time, 0
 	s.checkAhead()
 	d.Outcome = Accepted
 	return d
@@ -305,6 +331,7 @@
 }
 
 func (s *State) accept(a Acceptance) {
+	s.since++
 	s.recent = append(s.recent, a)
 	if len(s.recent) > MaxRecent {
 		s.recent = append([]Acceptance(nil), s.recent[1:]...)
--- a/ledger/manifests_test.go
+++ b/ledger/manifests_test.go
@@ -280,3 +280,27 @@
 	}
 	want(t, feed(s, l.add(change)), Refused, ReasonStale, s.Revision().Offset)
 }
+
+func TestAReaderBeginsAtTheNewestCheckpoint(t *testing.T) {
+	// A daemon starts and finds hours of changes. Folding each of them would
+	// take it seconds in which it serves what is long replaced.
+	full, l := NewState(Options{}), &logbook{t: t}
+	feed(full, l.add(proposal(t, 0, 1)))
+	first, due := platform.Offset(2), 0
+	for i := range 5 * checkpointChanges {
+		feed(full, l.add(section(t, full, "tsukushi", float64(i+1))))
+		if full.CheckpointDue(l.records[len(l.records)-1].Time, 1000*time.Hour, 0) {
+			c, _ := full.Proof()
+			feed(full, l.add(&c))
+			due++
+		}
+	}
+	late := NewState(Options{Lazy: true})
+	late.Gap(first)
+	feed(late, l.records[first-1:]...)
+	late.Settle()
+	folded := len(late.History())
+	if due != 5 || folded > checkpointChanges || late.Revision() != full.Revision() {
+		t.Fatalf("%d checkpoints, %d records folded, in force %+v, elsewhere %+v", due, folded, late.Revision(), full.Revision())
+	}
+}
--- a/ledger/proof.go
+++ b/ledger/proof.go
@@ -14,6 +14,11 @@
 	checkpointSpread = 0.25
 )
 
+// checkpointChanges is after how many changes of sections a checkpoint is due
+// at the earliest, and twice that at the latest. It bounds what a reader that
+// starts from a checkpoint has to fold.
+const checkpointChanges = 64
+
 // Proof returns what a neighbour or a later reader needs to take over the
 // manifest in force. It is false when the fold cannot vouch for any.
 func (s *State) Proof() (Checkpoint, bool) {
@@ -47,6 +52,9 @@
 	if !s.Decided() || s.latest == nil {
 		return false
 	}
+	if float64(s.since) >= checkpointChanges*(1+jitter) {
+		return true
+	}
 	share := checkpointAfter + checkpointSpread*jitter
 	return now.Sub(s.carrier) >= time.Duration(float64(retention)*share)
 }
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -56,7 +56,7 @@
 
 // NewManifests returns a Manifests that knows nothing yet.
 func NewManifests(o ManifestsOptions) *Manifests {
-	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{}), wake: make(chan struct{}, 1), news: make(chan struct{})}
+	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{Lazy: true}), wake: make(chan struct{}, 1), news: make(chan struct{})}
 	m.jitter = rand.New(rand.NewPCG(o.Seed, 1)).Float64()
 	m.tail = NewTail(TailOptions{
 		Log: o.Log, Stream: ledger.StreamManifest, Sink: m, Poll: o.Poll, Seed: o.Seed, Wake: m.wake,
@@ -215,8 +215,12 @@
 // CaughtUp implements Sink.
 func (m *Manifests) CaughtUp(platform.Offset) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.caught = true
+	if !m.caught {
+		m.caught = true
+		m.state.Settle()
+	}
+	m.mu.Unlock()
+	m.tell()
 }
 
 func (m *Manifests) tell() {
--- a/logio/publish.go
+++ b/logio/publish.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "logio: publish")
 	}
-	p := &publisher{log: log, what: what, data: data, state: ledger.NewState(ledger.Options{}), limit: pageLimit}
+	p := &publisher{log: log, what: what, data: data, state: ledger.NewState(ledger.Options{Lazy: true}), limit: pageLimit}
 	p.reads.random = newRand(req.Seed)
 	p.writes.random = p.reads.random
 	if req.Proof == nil {
@@ -212,6 +212,7 @@
 			p.reads.reset()
 			p.fold(page.Records)
 			if p.state.Next() >= page.Next && p.state.Next() > through {
+				p.state.Settle()
 				return nil
 			}
 			if len(page.Records) > 0 {
