Let the use of many pools take turns in digests

Cause: the use of all pools went into each digest until it was full, in no order; with thirty models some would have been told by chance only, and a full digest would have been sent every nine seconds.

Change: pools are told in turn, about 1 KB in a digest.

With one or two models, as today, nothing changes.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -23,6 +23,9 @@
 	shares []contract.Share
 	pools  map[string]*admissionPool
 	live   int // daemons on the platform's list; 0: not known
+
+	turnMu sync.Mutex
+	turn   int // the pool that the next digest to the neighbours begins with
 }
 
 // admissionPool guards the decisions for one pool and wakes those that wait.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,7 +5,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -197,22 +199,31 @@
 	}
 }
 
-// usage writes the organisations' use of each pool for the neighbours, as many
-// pools as fit.
+// usage writes the organisations' use for the neighbours, as many pools as fit
+// into one digest. With many models they take turns: a digest that held all
+// would fill the budget for control and be sent seldom.
 func (a *admission) usage(now time.Time, leaving bool) []byte {
+	pools := a.all()
+	names := slices.Sorted(maps.Keys(pools))
+	a.turnMu.Lock()
+	defer a.turnMu.Unlock()
 	var u peerpb.Usage
 	size := 0
-	for name, p := range a.all() {
-		p.mu.Lock()
-		digest := p.core.Digest(now, leaving)
-		p.mu.Unlock()
-		text, err := digest.AppendBinary(nil)
-		size += len(name) + len(text) + usageOverhead
-		if err != nil || size > neighbour.MaxUsage {
+	for i := range names {
+		name := names[(a.turn+i)%len(names)]
+		text, err := pools[name].digest(now, leaving)
+		if err != nil {
 			continue
 		}
+		size += len(name) + len(text) + usageOverhead
+		if len(u.Pools) > 0 && size > maxUsage {
+			break
+		}
 		u.Pools = append(u.Pools, &peerpb.PoolUse{Pool: name, Digest: text})
 	}
+	if len(names) > 0 {
+		a.turn = (a.turn + len(u.Pools)) % len(names)
+	}
 	text, err := proto.Marshal(&u)
 	if err != nil || len(text) > neighbour.MaxUsage {
 		return nil
@@ -220,6 +231,16 @@
 	return text
 }
 
+func (p *admissionPool) digest(now time.Time, leaving bool) ([]byte, error) {
+	p.mu.Lock()
+	digest := p.core.Digest(now, leaving)
+	p.mu.Unlock()
+	return digest.AppendBinary(nil)
+}
+
+// maxUsage bounds the use in one digest, but for the first pool.
+const maxUsage = 1 << 10
+
 // usageOverhead bounds what the encoding adds to one pool's use.
 const usageOverhead = 16
 
