--- a/peer/notify.go
+++ b/peer/notify.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer/peerpb"
@@ -20,6 +21,9 @@
 // daemons, and with many daemons few of them meet the same cold document.
 const MaxNoticeDaemons = 16
 
+// maxNoticeTokens bounds the work that one notice may claim.
+const maxNoticeTokens = 1 << 20
+
 // maxNoticeAge bounds how long ago a notice may have been made.
 const maxNoticeAge = 5 * time.Second
 
@@ -75,6 +79,8 @@
 			Endpoint:    string(n.Endpoint),
 			Incarnation: uint64(n.Incarnation),
 			Lost:        n.Lost,
+			Tokens:      uint32(max(n.Tokens, 0)),
+			Priority:    uint32(max(n.Priority, 0)),
 			AgeMs:       uint32(max(now.Sub(n.At), 0).Milliseconds()),
 		}
 		if !n.Lost {
@@ -98,6 +104,8 @@
 			Endpoint:    fleet.EndpointID(p.GetEndpoint()),
 			Incarnation: fleet.Incarnation(p.GetIncarnation()),
 			Lost:        p.GetLost(),
+			Tokens:      int(min(p.GetTokens(), maxNoticeTokens)),
+			Priority:    contract.Priority(min(p.GetPriority(), uint32(contract.PriorityCount-1))),
 			At:          now.Add(-age),
 		}
 		copy(n.Key[:], p.GetKey())
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -161,8 +161,9 @@
 	return max(e.gate, e.listed)
 }
 
-// meet notes the incarnation that a message came from. It returns false for a
-// message of a life that is over.
+// meet notes the incarnation that a message came from, and when what it says
+// was true. It returns false for a message of a life that is over, or from
+// before the endpoint's cache was lost.
 //
 // An engine that crashed comes back empty under the same address. Requests
 // would be sent there for a cache that is gone, and recompute it all in one
@@ -171,7 +172,7 @@
 // engine would otherwise look like the next life.
 func (v *View) meet(e *endpoint, in fleet.Incarnation, at time.Time) bool {
 	if in == 0 || in == e.incarnation {
-		return true
+		return !at.Before(e.emptied)
 	}
 	for _, old := range e.retired {
 		if old == in {
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/prefix"
 )
@@ -27,13 +28,17 @@
 	Endpoint    fleet.EndpointID
 	Incarnation fleet.Incarnation
 	Lost        bool // the connection was lost; Key is not used
-	At          time.Time
+	// Tokens is the work that goes there with the prefix, on one notice of
+	// each request: until the next load report no other daemon sees it.
+	Tokens   int
+	Priority contract.Priority
+	At       time.Time
 }
 
 // note writes down that a request has gone to the endpoint: there, the ends of
 // its messages will soon be cached. Those that nothing was believed of are put
 // into the outbox for the other daemons.
-func (v *View) note(now time.Time, ep int32, r *Request) {
+func (v *View) note(now time.Time, ep int32, r *Request, tokens int) {
 	e := &v.endpoints[ep]
 	for i := range shared(r.Levels) {
 		l := &r.Levels[i]
@@ -45,7 +50,10 @@
 			continue
 		}
 		t.hold(holder{endpoint: ep, life: e.life, gaps: e.gaps, coming: true, seen: now})
-		v.outbox.push(Notice{Key: l.Key, Endpoint: e.id, Incarnation: e.incarnation, At: now})
+		v.outbox.push(Notice{
+			Key: l.Key, Endpoint: e.id, Incarnation: e.incarnation, Tokens: tokens, Priority: r.Priority, At: now,
+		})
+		tokens = 0
 	}
 }
 
@@ -69,7 +77,7 @@
 func (v *View) Heard(all []Notice) {
 	for _, n := range all {
 		e := v.endpointOf(n.Endpoint)
-		if e == nil || n.Incarnation != e.incarnation {
+		if e == nil || n.Incarnation != e.incarnation || n.At.Before(e.emptied) {
 			continue
 		}
 		if n.Lost {
@@ -77,6 +85,7 @@
 			continue
 		}
 		ep := v.byID[n.Endpoint]
+		v.reserveForPeer(&n, ep)
 		t := v.prefixes.touch(n.Key)
 		if h := t.holderOf(ep); h != nil && h.life == e.life && !h.seen.Before(n.At) {
 			continue
@@ -85,6 +94,19 @@
 	}
 }
 
+// peerOwner marks the owners of reservations for what other daemons have sent.
+// They end with a load report or their expiry, since no answer comes here.
+const peerOwner = 1 << 63
+
+func (v *View) reserveForPeer(n *Notice, ep int32) {
+	e := &v.endpoints[ep]
+	if n.Tokens <= 0 || n.Priority < 0 || n.Priority >= contract.PriorityCount || !n.At.After(e.loadAt) {
+		return
+	}
+	v.peerWork++
+	v.reserve(n.At, &Request{ID: peerOwner | v.peerWork, Priority: n.Priority}, ep, n.Tokens)
+}
+
 // sameLoss is the time within which losses of one endpoint, seen by several
 // requests and daemons, count as one.
 const sameLoss = time.Second
--- a/placement/notices_test.go
+++ b/placement/notices_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
 )
 
 // Two questions on a document that nobody had before reach two daemons within
@@ -69,3 +72,48 @@
 		t.Errorf("relies on the cache of the dead engine: %+v", got)
 	}
 }
+
+// A runner's connection is lost, and only then do its cache events and another
+// daemon's notice from before arrive. They name the life that is known, since
+// nothing has been heard of the next one, and would bring the lost cache back.
+func TestNewsFromBeforeTheLossIsIgnored(t *testing.T) {
+	v := testView(18)
+	r := ask(1, "a", "sheet")
+	d := place(t, v, epoch, r)
+	answer(v, epoch, r, d)
+	lost := epoch.Add(time.Second)
+	v.Failed(lost, Failure{ID: 2, Endpoint: d.Endpoint, Dead: true})
+	before := lost.Add(-100 * time.Millisecond)
+	key := r.Levels[len(r.Levels)-2].Key
+	v.CacheEvents(EventBatch{
+		Endpoint: d.Endpoint, Incarnation: 1, Seq: 1, At: before, Events: []Event{{Kind: EventStored, Key: key}},
+	})
+	v.Heard([]Notice{{Key: key, Endpoint: d.Endpoint, Incarnation: 1, At: before}})
+	if got := place(t, v, lost.Add(time.Second), ask(3, "a", "sheet")); got.Reason == ReasonHolder {
+		t.Errorf("relies on the lost cache: %+v", got)
+	}
+}
+
+// Another daemon has just sent a long prompt to an idle runner, and no load
+// report shows it yet. A phone request that went there as well would wait for
+// all of it. If the reservation for it never ended, the runner would seem busy
+// for ever, since no answer to the other daemon's request comes here.
+func TestWorkOfOtherDaemonsIsReservedUntilAReport(t *testing.T) {
+	v := testView(1)
+	notice := Notice{Endpoint: "runner-0", Tokens: 8000, Priority: contract.PriorityStandard, At: epoch}
+	wait := func(now time.Time) time.Duration { return seconds(v.wait(now, 0, contract.PriorityStandard)) }
+	v.Heard([]Notice{notice})
+	if got := wait(epoch); got != time.Second {
+		t.Fatalf("wait = %v, want the second that the other's prompt takes", got)
+	}
+	v.LoadReported("runner-0", fleet.Load{At: epoch.Add(100 * time.Millisecond)})
+	if got := wait(epoch.Add(time.Second)); got != 0 {
+		t.Errorf("wait = %v after a report that shows the work, want 0", got)
+	}
+	notice.At = epoch.Add(time.Second)
+	v.Heard([]Notice{notice})
+	v.Expire(notice.At.Add(DefaultReservationTTL))
+	if got := wait(epoch.Add(time.Hour)); got != 0 {
+		t.Errorf("wait = %v after the expiry, want 0", got)
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -30,7 +30,7 @@
 	// delays whoever comes next. With a low weight a loaded fleet collapses:
 	// waits send prompts to cold endpoints, where they are computed once more,
 	// which makes the waits longer.
-	wasteWeight = 20.0
+	wasteWeight = 24.0
 	// rankCost separates endpoints that are otherwise equal. It is above the
 	// two-way delay between zones: daemons of different zones must agree
 	// where a cold prefix goes.
@@ -119,7 +119,7 @@
 	d, missing := v.choose(now, &r, home, reason)
 	ep := v.byID[d.Endpoint]
 	v.reserve(now, &r, ep, missing)
-	v.note(now, ep, &r)
+	v.note(now, ep, &r, missing)
 	return d, nil
 }
 
--- a/placement/view.go
+++ b/placement/view.go
@@ -28,9 +28,10 @@
 	ages             ageQueue
 	service          float64 // seconds from first token to last, averaged
 
-	imports importBudget
-	outbox  outbox
-	scratch scratch
+	imports  importBudget
+	outbox   outbox
+	peerWork uint64 // reservations made for other daemons
+	scratch  scratch
 }
 
 // NewView returns an empty View.
