Carry on that no manifest has been accepted yet

Cause: when the only records of the stream were refused ones and had expired, a reader could not know that nothing was accepted, and the first manifest could be published by nobody who started later. Change: a checkpoint is due in that state too, reckoned from the first record folded; the retention before the first manifest is an option.

--- a/lab/history/publish_test.go
+++ b/lab/history/publish_test.go
@@ -126,3 +126,24 @@
 		synctest.Wait()
 	})
 }
+
+func TestTheFirstManifestIsAcceptedLongAfterARefusedOne(t *testing.T) {
+	// The first thing ever published is no manifest, and nobody tries again for
+	// a day. Its record expires; an operator must still be able to publish.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := plog.New(plog.Options{Retention: Retention})
+		if _, err := log.Append(ctx, ledger.StreamManifest, []byte("no manifest")); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			_ = logio.NewManifests(logio.ManifestsOptions{Log: log, Seed: 1, Poll: 10 * time.Second, Retention: Retention}).Run(ctx)
+		}()
+		time.Sleep(24 * time.Hour)
+		if r := publish(t, log, 0, 1); r.Outcome != logio.PublishAccepted {
+			t.Fatalf("told %+v", r)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/ledger/manifests.go
+++ b/ledger/manifests.go
@@ -233,6 +233,11 @@
 	d := s.decide(r)
 	d.Offset, d.Time = r.Offset, r.Time
 	s.through = r.Offset
+	if s.carrier.IsZero() {
+		// Nothing is accepted yet, which has to be carried on as well: once
+		// this record has expired, a reader could not know it.
+		s.carrier = r.Time
+	}
 	s.remember(d)
 	return d
 }
--- a/ledger/proof.go
+++ b/ledger/proof.go
@@ -49,7 +49,7 @@
 // the others see it. A clock that is wrong by minutes does no harm: the
 // checkpoint is due long before anything expires and decides nothing.
 func (s *State) CheckpointDue(now time.Time, retention time.Duration, jitter float64) bool {
-	if !s.Decided() || s.latest == nil {
+	if !s.Decided() || s.through == 0 {
 		return false
 	}
 	if float64(s.since) >= checkpointChanges*(1+jitter) {
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -32,6 +32,9 @@
 	Log  platform.Log
 	Poll time.Duration // 0 takes DefaultPoll
 	Seed uint64        // of the jitter; must differ between daemons
+	// Retention is how long the platform is taken to keep records while no
+	// manifest says so; 0 takes DefaultRetention.
+	Retention time.Duration
 	// Changed is called after a newer manifest came into force, from one
 	// goroutine at a time and in order. May be nil.
 	Changed func(*ledger.Version)
@@ -56,6 +59,9 @@
 
 // NewManifests returns a Manifests that knows nothing yet.
 func NewManifests(o ManifestsOptions) *Manifests {
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
 	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{Lazy: true}), wake: make(chan struct{}, 1), news: make(chan struct{})}
 	m.jitter = rand.New(rand.NewPCG(o.Seed, 1)).Float64()
 	m.tail = NewTail(TailOptions{
@@ -256,7 +262,7 @@
 func (m *Manifests) checkpoint(now time.Time) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	retention := DefaultRetention
+	retention := m.opt.Retention
 	if v := m.state.InForce(); v != nil {
 		retention = time.Duration(v.Manifest.Retention.LogRecords)
 	}
