Keep a daemon's long name from stopping its claims

Cause: an owner over 64 bytes made the claims service refuse to start, and with it every keyed call; the daemon's own name may be that long, since its start time is added to it. Change: 64 bytes of the name are kept, beside the random life that tells owners apart.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -96,7 +96,7 @@
 // Options of a Service.
 type Options struct {
 	Log          platform.Log
-	Owner        string // names the process to operators, at most 64 bytes
+	Owner        string // names the process to operators; 64 bytes of it are kept
 	Layout       ledger.Layout
 	BatchItems   int           // claims in one append
 	Linger       time.Duration // waited for company, see logio.BatchOptions
@@ -115,9 +115,6 @@
 
 // New returns a service that is not ready until Run has read the log.
 func New(o Options) (*Service, error) {
-	if len(o.Owner) > maxOwnerBytes {
-		return nil, fmt.Errorf("claims: owner is longer than %d bytes", maxOwnerBytes)
-	}
 	if !o.Layout.Valid() {
 		return nil, fmt.Errorf("claims: layout %+v is out of range", o.Layout)
 	}
@@ -132,7 +129,7 @@
 	}
 	// Attempts and marks of an earlier service of this process must not pass
 	// for this one's: a repeated attempt is granted again.
-	o.Owner += "/" + uuid.NewString()
+	o.Owner = o.Owner[:min(len(o.Owner), maxOwnerBytes)] + "/" + uuid.NewString()
 	s := &Service{opt: o}
 	for i := range o.Layout.Partitions {
 		s.parts = append(s.parts, newPartition(o, i))
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/merlindock/merlindock/ledger"
+	"github.com/merlindock/merlindock/manifest"
+	"github.com/merlindock/merlindock/platform"
 )
 
 func TestOnlyKeysThatTellTheirAgeAreTaken(t *testing.T) {
@@ -38,3 +42,20 @@
 		})
 	}
 }
+
+func TestAnOwnersNameMayBeLong(t *testing.T) {
+	layout := ledger.Layout{Partitions: 1, Window: manifest.Duration(time.Hour)}
+	s, err := New(Options{Owner: strings.Repeat("entry-", 100), Layout: layout})
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := s.parts[0].encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fold := ledger.NewClaims(ledger.Layout{Partitions: 2, Window: layout.Window})
+	fold.Apply(platform.Record{Offset: 1, Time: time.Now(), Data: data})
+	if !fold.Poisoned() {
+		t.Fatal("a mark with a long name was not read")
+	}
+}
