Give runners a KV store, and test caches and events on whole daemons

The store endpoint of the labs was a plain service, so an import never happened and no test showed what a daemon does with a cache that is gone.

--- a/lab/cluster/caller_test.go
+++ b/lab/cluster/caller_test.go
@@ -93,10 +93,16 @@
 
 // ask sends a streamed request with the given question.
 func (c *Cluster) ask(t *testing.T, node int, question string, tokens int) *answer {
+	t.Helper()
+	return c.askOn(t, node, strings.Repeat("preamble ", 20), question, tokens)
+}
+
+// askOn asks a question on a document.
+func (c *Cluster) askOn(t *testing.T, node int, document, question string, tokens int) *answer {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"seed":1,"max_tokens":%d,"messages":[`+
 		`{"role":"system","content":%q},{"role":"user","content":%q}]}`,
-		Model, tokens, strings.Repeat("preamble ", 20), question)
+		Model, tokens, document, question)
 	a := c.do(t, node, http.MethodPost, "/v1/chat/completions", body)
 	for line := range strings.SplitSeq(a.body, "\n") {
 		data, ok := strings.CutPrefix(line, "data: ")
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -42,6 +42,11 @@
 	Fences   bool          // runners refuse old fencing numbers
 	Store    *standin.WeightStore
 	ListLag  time.Duration
+	// KV describes the KV store; nil: there is none.
+	KV          *standin.StoreOptions
+	PieceTokens int // of the manifest and of runners
+	CachePieces int // of one runner
+	NoEvents    bool
 }
 
 // Cluster is a running deployment. It belongs to one goroutine.
@@ -51,9 +56,11 @@
 	Store    *standin.WeightStore
 	Runners  []*standin.OrderedRunner
 	Services []*standin.Service
+	KV       *standin.Store // nil: there is none
 	Nodes    []*Node
 	Client   *http.Client
 
+	o         Options
 	network   standin.Network
 	endpoints []fleet.Endpoint
 	servers   []*http.Server
@@ -77,7 +84,11 @@
 	if o.Store == nil {
 		o.Store = &standin.WeightStore{AtOnce: 2, Load: 20 * time.Second}
 	}
+	if o.PieceTokens == 0 {
+		o.PieceTokens = 10
+	}
 	c := &Cluster{
+		o:     o,
 		Log:   plog.New(plog.Options{Now: time.Now}),
 		VMs:   plog.NewVMs(time.Now, o.ListLag),
 		Store: o.Store,
@@ -99,14 +110,23 @@
 }
 
 func (c *Cluster) startEndpoints(o Options) {
+	store := ""
+	if o.KV != nil {
+		store = "10.0.3.1:8000"
+		c.KV = standin.NewStore(*o.KV)
+		c.endpoint("store-1", "store", store, 0, c.KV)
+	}
 	for i := range o.Runners {
 		id := fmt.Sprintf("runner-%d", i+1)
 		r := standin.NewRunner(standin.RunnerOptions{
 			ID:            fleet.EndpointID(id),
 			WeightVersion: "v1",
-			PieceTokens:   10,
+			PieceTokens:   o.PieceTokens,
 			Prefill:       o.Prefill,
 			Decode:        o.Decode,
+			CachePieces:   o.CachePieces,
+			Store:         store,
+			Dial:          c.network.DialContext,
 		})
 		ordered := r.TakeOrders(standin.OrderOptions{
 			Store:  o.Store,
@@ -181,6 +201,9 @@
 	if err != nil {
 		return err
 	}
+	if c.o.NoEvents {
+		s.Routing.EventEndpoints = 0
+	}
 	n.Daemon, err = daemon.New(daemon.Options{
 		Settings: s,
 		Token:    "token",
@@ -250,7 +273,7 @@
 		Rules: manifest.RulesVersion,
 		Name:  "cluster",
 		Fleet: manifest.Fleet{
-			PieceTokens:     10,
+			PieceTokens:     c.o.PieceTokens,
 			BytesPerToken:   4,
 			LoadsAtOnce:     2,
 			FirstTokenLimit: manifest.Duration(time.Second),
@@ -265,6 +288,7 @@
 		Classes: []manifest.Class{
 			{ID: "runner", Kind: fleet.KindModel, Models: []string{Model}},
 			{ID: "counter", Kind: fleet.KindService},
+			{ID: "store", Kind: fleet.KindStore},
 		},
 		Services: []manifest.Service{{
 			ID:         "receipts",
--- /dev/null
+++ b/lab/standin/life.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+// live begins another life with an empty cache. The caller holds mu, or is
+// alone.
+func (r *Runner) live() {
+	r.incarnation++
+	r.alive, r.kill = context.WithCancel(context.Background())
+	r.down = false
+	r.events = newEventLog(r.incarnation)
+	r.cache = newPieceCache(r.o.CachePieces, r.events.add)
+}
+
+// Crash breaks off all answers and refuses connections until Restart.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+	r.kill()
+}
+
+// Restart brings the runner back empty, with another incarnation, under the
+// same address.
+func (r *Runner) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kill()
+	r.live()
+}
+
+// SetDraining makes the runner refuse new work, or take it again.
+func (r *Runner) SetDraining(draining bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = draining
+}
+
+// SetWeightVersion loads another weight version; what was cached is gone.
+func (r *Runner) SetWeightVersion(version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = version
+	r.cache = newPieceCache(r.o.CachePieces, r.events.add)
+	r.events.add(engine.CacheCleared, prefix.Key{})
+}
+
+// Incarnation returns the runner's present incarnation.
+func (r *Runner) Incarnation() fleet.Incarnation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.incarnation
+}
+
+// Stats returns a copy of what the runner has done.
+func (r *Runner) Stats() RunnerStats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats
+	s.Attempts = make(map[string]int, len(r.stats.Attempts))
+	for id, n := range r.stats.Attempts {
+		s.Attempts[id] = n
+	}
+	return s
+}
+
+// Load returns what the runner reports of itself.
+func (r *Runner) Load() fleet.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fleet.Load{
+		At:            time.Now(),
+		Incarnation:   r.incarnation,
+		Running:       int(r.running.Load()),
+		Waiting:       int(r.waiting.Load()),
+		WaitingTokens: int(r.queued.Load()),
+		Slots:         r.o.Slots,
+		CachedBlocks:  r.cache.size(),
+		Draining:      r.draining,
+		Weights:       r.weights,
+	}
+}
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -43,16 +44,24 @@
 	Slots         int           // requests it generates at once
 	Prefill       time.Duration // per prompt token that is not cached
 	Decode        time.Duration // per token generated
+	Store         string        // address of the KV store to export to; empty: none
+	Dial          Dial          // to the KV store; nil: TCP
 	Plain         bool          // knows none of merlindock's headers
 	IgnoresResume bool          // begins at the first token whatever is asked
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Runner is a stand-in for a model engine.
 type Runner struct {
 	o     RunnerOptions
 	mux   *http.ServeMux
 	slots chan struct{}
 
+	transport *http.Transport // to the KV store
+	exports   chan struct{}   // one for each export under way
+
 	running atomic.Int64
 	waiting atomic.Int64
 	queued  atomic.Int64 // prompt tokens that wait or are prefilled
@@ -79,7 +88,10 @@
 	Refused         int // not taken, since it drains or has other weights
 	Cancelled       int // whose caller left before the end
 	PromptTokens    int
-	CachedTokens    int // of the prompt tokens
+	CachedTokens    int // of the prompt tokens, imported ones included
+	Imports         int // asked of the KV store
+	ImportsVain     int // that brought nothing
+	ImportedTokens  int
 	GeneratedTokens int
 	Attempts        map[string]int // times each attempt id came
 }
@@ -92,6 +104,8 @@
 	setDefault(&o.AnswerTokens, DefaultAnswerTokens)
 	setDefault(&o.Slots, DefaultSlots)
 	r := &Runner{o: o, slots: make(chan struct{}, o.Slots), version: o.WeightVersion}
+	r.transport = &http.Transport{DialContext: o.Dial, DisableKeepAlives: true}
+	r.exports = make(chan struct{}, exportsAtOnce)
 	r.stats.Attempts = make(map[string]int)
 	r.live()
 	r.mux = http.NewServeMux()
@@ -109,85 +123,6 @@
 	}
 }
 
-// live begins another life with an empty cache. The caller holds mu, or is
-// alone.
-func (r *Runner) live() {
-	r.incarnation++
-	r.alive, r.kill = context.WithCancel(context.Background())
-	r.down = false
-	r.events = newEventLog(r.incarnation)
-	r.cache = newPieceCache(r.o.CachePieces, r.events.add)
-}
-
-// Crash breaks off all answers and refuses connections until Restart.
-func (r *Runner) Crash() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.down = true
-	r.kill()
-}
-
-// Restart brings the runner back empty, with another incarnation, under the
-// same address.
-func (r *Runner) Restart() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.kill()
-	r.live()
-}
-
-// SetDraining makes the runner refuse new work, or take it again.
-func (r *Runner) SetDraining(draining bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.draining = draining
-}
-
-// SetWeightVersion loads another weight version; what was cached is gone.
-func (r *Runner) SetWeightVersion(version string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.version = version
-	r.cache = newPieceCache(r.o.CachePieces, r.events.add)
-	r.events.add(engine.CacheCleared, prefix.Key{})
-}
-
-// Incarnation returns the runner's present incarnation.
-func (r *Runner) Incarnation() fleet.Incarnation {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.incarnation
-}
-
-// Stats returns a copy of what the runner has done.
-func (r *Runner) Stats() RunnerStats {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.stats
-	s.Attempts = make(map[string]int, len(r.stats.Attempts))
-	for id, n := range r.stats.Attempts {
-		s.Attempts[id] = n
-	}
-	return s
-}
-
-// Load returns what the runner reports of itself.
-func (r *Runner) Load() fleet.Load {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return fleet.Load{
-		At:            time.Now(),
-		Incarnation:   r.incarnation,
-		Running:       int(r.running.Load()),
-		Waiting:       int(r.waiting.Load()),
-		WaitingTokens: int(r.queued.Load()),
-		Slots:         r.o.Slots,
-		CachedBlocks:  r.cache.size(),
-		Draining:      r.draining,
-		Weights:       r.weights,
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
@@ -361,7 +296,15 @@
 		<-r.slots
 		r.running.Add(-1)
 	})
-	return pause(j.ctx, time.Duration(todo)*r.o.Prefill)
+	j.importPrefix(todo)
+	missing := len(j.prompt)/r.o.BytesPerToken + 1 - j.cached
+	if !pause(j.ctx, time.Duration(missing)*r.o.Prefill) {
+		return false
+	}
+	if missing > r.o.PieceTokens {
+		j.export()
+	}
+	return true
 }
 
 // header sets what an answer says beside itself.
--- /dev/null
+++ b/lab/standin/transfer.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+const (
+	exportsAtOnce = 32 // of one runner; more are left out
+	exportLimit   = 5 * time.Second
+	// importLimit is the least time that an import may take. Beyond it, an
+	// import that takes longer than computing is given up.
+	importLimit  = 100 * time.Millisecond
+	maxLineBytes = 128
+)
+
+// importPrefix fetches what the KV store has and counts it as cached. Whatever
+// the store does, the request goes on: what did not come is computed.
+func (j *job) importPrefix(todo int64) {
+	address := j.req.Header.Get(engine.HeaderImportFrom)
+	if j.r.o.Plain || address == "" || tokensOf(j.levels) <= j.cached {
+		return
+	}
+	limit := max(importLimit, time.Duration(todo)*j.r.o.Prefill)
+	ctx, cancel := context.WithTimeout(j.ctx, limit)
+	defer cancel()
+	got := j.fetch(ctx, address)
+	size := j.r.o.PieceTokens
+	whole := min(got, len(j.prompt)/j.r.o.BytesPerToken) / size * size
+	r := j.r
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.Imports++
+	if whole <= j.cached {
+		r.stats.ImportsVain++
+		return
+	}
+	r.stats.ImportedTokens += whole - j.cached
+	r.stats.CachedTokens += whole - j.cached
+	j.cached = whole
+}
+
+// fetch returns the tokens that came. Only levels that were asked for, in their
+// order and delivered whole, count; what the store announces does not.
+func (j *job) fetch(ctx context.Context, address string) int {
+	req, err := transferRequest(ctx, address, StorePathImport, j.levels)
+	if err != nil {
+		return 0
+	}
+	resp, err := j.r.transport.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0
+	}
+	tokens := 0
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, maxLineBytes), maxLineBytes)
+	for _, want := range j.levels {
+		if !lines.Scan() || lines.Text() != prefix.Format([]prefix.Level{want}) {
+			break
+		}
+		tokens = want.Tokens
+	}
+	return tokens
+}
+
+// export gives the prompt's levels to the KV store, beside the request.
+func (j *job) export() {
+	r := j.r
+	if r.o.Plain || r.o.Store == "" || len(j.levels) == 0 {
+		return
+	}
+	select {
+	case r.exports <- struct{}{}:
+	default:
+		return
+	}
+	r.mu.Lock()
+	life := r.alive
+	r.mu.Unlock()
+	go func() {
+		defer func() { <-r.exports }()
+		ctx, cancel := context.WithTimeout(life, exportLimit)
+		defer cancel()
+		req, err := transferRequest(ctx, r.o.Store, StorePathExport, j.levels)
+		if err != nil {
+			return
+		}
+		if resp, err := r.transport.RoundTrip(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+}
+
+func transferRequest(ctx context.Context, address, path string, levels []prefix.Level) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(engine.HeaderPrefix, prefix.Format(levels))
+	return req, nil
+}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -47,6 +47,7 @@
 	PieceTokens   int
 	CachePieces   int           // of one runner
 	ListLag       time.Duration // of the platform's list
+	Store         standin.StoreOptions
 }
 
 // World is a running deployment without daemons.
@@ -55,6 +56,7 @@
 	VMs      *plog.VMs
 	Runners  []*standin.Runner
 	Services []*standin.Service
+	Store    *standin.Store
 
 	// PlatformURL is the base URL of the platform's stand-in.
 	PlatformURL string
@@ -102,6 +104,11 @@
 }
 
 func (w *World) startEndpoints() error {
+	w.Store = standin.NewStore(w.o.Store)
+	store, err := w.serve(0, w.Store)
+	if err != nil {
+		return err
+	}
 	for i := range w.o.Runners {
 		r := standin.NewRunner(standin.RunnerOptions{
 			ID:            fleet.EndpointID(fmt.Sprintf("runner-%02d", i+1)),
@@ -111,6 +118,7 @@
 			AnswerTokens:  w.o.AnswerTokens,
 			Prefill:       w.o.Prefill,
 			Decode:        w.o.Decode,
+			Store:         store,
 		})
 		w.Runners = append(w.Runners, r)
 		if err := w.endpoint(fmt.Sprintf("runner-%02d", i+1), classRunner, i, r); err != nil {
@@ -125,7 +133,8 @@
 			return err
 		}
 	}
-	return w.endpoint("store-01", classStore, 0, standin.NewService("store-01"))
+	w.list("store-01", classStore, 0, store)
+	return nil
 }
 
 func (w *World) endpoint(id, class string, i int, h http.Handler) error {
@@ -133,6 +142,11 @@
 	if err != nil {
 		return err
 	}
+	w.list(id, class, i, address)
+	return nil
+}
+
+func (w *World) list(id, class string, i int, address string) {
 	w.endpoints = append(w.endpoints, fleet.Endpoint{
 		ID:      fleet.EndpointID(id),
 		VM:      fleet.VMID("vm-" + id),
@@ -141,7 +155,6 @@
 		Address: address,
 		State:   fleet.VMLive,
 	})
-	return nil
 }
 
 func (w *World) serve(port int, h http.Handler) (string, error) {
