Change one section of the manifest from the API and the command line

Cause: sections could be published by code only, so that at thousands of organisations an operator would still have to send the whole manifest.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -39,6 +39,10 @@
 	History() []Publication
 	// Publish offers a manifest made against the given base.
 	Publish(ctx context.Context, base platform.Offset, m *manifest.Manifest) (Publication, error)
+	// PublishSection offers a change of one section of the manifest in force.
+	// Its error is ErrSectionChanged or a *manifest.Error when nothing was
+	// published.
+	PublishSection(ctx context.Context, c Change) (Publication, error)
 	// Endpoints returns the state of each endpoint.
 	Endpoints() any
 	// Organisations returns each organisation's use against its share.
@@ -94,6 +98,9 @@
 	mux.HandleFunc("GET /v1/manifest", a.guard(a.manifest))
 	mux.HandleFunc("POST /v1/manifest", a.guard(a.publish))
 	mux.HandleFunc("GET /v1/manifest/history", a.guard(a.show(func() any { return o.System.History() })))
+	mux.HandleFunc("GET /v1/manifest/sections/{kind}/{id}", a.guard(a.getSection))
+	mux.HandleFunc("PUT /v1/manifest/sections/{kind}/{id}", a.guard(a.changeSection))
+	mux.HandleFunc("DELETE /v1/manifest/sections/{kind}/{id}", a.guard(a.changeSection))
 	mux.HandleFunc("GET /v1/endpoints", a.guard(a.show(o.System.Endpoints)))
 	mux.HandleFunc("GET /v1/organisations", a.guard(a.show(o.System.Organisations)))
 	mux.HandleFunc("POST /v1/drain", a.guard(a.drain))
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -36,6 +36,11 @@
 	s.published++
 	return s.publication, s.publishErr
 }
+
+func (s *fakeSystem) PublishSection(context.Context, Change) (Publication, error) {
+	s.published++
+	return s.publication, s.publishErr
+}
 func (s *fakeSystem) Endpoints() any     { return []string{"e1"} }
 func (s *fakeSystem) Organisations() any { return []string{"o1"} }
 func (s *fakeSystem) Drain()             { s.drained = true }
@@ -60,6 +65,9 @@
 		{"GET", "/v1/manifest"},
 		{"POST", "/v1/manifest"},
 		{"GET", "/v1/manifest/history"},
+		{"GET", "/v1/manifest/sections/model/m"},
+		{"PUT", "/v1/manifest/sections/model/m"},
+		{"DELETE", "/v1/manifest/sections/model/m"},
 		{"GET", "/v1/endpoints"},
 		{"GET", "/v1/organisations"},
 		{"POST", "/v1/drain"},
@@ -133,3 +141,33 @@
 		t.Errorf("status %d, %d bytes", rec.Code, len(text))
 	}
 }
+
+// Two operators change one organisation at the same time. A change that does
+// not say what it was made against would undo the other one unseen.
+func TestSectionChangeMustNameWhatItWasMadeAgainst(t *testing.T) {
+	tests := []struct {
+		name      string
+		method    string
+		body      string
+		header    []string
+		err       error
+		status    int
+		published int
+	}{
+		{"no precondition", "PUT", "{}", nil, nil, http.StatusPreconditionRequired, 0},
+		{"empty section", "PUT", "", []string{"If-Match", `"d"`}, nil, http.StatusBadRequest, 0},
+		{"changed meanwhile", "PUT", "{}", []string{"If-Match", `"d"`}, ErrSectionChanged, http.StatusPreconditionFailed, 1},
+		{"not valid", "PUT", "{}", []string{"If-Match", `"d"`}, &manifest.Error{}, http.StatusUnprocessableEntity, 1},
+		{"new", "PUT", "{}", []string{"If-None-Match", "*"}, nil, http.StatusOK, 1},
+		{"removed", "DELETE", "", []string{"If-Match", `"d"`}, nil, http.StatusOK, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := &fakeSystem{publishErr: test.err, publication: Publication{Outcome: OutcomeAccepted}}
+			rec := serve(s, test.method, "/v1/manifest/sections/model/m", test.body, test.header...)
+			if rec.Code != test.status || s.published != test.published {
+				t.Errorf("status %d, published %d: %s", rec.Code, s.published, rec.Body)
+			}
+		})
+	}
+}
--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -68,21 +69,68 @@
 // text itself or gave no answer.
 func (c *Client) Publish(ctx context.Context, base platform.Offset, text []byte) (admin.Publication, error) {
 	header := http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(int64(base), 10))}}
-	status, body, err := c.call(ctx, http.MethodPost, "/v1/manifest", header, text)
+	return c.publication(ctx, http.MethodPost, "/v1/manifest", header, text)
+}
+
+// Section returns one section of the manifest in force and its digest.
+func (c *Client) Section(ctx context.Context, kind, id string) (text []byte, digest string, err error) {
+	r, err := c.do(ctx, http.MethodGet, sectionPath(kind, id), nil, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	if r.status != http.StatusOK {
+		return nil, "", &StatusError{Status: r.status, Body: string(r.body)}
+	}
+	return r.body, strings.Trim(r.header.Get("ETag"), `"`), nil
+}
+
+// ChangeSection offers a new text for a section, or its removal when the text
+// is empty. Was is the digest of the section that the change was made against,
+// empty when there was none.
+func (c *Client) ChangeSection(ctx context.Context, kind, id, was string, text []byte) (admin.Publication, error) {
+	header := http.Header{"If-None-Match": {"*"}}
+	if was != "" {
+		header = http.Header{"If-Match": {strconv.Quote(was)}}
+	}
+	method := http.MethodPut
+	if len(text) == 0 {
+		method = http.MethodDelete
+	}
+	return c.publication(ctx, method, sectionPath(kind, id), header, text)
+}
+
+func sectionPath(kind, id string) string {
+	return "/v1/manifest/sections/" + url.PathEscape(kind) + "/" + url.PathEscape(id)
+}
+
+func (c *Client) publication(ctx context.Context, method, path string, header http.Header, text []byte) (admin.Publication, error) {
+	r, err := c.do(ctx, method, path, header, text)
 	if err != nil {
 		return admin.Publication{Outcome: admin.OutcomeUnknown}, err
 	}
 	var p admin.Publication
-	if json.Unmarshal(body, &p) != nil || p.Outcome == "" {
-		return p, &StatusError{Status: status, Body: string(body)}
+	if json.Unmarshal(r.body, &p) != nil || p.Outcome == "" {
+		return p, &StatusError{Status: r.status, Body: string(r.body)}
 	}
 	return p, nil
 }
 
+// reply is an answer that was read whole.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (int, []byte, error) {
+	r, err := c.do(ctx, method, path, header, body)
+	return r.status, r.body, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (reply, error) {
 	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.BaseURL, "/")+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, fmt.Errorf("admin: %w", err)
+		return reply{}, fmt.Errorf("admin: %w", err)
 	}
 	for name, values := range header {
 		req.Header[name] = values
@@ -90,14 +138,14 @@
 	req.Header.Set("Authorization", "Bearer "+c.Token)
 	resp, err := c.client().Do(req)
 	if err != nil {
-		return 0, nil, fmt.Errorf("admin: the daemon at %s gave no answer: %w", c.BaseURL, err)
+		return reply{}, fmt.Errorf("admin: the daemon at %s gave no answer: %w", c.BaseURL, err)
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return 0, nil, fmt.Errorf("admin: the answer broke off: %w", err)
+		return reply{}, fmt.Errorf("admin: the answer broke off: %w", err)
 	}
-	return resp.StatusCode, text, nil
+	return reply{status: resp.StatusCode, header: resp.Header, body: text}, nil
 }
 
 func (c *Client) client() *http.Client {
--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -76,6 +76,7 @@
 	root.Subcommands = []*ffcli.Command{
 		newCheck(s),
 		newPublish(s),
+		newSection(s),
 		newStatus(s),
 		newDump(s),
 		newDrain(s),
--- a/daemon/system.go
+++ b/daemon/system.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"maps"
 	"slices"
 	"time"
@@ -103,33 +102,6 @@
 	return 0
 }
 
-// Publish implements admin.System.
-func (s *system) Publish(ctx context.Context, base platform.Offset, m *manifest.Manifest) (admin.Publication, error) {
-	ctx, cancel := context.WithTimeout(ctx, logio.PublishTimeout)
-	defer cancel()
-	r, err := s.manifests.Publish(ctx, base, *m, s.o.Settings.Daemon.ID)
-	p := admin.Publication{
-		Revision:  admin.Revision{Offset: r.Offset, Digest: string(r.Digest)},
-		Base:      base,
-		RefusedBy: r.By,
-		Reason:    string(r.Reason),
-	}
-	switch r.Outcome {
-	case logio.PublishAccepted:
-		p.Outcome = admin.OutcomeAccepted
-	case logio.PublishRefused:
-		p.Outcome = admin.OutcomeRefused
-	case logio.PublishNotAppended:
-		p.Outcome = admin.OutcomeNotPublished
-	default:
-		p.Outcome = admin.OutcomeUnknown
-	}
-	if r.Detail != "" {
-		p.Reason += ": " + r.Detail
-	}
-	return p, err
-}
-
 // endpointShown is one endpoint for operators.
 type endpointShown struct {
 	fleet.Member
--- a/lab/demo/steps.go
+++ b/lab/demo/steps.go
@@ -306,11 +306,14 @@
 	if err != nil {
 		return p, err
 	}
+	if err := s.changeSection(ctx); err != nil {
+		return p, err
+	}
 	listed, err := historyOf(ctx, s.cluster.Nodes[1])
 	if err != nil {
 		return p, err
 	}
-	p.Held = listed >= 2 && a.Outcome == admin.OutcomeAccepted && b.Outcome == admin.OutcomeRefused && b.RefusedBy == a.Revision.Offset
+	p.Held = listed >= 3 && a.Outcome == admin.OutcomeAccepted && b.Outcome == admin.OutcomeRefused && b.RefusedBy == a.Revision.Offset
 	p.Seen = fmt.Sprintf("two operators against manifest 1: %s, then %s by manifest %d", a.Outcome, b.Outcome, b.RefusedBy)
 	return p, nil
 }
@@ -333,3 +336,27 @@
 	}
 	return accepted, nil
 }
+
+// changeSection doubles one organisation's share, as an operator would who has
+// read its section.
+func (s *show) changeSection(ctx context.Context) error {
+	c := s.cluster.Nodes[1].Admin()
+	id := string(world.Organisation(0))
+	text, was, err := c.Section(ctx, "organisation", id)
+	if err != nil {
+		return err
+	}
+	var o manifest.Organisation
+	if err := json.Unmarshal(text, &o); err != nil {
+		return err
+	}
+	o.Share *= 2
+	if text, err = json.Marshal(o); err != nil {
+		return err
+	}
+	p, err := c.ChangeSection(ctx, "organisation", id, was, text)
+	if err == nil && p.Outcome != admin.OutcomeAccepted {
+		err = fmt.Errorf("the section was not accepted: %+v", p)
+	}
+	return err
+}
--- a/manifest/section.go
+++ b/manifest/section.go
@@ -22,6 +22,16 @@
 // SectionDigest returns the digest of one section's canonical text, and the
 // empty digest when the manifest has no such section.
 func SectionDigest(m Manifest, kind SectionKind, id string) (Digest, error) {
+	text, err := SectionText(m, kind, id)
+	if err != nil || text == nil {
+		return "", err
+	}
+	return SumText(text), nil
+}
+
+// SectionText returns the canonical text of one section, and nil when the
+// manifest has no such section.
+func SectionText(m Manifest, kind SectionKind, id string) ([]byte, error) {
 	var part any
 	var ok bool
 	switch kind {
@@ -34,13 +44,12 @@
 	case SectionService:
 		part, ok = find(m.Services, id, serviceID)
 	default:
-		return "", unknownSection(kind)
+		return nil, unknownSection(kind)
 	}
 	if !ok {
-		return "", nil
+		return nil, nil
 	}
-	text, err := json.Marshal(part)
-	return SumText(text), err
+	return json.Marshal(part)
 }
 
 // Replace returns m with one section set to the given text, or without it when
