Let every loss of a connection end what is believed, and hear a living runner again

A rapid property over crashes, late answers, losses and weights failed first: a prefix placed between two losses within one second stayed believed, since the second loss counted as the first; and a daemon that met a runner's second life before a late message of the first ignored the living one for good. Now each loss forgets the cache (others are still told once a second), and a retired life that reports load after 5 s of silence is taken back.

--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -14,6 +14,9 @@
 // new one, so that a late message of a dead engine does not bring it back.
 const retiredLives = 4
 
+// lateMessages is how late a message of a life that is over may come.
+const lateMessages = 5 * time.Second
+
 // none marks the end of a list or an unused index.
 const none = int32(-1)
 
@@ -28,6 +31,7 @@
 	drains bool // from its own load report
 
 	incarnation fleet.Incarnation
+	heard       time.Time // when the newest message of it was true
 	retired     [retiredLives]fleet.Incarnation
 	// life changes whenever what was learnt of the cache stops being true: a
 	// new incarnation, a failure, a cleared cache, another endpoint in the
@@ -172,12 +176,14 @@
 // engine would otherwise look like the next life.
 func (v *View) meet(e *endpoint, in fleet.Incarnation, at time.Time) bool {
 	if in == 0 || in == e.incarnation {
-		return !at.Before(e.emptied)
-	}
-	for _, old := range e.retired {
-		if old == in {
+		if at.Before(e.emptied) {
 			return false
 		}
+		e.heard = later(e.heard, at)
+		return true
+	}
+	if slices.Contains(e.retired[:], in) {
+		return false
 	}
 	if e.incarnation != 0 {
 		copy(e.retired[1:], e.retired[:])
@@ -186,9 +192,17 @@
 		e.load, e.loadAt = fleet.Load{}, time.Time{}
 	}
 	e.incarnation = in
+	e.heard = at
 	return true
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // forgetCache ends the life that holders of the endpoint were learnt in.
 func (v *View) forgetCache(e *endpoint, at time.Time) {
 	v.lives++
@@ -197,10 +211,27 @@
 	e.follows, e.nextSeq = false, 0
 }
 
+// revive takes back that a life is over.
+//
+// A daemon that never heard of a life may take its late message for the next
+// one, and the living one for retired. It would then ignore all that the
+// endpoint says. So a retired life that still reports its load when the present
+// one has long been silent is the present one.
+func (e *endpoint) revive(l *fleet.Load) {
+	i := slices.Index(e.retired[:], l.Incarnation)
+	if i >= 0 && l.At.After(e.heard.Add(lateMessages)) {
+		e.retired[i] = 0
+	}
+}
+
 // LoadReported takes a report that did not come with an answer.
 func (v *View) LoadReported(id fleet.EndpointID, l fleet.Load) {
 	e := v.endpointOf(id)
-	if e == nil || !v.meet(e, l.Incarnation, l.At) {
+	if e == nil {
+		return
+	}
+	e.revive(&l)
+	if !v.meet(e, l.Incarnation, l.At) {
 		return
 	}
 	v.takeLoad(e, l)
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -108,17 +108,17 @@
 }
 
 // sameLoss is the time within which losses of one endpoint, seen by several
-// requests and daemons, count as one.
+// requests and daemons, are told to the others once.
 const sameLoss = time.Second
 
-// loseCache forgets what the endpoint has cached. It returns false if that is
-// known already.
+// loseCache forgets what the endpoint has cached. It returns false if the
+// others have been told of a loss just before.
 func (v *View) loseCache(e *endpoint, at time.Time) bool {
+	v.forgetCache(e, at)
 	if !e.lost.IsZero() && at.Before(e.lost.Add(sameLoss)) {
 		return false
 	}
 	e.lost = at
-	v.forgetCache(e, at)
 	return true
 }
 
