Count probes and claims in the capacity sums

Cause: asking endpoints for their load and reading keyed calls were missing from the sums, and a line fitted through a curve gave a negative cost of a claim.

Change: slopes of a probe and of a claim's bytes; between two points the sums use the points.

--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -14,6 +14,15 @@
 	}
 }
 
+func TestCostsBetweenPointsAreTheirOwn(t *testing.T) {
+	s := measureOnce("x", "y", "z", []int{1, 10, 100}, func(size int) float64 {
+		return map[int]float64{1: 400, 10: 220, 100: 200}[size]
+	})
+	if s.At(100) != 200 || s.At(55) != 210 || s.At(1e6) < 0 {
+		t.Errorf("at 100: %g, at 55: %g, far off: %g", s.At(100), s.At(55), s.At(1e6))
+	}
+}
+
 // fixedBook has slopes with known values, so that the sums can be checked.
 func fixedBook(each float64) *Book {
 	b := &Book{slopes: map[string]Slope{}}
--- a/lab/capacity/parts.go
+++ b/lab/capacity/parts.go
@@ -268,6 +268,7 @@
 
 // Measurements lists all slopes of the parts.
 func Measurements() []Measurement {
+	claims := claimRuns{}
 	return []Measurement{
 		{keyCut, cutPrompt},
 		{keyPlace, place},
@@ -292,7 +293,9 @@
 		{keyPlan, planOrders},
 		{keyControl, controlBytes},
 		{keyControlTime, controlTime},
-		{keyClaims, claimsPerSecond},
+		{keyClaims, claims.perSecond},
+		{keyClaimBytes, claims.bytes},
+		{keyProbe, probeBytes},
 	}
 }
 
@@ -322,4 +325,6 @@
 	keyControl           = "control"
 	keyControlTime       = "control-time"
 	keyClaims            = "claims"
+	keyClaimBytes        = "claim-bytes"
+	keyProbe             = "probe"
 )
--- a/lab/capacity/shells.go
+++ b/lab/capacity/shells.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
+	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/lab/standin"
+
 	bench "github.com/merlindock/merlindock/lab/measure"
 )
 
@@ -83,17 +90,86 @@
 	})
 }
 
-func claimsPerSecond() Slope {
-	return measureOnce("keyed calls at 300 appends/s", "claims in one append", "calls/s", []int{1, 10, 100}, func(size int) float64 {
-		r := must(bench.Claims(context.Background(), bench.ClaimOptions{
-			Daemons:    3,
-			BatchItems: size,
-			AppendRate: logRate,
-			LogDelay:   2 * time.Millisecond,
-			Workers:    claimWorkers,
-			Warm:       claimsWarm,
-			For:        claimsFor,
-		}))
-		return r.PerSecond
+// claimRuns keeps the runs of keyed calls, since two slopes come from each.
+type claimRuns map[int]bench.ClaimResult
+
+func (c claimRuns) at(batch int) bench.ClaimResult {
+	if r, done := c[batch]; done {
+		return r
+	}
+	c[batch] = must(bench.Claims(context.Background(), bench.ClaimOptions{
+		Daemons:    3,
+		BatchItems: batch,
+		AppendRate: logRate,
+		LogDelay:   2 * time.Millisecond,
+		Workers:    claimWorkers,
+		Warm:       claimsWarm,
+		For:        claimsFor,
+	}))
+	return c[batch]
+}
+
+var claimBatches = []int{1, 10, 100}
+
+func (c claimRuns) perSecond() Slope {
+	return measureOnce("keyed calls at 300 appends/s", "claims in one append", "calls/s", claimBatches, func(size int) float64 {
+		return c.at(size).PerSecond
+	})
+}
+
+func (c claimRuns) bytes() Slope {
+	return measureOnce("one keyed call in the log", "claims in one append", "bytes", claimBatches, func(size int) float64 {
+		return c.at(size).BytesPerOp
 	})
 }
+
+// probeBytes is what asking one endpoint for its load puts on the wire, both
+// ways, over a connection that is kept.
+func probeBytes() Slope {
+	return measureOnce("asking an endpoint for its load", "endpoints", "bytes", []int{1}, func(int) float64 {
+		server := httptest.NewServer(standin.NewRunner(standin.RunnerOptions{ID: "runner-00001"}))
+		defer server.Close()
+		var wire atomic.Int64
+		client := engine.New(engine.Options{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return &countingConn{Conn: c, wire: &wire}, err
+		}})
+		defer client.CloseIdle()
+		probe := func() {
+			ans := must(client.Send(context.Background(), &engine.Attempt{
+				ID:       "probe-runner-00001",
+				Endpoint: "runner-00001",
+				Address:  server.Listener.Addr().String(),
+				Method:   http.MethodGet,
+				Path:     engine.PathLoad,
+			}))
+			must(ans.Whole())
+			ans.Close()
+		}
+		probe()
+		before := wire.Load()
+		const probes = 10
+		for range probes {
+			probe()
+		}
+		return float64(wire.Load()-before) / probes
+	})
+}
+
+// countingConn counts the bytes that go both ways.
+type countingConn struct {
+	net.Conn
+	wire *atomic.Int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.wire.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.wire.Add(int64(n))
+	return n, err
+}
--- a/lab/capacity/slope.go
+++ b/lab/capacity/slope.go
@@ -33,9 +33,18 @@
 	Points []Point `json:"points"`
 }
 
-// At is the value at the given size. A line fitted through noise can cross
+// At is the value at the given size: between two points, on the line that joins
+// them, and outside on the fitted one. A line fitted through noise can cross
 // zero; a cost cannot.
-func (s *Slope) At(size float64) float64 { return max(s.Base+s.Each*size, 0) }
+func (s *Slope) At(size float64) float64 {
+	for i := 1; i < len(s.Points); i++ {
+		a, b := s.Points[i-1], s.Points[i]
+		if size >= a.Size && size <= b.Size {
+			return a.Value + (b.Value-a.Value)*(size-a.Size)/(b.Size-a.Size)
+		}
+	}
+	return max(s.Base+s.Each*size, 0)
+}
 
 // measure takes a point at each size and fits a line through them. The
 // function returns the value of one repeat.
--- a/lab/capacity/sums.go
+++ b/lab/capacity/sums.go
@@ -150,7 +150,8 @@
 		{"platform list", "read by all daemons", "bytes/s", gbit, NotBuilt, "the same", func(s Sizes) float64 {
 			return s.Daemons * b.listBytes(s)
 		}},
-		{"daemon", "control, all together", "bytes/s", limitBytes, WorkedOut, "digests, log, claims, list and changes as sections", func(s Sizes) float64 {
+		{"daemon", "asking silent endpoints for their load", "bytes/s", limitBytes, WorkedOut, "endpoints tell their load in each answer; at most 8 are asked in a tick, whose length grows with the fleet; routing.load-interval", b.probeBytes},
+		{"daemon", "control, all together, no callers", "bytes/s", limitBytes, WorkedOut, "digests, log, claims, list, loads, changes as sections", func(s Sizes) float64 {
 			return b.controlBytes(s)
 		}},
 	}
@@ -167,7 +168,13 @@
 	digests := b.at(keyControl, min(s.Daemons, 100))
 	idle := 2*b.at(keyPoll, 0)/pollSeconds + b.at(keyPoll, 0)/claimsPoll
 	changes := b.at(keyPoll, b.at(keySection, s.Organisations)) * s.Changes / day
-	return digests + idle + changes + b.listBytes(s)
+	return digests + idle + changes + b.listBytes(s) + b.probeBytes(s)
+}
+
+// probeBytes is what asking for loads costs a daemon when no answer tells them.
+func (b *Book) probeBytes(s Sizes) float64 {
+	tick := tickBase + tickEach*s.Endpoints
+	return b.at(keyProbe, 1) * min(s.Endpoints/loadSeconds, probesAtOnce/tick)
 }
 
 func (b *Book) logRows() []Row {
@@ -181,6 +188,9 @@
 		{"log", "keyed calls, if 1 request in 1,000 is one", "1/s", noLimit, WorkedOut, "the users give no figure", func(s Sizes) float64 {
 			return s.Requests * claimPart
 		}},
+		{"daemon", "reading all keyed calls of one partition", "bytes/s", limitBytes, NotBuilt, "at the target a daemon must follow few partitions and hand calls of the others to a neighbour that does", func(s Sizes) float64 {
+			return s.Requests * claimPart * b.at(keyClaimBytes, 100) * wireExpansion
+		}},
 		{"log", "reads by all daemons, idle", "1/s", noLimit, WorkedOut, "three streams; a longer poll interval at the target", func(s Sizes) float64 {
 			return s.Daemons * (2/pollSeconds + 1/claimsPoll)
 		}},
