Ask endpoints for their load within the budget of control

Cause: a probe is 404 bytes on the wire, so that 22 endpoints asked every second cost each daemon 8.9 KB/s against 3 KB/s for all its control.

Change: an endpoint is asked after 3 s of silence, two in a second at most; the lease stream is read every 3 s, an idle claim stream and the lists every 2 s.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -17,6 +17,10 @@
 // oldClaimsGrace is how long a service runs on after the window has changed.
 const oldClaimsGrace = 2 * time.Minute
 
+// claimPolls is how many polls of the log pass between reads of an idle claim
+// stream. A claim reads its stream at once, so that nobody waits for it.
+const claimPolls = 2
+
 // claimer runs the claims service with the window of the manifest in force.
 type claimer struct {
 	daemon *Daemon
@@ -47,7 +51,7 @@
 		Owner:  fmt.Sprintf("%s/%d", s.Daemon.ID, c.daemon.life.UnixNano()),
 		Layout: ledger.Layout{Partitions: s.Claims.Partitions, Window: m.Retention.ClaimWindow},
 		Linger: s.Claims.BatchDelay,
-		Poll:   s.Platform.PollInterval,
+		Poll:   claimPolls * s.Platform.PollInterval,
 		Seed:   seedOf(s.Daemon.ID, c.daemon.life),
 	})
 	if err != nil {
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/merlindock/merlindock/cacheevents"
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/engine"
@@ -23,9 +25,15 @@
 	fleetTick    = 200 * time.Millisecond
 	tickPerEach  = 250 * time.Microsecond // added for each endpoint
 	probesAtOnce = 8
-	noticeEvery  = 100 * time.Millisecond
-	newsWithin   = 10 * time.Second
-	newsLimit    = 32
+	// probesEach bounds the endpoints asked for their load in a second. A probe
+	// is 404 bytes on the wire (docs/CAPACITY.md): asking 22 endpoints every
+	// second would alone cost three times what a daemon may spend on control.
+	// Daemons ask different endpoints and tell each other at once of one that
+	// leaves, so that together nine of them still hear each in about a second.
+	probesEach  = 2
+	noticeEvery = 100 * time.Millisecond
+	newsWithin  = 10 * time.Second
+	newsLimit   = 32
 )
 
 // fleetView is what this daemon believes of the endpoints: the platform's list
@@ -38,6 +46,8 @@
 
 	placement *placement.Shared
 
+	probes *rate.Limiter
+
 	mu       sync.Mutex // guards the fields below
 	members  *fleet.Membership
 	manifest *manifest.Manifest
@@ -72,6 +82,7 @@
 		members: fleet.NewMembership(fleet.MembershipOptions{ProbeAfter: s.Routing.LoadInterval}),
 		pools:   map[string][]fleet.Endpoint{},
 		gates:   map[fleet.EndpointID]placement.Gate{},
+		probes:  rate.NewLimiter(probesEach, probesAtOnce),
 		weights: map[fleet.EndpointID][]fleet.Weights{},
 		places:  map[fleet.EndpointID]fleet.Endpoint{},
 		health:  health.New(health.Options{Rand: newRand(s.Daemon.ID, d.life)}),
@@ -178,7 +189,7 @@
 	v.placement.Expire(now)
 	v.mu.Lock()
 	v.told(v.members.Expire(now))
-	probes := v.members.Probes(now, probesAtOnce)
+	probes := v.members.Probes(now, v.probesAllowed(now))
 	for i := range probes {
 		v.members.Asked(now, probes[i].ID)
 	}
@@ -195,6 +206,15 @@
 	}
 }
 
+// probesAllowed takes as many probes from the budget as it holds.
+func (v *fleetView) probesAllowed(now time.Time) int {
+	n := 0
+	for n < probesAtOnce && v.probes.AllowN(now, 1) {
+		n++
+	}
+	return n
+}
+
 // probe asks an endpoint for its load, when no answer has told it lately.
 func (v *fleetView) probe(ctx context.Context, e fleet.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, fleet.DefaultProbeAfter)
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -14,6 +14,10 @@
 // ordersLease names the lease of the one giver of orders.
 const ordersLease = "orders"
 
+// leasePolls is how many polls of the log pass between reads of the lease
+// stream: a lease that lapsed is taken over a little later, and orders wait.
+const leasePolls = 3
+
 // orderGiver gives orders to endpoints while this daemon holds the lease.
 type orderGiver struct {
 	daemon *Daemon
@@ -30,7 +34,7 @@
 		Name:   ordersLease,
 		Holder: fmt.Sprintf("%s/%d", s.Daemon.ID, d.life.UnixNano()),
 		TTL:    s.Orders.Lease,
-		Poll:   s.Platform.PollInterval,
+		Poll:   leasePolls * s.Platform.PollInterval,
 		Seed:   seedOf(s.Daemon.ID, d.life),
 		Want:   d.shutdown.ready,
 	})
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -39,7 +39,7 @@
 	fs.StringVar(&s.Platform.URL, "platform.url", "", "base URL of the platform's log and VM list")
 	fs.DurationVar(&s.Platform.Timeout, "platform.timeout", 2*time.Second, "for one call of the platform")
 	fs.DurationVar(&s.Platform.PollInterval, "platform.poll-interval", time.Second, "between reads of an idle log")
-	fs.DurationVar(&s.Platform.ListInterval, "platform.list-interval", time.Second, "between reads of the VM list")
+	fs.DurationVar(&s.Platform.ListInterval, "platform.list-interval", 2*time.Second, "between reads of the VM list")
 }
 
 func registerCallers(fs *flag.FlagSet, s *Settings) {
@@ -56,7 +56,7 @@
 	fs.DurationVar(&s.Peers.Interval, "peers.interval", time.Second, "between exchanges with one neighbour")
 	fs.DurationVar(&s.Peers.Timeout, "peers.timeout", time.Second, "for one exchange")
 	fs.IntVar(&s.Routing.Prefixes, "routing.prefixes", defaultPrefixes, "prefixes remembered at most")
-	fs.DurationVar(&s.Routing.LoadInterval, "routing.load-interval", time.Second, "silence of an endpoint after which it is asked for its load")
+	fs.DurationVar(&s.Routing.LoadInterval, "routing.load-interval", 3*time.Second, "silence of an endpoint after which it is asked for its load")
 	fs.IntVar(&s.Routing.EventEndpoints, "routing.event-endpoints", defaultEventEndpoints, "model runners up to which their cache events are followed; 0: never")
 	fs.Float64Var(&s.Routing.RunnerTokens, "routing.runner-tokens", defaultRunnerTokens, "prompt tokens a second that a runner prefills")
 	fs.IntVar(&s.Routing.RunnerSlots, "routing.runner-slots", defaultRunnerSlots, "requests that a runner serves at once")
