Measure what cache events and notices save, and what they cost

Nobody knew whether events earn their bytes on whole daemons. All 96 levels are now named instead of 64: a level that answers teach and no event can take back would be believed in for as long as events flow.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -41,6 +41,9 @@
 	Listeners Listeners
 	// Dial opens connections to endpoints and neighbours; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// NoNotices keeps placement's notices from other daemons, to measure what
+	// they are worth.
+	NoNotices bool
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 }
--- a/daemon/news.go
+++ b/daemon/news.go
@@ -18,6 +18,9 @@
 // question on the same document follows to the same endpoint.
 func (v *fleetView) notify() {
 	notices := v.placement.Notices(nil)
+	if v.daemon.o.NoNotices {
+		return
+	}
 	if v.daemon.peers.Notify(v.now(), notices) > 0 {
 		v.daemon.metrics.Scope.Counter("notices_sent").Inc(int64(len(notices)))
 	}
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -44,9 +44,10 @@
 	ListLag  time.Duration
 	// KV describes the KV store; nil: there is none.
 	KV          *standin.StoreOptions
-	PieceTokens int // of the manifest and of runners
-	CachePieces int // of one runner
-	NoEvents    bool
+	PieceTokens int  // of the manifest and of runners
+	CachePieces int  // of one runner
+	NoEvents    bool // daemons do not follow cache events
+	NoNotices   bool // daemons send each other no notices
 }
 
 // Cluster is a running deployment. It belongs to one goroutine.
@@ -205,12 +206,13 @@
 		s.Routing.EventEndpoints = 0
 	}
 	n.Daemon, err = daemon.New(daemon.Options{
-		Settings: s,
-		Token:    "token",
-		Log:      n.Way,
-		VMs:      c.VMs,
-		Logs:     logging.Discard(),
-		Dial:     c.network.DialContext,
+		Settings:  s,
+		NoNotices: c.o.NoNotices,
+		Token:     "token",
+		Log:       n.Way,
+		VMs:       c.VMs,
+		Logs:      logging.Discard(),
+		Dial:      c.network.DialContext,
 		Listeners: daemon.Listeners{
 			Callers: c.network.Listen(n.address()),
 			Admin:   c.network.Listen(n.adminAddress()),
--- a/prefix/wire.go
+++ b/prefix/wire.go
@@ -8,9 +8,11 @@
 )
 
 // Bounds of the text that names a prompt's levels to an engine. Engines refuse
-// requests whose header is over some 8 to 16 KiB; this leaves most of it.
+// requests whose header is over some 8 to 16 KiB; this leaves half of it. A
+// level that is remembered and not named would be believed in for ever: an
+// answer tells that it is cached, and no event could tell that it is not.
 const (
-	MaxNamed      = 64 // levels, the outermost ones
+	MaxNamed      = MaxLevels // all that the daemon remembers, see below
 	MaxNamedBytes = MaxNamed * (2*KeySize + 1 + maxTokenDigits + 1)
 
 	maxTokenDigits = 9
