--- a/daemon/events.go
+++ b/daemon/events.go
@@ -41,3 +41,15 @@
 	}
 	return list
 }
+
+// countEvents brings the metrics up to date.
+func (v *fleetView) countEvents() {
+	s, before := v.events.Stats(), v.counted
+	v.counted = s
+	scope := v.daemon.metrics.Scope
+	scope.Counter("cache_event_bytes").Inc(s.Bytes - before.Bytes)
+	scope.Counter("cache_events").Inc(s.Events - before.Events)
+	scope.Counter("cache_event_gaps").Inc(s.Gaps - before.Gaps)
+	scope.Counter("cache_event_failures").Inc(s.Failures - before.Failures)
+	scope.Gauge("cache_event_streams").Update(float64(s.Streams))
+}
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -56,7 +56,8 @@
 	healthMu sync.Mutex
 	health   *health.Tracker
 
-	events *cacheevents.Follower
+	events  *cacheevents.Follower
+	counted cacheevents.Stats // in the metrics already; of the upkeep alone
 
 	cutters *sync.Pool // of *prefix.Cutter, guarded by mu
 	ids     requestIDs
@@ -187,6 +188,7 @@
 	runners := v.runners()
 	v.mu.Unlock()
 	v.events.Set(runners)
+	v.countEvents()
 	for model, l := range loads {
 		v.daemon.admission.setLoad(model, l.requests, l.slots)
 	}
--- a/lab/cluster/worth_test.go
+++ b/lab/cluster/worth_test.go
@@ -97,7 +97,7 @@
 		w.prompt += sign * s.PromptTokens
 		w.cached += sign * s.CachedTokens
 	}
-	per := float64(sign) / (*worthFor).Seconds() / float64(len(c.Nodes))
+	per := float64(sign) / worthFor.Seconds() / float64(len(c.Nodes))
 	for i := range c.Nodes {
 		s := c.eventStats(i)
 		w.bytes += per * float64(s.Bytes)
