--- a/prefix/wire_test.go
+++ b/prefix/wire_test.go
@@ -55,3 +55,14 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+func BenchmarkFormat(b *testing.B) {
+	levels := make([]Level, 12)
+	for i := range levels {
+		levels[i].Tokens = 2000 * (i + 1)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = Format(levels)
+	}
+}
