Let the network in memory take deadlines back

Cause: go test -race -count=3 failed once in TestOtherOrganisationsAdapterIsRefused, and 150 rounds of three tests failed in TestRunnerBackEmptyShowsInItsAnswers with 504 at time zero. A log of each connection's calls showed the server's deadline in the past, a byte of the next request read in the same moment, the deadline taken back, and then a timeout: bufconn keeps deadlines by a timer that may strike after that. The gateway then saw a caller that had left. Change: the stand-in network passes a timeout on only when the deadline in force has passed. Nothing in the gateway changes, sockets do not have this.

--- a/lab/standin/network.go
+++ b/lab/standin/network.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc/test/bufconn"
 )
@@ -33,7 +35,7 @@
 	setDefault(&size, DefaultConnBytes)
 	l := bufconn.Listen(size)
 	n.listeners[address] = l
-	return l
+	return listener{l}
 }
 
 // DialContext connects to the listener of an address; the network's name is
@@ -45,7 +47,11 @@
 	if l == nil {
 		return nil, fmt.Errorf("standin: nothing listens on %s", address)
 	}
-	return l.DialContext(ctx)
+	c, err := l.DialContext(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
 }
 
 // Serve serves a handler under an address until the server returned is closed.
@@ -55,3 +61,66 @@
 	go func() { _ = s.Serve(l) }()
 	return s
 }
+
+// listener hands out connections whose deadlines can be taken back.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+// conn is a connection whose read deadline can be taken back.
+//
+// bufconn keeps a deadline by a timer that may still strike after the deadline
+// was taken back. net/http's server sets one in the past and takes it back
+// between two requests, and the next request was then, once in a few hundred,
+// taken for one whose caller had left. A timeout is passed on only when the
+// deadline in force has passed.
+type conn struct {
+	net.Conn
+	mu       sync.Mutex // guards deadline
+	deadline time.Time
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		var e net.Error
+		if !errors.As(err, &e) || !e.Timeout() || c.renew() {
+			return n, err
+		}
+	}
+}
+
+// renew tells whether the deadline has passed, and sets it again if not.
+func (c *conn) renew() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.deadline.IsZero() && !time.Now().Before(c.deadline) {
+		return true
+	}
+	_ = c.Conn.SetReadDeadline(c.deadline)
+	return false
+}
