--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -32,6 +32,9 @@
 	Log  platform.Log
 	Poll time.Duration // 0 takes DefaultPoll
 	Seed uint64        // of the jitter; must differ between daemons
+	// Retention is how long the platform is taken to keep records while no
+	// manifest says so; 0 takes DefaultRetention.
+	Retention time.Duration
 	// Changed is called after a newer manifest came into force, from one
 	// goroutine at a time and in order. May be nil.
 	Changed func(*ledger.Version)
@@ -56,7 +59,10 @@
 
 // NewManifests returns a Manifests that knows nothing yet.
 func NewManifests(o ManifestsOptions) *Manifests {
-	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{}), wake: make(chan struct{}, 1), news: make(chan struct{})}
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	m := &Manifests{opt: o, state: ledger.NewState(ledger.Options{Lazy: true}), wake: make(chan struct{}, 1), news: make(chan struct{})}
 	m.jitter = rand.New(rand.NewPCG(o.Seed, 1)).Float64()
 	m.tail = NewTail(TailOptions{
 		Log: o.Log, Stream: ledger.StreamManifest, Sink: m, Poll: o.Poll, Seed: o.Seed, Wake: m.wake,
@@ -215,8 +221,12 @@
 // CaughtUp implements Sink.
 func (m *Manifests) CaughtUp(platform.Offset) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.caught = true
+	if !m.caught {
+		m.caught = true
+		m.state.Settle()
+	}
+	m.mu.Unlock()
+	m.tell()
 }
 
 func (m *Manifests) tell() {
@@ -252,7 +262,7 @@
 func (m *Manifests) checkpoint(now time.Time) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	retention := DefaultRetention
+	retention := m.opt.Retention
 	if v := m.state.InForce(); v != nil {
 		retention = time.Duration(v.Manifest.Retention.LogRecords)
 	}
