Count the slots that runners report, and keep the process's memory in bounds

Cause: trying thousands of streams showed 2,000 requests admitted to runners with 384 places: the places of a pool were worked out when its members changed, at which time no runner had told its own, so that the setting's guess stayed for good. The heap could also grow to twice its live size between collections.

Change: pools are worked out anew when a runner's slots change; daemon.memory-bytes sets the collector's soft limit, 768 MiB by default; stand-ins can have more slots.

--- a/cmd/merlindockd/main.go
+++ b/cmd/merlindockd/main.go
@@ -14,6 +14,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -59,6 +60,9 @@
 }
 
 func serve(s settings.Settings, logOut io.Writer) error {
+	// Without a limit the heap may grow to twice its live size between two
+	// collections, which at thousands of streams is more than a small VM has.
+	debug.SetMemoryLimit(s.Daemon.MemoryBytes)
 	logs, err := logging.NewFactory(logOut, s.Log.Level)
 	if err != nil {
 		return err
--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -56,7 +56,7 @@
 	pools    map[string][]fleet.Endpoint
 	capacity map[string]capacity // by model
 	shares   map[string][]rollout.Share
-	weights  map[fleet.EndpointID][]fleet.Weights
+	said     map[fleet.EndpointID]saying
 	gates    map[fleet.EndpointID]placement.Gate
 	all      []fleet.Member // as of the last refresh, by id
 	usable   []fleet.Member // of those, the ones that may get new work
@@ -84,7 +84,7 @@
 		pools:   map[string][]fleet.Endpoint{},
 		gates:   map[fleet.EndpointID]placement.Gate{},
 		probes:  rate.NewLimiter(probesEach, probesAtOnce),
-		weights: map[fleet.EndpointID][]fleet.Weights{},
+		said:    map[fleet.EndpointID]saying{},
 		places:  map[fleet.EndpointID]fleet.Endpoint{},
 		health:  health.New(health.Options{Rand: newRand(s.Daemon.ID, d.life)}),
 	}
@@ -238,8 +238,8 @@
 	l.At = now
 	v.mu.Lock()
 	v.told(v.members.Reported(now, id, l))
-	if !slices.Equal(v.weights[id], l.Weights) {
-		v.weights[id] = l.Weights
+	if said := v.said[id]; said.slots != l.Slots || !slices.Equal(said.weights, l.Weights) {
+		v.said[id] = saying{weights: l.Weights, slots: l.Slots}
 		v.dirty = true
 		v.refresh() // a request that was refused for it is bound again at once
 	}
--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -14,6 +14,13 @@
 	"github.com/merlindock/merlindock/rollout"
 )
 
+// saying is what an endpoint last said of itself that pools and their capacity
+// are worked out from.
+type saying struct {
+	weights []fleet.Weights
+	slots   int
+}
+
 // capacity is what the runners of a model can take.
 type capacity struct {
 	endpoints int
@@ -189,7 +196,7 @@
 	for id := range v.gates {
 		if _, ok := v.places[id]; !ok {
 			delete(v.gates, id)
-			delete(v.weights, id)
+			delete(v.said, id)
 		}
 	}
 }
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -40,6 +40,7 @@
 	Prefill  time.Duration // per prompt token
 	Decode   time.Duration // per generated token
 	Slots    int           // requests at once of a runner; 0: the stand-in's default
+	NoOrders bool          // runners know no orders and name no weights
 	Fences   bool          // runners refuse old fencing numbers
 	Store    *standin.WeightStore
 	ListLag  time.Duration
@@ -140,6 +141,11 @@
 			Store:         store,
 			Dial:          c.network.DialContext,
 		})
+		if o.NoOrders {
+			c.Runners = append(c.Runners, &standin.OrderedRunner{Runner: r})
+			c.endpoint(id, "runner", fmt.Sprintf("10.0.1.%d:8000", i+1), i, r)
+			continue
+		}
 		ordered := r.TakeOrders(standin.OrderOptions{
 			Store:  o.Store,
 			Fences: o.Fences,
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -46,6 +46,7 @@
 	AnswerTokens  int
 	PieceTokens   int
 	CachePieces   int           // of one runner
+	Slots         int           // requests that one runner generates at once
 	ListLag       time.Duration // of the platform's list
 	Store         standin.StoreOptions
 }
@@ -115,6 +116,7 @@
 			WeightVersion: Version,
 			PieceTokens:   w.o.PieceTokens,
 			CachePieces:   w.o.CachePieces,
+			Slots:         w.o.Slots,
 			AnswerTokens:  w.o.AnswerTokens,
 			Prefill:       w.o.Prefill,
 			Decode:        w.o.Decode,
--- a/settings/check.go
+++ b/settings/check.go
@@ -10,6 +10,7 @@
 
 // Bounds of settings.
 const (
+	minMemoryBytes    = 64 << 20
 	maxZonePairs      = 8
 	maxEventEndpoints = 1024 // one connection and goroutine each
 	maxPartitions     = 4096
@@ -72,6 +73,7 @@
 	c := &checker{given: given}
 	c.text("daemon.id", s.Daemon.ID)
 	c.text("daemon.zone", string(s.Daemon.Zone))
+	c.within("daemon.memory-bytes", s.Daemon.MemoryBytes, minMemoryBytes, 1<<40)
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.admin", s.Listen.Admin)
 	c.address("listen.peers", s.Listen.Peers)
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -7,6 +7,7 @@
 
 // Defaults of the settings that have one.
 const (
+	defaultMemoryBytes    = 768 << 20
 	defaultBodyBytes      = 8 << 20
 	defaultHeaderBytes    = 32 << 10
 	defaultStreamBytes    = 64 << 20
@@ -33,6 +34,7 @@
 func registerPlace(fs *flag.FlagSet, s *Settings) {
 	fs.StringVar(&s.Daemon.ID, "daemon.id", "", "name of this daemon, unique among the daemons")
 	fs.StringVar((*string)(&s.Daemon.Zone), "daemon.zone", "", "availability zone of this VM")
+	fs.Int64Var(&s.Daemon.MemoryBytes, "daemon.memory-bytes", defaultMemoryBytes, "memory that the process should stay under; no hard limit")
 	fs.StringVar(&s.Listen.Callers, "listen.callers", "127.0.0.1:8080", "IP:port for callers")
 	fs.StringVar(&s.Listen.Admin, "listen.admin", "127.0.0.1:8081", "IP:port of the administration API")
 	fs.StringVar(&s.Listen.Peers, "listen.peers", "127.0.0.1:8082", "IP:port for other daemons")
@@ -47,7 +49,7 @@
 	fs.IntVar(&s.Callers.HeaderBytes, "callers.header-bytes", defaultHeaderBytes, "longest request header")
 	fs.Int64Var(&s.Callers.StreamBytes, "callers.stream-bytes", defaultStreamBytes, "longest answer")
 	fs.IntVar(&s.Callers.OpenStreams, "callers.open-streams", defaultOpenStreams, "answers written at once")
-	fs.DurationVar(&s.Callers.WriteTimeout, "callers.write-timeout", 20*time.Second, "for one write to a slow caller")
+	fs.DurationVar(&s.Callers.WriteTimeout, "callers.write-timeout", 20*time.Second, "that one slow caller may keep a stream waiting in all")
 	fs.DurationVar(&s.Callers.Deadline, "callers.deadline", 2*time.Minute, "for a request that names no deadline")
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,9 @@
 type Daemon struct {
 	ID   string       // unique among the daemons
 	Zone fleet.ZoneID // availability zone of this VM
+	// MemoryBytes is what the process should stay under: the collector works
+	// harder near it. It is no hard limit.
+	MemoryBytes int64
 }
 
 // Listen holds the addresses to listen on, as IP:port.
@@ -59,7 +62,7 @@
 	HeaderBytes  int           // longest request header
 	StreamBytes  int64         // longest answer
 	OpenStreams  int           // answers being written at once
-	WriteTimeout time.Duration // for one write to a slow caller
+	WriteTimeout time.Duration // that one slow caller may keep a stream waiting in all
 	Deadline     time.Duration // for a request that names none
 }
 
