lab/cluster: mutual TLS between whole daemons

Mutual TLS was tested between services of package peer only. Five daemons: two with the log, one cut off from it with the right certificate, one with another authority's, one with none. The first of the three becomes ready by its neighbours, the other two learn nothing in 20 s of virtual time.

No fault found.

--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -45,6 +45,8 @@
 	ListLag  time.Duration
 	Logs     *logging.Factory // nil: no lines
 	Token    string           // of the administration API; empty: "token"
+	// Flags are more settings of a node; nil: none.
+	Flags func(node int) []string
 	// KV describes the KV store; nil: there is none.
 	KV          *standin.StoreOptions
 	PieceTokens int  // of the manifest and of runners
@@ -202,14 +204,18 @@
 	n.URL = "http://" + n.address()
 	n.Way = c.Log.View()
 	n.Ended = make(chan error, 1)
-	s, err := settings.Load(settings.Input{Args: []string{
+	args := []string{
 		"-daemon.id=" + n.ID,
 		"-daemon.zone=" + string(zones[i%len(zones)]),
 		"-platform.url=http://10.8.0.1:7400",
 		"-listen.callers=" + n.address(),
 		"-listen.admin=" + n.adminAddress(),
 		"-listen.peers=" + n.peerAddress(),
-	}})
+	}
+	if c.o.Flags != nil {
+		args = append(args, c.o.Flags(i)...)
+	}
+	s, err := settings.Load(settings.Input{Args: args})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/lab/cluster/tls_test.go
@@ -0,0 +1,102 @@
+package cluster
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// authority signs the certificates of daemons.
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+// bubbleYear is when virtual time begins.
+var bubbleYear = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &authority{key: key, cert: &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotBefore:             bubbleYear.AddDate(-1, 0, 0),
+		NotAfter:              bubbleYear.AddDate(1, 0, 0),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}}
+}
+
+// flags writes a daemon's certificate, key and authority, and names them in
+// settings.
+func (a *authority) flags(t *testing.T) []string {
+	t.Helper()
+	dir := t.TempDir()
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(2),
+		NotBefore:    a.cert.NotBefore,
+		NotAfter:     a.cert.NotAfter,
+		DNSNames:     []string{"merlindock"},
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(name, kind string, der []byte, err error) string {
+		path := filepath.Join(dir, name)
+		text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+		if err != nil || os.WriteFile(path, text, 0o600) != nil {
+			t.Fatalf("%s cannot be written: %v", path, err)
+		}
+		return path
+	}
+	signed, err := x509.CreateCertificate(rand.Reader, leaf, a.cert, &a.key.PublicKey, a.key)
+	cert := write("cert.pem", "CERTIFICATE", signed, err)
+	own, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &a.key.PublicKey, a.key)
+	ca := write("authority.pem", "CERTIFICATE", own, err)
+	key := write("key.pem", "PRIVATE KEY", secret, nil)
+	return []string{"-tls.peers-cert=" + cert, "-tls.peers-key=" + key, "-tls.peers-ca=" + ca}
+}
+
+// A process on the daemons' network has a certificate of another authority, or
+// none. It would learn the manifest, with its organisations, and push one of its
+// own; a daemon with the right certificate must be helped as before.
+func TestOnlyDaemonsWithTheRightCertificateLearn(t *testing.T) {
+	good, bad := newAuthority(t), newAuthority(t)
+	flags := [][]string{good.flags(t), good.flags(t), good.flags(t), bad.flags(t), nil}
+	synctest.Test(t, func(t *testing.T) {
+		o := Options{Daemons: len(flags), Runners: 1, Flags: func(node int) []string { return flags[node] }}
+		c, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		for _, n := range c.Nodes[2:] {
+			n.Way.Disconnect() // so that only neighbours can tell them
+		}
+		c.publish(t, 0, "v1")
+		for i := range 3 {
+			c.waitReady(t, i, 5*time.Second)
+		}
+		time.Sleep(20 * time.Second) // virtual
+		for i, n := range c.Nodes[3:] {
+			if offset := n.Daemon.Revision().Offset; offset != 0 {
+				t.Errorf("daemon %d without the right certificate has the manifest at offset %d", i+4, offset)
+			}
+		}
+	})
+}
