--- a/lab/capacity/sizes.go
+++ b/lab/capacity/sizes.go
@@ -60,7 +60,7 @@
 	listSeconds   = 2.0      // between reads of the list of VMs
 	claimsPoll    = 2.0      // between reads of an idle claim stream
 	prefixesKept  = 200_000  // routing.prefixes
-	eventBytes    = 24       // of one cache event: a key and what happened
+	eventBytes    = 62       // of one cache event on the wire, docs/measurements/events.md
 	listsRead     = 2        // endpoints and daemons
 	promptBytes   = 40_000   // about 10,000 tokens
 	tickBase      = 0.2      // seconds, of the fleet's upkeep
--- a/lab/capacity/sums.go
+++ b/lab/capacity/sums.go
@@ -92,7 +92,7 @@
 		{"router", "organisations in admission, idle in all pools", "bytes", limitMemory, WorkedOut, "an idle organisation keeps its weight only; one table of weights for all pools would carry more models", func(s Sizes) float64 {
 			return b.at(keyAdmissionIdle, s.Organisations) * s.Models
 		}},
-		{"router", "following every cache event", "bytes/s", limitBytes, WorkedOut, "not done at this size: placement by hash, learnt from answers", func(s Sizes) float64 {
+		{"router", "following every cache event", "bytes/s", limitBytes, WorkedOut, "up to routing.event-endpoints runners only; above, placement by hash, learnt from answers", func(s Sizes) float64 {
 			return s.CacheEvents * eventBytes
 		}},
 	}
@@ -151,7 +151,7 @@
 			return s.Daemons * b.listBytes(s)
 		}},
 		{"daemon", "asking silent endpoints for their load", "bytes/s", limitBytes, WorkedOut, "endpoints tell their load in each answer; at most two are asked in a second; daemons ask different ones and pass on who leaves", b.probeBytes},
-		{"daemon", "control, all together, no callers", "bytes/s", limitBytes, WorkedOut, "digests, log, claims, list, loads, changes as sections", func(s Sizes) float64 {
+		{"daemon", "control, all together, both ways, no callers, no events", "bytes/s", limitBytes, WorkedOut, "digests, log, claims, list, loads, changes as sections", func(s Sizes) float64 {
 			return b.controlBytes(s)
 		}},
 	}
@@ -171,7 +171,7 @@
 }
 
 func (b *Book) controlBytes(s Sizes) float64 {
-	digests := b.at(keyControl, min(s.Daemons, 100))
+	digests := 2 * b.at(keyControl, min(s.Daemons, 100)) // sent, and as many received
 	idle := b.idleLog() + b.at(keyPoll, 0)/claimsPoll
 	changes := b.at(keyPoll, b.at(keySection, s.Organisations)) * s.Changes / day
 	return digests + idle + changes + b.listBytes(s) + b.probeBytes(s)
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -15,7 +15,7 @@
 	defaultZonePairs      = 2
 	defaultPrefixes       = 200_000
 	defaultRunnerTokens   = 8000
-	defaultEventEndpoints = 64
+	defaultEventEndpoints = 24
 	defaultRunnerSlots    = 16
 	defaultPartitions     = 1
 )
