Wait for a time or a context in one place

Cause: the same ten lines that wait for a timer or a context stood in seven packages under five names.

Change: internal/pause; gateway, logio, cacheevents and the lab use it.

--- a/cacheevents/cacheevents.go
+++ b/cacheevents/cacheevents.go
@@ -20,6 +20,8 @@
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/placement"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Bounds of a stream and of the waits between two.
@@ -206,12 +208,5 @@
 	f.mu.Lock()
 	d = d/2 + time.Duration(f.rng.Int64N(int64(d)))
 	f.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return pause.For(ctx, d) == nil
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Drainer counts the requests in flight and takes a daemon out of service
@@ -45,7 +47,7 @@
 // are still open.
 func (d *Drainer) Drain(ctx context.Context, lag time.Duration) error {
 	d.Stop()
-	if !sleep(ctx, lag) {
+	if pause.For(ctx, lag) != nil {
 		return ctx.Err()
 	}
 	for {
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -12,6 +12,8 @@
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/stream"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Paths of the model protocol.
@@ -226,7 +228,7 @@
 	if !ok || mc.report.Attempts >= mc.g.o.Limits.Attempts {
 		return mc.failed(mc.mayHaveRun)
 	}
-	if !sleep(mc.ctx, wait) {
+	if pause.For(mc.ctx, wait) != nil {
 		return mc.expired(mc.mayHaveRun)
 	}
 	return nil
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/merlindock/merlindock/engine"
 )
@@ -78,18 +77,3 @@
 		return AttemptFailed
 	}
 }
-
-// sleep waits and tells whether the context is still good.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -13,6 +13,8 @@
 	"github.com/merlindock/merlindock/catalog"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // maxKeyBytes bounds an idempotency key.
@@ -177,7 +179,7 @@
 	if !ok || sc.report.Attempts >= sc.g.o.Limits.Attempts {
 		return sc.failed(sc.mayHaveRun)
 	}
-	if !sleep(sc.ctx, wait) {
+	if pause.For(sc.ctx, wait) != nil {
 		return sc.expired(sc.mayHaveRun)
 	}
 	return nil
--- a/lab/history/counter.go
+++ b/lab/history/counter.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Counter is a plain service whose calls may not be repeated: it issues a
@@ -56,7 +58,7 @@
 // Run issues a receipt.
 func (c *Counter) Run(ctx context.Context, call int, key string) (string, error) {
 	start := c.rec.Now()
-	if err := rest(ctx, c.takes()); err != nil {
+	if err := pause.For(ctx, c.takes()); err != nil {
 		return "", err
 	}
 	receipt, lost := c.issue()
@@ -64,7 +66,7 @@
 	if lost {
 		return "", errAnswerLost
 	}
-	return receipt, rest(ctx, c.takes())
+	return receipt, pause.For(ctx, c.takes())
 }
 
 func (c *Counter) issue() (string, bool) {
@@ -77,14 +79,3 @@
 	}
 	return fmt.Sprintf("receipt-%d", c.issued), lost
 }
-
-func rest(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/lab/history/manifests_test.go
+++ b/lab/history/manifests_test.go
@@ -14,6 +14,8 @@
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/platform"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // inForceWithin is the promise: in force on all daemons within five seconds.
@@ -51,7 +53,7 @@
 }
 
 func (s *site) every(d time.Duration, do func()) {
-	for rest(s.ctx, d) == nil {
+	for pause.For(s.ctx, d) == nil {
 		do()
 	}
 }
--- a/lab/measure/claims.go
+++ b/lab/measure/claims.go
@@ -14,6 +14,8 @@
 	"github.com/merlindock/merlindock/lab/standin/plog"
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // ClaimOptions describe a run of keyed calls against the stand-in of the log.
@@ -92,7 +94,7 @@
 	}
 	for _, s := range list {
 		for !s.Ready() {
-			if err := pause(ctx, time.Millisecond); err != nil {
+			if err := pause.For(ctx, time.Millisecond); err != nil {
 				return nil, err
 			}
 		}
@@ -100,17 +102,6 @@
 	return list, nil
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 type claimRun struct {
 	services []*claims.Service
 	granted  atomic.Int64
--- a/lab/standin/generate.go
+++ b/lab/standin/generate.go
@@ -11,6 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/merlindock/merlindock/engine"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // contentWord returns what the tokens of an answer are made of. It depends on
@@ -36,7 +38,7 @@
 	rc := http.NewResponseController(j.w)
 	var frame []byte
 	for i := j.first; i <= j.last; i++ {
-		if !pause(j.ctx, j.r.o.Decode) {
+		if pause.For(j.ctx, j.r.o.Decode) != nil {
 			j.broken()
 		}
 		if j.fault.at(i - j.first) {
@@ -127,7 +129,7 @@
 func (j *job) answerWhole() {
 	var text strings.Builder
 	for i := 0; i <= j.last; i++ {
-		if !pause(j.ctx, j.r.o.Decode) {
+		if pause.For(j.ctx, j.r.o.Decode) != nil {
 			j.broken()
 		}
 		text.WriteString(Token(j.word, i))
--- a/lab/standin/plog/plog.go
+++ b/lab/standin/plog/plog.go
@@ -15,6 +15,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/merlindock/merlindock/platform"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Defaults of the stand-in.
@@ -91,7 +93,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := wait(ctx, delay/2); err != nil {
+	if err := pause.For(ctx, delay/2); err != nil {
 		return 0, fmt.Errorf("%w: %w", platform.ErrNotAppended, err)
 	}
 	if by, late := l.late(); late {
@@ -100,7 +102,7 @@
 		return 0, fmt.Errorf("%w: no answer", platform.ErrUnavailable)
 	}
 	offset, lost := l.add(name, data)
-	if err := wait(ctx, delay-delay/2); err != nil {
+	if err := pause.For(ctx, delay-delay/2); err != nil {
 		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
 	if lost {
@@ -176,7 +178,7 @@
 	l.mu.Lock()
 	delay := l.faults.delay
 	l.mu.Unlock()
-	if err := wait(ctx, delay); err != nil {
+	if err := pause.For(ctx, delay); err != nil {
 		return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
 	l.mu.Lock()
@@ -229,20 +231,3 @@
 	defer l.mu.Unlock()
 	return l.counts
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	if err := ctx.Err(); err != nil {
-		return err
-	}
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -19,6 +19,8 @@
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/prefix"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Defaults of a runner.
@@ -298,7 +300,7 @@
 	})
 	j.importPrefix(todo)
 	missing := len(j.prompt)/r.o.BytesPerToken + 1 - j.cached
-	if !pause(j.ctx, time.Duration(missing)*r.o.Prefill) {
+	if pause.For(j.ctx, time.Duration(missing)*r.o.Prefill) != nil {
 		return false
 	}
 	if missing > r.o.PieceTokens {
@@ -332,18 +334,3 @@
 	defer r.mu.Unlock()
 	r.stats.Cancelled++
 }
-
-// pause waits and tells whether the context is still good.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/lab/standin/service.go
+++ b/lab/standin/service.go
@@ -10,6 +10,8 @@
 
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Service is a stand-in for a plain service, such as the counter application.
@@ -79,7 +81,7 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
-	if !pause(r.Context(), s.Delay) || fault.Kind == FaultAfterRun || fault.Kind == FaultBeforeFirstByte {
+	if pause.For(r.Context(), s.Delay) != nil || fault.Kind == FaultAfterRun || fault.Kind == FaultBeforeFirstByte {
 		panic(http.ErrAbortHandler)
 	}
 	if fault.raw(w) {
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -13,6 +13,8 @@
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/prefix"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Paths of a KV store, between it and runners. Both are POSTs that name levels
@@ -195,12 +197,12 @@
 
 // deliver sends the levels at the store's pace.
 func (s *Store) deliver(ctx context.Context, w http.ResponseWriter, levels []prefix.Level) bool {
-	if !pause(ctx, s.o.Latency) {
+	if pause.For(ctx, s.o.Latency) != nil {
 		return false
 	}
 	sent := 0
 	for _, l := range levels {
-		if s.o.Rate > 0 && !pause(ctx, time.Duration(float64(l.Tokens-sent)/s.o.Rate*float64(time.Second))) {
+		if s.o.Rate > 0 && pause.For(ctx, time.Duration(float64(l.Tokens-sent)/s.o.Rate*float64(time.Second))) != nil {
 			return false
 		}
 		if _, err := fmt.Fprintf(w, "%s:%d\n", l.Key, l.Tokens); err != nil {
--- a/logio/backoff.go
+++ b/logio/backoff.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Bounds of the wait between two attempts at the log.
@@ -32,18 +34,7 @@
 func (b *backoff) wait(ctx context.Context) error {
 	b.next = min(max(2*b.next, minBackoff), maxBackoff)
 	half := b.next / 2
-	return sleep(ctx, half+time.Duration(b.random.int64n(int64(half)+1)))
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
+	return pause.For(ctx, half+time.Duration(b.random.int64n(int64(half)+1)))
 }
 
 // lockedRand lets goroutines share one seeded source.
--- a/logio/batch.go
+++ b/logio/batch.go
@@ -7,6 +7,8 @@
 
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/platform"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // Defaults of a Batcher.
@@ -175,7 +177,7 @@
 		return b.back.wait(ctx)
 	}
 	if left := b.space.left(time.Now(), b.back.random); left > 0 {
-		return sleep(ctx, left)
+		return pause.For(ctx, left)
 	}
 	return nil
 }
--- a/logio/lease.go
+++ b/logio/lease.go
@@ -11,6 +11,8 @@
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/platform"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // DefaultLeaseTTL is how long a lease lasts without renewal.
@@ -124,7 +126,7 @@
 func (k *LeaseKeeper) compete(ctx context.Context) error {
 	step := k.opt.TTL / (2 * renewParts)
 	for {
-		if err := sleep(ctx, step-time.Duration(k.tail.back.random.int64n(int64(step)/4+1))); err != nil {
+		if err := pause.For(ctx, step-time.Duration(k.tail.back.random.int64n(int64(step)/4+1))); err != nil {
 			return err
 		}
 		if r, ok := k.next(time.Now()); ok {
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -11,6 +11,8 @@
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/platform"
+
+	"github.com/merlindock/merlindock/internal/pause"
 )
 
 // DefaultRetention is how long the platform is taken to keep records while no
@@ -247,7 +249,7 @@
 // do no harm.
 func (m *Manifests) keep(ctx context.Context) error {
 	for {
-		if err := sleep(ctx, checkpointLook); err != nil {
+		if err := pause.For(ctx, checkpointLook); err != nil {
 			return err
 		}
 		data := m.checkpoint(time.Now())
