Count a connection's bytes in one place

Cause: the capacity slopes had copied the counting connection of lab/measure.

Change: measure.CountingDial serves both.

--- a/lab/capacity/shells.go
+++ b/lab/capacity/shells.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -149,10 +148,7 @@
 		server := httptest.NewServer(standin.NewRunner(standin.RunnerOptions{ID: "runner-00001"}))
 		defer server.Close()
 		var wire atomic.Int64
-		client := engine.New(engine.Options{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-			return &countingConn{Conn: c, wire: &wire}, err
-		}})
+		client := engine.New(engine.Options{DialContext: bench.CountingDial(&wire)})
 		defer client.CloseIdle()
 		probe := func() {
 			ans := must(client.Send(context.Background(), &engine.Attempt{
@@ -174,21 +170,3 @@
 		return float64(wire.Load()-before) / probes
 	})
 }
-
-// countingConn counts the bytes that go both ways.
-type countingConn struct {
-	net.Conn
-	wire *atomic.Int64
-}
-
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.wire.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.wire.Add(int64(n))
-	return n, err
-}
--- a/lab/measure/folds.go
+++ b/lab/measure/folds.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -121,7 +120,7 @@
 	server := httptest.NewServer(plog.Handler(log, plog.NewVMs(nil, 0)))
 	defer server.Close()
 	var wire atomic.Int64
-	client, err := httplog.New(httplog.Options{BaseURL: server.URL, Token: "0123456789abcdef", Client: countingClient(&wire)})
+	client, err := httplog.New(httplog.Options{BaseURL: server.URL, Token: "0123456789abcdef", Client: &http.Client{Transport: &http.Transport{DialContext: CountingDial(&wire)}}})
 	if err != nil {
 		return 0, 0, err
 	}
@@ -139,30 +138,3 @@
 	one, err = read(1)
 	return idle, one, err
 }
-
-func countingClient(wire *atomic.Int64) *http.Client {
-	var d net.Dialer
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, address)
-		return &countingConn{Conn: c, wire: wire}, err
-	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial}}
-}
-
-// countingConn counts what goes over a connection both ways.
-type countingConn struct {
-	net.Conn
-	wire *atomic.Int64
-}
-
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.wire.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.wire.Add(int64(n))
-	return n, err
-}
