Test that a fleet that is wholly due back serves its callers

Cause: what the placer and health do when every runner of a pool has failed and works again was run by the demo only, and never with several callers at once.

Change: a test in front of a whole daemon: four runners fail every request for three seconds, work again, and twelve callers come at once.

Two layers keep it so: the floor of endpoints that are tried whatever is reported, and the placer's last resort. As the code is, more than one request may go to an endpoint that is due back until the gates are looked at again, 0.2 s later.

--- /dev/null
+++ b/lab/cluster/trial_test.go
@@ -0,0 +1,39 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/standin"
+)
+
+// Every runner fails for a while, as when a bad request crashes each engine it
+// is tried at, and all work again. The daemon takes them for failing and would
+// let one request at a time find out; the callers that come at once must be
+// served meanwhile, not refused by a fleet that works.
+func TestAllRunnersDueBackServe(t *testing.T) {
+	inCluster(t, Options{Daemons: 1, Runners: 4}, func(t *testing.T, c *Cluster) {
+		for _, r := range c.Runners {
+			fails(r, 1000, standin.Fault{Kind: standin.FaultBeforeFirstByte})
+		}
+		for i := range 60 {
+			c.ask(t, 0, fmt.Sprintf("failing question %d", i), 5)
+			time.Sleep(50 * time.Millisecond) // virtual
+		}
+		for _, r := range c.Runners {
+			r.Mend()
+		}
+		time.Sleep(50 * time.Millisecond) // virtual
+		const asked = 12
+		answers := make(chan *answer)
+		for i := range asked {
+			go func() { answers <- c.ask(t, 0, fmt.Sprintf("question %d", i), 5) }()
+		}
+		for range asked {
+			if a := <-answers; !a.whole(5) {
+				t.Errorf("%s", a)
+			}
+		}
+	})
+}
