Count callers who leave apart from deadlines that pass

Cause: a request whose caller left was counted as deadline_exceeded, so that operators would look for slow endpoints where a phone was put away.

Change: the code caller_left, also for a stream that had begun.

Result: the test of a caller who leaves now asks for the code; with the stream's code left as it was it saw stream_cut.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -40,6 +40,7 @@
 	CodeStreamCut        = "stream_cut"
 	CodeDeadline         = "deadline_exceeded"
 	CodeShutdown         = "shutting_down"
+	CodeCallerLeft       = "caller_left"
 	CodeOutcomeUnknown   = "outcome_unknown"
 	CodeKeyReused        = "idempotency_key_reused"
 	CodeKeyInvalid       = "idempotency_key_invalid"
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -243,7 +243,9 @@
 	}
 	// What was delivered has run, whatever became of the last attempt.
 	cut := unknown(r.Status, r.Code, r.Message)
-	if cut.Code != CodeDeadline && cut.Code != CodeShutdown {
+	switch cut.Code {
+	case CodeDeadline, CodeShutdown, CodeCallerLeft:
+	default:
 		cut.Code = CodeStreamCut
 	}
 	mc.report.Code, mc.report.Outcome = cut.Code, cut.Outcome
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -25,6 +25,10 @@
 }
 
 // expired is the refusal of a request whose deadline has passed, whose daemon
+// statusCallerLeft is what the field uses for a caller that closed its request;
+// it has no name in net/http.
+const statusCallerLeft = 499
+
 // shuts down, or whose caller has left and will not read it.
 func (c *call) expired(mayHaveRun bool) *Refusal {
 	r := &Refusal{
@@ -33,9 +37,15 @@
 		Outcome: OutcomeUnknown,
 		Message: "the deadline has passed",
 	}
-	if errors.Is(context.Cause(c.ctx), ErrShutdown) {
+	switch {
+	case errors.Is(context.Cause(c.ctx), ErrShutdown):
 		r.Status, r.Code = http.StatusServiceUnavailable, CodeShutdown
 		r.Message = "the daemon shuts down"
+	case errors.Is(c.ctx.Err(), context.Canceled):
+		// Nobody reads this, but operators count it: callers who leave are not
+		// deadlines that were missed.
+		r.Status, r.Code = statusCallerLeft, CodeCallerLeft
+		r.Message = "the caller left"
 	}
 	if !mayHaveRun {
 		r.Outcome, r.RetryAfter = OutcomeNotRun, DefaultRetryAfter
--- a/lab/e2e/stream_test.go
+++ b/lab/e2e/stream_test.go
@@ -219,7 +219,7 @@
 		if s := w.runners[0].Stats(); s.Cancelled != 1 || s.GeneratedTokens > 3 {
 			t.Errorf("the runner did %+v", s)
 		}
-		if rep := w.observer.last(); !rep.CallerLeft || rep.Attempts != 1 {
+		if rep := w.observer.last(); !rep.CallerLeft || rep.Attempts != 1 || rep.Code != gateway.CodeCallerLeft {
 			t.Errorf("report is %+v", rep)
 		}
 	})
