Rebuild pools on refusals and ticks only, and look at a token's buffer once

Cause: read through once more, three things were done in the wrong place. Each first load report of an endpoint rebuilt the pools of every model at once, under the lock that placing takes, so that a daemon that starts pays for the square of the fleet; the buffer of a stream was searched twice for each token; each attempt looked its counter up by a map of tags.

Change: a report marks the pools as changed and the next tick rebuilds them, or a refusal at once, as before; the result of the search is kept until the event is read; the attempts' counters are made once.

Without the refresh on a refusal TestRestartsDuringARollout fails, so that it is still needed there; with it eight runs of the rollout tests pass.

--- a/daemon/fleetview.go
+++ b/daemon/fleetview.go
@@ -241,7 +241,6 @@
 	if said := v.said[id]; said.slots != l.Slots || !slices.Equal(said.weights, l.Weights) {
 		v.said[id] = saying{weights: l.Weights, slots: l.Slots}
 		v.dirty = true
-		v.refresh() // a request that was refused for it is bound again at once
 	}
 	v.mu.Unlock()
 	v.placement.LoadReported(id, l)
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -14,6 +14,7 @@
 	scope      tally.Scope
 	log        *logging.Logger
 	priorities [contract.PriorityCount]priorityMetrics
+	attempts   map[gateway.AttemptOutcome]tally.Counter
 	crossed    tally.Counter
 	duplicates tally.Counter
 	resumes    tally.Counter
@@ -34,12 +35,16 @@
 	o := &observer{
 		scope:      scope,
 		log:        log,
+		attempts:   map[gateway.AttemptOutcome]tally.Counter{},
 		crossed:    scope.Counter("answers_crossed"),
 		duplicates: scope.Counter("tokens_duplicate"),
 		resumes:    scope.Counter("streams_resumed"),
 		callerLeft: scope.Counter("callers_left"),
 		callerSlow: scope.Counter("callers_slow"),
 	}
+	for outcome, name := range attemptNames {
+		o.attempts[outcome] = scope.Tagged(map[string]string{"outcome": name}).Counter("attempts")
+	}
 	for p := range contract.PriorityCount {
 		s := scope.Tagged(map[string]string{"priority": p.String()})
 		o.priorities[p] = priorityMetrics{
@@ -95,7 +100,9 @@
 
 // Attempt counts one attempt that ended.
 func (o *observer) Attempt(_ *gateway.PlaceRequest, _ *gateway.Placement, res *gateway.Result) {
-	o.scope.Tagged(map[string]string{"outcome": attemptNames[res.Outcome]}).Counter("attempts").Inc(1)
+	if attempts, known := o.attempts[res.Outcome]; known {
+		attempts.Inc(1)
+	}
 }
 
 var attemptNames = map[gateway.AttemptOutcome]string{
--- a/engine/events.go
+++ b/engine/events.go
@@ -51,6 +51,7 @@
 	limit  int
 	data   []byte // of the event being read, reused
 	line   []byte // a line longer than the reader's buffer, reused
+	ready  bool   // a whole event is known to be in the reader's buffer
 }
 
 // Events returns the answer's events. The caller must call Release.
@@ -71,12 +72,11 @@
 // Ready tells whether Next would return an event without waiting, so that a
 // relay can leave flushing until there is nothing more to add.
 func (e *Events) Ready() bool {
-	n := e.reader.Buffered()
-	if n == 0 {
-		return false
+	if !e.ready {
+		buffered, _ := e.reader.Peek(e.reader.Buffered())
+		e.ready = bytes.Contains(buffered, eventEnd)
 	}
-	buffered, _ := e.reader.Peek(n)
-	return bytes.Contains(buffered, eventEnd)
+	return e.ready
 }
 
 // Next returns the next event. An error is an *Error; a stream that ends
@@ -86,6 +86,7 @@
 		e.watch.begin()
 		defer e.watch.end()
 	}
+	e.ready = false
 	e.data = e.data[:0]
 	index, hasData := NoIndex, false
 	for {
