--- a/admin/admin.go
+++ b/admin/admin.go
@@ -18,7 +18,7 @@
 
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Bounds of the API.
@@ -38,7 +38,7 @@
 	// History returns the latest publications that this daemon has seen.
 	History() []Publication
 	// Publish offers a manifest made against the given base.
-	Publish(ctx context.Context, base platform.Offset, m *manifest.Manifest) (Publication, error)
+	Publish(ctx context.Context, base ports.Offset, m *manifest.Manifest) (Publication, error)
 	// PublishSection offers a change of one section of the manifest in force.
 	// Its error is ErrSectionChanged or a *manifest.Error when nothing was
 	// published.
@@ -55,7 +55,7 @@
 
 // Revision identifies an accepted manifest.
 type Revision struct {
-	Offset platform.Offset `json:"offset"`
+	Offset ports.Offset `json:"offset"`
 	Digest string          `json:"digest"`
 }
 
@@ -75,8 +75,8 @@
 type Publication struct {
 	Outcome   Outcome         `json:"outcome"`
 	Revision  Revision        `json:"revision"`
-	Base      platform.Offset `json:"base"`
-	RefusedBy platform.Offset `json:"refused_by,omitempty"` // the manifest that came first
+	Base      ports.Offset `json:"base"`
+	RefusedBy ports.Offset `json:"refused_by,omitempty"` // the manifest that came first
 	Reason    string          `json:"reason,omitempty"`
 }
 
@@ -206,15 +206,15 @@
 	answer(w, http.StatusAccepted, map[string]string{"status": "draining"})
 }
 
-func etag(o platform.Offset) string { return strconv.Quote(strconv.FormatInt(int64(o), 10)) }
+func etag(o ports.Offset) string { return strconv.Quote(strconv.FormatInt(int64(o), 10)) }
 
-func baseOf(r *http.Request) (platform.Offset, error) {
+func baseOf(r *http.Request) (ports.Offset, error) {
 	text := strings.Trim(r.Header.Get("If-Match"), `"`)
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || n < 0 {
 		return 0, errors.New("header If-Match must name the offset of the manifest this one was made against, or 0 for the first")
 	}
-	return platform.Offset(n), nil
+	return ports.Offset(n), nil
 }
 
 // faults splits joined errors, so that each stands alone in the answer.
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 const token = "correct horse"
@@ -32,7 +32,7 @@
 	return Revision{Offset: 7, Digest: "d"}, &manifest.Manifest{Name: "m"}, nil
 }
 func (s *fakeSystem) History() []Publication { return []Publication{s.publication} }
-func (s *fakeSystem) Publish(context.Context, platform.Offset, *manifest.Manifest) (Publication, error) {
+func (s *fakeSystem) Publish(context.Context, ports.Offset, *manifest.Manifest) (Publication, error) {
 	s.published++
 	return s.publication, s.publishErr
 }
--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/admin"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // maxAnswerBytes bounds what is read of an answer.
@@ -67,7 +67,7 @@
 // Publish offers the text of a manifest made against the given base. The
 // outcome is in the publication; an error means that the daemon refused the
 // text itself or gave no answer.
-func (c *Client) Publish(ctx context.Context, base platform.Offset, text []byte) (admin.Publication, error) {
+func (c *Client) Publish(ctx context.Context, base ports.Offset, text []byte) (admin.Publication, error) {
 	header := http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(int64(base), 10))}}
 	return c.publication(ctx, http.MethodPost, "/v1/manifest", header, text)
 }
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -21,7 +21,7 @@
 
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logio"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Defaults and limits of a Service.
@@ -95,7 +95,7 @@
 
 // Options of a Service.
 type Options struct {
-	Log          platform.Log
+	Log          ports.Log
 	Owner        string // names the process to operators; 64 bytes of it are kept
 	Layout       ledger.Layout
 	BatchItems   int           // claims in one append
@@ -261,7 +261,7 @@
 	case d := <-w.decided:
 		return c.decided(op, d)
 	case err := <-w.failed:
-		if errors.Is(err, platform.ErrNotAppended) || errors.Is(err, logio.ErrQueueFull) {
+		if errors.Is(err, ports.ErrNotAppended) || errors.Is(err, logio.ErrQueueFull) {
 			c.p.forget(op.Attempt)
 			return refuse(ReasonLog), false
 		}
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 func TestOnlyKeysThatTellTheirAgeAreTaken(t *testing.T) {
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	fold := ledger.NewClaims(ledger.Layout{Partitions: 2, Window: layout.Window})
-	fold.Apply(platform.Record{Offset: 1, Time: time.Now(), Data: data})
+	fold.Apply(ports.Record{Offset: 1, Time: time.Now(), Data: data})
 	if !fold.Poisoned() {
 		t.Fatal("a mark with a long name was not read")
 	}
--- a/claims/partition.go
+++ b/claims/partition.go
@@ -10,7 +10,7 @@
 
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logio"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // opBytes is about what an operation without a result takes in a record.
@@ -22,7 +22,7 @@
 // partition follows and writes one claim stream.
 type partition struct {
 	opt    Options
-	stream platform.Stream
+	stream ports.Stream
 	tail   *logio.Tail
 	batch  *logio.Batcher[ledger.ClaimOp]
 	wake   chan struct{}
@@ -243,24 +243,24 @@
 }
 
 // Next implements logio.Sink.
-func (p *partition) Next() platform.Offset {
+func (p *partition) Next() ports.Offset {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.fold.Next()
 }
 
 // Gap implements logio.Sink.
-func (p *partition) Gap(first platform.Offset) {
+func (p *partition) Gap(first ports.Offset) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fold.Gap(first)
 }
 
 // CaughtUp implements logio.Sink.
-func (p *partition) CaughtUp(platform.Offset) {}
+func (p *partition) CaughtUp(ports.Offset) {}
 
 // Apply implements logio.Sink.
-func (p *partition) Apply(r platform.Record) {
+func (p *partition) Apply(r ports.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	decisions := p.fold.Apply(r)
@@ -286,7 +286,7 @@
 	}
 }
 
-func (p *partition) ownMark(r platform.Record) {
+func (p *partition) ownMark(r ports.Record) {
 	_, body, err := ledger.Decode(r.Data)
 	b, ok := body.(*ledger.ClaimBatch)
 	if err == nil && ok && len(b.Ops) == 0 && b.Writer == p.opt.Owner {
--- a/cmd/merlindock/operate.go
+++ b/cmd/merlindock/operate.go
@@ -15,7 +15,7 @@
 	"github.com/merlindock/merlindock/admin"
 	"github.com/merlindock/merlindock/admin/client"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // maxInputBytes bounds a file that a command reads.
@@ -117,7 +117,7 @@
 			if err != nil {
 				return err
 			}
-			p, err := c.Publish(ctx, platform.Offset(base), text)
+			p, err := c.Publish(ctx, ports.Offset(base), text)
 			return told(s, p, err)
 		})
 }
--- a/cmd/merlindock/standin.go
+++ b/cmd/merlindock/standin.go
@@ -13,7 +13,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/lab/world"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Ports of the daemons that the stand-in's settings files name.
@@ -65,13 +65,13 @@
 		return err
 	}
 	files := map[string]string{"manifest.json": string(text) + "\n", "token": "trial-token\n"}
-	var list []platform.Daemon
+	var list []ports.Daemon
 	for i := range daemons {
 		zone := world.Zones[i%len(world.Zones)]
 		port := firstPort + i*portsPerDaemon
 		id := fmt.Sprintf("daemon-%d", i+1)
 		files[id+".ini"] = trialSettings(id, zone, port, w.PlatformURL, filepath.Join(dir, "token"))
-		list = append(list, platform.Daemon{
+		list = append(list, ports.Daemon{
 			ID:          id,
 			Zone:        zone,
 			PeerAddress: fmt.Sprintf("127.0.0.1:%d", port+2),
--- a/cmd/merlindockd/main.go
+++ b/cmd/merlindockd/main.go
@@ -22,7 +22,7 @@
 
 	"github.com/merlindock/merlindock/daemon"
 	"github.com/merlindock/merlindock/logging"
-	"github.com/merlindock/merlindock/platform/httplog"
+	"github.com/merlindock/merlindock/ports/httplog"
 	"github.com/merlindock/merlindock/settings"
 )
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,7 +25,7 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/peer"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/settings"
 	"github.com/merlindock/merlindock/telemetry"
 )
@@ -34,8 +34,8 @@
 type Options struct {
 	Settings settings.Settings
 	Token    string // of the administration API; empty refuses its guarded calls
-	Log      platform.Log
-	VMs      platform.VMList
+	Log      ports.Log
+	VMs      ports.VMList
 	Logs     *logging.Factory
 	// Listeners replace listening on the settings' addresses, for tests.
 	Listeners Listeners
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -20,7 +20,7 @@
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer"
 	"github.com/merlindock/merlindock/peer/peerpb"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // How often a daemon without a manifest asks its neighbours, at first and later.
@@ -32,10 +32,10 @@
 
 // daemonList is the newest list of daemons. An empty one never replaces it.
 type daemonList struct {
-	list atomic.Pointer[[]platform.Daemon]
+	list atomic.Pointer[[]ports.Daemon]
 }
 
-func (l *daemonList) get() []platform.Daemon {
+func (l *daemonList) get() []ports.Daemon {
 	if p := l.list.Load(); p != nil {
 		return *p
 	}
@@ -62,7 +62,7 @@
 func (d *Daemon) peerOptions() peer.Options {
 	s := d.o.Settings
 	o := peer.Options{
-		Self: platform.Daemon{
+		Self: ports.Daemon{
 			ID:          s.Daemon.ID,
 			Zone:        s.Daemon.Zone,
 			PeerAddress: s.Listen.Peers,
--- a/daemon/publish.go
+++ b/daemon/publish.go
@@ -9,11 +9,11 @@
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Publish implements admin.System.
-func (s *system) Publish(ctx context.Context, base platform.Offset, m *manifest.Manifest) (admin.Publication, error) {
+func (s *system) Publish(ctx context.Context, base ports.Offset, m *manifest.Manifest) (admin.Publication, error) {
 	ctx, cancel := context.WithTimeout(ctx, logio.PublishTimeout)
 	defer cancel()
 	r, err := s.manifests.Publish(ctx, base, *m, s.o.Settings.Daemon.ID)
@@ -51,7 +51,7 @@
 	logio.PublishUnknown:     admin.OutcomeUnknown,
 }
 
-func published(base platform.Offset, r logio.PublishResult) admin.Publication {
+func published(base ports.Offset, r logio.PublishResult) admin.Publication {
 	p := admin.Publication{
 		Outcome:   admin.OutcomeUnknown,
 		Revision:  admin.Revision{Offset: r.Offset, Digest: string(r.Digest)},
--- a/daemon/system.go
+++ b/daemon/system.go
@@ -19,7 +19,7 @@
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/orders"
 	"github.com/merlindock/merlindock/placement"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/settings"
 )
 
@@ -65,7 +65,7 @@
 // neighbour or from publishing it here, was never folded as a record; it is
 // listed by its acceptance.
 func (s *system) History() []admin.Publication {
-	byOffset := map[platform.Offset]admin.Publication{}
+	byOffset := map[ports.Offset]admin.Publication{}
 	if proof, ok := s.manifests.Proof(); ok {
 		for _, a := range proof.Recent {
 			byOffset[a.Offset] = admin.Publication{
@@ -95,7 +95,7 @@
 	}
 }
 
-func refusedBy(refused bool, by platform.Offset) platform.Offset {
+func refusedBy(refused bool, by ports.Offset) ports.Offset {
 	if refused {
 		return by
 	}
@@ -150,8 +150,8 @@
 	CacheEvents   cacheevents.Stats       `json:"cache_events"`
 	Health        []health.EndpointHealth `json:"health"`
 	Organisations any                     `json:"organisations"`
-	Daemons       []platform.Daemon       `json:"daemons"`
-	Neighbours    []platform.Daemon       `json:"neighbours"`
+	Daemons       []ports.Daemon       `json:"daemons"`
+	Neighbours    []ports.Daemon       `json:"neighbours"`
 	Senders       []neighbour.Sender      `json:"senders"`
 	Orders        orders.Report           `json:"orders"` // its plan is empty without the lease
 }
--- a/lab/capacity/fixtures.go
+++ b/lab/capacity/fixtures.go
@@ -10,7 +10,7 @@
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -40,10 +40,10 @@
 	return list
 }
 
-func daemons(n int) []platform.Daemon {
-	list := make([]platform.Daemon, n)
+func daemons(n int) []ports.Daemon {
+	list := make([]ports.Daemon, n)
 	for i := range list {
-		list[i] = platform.Daemon{
+		list[i] = ports.Daemon{
 			ID:          fmt.Sprintf("daemon-%04d", i),
 			Zone:        zone(i),
 			PeerAddress: fmt.Sprintf("10.200.%d.%d:8082", i>>8, i&255),
--- a/lab/capacity/parts.go
+++ b/lab/capacity/parts.go
@@ -12,7 +12,7 @@
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/placement"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -183,7 +183,7 @@
 		return nanoseconds(func(n int) {
 			for range n {
 				s := ledger.NewState(ledger.Options{})
-				d := s.Apply(platform.Record{Offset: 1, Time: epoch, Data: record})
+				d := s.Apply(ports.Record{Offset: 1, Time: epoch, Data: record})
 				if len(d) == 0 || d[len(d)-1].Outcome != ledger.Accepted {
 					panic("capacity: manifest not accepted")
 				}
--- a/lab/cluster/caller_test.go
+++ b/lab/cluster/caller_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/gateway"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // inCluster runs a test in virtual time, with the manifest of version v1 in
@@ -31,7 +31,7 @@
 	})
 }
 
-func (c *Cluster) publish(t *testing.T, base platform.Offset, version string) {
+func (c *Cluster) publish(t *testing.T, base ports.Offset, version string) {
 	t.Helper()
 	r, err := c.Publish(t.Context(), 0, base, c.Manifest(version))
 	if err != nil || r.Outcome != "accepted" {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -18,7 +18,7 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/rollout"
 	"github.com/merlindock/merlindock/settings"
 )
@@ -178,9 +178,9 @@
 
 // list puts endpoints and daemons on the platform's list.
 func (c *Cluster) list() {
-	var daemons []platform.Daemon
+	var daemons []ports.Daemon
 	for _, n := range c.Nodes {
-		daemons = append(daemons, platform.Daemon{
+		daemons = append(daemons, ports.Daemon{
 			ID:          n.ID,
 			Zone:        zones[n.index%len(zones)],
 			PeerAddress: n.peerAddress(),
@@ -287,7 +287,7 @@
 }
 
 // Publish proposes a manifest by a node's way to the log.
-func (c *Cluster) Publish(ctx context.Context, i int, base platform.Offset, m manifest.Manifest) (logio.PublishResult, error) {
+func (c *Cluster) Publish(ctx context.Context, i int, base ports.Offset, m manifest.Manifest) (logio.PublishResult, error) {
 	return logio.Publish(ctx, c.Nodes[i].Way, logio.PublishRequest{Base: base, Manifest: m, Author: "test"})
 }
 
--- a/lab/cluster/operators_test.go
+++ b/lab/cluster/operators_test.go
@@ -13,7 +13,7 @@
 	"github.com/merlindock/merlindock/lab/standin"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // operate is a node's administration API.
@@ -22,7 +22,7 @@
 }
 
 // offer publishes a weight version by a node's administration API.
-func (c *Cluster) offer(t *testing.T, i int, base platform.Offset, version string) admin.Publication {
+func (c *Cluster) offer(t *testing.T, i int, base ports.Offset, version string) admin.Publication {
 	t.Helper()
 	text, err := manifest.Encode(c.Manifest(version))
 	if err != nil {
--- a/lab/cluster/part_test.go
+++ b/lab/cluster/part_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // A zone is parted from the others and from the log for three minutes while three
@@ -30,7 +30,7 @@
 	for n := range 3 {
 		m := c.Manifest("v1")
 		m.Name = fmt.Sprintf("change-%d", n)
-		r, err := c.Publish(t.Context(), n%2, platform.Offset(n+1), m)
+		r, err := c.Publish(t.Context(), n%2, ports.Offset(n+1), m)
 		if err != nil || r.Outcome != "accepted" {
 			t.Fatalf("%+v, %v", r, err)
 		}
--- a/lab/cluster/rollout_test.go
+++ b/lab/cluster/rollout_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/lab/standin"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // A daemon is replaced again and again while a rollout runs, and callers meet it
@@ -63,7 +63,7 @@
 
 // waitInForce waits until the manifest at the offset is in force on each node,
 // for as long as is promised.
-func (c *Cluster) waitInForce(t *testing.T, offset platform.Offset) time.Duration {
+func (c *Cluster) waitInForce(t *testing.T, offset ports.Offset) time.Duration {
 	t.Helper()
 	began := time.Now()
 	for i := range c.Nodes {
@@ -86,8 +86,8 @@
 		time.Sleep(5 * time.Second) // virtual
 		before := c.fetched(t)
 		for i := range 5 {
-			c.publish(t, platform.Offset(i+1), fmt.Sprintf("v%d", i+2))
-			t.Logf("in force on all after %v", c.waitInForce(t, platform.Offset(i+2)))
+			c.publish(t, ports.Offset(i+1), fmt.Sprintf("v%d", i+2))
+			t.Logf("in force on all after %v", c.waitInForce(t, ports.Offset(i+2)))
 			time.Sleep(5 * time.Second) // virtual
 		}
 		if n := c.fetched(t) - before; n > 0 {
--- a/lab/history/check.go
+++ b/lab/history/check.go
@@ -8,7 +8,7 @@
 
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // CallOutcome is what a caller of a keyed call was told.
@@ -91,21 +91,21 @@
 // published is the input of a publication, and published outcomes are its
 // output.
 type published struct {
-	base   platform.Offset
+	base   ports.Offset
 	digest manifest.Digest
 }
 
 type publishedOutput struct {
 	outcome  logio.PublishOutcome
-	accepted platform.Offset
+	accepted ports.Offset
 }
 
 // register says that publications behave as compare-and-set on one register.
 // A publication without a known outcome may have taken effect or not.
 var register = (&porcupine.NondeterministicModel{
-	Init: func() []any { return []any{platform.Offset(0)} },
+	Init: func() []any { return []any{ports.Offset(0)} },
 	Step: func(state, input, output any) []any {
-		now, in, out := state.(platform.Offset), input.(published), output.(publishedOutput)
+		now, in, out := state.(ports.Offset), input.(published), output.(publishedOutput)
 		switch out.outcome {
 		case logio.PublishAccepted:
 			if now != in.base {
@@ -128,7 +128,7 @@
 
 // unknownPublication branches: without effect, or accepted at the offset that
 // the log shows afterwards.
-func unknownPublication(now platform.Offset, in published, out publishedOutput) []any {
+func unknownPublication(now ports.Offset, in published, out publishedOutput) []any {
 	if out.accepted != 0 && now == in.base {
 		return []any{out.accepted}
 	}
@@ -143,27 +143,27 @@
 // neverBack says that the revision in force at a daemon never goes back.
 var neverBack = porcupine.Model{
 	Partition: partitionBy(func(in any) string { return in.(seen).daemon }),
-	Init:      func() any { return platform.Offset(0) },
+	Init:      func() any { return ports.Offset(0) },
 	Step: func(state, _, output any) (bool, any) {
-		now := output.(platform.Offset)
-		return now >= state.(platform.Offset), now
+		now := output.(ports.Offset)
+		return now >= state.(ports.Offset), now
 	},
 }
 
 // ordered is an order that an endpoint took, with its fencing number.
 type ordered struct {
 	endpoint string
-	fence    platform.Offset
+	fence    ports.Offset
 }
 
 // fenced says that an endpoint takes no order of an older lease after one of
 // a newer.
 var fenced = porcupine.Model{
 	Partition: partitionBy(func(in any) string { return in.(ordered).endpoint }),
-	Init:      func() any { return platform.Offset(0) },
+	Init:      func() any { return ports.Offset(0) },
 	Step: func(state, input, _ any) (bool, any) {
 		now := input.(ordered).fence
-		return now >= state.(platform.Offset), now
+		return now >= state.(ports.Offset), now
 	},
 }
 
--- a/lab/history/follower.go
+++ b/lab/history/follower.go
@@ -8,7 +8,7 @@
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Pace of the runs.
@@ -38,7 +38,7 @@
 }
 
 // Offset is the revision in force, 0 for none.
-func (f *Follower) Offset() platform.Offset {
+func (f *Follower) Offset() ports.Offset {
 	v := f.manifests.InForce()
 	if v == nil {
 		return 0
@@ -56,7 +56,7 @@
 }
 
 // Publish publishes at this daemon and records what the operator was told.
-func (f *Follower) Publish(ctx context.Context, rec *Recorder, client int, base platform.Offset, loads int) (logio.PublishResult, error) {
+func (f *Follower) Publish(ctx context.Context, rec *Recorder, client int, base ports.Offset, loads int) (logio.PublishResult, error) {
 	start := rec.Now()
 	ctx, cancel := context.WithTimeout(ctx, logio.PublishTimeout)
 	defer cancel()
@@ -67,9 +67,9 @@
 
 // Judge folds the whole journal of a log as a reader would that never missed
 // a record, and returns what was accepted by digest, and the last revision.
-func Judge(journal []platform.Record) (accepted map[manifest.Digest]platform.Offset, last ledger.Revision) {
+func Judge(journal []ports.Record) (accepted map[manifest.Digest]ports.Offset, last ledger.Revision) {
 	s := ledger.NewState(ledger.Options{})
-	accepted = make(map[manifest.Digest]platform.Offset)
+	accepted = make(map[manifest.Digest]ports.Offset)
 	for _, r := range journal {
 		for _, d := range s.Apply(r) {
 			if d.Outcome == ledger.Accepted && d.Kind == ledger.KindManifest {
@@ -82,7 +82,7 @@
 
 // settled gives the publications whose outcome was unknown the offset that the
 // log shows, and lets them last to the end of the run.
-func settled(events []Event, accepted map[manifest.Digest]platform.Offset, end time.Duration) []Event {
+func settled(events []Event, accepted map[manifest.Digest]ports.Offset, end time.Duration) []Event {
 	var all []Event
 	for _, e := range events {
 		in, ok := e.Input.(published)
--- a/lab/history/leases_test.go
+++ b/lab/history/leases_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/merlindock/merlindock/lab/standin/plog"
 	"github.com/merlindock/merlindock/logio"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 const leaseTTL = 15 * time.Second
@@ -23,11 +23,11 @@
 	paused bool
 	// trusting makes it go on with a lease once held, whatever the time.
 	trusting bool
-	fence    platform.Offset
+	fence    ports.Offset
 }
 
 // holding is the fencing number that the giver would send now.
-func (g *giver) holding() (platform.Offset, bool) {
+func (g *giver) holding() (ports.Offset, bool) {
 	h, ok := g.keeper.Holding(time.Now())
 	if ok {
 		g.fence = h.Fence
@@ -46,7 +46,7 @@
 	rec    *Recorder
 	givers []*giver
 	taken  int
-	newest platform.Offset // at the endpoint that checks
+	newest ports.Offset // at the endpoint that checks
 }
 
 func newOrders(t *testing.T, n int) *orders {
@@ -88,7 +88,7 @@
 	}
 }
 
-func (o *orders) take(client int, fence platform.Offset) {
+func (o *orders) take(client int, fence ports.Offset) {
 	o.taken++
 	o.rec.Add(client, o.rec.Now(), ordered{endpoint: "takes all", fence: fence}, nil)
 	time.Sleep(time.Microsecond)
--- a/lab/history/manifests_test.go
+++ b/lab/history/manifests_test.go
@@ -13,7 +13,7 @@
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 
 	"github.com/merlindock/merlindock/internal/pause"
 )
@@ -87,7 +87,7 @@
 	s.followers[i] = s.follow()
 }
 
-func (s *site) publish(client, daemon int, base platform.Offset) logio.PublishResult {
+func (s *site) publish(client, daemon int, base ports.Offset) logio.PublishResult {
 	s.mu.Lock()
 	s.loads++
 	loads, f := s.loads, s.followers[daemon]
@@ -99,7 +99,7 @@
 	return r
 }
 
-func (s *site) inForce(want platform.Offset) {
+func (s *site) inForce(want ports.Offset) {
 	s.t.Helper()
 	for _, f := range s.all() {
 		if f.Offset() != want {
@@ -183,7 +183,7 @@
 			s.publish(1, 0, 0)
 			time.Sleep(3 * time.Second)
 			s.followers[1].Log.Disconnect()
-			base := platform.Offset(1)
+			base := ports.Offset(1)
 			for range 4 {
 				time.Sleep(20 * time.Minute)
 				base = s.publish(1, 0, base).Offset
@@ -277,12 +277,12 @@
 
 // lastWins is a fold that takes every manifest, whatever its base.
 type lastWins struct {
-	log  platform.Log
-	next platform.Offset
-	last platform.Offset
+	log  ports.Log
+	next ports.Offset
+	last ports.Offset
 }
 
-func (f *lastWins) publish(t *testing.T, base platform.Offset, loads int) publishedOutput {
+func (f *lastWins) publish(t *testing.T, base ports.Offset, loads int) publishedOutput {
 	t.Helper()
 	text, _ := manifest.Encode(Sample(loads))
 	data, _ := ledger.Encode(1, &ledger.ManifestRecord{Base: base, Digest: manifest.SumText(text), Manifest: text})
--- a/lab/history/publish_test.go
+++ b/lab/history/publish_test.go
@@ -11,10 +11,10 @@
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
-func publish(t *testing.T, log platform.Log, base platform.Offset, loads int) logio.PublishResult {
+func publish(t *testing.T, log ports.Log, base ports.Offset, loads int) logio.PublishResult {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), logio.PublishTimeout)
 	defer cancel()
@@ -28,7 +28,7 @@
 func TestPublisherIsToldTheTruth(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := plog.New(plog.Options{})
-		check := func(r logio.PublishResult, o logio.PublishOutcome, offset, by platform.Offset) {
+		check := func(r logio.PublishResult, o logio.PublishOutcome, offset, by ports.Offset) {
 			t.Helper()
 			if r.Outcome != o || r.Offset != offset || r.By != by {
 				t.Fatalf("got %+v, expected %s at %d by %d", r, o, offset, by)
@@ -56,7 +56,7 @@
 // cutAfterAppend loses its way to the log with the first append.
 type cutAfterAppend struct{ *plog.Cut }
 
-func (c *cutAfterAppend) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+func (c *cutAfterAppend) Append(ctx context.Context, s ports.Stream, data []byte) (ports.Offset, error) {
 	defer c.Disconnect()
 	return c.Cut.Append(ctx, s, data)
 }
--- a/lab/measure/control.go
+++ b/lab/measure/control.go
@@ -19,7 +19,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // ControlOptions describe daemons that talk to their neighbours over real gRPC
@@ -45,7 +45,7 @@
 
 // controlNode is one daemon of a measurement.
 type controlNode struct {
-	daemon   platform.Daemon
+	daemon   ports.Daemon
 	listener net.Listener
 	service  *peer.Service
 
@@ -91,10 +91,10 @@
 }
 
 // Daemons makes a list of daemons over zones.
-func Daemons(count, zones int) []platform.Daemon {
-	list := make([]platform.Daemon, count)
+func Daemons(count, zones int) []ports.Daemon {
+	list := make([]ports.Daemon, count)
 	for i := range list {
-		list[i] = platform.Daemon{
+		list[i] = ports.Daemon{
 			ID:          fmt.Sprintf("entry-%d", i),
 			Zone:        fleet.ZoneID(fmt.Sprintf("zone-%d", i%zones)),
 			PeerAddress: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
@@ -166,7 +166,7 @@
 // errEarlier says that a daemon has a later manifest already.
 var errEarlier = errors.New("measure: manifest is not later")
 
-func (c *control) options(o ControlOptions, n *controlNode, list []platform.Daemon, seed uint64) peer.Options {
+func (c *control) options(o ControlOptions, n *controlNode, list []ports.Daemon, seed uint64) peer.Options {
 	// Each link should carry a revision, as it does in service.
 	n.accepted.Revision = neighbour.Revision{Offset: 1}
 	evidence := Evidence(o.Evidence)
@@ -177,7 +177,7 @@
 		Interval: o.Interval,
 		Budget:   o.Budget,
 		TLS:      c.files,
-		Daemons:  func() []platform.Daemon { return list },
+		Daemons:  func() []ports.Daemon { return list },
 		LocalDigest: func(now time.Time) peer.Local {
 			for i := range evidence {
 				evidence[i].At = now
--- a/lab/measure/folds.go
+++ b/lab/measure/folds.go
@@ -12,8 +12,8 @@
 	"github.com/merlindock/merlindock/lab/standin/plog"
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
-	"github.com/merlindock/merlindock/platform/httplog"
+	"github.com/merlindock/merlindock/ports"
+	"github.com/merlindock/merlindock/ports/httplog"
 )
 
 var foldStart = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
@@ -24,13 +24,13 @@
 }
 
 // ManifestRecord is the log record that proposes such a manifest first.
-func ManifestRecord(organisations int) (platform.Record, error) {
+func ManifestRecord(organisations int) (ports.Record, error) {
 	text, err := ManifestText(organisations)
 	if err != nil {
-		return platform.Record{}, err
+		return ports.Record{}, err
 	}
 	data, err := ledger.Encode(ledger.RulesVersion, &ledger.ManifestRecord{Digest: manifest.SumText(text), Manifest: text})
-	return platform.Record{Offset: 1, Time: foldStart, Data: data}, err
+	return ports.Record{Offset: 1, Time: foldStart, Data: data}, err
 }
 
 // SectionFold returns a function that folds one change of one organisation of
@@ -42,15 +42,15 @@
 	}
 	s := ledger.NewState(ledger.Options{})
 	s.Apply(first)
-	record := func() (platform.Record, error) {
+	record := func() (ports.Record, error) {
 		share := 1 + int(s.Next())%7
 		text := fmt.Sprintf(`{"id":"organisation-1","key_hashes":["%064x"],"share":%d,"priorities":["batch"]}`, 1, share)
 		b, err := ledger.NewSectionRecord(s.InForce(), manifest.SectionOrganisation, "organisation-1", []byte(text))
 		if err != nil {
-			return platform.Record{}, err
+			return ports.Record{}, err
 		}
 		data, err := ledger.Encode(ledger.RulesVersion, b)
-		return platform.Record{Offset: s.Next(), Time: foldStart, Data: data}, err
+		return ports.Record{Offset: s.Next(), Time: foldStart, Data: data}, err
 	}
 	one, err := record()
 	if err != nil {
@@ -70,9 +70,9 @@
 }
 
 // ClaimRecords are batches of claims as daemons append them.
-func ClaimRecords(records, claimsEach int) ([]platform.Record, error) {
+func ClaimRecords(records, claimsEach int) ([]ports.Record, error) {
 	request := ledger.IDOf("request")
-	var list []platform.Record
+	var list []ports.Record
 	for i := range records {
 		at := foldStart.Add(time.Duration(i) * 3 * time.Millisecond)
 		b := &ledger.ClaimBatch{Writer: "entry-0001", Layout: ClaimLayout()}
@@ -86,7 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, platform.Record{Offset: platform.Offset(i + 1), Time: at, Data: data})
+		list = append(list, ports.Record{Offset: ports.Offset(i + 1), Time: at, Data: data})
 	}
 	return list, nil
 }
@@ -97,8 +97,8 @@
 }
 
 // LeaseRecords are renewals of one lease after its acquisition.
-func LeaseRecords(n int) ([]platform.Record, error) {
-	var list []platform.Record
+func LeaseRecords(n int) ([]ports.Record, error) {
+	var list []ports.Record
 	for i := range n {
 		b := &ledger.LeaseRecord{Op: ledger.LeaseRenew, Name: "orders", Holder: "entry-0001/1", TTL: manifest.Duration(15 * time.Second), Fence: 1, Serial: i}
 		if i == 0 {
@@ -108,7 +108,7 @@
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, platform.Record{Offset: platform.Offset(i + 1), Time: foldStart.Add(time.Duration(i) * 5 * time.Second), Data: data})
+		list = append(list, ports.Record{Offset: ports.Offset(i + 1), Time: foldStart.Add(time.Duration(i) * 5 * time.Second), Data: data})
 	}
 	return list, nil
 }
@@ -124,7 +124,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	read := func(from platform.Offset) (int64, error) {
+	read := func(from ports.Offset) (int64, error) {
 		before := wire.Load()
 		_, err := client.Read(context.Background(), ledger.StreamManifest, from, 256)
 		return wire.Load() - before, err
--- a/lab/measure/graph.go
+++ b/lab/measure/graph.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"github.com/merlindock/merlindock/neighbour"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // GraphChange is what a change of the list of daemons does to their links.
@@ -19,7 +19,7 @@
 // links are the pairs of neighbours, the smaller id first.
 type links map[[2]string]bool
 
-func linksOf(list []platform.Daemon) links {
+func linksOf(list []ports.Daemon) links {
 	out := links{}
 	for _, d := range list {
 		for _, n := range neighbour.Choose(d, list, neighbour.Options{}) {
@@ -44,11 +44,11 @@
 // ZoneLoss takes the daemons of the first zone off the list.
 func ZoneLoss(daemons, zones int) GraphChange {
 	before := Daemons(daemons, zones)
-	after := slices.DeleteFunc(slices.Clone(before), func(d platform.Daemon) bool { return d.Zone == before[0].Zone })
+	after := slices.DeleteFunc(slices.Clone(before), func(d ports.Daemon) bool { return d.Zone == before[0].Zone })
 	return graphChange(before, after)
 }
 
-func graphChange(before, after []platform.Daemon) GraphChange {
+func graphChange(before, after []ports.Daemon) GraphChange {
 	was, is := linksOf(before), linksOf(after)
 	c := GraphChange{Before: len(was)}
 	stayed := map[string]bool{}
--- a/lab/measure/spread.go
+++ b/lab/measure/spread.go
@@ -9,7 +9,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // SpreadModelOptions describe how a manifest goes from daemon to daemon in
@@ -55,8 +55,8 @@
 		index[d.ID] = i
 	}
 	random := rand.New(rand.NewPCG(o.Seed, 1))
-	dead := func(d platform.Daemon) bool { return o.DeadZone && d.Zone == fleet.ZoneID("zone-0") }
-	first := slices.IndexFunc(list, func(d platform.Daemon) bool { return !dead(d) })
+	dead := func(d ports.Daemon) bool { return o.DeadZone && d.Zone == fleet.ZoneID("zone-0") }
+	first := slices.IndexFunc(list, func(d ports.Daemon) bool { return !dead(d) })
 	reached := map[int]time.Duration{}
 	queue := &arrivals{{0, first}}
 	for queue.Len() > 0 {
--- a/lab/standin/ordered_fleet_test.go
+++ b/lab/standin/ordered_fleet_test.go
@@ -19,7 +19,7 @@
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/manifest"
 	"github.com/merlindock/merlindock/orders"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/rollout"
 )
 
@@ -39,7 +39,7 @@
 
 	mu       sync.Mutex
 	manifest *manifest.Manifest
-	revision platform.Offset
+	revision ports.Offset
 }
 
 func newFleet(t *testing.T, count int, fences bool) *fleetOf {
@@ -192,10 +192,10 @@
 }
 
 // held is a lease that is held for the whole time.
-type held platform.Offset
+type held ports.Offset
 
 func (h held) Holding(now time.Time) (logio.Holding, bool) {
-	return logio.Holding{Fence: platform.Offset(h), Until: now.Add(time.Minute)}, true
+	return logio.Holding{Fence: ports.Offset(h), Until: now.Add(time.Minute)}, true
 }
 
 func (held) Release(context.Context) {}
--- a/lab/standin/orders.go
+++ b/lab/standin/orders.go
@@ -11,7 +11,7 @@
 
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/rollout"
 )
 
@@ -73,7 +73,7 @@
 
 	mu     sync.Mutex // guards what follows
 	status rollout.Status
-	fence  platform.Offset
+	fence  ports.Offset
 	timer  *time.Timer
 	taken  []rollout.Order
 	lose   int
@@ -167,7 +167,7 @@
 		return
 	}
 	fence, _ := strconv.ParseInt(req.Header.Get(engine.HeaderFence), 10, 64)
-	o.Fence = platform.Offset(fence)
+	o.Fence = ports.Offset(fence)
 	status, lost := e.take(o)
 	if lost {
 		panic(http.ErrAbortHandler)
--- a/lab/standin/plog/faults.go
+++ b/lab/standin/plog/faults.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // repeatDepth is how far back a duplicate delivery reaches.
@@ -30,7 +30,7 @@
 	return true
 }
 
-func (f *faults) repeatFrom(from, first platform.Offset) platform.Offset {
+func (f *faults) repeatFrom(from, first ports.Offset) ports.Offset {
 	if f.repeatReads == 0 {
 		return from
 	}
@@ -78,7 +78,7 @@
 }
 
 // Truncate drops the records of a stream before first, as if they had expired.
-func (l *Log) Truncate(name platform.Stream, first platform.Offset) {
+func (l *Log) Truncate(name ports.Stream, first ports.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -120,18 +120,18 @@
 	}
 }
 
-// Append implements platform.Log.
-func (c *Cut) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+// Append implements ports.Log.
+func (c *Cut) Append(ctx context.Context, s ports.Stream, data []byte) (ports.Offset, error) {
 	if len(c.off) > 0 {
-		return 0, platform.ErrNotAppended
+		return 0, ports.ErrNotAppended
 	}
 	return c.Log.Append(ctx, s, data)
 }
 
-// Read implements platform.Log.
-func (c *Cut) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+// Read implements ports.Log.
+func (c *Cut) Read(ctx context.Context, s ports.Stream, from ports.Offset, limit int) (ports.Page, error) {
 	if len(c.off) > 0 {
-		return platform.Page{}, platform.ErrUnavailable
+		return ports.Page{}, ports.ErrUnavailable
 	}
 	return c.Log.Read(ctx, s, from, limit)
 }
--- a/lab/standin/plog/http.go
+++ b/lab/standin/plog/http.go
@@ -10,8 +10,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/merlindock/merlindock/platform"
-	"github.com/merlindock/merlindock/platform/httplog"
+	"github.com/merlindock/merlindock/ports"
+	"github.com/merlindock/merlindock/ports/httplog"
 )
 
 // Handler serves the log and the list as docs/PLATFORM.md states.
@@ -38,7 +38,7 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	offset, err := l.Append(r.Context(), platform.Stream(r.PathValue("stream")), body)
+	offset, err := l.Append(r.Context(), ports.Stream(r.PathValue("stream")), body)
 	answer(w, httplog.Appended{Offset: offset}, err)
 }
 
@@ -53,18 +53,18 @@
 		http.Error(w, "limit is not a number of records", http.StatusBadRequest)
 		return
 	}
-	page, err := l.Read(r.Context(), platform.Stream(r.PathValue("stream")), platform.Offset(from), limit)
+	page, err := l.Read(r.Context(), ports.Stream(r.PathValue("stream")), ports.Offset(from), limit)
 	answer(w, page, err)
 }
 
 func answer(w http.ResponseWriter, v any, err error) {
-	var truncated *platform.TruncatedError
+	var truncated *ports.TruncatedError
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, v)
 	case errors.As(err, &truncated):
 		writeJSON(w, http.StatusGone, httplog.Truncated{First: truncated.First})
-	case errors.Is(err, platform.ErrNotAppended):
+	case errors.Is(err, ports.ErrNotAppended):
 		w.Header().Set(httplog.HeaderNotAppended, "true")
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
--- a/lab/standin/plog/plog.go
+++ b/lab/standin/plog/plog.go
@@ -14,7 +14,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 
 	"github.com/merlindock/merlindock/internal/pause"
 )
@@ -37,24 +37,24 @@
 	KeepJournal    bool // keep what expires, for Journal
 }
 
-// Log is an in-memory platform.Log.
+// Log is an in-memory ports.Log.
 type Log struct {
 	opt     Options
 	limiter *rate.Limiter
 
 	mu      sync.Mutex
-	streams map[platform.Stream]*stream
+	streams map[ports.Stream]*stream
 	faults  faults
 	counts  Counts
 }
 
 type stream struct {
-	first   platform.Offset // offset of records[0], or of the next append
-	records []platform.Record
-	journal []platform.Record
+	first   ports.Offset // offset of records[0], or of the next append
+	records []ports.Record
+	journal []ports.Record
 }
 
-func (s *stream) next() platform.Offset { return s.first + platform.Offset(len(s.records)) }
+func (s *stream) next() ports.Offset { return s.first + ports.Offset(len(s.records)) }
 
 // Counts tells what the log was asked.
 type Counts struct {
@@ -80,33 +80,33 @@
 	if o.MaxRecordBytes == 0 {
 		o.MaxRecordBytes = DefaultMaxRecordBytes
 	}
-	l := &Log{opt: o, streams: make(map[platform.Stream]*stream)}
+	l := &Log{opt: o, streams: make(map[ports.Stream]*stream)}
 	if o.AppendRate > 0 {
 		l.limiter = rate.NewLimiter(rate.Limit(o.AppendRate), max(1, int(o.AppendRate/10)))
 	}
 	return l
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, name platform.Stream, data []byte) (platform.Offset, error) {
+// Append implements ports.Log.
+func (l *Log) Append(ctx context.Context, name ports.Stream, data []byte) (ports.Offset, error) {
 	delay, err := l.beforeAppend(len(data))
 	if err != nil {
 		return 0, err
 	}
 	if err := pause.For(ctx, delay/2); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrNotAppended, err)
+		return 0, fmt.Errorf("%w: %w", ports.ErrNotAppended, err)
 	}
 	if by, late := l.late(); late {
 		data = append([]byte(nil), data...)
 		time.AfterFunc(by, func() { l.add(name, data) })
-		return 0, fmt.Errorf("%w: no answer", platform.ErrUnavailable)
+		return 0, fmt.Errorf("%w: no answer", ports.ErrUnavailable)
 	}
 	offset, lost := l.add(name, data)
 	if err := pause.For(ctx, delay-delay/2); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
 	}
 	if lost {
-		return 0, fmt.Errorf("%w: the answer was lost", platform.ErrUnavailable)
+		return 0, fmt.Errorf("%w: the answer was lost", ports.ErrUnavailable)
 	}
 	return offset, nil
 }
@@ -117,15 +117,15 @@
 	now := l.opt.Now()
 	if size > l.opt.MaxRecordBytes {
 		l.counts.Refused++
-		return 0, fmt.Errorf("%w: record of %d bytes is too long", platform.ErrNotAppended, size)
+		return 0, fmt.Errorf("%w: record of %d bytes is too long", ports.ErrNotAppended, size)
 	}
 	if l.faults.down(now) {
 		l.counts.Refused++
-		return 0, fmt.Errorf("%w: outage", platform.ErrNotAppended)
+		return 0, fmt.Errorf("%w: outage", ports.ErrNotAppended)
 	}
 	if l.limiter != nil && !l.limiter.AllowN(now, 1) {
 		l.counts.Refused++
-		return 0, fmt.Errorf("%w: over the append rate", platform.ErrNotAppended)
+		return 0, fmt.Errorf("%w: over the append rate", ports.ErrNotAppended)
 	}
 	return l.faults.delay, nil
 }
@@ -136,11 +136,11 @@
 	return l.faults.late()
 }
 
-func (l *Log) add(name platform.Stream, data []byte) (platform.Offset, bool) {
+func (l *Log) add(name ports.Stream, data []byte) (ports.Offset, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	r := platform.Record{Offset: s.next(), Time: l.opt.Now(), Data: append([]byte(nil), data...)}
+	r := ports.Record{Offset: s.next(), Time: l.opt.Now(), Data: append([]byte(nil), data...)}
 	s.records = append(s.records, r)
 	if l.opt.KeepJournal {
 		s.journal = append(s.journal, r)
@@ -150,7 +150,7 @@
 	return r.Offset, l.faults.loseAnswer()
 }
 
-func (l *Log) stream(name platform.Stream) *stream {
+func (l *Log) stream(name ports.Stream) *stream {
 	s := l.streams[name]
 	if s == nil {
 		s = &stream{first: 1}
@@ -170,35 +170,35 @@
 
 func (s *stream) drop(n int) {
 	s.records = s.records[n:]
-	s.first += platform.Offset(n)
+	s.first += ports.Offset(n)
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+// Read implements ports.Log.
+func (l *Log) Read(ctx context.Context, name ports.Stream, from ports.Offset, limit int) (ports.Page, error) {
 	l.mu.Lock()
 	delay := l.faults.delay
 	l.mu.Unlock()
 	if err := pause.For(ctx, delay); err != nil {
-		return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return ports.Page{}, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts.Reads++
 	if l.faults.down(l.opt.Now()) {
-		return platform.Page{}, fmt.Errorf("%w: outage", platform.ErrUnavailable)
+		return ports.Page{}, fmt.Errorf("%w: outage", ports.ErrUnavailable)
 	}
 	return l.read(name, from, limit)
 }
 
-func (l *Log) read(name platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+func (l *Log) read(name ports.Stream, from ports.Offset, limit int) (ports.Page, error) {
 	s := l.stream(name)
 	if from < s.first {
-		return platform.Page{}, &platform.TruncatedError{Stream: name, From: from, First: s.first}
+		return ports.Page{}, &ports.TruncatedError{Stream: name, From: from, First: s.first}
 	}
 	asked := from
 	from = l.faults.repeatFrom(from, s.first)
 	limit += int(asked - from)
-	page := platform.Page{First: s.first, Next: s.next()}
+	page := ports.Page{First: s.first, Next: s.next()}
 	bytes := 0
 	for o := from; o < s.next() && len(page.Records) < min(limit, maxPage) && bytes < maxPageBytes; o++ {
 		r := s.records[o-s.first]
@@ -211,7 +211,7 @@
 }
 
 // Head returns the offset that the next append to a stream will get.
-func (l *Log) Head(name platform.Stream) platform.Offset {
+func (l *Log) Head(name ports.Stream) ports.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.stream(name).next()
@@ -219,10 +219,10 @@
 
 // Journal returns every record that a stream ever had, for a check of what
 // readers made of them. It is empty unless Options.KeepJournal is set.
-func (l *Log) Journal(name platform.Stream) []platform.Record {
+func (l *Log) Journal(name ports.Stream) []ports.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Record(nil), l.stream(name).journal...)
+	return append([]ports.Record(nil), l.stream(name).journal...)
 }
 
 // Counts returns what the log was asked so far.
--- a/lab/standin/plog/plog_test.go
+++ b/lab/standin/plog/plog_test.go
@@ -11,11 +11,11 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
-	"github.com/merlindock/merlindock/platform/httplog"
+	"github.com/merlindock/merlindock/ports"
+	"github.com/merlindock/merlindock/ports/httplog"
 )
 
-const s = platform.Stream("manifest")
+const s = ports.Stream("manifest")
 
 func client(t *testing.T, l *Log, v *VMs) *httplog.Client {
 	t.Helper()
@@ -34,12 +34,12 @@
 	c := client(t, l, v)
 	for i := range 3 {
 		o, err := c.Append(ctx, s, []byte{byte(i)})
-		if err != nil || o != platform.Offset(i+1) {
+		if err != nil || o != ports.Offset(i+1) {
 			t.Fatalf("append %d: offset %d, %v", i, o, err)
 		}
 	}
 	l.Truncate(s, 2)
-	var truncated *platform.TruncatedError
+	var truncated *ports.TruncatedError
 	if _, err := c.Read(ctx, s, 1, 10); !errors.As(err, &truncated) || truncated.First != 2 {
 		t.Fatalf("read of expired records: %v", err)
 	}
@@ -48,7 +48,7 @@
 		t.Fatalf("page %+v, %v", page, err)
 	}
 	want := []fleet.Endpoint{{ID: "r1", Zone: "quebec-est-a", Address: "127.0.0.1:1", State: fleet.VMLive}}
-	v.Set(want, []platform.Daemon{{ID: "d1"}})
+	v.Set(want, []ports.Daemon{{ID: "d1"}})
 	got, err := c.Endpoints(ctx)
 	if diff := cmp.Diff(want, got); err != nil || diff != "" {
 		t.Fatal(diff, err)
@@ -62,12 +62,12 @@
 	l := New(Options{AppendRate: -1})
 	c := client(t, l, NewVMs(nil, 0))
 	l.SetOutage(true)
-	if _, err := c.Append(ctx, s, nil); !errors.Is(err, platform.ErrNotAppended) {
+	if _, err := c.Append(ctx, s, nil); !errors.Is(err, ports.ErrNotAppended) {
 		t.Fatalf("outage: %v", err)
 	}
 	l.SetOutage(false)
 	l.LoseAnswers(1)
-	if _, err := c.Append(ctx, s, nil); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotAppended) {
+	if _, err := c.Append(ctx, s, nil); !errors.Is(err, ports.ErrUnavailable) || errors.Is(err, ports.ErrNotAppended) {
 		t.Fatalf("lost answer: %v", err)
 	}
 	if l.Counts().Appends != 1 {
@@ -77,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := gone.Append(ctx, s, nil); !errors.Is(err, platform.ErrNotAppended) {
+	if _, err := gone.Append(ctx, s, nil); !errors.Is(err, ports.ErrNotAppended) {
 		t.Fatalf("no connection: %v", err)
 	}
 }
@@ -89,11 +89,11 @@
 		if _, err := l.Append(ctx, s, nil); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := l.Append(ctx, s, nil); !errors.Is(err, platform.ErrNotAppended) {
+		if _, err := l.Append(ctx, s, nil); !errors.Is(err, ports.ErrNotAppended) {
 			t.Fatalf("over the rate: %v", err)
 		}
 		l.OutageFor(10 * time.Minute)
-		if _, err := l.Read(ctx, s, 1, 1); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := l.Read(ctx, s, 1, 1); !errors.Is(err, ports.ErrUnavailable) {
 			t.Fatalf("outage: %v", err)
 		}
 		time.Sleep(10 * time.Minute)
@@ -108,7 +108,7 @@
 		l.SetDelay(time.Minute)
 		slow, cancel := context.WithTimeout(ctx, 40*time.Second)
 		defer cancel()
-		if _, err := l.Append(slow, s, nil); !errors.Is(err, platform.ErrUnavailable) || l.Counts().Appends != 3 {
+		if _, err := l.Append(slow, s, nil); !errors.Is(err, ports.ErrUnavailable) || l.Counts().Appends != 3 {
 			t.Fatalf("slowness: %v", err)
 		}
 		l.SetDelay(0)
--- a/lab/standin/plog/vms.go
+++ b/lab/standin/plog/vms.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
-// VMs is an in-memory platform.VMList. Its answers lag by Lag.
+// VMs is an in-memory ports.VMList. Its answers lag by Lag.
 type VMs struct {
 	now func() time.Time
 	lag time.Duration
@@ -23,7 +23,7 @@
 type vmState struct {
 	since     time.Time
 	endpoints []fleet.Endpoint
-	daemons   []platform.Daemon
+	daemons   []ports.Daemon
 }
 
 // maxVMStates bounds the changes that are remembered for the lag.
@@ -39,13 +39,13 @@
 
 // Set replaces the list. Readers see it after the lag; the first list is seen
 // at once.
-func (v *VMs) Set(endpoints []fleet.Endpoint, daemons []platform.Daemon) {
+func (v *VMs) Set(endpoints []fleet.Endpoint, daemons []ports.Daemon) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.states = append(v.states, vmState{
 		since:     v.now(),
 		endpoints: append([]fleet.Endpoint(nil), endpoints...),
-		daemons:   append([]platform.Daemon(nil), daemons...),
+		daemons:   append([]ports.Daemon(nil), daemons...),
 	})
 	if len(v.states) > maxVMStates {
 		v.states = v.states[1:]
@@ -63,7 +63,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.down {
-		return vmState{}, fmt.Errorf("%w: VM list", platform.ErrUnavailable)
+		return vmState{}, fmt.Errorf("%w: VM list", ports.ErrUnavailable)
 	}
 	seen := v.now().Add(-v.lag)
 	for i := len(v.states) - 1; i > 0; i-- {
@@ -77,14 +77,14 @@
 	return v.states[0], nil
 }
 
-// Endpoints implements platform.VMList.
+// Endpoints implements ports.VMList.
 func (v *VMs) Endpoints(context.Context) ([]fleet.Endpoint, error) {
 	s, err := v.current()
 	return append([]fleet.Endpoint(nil), s.endpoints...), err
 }
 
-// Daemons implements platform.VMList.
-func (v *VMs) Daemons(context.Context) ([]platform.Daemon, error) {
+// Daemons implements ports.VMList.
+func (v *VMs) Daemons(context.Context) ([]ports.Daemon, error) {
 	s, err := v.current()
-	return append([]platform.Daemon(nil), s.daemons...), err
+	return append([]ports.Daemon(nil), s.daemons...), err
 }
--- a/lab/world/cluster.go
+++ b/lab/world/cluster.go
@@ -10,8 +10,8 @@
 	"github.com/merlindock/merlindock/daemon"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/logging"
-	"github.com/merlindock/merlindock/platform"
-	"github.com/merlindock/merlindock/platform/httplog"
+	"github.com/merlindock/merlindock/ports"
+	"github.com/merlindock/merlindock/ports/httplog"
 	"github.com/merlindock/merlindock/settings"
 )
 
@@ -86,9 +86,9 @@
 
 // list puts the nodes on the platform's list of daemons.
 func (c *Cluster) list() {
-	var daemons []platform.Daemon
+	var daemons []ports.Daemon
 	for i, n := range c.Nodes {
-		daemons = append(daemons, platform.Daemon{
+		daemons = append(daemons, ports.Daemon{
 			ID:          n.ID,
 			Zone:        Zones[i%len(Zones)],
 			PeerAddress: n.PeerAddr,
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -18,7 +18,7 @@
 	"github.com/merlindock/merlindock/lab/standin"
 	"github.com/merlindock/merlindock/lab/standin/plog"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Names of the stand-in deployment.
@@ -64,7 +64,7 @@
 
 	o         Options
 	endpoints []fleet.Endpoint
-	daemons   []platform.Daemon
+	daemons   []ports.Daemon
 	servers   []*http.Server
 	failed    chan error
 }
@@ -181,7 +181,7 @@
 func (w *World) Endpoints() []fleet.Endpoint { return w.endpoints }
 
 // SetDaemons puts daemons on the platform's list.
-func (w *World) SetDaemons(daemons []platform.Daemon) {
+func (w *World) SetDaemons(daemons []ports.Daemon) {
 	w.daemons = daemons
 	w.publishList()
 }
--- a/ledger/agreement_test.go
+++ b/ledger/agreement_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // A fixed seed gives the same verdict on every run. The number of draws is
@@ -32,10 +32,10 @@
 		full, l := NewState(Options{}), &logbook{t: t}
 		readers := []*State{NewState(Options{Held: 3}), NewState(Options{}), NewState(Options{Lazy: true})}
 		before := make([]Revision, len(readers))
-		accepted := map[platform.Offset]Revision{0: {}}
+		accepted := map[ports.Offset]Revision{0: {}}
 		rt.Repeat(map[string]func(*rapid.T){
 			"propose": func(rt *rapid.T) {
-				base := platform.Offset(rapid.IntRange(0, len(l.records)).Draw(rt, "base"))
+				base := ports.Offset(rapid.IntRange(0, len(l.records)).Draw(rt, "base"))
 				if rapid.Bool().Draw(rt, "latest") {
 					base = full.Revision().Offset
 				}
@@ -59,7 +59,7 @@
 			},
 			"read": func(rt *rapid.T) {
 				s := rapid.SampledFrom(readers).Draw(rt, "reader")
-				to := platform.Offset(rapid.IntRange(0, len(l.records)).Draw(rt, "to"))
+				to := ports.Offset(rapid.IntRange(0, len(l.records)).Draw(rt, "to"))
 				for s.Next() <= to {
 					feed(s, l.records[s.Next()-1])
 				}
@@ -67,7 +67,7 @@
 			"settle": func(*rapid.T) { readers[2].Settle() },
 			"expire": func(rt *rapid.T) {
 				s := rapid.SampledFrom(readers).Draw(rt, "reader")
-				s.Gap(platform.Offset(rapid.IntRange(1, len(l.records)+1).Draw(rt, "first")))
+				s.Gap(ports.Offset(rapid.IntRange(1, len(l.records)+1).Draw(rt, "first")))
 			},
 			"hear": func(rt *rapid.T) {
 				s, from := rapid.SampledFrom(readers).Draw(rt, "to"), rapid.SampledFrom(append(readers, full)).Draw(rt, "from")
@@ -94,7 +94,7 @@
 	now time.Time
 }
 
-func (l *drawnLog) put(rt *rapid.T, b Body, steps ...time.Duration) platform.Record {
+func (l *drawnLog) put(rt *rapid.T, b Body, steps ...time.Duration) ports.Record {
 	l.now = l.now.Add(rapid.SampledFrom(steps).Draw(rt, "step"))
 	r := l.add(b)
 	r.Time = l.now
@@ -107,15 +107,15 @@
 		l := &drawnLog{logbook: logbook{t: t}, now: epoch}
 		full, late := NewLeases(), NewLeases()
 		n := rapid.IntRange(1, 60).Draw(rt, "records")
-		start := platform.Offset(rapid.IntRange(1, n).Draw(rt, "start"))
-		var fence platform.Offset
+		start := ports.Offset(rapid.IntRange(1, n).Draw(rt, "start"))
+		var fence ports.Offset
 		for range n {
 			b := &LeaseRecord{
 				Op:     rapid.SampledFrom([]LeaseOp{LeaseAcquire, LeaseAcquire, LeaseRenew, LeaseRenew, LeaseRelease}).Draw(rt, "op"),
 				Name:   "orders",
 				Holder: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "holder"),
 				TTL:    manifest.Duration(rapid.SampledFrom([]time.Duration{10 * time.Second, MaxLeaseTTL}).Draw(rt, "ttl")),
-				Fence:  max(0, fence-platform.Offset(rapid.IntRange(0, 1).Draw(rt, "old"))),
+				Fence:  max(0, fence-ports.Offset(rapid.IntRange(0, 1).Draw(rt, "old"))),
 			}
 			r := l.put(rt, b, 0, time.Second, 10*time.Second, time.Minute, MaxLeaseTTL)
 			want := full.Apply(r)
@@ -144,7 +144,7 @@
 		l := &drawnLog{logbook: logbook{t: t}, now: epoch}
 		full, late := NewClaims(layout), NewClaims(layout)
 		n := rapid.IntRange(1, 80).Draw(rt, "records")
-		start := platform.Offset(rapid.IntRange(1, n).Draw(rt, "start"))
+		start := ports.Offset(rapid.IntRange(1, n).Draw(rt, "start"))
 		keyTimes := make(map[string]time.Time)
 		running := make(map[ID]ID) // attempt by key
 		for range n {
@@ -255,7 +255,7 @@
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r := platform.Record{Offset: 1, Time: epoch, Data: data}
+		r := ports.Record{Offset: 1, Time: epoch, Data: data}
 		NewState(Options{}).Apply(r)
 		NewLeases().Apply(r)
 		NewClaims(Layout{1, manifest.Duration(time.Hour)}).Apply(r)
--- a/ledger/checkpoints.go
+++ b/ledger/checkpoints.go
@@ -2,12 +2,12 @@
 
 import (
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // compare holds a checkpoint against the fold's own state, which it never
 // changes. One that agrees keeps the manifest from expiring.
-func (s *State) compare(r platform.Record, c *Checkpoint) Decision {
+func (s *State) compare(r ports.Record, c *Checkpoint) Decision {
 	d := Decision{Kind: KindCheckpoint, Base: c.Base, Digest: c.Revision.Digest, By: s.latest.offset()}
 	then, known := s.asOf(c.Through)
 	switch {
@@ -29,7 +29,7 @@
 
 // asOf returns the revision that was in force after the given offset, as far
 // back as acceptances are remembered.
-func (s *State) asOf(through platform.Offset) (Revision, bool) {
+func (s *State) asOf(through ports.Offset) (Revision, bool) {
 	for i := len(s.recent) - 1; i >= 0; i-- {
 		if s.recent[i].Offset <= through {
 			return s.recent[i].revision(), true
--- a/ledger/claimrecord.go
+++ b/ledger/claimrecord.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Limits of claims. They are part of the rules.
@@ -71,8 +71,8 @@
 }
 
 // StreamClaims is the stream of a partition.
-func StreamClaims(partition int) platform.Stream {
-	return platform.Stream(claimsPrefix + strconv.Itoa(partition))
+func StreamClaims(partition int) ports.Stream {
+	return ports.Stream(claimsPrefix + strconv.Itoa(partition))
 }
 
 // ClaimVerb is what a claim operation does.
--- a/ledger/claims.go
+++ b/ledger/claims.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // ClaimState is what is known of a key.
@@ -30,7 +30,7 @@
 
 // Ref is the place of an operation in a claim stream.
 type Ref struct {
-	Offset platform.Offset
+	Offset ports.Offset
 	Index  int
 }
 
@@ -65,7 +65,7 @@
 type Claims struct {
 	layout   Layout
 	clock    time.Time // latest record time
-	through  platform.Offset
+	through  ports.Offset
 	gap      bool      // the next record is the first after a gap
 	lost     time.Time // lost records are not newer; zero: none lost
 	poisoned time.Time // another layout was in use up to here
@@ -86,7 +86,7 @@
 }
 
 // Next is the offset to read next.
-func (c *Claims) Next() platform.Offset { return c.through + 1 }
+func (c *Claims) Next() ports.Offset { return c.through + 1 }
 
 // Len is the number of keys remembered.
 func (c *Claims) Len() int { return len(c.table) }
@@ -95,7 +95,7 @@
 func (c *Claims) Clock() time.Time { return c.clock }
 
 // Gap says that the records before first have expired unread.
-func (c *Claims) Gap(first platform.Offset) {
+func (c *Claims) Gap(first ports.Offset) {
 	if first <= c.Next() {
 		return
 	}
@@ -123,7 +123,7 @@
 
 // Apply folds one record. The decisions are those of its operations, in
 // order; nil for a record that is no batch of claims or was seen before.
-func (c *Claims) Apply(r platform.Record) []ClaimDecision {
+func (c *Claims) Apply(r ports.Record) []ClaimDecision {
 	if r.Offset < c.Next() {
 		return nil
 	}
--- a/ledger/leases.go
+++ b/ledger/leases.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Limits of leases. They are part of the rules: every reader must have the
@@ -39,7 +39,7 @@
 	Name   string            `json:"name"`
 	Holder string            `json:"holder"` // unique to one life of a process
 	TTL    manifest.Duration `json:"ttl,omitempty"`
-	Fence  platform.Offset   `json:"fence,omitempty"` // renew and release: of the lease held
+	Fence  ports.Offset   `json:"fence,omitempty"` // renew and release: of the lease held
 	Serial int               `json:"serial"`          // by which the holder knows its record again
 }
 
@@ -49,18 +49,18 @@
 type Lease struct {
 	Name    string          `json:"name"`
 	Holder  string          `json:"holder"`
-	Fence   platform.Offset `json:"fence"`   // fencing number: the offset that acquired it
+	Fence   ports.Offset `json:"fence"`   // fencing number: the offset that acquired it
 	Expires time.Time       `json:"expires"` // by the log's clock
 }
 
 // LeaseDecision is the outcome of a lease record. Fence is the lease's after
 // an acceptance, and the present holder's, if any, after a refusal.
 type LeaseDecision struct {
-	Offset  platform.Offset `json:"offset"`
+	Offset  ports.Offset `json:"offset"`
 	Time    time.Time       `json:"time"`
 	Outcome Outcome         `json:"outcome"`
 	Reason  Reason          `json:"reason,omitempty"`
-	Fence   platform.Offset `json:"fence,omitempty"`
+	Fence   ports.Offset `json:"fence,omitempty"`
 	Record  LeaseRecord     `json:"record"`
 }
 
@@ -72,7 +72,7 @@
 // hold it; an acquisition after that is accepted by every reader.
 type Leases struct {
 	clock   time.Time // latest record time
-	through platform.Offset
+	through ports.Offset
 	gap     bool      // the next record is the first after a gap
 	unsure  time.Time // names not in table may be held up to here
 	table   map[string]*leaseEntry
@@ -89,10 +89,10 @@
 func NewLeases() *Leases { return &Leases{table: make(map[string]*leaseEntry)} }
 
 // Next is the offset to read next.
-func (l *Leases) Next() platform.Offset { return l.through + 1 }
+func (l *Leases) Next() ports.Offset { return l.through + 1 }
 
 // Gap says that the records before first have expired unread.
-func (l *Leases) Gap(first platform.Offset) {
+func (l *Leases) Gap(first ports.Offset) {
 	if first <= l.Next() {
 		return
 	}
@@ -121,7 +121,7 @@
 func (l *Leases) Clock() time.Time { return l.clock }
 
 // Apply folds one record.
-func (l *Leases) Apply(r platform.Record) LeaseDecision {
+func (l *Leases) Apply(r ports.Record) LeaseDecision {
 	if r.Offset < l.Next() {
 		return LeaseDecision{Offset: r.Offset, Time: r.Time, Outcome: Noted, Reason: ReasonSeen}
 	}
@@ -141,7 +141,7 @@
 	return d
 }
 
-func (l *Leases) decide(r platform.Record) LeaseDecision {
+func (l *Leases) decide(r ports.Record) LeaseDecision {
 	_, body, err := Decode(r.Data)
 	if err != nil {
 		return LeaseDecision{Outcome: Refused, Reason: reasonOf(err)}
@@ -221,7 +221,7 @@
 	}
 }
 
-func (e *leaseEntry) acquire(b *LeaseRecord, offset platform.Offset, now time.Time) (Outcome, Reason, platform.Offset) {
+func (e *leaseEntry) acquire(b *LeaseRecord, offset ports.Offset, now time.Time) (Outcome, Reason, ports.Offset) {
 	if now.Before(e.lease.Expires) {
 		if e.lease.Holder == b.Holder {
 			return Repeated, "", e.lease.Fence
@@ -234,7 +234,7 @@
 	return Accepted, "", offset
 }
 
-func (e *leaseEntry) prolong(b *LeaseRecord, now time.Time) (Outcome, Reason, platform.Offset) {
+func (e *leaseEntry) prolong(b *LeaseRecord, now time.Time) (Outcome, Reason, ports.Offset) {
 	if !now.Before(e.lease.Expires) {
 		return Refused, ReasonLapsed, 0
 	}
--- a/ledger/manifests.go
+++ b/ledger/manifests.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Limits of a State. Zero values of Options take them.
@@ -33,7 +33,7 @@
 // Version is an accepted manifest. It is never changed.
 type Version struct {
 	Revision Revision
-	Base     platform.Offset
+	Base     ports.Offset
 	Manifest manifest.Manifest
 }
 
@@ -48,12 +48,12 @@
 	opt     Options
 	rules   int
 	behind  bool
-	through platform.Offset // every record up to here is folded
-	gapEnd  platform.Offset // first record after a gap; 0 without a gap
+	through ports.Offset // every record up to here is folded
+	gapEnd  ports.Offset // first record after a gap; 0 without a gap
 	latest  *Version        // by the fold; nil before the first
 	adopted *Checkpoint     // newest proof of a neighbour
 	ahead   *Version        // the manifest of adopted
-	held    []platform.Record
+	held    []ports.Record
 	bytes   int // of held
 	history []Decision
 	recent  []Acceptance // oldest first
@@ -96,7 +96,7 @@
 }
 
 // Next is the offset that the fold wants to read next.
-func (s *State) Next() platform.Offset {
+func (s *State) Next() ports.Offset {
 	if n := len(s.held); n > 0 {
 		return s.held[n-1].Offset + 1
 	}
@@ -121,7 +121,7 @@
 
 // Apply folds one record and returns the decisions it led to: its own last,
 // and before it those of held records that it allowed to decide.
-func (s *State) Apply(r platform.Record) []Decision {
+func (s *State) Apply(r ports.Record) []Decision {
 	if r.Offset < s.Next() {
 		return []Decision{{Offset: r.Offset, Time: r.Time, Outcome: Noted, Reason: ReasonSeen}}
 	}
@@ -141,7 +141,7 @@
 
 // Gap tells the fold that the records before first have expired unread. It
 // returns the decisions that a neighbour's proof allows at once.
-func (s *State) Gap(first platform.Offset) []Decision {
+func (s *State) Gap(first ports.Offset) []Decision {
 	if first <= s.Next() {
 		return nil
 	}
@@ -150,7 +150,7 @@
 	return s.close(s.adopted, s.ahead)
 }
 
-func (s *State) hold(r platform.Record) []Decision {
+func (s *State) hold(r ports.Record) []Decision {
 	s.held = append(s.held, r)
 	s.bytes += len(r.Data)
 	for len(s.held) > s.opt.Held || s.bytes > s.opt.HeldBytes {
@@ -178,7 +178,7 @@
 }
 
 // closeBy ends a gap with a held record, if that is a checkpoint which does.
-func (s *State) closeBy(r platform.Record) []Decision {
+func (s *State) closeBy(r ports.Record) []Decision {
 	_, body, err := Decode(r.Data)
 	c, ok := body.(*Checkpoint)
 	if err != nil || !ok || c.Through >= r.Offset || c.Through < s.gapEnd-1 {
@@ -219,7 +219,7 @@
 	s.since = 0
 }
 
-func (v *Version) offset() platform.Offset {
+func (v *Version) offset() ports.Offset {
 	if v == nil {
 		return 0
 	}
@@ -229,7 +229,7 @@
 func (v *Version) older(than *Version) bool { return v.offset() < than.offset() }
 
 // fold decides r, the record after through.
-func (s *State) fold(r platform.Record) Decision {
+func (s *State) fold(r ports.Record) Decision {
 	d := s.decide(r)
 	d.Offset, d.Time = r.Offset, r.Time
 	s.through = r.Offset
@@ -255,7 +255,7 @@
 	}
 }
 
-func (s *State) decide(r platform.Record) Decision {
+func (s *State) decide(r ports.Record) Decision {
 	if s.behind {
 		return Decision{Outcome: Undecided, Reason: ReasonBehind}
 	}
@@ -293,7 +293,7 @@
 // propose accepts a manifest only against the latest one. Two operators that
 // publish at once from the same base are thereby told apart by the log's
 // order, and the second learns which record came first.
-func (s *State) propose(r platform.Record, b *ManifestRecord) Decision {
+func (s *State) propose(r ports.Record, b *ManifestRecord) Decision {
 	d := Decision{Kind: KindManifest, Base: b.Base, Digest: b.Digest, Author: b.Author}
 	if len(b.Author) > maxAuthorBytes {
 		d.Outcome, d.Reason = Refused, ReasonTooLong
@@ -326,7 +326,7 @@
 
 // broughtBy finds the accepted record with the same base and content. A
 // publisher whose answer was lost and who repeats it thus has it accepted once.
-func (s *State) broughtBy(base platform.Offset, digest manifest.Digest) platform.Offset {
+func (s *State) broughtBy(base ports.Offset, digest manifest.Digest) ports.Offset {
 	for _, a := range s.recent {
 		if a.Base == base && a.Digest == digest {
 			return a.Offset
--- a/ledger/manifests_test.go
+++ b/ledger/manifests_test.go
@@ -9,7 +9,7 @@
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 var epoch = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
@@ -28,7 +28,7 @@
 	}
 }
 
-func proposal(t testing.TB, base platform.Offset, loads int) *ManifestRecord {
+func proposal(t testing.TB, base ports.Offset, loads int) *ManifestRecord {
 	t.Helper()
 	text, err := manifest.Encode(sample(loads))
 	if err != nil {
@@ -40,10 +40,10 @@
 // logbook numbers records as the log does.
 type logbook struct {
 	t       testing.TB
-	records []platform.Record
+	records []ports.Record
 }
 
-func (l *logbook) add(b Body) platform.Record {
+func (l *logbook) add(b Body) ports.Record {
 	l.t.Helper()
 	data, err := Encode(1, b)
 	if err != nil {
@@ -52,14 +52,14 @@
 	return l.raw(data)
 }
 
-func (l *logbook) raw(data []byte) platform.Record {
+func (l *logbook) raw(data []byte) ports.Record {
 	n := len(l.records) + 1
-	r := platform.Record{Offset: platform.Offset(n), Time: epoch.Add(time.Duration(n) * time.Minute), Data: data}
+	r := ports.Record{Offset: ports.Offset(n), Time: epoch.Add(time.Duration(n) * time.Minute), Data: data}
 	l.records = append(l.records, r)
 	return r
 }
 
-func feed(s *State, records ...platform.Record) Decision {
+func feed(s *State, records ...ports.Record) Decision {
 	var last Decision
 	for _, r := range records {
 		d := s.Apply(r)
@@ -68,7 +68,7 @@
 	return last
 }
 
-func want(t *testing.T, d Decision, o Outcome, reason Reason, by platform.Offset) {
+func want(t *testing.T, d Decision, o Outcome, reason Reason, by ports.Offset) {
 	t.Helper()
 	if d.Outcome != o || d.Reason != reason || d.By != by {
 		t.Fatalf("got %+v, expected %s %s by %d", d, o, reason, by)
@@ -108,7 +108,7 @@
 	bad.Digest = "00"
 	invalid := proposal(t, 0, 0)
 	tests := []struct {
-		record platform.Record
+		record ports.Record
 		reason Reason
 	}{
 		{l.raw([]byte("{")), ReasonMalformed},
@@ -286,7 +286,7 @@
 	// take it seconds in which it serves what is long replaced.
 	full, l := NewState(Options{}), &logbook{t: t}
 	feed(full, l.add(proposal(t, 0, 1)))
-	first, due := platform.Offset(2), 0
+	first, due := ports.Offset(2), 0
 	for i := range 5 * checkpointChanges {
 		feed(full, l.add(section(t, full, "tsukushi", float64(i+1))))
 		if full.CheckpointDue(l.records[len(l.records)-1].Time, 1000*time.Hour, 0) {
--- a/ledger/sections.go
+++ b/ledger/sections.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // change accepts a new section if the old one is still there. Two operators
@@ -11,7 +11,7 @@
 // A repeat whose first record is no longer remembered was made against a
 // revision that is not remembered either, and is refused as stale. Without
 // that, a late repeat could undo a change that brought the section back.
-func (s *State) change(r platform.Record, b *SectionRecord) Decision {
+func (s *State) change(r ports.Record, b *SectionRecord) Decision {
 	d := Decision{Kind: KindSection, Base: b.Base, Digest: b.Digest, Section: b.Name()}
 	if by := s.broughtBy(b.Base, b.Key()); by > 0 {
 		d.Outcome, d.By = Repeated, by
@@ -41,7 +41,7 @@
 // Name is the kind and id of the section.
 func (b *SectionRecord) Name() string { return string(b.Section) + "/" + b.ID }
 
-func (s *State) remembers(base platform.Offset) bool {
+func (s *State) remembers(base ports.Offset) bool {
 	for _, a := range s.recent {
 		if a.Offset == base {
 			return true
@@ -71,7 +71,7 @@
 	return manifest.SumText([]byte(string(b.Section) + "\n" + b.ID + "\n" + string(b.Was) + "\n" + string(b.Digest)))
 }
 
-func (s *State) changed(r platform.Record, b *SectionRecord) (*Version, error) {
+func (s *State) changed(r ports.Record, b *SectionRecord) (*Version, error) {
 	m, err := manifest.Replace(s.latest.Manifest, b.Section, b.ID, b.Value)
 	if err != nil {
 		return nil, &RecordError{Reason: ReasonInvalid, Detail: err.Error()}
--- a/logio/batch.go
+++ b/logio/batch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/ledger"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 
 	"github.com/merlindock/merlindock/internal/pause"
 )
@@ -32,8 +32,8 @@
 	// the log, however long that takes.
 	Deadline time.Time
 	// Done is called once: with nil when the item is in the log, with
-	// platform.ErrNotAppended when it certainly is not and never will be, and
-	// with platform.ErrUnavailable when that is open.
+	// ports.ErrNotAppended when it certainly is not and never will be, and
+	// with ports.ErrUnavailable when that is open.
 	Done func(error)
 
 	ambiguous bool
@@ -41,8 +41,8 @@
 
 // BatchOptions of a Batcher.
 type BatchOptions[T any] struct {
-	Log     platform.Log
-	Stream  platform.Stream
+	Log     ports.Log
+	Stream  ports.Stream
 	Encode  func([]T) ([]byte, error)
 	Items   int           // most in one record; 0 takes DefaultBatchItems
 	Bytes   int           // about the most in one record
@@ -195,7 +195,7 @@
 		_, err = b.opt.Log.Append(call, b.opt.Stream, data)
 		cancel()
 	} else {
-		err = errors.Join(platform.ErrNotAppended, err)
+		err = errors.Join(ports.ErrNotAppended, err)
 	}
 	if err == nil {
 		b.back.reset()
@@ -206,7 +206,7 @@
 		return true
 	}
 	b.space.refused(time.Now())
-	if !errors.Is(err, platform.ErrNotAppended) {
+	if !errors.Is(err, ports.ErrNotAppended) {
 		for _, it := range batch {
 			it.ambiguous = true
 		}
@@ -266,10 +266,10 @@
 
 func (it *Item[T]) giveUp() {
 	if it.ambiguous {
-		it.Done(platform.ErrUnavailable)
+		it.Done(ports.ErrUnavailable)
 		return
 	}
-	it.Done(platform.ErrNotAppended)
+	it.Done(ports.ErrNotAppended)
 }
 
 func (b *Batcher[T]) stop(ctx context.Context, batch []*Item[T]) error {
--- a/logio/lease.go
+++ b/logio/lease.go
@@ -10,7 +10,7 @@
 
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 
 	"github.com/merlindock/merlindock/internal/pause"
 )
@@ -27,13 +27,13 @@
 
 // Holding is a lease as its holder may rely on it.
 type Holding struct {
-	Fence platform.Offset // goes with each order
+	Fence ports.Offset // goes with each order
 	Until time.Time       // by this process's clock; rely on nothing after
 }
 
 // LeaseOptions of a LeaseKeeper.
 type LeaseOptions struct {
-	Log    platform.Log
+	Log    ports.Log
 	Name   string
 	Holder string        // unique to this life of the process
 	TTL    time.Duration // 0 takes DefaultLeaseTTL
@@ -61,7 +61,7 @@
 	caught  bool
 	serial  int
 	pending map[int]time.Time // send times of own records by serial
-	fence   platform.Offset   // 0: not held
+	fence   ports.Offset   // 0: not held
 	valid   time.Time         // of the lease held
 	quiet   time.Time         // no attempt before, since another may hold it
 }
@@ -179,7 +179,7 @@
 	if err == nil {
 		_, err = k.opt.Log.Append(ctx, ledger.StreamLeases, data)
 	}
-	if errors.Is(err, platform.ErrNotAppended) {
+	if errors.Is(err, ports.ErrNotAppended) {
 		k.mu.Lock()
 		delete(k.pending, r.Serial)
 		k.mu.Unlock()
@@ -192,28 +192,28 @@
 }
 
 // Next implements Sink.
-func (k *LeaseKeeper) Next() platform.Offset {
+func (k *LeaseKeeper) Next() ports.Offset {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.fold.Next()
 }
 
 // Gap implements Sink.
-func (k *LeaseKeeper) Gap(first platform.Offset) {
+func (k *LeaseKeeper) Gap(first ports.Offset) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.fold.Gap(first)
 }
 
 // CaughtUp implements Sink.
-func (k *LeaseKeeper) CaughtUp(platform.Offset) {
+func (k *LeaseKeeper) CaughtUp(ports.Offset) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.caught = true
 }
 
 // Apply implements Sink.
-func (k *LeaseKeeper) Apply(r platform.Record) {
+func (k *LeaseKeeper) Apply(r ports.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d := k.fold.Apply(r)
--- a/logio/logio_test.go
+++ b/logio/logio_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // fakeLog answers appends with the errors that are due, and then takes them.
@@ -17,10 +17,10 @@
 type fakeLog struct {
 	due     []error
 	records [][]byte
-	first   platform.Offset // oldest kept, less one
+	first   ports.Offset // oldest kept, less one
 }
 
-func (f *fakeLog) Append(_ context.Context, _ platform.Stream, data []byte) (platform.Offset, error) {
+func (f *fakeLog) Append(_ context.Context, _ ports.Stream, data []byte) (ports.Offset, error) {
 	if len(f.due) > 0 {
 		err := f.due[0]
 		f.due = f.due[1:]
@@ -29,24 +29,24 @@
 		}
 	}
 	f.records = append(f.records, data)
-	return platform.Offset(len(f.records)), nil
+	return ports.Offset(len(f.records)), nil
 }
 
-func (f *fakeLog) Read(_ context.Context, _ platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+func (f *fakeLog) Read(_ context.Context, _ ports.Stream, from ports.Offset, limit int) (ports.Page, error) {
 	if limit > 3 {
-		return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, platform.ErrTooLong)
+		return ports.Page{}, fmt.Errorf("%w: %w", ports.ErrUnavailable, ports.ErrTooLong)
 	}
 	if from <= f.first {
-		return platform.Page{}, &platform.TruncatedError{From: from, First: f.first + 1}
+		return ports.Page{}, &ports.TruncatedError{From: from, First: f.first + 1}
 	}
-	p := platform.Page{First: f.first + 1, Next: platform.Offset(len(f.records) + 1)}
+	p := ports.Page{First: f.first + 1, Next: ports.Offset(len(f.records) + 1)}
 	for o := from; o < p.Next && len(p.Records) < limit; o++ {
-		p.Records = append(p.Records, platform.Record{Offset: o, Data: f.records[o-1]})
+		p.Records = append(p.Records, ports.Record{Offset: o, Data: f.records[o-1]})
 	}
 	return p, nil
 }
 
-func newBatcher(log platform.Log) *Batcher[int] {
+func newBatcher(log ports.Log) *Batcher[int] {
 	encode := func(list []int) ([]byte, error) { return json.Marshal(list) }
 	return NewBatcher(BatchOptions[int]{Log: log, Encode: encode, Items: 3, Queue: 8})
 }
@@ -60,8 +60,8 @@
 		due  error
 		want error
 	}{
-		{"refused", platform.ErrNotAppended, platform.ErrNotAppended},
-		{"answer lost", platform.ErrUnavailable, platform.ErrUnavailable},
+		{"refused", ports.ErrNotAppended, ports.ErrNotAppended},
+		{"answer lost", ports.ErrUnavailable, ports.ErrUnavailable},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -114,15 +114,15 @@
 
 // sink keeps what a tail delivers.
 type sink struct {
-	next platform.Offset
-	got  []platform.Offset
-	gaps []platform.Offset
+	next ports.Offset
+	got  []ports.Offset
+	gaps []ports.Offset
 }
 
-func (s *sink) Next() platform.Offset     { return s.next }
-func (s *sink) CaughtUp(platform.Offset)  {}
-func (s *sink) Gap(first platform.Offset) { s.gaps, s.next = append(s.gaps, first), first }
-func (s *sink) Apply(r platform.Record)   { s.got, s.next = append(s.got, r.Offset), r.Offset+1 }
+func (s *sink) Next() ports.Offset     { return s.next }
+func (s *sink) CaughtUp(ports.Offset)  {}
+func (s *sink) Gap(first ports.Offset) { s.gaps, s.next = append(s.gaps, first), first }
+func (s *sink) Apply(r ports.Record)   { s.got, s.next = append(s.got, r.Offset), r.Offset+1 }
 
 func TestTailReportsAGapAndShortensItsPages(t *testing.T) {
 	// The log's pages are longer than the reader takes, and its oldest records
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -10,7 +10,7 @@
 
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 
 	"github.com/merlindock/merlindock/internal/pause"
 )
@@ -31,7 +31,7 @@
 
 // ManifestsOptions of a Manifests.
 type ManifestsOptions struct {
-	Log  platform.Log
+	Log  ports.Log
 	Poll time.Duration // 0 takes DefaultPoll
 	Seed uint64        // of the jitter; must differ between daemons
 	// Retention is how long the platform is taken to keep records while no
@@ -56,7 +56,7 @@
 	news   chan struct{} // closed when state has taken a record or a proof
 
 	told     sync.Mutex // taken before mu; orders Changed
-	reported platform.Offset
+	reported ports.Offset
 }
 
 // NewManifests returns a Manifests that knows nothing yet.
@@ -116,7 +116,7 @@
 // offset, of which a neighbour told. It is false when the manifest has to be
 // had from the neighbour: the log holds a change of one section among thousands
 // in a few hundred bytes, where a neighbour's proof holds them all.
-func (m *Manifests) Await(ctx context.Context, offset platform.Offset) bool {
+func (m *Manifests) Await(ctx context.Context, offset ports.Offset) bool {
 	ctx, cancel := context.WithTimeout(ctx, awaitLog)
 	defer cancel()
 	look := time.NewTicker(awaitLook)
@@ -145,7 +145,7 @@
 }
 
 // Publish proposes a manifest, see the function of that name.
-func (m *Manifests) Publish(ctx context.Context, base platform.Offset, next manifest.Manifest, author string) (PublishResult, error) {
+func (m *Manifests) Publish(ctx context.Context, base ports.Offset, next manifest.Manifest, author string) (PublishResult, error) {
 	return m.propose(ctx, PublishRequest{Base: base, Manifest: next, Author: author})
 }
 
@@ -175,7 +175,7 @@
 // ManifestsStatus is the state of a Manifests for operators.
 type ManifestsStatus struct {
 	Revision  ledger.Revision   `json:"revision"`
-	Next      platform.Offset   `json:"next"`    // to be read
+	Next      ports.Offset   `json:"next"`    // to be read
 	Decided   bool              `json:"decided"` // false: a gap or newer rules keep the fold from deciding
 	Behind    bool              `json:"behind"`  // newer rules than this release knows are in force
 	CaughtUp  bool              `json:"caught_up"`
@@ -196,14 +196,14 @@
 }
 
 // Next implements Sink.
-func (m *Manifests) Next() platform.Offset {
+func (m *Manifests) Next() ports.Offset {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.state.Next()
 }
 
 // Apply implements Sink.
-func (m *Manifests) Apply(r platform.Record) {
+func (m *Manifests) Apply(r ports.Record) {
 	m.mu.Lock()
 	m.state.Apply(r)
 	close(m.news)
@@ -213,7 +213,7 @@
 }
 
 // Gap implements Sink.
-func (m *Manifests) Gap(first platform.Offset) {
+func (m *Manifests) Gap(first ports.Offset) {
 	m.mu.Lock()
 	m.state.Gap(first)
 	m.mu.Unlock()
@@ -221,7 +221,7 @@
 }
 
 // CaughtUp implements Sink.
-func (m *Manifests) CaughtUp(platform.Offset) {
+func (m *Manifests) CaughtUp(ports.Offset) {
 	m.mu.Lock()
 	if !m.caught {
 		m.caught = true
--- a/logio/publish.go
+++ b/logio/publish.go
@@ -9,7 +9,7 @@
 
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // PublishOutcome is what a publisher is told.
@@ -25,7 +25,7 @@
 
 // PublishRequest proposes a manifest, or one section of it.
 type PublishRequest struct {
-	Base     platform.Offset // offset of the accepted manifest it was made against; 0 for the first
+	Base     ports.Offset // offset of the accepted manifest it was made against; 0 for the first
 	Manifest manifest.Manifest
 	// Section proposes one section in place of a whole manifest, whose fields
 	// above are then left out. See ledger.NewSectionRecord.
@@ -40,9 +40,9 @@
 // PublishResult tells what became of a publication.
 type PublishResult struct {
 	Outcome PublishOutcome  `json:"outcome"`
-	Offset  platform.Offset `json:"offset,omitempty"` // of the record that brought the manifest
-	By      platform.Offset `json:"by,omitempty"`     // refused: the record that came first
-	Latest  platform.Offset `json:"latest,omitempty"` // the manifest in force when this was answered
+	Offset  ports.Offset `json:"offset,omitempty"` // of the record that brought the manifest
+	By      ports.Offset `json:"by,omitempty"`     // refused: the record that came first
+	Latest  ports.Offset `json:"latest,omitempty"` // the manifest in force when this was answered
 	Reason  ledger.Reason   `json:"reason,omitempty"`
 	Detail  string          `json:"detail,omitempty"`
 	Digest  manifest.Digest `json:"digest"`
@@ -52,13 +52,13 @@
 // the context ends. It may be called again with the same request, and is told
 // the same: a record that was appended twice is accepted once. The error tells
 // of a manifest that no log would accept.
-func Publish(ctx context.Context, log platform.Log, req PublishRequest) (PublishResult, error) {
+func Publish(ctx context.Context, log ports.Log, req PublishRequest) (PublishResult, error) {
 	r, _, err := publish(ctx, log, req)
 	return r, err
 }
 
 // publish also returns the fold that the result rests on.
-func publish(ctx context.Context, log platform.Log, req PublishRequest) (PublishResult, *ledger.State, error) {
+func publish(ctx context.Context, log ports.Log, req PublishRequest) (PublishResult, *ledger.State, error) {
 	p, err := newPublisher(log, req)
 	if err != nil {
 		return PublishResult{}, nil, err
@@ -70,7 +70,7 @@
 }
 
 type publisher struct {
-	log    platform.Log
+	log    ports.Log
 	state  *ledger.State
 	what   proposal
 	data   []byte
@@ -84,7 +84,7 @@
 type proposal struct {
 	kind    ledger.Kind
 	section string
-	base    platform.Offset
+	base    ports.Offset
 	digest  manifest.Digest
 	key     manifest.Digest // among acceptances
 }
@@ -93,7 +93,7 @@
 	return d.Kind == w.kind && d.Section == w.section && d.Base == w.base && d.Digest == w.digest
 }
 
-func newPublisher(log platform.Log, req PublishRequest) (*publisher, error) {
+func newPublisher(log ports.Log, req PublishRequest) (*publisher, error) {
 	what, body, err := propose(req)
 	if err != nil {
 		return nil, eris.Wrap(err, "logio: publish")
@@ -143,7 +143,7 @@
 	}
 	for {
 		offset, err := p.log.Append(ctx, ledger.StreamManifest, p.data)
-		p.sent = p.sent || !errors.Is(err, platform.ErrNotAppended)
+		p.sent = p.sent || !errors.Is(err, ports.ErrNotAppended)
 		if err == nil || p.sent {
 			// A lost answer is followed by a look at the log, which may
 			// already hold the record; if not, it is appended once more.
@@ -196,17 +196,17 @@
 }
 
 // catchUp folds the log to its end, and at least through the given offset.
-func (p *publisher) catchUp(ctx context.Context, through platform.Offset) error {
+func (p *publisher) catchUp(ctx context.Context, through ports.Offset) error {
 	for {
 		page, err := p.log.Read(ctx, ledger.StreamManifest, p.state.Next(), p.limit)
-		var truncated *platform.TruncatedError
+		var truncated *ports.TruncatedError
 		switch {
 		case errors.As(err, &truncated):
 			p.state.Gap(truncated.First)
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case errors.Is(err, platform.ErrTooLong):
+		case errors.Is(err, ports.ErrTooLong):
 			p.limit = max(1, p.limit/2)
 		case err == nil:
 			p.reads.reset()
@@ -225,7 +225,7 @@
 	}
 }
 
-func (p *publisher) fold(records []platform.Record) {
+func (p *publisher) fold(records []ports.Record) {
 	for _, r := range records {
 		p.state.Apply(r)
 	}
--- a/logio/tail.go
+++ b/logio/tail.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Defaults of a Tail.
@@ -19,19 +19,19 @@
 type Sink interface {
 	// Next is the offset to read next. It may move forward by itself, when a
 	// neighbour's proof makes reading needless, never back.
-	Next() platform.Offset
+	Next() ports.Offset
 	// Apply takes one record.
-	Apply(platform.Record)
+	Apply(ports.Record)
 	// Gap says that the records from Next up to first have expired unread.
-	Gap(first platform.Offset)
+	Gap(first ports.Offset)
 	// CaughtUp says that everything before next has been delivered.
-	CaughtUp(next platform.Offset)
+	CaughtUp(next ports.Offset)
 }
 
 // TailOptions of a Tail.
 type TailOptions struct {
-	Log    platform.Log
-	Stream platform.Stream
+	Log    ports.Log
+	Stream ports.Stream
 	Sink   Sink
 	Poll   time.Duration // between two reads at the end of the stream
 	Seed   uint64        // of the jitter
@@ -92,12 +92,12 @@
 func (t *Tail) read(ctx context.Context) (bool, error) {
 	from := t.opt.Sink.Next()
 	page, err := t.opt.Log.Read(ctx, t.opt.Stream, from, t.limit)
-	var truncated *platform.TruncatedError
+	var truncated *ports.TruncatedError
 	if errors.As(err, &truncated) {
 		t.opt.Sink.Gap(truncated.First)
 		return true, nil
 	}
-	if errors.Is(err, platform.ErrTooLong) {
+	if errors.Is(err, ports.ErrTooLong) {
 		// A page of whole manifests can be longer than is taken. Asked for the
 		// same again, the log would give the same, and the reader would stand
 		// still for ever.
--- a/neighbour/choose.go
+++ b/neighbour/choose.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Options bounds the graph. Zero fields take the defaults.
@@ -42,14 +42,14 @@
 // any two linked zones without a third, so that the loss of a zone leaves the
 // rest connected before the list shows the loss. Replacing a daemon changes
 // only the neighbours beside it.
-func Choose(self platform.Daemon, list []platform.Daemon, o Options) []platform.Daemon {
+func Choose(self ports.Daemon, list []ports.Daemon, o Options) []ports.Daemon {
 	if o.ZonePairs <= 0 {
 		o.ZonePairs = DefaultZonePairs
 	}
 	zones := byZone(self, list)
 	names := zoneNames(zones)
 	own := zones[self.Zone]
-	chosen := map[string]platform.Daemon{}
+	chosen := map[string]ports.Daemon{}
 
 	rings := 1
 	if len(names) == 1 {
@@ -65,8 +65,8 @@
 }
 
 // byZone groups the daemons that take part, self among them, once each.
-func byZone(self platform.Daemon, list []platform.Daemon) map[fleet.ZoneID][]platform.Daemon {
-	zones := map[fleet.ZoneID][]platform.Daemon{self.Zone: {self}}
+func byZone(self ports.Daemon, list []ports.Daemon) map[fleet.ZoneID][]ports.Daemon {
+	zones := map[fleet.ZoneID][]ports.Daemon{self.Zone: {self}}
 	for _, d := range list {
 		if d.ID != self.ID && d.State != fleet.VMLeaving {
 			zones[d.Zone] = append(zones[d.Zone], d)
@@ -75,7 +75,7 @@
 	return zones
 }
 
-func zoneNames(zones map[fleet.ZoneID][]platform.Daemon) []fleet.ZoneID {
+func zoneNames(zones map[fleet.ZoneID][]ports.Daemon) []fleet.ZoneID {
 	names := make([]fleet.ZoneID, 0, len(zones))
 	for z := range zones {
 		names = append(names, z)
@@ -126,9 +126,9 @@
 }
 
 // beside adds the daemons right before and right after self on a ring.
-func beside(self platform.Daemon, ring string, as, bs []platform.Daemon, chosen map[string]platform.Daemon) {
+func beside(self ports.Daemon, ring string, as, bs []ports.Daemon, chosen map[string]ports.Daemon) {
 	r := ringSearch{self: placeOf(ring, self.ID)}
-	for _, daemons := range [][]platform.Daemon{as, bs} {
+	for _, daemons := range [][]ports.Daemon{as, bs} {
 		for _, d := range daemons {
 			if d.ID != self.ID {
 				r.see(d, placeOf(ring, d.ID))
@@ -143,7 +143,7 @@
 }
 
 type placed struct {
-	daemon platform.Daemon
+	daemon ports.Daemon
 	place  place
 }
 
@@ -154,7 +154,7 @@
 	next, previous placed
 }
 
-func (r *ringSearch) see(d platform.Daemon, p place) {
+func (r *ringSearch) see(d ports.Daemon, p place) {
 	c := placed{d, p}
 	if !r.any {
 		r.any, r.next, r.previous = true, c, c
@@ -177,12 +177,12 @@
 	return p.before(q)
 }
 
-func sorted(chosen map[string]platform.Daemon) []platform.Daemon {
-	out := make([]platform.Daemon, 0, len(chosen))
+func sorted(chosen map[string]ports.Daemon) []ports.Daemon {
+	out := make([]ports.Daemon, 0, len(chosen))
 	for _, d := range chosen {
 		out = append(out, d)
 	}
-	slices.SortFunc(out, func(a, b platform.Daemon) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b ports.Daemon) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/neighbour/choose_test.go
+++ b/neighbour/choose_test.go
@@ -8,14 +8,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // daemons makes a list of count daemons over zones, named by their place.
-func daemons(count, zones int) []platform.Daemon {
-	list := make([]platform.Daemon, 0, count)
+func daemons(count, zones int) []ports.Daemon {
+	list := make([]ports.Daemon, 0, count)
 	for i := range count {
-		list = append(list, platform.Daemon{
+		list = append(list, ports.Daemon{
 			ID:          fmt.Sprintf("entry-%d", i),
 			Zone:        fleet.ZoneID(fmt.Sprintf("zone-%d", i%zones)),
 			PeerAddress: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
@@ -28,7 +28,7 @@
 // graph is each daemon's neighbours as it computes them itself.
 type graph map[string][]string
 
-func graphOf(list []platform.Daemon) graph {
+func graphOf(list []ports.Daemon) graph {
 	g := graph{}
 	for _, d := range list {
 		ids := []string{}
@@ -132,10 +132,10 @@
 func TestGraphOfUnevenZones(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		zones := rapid.IntRange(1, 9).Draw(t, "zones")
-		var list []platform.Daemon
+		var list []ports.Daemon
 		for z := range zones {
 			for i := range rapid.IntRange(0, 20).Draw(t, "size") {
-				list = append(list, platform.Daemon{
+				list = append(list, ports.Daemon{
 					ID:    fmt.Sprintf("d%d-%d-%d", rapid.IntRange(0, 99).Draw(t, "name"), z, i),
 					Zone:  fleet.ZoneID(fmt.Sprintf("z%d", z)),
 					State: fleet.VMLive,
@@ -178,7 +178,7 @@
 // A daemon that has just started is not yet listed, and one that leaves still is.
 func TestChooseWithLaggingList(t *testing.T) {
 	list := daemons(9, 3)
-	fresh := platform.Daemon{ID: "fresh", Zone: "zone-1", State: fleet.VMLive}
+	fresh := ports.Daemon{ID: "fresh", Zone: "zone-1", State: fleet.VMLive}
 	if ns := Choose(fresh, list, Options{}); len(ns) == 0 {
 		t.Error("an unlisted daemon has no neighbours")
 	}
--- a/neighbour/digest.go
+++ b/neighbour/digest.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Revision names an accepted manifest.
 type Revision struct {
-	Offset platform.Offset // of its record in the log; 0: nothing accepted
+	Offset ports.Offset // of its record in the log; 0: nothing accepted
 	Digest [32]byte        // SHA-256 of the manifest's bytes
 }
 
--- a/neighbour/digest_test.go
+++ b/neighbour/digest_test.go
@@ -9,12 +9,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func revision(offset platform.Offset, tag byte) Revision {
+func revision(offset ports.Offset, tag byte) Revision {
 	return Revision{Offset: offset, Digest: [32]byte{tag}}
 }
 
@@ -125,7 +125,7 @@
 		now := epoch
 		for range rapid.IntRange(1, 50).Draw(t, "digests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 40000).Draw(t, "ms")) * time.Millisecond)
-			r := revision(platform.Offset(rapid.IntRange(-1, 20).Draw(t, "offset")), rapid.Byte().Draw(t, "tag"))
+			r := revision(ports.Offset(rapid.IntRange(-1, 20).Draw(t, "offset")), rapid.Byte().Draw(t, "tag"))
 			d := from(rapid.SampledFrom([]string{"b", "c"}).Draw(t, "daemon"), uint64(rapid.IntRange(0, 3).Draw(t, "life")), uint64(rapid.IntRange(0, 9).Draw(t, "sequence")), r)
 			v := table.Receive(now, own, d)
 			if v.Fetch && r.Offset <= own.Offset {
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/logio"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Lease is the lease of the giver of orders, kept in the platform's log.
@@ -22,7 +22,7 @@
 // tenure is the time for which one grant of the lease is held, by its fencing
 // number.
 type tenure struct {
-	fence platform.Offset
+	fence ports.Offset
 	since time.Time // see rollout.Input.Since
 	lost  bool      // an endpoint has shown that another one holds the lease
 }
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -25,14 +25,14 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/rollout"
 )
 
 // Situation is what a daemon knows when it plans.
 type Situation struct {
 	Manifest  *manifest.Manifest // accepted and in force; nil: none yet
-	Revision  platform.Offset
+	Revision  ports.Offset
 	Endpoints []fleet.Member
 }
 
@@ -97,7 +97,7 @@
 // Event is something worth a log line or a metric.
 type Event struct {
 	Kind     EventKind
-	Fence    platform.Offset
+	Fence    ports.Offset
 	Endpoint fleet.EndpointID
 	Order    *rollout.Order
 	Err      error
@@ -115,7 +115,7 @@
 // Report is the newest plan, for the administration API.
 type Report struct {
 	At    time.Time
-	Fence platform.Offset // of the lease under which it was made; 0: not held
+	Fence ports.Offset // of the lease under which it was made; 0: not held
 	Plan  rollout.Plan
 }
 
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -8,7 +8,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer/peerpb"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // digest makes this daemon's next digest. Ages are sent in place of times,
@@ -70,7 +70,7 @@
 	if w == nil {
 		return neighbour.Revision{}
 	}
-	r := neighbour.Revision{Offset: platform.Offset(w.GetOffset())}
+	r := neighbour.Revision{Offset: ports.Offset(w.GetOffset())}
 	if len(w.GetDigest()) != len(r.Digest) {
 		return neighbour.Revision{Offset: -1}
 	}
--- a/peer/failure_test.go
+++ b/peer/failure_test.go
@@ -21,7 +21,7 @@
 
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer/peerpb"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // All daemons are restarted at once while the log is down. None has a state to
@@ -69,7 +69,7 @@
 func TestUnlistedDaemonCatchesUp(t *testing.T) {
 	nodes := cluster(t, 4, 2, func(_ int, o *Options) {
 		list := o.Daemons()
-		o.Daemons = func() []platform.Daemon { return list[:3] }
+		o.Daemons = func() []ports.Daemon { return list[:3] }
 	})
 	if err := nodes[0].take(manifestAt(2, "two")); err != nil {
 		t.Fatal(err)
@@ -83,7 +83,7 @@
 func TestEarlierRevisionIsNotFollowed(t *testing.T) {
 	nodes := cluster(t, 3, 1, nil)
 	for i, n := range nodes {
-		if err := n.take(manifestAt(platform.Offset(10+i), "text")); err != nil {
+		if err := n.take(manifestAt(ports.Offset(10+i), "text")); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -128,7 +128,7 @@
 // refuses some instead of holding a whole manifest for each.
 func TestServedCallsAreBounded(t *testing.T) {
 	s, err := New(Options{
-		Self:        platform.Daemon{ID: "a"},
+		Self:        ports.Daemon{ID: "a"},
 		LocalDigest: func(time.Time) Local { return Local{} },
 		FetchManifest: func(context.Context, neighbour.Revision) (Accepted, error) {
 			return Accepted{Manifest: make([]byte, neighbour.MaxManifestBytes+1)}, nil
--- a/peer/notify.go
+++ b/peer/notify.go
@@ -12,7 +12,7 @@
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/peer/peerpb"
 	"github.com/merlindock/merlindock/placement"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -50,7 +50,7 @@
 	return told
 }
 
-func (s *Service) notify(d platform.Daemon, message *peerpb.Notices) {
+func (s *Service) notify(d ports.Daemon, message *peerpb.Notices) {
 	l, err := s.link(d.PeerAddress)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, s.o.CallTimeout)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,7 +24,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
 	"github.com/merlindock/merlindock/placement"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Local is what a daemon tells its neighbours at one moment.
@@ -44,12 +44,12 @@
 // Options holds what a Service needs. The callbacks may be called by several
 // goroutines at once.
 type Options struct {
-	Self platform.Daemon
+	Self ports.Daemon
 	// Life is the start of this process in Unix nanoseconds.
 	Life uint64
 	// Daemons returns the newest list of daemons. An empty one is taken as
 	// failed and the neighbours stay.
-	Daemons func() []platform.Daemon
+	Daemons func() []ports.Daemon
 	// LocalDigest returns what to tell the neighbours.
 	LocalDigest func(now time.Time) Local
 	// Heard takes the evidence and use that a neighbour told; times are by this
@@ -152,7 +152,7 @@
 	mu         sync.Mutex
 	rand       *rand.Rand
 	table      *neighbour.Table
-	neighbours []platform.Daemon
+	neighbours []ports.Daemon
 	links      map[string]*link // by address
 	fetching   map[neighbour.Revision]bool
 }
@@ -229,10 +229,10 @@
 }
 
 // Neighbours returns the present neighbours.
-func (s *Service) Neighbours() []platform.Daemon {
+func (s *Service) Neighbours() []ports.Daemon {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]platform.Daemon(nil), s.neighbours...)
+	return append([]ports.Daemon(nil), s.neighbours...)
 }
 
 // check tells whether a is the manifest that its revision names and one that
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,12 +13,12 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/neighbour"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // node is a daemon that holds one accepted manifest and nothing else.
 type node struct {
-	daemon   platform.Daemon
+	daemon   ports.Daemon
 	service  *Service
 	listener net.Listener
 	events   chan Event
@@ -51,7 +51,7 @@
 
 // waitFor returns when the node has the offset, and fails after a limit that
 // no healthy run comes near.
-func (n *node) waitFor(t *testing.T, offset platform.Offset) {
+func (n *node) waitFor(t *testing.T, offset ports.Offset) {
 	t.Helper()
 	limit := time.After(20 * time.Second)
 	for {
@@ -67,7 +67,7 @@
 	}
 }
 
-func manifestAt(offset platform.Offset, text string) Accepted {
+func manifestAt(offset ports.Offset, text string) Accepted {
 	return Accepted{
 		Revision: neighbour.Revision{Offset: offset, Digest: sha256.Sum256([]byte(text))},
 		Manifest: []byte(text),
@@ -79,13 +79,13 @@
 func cluster(t *testing.T, count, zones int, change func(i int, o *Options)) []*node {
 	t.Helper()
 	nodes := make([]*node, count)
-	list := make([]platform.Daemon, count)
+	list := make([]ports.Daemon, count)
 	for i := range nodes {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		list[i] = platform.Daemon{
+		list[i] = ports.Daemon{
 			ID:          fmt.Sprintf("entry-%d", i),
 			Zone:        fleet.ZoneID(fmt.Sprintf("zone-%d", i%zones)),
 			PeerAddress: l.Addr().String(),
@@ -104,10 +104,10 @@
 	return nodes
 }
 
-func (n *node) options(list []platform.Daemon) Options {
+func (n *node) options(list []ports.Daemon) Options {
 	return Options{
 		Self:    n.daemon,
-		Daemons: func() []platform.Daemon { return list },
+		Daemons: func() []ports.Daemon { return list },
 		LocalDigest: func(time.Time) Local {
 			a, _ := n.state()
 			return Local{Accepted: a.Revision}
@@ -157,7 +157,7 @@
 // configuration on most daemons.
 func TestManifestReachesDaemonsCutOffFromTheLog(t *testing.T) {
 	nodes := cluster(t, 9, 3, nil)
-	for offset := platform.Offset(1); offset <= 3; offset++ {
+	for offset := ports.Offset(1); offset <= 3; offset++ {
 		from := nodes[int(offset)%len(nodes)]
 		if err := from.take(manifestAt(offset, fmt.Sprint("manifest ", offset))); err != nil {
 			t.Fatal(err)
@@ -255,7 +255,7 @@
 // ages in place of times.
 func TestDigestCrossesTheWire(t *testing.T) {
 	s := &Service{o: Options{
-		Self: platform.Daemon{ID: "a"}, Life: 5,
+		Self: ports.Daemon{ID: "a"}, Life: 5,
 		LocalDigest: func(now time.Time) Local {
 			return Local{
 				Accepted:  neighbour.Revision{Offset: 4, Digest: [32]byte{1}},
--- a/peer/run.go
+++ b/peer/run.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/merlindock/merlindock/neighbour"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Run exchanges digests with the neighbours until ctx ends. Each neighbour is
@@ -124,7 +124,7 @@
 	s.neighbours = chosen
 	var unused []*link
 	for address, l := range s.links {
-		if !slices.ContainsFunc(list, func(d platform.Daemon) bool { return d.PeerAddress == address }) {
+		if !slices.ContainsFunc(list, func(d ports.Daemon) bool { return d.PeerAddress == address }) {
 			unused = append(unused, l)
 			delete(s.links, address)
 		}
@@ -136,11 +136,11 @@
 }
 
 // due returns the neighbours to open an exchange with.
-func (s *Service) due() []platform.Daemon {
+func (s *Service) due() []ports.Daemon {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Daemon
+	var out []ports.Daemon
 	interval := s.interval()
 	for _, d := range s.neighbours {
 		if s.table.Due(now, d.ID, interval) {
@@ -152,7 +152,7 @@
 
 // behind returns the neighbours that are not known to have the accepted
 // revision.
-func (s *Service) behind() []platform.Daemon {
+func (s *Service) behind() []ports.Daemon {
 	own := s.o.LocalDigest(time.Now()).Accepted
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -160,7 +160,7 @@
 	for _, sender := range s.table.Senders() {
 		known[sender.Daemon] = sender.Accepted
 	}
-	var out []platform.Daemon
+	var out []ports.Daemon
 	for _, d := range s.neighbours {
 		if known[d.ID].Offset < own.Offset {
 			out = append(out, d)
@@ -170,7 +170,7 @@
 }
 
 // round exchanges digests with the given daemons, a bounded number at once.
-func (s *Service) round(ctx context.Context, daemons []platform.Daemon) {
+func (s *Service) round(ctx context.Context, daemons []ports.Daemon) {
 	var g errgroup.Group
 	g.SetLimit(maxOutgoing)
 	for _, d := range daemons {
@@ -236,7 +236,7 @@
 // fetchAndMerge brings a neighbour's revision into force.
 func (s *Service) fetchAndMerge(ctx context.Context, daemon string, r neighbour.Revision) error {
 	list := s.o.Daemons()
-	at := slices.IndexFunc(list, func(d platform.Daemon) bool { return d.ID == daemon })
+	at := slices.IndexFunc(list, func(d ports.Daemon) bool { return d.ID == daemon })
 	if at < 0 {
 		return ErrUnlisted
 	}
@@ -277,7 +277,7 @@
 
 func (s *Service) bootstrapFrom(ctx context.Context, sender neighbour.Sender) (Accepted, error) {
 	list := s.o.Daemons()
-	at := slices.IndexFunc(list, func(d platform.Daemon) bool { return d.ID == sender.Daemon })
+	at := slices.IndexFunc(list, func(d ports.Daemon) bool { return d.ID == sender.Daemon })
 	if at < 0 {
 		return Accepted{}, ErrUnlisted
 	}
--- a/platform/httplog/httplog.go
+++ b/ports/httplog/httplog.go
@@ -18,14 +18,14 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Paths below the platform's base address.
 const (
 	PathStreams   = "/v1/streams/"  // {stream}/records
 	PathEndpoints = "/v1/endpoints" // GET: []fleet.Endpoint
-	PathDaemons   = "/v1/daemons"   // GET: []platform.Daemon
+	PathDaemons   = "/v1/daemons"   // GET: []ports.Daemon
 	recordsSuffix = "/records"
 )
 
@@ -42,12 +42,12 @@
 
 // Appended is the answer to an append.
 type Appended struct {
-	Offset platform.Offset `json:"offset"`
+	Offset ports.Offset `json:"offset"`
 }
 
 // Truncated is the body of the answer 410 to a read of expired records.
 type Truncated struct {
-	First platform.Offset `json:"first"`
+	First ports.Offset `json:"first"`
 }
 
 // Options of a Client.
@@ -58,7 +58,7 @@
 	Client  *http.Client  // nil takes one with the default transport
 }
 
-// Client is a platform.Log and a platform.VMList.
+// Client is a ports.Log and a ports.VMList.
 type Client struct {
 	base    string
 	token   string
@@ -66,7 +66,7 @@
 	http    *http.Client
 
 	endpoints cachedList[fleet.Endpoint]
-	daemons   cachedList[platform.Daemon]
+	daemons   cachedList[ports.Daemon]
 }
 
 // New returns a client of the platform at o.BaseURL.
@@ -85,17 +85,17 @@
 	return c, nil
 }
 
-// Append implements platform.Log.
-func (c *Client) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+// Append implements ports.Log.
+func (c *Client) Append(ctx context.Context, s ports.Stream, data []byte) (ports.Offset, error) {
 	var a Appended
 	err := c.call(ctx, http.MethodPost, c.records(s), data, &a)
 	if err == nil {
 		return a.Offset, nil
 	}
 	if notSent(err) {
-		return 0, errors.Join(platform.ErrNotAppended, err)
+		return 0, errors.Join(ports.ErrNotAppended, err)
 	}
-	return 0, errors.Join(platform.ErrUnavailable, err)
+	return 0, errors.Join(ports.ErrUnavailable, err)
 }
 
 // notSent tells whether the append certainly had no effect: the connection
@@ -110,42 +110,42 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+// Read implements ports.Log.
+func (c *Client) Read(ctx context.Context, s ports.Stream, from ports.Offset, limit int) (ports.Page, error) {
 	q := url.Values{}
 	q.Set("from", strconv.FormatInt(int64(from), 10))
 	q.Set("limit", strconv.Itoa(limit))
-	var p platform.Page
+	var p ports.Page
 	err := c.call(ctx, http.MethodGet, c.records(s)+"?"+q.Encode(), nil, &p)
 	if err == nil {
 		return p, nil
 	}
 	var status *statusError
 	if errors.As(err, &status) && status.code == http.StatusGone {
-		return platform.Page{}, truncated(s, from, status.body)
+		return ports.Page{}, truncated(s, from, status.body)
 	}
-	return platform.Page{}, errors.Join(platform.ErrUnavailable, err)
+	return ports.Page{}, errors.Join(ports.ErrUnavailable, err)
 }
 
-func truncated(s platform.Stream, from platform.Offset, body []byte) error {
+func truncated(s ports.Stream, from ports.Offset, body []byte) error {
 	var t Truncated
 	if err := json.Unmarshal(body, &t); err != nil || t.First <= from {
-		return eris.Wrap(platform.ErrUnavailable, "httplog: answer 410 without the first offset")
+		return eris.Wrap(ports.ErrUnavailable, "httplog: answer 410 without the first offset")
 	}
-	return &platform.TruncatedError{Stream: s, From: from, First: t.First}
+	return &ports.TruncatedError{Stream: s, From: from, First: t.First}
 }
 
-// Endpoints implements platform.VMList. The list must not be changed.
+// Endpoints implements ports.VMList. The list must not be changed.
 func (c *Client) Endpoints(ctx context.Context) ([]fleet.Endpoint, error) {
 	return c.endpoints.fetch(ctx, c, PathEndpoints)
 }
 
-// Daemons implements platform.VMList. The list must not be changed.
-func (c *Client) Daemons(ctx context.Context) ([]platform.Daemon, error) {
+// Daemons implements ports.VMList. The list must not be changed.
+func (c *Client) Daemons(ctx context.Context) ([]ports.Daemon, error) {
 	return c.daemons.fetch(ctx, c, PathDaemons)
 }
 
-func (c *Client) records(s platform.Stream) string {
+func (c *Client) records(s ports.Stream) string {
 	return c.base + PathStreams + url.PathEscape(string(s)) + recordsSuffix
 }
 
@@ -196,7 +196,7 @@
 		return eris.Wrap(err, "httplog: answer")
 	}
 	if len(body) > MaxAnswerBytes {
-		return eris.Wrapf(platform.ErrTooLong, "httplog: answer is longer than %d bytes", MaxAnswerBytes)
+		return eris.Wrapf(ports.ErrTooLong, "httplog: answer is longer than %d bytes", MaxAnswerBytes)
 	}
 	if resp.StatusCode != http.StatusOK {
 		marked := resp.Header.Get(HeaderNotAppended) == "true"
--- a/platform/httplog/list.go
+++ b/ports/httplog/list.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"sync"
 
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // cachedList is a list of the platform with the tag under which it was read.
@@ -29,7 +29,7 @@
 		return l.list, nil
 	}
 	if err != nil {
-		return nil, errors.Join(platform.ErrUnavailable, err)
+		return nil, errors.Join(ports.ErrUnavailable, err)
 	}
 	l.tag, l.list = tag, list
 	return list, nil
--- a/platform/platform.go
+++ b/ports/ports.go
@@ -1,9 +1,9 @@
-// Package platform names what merlindock takes from the platform it runs on:
+// Package ports names what merlindock takes from the platform it runs on:
 // an append-only log with offsets and a lagging list of VMs.
 //
 // The interfaces are small so that a test can stand in for them. Package
-// platform/httplog speaks to the real service over HTTP.
-package platform
+// ports/httplog speaks to the real service over HTTP.
+package ports
 
 import (
 	"context"
@@ -63,13 +63,13 @@
 // Errors of the log.
 var (
 	// ErrNotAppended says that the record was certainly not added.
-	ErrNotAppended = errors.New("platform: record not appended")
+	ErrNotAppended = errors.New("ports: record not appended")
 	// ErrUnavailable says that the log gave no answer; an append may have
 	// taken effect.
-	ErrUnavailable = errors.New("platform: log unavailable")
+	ErrUnavailable = errors.New("ports: log unavailable")
 	// ErrTooLong says that a page was longer than is taken; fewer records may
 	// fit.
-	ErrTooLong = errors.New("platform: answer too long")
+	ErrTooLong = errors.New("ports: answer too long")
 )
 
 // TruncatedError says that the records asked for have expired. A reader must
@@ -81,5 +81,5 @@
 }
 
 func (e *TruncatedError) Error() string {
-	return fmt.Sprintf("platform: stream %s: records %d to %d have expired", e.Stream, e.From, e.First-1)
+	return fmt.Sprintf("ports: stream %s: records %d to %d have expired", e.Stream, e.From, e.First-1)
 }
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -5,7 +5,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/manifest"
-	"github.com/merlindock/merlindock/platform"
+	"github.com/merlindock/merlindock/ports"
 )
 
 // Options holds the planner's times and shares. Zero fields take the defaults.
@@ -70,8 +70,8 @@
 // Input is what Plan works from besides what was observed.
 type Input struct {
 	Manifest *manifest.Manifest
-	Revision platform.Offset // of the manifest
-	Fence    platform.Offset // of the lease held
+	Revision ports.Offset // of the manifest
+	Fence    ports.Offset // of the lease held
 	// Since is when this holder began: the old holder's longest order had ended
 	// by then. Nothing read before counts.
 	Since     time.Time
