--- a/admin/admin.go
+++ b/admin/admin.go
@@ -56,7 +56,7 @@
 // Revision identifies an accepted manifest.
 type Revision struct {
 	Offset ports.Offset `json:"offset"`
-	Digest string          `json:"digest"`
+	Digest string       `json:"digest"`
 }
 
 // Outcome is what became of a publication.
@@ -73,11 +73,11 @@
 
 // Publication is one publication and its outcome.
 type Publication struct {
-	Outcome   Outcome         `json:"outcome"`
-	Revision  Revision        `json:"revision"`
+	Outcome   Outcome      `json:"outcome"`
+	Revision  Revision     `json:"revision"`
 	Base      ports.Offset `json:"base"`
 	RefusedBy ports.Offset `json:"refused_by,omitempty"` // the manifest that came first
-	Reason    string          `json:"reason,omitempty"`
+	Reason    string       `json:"reason,omitempty"`
 }
 
 // Options are what the API needs.
--- a/cmd/merlindockd/main.go
+++ b/cmd/merlindockd/main.go
@@ -1,6 +1,10 @@
 // Command merlindockd is the merlindock daemon. It serves callers, exchanges
 // digests with its neighbours and follows the platform's log.
 //
+// With the argument "routed" it serves routed requests instead, with routes,
+// organisations and endpoints from the platform's metadata store: see package
+// router.
+//
 // Settings come from an INI file (-config), environment variables and flags;
 // -check checks them and starts nothing. The first SIGTERM or SIGINT starts a
 // graceful shutdown, the second ends open streams with an explicit error.
@@ -38,6 +42,9 @@
 }
 
 func run(args, environ []string, out, errOut io.Writer) int {
+	if len(args) > 0 && args[0] == routedCommand {
+		return runRouted(args[1:], out, errOut)
+	}
 	s, err := settings.Load(settings.Input{Args: args, Env: environ})
 	if errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(out, "merlindockd: the merlindock daemon. Flags, also settable as environment variables and in the INI file:")
--- a/daemon/system.go
+++ b/daemon/system.go
@@ -150,8 +150,8 @@
 	CacheEvents   cacheevents.Stats       `json:"cache_events"`
 	Health        []health.EndpointHealth `json:"health"`
 	Organisations any                     `json:"organisations"`
-	Daemons       []ports.Daemon       `json:"daemons"`
-	Neighbours    []ports.Daemon       `json:"neighbours"`
+	Daemons       []ports.Daemon          `json:"daemons"`
+	Neighbours    []ports.Daemon          `json:"neighbours"`
 	Senders       []neighbour.Sender      `json:"senders"`
 	Orders        orders.Report           `json:"orders"` // its plan is empty without the lease
 }
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,189 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/merlindock/merlindock/retry"
+	"github.com/merlindock/merlindock/routes"
+)
+
+// relayBuffer is what is read from a stream at a time.
+const relayBuffer = 8 << 10
+
+// attempt sends the request to the place. It returns true once the caller has
+// the final answer, and otherwise how the attempt failed.
+func (c *call) attempt(p *Placement) (bool, retry.Attempt) {
+	c.report.Attempts = append(c.report.Attempts, AttemptReport{
+		Endpoint: string(p.Target.Key), Reason: p.Reason, Version: p.Out.Version,
+		Wait: p.Wait, Cached: p.Cached, LoadAge: p.Age,
+	})
+	end := End{Left: true}
+	defer func() {
+		// An abort of the handler passes here as well.
+		end.Left = c.r.Context().Err() != nil
+		c.noteAttempt(&end)
+		c.o.Placer.Ended(p, end)
+	}()
+	out := c.out
+	out.Header = c.out.Header.Clone()
+	p.Out.Remaining = time.Until(c.work.Deadline)
+	p.Out.LastEvent = c.events.last
+	c.o.Wire.Outbound(out.Header, &p.Out)
+	a, err := c.o.Client.Send(c.ctx, p.Target, &out)
+	if err != nil {
+		failure := retry.Unknown
+		if errors.Is(err, ErrNotSent) {
+			failure = retry.NotSent
+		}
+		end = End{Failure: failure, Lost: true}
+		return false, retry.Attempt{Endpoint: p.Target.Key, Failure: failure}
+	}
+	c.o.Placer.Answered(p, &a.Info)
+	end = c.take(a)
+	return end.Whole, retry.Attempt{Endpoint: p.Target.Key, Failure: end.Failure}
+}
+
+func (c *call) noteAttempt(end *End) {
+	r := &c.report.Attempts[len(c.report.Attempts)-1]
+	r.After = time.Since(c.work.Arrived)
+	switch {
+	case end.Left:
+		r.Result = retry.CallerLeft.String()
+	case end.Whole && end.Error:
+		r.Result = "endpoint_error"
+	case end.Whole:
+		r.Result = "whole"
+	default:
+		r.Result = end.Failure.String()
+	}
+}
+
+// take passes the answer on, or tells why it can't be.
+func (c *call) take(a *Answer) End {
+	success := a.Status >= 200 && a.Status < 300
+	switch {
+	case a.Info.NotRun:
+		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, bufferBytes))
+		a.Close(err == nil)
+		return End{NotRun: true, Failure: retry.NotRun}
+	case success && !a.Info.Signed:
+		a.Close(false)
+		return End{Failure: retry.Unknown, Lost: true}
+	case success && c.work.Route.Kind == routes.Stream:
+		return c.relayStream(a)
+	}
+	return c.relayPlain(a, success)
+}
+
+// relayPlain reads the answer to its end before it passes it on.
+func (c *call) relayPlain(a *Answer, success bool) End {
+	body, err := io.ReadAll(io.LimitReader(a.Body, bufferBytes+1))
+	if err == nil && len(body) > bufferBytes {
+		return c.relayLong(a, body)
+	}
+	a.Close(err == nil)
+	if err != nil {
+		return End{Failure: retry.Broken, Lost: true}
+	}
+	answer := &whole{status: a.Status, header: a.Header, body: body}
+	if a.Status >= http.StatusInternalServerError && c.retry.Idempotent {
+		// Another endpoint may do better. If nobody does, this is the answer.
+		c.answer = answer
+		return End{Error: true, Failure: retry.Broken}
+	}
+	if c.begun {
+		return End{Failure: retry.Broken, Error: true}
+	}
+	c.pass(answer)
+	return End{Whole: true, Error: !success && a.Status >= http.StatusInternalServerError}
+}
+
+// relayLong passes on an answer that is too long to be held.
+func (c *call) relayLong(a *Answer, begin []byte) End {
+	c.begin(a)
+	_, err := c.w.Write(begin)
+	if err == nil {
+		_, err = io.Copy(c.w, a.Body)
+	}
+	a.Close(err == nil)
+	if err != nil {
+		return End{Failure: retry.Broken, Lost: true}
+	}
+	return End{Whole: true}
+}
+
+// begin sends the header of an answer that is passed on as it comes.
+func (c *call) begin(a *Answer) {
+	if c.begun {
+		return
+	}
+	c.begun = true
+	c.report.Status = a.Status
+	copyHeader(c.w.Header(), a.Header)
+	c.closeIfLeaving()
+	c.w.WriteHeader(a.Status)
+}
+
+// relayStream passes whole events on as they come.
+func (c *call) relayStream(a *Answer) End {
+	c.events.partial = nil
+	buf := make([]byte, relayBuffer)
+	for {
+		n, readErr := a.Body.Read(buf)
+		if n > 0 {
+			if end, ok := c.passEvents(a, buf[:n]); !ok {
+				a.Close(false)
+				return end
+			}
+		}
+		switch {
+		case errors.Is(readErr, io.EOF):
+			return c.endStream(a)
+		case readErr != nil:
+			a.Close(false)
+			return End{Failure: retry.Broken, Lost: true}
+		}
+	}
+}
+
+// passEvents sends the whole events that the bytes complete.
+func (c *call) passEvents(a *Answer, b []byte) (End, bool) {
+	out, err := c.events.add(b)
+	if err != nil {
+		return End{Failure: retry.Broken, Lost: true}, false
+	}
+	if len(out) == 0 {
+		return End{}, true
+	}
+	c.begin(a)
+	if c.report.FirstEvent == 0 {
+		c.report.FirstEvent = time.Since(c.work.Arrived)
+	}
+	c.retry.Delivered++
+	// A caller that stops reading must not hold the engine's slot for longer
+	// than the request may take.
+	_ = c.rc.SetWriteDeadline(c.work.Deadline.Add(passTime))
+	if _, err := c.w.Write(out); err != nil {
+		return End{Failure: retry.CallerLeft}, false
+	}
+	if err := c.rc.Flush(); err != nil {
+		return End{Failure: retry.CallerLeft}, false
+	}
+	return End{}, true
+}
+
+// endStream takes the end of the endpoint's answer, which its framing says is
+// complete.
+func (c *call) endStream(a *Answer) End {
+	a.Close(true)
+	if rest := c.events.rest(); len(rest) > 0 {
+		// A whole answer ends with a whole event.
+		return End{Failure: retry.Broken, Lost: true}
+	}
+	c.begin(a)
+	_ = c.rc.SetWriteDeadline(time.Time{})
+	return End{Whole: true}
+}
--- /dev/null
+++ b/forward/callers.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Callers tracks the connections of callers, so that idle ones can be closed
+// without cutting a request.
+//
+// The HTTP server's own way to close idle connections looks at a state that
+// changes only after a request was read. A connection closed in between takes
+// the request with it after it was passed on to an endpoint: the caller sees a
+// broken connection and does not know whether its request ran. Here a request
+// and the closing of its connection exclude each other.
+type Callers struct {
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	net.Conn
+	of      *Callers
+	serving bool
+	closed  bool
+}
+
+type callerKey struct{}
+
+// NewCallers returns a tracker without connections.
+func NewCallers() *Callers { return &Callers{open: map[*callerConn]struct{}{}} }
+
+// Listen wraps a listener so that its connections are tracked.
+func (c *Callers) Listen(l net.Listener) net.Listener { return &callerListener{l, c} }
+
+type callerListener struct {
+	net.Listener
+	callers *Callers
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	k := &callerConn{Conn: raw, of: l.callers}
+	l.callers.mu.Lock()
+	l.callers.open[k] = struct{}{}
+	l.callers.mu.Unlock()
+	return k, nil
+}
+
+// Close implements net.Conn.
+func (k *callerConn) Close() error {
+	k.of.mu.Lock()
+	delete(k.of.open, k)
+	k.closed = true
+	k.of.mu.Unlock()
+	return k.Conn.Close()
+}
+
+// Context is for http.Server.ConnContext.
+func (c *Callers) Context(ctx context.Context, k net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, k)
+}
+
+// begin claims the request's connection. It returns false if the connection has
+// been closed as idle: the request crossed the close and must not be passed on.
+func (c *Callers) begin(ctx context.Context) bool {
+	k, ok := ctx.Value(callerKey{}).(*callerConn)
+	if !ok {
+		return true // not served through Listen
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.serving = true
+	return !k.closed
+}
+
+func (c *Callers) end(ctx context.Context) {
+	if k, ok := ctx.Value(callerKey{}).(*callerConn); ok {
+		c.mu.Lock()
+		k.serving = false
+		c.mu.Unlock()
+	}
+}
+
+// CloseIdle closes the connections that serve no request, and returns how many
+// are left.
+func (c *Callers) CloseIdle() int {
+	c.mu.Lock()
+	var idle []*callerConn
+	for k := range c.open {
+		if !k.serving {
+			k.closed = true
+			delete(c.open, k)
+			idle = append(idle, k)
+		}
+	}
+	left := len(c.open)
+	c.mu.Unlock()
+	for _, k := range idle {
+		_ = k.Conn.Close()
+	}
+	return left
+}
--- /dev/null
+++ b/freshness/freshness.go
@@ -0,0 +1,49 @@
+// Package freshness tells how old a daemon's knowledge of API keys is.
+//
+// A daemon that lost its way to the store goes on serving with the keys it
+// knows. Some of them may have been taken away meanwhile, which nobody at the
+// daemon can see; so keys are believed only for a bounded time after a read
+// that was answered.
+//
+// Times are readings of a clock that runs on while the machine is suspended and
+// does not jump with the time of day, given as the duration since any fixed
+// moment. The package reads no clock itself.
+package freshness
+
+import (
+	"sync"
+	"time"
+)
+
+// Confirmed holds when the newest answered read was sent. It is safe for
+// concurrent use. The zero value has never been confirmed.
+type Confirmed struct {
+	mu   sync.Mutex
+	sent time.Duration
+	some bool
+}
+
+// Answered notes a read that was sent at the given time and has been answered.
+// The time of sending counts, not that of the answer: the answer may have been
+// on its way for long, and says nothing of what happened since it left.
+func (c *Confirmed) Answered(sent time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.some || sent > c.sent {
+		c.sent, c.some = sent, true
+	}
+}
+
+// Age is the time since the newest answered read was sent; false if there has
+// been none.
+func (c *Confirmed) Age(now time.Duration) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now - c.sent, c.some
+}
+
+// Within tells whether knowledge is no older than the bound.
+func (c *Confirmed) Within(now, bound time.Duration) bool {
+	age, ok := c.Age(now)
+	return ok && age < bound
+}
--- a/ledger/decision.go
+++ b/ledger/decision.go
@@ -39,14 +39,14 @@
 
 // Decision is the outcome of one record.
 type Decision struct {
-	Offset  ports.Offset `json:"offset"`
+	Offset  ports.Offset    `json:"offset"`
 	Time    time.Time       `json:"time"` // by the log
 	Kind    Kind            `json:"kind"`
 	Outcome Outcome         `json:"outcome"`
 	Reason  Reason          `json:"reason,omitempty"`
 	Detail  string          `json:"detail,omitempty"`
-	By      ports.Offset `json:"by,omitempty"` // the record that decided it
-	Base    ports.Offset `json:"base,omitempty"`
+	By      ports.Offset    `json:"by,omitempty"` // the record that decided it
+	Base    ports.Offset    `json:"base,omitempty"`
 	Digest  manifest.Digest `json:"digest,omitempty"`
 	Author  string          `json:"author,omitempty"`
 	Section string          `json:"section,omitempty"` // kind and id, for a section's change
--- a/ledger/leases.go
+++ b/ledger/leases.go
@@ -39,7 +39,7 @@
 	Name   string            `json:"name"`
 	Holder string            `json:"holder"` // unique to one life of a process
 	TTL    manifest.Duration `json:"ttl,omitempty"`
-	Fence  ports.Offset   `json:"fence,omitempty"` // renew and release: of the lease held
+	Fence  ports.Offset      `json:"fence,omitempty"` // renew and release: of the lease held
 	Serial int               `json:"serial"`          // by which the holder knows its record again
 }
 
@@ -47,21 +47,21 @@
 
 // Lease is a lease that is held.
 type Lease struct {
-	Name    string          `json:"name"`
-	Holder  string          `json:"holder"`
+	Name    string       `json:"name"`
+	Holder  string       `json:"holder"`
 	Fence   ports.Offset `json:"fence"`   // fencing number: the offset that acquired it
-	Expires time.Time       `json:"expires"` // by the log's clock
+	Expires time.Time    `json:"expires"` // by the log's clock
 }
 
 // LeaseDecision is the outcome of a lease record. Fence is the lease's after
 // an acceptance, and the present holder's, if any, after a refusal.
 type LeaseDecision struct {
 	Offset  ports.Offset `json:"offset"`
-	Time    time.Time       `json:"time"`
-	Outcome Outcome         `json:"outcome"`
-	Reason  Reason          `json:"reason,omitempty"`
+	Time    time.Time    `json:"time"`
+	Outcome Outcome      `json:"outcome"`
+	Reason  Reason       `json:"reason,omitempty"`
 	Fence   ports.Offset `json:"fence,omitempty"`
-	Record  LeaseRecord     `json:"record"`
+	Record  LeaseRecord  `json:"record"`
 }
 
 // Leases is the fold of the lease stream. A lease ends when a record arrives
--- a/ledger/manifests.go
+++ b/ledger/manifests.go
@@ -50,9 +50,9 @@
 	behind  bool
 	through ports.Offset // every record up to here is folded
 	gapEnd  ports.Offset // first record after a gap; 0 without a gap
-	latest  *Version        // by the fold; nil before the first
-	adopted *Checkpoint     // newest proof of a neighbour
-	ahead   *Version        // the manifest of adopted
+	latest  *Version     // by the fold; nil before the first
+	adopted *Checkpoint  // newest proof of a neighbour
+	ahead   *Version     // the manifest of adopted
 	held    []ports.Record
 	bytes   int // of held
 	history []Decision
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -48,7 +48,7 @@
 // brought it and the digest of its content. Offset 0 means that none has been
 // accepted.
 type Revision struct {
-	Offset ports.Offset `json:"offset"`
+	Offset ports.Offset    `json:"offset"`
 	Digest manifest.Digest `json:"digest"`
 }
 
@@ -58,7 +58,7 @@
 
 // ManifestRecord proposes a whole manifest.
 type ManifestRecord struct {
-	Base     ports.Offset `json:"base"` // the accepted manifest it was made against
+	Base     ports.Offset    `json:"base"` // the accepted manifest it was made against
 	Digest   manifest.Digest `json:"digest"`
 	Author   string          `json:"author,omitempty"`
 	Manifest json.RawMessage `json:"manifest"`
@@ -68,9 +68,9 @@
 // that brought it. It is also the proof with which a neighbour passes its
 // accepted manifest on.
 type Checkpoint struct {
-	Through  ports.Offset `json:"through"` // every record up to here was folded
+	Through  ports.Offset    `json:"through"` // every record up to here was folded
 	Revision Revision        `json:"revision"`
-	Base     ports.Offset `json:"base"`
+	Base     ports.Offset    `json:"base"`
 	Rules    int             `json:"rules"`            // in force after Through
 	Carried  time.Time       `json:"carried"`          // log's time of the newest record with the manifest; decides nothing
 	Recent   []Acceptance    `json:"recent,omitempty"` // oldest first, the revision last
@@ -80,8 +80,8 @@
 // Acceptance remembers an accepted manifest without its content, so that a
 // late repeat of it is recognised.
 type Acceptance struct {
-	Offset ports.Offset `json:"offset"`
-	Base   ports.Offset `json:"base"`
+	Offset ports.Offset    `json:"offset"`
+	Base   ports.Offset    `json:"base"`
 	Digest manifest.Digest `json:"digest"`          // of what the record brought
 	Whole  manifest.Digest `json:"whole,omitempty"` // of the manifest after it, where a section came
 }
@@ -99,7 +99,7 @@
 type SectionRecord struct {
 	Section manifest.SectionKind `json:"section"`
 	ID      string               `json:"id"`
-	Base    ports.Offset      `json:"base"`             // the revision it was made against, among the last MaxRecent
+	Base    ports.Offset         `json:"base"`             // the revision it was made against, among the last MaxRecent
 	Was     manifest.Digest      `json:"was,omitempty"`    // of the section before; empty: none
 	Digest  manifest.Digest      `json:"digest,omitempty"` // of the section after; empty: removed
 	Value   json.RawMessage      `json:"value,omitempty"`
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -26,6 +26,7 @@
 	PartPeers    Part = "peers"
 	PartOrders   Part = "orders"
 	PartAdmin    Part = "admin"
+	PartRouter   Part = "router"
 )
 
 // Logger writes the lines of one part.
--- a/logio/lease.go
+++ b/logio/lease.go
@@ -28,7 +28,7 @@
 // Holding is a lease as its holder may rely on it.
 type Holding struct {
 	Fence ports.Offset // goes with each order
-	Until time.Time       // by this process's clock; rely on nothing after
+	Until time.Time    // by this process's clock; rely on nothing after
 }
 
 // LeaseOptions of a LeaseKeeper.
@@ -61,7 +61,7 @@
 	caught  bool
 	serial  int
 	pending map[int]time.Time // send times of own records by serial
-	fence   ports.Offset   // 0: not held
+	fence   ports.Offset      // 0: not held
 	valid   time.Time         // of the lease held
 	quiet   time.Time         // no attempt before, since another may hold it
 }
--- a/logio/manifests.go
+++ b/logio/manifests.go
@@ -175,7 +175,7 @@
 // ManifestsStatus is the state of a Manifests for operators.
 type ManifestsStatus struct {
 	Revision  ledger.Revision   `json:"revision"`
-	Next      ports.Offset   `json:"next"`    // to be read
+	Next      ports.Offset      `json:"next"`    // to be read
 	Decided   bool              `json:"decided"` // false: a gap or newer rules keep the fold from deciding
 	Behind    bool              `json:"behind"`  // newer rules than this release knows are in force
 	CaughtUp  bool              `json:"caught_up"`
--- a/logio/publish.go
+++ b/logio/publish.go
@@ -40,9 +40,9 @@
 // PublishResult tells what became of a publication.
 type PublishResult struct {
 	Outcome PublishOutcome  `json:"outcome"`
-	Offset  ports.Offset `json:"offset,omitempty"` // of the record that brought the manifest
-	By      ports.Offset `json:"by,omitempty"`     // refused: the record that came first
-	Latest  ports.Offset `json:"latest,omitempty"` // the manifest in force when this was answered
+	Offset  ports.Offset    `json:"offset,omitempty"` // of the record that brought the manifest
+	By      ports.Offset    `json:"by,omitempty"`     // refused: the record that came first
+	Latest  ports.Offset    `json:"latest,omitempty"` // the manifest in force when this was answered
 	Reason  ledger.Reason   `json:"reason,omitempty"`
 	Detail  string          `json:"detail,omitempty"`
 	Digest  manifest.Digest `json:"digest"`
--- a/neighbour/digest.go
+++ b/neighbour/digest.go
@@ -13,7 +13,7 @@
 // Revision names an accepted manifest.
 type Revision struct {
 	Offset ports.Offset // of its record in the log; 0: nothing accepted
-	Digest [32]byte        // SHA-256 of the manifest's bytes
+	Digest [32]byte     // SHA-256 of the manifest's bytes
 }
 
 // Digest is what one daemon tells its neighbours.
--- a/placement/place.go
+++ b/placement/place.go
@@ -264,6 +264,9 @@
 		ExpectedFirst: seconds(best.wait + best.compute + v.travel(best)),
 		Reason:        reason,
 	}
+	if home != nil && home.homeCount > 0 {
+		d.Home = v.endpoints[home.homes[0]].id
+	}
 	if best.cached > 0 {
 		d.Incarnation = e.incarnation
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -116,6 +116,7 @@
 	ExpectedWait   time.Duration     // in its queue
 	ExpectedFirst  time.Duration     // until the first token
 	ImportFrom     fleet.EndpointID  // KV store to import from; empty: none
+	Home           fleet.EndpointID  // first in the rendezvous order of the prefix; empty: no prefix
 	Reason         Reason
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -93,7 +93,11 @@
 	Resumable bool
 	Deadline  time.Time // the caller's; zero means none
 	Delivered int       // tokens or bytes that the caller has
+	// MaxSent bounds the endpoints that the request reaches; 0: MaxAttempts. One
+	// that could not be reached does not count, nor does it cost of the budget.
+	MaxSent int
 
+	sent       int
 	attempts   int
 	mayHaveRun bool
 	excluded   [MaxAttempts]fleet.EndpointID
@@ -150,6 +154,9 @@
 		r.mayHaveRun = true
 	}
 	r.count(a.Endpoint)
+	if a.Failure != NotSent {
+		r.sent++
+	}
 	switch a.Failure {
 	case CallerLeft:
 		return r.giveUp(now, CodeCallerLeft, a, budget)
@@ -160,7 +167,7 @@
 	if code := r.notRepeatable(a.Failure); code != "" {
 		return r.giveUp(now, code, a, budget)
 	}
-	if r.attempts >= MaxAttempts {
+	if r.attempts >= MaxAttempts || (r.MaxSent > 0 && r.sent >= r.MaxSent) {
 		return r.giveUp(now, CodeAttempts, a, budget)
 	}
 	after := r.backoff(a, rng)
@@ -174,6 +181,9 @@
 }
 
 func (r *Request) spend(now time.Time, f Failure, budget *Budget) bool {
+	if f == NotSent && r.MaxSent > 0 {
+		return true
+	}
 	if f == Broken && r.Resumable && r.Delivered > 0 {
 		return budget.SpendResume(now)
 	}
@@ -230,3 +240,6 @@
 	d.RetryAfter = min(wait, maxRetryAfter).Round(time.Second)
 	return d
 }
+
+// MayHaveRun tells whether some attempt may have run the request.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
--- a/rollout/protocol.go
+++ b/rollout/protocol.go
@@ -38,7 +38,7 @@
 	ID          string            `json:"id"` // the same for the same order of two holders
 	Endpoint    fleet.EndpointID  `json:"endpoint"`
 	Incarnation fleet.Incarnation `json:"incarnation"` // the life that is meant; another one refuses
-	Revision    ports.Offset   `json:"revision"`    // of the manifest that asks for it
+	Revision    ports.Offset      `json:"revision"`    // of the manifest that asks for it
 	Kind        Kind              `json:"kind"`
 	Model       string            `json:"model,omitempty"`
 	Version     string            `json:"version,omitempty"`
@@ -66,7 +66,7 @@
 // loaded and what it is doing.
 type Status struct {
 	Incarnation fleet.Incarnation `json:"incarnation"`
-	Fence       ports.Offset   `json:"fence"` // highest one seen; 0 by an endpoint that ignores them
+	Fence       ports.Offset      `json:"fence"` // highest one seen; 0 by an endpoint that ignores them
 	Role        string            `json:"role,omitempty"`
 	Models      []Model           `json:"models,omitempty"`
 	Loading     *Order            `json:"loading,omitempty"` // order being carried out
--- /dev/null
+++ b/router/follow.go
@@ -0,0 +1,184 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/merlindock/merlindock/internal/pause"
+)
+
+// Times of following the store.
+const (
+	// operatorWait is how long a read of the operator's topic waits for a
+	// record. Each answer confirms the keys anew; a third of that of the
+	// shortest bound on keys keeps them confirmed over one lost read.
+	operatorWait = 1200 * time.Millisecond
+	// answerTime is what a read may take beyond its wait. Answers usually take
+	// a few milliseconds; a connection that fell silent shows only by this.
+	answerTime = 900 * time.Millisecond
+	// endpointsPart is how often the list of endpoints is read, as a part of
+	// Settings.DrainWithin. The list changes all the time, so a read that waited
+	// for a change would return at once.
+	endpointsPart = 0.3
+	// minPause and maxPause bound the time between a failed read and the next.
+	minPause = 60 * time.Millisecond
+	maxPause = 400 * time.Millisecond
+)
+
+// follower reads one topic.
+type follower struct {
+	r      *Router
+	topic  Topic
+	next   int64
+	loaded bool
+	apply  func(Record)
+	failed int // reads in a row
+}
+
+// read makes one read and applies it. It returns whether more is there already,
+// and when the answered read was sent.
+func (f *follower) read(ctx context.Context, wait time.Duration) (more bool, sent time.Duration, err error) {
+	sent = BootClock()
+	call, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	var got Records
+	if f.loaded {
+		got, err = f.r.o.Store.Read(call, f.topic, f.next, wait)
+	} else {
+		got, err = f.r.o.Store.Newest(call, f.topic)
+	}
+	if errors.Is(err, ErrHistoryGone) {
+		f.loaded = false
+		f.r.log.Info("History of the store is gone, reading the newest of each key.", "topic", f.topic.String(), "next", f.next)
+		return true, sent, nil
+	}
+	if err != nil {
+		return false, sent, err
+	}
+	for _, record := range got.Records {
+		f.apply(record)
+	}
+	f.next, f.loaded = got.Next, true
+	return got.End > got.Next, sent, nil
+}
+
+// note logs that the store was lost or is back.
+func (f *follower) note(err error) {
+	if err == nil {
+		if f.failed > 0 {
+			f.r.log.Info("Store answers again.", "topic", f.topic.String(), "failed_reads", f.failed)
+		}
+		f.failed = 0
+		return
+	}
+	if f.failed == 0 {
+		f.r.log.Warn("Store can't be read.", "topic", f.topic.String(), "error", err.Error())
+	}
+	f.failed++
+	f.r.metrics.storeFailures.Inc(1)
+}
+
+// pauseAfter spreads the reads that follow a failed one: daemons that lost the
+// store together would otherwise come back to it together.
+func (f *follower) pauseAfter(ctx context.Context) {
+	longest := min(minPause<<min(f.failed, 4), maxPause)
+	_ = pause.For(ctx, minPause+time.Duration(rand.Float64()*float64(longest)))
+}
+
+// followOperator keeps the configuration and the named versions.
+func (r *Router) followOperator(ctx context.Context) {
+	f := &follower{r: r, topic: TopicOperator, apply: r.operatorRecord}
+	for ctx.Err() == nil {
+		more, sent, err := f.read(ctx, operatorWait)
+		f.note(err)
+		if err != nil {
+			f.pauseAfter(ctx)
+			continue
+		}
+		if !more && f.loaded {
+			r.s.operator.Answered(sent)
+		}
+	}
+}
+
+// followEndpoints keeps the list of endpoints.
+func (r *Router) followEndpoints(ctx context.Context) {
+	f := &follower{r: r, topic: TopicEndpoints}
+	f.apply = func(record Record) { r.endpointRecord(record) }
+	every := time.Duration(endpointsPart * float64(r.o.Settings.DrainWithin))
+	for ctx.Err() == nil {
+		more, sent, err := f.read(ctx, 0)
+		f.note(err)
+		if err != nil {
+			f.pauseAfter(ctx)
+			continue
+		}
+		if more || !f.loaded {
+			continue
+		}
+		r.s.endpoints.Answered(sent)
+		_ = pause.For(ctx, every)
+	}
+}
+
+// operatorRecord puts a configuration or a version into force. Neither ever
+// goes back: records may be repeated or rewritten.
+func (r *Router) operatorRecord(record Record) {
+	if len(record.Value) == 0 {
+		return
+	}
+	change, err := r.o.Codec.Operator(record.Key, record.Value)
+	if err != nil {
+		r.log.Error("Record of the operator can't be read, the one before stays in force.",
+			"key", record.Key, "offset", record.Offset, "error", err.Error())
+		return
+	}
+	if t := change.Table; t != nil {
+		if old := r.s.table.Load(); old != nil && old.Version >= t.Version {
+			return
+		}
+		r.s.table.Store(t)
+		r.log.Info("Configuration is in force.", "version", t.Version, "offset", record.Offset,
+			"routes", len(t.Routes), "services", len(t.Services), "keys", len(t.Organisations))
+		return
+	}
+	if change.Model == "" {
+		return
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	if r.s.named[change.Model].version >= change.Weights {
+		return
+	}
+	r.s.named[change.Model] = named{version: change.Weights, since: BootClock()}
+	r.log.Info("Weights are named.", "model", change.Model, "version", change.Weights, "offset", record.Offset)
+}
+
+// endpointRecord folds an entry of an endpoint.
+func (r *Router) endpointRecord(record Record) {
+	now := time.Now()
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	if len(record.Value) == 0 {
+		if r.s.directory.Remove(now, record.Key) {
+			r.s.dirty = true
+			r.log.Info("Endpoint's entry is gone.", "endpoint", record.Key, "offset", record.Offset)
+		}
+		return
+	}
+	entry, err := r.o.Codec.Endpoint(record.Key, record.Value)
+	if err != nil {
+		if r.s.directory.Remove(now, record.Key) {
+			r.s.dirty = true
+		}
+		r.log.Warn("Entry names no endpoint that can be used.", "endpoint", record.Key, "offset", record.Offset, "error", err.Error())
+		return
+	}
+	if r.s.directory.Put(entry) {
+		r.s.dirty = true
+		r.log.Info("Endpoint changed.", "endpoint", entry.ID, "born", entry.Born, "service", entry.Service,
+			"state", int(entry.State), "zone", string(entry.Zone), "offset", record.Offset)
+	}
+}
--- /dev/null
+++ b/router/orders.go
@@ -0,0 +1,314 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/pause"
+	"github.com/merlindock/merlindock/weights"
+)
+
+// Times of giving orders.
+const (
+	// leaseWait is how long a read of the lease waits for a record while there
+	// is nothing to order.
+	leaseWait = 20 * time.Second
+	// leaseEvery is the least time between two reads of the lease.
+	leaseEvery = 250 * time.Millisecond
+	// orderTick is how often a holder looks for engines to order.
+	orderTick = 100 * time.Millisecond
+	// reportEvery is how often the holder asks an engine that loads whether it
+	// is done. An engine's own entry tells it over a second later.
+	reportEvery = 350 * time.Millisecond
+	// contendAfter spreads the daemons that would all claim the lease at once.
+	contendAfter = 250 * time.Millisecond
+	reportTime   = 500 * time.Millisecond
+)
+
+// leader gives orders while it holds the lease.
+type leader struct {
+	r     *Router
+	lease *weights.Lease
+	plans map[string]*weights.Plan
+
+	mu      sync.Mutex // guards lease, plans, loading and untold
+	loading map[fleet.EndpointID]loadingEngine
+	untold  []weights.News // for the other daemons, with the next claim
+	asked   time.Duration
+	since   time.Duration // when work was first seen; 0: none
+	wait    time.Duration
+}
+
+type loadingEngine struct {
+	engine  weights.Engine
+	model   string
+	version int64
+	until   time.Duration
+}
+
+// leadOrders follows the lease and, while some engine is behind, claims it and
+// gives orders.
+func (r *Router) leadOrders(ctx context.Context) {
+	me := r.o.Settings.Name + "@" + r.o.Settings.CallerAddress
+	l := &leader{
+		r: r, lease: weights.NewLease(me, r.o.Settings.OrderLease),
+		plans: map[string]*weights.Plan{}, loading: map[fleet.EndpointID]loadingEngine{},
+	}
+	go l.follow(ctx)
+	for pause.For(ctx, orderTick) == nil {
+		l.step(ctx)
+	}
+}
+
+// follow reads the lease as it changes.
+func (l *leader) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		from := l.lease.Next()
+		l.mu.Unlock()
+		if err := l.readLease(ctx, from, leaseWait); err != nil {
+			_ = pause.For(ctx, maxPause)
+		}
+		_ = pause.For(ctx, leaseEvery)
+	}
+}
+
+func (l *leader) readLease(ctx context.Context, from int64, wait time.Duration) error {
+	call, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	records, end, err := l.r.o.Lease.LeaseRecords(call, from, wait)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if errors.Is(err, ErrHistoryGone) {
+		l.lease.Skip(from + 1)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if len(records) == 0 && end > from {
+		l.lease.Skip(end)
+	}
+	before := l.lease.Holder()
+	news := l.lease.Observe(BootClock(), from, records)
+	if after := l.lease.Holder(); after != before {
+		l.r.log.Info("Lease of orders changed hands.", "holder", after, "offset", l.lease.Next()-1)
+	}
+	l.r.s.news(time.Now(), news)
+	return nil
+}
+
+// step gives the orders that are due.
+func (l *leader) step(ctx context.Context) {
+	behind := l.behind()
+	now := BootClock()
+	if len(behind) == 0 {
+		l.since = 0
+		l.finishLoads(ctx, now)
+		if len(l.told()) > 0 {
+			l.claim(ctx, nil)
+		}
+		return
+	}
+	if l.since == 0 {
+		l.since = now
+		l.wait = time.Duration(float64(contendAfter) * l.r.placer.fraction())
+	}
+	if now-l.since < l.wait || l.r.leaving.Load() {
+		return
+	}
+	l.finishLoads(ctx, now)
+	for model, engines := range behind {
+		l.order(ctx, model, engines)
+	}
+}
+
+// behind lists the engines of each model of which some have older weights than
+// named.
+func (l *leader) behind() map[string][]weights.Engine {
+	out := map[string][]weights.Engine{}
+	for model, n := range l.r.s.namedVersions() {
+		engines := l.r.s.engines(model)
+		if weights.Behind(engines, n.version) > 0 {
+			out[model] = engines
+		}
+	}
+	return out
+}
+
+// order gives the orders of one model.
+func (l *leader) order(ctx context.Context, model string, engines []weights.Engine) {
+	version := l.r.s.namedVersions()[model].version
+	l.mu.Lock()
+	plan := l.plans[model]
+	if plan == nil {
+		plan = weights.NewPlan()
+		l.plans[model] = plan
+	}
+	next := plan.Next(BootClock(), engines, version)
+	renew := l.lease.RenewDue(BootClock())
+	l.mu.Unlock()
+	if len(next) == 0 && !renew && len(l.told()) == 0 {
+		return
+	}
+	// The claim goes first: it proves the lease and tells the other daemons to
+	// send nothing to the engines that are about to load.
+	var news []weights.News
+	for _, e := range next {
+		news = append(news, weights.News{Engine: string(e.Key), Model: model, Version: version, Loading: true})
+	}
+	if !l.claim(ctx, news) {
+		return
+	}
+	l.r.s.news(time.Now(), news)
+	var all sync.WaitGroup
+	for _, e := range next {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			l.orderOne(ctx, plan, e, model, version)
+		}()
+	}
+	all.Wait()
+}
+
+// claim appends a claim of the lease with news for the other daemons.
+func (l *leader) claim(ctx context.Context, news []weights.News) bool {
+	l.mu.Lock()
+	at := l.lease.Next()
+	told := l.untold
+	c, ok := l.lease.Claim(BootClock(), l.r.placer.number(), append(told[:len(told):len(told)], news...))
+	l.mu.Unlock()
+	if !ok {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	err := l.r.o.Lease.AppendLease(call, at, c.Encode())
+	var lost *LostRaceError
+	switch {
+	case err == nil:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.untold = l.untold[len(told):]
+		if l.lease.Next() == at {
+			l.lease.Granted(BootClock())
+		}
+		return l.lease.Held(BootClock())
+	case errors.As(err, &lost):
+		// Somebody was first. Read who.
+		_ = l.readLease(ctx, at, 0)
+	default:
+		// It may have been appended all the same: the read shows it.
+		l.r.log.Warn("Claim of the lease has no answer.", "error", err.Error())
+		_ = l.readLease(ctx, at, 0)
+	}
+	return false
+}
+
+// orderOne asks an engine for its count of orders and orders it.
+func (l *leader) orderOne(ctx context.Context, plan *weights.Plan, e weights.Engine, model string, version int64) {
+	call, cancel := context.WithTimeout(ctx, reportTime)
+	report, err := l.r.o.Engines.Report(call, e.Target, model)
+	cancel()
+	reply := weights.Refused
+	switch {
+	case err != nil:
+		l.r.log.Warn("Engine can't be asked.", "endpoint", e.ID, "error", err.Error())
+	case report.Version >= version:
+		l.done(e, model, report.Version)
+		return
+	case report.Busy:
+		reply = weights.Accepted
+	default:
+		reply = l.send(ctx, e, model, version, report.Orders)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := BootClock()
+	plan.Replied(now, e.Key, version, reply)
+	if reply == weights.Accepted || reply == weights.Unanswered {
+		l.loading[e.Key] = loadingEngine{engine: e, model: model, version: version, until: now + loadingNews}
+	}
+}
+
+// send gives the order if the lease outlives its longest way.
+func (l *leader) send(ctx context.Context, e weights.Engine, model string, version, expected int64) weights.Reply {
+	l.mu.Lock()
+	held, token, me := l.lease.Held(BootClock()), l.lease.Token(), l.lease.Me()
+	l.mu.Unlock()
+	if !held {
+		return weights.Refused
+	}
+	call, cancel := context.WithTimeout(ctx, weights.OrderTime)
+	defer cancel()
+	reply, err := l.r.o.Engines.Order(call, e.Target, weights.Order{
+		Model: model, Version: version, Running: weights.FinishFirst, Holder: me, Token: token, Expected: expected,
+	})
+	fields := []any{"endpoint", e.ID, "model", model, "version", version, "token", token, "expected", expected, "reply", reply.String()}
+	if err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	l.r.log.Info("Order was given.", fields...)
+	l.r.metrics.orders.Inc(1)
+	return reply
+}
+
+// finishLoads asks the engines that load whether they are done.
+func (l *leader) finishLoads(ctx context.Context, now time.Duration) {
+	if now-l.asked < reportEvery {
+		return
+	}
+	l.asked = now
+	var all sync.WaitGroup
+	for _, e := range l.loads(now) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			call, cancel := context.WithTimeout(ctx, reportTime)
+			defer cancel()
+			report, err := l.r.o.Engines.Report(call, e.engine.Target, e.model)
+			if err == nil && !report.Busy && report.Version >= e.version {
+				l.done(e.engine, e.model, report.Version)
+			}
+		}()
+	}
+	all.Wait()
+}
+
+// loads lists the engines that were ordered and are not known to be done.
+func (l *leader) loads(now time.Duration) []loadingEngine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []loadingEngine
+	for key, e := range l.loading {
+		if now > e.until {
+			delete(l.loading, key)
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// told is what the other daemons have not heard yet.
+func (l *leader) told() []weights.News {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.untold
+}
+
+// done takes that an engine has its new weights. The other daemons hear of it
+// with the next claim.
+func (l *leader) done(e weights.Engine, model string, version int64) {
+	news := weights.News{Engine: string(e.Key), Model: model, Version: version}
+	l.mu.Lock()
+	delete(l.loading, e.Key)
+	l.untold = append(l.untold, news)
+	l.mu.Unlock()
+	l.r.log.Info("Engine has its weights.", "endpoint", e.ID, "model", model, "version", version)
+	l.r.s.news(time.Now(), []weights.News{news})
+}
--- /dev/null
+++ b/router/placer.go
@@ -0,0 +1,315 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/health"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
+	"github.com/merlindock/merlindock/retry"
+	"github.com/merlindock/merlindock/routes"
+)
+
+// Weights and times of placing.
+const (
+	// placeTries bounds how often a request is placed anew because the endpoint
+	// that was chosen is on trial with another request.
+	placeTries = 3
+	// waitPart is the part of the time left that a request may be expected to
+	// wait for its first token. Past it the answer would come too late to be
+	// of use, and the work would only delay others.
+	waitPart = 0.8
+	// noEndpointAfter is when to come back if no endpoint may take a request:
+	// a load of weights or a restart takes about that long.
+	noEndpointAfter = 400 * time.Millisecond
+	// minOverloadAfter and maxOverloadAfter bound when to come back to a fleet
+	// that is full. The time is spread between them, so that those turned away
+	// together do not come back together.
+	minOverloadAfter = 200 * time.Millisecond
+	maxOverloadAfter = 900 * time.Millisecond
+	// retryPart is the part of the shared allowance for retries that daemons
+	// use; the rest covers windows that cut bursts differently.
+	retryPart = 0.75
+	// retryBurst is how many retries one daemon may save up. All daemons
+	// together stay within the allowance that does not depend on traffic.
+	retryBurst = 3
+)
+
+// Refusal codes.
+const (
+	codeNoEndpoint = "no_endpoint"
+	codeOverloaded = "overloaded"
+)
+
+// placer implements forward.Placer.
+type placer struct {
+	s      *state
+	clock  func() time.Duration // boot clock
+	old    time.Duration        // Settings.VersionWithin
+	lastID atomic.Uint64
+
+	budgetMu sync.Mutex
+	budget   *retry.Budget
+	rng      *rand.Rand
+}
+
+func newPlacer(s *state, set *Settings, clock func() time.Duration, rng *rand.Rand) *placer {
+	return &placer{s: s, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
+		Fraction: set.RetryRatio * retryPart, Floor: 0.05, Burst: retryBurst, Debt: 1,
+	})}
+}
+
+// First implements forward.Placer.
+func (p *placer) First() {
+	p.budgetMu.Lock()
+	defer p.budgetMu.Unlock()
+	p.budget.Earn(time.Now())
+}
+
+// Failed implements forward.Placer.
+func (p *placer) Failed(r *retry.Request, a retry.Attempt) retry.Decision {
+	p.budgetMu.Lock()
+	defer p.budgetMu.Unlock()
+	return retry.Decide(time.Now(), r, a, p.budget, p.rng)
+}
+
+// Place implements forward.Placer.
+func (p *placer) Place(_ context.Context, w *forward.Work) (forward.Placement, error) {
+	now := time.Now()
+	r := placement.Request{
+		Pool: plainPool(w.Service.Name), Tokens: w.In.PromptTokens, Avoid: w.Avoid,
+		Priority: priorityOf(w.Route.Urgency(w.Organisation)),
+	}
+	version := int64(0)
+	if w.Service.Engine != nil && w.In.Model != "" {
+		var err error
+		if version, err = p.version(now, w); err != nil {
+			return forward.Placement{}, err
+		}
+		r.Pool = modelPool(w.Service.Name, w.In.Model, version)
+		r.Levels = prefix.Chain(seedOf(w, version), w.In.Parts)
+	}
+	d, err := p.choose(now, &r, w.Route.Repeatable())
+	if err != nil {
+		return forward.Placement{}, err
+	}
+	if left := time.Until(w.Deadline); d.ExpectedFirst > time.Duration(waitPart*float64(left)) {
+		p.s.view.Finished(now, r.ID)
+		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
+	}
+	return p.placed(now, w, &r, &d, version), nil
+}
+
+// spread draws a time to come back.
+func (p *placer) spread() time.Duration {
+	return minOverloadAfter + time.Duration(p.fraction()*float64(maxOverloadAfter-minOverloadAfter))
+}
+
+// fraction draws a number from 0 to 1.
+func (p *placer) fraction() float64 {
+	p.budgetMu.Lock()
+	defer p.budgetMu.Unlock()
+	return p.rng.Float64()
+}
+
+// number draws a number that is not drawn again.
+func (p *placer) number() uint64 {
+	p.budgetMu.Lock()
+	defer p.budgetMu.Unlock()
+	return p.rng.Uint64()
+}
+
+// version binds the request to a weight version.
+func (p *placer) version(now time.Time, w *forward.Work) (int64, error) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	if p.s.dirty {
+		p.s.refresh(now)
+	}
+	n := p.s.named[w.In.Model]
+	hash := uint64(0)
+	if len(w.In.Parts) > 0 {
+		hash = hashText(w.In.Parts[0].ID)
+	}
+	engines := p.s.versions[modelKey(w.Service.Name, w.In.Model)]
+	v := chooseVersion(engines, n, n.oldAllowed(p.clock(), p.old), hash)
+	if v == 0 {
+		return 0, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
+	}
+	return v, nil
+}
+
+// choose places the request at an endpoint that may be tried.
+func (p *placer) choose(now time.Time, r *placement.Request, repeatable bool) (placement.Decision, error) {
+	for range placeTries {
+		r.ID = p.lastID.Add(1)
+		d, err := p.s.view.Place(now, *r)
+		switch {
+		case errors.Is(err, placement.ErrNoEndpoint), errors.Is(err, placement.ErrUnknownPool):
+			return d, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
+		case err != nil:
+			return d, err
+		}
+		if p.mayTry(now, d.Endpoint, repeatable) {
+			return d, nil
+		}
+		p.s.view.Finished(now, r.ID)
+		r.Avoid = append(slices.Clone(r.Avoid), d.Endpoint)
+	}
+	return placement.Decision{}, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
+}
+
+// mayTry tells whether the endpoint may have this request: one that is due back
+// after failures is tried by one request at a time.
+func (p *placer) mayTry(now time.Time, key fleet.EndpointID, repeatable bool) bool {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	if p.s.places[key] == nil || now.Before(p.s.resting[key]) {
+		return false
+	}
+	return p.s.health.Status(now, key) != health.Trial || p.s.health.Allow(now, key, repeatable)
+}
+
+// placed fills in what the endpoint is told.
+func (p *placer) placed(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, version int64) forward.Placement {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	e := p.s.places[d.Endpoint]
+	out := forward.Placement{
+		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached,
+		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
+		Out:    forward.Outbound{EndpointID: e.ID, Version: version, Urgency: forward.NoUrgency},
+	}
+	if w.Organisation != nil {
+		out.Out.Organisation = w.Organisation.Name
+	}
+	if version == 0 {
+		return out
+	}
+	out.Out.CacheSalt = salt(w, version)
+	out.Out.Urgency = min(9, 1+2*w.Route.Urgency(w.Organisation))
+	p.moves(now, w, r, d, &out.Out)
+	return out
+}
+
+// moves says where the engine may fetch parts of the prompt, and whether it
+// sends them to the store.
+//
+// To read a long shared part again takes the engine's whole time for over 100
+// ms; to fetch it takes 5 to 25 ms. A fetch of what nobody has costs a
+// millisecond, and an engine fetches only what it lacks.
+func (p *placer) moves(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, out *forward.Outbound) {
+	at := prefix.Affinity(r.Levels)
+	if at < 0 || r.Levels[at].Tokens < worthMoving {
+		return
+	}
+	store := storeOf(w.Table)
+	home := p.s.places[d.Home]
+	switch {
+	case home != nil && d.Home != d.Endpoint && !p.s.unusable(now, d.Home):
+		out.FetchFrom = home.Address
+	case store != "":
+		out.FetchFrom = store
+	}
+	key := r.Levels[at].Key
+	if store != "" && now.Sub(p.s.saved[key]) > savedFor {
+		p.s.saved[key] = now
+		out.SaveTo = store
+	}
+}
+
+// worthMoving is the number of tokens above which a shared part is fetched
+// rather than read: a few hundred are read in the time of a miss.
+const worthMoving = 1000
+
+func storeOf(t *routes.Table) string {
+	for _, s := range t.Services {
+		if s.Store != nil {
+			return s.Store.Address
+		}
+	}
+	return ""
+}
+
+// salt separates cache entries that may never be mixed: those of other weights,
+// and those of an isolated organisation.
+func salt(w *forward.Work, version int64) string {
+	text := "v" + strconv.FormatInt(version, 10)
+	if w.Organisation != nil && w.Organisation.Isolated {
+		text += "/" + w.Organisation.Name
+	}
+	return text
+}
+
+func seedOf(w *forward.Work, version int64) prefix.Seed {
+	seed := prefix.Seed{Model: w.In.Model, Version: strconv.FormatInt(version, 10)}
+	if w.Organisation != nil && w.Organisation.Isolated {
+		seed.Organisation = contract.OrganisationID(w.Organisation.Name)
+	}
+	return seed
+}
+
+// priorityOf maps the operator's ranks to the product's three.
+func priorityOf(urgency int) contract.Priority {
+	return contract.Priority(min(max(urgency, 0), int(contract.PriorityCount)-1))
+}
+
+// Answered implements forward.Placer.
+func (p *placer) Answered(pl *forward.Placement, info *forward.AnswerInfo) {
+	now := time.Now()
+	if info.Load != nil {
+		info.Load.At = now
+	}
+	if !info.NotRun {
+		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: info.Load})
+		return
+	}
+	if info.Load != nil {
+		p.s.view.LoadReported(pl.Target.Key, *info.Load)
+	}
+	p.turnedAway(now, pl, info)
+}
+
+// turnedAway learns from an endpoint that did not run a request: it is another
+// endpoint, has other weights, takes new ones now, or is full.
+func (p *placer) turnedAway(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
+	if info.Misplaced || !full {
+		p.s.rest(now, pl.Target.Key, restAfterRefusal)
+	}
+}
+
+// Ended implements forward.Placer.
+func (p *placer) Ended(pl *forward.Placement, end forward.End) {
+	now := time.Now()
+	if end.Whole || end.Left {
+		p.s.view.Finished(now, pl.ID)
+	} else {
+		p.s.view.Failed(now, placement.Failure{ID: pl.ID, Endpoint: pl.Target.Key})
+	}
+	if end.NotRun || end.Left {
+		return
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	if end.Lost {
+		p.s.health.Failure(now, pl.Target.Key, 0)
+	} else if end.Whole && !end.Error {
+		p.s.health.Success(now, pl.Target.Key, 0, 0)
+	}
+	if p.s.unusable(now, pl.Target.Key) {
+		p.s.view.SetGate(pl.Target.Key, placement.GateEjected)
+	}
+}
--- /dev/null
+++ b/router/report.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/telemetry"
+)
+
+// meters are the daemon's metrics. Labels are bounded: kinds, codes and status
+// classes, never ids.
+type meters struct {
+	all           *telemetry.Metrics
+	scope         tally.Scope
+	storeFailures tally.Counter
+	orders        tally.Counter
+	attempts      tally.Counter
+	duration      tally.Histogram
+	firstEvent    tally.Histogram
+}
+
+func newMeters(m *telemetry.Metrics) *meters {
+	return &meters{
+		all: m, scope: m.Scope,
+		storeFailures: m.Scope.Counter("store_failures"),
+		orders:        m.Scope.Counter("orders"),
+		attempts:      m.Scope.Counter("attempts"),
+		duration:      m.Scope.Histogram("request_seconds", telemetry.Durations()),
+		firstEvent:    m.Scope.Histogram("first_event_seconds", telemetry.Durations()),
+	}
+}
+
+func (m *meters) handler() http.Handler { return m.all.Handler }
+
+func (m *meters) request(rep *forward.Report) {
+	code := rep.Code
+	if code == "" {
+		code = "endpoint"
+	}
+	m.scope.Tagged(map[string]string{
+		"kind": rep.Kind.String(), "code": code, "class": strconv.Itoa(rep.Status/100) + "xx",
+	}).Counter("requests").Inc(1)
+	m.attempts.Inc(int64(len(rep.Attempts)))
+	m.duration.RecordDuration(rep.Duration)
+	if rep.FirstEvent > 0 {
+		m.firstEvent.RecordDuration(rep.FirstEvent)
+	}
+}
+
+// report takes what became of one request.
+func (r *Router) report(rep *forward.Report) {
+	r.metrics.request(rep)
+	fields := []any{
+		"id", rep.ID, "route", rep.Route, "org", rep.Organisation, "status", rep.Status, "code", rep.Code,
+		"ms", rep.Duration.Milliseconds(), "config", rep.TableVersion, "keys_age_ms", rep.KeysAge.Milliseconds(),
+		"limit_ms", rep.Deadline.Milliseconds(),
+	}
+	if rep.FirstEvent > 0 {
+		fields = append(fields, "first_ms", rep.FirstEvent.Milliseconds())
+	}
+	if rep.RetryAfter > 0 {
+		fields = append(fields, "retry_after_ms", rep.RetryAfter.Milliseconds())
+	}
+	for i := range rep.Attempts {
+		fields = append(fields, "attempt", attemptText(&rep.Attempts[i]))
+	}
+	r.log.Info("Request ended.", fields...)
+}
+
+// attemptText is one attempt in a line of a request.
+func attemptText(a *forward.AttemptReport) string {
+	b := make([]byte, 0, 96)
+	b = append(b, a.Endpoint...)
+	b = append(b, ' ')
+	b = append(b, a.Reason...)
+	b = append(b, " v"...)
+	b = strconv.AppendInt(b, a.Version, 10)
+	b = append(b, " wait_ms="...)
+	b = strconv.AppendInt(b, a.Wait.Milliseconds(), 10)
+	b = append(b, " cached="...)
+	b = strconv.AppendInt(b, int64(a.Cached), 10)
+	b = append(b, " end_ms="...)
+	b = strconv.AppendInt(b, int64(a.After/time.Millisecond), 10)
+	b = append(b, ' ')
+	return string(append(b, a.Result...))
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,250 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/internal/pause"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/telemetry"
+	"github.com/merlindock/merlindock/weights"
+)
+
+// Times of the daemon.
+const (
+	// freshPart is the part of Settings.RevokeWithin for which keys are
+	// believed after the read that confirmed them was sent. The rest is for
+	// clocks that run at different rates.
+	freshPart = 0.96
+	// readyPart is the part after which the daemon is not ready any more, so
+	// that callers go elsewhere before their keys can't be confirmed here.
+	readyPart = 0.5
+	// tick is how often beliefs that change with time are looked at.
+	tick = 100 * time.Millisecond
+	// balancerLag is how long the balancer may send new connections after the
+	// daemon is not ready: two questions, a second apart, and one on its way.
+	balancerLag = 2300 * time.Millisecond
+	// idleTick is how often a daemon that stops closes what has fallen idle.
+	idleTick = 20 * time.Millisecond
+	// stopReserve is kept of Settings.StopWithin to end the process.
+	stopReserve = 300 * time.Millisecond
+	// defaultIdle and defaultHeader hold until a configuration names bounds.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 120 * time.Second
+	maxHeader     = 64 << 10
+)
+
+// Options are what a Router needs.
+type Options struct {
+	Settings Settings
+	Store    Store
+	Lease    LeaseLog
+	Codec    Codec
+	Wire     forward.Wire
+	Engines  weights.Engines
+	Logs     *logging.Factory
+	Rand     *rand.Rand // seeded
+	// MetricsPort is where metrics are served at Settings.MetricsHost; 0: nowhere.
+	MetricsPort string
+	ReadyPath   string // of the balancer's question
+}
+
+// Router is one daemon.
+type Router struct {
+	o       Options
+	s       *state
+	placer  *placer
+	client  *forward.Client
+	front   *http.Server
+	callers *forward.Callers
+	log     *logging.Logger
+	metrics *meters
+
+	leaving atomic.Bool
+}
+
+// BootClock reads the clock that runs on while the machine is suspended. The
+// steady clock of the runtime stands still then, and the time of day jumps.
+func BootClock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has had this clock since 2.6.39; without it no key is ever fresh.
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
+
+// New returns a daemon that has not started.
+func New(o Options) *Router {
+	s := newState(o.Settings.Zone, o.Rand)
+	r := &Router{
+		o: o, s: s,
+		placer:  newPlacer(s, &o.Settings, BootClock, o.Rand),
+		client:  forward.NewClient(o.Wire),
+		callers: forward.NewCallers(),
+		log:     o.Logs.For(logging.PartRouter),
+		metrics: newMeters(telemetry.New(o.Settings.Name, string(o.Settings.Zone))),
+	}
+	r.front = &http.Server{
+		Handler: forward.NewHandler(forward.Options{
+			Wire: o.Wire, Client: r.client, Placer: r.placer,
+			Table:     func() *routes.Table { return s.table.Load() },
+			KeysFresh: r.keysFresh,
+			KeysAge:   r.keysAge,
+			Leaving:   r.leaving.Load,
+			Callers:   r.callers,
+			Report:    r.report,
+		}),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ConnContext:       r.callers.Context,
+	}
+	return r
+}
+
+func (r *Router) keysFresh() bool {
+	return r.s.operator.Within(BootClock(), time.Duration(freshPart*float64(r.o.Settings.RevokeWithin)))
+}
+
+func (r *Router) keysAge() time.Duration {
+	age, _ := r.s.operator.Age(BootClock())
+	return age
+}
+
+// ready tells whether the balancer should send new connections.
+func (r *Router) ready() bool {
+	fresh := time.Duration(readyPart * float64(r.o.Settings.RevokeWithin))
+	_, listed := r.s.endpoints.Age(BootClock())
+	return !r.leaving.Load() && r.s.table.Load() != nil && listed && r.s.operator.Within(BootClock(), fresh)
+}
+
+// Run serves until the context ends and then shuts down without cutting a
+// request. It returns an error if the addresses can't be listened on.
+func (r *Router) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp", r.o.Settings.CallerAddress)
+	if err != nil {
+		return eris.Wrap(err, "the callers' address cannot be listened on")
+	}
+	questions, err := net.Listen("tcp", r.o.Settings.ReadyAddress)
+	if err != nil {
+		return eris.Wrap(err, "the balancer's address cannot be listened on")
+	}
+	r.log.Info("Started.", "node", r.o.Settings.Name, "zone", string(r.o.Settings.Zone))
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	go r.followOperator(work)
+	go r.followEndpoints(work)
+	go r.keepTime(work)
+	go r.leadOrders(work)
+	go r.serveReady(questions)
+	if r.o.MetricsPort != "" {
+		go r.serveMetrics()
+	}
+	served := make(chan error, 1)
+	go func() { served <- r.front.Serve(r.callers.Listen(front)) }()
+	select {
+	case err := <-served:
+		return eris.Wrap(err, "callers can no longer be served")
+	case <-ctx.Done():
+	}
+	return r.shutDown(front)
+}
+
+// Reload takes settings that have changed. What was accepted stays in force if
+// they can't be used.
+func (r *Router) Reload(set Settings, err error) {
+	if err != nil {
+		r.log.Error("New settings can't be used, the old ones stay in force.", "error", err.Error())
+		return
+	}
+	r.log.Info("Settings were read again.", "node", set.Name, "store", set.StoreAddress)
+}
+
+// shutDown says not ready, serves on until the balancer has noticed, and then
+// closes connections as they fall idle until none is left.
+func (r *Router) shutDown(front net.Listener) error {
+	began := time.Now()
+	r.leaving.Store(true)
+	r.log.Info("Stopping.")
+	_ = pause.For(context.Background(), balancerLag)
+	// Callers that connect from now on are refused by the kernel and connect
+	// elsewhere.
+	_ = front.Close()
+	end := began.Add(r.o.Settings.StopWithin - stopReserve)
+	left := r.callers.CloseIdle()
+	for left > 0 && time.Now().Before(end) {
+		_ = pause.For(context.Background(), idleTick)
+		left = r.callers.CloseIdle()
+	}
+	r.log.Info("Stopped.", "after_ms", time.Since(began).Milliseconds(), "requests_cut", left)
+	return nil
+}
+
+func (r *Router) serveReady(l net.Listener) {
+	s := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !r.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	if err := s.Serve(l); err != nil {
+		r.log.Error("The balancer's question can no longer be answered.", "error", err.Error())
+	}
+}
+
+func (r *Router) serveMetrics() {
+	address := net.JoinHostPort(r.o.Settings.MetricsHost, r.o.MetricsPort)
+	s := &http.Server{Addr: address, ReadHeaderTimeout: headerTimeout, Handler: r.metrics.handler()}
+	if err := s.ListenAndServe(); err != nil {
+		r.log.Error("Metrics are not served.", "address", address, "error", err.Error())
+	}
+}
+
+// keepTime looks at what changes with time alone.
+func (r *Router) keepTime(ctx context.Context) {
+	wasReady, wasFresh := false, false
+	for n := 0; pause.For(ctx, tick) == nil; n++ {
+		now := time.Now()
+		r.s.mu.Lock()
+		r.s.refresh(now)
+		r.s.mu.Unlock()
+		if ready := r.ready(); ready != wasReady {
+			wasReady = ready
+			r.log.Info("Readiness changed.", "ready", ready, "keys_age_ms", r.keysAge().Milliseconds(), "leaving", r.leaving.Load())
+		}
+		if fresh := r.keysFresh(); fresh != wasFresh {
+			wasFresh = fresh
+			r.log.Info("Belief in keys changed.", "fresh", fresh, "keys_age_ms", r.keysAge().Milliseconds())
+		}
+		if n%10 == 0 {
+			r.everySecond(now)
+		}
+	}
+}
+
+func (r *Router) everySecond(now time.Time) {
+	r.s.view.Expire(now)
+	r.s.mu.Lock()
+	r.s.directory.Expire(now)
+	for key, at := range r.s.saved {
+		if now.Sub(at) > savedFor {
+			delete(r.s.saved, key)
+		}
+	}
+	known := make(map[fleet.EndpointID]bool, len(r.s.places))
+	for key := range r.s.places {
+		known[key] = true
+	}
+	r.s.mu.Unlock()
+	r.client.CloseIdle(func(key fleet.EndpointID) bool { return known[key] })
+}
--- /dev/null
+++ b/router/settings.go
@@ -0,0 +1,41 @@
+// Package router is a daemon whose routes, organisations and endpoints come
+// from a metadata store that operators and endpoints write.
+//
+// It holds what the daemon believes (the configuration in force, the
+// endpoints, weight versions, how fresh all that is), feeds it to the
+// decisions of the product's packages, and serves callers through package
+// forward. What the store's and the wire's names are is known to package
+// platform alone.
+//
+// Locks, in their order: state.mu (table of endpoints, versions, gates), then
+// the locks inside placement.Shared; budgetMu last. None is held while a
+// message is sent.
+package router
+
+import (
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// Settings are what a daemon is told at its start.
+type Settings struct {
+	Name          string // of the VM
+	Zone          fleet.ZoneID
+	CallerAddress string // IP:port for callers
+	ReadyAddress  string // IP:port for the balancer's question
+	StoreAddress  string // IP:port of the metadata store
+	MetricsHost   string
+	MemoryBytes   int64
+	Descriptors   int
+
+	Heartbeat     time.Duration // of endpoints
+	DrainWithin   time.Duration // an endpoint that leaves gets no new work after it
+	StopWithin    time.Duration // from SIGTERM to SIGKILL
+	RevokeWithin  time.Duration // a key that was taken away is refused after it
+	VersionWithin time.Duration // no request begins on older weights after it
+	OrderLease    time.Duration // between the last order of one daemon and the first of another
+	RetryRatio    float64       // retries for each request, over all daemons
+	RetryWindow   time.Duration
+	SharedRetries int // further retries in a window, over all daemons
+}
--- /dev/null
+++ b/router/state.go
@@ -0,0 +1,235 @@
+package router
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/freshness"
+	"github.com/merlindock/merlindock/health"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
+	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/weights"
+)
+
+// Times of the state.
+const (
+	// restAfterRefusal is how long an engine that turned a request away with
+	// room to spare is left alone: it is taking new weights.
+	restAfterRefusal = 400 * time.Millisecond
+	// loadingNews is how long another daemon's word that an engine loads holds.
+	loadingNews = 6 * time.Second
+	// savedFor is how long a part that was sent to the store is taken to be
+	// there without being sent again.
+	savedFor = 12 * time.Second
+)
+
+// state is what a daemon believes.
+type state struct {
+	table     atomic.Pointer[routes.Table]
+	operator  freshness.Confirmed // reads of the operator's topic
+	endpoints freshness.Confirmed
+
+	mu        sync.Mutex
+	directory *directory.Directory
+	named     map[string]named
+	health    *health.Tracker
+	resting   map[fleet.EndpointID]time.Time
+	places    map[fleet.EndpointID]*directory.Endpoint // usable ones
+	versions  map[string]map[int64]int                 // engines by service and model, and version
+	pools     map[string]bool
+	saved     map[prefix.Key]time.Time
+	dirty     bool // some endpoint's version or state changed
+
+	view *placement.Shared
+}
+
+func newState(zone fleet.ZoneID, rng *rand.Rand) *state {
+	return &state{
+		directory: directory.New(),
+		named:     map[string]named{},
+		health:    health.New(health.Options{Rand: rng, Failures: ejectAfter, Ejection: ejectFor, MaxEjection: ejectAtMost}),
+		resting:   map[fleet.EndpointID]time.Time{},
+		places:    map[fleet.EndpointID]*directory.Endpoint{},
+		versions:  map[string]map[int64]int{},
+		pools:     map[string]bool{},
+		saved:     map[prefix.Key]time.Time{},
+		view: placement.NewShared(placement.Options{
+			Zone: zone, PrefillRate: prefillRate, ImportRate: importRate,
+			ImportLatency: importLatency, ReservationTTL: reservationTTL,
+		}),
+	}
+}
+
+// What engines of these fleets do, until their answers tell more.
+const (
+	prefillRate   = 100_000 // tokens/s of one engine, from the sheets of both deployments
+	importRate    = 500_000 // tokens/s from a store whose link carries 44 to 78 Gbit/s
+	importLatency = 5 * time.Millisecond
+	// reservationTTL is above the longest time limit of a route.
+	reservationTTL = 15 * time.Second
+)
+
+// Ejection of endpoints that fail: few failures are enough, as there are others
+// and a wrong ejection costs little.
+const (
+	ejectAfter  = 3
+	ejectFor    = 700 * time.Millisecond
+	ejectAtMost = 4 * time.Second
+)
+
+func plainPool(service string) string { return service }
+
+func modelKey(service, model string) string { return service + "\x00" + model }
+
+func modelPool(service, model string, version int64) string {
+	return modelKey(service, model) + "\x00" + strconv.FormatInt(version, 10)
+}
+
+// refresh rebuilds the pools from the directory. Call it with mu held after
+// each change, and on a tick, as entries that lapsed stop counting with time.
+func (s *state) refresh(now time.Time) {
+	places := map[fleet.EndpointID]*directory.Endpoint{}
+	versions := map[string]map[int64]int{}
+	pools := map[string][]fleet.Endpoint{}
+	var listed []fleet.Endpoint
+	for _, service := range s.directory.Services() {
+		for _, e := range s.directory.Usable(now, service) {
+			places[e.Key] = e
+			member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: service, Address: e.Address, State: fleet.VMLive}
+			listed = append(listed, member)
+			pools[plainPool(service)] = append(pools[plainPool(service)], member)
+			for model, v := range e.Versions {
+				pool := modelPool(service, model, v)
+				pools[pool] = append(pools[pool], member)
+				if !s.unusable(now, e.Key) {
+					key := modelKey(service, model)
+					if versions[key] == nil {
+						versions[key] = map[int64]int{}
+					}
+					versions[key][v]++
+				}
+			}
+		}
+	}
+	s.versions = versions
+	if sameMembers(s.places, places) && !s.dirty {
+		s.regate(now)
+		return
+	}
+	s.dirty = false
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		s.view.SetPool(name, pools[name])
+	}
+	for name := range s.pools {
+		if _, ok := pools[name]; !ok {
+			s.view.SetPool(name, nil)
+		}
+	}
+	s.pools = map[string]bool{}
+	for name := range pools {
+		s.pools[name] = true
+	}
+	s.places = places
+	s.health.Sync(now, listed)
+	s.regate(now)
+}
+
+func sameMembers(a, b map[fleet.EndpointID]*directory.Endpoint) bool {
+	return maps.EqualFunc(a, b, func(x, y *directory.Endpoint) bool { return x == y })
+}
+
+// unusable tells whether an endpoint gets no work for the moment.
+func (s *state) unusable(now time.Time, key fleet.EndpointID) bool {
+	return now.Before(s.resting[key]) || s.health.Status(now, key) == health.Ejected
+}
+
+// regate tells placement which endpoints are out for the moment.
+func (s *state) regate(now time.Time) {
+	for key := range s.places {
+		gate := placement.GateOpen
+		if s.unusable(now, key) {
+			gate = placement.GateEjected
+		}
+		s.view.SetGate(key, gate)
+	}
+	for key, until := range s.resting {
+		if now.After(until) {
+			delete(s.resting, key)
+		}
+	}
+}
+
+// rest leaves an endpoint alone for a while.
+func (s *state) rest(now time.Time, key fleet.EndpointID, d time.Duration) {
+	if until := now.Add(d); until.After(s.resting[key]) {
+		s.resting[key] = until
+	}
+	s.view.SetGate(key, placement.GateEjected)
+}
+
+// learn takes the version that an endpoint was seen to have.
+func (s *state) learn(now time.Time, key fleet.EndpointID, model string, version int64) bool {
+	e := s.places[key]
+	if e == nil || !s.directory.Learn(key, e.ID, model, version) {
+		return false
+	}
+	s.dirty = true
+	s.refresh(now)
+	return true
+}
+
+// news takes what the holder of the order lease tells of engines.
+func (s *state) news(now time.Time, all []weights.News) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range all {
+		key := fleet.EndpointID(n.Engine)
+		e := s.places[key]
+		if e == nil {
+			continue
+		}
+		switch {
+		case n.Loading && e.Versions[n.Model] < n.Version:
+			s.rest(now, key, loadingNews)
+		case !n.Loading:
+			delete(s.resting, key)
+			s.learn(now, key, n.Model, n.Version)
+		}
+	}
+	s.dirty = true
+	s.refresh(now)
+}
+
+// engines lists the engines that serve the model, for the plan of orders.
+func (s *state) engines(model string) []weights.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []weights.Engine
+	for _, e := range s.directory.All() {
+		v, serves := e.Versions[model]
+		if !serves || e.State != directory.Ready {
+			continue
+		}
+		out = append(out, weights.Engine{
+			Target: weights.Target{Key: e.Key, ID: e.ID, Address: e.Address}, Zone: e.Zone, Version: v,
+		})
+	}
+	slices.SortFunc(out, func(a, b weights.Engine) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// namedVersions copies what the operator named.
+func (s *state) namedVersions() map[string]named {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.named)
+}
--- /dev/null
+++ b/weights/lease.go
@@ -0,0 +1,148 @@
+package weights
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Times of the lease.
+const (
+	// Span is how long a record of the lease lets its holder give orders,
+	// counted from when the holder sent it.
+	Span = 2500 * time.Millisecond
+	// RenewAfter is the age at which a holder with work left renews.
+	RenewAfter = 1200 * time.Millisecond
+	// OrderTime bounds the time from the check of the lease to the arrival of
+	// the order, which is the timeout of the call.
+	OrderTime = 800 * time.Millisecond
+	// clockSlack covers clocks that run at slightly different rates.
+	clockSlack = 100 * time.Millisecond
+)
+
+// Claim is the record of one term or renewal in the log.
+type Claim struct {
+	Holder string `json:"holder"`
+	Nonce  uint64 `json:"nonce"` // tells the holder its own record after a lost answer
+	News   []News `json:"news,omitempty"`
+}
+
+// News is what the holder tells the other daemons of an engine it orders. They
+// would otherwise learn of a load from requests that the engine turns away, and
+// of its end from the engine's next heartbeat.
+type News struct {
+	Engine  string `json:"engine"` // fleet.EndpointID
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	Loading bool   `json:"loading"` // it is about to take the version; else it has it
+}
+
+// Encode returns the record of the claim.
+func (c Claim) Encode() []byte {
+	b, _ := json.Marshal(c) // strings and numbers always encode
+	return b
+}
+
+// Lease is one daemon's view of who may give orders. It is not safe for
+// concurrent use.
+//
+// The log orders the claims: a claim is appended only where its sender knows
+// the end, so of two daemons that claim at once one is refused. A holder counts
+// its time from when it sent the claim, everyone else from when they first saw
+// it, which is later. Nobody takes over before the holder's last order must have
+// arrived and the pause after it has passed.
+type Lease struct {
+	me    string
+	pause time.Duration // between the last order of one holder and the first of the next
+
+	next    int64 // offset of the next record
+	last    Claim
+	some    bool
+	seen    time.Duration // when the last claim was first read
+	granted time.Duration // when this daemon's newest claim was sent
+	mine    bool
+	token   int64
+
+	pending  Claim // sent, perhaps without an answer
+	sentAt   time.Duration
+	inFlight bool
+}
+
+// NewLease returns the lease of a daemon with the given name, which must differ
+// between machines and not between processes of one machine.
+func NewLease(me string, pause time.Duration) *Lease { return &Lease{me: me, pause: pause} }
+
+// Me is the name that the daemon claims under.
+func (l *Lease) Me() string { return l.me }
+
+// Next is the offset to read from and to append at.
+func (l *Lease) Next() int64 { return l.next }
+
+// Observe takes records that begin at the offset, and returns their news.
+func (l *Lease) Observe(now time.Duration, from int64, records [][]byte) []News {
+	var news []News
+	for i, r := range records {
+		at := from + int64(i)
+		if at < l.next {
+			continue
+		}
+		l.next = at + 1
+		var c Claim
+		if json.Unmarshal(r, &c) != nil || c.Holder == "" {
+			// A record nobody here wrote still has an unknown holder: wait for it.
+			c = Claim{}
+		}
+		l.take(now, at, c)
+		news = append(news, c.News...)
+	}
+	return news
+}
+
+func (l *Lease) take(now time.Duration, at int64, c Claim) {
+	l.last, l.some, l.seen = c, true, now
+	if c.Holder == l.me && l.inFlight && c.Nonce == l.pending.Nonce {
+		l.granted, l.inFlight = l.sentAt, false
+		if !l.mine {
+			l.token = at + 1
+		}
+		l.mine = true
+		return
+	}
+	l.mine = false
+}
+
+// Skip moves on to the offset that the log still holds.
+func (l *Lease) Skip(to int64) { l.next = max(l.next, to) }
+
+// Claim returns the record to append at Next, and false while another daemon
+// may still give orders.
+func (l *Lease) Claim(now time.Duration, nonce uint64, news []News) (Claim, bool) {
+	if l.some && l.last.Holder != l.me && now < l.seen+Span+l.pause+clockSlack {
+		return Claim{}, false
+	}
+	l.pending, l.sentAt, l.inFlight = Claim{Holder: l.me, Nonce: nonce, News: news}, now, true
+	return l.pending, true
+}
+
+// Granted takes that the pending claim was appended where it was meant to.
+func (l *Lease) Granted(now time.Duration) {
+	if l.inFlight {
+		l.take(now, l.next, l.pending)
+		l.next++
+	}
+}
+
+// Held tells whether the daemon holds the lease well enough for an order now.
+func (l *Lease) Held(now time.Duration) bool {
+	return l.mine && now+OrderTime < l.granted+Span
+}
+
+// RenewDue tells whether a holder with work left should renew.
+func (l *Lease) RenewDue(now time.Duration) bool {
+	return !l.mine || now-l.granted >= RenewAfter
+}
+
+// Token is the fencing token of the present term. It grows with every term.
+func (l *Lease) Token() int64 { return l.token }
+
+// Holder names the daemon of the newest claim.
+func (l *Lease) Holder() string { return l.last.Holder }
