Trial: part the engines between short and long prompts

Cause: a quarter of the short prompts missed their objective of 300 ms although the engines had free slots; they wait behind the pieces of long prompts.

Change: each pool of engines is split by the measured work of both kinds; either spills over when its own part is full.

--- /dev/null
+++ b/router/lanes.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// Bounds of the split between short and long prompts.
+const (
+	// shortTokens is the longest prompt of the short lane: one that an engine
+	// reads in a single piece.
+	shortTokens = 2048
+	// splitFrom is the number of engines from which a pool is split; of two,
+	// one alone would often be too few for either kind.
+	splitFrom = 3
+	// mostShort is the largest part of a pool that the short lane takes.
+	mostShort = 0.5
+	// workMemory is the time over which the two kinds of work are compared.
+	workMemory = 8 * time.Second
+	// splitStep is the change of the short part below which the split stays.
+	// Each change moves the homes of some prefixes.
+	splitStep = 0.04
+	// firstShort is the part before anything was seen.
+	firstShort = 0.2
+)
+
+// lane is the kind of engines that a prompt goes to.
+type lane uint8
+
+const (
+	laneLong lane = iota
+	laneShort
+	laneCount
+)
+
+var laneNames = [laneCount]string{"long", "short"}
+
+func laneOf(promptTokens int) lane {
+	if promptTokens > 0 && promptTokens <= shortTokens {
+		return laneShort
+	}
+	return laneLong
+}
+
+// laneSplit keeps how the work divides into short and long prompts.
+//
+// An engine reads a long prompt in pieces between the tokens of all others, so
+// a short prompt that meets one waits several times its own reading time, and
+// pauses in its stream grow. The pattern: many short prompts with a tight
+// objective among a few that are forty times as long. The engines are therefore
+// parted in proportion to the work of each kind; either kind spills over when
+// its own part is full.
+type laneSplit struct {
+	work [laneCount]float64 // engine-seconds, fading
+	at   time.Time
+	part float64 // of the engines for short prompts; 0: not set yet
+}
+
+// seen adds a request's work in engine-seconds.
+func (l *laneSplit) seen(now time.Time, in lane, work float64) {
+	if fade := math.Exp(-now.Sub(l.at).Seconds() / workMemory.Seconds()); fade < 1 {
+		for i := range l.work {
+			l.work[i] *= fade
+		}
+		l.at = now
+	}
+	l.work[in] += work
+}
+
+// short returns the part of the engines for short prompts.
+func (l *laneSplit) short() float64 {
+	part := firstShort
+	if all := l.work[laneShort] + l.work[laneLong]; all > 0 {
+		part = min(mostShort, l.work[laneShort]/all)
+	}
+	if l.part == 0 || math.Abs(part-l.part) > splitStep {
+		l.part = part
+	}
+	return l.part
+}
+
+// workOf estimates the engine-seconds of a request: the time in which its
+// prompt is read, which the engine does for one at a time, and its part of the
+// batch while it generates.
+func workOf(promptTokens, outputTokens, slots int) float64 {
+	read := float64(promptTokens) / prefillRate
+	return read + float64(outputTokens)*stepSeconds/float64(max(slots, 1))
+}
+
+// stepSeconds is the time of one output token in a batch that is partly full,
+// from the sheets of both deployments.
+const stepSeconds = 0.0045
+
+// split parts the members of a pool. All daemons put the engines in the same
+// order, so that they agree but for the last place.
+func split(members []fleet.Endpoint, part float64) (short, long []fleet.Endpoint) {
+	n := len(members)
+	if n < splitFrom {
+		return members, members
+	}
+	ordered := slices.Clone(members)
+	slices.SortFunc(ordered, func(a, b fleet.Endpoint) int {
+		return cmp.Or(cmp.Compare(laneHash(a.ID), laneHash(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	k := min(max(int(math.Round(part*float64(n))), 1), n-1)
+	return ordered[:k], ordered[k:]
+}
+
+func laneHash(id fleet.EndpointID) uint64 { return xxhash.Sum64String("lane/" + string(id)) }
--- a/router/placer.go
+++ b/router/placer.go
@@ -96,8 +96,7 @@
 		if version, err = p.version(now, w); err != nil {
 			return forward.Placement{}, err
 		}
-		r.Pool = modelPool(w.Service.Name, w.In.Model, version)
-		r.Levels = prefix.Chain(seedOf(w, version), w.In.Parts)
+		return p.placeModel(now, w, &r, version)
 	}
 	d, err := p.choose(now, &r, w.Route.Repeatable())
 	if err != nil {
@@ -110,6 +109,48 @@
 	return p.placed(now, w, &r, &d, version), nil
 }
 
+// placeModel places a request at an engine of its lane, or of the other one if
+// its own can't take it in time.
+func (p *placer) placeModel(now time.Time, w *forward.Work, r *placement.Request, version int64) (forward.Placement, error) {
+	in := laneOf(w.In.PromptTokens)
+	if in == laneLong {
+		r.Levels = prefix.Chain(seedOf(w, version), w.In.Parts)
+	}
+	r.Pool = modelPool(w.Service.Name, w.In.Model, version, in)
+	d, err := p.choose(now, r, w.Route.Repeatable())
+	if err != nil || d.ExpectedFirst > time.Duration(spillPart*float64(w.Route.Target)) {
+		if err == nil {
+			p.s.view.Finished(now, r.ID)
+		}
+		own, ownErr := *r, err
+		r.Pool = modelPool(w.Service.Name, w.In.Model, version, laneCount-1-in)
+		other, otherErr := p.choose(now, r, w.Route.Repeatable())
+		switch {
+		case otherErr != nil && ownErr != nil:
+			return forward.Placement{}, ownErr
+		case otherErr != nil || (ownErr == nil && d.ExpectedFirst <= other.ExpectedFirst):
+			if otherErr == nil {
+				p.s.view.Finished(now, r.ID)
+			}
+			*r = own
+			if d, err = p.choose(now, r, w.Route.Repeatable()); err != nil {
+				return forward.Placement{}, err
+			}
+		default:
+			d = other
+		}
+	}
+	if left := time.Until(w.Deadline); d.ExpectedFirst > time.Duration(waitPart*float64(left)) {
+		p.s.view.Finished(now, r.ID)
+		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
+	}
+	return p.placed(now, w, r, &d, version), nil
+}
+
+// spillPart is the part of the objective that a request may be expected to wait
+// in its own lane before the other one is weighed.
+const spillPart = 0.5
+
 // spread draws a time to come back.
 func (p *placer) spread() time.Duration {
 	return minOverloadAfter + time.Duration(p.fraction()*float64(maxOverloadAfter-minOverloadAfter))
@@ -141,6 +182,7 @@
 	if len(w.In.Parts) > 0 {
 		hash = hashText(w.In.Parts[0].ID)
 	}
+	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
 	engines := p.s.versions[modelKey(w.Service.Name, w.In.Model)]
 	v := chooseVersion(engines, n, n.oldAllowed(p.clock(), p.old), hash)
 	if v == 0 {
--- a/router/state.go
+++ b/router/state.go
@@ -47,7 +47,9 @@
 	versions  map[string]map[int64]int                 // engines by service and model, and version
 	pools     map[string]bool
 	saved     map[prefix.Key]time.Time
-	dirty     bool // some endpoint's version or state changed
+	lanes     laneSplit
+	part      float64 // of the engines for short prompts, as the pools have it
+	dirty     bool    // some endpoint's version or state changed
 
 	view *placement.Shared
 }
@@ -90,8 +92,14 @@
 
 func modelKey(service, model string) string { return service + "\x00" + model }
 
-func modelPool(service, model string, version int64) string {
-	return modelKey(service, model) + "\x00" + strconv.FormatInt(version, 10)
+func modelPool(service, model string, version int64, l lane) string {
+	return modelKey(service, model) + "\x00" + strconv.FormatInt(version, 10) + "\x00" + laneNames[l]
+}
+
+// versionKey names the engines that have one version of a model.
+type versionKey struct {
+	service, model string
+	version        int64
 }
 
 // refresh rebuilds the pools from the directory. Call it with mu held after
@@ -100,6 +108,7 @@
 	places := map[fleet.EndpointID]*directory.Endpoint{}
 	versions := map[string]map[int64]int{}
 	pools := map[string][]fleet.Endpoint{}
+	engines := map[versionKey][]fleet.Endpoint{}
 	var listed []fleet.Endpoint
 	for _, service := range s.directory.Services() {
 		for _, e := range s.directory.Usable(now, service) {
@@ -108,8 +117,8 @@
 			listed = append(listed, member)
 			pools[plainPool(service)] = append(pools[plainPool(service)], member)
 			for model, v := range e.Versions {
-				pool := modelPool(service, model, v)
-				pools[pool] = append(pools[pool], member)
+				key := versionKey{service, model, v}
+				engines[key] = append(engines[key], member)
 				if !s.unusable(now, e.Key) {
 					key := modelKey(service, model)
 					if versions[key] == nil {
@@ -120,6 +129,15 @@
 			}
 		}
 	}
+	part := s.lanes.short()
+	for key, members := range engines {
+		short, long := split(members, part)
+		pools[modelPool(key.service, key.model, key.version, laneShort)] = short
+		pools[modelPool(key.service, key.model, key.version, laneLong)] = long
+	}
+	if part != s.part {
+		s.part, s.dirty = part, true
+	}
 	s.versions = versions
 	if sameMembers(s.places, places) && !s.dirty {
 		s.regate(now)
