--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -19,6 +19,7 @@
 	c.report.Attempts = append(c.report.Attempts, AttemptReport{
 		Endpoint: string(p.Target.Key), Reason: p.Reason, Version: p.Out.Version,
 		Wait: p.Wait, Cached: p.Cached, LoadAge: p.Age,
+		Prefix: p.Prefix, Fetch: p.Out.FetchFrom, Saved: p.Out.SaveTo != "",
 	})
 	end := End{Left: true}
 	defer func() {
@@ -41,6 +42,7 @@
 		end = End{Failure: failure, Lost: true}
 		return false, retry.Attempt{Endpoint: p.Target.Key, Failure: failure}
 	}
+	c.report.Attempts[len(c.report.Attempts)-1].Load = a.Info.Load
 	c.o.Placer.Answered(p, &a.Info)
 	end = c.take(a)
 	return end.Whole, retry.Attempt{Endpoint: p.Target.Key, Failure: end.Failure}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -57,6 +57,8 @@
 	Out    Outbound // without the remaining time and the last event
 	Reason string
 	Wait   time.Duration // expected until the first token
+	Prefix string        // shared part that decided
+	Lane   int           // kind of engines, the placer's own number
 	Cached int           // prompt tokens expected in the endpoint's cache
 	Age    time.Duration // of what the endpoint last said of its load
 }
@@ -132,6 +134,10 @@
 	Wait     time.Duration // expected
 	LoadAge  time.Duration
 	Cached   int
+	Prefix   string      // shared part that decided the place
+	Fetch    string      // IP:port it was fetched from
+	Saved    bool        // it was sent to the store
+	Load     *fleet.Load // that the answer told; nil: none
 	Result   string
 	After    time.Duration // from the request's arrival to the attempt's end
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -264,8 +264,8 @@
 		ExpectedFirst: seconds(best.wait + best.compute + v.travel(best)),
 		Reason:        reason,
 	}
-	if home != nil && home.homeCount > 0 {
-		d.Home = v.endpoints[home.homes[0]].id
+	if home != nil {
+		d.Peer = v.peer(home, best.endpoint)
 	}
 	if best.cached > 0 {
 		d.Incarnation = e.incarnation
@@ -286,6 +286,16 @@
 	return d, int(m.tokens - best.expected)
 }
 
+// peer is the first home of the prefix other than the endpoint, "" if none.
+func (v *View) peer(home *entry, endpoint int32) fleet.EndpointID {
+	for _, h := range home.homes[:home.homeCount] {
+		if h != endpoint {
+			return v.endpoints[h].id
+		}
+	}
+	return ""
+}
+
 // costModel is what all candidates of one request have in common.
 type costModel struct {
 	priority contract.Priority
@@ -356,7 +366,7 @@
 		each = max(each, v.service/float64(slots))
 	}
 	busy := t.heatNow(now) * float64(v.o.Daemons) * each
-	return min(t.homeCount, 1+int32(busy/homeShare))
+	return min(t.homeCount, max(1+int32(busy/homeShare), int32(v.o.MinHomes)))
 }
 
 // arrivals estimates the requests/s that the endpoint begins, by those that it
@@ -383,7 +393,7 @@
 	if over := e.load.Running + e.load.Waiting + e.queued + 1 - e.load.Slots; e.load.Slots > 0 && over > 0 {
 		wait += float64(over) * v.service / float64(e.load.Slots)
 	}
-	return wait
+	return wait + float64(e.load.Running+e.queued)*v.o.BusyWait.Seconds()
 }
 
 // ahead is the part of the reported queue that a request of the priority waits
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,6 +58,14 @@
 	ZoneDelay     time.Duration // one way between two zones
 	CacheLife     time.Duration // first guess of how long an idle cache entry stays
 
+	// MinHomes is how many homes each prefix has at least; 0: 1. With two, a
+	// prefix goes to the one with less to do, and is fetched from the other.
+	MinHomes int
+	// BusyWait is how much longer a request waits for each request that the
+	// endpoint has running, at the prefill rate of one endpoint. Other daemons'
+	// prompts that are being read show only as running.
+	BusyWait time.Duration
+
 	ReservationTTL  time.Duration // after which an unanswered reservation is dropped
 	MaxPrefixes     int
 	MaxReservations int
@@ -116,7 +124,7 @@
 	ExpectedWait   time.Duration     // in its queue
 	ExpectedFirst  time.Duration     // until the first token
 	ImportFrom     fleet.EndpointID  // KV store to import from; empty: none
-	Home           fleet.EndpointID  // first in the rendezvous order of the prefix; empty: no prefix
+	Peer           fleet.EndpointID  // another endpoint likely to hold the prefix: its first home but this one
 	Reason         Reason
 }
 
--- a/router/lanes.go
+++ b/router/lanes.go
@@ -26,6 +26,8 @@
 	// splitStep is the change of the short part below which the split stays.
 	// Each change moves the homes of some prefixes.
 	splitStep = 0.04
+	// meanGain is the weight of one prompt in the mean length.
+	meanGain = 0.02
 	// firstShort is the part before anything was seen.
 	firstShort = 0.2
 )
@@ -58,12 +60,14 @@
 // its own part is full.
 type laneSplit struct {
 	work [laneCount]float64 // engine-seconds, fading
+	mean [laneCount]float64 // tokens of a prompt, smoothed
 	at   time.Time
 	part float64 // of the engines for short prompts; 0: not set yet
 }
 
 // seen adds a request's work in engine-seconds.
-func (l *laneSplit) seen(now time.Time, in lane, work float64) {
+func (l *laneSplit) seen(now time.Time, in lane, tokens int, work float64) {
+	l.mean[in] += meanGain * (float64(tokens) - l.mean[in])
 	if fade := math.Exp(-now.Sub(l.at).Seconds() / workMemory.Seconds()); fade < 1 {
 		for i := range l.work {
 			l.work[i] *= fade
--- a/router/placer.go
+++ b/router/placer.go
@@ -118,7 +118,9 @@
 	}
 	r.Pool = modelPool(w.Service.Name, w.In.Model, version, in)
 	d, err := p.choose(now, r, w.Route.Repeatable())
-	if err != nil || d.ExpectedFirst > time.Duration(spillPart*float64(w.Route.Target)) {
+	// A long prompt goes among the short ones only if its own engines are all
+	// out: it would hold up dozens of them.
+	if err != nil || (in == laneShort && d.ExpectedWait > time.Duration(spillPart*float64(w.Route.Target))) {
 		if err == nil {
 			p.s.view.Finished(now, r.ID)
 		}
@@ -128,7 +130,7 @@
 		switch {
 		case otherErr != nil && ownErr != nil:
 			return forward.Placement{}, ownErr
-		case otherErr != nil || (ownErr == nil && d.ExpectedFirst <= other.ExpectedFirst):
+		case otherErr != nil || (ownErr == nil && d.ExpectedWait <= other.ExpectedWait):
 			if otherErr == nil {
 				p.s.view.Finished(now, r.ID)
 			}
@@ -140,13 +142,19 @@
 			d = other
 		}
 	}
-	if left := time.Until(w.Deadline); d.ExpectedFirst > time.Duration(waitPart*float64(left)) {
+	if d.ExpectedWait > time.Duration(refusePart*float64(w.Route.Target)) {
 		p.s.view.Finished(now, r.ID)
 		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
 	}
 	return p.placed(now, w, r, &d, version), nil
 }
 
+// refusePart is the part of the objective that a request may be expected to
+// wait before its prompt is read. Past it the answer would be late, take as much
+// of the engine as one in time, and make the next one late. The time of reading
+// the prompt itself does not count: the longest prompts would never be served.
+const refusePart = 1.5
+
 // spillPart is the part of the objective that a request may be expected to wait
 // in its own lane before the other one is weighed.
 const spillPart = 0.5
@@ -182,7 +190,7 @@
 	if len(w.In.Parts) > 0 {
 		hash = hashText(w.In.Parts[0].ID)
 	}
-	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
+	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
 	engines := p.s.versions[modelKey(w.Service.Name, w.In.Model)]
 	v := chooseVersion(engines, n, n.oldAllowed(p.clock(), p.old), hash)
 	if v == 0 {
@@ -238,8 +246,12 @@
 	if version == 0 {
 		return out
 	}
+	out.Lane = int(laneOf(w.In.PromptTokens))
 	out.Out.CacheSalt = salt(w, version)
 	out.Out.Urgency = min(9, 1+2*w.Route.Urgency(w.Organisation))
+	if at := prefix.Affinity(r.Levels); at >= 0 {
+		out.Prefix = r.Levels[at].Key.String()[:prefixDigits]
+	}
 	p.moves(now, w, r, d, &out.Out)
 	return out
 }
@@ -256,20 +268,32 @@
 		return
 	}
 	store := storeOf(w.Table)
-	home := p.s.places[d.Home]
+	peer := p.s.places[d.Peer]
+	key := r.Levels[at].Key
 	switch {
-	case home != nil && d.Home != d.Endpoint && !p.s.unusable(now, d.Home):
-		out.FetchFrom = home.Address
+	case peer != nil && !p.s.unusable(now, d.Peer) && (d.Reason == placement.ReasonSpill):
+		out.FetchFrom = peer.Address
 	case store != "":
 		out.FetchFrom = store
 	}
-	key := r.Levels[at].Key
-	if store != "" && now.Sub(p.s.saved[key]) > savedFor {
+	p.s.seen[key] = now
+	if store != "" && now.Sub(p.s.saved[key]) > savedFor && p.fraction() < savePart {
 		p.s.saved[key] = now
 		out.SaveTo = store
 	}
 }
 
+// savePart is the part of the reads that are sent to the store. All daemons
+// together would otherwise send each prompt several times, and the store's link
+// carries less than the engines read.
+const savePart = 1.0
+
+// engineLife is how long a part stays in an engine's memory under load.
+const engineLife = 4 * time.Second
+
+// prefixDigits name a prefix in logs.
+const prefixDigits = 8
+
 // worthMoving is the number of tokens above which a shared part is fetched
 // rather than read: a few hundred are read in the time of a miss.
 const worthMoving = 1000
@@ -311,6 +335,7 @@
 	now := time.Now()
 	if info.Load != nil {
 		info.Load.At = now
+		info.Load.WaitingTokens = int(float64(info.Load.Waiting) * p.meanTokens(pl.Lane))
 	}
 	if !info.NotRun {
 		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: info.Load})
@@ -322,6 +347,14 @@
 	p.turnedAway(now, pl, info)
 }
 
+// meanTokens is the mean length of the prompts that this daemon places in the
+// lane. Engines tell how many requests wait, not how long they are.
+func (p *placer) meanTokens(lane int) float64 {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	return p.s.lanes.mean[lane]
+}
+
 // turnedAway learns from an endpoint that did not run a request: it is another
 // endpoint, has other weights, takes new ones now, or is full.
 func (p *placer) turnedAway(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
--- a/router/report.go
+++ b/router/report.go
@@ -83,6 +83,23 @@
 	b = strconv.AppendInt(b, a.Wait.Milliseconds(), 10)
 	b = append(b, " cached="...)
 	b = strconv.AppendInt(b, int64(a.Cached), 10)
+	if a.Prefix != "" {
+		b = append(b, " prefix="...)
+		b = append(b, a.Prefix...)
+	}
+	if a.Fetch != "" {
+		b = append(b, " fetch="...)
+		b = append(b, a.Fetch...)
+	}
+	if a.Saved {
+		b = append(b, " saved"...)
+	}
+	if l := a.Load; l != nil {
+		b = append(b, " load="...)
+		b = strconv.AppendInt(b, int64(l.Running), 10)
+		b = append(b, '+')
+		b = strconv.AppendInt(b, int64(l.Waiting), 10)
+	}
 	b = append(b, " end_ms="...)
 	b = strconv.AppendInt(b, int64(a.After/time.Millisecond), 10)
 	b = append(b, ' ')
--- a/router/state.go
+++ b/router/state.go
@@ -46,7 +46,8 @@
 	places    map[fleet.EndpointID]*directory.Endpoint // usable ones
 	versions  map[string]map[int64]int                 // engines by service and model, and version
 	pools     map[string]bool
-	saved     map[prefix.Key]time.Time
+	saved     map[prefix.Key]time.Time // when a part was sent to the store
+	seen      map[prefix.Key]time.Time // when a part was last asked for here
 	lanes     laneSplit
 	part      float64 // of the engines for short prompts, as the pools have it
 	dirty     bool    // some endpoint's version or state changed
@@ -64,18 +65,23 @@
 		versions:  map[string]map[int64]int{},
 		pools:     map[string]bool{},
 		saved:     map[prefix.Key]time.Time{},
+		seen:      map[prefix.Key]time.Time{},
 		view: placement.NewShared(placement.Options{
 			Zone: zone, PrefillRate: prefillRate, ImportRate: importRate,
 			ImportLatency: importLatency, ReservationTTL: reservationTTL,
+			MinHomes: 2, BusyWait: busyWait,
 		}),
 	}
 }
 
 // What engines of these fleets do, until their answers tell more.
 const (
-	prefillRate   = 100_000 // tokens/s of one engine, from the sheets of both deployments
+	prefillRate   = 80_000  // tokens/s of one engine that generates for others as well, measured on both deployments
 	importRate    = 500_000 // tokens/s from a store whose link carries 44 to 78 Gbit/s
 	importLatency = 5 * time.Millisecond
+	// busyWait is what each request that an engine has running adds to the wait
+	// of the next.
+	busyWait = 0 * time.Millisecond
 	// reservationTTL is above the longest time limit of a route.
 	reservationTTL = 15 * time.Second
 )
