--- a/router/lanes.go
+++ b/router/lanes.go
@@ -16,9 +16,6 @@
 	// shortTokens is the longest prompt of the short lane: one that an engine
 	// reads in a single piece.
 	shortTokens = 2048
-	// splitFrom is the number of engines from which a pool is split; of two,
-	// one alone would often be too few for either kind.
-	splitFrom = 3
 	// mostShort is the largest part of a pool that the short lane takes.
 	mostShort = 0.5
 	// workMemory is the time over which the two kinds of work are compared.
@@ -102,17 +99,19 @@
 const stepSeconds = 0.0045
 
 // split parts the members of a pool. All daemons put the engines in the same
-// order, so that they agree but for the last place.
-func split(members []fleet.Endpoint, part float64) (short, long []fleet.Endpoint) {
+// order, so that they agree but for the last place. A single engine is for
+// short prompts, which take little of it; alone says that there is no other
+// engine, so that it has to serve both.
+func split(members []fleet.Endpoint, part float64, alone bool) (short, long []fleet.Endpoint) {
 	n := len(members)
-	if n < splitFrom {
+	if n == 1 && alone {
 		return members, members
 	}
 	ordered := slices.Clone(members)
 	slices.SortFunc(ordered, func(a, b fleet.Endpoint) int {
 		return cmp.Or(cmp.Compare(laneHash(a.ID), laneHash(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	k := min(max(int(math.Round(part*float64(n))), 1), n-1)
+	k := max(int(math.Round(part*float64(n))), 1)
 	return ordered[:k], ordered[k:]
 }
 
--- a/router/placer.go
+++ b/router/placer.go
@@ -190,8 +190,9 @@
 	if len(w.In.Parts) > 0 {
 		hash = hashText(w.In.Parts[0].ID)
 	}
-	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
-	engines := p.s.versions[modelKey(w.Service.Name, w.In.Model)]
+	in := laneOf(w.In.PromptTokens)
+	p.s.lanes.seen(now, in, w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
+	engines := p.s.versions[laneKey(modelKey(w.Service.Name, w.In.Model), in)]
 	v := chooseVersion(engines, n, n.oldAllowed(p.clock(), p.old), hash)
 	if v == 0 {
 		return 0, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
@@ -379,6 +380,10 @@
 	}
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
+	if end.Lost && end.Failure == retry.NotSent {
+		// Nobody is there at all: nothing speaks for trying once more soon.
+		p.s.rest(now, pl.Target.Key, restUnreachable)
+	}
 	if end.Lost {
 		p.s.health.Failure(now, pl.Target.Key, 0)
 	} else if end.Whole && !end.Error {
--- a/router/state.go
+++ b/router/state.go
@@ -25,6 +25,9 @@
 	// restAfterRefusal is how long an engine that turned a request away with
 	// room to spare is left alone: it is taking new weights.
 	restAfterRefusal = 400 * time.Millisecond
+	// restUnreachable is how long an endpoint that takes no connection is left
+	// alone. A crash lasts a second or more.
+	restUnreachable = 800 * time.Millisecond
 	// loadingNews is how long another daemon's word that an engine loads holds.
 	loadingNews = 6 * time.Second
 	// savedFor is how long a part that was sent to the store is taken to be
@@ -44,12 +47,13 @@
 	health    *health.Tracker
 	resting   map[fleet.EndpointID]time.Time
 	places    map[fleet.EndpointID]*directory.Endpoint // usable ones
-	versions  map[string]map[int64]int                 // engines by service and model, and version
+	versions  map[string]map[int64]int                 // usable engines by laneKey and version
 	pools     map[string]bool
 	saved     map[prefix.Key]time.Time // when a part was sent to the store
 	seen      map[prefix.Key]time.Time // when a part was last asked for here
 	lanes     laneSplit
 	part      float64 // of the engines for short prompts, as the pools have it
+	usable    int     // engines that were neither resting nor ejected then
 	dirty     bool    // some endpoint's version or state changed
 
 	view *placement.Shared
@@ -98,6 +102,8 @@
 
 func modelKey(service, model string) string { return service + "\x00" + model }
 
+func laneKey(model string, l lane) string { return model + "\x00" + laneNames[l] }
+
 func modelPool(service, model string, version int64, l lane) string {
 	return modelKey(service, model) + "\x00" + strconv.FormatInt(version, 10) + "\x00" + laneNames[l]
 }
@@ -114,7 +120,8 @@
 	places := map[fleet.EndpointID]*directory.Endpoint{}
 	versions := map[string]map[int64]int{}
 	pools := map[string][]fleet.Endpoint{}
-	engines := map[versionKey][]fleet.Endpoint{}
+	engines, out := map[versionKey][]fleet.Endpoint{}, map[versionKey][]fleet.Endpoint{}
+	all := map[string]int{}
 	var listed []fleet.Endpoint
 	for _, service := range s.directory.Services() {
 		for _, e := range s.directory.Usable(now, service) {
@@ -124,25 +131,35 @@
 			pools[plainPool(service)] = append(pools[plainPool(service)], member)
 			for model, v := range e.Versions {
 				key := versionKey{service, model, v}
-				engines[key] = append(engines[key], member)
-				if !s.unusable(now, e.Key) {
-					key := modelKey(service, model)
-					if versions[key] == nil {
-						versions[key] = map[int64]int{}
-					}
-					versions[key][v]++
+				all[modelKey(service, model)]++
+				if s.unusable(now, e.Key) {
+					out[key] = append(out[key], member)
+				} else {
+					engines[key] = append(engines[key], member)
 				}
 			}
 		}
 	}
 	part := s.lanes.short()
 	for key, members := range engines {
-		short, long := split(members, part)
-		pools[modelPool(key.service, key.model, key.version, laneShort)] = short
-		pools[modelPool(key.service, key.model, key.version, laneLong)] = long
+		name := modelKey(key.service, key.model)
+		short, long := split(members, part, all[name] == 1)
+		for l, members := range [laneCount][]fleet.Endpoint{laneShort: short, laneLong: long} {
+			pools[modelPool(key.service, key.model, key.version, lane(l))] = append(members[:len(members):len(members)], out[key]...)
+			counts := versions[laneKey(name, lane(l))]
+			if counts == nil {
+				counts = map[int64]int{}
+				versions[laneKey(name, lane(l))] = counts
+			}
+			counts[key.version] = len(members)
+		}
+	}
+	usable := 0
+	for _, members := range engines {
+		usable += len(members)
 	}
-	if part != s.part {
-		s.part, s.dirty = part, true
+	if part != s.part || usable != s.usable {
+		s.part, s.usable, s.dirty = part, usable, true
 	}
 	s.versions = versions
 	if sameMembers(s.places, places) && !s.dirty {
--- a/router/versions.go
+++ b/router/versions.go
@@ -41,16 +41,19 @@
 	if all == 0 || (newest < n.version && !oldAllowed) {
 		return 0
 	}
-	if !oldAllowed || engines[newest] == all {
+	if engines[newest] == all || (!oldAllowed && engines[newest] > 0) {
 		return newest
 	}
+	if !oldAllowed {
+		return 0
+	}
 	part := min(1, newerLead*float64(engines[newest])/float64(all))
 	if float64(hash) < part*math.MaxUint64 {
 		return newest
 	}
 	older := int64(0)
-	for v := range engines {
-		if v < newest {
+	for v, count := range engines {
+		if v < newest && count > 0 {
 			older = max(older, v)
 		}
 	}
