Trial: a reported queue halves in 1.5 s

Cause: placement subtracted the work done since the last report, while eight other daemons add to the same queue; predicted waits were a fifth of the real ones.

Change: placement.Options.QueueLife.

Predictions are still a fourth of the waits where the engines are full.

--- a/placement/place.go
+++ b/placement/place.go
@@ -385,7 +385,7 @@
 // worked off since, and what was sent there since.
 func (v *View) wait(now time.Time, ep int32, p contract.Priority) float64 {
 	e := &v.endpoints[ep]
-	queued := float64(ahead(&e.load, p)) - e.rate*now.Sub(e.loadAt).Seconds()
+	queued := v.stillQueued(float64(ahead(&e.load, p)), e, now.Sub(e.loadAt).Seconds())
 	wait := max(queued, 0) / e.rate
 	for urgent := range p + 1 {
 		wait += float64(e.pending[urgent]) / e.rate
@@ -393,7 +393,20 @@
 	if over := e.load.Running + e.load.Waiting + e.queued + 1 - e.load.Slots; e.load.Slots > 0 && over > 0 {
 		wait += float64(over) * v.service / float64(e.load.Slots)
 	}
-	return wait + float64(e.load.Running+e.queued)*v.o.BusyWait.Seconds()
+	return wait
+}
+
+// stillQueued is what is left of a reported queue after a while.
+//
+// An endpoint works its queue off, but where many daemons share it the others
+// fill it up again meanwhile: in steady overload the queue of the last report is
+// the best guess, and to subtract the work done since would show full endpoints
+// as empty to every daemon that has not heard of them for a moment.
+func (v *View) stillQueued(tokens float64, e *endpoint, elapsed float64) float64 {
+	if v.o.QueueLife <= 0 {
+		return tokens - e.rate*elapsed
+	}
+	return tokens * math.Exp2(-elapsed/v.o.QueueLife.Seconds())
 }
 
 // ahead is the part of the reported queue that a request of the priority waits
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -61,10 +61,9 @@
 	// MinHomes is how many homes each prefix has at least; 0: 1. With two, a
 	// prefix goes to the one with less to do, and is fetched from the other.
 	MinHomes int
-	// BusyWait is how much longer a request waits for each request that the
-	// endpoint has running, at the prefill rate of one endpoint. Other daemons'
-	// prompts that are being read show only as running.
-	BusyWait time.Duration
+	// QueueLife is the half-life of a reported queue; 0: the endpoint works it
+	// off at its prefill rate and nobody else adds to it.
+	QueueLife time.Duration
 
 	ReservationTTL  time.Duration // after which an unanswered reservation is dropped
 	MaxPrefixes     int
--- a/router/state.go
+++ b/router/state.go
@@ -73,7 +73,7 @@
 		view: placement.NewShared(placement.Options{
 			Zone: zone, PrefillRate: prefillRate, ImportRate: importRate,
 			ImportLatency: importLatency, ReservationTTL: reservationTTL,
-			MinHomes: 2, BusyWait: busyWait,
+			MinHomes: 2, QueueLife: queueLife,
 		}),
 	}
 }
@@ -83,9 +83,9 @@
 	prefillRate   = 80_000  // tokens/s of one engine that generates for others as well, measured on both deployments
 	importRate    = 500_000 // tokens/s from a store whose link carries 44 to 78 Gbit/s
 	importLatency = 5 * time.Millisecond
-	// busyWait is what each request that an engine has running adds to the wait
-	// of the next.
-	busyWait = 0 * time.Millisecond
+	// queueLife is the half-life of what an engine said of its queue. Some of it
+	// is worked off before the next answer comes, and others add to it.
+	queueLife = 1500 * time.Millisecond
 	// reservationTTL is above the longest time limit of a route.
 	reservationTTL = 15 * time.Second
 )
