Learn of full engines from the requests that wait there, and turn away early

Cause: a full engine answers late, and callers who give up get no answer, so what answers tell of its load is 2 to 3 s old or missing; one in three long prompts went to an engine on which its caller left before the first event.

Change: placement.View.Waited takes how long unanswered requests have waited; a request is refused at once when the wait before it is over its objective, and asked back within 50 to 400 ms; a short prompt goes among long ones only if it gains 150 ms by it.

--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -53,6 +53,13 @@
 	lastRes  int32
 	pending  [contract.PriorityCount]int // prompt tokens of those reservations
 	queued   int                         // their number
+	waits    [contract.PriorityCount]observedWait
+}
+
+// observedWait is how long requests were last seen to wait at an endpoint.
+type observedWait struct {
+	wait time.Duration
+	at   time.Time
 }
 
 // pool is the set of endpoints that can serve one kind of request.
--- a/placement/place.go
+++ b/placement/place.go
@@ -393,7 +393,7 @@
 	if over := e.load.Running + e.load.Waiting + e.queued + 1 - e.load.Slots; e.load.Slots > 0 && over > 0 {
 		wait += float64(over) * v.service / float64(e.load.Slots)
 	}
-	return wait
+	return max(wait, v.observed(now, e, p).Seconds())
 }
 
 // stillQueued is what is left of a reported queue after a while.
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 )
 
@@ -33,6 +34,13 @@
 	s.view.Answered(now, a)
 }
 
+// Waited is View.Waited.
+func (s *Shared) Waited(now time.Time, id fleet.EndpointID, p contract.Priority, wait time.Duration, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Waited(now, id, p, wait, answered)
+}
+
 // Finished is View.Finished.
 func (s *Shared) Finished(now time.Time, id uint64) {
 	s.mu.Lock()
--- a/placement/view.go
+++ b/placement/view.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/prefix"
 )
@@ -80,6 +81,35 @@
 	v.learn(now, e, a)
 }
 
+// Waited takes how long a request waited at the endpoint before its prompt was
+// read. With answered false it is still waiting, and has for at least so long.
+//
+// A full endpoint answers late, so what it says of its load is old when it
+// comes, and callers who give up get no answer at all. The requests that have
+// been waiting for long tell at once.
+func (v *View) Waited(now time.Time, id fleet.EndpointID, p contract.Priority, wait time.Duration, answered bool) {
+	e := v.endpointOf(id)
+	if e == nil {
+		return
+	}
+	if answered || wait > v.observed(now, e, p) {
+		e.waits[p] = observedWait{wait: max(wait, 0), at: now}
+	}
+}
+
+// observed is what is left of the last observed wait for a priority. What the
+// less urgent wait says nothing of the more urgent, who go first.
+func (v *View) observed(now time.Time, e *endpoint, p contract.Priority) time.Duration {
+	longest := time.Duration(0)
+	for urgent := range p + 1 {
+		if w := e.waits[urgent]; w.wait > 0 && v.o.QueueLife > 0 {
+			left := float64(w.wait) * math.Exp2(-now.Sub(w.at).Seconds()/v.o.QueueLife.Seconds())
+			longest = max(longest, time.Duration(left))
+		}
+	}
+	return longest
+}
+
 // learn notes that the endpoint now holds the prompt, and how long entries
 // last there.
 func (v *View) learn(now time.Time, e *endpoint, a Answer) {
--- a/router/placer.go
+++ b/router/placer.go
@@ -35,8 +35,8 @@
 	// minOverloadAfter and maxOverloadAfter bound when to come back to a fleet
 	// that is full. The time is spread between them, so that those turned away
 	// together do not come back together.
-	minOverloadAfter = 200 * time.Millisecond
-	maxOverloadAfter = 900 * time.Millisecond
+	minOverloadAfter = 50 * time.Millisecond
+	maxOverloadAfter = 400 * time.Millisecond
 	// retryPart is the part of the shared allowance for retries that daemons
 	// use; the rest covers windows that cut bursts differently.
 	retryPart = 0.75
@@ -58,13 +58,49 @@
 	old    time.Duration        // Settings.VersionWithin
 	lastID atomic.Uint64
 
+	unansweredMu sync.Mutex
+	unanswered   map[uint64]unanswered // by placement
+
 	budgetMu sync.Mutex
 	budget   *retry.Budget
 	rng      *rand.Rand
 }
 
+// unanswered is a request whose answer has not begun.
+type unanswered struct {
+	endpoint fleet.EndpointID
+	priority contract.Priority
+	placed   time.Time
+	reading  time.Duration // of the prompt, expected
+}
+
+// waited is how long it has waited for its prompt to be read.
+func (u *unanswered) waited(now time.Time) time.Duration { return now.Sub(u.placed) - u.reading }
+
+// overdue tells placement which requests have been waiting.
+func (p *placer) overdue(now time.Time) {
+	p.unansweredMu.Lock()
+	defer p.unansweredMu.Unlock()
+	for _, u := range p.unanswered {
+		if w := u.waited(now); w > 0 {
+			p.s.view.Waited(now, u.endpoint, u.priority, w, false)
+		}
+	}
+}
+
+// answered ends the waiting of a placement.
+func (p *placer) answered(now time.Time, id uint64, ran bool) {
+	p.unansweredMu.Lock()
+	u, ok := p.unanswered[id]
+	delete(p.unanswered, id)
+	p.unansweredMu.Unlock()
+	if ok && ran {
+		p.s.view.Waited(now, u.endpoint, u.priority, u.waited(now), true)
+	}
+}
+
 func newPlacer(s *state, set *Settings, clock func() time.Duration, rng *rand.Rand) *placer {
-	return &placer{s: s, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
+	return &placer{unanswered: map[uint64]unanswered{}, s: s, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
 		Fraction: set.RetryRatio * retryPart, Floor: 0.05, Burst: retryBurst, Debt: 1,
 	})}
 }
@@ -130,7 +166,7 @@
 		switch {
 		case otherErr != nil && ownErr != nil:
 			return forward.Placement{}, ownErr
-		case otherErr != nil || (ownErr == nil && d.ExpectedWait <= other.ExpectedWait):
+		case otherErr != nil || (ownErr == nil && d.ExpectedWait <= other.ExpectedWait+spillCost):
 			if otherErr == nil {
 				p.s.view.Finished(now, r.ID)
 			}
@@ -153,7 +189,11 @@
 // wait before its prompt is read. Past it the answer would be late, take as much
 // of the engine as one in time, and make the next one late. The time of reading
 // the prompt itself does not count: the longest prompts would never be served.
-const refusePart = 1.5
+const refusePart = 1.0
+
+// spillCost is what a short prompt waits longer among long ones than their
+// queue tells: the piece of a long prompt that is being read, and the next.
+const spillCost = 150 * time.Millisecond
 
 // spillPart is the part of the objective that a request may be expected to wait
 // in its own lane before the other one is weighed.
@@ -247,6 +287,12 @@
 	if version == 0 {
 		return out
 	}
+	p.unansweredMu.Lock()
+	p.unanswered[r.ID] = unanswered{
+		endpoint: e.Key, priority: r.Priority, placed: now,
+		reading: time.Duration(float64(r.Tokens) / prefillRate * float64(time.Second)),
+	}
+	p.unansweredMu.Unlock()
 	out.Lane = int(laneOf(w.In.PromptTokens))
 	out.Out.CacheSalt = salt(w, version)
 	out.Out.Urgency = min(9, 1+2*w.Route.Urgency(w.Organisation))
@@ -338,6 +384,7 @@
 		info.Load.At = now
 		info.Load.WaitingTokens = int(float64(info.Load.Waiting) * p.meanTokens(pl.Lane))
 	}
+	p.answered(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
 		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: info.Load})
 		return
@@ -370,6 +417,7 @@
 // Ended implements forward.Placer.
 func (p *placer) Ended(pl *forward.Placement, end forward.End) {
 	now := time.Now()
+	p.answered(now, pl.ID, false)
 	if end.Whole || end.Left {
 		p.s.view.Finished(now, pl.ID)
 	} else {
--- a/router/router.go
+++ b/router/router.go
@@ -218,6 +218,7 @@
 		r.s.mu.Lock()
 		r.s.refresh(now)
 		r.s.mu.Unlock()
+		r.placer.overdue(now)
 		if ready := r.ready(); ready != wasReady {
 			wasReady = ready
 			r.log.Info("Readiness changed.", "ready", ready, "keys_age_ms", r.keysAge().Milliseconds(), "leaving", r.leaving.Load())
