--- a/router/versions.go
+++ b/router/versions.go
@@ -11,7 +11,7 @@
 	// than its part of the engines, while a rollout is under way. Work on older
 	// weights loses worth by the second; too strong a lead sends everything to
 	// the few engines that are done, and less is served in all.
-	newerLead = 1.5
+	newerLead = 1.3
 	// versionMargin ends the use of older weights before the bound, for the
 	// time that a request is on its way and waits at the engine.
 	versionMargin = 2500 * time.Millisecond
