Ask the homes of a long prompt for their load before placing it

Cause: a daemon among many hears of an engine every few seconds.

Change: placement.View.Homes names the homes whose load is not known of the last 300 ms; the router has them report, for 40 ms at most.

--- a/placement/shared.go
+++ b/placement/shared.go
@@ -34,6 +34,13 @@
 	s.view.Answered(now, a)
 }
 
+// Homes is View.Homes.
+func (s *Shared) Homes(r Request, before time.Time, n int) []fleet.EndpointID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Homes(r, before, n)
+}
+
 // Waited is View.Waited.
 func (s *Shared) Waited(now time.Time, id fleet.EndpointID, p contract.Priority, wait time.Duration, answered bool) {
 	s.mu.Lock()
--- a/placement/view.go
+++ b/placement/view.go
@@ -110,6 +110,26 @@
 	return longest
 }
 
+// Homes returns the endpoints of the pool that a prompt would go to first and
+// whose load was last told before the given time, at most n of the first n
+// homes. It is for a shell that asks them before it places a long prompt.
+func (v *View) Homes(r Request, before time.Time, n int) []fleet.EndpointID {
+	p := v.pools[r.Pool]
+	at := prefix.Affinity(r.Levels)
+	if p == nil || at < 0 {
+		return nil
+	}
+	home := v.prefixes.touch(r.Levels[at].Key)
+	v.setHomes(home, p)
+	var out []fleet.EndpointID
+	for _, ep := range home.homes[:min(home.homeCount, int32(n))] {
+		if e := &v.endpoints[ep]; e.gated() == GateOpen && e.loadAt.Before(before) {
+			out = append(out, e.id)
+		}
+	}
+	return out
+}
+
 // learn notes that the endpoint now holds the prompt, and how long entries
 // last there.
 func (v *View) learn(now time.Time, e *endpoint, a Answer) {
--- a/router/placer.go
+++ b/router/placer.go
@@ -18,6 +18,7 @@
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/weights"
 )
 
 // Weights and times of placing.
@@ -53,10 +54,11 @@
 
 // placer implements forward.Placer.
 type placer struct {
-	s      *state
-	clock  func() time.Duration // boot clock
-	old    time.Duration        // Settings.VersionWithin
-	lastID atomic.Uint64
+	s       *state
+	engines weights.Engines
+	clock   func() time.Duration // boot clock
+	old     time.Duration        // Settings.VersionWithin
+	lastID  atomic.Uint64
 
 	unansweredMu sync.Mutex
 	unanswered   map[uint64]unanswered // by placement
@@ -99,8 +101,8 @@
 	}
 }
 
-func newPlacer(s *state, set *Settings, clock func() time.Duration, rng *rand.Rand) *placer {
-	return &placer{unanswered: map[uint64]unanswered{}, s: s, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
+func newPlacer(s *state, set *Settings, engines weights.Engines, clock func() time.Duration, rng *rand.Rand) *placer {
+	return &placer{unanswered: map[uint64]unanswered{}, s: s, engines: engines, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
 		Fraction: set.RetryRatio * retryPart, Floor: 0.05, Burst: retryBurst, Debt: 1,
 	})}
 }
@@ -120,7 +122,7 @@
 }
 
 // Place implements forward.Placer.
-func (p *placer) Place(_ context.Context, w *forward.Work) (forward.Placement, error) {
+func (p *placer) Place(ctx context.Context, w *forward.Work) (forward.Placement, error) {
 	now := time.Now()
 	r := placement.Request{
 		Pool: plainPool(w.Service.Name), Tokens: w.In.PromptTokens, Avoid: w.Avoid,
@@ -132,7 +134,7 @@
 		if version, err = p.version(now, w); err != nil {
 			return forward.Placement{}, err
 		}
-		return p.placeModel(now, w, &r, version)
+		return p.placeModel(ctx, now, w, &r, version)
 	}
 	d, err := p.choose(now, &r, w.Route.Repeatable())
 	if err != nil {
@@ -147,12 +149,15 @@
 
 // placeModel places a request at an engine of its lane, or of the other one if
 // its own can't take it in time.
-func (p *placer) placeModel(now time.Time, w *forward.Work, r *placement.Request, version int64) (forward.Placement, error) {
+func (p *placer) placeModel(ctx context.Context, now time.Time, w *forward.Work, r *placement.Request, version int64) (forward.Placement, error) {
 	in := laneOf(w.In.PromptTokens)
 	if in == laneLong {
 		r.Levels = prefix.Chain(seedOf(w, version), w.In.Parts)
 	}
 	r.Pool = modelPool(w.Service.Name, w.In.Model, version, in)
+	if in == laneLong {
+		p.ask(ctx, now, r, w.In.Model)
+	}
 	d, err := p.choose(now, r, w.Route.Repeatable())
 	// A long prompt goes among the short ones only if its own engines are all
 	// out: it would hold up dozens of them.
@@ -199,6 +204,62 @@
 // in its own lane before the other one is weighed.
 const spillPart = 0.5
 
+// ask has the homes of a long prompt report their load, if it is not known.
+//
+// With many daemons each hears of an engine every few seconds, too seldom to
+// tell a full one from an idle one, and the reading of one long prompt behind
+// others is what makes answers late. Two small questions cost a few
+// milliseconds.
+func (p *placer) ask(ctx context.Context, now time.Time, r *placement.Request, model string) {
+	homes := p.s.view.Homes(*r, now.Add(-loadKnown), askedHomes)
+	if len(homes) == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, key := range homes {
+		target, ok := p.target(key)
+		if !ok {
+			continue
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			report, err := p.engines.Report(call, target, model)
+			if err != nil {
+				return // placement goes by what it knows; the attempt shows what is wrong
+			}
+			p.s.view.LoadReported(key, fleet.Load{
+				At: time.Now().Add(-reportLag), Running: report.Running, Waiting: report.Waiting,
+				WaitingTokens: int(float64(report.Waiting) * p.meanTokens(int(laneLong))),
+			})
+		}()
+	}
+	all.Wait()
+}
+
+func (p *placer) target(key fleet.EndpointID) (weights.Target, bool) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	e := p.s.places[key]
+	if e == nil {
+		return weights.Target{}, false
+	}
+	return weights.Target{Key: e.Key, ID: e.ID, Address: e.Address}, true
+}
+
+// Times of asking engines for their load.
+const (
+	// loadKnown is the age up to which a load is taken as it was told.
+	loadKnown = 300 * time.Millisecond
+	// askTime bounds the question; engines answer in a few milliseconds.
+	askTime = 40 * time.Millisecond
+	// reportLag is how old a report is when it comes.
+	reportLag  = 200 * time.Millisecond
+	askedHomes = 2
+)
+
 // spread draws a time to come back.
 func (p *placer) spread() time.Duration {
 	return minOverloadAfter + time.Duration(p.fraction()*float64(maxOverloadAfter-minOverloadAfter))
--- a/router/router.go
+++ b/router/router.go
@@ -89,7 +89,7 @@
 	s := newState(o.Settings.Zone, o.Rand)
 	r := &Router{
 		o: o, s: s,
-		placer:  newPlacer(s, &o.Settings, BootClock, o.Rand),
+		placer:  newPlacer(s, &o.Settings, o.Engines, BootClock, o.Rand),
 		client:  forward.NewClient(o.Wire),
 		callers: forward.NewCallers(),
 		log:     o.Logs.For(logging.PartRouter),
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -36,6 +36,8 @@
 	Version int64 // of the model's weights
 	Orders  int64 // that it accepted since its start
 	Busy    bool  // an order is in progress
+	Running int   // requests in the batch
+	Waiting int   // requests whose prompt is not read yet
 }
 
 // Order tells an engine to load weights.
