--- a/router/follow.go
+++ b/router/follow.go
@@ -11,17 +11,18 @@
 
 // Times of following the store.
 const (
-	// operatorWait is how long a read of the operator's topic waits for a
-	// record. Each answer confirms the keys anew; a third of that of the
-	// shortest bound on keys keeps them confirmed over one lost read.
-	operatorWait = 1200 * time.Millisecond
+	// operatorPart is how long a read of the operator's topic waits for a
+	// record, as a part of Settings.RevokeWithin. Each answer confirms the keys
+	// anew. Calls cost; but keys must still be fresh when a read was lost and
+	// the next one answered.
+	operatorPart = 0.36
 	// answerTime is what a read may take beyond its wait. Answers usually take
 	// a few milliseconds; a connection that fell silent shows only by this.
 	answerTime = 900 * time.Millisecond
 	// endpointsPart is how often the list of endpoints is read, as a part of
 	// Settings.DrainWithin. The list changes all the time, so a read that waited
 	// for a change would return at once.
-	endpointsPart = 0.3
+	endpointsPart = 0.45
 	// minPause and maxPause bound the time between a failed read and the next.
 	minPause = 60 * time.Millisecond
 	maxPause = 400 * time.Millisecond
@@ -90,8 +91,9 @@
 // followOperator keeps the configuration and the named versions.
 func (r *Router) followOperator(ctx context.Context) {
 	f := &follower{r: r, topic: TopicOperator, apply: r.operatorRecord}
+	wait := time.Duration(operatorPart * float64(r.o.Settings.RevokeWithin))
 	for ctx.Err() == nil {
-		more, sent, err := f.read(ctx, operatorWait)
+		more, sent, err := f.read(ctx, wait)
 		f.note(err)
 		if err != nil {
 			f.pauseAfter(ctx)
--- a/router/orders.go
+++ b/router/orders.go
@@ -16,8 +16,10 @@
 	// leaseWait is how long a read of the lease waits for a record while there
 	// is nothing to order.
 	leaseWait = 20 * time.Second
-	// leaseEvery is the least time between two reads of the lease.
-	leaseEvery = 250 * time.Millisecond
+	// leaseEvery is the least time between two reads of the lease, which every
+	// daemon makes during a rollout. Requests that meet an engine which loads
+	// meanwhile are turned away by it.
+	leaseEvery = 700 * time.Millisecond
 	// orderTick is how often a holder looks for engines to order.
 	orderTick = 100 * time.Millisecond
 	// reportEvery is how often the holder asks an engine that loads whether it
--- a/router/router.go
+++ b/router/router.go
@@ -28,7 +28,7 @@
 	freshPart = 0.96
 	// readyPart is the part after which the daemon is not ready any more, so
 	// that callers go elsewhere before their keys can't be confirmed here.
-	readyPart = 0.5
+	readyPart = 0.56
 	// tick is how often beliefs that change with time are looked at.
 	tick = 100 * time.Millisecond
 	// balancerLag is how long the balancer may send new connections after the
