--- a/router/follow.go
+++ b/router/follow.go
@@ -35,6 +35,7 @@
 	next   int64
 	loaded bool
 	apply  func(Record)
+	reads  int // answered
 	failed int // reads in a row
 }
 
@@ -62,6 +63,7 @@
 		f.apply(record)
 	}
 	f.next, f.loaded = got.Next, true
+	f.reads++
 	return got.End > got.Next, sent, nil
 }
 
@@ -90,7 +92,8 @@
 
 // followOperator keeps the configuration and the named versions.
 func (r *Router) followOperator(ctx context.Context) {
-	f := &follower{r: r, topic: TopicOperator, apply: r.operatorRecord}
+	f := &follower{r: r, topic: TopicOperator}
+	f.apply = func(record Record) { r.operatorRecord(record, !f.loaded && f.reads == 0) }
 	wait := time.Duration(operatorPart * float64(r.o.Settings.RevokeWithin))
 	for ctx.Err() == nil {
 		more, sent, err := f.read(ctx, wait)
@@ -126,8 +129,9 @@
 }
 
 // operatorRecord puts a configuration or a version into force. Neither ever
-// goes back: records may be repeated or rewritten.
-func (r *Router) operatorRecord(record Record) {
+// goes back: records may be repeated or rewritten. first says that the record
+// was there when the daemon started.
+func (r *Router) operatorRecord(record Record, first bool) {
 	if len(record.Value) == 0 {
 		return
 	}
@@ -151,10 +155,15 @@
 	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	if r.s.named[change.Model].version >= change.Weights {
+	if r.s.named[change.Model].newest() >= change.Weights {
 		return
 	}
-	r.s.named[change.Model] = named{version: change.Weights, since: BootClock()}
+	n := naming{version: change.Weights, since: BootClock()}
+	if first {
+		n.since -= time.Duration(guessAge * float64(r.o.Settings.VersionWithin))
+		n.guessed = true
+	}
+	r.s.named[change.Model] = r.s.named[change.Model].add(n)
 	r.log.Info("Weights are named.", "model", change.Model, "version", change.Weights, "offset", record.Offset)
 }
 
--- a/router/orders.go
+++ b/router/orders.go
@@ -95,11 +95,14 @@
 		l.lease.Skip(end)
 	}
 	before := l.lease.Holder()
-	news := l.lease.Observe(BootClock(), from, records)
+	claims := l.lease.Observe(BootClock(), from, records)
 	if after := l.lease.Holder(); after != before {
 		l.r.log.Info("Lease of orders changed hands.", "holder", after, "offset", l.lease.Next()-1)
 	}
-	l.r.s.news(time.Now(), news)
+	for _, c := range claims {
+		l.r.s.news(time.Now(), c.News)
+		l.r.s.namedAt(BootClock(), time.Now(), c.Named)
+	}
 	return nil
 }
 
@@ -134,7 +137,7 @@
 	out := map[string][]weights.Engine{}
 	for model, n := range l.r.s.namedVersions() {
 		engines := l.r.s.engines(model)
-		if weights.Behind(engines, n.version) > 0 {
+		if weights.Behind(engines, n.newest()) > 0 {
 			out[model] = engines
 		}
 	}
@@ -143,7 +146,7 @@
 
 // order gives the orders of one model.
 func (l *leader) order(ctx context.Context, model string, engines []weights.Engine) {
-	version := l.r.s.namedVersions()[model].version
+	version := l.r.s.namedVersions()[model].newest()
 	l.mu.Lock()
 	plan := l.plans[model]
 	if plan == nil {
@@ -182,7 +185,11 @@
 	l.mu.Lock()
 	at := l.lease.Next()
 	told := l.untold
-	c, ok := l.lease.Claim(BootClock(), l.r.placer.number(), append(told[:len(told):len(told)], news...))
+	c, ok := l.lease.Claim(BootClock(), weights.Claim{
+		Nonce: l.r.placer.number(),
+		News:  append(told[:len(told):len(told)], news...),
+		Named: l.r.s.namedSince(BootClock(), time.Now()),
+	})
 	l.mu.Unlock()
 	if !ok {
 		return false
--- a/router/placer.go
+++ b/router/placer.go
@@ -294,7 +294,8 @@
 	in := laneOf(w.In.PromptTokens)
 	p.s.lanes.seen(now, in, w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
 	engines := p.s.versions[laneKey(modelKey(w.Service.Name, w.In.Model), in)]
-	v := chooseVersion(engines, n, n.oldAllowed(p.clock(), p.old), hash)
+	clock := p.clock()
+	v := chooseVersion(engines, func(v int64) bool { return n.allowed(v, clock, p.old) }, hash)
 	if v == 0 {
 		return 0, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -274,3 +274,25 @@
 	defer s.mu.Unlock()
 	return maps.Clone(s.named)
 }
+
+// namedAt takes since when versions are named, by another daemon.
+func (s *state) namedAt(now time.Duration, wall time.Time, all []weights.NamedAt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range all {
+		s.named[at.Model] = s.named[at.Model].told(now, wall, at)
+	}
+}
+
+// namedSince tells other daemons since when versions are named.
+func (s *state) namedSince(now time.Duration, wall time.Time) []weights.NamedAt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []weights.NamedAt
+	for model, all := range s.named {
+		for _, n := range all {
+			out = append(out, weights.NamedAt{Model: model, Version: n.version, UnixMs: wall.Add(n.since - now).UnixMilli()})
+		}
+	}
+	return out
+}
--- a/router/versions.go
+++ b/router/versions.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
+
+	"github.com/merlindock/merlindock/weights"
 )
 
 // Weights of the choice between versions, and times.
@@ -17,45 +21,95 @@
 	versionMargin = 2500 * time.Millisecond
 )
 
-// named is the weight version that the operator named for a model.
-type named struct {
+// clockSlack is how far the times of day of two machines may be apart.
+const clockSlack = 3 * time.Second
+
+// guessAge is the age, as a part of the bound, of a version that was there when
+// the daemon started, until the lease tells more.
+const guessAge = 0.5
+
+// keptNames bounds the versions of a model whose naming is remembered.
+const keptNames = 16
+
+// naming is one version that the operator named.
+type naming struct {
 	version int64
 	since   time.Duration // when this daemon read it first, by the boot clock
+	// guessed says that it was there when the daemon started, so that since
+	// says nothing of when it was named.
+	guessed bool
+}
+
+// named holds the versions that the operator named for a model, oldest first.
+// Each bounds the use of all versions before it, also once it was overtaken
+// itself.
+type named []naming
+
+// newest is the version to bring engines to; 0: none was named.
+func (n named) newest() int64 {
+	if len(n) == 0 {
+		return 0
+	}
+	return n[len(n)-1].version
 }
 
-// oldAllowed tells whether a request may still begin on older weights.
-func (n named) oldAllowed(now, bound time.Duration) bool {
-	return now-n.since < bound-versionMargin
+// add takes a further version.
+func (n named) add(next naming) named {
+	out := append(slices.Clone(n), next)
+	return out[max(0, len(out)-keptNames):]
+}
+
+// allowed tells whether a request may still begin on the version: the first one
+// that was named after it is not older than the bound.
+func (n named) allowed(version int64, now, bound time.Duration) bool {
+	for _, after := range n {
+		if after.version > version {
+			return now-after.since < bound-versionMargin
+		}
+	}
+	return true
+}
+
+// told takes another daemon's word on when a version was named.
+func (n named) told(now time.Duration, wall time.Time, at weights.NamedAt) named {
+	age := max(0, wall.Sub(time.UnixMilli(at.UnixMs))) + clockSlack
+	said := naming{version: at.Version, since: now - age}
+	i, found := slices.BinarySearchFunc(n, at.Version, func(m naming, v int64) int { return cmp.Compare(m.version, v) })
+	out := slices.Clone(n)
+	switch {
+	case found && out[i].guessed:
+		out[i] = said
+	case !found && i < len(out):
+		// It was overtaken before this daemon started.
+		out = slices.Insert(out, i, said)
+	}
+	return out
 }
 
 // chooseVersion picks the weight version for a request from the number of
-// engines that have each. hash is that of the shared part of the prompt, so
-// that requests that share it move to the newer weights together and meet their
-// cache there. It returns 0 if no engine may serve.
-func chooseVersion(engines map[int64]int, n named, oldAllowed bool, hash uint64) int64 {
-	newest, all := int64(0), 0
+// engines that have each; allowed tells whether a version may still be used.
+// hash is that of the shared part of the prompt, so that requests that share it
+// move to the newer weights together and meet their cache there. It returns 0 if
+// no engine may serve.
+func chooseVersion(engines map[int64]int, allowed func(int64) bool, hash uint64) int64 {
+	newest, older, all := int64(0), int64(0), 0
 	for v, count := range engines {
-		newest = max(newest, v)
+		if count == 0 || !allowed(v) {
+			continue
+		}
 		all += count
+		if v > newest {
+			newest, older = v, newest
+		} else {
+			older = max(older, v)
+		}
 	}
-	if all == 0 || (newest < n.version && !oldAllowed) {
-		return 0
-	}
-	if engines[newest] == all || (!oldAllowed && engines[newest] > 0) {
+	if older == 0 {
 		return newest
 	}
-	if !oldAllowed {
-		return 0
-	}
 	part := min(1, newerLead*float64(engines[newest])/float64(all))
 	if float64(hash) < part*math.MaxUint64 {
 		return newest
 	}
-	older := int64(0)
-	for v, count := range engines {
-		if v < newest && count > 0 {
-			older = max(older, v)
-		}
-	}
 	return older
 }
--- a/weights/lease.go
+++ b/weights/lease.go
@@ -21,9 +21,19 @@
 
 // Claim is the record of one term or renewal in the log.
 type Claim struct {
-	Holder string `json:"holder"`
-	Nonce  uint64 `json:"nonce"` // tells the holder its own record after a lost answer
-	News   []News `json:"news,omitempty"`
+	Holder string    `json:"holder"`
+	Nonce  uint64    `json:"nonce"` // tells the holder its own record after a lost answer
+	News   []News    `json:"news,omitempty"`
+	Named  []NamedAt `json:"named,omitempty"`
+}
+
+// NamedAt tells since when a version is the newest. The operator's record has
+// no time, and a daemon that has just started would take an old one for new and
+// go on using the weights before it for too long.
+type NamedAt struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	UnixMs  int64  `json:"unix_ms"` // by the holder's time of day, which may be off by seconds
 }
 
 // News is what the holder tells the other daemons of an engine it orders. They
@@ -77,9 +87,9 @@
 // Next is the offset to read from and to append at.
 func (l *Lease) Next() int64 { return l.next }
 
-// Observe takes records that begin at the offset, and returns their news.
-func (l *Lease) Observe(now time.Duration, from int64, records [][]byte) []News {
-	var news []News
+// Observe takes records that begin at the offset, and returns what they tell.
+func (l *Lease) Observe(now time.Duration, from int64, records [][]byte) []Claim {
+	var claims []Claim
 	for i, r := range records {
 		at := from + int64(i)
 		if at < l.next {
@@ -92,9 +102,9 @@
 			c = Claim{}
 		}
 		l.take(now, at, c)
-		news = append(news, c.News...)
+		claims = append(claims, c)
 	}
-	return news
+	return claims
 }
 
 func (l *Lease) take(now time.Duration, at int64, c Claim) {
@@ -113,13 +123,14 @@
 // Skip moves on to the offset that the log still holds.
 func (l *Lease) Skip(to int64) { l.next = max(l.next, to) }
 
-// Claim returns the record to append at Next, and false while another daemon
-// may still give orders.
-func (l *Lease) Claim(now time.Duration, nonce uint64, news []News) (Claim, bool) {
+// Claim completes the record to append at Next, and returns false while another
+// daemon may still give orders. The nonce must be new.
+func (l *Lease) Claim(now time.Duration, c Claim) (Claim, bool) {
 	if l.some && l.last.Holder != l.me && now < l.seen+Span+l.pause+clockSlack {
 		return Claim{}, false
 	}
-	l.pending, l.sentAt, l.inFlight = Claim{Holder: l.me, Nonce: nonce, News: news}, now, true
+	c.Holder = l.me
+	l.pending, l.sentAt, l.inFlight = c, now, true
 	return l.pending, true
 }
 
