Give each prefix one store of KV cache

Cause: with several stores the router took one at random for each request: what one daemon saved, the next looked for elsewhere.

Change: routes.Table lists the stores in one order, a prefix's key picks one.

--- a/router/orders.go
+++ b/router/orders.go
@@ -19,7 +19,7 @@
 	// leaseEvery is the least time between two reads of the lease, which every
 	// daemon makes during a rollout. Requests that meet an engine which loads
 	// meanwhile are turned away by it.
-	leaseEvery = 700 * time.Millisecond
+	leaseEvery = 1000 * time.Millisecond
 	// orderTick is how often a holder looks for engines to order.
 	orderTick = 100 * time.Millisecond
 	// reportEvery is how often the holder asks an engine that loads whether it
--- a/router/placer.go
+++ b/router/placer.go
@@ -376,7 +376,7 @@
 	if at < 0 || r.Levels[at].Tokens < worthMoving {
 		return
 	}
-	store := storeOf(w.Table)
+	store := storeOf(w.Table, r.Levels[at].Key)
 	peer := p.s.places[d.Peer]
 	key := r.Levels[at].Key
 	switch {
@@ -407,13 +407,14 @@
 // rather than read: a few hundred are read in the time of a miss.
 const worthMoving = 1000
 
-func storeOf(t *routes.Table) string {
-	for _, s := range t.Services {
-		if s.Store != nil {
-			return s.Store.Address
-		}
+// storeOf returns the address of the store that holds a prefix, "" if there is
+// none. Each prefix has one store, the same for all daemons: what one saves
+// another must find.
+func storeOf(t *routes.Table, key prefix.Key) string {
+	if len(t.Stores) == 0 {
+		return ""
 	}
-	return ""
+	return t.Stores[key.Uint64()%uint64(len(t.Stores))].Address
 }
 
 // salt separates cache entries that may never be mixed: those of other weights,
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -6,6 +6,8 @@
 package routes
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 )
@@ -38,7 +40,10 @@
 	Limits        Limits
 	KeysRequired  bool                     // routes that are not public need an API key
 	Organisations map[string]*Organisation // by API key
-	byHost        map[string][]*Route
+	// Stores are the stores of KV cache among the services, in the order of
+	// their addresses. Index sets it.
+	Stores []*Store
+	byHost map[string][]*Route
 }
 
 // Route leads from a host and a path prefix to services.
@@ -108,8 +113,14 @@
 	Isolated bool
 }
 
-// Index prepares the table for Match. Call it once, before the table is used.
+// Index prepares the table for use. Call it once, when all else is filled in.
 func (t *Table) Index() {
+	for _, s := range t.Services {
+		if s.Store != nil {
+			t.Stores = append(t.Stores, s.Store)
+		}
+	}
+	slices.SortFunc(t.Stores, func(a, b *Store) int { return cmp.Compare(a.Address, b.Address) })
 	t.byHost = make(map[string][]*Route, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
