Give each prefix one home again, and send half of the reads to the store

Every daemon saved each prompt it saw, more than the stores' links carry.

Change: one home; half of the first sights of a prefix at a daemon are saved.

--- a/placement/place.go
+++ b/placement/place.go
@@ -366,7 +366,7 @@
 		each = max(each, v.service/float64(slots))
 	}
 	busy := t.heatNow(now) * float64(v.o.Daemons) * each
-	return min(t.homeCount, max(1+int32(busy/homeShare), int32(v.o.MinHomes)))
+	return min(t.homeCount, 1+int32(busy/homeShare))
 }
 
 // arrivals estimates the requests/s that the endpoint begins, by those that it
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,9 +58,6 @@
 	ZoneDelay     time.Duration // one way between two zones
 	CacheLife     time.Duration // first guess of how long an idle cache entry stays
 
-	// MinHomes is how many homes each prefix has at least; 0: 1. With two, a
-	// prefix goes to the one with less to do, and is fetched from the other.
-	MinHomes int
 	// QueueLife is the half-life of a reported queue; 0: the endpoint works it
 	// off at its prefill rate and nobody else adds to it.
 	QueueLife time.Duration
--- a/router/placer.go
+++ b/router/placer.go
@@ -395,7 +395,7 @@
 // savePart is the part of the reads that are sent to the store. All daemons
 // together would otherwise send each prompt several times, and the store's link
 // carries less than the engines read.
-const savePart = 1.0
+const savePart = 0.5
 
 // engineLife is how long a part stays in an engine's memory under load.
 const engineLife = 4 * time.Second
--- a/router/state.go
+++ b/router/state.go
@@ -73,7 +73,7 @@
 		view: placement.NewShared(placement.Options{
 			Zone: zone, PrefillRate: prefillRate, ImportRate: importRate,
 			ImportLatency: importLatency, ReservationTTL: reservationTTL,
-			MinHomes: 2, QueueLife: queueLife,
+			QueueLife: queueLife,
 		}),
 	}
 }
