Count a caller's connection as serving until its answer is written

Cause: the handler returns before the server writes the end of a chunked answer; a connection closed as idle in between cut it off. Shown by a test that closes idle connections while callers use them: 173 requests begun, 172 answered.

Change: the server's own idle state ends the request.

--- a/forward/callers.go
+++ b/forward/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -80,10 +81,13 @@
 	return !k.closed
 }
 
-func (c *Callers) end(ctx context.Context) {
-	if k, ok := ctx.Value(callerKey{}).(*callerConn); ok {
+// State is for http.Server.ConnState. A request ends when the server calls the
+// connection idle and not when its handler returns: the end of the answer is
+// written in between, and a connection closed there would cut it off.
+func (c *Callers) State(k net.Conn, state http.ConnState) {
+	if conn, ok := k.(*callerConn); ok && state == http.StateIdle {
 		c.mu.Lock()
-		k.serving = false
+		conn.serving = false
 		c.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/forward/callers_test.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// A daemon stops and closes the connections on which nothing happens, while
+// callers send the next request on them. A request that has been passed on to an
+// endpoint must get its answer; one whose connection was closed first must not
+// be passed on. Otherwise callers see a broken connection and cannot tell whether
+// their booking was made.
+func TestIdleCloseNeverMeetsARequest(t *testing.T) {
+	callers := NewCallers()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	begun, answered := 0, 0
+	server := &http.Server{ConnContext: callers.Context, ConnState: callers.State, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !callers.begin(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		mu.Lock()
+		begun++
+		mu.Unlock()
+		_, _ = io.WriteString(w, "done")
+		_ = http.NewResponseController(w).Flush()
+	})}
+	go func() { _ = server.Serve(callers.Listen(l)) }()
+	defer server.Close()
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	all.Add(1)
+	go func() {
+		defer all.Done()
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				callers.CloseIdle()
+			}
+		}
+	}()
+	var clients sync.WaitGroup
+	for range 8 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			client := &http.Client{Transport: &http.Transport{}}
+			for range 50 {
+				resp, err := client.Post("http://"+l.Addr().String()+"/", "text/plain", nil)
+				if err != nil {
+					continue // it crossed the close
+				}
+				if body, err := io.ReadAll(resp.Body); err == nil && string(body) == "done" {
+					mu.Lock()
+					answered++
+					mu.Unlock()
+				}
+				_ = resp.Body.Close()
+			}
+		}()
+	}
+	clients.Wait()
+	close(stop)
+	all.Wait()
+	if begun != answered {
+		t.Errorf("%d requests begun, %d answered", begun, answered)
+	}
+}
--- /dev/null
+++ b/forward/conn_test.go
@@ -0,0 +1,265 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// plainWire reads the headers that these tests use.
+type plainWire struct{}
+
+func (plainWire) Inbound(h http.Header) Inbound {
+	return Inbound{AttemptID: h.Get("Attempt-Id"), LastEvent: NoEvent}
+}
+func (plainWire) Outbound(http.Header, *Outbound) {}
+func (plainWire) Answer(status int, h http.Header) AnswerInfo {
+	return AnswerInfo{
+		AttemptID: h.Get("Attempt-Id"), Signed: h.Get("Response-Signature") != "",
+		NotRun: h.Get("Not-Executed") != "" || status == http.StatusMisdirectedRequest, KeepAlive: 5 * time.Second,
+	}
+}
+func (plainWire) Refusal(h http.Header, _ string, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", "1")
+	}
+}
+
+// endpoint answers each request on a connection with the next of the texts.
+func endpoint(t *testing.T, texts ...string) (Target, <-chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	seen := make(chan string, 32)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerAll(c, texts, seen)
+		}
+	}()
+	return Target{Key: "e@1", ID: "e", Address: l.Addr().String()}, seen
+}
+
+func answerAll(c net.Conn, texts []string, seen chan<- string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, text := range texts {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		seen <- req.Method + " " + req.RequestURI + " " + string(body)
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
+
+func outgoing(id string) *Outgoing {
+	return &Outgoing{AttemptID: id, Method: http.MethodPost, URI: "/a//b%2F?c", Host: "h", Header: http.Header{"X": {"1"}}, Body: []byte("q"), HasBody: true}
+}
+
+func read(t *testing.T, c *Client, target Target, id string) (string, error) {
+	t.Helper()
+	a, err := c.Send(t.Context(), target, outgoing(id))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a.Body)
+	a.Close(err == nil)
+	return string(body), err
+}
+
+const answered = "HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\nContent-Length: 5\r\n\r\n%BODY"
+
+func text(id, body string) string {
+	return strings.NewReplacer("%ID", id, "%BODY", body).Replace(answered)
+}
+
+func TestConnectionIsUsedAgainAndBytesAreUnchanged(t *testing.T) {
+	target, seen := endpoint(t, text("a1", "first"), text("a2", "secnd"))
+	c := NewClient(plainWire{})
+	for i, want := range []string{"first", "secnd"} {
+		got, err := read(t, c, target, []string{"a1", "a2"}[i])
+		if err != nil || got != want {
+			t.Errorf("%q, %v", got, err)
+		}
+		if line := <-seen; line != "POST /a//b%2F?c q" {
+			t.Errorf("the endpoint got %q", line)
+		}
+	}
+	if n := c.Open(target.Key); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// An endpoint answers a request twice, and the second answer comes as the next
+// request is on its way. Without a look at the id that request's caller would
+// get another caller's answer.
+func TestSecondAnswerIsNotGivenToTheNextRequest(t *testing.T) {
+	target, _ := endpoint(t, text("a1", "first"), text("a1", "again")+text("a2", "right"))
+	c := NewClient(plainWire{})
+	if _, err := read(t, c, target, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := read(t, c, target, "a2"); err != nil || got != "right" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// The extra answer is already there when the next request is to be sent. The
+// connection must not be used at all.
+func TestConnectionWithStrayBytesIsDropped(t *testing.T) {
+	target, _ := endpoint(t, text("a1", "first")+text("a1", "extra"), text("a2", "wrong"))
+	c := NewClient(plainWire{})
+	if _, err := read(t, c, target, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	if n := c.Open(target.Key); n != 0 {
+		t.Errorf("%d connections are kept", n)
+	}
+}
+
+// Nobody listens at the address. The request has not left, and may go elsewhere
+// even if it may run only once.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	_, err = read(t, NewClient(plainWire{}), Target{Key: "e", Address: l.Addr().String()}, "a1")
+	if !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// An endpoint takes a request and closes the connection. It may have run it;
+// to say that it has not would let it run twice.
+func TestClosedConnectionIsNoAnswer(t *testing.T) {
+	for name, reply := range map[string]string{"nothing": "", "half a header": "HTTP/1.1 200 OK\r\nAtt", "no answer at all": "\x00\x01garbage\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, reply)
+				}
+				_ = c.Close()
+			}()
+			_, err = read(t, NewClient(plainWire{}), Target{Key: "e", Address: l.Addr().String()}, "a1")
+			if !errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// An endpoint breaks off a body whose length it told, or one in chunks. The
+// reader must see an error and not an end.
+func TestBodyThatBreaksOffIsAnError(t *testing.T) {
+	for name, reply := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 50\r\nConnection: close\r\n\r\nhalf",
+		"chunks": "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, reply)
+				}
+				_ = c.Close()
+			}()
+			if got, err := read(t, NewClient(plainWire{}), Target{Key: "e", Address: l.Addr().String()}, "a1"); err == nil {
+				t.Errorf("taken as whole: %q", got)
+			}
+		})
+	}
+}
+
+// An endpoint answers before it has read a long body and keeps the connection.
+// The next request on it would be read as the rest of that body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	release := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, text("a1", "early"))
+		}
+		<-release
+	}()
+	defer close(release)
+	c := NewClient(plainWire{})
+	o := outgoing("a1")
+	o.Body = make([]byte, 32<<20) // more than the sockets hold
+	a, err := c.Send(t.Context(), Target{Key: "e", Address: l.Addr().String()}, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(a.Body); err != nil || string(body) != "early" {
+		t.Errorf("%q, %v", body, err)
+	}
+	a.Close(true)
+	if n := c.Open("e"); n != 0 {
+		t.Errorf("%d connections are kept", n)
+	}
+}
+
+// The caller leaves while the endpoint works. The wait must end at once, and the
+// connection with it, so that the endpoint stops.
+func TestSendEndsWithItsContext(t *testing.T) {
+	target, seen := endpoint(t, "")
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	c := NewClient(plainWire{})
+	go func() {
+		_, err := c.Send(ctx, target, outgoing("a1"))
+		failed <- err
+	}()
+	<-seen
+	cancel()
+	if err := <-failed; !errors.Is(err, ErrNoAnswer) {
+		t.Errorf("error %v", err)
+	}
+	if n := c.Open(target.Key); n != 0 {
+		t.Errorf("%d connections are left", n)
+	}
+}
--- /dev/null
+++ b/forward/events_test.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A stream comes in pieces of any size. Only whole events may be passed on, each
+// once and in order, also where the endpoint that takes the stream over begins
+// with events that the caller has.
+func TestOnlyWholeNewEventsPass(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "events")
+		had := rapid.IntRange(-1, n).Draw(t, "had")
+		var all, want strings.Builder
+		for i := range n {
+			event := "weight-versions: 2\nid: " + strings.Repeat("0", i%3) + itoa(i) + "\ndata: x\n\n"
+			all.WriteString(event)
+			if i > had {
+				want.WriteString(event)
+			}
+		}
+		torn := "id: 99\ndata: ha"
+		e := events{last: int64(had)}
+		var got strings.Builder
+		rest := all.String() + torn
+		for len(rest) > 0 {
+			k := rapid.IntRange(1, min(len(rest), 40)).Draw(t, "piece")
+			out, err := e.add([]byte(rest[:k]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got.Write(out)
+			rest = rest[k:]
+		}
+		if got.String() != want.String() || string(e.rest()) != torn {
+			t.Fatalf("passed %q, rest %q", got.String(), e.rest())
+		}
+	})
+}
+
+// An endpoint sends an event again in the middle of a stream. To pass it on, or
+// to drop it and go on, would both hide that the stream is out of order.
+func TestStreamThatGoesBackIsBroken(t *testing.T) {
+	e := events{last: NoEvent}
+	if _, err := e.add([]byte("id: 5\n\nid: 4\n\n")); err == nil {
+		t.Error("taken")
+	}
+}
+
+func itoa(i int) string { return string(rune('0'+i/10)) + string(rune('0'+i%10)) }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -178,7 +178,6 @@
 	if !h.o.Callers.begin(r.Context()) {
 		panic(http.ErrAbortHandler)
 	}
-	defer h.o.Callers.end(r.Context())
 	c := &call{Handler: h, w: w, r: r, rc: http.NewResponseController(w), ctx: r.Context()}
 	c.work.Arrived = time.Now()
 	c.in = h.o.Wire.Inbound(r.Header)
--- a/router/router.go
+++ b/router/router.go
@@ -109,6 +109,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ConnContext:       r.callers.Context,
+		ConnState:         r.callers.State,
 	}
 	return r
 }
