--- /dev/null
+++ b/placement/waits_test.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+const sharedLife = 1500 * time.Millisecond
+
+func sharedView(ids ...fleet.EndpointID) *View {
+	v := NewView(Options{Zone: "z", PrefillRate: 80_000, QueueLife: sharedLife})
+	var members []fleet.Endpoint
+	for _, id := range ids {
+		members = append(members, fleet.Endpoint{ID: id, Zone: "z", State: fleet.VMLive})
+	}
+	v.SetPool("p", members)
+	return v
+}
+
+func longPrompt(id uint64, part string) Request {
+	return Request{
+		ID: id, Pool: "p", Tokens: 17_000, Priority: contract.PriorityStandard,
+		Levels: prefix.Chain(prefix.Seed{Model: "m"}, []prefix.Part{{ID: part, Tokens: 13_000}, {ID: "own", Tokens: 4000}}),
+	}
+}
+
+// Eight daemons keep the queue of an engine full. Each hears of it once in a
+// second. Shortly after, the queue is not empty because this daemon could have
+// worked it off: callers sent there on that belief wait for seconds.
+func TestQueueThatOthersRefillIsStillBelieved(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := sharedView("a")
+	v.LoadReported("a", fleet.Load{At: now, Waiting: 8, WaitingTokens: 8 * 17_000, Slots: 24})
+	d, err := v.Place(now.Add(time.Second), longPrompt(1, "x"))
+	if err != nil || d.ExpectedWait < time.Second {
+		t.Errorf("expects to wait %v, %v", d.ExpectedWait, err)
+	}
+	d, _ = v.Place(now.Add(10*time.Second), longPrompt(2, "x"))
+	if d.ExpectedWait > 300*time.Millisecond {
+		t.Errorf("still expects to wait %v after ten seconds", d.ExpectedWait)
+	}
+}
+
+// An engine stops answering. No answer tells of its queue, and callers who give
+// up take their requests with them. The time that requests have been waiting
+// must tell, or each daemon goes on sending there.
+func TestWaitingRequestsTellOfTheQueue(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := sharedView("a")
+	v.Waited(now, "a", contract.PriorityStandard, 2*time.Second, false)
+	d, _ := v.Place(now, longPrompt(1, "x"))
+	if d.ExpectedWait < 1900*time.Millisecond {
+		t.Errorf("expects to wait %v", d.ExpectedWait)
+	}
+	v.Waited(now, "a", contract.PriorityStandard, time.Second, false)
+	if d, _ = v.Place(now, longPrompt(2, "x")); d.ExpectedWait < 1900*time.Millisecond {
+		t.Errorf("a request that came later hides the older one: %v", d.ExpectedWait)
+	}
+	v.Waited(now, "a", contract.PriorityStandard, 100*time.Millisecond, true)
+	if d, _ = v.Place(now, longPrompt(3, "x")); d.ExpectedWait > 500*time.Millisecond {
+		t.Errorf("an answer does not count: %v", d.ExpectedWait)
+	}
+}
+
+// Less urgent requests wait for long. The more urgent go before them, and must
+// not be kept away from the engine.
+func TestWaitOfTheLessUrgentDoesNotCountForTheUrgent(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := sharedView("a")
+	v.Waited(now, "a", contract.PriorityStandard, 2*time.Second, false)
+	urgent := Request{ID: 1, Pool: "p", Tokens: 300, Priority: contract.PriorityInteractive}
+	if d, _ := v.Place(now, urgent); d.ExpectedWait > 100*time.Millisecond {
+		t.Errorf("expects to wait %v", d.ExpectedWait)
+	}
+}
+
+func TestPeerIsAnotherHome(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := sharedView("a", "b", "c")
+	d, err := v.Place(now, longPrompt(1, "x"))
+	if err != nil || d.Peer == "" || d.Peer == d.Endpoint {
+		t.Errorf("endpoint %s, peer %q, %v", d.Endpoint, d.Peer, err)
+	}
+	avoided := longPrompt(2, "x")
+	avoided.Avoid = []fleet.EndpointID{d.Endpoint}
+	if other, _ := v.Place(now, avoided); other.Peer != d.Endpoint {
+		t.Errorf("a request that avoids its home has peer %s, home %s", other.Peer, d.Endpoint)
+	}
+}
+
+func TestHomesAreAskedOnlyIfTheirLoadIsOld(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := sharedView("a", "b", "c")
+	r := longPrompt(1, "x")
+	homes := v.Homes(r, now, 2)
+	if len(homes) != 2 {
+		t.Fatalf("homes %v", homes)
+	}
+	v.LoadReported(homes[0], fleet.Load{At: now})
+	if got := v.Homes(r, now, 2); len(got) != 1 || got[0] != homes[1] {
+		t.Errorf("homes %v, want %v", got, homes[1:])
+	}
+	v.SetGate(homes[1], GateEjected)
+	if got := v.Homes(r, now, 2); len(got) != 0 {
+		t.Errorf("an engine that is out is asked: %v", got)
+	}
+	if got := v.Homes(Request{Pool: "none"}, now, 2); got != nil {
+		t.Errorf("homes of no pool: %v", got)
+	}
+}
