Tell a silent store from a read that waits, and be ready steadily

Change: readiness goes by the time since the store last answered; after a failed read the next one does not wait.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -18,22 +18,33 @@
 // Confirmed holds when the newest answered read was sent. It is safe for
 // concurrent use. The zero value has never been confirmed.
 type Confirmed struct {
-	mu   sync.Mutex
-	sent time.Duration
-	some bool
+	mu    sync.Mutex
+	sent  time.Duration
+	heard time.Duration
+	some  bool
 }
 
-// Answered notes a read that was sent at the given time and has been answered.
-// The time of sending counts, not that of the answer: the answer may have been
-// on its way for long, and says nothing of what happened since it left.
-func (c *Confirmed) Answered(sent time.Duration) {
+// Answered notes a read that was sent at the given time and has been answered
+// now. What it confirms counts from the sending: the answer may have been on
+// its way for long, and says nothing of what happened since it left.
+func (c *Confirmed) Answered(sent, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.heard = max(c.heard, now)
 	if !c.some || sent > c.sent {
 		c.sent, c.some = sent, true
 	}
 }
 
+// Silence is the time since an answer came; false if there has been none. It
+// tells whether there is a way to the store, while Age also grows as a read
+// waits for news there.
+func (c *Confirmed) Silence(now time.Duration) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now - c.heard, c.some
+}
+
 // Age is the time since the newest answered read was sent; false if there has
 // been none.
 func (c *Confirmed) Age(now time.Duration) (time.Duration, bool) {
--- a/lab/routed/routed_test.go
+++ b/lab/routed/routed_test.go
@@ -328,3 +328,26 @@
 		t.Errorf("%d requests went to the old process", n)
 	}
 }
+
+// Nothing happens but requests. A daemon that is not ready now and then between
+// two reads of the store is taken out of the balancer's rotation, and its
+// callers crowd the others.
+func TestReadinessIsSteady(t *testing.T) {
+	w := newWorld(t)
+	end := time.After(3 * time.Second)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for asked, notReady := 0, 0; ; asked++ {
+		select {
+		case <-tick.C:
+			if !w.isReady() {
+				notReady++
+			}
+		case <-end:
+			if notReady > 0 {
+				t.Errorf("not ready at %d of %d questions", notReady, asked)
+			}
+			return
+		}
+	}
+}
--- a/router/follow.go
+++ b/router/follow.go
@@ -15,7 +15,7 @@
 	// record, as a part of Settings.RevokeWithin. Each answer confirms the keys
 	// anew. Calls cost; but keys must still be fresh when a read was lost and
 	// the next one answered.
-	operatorPart = 0.36
+	operatorPart = 0.3
 	// answerTime is what a read may take beyond its wait. Answers usually take
 	// a few milliseconds; a connection that fell silent shows only by this.
 	answerTime = 900 * time.Millisecond
@@ -96,14 +96,19 @@
 	f.apply = func(record Record) { r.operatorRecord(record, !f.loaded && f.reads == 0) }
 	wait := time.Duration(operatorPart * float64(r.o.Settings.RevokeWithin))
 	for ctx.Err() == nil {
-		more, sent, err := f.read(ctx, wait)
+		patience := wait
+		if f.failed > 0 {
+			// Confirm the keys first: they are old by now.
+			patience = 0
+		}
+		more, sent, err := f.read(ctx, patience)
 		f.note(err)
 		if err != nil {
 			f.pauseAfter(ctx)
 			continue
 		}
 		if !more && f.loaded {
-			r.s.operator.Answered(sent)
+			r.s.operator.Answered(sent, BootClock())
 		}
 	}
 }
@@ -123,7 +128,7 @@
 		if more || !f.loaded {
 			continue
 		}
-		r.s.endpoints.Answered(sent)
+		r.s.endpoints.Answered(sent, BootClock())
 		_ = pause.For(ctx, every)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -26,9 +26,10 @@
 	// believed after the read that confirmed them was sent. The rest is for
 	// clocks that run at different rates.
 	freshPart = 0.96
-	// readyPart is the part after which the daemon is not ready any more, so
-	// that callers go elsewhere before their keys can't be confirmed here.
-	readyPart = 0.56
+	// readySlack is how much longer than a read may take the store may be silent
+	// before the daemon is not ready any more, so that callers go elsewhere
+	// before their keys can't be confirmed here.
+	readySlack = 300 * time.Millisecond
 	// tick is how often beliefs that change with time are looked at.
 	tick = 100 * time.Millisecond
 	// balancerLag is how long the balancer may send new connections after the
@@ -125,9 +126,13 @@
 
 // ready tells whether the balancer should send new connections.
 func (r *Router) ready() bool {
-	fresh := time.Duration(readyPart * float64(r.o.Settings.RevokeWithin))
+	if r.leaving.Load() || r.s.table.Load() == nil || !r.keysFresh() {
+		return false
+	}
 	_, listed := r.s.endpoints.Age(BootClock())
-	return !r.leaving.Load() && r.s.table.Load() != nil && listed && r.s.operator.Within(BootClock(), fresh)
+	silence, _ := r.s.operator.Silence(BootClock())
+	longest := time.Duration(operatorPart*float64(r.o.Settings.RevokeWithin)) + answerTime + readySlack
+	return listed && silence < longest
 }
 
 // Run serves until the context ends and then shuts down without cutting a
