--- a/forward/conn_test.go
+++ b/forward/conn_test.go
@@ -25,6 +25,7 @@
 		NotRun: h.Get("Not-Executed") != "" || status == http.StatusMisdirectedRequest, KeepAlive: 5 * time.Second,
 	}
 }
+
 func (plainWire) Refusal(h http.Header, _ string, after time.Duration) {
 	if after > 0 {
 		h.Set("Retry-After", "1")
--- a/lab/routed/world_test.go
+++ b/lab/routed/world_test.go
@@ -57,7 +57,9 @@
 	go func() { w.done <- r.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-w.done
+		if err := <-w.done; err != nil {
+			t.Errorf("the daemon ended with %v", err)
+		}
 	})
 	w.until("the daemon is ready", w.isReady)
 	return w
--- a/placement/waits_test.go
+++ b/placement/waits_test.go
@@ -21,10 +21,10 @@
 	return v
 }
 
-func longPrompt(id uint64, part string) Request {
+func longPrompt(id uint64) Request {
 	return Request{
 		ID: id, Pool: "p", Tokens: 17_000, Priority: contract.PriorityStandard,
-		Levels: prefix.Chain(prefix.Seed{Model: "m"}, []prefix.Part{{ID: part, Tokens: 13_000}, {ID: "own", Tokens: 4000}}),
+		Levels: prefix.Chain(prefix.Seed{Model: "m"}, []prefix.Part{{ID: "x", Tokens: 13_000}, {ID: "own", Tokens: 4000}}),
 	}
 }
 
@@ -35,11 +35,11 @@
 	now := time.Unix(1_800_000_000, 0)
 	v := sharedView("a")
 	v.LoadReported("a", fleet.Load{At: now, Waiting: 8, WaitingTokens: 8 * 17_000, Slots: 24})
-	d, err := v.Place(now.Add(time.Second), longPrompt(1, "x"))
+	d, err := v.Place(now.Add(time.Second), longPrompt(1))
 	if err != nil || d.ExpectedWait < time.Second {
 		t.Errorf("expects to wait %v, %v", d.ExpectedWait, err)
 	}
-	d, _ = v.Place(now.Add(10*time.Second), longPrompt(2, "x"))
+	d, _ = v.Place(now.Add(10*time.Second), longPrompt(2))
 	if d.ExpectedWait > 300*time.Millisecond {
 		t.Errorf("still expects to wait %v after ten seconds", d.ExpectedWait)
 	}
@@ -52,16 +52,16 @@
 	now := time.Unix(1_800_000_000, 0)
 	v := sharedView("a")
 	v.Waited(now, "a", contract.PriorityStandard, 2*time.Second, false)
-	d, _ := v.Place(now, longPrompt(1, "x"))
+	d, _ := v.Place(now, longPrompt(1))
 	if d.ExpectedWait < 1900*time.Millisecond {
 		t.Errorf("expects to wait %v", d.ExpectedWait)
 	}
 	v.Waited(now, "a", contract.PriorityStandard, time.Second, false)
-	if d, _ = v.Place(now, longPrompt(2, "x")); d.ExpectedWait < 1900*time.Millisecond {
+	if d, _ = v.Place(now, longPrompt(2)); d.ExpectedWait < 1900*time.Millisecond {
 		t.Errorf("a request that came later hides the older one: %v", d.ExpectedWait)
 	}
 	v.Waited(now, "a", contract.PriorityStandard, 100*time.Millisecond, true)
-	if d, _ = v.Place(now, longPrompt(3, "x")); d.ExpectedWait > 500*time.Millisecond {
+	if d, _ = v.Place(now, longPrompt(3)); d.ExpectedWait > 500*time.Millisecond {
 		t.Errorf("an answer does not count: %v", d.ExpectedWait)
 	}
 }
@@ -81,11 +81,11 @@
 func TestPeerIsAnotherHome(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	v := sharedView("a", "b", "c")
-	d, err := v.Place(now, longPrompt(1, "x"))
+	d, err := v.Place(now, longPrompt(1))
 	if err != nil || d.Peer == "" || d.Peer == d.Endpoint {
 		t.Errorf("endpoint %s, peer %q, %v", d.Endpoint, d.Peer, err)
 	}
-	avoided := longPrompt(2, "x")
+	avoided := longPrompt(2)
 	avoided.Avoid = []fleet.EndpointID{d.Endpoint}
 	if other, _ := v.Place(now, avoided); other.Peer != d.Endpoint {
 		t.Errorf("a request that avoids its home has peer %s, home %s", other.Peer, d.Endpoint)
@@ -95,7 +95,7 @@
 func TestHomesAreAskedOnlyIfTheirLoadIsOld(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	v := sharedView("a", "b", "c")
-	r := longPrompt(1, "x")
+	r := longPrompt(1)
 	homes := v.Homes(r, now, 2)
 	if len(homes) != 2 {
 		t.Fatalf("homes %v", homes)
--- /dev/null
+++ b/router/learn.go
@@ -0,0 +1,168 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/retry"
+	"github.com/merlindock/merlindock/weights"
+)
+
+// unanswered is a request whose answer has not begun.
+type unanswered struct {
+	endpoint fleet.EndpointID
+	priority contract.Priority
+	placed   time.Time
+	reading  time.Duration // of the prompt, expected
+}
+
+// waited is how long it has waited for its prompt to be read.
+func (u *unanswered) waited(now time.Time) time.Duration { return now.Sub(u.placed) - u.reading }
+
+// overdue tells placement which requests have been waiting.
+func (p *placer) overdue(now time.Time) {
+	p.unansweredMu.Lock()
+	defer p.unansweredMu.Unlock()
+	for _, u := range p.unanswered {
+		if w := u.waited(now); w > 0 {
+			p.s.view.Waited(now, u.endpoint, u.priority, w, false)
+		}
+	}
+}
+
+// answered ends the waiting of a placement.
+func (p *placer) answered(now time.Time, id uint64, ran bool) {
+	p.unansweredMu.Lock()
+	u, ok := p.unanswered[id]
+	delete(p.unanswered, id)
+	p.unansweredMu.Unlock()
+	if ok && ran {
+		p.s.view.Waited(now, u.endpoint, u.priority, u.waited(now), true)
+	}
+}
+
+// ask has the homes of a long prompt report their load, if it is not known.
+//
+// With many daemons each hears of an engine every few seconds, too seldom to
+// tell a full one from an idle one, and the reading of one long prompt behind
+// others is what makes answers late. Two small questions cost a few
+// milliseconds.
+func (p *placer) ask(ctx context.Context, now time.Time, r *placement.Request, model string) {
+	homes := p.s.view.Homes(*r, now.Add(-loadKnown), askedHomes)
+	if len(homes) == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, key := range homes {
+		target, ok := p.target(key)
+		if !ok {
+			continue
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			report, err := p.engines.Report(call, target, model)
+			if err != nil {
+				return // placement goes by what it knows; the attempt shows what is wrong
+			}
+			p.s.view.LoadReported(key, fleet.Load{
+				At: time.Now().Add(-reportLag), Running: report.Running, Waiting: report.Waiting,
+				WaitingTokens: int(float64(report.Waiting) * p.meanTokens(int(laneLong))),
+			})
+		}()
+	}
+	all.Wait()
+}
+
+func (p *placer) target(key fleet.EndpointID) (weights.Target, bool) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	e := p.s.places[key]
+	if e == nil {
+		return weights.Target{}, false
+	}
+	return weights.Target{Key: e.Key, ID: e.ID, Address: e.Address}, true
+}
+
+// Times of asking engines for their load.
+const (
+	// loadKnown is the age up to which a load is taken as it was told.
+	loadKnown = 300 * time.Millisecond
+	// askTime bounds the question; engines answer in a few milliseconds.
+	askTime = 40 * time.Millisecond
+	// reportLag is how old a report is when it comes.
+	reportLag  = 200 * time.Millisecond
+	askedHomes = 2
+)
+
+// Answered implements forward.Placer.
+func (p *placer) Answered(pl *forward.Placement, info *forward.AnswerInfo) {
+	now := time.Now()
+	if info.Load != nil {
+		info.Load.At = now
+		info.Load.WaitingTokens = int(float64(info.Load.Waiting) * p.meanTokens(pl.Lane))
+	}
+	p.answered(now, pl.ID, !info.NotRun)
+	if !info.NotRun {
+		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: info.Load})
+		return
+	}
+	if info.Load != nil {
+		p.s.view.LoadReported(pl.Target.Key, *info.Load)
+	}
+	p.turnedAway(now, pl, info)
+}
+
+// meanTokens is the mean length of the prompts that this daemon places in the
+// lane. Engines tell how many requests wait, not how long they are.
+func (p *placer) meanTokens(lane int) float64 {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	return p.s.lanes.mean[lane]
+}
+
+// turnedAway learns from an endpoint that did not run a request: it is another
+// endpoint, has other weights, takes new ones now, or is full.
+func (p *placer) turnedAway(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
+	if info.Misplaced || !full {
+		p.s.rest(now, pl.Target.Key, restAfterRefusal)
+	}
+}
+
+// Ended implements forward.Placer.
+func (p *placer) Ended(pl *forward.Placement, end forward.End) {
+	now := time.Now()
+	p.answered(now, pl.ID, false)
+	if end.Whole || end.Left {
+		p.s.view.Finished(now, pl.ID)
+	} else {
+		p.s.view.Failed(now, placement.Failure{ID: pl.ID, Endpoint: pl.Target.Key})
+	}
+	if end.NotRun || end.Left {
+		return
+	}
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	if end.Lost && end.Failure == retry.NotSent {
+		// Nobody is there at all: nothing speaks for trying once more soon.
+		p.s.rest(now, pl.Target.Key, restUnreachable)
+	}
+	if end.Lost {
+		p.s.health.Failure(now, pl.Target.Key, 0)
+	} else if end.Whole && !end.Error {
+		p.s.health.Success(now, pl.Target.Key, 0, 0)
+	}
+	if p.s.unusable(now, pl.Target.Key) {
+		p.s.view.SetGate(pl.Target.Key, placement.GateEjected)
+	}
+}
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -32,14 +32,16 @@
 	id       uint64
 }
 
-const readRate = 80_000 // tokens/s
+const (
+	readRate    = 80_000 // tokens/s
+	daemonCount = 9
+)
 
 // replay is one run of the load.
 type replay struct {
 	rng     *rand.Rand
 	engines []*engineModel
 	views   []*placement.View
-	pools   func(tokens int) string
 	limit   time.Duration // of the expected wait of a long prompt; 0: none
 	waited  bool          // requests that wait tell of the queue
 
@@ -51,7 +53,7 @@
 // callerPatience is how long a caller waits for the first event.
 const callerPatience = 2400 * time.Millisecond
 
-func newReplay(daemons, engines int, o placement.Options, part float64) *replay {
+func newReplay(engines int, o placement.Options, part float64) *replay {
 	r := &replay{rng: rand.New(rand.NewPCG(11, 4))}
 	var members []fleet.Endpoint
 	for i := range engines {
@@ -63,7 +65,7 @@
 	if part > 0 {
 		short, long = split(members, part, false)
 	}
-	for range daemons {
+	for range daemonCount {
 		v := placement.NewView(o)
 		v.SetPool("short", short)
 		v.SetPool("long", long)
@@ -190,7 +192,7 @@
 // long as the long one is read. With engines of their own, nearly all short
 // prompts are read in 50 ms.
 func TestLanesKeepShortPromptsFromLongOnes(t *testing.T) {
-	mixed, parted := newReplay(9, 9, options(), 0), newReplay(9, 9, options(), 0.2)
+	mixed, parted := newReplay(9, options(), 0), newReplay(9, options(), 0.2)
 	mixed.run(20, 200, 20)
 	parted.run(20, 200, 20)
 	all := len(parted.waits[0])
@@ -205,10 +207,10 @@
 // wait, fewer are read in vain and more callers get their first event within the
 // objective than when all are taken.
 func TestRefusingEarlyServesMoreInTime(t *testing.T) {
-	taken := newReplay(9, 6, options(), 0)
+	taken := newReplay(6, options(), 0)
 	taken.waited = true
 	taken.run(30, 0, 50)
-	refusing := newReplay(9, 6, options(), 0)
+	refusing := newReplay(6, options(), 0)
 	refusing.waited, refusing.limit = true, 600*time.Millisecond
 	refusing.run(30, 0, 50)
 	before, after := taken.within(1, 800*time.Millisecond), refusing.within(1, 800*time.Millisecond)
@@ -223,10 +225,10 @@
 func TestWaitingRequestsMakeRefusalsMeetTheOverload(t *testing.T) {
 	alone := options()
 	alone.QueueLife = 0
-	blind := newReplay(9, 6, alone, 0)
+	blind := newReplay(6, alone, 0)
 	blind.limit = 600 * time.Millisecond
 	blind.run(30, 0, 50)
-	seeing := newReplay(9, 6, options(), 0)
+	seeing := newReplay(6, options(), 0)
 	seeing.waited, seeing.limit = true, 600*time.Millisecond
 	seeing.run(30, 0, 50)
 	t.Logf("left before the first event: %d blind, %d seeing", blind.lost, seeing.lost)
--- /dev/null
+++ b/router/moves.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
+	"github.com/merlindock/merlindock/routes"
+)
+
+// moves says where the engine may fetch parts of the prompt, and whether it
+// sends them to the store.
+//
+// To read a long shared part again takes the engine's whole time for over 100
+// ms; to fetch it takes 5 to 25 ms. A fetch of what nobody has costs a
+// millisecond, and an engine fetches only what it lacks.
+func (p *placer) moves(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, out *forward.Outbound) {
+	at := prefix.Affinity(r.Levels)
+	if at < 0 || r.Levels[at].Tokens < worthMoving {
+		return
+	}
+	key := r.Levels[at].Key
+	store := storeOf(w.Table, key)
+	peer := p.s.places[d.Peer]
+	switch {
+	case d.Reason == placement.ReasonSpill && peer != nil && !p.s.unusable(now, d.Peer):
+		out.FetchFrom = peer.Address
+	case store != "":
+		out.FetchFrom = store
+	}
+	if store != "" && now.Sub(p.s.saved[key]) > savedFor && p.fraction() < savePart {
+		p.s.saved[key] = now
+		out.SaveTo = store
+	}
+}
+
+// savePart is the part of the reads that are sent to the store. All daemons
+// together would otherwise send each prompt several times, and the store's link
+// carries less than the engines read.
+const savePart = 0.5
+
+// prefixDigits name a prefix in logs.
+const prefixDigits = 8
+
+// worthMoving is the number of tokens above which a shared part is fetched
+// rather than read: a few hundred are read in the time of a miss.
+const worthMoving = 1000
+
+// storeOf returns the address of the store that holds a prefix, "" if there is
+// none. Each prefix has one store, the same for all daemons: what one saves
+// another must find.
+func storeOf(t *routes.Table, key prefix.Key) string {
+	if len(t.Stores) == 0 {
+		return ""
+	}
+	return t.Stores[key.Uint64()%uint64(len(t.Stores))].Address
+}
+
+// salt separates cache entries that may never be mixed: those of other weights,
+// and those of an isolated organisation.
+func salt(w *forward.Work, version int64) string {
+	text := "v" + strconv.FormatInt(version, 10)
+	if w.Organisation != nil && w.Organisation.Isolated {
+		text += "/" + w.Organisation.Name
+	}
+	return text
+}
+
+func seedOf(w *forward.Work, version int64) prefix.Seed {
+	seed := prefix.Seed{Model: w.In.Model, Version: strconv.FormatInt(version, 10)}
+	if w.Organisation != nil && w.Organisation.Isolated {
+		seed.Organisation = contract.OrganisationID(w.Organisation.Name)
+	}
+	return seed
+}
--- a/router/router.go
+++ b/router/router.go
@@ -248,11 +248,6 @@
 			delete(r.s.saved, key)
 		}
 	}
-	for key, at := range r.s.seen {
-		if now.Sub(at) > savedFor {
-			delete(r.s.seen, key)
-		}
-	}
 	known := make(map[fleet.EndpointID]bool, len(r.s.places))
 	for key := range r.s.places {
 		known[key] = true
--- a/router/state.go
+++ b/router/state.go
@@ -50,7 +50,6 @@
 	versions  map[string]map[int64]int                 // usable engines by laneKey and version
 	pools     map[string]bool
 	saved     map[prefix.Key]time.Time // when a part was sent to the store
-	seen      map[prefix.Key]time.Time // when a part was last asked for here
 	lanes     laneSplit
 	part      float64 // of the engines for short prompts, as the pools have it
 	usable    int     // engines that were neither resting nor ejected then
@@ -69,7 +68,6 @@
 		versions:  map[string]map[int64]int{},
 		pools:     map[string]bool{},
 		saved:     map[prefix.Key]time.Time{},
-		seen:      map[prefix.Key]time.Time{},
 		view: placement.NewShared(placement.Options{
 			Zone: zone, PrefillRate: prefillRate, ImportRate: importRate,
 			ImportLatency: importLatency, ReservationTTL: reservationTTL,
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -71,8 +71,11 @@
 		r    Route
 		want bool
 	}{
-		{Route{Kind: Unsafe}, false}, {Route{Kind: Safe}, true}, {Route{Kind: Stream}, false},
-		{Route{Kind: Stream, Resumable: true}, true}, {Route{Kind: Unsafe, Resumable: true}, false},
+		{Route{Kind: Unsafe}, false},
+		{Route{Kind: Safe}, true},
+		{Route{Kind: Stream}, false},
+		{Route{Kind: Stream, Resumable: true}, true},
+		{Route{Kind: Unsafe, Resumable: true}, false},
 	} {
 		if got := c.r.Repeatable(); got != c.want {
 			t.Errorf("%+v: %v", c.r, got)
