--- a/cmd/merlindock/main.go
+++ b/cmd/merlindock/main.go
@@ -85,6 +85,7 @@
 		newCapacity(s),
 		newLoad(s),
 		newStandin(s),
+		newExplain(s),
 		newVersion(s),
 	}
 	root.Exec = func(context.Context, []string) error {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -379,6 +379,9 @@
 		c.left()
 	case c.begun:
 		c.report.Code = string(d.Code)
+		if time.Now().After(c.work.Deadline) {
+			c.report.Code = string(retry.CodeDeadline)
+		}
 		c.abort()
 	case c.answer != nil:
 		c.pass(c.answer)
--- a/lab/metastore/metastore.go
+++ b/lab/metastore/metastore.go
@@ -34,6 +34,7 @@
 	topics map[string]*topic
 	fault  Fault
 	calls  int
+	writes int
 	woken  chan struct{} // closed when a record is added
 }
 
@@ -66,6 +67,13 @@
 	return s.calls
 }
 
+// Appends is the number of append calls so far, refused ones included.
+func (s *Store) Appends() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 // Put writes a key of a keyed topic as the operator or an endpoint does. A nil
 // value drops the key.
 func (s *Store) Put(name, key string, value any) {
@@ -120,6 +128,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
+	if r.URL.Path == "/v1/log-append" {
+		s.writes++
+	}
 	fault := s.fault
 	s.mu.Unlock()
 	switch fault {
--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -24,6 +24,7 @@
 	turnAway  int // requests still to be turned away
 	failNext  int // requests still to be answered with an error
 	cancelled int
+	noOrders  bool
 }
 
 // Run is one request that the runner worked on.
@@ -62,6 +63,13 @@
 	r.failNext = n
 }
 
+// RefuseOrders has the runner refuse every order.
+func (r *Runner) RefuseOrders() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noOrders = true
+}
+
 // Ran returns what the runner worked on.
 func (r *Runner) Ran() []Run {
 	r.mu.Lock()
@@ -118,7 +126,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o.Expected != r.orders {
+	if r.noOrders || o.Expected != r.orders {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
--- a/lab/routed/routed_test.go
+++ b/lab/routed/routed_test.go
@@ -351,3 +351,21 @@
 		}
 	}
 }
+
+// The store turns the daemon away while engines still need their new weights.
+// The daemon wants the lease, and must not ask for it ten times a second: every
+// call counts against what all daemons share, and the log fills with one line.
+func TestClaimsAreNotRepeatedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	for _, r := range w.runners {
+		r.RefuseOrders()
+	}
+	w.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 2})
+	w.until("the daemon knows the version", func() bool { return w.store.Appends() > 0 })
+	w.store.SetFault(metastore.Busy)
+	before := w.store.Appends()
+	<-time.After(2 * time.Second)
+	if n := w.store.Appends() - before; n > 7 {
+		t.Errorf("%d claims in two seconds", n)
+	}
+}
--- a/router/orders.go
+++ b/router/orders.go
@@ -27,7 +27,10 @@
 	reportEvery = 350 * time.Millisecond
 	// contendAfter spreads the daemons that would all claim the lease at once.
 	contendAfter = 250 * time.Millisecond
-	reportTime   = 500 * time.Millisecond
+	// claimPause, and as long again at random, lies between a claim that failed
+	// and the next.
+	claimPause = 400 * time.Millisecond
+	reportTime = 500 * time.Millisecond
 )
 
 // leader gives orders while it holds the lease.
@@ -40,6 +43,8 @@
 	loading map[fleet.EndpointID]loadingEngine
 	untold  []weights.News // for the other daemons, with the next claim
 	asked   time.Duration
+	claimAt time.Duration // no claim before, after one that failed
+	failed  int           // claims in a row
 	since   time.Duration // when work was first seen; 0: none
 	wait    time.Duration
 }
@@ -182,6 +187,9 @@
 
 // claim appends a claim of the lease with news for the other daemons.
 func (l *leader) claim(ctx context.Context, news []weights.News) bool {
+	if BootClock() < l.claimAt {
+		return false
+	}
 	l.mu.Lock()
 	at := l.lease.Next()
 	told := l.untold
@@ -200,6 +208,7 @@
 	var lost *LostRaceError
 	switch {
 	case err == nil:
+		l.failed = 0
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.untold = l.untold[len(told):]
@@ -212,7 +221,7 @@
 		_ = l.readLease(ctx, at, 0)
 		return false
 	default:
-		l.r.log.Warn("Claim of the lease has no answer.", "error", err.Error())
+		l.claimFailed(err)
 	}
 	// It may have been appended all the same: the read shows it. A store that
 	// loses many answers would otherwise keep every daemon from giving orders.
@@ -228,6 +237,17 @@
 	return true
 }
 
+// claimFailed keeps the daemon from claiming again at once. The store turns away
+// what passes its rates, and a daemon that asks ten times a second takes them
+// from the others.
+func (l *leader) claimFailed(err error) {
+	if l.failed == 0 {
+		l.r.log.Warn("Lease of orders can't be claimed.", "error", err.Error())
+	}
+	l.failed++
+	l.claimAt = BootClock() + claimPause + time.Duration(l.r.placer.fraction()*float64(claimPause))
+}
+
 // orderOne asks an engine for its count of orders and orders it.
 func (l *leader) orderOne(ctx context.Context, plan *weights.Plan, e weights.Engine, model string, version int64) {
 	call, cancel := context.WithTimeout(ctx, reportTime)
