Read the store through one daemon of the zone

Change: daemons announce themselves in the store; in a zone of eight or more all but the first in one order read topics through a neighbour, with the age of what is passed on. Too old an answer, or none, sends a daemon to the store.

--- /dev/null
+++ b/router/feed_test.go
@@ -0,0 +1,162 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+func record(offset int64) Record { return Record{Key: "k", Value: []byte("v"), Offset: offset} }
+
+// fixed is a clock that stands at a time.
+func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// A neighbour passes on what it read four seconds ago. Whoever believes keys for
+// five seconds must count those four, or a key that was taken away is served for
+// twice the bound.
+func TestFeedTellsHowOldItIs(t *testing.T) {
+	f := newFeed()
+	f.add(0, Records{Records: []Record{record(0)}, Next: 1}, 10*time.Second)
+	got, ok := f.read(t.Context(), fixed(14*time.Second), 0, 0)
+	if !ok || len(got.Records) != 1 || got.Next != 1 || got.Age != 4*time.Second {
+		t.Errorf("%+v, %v", got, ok)
+	}
+}
+
+// A reader is behind what the feed still holds, or ahead of it. It would miss
+// records, such as a configuration, if it read on here.
+func TestFeedNeverSkipsRecords(t *testing.T) {
+	f := newFeed()
+	if _, ok := f.read(t.Context(), fixed(0), 0, 0); ok {
+		t.Error("an empty feed answers")
+	}
+	f.add(5, Records{Records: []Record{record(5)}, Next: 6}, 0)
+	for from, want := range map[int64]bool{4: false, 5: true, 6: true, 7: false} {
+		if _, ok := f.read(t.Context(), fixed(0), from, 0); ok != want {
+			t.Errorf("from %d: %v", from, ok)
+		}
+	}
+	f.add(9, Records{Records: []Record{record(9)}, Next: 10}, 0)
+	if _, ok := f.read(t.Context(), fixed(0), 6, 0); ok {
+		t.Error("a gap was read over")
+	}
+	for i := int64(10); i < feedRecords+50; i++ {
+		f.add(i, Records{Records: []Record{record(i)}, Next: i + 1}, 0)
+	}
+	if _, ok := f.read(t.Context(), fixed(0), 9, 0); ok {
+		t.Error("records that were dropped are passed over")
+	}
+}
+
+func TestFeedWakesItsReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFeed()
+		f.add(0, Records{Next: 3}, 0)
+		began := time.Now()
+		go func() {
+			time.Sleep(100 * time.Millisecond) // virtual
+			f.add(3, Records{Records: []Record{record(3)}, Next: 4}, 0)
+		}()
+		got, ok := f.read(context.Background(), fixed(0), 3, time.Second)
+		if !ok || len(got.Records) != 1 || time.Since(began) != 100*time.Millisecond {
+			t.Errorf("%+v, %v after %v", got, ok, time.Since(began))
+		}
+	})
+}
+
+// zoneOf makes a zone of daemons and the view that one of them has of it.
+func zoneOf(n int, me string) (*neighbours, []Neighbour) {
+	var all []Neighbour
+	for i := range n {
+		all = append(all, Neighbour{Name: string(rune('a' + i)), Zone: "z", Address: "127.0.0.1:1"})
+	}
+	all = append(all, Neighbour{Name: "far", Zone: "y", Address: "127.0.0.1:1"})
+	v := newNeighbours(Neighbour{Name: me, Zone: "z"}, net.Dialer{Timeout: time.Second}, fixed(0))
+	v.set(all)
+	return v, all
+}
+
+func TestOneDaemonOfAZoneReadsTheStore(t *testing.T) {
+	readers := 0
+	for _, me := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+		v, _ := zoneOf(10, me)
+		if d, ok := v.pick(); !ok {
+			readers++
+		} else if d.Zone != "z" || d.Name == me {
+			t.Errorf("%s reads through %s of %s", me, d.Name, d.Zone)
+		}
+	}
+	if readers != 1 {
+		t.Errorf("%d daemons read the store", readers)
+	}
+	for _, me := range []string{"a", "b", "c"} {
+		v, _ := zoneOf(3, me)
+		if _, ok := v.pick(); ok {
+			t.Error("a small zone reads through a neighbour")
+		}
+	}
+}
+
+// The neighbour that a daemon reads through is killed. The daemon must go to the
+// next one or to the store in the same read, and come back later.
+func TestNeighbourThatDoesNotAnswerIsPassedOver(t *testing.T) {
+	var v *neighbours
+	for _, me := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+		if v, _ = zoneOf(10, me); len(v.before) > 1 {
+			break
+		}
+	}
+	first, _ := v.pick()
+	if _, ok := v.read(t.Context(), TopicOperator, 0); ok {
+		t.Fatal("a dead neighbour answered")
+	}
+	if next, ok := v.pick(); ok && next.Address == first.Address && next.Name == first.Name {
+		t.Error("asked again at once")
+	}
+	v.clock = fixed(avoidFor)
+	if again, ok := v.pick(); !ok || again.Name != first.Name {
+		t.Error("never asked again")
+	}
+}
+
+// A neighbour lost its own way to the store and passes on what is old, or
+// answers nonsense. The store must be asked.
+func TestOldOrMalformedAnswersSendToTheStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		ok     bool
+	}{
+		"fresh":     {encode(t, relayed{Records: []Record{record(4)}, Next: 5, Age: time.Second}), true},
+		"old":       {encode(t, relayed{Next: 5, Age: relayAge + time.Millisecond}), false},
+		"malformed": {`{"records":7}`, false},
+		"cut":       {`{"records":[`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(c.answer)) }))
+			defer server.Close()
+			v := newNeighbours(Neighbour{Name: "me", Zone: "z"}, net.Dialer{}, fixed(0))
+			v.enough = true
+			v.before = []Neighbour{{Name: "n", Zone: fleet.ZoneID("z"), Address: server.Listener.Addr().String()}}
+			got, ok := v.read(t.Context(), TopicOperator, 4)
+			if ok != c.ok || (ok && (len(got.Records) != 1 || string(got.Records[0].Value) != "v" || got.Age != time.Second)) {
+				t.Errorf("%+v, %v", got, ok)
+			}
+		})
+	}
+}
+
+func encode(t *testing.T, r relayed) string {
+	t.Helper()
+	b, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
--- a/router/follow.go
+++ b/router/follow.go
@@ -37,20 +37,15 @@
 	apply  func(Record)
 	reads  int // answered
 	failed int // reads in a row
+	// relayed says that the newest answer came from a neighbour.
+	relayed bool
 }
 
 // read makes one read and applies it. It returns whether more is there already,
 // and when the answered read was sent.
-func (f *follower) read(ctx context.Context, wait time.Duration) (more bool, sent time.Duration, err error) {
+func (f *follower) read(ctx context.Context, wait time.Duration) (more bool, sent time.Duration, _ error) {
 	sent = BootClock()
-	call, cancel := context.WithTimeout(ctx, wait+answerTime)
-	defer cancel()
-	var got Records
-	if f.loaded {
-		got, err = f.r.o.Store.Read(call, f.topic, f.next, wait)
-	} else {
-		got, err = f.r.o.Store.Newest(call, f.topic)
-	}
+	got, err := f.ask(ctx, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.loaded = false
 		f.r.log.Info("History of the store is gone, reading the newest of each key.", "topic", f.topic.String(), "next", f.next)
@@ -59,14 +54,37 @@
 	if err != nil {
 		return false, sent, err
 	}
+	sent -= got.Age
 	for _, record := range got.Records {
 		f.apply(record)
 	}
+	from := f.next
+	if !f.loaded {
+		from, got.Records = got.Next, nil
+	}
+	f.r.feeds[f.topic].add(from, got, sent)
 	f.next, f.loaded = got.Next, true
 	f.reads++
 	return got.End > got.Next, sent, nil
 }
 
+// ask reads through a neighbour or the store itself.
+func (f *follower) ask(ctx context.Context, wait time.Duration) (Records, error) {
+	f.relayed = false
+	if f.loaded {
+		if got, ok := f.r.neighbours.read(ctx, f.topic, f.next); ok {
+			f.relayed = true
+			return got, nil
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	if f.loaded {
+		return f.r.o.Store.Read(call, f.topic, f.next, wait)
+	}
+	return f.r.o.Store.Newest(call, f.topic)
+}
+
 // note logs that the store was lost or is back.
 func (f *follower) note(err error) {
 	if err == nil {
@@ -129,6 +147,10 @@
 			continue
 		}
 		r.s.endpoints.Answered(sent, BootClock())
+		if f.relayed {
+			_ = pause.For(ctx, relayPause)
+			continue
+		}
 		_ = pause.For(ctx, every)
 	}
 }
--- a/router/orders.go
+++ b/router/orders.go
@@ -84,9 +84,11 @@
 }
 
 func (l *leader) readLease(ctx context.Context, from int64, wait time.Duration) error {
-	call, cancel := context.WithTimeout(ctx, wait+answerTime)
-	defer cancel()
-	records, end, err := l.r.o.Lease.LeaseRecords(call, from, wait)
+	sent := BootClock()
+	records, end, age, err := l.askLease(ctx, from, wait)
+	if err == nil {
+		l.feed(from, records, sent-age)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if errors.Is(err, ErrHistoryGone) {
@@ -111,6 +113,31 @@
 	return nil
 }
 
+// askLease reads the lease, through a neighbour if there is time to wait.
+func (l *leader) askLease(ctx context.Context, from int64, wait time.Duration) (records [][]byte, end int64, age time.Duration, err error) {
+	if wait > 0 {
+		if got, ok := l.r.neighbours.read(ctx, TopicLease, from); ok {
+			for _, r := range got.Records {
+				records = append(records, r.Value)
+			}
+			return records, got.Next, got.Age, nil
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	records, end, err = l.r.o.Lease.LeaseRecords(call, from, wait)
+	return records, end, 0, err
+}
+
+// feed keeps what was read for the neighbours.
+func (l *leader) feed(from int64, records [][]byte, sent time.Duration) {
+	got := Records{Next: from + int64(len(records))}
+	for i, r := range records {
+		got.Records = append(got.Records, Record{Value: r, Offset: from + int64(i)})
+	}
+	l.r.feeds[TopicLease].add(from, got, sent)
+}
+
 // step gives the orders that are due.
 func (l *leader) step(ctx context.Context) {
 	behind := l.behind()
--- a/router/router.go
+++ b/router/router.go
@@ -51,10 +51,13 @@
 	Store    Store
 	Lease    LeaseLog
 	Codec    Codec
-	Wire     forward.Wire
-	Engines  weights.Engines
-	Logs     *logging.Factory
-	Rand     *rand.Rand // seeded
+	// Announcements tells daemons of each other; nil: each reads the store
+	// itself.
+	Announcements Announcements
+	Wire          forward.Wire
+	Engines       weights.Engines
+	Logs          *logging.Factory
+	Rand          *rand.Rand // seeded
 	// MetricsPort is where metrics are served at Settings.MetricsHost; 0: nowhere.
 	MetricsPort string
 	ReadyPath   string // of the balancer's question
@@ -68,8 +71,11 @@
 	client  *forward.Client
 	front   *http.Server
 	callers *forward.Callers
-	log     *logging.Logger
-	metrics *meters
+
+	neighbours *neighbours
+	feeds      [topicCount]*feed
+	log        *logging.Logger
+	metrics    *meters
 
 	leaving atomic.Bool
 }
@@ -96,6 +102,11 @@
 		log:     o.Logs.For(logging.PartRouter),
 		metrics: newMeters(telemetry.New(o.Settings.Name, string(o.Settings.Zone))),
 	}
+	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress}
+	r.neighbours = newNeighbours(me, forward.Dialer(), BootClock)
+	for t := range r.feeds {
+		r.feeds[t] = newFeed()
+	}
 	r.front = &http.Server{
 		Handler: forward.NewHandler(forward.Options{
 			Wire: o.Wire, Client: r.client, Placer: r.placer,
@@ -154,6 +165,14 @@
 	go r.keepTime(work)
 	go r.leadOrders(work)
 	go r.serveReady(questions)
+	if r.o.Announcements != nil && r.o.Settings.PeerAddress != "" {
+		peers, err := net.Listen("tcp", r.o.Settings.PeerAddress)
+		if err != nil {
+			return eris.Wrap(err, "the other daemons' address cannot be listened on")
+		}
+		go r.serveNeighbours(peers)
+		go r.followNeighbours(work)
+	}
 	if r.o.MetricsPort != "" {
 		go r.serveMetrics()
 	}
--- a/router/settings.go
+++ b/router/settings.go
@@ -25,6 +25,7 @@
 	CallerAddress string // IP:port for callers
 	ReadyAddress  string // IP:port for the balancer's question
 	StoreAddress  string // IP:port of the metadata store
+	PeerAddress   string // IP:port for other daemons; empty: none
 	MetricsHost   string
 	MemoryBytes   int64
 	Descriptors   int
--- a/router/store.go
+++ b/router/store.go
@@ -17,9 +17,11 @@
 const (
 	TopicOperator  Topic = iota // the configuration and the weight versions
 	TopicEndpoints              // what endpoints register
+	TopicLease                  // claims of the lease of orders
+	topicCount
 )
 
-var topicNames = [...]string{"operator", "endpoints"}
+var topicNames = [topicCount]string{"operator", "endpoints", "lease"}
 
 // String returns the name used in logs.
 func (t Topic) String() string { return topicNames[t] }
@@ -37,6 +39,9 @@
 	Records []Record
 	Next    int64 // where to read on
 	End     int64 // of the topic when the read was answered
+	// Age is how long before the answer the store confirmed it. It is zero for
+	// an answer of the store itself.
+	Age time.Duration
 }
 
 // Errors of the store.
