--- a/router/feed_test.go
+++ b/router/feed_test.go
@@ -72,7 +72,7 @@
 }
 
 // zoneOf makes a zone of daemons and the view that one of them has of it.
-func zoneOf(n int, me string) (*neighbours, []Neighbour) {
+func zoneOf(n int, me string) *neighbours {
 	var all []Neighbour
 	for i := range n {
 		all = append(all, Neighbour{Name: string(rune('a' + i)), Zone: "z", Address: "127.0.0.1:1"})
@@ -80,13 +80,13 @@
 	all = append(all, Neighbour{Name: "far", Zone: "y", Address: "127.0.0.1:1"})
 	v := newNeighbours(Neighbour{Name: me, Zone: "z"}, net.Dialer{Timeout: time.Second}, fixed(0))
 	v.set(all)
-	return v, all
+	return v
 }
 
 func TestOneDaemonOfAZoneReadsTheStore(t *testing.T) {
 	readers := 0
 	for _, me := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
-		v, _ := zoneOf(10, me)
+		v := zoneOf(10, me)
 		if d, ok := v.pick(); !ok {
 			readers++
 		} else if d.Zone != "z" || d.Name == me {
@@ -97,7 +97,7 @@
 		t.Errorf("%d daemons read the store", readers)
 	}
 	for _, me := range []string{"a", "b", "c"} {
-		v, _ := zoneOf(3, me)
+		v := zoneOf(3, me)
 		if _, ok := v.pick(); ok {
 			t.Error("a small zone reads through a neighbour")
 		}
@@ -109,7 +109,7 @@
 func TestNeighbourThatDoesNotAnswerIsPassedOver(t *testing.T) {
 	var v *neighbours
 	for _, me := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
-		if v, _ = zoneOf(10, me); len(v.before) > 1 {
+		if v = zoneOf(10, me); len(v.before) > 1 {
 			break
 		}
 	}
