Order a little more than a fifth of the engines at a time

Cause: of the engines under an order some still end their requests, so that fewer load than can without slowing each other down; a rollout of 72 engines took 16 s.

The stand-ins read bodies before they wait, without which the soak's server never saw its callers leave and hung.

--- a/lab/metastore/metastore.go
+++ b/lab/metastore/metastore.go
@@ -138,6 +138,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Silent:
+		// The end of the connection shows only once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case None, LostAnswer:
--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -155,6 +156,8 @@
 }
 
 func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
+	// The end of the connection shows only once the body was read.
+	_, _ = io.Copy(io.Discard, req.Body)
 	if r.refused(w, req) {
 		return
 	}
--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -66,6 +66,7 @@
 }
 
 func (p *proxy) close() {
+	p.set(pass)
 	_ = p.l.Close()
 	p.reset()
 }
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -18,9 +19,10 @@
 	lostAfter = 1500 * time.Millisecond
 	// refusedPause keeps a refused engine from being asked again at once.
 	refusedPause = 300 * time.Millisecond
-	// atOncePart is the inverse of the part of the engines that load at a time:
-	// loads slow each other down above about a sixth of the engines.
-	atOncePart = 6
+	// atOncePart is the part of the engines that are under an order at a time.
+	// Loads slow each other down above about a fifth of the engines, and of those
+	// under an order some still end their requests.
+	atOncePart = 0.22
 )
 
 // Engine is what the plan needs to know of one engine.
@@ -46,7 +48,7 @@
 func NewPlan() *Plan { return &Plan{orders: map[fleet.EndpointID]sentOrder{}} }
 
 // AtOnce is how many of n engines load at a time.
-func AtOnce(n int) int { return max(1, (n+atOncePart-1)/atOncePart) }
+func AtOnce(n int) int { return max(1, int(math.Round(atOncePart*float64(n)))) }
 
 // Behind counts the engines with older weights than named.
 func Behind(engines []Engine, named int64) int {
