Mend the soak: fixed ports, no daemon started twice; drop what nothing uses

Cause: two faults could start the same daemon twice, and an outgoing connection could take the port of one that restarts: daemons found their address in use and were left behind. Two packages hashed texts each in its own way; settings were read that nothing used.

Change: ports outside the kernel's range for outgoing connections, start only what does not run; internal/hash; the refusal bound is 0.75 of the objective.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -213,7 +214,7 @@
 	defer cancel()
 	c.ctx = ctx
 	c.work.In = &c.in
-	c.work.Service = t.Services[route.Backend(hashOf(c.in.AttemptID))]
+	c.work.Service = t.Services[route.Backend(hash.Text(c.in.AttemptID))]
 	if c.work.Service == nil {
 		c.refuse(http.StatusServiceUnavailable, "no_service", afterFailure)
 		return
--- a/lab/routed/world_test.go
+++ b/lab/routed/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -46,7 +45,7 @@
 	w.addRunner("app-1", "app", 0)
 	w.addRunner("app-2", "app", 0)
 	w.configure("key-a")
-	w.front, w.ready = freeAddress(t), freeAddress(t)
+	w.front, w.ready = metastore.FreeAddress(t), metastore.FreeAddress(t)
 	set, err := platform.ParseSettings(strings.NewReader(settingsText(w.front, w.ready, store.Listener.Addr().String())))
 	if err != nil {
 		t.Fatal(err)
@@ -87,16 +86,6 @@
 `, front, ready, store)
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // addRunner starts a runner and registers it.
 func (w *world) addRunner(id, service string, events int) {
 	r := &metastore.Runner{ID: id, Events: events, Pause: 5 * time.Millisecond}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -55,7 +54,16 @@
 	ended           chan struct{}
 }
 
+// start starts the process unless it runs: faults overlap, and two of them may
+// want to start the same one again.
 func (p *process) start() error {
+	if p.ended != nil {
+		select {
+		case <-p.ended:
+		default:
+			return nil
+		}
+	}
 	p.cmd = exec.Command(binary, "routed")
 	p.cmd.Env = append(os.Environ(), "MERLINDOCK_NODE_FILE="+p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = io.Discard, os.Stderr
@@ -112,16 +120,6 @@
 	next     int
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func newSoak(t *testing.T, seed uint64) *soak {
 	t.Helper()
 	s := &soak{
@@ -169,10 +167,10 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(link.close)
-	p := &process{front: freeAddress(s.t), store: link, settings: filepath.Join(s.t.TempDir(), "node.conf")}
+	p := &process{front: metastore.FreeAddress(s.t), store: link, settings: filepath.Join(s.t.TempDir(), "node.conf")}
 	text := fmt.Sprintf("nodeName=front-%d\nzone=z1\nip=127.0.0.1\nlisten.front=%s\nlisten.ready=%s\nprovider.address=%s\nlimits.memoryMb=200\nlimits.maxFds=1000\n"+
 		"heartbeatMs=300\nbounds.drainMs=400\nbounds.graceS=4\nbounds.revokeMs=%d\nbounds.versionMs=15000\nbounds.leaseMs=300\n"+
-		"bounds.budgetRatio=0.5\nbounds.budgetWindowS=10\nbounds.retrySlack=50\n", i, p.front, freeAddress(s.t), link.address(), revokeWithin.Milliseconds())
+		"bounds.budgetRatio=0.5\nbounds.budgetWindowS=10\nbounds.retrySlack=50\n", i, p.front, metastore.FreeAddress(s.t), link.address(), revokeWithin.Milliseconds())
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/router/lanes.go
+++ b/router/lanes.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/merlindock/merlindock/internal/hash"
 
 	"github.com/merlindock/merlindock/fleet"
 )
@@ -115,4 +115,4 @@
 	return ordered[:k], ordered[k:]
 }
 
-func laneHash(id fleet.EndpointID) uint64 { return xxhash.Sum64String("lane/" + string(id)) }
+func laneHash(id fleet.EndpointID) uint64 { return hash.Text("lane/" + string(id)) }
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/internal/pause"
 )
 
@@ -89,7 +90,7 @@
 			zone = append(zone, d)
 		}
 	}
-	rank := func(d Neighbour) uint64 { return hashText("neighbour/" + d.Name) }
+	rank := func(d Neighbour) uint64 { return hash.Text("neighbour/" + d.Name) }
 	slices.SortFunc(zone, func(a, b Neighbour) int {
 		if rank(a) < rank(b) {
 			return -1
--- a/router/placer.go
+++ b/router/placer.go
@@ -13,6 +13,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/health"
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/retry"
@@ -160,7 +161,7 @@
 // wait before its prompt is read. Past it the answer would be late, take as much
 // of the engine as one in time, and make the next one late. The time of reading
 // the prompt itself does not count: the longest prompts would never be served.
-const refusePart = 1.0
+const refusePart = 0.75
 
 // spillCost is what a short prompt waits longer among long ones than their
 // queue tells: the piece of a long prompt that is being read, and the next.
@@ -194,15 +195,15 @@
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	n := p.s.named[w.In.Model]
-	hash := uint64(0)
+	at := uint64(0)
 	if len(w.In.Parts) > 0 {
-		hash = hashText(w.In.Parts[0].ID)
+		at = hash.Text(w.In.Parts[0].ID)
 	}
 	in := laneOf(w.In.PromptTokens)
 	p.s.lanes.seen(now, in, w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
 	engines := p.s.versions[laneKey(modelKey(w.Service.Name, w.In.Model), in)]
 	clock := p.clock()
-	v := chooseVersion(engines, func(v int64) bool { return n.allowed(v, clock, p.old) }, hash)
+	v := chooseVersion(engines, func(v int64) bool { return n.allowed(v, clock, p.old) }, at)
 	if v == 0 {
 		return 0, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -60,7 +60,6 @@
 	Rand          *rand.Rand // seeded
 	// MetricsPort is where metrics are served at Settings.MetricsHost; 0: nowhere.
 	MetricsPort string
-	ReadyPath   string // of the balancer's question
 }
 
 // Router is one daemon.
--- a/router/settings.go
+++ b/router/settings.go
@@ -28,15 +28,11 @@
 	PeerAddress   string // IP:port for other daemons; empty: none
 	MetricsHost   string
 	MemoryBytes   int64
-	Descriptors   int
 
-	Heartbeat     time.Duration // of endpoints
 	DrainWithin   time.Duration // an endpoint that leaves gets no new work after it
 	StopWithin    time.Duration // from SIGTERM to SIGKILL
 	RevokeWithin  time.Duration // a key that was taken away is refused after it
 	VersionWithin time.Duration // no request begins on older weights after it
 	OrderLease    time.Duration // between the last order of one daemon and the first of another
 	RetryRatio    float64       // retries for each request, over all daemons
-	RetryWindow   time.Duration
-	SharedRetries int // further retries in a window, over all daemons
 }
