Weigh the other lane in a step of its own, and never refuse a stream that goes on

Cause: placing a request of a model was one long function, and a stream that was to go on elsewhere could be refused for the wait there, with a part of it already at its caller.

Change: spill holds both places and gives one up; resumed streams are placed whatever the wait.

--- a/router/placer.go
+++ b/router/placer.go
@@ -129,34 +129,39 @@
 	// A long prompt goes among the short ones only if its own engines are all
 	// out: it would hold up dozens of them.
 	if err != nil || (in == laneShort && d.ExpectedWait > time.Duration(spillPart*float64(w.Route.Target))) {
-		if err == nil {
-			p.s.view.Finished(now, r.ID)
-		}
-		own, ownErr := *r, err
-		r.Pool = modelPool(w.Service.Name, w.In.Model, version, laneCount-1-in)
-		other, otherErr := p.choose(now, r, w.Route.Repeatable())
-		switch {
-		case otherErr != nil && ownErr != nil:
-			return forward.Placement{}, ownErr
-		case otherErr != nil || (ownErr == nil && d.ExpectedWait <= other.ExpectedWait+spillCost):
-			if otherErr == nil {
-				p.s.view.Finished(now, r.ID)
-			}
-			*r = own
-			if d, err = p.choose(now, r, w.Route.Repeatable()); err != nil {
-				return forward.Placement{}, err
-			}
-		default:
-			d = other
-		}
+		d, err = p.spill(now, w, r, d, err, modelPool(w.Service.Name, w.In.Model, version, laneCount-1-in))
 	}
-	if d.ExpectedWait > time.Duration(refusePart*float64(w.Route.Target)) {
+	if err != nil {
+		return forward.Placement{}, err
+	}
+	// A stream that goes on elsewhere is not refused: its caller has a part.
+	if !w.Resuming && d.ExpectedWait > time.Duration(refusePart*float64(w.Route.Target)) {
 		p.s.view.Finished(now, r.ID)
 		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
 	}
 	return p.placed(now, w, r, &d, version), nil
 }
 
+// spill weighs the other lane's pool for a request whose own lane refused it or
+// is full, and gives up the place that is not taken.
+func (p *placer) spill(now time.Time, w *forward.Work, r *placement.Request, own placement.Decision, ownErr error, pool string) (placement.Decision, error) {
+	there := *r
+	there.Pool = pool
+	other, err := p.choose(now, &there, w.Route.Repeatable())
+	if err != nil {
+		return own, ownErr
+	}
+	if ownErr == nil && own.ExpectedWait <= other.ExpectedWait+spillCost {
+		p.s.view.Finished(now, there.ID)
+		return own, nil
+	}
+	if ownErr == nil {
+		p.s.view.Finished(now, r.ID)
+	}
+	*r = there
+	return other, nil
+}
+
 // refusePart is the part of the objective that a request may be expected to
 // wait before its prompt is read. Past it the answer would be late, take as much
 // of the engine as one in time, and make the next one late. The time of reading
