--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -15,7 +15,7 @@
 type Runner struct {
 	ID     string
 	Events int           // of a stream
-	Pause  time.Duration // between events
+	Pause  time.Duration // between events, or before an answer without any
 
 	mu        sync.Mutex
 	version   int64
@@ -173,6 +173,7 @@
 	case fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case r.Events == 0:
+		<-time.After(r.Pause)
 		_, _ = w.Write([]byte("whole answer of " + r.ID))
 	default:
 		r.stream(w, req, breakAt)
