Scrape the metrics in a test; count in the soak only what a daemon could serve

Cause: seed 1002 failed the soak's own measure of served requests. Its trace: of 4,602 attempts 2,469 were refused since keys could not be confirmed and 614 for want of a configuration, both as promised while the store keeps a daemon out; callers that ask again at once make the count. Ruled out: refusals for want of an endpoint (210).

Change: the share is taken of the other attempts, a fifth instead of a tenth; the seed stays as a test. A test scrapes a daemon's metrics after traffic.

--- a/lab/routed/routed_test.go
+++ b/lab/routed/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -369,3 +370,31 @@
 		t.Errorf("%d claims in two seconds", n)
 	}
 }
+
+// An operator's scraper reads the metrics of a daemon that served, refused and
+// could not route.
+func TestMetricsAreScraped(t *testing.T) {
+	w := newWorld(t)
+	w.talk("/talk/x")
+	w.send(http.MethodGet, "/look/a", "key-x", nil)
+	want := []string{
+		`merlindock_requests{class="2xx",code="endpoint"`, `merlindock_requests{class="4xx",code="key_unknown"`,
+		"merlindock_request_seconds_bucket", "merlindock_first_event_seconds_count", "merlindock_attempts{",
+	}
+	var text string
+	w.until("the metrics are there", func() bool {
+		resp, err := http.Get("http://" + w.metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		text = string(body)
+		return err == nil && strings.Contains(text, want[0])
+	})
+	for _, name := range want {
+		if !strings.Contains(text, name) {
+			t.Errorf("%s is missing in\n%s", name, text)
+		}
+	}
+}
--- a/lab/routed/world_test.go
+++ b/lab/routed/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -24,6 +25,7 @@
 	runners map[string]*metastore.Runner
 	front   string // of the daemon
 	ready   string
+	metrics string
 	stop    context.CancelFunc // as SIGTERM does
 	done    chan error
 	version int
@@ -45,12 +47,16 @@
 	w.addRunner("app-1", "app", 0)
 	w.addRunner("app-2", "app", 0)
 	w.configure("key-a")
-	w.front, w.ready = metastore.FreeAddress(t), metastore.FreeAddress(t)
+	w.front, w.ready, w.metrics = metastore.FreeAddress(t), metastore.FreeAddress(t), metastore.FreeAddress(t)
 	set, err := platform.ParseSettings(strings.NewReader(settingsText(w.front, w.ready, store.Listener.Addr().String())))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := router.New(platform.Connect(router.Options{Settings: set, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(1, 2))}))
+	_, port, err := net.SplitHostPort(w.metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := router.New(platform.Connect(router.Options{Settings: set, MetricsPort: port, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(1, 2))}))
 	ctx, cancel := context.WithCancel(t.Context())
 	w.stop, w.done = cancel, make(chan error, 1)
 	go func() { w.done <- r.Run(ctx) }()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -372,9 +372,12 @@
 	for i := range streamEvents {
 		fmt.Fprintf(&whole, "id: %d\ndata: piece %d\n\n", i, i)
 	}
-	statuses := map[int]int{}
+	statuses, codes := map[int]int{}, map[string]int{}
 	for _, a := range s.attempts {
 		statuses[a.status]++
+		if a.status == http.StatusServiceUnavailable {
+			codes[strings.TrimSpace(a.body)]++
+		}
 		ran := runs[a.id]
 		once := !strings.HasPrefix(a.path, "/look") && !strings.HasPrefix(a.path, "/resume")
 		refused := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
@@ -397,9 +400,12 @@
 			}
 		}
 	}
-	s.t.Logf("%d attempts, by status %v, %d versions, %d configurations", len(s.attempts), statuses, s.weights, s.version)
-	if statuses[http.StatusOK] < len(s.attempts)/10 {
-		s.t.Errorf("only %d of %d were served", statuses[http.StatusOK], len(s.attempts))
+	s.t.Logf("%d attempts, by status %v, refused by %v, %d versions, %d configurations", len(s.attempts), statuses, codes, s.weights, s.version)
+	// A daemon that the store keeps out must refuse, however often its callers
+	// ask again at once; of the others a fifth at least must be served.
+	able := len(s.attempts) - statuses[http.StatusUnauthorized] - codes["keys_not_confirmed"] - codes["no_configuration"]
+	if statuses[http.StatusOK] < able/5 {
+		s.t.Errorf("only %d of %d were served", statuses[http.StatusOK], able)
 	}
 }
 
@@ -418,10 +424,28 @@
 func TestSoak(t *testing.T) {
 	from := number("SOAK_FROM", 1)
 	for seed := from; seed < from+number("SOAK_SEEDS", 1); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			s := newSoak(t, uint64(seed))
-			s.run(time.Duration(number("SOAK_SECONDS", 6)) * time.Second)
-			s.check()
-		})
+		play(t, seed)
 	}
 }
+
+// failedBefore are the seeds that have failed, each with its cause.
+var failedBefore = []int{
+	// The store kept all daemons out for most of the run, and 12 callers that
+	// ask again at once made 3,000 refusals of 4,000 attempts: the check counted
+	// refusals that keys which can't be confirmed ask for.
+	1002,
+}
+
+func TestSoakSeedsThatFailedBefore(t *testing.T) {
+	for _, seed := range failedBefore {
+		play(t, seed)
+	}
+}
+
+func play(t *testing.T, seed int) {
+	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+		s := newSoak(t, uint64(seed))
+		s.run(time.Duration(number("SOAK_SECONDS", 6)) * time.Second)
+		s.check()
+	})
+}
