Find the end of the lease at once when its history is gone

Cause: the store keeps claims for a limited time. A daemon whose next offset had expired moved on by one record at each read; with every daemon restarted, nobody would give orders for minutes.

Change: the store's answer names the oldest record kept; the gap counts as a claim of an unknown holder, seen now, which is waited for.

--- a/lab/routed/routed_test.go
+++ b/lab/routed/routed_test.go
@@ -398,3 +398,18 @@
 		}
 	}
 }
+
+// The store has dropped the older claims of the lease. A daemon that starts, or
+// was away for long, must find the present end at once: with every daemon
+// restarted nobody else is left to give orders, and engines keep old weights.
+func TestLeaseIsFoundAfterItsHistoryIsGone(t *testing.T) {
+	w := newWorld(t)
+	for range 2000 {
+		w.store.Put("order-lease", "x", nil)
+	}
+	w.store.Compact("order-lease")
+	w.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": 2})
+	w.until("both runners have the weights", func() bool {
+		return w.runners["llm-1"].Version() == 2 && w.runners["llm-2"].Version() == 2
+	})
+}
--- a/router/orders.go
+++ b/router/orders.go
@@ -91,15 +91,16 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if errors.Is(err, ErrHistoryGone) {
-		l.lease.Skip(from + 1)
+	var gone *HistoryGoneError
+	if errors.As(err, &gone) {
+		l.lease.Gap(BootClock(), gone.First)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	if len(records) == 0 && end > from {
-		l.lease.Skip(end)
+		l.lease.Gap(BootClock(), end)
 	}
 	before := l.lease.Holder()
 	claims := l.lease.Observe(BootClock(), from, records)
--- a/router/store.go
+++ b/router/store.go
@@ -53,6 +53,16 @@
 	ErrStoreBusy = errors.New("router: store turned the call away")
 )
 
+// HistoryGoneError is ErrHistoryGone with the oldest record that is kept.
+type HistoryGoneError struct{ First int64 }
+
+func (e *HistoryGoneError) Error() string {
+	return fmt.Sprintf("%v: the oldest kept is %d", ErrHistoryGone, e.First)
+}
+
+// Is makes it an ErrHistoryGone.
+func (e *HistoryGoneError) Is(target error) bool { return target == ErrHistoryGone }
+
 // LostRaceError says that an append was refused since the topic had moved on.
 type LostRaceError struct{ End int64 }
 
--- a/weights/lease.go
+++ b/weights/lease.go
@@ -120,8 +120,16 @@
 	l.mine = false
 }
 
-// Skip moves on to the offset that the log still holds.
-func (l *Lease) Skip(to int64) { l.next = max(l.next, to) }
+// Gap moves on to the oldest offset that the log still holds. Whoever wrote the
+// records before it may still give orders for all that is known, so the gap
+// counts as a claim of an unknown holder that was seen now.
+func (l *Lease) Gap(now time.Duration, first int64) {
+	if first <= l.next {
+		return
+	}
+	l.next = first
+	l.take(now, first-1, Claim{})
+}
 
 // Claim completes the record to append at Next, and returns false while another
 // daemon may still give orders. The nonce must be new.
--- a/weights/lease_test.go
+++ b/weights/lease_test.go
@@ -155,3 +155,18 @@
 		}
 	}
 }
+
+// The claims that a daemon has not read are not kept any more. The last of them
+// may be of a holder that gives orders now.
+func TestGapIsWaitedFor(t *testing.T) {
+	l := &log{records: make([][]byte, 7)}
+	a := NewLease("a", pauseBetween)
+	a.Gap(time.Second, 7)
+	if _, ok := a.Claim(2*time.Second, Claim{Nonce: 1}); ok {
+		t.Error("claims at once")
+	}
+	a.Gap(6*time.Second, 5)
+	if !claim(t, l, a, 7*time.Second, 1) || !a.Held(7*time.Second) {
+		t.Error("never claims")
+	}
+}
