Weigh both weight versions and a second engine for a long prompt

Ruled out: the queue at the engine (0 wait at the median; the engine reads several prompts in turn), lengths (a prompt of 17,000 tokens alone gets its first event in 0.24 s).

Change: a home is taken to hold a third; the ways of a prompt (version, a second engine, the other lane) are weighed by what they lose of the objective; long prompts are refused past half the objective, short ones past three, as they take 6 ms of an engine and long ones 215. What is read away from home is saved. The line of a request tells the prompt's length, the age of the load that decided, and for a refusal the best engine that was found.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -68,6 +68,9 @@
 type RefusedError struct {
 	Code       string
 	RetryAfter time.Duration
+	Endpoint   string        // the best that was found; empty: none
+	Wait       time.Duration // expected there
+	Age        time.Duration // of what it last said of its load
 }
 
 func (e *RefusedError) Error() string { return "forward: refused: " + e.Code }
@@ -125,6 +128,8 @@
 	TableVersion int64
 	KeysAge      time.Duration
 	Deadline     time.Duration
+	Tokens       int           // of the prompt
+	Refused      *RefusedError // by the placer; nil: it was not
 }
 
 // AttemptReport is one attempt of a request.
@@ -214,6 +219,7 @@
 	defer cancel()
 	c.ctx = ctx
 	c.work.In = &c.in
+	c.report.Tokens = c.in.PromptTokens
 	c.work.Service = t.Services[route.Backend(hash.Text(c.in.AttemptID))]
 	if c.work.Service == nil {
 		c.refuse(http.StatusServiceUnavailable, "no_service", afterFailure)
@@ -356,6 +362,7 @@
 	if !errors.As(err, &refused) {
 		refused = &RefusedError{Code: err.Error(), RetryAfter: afterFailure}
 	}
+	c.report.Refused = refused
 	switch {
 	case c.r.Context().Err() != nil:
 		c.left()
--- a/placement/place.go
+++ b/placement/place.go
@@ -20,9 +20,6 @@
 	sampled = 4
 	// maxCandidates bounds the endpoints weighed for one request.
 	maxCandidates = 96
-	// homePrior is how likely a home has the prefix when nothing is learnt:
-	// other daemons have probably sent it there.
-	homePrior = 0.9
 	// priorLife is how fast that fades once the daemon follows the events of an
 	// endpoint: the half-life in seconds.
 	priorLife = 2.0
@@ -96,6 +93,17 @@
 // request owns the reservation until Finished, Failed or its expiry. Place
 // returns ErrUnknownPool or ErrNoEndpoint.
 func (v *View) Place(now time.Time, r Request) (Decision, error) {
+	d, err := v.Weigh(now, r)
+	if err == nil {
+		v.Reserve(now, r, &d)
+	}
+	return d, err
+}
+
+// Weigh chooses the endpoint for a request without reserving anything there, for
+// a caller that compares several pools. It returns ErrUnknownPool or
+// ErrNoEndpoint.
+func (v *View) Weigh(now time.Time, r Request) (Decision, error) {
 	p := v.pools[r.Pool]
 	if p == nil {
 		return Decision{}, ErrUnknownPool
@@ -103,7 +111,6 @@
 	var home *entry
 	if i := prefix.Affinity(r.Levels); i >= 0 {
 		home = v.prefixes.touch(r.Levels[i].Key)
-		home.warm(now)
 		v.setHomes(home, p)
 	}
 	reason := ReasonHome
@@ -116,11 +123,21 @@
 		return Decision{}, ErrNoEndpoint
 	}
 	v.expectCached(now, &r)
-	d, missing := v.choose(now, &r, home, reason)
-	ep := v.byID[d.Endpoint]
+	return v.choose(now, &r, home, reason), nil
+}
+
+// Reserve takes the place that Weigh chose.
+func (v *View) Reserve(now time.Time, r Request, d *Decision) {
+	ep, ok := v.byID[d.Endpoint]
+	if !ok {
+		return // it left between the two calls; the attempt will show it
+	}
+	if i := prefix.Affinity(r.Levels); i >= 0 {
+		v.prefixes.touch(r.Levels[i].Key).warm(now)
+	}
+	missing := r.Tokens - d.ExpectedCached
 	v.reserve(now, &r, ep, missing)
 	v.note(now, ep, &r, missing)
-	return d, nil
 }
 
 // setHomes works out the rendezvous order of the prefix over the pool.
@@ -245,9 +262,8 @@
 	}
 }
 
-// choose takes the candidate of the lowest cost. It returns the tokens that it
-// is expected to compute as well.
-func (v *View) choose(now time.Time, r *Request, home *entry, reason Reason) (Decision, int) {
+// choose takes the candidate of the lowest cost.
+func (v *View) choose(now time.Time, r *Request, home *entry, reason Reason) Decision {
 	m := v.costModel(now, r, home)
 	var best *candidate
 	for i := range v.scratch.candidates {
@@ -262,8 +278,12 @@
 		Endpoint: e.id, ExpectedCached: int(best.expected),
 		ExpectedWait:  seconds(best.wait),
 		ExpectedFirst: seconds(best.wait + best.compute + v.travel(best)),
+		LoadAge:       unknownAge,
 		Reason:        reason,
 	}
+	if !e.loadAt.IsZero() {
+		d.LoadAge = now.Sub(e.loadAt)
+	}
 	if home != nil {
 		d.Peer = v.peer(home, best.endpoint)
 	}
@@ -283,7 +303,7 @@
 	if _, fetch := v.computeTime(e, m.tokens-best.cached, lacks); fetch && v.imports.take(now, lacks) {
 		d.ImportFrom = v.store
 	}
-	return d, int(m.tokens - best.expected)
+	return d
 }
 
 // peer is the first home of the prefix other than the endpoint, "" if none.
@@ -350,11 +370,14 @@
 		filled -= math.Exp2(-max(0, now.Sub(e.emptied).Seconds()) / v.o.CacheLife.Seconds())
 	}
 	if !e.follows {
-		return homePrior * filled
+		return v.o.HomePrior * filled
 	}
-	return homePrior * filled * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
+	return v.o.HomePrior * filled * math.Exp2(-now.Sub(e.since).Seconds()/priorLife)
 }
 
+// unknownAge stands for a load that was never told.
+const unknownAge = -time.Millisecond
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // homesFor is the number of endpoints that the prefix's heat asks for: those
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,7 +44,8 @@
 	DefaultZoneDelay      = 1500 * time.Microsecond // one way between zones
 	DefaultReservationTTL = 30 * time.Second
 	DefaultCacheLife      = 10 * time.Second // half-life of an unconfirmed entry
-	DefaultService        = 2 * time.Second  // from the first token to the last
+	DefaultHomePrior      = 0.9
+	DefaultService        = 2 * time.Second // from the first token to the last
 )
 
 // Options sets up a View. Zero fields take the defaults.
@@ -62,6 +63,10 @@
 	// off at its prefill rate and nobody else adds to it.
 	QueueLife time.Duration
 
+	// HomePrior is how likely a home has a prefix of which nothing is known: other
+	// daemons have probably sent it there.
+	HomePrior float64
+
 	ReservationTTL  time.Duration // after which an unanswered reservation is dropped
 	MaxPrefixes     int
 	MaxReservations int
@@ -74,6 +79,7 @@
 	setDefault(&o.ImportLatency, DefaultImportLatency)
 	setDefault(&o.ZoneDelay, DefaultZoneDelay)
 	setDefault(&o.CacheLife, DefaultCacheLife)
+	setDefault(&o.HomePrior, DefaultHomePrior)
 	setDefault(&o.ReservationTTL, DefaultReservationTTL)
 	setDefault(&o.MaxPrefixes, DefaultMaxPrefixes)
 	setDefault(&o.MaxReservations, DefaultMaxReservations)
@@ -119,6 +125,7 @@
 	ExpectedCached int               // prompt tokens expected in its cache
 	ExpectedWait   time.Duration     // in its queue
 	ExpectedFirst  time.Duration     // until the first token
+	LoadAge        time.Duration     // of what the endpoint last said of its load; negative: it said nothing yet
 	ImportFrom     fleet.EndpointID  // KV store to import from; empty: none
 	Peer           fleet.EndpointID  // another endpoint likely to hold the prefix: its first home but this one
 	Reason         Reason
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -27,6 +27,20 @@
 	return s.view.Place(now, r)
 }
 
+// Weigh is View.Weigh.
+func (s *Shared) Weigh(now time.Time, r Request) (Decision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Weigh(now, r)
+}
+
+// Reserve is View.Reserve.
+func (s *Shared) Reserve(now time.Time, r Request, d *Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Reserve(now, r, d)
+}
+
 // Answered is View.Answered.
 func (s *Shared) Answered(now time.Time, a Answer) {
 	s.mu.Lock()
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -42,8 +42,10 @@
 	rng     *rand.Rand
 	engines []*engineModel
 	views   []*placement.View
-	limit   time.Duration // of the expected wait of a long prompt; 0: none
-	waited  bool          // requests that wait tell of the queue
+	limit   time.Duration           // of the expected wait of a long prompt; 0: none
+	ways    func(part string) []way // that a long prompt has; nil: the pool "long"
+	hot     float64                 // part of the long prompts that share one part
+	waited  bool                    // requests that wait tell of the queue
 
 	waits   [2][]time.Duration // short, long: until the prompt was read
 	refused int
@@ -55,12 +57,10 @@
 
 func newReplay(engines int, o placement.Options, part float64) *replay {
 	r := &replay{rng: rand.New(rand.NewPCG(11, 4))}
-	var members []fleet.Endpoint
 	for i := range engines {
-		id := fleet.EndpointID(fmt.Sprint("e", i))
-		r.engines = append(r.engines, &engineModel{id: id})
-		members = append(members, fleet.Endpoint{ID: id, Zone: "z", State: fleet.VMLive})
+		r.engines = append(r.engines, &engineModel{id: fleet.EndpointID(fmt.Sprint("e", i))})
 	}
+	members := r.members()
 	short, long := members, members
 	if part > 0 {
 		short, long = split(members, part, false)
@@ -74,6 +74,23 @@
 	return r
 }
 
+func (r *replay) members() []fleet.Endpoint {
+	var out []fleet.Endpoint
+	for _, e := range r.engines {
+		out = append(out, fleet.Endpoint{ID: e.id, Zone: "z", State: fleet.VMLive})
+	}
+	return out
+}
+
+func (r *replay) engine(id fleet.EndpointID) *engineModel {
+	return r.engines[slices.IndexFunc(r.engines, func(e *engineModel) bool { return e.id == id })]
+}
+
+// load is what the engine says of itself when asked.
+func (e *engineModel) load(now time.Time) fleet.Load {
+	return fleet.Load{At: now, Waiting: len(e.queue), WaitingTokens: len(e.queue) * 17_000, Slots: 128}
+}
+
 func (r *replay) clock(at time.Duration) time.Time { return time.Unix(1_800_000_000, 0).Add(at) }
 
 // run plays the arrivals of some seconds.
@@ -100,21 +117,60 @@
 	request := placement.Request{ID: r.rng.Uint64(), Pool: "short", Tokens: tokens, Priority: p}
 	if tokens > shortTokens {
 		request.Pool = "long"
-		request.Levels = prefix.Chain(prefix.Seed{}, []prefix.Part{{ID: fmt.Sprint(r.rng.IntN(200)), Tokens: tokens * 3 / 4}, {ID: "own", Tokens: tokens / 4}})
-	}
-	d, err := r.views[daemon].Place(r.clock(now), request)
-	if err != nil {
-		panic(err)
+		request.Levels = partLevels(r.part(), tokens)
 	}
+	d := r.place(now, daemon, &request)
 	if r.limit > 0 && tokens > shortTokens && d.ExpectedWait > r.limit {
 		r.views[daemon].Finished(r.clock(now), request.ID)
 		r.refused++
 		return
 	}
-	i := slices.IndexFunc(r.engines, func(e *engineModel) bool { return e.id == d.Endpoint })
-	r.engines[i].queue = append(r.engines[i].queue, job{now, tokens, p, daemon, request.ID})
+	e := r.engine(d.Endpoint)
+	e.queue = append(e.queue, job{now, tokens, p, daemon, request.ID})
 }
 
+// part draws the shared part of a long prompt.
+func (r *replay) part() string {
+	if r.hot > 0 && r.rng.Float64() < r.hot {
+		return "hot"
+	}
+	return fmt.Sprint(r.rng.IntN(200))
+}
+
+func partLevels(part string, tokens int) []prefix.Level {
+	return prefix.Chain(prefix.Seed{}, []prefix.Part{{ID: part, Tokens: tokens * 3 / 4}, {ID: "own", Tokens: tokens / 4}})
+}
+
+// place reserves the place of a request, by the ways if the replay has them.
+func (r *replay) place(now time.Duration, daemon int, request *placement.Request) placement.Decision {
+	v := r.views[daemon]
+	if r.ways == nil || request.Pool != "long" {
+		d, err := v.Place(r.clock(now), *request)
+		if err != nil {
+			panic(err)
+		}
+		return d
+	}
+	all := r.ways(request.Levels[0].Key.String())
+	for i := range all {
+		all[i].levels = request.Levels
+	}
+	first := *request
+	first.Pool = all[0].pool
+	for _, id := range v.Homes(first, r.clock(now-loadKnown), askedHomes) {
+		v.LoadReported(id, r.engine(id).load(r.clock(now)))
+	}
+	best, err := bestWay(r.clock(now), v, *request, all, replayTarget)
+	if err != nil {
+		panic(err)
+	}
+	v.Reserve(r.clock(now), best.request, &best.decision)
+	return best.decision
+}
+
+// replayTarget is the objective of the prompts that have ways.
+const replayTarget = 500 * time.Millisecond
+
 // work reads prompts, and answers those that are read.
 func (r *replay) work(now time.Duration, e *engineModel) {
 	if now < e.free {
@@ -153,7 +209,7 @@
 	}
 	r.waits[kind] = append(r.waits[kind], now-j.at)
 	v := r.views[j.daemon]
-	load := fleet.Load{At: r.clock(now), Waiting: len(e.queue), WaitingTokens: len(e.queue) * 17_000, Slots: 128}
+	load := e.load(r.clock(now))
 	if kind == 0 {
 		load.WaitingTokens = len(e.queue) * 380
 	}
--- a/router/moves.go
+++ b/router/moves.go
@@ -25,13 +25,15 @@
 	key := r.Levels[at].Key
 	store := storeOf(w.Table, key)
 	peer := p.s.places[d.Peer]
+	away := d.Reason == placement.ReasonSpill
 	switch {
-	case d.Reason == placement.ReasonSpill && peer != nil && !p.s.unusable(now, d.Peer):
+	case away && peer != nil && !p.s.unusable(now, d.Peer):
 		out.FetchFrom = peer.Address
 	case store != "":
 		out.FetchFrom = store
 	}
-	if store != "" && now.Sub(p.s.saved[key]) > savedFor && p.fraction() < savePart {
+	// What is read away from home is saved for the home, which would read it again.
+	if store != "" && now.Sub(p.s.saved[key]) > savedFor && (away || p.fraction() < savePart) {
 		p.s.saved[key] = now
 		out.SaveTo = store
 	}
--- a/router/placer.go
+++ b/router/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -95,13 +96,8 @@
 		Pool: plainPool(w.Service.Name), Tokens: w.In.PromptTokens, Avoid: w.Avoid,
 		Priority: priorityOf(w.Route.Urgency(w.Organisation)),
 	}
-	version := int64(0)
 	if w.Service.Engine != nil && w.In.Model != "" {
-		var err error
-		if version, err = p.version(now, w); err != nil {
-			return forward.Placement{}, err
-		}
-		return p.placeModel(ctx, now, w, &r, version)
+		return p.placeModel(ctx, now, w, &r)
 	}
 	d, err := p.choose(now, &r, w.Route.Repeatable())
 	if err != nil {
@@ -111,70 +107,61 @@
 		p.s.view.Finished(now, r.ID)
 		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
 	}
-	return p.placed(now, w, &r, &d, version), nil
+	return p.placed(now, w, &r, &d, 0), nil
 }
 
-// placeModel places a request at an engine of its lane, or of the other one if
-// its own can't take it in time.
-func (p *placer) placeModel(ctx context.Context, now time.Time, w *forward.Work, r *placement.Request, version int64) (forward.Placement, error) {
-	in := laneOf(w.In.PromptTokens)
-	if in == laneLong {
-		r.Levels = prefix.Chain(seedOf(w, version), w.In.Parts)
+// placeModel places a prompt at an engine of its model.
+func (p *placer) placeModel(ctx context.Context, now time.Time, w *forward.Work, r *placement.Request) (forward.Placement, error) {
+	v, err := p.versions(now, w)
+	if err != nil {
+		return forward.Placement{}, err
 	}
-	r.Pool = modelPool(w.Service.Name, w.In.Model, version, in)
+	in := laneOf(w.In.PromptTokens)
+	all := ways(w, v, in)
 	if in == laneLong {
-		p.ask(ctx, now, r, w.In.Model)
-	}
-	d, err := p.choose(now, r, w.Route.Repeatable())
-	// A long prompt goes among the short ones only if its own engines are all
-	// out: it would hold up dozens of them.
-	if err != nil || (in == laneShort && d.ExpectedWait > time.Duration(spillPart*float64(w.Route.Target))) {
-		d, err = p.spill(now, w, r, d, err, modelPool(w.Service.Name, w.In.Model, version, laneCount-1-in))
+		first := *r
+		first.Pool, first.Levels = all[0].pool, all[0].levels
+		p.ask(ctx, now, &first, w.In.Model)
 	}
+	best, err := p.chooseWay(now, w, r, all)
 	if err != nil {
 		return forward.Placement{}, err
 	}
 	// A stream that goes on elsewhere is not refused: its caller has a part.
-	if !w.Resuming && d.ExpectedWait > time.Duration(refusePart*float64(w.Route.Target)) {
-		p.s.view.Finished(now, r.ID)
-		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
+	if !w.Resuming && best.decision.ExpectedWait > time.Duration(refuseParts[in]*float64(w.Route.Target)) {
+		return forward.Placement{}, &forward.RefusedError{
+			Code: codeOverloaded, RetryAfter: p.spread(),
+			Endpoint: string(best.decision.Endpoint), Wait: best.decision.ExpectedWait, Age: best.decision.LoadAge,
+		}
 	}
-	return p.placed(now, w, r, &d, version), nil
+	p.s.view.Reserve(now, best.request, &best.decision)
+	return p.placed(now, w, &best.request, &best.decision, best.version), nil
 }
 
-// spill weighs the other lane's pool for a request whose own lane refused it or
-// is full, and gives up the place that is not taken.
-func (p *placer) spill(now time.Time, w *forward.Work, r *placement.Request, own placement.Decision, ownErr error, pool string) (placement.Decision, error) {
-	there := *r
-	there.Pool = pool
-	other, err := p.choose(now, &there, w.Route.Repeatable())
-	if err != nil {
-		return own, ownErr
-	}
-	if ownErr == nil && own.ExpectedWait <= other.ExpectedWait+spillCost {
-		p.s.view.Finished(now, there.ID)
-		return own, nil
-	}
-	if ownErr == nil {
-		p.s.view.Finished(now, r.ID)
+// chooseWay takes the best way to an endpoint that may be tried.
+func (p *placer) chooseWay(now time.Time, w *forward.Work, r *placement.Request, all []way) (weighed, error) {
+	try := *r
+	for range placeTries {
+		best, err := bestWay(now, p.s.view, try, all, w.Route.Target)
+		if err != nil {
+			break
+		}
+		best.request.ID = p.lastID.Add(1)
+		if p.mayTry(now, best.decision.Endpoint, w.Route.Repeatable()) {
+			return best, nil
+		}
+		try.Avoid = append(slices.Clone(try.Avoid), best.decision.Endpoint)
 	}
-	*r = there
-	return other, nil
+	return weighed{}, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 }
 
-// refusePart is the part of the objective that a request may be expected to
-// wait before its prompt is read. Past it the answer would be late, take as much
-// of the engine as one in time, and make the next one late. The time of reading
-// the prompt itself does not count: the longest prompts would never be served.
-const refusePart = 0.75
-
-// spillCost is what a short prompt waits longer among long ones than their
-// queue tells: the piece of a long prompt that is being read, and the next.
-const spillCost = 150 * time.Millisecond
-
-// spillPart is the part of the objective that a request may be expected to wait
-// in its own lane before the other one is weighed.
-const spillPart = 0.5
+// refuseParts is the part of the objective that a prompt may be expected to wait
+// before it is read. A long one past it would be late, take as much of the engine
+// as one in time, and make the next one late. The time of reading the prompt
+// itself does not count: the longest prompts would never be served. Short ones
+// are worth many times as much for the time that an engine spends on them, also
+// when they are late, and are turned away only when the wait is hopeless.
+var refuseParts = [laneCount]float64{laneLong: 0.5, laneShort: 3}
 
 // spread draws a time to come back.
 func (p *placer) spread() time.Duration {
@@ -195,8 +182,8 @@
 	return p.rng.Uint64()
 }
 
-// version binds the request to a weight version.
-func (p *placer) version(now time.Time, w *forward.Work) (int64, error) {
+// versions chooses the weight versions that the request may be bound to.
+func (p *placer) versions(now time.Time, w *forward.Work) (versions, error) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	n := p.s.named[w.In.Model]
@@ -208,9 +195,13 @@
 	p.s.lanes.seen(now, in, w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
 	engines := p.s.versions[laneKey(modelKey(w.Service.Name, w.In.Model), in)]
 	clock := p.clock()
-	v := chooseVersion(engines, func(v int64) bool { return n.allowed(v, clock, p.old) }, at)
-	if v == 0 {
-		return 0, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
+	lead := newerLead
+	if in == laneShort {
+		lead = math.Inf(1) // nothing of theirs is worth meeting in a cache
+	}
+	v := chooseVersions(engines, func(v int64) bool { return n.allowed(v, clock, p.old) }, at, lead)
+	if v.first == 0 {
+		return v, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 	}
 	return v, nil
 }
@@ -252,7 +243,7 @@
 	defer p.s.mu.Unlock()
 	e := p.s.places[d.Endpoint]
 	out := forward.Placement{
-		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached,
+		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached, Age: d.LoadAge,
 		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
 		Out:    forward.Outbound{EndpointID: e.ID, Version: version, Urgency: forward.NoUrgency},
 	}
--- a/router/report.go
+++ b/router/report.go
@@ -62,6 +62,12 @@
 	if rep.FirstEvent > 0 {
 		fields = append(fields, "first_ms", rep.FirstEvent.Milliseconds())
 	}
+	if rep.Tokens > 0 {
+		fields = append(fields, "tokens", rep.Tokens)
+	}
+	if f := rep.Refused; f != nil && f.Endpoint != "" {
+		fields = append(fields, "best", f.Endpoint, "wait_ms", f.Wait.Milliseconds(), "load_age_ms", f.Age.Milliseconds())
+	}
 	if rep.RetryAfter > 0 {
 		fields = append(fields, "retry_after_ms", rep.RetryAfter.Milliseconds())
 	}
@@ -81,6 +87,8 @@
 	b = strconv.AppendInt(b, a.Version, 10)
 	b = append(b, " wait_ms="...)
 	b = strconv.AppendInt(b, a.Wait.Milliseconds(), 10)
+	b = append(b, " load_age_ms="...)
+	b = strconv.AppendInt(b, a.LoadAge.Milliseconds(), 10)
 	b = append(b, " cached="...)
 	b = strconv.AppendInt(b, int64(a.Cached), 10)
 	if a.Prefix != "" {
--- a/router/state.go
+++ b/router/state.go
@@ -71,7 +71,7 @@
 		view: placement.NewShared(placement.Options{
 			Zone: zone, PrefillRate: prefillRate, ImportRate: importRate,
 			ImportLatency: importLatency, ReservationTTL: reservationTTL,
-			QueueLife: queueLife,
+			QueueLife: queueLife, HomePrior: homePrior,
 		}),
 	}
 }
@@ -81,6 +81,11 @@
 	prefillRate   = 80_000  // tokens/s of one engine that generates for others as well, measured on both deployments
 	importRate    = 500_000 // tokens/s from a store whose link carries 44 to 78 Gbit/s
 	importLatency = 5 * time.Millisecond
+	// homePrior is how likely a home has a shared part that this daemon knows
+	// nothing of. Each new version and each isolated organisation reads all parts
+	// anew: a third of the requests met their part in a cache on both
+	// deployments. With 0.9 queues were taken to be a third as long as they were.
+	homePrior = 0.35
 	// queueLife is the half-life of what an engine said of its queue. Some of it
 	// is worked off before the next answer comes, and others add to it.
 	queueLife = 1500 * time.Millisecond
--- a/router/versions.go
+++ b/router/versions.go
@@ -86,12 +86,19 @@
 	return out
 }
 
-// chooseVersion picks the weight version for a request from the number of
+// versions are the weight versions that a request may be bound to.
+type versions struct {
+	first     int64   // 0: no engine may serve
+	other     int64   // 0: none
+	otherLoss float64 // that the other one's work brings, as a part of the objective
+}
+
+// chooseVersions picks the weight versions for a request from the number of
 // engines that have each; allowed tells whether a version may still be used.
 // hash is that of the shared part of the prompt, so that requests that share it
-// move to the newer weights together and meet their cache there. It returns 0 if
-// no engine may serve.
-func chooseVersion(engines map[int64]int, allowed func(int64) bool, hash uint64) int64 {
+// move to the newer weights together and meet their cache there. lead is how
+// much more than their part the engines with the newest weights get.
+func chooseVersions(engines map[int64]int, allowed func(int64) bool, hash uint64, lead float64) versions {
 	newest, older, all := int64(0), int64(0), 0
 	for v, count := range engines {
 		if count == 0 || !allowed(v) {
@@ -105,11 +112,11 @@
 		}
 	}
 	if older == 0 {
-		return newest
+		return versions{first: newest}
 	}
-	part := min(1, newerLead*float64(engines[newest])/float64(all))
-	if float64(hash) < part*math.MaxUint64 {
-		return newest
+	part := min(1, lead*float64(engines[newest])/float64(all))
+	if float64(hash) <= part*math.MaxUint64 {
+		return versions{first: newest, other: older, otherLoss: oldLoss}
 	}
-	return older
+	return versions{first: older, other: newest, otherLoss: earlyLoss}
 }
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -73,8 +73,8 @@
 		{"no engine at all", nil, all, 0, 0},
 		{"engines that are out do not count", map[int64]int{1: 3, 2: 0}, all, 0, 1},
 	} {
-		if got := chooseVersion(c.engines, c.allowed, c.hash); got != c.want {
-			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		if got := chooseVersions(c.engines, c.allowed, c.hash, newerLead); got.first != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got.first, c.want)
 		}
 	}
 }
--- /dev/null
+++ b/router/ways.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+// What a way costs beside its wait, as a part of the objective: so much longer
+// may the wait of a better way be.
+const (
+	// oldLoss is for weights that were replaced: such work earns a fifth less,
+	// and a late answer seven tenths less.
+	oldLoss = 0.3
+	// earlyLoss is for newer weights where the prompt's shared part is still
+	// read from caches of the older ones.
+	earlyLoss = 0.2
+	// awayLoss is for an engine that is not the home of the shared part. It
+	// fetches what the home has, and both then keep it in their memory.
+	awayLoss = 0.5
+	// laneLoss is for engines of the other lane: a short prompt waits there for
+	// the pieces of a long one that is being read, and the next.
+	laneLoss = 0.4
+	// easyPart is the part of the objective up to which the expected wait of the
+	// first way is good enough.
+	easyPart = 0.2
+)
+
+// way is one possibility to place a prompt.
+type way struct {
+	pool    string
+	levels  []prefix.Level
+	version int64
+	away    bool    // not at the home of the shared part
+	loss    float64 // beside the wait, as a part of the objective
+}
+
+// ways lists the possibilities, the one that is taken if it is easy first.
+//
+// The pattern: during a rollout the few engines that have the new weights are
+// cold and get more work than their part, while those with the older weights
+// have room; and the prompts of one hot shared part fill its home while others
+// idle. Each prompt then goes where it loses least, instead of being late or
+// turned away. An overloaded fleet has no engine that idles, so that shared
+// parts stay at their homes there.
+func ways(w *forward.Work, v versions, in lane) []way {
+	to := func(version int64, l lane, loss float64) way {
+		out := way{pool: modelPool(w.Service.Name, w.In.Model, version, l), version: version, loss: loss}
+		if in == laneLong {
+			out.levels = prefix.Chain(seedOf(w, version), w.In.Parts)
+		}
+		return out
+	}
+	out := []way{to(v.first, in, 0)}
+	if in == laneLong {
+		away := out[0]
+		away.away, away.loss = true, awayLoss
+		out = append(out, away)
+	} else {
+		out = append(out, to(v.first, laneLong, laneLoss))
+	}
+	if v.other != 0 {
+		out = append(out, to(v.other, in, v.otherLoss))
+	}
+	return out
+}
+
+// weighed is a way and where it leads.
+type weighed struct {
+	way
+	request  placement.Request
+	decision placement.Decision
+}
+
+// cost is what the way loses, as a part of the objective.
+func (w *weighed) cost(target time.Duration) float64 {
+	return w.decision.ExpectedFirst.Seconds()/max(target, time.Millisecond).Seconds() + w.loss
+}
+
+// easy tells whether the prompt need not wait there.
+func (w *weighed) easy(target time.Duration) bool {
+	return w.decision.ExpectedWait <= time.Duration(easyPart*float64(target))
+}
+
+// weigher is the part of placement that weighs one pool.
+type weigher interface {
+	Weigh(now time.Time, r placement.Request) (placement.Decision, error)
+}
+
+// bestWay weighs the ways and returns the one that loses least. It reserves
+// nothing. The error is placement.ErrNoEndpoint if no way leads anywhere.
+func bestWay(now time.Time, v weigher, r placement.Request, all []way, target time.Duration) (weighed, error) {
+	var best weighed
+	var home fleet.EndpointID
+	err := placement.ErrNoEndpoint
+	for i, at := range all {
+		if at.away && home == "" {
+			continue
+		}
+		next := weighed{way: at, request: r}
+		next.request.Pool, next.request.Levels = at.pool, at.levels
+		if at.away {
+			next.request.Avoid = append(slices.Clone(r.Avoid), home)
+		}
+		d, failed := v.Weigh(now, next.request)
+		if failed != nil {
+			continue // another way may lead somewhere
+		}
+		next.decision = d
+		if at.away {
+			next.decision.Reason, next.decision.Peer = placement.ReasonSpill, home
+		}
+		if i == 0 {
+			home = d.Endpoint
+		}
+		if err != nil || next.cost(target) < best.cost(target) {
+			best, err = next, nil
+		}
+		if i == 0 && next.easy(target) {
+			break
+		}
+	}
+	return best, err
+}
