Part the lanes by what is read, over all versions together

Cause: callers ask for up to 180 and 474 tokens and get about 8 and 20. Counted as work, the output gave a third of the engines to short prompts: five of sixteen engines a fifth busy, eleven for long prompts three quarters busy. And each weight version kept engines of its own for short prompts while a rollout was under way.

Change: output counts for a twentieth of what is asked for; the engines for short prompts are counted over all versions and taken from the newest first; of the running requests, the part that has not been answered yet counts as queue.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -62,6 +62,8 @@
 	Lane   int           // kind of engines, the placer's own number
 	Cached int           // prompt tokens expected in the endpoint's cache
 	Age    time.Duration // of what the endpoint last said of its load
+	Placed time.Time
+	Began  time.Time // the answer; set by the placer
 }
 
 // RefusedError says that no endpoint takes the request now.
@@ -129,6 +131,7 @@
 	KeysAge      time.Duration
 	Deadline     time.Duration
 	Tokens       int           // of the prompt
+	OutputTokens int           // that the caller asks for
 	Refused      *RefusedError // by the placer; nil: it was not
 }
 
@@ -219,7 +222,7 @@
 	defer cancel()
 	c.ctx = ctx
 	c.work.In = &c.in
-	c.report.Tokens = c.in.PromptTokens
+	c.report.Tokens, c.report.OutputTokens = c.in.PromptTokens, c.in.OutputTokens
 	c.work.Service = t.Services[route.Backend(hash.Text(c.in.AttemptID))]
 	if c.work.Service == nil {
 		c.refuse(http.StatusServiceUnavailable, "no_service", afterFailure)
--- a/router/lanes.go
+++ b/router/lanes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +17,9 @@
 	// shortTokens is the longest prompt of the short lane: one that an engine
 	// reads in a single piece.
 	shortTokens = 2048
+	// shortRoom is how many more engines than their part of the work short prompts
+	// get: they have a tight objective, and are worth more for the time they take.
+	shortRoom = 1.5
 	// mostShort is the largest part of a pool that the short lane takes.
 	mostShort = 0.5
 	// workMemory is the time over which the two kinds of work are compared.
@@ -58,8 +62,11 @@
 type laneSplit struct {
 	work [laneCount]float64 // engine-seconds, fading
 	mean [laneCount]float64 // tokens of a prompt, smoothed
-	at   time.Time
-	part float64 // of the engines for short prompts; 0: not set yet
+	// Seconds from the placing of a request to the beginning of its answer, and
+	// to its end, smoothed.
+	reading, whole [laneCount]float64
+	at             time.Time
+	part           float64 // of the engines for short prompts; 0: not set yet
 }
 
 // seen adds a request's work in engine-seconds.
@@ -74,6 +81,26 @@
 	l.work[in] += work
 }
 
+// ended takes how long a request took until its answer began, and in all.
+func (l *laneSplit) ended(in lane, reading, whole time.Duration) {
+	l.reading[in] += meanGain * (reading.Seconds() - l.reading[in])
+	l.whole[in] += meanGain * (whole.Seconds() - l.whole[in])
+}
+
+// unread estimates the tokens that an engine has still to read.
+//
+// An engine takes requests into its batch before it has read their prompts, and
+// reads these one after the other. Those that wait for a place are therefore
+// few, and most of the queue is among those that run: as large a part of them as
+// the part of their time that requests spend before their answer begins.
+func (l *laneSplit) unread(in lane, running, waiting int) int {
+	part := 0.0
+	if l.whole[in] > 0 {
+		part = min(1, l.reading[in]/l.whole[in])
+	}
+	return int((float64(waiting) + float64(running)*part) * l.mean[in])
+}
+
 // short returns the part of the engines for short prompts.
 func (l *laneSplit) short() float64 {
 	part := firstShort
@@ -91,27 +118,47 @@
 // batch while it generates.
 func workOf(promptTokens, outputTokens, slots int) float64 {
 	read := float64(promptTokens) / prefillRate
-	return read + float64(outputTokens)*stepSeconds/float64(max(slots, 1))
+	return read + outputPart*float64(outputTokens)*stepSeconds/float64(max(slots, 1))
 }
 
+// outputPart is the part of the tokens that callers take at most which they get,
+// from the sheets of both deployments.
+const outputPart = 0.05
+
 // stepSeconds is the time of one output token in a batch that is partly full,
 // from the sheets of both deployments.
 const stepSeconds = 0.0045
 
+// shortCount is how many of n engines are for short prompts.
+func shortCount(part float64, n int) int {
+	return min(max(int(math.Round(shortRoom*part*float64(n))), 1), n)
+}
+
+// splitVersions parts the engines of one model, by version, into k for short
+// prompts and the others. The newest come first: short prompts have nothing in a
+// cache that speaks for older weights, and while a rollout is under way engines
+// of both would be kept for them. alone says that the model has a single engine,
+// which then serves both.
+func splitVersions(engines map[int64][]fleet.Endpoint, k int, alone bool) (short, long map[int64][]fleet.Endpoint) {
+	short, long = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
+	for _, v := range slices.Backward(slices.Sorted(maps.Keys(engines))) {
+		short[v], long[v] = split(engines[v], k, alone)
+		k -= len(short[v])
+	}
+	return short, long
+}
+
 // split parts the members of a pool. All daemons put the engines in the same
-// order, so that they agree but for the last place. A single engine is for
-// short prompts, which take little of it; alone says that there is no other
-// engine, so that it has to serve both.
-func split(members []fleet.Endpoint, part float64, alone bool) (short, long []fleet.Endpoint) {
-	n := len(members)
-	if n == 1 && alone {
+// order, so that they agree but for the last place.
+func split(members []fleet.Endpoint, k int, alone bool) (short, long []fleet.Endpoint) {
+	if len(members) == 1 && alone {
 		return members, members
 	}
 	ordered := slices.Clone(members)
 	slices.SortFunc(ordered, func(a, b fleet.Endpoint) int {
 		return cmp.Or(cmp.Compare(laneHash(a.ID), laneHash(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	k := max(int(math.Round(part*float64(n))), 1)
+	k = min(k, len(ordered))
 	return ordered[:k], ordered[k:]
 }
 
--- a/router/learn.go
+++ b/router/learn.go
@@ -74,7 +74,7 @@
 			}
 			p.s.view.LoadReported(key, fleet.Load{
 				At: time.Now().Add(-reportLag), Running: report.Running, Waiting: report.Waiting,
-				WaitingTokens: int(float64(report.Waiting) * p.meanTokens(int(laneLong))),
+				WaitingTokens: p.unreadTokens(laneLong, report.Running, report.Waiting),
 			})
 		}()
 	}
@@ -107,8 +107,9 @@
 	now := time.Now()
 	if info.Load != nil {
 		info.Load.At = now
-		info.Load.WaitingTokens = int(float64(info.Load.Waiting) * p.meanTokens(pl.Lane))
+		info.Load.WaitingTokens = p.unreadTokens(lane(pl.Lane), info.Load.Running, info.Load.Waiting)
 	}
+	pl.Began = now
 	p.answered(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
 		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: info.Load})
@@ -120,12 +121,12 @@
 	p.turnedAway(now, pl, info)
 }
 
-// meanTokens is the mean length of the prompts that this daemon places in the
-// lane. Engines tell how many requests wait, not how long they are.
-func (p *placer) meanTokens(lane int) float64 {
+// unreadTokens estimates what an engine of the lane has still to read, from the
+// numbers of requests that it tells.
+func (p *placer) unreadTokens(in lane, running, waiting int) int {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	return p.s.lanes.mean[lane]
+	return p.s.lanes.unread(in, running, waiting)
 }
 
 // turnedAway learns from an endpoint that did not run a request: it is another
@@ -153,6 +154,9 @@
 	}
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
+	if end.Whole && !end.Error && pl.Out.Version != 0 {
+		p.s.lanes.ended(lane(pl.Lane), pl.Began.Sub(pl.Placed), now.Sub(pl.Placed))
+	}
 	if end.Lost && end.Failure == retry.NotSent {
 		// Nobody is there at all: nothing speaks for trying once more soon.
 		p.s.rest(now, pl.Target.Key, restUnreachable)
--- a/router/placer.go
+++ b/router/placer.go
@@ -161,7 +161,7 @@
 // itself does not count: the longest prompts would never be served. Short ones
 // are worth many times as much for the time that an engine spends on them, also
 // when they are late, and are turned away only when the wait is hopeless.
-var refuseParts = [laneCount]float64{laneLong: 0.5, laneShort: 3}
+var refuseParts = [laneCount]float64{laneLong: 0.8, laneShort: 3}
 
 // spread draws a time to come back.
 func (p *placer) spread() time.Duration {
@@ -187,12 +187,12 @@
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	n := p.s.named[w.In.Model]
+	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
 	at := uint64(0)
 	if len(w.In.Parts) > 0 {
 		at = hash.Text(w.In.Parts[0].ID)
 	}
 	in := laneOf(w.In.PromptTokens)
-	p.s.lanes.seen(now, in, w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
 	engines := p.s.versions[laneKey(modelKey(w.Service.Name, w.In.Model), in)]
 	clock := p.clock()
 	lead := newerLead
@@ -243,7 +243,7 @@
 	defer p.s.mu.Unlock()
 	e := p.s.places[d.Endpoint]
 	out := forward.Placement{
-		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached, Age: d.LoadAge,
+		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached, Age: d.LoadAge, Placed: now,
 		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
 		Out:    forward.Outbound{EndpointID: e.ID, Version: version, Urgency: forward.NoUrgency},
 	}
--- a/router/report.go
+++ b/router/report.go
@@ -63,7 +63,7 @@
 		fields = append(fields, "first_ms", rep.FirstEvent.Milliseconds())
 	}
 	if rep.Tokens > 0 {
-		fields = append(fields, "tokens", rep.Tokens)
+		fields = append(fields, "tokens", rep.Tokens, "output_tokens", rep.OutputTokens)
 	}
 	if f := rep.Refused; f != nil && f.Endpoint != "" {
 		fields = append(fields, "best", f.Endpoint, "wait_ms", f.Wait.Milliseconds(), "load_age_ms", f.Age.Milliseconds())
--- a/router/state.go
+++ b/router/state.go
@@ -111,11 +111,8 @@
 	return modelKey(service, model) + "\x00" + strconv.FormatInt(version, 10) + "\x00" + laneNames[l]
 }
 
-// versionKey names the engines that have one version of a model.
-type versionKey struct {
-	service, model string
-	version        int64
-}
+// servedModel names the engines of a service that have a model.
+type servedModel struct{ service, model string }
 
 // refresh rebuilds the pools from the directory. Call it with mu held after
 // each change, and on a tick, as entries that lapsed stop counting with time.
@@ -123,7 +120,7 @@
 	places := map[fleet.EndpointID]*directory.Endpoint{}
 	versions := map[string]map[int64]int{}
 	pools := map[string][]fleet.Endpoint{}
-	engines, out := map[versionKey][]fleet.Endpoint{}, map[versionKey][]fleet.Endpoint{}
+	engines, out := map[servedModel]map[int64][]fleet.Endpoint{}, map[servedModel]map[int64][]fleet.Endpoint{}
 	all := map[string]int{}
 	var listed []fleet.Endpoint
 	for _, service := range s.directory.Services() {
@@ -133,34 +130,41 @@
 			listed = append(listed, member)
 			pools[plainPool(service)] = append(pools[plainPool(service)], member)
 			for model, v := range e.Versions {
-				key := versionKey{service, model, v}
+				key := servedModel{service, model}
+				if engines[key] == nil {
+					engines[key], out[key] = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
+				}
 				all[modelKey(service, model)]++
+				into := engines[key]
 				if s.unusable(now, e.Key) {
-					out[key] = append(out[key], member)
-				} else {
-					engines[key] = append(engines[key], member)
+					into = out[key]
 				}
+				into[v] = append(into[v], member)
 			}
 		}
 	}
 	part := s.lanes.short()
-	for key, members := range engines {
+	usable := 0
+	for key, byVersion := range engines {
+		n := 0
+		for _, members := range byVersion {
+			n += len(members)
+		}
+		usable += n
 		name := modelKey(key.service, key.model)
-		short, long := split(members, part, all[name] == 1)
-		for l, members := range [laneCount][]fleet.Endpoint{laneShort: short, laneLong: long} {
-			pools[modelPool(key.service, key.model, key.version, lane(l))] = append(members[:len(members):len(members)], out[key]...)
-			counts := versions[laneKey(name, lane(l))]
-			if counts == nil {
-				counts = map[int64]int{}
-				versions[laneKey(name, lane(l))] = counts
+		short, long := splitVersions(byVersion, shortCount(part, n), all[name] == 1)
+		for l, parted := range [laneCount]map[int64][]fleet.Endpoint{laneShort: short, laneLong: long} {
+			counts := map[int64]int{}
+			versions[laneKey(name, lane(l))] = counts
+			for version, members := range parted {
+				if len(members) == 0 {
+					continue
+				}
+				counts[version] = len(members)
+				pools[modelPool(key.service, key.model, version, lane(l))] = append(members[:len(members):len(members)], out[key][version]...)
 			}
-			counts[key.version] = len(members)
 		}
 	}
-	usable := 0
-	for _, members := range engines {
-		usable += len(members)
-	}
 	if part != s.part || usable != s.usable {
 		s.part, s.usable, s.dirty = part, usable, true
 	}
