Take an engine's queue from what it reports

What an engine says of its batch was taken as its queue, but most of its requests have been read: the report lists those, so that the others are being read or wait, and it tells the length of the prompt that waits first. Half of the reports had one prompt being read, which nothing had counted, and 30% a prompt that waits.

Change: the queue is the first waiting prompt's length, the others at the mean, and half of the one being read. The guess from the running requests is dropped.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -62,8 +62,6 @@
 	Lane   int           // kind of engines, the placer's own number
 	Cached int           // prompt tokens expected in the endpoint's cache
 	Age    time.Duration // of what the endpoint last said of its load
-	Placed time.Time
-	Began  time.Time // the answer; set by the placer
 }
 
 // RefusedError says that no endpoint takes the request now.
--- a/router/lanes.go
+++ b/router/lanes.go
@@ -62,11 +62,8 @@
 type laneSplit struct {
 	work [laneCount]float64 // engine-seconds, fading
 	mean [laneCount]float64 // tokens of a prompt, smoothed
-	// Seconds from the placing of a request to the beginning of its answer, and
-	// to its end, smoothed.
-	reading, whole [laneCount]float64
-	at             time.Time
-	part           float64 // of the engines for short prompts; 0: not set yet
+	at   time.Time
+	part float64 // of the engines for short prompts; 0: not set yet
 }
 
 // seen adds a request's work in engine-seconds.
@@ -81,26 +78,6 @@
 	l.work[in] += work
 }
 
-// ended takes how long a request took until its answer began, and in all.
-func (l *laneSplit) ended(in lane, reading, whole time.Duration) {
-	l.reading[in] += meanGain * (reading.Seconds() - l.reading[in])
-	l.whole[in] += meanGain * (whole.Seconds() - l.whole[in])
-}
-
-// unread estimates the tokens that an engine has still to read.
-//
-// An engine takes requests into its batch before it has read their prompts, and
-// reads these one after the other. Those that wait for a place are therefore
-// few, and most of the queue is among those that run: as large a part of them as
-// the part of their time that requests spend before their answer begins.
-func (l *laneSplit) unread(in lane, running, waiting int) int {
-	part := 0.0
-	if l.whole[in] > 0 {
-		part = min(1, l.reading[in]/l.whole[in])
-	}
-	return int((float64(waiting) + float64(running)*part) * l.mean[in])
-}
-
 // short returns the part of the engines for short prompts.
 func (l *laneSplit) short() float64 {
 	part := firstShort
--- a/router/lanes_test.go
+++ b/router/lanes_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/merlindock/merlindock/fleet"
 )
@@ -46,22 +45,3 @@
 		t.Errorf("%d engines of 18", n)
 	}
 }
-
-// An engine with room in its batch says that nothing waits, though it has five
-// prompts to read before the next one. Taken at its word, it gets one more long
-// prompt from each daemon, and their callers wait for a second.
-func TestRunningRequestsCountAsUnread(t *testing.T) {
-	var l laneSplit
-	now := time.Unix(1_800_000_000, 0)
-	for range 500 {
-		now = now.Add(10 * time.Millisecond)
-		l.seen(now, laneLong, 16_000, 0.2)
-		l.ended(laneLong, 500*time.Millisecond, time.Second)
-	}
-	if got := l.unread(laneLong, 10, 0); got < 75_000 || got > 85_000 {
-		t.Errorf("%d tokens, want those of five prompts", got)
-	}
-	if got := l.unread(laneLong, 0, 2); got < 31_000 || got > 33_000 {
-		t.Errorf("%d tokens, want those of two prompts", got)
-	}
-}
--- a/router/learn.go
+++ b/router/learn.go
@@ -74,7 +74,7 @@
 			}
 			p.s.view.LoadReported(key, fleet.Load{
 				At: time.Now().Add(-reportLag), Running: report.Running, Waiting: report.Waiting,
-				WaitingTokens: p.unreadTokens(laneLong, report.Running, report.Waiting),
+				WaitingTokens: p.queuedTokens(laneLong, &report),
 			})
 		}()
 	}
@@ -107,9 +107,8 @@
 	now := time.Now()
 	if info.Load != nil {
 		info.Load.At = now
-		info.Load.WaitingTokens = p.unreadTokens(lane(pl.Lane), info.Load.Running, info.Load.Waiting)
+		info.Load.WaitingTokens = p.waitingTokens(lane(pl.Lane), info.Load.Waiting)
 	}
-	pl.Began = now
 	p.answered(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
 		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: info.Load})
@@ -121,12 +120,20 @@
 	p.turnedAway(now, pl, info)
 }
 
-// unreadTokens estimates what an engine of the lane has still to read, from the
-// numbers of requests that it tells.
-func (p *placer) unreadTokens(in lane, running, waiting int) int {
+// waitingTokens estimates the prompts that wait at an engine of the lane. Engines
+// tell in their answers how many requests wait, not how long they are.
+func (p *placer) waitingTokens(in lane, waiting int) int {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	return p.s.lanes.unread(in, running, waiting)
+	return int(float64(waiting) * p.s.lanes.mean[in])
+}
+
+// queuedTokens estimates what an engine has still to read from its report, which
+// tells the length of the prompt that waits first. The one that is being read is
+// half done on average.
+func (p *placer) queuedTokens(in lane, r *weights.Report) int {
+	out := p.waitingTokens(in, max(0, r.Waiting-1)) + r.NextTokens
+	return out + p.waitingTokens(in, r.Unread)/2
 }
 
 // turnedAway learns from an endpoint that did not run a request: it is another
@@ -154,9 +161,6 @@
 	}
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	if end.Whole && !end.Error && pl.Out.Version != 0 {
-		p.s.lanes.ended(lane(pl.Lane), pl.Began.Sub(pl.Placed), now.Sub(pl.Placed))
-	}
 	if end.Lost && end.Failure == retry.NotSent {
 		// Nobody is there at all: nothing speaks for trying once more soon.
 		p.s.rest(now, pl.Target.Key, restUnreachable)
--- a/router/placer.go
+++ b/router/placer.go
@@ -161,7 +161,7 @@
 // itself does not count: the longest prompts would never be served. Short ones
 // are worth many times as much for the time that an engine spends on them, also
 // when they are late, and are turned away only when the wait is hopeless.
-var refuseParts = [laneCount]float64{laneLong: 0.8, laneShort: 3}
+var refuseParts = [laneCount]float64{laneLong: 0.6, laneShort: 3}
 
 // spread draws a time to come back.
 func (p *placer) spread() time.Duration {
@@ -243,7 +243,7 @@
 	defer p.s.mu.Unlock()
 	e := p.s.places[d.Endpoint]
 	out := forward.Placement{
-		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached, Age: d.LoadAge, Placed: now,
+		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached, Age: d.LoadAge,
 		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
 		Out:    forward.Outbound{EndpointID: e.ID, Version: version, Urgency: forward.NoUrgency},
 	}
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -37,7 +37,13 @@
 	Orders  int64 // that it accepted since its start
 	Busy    bool  // an order is in progress
 	Running int   // requests in the batch
-	Waiting int   // requests whose prompt is not read yet
+	Waiting int   // requests that are not in the batch yet
+	Unread  int   // requests in the batch that have no answer yet
+	// NextTokens is the length of the prompt that waits first.
+	NextTokens int
+	// MemoryUsed and MemoryTotal are tokens of KV cache; the used ones can't be
+	// evicted.
+	MemoryUsed, MemoryTotal int
 }
 
 // Order tells an engine to load weights.
