Count an engine with a large batch as full

Placement knew only of places, of which 128 are many.

Change: a batch past 64 counts as full, so that short prompts weigh the other lane.

--- a/router/learn.go
+++ b/router/learn.go
@@ -111,7 +111,7 @@
 	}
 	p.answered(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
-		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: info.Load})
+		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: easyLoad(info.Load)})
 		return
 	}
 	if info.Load != nil {
@@ -136,6 +136,22 @@
 	return out + p.waitingTokens(in, r.Unread)/2
 }
 
+// easySlots is the size of a batch above which an endpoint counts as full. Each
+// request in the batch adds 0.1 ms to every token of the others, by the sheets of
+// both deployments, and past so many the longest answers pass their limit.
+const easySlots = 64
+
+// easyLoad counts an endpoint with a batch past easySlots as full. Short prompts
+// with long answers passed their limit in batches of 128, beside engines with 20.
+func easyLoad(l *fleet.Load) *fleet.Load {
+	if l == nil {
+		return nil
+	}
+	out := *l
+	out.Slots = min(out.Slots, easySlots)
+	return &out
+}
+
 // turnedAway learns from an endpoint that did not run a request: it is another
 // endpoint, has other weights, takes new ones now, or is full.
 func (p *placer) turnedAway(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
--- /dev/null
+++ b/router/learn_test.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/placement"
+)
+
+// The engine for short prompts has places left, and its batch is so large that
+// each token takes three times as long. Callers with long answers would reach
+// their limit in mid-answer, while the next engine has a small batch.
+func TestLargeBatchCountsAsFull(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	place := func(load *fleet.Load) placement.Decision {
+		v := placement.NewView(options())
+		v.SetPool("short", []fleet.Endpoint{{ID: "a", Zone: "z", State: fleet.VMLive}})
+		v.Answered(now, placement.Answer{ID: 1, Endpoint: "a", Load: load})
+		d, err := v.Weigh(now, placement.Request{ID: 2, Pool: "short", Tokens: 300})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	raw := fleet.Load{At: now, Running: 110, Slots: 128}
+	if d := place(&raw); d.ExpectedWait != 0 {
+		t.Fatalf("waits %v with places left", d.ExpectedWait)
+	}
+	if d := place(easyLoad(&raw)); d.ExpectedWait < 100*time.Millisecond {
+		t.Errorf("expected wait %v in a batch of 110", d.ExpectedWait)
+	}
+	small := fleet.Load{At: now, Running: 30, Slots: 128}
+	if d := place(easyLoad(&small)); d.ExpectedWait != 0 {
+		t.Errorf("expected wait %v in a batch of 30", d.ExpectedWait)
+	}
+	if easyLoad(nil) != nil {
+		t.Error("a load that was not told")
+	}
+}
