Part the lanes by the places in the batch too

The part also stuck at its first estimate within 0.04 of a part of 0.08, so that daemons disagreed on every second engine.

Change: a request's work is the more of its reading and its share of the places; the part is counted over 20 s and follows changes of 0.02. The number of a placement is drawn at random at the start, before it is weighed.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -62,6 +62,7 @@
 	Lane   int           // kind of engines, the placer's own number
 	Cached int           // prompt tokens expected in the endpoint's cache
 	Age    time.Duration // of what the endpoint last said of its load
+	Began  time.Time     // the answer; the placer sets it
 }
 
 // RefusedError says that no endpoint takes the request now.
--- a/router/lanes.go
+++ b/router/lanes.go
@@ -23,10 +23,10 @@
 	// mostShort is the largest part of a pool that the short lane takes.
 	mostShort = 0.5
 	// workMemory is the time over which the two kinds of work are compared.
-	workMemory = 8 * time.Second
+	workMemory = 20 * time.Second
 	// splitStep is the change of the short part below which the split stays.
 	// Each change moves the homes of some prefixes.
-	splitStep = 0.04
+	splitStep = 0.02
 	// meanGain is the weight of one prompt in the mean length.
 	meanGain = 0.02
 	// firstShort is the part before anything was seen.
@@ -60,14 +60,15 @@
 // parted in proportion to the work of each kind; either kind spills over when
 // its own part is full.
 type laneSplit struct {
-	work [laneCount]float64 // engine-seconds, fading
-	mean [laneCount]float64 // tokens of a prompt, smoothed
-	at   time.Time
-	part float64 // of the engines for short prompts; 0: not set yet
+	work   [laneCount]float64 // engine-seconds, fading
+	mean   [laneCount]float64 // tokens of a prompt, smoothed
+	stream [laneCount]float64 // seconds of an answer, smoothed
+	at     time.Time
+	part   float64 // of the engines for short prompts; 0: not set yet
 }
 
-// seen adds a request's work in engine-seconds.
-func (l *laneSplit) seen(now time.Time, in lane, tokens int, work float64) {
+// seen adds a request's work.
+func (l *laneSplit) seen(now time.Time, in lane, tokens, slots int) {
 	l.mean[in] += meanGain * (float64(tokens) - l.mean[in])
 	if fade := math.Exp(-now.Sub(l.at).Seconds() / workMemory.Seconds()); fade < 1 {
 		for i := range l.work {
@@ -75,7 +76,25 @@
 		}
 		l.at = now
 	}
-	l.work[in] += work
+	l.work[in] += l.workOf(in, tokens, slots)
+}
+
+// ended takes how long an answer took from its beginning to its end.
+func (l *laneSplit) ended(in lane, stream time.Duration) {
+	l.stream[in] += meanGain * (stream.Seconds() - l.stream[in])
+}
+
+// workOf estimates the engine-seconds of a request: the time in which its prompt
+// is read, which the engine does for one at a time, or its part of the places in
+// the batch, whichever is more. What callers take at most says little of how long
+// an answer is.
+func (l *laneSplit) workOf(in lane, tokens, slots int) float64 {
+	read := float64(tokens) / prefillRate
+	place := (read + l.stream[in]) / float64(max(slots, 1))
+	if in == laneShort {
+		read *= shortRoom
+	}
+	return max(read, place)
 }
 
 // short returns the part of the engines for short prompts.
@@ -90,25 +109,9 @@
 	return l.part
 }
 
-// workOf estimates the engine-seconds of a request: the time in which its
-// prompt is read, which the engine does for one at a time, and its part of the
-// batch while it generates.
-func workOf(promptTokens, outputTokens, slots int) float64 {
-	read := float64(promptTokens) / prefillRate
-	return read + outputPart*float64(outputTokens)*stepSeconds/float64(max(slots, 1))
-}
-
-// outputPart is the part of the tokens that callers take at most which they get,
-// from the sheets of both deployments.
-const outputPart = 0.05
-
-// stepSeconds is the time of one output token in a batch that is partly full,
-// from the sheets of both deployments.
-const stepSeconds = 0.0045
-
 // shortCount is how many of n engines are for short prompts.
 func shortCount(part float64, n int) int {
-	return min(max(int(math.Round(shortRoom*part*float64(n))), 1), n)
+	return min(max(int(math.Round(part*float64(n))), 1), n)
 }
 
 // splitVersions parts the engines of one model, by version, into k for short
--- a/router/lanes_test.go
+++ b/router/lanes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/merlindock/merlindock/fleet"
 )
@@ -40,8 +41,29 @@
 // get. Counted as work, that once gave a third of the fleet to short prompts that
 // kept it a tenth busy.
 func TestShortPartFollowsWhatIsRead(t *testing.T) {
-	part := workOf(370, 180, 24) / (workOf(370, 180, 24) + workOf(17_000, 474, 24)*47.5/189)
-	if n := shortCount(part, 18); n < 2 || n > 3 {
+	l := laneSplit{stream: [laneCount]float64{laneShort: 0.15, laneLong: 0.8}}
+	short, long := l.workOf(laneShort, 370, 24), l.workOf(laneLong, 17_000, 24)
+	if n := shortCount(short/(short+long*47.5/189), 18); n < 2 || n > 3 {
 		t.Errorf("%d engines of 18", n)
 	}
 }
+
+// With 16 places in a batch, 300 short prompts a second that stream for a quarter
+// of a second need five engines for their places, though two could read them. On
+// two, half of the callers would wait for a place past their objective.
+func TestShortPartFollowsThePlacesInTheBatch(t *testing.T) {
+	var l laneSplit
+	now := time.Unix(1_800_000_000, 0)
+	for range 3000 {
+		now = now.Add(3 * time.Millisecond)
+		l.seen(now, laneShort, 370, 16)
+		l.ended(laneShort, 250*time.Millisecond)
+	}
+	for range 450 {
+		l.seen(now, laneLong, 17_000, 16)
+		l.ended(laneLong, 800*time.Millisecond)
+	}
+	if n := shortCount(l.short(), 14); n < 4 || n > 6 {
+		t.Errorf("%d engines of 14", n)
+	}
+}
--- a/router/learn.go
+++ b/router/learn.go
@@ -109,6 +109,7 @@
 		info.Load.At = now
 		info.Load.WaitingTokens = p.waitingTokens(lane(pl.Lane), info.Load.Waiting)
 	}
+	pl.Began = now
 	p.answered(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
 		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: easyLoad(info.Load)})
@@ -177,6 +178,9 @@
 	}
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
+	if end.Whole && !end.Error && pl.Out.Version != 0 {
+		p.s.lanes.ended(lane(pl.Lane), now.Sub(pl.Began))
+	}
 	if end.Lost && end.Failure == retry.NotSent {
 		// Nobody is there at all: nothing speaks for trying once more soon.
 		p.s.rest(now, pl.Target.Key, restUnreachable)
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -321,8 +321,8 @@
 	}
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
-		l.seen(now, laneShort, 300, 0.01)
-		l.seen(now, laneLong, 17_000, 0.03)
+		l.seen(now, laneShort, 600, 1000)
+		l.seen(now, laneLong, 2700, 1000)
 	}
 	if got := l.short(); got < 0.2 || got > 0.3 {
 		t.Errorf("part %v, want 0.25", got)
--- a/router/placer.go
+++ b/router/placer.go
@@ -58,7 +58,7 @@
 	engines weights.Engines
 	clock   func() time.Duration // boot clock
 	old     time.Duration        // Settings.VersionWithin
-	lastID  atomic.Uint64
+	lastID  atomic.Uint64        // of placements; begins at random, as the ID draws among equal endpoints
 
 	unansweredMu sync.Mutex
 	unanswered   map[uint64]unanswered // by placement
@@ -69,9 +69,11 @@
 }
 
 func newPlacer(s *state, set *Settings, engines weights.Engines, clock func() time.Duration, rng *rand.Rand) *placer {
-	return &placer{unanswered: map[uint64]unanswered{}, s: s, engines: engines, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
+	p := &placer{unanswered: map[uint64]unanswered{}, s: s, engines: engines, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
 		Fraction: set.RetryRatio * retryPart, Floor: 0.05, Burst: retryBurst, Debt: 1,
 	})}
+	p.lastID.Store(rng.Uint64())
+	return p
 }
 
 // First implements forward.Placer.
@@ -142,11 +144,11 @@
 func (p *placer) chooseWay(now time.Time, w *forward.Work, r *placement.Request, all []way) (weighed, error) {
 	try := *r
 	for range placeTries {
+		try.ID = p.lastID.Add(1)
 		best, err := bestWay(now, p.s.view, try, all, w.Route.Target)
 		if err != nil {
 			break
 		}
-		best.request.ID = p.lastID.Add(1)
 		if p.mayTry(now, best.decision.Endpoint, w.Route.Repeatable()) {
 			return best, nil
 		}
@@ -187,7 +189,7 @@
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	n := p.s.named[w.In.Model]
-	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), w.In.PromptTokens, workOf(w.In.PromptTokens, w.In.OutputTokens, w.Service.Engine.Slots))
+	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), w.In.PromptTokens, w.Service.Engine.Slots)
 	at := uint64(0)
 	if len(w.In.Parts) > 0 {
 		at = hash.Text(w.In.Parts[0].ID)
