Take an engine of which nothing is known to be as busy as usual

Cause: on the grown sites short prompts that left a full lane went to engines heard of 4 to 10 s before, expected to take 10 to 40 ms, and waited 0.7 to 2.3 s. What an engine said halves in 1.5 s, so that the ones nobody had heard of looked idle, to all 72 daemons. And among engines that looked equal all daemons of a zone took the first.

Change: what is no longer known of a wait is taken to be the mean of the candidates heard of lately; old news cost up to 60 ms drawn for each request; a full batch costs 30 ms. Ruled out: engines that are dark.

--- a/placement/place.go
+++ b/placement/place.go
@@ -38,6 +38,15 @@
 	// crowdWeight counts the waiting that a prompt brings to those who come to
 	// the endpoint while it is prefilled there.
 	crowdWeight = 0.2
+	// fillCost is what a full batch costs beside the wait: each request in it slows
+	// the tokens of the others, and the next burst finds no place there.
+	fillCost = 0.03
+	// doubt is how fast what an endpoint said of its load loses worth, in seconds of
+	// cost for each second of its age. Daemons that all heard of the same idle
+	// endpoint a while ago would else all send their next requests there.
+	doubt = 0.1
+	// mostDoubt bounds it, in seconds.
+	mostDoubt = 0.06
 	// homeShare is the part of one endpoint's prefill time that a prefix may
 	// take before it gets another home.
 	homeShare = 0.5
@@ -265,6 +274,7 @@
 // choose takes the candidate of the lowest cost.
 func (v *View) choose(now time.Time, r *Request, home *entry, reason Reason) Decision {
 	m := v.costModel(now, r, home)
+	m.usual = v.usualWait(now, r.Priority)
 	var best *candidate
 	for i := range v.scratch.candidates {
 		c := &v.scratch.candidates[i]
@@ -318,16 +328,18 @@
 
 // costModel is what all candidates of one request have in common.
 type costModel struct {
+	id       uint64 // of the request
 	priority contract.Priority
 	tokens   float64 // of the prompt
 	shared   float64 // tokens of the level that the request is placed by
 	stored   float64 // tokens that the KV store probably has
 	homes    int32   // endpoints that count as home
 	known    float64 // how sure some candidate holds the shared level
+	usual    float64 // wait in seconds among the candidates that were heard of lately
 }
 
 func (v *View) costModel(now time.Time, r *Request, home *entry) costModel {
-	m := costModel{priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r)}
+	m := costModel{id: r.ID, priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r)}
 	if home == nil {
 		return m
 	}
@@ -346,18 +358,38 @@
 	if c.rank < m.homes {
 		c.expected = max(c.cached, (1-m.known)*v.prior(now, e)*m.shared)
 	}
-	c.wait = v.wait(now, c.endpoint, m.priority)
+	c.wait = v.wait(now, c.endpoint, m.priority) + (1-v.fresh(now, e, m.priority))*m.usual
 	c.compute, _ = v.computeTime(e, m.tokens-c.expected, m.stored-c.expected)
 	c.cost = c.wait + c.compute + v.travel(c) + rankCost*float64(max(0, c.rank-m.homes+1))
 	if c.rank >= m.homes || m.homes == 1 {
 		c.cost += wasteWeight * (m.tokens - c.expected) / e.rate
 	}
+	c.cost += fillCost*filled(e) + v.doubt(now, e, c.endpoint, m.id)
 	c.cost += crowdWeight * v.arrivals(e) * c.compute * c.compute / 2
 	if c.rank >= m.homes {
 		c.cost += (1 - m.known) * homeSlack
 	}
 }
 
+// filled is the part of the endpoint's batch that is taken.
+func filled(e *endpoint) float64 {
+	if e.load.Slots <= 0 {
+		return 0
+	}
+	return min(1, float64(e.load.Running+e.queued)/float64(e.load.Slots))
+}
+
+// doubt is a cost drawn for the request and the endpoint, the wider the older what
+// the endpoint last said is. An endpoint that never said anything has none: its
+// requests are the first.
+func (v *View) doubt(now time.Time, e *endpoint, ep int32, id uint64) float64 {
+	if e.loadAt.IsZero() {
+		return 0
+	}
+	width := min(mostDoubt, doubt*now.Sub(e.loadAt).Seconds())
+	return width * float64(mix(id^uint64(ep)<<32)) / math.MaxUint64
+}
+
 // prior is how likely a home has a prefix of which nothing is known there.
 //
 // A daemon that has followed the endpoint's events for a while would know, and
@@ -419,6 +451,46 @@
 	return max(wait, v.observed(now, e, p).Seconds())
 }
 
+// usualWait is the mean wait in seconds of the candidates, by how lately each was
+// heard of.
+//
+// What an endpoint said loses its meaning within seconds, and an endpoint of which
+// nothing is known would count as idle. With many daemons most endpoints are not
+// heard of for seconds, and whoever looks for a short queue would go to just
+// those: requests that left a full lane waited 0.7 to 2.3 s at engines that
+// were expected to take 10 to 40 ms. What is not known is taken to be as usual.
+func (v *View) usualWait(now time.Time, p contract.Priority) float64 {
+	sum, weight := 0.0, 0.0
+	for i := range v.scratch.candidates {
+		c := &v.scratch.candidates[i]
+		f := v.fresh(now, &v.endpoints[c.endpoint], p)
+		sum += f * v.wait(now, c.endpoint, p)
+		weight += f
+	}
+	if weight == 0 {
+		return 0
+	}
+	return sum / weight
+}
+
+// fresh is what is left of the worth of what the endpoint last showed, from 1 to
+// 0. Where the endpoints' queues change by their own work alone it does not age.
+func (v *View) fresh(now time.Time, e *endpoint, p contract.Priority) float64 {
+	if v.o.QueueLife <= 0 {
+		return 1
+	}
+	at := e.loadAt
+	for urgent := range p + 1 {
+		if e.waits[urgent].at.After(at) {
+			at = e.waits[urgent].at
+		}
+	}
+	if at.IsZero() {
+		return 0
+	}
+	return math.Exp2(-max(0, now.Sub(at).Seconds()) / v.o.QueueLife.Seconds())
+}
+
 // stillQueued is what is left of a reported queue after a while.
 //
 // An endpoint works its queue off, but where many daemons share it the others
--- a/placement/waits_test.go
+++ b/placement/waits_test.go
@@ -112,3 +112,58 @@
 		t.Errorf("homes of no pool: %v", got)
 	}
 }
+
+// A caller's prompt leaves a full lane for the engines of another, of which the
+// daemon has heard of a few lately, all busy, and of the others not for seconds.
+// Taken as idle, just those that nobody knows anything of get the prompts of all
+// daemons, and callers wait there for one or two seconds.
+func TestUnknownEndpointCountsAsBusyAsTheOthers(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := sharedView("busy", "busier", "unknown")
+	v.LoadReported("unknown", fleet.Load{At: now.Add(-8 * time.Second), Slots: 24})
+	v.LoadReported("busy", fleet.Load{At: now, WaitingTokens: 16_000, Waiting: 1, Slots: 24})
+	v.LoadReported("busier", fleet.Load{At: now, WaitingTokens: 48_000, Waiting: 3, Slots: 24})
+	d, err := v.Weigh(now, Request{ID: 1, Pool: "p", Tokens: 300})
+	if err != nil || d.Endpoint != "busy" {
+		t.Errorf("went to %s, %v", d.Endpoint, err)
+	}
+	d, err = v.Weigh(now, Request{ID: 1, Pool: "p", Tokens: 300, Avoid: []fleet.EndpointID{"busy"}})
+	if err != nil || d.ExpectedWait < 300*time.Millisecond {
+		t.Errorf("went to %s with an expected wait of %v, %v", d.Endpoint, d.ExpectedWait, err)
+	}
+}
+
+// Seventy daemons heard a second ago that two engines idle. If all took the first
+// of them, it would get a second's requests at once while the other idles.
+func TestDaemonsSpreadOverEndpointsHeardOfLongAgo(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	went := map[fleet.EndpointID]int{}
+	for daemon := range uint64(70) {
+		v := sharedView("a", "b")
+		for _, id := range []fleet.EndpointID{"a", "b"} {
+			v.LoadReported(id, fleet.Load{At: now.Add(-time.Second), Slots: 24})
+		}
+		d, err := v.Weigh(now, Request{ID: 1000 * daemon, Pool: "p", Tokens: 300})
+		if err != nil {
+			t.Fatal(err)
+		}
+		went[d.Endpoint]++
+	}
+	if went["a"] < 20 || went["b"] < 20 {
+		t.Errorf("went to %v", went)
+	}
+}
+
+// Of two endpoints where nothing waits, one has a nearly full batch. The next
+// burst would find no place there.
+func TestFilledBatchCounts(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := sharedView("a", "b")
+	v.LoadReported("a", fleet.Load{At: now.Add(-150 * time.Millisecond), Running: 20, Slots: 24})
+	v.LoadReported("b", fleet.Load{At: now.Add(-150 * time.Millisecond), Running: 4, Slots: 24})
+	for id := range uint64(100) {
+		if d, err := v.Weigh(now, Request{ID: id, Pool: "p", Tokens: 300}); err != nil || d.Endpoint != "b" {
+			t.Fatalf("request %d went to %s, %v", id, d.Endpoint, err)
+		}
+	}
+}
