Leave a way to the other lane and version if the first lead nowhere

Cause, found when reading the change: a long prompt had no way to the engines of the short lane, and a short one none to the older weights when the first engine of a rollout was the only one for short prompts; retried or with that engine full, they were refused beside engines that idle. With one usable engine of two, long prompts were refused until the other's entry lapsed.

Change: the other lane and the model's other version close the list of ways; a single usable engine serves both lanes.

--- a/router/lanes.go
+++ b/router/lanes.go
@@ -111,14 +111,14 @@
 
 // shortCount is how many of n engines are for short prompts.
 func shortCount(part float64, n int) int {
-	return min(max(int(math.Round(part*float64(n))), 1), n)
+	return max(1, min(int(math.Round(part*float64(n))), n-1))
 }
 
 // splitVersions parts the engines of one model, by version, into k for short
 // prompts and the others. The newest come first: short prompts have nothing in a
 // cache that speaks for older weights, and while a rollout is under way engines
-// of both would be kept for them. alone says that the model has a single engine,
-// which then serves both.
+// of both would be kept for them. alone says that a single engine may be used at
+// present, which then serves both.
 func splitVersions(engines map[int64][]fleet.Endpoint, k int, alone bool) (short, long map[int64][]fleet.Endpoint) {
 	short, long = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
 	for _, v := range slices.Backward(slices.Sorted(maps.Keys(engines))) {
--- a/router/placer.go
+++ b/router/placer.go
@@ -195,13 +195,15 @@
 		at = hash.Text(w.In.Parts[0].ID)
 	}
 	in := laneOf(w.In.PromptTokens)
-	engines := p.s.versions[laneKey(modelKey(w.Service.Name, w.In.Model), in)]
+	name := modelKey(w.Service.Name, w.In.Model)
 	clock := p.clock()
 	lead := newerLead
 	if in == laneShort {
 		lead = math.Inf(1) // nothing of theirs is worth meeting in a cache
 	}
-	v := chooseVersions(engines, func(v int64) bool { return n.allowed(v, clock, p.old) }, at, lead)
+	allowed := func(v int64) bool { return n.allowed(v, clock, p.old) }
+	v := chooseVersions(p.s.versions[laneKey(name, in)], allowed, at, lead)
+	v = v.orElse(chooseVersions(p.s.versions[name], allowed, at, lead))
 	if v.first == 0 {
 		return v, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -47,7 +47,7 @@
 	health    *health.Tracker
 	resting   map[fleet.EndpointID]time.Time
 	places    map[fleet.EndpointID]*directory.Endpoint // usable ones
-	versions  map[string]map[int64]int                 // usable engines by laneKey and version
+	versions  map[string]map[int64]int                 // usable engines by version, of a laneKey and of a modelKey
 	pools     map[string]bool
 	saved     map[prefix.Key]time.Time // when a part was sent to the store
 	lanes     laneSplit
@@ -121,7 +121,6 @@
 	versions := map[string]map[int64]int{}
 	pools := map[string][]fleet.Endpoint{}
 	engines, out := map[servedModel]map[int64][]fleet.Endpoint{}, map[servedModel]map[int64][]fleet.Endpoint{}
-	all := map[string]int{}
 	var listed []fleet.Endpoint
 	for _, service := range s.directory.Services() {
 		for _, e := range s.directory.Usable(now, service) {
@@ -134,7 +133,6 @@
 				if engines[key] == nil {
 					engines[key], out[key] = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
 				}
-				all[modelKey(service, model)]++
 				into := engines[key]
 				if s.unusable(now, e.Key) {
 					into = out[key]
@@ -152,7 +150,13 @@
 		}
 		usable += n
 		name := modelKey(key.service, key.model)
-		short, long := splitVersions(byVersion, shortCount(part, n), all[name] == 1)
+		short, long := splitVersions(byVersion, shortCount(part, n), n == 1)
+		versions[name] = map[int64]int{}
+		for version, members := range byVersion {
+			if len(members) > 0 {
+				versions[name][version] = len(members)
+			}
+		}
 		for l, parted := range [laneCount]map[int64][]fleet.Endpoint{laneShort: short, laneLong: long} {
 			counts := map[int64]int{}
 			versions[laneKey(name, lane(l))] = counts
--- a/router/versions.go
+++ b/router/versions.go
@@ -120,3 +120,26 @@
 	}
 	return versions{first: older, other: newest, otherLoss: earlyLoss}
 }
+
+// orElse fills in what the lane's own engines do not offer from all engines of the
+// model, as chooseVersions chose from them.
+//
+// When the first engines have new weights, they may be the only ones for short
+// prompts. Without the older ones as another way, all short prompts of the fleet
+// would queue there, or be turned away if they fail.
+func (v versions) orElse(all versions) versions {
+	if v.first == 0 {
+		return all
+	}
+	if v.other != 0 {
+		return v
+	}
+	v.otherLoss = oldLoss
+	switch {
+	case all.first != v.first:
+		v.other = all.first
+	default:
+		v.other = all.other
+	}
+	return v
+}
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/weights"
 )
 
@@ -78,3 +79,33 @@
 		}
 	}
 }
+
+// A rollout has reached one engine, which is now the only one for short prompts.
+// It fails or fills up, and callers would be turned away beside a dozen engines of
+// the older weights.
+func TestOlderWeightsAreAWayForShortPrompts(t *testing.T) {
+	all := func(int64) bool { return true }
+	lane := chooseVersions(map[int64]int{2: 1}, all, 0, newerLead)
+	model := chooseVersions(map[int64]int{1: 12, 2: 1}, all, 0, newerLead)
+	if v := lane.orElse(model); v.first != 2 || v.other != 1 || v.otherLoss != oldLoss {
+		t.Errorf("versions %+v", v)
+	}
+	if v := (versions{}).orElse(model); v.first == 0 {
+		t.Error("no way for a lane without engines")
+	}
+	if v := lane.orElse(versions{first: 2}); v.other != 0 {
+		t.Errorf("another version out of nothing: %+v", v)
+	}
+}
+
+// Of two engines one is out. The other must take long prompts too.
+func TestSingleUsableEngineServesBoth(t *testing.T) {
+	engines := map[int64][]fleet.Endpoint{5: members("a", 1), 4: nil}
+	short, long := splitVersions(engines, shortCount(0.3, 1), true)
+	if len(short[5]) != 1 || len(long[5]) != 1 {
+		t.Errorf("short %d, long %d", len(short[5]), len(long[5]))
+	}
+	if n := shortCount(0.5, 2); n != 1 {
+		t.Errorf("%d of two engines for short prompts", n)
+	}
+}
--- a/router/ways.go
+++ b/router/ways.go
@@ -25,6 +25,8 @@
 	// laneLoss is for engines of the other lane: a short prompt waits there for
 	// the pieces of a long one that is being read, and the next.
 	laneLoss = 0.4
+	// lastLoss is for a way that is taken only if no other leads anywhere.
+	lastLoss = 100
 	// easyPart is the part of the objective up to which the expected wait of the
 	// first way is good enough.
 	easyPart = 0.2
@@ -55,16 +57,19 @@
 		}
 		return out
 	}
+	// A long prompt among short ones holds up dozens of them.
+	otherLane, crossing := laneShort, float64(lastLoss)
 	out := []way{to(v.first, in, 0)}
 	if in == laneLong {
 		away := out[0]
 		away.away, away.loss = true, awayLoss
 		out = append(out, away)
 	} else {
-		out = append(out, to(v.first, laneLong, laneLoss))
+		otherLane, crossing = laneLong, laneLoss
 	}
+	out = append(out, to(v.first, otherLane, crossing))
 	if v.other != 0 {
-		out = append(out, to(v.other, in, v.otherLoss))
+		out = append(out, to(v.other, in, v.otherLoss), to(v.other, otherLane, v.otherLoss+crossing))
 	}
 	return out
 }
--- a/router/ways_test.go
+++ b/router/ways_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/routes"
 )
 
 func waysOptions() placement.Options {
@@ -102,3 +104,21 @@
 		t.Error("a place without engines")
 	}
 }
+
+// The only engine for long prompts fails, or the only one for short prompts. Both
+// kinds still have an engine, whose lane is the other one; refused, callers would
+// get nothing while it idles.
+func TestLastEngineServesBothLanes(t *testing.T) {
+	short := fakePools{}
+	w := &forward.Work{In: &forward.Inbound{Model: "m"}, Service: &routes.Service{Name: "s"}}
+	short[modelPool("s", "m", 3, laneShort)] = time.Second
+	got, err := bestWay(time.Time{}, short, placement.Request{}, ways(w, versions{first: 3}, laneLong), replayTarget)
+	if err != nil || got.pool != modelPool("s", "m", 3, laneShort) {
+		t.Errorf("long prompt: %q, %v", got.pool, err)
+	}
+	long := fakePools{modelPool("s", "m", 2, laneLong): time.Second}
+	got, err = bestWay(time.Time{}, long, placement.Request{}, ways(w, versions{first: 3, other: 2}, laneShort), replayTarget)
+	if err != nil || got.version != 2 {
+		t.Errorf("short prompt: %q, %v", got.pool, err)
+	}
+}
