Count an engine's queue by its own kind; name shared beginnings once a version

Cause, found when reading the change: a short prompt that was answered by an engine for long ones told of three waiting requests, and they were counted at the length of short ones: 14 ms expected where 600 were due.

The test of the queue fails without the change.

--- a/forward/conn_test.go
+++ b/forward/conn_test.go
@@ -149,27 +149,34 @@
 	}
 }
 
+// replyOnce returns the address of an endpoint that reads one request, sends the
+// bytes and closes the connection.
+func replyOnce(t *testing.T, reply string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, reply)
+		}
+		_ = c.Close()
+	}()
+	return l.Addr().String()
+}
+
 // An endpoint takes a request and closes the connection. It may have run it;
 // to say that it has not would let it run twice.
 func TestClosedConnectionIsNoAnswer(t *testing.T) {
 	for name, reply := range map[string]string{"nothing": "", "half a header": "HTTP/1.1 200 OK\r\nAtt", "no answer at all": "\x00\x01garbage\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, reply)
-				}
-				_ = c.Close()
-			}()
-			_, err = read(t, NewClient(plainWire{}), Target{Key: "e", Address: l.Addr().String()}, "a1")
+			_, err := read(t, NewClient(plainWire{}), Target{Key: "e", Address: replyOnce(t, reply)}, "a1")
 			if !errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) {
 				t.Errorf("error %v", err)
 			}
@@ -185,22 +192,7 @@
 		"chunks": "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, reply)
-				}
-				_ = c.Close()
-			}()
-			if got, err := read(t, NewClient(plainWire{}), Target{Key: "e", Address: l.Addr().String()}, "a1"); err == nil {
+			if got, err := read(t, NewClient(plainWire{}), Target{Key: "e", Address: replyOnce(t, reply)}, "a1"); err == nil {
 				t.Errorf("taken as whole: %q", got)
 			}
 		})
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -59,10 +59,15 @@
 	Reason string
 	Wait   time.Duration // expected until the first token
 	Prefix string        // shared part that decided
-	Lane   int           // kind of engines, the placer's own number
 	Cached int           // prompt tokens expected in the endpoint's cache
 	Age    time.Duration // of what the endpoint last said of its load
-	Began  time.Time     // the answer; the placer sets it
+	Notes  Notes         // of the placer
+}
+
+// Notes are what the placer keeps with a placement for itself.
+type Notes struct {
+	Prompt, Engine int       // kinds, by the placer's own numbers
+	Began          time.Time // the answer; zero: it has not
 }
 
 // RefusedError says that no endpoint takes the request now.
--- a/router/learn.go
+++ b/router/learn.go
@@ -107,11 +107,11 @@
 	now := time.Now()
 	if info.Load != nil {
 		info.Load.At = now
-		info.Load.WaitingTokens = p.waitingTokens(lane(pl.Lane), info.Load.Waiting)
+		info.Load.WaitingTokens = p.waitingTokens(lane(pl.Notes.Engine), info.Load.Waiting)
 	}
-	pl.Began = now
 	p.answered(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
+		pl.Notes.Began = now
 		p.s.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: easyLoad(info.Load)})
 		return
 	}
@@ -178,8 +178,8 @@
 	}
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	if end.Whole && !end.Error && pl.Out.Version != 0 {
-		p.s.lanes.ended(lane(pl.Lane), now.Sub(pl.Began))
+	if end.Whole && !end.Error && pl.Out.Version != 0 && !pl.Notes.Began.IsZero() {
+		p.s.lanes.ended(lane(pl.Notes.Prompt), now.Sub(pl.Notes.Began))
 	}
 	if end.Lost && end.Failure == retry.NotSent {
 		// Nobody is there at all: nothing speaks for trying once more soon.
--- a/router/learn_test.go
+++ b/router/learn_test.go
@@ -1,10 +1,12 @@
 package router
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/placement"
 )
 
@@ -38,3 +40,21 @@
 		t.Error("a load that was not told")
 	}
 }
+
+// A short prompt was answered by an engine for long ones, which says that three
+// requests wait there. They are long: counted at the length of the prompt that
+// asked, they would look like a wait of 14 ms, and this daemon's next prompts would
+// be sent behind 50,000 tokens.
+func TestQueueOfAnEngineIsCountedByItsOwnKind(t *testing.T) {
+	now := time.Now()
+	s := newState("z", rand.New(rand.NewPCG(1, 2)))
+	s.lanes.mean = [laneCount]float64{laneShort: 370, laneLong: 17_000}
+	s.view.SetPool("long", []fleet.Endpoint{{ID: "a", Zone: "z", State: fleet.VMLive}})
+	p := newPlacer(s, &Settings{}, nil, BootClock, rand.New(rand.NewPCG(3, 4)))
+	pl := forward.Placement{Target: forward.Target{Key: "a"}, Notes: forward.Notes{Prompt: int(laneShort), Engine: int(laneLong)}}
+	p.Answered(&pl, &forward.AnswerInfo{Load: &fleet.Load{Running: 4, Waiting: 3, Slots: 24}})
+	d, err := s.view.Weigh(now, placement.Request{ID: 1, Pool: "long", Tokens: 300})
+	if err != nil || d.ExpectedWait < 400*time.Millisecond {
+		t.Errorf("expected wait %v, %v", d.ExpectedWait, err)
+	}
+}
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -154,7 +154,7 @@
 	}
 	all := r.ways(request.Levels[0].Key.String())
 	for i := range all {
-		all[i].levels = request.Levels
+		all[i].levels = func() []prefix.Level { return request.Levels }
 	}
 	first := *request
 	first.Pool = all[0].pool
--- a/router/placer.go
+++ b/router/placer.go
@@ -109,7 +109,7 @@
 		p.s.view.Finished(now, r.ID)
 		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
 	}
-	return p.placed(now, w, &r, &d, 0), nil
+	return p.placed(now, w, &r, &d, &way{}), nil
 }
 
 // placeModel places a prompt at an engine of its model.
@@ -122,7 +122,7 @@
 	all := ways(w, v, in)
 	if in == laneLong {
 		first := *r
-		first.Pool, first.Levels = all[0].pool, all[0].levels
+		first.Pool, first.Levels = all[0].pool, all[0].levels()
 		p.ask(ctx, now, &first, w.In.Model)
 	}
 	best, err := p.chooseWay(now, w, r, all)
@@ -137,7 +137,7 @@
 		}
 	}
 	p.s.view.Reserve(now, best.request, &best.decision)
-	return p.placed(now, w, &best.request, &best.decision, best.version), nil
+	return p.placed(now, w, &best.request, &best.decision, &best.way), nil
 }
 
 // chooseWay takes the best way to an endpoint that may be tried.
@@ -242,19 +242,19 @@
 }
 
 // placed fills in what the endpoint is told.
-func (p *placer) placed(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, version int64) forward.Placement {
+func (p *placer) placed(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, to *way) forward.Placement {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	e := p.s.places[d.Endpoint]
 	out := forward.Placement{
 		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached, Age: d.LoadAge,
 		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
-		Out:    forward.Outbound{EndpointID: e.ID, Version: version, Urgency: forward.NoUrgency},
+		Out:    forward.Outbound{EndpointID: e.ID, Version: to.version, Urgency: forward.NoUrgency},
 	}
 	if w.Organisation != nil {
 		out.Out.Organisation = w.Organisation.Name
 	}
-	if version == 0 {
+	if to.version == 0 {
 		return out
 	}
 	p.unansweredMu.Lock()
@@ -263,8 +263,8 @@
 		reading: time.Duration(float64(r.Tokens) / prefillRate * float64(time.Second)),
 	}
 	p.unansweredMu.Unlock()
-	out.Lane = int(laneOf(w.In.PromptTokens))
-	out.Out.CacheSalt = salt(w, version)
+	out.Notes = forward.Notes{Prompt: int(laneOf(w.In.PromptTokens)), Engine: int(to.lane)}
+	out.Out.CacheSalt = salt(w, to.version)
 	out.Out.Urgency = min(9, 1+2*w.Route.Urgency(w.Organisation))
 	if at := prefix.Affinity(r.Levels); at >= 0 {
 		out.Prefix = r.Levels[at].Key.String()[:prefixDigits]
--- a/router/ways.go
+++ b/router/ways.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -35,7 +36,8 @@
 // way is one possibility to place a prompt.
 type way struct {
 	pool    string
-	levels  []prefix.Level
+	levels  func() []prefix.Level
+	lane    lane // of the engines
 	version int64
 	away    bool    // not at the home of the shared part
 	loss    float64 // beside the wait, as a part of the objective
@@ -50,10 +52,11 @@
 // turned away. An overloaded fleet has no engine that idles, so that shared
 // parts stay at their homes there.
 func ways(w *forward.Work, v versions, in lane) []way {
+	first, other := levelsOf(w, v.first, in), levelsOf(w, v.other, in)
 	to := func(version int64, l lane, loss float64) way {
-		out := way{pool: modelPool(w.Service.Name, w.In.Model, version, l), version: version, loss: loss}
-		if in == laneLong {
-			out.levels = prefix.Chain(seedOf(w, version), w.In.Parts)
+		out := way{pool: modelPool(w.Service.Name, w.In.Model, version, l), levels: first, lane: l, version: version, loss: loss}
+		if version != v.first {
+			out.levels = other
 		}
 		return out
 	}
@@ -74,6 +77,17 @@
 	return out
 }
 
+// levelsOf names the shared beginnings of a long prompt under a version. They are
+// worked out when they are first asked for: most prompts need those of one version.
+func levelsOf(w *forward.Work, version int64, in lane) func() []prefix.Level {
+	return sync.OnceValue(func() []prefix.Level {
+		if in != laneLong {
+			return nil
+		}
+		return prefix.Chain(seedOf(w, version), w.In.Parts)
+	})
+}
+
 // weighed is a way and where it leads.
 type weighed struct {
 	way
@@ -107,7 +121,7 @@
 			continue
 		}
 		next := weighed{way: at, request: r}
-		next.request.Pool, next.request.Levels = at.pool, at.levels
+		next.request.Pool, next.request.Levels = at.pool, at.levels()
 		if at.away {
 			next.request.Avoid = append(slices.Clone(r.Avoid), home)
 		}
--- a/router/ways_test.go
+++ b/router/ways_test.go
@@ -7,6 +7,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -80,7 +81,8 @@
 // Newer weights are worth a short wait, and no more than that.
 func TestBestWay(t *testing.T) {
 	const target = 500 * time.Millisecond
-	all := []way{{pool: "new"}, {pool: "old", loss: oldLoss}}
+	none := func() []prefix.Level { return nil }
+	all := []way{{pool: "new", levels: none}, {pool: "old", levels: none, loss: oldLoss}}
 	for _, c := range []struct {
 		name     string
 		new, old time.Duration
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -41,9 +41,6 @@
 	Unread  int   // requests in the batch that have no answer yet
 	// NextTokens is the length of the prompt that waits first.
 	NextTokens int
-	// MemoryUsed and MemoryTotal are tokens of KV cache; the used ones can't be
-	// evicted.
-	MemoryUsed, MemoryTotal int
 }
 
 // Order tells an engine to load weights.
