Count the time of a lapsed entry from when it may have gone

Two endpoints of a release had vanished within three seconds, which counts as a lapse of leases, and the 1.5 s for which a lapsed entry still counts ran from the reading: 0.9 + 1.5 s against a bound of 2 s. The part 0.45 of the bound between two reads is not at fault; the second wait on top of it was.

Ruled out: a read that failed or came through a neighbour (all reads were answered by the store, none in the log of failures); keeping connections (the requests were placed anew).

Change: a removal carries the earliest moment at which it may have happened, which is when the read before was sent; after failed reads it is now, as before. The grace is 0.75 of the bound on leaving.

The tests fail on the code before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -41,8 +41,9 @@
 type Endpoint struct {
 	Entry
 	Key     fleet.EndpointID // differs between two lives under one ID
-	Gone    bool             // its entry was removed, see Directory.Removed
-	Removed time.Time
+	Gone    bool             // its entry was removed
+	Removed time.Time        // when that was read
+	left    time.Time        // the earliest moment at which it may have been removed
 	// Versions are the newest weight versions seen of this life, from its entry
 	// or its answers. A life never goes back to older weights.
 	Versions map[string]int64
@@ -53,20 +54,24 @@
 	// lapseTogether is the time within which entries that vanish are taken to
 	// have lapsed by one outage of the store rather than left one by one.
 	lapseTogether = 3 * time.Second
-	// lapseGrace is how long an endpoint whose entry lapsed in an outage still
-	// counts. Those that live are back about two seconds after the store.
-	lapseGrace = 1500 * time.Millisecond
 	// lapsePart is the part of a service's entries that has to vanish together.
 	lapsePart = 3
 )
 
 // Directory holds the endpoints. Make it with New.
 type Directory struct {
-	byID map[string]*Endpoint
+	byID  map[string]*Endpoint
+	grace time.Duration
 }
 
-// New returns an empty Directory.
-func New() *Directory { return &Directory{byID: map[string]*Endpoint{}} }
+// New returns an empty Directory. An endpoint whose entry lapsed together with
+// others still counts for the grace after the earliest moment at which it may
+// have left. Endpoints that live are back about two seconds after the store; one
+// that left must get no work past the bound on leaving, so the grace lies below
+// that bound.
+func New(grace time.Duration) *Directory {
+	return &Directory{byID: map[string]*Endpoint{}, grace: grace}
+}
 
 // Key names one life of an endpoint.
 func Key(id string, born int64) fleet.EndpointID {
@@ -88,16 +93,31 @@
 	return changed
 }
 
-// Remove takes that the entry of the id is gone, or can't be read any more.
-func (d *Directory) Remove(now time.Time, id string) bool {
+// Remove takes that the entry of the id is gone, or can't be read any more. since
+// is the earliest moment at which that may have happened: a list that is read
+// every second tells of it up to a second late.
+func (d *Directory) Remove(now, since time.Time, id string) bool {
 	e := d.byID[id]
 	if e == nil || e.Gone {
 		return false
 	}
-	e.Gone, e.Removed = true, now
+	e.Gone, e.Removed, e.left = true, now, since
 	return true
 }
 
+// Retain takes the ids of all entries there are, and returns those that are gone.
+// The removals may have been lost together with the store's history.
+func (d *Directory) Retain(now, since time.Time, present map[string]bool) []string {
+	var gone []string
+	for id := range d.byID {
+		if !present[id] && d.Remove(now, since, id) {
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
 // Learn takes the weight version that an answer of this life named.
 func (d *Directory) Learn(key fleet.EndpointID, id, model string, version int64) bool {
 	e := d.byID[id]
@@ -139,7 +159,7 @@
 	}
 	if len(lapsed) > 1 && len(lapsed)*lapsePart > len(live)+len(lapsed) {
 		for _, e := range lapsed {
-			if now.Sub(e.Removed) < lapseGrace {
+			if now.Sub(e.left) < d.grace {
 				live = append(live, e)
 			}
 		}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -6,6 +6,8 @@
 	"time"
 )
 
+const testGrace = 1500 * time.Millisecond
+
 var epoch = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
 func entry(id string, born int64) Entry {
@@ -13,7 +15,7 @@
 }
 
 func full(n int) *Directory {
-	d := New()
+	d := New(testGrace)
 	for i := range n {
 		d.Put(entry(fmt.Sprint("e", i), 1))
 	}
@@ -35,7 +37,7 @@
 // moment: it serves on for a moment only, and then callers would be cut.
 func TestRemovedEndpointGetsNoWork(t *testing.T) {
 	d := full(6)
-	d.Remove(epoch, "e0")
+	d.Remove(epoch, epoch, "e0")
 	if got := usable(d, 0); got != 5 {
 		t.Errorf("%d usable", got)
 	}
@@ -56,7 +58,7 @@
 func TestEntriesThatLapseTogetherCountForAWhile(t *testing.T) {
 	d := full(6)
 	for i := range 6 {
-		d.Remove(epoch, fmt.Sprint("e", i))
+		d.Remove(epoch, epoch, fmt.Sprint("e", i))
 	}
 	if got := usable(d, time.Second); got != 6 {
 		t.Errorf("%d usable after a second", got)
@@ -98,9 +100,42 @@
 
 func TestGoneEndpointsAreForgotten(t *testing.T) {
 	d := full(2)
-	d.Remove(epoch, "e0")
+	d.Remove(epoch, epoch, "e0")
 	d.Expire(epoch.Add(2 * time.Minute))
 	if d.Find("e0") != nil || d.Find("e1") == nil {
 		t.Error("wrong endpoint forgotten")
 	}
 }
+
+// Two endpoints of a service leave one shortly after the other and never say
+// so: their entries are removed. A daemon reads that nine tenths of a second
+// later. If it took the entries for lapsed from its own reading on, callers
+// would be sent to an endpoint that left 2.1 seconds before, and cut there.
+func TestLapsedEntriesCountFromWhenTheyMayHaveGone(t *testing.T) {
+	d := full(4)
+	read := epoch.Add(900 * time.Millisecond)
+	d.Remove(read, epoch, "e0")
+	d.Remove(read.Add(100*time.Millisecond), epoch, "e1")
+	if got := usable(d, 1400*time.Millisecond); got != 4 {
+		t.Errorf("%d usable at 1.4 s", got)
+	}
+	if got := usable(d, testGrace); got != 2 {
+		t.Errorf("%d usable at the end of the grace", got)
+	}
+}
+
+// The store forgot its history, and meanwhile two of three endpoints left. No
+// record tells of it, only their absence among the newest entries. A daemon that
+// went by records would send callers to them for ever.
+func TestEntriesMissingFromASnapshotAreGone(t *testing.T) {
+	d := full(3)
+	if gone := d.Retain(epoch, epoch, map[string]bool{"e1": true}); len(gone) != 2 {
+		t.Errorf("%v are gone", gone)
+	}
+	if got := usable(d, testGrace); got != 1 {
+		t.Errorf("%d usable", got)
+	}
+	if gone := d.Retain(epoch, epoch, map[string]bool{"e1": true}); len(gone) != 0 {
+		t.Errorf("%v are gone a second time", gone)
+	}
+}
--- a/router/feed_test.go
+++ b/router/feed_test.go
@@ -160,3 +160,17 @@
 	}
 	return string(b)
 }
+
+// A removal is read nine tenths of a second after the read before, and may be as
+// old as that: the endpoint's time to leave runs since then. After failed reads
+// the store was away, its leases ran out there, and their time begins now.
+func TestRemovalMayBeAsOldAsTheReadBefore(t *testing.T) {
+	f := &follower{reads: 3, confirmed: BootClock() - 900*time.Millisecond}
+	if got := f.unseen(); got < 900*time.Millisecond {
+		t.Errorf("%v after an answered read", got)
+	}
+	f.failed = 1
+	if got := f.unseen(); got != 0 {
+		t.Errorf("%v after a failed read", got)
+	}
+}
--- a/router/follow.go
+++ b/router/follow.go
@@ -37,6 +37,10 @@
 	apply  func(Record)
 	reads  int // answered
 	failed int // reads in a row
+	// confirmed is when the newest answered read was sent, by the boot clock.
+	confirmed time.Duration
+	// snapshot, if set, takes the keys of a read of everything.
+	snapshot func(present map[string]bool)
 	// relayed says that the newest answer came from a neighbour.
 	relayed bool
 }
@@ -58,6 +62,10 @@
 	for _, record := range got.Records {
 		f.apply(record)
 	}
+	if !f.loaded && f.snapshot != nil {
+		f.snapshot(keysOf(got.Records))
+	}
+	f.confirmed = sent
 	from := f.next
 	if !f.loaded {
 		from, got.Records = got.Next, nil
@@ -68,6 +76,24 @@
 	return got.End > got.Next, sent, nil
 }
 
+func keysOf(records []Record) map[string]bool {
+	out := make(map[string]bool, len(records))
+	for _, r := range records {
+		out[r.Key] = true
+	}
+	return out
+}
+
+// unseen is how long the topic may have been otherwise than this daemon knew,
+// when a read shows it. After failed reads it is zero: entries lapse while the
+// store is away, and nothing but the return of the store begins their time.
+func (f *follower) unseen() time.Duration {
+	if f.failed > 0 || f.reads == 0 {
+		return 0
+	}
+	return max(0, BootClock()-f.confirmed)
+}
+
 // ask reads through a neighbour or the store itself.
 func (f *follower) ask(ctx context.Context, wait time.Duration) (Records, error) {
 	f.relayed = false
@@ -134,7 +160,8 @@
 // followEndpoints keeps the list of endpoints.
 func (r *Router) followEndpoints(ctx context.Context) {
 	f := &follower{r: r, topic: TopicEndpoints}
-	f.apply = func(record Record) { r.endpointRecord(record) }
+	f.apply = func(record Record) { r.endpointRecord(record, f.unseen()) }
+	f.snapshot = func(present map[string]bool) { r.endpointsPresent(present, f.unseen()) }
 	every := time.Duration(endpointsPart * float64(r.o.Settings.DrainWithin))
 	for ctx.Err() == nil {
 		more, sent, err := f.read(ctx, 0)
@@ -194,21 +221,34 @@
 	r.log.Info("Weights are named.", "model", change.Model, "version", change.Weights, "offset", record.Offset)
 }
 
-// endpointRecord folds an entry of an endpoint.
-func (r *Router) endpointRecord(record Record) {
+// endpointsPresent drops the endpoints that a read of all entries does not name.
+func (r *Router) endpointsPresent(present map[string]bool, unseen time.Duration) {
+	now := time.Now()
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	for _, id := range r.s.directory.Retain(now, now.Add(-unseen), present) {
+		r.s.dirty = true
+		r.log.Info("Endpoint's entry is missing.", "endpoint", id, "unseen_ms", unseen.Milliseconds())
+	}
+}
+
+// endpointRecord folds an entry of an endpoint. unseen is how long before now it
+// may have changed.
+func (r *Router) endpointRecord(record Record, unseen time.Duration) {
 	now := time.Now()
+	since := now.Add(-unseen)
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	if len(record.Value) == 0 {
-		if r.s.directory.Remove(now, record.Key) {
+		if r.s.directory.Remove(now, since, record.Key) {
 			r.s.dirty = true
-			r.log.Info("Endpoint's entry is gone.", "endpoint", record.Key, "offset", record.Offset)
+			r.log.Info("Endpoint's entry is gone.", "endpoint", record.Key, "offset", record.Offset, "unseen_ms", unseen.Milliseconds())
 		}
 		return
 	}
 	entry, err := r.o.Codec.Endpoint(record.Key, record.Value)
 	if err != nil {
-		if r.s.directory.Remove(now, record.Key) {
+		if r.s.directory.Remove(now, since, record.Key) {
 			r.s.dirty = true
 		}
 		r.log.Warn("Entry names no endpoint that can be used.", "endpoint", record.Key, "offset", record.Offset, "error", err.Error())
--- a/router/learn_test.go
+++ b/router/learn_test.go
@@ -47,7 +47,7 @@
 // be sent behind 50,000 tokens.
 func TestQueueOfAnEngineIsCountedByItsOwnKind(t *testing.T) {
 	now := time.Now()
-	s := newState("z", rand.New(rand.NewPCG(1, 2)))
+	s := newState(&Settings{Zone: "z"}, rand.New(rand.NewPCG(1, 2)))
 	s.lanes.mean = [laneCount]float64{laneShort: 370, laneLong: 17_000}
 	s.view.SetPool("long", []fleet.Endpoint{{ID: "a", Zone: "z", State: fleet.VMLive}})
 	p := newPlacer(s, &Settings{}, nil, BootClock, rand.New(rand.NewPCG(3, 4)))
--- a/router/router.go
+++ b/router/router.go
@@ -93,7 +93,7 @@
 
 // New returns a daemon that has not started.
 func New(o Options) *Router {
-	s := newState(o.Settings.Zone, o.Rand)
+	s := newState(&o.Settings, o.Rand)
 	r := &Router{
 		o: o, s: s,
 		placer:  newPlacer(s, &o.Settings, o.Engines, BootClock, o.Rand),
--- a/router/state.go
+++ b/router/state.go
@@ -30,6 +30,10 @@
 	restUnreachable = 800 * time.Millisecond
 	// loadingNews is how long another daemon's word that an engine loads holds.
 	loadingNews = 6 * time.Second
+	// lapsePart is how long an endpoint counts whose entry lapsed together with
+	// others, as a part of Settings.DrainWithin. The rest is for the tick on which
+	// it is noticed, and for requests on their way.
+	lapsePart = 0.75
 	// savedFor is how long a part that was sent to the store is taken to be
 	// there without being sent again.
 	savedFor = 12 * time.Second
@@ -58,9 +62,9 @@
 	view *placement.Shared
 }
 
-func newState(zone fleet.ZoneID, rng *rand.Rand) *state {
+func newState(set *Settings, rng *rand.Rand) *state {
 	return &state{
-		directory: directory.New(),
+		directory: directory.New(time.Duration(lapsePart * float64(set.DrainWithin))),
 		named:     map[string]named{},
 		health:    health.New(health.Options{Rand: rng, Failures: ejectAfter, Ejection: ejectFor, MaxEjection: ejectAtMost}),
 		resting:   map[fleet.EndpointID]time.Time{},
@@ -69,7 +73,7 @@
 		pools:     map[string]bool{},
 		saved:     map[prefix.Key]time.Time{},
 		view: placement.NewShared(placement.Options{
-			Zone: zone, PrefillRate: prefillRate, ImportRate: importRate,
+			Zone: set.Zone, PrefillRate: prefillRate, ImportRate: importRate,
 			ImportLatency: importLatency, ReservationTTL: reservationTTL,
 			QueueLife: queueLife, HomePrior: homePrior,
 		}),
