Withdraw a request that has not begun before the bound on its weights

The use of older weights ended 2.5 s before the bound, a constant that no wait has to keep to.

Ruled out: a larger constant, which moves the fault and takes allowed engines away from every prompt for as long.

Change: a placement on replaced weights carries the time by which it must have begun, 0.5 s before the bound. A request whose answer has not begun by then is withdrawn by closing its connection and, if it may run twice, placed anew; it counts as one that may have run, so nothing else is sent again, nor called not run. Which engine may still be used follows from the wait expected there, three times over for requests that would be lost when withdrawn.

The tests fail on the code before: the request stays with its engine.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -33,13 +34,13 @@
 	p.Out.Remaining = time.Until(c.work.Deadline)
 	p.Out.LastEvent = c.events.last
 	c.o.Wire.Outbound(out.Header, &p.Out)
-	a, err := c.o.Client.Send(c.ctx, p.Target, &out)
+	a, withdrawn, err := c.sendBy(p, &out)
 	if err != nil {
 		failure := retry.Unknown
 		if errors.Is(err, ErrNotSent) {
 			failure = retry.NotSent
 		}
-		end = End{Failure: failure, Lost: true}
+		end = End{Failure: failure, Lost: !withdrawn, Withdrawn: withdrawn}
 		return false, retry.Attempt{Endpoint: p.Target.Key, Failure: failure}
 	}
 	c.report.Attempts[len(c.report.Attempts)-1].Load = a.Info.Load
@@ -48,6 +49,32 @@
 	return end.Whole, retry.Attempt{Endpoint: p.Target.Key, Failure: end.Failure}
 }
 
+// sendBy sends the request, and withdraws it if no answer has begun when the
+// placement's time is over.
+//
+// The request may still wait in the engine's queue for seconds. Without the
+// withdrawal it would begin on weights that are out of bounds by then. It may also
+// have begun just now, so it counts as one that may have run.
+func (c *call) sendBy(p *Placement, out *Outgoing) (a *Answer, withdrawn bool, err error) {
+	if p.BeginBy.IsZero() {
+		a, err = c.o.Client.Send(c.ctx, p.Target, out)
+		return a, false, err
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	timer := time.AfterFunc(time.Until(p.BeginBy), cancel)
+	a, err = c.o.Client.Send(ctx, p.Target, out)
+	if err != nil {
+		withdrawn = !timer.Stop()
+		cancel()
+		return nil, withdrawn, err
+	}
+	timer.Stop()
+	// The connection ends with the context, so that it lives as long as the
+	// answer is read.
+	context.AfterFunc(c.ctx, cancel)
+	return a, false, nil
+}
+
 func (c *call) noteAttempt(end *End) {
 	r := &c.report.Attempts[len(c.report.Attempts)-1]
 	r.After = time.Since(c.work.Arrived)
@@ -58,6 +85,8 @@
 		r.Result = "endpoint_error"
 	case end.Whole:
 		r.Result = "whole"
+	case end.Withdrawn:
+		r.Result = "withdrawn"
 	default:
 		r.Result = end.Failure.String()
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -61,7 +61,10 @@
 	Prefix string        // shared part that decided
 	Cached int           // prompt tokens expected in the endpoint's cache
 	Age    time.Duration // of what the endpoint last said of its load
-	Notes  Notes         // of the placer
+	// BeginBy is when the request is withdrawn unless its answer has begun. Zero:
+	// it may begin at any time.
+	BeginBy time.Time
+	Notes   Notes // of the placer
 }
 
 // Notes are what the placer keeps with a placement for itself.
@@ -103,6 +106,8 @@
 	Failure retry.Failure
 	Lost    bool // the connection was refused, lost or fell silent
 	Left    bool // the caller did
+	// Withdrawn says that the time was over in which the request had to begin.
+	Withdrawn bool
 }
 
 // Options are what a Handler needs.
--- a/router/placer.go
+++ b/router/placer.go
@@ -201,12 +201,14 @@
 	if in == laneShort {
 		lead = math.Inf(1) // nothing of theirs is worth meeting in a cache
 	}
-	allowed := func(v int64) bool { return n.allowed(v, clock, p.old) }
+	left := func(v int64) time.Duration { return n.left(v, clock, p.old) }
+	allowed := func(v int64) bool { return left(v) > beginLeast }
 	v := chooseVersions(p.s.versions[laneKey(name, in)], allowed, at, lead)
 	v = v.orElse(chooseVersions(p.s.versions[name], allowed, at, lead))
 	if v.first == 0 {
 		return v, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 	}
+	v.firstLeft, v.otherLeft = left(v.first), left(v.other)
 	return v, nil
 }
 
@@ -257,6 +259,9 @@
 	if to.version == 0 {
 		return out
 	}
+	if to.left != noBound {
+		out.BeginBy = now.Add(to.left)
+	}
 	p.unansweredMu.Lock()
 	p.unanswered[r.ID] = unanswered{
 		endpoint: e.Key, priority: r.Priority, placed: now,
--- a/router/versions.go
+++ b/router/versions.go
@@ -16,9 +16,18 @@
 	// weights loses worth by the second; too strong a lead sends everything to
 	// the few engines that are done, and less is served in all.
 	newerLead = 1.3
-	// versionMargin ends the use of older weights before the bound, for the
-	// time that a request is on its way and waits at the engine.
-	versionMargin = 2500 * time.Millisecond
+	// beginSlack is how long before the bound on older weights a request must have
+	// begun on them: the naming may have been read late, and the withdrawal of a
+	// request takes a moment to reach its engine.
+	beginSlack = 500 * time.Millisecond
+	// beginLeast is the least time a request is given to begin in.
+	beginLeast = 300 * time.Millisecond
+	// beginDoubt and beginDoubtOnce are how many times the expected time until the
+	// first event must be left for a request that may be placed anew and for one
+	// that may not: the latter is lost when it is withdrawn. Waits are foretold
+	// within a factor of two for nine prompts of ten.
+	beginDoubt     = 1.5
+	beginDoubtOnce = 3
 )
 
 // clockSlack is how far the times of day of two machines may be apart.
@@ -59,15 +68,22 @@
 	return out[max(0, len(out)-keptNames):]
 }
 
-// allowed tells whether a request may still begin on the version: the first one
-// that was named after it is not older than the bound.
-func (n named) allowed(version int64, now, bound time.Duration) bool {
+// noBound is the time left for weights that were not replaced.
+const noBound = time.Duration(math.MaxInt64)
+
+// left is how long a request may still wait before it begins on the version: until
+// beginSlack before the first one that was named after it is as old as the bound.
+//
+// A prompt may wait in its engine for seconds. If it began past the bound, its
+// caller would get the answer of weights that were to be out of use by then. So
+// the time goes with the request, which is withdrawn when it is over.
+func (n named) left(version int64, now, bound time.Duration) time.Duration {
 	for _, after := range n {
 		if after.version > version {
-			return now-after.since < bound-versionMargin
+			return after.since + bound - beginSlack - now
 		}
 	}
-	return true
+	return noBound
 }
 
 // told takes another daemon's word on when a version was named.
@@ -91,6 +107,8 @@
 	first     int64   // 0: no engine may serve
 	other     int64   // 0: none
 	otherLoss float64 // that the other one's work brings, as a part of the objective
+	// firstLeft and otherLeft are how long a request may wait before it begins.
+	firstLeft, otherLeft time.Duration
 }
 
 // chooseVersions picks the weight versions for a request from the number of
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -6,11 +6,18 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/weights"
 )
 
 const within = 15 * time.Second
 
+// allowed tells whether a request may still be bound to the version.
+func (n named) allowed(version int64, now, bound time.Duration) bool {
+	return n.left(version, now, bound) > beginLeast
+}
+
 // Version 3 is named, and 13 seconds later version 4. An engine that still has
 // version 2 must get no more requests once version 3 is too old, though version
 // 4 is new: callers would get answers of weights that were replaced 16 seconds
@@ -109,3 +116,30 @@
 		t.Errorf("%d of two engines for short prompts", n)
 	}
 }
+
+// Three engines have the newest weights and are full; one idles with weights whose
+// bound ends in 400 ms, and another way there takes 300 ms to the first event. A
+// prompt that may be placed anew may go there, one that may run once only must
+// not: withdrawn from the engine's queue at the bound it would be lost.
+func TestOlderWeightsAreLeftInTime(t *testing.T) {
+	none := func() []prefix.Level { return nil }
+	pools := fakePools{"new": time.Second, "old": 200 * time.Millisecond}
+	for _, c := range []struct {
+		name string
+		left time.Duration
+		once bool
+		want string
+	}{
+		{"long before the bound", 2 * time.Second, true, "old"},
+		{"no bound", noBound, true, "old"},
+		{"may be placed anew", 400 * time.Millisecond, false, "old"},
+		{"runs once", 400 * time.Millisecond, true, "new"},
+		{"too late for both", 250 * time.Millisecond, false, "new"},
+	} {
+		all := []way{{pool: "new", levels: none, left: noBound}, {pool: "old", levels: none, left: c.left, once: c.once}}
+		got, err := bestWay(time.Time{}, pools, placement.Request{}, all, 500*time.Millisecond)
+		if err != nil || got.pool != c.want {
+			t.Errorf("%s: %q, %v", c.name, got.pool, err)
+		}
+	}
+}
--- a/router/ways.go
+++ b/router/ways.go
@@ -39,8 +39,23 @@
 	levels  func() []prefix.Level
 	lane    lane // of the engines
 	version int64
-	away    bool    // not at the home of the shared part
-	loss    float64 // beside the wait, as a part of the objective
+	away    bool          // not at the home of the shared part
+	loss    float64       // beside the wait, as a part of the objective
+	left    time.Duration // until it must have begun there; 0 or noBound: any time
+	once    bool          // it may not be placed anew once it was sent
+}
+
+// inTime tells whether the prompt will probably have begun before the bound on
+// its weights.
+func (w *way) inTime(first time.Duration) bool {
+	if w.left == 0 || w.left == noBound {
+		return true
+	}
+	doubt := beginDoubt
+	if w.once {
+		doubt = beginDoubtOnce
+	}
+	return time.Duration(doubt*float64(first)) <= w.left
 }
 
 // ways lists the possibilities, the one that is taken if it is easy first.
@@ -54,9 +69,12 @@
 func ways(w *forward.Work, v versions, in lane) []way {
 	first, other := levelsOf(w, v.first, in), levelsOf(w, v.other, in)
 	to := func(version int64, l lane, loss float64) way {
-		out := way{pool: modelPool(w.Service.Name, w.In.Model, version, l), levels: first, lane: l, version: version, loss: loss}
+		out := way{
+			pool: modelPool(w.Service.Name, w.In.Model, version, l), levels: first, lane: l, version: version, loss: loss,
+			left: v.firstLeft, once: w.Route != nil && !w.Route.Repeatable(),
+		}
 		if version != v.first {
-			out.levels = other
+			out.levels, out.left = other, v.otherLeft
 		}
 		return out
 	}
@@ -129,13 +147,16 @@
 		if failed != nil {
 			continue // another way may lead somewhere
 		}
+		if i == 0 {
+			home = d.Endpoint
+		}
+		if !at.inTime(d.ExpectedFirst) {
+			continue
+		}
 		next.decision = d
 		if at.away {
 			next.decision.Reason, next.decision.Peer = placement.ReasonSpill, home
 		}
-		if i == 0 {
-			home = d.Endpoint
-		}
 		if err != nil || next.cost(target) < best.cost(target) {
 			best, err = next, nil
 		}
