Refuse what would be cut with a process that stops

Cause: a daemon was told to stop at 7.000 s; a connection that had served a stream until then brought another request at 11.53 s, which was taken and cut with the process at 14.71 s. Its caller could not tell whether it ran.

Ruled out: closing such connections sooner. The answer that was streamed began before the stop, without a word that the connection ends, so a next request may always cross the close.

Change: once the balancer has noticed the stop, a request whose time limit lies behind the end of the process is refused at once as not run, with a time to return and the end of the connection. One that can end in time is served.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -119,8 +119,11 @@
 	KeysFresh func() bool          // whether keys may be believed
 	KeysAge   func() time.Duration
 	Leaving   func() bool // whether callers should open new connections elsewhere
-	Callers   *Callers
-	Report    func(*Report)
+	// StopsAt is when the process ends, once the time is over in which callers may
+	// still come to it unknowingly. Zero: it goes on.
+	StopsAt func() time.Time
+	Callers *Callers
+	Report  func(*Report)
 }
 
 // Report is what became of one request.
@@ -242,11 +245,26 @@
 		Idempotent: route.Repeatable(), Resumable: route.Resumable,
 		Deadline: c.work.Deadline, MaxSent: route.Attempts,
 	}
+	if c.outlivesProcess() {
+		c.refuse(http.StatusServiceUnavailable, "stopping", elsewhere)
+		return
+	}
 	c.prepare()
 	c.o.Placer.First()
 	c.attempts()
 }
 
+// outlivesProcess tells whether the request may take longer than the process has.
+//
+// A connection that served a stream while the process was told to stop can bring
+// another request seconds later. If that one were taken, it would be cut with the
+// process, and its caller could not tell whether it ran. Refused, it goes
+// elsewhere at once.
+func (c *call) outlivesProcess() bool {
+	end := c.o.StopsAt()
+	return !end.IsZero() && c.work.Deadline.After(end)
+}
+
 // authenticate finds the organisation of the key. It answers and returns false
 // if there is none.
 func (c *call) authenticate() bool {
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -66,7 +66,7 @@
 		Wire: plainWire{}, Client: NewClient(plainWire{}), Placer: p,
 		Table:     func() *routes.Table { return table },
 		KeysFresh: func() bool { return true }, KeysAge: func() time.Duration { return 0 },
-		Leaving: func() bool { return !stops.IsZero() },
+		Leaving: func() bool { return !stops.IsZero() }, StopsAt: func() time.Time { return stops },
 		Callers: callers, Report: func(*Report) {},
 	})
 	s := httptest.NewUnstartedServer(h)
@@ -188,3 +188,25 @@
 		t.Errorf("status %d, body %q", resp.StatusCode, body)
 	}
 }
+
+// A daemon was told to stop 4.5 seconds ago and has 3 seconds left. A connection
+// that was busy until now brings a stream which may take 6 seconds. Taken, it
+// would be cut with the process, and its caller would not know whether it ran. It
+// is refused at once as not run, and the connection ends; a request that can end
+// in time is served.
+func TestRequestThatOutlivesTheProcessIsRefused(t *testing.T) {
+	stops := time.Now().Add(3 * time.Second)
+	target, seen := endpoint(t, streamed)
+	refusing := &listPlacer{places: []Placement{{Target: target}}}
+	resp, body := ask(t, serveOn(t, refusing, true, 6*time.Second, stops))
+	if resp.StatusCode != http.StatusServiceUnavailable || body != "stopping\n" || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("status %d, body %q, header %v", resp.StatusCode, body, resp.Header)
+	}
+	if len(seen) != 0 || refusing.placed != 0 {
+		t.Error("it was passed on")
+	}
+	resp, _ = ask(t, serveOn(t, refusing, true, time.Second, stops))
+	if resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("short request: status %d, header %v", resp.StatusCode, resp.Header)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -78,6 +78,8 @@
 	metrics    *meters
 
 	leaving atomic.Bool
+	// stops is when the process ends, once callers should know of it.
+	stops atomic.Pointer[time.Time]
 }
 
 // BootClock reads the clock that runs on while the machine is suspended. The
@@ -114,6 +116,7 @@
 			KeysFresh: r.keysFresh,
 			KeysAge:   r.keysAge,
 			Leaving:   r.leaving.Load,
+			StopsAt:   r.stopsAt,
 			Callers:   r.callers,
 			Report:    r.report,
 		}),
@@ -202,11 +205,12 @@
 	began := time.Now()
 	r.leaving.Store(true)
 	r.log.Info("Stopping.")
+	end := began.Add(r.o.Settings.StopWithin - stopReserve)
 	_ = pause.For(context.Background(), balancerLag)
+	r.stops.Store(&end)
 	// Callers that connect from now on are refused by the kernel and connect
 	// elsewhere.
 	_ = front.Close()
-	end := began.Add(r.o.Settings.StopWithin - stopReserve)
 	left := r.callers.CloseIdle()
 	for left > 0 && time.Now().Before(end) {
 		_ = pause.For(context.Background(), idleTick)
@@ -216,6 +220,14 @@
 	return nil
 }
 
+// stopsAt is when the process ends, zero as long as callers need not know.
+func (r *Router) stopsAt() time.Time {
+	if end := r.stops.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 func (r *Router) serveReady(l net.Listener) {
 	s := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !r.ready() {
