--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -76,7 +76,15 @@
 	return s
 }
 
-func ask(t *testing.T, s *httptest.Server) (*http.Response, string) {
+// reply is what a caller got.
+type reply struct {
+	status     int
+	body       string
+	retryAfter string
+	closes     bool
+}
+
+func ask(t *testing.T, s *httptest.Server) reply {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", nil)
 	if err != nil {
@@ -90,7 +98,7 @@
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	return resp, string(body)
+	return reply{resp.StatusCode, string(body), resp.Header.Get("Retry-After"), resp.Close}
 }
 
 // silent takes requests and never answers. It tells when a connection ended.
@@ -129,9 +137,9 @@
 	second, _ := endpoint(t, streamed)
 	by := time.Now().Add(100 * time.Millisecond)
 	p := &listPlacer{places: []Placement{{Target: first, BeginBy: by}, {Target: second}}}
-	resp, body := ask(t, serveOn(t, p, true, 10*time.Second, time.Time{}))
-	if resp.StatusCode != http.StatusOK || body != "id: 0\ndata: one\n\n" {
-		t.Errorf("status %d, body %q", resp.StatusCode, body)
+	got := ask(t, serveOn(t, p, true, 10*time.Second, time.Time{}))
+	if got.status != http.StatusOK || got.body != "id: 0\ndata: one\n\n" {
+		t.Errorf("status %d, body %q", got.status, got.body)
 	}
 	select {
 	case at := <-closed:
@@ -153,9 +161,9 @@
 	first, _ := silent(t)
 	second, seen := endpoint(t, streamed)
 	p := &listPlacer{places: []Placement{{Target: first, BeginBy: time.Now().Add(50 * time.Millisecond)}, {Target: second}}}
-	resp, _ := ask(t, serveOn(t, p, false, 10*time.Second, time.Time{}))
-	if resp.StatusCode != http.StatusBadGateway {
-		t.Errorf("status %d", resp.StatusCode)
+	got := ask(t, serveOn(t, p, false, 10*time.Second, time.Time{}))
+	if got.status != http.StatusBadGateway {
+		t.Errorf("status %d", got.status)
 	}
 	if len(seen) != 0 {
 		t.Error("it was sent again")
@@ -183,9 +191,9 @@
 		_, _ = io.WriteString(c, "id: 1\ndata: two\n\n")
 	}()
 	p := &listPlacer{places: []Placement{{Target: Target{Key: "e@1", ID: "e", Address: l.Addr().String()}, BeginBy: by}}}
-	resp, body := ask(t, serveOn(t, p, true, 10*time.Second, time.Time{}))
-	if resp.StatusCode != http.StatusOK || body != "id: 0\ndata: one\n\nid: 1\ndata: two\n\n" {
-		t.Errorf("status %d, body %q", resp.StatusCode, body)
+	got := ask(t, serveOn(t, p, true, 10*time.Second, time.Time{}))
+	if got.status != http.StatusOK || got.body != "id: 0\ndata: one\n\nid: 1\ndata: two\n\n" {
+		t.Errorf("status %d, body %q", got.status, got.body)
 	}
 }
 
@@ -198,15 +206,15 @@
 	stops := time.Now().Add(3 * time.Second)
 	target, seen := endpoint(t, streamed)
 	refusing := &listPlacer{places: []Placement{{Target: target}}}
-	resp, body := ask(t, serveOn(t, refusing, true, 6*time.Second, stops))
-	if resp.StatusCode != http.StatusServiceUnavailable || body != "stopping\n" || resp.Header.Get("Retry-After") == "" || !resp.Close {
-		t.Errorf("status %d, body %q, header %v", resp.StatusCode, body, resp.Header)
+	got := ask(t, serveOn(t, refusing, true, 6*time.Second, stops))
+	if got.status != http.StatusServiceUnavailable || got.body != "stopping\n" || got.retryAfter == "" || !got.closes {
+		t.Errorf("got %+v", got)
 	}
 	if len(seen) != 0 || refusing.placed != 0 {
 		t.Error("it was passed on")
 	}
-	resp, _ = ask(t, serveOn(t, refusing, true, time.Second, stops))
-	if resp.StatusCode != http.StatusOK || !resp.Close {
-		t.Errorf("short request: status %d, header %v", resp.StatusCode, resp.Header)
+	got = ask(t, serveOn(t, refusing, true, time.Second, stops))
+	if got.status != http.StatusOK || !got.closes {
+		t.Errorf("short request: %+v", got)
 	}
 }
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -14,8 +14,8 @@
 const within = 15 * time.Second
 
 // allowed tells whether a request may still be bound to the version.
-func (n named) allowed(version int64, now, bound time.Duration) bool {
-	return n.left(version, now, bound) > beginLeast
+func (n named) allowed(version int64, now time.Duration) bool {
+	return n.left(version, now, within) > beginLeast
 }
 
 // Version 3 is named, and 13 seconds later version 4. An engine that still has
@@ -25,10 +25,10 @@
 func TestOvertakenVersionStillBoundsThoseBeforeIt(t *testing.T) {
 	n := named{{version: 3, since: 10 * time.Second}, {version: 4, since: 23 * time.Second}}
 	at := 26 * time.Second
-	if n.allowed(2, at, within) {
+	if n.allowed(2, at) {
 		t.Error("version 2 is allowed")
 	}
-	if !n.allowed(3, at, within) || !n.allowed(4, at, within) {
+	if !n.allowed(3, at) || !n.allowed(4, at) {
 		t.Error("version 3 or 4 is not allowed")
 	}
 }
@@ -39,15 +39,15 @@
 func TestAgeOfAVersionSurvivesARestart(t *testing.T) {
 	boot, wall := time.Hour, time.UnixMilli(1_800_000_000_000)
 	n := named{{version: 2, since: boot - time.Duration(guessAge*float64(within)), guessed: true}}
-	if !n.allowed(1, boot, within) {
+	if !n.allowed(1, boot) {
 		t.Fatal("a guess refuses at once")
 	}
 	n = n.told(boot, wall, weights.NamedAt{Version: 2, UnixMs: wall.Add(-14 * time.Second).UnixMilli()})
-	if n.allowed(1, boot, within) {
+	if n.allowed(1, boot) {
 		t.Error("still allowed")
 	}
 	fresh := named{{version: 2, since: boot}}
-	if got := fresh.told(boot, wall, weights.NamedAt{Version: 2, UnixMs: 0}); !got.allowed(1, boot, within) {
+	if got := fresh.told(boot, wall, weights.NamedAt{Version: 2, UnixMs: 0}); !got.allowed(1, boot) {
 		t.Error("what was read as it was named gave way to another daemon's clock")
 	}
 }
@@ -58,7 +58,7 @@
 	boot, wall := time.Hour, time.UnixMilli(1_800_000_000_000)
 	n := named{{version: 5, since: boot}}
 	n = n.told(boot, wall, weights.NamedAt{Version: 4, UnixMs: wall.Add(-13 * time.Second).UnixMilli()})
-	if n.allowed(3, boot, within) || !n.allowed(4, boot, within) || n.newest() != 5 {
+	if n.allowed(3, boot) || !n.allowed(4, boot) || n.newest() != 5 {
 		t.Errorf("named %v", n)
 	}
 }
