Fetch a prompt's beginning from whoever tells that it holds it

Short prompts were placed by the wait alone and fetched nothing; long ones fetched from a home by guess.

Ruled out: evictions (none seen), saving more to the store (a save sends the own part too, and the store's link carries less than the engines read).

Change: a daemon follows the cache events of engines and stores, one question at a time that waits for news, and folds them to what each holds (package caches). The cost of an engine counts what it holds and what it can fetch at the link's rate from the configuration; the prompt's beginning is fetched from the holder with most of it, the nearest of equals. Where a holder takes fewer questions than there are daemons, a hash of the announced names divides the holders among them. What is not followed is believed as before.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -19,10 +19,15 @@
 	homes    int32   // endpoints that count as home
 	known    float64 // how sure some candidate holds the shared level
 	usual    float64 // wait in seconds among the candidates that were heard of lately
+	slack    float64 // wait in seconds that a cold prefix takes to be at home
+	held     *Held
 }
 
 func (v *View) costModel(now time.Time, r *Request, home *entry) costModel {
-	m := costModel{id: r.ID, priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r)}
+	m := costModel{
+		id: r.ID, priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r),
+		slack: homeSlack, held: r.Held,
+	}
 	if home == nil {
 		return m
 	}
@@ -31,26 +36,50 @@
 	for i := range v.scratch.candidates {
 		m.known = max(m.known, min(1, v.scratch.candidates[i].cached/m.shared))
 	}
+	if m.held != nil {
+		m.known = max(m.known, min(1, float64(m.held.Best)/m.shared))
+		m.slack = min(homeSlack, wasteWeight*m.shared/v.o.PrefillRate)
+	}
 	return m
 }
 
+// reach is how many tokens of the prompt need not be read at the candidate: those
+// that it holds, or that it can fetch.
+func (m *costModel) reach(c *candidate) float64 {
+	if m.held == nil {
+		return c.expected
+	}
+	return max(c.expected, float64(m.held.Best))
+}
+
+// prepare works out the time in seconds until the candidate has the prompt.
+func (m *costModel) prepare(v *View, e *endpoint, c *candidate) float64 {
+	reach := m.reach(c)
+	if reach <= c.expected || m.held.Rate <= 0 {
+		t, _ := v.computeTime(e, m.tokens-c.expected, m.stored-c.expected)
+		return t
+	}
+	fetch := v.o.ImportLatency.Seconds() + (reach-c.expected)/m.held.Rate
+	return min((m.tokens-c.expected)/e.rate, fetch+(m.tokens-reach)/e.rate)
+}
+
 // weigh works out the cost of a candidate in seconds.
 func (m *costModel) weigh(v *View, now time.Time, c *candidate) {
 	e := &v.endpoints[c.endpoint]
 	c.expected = c.cached
-	if c.rank < m.homes {
+	if c.rank < m.homes && !c.told {
 		c.expected = max(c.cached, (1-m.known)*v.prior(now, e)*m.shared)
 	}
 	c.wait = v.wait(now, c.endpoint, m.priority) + (1-v.fresh(now, e, m.priority))*m.usual
-	c.compute, _ = v.computeTime(e, m.tokens-c.expected, m.stored-c.expected)
+	c.compute = m.prepare(v, e, c)
 	c.cost = c.wait + c.compute + v.travel(c) + rankCost*float64(max(0, c.rank-m.homes+1))
 	if c.rank >= m.homes || m.homes == 1 {
-		c.cost += wasteWeight * (m.tokens - c.expected) / e.rate
+		c.cost += wasteWeight * (m.tokens - m.reach(c)) / e.rate
 	}
 	c.cost += fillCost*filled(e) + v.doubt(now, e, c.endpoint, m.id)
 	c.cost += crowdWeight * v.arrivals(e) * c.compute * c.compute / 2
 	if c.rank >= m.homes {
-		c.cost += (1 - m.known) * homeSlack
+		c.cost += (1 - m.known) * m.slack
 	}
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -55,6 +55,7 @@
 	endpoint int32
 	rank     int32 // in the rendezvous order; MaxHomes: behind all homes
 	present  float64
+	told     bool    // the endpoint tells itself what it holds
 	cached   float64 // tokens believed to be in its cache
 	expected float64 // the same, or what a home probably has
 	wait     float64 // in its queue, in seconds
@@ -248,11 +249,16 @@
 // can only be used together with all levels before it, so whoever has a deep
 // one has those too.
 func (v *View) expectCached(now time.Time, r *Request) {
+	if r.Held != nil {
+		v.takeHeld(r.Held)
+		defer v.atLeastHeld(r.Held)
+	}
 	for i := len(r.Levels) - 1; i >= 0; i-- {
 		if t := v.prefixes.find(r.Levels[i].Key); t != nil {
 			for j := range t.holders {
 				h := &t.holders[j]
-				if c := v.scratch.find(h.endpoint); c != nil {
+				c := v.scratch.find(h.endpoint)
+				if c != nil && (!c.told || h.coming && now.Sub(h.seen) < comingLife) {
 					c.present = max(c.present, v.belief(now, h))
 				}
 			}
@@ -269,6 +275,29 @@
 	}
 }
 
+// comingLife is how long a prefix that was sent to an endpoint may be missing from
+// what the endpoint tells of its cache: it is read, and the word of it is on its
+// way.
+const comingLife = 1500 * time.Millisecond
+
+// takeHeld marks the candidates that tell themselves what they hold.
+func (v *View) takeHeld(h *Held) {
+	for i := range v.scratch.candidates {
+		c := &v.scratch.candidates[i]
+		_, c.told = h.At[v.endpoints[c.endpoint].id]
+	}
+}
+
+// atLeastHeld counts what the candidates hold by their own word.
+func (v *View) atLeastHeld(h *Held) {
+	for i := range v.scratch.candidates {
+		c := &v.scratch.candidates[i]
+		if tokens, ok := h.At[v.endpoints[c.endpoint].id]; ok {
+			c.cached = max(c.cached, float64(tokens))
+		}
+	}
+}
+
 // choose takes the candidate of the lowest cost.
 func (v *View) choose(now time.Time, r *Request, home *entry, reason Reason) Decision {
 	m := v.costModel(now, r, home)
@@ -283,7 +312,7 @@
 	}
 	e := &v.endpoints[best.endpoint]
 	d := Decision{
-		Endpoint: e.id, ExpectedCached: int(best.expected),
+		Endpoint: e.id, ExpectedCached: int(m.reach(best)),
 		ExpectedWait:  seconds(best.wait),
 		ExpectedFirst: seconds(best.wait + best.compute + v.travel(best)),
 		LoadAge:       unknownAge,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -100,6 +100,15 @@
 	Tokens   int // of the whole prompt
 	Priority contract.Priority
 	Avoid    []fleet.EndpointID // tried already
+	Held     *Held              // nil: nothing is known but what answers told
+}
+
+// Held is where the beginning of one prompt is held, as endpoints told it
+// themselves.
+type Held struct {
+	At   map[fleet.EndpointID]int // leading tokens; endpoints that tell nothing are missing
+	Best int                      // leading tokens that can be fetched from somewhere
+	Rate float64                  // tokens/s at which they come
 }
 
 // Reason tells why an endpoint was chosen, for logs and dumps.
@@ -122,7 +131,7 @@
 type Decision struct {
 	Endpoint       fleet.EndpointID
 	Incarnation    fleet.Incarnation // the life whose cache is believed in; zero: none, or not known
-	ExpectedCached int               // prompt tokens expected in its cache
+	ExpectedCached int               // prompt tokens that it will probably not read: it holds or can fetch them
 	ExpectedWait   time.Duration     // in its queue
 	ExpectedFirst  time.Duration     // until the first token
 	LoadAge        time.Duration     // of what the endpoint last said of its load; negative: it said nothing yet
--- a/router/moves.go
+++ b/router/moves.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
@@ -19,14 +20,21 @@
 // millisecond, and an engine fetches only what it lacks.
 func (p *placer) moves(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, out *forward.Outbound) {
 	at := prefix.Affinity(r.Levels)
-	if at < 0 || r.Levels[at].Tokens < worthMoving {
+	if at < 0 {
+		return
+	}
+	if address, known := p.fetchFrom(now, w, r, d, out.CacheSalt); known {
+		out.FetchFrom = address
+	}
+	if r.Levels[at].Tokens < worthMoving {
 		return
 	}
 	key := r.Levels[at].Key
 	store := storeOf(w.Table, key)
 	peer := p.s.places[d.Peer]
-	away := d.Reason == placement.ReasonSpill
+	away := d.Reason == placement.ReasonSpill && r.Held == nil
 	switch {
+	case out.FetchFrom != "":
 	case away && peer != nil && !p.s.unusable(now, d.Peer):
 		out.FetchFrom = peer.Address
 	case store != "":
@@ -39,6 +47,27 @@
 	}
 }
 
+// fetchFrom chooses the source of a prompt's beginning among the holders that tell
+// what they hold. known is false if there is none that helps.
+func (p *placer) fetchFrom(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, salt string) (address string, known bool) {
+	if p.watch == nil || r.Held == nil {
+		return "", false
+	}
+	engine := p.s.places[d.Endpoint]
+	address, tokens := p.watch.best(w, salt, engine.Zone, func(name string) bool {
+		key := fleet.EndpointID(name)
+		return key != d.Endpoint && (p.s.places[key] == nil || !p.s.unusable(now, key))
+	})
+	if tokens-r.Held.At[d.Endpoint] < leastFetched {
+		return "", false
+	}
+	return address, true
+}
+
+// leastFetched is the number of tokens above which a fetch is worth its beginning:
+// they take about as long to read as a fetch takes to begin, some milliseconds.
+const leastFetched = 250
+
 // savePart is the part of the reads that are sent to the store. All daemons
 // together would otherwise send each prompt several times, and the store's link
 // carries less than the engines read.
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -71,6 +71,7 @@
 	clock func() time.Duration
 
 	mu      sync.Mutex
+	names   []string    // of all daemons that announced themselves
 	before  []Neighbour // those of the zone before this daemon
 	enough  bool        // the zone is large enough
 	avoided map[string]time.Duration
@@ -100,6 +101,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.enough = len(zone) >= relayFrom
+	n.names = n.names[:0]
+	for _, d := range all {
+		n.names = append(n.names, d.Name)
+	}
 	n.before = nil
 	for _, d := range zone {
 		if rank(d) < rank(n.me) && d.Name != n.me.Name {
@@ -125,6 +130,24 @@
 	return Neighbour{}, false
 }
 
+// chosen tells whether this daemon is among the given number of daemons that a
+// hash of the subject chooses. All daemons come to the same choice with no
+// message. It is false as long as the daemons are not known.
+func (n *neighbours) chosen(subject string, most int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.names) == 0 {
+		return false
+	}
+	mine, before := hash.Text(subject+"/"+n.me.Name), 0
+	for _, name := range n.names {
+		if name != n.me.Name && hash.Text(subject+"/"+name) < mine {
+			before++
+		}
+	}
+	return before < most
+}
+
 func (n *neighbours) avoid(d Neighbour) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/router/placer.go
+++ b/router/placer.go
@@ -55,6 +55,7 @@
 // placer implements forward.Placer.
 type placer struct {
 	s       *state
+	watch   *cacheWatch // nil: nothing is known of caches
 	engines weights.Engines
 	clock   func() time.Duration // boot clock
 	old     time.Duration        // Settings.VersionWithin
@@ -119,7 +120,7 @@
 		return forward.Placement{}, err
 	}
 	in := laneOf(w.In.PromptTokens)
-	all := ways(w, v, in)
+	all := ways(w, v, in, p.whereabouts())
 	if in == laneLong {
 		first := *r
 		first.Pool, first.Levels = all[0].pool, all[0].levels()
--- a/router/router.go
+++ b/router/router.go
@@ -54,6 +54,7 @@
 	// Announcements tells daemons of each other; nil: each reads the store
 	// itself.
 	Announcements Announcements
+	CacheFeed     CacheFeed // nil: nobody tells of caches
 	Wire          forward.Wire
 	Engines       weights.Engines
 	Logs          *logging.Factory
@@ -72,6 +73,7 @@
 	callers *forward.Callers
 
 	neighbours *neighbours
+	watch      *cacheWatch
 	feeds      [topicCount]*feed
 	log        *logging.Logger
 	fold       fold // of the lines of ordinary requests
@@ -104,6 +106,8 @@
 		log:     o.Logs.For(logging.PartRouter),
 		metrics: newMeters(telemetry.New(o.Settings.Name, string(o.Settings.Zone))),
 	}
+	r.watch = newCacheWatch(o.CacheFeed, BootClock, r.log)
+	r.placer.watch = r.watch
 	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress}
 	r.neighbours = newNeighbours(me, forward.Dialer(), BootClock)
 	for t := range r.feeds {
@@ -167,6 +171,9 @@
 	go r.followEndpoints(work)
 	go r.keepTime(work)
 	go r.leadOrders(work)
+	if o := r.o.CacheFeed; o != nil {
+		go r.followCaches(work)
+	}
 	go r.serveReady(questions)
 	if r.o.Announcements != nil && r.o.Settings.PeerAddress != "" {
 		peers, err := net.Listen("tcp", r.o.Settings.PeerAddress)
--- a/router/ways.go
+++ b/router/ways.go
@@ -37,7 +37,8 @@
 type way struct {
 	pool    string
 	levels  func() []prefix.Level
-	lane    lane // of the engines
+	held    func() *placement.Held // where the prompt's beginning is; nil: not known
+	lane    lane                   // of the engines
 	version int64
 	away    bool          // not at the home of the shared part
 	loss    float64       // beside the wait, as a part of the objective
@@ -66,15 +67,16 @@
 // idle. Each prompt then goes where it loses least, instead of being late or
 // turned away. An overloaded fleet has no engine that idles, so that shared
 // parts stay at their homes there.
-func ways(w *forward.Work, v versions, in lane) []way {
-	first, other := levelsOf(w, v.first, in), levelsOf(w, v.other, in)
+func ways(w *forward.Work, v versions, in lane, where whereabouts) []way {
+	firstHeld, otherHeld := heldOf(w, v.first, where), heldOf(w, v.other, where)
+	first, other := levelsOf(w, v.first, in, firstHeld), levelsOf(w, v.other, in, otherHeld)
 	to := func(version int64, l lane, loss float64) way {
 		out := way{
-			pool: modelPool(w.Service.Name, w.In.Model, version, l), levels: first, lane: l, version: version, loss: loss,
+			pool: modelPool(w.Service.Name, w.In.Model, version, l), levels: first, held: firstHeld, lane: l, version: version, loss: loss,
 			left: v.firstLeft, once: w.Route != nil && !w.Route.Repeatable(),
 		}
 		if version != v.first {
-			out.levels, out.left = other, v.otherLeft
+			out.levels, out.held, out.left = other, otherHeld, v.otherLeft
 		}
 		return out
 	}
@@ -95,11 +97,27 @@
 	return out
 }
 
-// levelsOf names the shared beginnings of a long prompt under a version. They are
-// worked out when they are first asked for: most prompts need those of one version.
-func levelsOf(w *forward.Work, version int64, in lane) func() []prefix.Level {
+// whereabouts tells where the beginning of a prompt is held under a salt; nil: not
+// known.
+type whereabouts func(w *forward.Work, salt string) *placement.Held
+
+// heldOf asks where a prompt's beginning is, once it is needed.
+func heldOf(w *forward.Work, version int64, where whereabouts) func() *placement.Held {
+	return sync.OnceValue(func() *placement.Held {
+		if where == nil || len(w.In.Parts) == 0 {
+			return nil
+		}
+		return where(w, salt(w, version))
+	})
+}
+
+// levelsOf names the shared beginnings of a prompt under a version. They are worked
+// out when they are first asked for: most prompts need those of one version. Those
+// of a short prompt count only where it is known who holds them: to go to their
+// home by guess alone brought nothing.
+func levelsOf(w *forward.Work, version int64, in lane, held func() *placement.Held) func() []prefix.Level {
 	return sync.OnceValue(func() []prefix.Level {
-		if in != laneLong {
+		if in != laneLong && held() == nil {
 			return nil
 		}
 		return prefix.Chain(seedOf(w, version), w.In.Parts)
@@ -140,6 +158,9 @@
 		}
 		next := weighed{way: at, request: r}
 		next.request.Pool, next.request.Levels = at.pool, at.levels()
+		if at.held != nil {
+			next.request.Held = at.held()
+		}
 		if at.away {
 			next.request.Avoid = append(slices.Clone(r.Avoid), home)
 		}
--- a/router/ways_test.go
+++ b/router/ways_test.go
@@ -114,12 +114,12 @@
 	short := fakePools{}
 	w := &forward.Work{In: &forward.Inbound{Model: "m"}, Service: &routes.Service{Name: "s"}}
 	short[modelPool("s", "m", 3, laneShort)] = time.Second
-	got, err := bestWay(time.Time{}, short, placement.Request{}, ways(w, versions{first: 3}, laneLong), replayTarget)
+	got, err := bestWay(time.Time{}, short, placement.Request{}, ways(w, versions{first: 3}, laneLong, nil), replayTarget)
 	if err != nil || got.pool != modelPool("s", "m", 3, laneShort) {
 		t.Errorf("long prompt: %q, %v", got.pool, err)
 	}
 	long := fakePools{modelPool("s", "m", 2, laneLong): time.Second}
-	got, err = bestWay(time.Time{}, long, placement.Request{}, ways(w, versions{first: 3, other: 2}, laneShort), replayTarget)
+	got, err = bestWay(time.Time{}, long, placement.Request{}, ways(w, versions{first: 3, other: 2}, laneShort, nil), replayTarget)
 	if err != nil || got.version != 2 {
 		t.Errorf("short prompt: %q, %v", got.pool, err)
 	}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -84,6 +84,7 @@
 	CapacityTokens int     // KV cache of one endpoint
 	BytesPerToken  int     // of KV cache
 	LinkMbps       float64 // between endpoints
+	Followers      int     // daemons that may follow the events of one endpoint's cache
 	Models         []string
 }
 
@@ -93,6 +94,7 @@
 	Zone           string
 	CapacityTokens int
 	LinkMbps       float64
+	Followers      int // daemons that may follow its events
 }
 
 // Limits bound what callers may send and how long they may idle.
