--- a/placement/cost.go
+++ b/placement/cost.go
@@ -163,6 +163,15 @@
 	return max(wait, v.observed(now, e, p).Seconds())
 }
 
+// Backlog is how long the endpoint is expected to work on what it has.
+func (v *View) Backlog(now time.Time, id fleet.EndpointID) time.Duration {
+	i, ok := v.byID[id]
+	if !ok {
+		return 0
+	}
+	return seconds(v.wait(now, i, contract.PriorityCount-1))
+}
+
 // usualWait is the mean wait in seconds of the candidates, by how lately each was
 // heard of.
 //
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -62,6 +62,13 @@
 	s.view.Waited(now, id, p, wait, answered)
 }
 
+// Backlog is View.Backlog.
+func (s *Shared) Backlog(now time.Time, id fleet.EndpointID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Backlog(now, id)
+}
+
 // Finished is View.Finished.
 func (s *Shared) Finished(now time.Time, id uint64) {
 	s.mu.Lock()
--- a/router/orders.go
+++ b/router/orders.go
@@ -169,7 +169,7 @@
 func (l *leader) behind() map[string][]weights.Engine {
 	out := map[string][]weights.Engine{}
 	for model, n := range l.r.s.namedVersions() {
-		engines := l.r.s.engines(model)
+		engines := l.r.s.engines(time.Now(), BootClock(), l.r.o.Settings.VersionWithin, model)
 		if weights.Behind(engines, n.newest()) > 0 {
 			out[model] = engines
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -277,7 +277,7 @@
 }
 
 // engines lists the engines that serve the model, for the plan of orders.
-func (s *state) engines(model string) []weights.Engine {
+func (s *state) engines(now time.Time, clock, bound time.Duration, model string) []weights.Engine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []weights.Engine
@@ -288,6 +288,7 @@
 		}
 		out = append(out, weights.Engine{
 			Target: weights.Target{Key: e.Key, ID: e.ID, Address: e.Address}, Zone: e.Zone, Version: v,
+			Backlog: s.view.Backlog(now, e.Key), Left: s.named[model].left(v, clock, bound),
 		})
 	}
 	slices.SortFunc(out, func(a, b weights.Engine) int { return cmp.Compare(a.Key, b.Key) })
