--- a/placement/cost.go
+++ b/placement/cost.go
@@ -26,7 +26,7 @@
 func (v *View) costModel(now time.Time, r *Request, home *entry) costModel {
 	m := costModel{
 		id: r.ID, priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r),
-		slack: homeSlack, held: r.Held,
+		held: r.Held,
 	}
 	if home == nil {
 		return m
@@ -38,8 +38,8 @@
 	}
 	if m.held != nil {
 		m.known = max(m.known, min(1, float64(m.held.Best)/m.shared))
-		m.slack = min(homeSlack, wasteWeight*m.shared/v.o.PrefillRate)
 	}
+	m.slack = min(homeSlack, wasteWeight*m.shared/v.o.PrefillRate)
 	return m
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -30,8 +30,9 @@
 	// two-way delay between zones: daemons of different zones must agree
 	// where a cold prefix goes.
 	rankCost = 0.004
-	// homeSlack is the wait in seconds that a cold prefix takes to be at home.
-	// Daemons that restart together know nothing but the homes.
+	// homeSlack is the longest wait in seconds that a cold prefix takes to be at
+	// home. Daemons that restart together know nothing but the homes. A short prefix
+	// takes no longer a wait than reading it elsewhere once more would count.
 	homeSlack = 3.0
 	// crowdWeight counts the waiting that a prompt brings to those who come to
 	// the endpoint while it is prefilled there.
--- a/router/moves.go
+++ b/router/moves.go
@@ -26,7 +26,7 @@
 	if address, known := p.fetchFrom(now, w, r, d, out.CacheSalt); known {
 		out.FetchFrom = address
 	}
-	if r.Levels[at].Tokens < worthMoving {
+	if r.Levels[at].Tokens < leastFetched {
 		return
 	}
 	key := r.Levels[at].Key
@@ -76,10 +76,6 @@
 // prefixDigits name a prefix in logs.
 const prefixDigits = 8
 
-// worthMoving is the number of tokens above which a shared part is fetched
-// rather than read: a few hundred are read in the time of a miss.
-const worthMoving = 1000
-
 // storeOf returns the address of the store that holds a prefix, "" if there is
 // none. Each prefix has one store, the same for all daemons: what one saves
 // another must find.
--- a/router/reuse_test.go
+++ b/router/reuse_test.go
@@ -48,14 +48,23 @@
 	parts map[int]time.Duration // subject to when it was read
 }
 
+// knowledge is what a daemon has to go by.
+type knowledge int
+
+const (
+	waitsOnly knowledge = iota // prompts go where the wait is shortest
+	homesOnly                  // and to the home of their beginning, or fetch from there
+	allTold                    // engines tell what they hold
+)
+
 // reuseResult is what became of a run.
 type reuseResult struct {
 	inTime, all int
 	again       int // shared tokens that were read though some engine had them
 }
 
-// run plays some seconds of the load. told says that engines tell what they hold.
-func (f *reuseFleet) run(seconds int, told bool) reuseResult {
+// run plays some seconds of the load.
+func (f *reuseFleet) run(seconds int, by knowledge) reuseResult {
 	rng := rand.New(rand.NewPCG(3, 1))
 	engines := make([]reuseEngine, f.engines)
 	var members []fleet.Endpoint
@@ -75,8 +84,10 @@
 	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; now += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
 		subject, own := rng.IntN(f.subjects), 1+rng.IntN(2*f.own)
 		request := placement.Request{ID: rng.Uint64(), Pool: "all", Tokens: f.shared + own}
-		if told {
+		if by != waitsOnly {
 			request.Levels = prefix.Chain(prefix.Seed{}, []prefix.Part{{ID: fmt.Sprint(subject), Tokens: f.shared}, {ID: fmt.Sprint("own", request.ID), Tokens: own}})
+		}
+		if by == allTold {
 			request.Held = f.held(engines, members, subject, now)
 		}
 		at := time.Unix(1_800_000_000, 0).Add(now)
@@ -86,7 +97,12 @@
 			panic(err)
 		}
 		e := &engines[indexOf(members, d.Endpoint)]
-		took := f.read(engines, e, subject, own, now, request.Held, &out)
+		fetches := request.Held != nil && request.Held.Best > 0
+		if home := indexOf(members, d.Peer); by == homesOnly && d.Reason == placement.ReasonSpill && home >= 0 {
+			at, ok := engines[home].parts[subject]
+			fetches = ok && at <= now
+		}
+		took := f.read(engines, e, subject, own, now, fetches, &out)
 		begin := max(now, e.free)
 		e.free = begin + took
 		out.all++
@@ -113,13 +129,13 @@
 }
 
 // read returns how long the engine takes for a prompt, and keeps its beginning.
-func (f *reuseFleet) read(engines []reuseEngine, e *reuseEngine, subject, own int, now time.Duration, held *placement.Held, out *reuseResult) time.Duration {
+func (f *reuseFleet) read(engines []reuseEngine, e *reuseEngine, subject, own int, now time.Duration, fetches bool, out *reuseResult) time.Duration {
 	seconds := float64(own) / f.readRate
 	done := max(now, e.free)
 	_, has := e.parts[subject]
 	switch {
 	case has:
-	case held != nil && held.Best > 0:
+	case fetches:
 		seconds += reuseSetup.Seconds() + float64(f.shared)/f.linkRate
 	default:
 		seconds += float64(f.shared) / f.readRate
@@ -150,14 +166,18 @@
 // what it sent itself. Placed by the wait alone, a beginning is read at one engine
 // after the other, and callers wait for work that was done elsewhere. Where engines
 // tell what they hold, it is fetched. Fleets are drawn: reading rates, links,
-// lengths, numbers of subjects.
+// lengths, numbers of subjects. Where they tell nothing, the home of a beginning, which
+// all daemons compute alike, has most of them.
 func TestBeginningsAreFetchedFromWhoeverHoldsThem(t *testing.T) {
 	for seed := range uint64(6) {
 		f := drawFleet(seed)
-		blind, told := f.run(20, false), f.run(20, true)
-		t.Logf("%+v: read again %d and %d tokens, in time %d and %d of %d", f, blind.again, told.again, blind.inTime, told.inTime, told.all)
+		blind, homes, told := f.run(20, waitsOnly), f.run(20, homesOnly), f.run(20, allTold)
+		t.Logf("%+v: read again %d, %d by homes, %d told; in time %d, %d, %d of %d", f, blind.again, homes.again, told.again, blind.inTime, homes.inTime, told.inTime, told.all)
 		if told.again*4 > blind.again || told.inTime < blind.inTime {
-			t.Errorf("seed %d: read again %d and %d tokens, in time %d and %d of %d", seed, blind.again, told.again, blind.inTime, told.inTime, told.all)
+			t.Errorf("seed %d: told, read again %d and %d tokens, in time %d and %d of %d", seed, blind.again, told.again, blind.inTime, told.inTime, told.all)
+		}
+		if homes.again*2 > blind.again || homes.inTime < blind.inTime {
+			t.Errorf("seed %d: by homes, read again %d and %d tokens, in time %d and %d of %d", seed, blind.again, homes.again, blind.inTime, homes.inTime, homes.all)
 		}
 	}
 }
--- a/router/ways.go
+++ b/router/ways.go
@@ -69,7 +69,7 @@
 // parts stay at their homes there.
 func ways(w *forward.Work, v versions, in lane, where whereabouts) []way {
 	firstHeld, otherHeld := heldOf(w, v.first, where), heldOf(w, v.other, where)
-	first, other := levelsOf(w, v.first, in, firstHeld), levelsOf(w, v.other, in, otherHeld)
+	first, other := levelsOf(w, v.first), levelsOf(w, v.other)
 	to := func(version int64, l lane, loss float64) way {
 		out := way{
 			pool: modelPool(w.Service.Name, w.In.Model, version, l), levels: first, held: firstHeld, lane: l, version: version, loss: loss,
@@ -112,14 +112,9 @@
 }
 
 // levelsOf names the shared beginnings of a prompt under a version. They are worked
-// out when they are first asked for: most prompts need those of one version. Those
-// of a short prompt count only where it is known who holds them: to go to their
-// home by guess alone brought nothing.
-func levelsOf(w *forward.Work, version int64, in lane, held func() *placement.Held) func() []prefix.Level {
+// out when they are first asked for: most prompts need those of one version.
+func levelsOf(w *forward.Work, version int64) func() []prefix.Level {
 	return sync.OnceValue(func() []prefix.Level {
-		if in != laneLong && held() == nil {
-			return nil
-		}
 		return prefix.Chain(seedOf(w, version), w.In.Parts)
 	})
 }
