Count the age of weights from the answer before the one that brought them

Version 2 was acknowledged at 5.741 s and read by six daemons at 5.767 s, by three at 7.267 s, when their read of the operator's topic had waited its 1.5 s. They counted the bound from then and sent prompts at 20.6 s to engines with version 1. Before withdrawals a margin of 2.5 s had covered the delay.

Ruled out: the withdrawal itself (it was due 0.5 s before the bound as these daemons knew it), an engine that goes on without its caller (the prompts were sent late).

Change: a version counts as named when the answer before the one that brought it was given, as removals from the list of endpoints do; after failed reads from the reading, since the bound begins anew when the store is back.

The test fails on the code before.

--- a/router/feed_test.go
+++ b/router/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/merlindock/merlindock/logging"
+
 	"github.com/merlindock/merlindock/fleet"
 )
 
@@ -182,7 +185,7 @@
 // old as that: the endpoint's time to leave runs since then. After failed reads
 // the store was away, its leases ran out there, and their time begins now.
 func TestRemovalMayBeAsOldAsTheReadBefore(t *testing.T) {
-	f := &follower{reads: 3, confirmed: BootClock() - 900*time.Millisecond}
+	f := &follower{reads: 3, known: BootClock() - 900*time.Millisecond}
 	if got := f.unseen(); got < 900*time.Millisecond {
 		t.Errorf("%v after an answered read", got)
 	}
@@ -191,3 +194,40 @@
 		t.Errorf("%v after a failed read", got)
 	}
 }
+
+// oneRecord is a store whose next read brings one record.
+type oneRecord struct{ Store }
+
+func (oneRecord) Read(context.Context, Topic, int64, time.Duration) (Records, error) {
+	return Records{Records: []Record{record(7)}, Next: 8, End: 8}, nil
+}
+
+// namesWeights reads every record as the naming of version 2.
+type namesWeights struct{ Codec }
+
+func (namesWeights) Operator(string, []byte) (OperatorChange, error) {
+	return OperatorChange{Model: "m", Weights: 2}, nil
+}
+
+// Weights are named just after a daemon's read of the operator's topic was answered,
+// and the next read brings them only when its wait of 1.5 s is over. Counted from
+// then, requests would begin on the weights before for a second past the bound.
+func TestNamingCountsFromTheAnswerBefore(t *testing.T) {
+	set := Settings{Zone: "z", VersionWithin: within}
+	r := &Router{
+		o: Options{Settings: set, Store: oneRecord{}, Codec: namesWeights{}},
+		s: newState(&set, rand.New(rand.NewPCG(1, 2))), log: logging.Discard().For(logging.PartRouter),
+		neighbours: newNeighbours(Neighbour{}, bounds, net.Dialer{}, BootClock),
+	}
+	for topic := range r.feeds {
+		r.feeds[topic] = newFeed()
+	}
+	f := &follower{r: r, topic: TopicOperator, loaded: true, reads: 4, next: 7, known: BootClock() - 1500*time.Millisecond}
+	f.apply = func(record Record) { r.operatorRecord(record, false, f.unseen()) }
+	if _, _, err := f.read(t.Context(), time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if left := r.s.named["m"].left(1, BootClock(), within); left > within-1500*time.Millisecond-beginSlack {
+		t.Errorf("%v left", left)
+	}
+}
--- a/router/follow.go
+++ b/router/follow.go
@@ -37,8 +37,8 @@
 	apply  func(Record)
 	reads  int // answered
 	failed int // reads in a row
-	// confirmed is when the newest answered read was sent, by the boot clock.
-	confirmed time.Duration
+	// known is until when, by the boot clock, the newest answer tells all there was.
+	known time.Duration
 	// snapshot, if set, takes the keys of a read of everything.
 	snapshot func(present map[string]bool)
 	// relayed says that the newest answer came from a neighbour.
@@ -58,6 +58,10 @@
 	if err != nil {
 		return false, sent, err
 	}
+	until := BootClock()
+	if f.relayed {
+		until = sent - got.Age
+	}
 	sent -= got.Age
 	for _, record := range got.Records {
 		f.apply(record)
@@ -65,7 +69,7 @@
 	if !f.loaded && f.snapshot != nil {
 		f.snapshot(keysOf(got.Records))
 	}
-	f.confirmed = sent
+	f.known = until
 	from := f.next
 	if !f.loaded {
 		from, got.Records = got.Next, nil
@@ -91,7 +95,7 @@
 	if f.failed > 0 || f.reads == 0 {
 		return 0
 	}
-	return max(0, BootClock()-f.confirmed)
+	return max(0, BootClock()-f.known)
 }
 
 // ask reads through a neighbour or the store itself.
@@ -137,7 +141,7 @@
 // followOperator keeps the configuration and the named versions.
 func (r *Router) followOperator(ctx context.Context) {
 	f := &follower{r: r, topic: TopicOperator}
-	f.apply = func(record Record) { r.operatorRecord(record, !f.loaded && f.reads == 0) }
+	f.apply = func(record Record) { r.operatorRecord(record, !f.loaded && f.reads == 0, f.unseen()) }
 	wait := time.Duration(operatorPart * float64(r.o.Settings.RevokeWithin))
 	for ctx.Err() == nil {
 		patience := wait
@@ -184,8 +188,9 @@
 
 // operatorRecord puts a configuration or a version into force. Neither ever
 // goes back: records may be repeated or rewritten. first says that the record
-// was there when the daemon started.
-func (r *Router) operatorRecord(record Record, first bool) {
+// was there when the daemon started, unseen how long before now it may have been
+// written.
+func (r *Router) operatorRecord(record Record, first bool, unseen time.Duration) {
 	if len(record.Value) == 0 {
 		return
 	}
@@ -212,13 +217,15 @@
 	if r.s.named[change.Model].newest() >= change.Weights {
 		return
 	}
-	n := naming{version: change.Weights, since: BootClock()}
+	// A read that waits may bring the record a second late. Counted from the reading,
+	// requests would begin on the weights before it past their bound.
+	n := naming{version: change.Weights, since: BootClock() - unseen}
 	if first {
 		n.since -= time.Duration(guessAge * float64(r.o.Settings.VersionWithin))
 		n.guessed = true
 	}
 	r.s.named[change.Model] = r.s.named[change.Model].add(n)
-	r.log.Info("Weights are named.", "model", change.Model, "version", change.Weights, "offset", record.Offset)
+	r.log.Info("Weights are named.", "model", change.Model, "version", change.Weights, "offset", record.Offset, "unseen_ms", unseen.Milliseconds())
 }
 
 // endpointsPresent drops the endpoints that a read of all entries does not name.
