Follow no caches in a fleet of more than 40 engines and stores

Cause: an engine under load tells 2 to 4 KB/s of its cache.

Change: above 40 holders none is followed, and prompts go by homes as before.

Result: a test with 18 and 60 engines; the small deployments have 9 or 18 engines and one store and are as before.

--- a/router/caches.go
+++ b/router/caches.go
@@ -21,7 +21,8 @@
 	// eventWait is how long a question for cache events waits for one.
 	eventWait = time.Second
 	// eventPause lies between two questions to one holder. Under load each answer
-	// comes at once, and the pause bounds their number; events are 80 ms old anyway.
+	// comes at once, and the pause bounds their number; the word of a cache comes some
+	// 100 ms late anyway.
 	eventPause = 60 * time.Millisecond
 	// eventTrusted is how long the last word of a holder counts. Past it the holder
 	// may be gone, and a fetch from there would hang for some hundred milliseconds.
@@ -37,6 +38,10 @@
 	// followerRoom is the part of the questions that a holder takes at once which
 	// daemons use: lists of daemons differ for a while when some come or go.
 	followerRoom = 0.85
+	// mostHolders is the number of engines and stores above which none is followed.
+	// Each tells 2 to 4 KB/s under load; in a large fleet that is more than a daemon
+	// may spend on all control, and what it could follow would be a small part.
+	mostHolders = 40
 )
 
 // ErrFollowed says that a holder has as many followers as it takes.
@@ -97,6 +102,10 @@
 	if t == nil {
 		return nil
 	}
+	engines := r.s.engineSources(t)
+	if len(engines)+len(t.Stores) > mostHolders {
+		return nil
+	}
 	var out []source
 	add := func(s source) {
 		if r.neighbours.chosen(s.name, int(followerRoom*float64(s.followers))) {
@@ -104,7 +113,7 @@
 		}
 	}
 	perToken := 0
-	for _, e := range r.s.engineSources(t) {
+	for _, e := range engines {
 		add(e.source)
 		perToken = e.perToken
 	}
--- a/router/reuse_test.go
+++ b/router/reuse_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/routes"
+
 	"github.com/merlindock/merlindock/caches"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
@@ -268,3 +271,22 @@
 		}
 	}
 }
+
+// Sixty engines tell of their caches. Following them all would cost a daemon more
+// than all other control together, so it follows none and goes by homes.
+func TestLargeFleetsAreNotFollowed(t *testing.T) {
+	sources := func(engines int) int {
+		set := Settings{Zone: "z"}
+		r := &Router{s: newState(&set, rand.New(rand.NewPCG(1, 2))), neighbours: newNeighbours(Neighbour{Name: "d"}, &set, forward.Dialer(), fixed(0))}
+		r.neighbours.set([]Neighbour{{Name: "d", Zone: "z"}})
+		r.s.table.Store(&routes.Table{Services: map[string]*routes.Service{"s": {Name: "s", Engine: &routes.Engine{Followers: 8}}}})
+		for i := range engines {
+			key := fleet.EndpointID(fmt.Sprint("e", i))
+			r.s.places[key] = &directory.Endpoint{Key: key, Entry: directory.Entry{Service: "s"}}
+		}
+		return len(r.cacheSources())
+	}
+	if small, large := sources(18), sources(60); small != 18 || large != 0 {
+		t.Errorf("%d of 18 and %d of 60 followed", small, large)
+	}
+}
