--- a/router/feed_test.go
+++ b/router/feed_test.go
@@ -11,9 +11,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/merlindock/merlindock/logging"
-
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/logging"
 )
 
 func record(offset int64) Record { return Record{Key: "k", Value: []byte("v"), Offset: offset} }
--- a/router/reuse_test.go
+++ b/router/reuse_test.go
@@ -7,14 +7,13 @@
 	"testing"
 	"time"
 
-	"github.com/merlindock/merlindock/directory"
-	"github.com/merlindock/merlindock/routes"
-
 	"github.com/merlindock/merlindock/caches"
+	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
+	"github.com/merlindock/merlindock/routes"
 )
 
 // reuseFleet is a fleet under a load of prompts that share their beginnings.
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -104,14 +104,14 @@
 // rollout is a fleet that takes new weights. Each engine first ends its requests,
 // and then loads at a speed that it shares with the others above a number.
 type rollout struct {
-	ends       []time.Duration // of each engine, until it can load
-	load       time.Duration   // alone
-	full       int             // engines that load at full speed
-	fixed      int             // under an order at a time; 0: as the plan says
-	now        time.Duration
-	left       []time.Duration // of the load; -1: not ordered
-	awayInAll  time.Duration
-	versionsOf []Engine
+	ends      []time.Duration // of each engine, until it can load
+	load      time.Duration   // alone
+	full      int             // engines that load at full speed
+	fixed     int             // under an order at a time; 0: as the plan says
+	now       time.Duration
+	left      []time.Duration // of the load; -1: not ordered
+	awayInAll time.Duration
+	engines   []Engine
 }
 
 func newRollout(seed uint64, n int, load, ends time.Duration) *rollout {
@@ -126,17 +126,17 @@
 // run brings all engines to the named version and returns how long that took.
 func (r *rollout) run(p *Plan, named int64) time.Duration {
 	n := len(r.ends)
-	r.versionsOf = engines(make([]int64, n)...)
+	r.engines = engines(make([]int64, n)...)
 	r.left = make([]time.Duration, n)
 	until := make([]time.Duration, n)
-	for i := range r.versionsOf {
-		r.versionsOf[i].Version = named - 1
-		r.versionsOf[i].Backlog = r.ends[i]
+	for i := range r.engines {
+		r.engines[i].Version = named - 1
+		r.engines[i].Backlog = r.ends[i]
 		r.left[i] = -1
 	}
 	const step = 10 * time.Millisecond
 	began := r.now
-	for ; Behind(r.versionsOf, named) > 0; r.now += step {
+	for ; Behind(r.engines, named) > 0; r.now += step {
 		under, loading := 0, 0
 		for i := range n {
 			if r.left[i] >= 0 {
@@ -146,12 +146,12 @@
 				}
 			}
 		}
-		next := p.Next(r.now, r.versionsOf, named)
+		next := p.Next(r.now, r.engines, named)
 		if r.fixed > 0 {
 			next = next[:min(len(next), max(0, r.fixed-under))]
 		}
 		for _, e := range next {
-			i := slices.IndexFunc(r.versionsOf, func(o Engine) bool { return o.Key == e.Key })
+			i := slices.IndexFunc(r.engines, func(o Engine) bool { return o.Key == e.Key })
 			p.Replied(r.now, e.Key, named, Accepted)
 			if r.left[i] < 0 {
 				r.left[i], until[i] = r.load, r.now+r.ends[i]
@@ -167,7 +167,7 @@
 			}
 			r.left[i] -= time.Duration(float64(step) * min(1, float64(r.full)/float64(max(loading, 1))))
 			if r.left[i] <= 0 {
-				r.left[i], r.versionsOf[i].Version = -1, named
+				r.left[i], r.engines[i].Version = -1, named
 			}
 		}
 	}
