Show in the metrics how old a daemon's knowledge is and through whom it reads

Cause: an operator of 300 daemons could not see from one of them how far it is from the store and how old what it knows is.

Change: gauges for the age of keys and of endpoints, the zone's daemons and the steps to the store; the scrape test waits for all names that it wants, as gauges come with the first report.

Result: lab/routed TestMetricsAreScraped passes with the new names.

--- a/lab/routed/routed_test.go
+++ b/lab/routed/routed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -380,8 +381,14 @@
 	want := []string{
 		`merlindock_requests{class="2xx",code="endpoint"`, `merlindock_requests{class="4xx",code="key_unknown"`,
 		"merlindock_request_seconds_bucket", "merlindock_first_event_seconds_count", "merlindock_attempts{",
+		`merlindock_store_calls{call="newest"`, `merlindock_store_calls{call="read"`, "merlindock_knowledge_age_seconds{", "merlindock_steps_to_store{",
 	}
 	var text string
+	defer func() {
+		if t.Failed() {
+			t.Logf("of %v some are missing in\n%s", want, text)
+		}
+	}()
 	w.until("the metrics are there", func() bool {
 		resp, err := http.Get("http://" + w.metrics + "/metrics")
 		if err != nil {
@@ -390,13 +397,9 @@
 		defer resp.Body.Close()
 		body, err := io.ReadAll(resp.Body)
 		text = string(body)
-		return err == nil && strings.Contains(text, want[0])
+		missing := slices.IndexFunc(want, func(name string) bool { return !strings.Contains(text, name) })
+		return err == nil && missing < 0
 	})
-	for _, name := range want {
-		if !strings.Contains(text, name) {
-			t.Errorf("%s is missing in\n%s", name, text)
-		}
-	}
 }
 
 // The store has dropped the older claims of the lease. A daemon that starts, or
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -105,7 +105,7 @@
 	mu      sync.Mutex
 	names   []string // of all daemons that announced themselves
 	choice  *readers.Choice
-	began   time.Duration            // when proceed was called first
+	began   time.Duration      // when proceed was called first
 	through [topicCount]string // names of the daemons read through, for the log
 }
 
@@ -198,6 +198,14 @@
 	return n.choice.Size() >= relayListFrom
 }
 
+// position returns the number of daemons of the zone, and through how many of them
+// this daemon reads as long as all answer.
+func (n *neighbours) position() (daemons, steps int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.choice.Size(), n.choice.Depth()
+}
+
 // patience is the age of what neighbours tell from which they are left.
 func (n *neighbours) patience(t Topic) time.Duration {
 	n.mu.Lock()
--- a/router/report.go
+++ b/router/report.go
@@ -36,6 +36,19 @@
 
 func (m *meters) handler() http.Handler { return m.all.Handler }
 
+// reading tells how old what the daemon knows is, and how far from the store it reads.
+func (m *meters) reading(r *Router) {
+	if age, known := r.s.operator.Age(r.clock()); known {
+		m.scope.Tagged(map[string]string{"topic": TopicOperator.String()}).Gauge("knowledge_age_seconds").Update(age.Seconds())
+	}
+	if age, known := r.s.endpoints.Age(r.clock()); known {
+		m.scope.Tagged(map[string]string{"topic": TopicEndpoints.String()}).Gauge("knowledge_age_seconds").Update(age.Seconds())
+	}
+	daemons, steps := r.neighbours.position()
+	m.scope.Gauge("zone_daemons").Update(float64(daemons))
+	m.scope.Gauge("steps_to_store").Update(float64(steps))
+}
+
 func (m *meters) request(rep *forward.Report) {
 	code := rep.Code
 	if code == "" {
--- a/router/router.go
+++ b/router/router.go
@@ -288,6 +288,7 @@
 
 func (r *Router) everySecond(now time.Time) {
 	r.s.view.Expire(now)
+	r.metrics.reading(r)
 	r.s.mu.Lock()
 	r.s.directory.Expire(now)
 	for key, at := range r.s.saved {
