Have the soak's daemons read through each other

Cause: the soak's three daemons had no port for each other, so that each read the store itself and no fault met what they pass on.

Change: they are given one. Endpoints, the lease and the list of daemons go through the first of them that answers.

--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -170,7 +171,8 @@
 	p := &process{front: metastore.FreeAddress(s.t), store: link, settings: filepath.Join(s.t.TempDir(), "node.conf")}
 	text := fmt.Sprintf("nodeName=front-%d\nzone=z1\nip=127.0.0.1\nlisten.front=%s\nlisten.ready=%s\nprovider.address=%s\nlimits.memoryMb=200\nlimits.maxFds=1000\n"+
 		"heartbeatMs=300\nbounds.drainMs=400\nbounds.configApplyMs=2000\nbounds.graceS=4\nbounds.revokeMs=%d\nbounds.versionMs=15000\nbounds.leaseMs=300\n"+
-		"bounds.budgetRatio=0.5\nbounds.budgetWindowS=10\nbounds.retrySlack=50\n", i, p.front, metastore.FreeAddress(s.t), link.address(), revokeWithin.Milliseconds())
+		"bounds.budgetRatio=0.5\nbounds.budgetWindowS=10\nbounds.retrySlack=50\ninternalPorts=%s\n",
+		i, p.front, metastore.FreeAddress(s.t), link.address(), revokeWithin.Milliseconds(), port(s.t))
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -181,6 +183,16 @@
 	s.daemons = append(s.daemons, p)
 }
 
+// port returns a free port, on which a daemon answers the others.
+func port(t *testing.T) string {
+	t.Helper()
+	_, p, err := net.SplitHostPort(metastore.FreeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
 // rotateKeys adds a key and takes the oldest away.
 func (s *soak) rotateKeys() {
 	s.mu.Lock()
