Ask the store again where no neighbour answers

Cause, found when reading the change: after a failed read a daemon leaves the store alone for up to 1.5 times 0.1 s for each daemon of its zone, 10 s in a zone of 65, since its neighbours tell it of the store's return. One that is cut off from all of them waited as long.

Change: it waits only while some neighbour answers, with whatever it knows.

Result: TestADaemonWithoutNeighboursAsksTheStoreAgain, keys confirmed 4.76 s after the store's return before, within 1 s now.

--- a/router/follow.go
+++ b/router/follow.go
@@ -141,7 +141,7 @@
 		return batch{}, err // the question was cut off, no neighbour is at fault
 	}
 	sent := f.r.clock()
-	if !f.loaded && f.reads == 0 && f.r.neighbours.starting(f.sub.topic) || f.sub.lost && sent < f.rests {
+	if !f.loaded && f.reads == 0 && f.r.neighbours.starting(f.sub.topic) || f.sub.rests(f.rests) {
 		return batch{}, errResting
 	}
 	got, err := f.askStore(ctx, wait)
@@ -186,7 +186,7 @@
 // store together would otherwise come back to it together.
 func (f *follower) pauseAfter(ctx context.Context) {
 	longest := min(minPause<<min(f.failed, 4), maxPause)
-	if f.r.clock() < f.rests {
+	if f.sub.rests(f.rests) {
 		longest = 0 // only neighbours are asked meanwhile
 	}
 	_ = pause.For(ctx, minPause+time.Duration(rand.Float64()*float64(longest)))
--- a/router/orders.go
+++ b/router/orders.go
@@ -113,7 +113,7 @@
 	if !l.sub.some && l.r.neighbours.starting(TopicLease) {
 		return minPause
 	}
-	if l.sub.lost && sent < l.rests {
+	if l.sub.rests(l.rests) {
 		return maxPause
 	}
 	if err := l.readLease(ctx, from, l.storeWait()); err != nil {
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -18,6 +18,7 @@
 	some      bool
 	confirmed time.Duration // the store had no more than is known here then, by the boot clock
 	lost      bool          // the store did not answer the newest read
+	company   bool          // some neighbour answered the newest question, with whatever it knows
 	// of and stamp are the neighbour of the newest answer and what that bore.
 	of    string
 	stamp int64
@@ -31,6 +32,12 @@
 	return s.n.clock() - s.confirmed, s.some
 }
 
+// rests tells whether the store is left alone until a time. A daemon that no neighbour
+// answers asks it all the same: nobody else would tell when it is back.
+func (s *subscription) rests(until time.Duration) bool {
+	return s.lost && s.company && s.n.clock() < until
+}
+
 // stale tells whether neighbours would be left for what the daemon knows.
 func (s *subscription) stale() bool {
 	age, some := s.age()
@@ -63,12 +70,13 @@
 // read asks the neighbours for what comes from the offset on, waiting for news. ok is
 // false if the store must be asked.
 func (s *subscription) read(ctx context.Context, from int64) (got relayed, confirmed time.Duration, ok bool) {
-	s.outdated = nil
+	s.outdated, s.company = nil, false
 	for i, d := range s.n.candidates(s.topic, s.lost, rand.Float64()) {
 		got, confirmed, err := s.ask(ctx, d, from, i == 0)
 		var refused *StatusError
 		switch {
 		case errors.As(err, &refused):
+			s.company = true
 			continue // it knows nothing yet
 		case err != nil:
 			if age, some := s.age(); some {
@@ -76,7 +84,7 @@
 			}
 			continue
 		}
-		s.of, s.stamp = d.Name, got.Stamp
+		s.of, s.stamp, s.company = d.Name, got.Stamp, true
 		if s.some {
 			confirmed = max(confirmed, s.confirmed)
 		}
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -470,6 +470,33 @@
 	}
 }
 
+// A daemon is cut off from all others of its zone while the store turns calls away for
+// a second. If it left the store alone as long as daemons do that others tell of its
+// return, it would refuse callers for seconds after the store is back.
+func TestADaemonWithoutNeighboursAsksTheStoreAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZone(t, 65)
+		time.Sleep(settled)
+		order := w.inOrder()
+		alone := order[40]
+		for _, r := range order {
+			w.set(w.refuses, true, r.o.Settings.Name)
+			if r != alone {
+				w.set(w.down, true, r.o.Settings.Name)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		w.set(w.refuses, false, alone.o.Settings.Name)
+		back := time.Now()
+		for alone.keysAge() > time.Second && time.Since(back) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(back); took > time.Second {
+			t.Errorf("keys were confirmed %v after the store was back", took)
+		}
+	})
+}
+
 // The store is down for 8 s. Each daemon by itself would ask it several times a
 // second all the while, calls that are counted like others, and when it is back its
 // first answers would be refusals. The daemons that read for their zone find it again,
