Tell readers of an endpoint whose entry is back after lost history

Cause, found when reading the change: a daemon passes on only entries that say more than the one before. When the store has lost its history, the removal of an entry shows only in a read of everything; the entry before it still counted as said. If the same entry came back, the daemon used the endpoint and its readers did not.

Ruled out: removals that are read as records, which were forgotten rightly.

Change: what a read of everything does not name counts as said no more.

Result: TestAnEntryThatIsBackIsToldToReaders fails before, passes now.

--- a/router/follow.go
+++ b/router/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -227,12 +228,23 @@
 	}
 }
 
-// followEndpoints keeps the list of endpoints.
-func (r *Router) followEndpoints(ctx context.Context) {
+// newEndpointsFollower returns the follower of the endpoints' entries.
+func (r *Router) newEndpointsFollower() *follower {
 	f := r.newFollower(TopicEndpoints)
 	said := map[string]directory.Entry{}
 	f.apply = func(record Record) bool { return r.endpointRecord(record, f.unseen(), said) }
-	f.snapshot = func(present map[string]bool) { r.endpointsPresent(present, f.unseen()) }
+	f.snapshot = func(present map[string]bool) {
+		r.endpointsPresent(present, f.unseen())
+		// An entry that is missing counts as said no more, or its return would be taken for
+		// a repeat and kept from the daemons that read through this one.
+		maps.DeleteFunc(said, func(id string, _ directory.Entry) bool { return !present[id] })
+	}
+	return f
+}
+
+// followEndpoints keeps the list of endpoints.
+func (r *Router) followEndpoints(ctx context.Context) {
+	f := r.newEndpointsFollower()
 	r.neighbours.await(ctx)
 	for ctx.Err() == nil {
 		p, err := f.read(ctx, 0)
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -497,6 +497,29 @@
 	})
 }
 
+// An engine's entry runs out while the store has lost its history, so that only a read
+// of everything shows that it is missing. The engine lives, and writes the same entry
+// again. A daemon that takes it for a repeat uses the engine itself and never tells those
+// that read through it: they send it nothing until its entry changes.
+func TestAnEntryThatIsBackIsToldToReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZone(t, 1)
+		f := w.all[0].newEndpointsFollower()
+		entry := []Record{{Key: "e1", Value: []byte("1")}}
+		if told := f.fold(batch{all: true, records: entry}); len(told) != 1 {
+			t.Fatal("everything is told at first")
+		}
+		f.loaded = true
+		if told := f.fold(batch{records: entry}); len(told) != 0 {
+			t.Error("a repeat is told")
+		}
+		f.fold(batch{all: true})
+		if told := f.fold(batch{records: entry}); len(told) != 1 {
+			t.Error("the entry that is back is not told")
+		}
+	})
+}
+
 // The store is down for 8 s. Each daemon by itself would ask it several times a
 // second all the while, calls that are counted like others, and when it is back its
 // first answers would be refusals. The daemons that read for their zone find it again,
