Keep in one place when the store is left alone

Cause, found when reading the change: whether a failed read is waited out, and whether neighbours that start are waited for, stood in the follower of a topic and in the follower of the lease. The options had a clock that nobody set, the metrics read the whole daemon, the place of a daemon was looked up under two locks, every question went through all records kept, and the list of daemons was sorted again after each read.

Change: the subscription decides it; the clock is a field that tests set; a question begins at its offset by bisection; the list is taken when it has changed.

--- a/router/daemons.go
+++ b/router/daemons.go
@@ -30,16 +30,23 @@
 func (r *Router) followDaemons(ctx context.Context) {
 	f := r.newFollower(TopicDaemons)
 	known := map[string]Neighbour{}
-	f.apply = func(record Record) bool { return r.daemonRecord(known, record) }
+	changed := false
+	f.apply = func(record Record) bool {
+		news := r.daemonRecord(known, record)
+		changed = changed || news
+		return news
+	}
 	f.snapshot = func(present map[string]bool) {
 		maps.DeleteFunc(known, func(name string, _ Neighbour) bool { return !present[name] })
+		changed = true
 	}
 	var announced time.Duration // when this daemon last put itself on the list
 	for ctx.Err() == nil {
 		_, err := f.read(ctx, r.daemonsWait(f, known))
 		f.note(err)
-		if err == nil {
+		if changed {
 			r.neighbours.set(slices.Collect(maps.Values(known)))
+			changed = false
 		}
 		if err != nil {
 			r.neighbours.proceed() // without a list the daemon reads the store itself
--- a/router/feed.go
+++ b/router/feed.go
@@ -180,10 +180,7 @@
 		out.Records = slices.SortedFunc(maps.Values(f.newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 		return out, true
 	}
-	for _, r := range f.records {
-		if r.Offset >= from {
-			out.Records = append(out.Records, r)
-		}
-	}
+	i, _ := slices.BinarySearchFunc(f.records, from, func(r Record, from int64) int { return cmp.Compare(r.Offset, from) })
+	out.Records = slices.Clone(f.records[i:])
 	return out, true
 }
--- a/router/follow.go
+++ b/router/follow.go
@@ -58,8 +58,6 @@
 	snapshot func(present map[string]bool)
 	// relayed says that the newest answer came from a neighbour.
 	relayed bool
-	// rests is until when the store is left alone after a failed read.
-	rests time.Duration
 }
 
 func (r *Router) newFollower(t Topic) *follower {
@@ -141,10 +139,10 @@
 	if err := ctx.Err(); err != nil {
 		return batch{}, err // the question was cut off, no neighbour is at fault
 	}
-	sent := f.r.clock()
-	if !f.loaded && f.reads == 0 && f.r.neighbours.starting(f.sub.topic) || f.sub.rests(f.rests) {
+	if f.sub.rests() {
 		return batch{}, errResting
 	}
+	sent := f.r.clock()
 	got, err := f.askStore(ctx, wait)
 	if err != nil {
 		return batch{}, err
@@ -174,8 +172,7 @@
 	if errors.Is(err, errResting) || errors.Is(err, context.Canceled) {
 		return // nothing failed, or the failed read before it was logged
 	}
-	f.sub.lost = true
-	f.rests = f.r.clock() + f.r.neighbours.rest(rand.Float64())
+	f.sub.failed()
 	if f.failed == 0 {
 		f.r.log.Warn("Store can't be read.", "topic", f.sub.topic.String(), "error", err.Error())
 	}
@@ -187,7 +184,7 @@
 // store together would otherwise come back to it together.
 func (f *follower) pauseAfter(ctx context.Context) {
 	longest := min(minPause<<min(f.failed, 4), maxPause)
-	if f.sub.rests(f.rests) {
+	if f.sub.rests() {
 		longest = 0 // only neighbours are asked meanwhile
 	}
 	_ = pause.For(ctx, minPause+time.Duration(rand.Float64()*float64(longest)))
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -233,28 +233,22 @@
 // chosen tells whether this daemon is among the given number of daemons that a
 // hash of the subject chooses. It is false as long as the daemons are not known.
 func (n *neighbours) chosen(subject string, most int) bool {
-	place, known := n.place(subject), n.known()
+	place, known := n.place(subject)
 	return known && place < most
 }
 
-// place is the number of daemons that a hash of the subject puts before this one. All
-// daemons come to the same order with no message.
-func (n *neighbours) place(subject string) int {
+// place is the number of daemons that a hash of the subject puts before this one; known
+// is false as long as no daemons are. All come to the same order with no message.
+func (n *neighbours) place(subject string) (before int, known bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	mine, before := hash.Text(subject+"/"+n.me.Name), 0
+	mine := hash.Text(subject + "/" + n.me.Name)
 	for _, name := range n.names {
 		if name != n.me.Name && hash.Text(subject+"/"+name) < mine {
 			before++
 		}
 	}
-	return before
-}
-
-func (n *neighbours) known() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.names) > 0
+	return before, len(n.names) > 0
 }
 
 // leave passes a neighbour over for a while, for all topics.
--- a/router/orders.go
+++ b/router/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,8 +29,9 @@
 	// is done. An engine's own entry tells it over a second later.
 	reportEvery = 350 * time.Millisecond
 	// contendStep lies between the claims of two daemons that could both give orders.
-	// A claim is known everywhere within a tenth of a second. Of 295 daemons that
-	// claimed within 250 ms, 294 made two calls to the store each in vain.
+	// A claim is known everywhere within a tenth of a second after a calm time, and
+	// within leaseEvery in a rollout. Of 295 daemons that claimed within 250 ms, 294 made
+	// two calls to the store each in vain.
 	contendStep = 150 * time.Millisecond
 	// contendMost bounds the time in which every daemon has claimed, and as long again
 	// at random: the first ones may all be gone.
@@ -57,8 +57,7 @@
 	since   time.Duration // when work was first seen; 0: none
 	wait    time.Duration
 
-	sub   *subscription // of the lease; for follow alone
-	rests time.Duration // until when follow leaves the store alone
+	sub *subscription // of the lease; for follow alone
 }
 
 type loadingEngine struct {
@@ -109,16 +108,12 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	sent := l.r.clock()
-	if !l.sub.some && l.r.neighbours.starting(TopicLease) {
+	if l.sub.rests() {
 		return minPause
 	}
-	if l.sub.rests(l.rests) {
-		return maxPause
-	}
+	sent := l.r.clock()
 	if err := l.readLease(ctx, from, l.storeWait()); err != nil {
-		l.sub.lost = true
-		l.rests = l.r.clock() + l.r.neighbours.rest(rand.Float64())
+		l.sub.failed()
 		return leaseEvery + maxPause
 	}
 	l.sub.confirm(sent)
@@ -224,8 +219,8 @@
 	if holds {
 		return 0
 	}
-	wait := time.Duration(r.neighbours.place("orders")) * contendStep
-	if wait < contendMost {
+	before, _ := r.neighbours.place("orders") // nobody known: nobody to wait for
+	if wait := time.Duration(before) * contendStep; wait < contendMost {
 		return wait
 	}
 	return contendMost + time.Duration(r.placer.fraction()*float64(contendMost))
--- a/router/report.go
+++ b/router/report.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/freshness"
 	"github.com/merlindock/merlindock/telemetry"
 )
 
@@ -36,19 +37,6 @@
 
 func (m *meters) handler() http.Handler { return m.all.Handler }
 
-// reading tells how old what the daemon knows is, and how far from the store it reads.
-func (m *meters) reading(r *Router) {
-	if age, known := r.s.operator.Age(r.clock()); known {
-		m.scope.Tagged(map[string]string{"topic": TopicOperator.String()}).Gauge("knowledge_age_seconds").Update(age.Seconds())
-	}
-	if age, known := r.s.endpoints.Age(r.clock()); known {
-		m.scope.Tagged(map[string]string{"topic": TopicEndpoints.String()}).Gauge("knowledge_age_seconds").Update(age.Seconds())
-	}
-	daemons, steps := r.neighbours.position()
-	m.scope.Gauge("zone_daemons").Update(float64(daemons))
-	m.scope.Gauge("steps_to_store").Update(float64(steps))
-}
-
 func (m *meters) request(rep *forward.Report) {
 	code := rep.Code
 	if code == "" {
@@ -135,3 +123,16 @@
 	b = append(b, ' ')
 	return string(append(b, a.Result...))
 }
+
+// measureReading tells how old what the daemon knows is, and how far from the store it
+// reads.
+func (r *Router) measureReading() {
+	for topic, known := range map[Topic]*freshness.Confirmed{TopicOperator: &r.s.operator, TopicEndpoints: &r.s.endpoints} {
+		if age, some := known.Age(r.clock()); some {
+			r.metrics.scope.Tagged(map[string]string{"topic": topic.String()}).Gauge("knowledge_age_seconds").Update(age.Seconds())
+		}
+	}
+	daemons, steps := r.neighbours.position()
+	r.metrics.scope.Gauge("zone_daemons").Update(float64(daemons))
+	r.metrics.scope.Gauge("steps_to_store").Update(float64(steps))
+}
--- a/router/router.go
+++ b/router/router.go
@@ -68,7 +68,7 @@
 // Router is one daemon.
 type Router struct {
 	o       Options
-	clock   func() time.Duration
+	clock   func() time.Duration // BootClock but in tests
 	s       *state
 	placer  *placer
 	client  *forward.Client
@@ -100,23 +100,20 @@
 
 // New returns a daemon that has not started.
 func New(o Options) *Router {
-	if o.Clock == nil {
-		o.Clock = BootClock
-	}
 	s := newState(&o.Settings, o.Rand)
 	r := &Router{
-		o: o, clock: o.Clock, s: s,
-		placer:  newPlacer(s, &o.Settings, o.Engines, o.Clock, o.Rand),
+		o: o, clock: BootClock, s: s,
+		placer:  newPlacer(s, &o.Settings, o.Engines, BootClock, o.Rand),
 		client:  forward.NewClient(o.Wire),
 		callers: forward.NewCallers(),
 		log:     o.Logs.For(logging.PartRouter),
 		metrics: newMeters(telemetry.New(o.Settings.Name, string(o.Settings.Zone))),
 	}
 	r.countStoreCalls()
-	r.watch = newCacheWatch(o.CacheFeed, o.Clock, r.log)
+	r.watch = newCacheWatch(o.CacheFeed, BootClock, r.log)
 	r.placer.watch = r.watch
 	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress}
-	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), o.Clock, r.log)
+	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), BootClock, r.log)
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
 	}
@@ -288,7 +285,7 @@
 
 func (r *Router) everySecond(now time.Time) {
 	r.s.view.Expire(now)
-	r.metrics.reading(r)
+	r.measureReading()
 	r.s.mu.Lock()
 	r.s.directory.Expire(now)
 	for key, at := range r.s.saved {
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -17,7 +17,8 @@
 
 	some      bool
 	confirmed time.Duration // the store had no more than is known here then, by the boot clock
-	lost      bool          // the store did not answer the newest read
+	lost      bool          // the store did not answer the newest read of it, and no neighbour since
+	until     time.Duration // when a store that is lost may be asked again
 	company   bool          // some neighbour answered the newest question, with whatever it knows
 	// of and stamp are the neighbour of the newest answer and what that bore.
 	of    string
@@ -32,10 +33,20 @@
 	return s.n.clock() - s.confirmed, s.some
 }
 
-// rests tells whether the store is left alone until a time. A daemon that no neighbour
-// answers asks it all the same: nobody else would tell when it is back.
-func (s *subscription) rests(until time.Duration) bool {
-	return s.lost && s.company && s.n.clock() < until
+// failed takes that the store did not answer a read.
+func (s *subscription) failed() {
+	s.lost = true
+	s.until = s.n.clock() + s.n.rest(rand.Float64())
+}
+
+// rests tells whether the store is left alone for now: neighbours that start as well
+// will know soon, or a read failed a moment ago. A daemon that no neighbour answers asks
+// it all the same, as nobody else would tell when it is back.
+func (s *subscription) rests() bool {
+	if !s.some && s.n.starting(s.topic) {
+		return true
+	}
+	return s.lost && s.company && s.n.clock() < s.until
 }
 
 // stale tells whether neighbours would be left for what the daemon knows.
