End the search for a neighbour when one has answered

Cause, found when reading the change: a daemon that the store did not answer once asks any daemon of its zone as its second choice, until the store itself answers. One that reads through neighbours never asks the store, and so went on with daemons that read through it.

Change: an answer of a neighbour that can be used ends it.

Result: TestAnAnswerOfANeighbourEndsTheSearch fails before, passes now.

--- a/router/neighbours_test.go
+++ b/router/neighbours_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -125,3 +126,23 @@
 		t.Errorf("claims from %v to %v", waits[0], waits[daemons-1])
 	}
 }
+
+// The store did not answer a daemon's read once, and a neighbour did. From then on the
+// daemon reads through its neighbours as before; if it went on asking any daemon of the
+// zone, it would ask those that read through itself, and wait for news of its own.
+func TestAnAnswerOfANeighbourEndsTheSearch(t *testing.T) {
+	v := zoneOf(10, "j")
+	v.ask = func(context.Context, string, Topic, question) (relayed, error) { return relayed{Next: 5}, nil }
+	s := &subscription{n: v, topic: TopicOperator, some: true}
+	earlier := v.candidates(TopicOperator, false, 0.99)
+	if len(earlier) == 0 {
+		t.Fatal("this daemon reads the store itself")
+	}
+	s.failed()
+	if _, _, ok := s.read(t.Context(), 5); !ok {
+		t.Fatal("the neighbour's answer was not taken")
+	}
+	if got := v.candidates(TopicOperator, s.lost, 0.99); !slices.Equal(got, earlier) {
+		t.Errorf("asks %v, and before it %v", got, earlier)
+	}
+}
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -103,6 +103,7 @@
 			s.outdated = append(s.outdated, d)
 			continue
 		}
+		s.lost = false
 		s.leaveOutdated()
 		s.n.serves(s.topic, d, got.Age)
 		return got, confirmed, true
