--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,6 +27,9 @@
 		// An abort of the handler passes here as well.
 		end.Left = c.r.Context().Err() != nil
 		c.noteAttempt(&end)
+		if end.mayHaveRun() {
+			c.quota.ran++
+		}
 		c.o.Placer.Ended(p, end)
 	}()
 	out := c.out
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/hash"
+	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -110,6 +111,11 @@
 	Withdrawn bool
 }
 
+// mayHaveRun tells whether the endpoint may have worked on the request.
+func (e *End) mayHaveRun() bool {
+	return e.Whole || e.Left || !e.NotRun && e.Failure != retry.NotSent
+}
+
 // Options are what a Handler needs.
 type Options struct {
 	Wire      Wire
@@ -123,6 +129,7 @@
 	// still come to it unknowingly. Zero: it goes on.
 	StopsAt func() time.Time
 	Callers *Callers
+	Limiter Limiter // nil: organisations have no rate limits
 	Report  func(*Report)
 }
 
@@ -146,6 +153,7 @@
 	Tokens       int           // of the prompt
 	OutputTokens int           // that the caller asks for
 	Refused      *RefusedError // by the placer; nil: it was not
+	Quota        quota.Verdict // the zero value: the organisation has no rate limit
 }
 
 // AttemptReport is one attempt of a request.
@@ -186,6 +194,7 @@
 	begun  bool // the answer's header was sent
 	events events
 	answer *whole // an endpoint's own failure, passed on if nothing better comes
+	quota  charge
 }
 
 // whole is an answer that was read to its end.
@@ -227,7 +236,11 @@
 	}
 	c.report.Route, c.report.Kind = route.Name, route.Kind
 	c.work.Table, c.work.Route = t, route
-	if !c.authenticate() || !c.readBody() {
+	if !c.authenticate() || !c.withinLimit() {
+		return
+	}
+	defer c.settle()
+	if !c.readBody() {
 		return
 	}
 	c.setDeadline()
@@ -354,6 +367,7 @@
 			c.unplaced(err)
 			return
 		}
+		c.chargeAgain()
 		done, failed := c.attempt(&p)
 		if done {
 			return
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -60,6 +60,11 @@
 			Attempts: 2, Public: true, Backends: []routes.Backend{{Service: "s", Weight: 1}},
 		}},
 	}
+	return serveTable(t, table, p, nil, stops)
+}
+
+func serveTable(t *testing.T, table *routes.Table, p Placer, l Limiter, stops time.Time) *httptest.Server {
+	t.Helper()
 	table.Index()
 	callers := NewCallers()
 	h := NewHandler(Options{
@@ -67,7 +72,7 @@
 		Table:     func() *routes.Table { return table },
 		KeysFresh: func() bool { return true }, KeysAge: func() time.Duration { return 0 },
 		Leaving: func() bool { return !stops.IsZero() }, StopsAt: func() time.Time { return stops },
-		Callers: callers, Report: func(*Report) {},
+		Callers: callers, Limiter: l, Report: func(*Report) {},
 	})
 	s := httptest.NewUnstartedServer(h)
 	s.Config.ConnContext = callers.Context
--- /dev/null
+++ b/forward/limit_test.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/quota"
+	"github.com/merlindock/merlindock/routes"
+)
+
+// countingLimiter admits what it is told to, and counts what is charged.
+type countingLimiter struct {
+	verdict quota.Verdict
+
+	mu      sync.Mutex
+	charged int
+}
+
+func (l *countingLimiter) Admit(context.Context, *routes.Organisation, int) (quota.Verdict, error) {
+	if l.verdict.Admitted {
+		l.add(1)
+	}
+	return l.verdict, nil
+}
+
+func (l *countingLimiter) GiveBack(*routes.Organisation, int) { l.add(-1) }
+func (l *countingLimiter) Charge(*routes.Organisation, int)   { l.add(1) }
+
+func (l *countingLimiter) add(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.charged += n
+}
+
+func (l *countingLimiter) runs() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.charged
+}
+
+const turnedAway = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// limited serves one route of an organisation with a rate limit.
+func limited(t *testing.T, p Placer, l Limiter) *httptest.Server {
+	t.Helper()
+	org := &routes.Organisation{Name: "o", Limit: quota.Limit{PerSecond: 1}}
+	table := &routes.Table{
+		KeysRequired: true, Organisations: map[string]*routes.Organisation{"": org},
+		Services: map[string]*routes.Service{"s": {Name: "s"}},
+		Routes: []routes.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: routes.Stream, Resumable: true, Timeout: 5 * time.Second,
+			Attempts: 2, Backends: []routes.Backend{{Service: "s", Weight: 1}},
+		}},
+	}
+	return serveTable(t, table, p, l, time.Time{})
+}
+
+// A limit counts what endpoints run. If a request that did not run were charged, an
+// organisation would be refused below its limit while engines turn its requests away;
+// if one that ran were given back, it would use more than its limit.
+func TestLimitIsChargedForWhatRan(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answers []string
+		status  int
+		charged int
+	}{
+		{"answered", []string{streamed}, http.StatusOK, 1},
+		{"no place", nil, http.StatusServiceUnavailable, 0},
+		{"turned away, then answered", []string{turnedAway, streamed}, http.StatusOK, 1},
+		{"turned away twice", []string{turnedAway, turnedAway}, http.StatusServiceUnavailable, 0},
+		{"broken, then answered", []string{"nonsense\r\n\r\n", streamed}, http.StatusOK, 2},
+		{"broken, then turned away", []string{"nonsense\r\n\r\n", turnedAway}, http.StatusBadGateway, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := &listPlacer{}
+			for i, a := range c.answers {
+				target, _ := endpoint(t, a)
+				target.Key = fleet.EndpointID(rune('a' + i))
+				p.places = append(p.places, Placement{Target: target})
+			}
+			l := &countingLimiter{verdict: quota.Verdict{Admitted: true}}
+			got := ask(t, limited(t, p, l))
+			if got.status != c.status || l.runs() != c.charged {
+				t.Errorf("status %d, charged for %d runs; want %d and %d", got.status, l.runs(), c.status, c.charged)
+			}
+		})
+	}
+}
+
+// A caller beyond its organisation's limit sends a long body. It is refused before
+// the body is read and without asking for a place: neither takes anything from
+// callers who are within theirs.
+func TestRequestBeyondTheLimitIsRefusedBeforeItsBody(t *testing.T) {
+	p := &listPlacer{}
+	l := &countingLimiter{verdict: quota.Verdict{RetryAfter: 1500 * time.Millisecond}}
+	s := limited(t, p, l)
+	body, writer := io.Pipe()
+	t.Cleanup(func() { _ = writer.Close() })
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host, req.ContentLength = "h", 1000
+	resp, err := s.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusTooManyRequests || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if p.placed > 0 || l.runs() != 0 {
+		t.Errorf("%d places sought, charged for %d runs", p.placed, l.runs())
+	}
+}
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -32,6 +32,7 @@
 	PromptTokens int
 	OutputTokens int   // at most
 	LikelyOutput int   // estimated by the caller; 0: not told
+	QuotaTokens  int   // that rate limits count; negative: not told
 	LastEvent    int64 // the stream goes on behind this event; NoEvent: from the start
 }
 
--- /dev/null
+++ b/quota/message.go
@@ -0,0 +1,192 @@
+package quota
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"time"
+)
+
+// ErrMessage reports a message that no daemon of this release sends.
+var ErrMessage = errors.New("quota: message is malformed")
+
+// Kinds of message, with the version of their layout.
+const (
+	kindAsk   = 0x11
+	kindReply = 0x12
+)
+
+// Bounds of messages. One fits into a datagram on links of any usual size.
+const (
+	maxEntries  = 32
+	maxUnits    = 1 << 40
+	partUnit    = 1 << 24 // parts are sent in units of one over this
+	usedUnit    = 1000    // use is sent in thousandths of the limit
+	maxHold     = 10 * time.Second
+	maxAgain    = time.Minute
+	MaxDatagram = 1400 // bytes
+)
+
+// ask is what a daemon pledges to the owner of a shard and asks of it.
+type ask struct {
+	Nonce   uint64 // of the sender's process
+	Seq     uint64 // grows with each question of the process
+	Shard   int
+	Part    float64       // the sender's part of the limits
+	Hold    time.Duration // for which it is pledged; 0: it is pledged elsewhere
+	Entries []askEntry
+}
+
+// askEntry is the question for one organisation, in units of its limit.
+type askEntry struct {
+	Key     Key
+	Need    float64 // of requests that wait
+	Ahead   float64 // of those that probably come next
+	Refused float64 // of those turned away since the last question
+}
+
+// reply is an owner's answer.
+type reply struct {
+	Seq     uint64 // of the question
+	Shard   int
+	Leaving bool // the owner lends nothing, and the sender's part is free
+	Entries []replyEntry
+}
+
+type replyEntry struct {
+	Key   Key
+	Lent  float64
+	Again time.Duration // until the next question; 0: all that was needed is lent
+	Retry time.Duration // for callers
+	Used  float64       // of the limit, lately; see Verdict
+}
+
+func appendUnits(b []byte, v float64) []byte {
+	return binary.AppendUvarint(b, uint64(math.Ceil(min(max(v, 0), maxUnits))))
+}
+
+func appendMillis(b []byte, d time.Duration) []byte {
+	return binary.AppendUvarint(b, uint64((d+time.Millisecond-1)/time.Millisecond))
+}
+
+// encode appends the message to b. Only the first maxEntries are sent.
+func (a *ask) encode(b []byte) []byte {
+	b = append(b, kindAsk, byte(a.Shard))
+	b = binary.LittleEndian.AppendUint64(b, a.Nonce)
+	b = binary.AppendUvarint(b, a.Seq)
+	b = binary.AppendUvarint(b, uint64(a.Part*partUnit))
+	b = appendMillis(b, a.Hold)
+	for _, e := range a.Entries[:min(len(a.Entries), maxEntries)] {
+		b = binary.LittleEndian.AppendUint64(b, uint64(e.Key))
+		b = appendUnits(b, e.Need)
+		b = appendUnits(b, e.Ahead)
+		b = appendUnits(b, e.Refused)
+	}
+	return b
+}
+
+func (r *reply) encode(b []byte) []byte {
+	leaving := byte(0)
+	if r.Leaving {
+		leaving = 1
+	}
+	b = append(b, kindReply, byte(r.Shard), leaving)
+	b = binary.AppendUvarint(b, r.Seq)
+	for _, e := range r.Entries[:min(len(r.Entries), maxEntries)] {
+		b = binary.LittleEndian.AppendUint64(b, uint64(e.Key))
+		b = appendUnits(b, e.Lent)
+		b = appendMillis(b, e.Again)
+		b = appendMillis(b, e.Retry)
+		b = appendUnits(b, e.Used*usedUnit)
+	}
+	return b
+}
+
+// reader reads the fields of a message and notes the first that is not there.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) byte() byte {
+	if len(r.b) == 0 {
+		r.bad = true
+		return 0
+	}
+	v := r.b[0]
+	r.b = r.b[1:]
+	return v
+}
+
+func (r *reader) fixed() uint64 {
+	if len(r.b) < 8 {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	v := binary.LittleEndian.Uint64(r.b)
+	r.b = r.b[8:]
+	return v
+}
+
+func (r *reader) number(most uint64) uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > most {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) units() float64 { return float64(r.number(maxUnits)) }
+
+func (r *reader) millis(most time.Duration) time.Duration {
+	return time.Duration(r.number(uint64(most/time.Millisecond))) * time.Millisecond
+}
+
+func (r *reader) shard() int {
+	s := int(r.byte())
+	if s >= Shards {
+		r.bad = true
+		return 0
+	}
+	return s
+}
+
+func decodeAsk(b []byte) (ask, error) {
+	r := &reader{b: b}
+	if r.byte() != kindAsk {
+		return ask{}, ErrMessage
+	}
+	a := ask{Shard: r.shard(), Nonce: r.fixed(), Seq: r.number(math.MaxUint64)}
+	a.Part = float64(r.number(partUnit)) / partUnit
+	a.Hold = r.millis(maxHold)
+	for len(r.b) > 0 && !r.bad {
+		if len(a.Entries) == maxEntries {
+			return ask{}, ErrMessage
+		}
+		a.Entries = append(a.Entries, askEntry{Key: Key(r.fixed()), Need: r.units(), Ahead: r.units(), Refused: r.units()})
+	}
+	if r.bad {
+		return ask{}, ErrMessage
+	}
+	return a, nil
+}
+
+func decodeReply(b []byte) (reply, error) {
+	r := &reader{b: b}
+	if r.byte() != kindReply {
+		return reply{}, ErrMessage
+	}
+	out := reply{Shard: r.shard(), Leaving: r.byte() == 1, Seq: r.number(math.MaxUint64)}
+	for len(r.b) > 0 && !r.bad {
+		if len(out.Entries) == maxEntries {
+			return reply{}, ErrMessage
+		}
+		out.Entries = append(out.Entries, replyEntry{Key: Key(r.fixed()), Lent: r.units(), Again: r.millis(maxAgain), Retry: r.millis(maxAgain), Used: r.units() / usedUnit})
+	}
+	if r.bad {
+		return reply{}, ErrMessage
+	}
+	return out, nil
+}
--- /dev/null
+++ b/quota/message_test.go
@@ -0,0 +1,59 @@
+package quota
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestMessagesComeThroughWhole(t *testing.T) {
+	a := ask{Nonce: 7, Seq: 1 << 40, Shard: 3, Part: 1.0 / 64, Hold: pledgeTime, Entries: []askEntry{
+		{Key: 1 << 63, Need: 17_035, Ahead: 1, Refused: 390}, {Key: 2},
+	}}
+	if got, err := decodeAsk(a.encode(nil)); err != nil || !reflect.DeepEqual(got, a) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	r := reply{Seq: 9, Shard: 7, Leaving: true, Entries: []replyEntry{
+		{Key: 5, Lent: 53_000, Again: 20 * time.Millisecond, Retry: 5 * time.Second, Used: 1.25},
+	}}
+	if got, err := decodeReply(r.encode(nil)); err != nil || !reflect.DeepEqual(got, r) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+// An organisation without requests in a message, and more of them than one datagram
+// carries: the message must stay within a packet.
+func TestLongestMessagesFitIntoADatagram(t *testing.T) {
+	a := ask{Nonce: 1 << 63, Seq: 1 << 63, Part: 1, Hold: maxHold}
+	r := reply{Seq: 1 << 63}
+	for range 2 * maxEntries {
+		a.Entries = append(a.Entries, askEntry{Key: 1 << 63, Need: maxUnits, Ahead: maxUnits, Refused: maxUnits})
+		r.Entries = append(r.Entries, replyEntry{Key: 1 << 63, Lent: maxUnits, Again: maxAgain, Retry: maxAgain, Used: 1e6})
+	}
+	if n, m := len(a.encode(nil)), len(r.encode(nil)); n > MaxDatagram || m > MaxDatagram {
+		t.Errorf("%d and %d bytes", n, m)
+	}
+}
+
+// Anyone on the network can send to the port. Whatever comes must be refused or be a
+// message that can be sent again, and never stop the daemon.
+func FuzzMessages(f *testing.F) {
+	a, r := ask{Seq: 1, Entries: []askEntry{{Key: 1, Need: 2}}}, reply{Seq: 1, Entries: []replyEntry{{Key: 1, Lent: 2}}}
+	f.Add(a.encode(nil))
+	f.Add(r.encode(nil))
+	f.Add([]byte{kindAsk})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n := NewNode(Options{Me: Daemon{Name: "a", Address: "1.1.1.1:1"}, Rand: newWorld(t, 1, 0, nil).rng})
+		n.SetDaemons([]Daemon{n.o.Me, {Name: "b", Address: "2.2.2.2:2"}})
+		n.SetLimits(0, map[Key]Limit{1: {PerSecond: 10, Burst: 10}})
+		if err := n.Receive(time.Second, "2.2.2.2:2", b); err != nil && !errors.Is(err, ErrMessage) {
+			t.Errorf("error %v", err)
+		}
+		if got, err := decodeAsk(b); err == nil {
+			if again, err := decodeAsk(got.encode(nil)); err != nil || !reflect.DeepEqual(again, got) {
+				t.Errorf("%+v became %+v, %v", got, again, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/quota/node.go
@@ -0,0 +1,472 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/merlindock/merlindock/internal/hash"
+)
+
+// Daemon is a daemon of the deployment.
+type Daemon struct {
+	Name    string
+	Address string // where it takes messages, IP:port
+}
+
+// Datagram is a message to another daemon. It may be lost, late or doubled.
+type Datagram struct {
+	To   string // Daemon.Address
+	Data []byte
+}
+
+// Options are what a Node needs.
+type Options struct {
+	Me        Daemon
+	Tolerance Tolerance
+	Nonce     uint64     // drawn anew by each process
+	Rand      *rand.Rand // seeded; spreads the times to come back
+}
+
+// Node is one daemon's part in holding the limits: it asks the owners for
+// tokens, and is itself an owner for others. It is not safe for concurrent use.
+// What it wants to send is collected until Outbox is called.
+type Node struct {
+	o        Options
+	accounts map[Key]*account
+	shards   [Shards]shard
+	daemons  int // listed; 0: none are known yet
+	seq      uint64
+	leaving  bool
+	out      []Datagram
+}
+
+// shard is one daemon's view of a shard.
+type shard struct {
+	keys   []Key    // its organisations with a limit
+	order  []Daemon // in which daemons are asked
+	away   map[string]time.Duration
+	owner  Daemon // that is asked now
+	flight flight // the question that was not answered yet
+	probe  flight // a question to a daemon that did not answer before
+	pledge pledged
+	ledger ledger
+	// misses are the daemons in a row that did not answer.
+	misses int
+}
+
+// pledged is where this daemon's part of the limits is.
+type pledged struct {
+	to     string // address
+	until  time.Duration
+	renews time.Duration // when the next message is due
+}
+
+// flight is a question on its way. The zero value is none.
+type flight struct {
+	seq  uint64
+	to   Daemon
+	sent time.Duration
+	// repeats counts the questions before this one that were not answered.
+	repeats int
+}
+
+// NewNode returns a Node that knows no limits and no daemons.
+func NewNode(o Options) *Node {
+	n := &Node{o: o, accounts: map[Key]*account{}}
+	for i := range n.shards {
+		n.shards[i] = shard{away: map[string]time.Duration{}, ledger: newLedger(), owner: o.Me, order: []Daemon{o.Me}}
+	}
+	return n
+}
+
+// SetDaemons takes the list of all daemons, this one included.
+func (n *Node) SetDaemons(all []Daemon) {
+	n.daemons = len(all)
+	if !slices.Contains(all, n.o.Me) {
+		all = append(slices.Clone(all), n.o.Me)
+	}
+	for i := range n.shards {
+		s := &n.shards[i]
+		s.order = ordered(i, all)
+		if next := s.choose(n.o.Me); next != s.owner {
+			s.owner, s.flight, s.pledge.renews = next, flight{}, 0
+		}
+	}
+}
+
+// ordered puts the daemons into the order in which they are asked in a shard, the
+// same at all daemons.
+func ordered(shard int, all []Daemon) []Daemon {
+	type ranked struct {
+		rank uint64
+		Daemon
+	}
+	ranks := make([]ranked, len(all))
+	for i, d := range all {
+		ranks[i] = ranked{hash.Text(string(rune('a'+shard)) + "/quota-owner/" + d.Name), d}
+	}
+	slices.SortFunc(ranks, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Name, b.Name))
+	})
+	out := make([]Daemon, len(all))
+	for i := range ranks {
+		out[i] = ranks[i].Daemon
+	}
+	return out
+}
+
+// part is this daemon's part of the limits.
+func (n *Node) part() float64 {
+	if n.daemons == 0 {
+		return 1.0 / unlistedDaemons
+	}
+	return 1 / float64(n.daemons)
+}
+
+// SetLimits takes the limits in force. Organisations without one are not
+// limited.
+func (n *Node) SetLimits(now time.Duration, limits map[Key]Limit) {
+	var parts [Shards]map[Key]Limit
+	for i := range parts {
+		parts[i] = map[Key]Limit{}
+	}
+	for key, limit := range limits {
+		if limit.PerSecond <= 0 {
+			continue
+		}
+		i := int(uint64(key) % Shards)
+		parts[i][key] = limit
+		a := n.accounts[key]
+		if a == nil {
+			a = &account{key: key, shard: i, demandAt: now, turnsAt: now + grantLife}
+			n.accounts[key] = a
+		}
+		a.limit = limit
+	}
+	for key, a := range n.accounts {
+		if _, ok := parts[a.shard][key]; !ok {
+			a.settle(func(waiter) Verdict { return Verdict{Admitted: true} })
+			delete(n.accounts, key)
+		}
+	}
+	for i := range n.shards {
+		n.shards[i].keys = slices.Sorted(maps.Keys(parts[i]))
+		n.shards[i].ledger.setLimits(now, parts[i])
+	}
+}
+
+// settle ends the waiting of all requests.
+func (a *account) settle(verdict func(waiter) Verdict) {
+	for _, w := range a.waiters {
+		w.done(verdict(w))
+	}
+	a.waiters = nil
+}
+
+// Admit decides on a request. tokens is negative if it does not tell them. If
+// an owner has to be asked first, decided is false, and done is called with the
+// verdict, from within this call or a later one to the Node.
+func (n *Node) Admit(now time.Duration, key Key, tokens int, done func(Verdict)) (v Verdict, decided bool) {
+	a := n.accounts[key]
+	if a == nil {
+		return Verdict{Admitted: true}, true
+	}
+	a.turn(now)
+	cost := a.limit.Cost(tokens)
+	a.seen(now, cost)
+	s := &n.shards[a.shard]
+	if len(a.waiters) == 0 && a.take(cost) {
+		return Verdict{Admitted: true, Owner: s.owner.Name, Age: now - a.word, Used: a.used}, true
+	}
+	if now < a.deniedUntil {
+		a.refused += cost
+		return n.refusal(now, a, s.owner.Name), true
+	}
+	a.waiters = append(a.waiters, waiter{cost: cost, since: now, done: done})
+	if s.flight.seq == 0 {
+		n.ask(now, a.shard)
+	}
+	return Verdict{}, false
+}
+
+// GiveBack returns what a request took that did not run.
+func (n *Node) GiveBack(key Key, tokens int) {
+	if a := n.accounts[key]; a != nil {
+		a.add(a.limit.Cost(tokens))
+	}
+}
+
+// Charge takes what a further run of a request takes, whether it is there or not.
+func (n *Node) Charge(key Key, tokens int) {
+	if a := n.accounts[key]; a != nil {
+		a.add(-a.limit.Cost(tokens))
+	}
+}
+
+func (n *Node) refusal(now time.Duration, a *account, owner string) Verdict {
+	spread := 1 + n.o.Rand.Float64()/4
+	after := time.Duration(float64(max(a.retry, a.deniedUntil-now)) * spread)
+	return Verdict{RetryAfter: after, Owner: owner, Age: now - a.word, Used: a.used}
+}
+
+// ask sends the questions of a shard to its owner, with the pledge.
+func (n *Node) ask(now time.Duration, i int) {
+	s := &n.shards[i]
+	n.seq++
+	q := ask{Nonce: n.o.Nonce, Seq: n.seq, Shard: i, Part: n.part()}
+	for _, key := range s.keys {
+		a := n.accounts[key]
+		a.turn(now)
+		a.admitWaiting(s.owner.Name)
+		if e, some := a.question(now); some && len(q.Entries) < maxEntries {
+			q.Entries = append(q.Entries, e)
+		}
+	}
+	if s.pledge.to == s.owner.Address || s.pledge.until <= now {
+		q.Hold = pledgeTime
+		s.pledge.to, s.pledge.until = s.owner.Address, now+pledgeTime+transit
+	}
+	s.pledge.renews = min(now+pledgeEvery, s.pledge.until)
+	if s.owner == n.o.Me {
+		if r, ok := s.ledger.answer(now, n.o.Tolerance, n.o.Me.Address, &q); ok {
+			n.replied(now, i, &r)
+		}
+		return
+	}
+	s.flight = flight{seq: n.seq, to: s.owner, sent: now, repeats: s.flight.repeats}
+	n.out = append(n.out, Datagram{To: s.owner.Address, Data: q.encode(nil)})
+}
+
+// Receive takes a message from the given address. The error is ErrMessage.
+func (n *Node) Receive(now time.Duration, from string, data []byte) error {
+	if len(data) > 0 && data[0] == kindAsk {
+		q, err := decodeAsk(data)
+		if err != nil {
+			return err
+		}
+		n.answer(now, from, &q)
+		return nil
+	}
+	r, err := decodeReply(data)
+	if err != nil {
+		return err
+	}
+	s := &n.shards[r.Shard]
+	switch {
+	case r.Seq == s.flight.seq && from == s.flight.to.Address:
+		s.flight, s.misses = flight{}, 0
+		n.replied(now, r.Shard, &r)
+	case r.Seq == s.probe.seq && from == s.probe.to.Address:
+		n.isBack(now, r.Shard, &r)
+	}
+	// Any other answer is late. What it lends is lost, which errs on the side of
+	// the limit.
+	return nil
+}
+
+func (n *Node) answer(now time.Duration, from string, q *ask) {
+	s := &n.shards[q.Shard]
+	r := reply{Seq: q.Seq, Shard: q.Shard, Leaving: true}
+	if !n.leaving && n.daemons > 0 && len(s.ledger.buckets) > 0 {
+		var fresh bool
+		if r, fresh = s.ledger.answer(now, n.o.Tolerance, from, q); !fresh {
+			return
+		}
+	}
+	n.out = append(n.out, Datagram{To: from, Data: r.encode(nil)})
+}
+
+// replied takes the answer of the owner and decides on the requests that waited
+// for it.
+func (n *Node) replied(now time.Duration, i int, r *reply) {
+	s := &n.shards[i]
+	if r.Leaving {
+		s.pledge = pledged{}
+		n.passOver(now, i, leavingTime)
+		return
+	}
+	for _, e := range r.Entries {
+		a := n.accounts[e.Key]
+		if a == nil || a.shard != i {
+			continue
+		}
+		a.turn(now)
+		a.add(e.Lent)
+		a.word, a.used = now, e.Used
+		a.retry, a.deniedUntil = e.Retry, now+e.Again
+		n.decide(now, a, s.owner.Name)
+	}
+	for _, key := range s.keys {
+		if len(n.accounts[key].waiters) > 0 && s.flight.seq == 0 {
+			n.ask(now, i)
+			return
+		}
+	}
+}
+
+// admitWaiting admits the requests that wait for which there are tokens.
+func (a *account) admitWaiting(owner string) {
+	waiting := a.waiters
+	a.waiters = nil
+	for _, w := range waiting {
+		if a.take(w.cost) {
+			w.done(Verdict{Admitted: true, Owner: owner, Used: a.used})
+		} else {
+			a.waiters = append(a.waiters, w)
+		}
+	}
+}
+
+// decide admits the requests that wait for as long as there are tokens. The
+// others that the question named are turned away: the owner had no more.
+func (n *Node) decide(now time.Duration, a *account, owner string) {
+	a.admitWaiting(owner)
+	waiting := a.waiters
+	a.waiters = nil
+	for _, w := range waiting {
+		switch {
+		case w.asked || now < a.deniedUntil:
+			w.done(n.refusal(now, a, owner))
+		default:
+			a.waiters = append(a.waiters, w)
+		}
+	}
+}
+
+// passOver leaves the owner for a while and turns to the next. A daemon that had
+// no answer from several is probably cut off, and lends to itself until a probe
+// is answered.
+func (n *Node) passOver(now time.Duration, i int, span time.Duration) {
+	s := &n.shards[i]
+	s.away[s.owner.Address] = now + span
+	s.flight, s.owner = flight{}, s.choose(n.o.Me)
+	n.ask(now, i)
+}
+
+// choose returns the first daemon that was not passed over, or this one if it
+// seems to be cut off.
+func (s *shard) choose(me Daemon) Daemon {
+	if s.misses >= missesMost {
+		return me
+	}
+	for _, next := range s.order {
+		if _, gone := s.away[next.Address]; !gone || next == me {
+			return next
+		}
+	}
+	return me
+}
+
+// isBack takes the answer of a daemon that did not answer before. If it comes
+// before the present owner in the order, it is asked from now on.
+func (n *Node) isBack(now time.Duration, i int, r *reply) {
+	s := &n.shards[i]
+	d := s.probe.to
+	s.probe = flight{}
+	if r.Leaving {
+		s.away[d.Address] = now + leavingTime
+		return
+	}
+	delete(s.away, d.Address)
+	s.misses = 0
+	if slices.Index(s.order, d) < slices.Index(s.order, s.owner) && s.flight.seq == 0 {
+		s.owner = d
+		n.ask(now, i)
+	}
+}
+
+// Tick does what is due with time alone. Call it every 20 ms or so while
+// requests wait, and every 100 ms otherwise.
+func (n *Node) Tick(now time.Duration) {
+	for i := range n.shards {
+		s := &n.shards[i]
+		if len(s.keys) == 0 {
+			continue
+		}
+		s.ledger.advance(now, n.o.Tolerance)
+		n.expire(now, i)
+		if s.flight.seq == 0 && now >= s.pledge.renews {
+			n.ask(now, i)
+		}
+		n.probeAway(now, i)
+	}
+}
+
+// expire gives up questions and requests that have waited for too long.
+func (n *Node) expire(now time.Duration, i int) {
+	s := &n.shards[i]
+	if f := s.flight; f.seq != 0 {
+		switch waited := now - f.sent; {
+		case f.repeats < repeatsMost && waited >= firstPatience:
+			s.flight.repeats++
+			n.ask(now, i)
+		case f.repeats == repeatsMost && waited >= lastPatience:
+			s.misses++
+			n.passOver(now, i, awayTime)
+		}
+	}
+	for _, key := range s.keys {
+		a := n.accounts[key]
+		kept := a.waiters[:0]
+		for _, w := range a.waiters {
+			if now-w.since < waitMost {
+				kept = append(kept, w)
+				continue
+			}
+			w.done(Verdict{RetryAfter: retryElsewhere, Age: now - a.word, Used: a.used})
+		}
+		a.waiters = kept
+	}
+}
+
+// probeAway asks the first daemon that was passed over for long enough whether
+// it is back. A daemon that seems to be cut off asks those that it never asked
+// as well.
+func (n *Node) probeAway(now time.Duration, i int) {
+	s := &n.shards[i]
+	if s.probe.seq != 0 {
+		if now-s.probe.sent < lastPatience {
+			return
+		}
+		s.away[s.probe.to.Address] = now + awayTime
+		s.probe = flight{}
+	}
+	for _, d := range s.order {
+		if d == n.o.Me {
+			return
+		}
+		until, gone := s.away[d.Address]
+		if gone && now < until || !gone && s.misses < missesMost {
+			continue
+		}
+		n.seq++
+		q := ask{Nonce: n.o.Nonce, Seq: n.seq, Shard: i, Part: n.part()}
+		s.probe = flight{seq: n.seq, to: d, sent: now}
+		n.out = append(n.out, Datagram{To: d.Address, Data: q.encode(nil)})
+		return
+	}
+}
+
+// Waiting tells whether requests wait for an owner's word.
+func (n *Node) Waiting() bool {
+	for i := range n.shards {
+		if n.shards[i].flight.seq != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Leave has the node lend nothing any more, so that the others turn elsewhere at
+// once.
+func (n *Node) Leave() { n.leaving = true }
+
+// Outbox returns what is to be sent and forgets it.
+func (n *Node) Outbox() []Datagram {
+	out := n.out
+	n.out = nil
+	return out
+}
--- /dev/null
+++ b/quota/sim_test.go
@@ -0,0 +1,322 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// world plays daemons, their messages and callers in virtual time, in steps of a
+// millisecond.
+type world struct {
+	t      testing.TB
+	rng    *rand.Rand
+	now    time.Duration
+	tol    Tolerance
+	limits map[Key]Limit
+	nodes  []*machine
+	byAddr map[string]*machine
+	mail   map[time.Duration][]letter // by time of arrival
+	loss   float64                    // part of the messages
+	double float64
+	late   float64 // part of the messages that come up to a second late
+	cut    func(a, b int) bool
+	use    map[Key]*history
+	bytes  int
+	sent   int
+	parts  *parts // another way to hold the limits; nil: the nodes do
+}
+
+type letter struct {
+	from string
+	to   string
+	data []byte
+}
+
+// machine is one daemon.
+type machine struct {
+	index  int
+	me     Daemon
+	node   *Node
+	down   bool
+	frozen bool
+	queue  []letter // that came while it was frozen
+	skew   time.Duration
+}
+
+// history is what came of an organisation's requests.
+type history struct {
+	limit    Limit
+	admitted []use // as they ran
+	level    float64
+	at       time.Duration
+	asked    int
+	owed     int // requests within the limit, by what was used before
+	lost     int // of those, refused
+	refused  int
+	waits    []time.Duration
+}
+
+type use struct {
+	at   time.Duration
+	cost float64
+}
+
+var tolerance = Tolerance{Overage: 0.1, Slack: 190_000}
+
+const window = 8 * time.Second
+
+func newWorld(t testing.TB, seed uint64, daemons int, limits map[Key]Limit) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 9)), tol: tolerance, limits: limits, byAddr: map[string]*machine{},
+		mail: map[time.Duration][]letter{}, use: map[Key]*history{},
+	}
+	for i := range daemons {
+		w.add(i)
+	}
+	for _, m := range w.nodes {
+		m.node.SetDaemons(w.list())
+		m.node.SetLimits(0, limits)
+	}
+	for key, l := range limits {
+		w.use[key] = &history{limit: l, level: l.Burst}
+	}
+	return w
+}
+
+func (w *world) add(i int) {
+	m := &machine{index: i, me: Daemon{Name: fmt.Sprintf("front-%d", i), Address: fmt.Sprintf("10.0.%d.%d:7340", i/200, i%200)}}
+	w.nodes = append(w.nodes, m)
+	w.byAddr[m.me.Address] = m
+	m.node = w.process(m)
+}
+
+func (w *world) process(m *machine) *Node {
+	return NewNode(Options{Me: m.me, Tolerance: w.tol, Nonce: w.rng.Uint64(), Rand: w.rng})
+}
+
+// restart ends the process of a daemon and starts another, which reads the list and
+// the limits at once.
+func (w *world) restart(m *machine) {
+	m.node, m.queue, m.down = w.process(m), nil, false
+	m.node.SetDaemons(w.list())
+	m.node.SetLimits(w.now, w.limits)
+}
+
+func (w *world) list() []Daemon {
+	var out []Daemon
+	for _, m := range w.nodes {
+		out = append(out, m.me)
+	}
+	return out
+}
+
+// post sends what a daemon wants to send.
+func (w *world) post(m *machine) {
+	for _, d := range m.node.Outbox() {
+		w.sent++
+		w.bytes += len(d.Data) + 28 // headers of IP and UDP
+		to := w.byAddr[d.To]
+		if to == nil || w.cut != nil && w.cut(m.index, to.index) || w.rng.Float64() < w.loss {
+			continue
+		}
+		copies := 1
+		if w.rng.Float64() < w.double {
+			copies = 2
+		}
+		for range copies {
+			after := time.Millisecond * time.Duration(1+w.rng.IntN(3))
+			if w.rng.Float64() < w.late {
+				after += time.Duration(w.rng.IntN(1000)) * time.Millisecond
+			}
+			w.mail[w.now+after] = append(w.mail[w.now+after], letter{m.me.Address, d.To, d.Data})
+		}
+	}
+}
+
+// step plays one millisecond.
+func (w *world) step() {
+	w.now += time.Millisecond
+	for _, l := range w.mail[w.now] {
+		m := w.byAddr[l.to]
+		switch {
+		case m.down:
+		case m.frozen:
+			m.queue = append(m.queue, l)
+		default:
+			w.deliver(m, l)
+		}
+	}
+	delete(w.mail, w.now)
+	if w.parts != nil {
+		w.parts.step(w)
+		return
+	}
+	for _, m := range w.nodes {
+		if m.down || m.frozen {
+			continue
+		}
+		every := int64(100)
+		if m.node.Waiting() {
+			every = 20
+		}
+		if (w.now.Milliseconds()+int64(m.index)*7)%every == 0 {
+			m.node.Tick(w.now + m.skew)
+			w.post(m)
+		}
+	}
+}
+
+func (w *world) deliver(m *machine, l letter) {
+	if err := m.node.Receive(w.now+m.skew, l.from, l.data); err != nil {
+		w.t.Fatal(err)
+	}
+	w.post(m)
+}
+
+func (w *world) thaw(m *machine) {
+	m.frozen = false
+	for _, l := range m.queue {
+		w.deliver(m, l)
+	}
+	m.queue = nil
+}
+
+// request has a caller of an organisation come to a daemon.
+func (w *world) request(m *machine, key Key, tokens int) {
+	if m.down || m.frozen {
+		return
+	}
+	h := w.use[key]
+	h.asked++
+	since := w.now
+	done := func(v Verdict) { h.verdict(w.now, w.now-since, h.limit.Cost(tokens), v) }
+	if w.parts != nil {
+		done(Verdict{Admitted: w.parts.admit(m.index, key, h.limit.Cost(tokens))})
+		return
+	}
+	if v, decided := m.node.Admit(w.now+m.skew, key, tokens, done); decided {
+		done(v)
+	}
+	w.post(m)
+}
+
+// verdict compares the decision with one bucket for all daemons that knows of
+// every request.
+func (h *history) verdict(now, waited time.Duration, cost float64, v Verdict) {
+	h.level = min(h.limit.Burst, h.level+h.limit.PerSecond*(now-h.at).Seconds())
+	h.at = now
+	h.waits = append(h.waits, waited)
+	within := h.level >= cost
+	if within {
+		h.owed++
+	}
+	if v.Admitted {
+		h.level -= cost
+		h.admitted = append(h.admitted, use{now, cost})
+		return
+	}
+	h.refused++
+	if within {
+		h.lost++
+	}
+}
+
+// most is the largest use in any window.
+func (h *history) most(span time.Duration) float64 {
+	most, sum, from := 0.0, 0.0, 0
+	for i := range h.admitted {
+		sum += h.admitted[i].cost
+		for h.admitted[i].at-h.admitted[from].at >= span {
+			sum -= h.admitted[from].cost
+			from++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func bound(l Limit, t Tolerance, span time.Duration) float64 {
+	return (l.PerSecond*span.Seconds()+l.Burst)*(1+t.Overage) + t.Slack
+}
+
+// check holds the use of all organisations against their limits.
+func (w *world) check() {
+	w.t.Helper()
+	for key, h := range w.use {
+		if most, allowed := h.most(window), bound(h.limit, w.tol, window); most > allowed {
+			w.t.Errorf("organisation %x used %.0f in %v, allowed are %.0f", uint64(key), most, window, allowed)
+		}
+	}
+}
+
+// lost returns the part of the owed requests that were refused.
+func (w *world) lost() (part float64, lost, owed int) {
+	for _, h := range w.use {
+		lost += h.lost
+		owed += h.owed
+	}
+	return float64(lost) / float64(max(owed, 1)), lost, owed
+}
+
+// demand is the traffic of one organisation: requests of two sizes.
+type demand struct {
+	key   Key
+	long  float64 // requests/s with a long prompt
+	short float64 // requests/s with a short one
+	// at are the daemons that get the requests; nil: all.
+	at []int
+}
+
+// play runs the given time with the traffic.
+func (w *world) play(span time.Duration, traffic []demand) {
+	for end := w.now + span; w.now < end; {
+		w.step()
+		for i := range traffic {
+			d := &traffic[i]
+			w.arrive(d, d.long, func() int { return longTokens(w.rng) })
+			w.arrive(d, d.short, func() int { return 390 })
+		}
+	}
+}
+
+func (w *world) arrive(d *demand, perSecond float64, tokens func() int) {
+	for expected := perSecond / 1000; expected > 0; expected-- {
+		if w.rng.Float64() >= expected {
+			return
+		}
+		at := w.rng.IntN(len(w.nodes))
+		if d.at != nil {
+			at = d.at[w.rng.IntN(len(d.at))]
+		}
+		w.request(w.nodes[at], d.key, tokens())
+	}
+}
+
+// longTokens draws the size of a long prompt, 17,000 tokens on average.
+func longTokens(rng *rand.Rand) int { return 3000 + rng.IntN(28_000) }
+
+// organisations makes limits of the sizes given, in tokens/s, with a burst of a
+// second, and traffic that uses the given part of them.
+func organisations(used float64, rates ...float64) (map[Key]Limit, []demand) {
+	limits := map[Key]Limit{}
+	var traffic []demand
+	for i, rate := range rates {
+		key := KeyOf(fmt.Sprintf("org-%d", i))
+		limits[key] = Limit{PerSecond: rate, Burst: rate, Unit: Tokens, Plain: 200}
+		// A long prompt has 17,000 tokens, and six short ones of 390 come with it.
+		long := used * rate / (17_000 + 6*390)
+		traffic = append(traffic, demand{key: key, long: long, short: 6 * long})
+	}
+	return limits, traffic
+}
+
+func times(traffic []demand, x float64) []demand {
+	var out []demand
+	for _, d := range traffic {
+		d.long, d.short = d.long*x, d.short*x
+		out = append(out, d)
+	}
+	return out
+}
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -45,7 +45,9 @@
 		_, err := f.read(ctx, r.daemonsWait(f, known))
 		f.note(err)
 		if changed {
-			r.neighbours.set(slices.Collect(maps.Values(known)))
+			all := slices.Collect(maps.Values(known))
+			r.neighbours.set(all)
+			r.limits.setDaemons(all)
 			changed = false
 		}
 		if err != nil {
--- /dev/null
+++ b/router/datagrams.go
@@ -0,0 +1,70 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/merlindock/merlindock/logging"
+)
+
+// datagramBytes bounds one message between daemons, so that it fits into a packet
+// on links of any usual size.
+const datagramBytes = 1400
+
+// datagrams carries small messages between daemons. They may be lost, late or
+// doubled: whoever uses them does not depend on any single one.
+type datagrams struct {
+	log    *logging.Logger
+	unsent tally.Counter
+	conn   *net.UDPConn // nil: there are no other daemons
+	take   func(from string, data []byte)
+}
+
+func newDatagrams(scope tally.Scope, log *logging.Logger) *datagrams {
+	return &datagrams{log: log, unsent: scope.Counter("datagrams_unsent")}
+}
+
+// listen opens the address for messages of other daemons. Call it before run.
+func (d *datagrams) listen(address string) error {
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return eris.Wrap(err, "the address for messages of other daemons is malformed")
+	}
+	d.conn, err = net.ListenUDP("udp4", at)
+	return eris.Wrap(err, "the address for messages of other daemons cannot be listened on")
+}
+
+// run receives messages until the context ends.
+func (d *datagrams) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = d.conn.Close() })
+	defer stop()
+	buffer := make([]byte, datagramBytes)
+	for ctx.Err() == nil {
+		n, from, err := d.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				d.log.Error("Messages of other daemons are no longer received.", "error", err.Error())
+			}
+			return
+		}
+		d.take(from.String(), buffer[:n])
+	}
+}
+
+// send hands a message to the kernel and never waits for its way.
+func (d *datagrams) send(to string, data []byte) {
+	if d.conn == nil {
+		return
+	}
+	at, err := netip.ParseAddrPort(to)
+	if err == nil {
+		_, err = d.conn.WriteToUDPAddrPort(data, at)
+	}
+	if err != nil {
+		d.unsent.Inc(1) // its sender takes it for lost
+	}
+}
--- a/router/follow.go
+++ b/router/follow.go
@@ -292,6 +292,7 @@
 			return
 		}
 		r.s.table.Store(t)
+		r.limits.setLimits(t)
 		r.log.Info("Configuration is in force.", "version", t.Version, "offset", record.Offset,
 			"routes", len(t.Routes), "services", len(t.Services), "keys", len(t.Organisations))
 		return
--- /dev/null
+++ b/router/quota.go
@@ -0,0 +1,194 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/merlindock/merlindock/internal/pause"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/quota"
+	"github.com/merlindock/merlindock/routes"
+)
+
+// Times of holding rate limits.
+const (
+	// quotaTick is how often limits are looked at while no request waits.
+	quotaTick = 100 * time.Millisecond
+	// quotaPatience is how often they are while one does.
+	quotaPatience = 20 * time.Millisecond
+	// metricOrganisations bounds the organisations with metrics of their own. The
+	// others share one label.
+	metricOrganisations = 64
+)
+
+// limiter implements forward.Limiter: it carries the messages of a quota.Node.
+type limiter struct {
+	clock func() time.Duration
+	log   *logging.Logger
+	send  func(to string, data []byte)
+
+	mu     sync.Mutex
+	node   *quota.Node
+	meters map[string]*quotaMeters
+	scope  tally.Scope
+}
+
+// quotaMeters are the metrics of one organisation.
+type quotaMeters struct {
+	admitted, refused, units tally.Counter
+	used                     tally.Gauge
+}
+
+func newLimiter(me Neighbour, set *Settings, clock func() time.Duration, rng *rand.Rand, scope tally.Scope, log *logging.Logger, send func(to string, data []byte)) *limiter {
+	return &limiter{
+		clock: clock, log: log, send: send, meters: map[string]*quotaMeters{}, scope: scope,
+		node: quota.NewNode(quota.Options{
+			Me: quota.Daemon{Name: me.Name, Address: me.Address}, Tolerance: set.QuotaTolerance,
+			Nonce: rng.Uint64(), Rand: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
+		}),
+	}
+}
+
+// run does what is due with time alone until the context ends.
+func (l *limiter) run(ctx context.Context) {
+	for pause.For(ctx, quotaTick) == nil {
+		l.tick()
+	}
+}
+
+func (l *limiter) tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.Tick(l.clock())
+	l.post()
+}
+
+// receive takes a message of another daemon.
+func (l *limiter) receive(from string, data []byte) {
+	l.mu.Lock()
+	err := l.node.Receive(l.clock(), from, data)
+	l.post()
+	l.mu.Unlock()
+	if err != nil {
+		l.log.Info("Message is no daemon's.", "from", from, "error", err.Error())
+	}
+}
+
+// post sends what the node has to send. Call it with mu held.
+func (l *limiter) post() {
+	for _, d := range l.node.Outbox() {
+		l.send(d.To, d.Data)
+	}
+}
+
+// setDaemons takes the list of all daemons.
+func (l *limiter) setDaemons(all []Neighbour) {
+	var list []quota.Daemon
+	for _, d := range all {
+		if d.Address != "" {
+			list = append(list, quota.Daemon{Name: d.Name, Address: d.Address})
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SetDaemons(list)
+}
+
+// setLimits takes the limits of a configuration.
+func (l *limiter) setLimits(t *routes.Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SetLimits(l.clock(), t.RateLimits())
+	l.post()
+}
+
+// leave has other daemons turn elsewhere at once.
+func (l *limiter) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.Leave()
+}
+
+// Admit implements forward.Limiter.
+func (l *limiter) Admit(ctx context.Context, org *routes.Organisation, tokens int) (quota.Verdict, error) {
+	later := make(chan quota.Verdict, 1)
+	l.mu.Lock()
+	v, decided := l.node.Admit(l.clock(), org.QuotaKey, tokens, func(v quota.Verdict) { later <- v })
+	l.post()
+	l.mu.Unlock()
+	if decided {
+		return l.count(org, tokens, v), nil
+	}
+	again := time.NewTicker(quotaPatience)
+	defer again.Stop()
+	for {
+		select {
+		case v = <-later:
+			return l.count(org, tokens, v), nil
+		case <-again.C:
+			l.tick()
+		case <-ctx.Done():
+			go l.giveBackLate(org, tokens, later)
+			return quota.Verdict{}, ctx.Err()
+		}
+	}
+}
+
+// giveBackLate returns what a request took whose caller left before the verdict.
+func (l *limiter) giveBackLate(org *routes.Organisation, tokens int, later <-chan quota.Verdict) {
+	if v := <-later; v.Admitted {
+		l.GiveBack(org, tokens)
+	}
+}
+
+// GiveBack implements forward.Limiter.
+func (l *limiter) GiveBack(org *routes.Organisation, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.GiveBack(org.QuotaKey, tokens)
+}
+
+// Charge implements forward.Limiter.
+func (l *limiter) Charge(org *routes.Organisation, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.Charge(org.QuotaKey, tokens)
+}
+
+// count adds a verdict to the metrics.
+func (l *limiter) count(org *routes.Organisation, tokens int, v quota.Verdict) quota.Verdict {
+	l.mu.Lock()
+	m := l.metric(org.Name)
+	l.mu.Unlock()
+	if v.Admitted {
+		m.admitted.Inc(1)
+		m.units.Inc(int64(org.Limit.Cost(tokens)))
+	} else {
+		m.refused.Inc(1)
+	}
+	m.used.Update(v.Used)
+	return v
+}
+
+// metric returns the metrics of an organisation. Call it with mu held.
+func (l *limiter) metric(name string) *quotaMeters {
+	m := l.meters[name]
+	if m != nil {
+		return m
+	}
+	label := name
+	if len(l.meters) >= metricOrganisations {
+		label = "other"
+	}
+	s := l.scope.Tagged(map[string]string{"organisation": label})
+	m = &quotaMeters{
+		admitted: s.Counter("quota_admitted"), refused: s.Counter("quota_refused"),
+		units: s.Counter("quota_units"), used: s.Gauge("quota_used"),
+	}
+	l.meters[name] = m
+	return m
+}
--- a/router/report.go
+++ b/router/report.go
@@ -78,6 +78,9 @@
 	if f := rep.Refused; f != nil && f.Endpoint != "" {
 		fields = append(fields, "best", f.Endpoint, "wait_ms", f.Wait.Milliseconds(), "load_age_ms", f.Age.Milliseconds())
 	}
+	if q := rep.Quota; rep.Code == forward.CodeRateLimited {
+		fields = append(fields, "quota_used", q.Used, "quota_owner", q.Owner, "quota_age_ms", q.Age.Milliseconds())
+	}
 	if rep.RetryAfter > 0 {
 		fields = append(fields, "retry_after_ms", rep.RetryAfter.Milliseconds())
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -77,6 +77,8 @@
 
 	neighbours *neighbours
 	watch      *cacheWatch
+	datagrams  *datagrams
+	limits     *limiter
 	feeds      [topicCount]*feed
 	log        *logging.Logger
 	fold       fold // of the lines of ordinary requests
@@ -114,6 +116,9 @@
 	r.placer.watch = r.watch
 	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress}
 	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), BootClock, r.log)
+	r.datagrams = newDatagrams(r.metrics.scope, r.log)
+	r.limits = newLimiter(me, &o.Settings, BootClock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
+	r.datagrams.take = r.limits.receive
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
 	}
@@ -126,6 +131,7 @@
 			Leaving:   r.leaving.Load,
 			StopsAt:   r.stopsAt,
 			Callers:   r.callers,
+			Limiter:   r.limits,
 			Report:    r.report,
 		}),
 		ReadHeaderTimeout: headerTimeout,
@@ -184,11 +190,17 @@
 		if err != nil {
 			return eris.Wrap(err, "the other daemons' address cannot be listened on")
 		}
+		if err := r.datagrams.listen(r.o.Settings.PeerAddress); err != nil {
+			return err
+		}
+		go r.datagrams.run(work)
 		go r.serveNeighbours(peers)
 		go r.followDaemons(work)
 	} else {
+		r.limits.setDaemons([]Neighbour{r.neighbours.me})
 		r.neighbours.proceed()
 	}
+	go r.limits.run(work)
 	if r.o.MetricsPort != "" {
 		go r.serveMetrics()
 	}
@@ -217,6 +229,7 @@
 func (r *Router) shutDown(front net.Listener) error {
 	began := time.Now()
 	r.leaving.Store(true)
+	r.limits.leave()
 	r.log.Info("Stopping.")
 	end := began.Add(r.o.Settings.StopWithin - stopReserve)
 	_ = pause.For(context.Background(), balancerLag)
--- a/router/settings.go
+++ b/router/settings.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/quota"
 )
 
 // Settings are what a daemon is told at its start.
@@ -36,4 +37,7 @@
 	VersionWithin time.Duration // no request begins on older weights after it
 	OrderLease    time.Duration // between the last order of one daemon and the first of another
 	RetryRatio    float64       // retries for each request, over all daemons
+	// QuotaTolerance is how far the requests of an organisation may pass its rate
+	// limit.
+	QuotaTolerance quota.Tolerance
 }
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -114,6 +114,8 @@
 	store := &zoneStore{w: w, me: set.Name}
 	r.o.Store, r.o.Lease, r.o.Announcements = store, store, store
 	r.neighbours = newNeighbours(Neighbour{Name: set.Name, Zone: set.Zone, Address: set.PeerAddress}, &set, net.Dialer{}, w.clock, quiet())
+	unsent := func(string, []byte) {}
+	r.limits = newLimiter(r.neighbours.me, &set, w.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, quiet(), unsent)
 	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
 		return w.ask(ctx, set.Name, address, t, q)
 	}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/merlindock/merlindock/quota"
 )
 
 // Kind says what may be repeated of a request.
@@ -113,6 +115,21 @@
 	// Isolated says that its KV cache may not be shared with any other
 	// organisation.
 	Isolated bool
+	// Limit bounds the requests of the organisation over all daemons. The zero
+	// value is no limit.
+	Limit    quota.Limit
+	QuotaKey quota.Key // of Name
+}
+
+// RateLimits lists the limits of the organisations that have one.
+func (t *Table) RateLimits() map[quota.Key]quota.Limit {
+	out := map[quota.Key]quota.Limit{}
+	for _, o := range t.Organisations {
+		if o.Limit.PerSecond > 0 {
+			out[o.QuotaKey] = o.Limit
+		}
+	}
+	return out
 }
 
 // Index prepares the table for use. Call it once, when all else is filled in.
