Weigh all weight versions that engines have, not only the newest two

Cause: when versions are named faster than engines take them, or nobody gives orders for a while, most engines have weights that were replaced twice. Only the newest version and the next one counted.

Ruled out: that the fleet was full; engines read at a fifth of what they can.

Change: a request is bound to the newest version by its part, or to one of the older ones by theirs, and up to three others are weighed beside it.

Test: TestWeightsReplacedTwiceStillServe.

--- a/quota/faults_test.go
+++ b/quota/faults_test.go
@@ -112,8 +112,8 @@
 	}
 	w.play(8*time.Second, times(traffic, 7))
 	w.check()
-	if h := w.use[traffic[0].key]; h.most(window) < 0.7*h.limit.PerSecond*window.Seconds() {
-		t.Errorf("after the restarts only %.0f of %.0f units a second were used", h.most(window)/window.Seconds(), h.limit.PerSecond)
+	if h := w.use[traffic[0].key]; h.most() < 0.7*h.limit.PerSecond*window.Seconds() {
+		t.Errorf("after the restarts only %.0f of %.0f units a second were used", h.most()/window.Seconds(), h.limit.PerSecond)
 	}
 }
 
--- a/quota/message.go
+++ b/quota/message.go
@@ -69,9 +69,9 @@
 	return binary.AppendUvarint(b, uint64((d+time.Millisecond-1)/time.Millisecond))
 }
 
-// encode appends the message to b. Only the first maxEntries are sent.
-func (a *ask) encode(b []byte) []byte {
-	b = append(b, kindAsk, byte(a.Shard))
+// encode returns the message. Only the first maxEntries are sent.
+func (a *ask) encode() []byte {
+	b := []byte{kindAsk, byte(a.Shard)}
 	b = binary.LittleEndian.AppendUint64(b, a.Nonce)
 	b = binary.AppendUvarint(b, a.Seq)
 	b = binary.AppendUvarint(b, uint64(a.Part*partUnit))
@@ -85,12 +85,12 @@
 	return b
 }
 
-func (r *reply) encode(b []byte) []byte {
+func (r *reply) encode() []byte {
 	leaving := byte(0)
 	if r.Leaving {
 		leaving = 1
 	}
-	b = append(b, kindReply, byte(r.Shard), leaving)
+	b := []byte{kindReply, byte(r.Shard), leaving}
 	b = binary.AppendUvarint(b, r.Seq)
 	for _, e := range r.Entries[:min(len(r.Entries), maxEntries)] {
 		b = binary.LittleEndian.AppendUint64(b, uint64(e.Key))
--- a/quota/message_test.go
+++ b/quota/message_test.go
@@ -11,13 +11,13 @@
 	a := ask{Nonce: 7, Seq: 1 << 40, Shard: 3, Part: 1.0 / 64, Hold: pledgeTime, Entries: []askEntry{
 		{Key: 1 << 63, Need: 17_035, Ahead: 1, Refused: 390}, {Key: 2},
 	}}
-	if got, err := decodeAsk(a.encode(nil)); err != nil || !reflect.DeepEqual(got, a) {
+	if got, err := decodeAsk(a.encode()); err != nil || !reflect.DeepEqual(got, a) {
 		t.Errorf("%+v, %v", got, err)
 	}
 	r := reply{Seq: 9, Shard: 7, Leaving: true, Entries: []replyEntry{
 		{Key: 5, Lent: 53_000, Again: 20 * time.Millisecond, Retry: 5 * time.Second, Used: 1.25},
 	}}
-	if got, err := decodeReply(r.encode(nil)); err != nil || !reflect.DeepEqual(got, r) {
+	if got, err := decodeReply(r.encode()); err != nil || !reflect.DeepEqual(got, r) {
 		t.Errorf("%+v, %v", got, err)
 	}
 }
@@ -31,7 +31,7 @@
 		a.Entries = append(a.Entries, askEntry{Key: 1 << 63, Need: maxUnits, Ahead: maxUnits, Refused: maxUnits})
 		r.Entries = append(r.Entries, replyEntry{Key: 1 << 63, Lent: maxUnits, Again: maxAgain, Retry: maxAgain, Used: 1e6})
 	}
-	if n, m := len(a.encode(nil)), len(r.encode(nil)); n > MaxDatagram || m > MaxDatagram {
+	if n, m := len(a.encode()), len(r.encode()); n > MaxDatagram || m > MaxDatagram {
 		t.Errorf("%d and %d bytes", n, m)
 	}
 }
@@ -40,8 +40,8 @@
 // message that can be sent again, and never stop the daemon.
 func FuzzMessages(f *testing.F) {
 	a, r := ask{Seq: 1, Entries: []askEntry{{Key: 1, Need: 2}}}, reply{Seq: 1, Entries: []replyEntry{{Key: 1, Lent: 2}}}
-	f.Add(a.encode(nil))
-	f.Add(r.encode(nil))
+	f.Add(a.encode())
+	f.Add(r.encode())
 	f.Add([]byte{kindAsk})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		n := NewNode(Options{Me: Daemon{Name: "a", Address: "1.1.1.1:1"}, Rand: newWorld(t, 1, 0, nil).rng})
@@ -51,7 +51,7 @@
 			t.Errorf("error %v", err)
 		}
 		if got, err := decodeAsk(b); err == nil {
-			if again, err := decodeAsk(got.encode(nil)); err != nil || !reflect.DeepEqual(again, got) {
+			if again, err := decodeAsk(got.encode()); err != nil || !reflect.DeepEqual(again, got) {
 				t.Errorf("%+v became %+v, %v", got, again, err)
 			}
 		}
--- a/quota/node.go
+++ b/quota/node.go
@@ -237,7 +237,7 @@
 		return
 	}
 	s.flight = flight{seq: n.seq, to: s.owner, sent: now, repeats: s.flight.repeats}
-	n.out = append(n.out, Datagram{To: s.owner.Address, Data: q.encode(nil)})
+	n.out = append(n.out, Datagram{To: s.owner.Address, Data: q.encode()})
 }
 
 // Receive takes a message from the given address. The error is ErrMessage.
@@ -276,7 +276,7 @@
 			return
 		}
 	}
-	n.out = append(n.out, Datagram{To: from, Data: r.encode(nil)})
+	n.out = append(n.out, Datagram{To: from, Data: r.encode()})
 }
 
 // replied takes the answer of the owner and decides on the requests that waited
@@ -445,7 +445,7 @@
 		n.seq++
 		q := ask{Nonce: n.o.Nonce, Seq: n.seq, Shard: i, Part: n.part()}
 		s.probe = flight{seq: n.seq, to: d, sent: now}
-		n.out = append(n.out, Datagram{To: d.Address, Data: q.encode(nil)})
+		n.out = append(n.out, Datagram{To: d.Address, Data: q.encode()})
 		return
 	}
 }
--- a/quota/node_test.go
+++ b/quota/node_test.go
@@ -46,7 +46,7 @@
 	w.check()
 	for _, i := range []int{0, 1, 8} {
 		h := w.use[traffic[i].key]
-		got := h.most(window) / (h.limit.PerSecond * window.Seconds())
+		got := h.most() / (h.limit.PerSecond * window.Seconds())
 		t.Logf("organisation %d: %.3f of its limit in the fullest window, %d of %d refused, %d of them owed", i, got, h.refused, h.asked, h.lost)
 		if got < 0.95 {
 			t.Errorf("organisation %d got %.2f of its limit", i, got)
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -224,11 +224,11 @@
 }
 
 // most is the largest use in any window.
-func (h *history) most(span time.Duration) float64 {
+func (h *history) most() float64 {
 	most, sum, from := 0.0, 0.0, 0
 	for i := range h.admitted {
 		sum += h.admitted[i].cost
-		for h.admitted[i].at-h.admitted[from].at >= span {
+		for h.admitted[i].at-h.admitted[from].at >= window {
 			sum -= h.admitted[from].cost
 			from++
 		}
@@ -245,7 +245,7 @@
 func (w *world) check() {
 	w.t.Helper()
 	for key, h := range w.use {
-		if most, allowed := h.most(window), bound(h.limit, w.tol, window); most > allowed {
+		if most, allowed := h.most(), bound(h.limit, w.tol, window); most > allowed {
 			w.t.Errorf("organisation %x used %.0f in %v, allowed are %.0f", uint64(key), most, window, allowed)
 		}
 	}
--- a/quota/ways_test.go
+++ b/quota/ways_test.go
@@ -82,7 +82,7 @@
 			w.play(10*time.Second, hot)
 			most := 0.0
 			for _, h := range w.use {
-				most = max(most, h.most(window)/bound(h.limit, w.tol, window))
+				most = max(most, h.most()/bound(h.limit, w.tol, window))
 			}
 			lost[name], over[name] = part, most
 			t.Logf("%d daemons, %-30s %.4f refused below the limit, %.2f of what is allowed used", daemons, name, part, most)
--- a/router/placer.go
+++ b/router/placer.go
@@ -209,7 +209,10 @@
 	if v.first == 0 {
 		return v, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 	}
-	v.firstLeft, v.otherLeft = left(v.first), left(v.other)
+	v.firstLeft = left(v.first)
+	for i := range v.others {
+		v.others[i].left = left(v.others[i].version)
+	}
 	return v, nil
 }
 
--- a/router/versions.go
+++ b/router/versions.go
@@ -104,39 +104,77 @@
 
 // versions are the weight versions that a request may be bound to.
 type versions struct {
-	first     int64   // 0: no engine may serve
-	other     int64   // 0: none
-	otherLoss float64 // that the other one's work brings, as a part of the objective
-	// firstLeft and otherLeft are how long a request may wait before it begins.
-	firstLeft, otherLeft time.Duration
+	first     int64         // 0: no engine may serve
+	firstLeft time.Duration // how long a request may wait before it begins on it
+	others    []otherVersion
 }
 
+// otherVersion is a version that a request takes if it loses less there.
+type otherVersion struct {
+	version int64
+	loss    float64 // that its work brings, as a part of the objective
+	left    time.Duration
+}
+
+// otherVersions bounds the versions beside the first that are weighed.
+const otherVersions = 3
+
 // chooseVersions picks the weight versions for a request from the number of
 // engines that have each; allowed tells whether a version may still be used.
-// hash is that of the shared part of the prompt, so that requests that share it
+// at is the hash of the shared part of the prompt, so that requests that share it
 // move to the newer weights together and meet their cache there. lead is how
 // much more than their part the engines with the newest weights get.
-func chooseVersions(engines map[int64]int, allowed func(int64) bool, hash uint64, lead float64) versions {
-	newest, older, all := int64(0), int64(0), 0
-	for v, count := range engines {
-		if count == 0 || !allowed(v) {
-			continue
-		}
-		all += count
-		if v > newest {
-			newest, older = v, newest
-		} else {
-			older = max(older, v)
+//
+// The pattern: versions are named faster than the engines take them, or nobody
+// gives orders for a while. Most engines then have weights that were replaced
+// twice. If only the newest two versions counted, they would idle while the few
+// engines that have those are overrun.
+func chooseVersions(engines map[int64]int, allowed func(int64) bool, at uint64, lead float64) versions {
+	var all []int64
+	count := 0
+	for v, n := range engines {
+		if n > 0 && allowed(v) {
+			all = append(all, v)
+			count += n
 		}
 	}
-	if older == 0 {
-		return versions{first: newest}
+	if len(all) == 0 {
+		return versions{}
+	}
+	slices.SortFunc(all, func(a, b int64) int { return cmp.Compare(b, a) })
+	newest, older := all[0], all[1:]
+	drawn := float64(at) / math.MaxUint64
+	part := min(1, lead*float64(engines[newest])/float64(count))
+	if len(older) == 0 || drawn <= part {
+		return versions{first: newest, others: others(older, oldLoss)}
+	}
+	first := drawOlder(engines, older, (drawn-part)/(1-part))
+	rest := slices.DeleteFunc(slices.Clone(all), func(v int64) bool { return v == first })
+	return versions{first: first, others: others(rest, earlyLoss)}
+}
+
+// drawOlder chooses one of the older versions by its part of their engines.
+func drawOlder(engines map[int64]int, older []int64, drawn float64) int64 {
+	count := 0
+	for _, v := range older {
+		count += engines[v]
+	}
+	left := drawn * float64(count)
+	for _, v := range older {
+		left -= float64(engines[v])
+		if left <= 0 {
+			return v
+		}
 	}
-	part := min(1, lead*float64(engines[newest])/float64(all))
-	if float64(hash) <= part*math.MaxUint64 {
-		return versions{first: newest, other: older, otherLoss: oldLoss}
+	return older[len(older)-1]
+}
+
+func others(all []int64, loss float64) []otherVersion {
+	var out []otherVersion
+	for _, v := range all[:min(len(all), otherVersions)] {
+		out = append(out, otherVersion{version: v, loss: loss})
 	}
-	return versions{first: older, other: newest, otherLoss: earlyLoss}
+	return out
 }
 
 // orElse fills in what the lane's own engines do not offer from all engines of the
@@ -149,15 +187,13 @@
 	if v.first == 0 {
 		return all
 	}
-	if v.other != 0 {
-		return v
-	}
-	v.otherLoss = oldLoss
-	switch {
-	case all.first != v.first:
-		v.other = all.first
-	default:
-		v.other = all.other
+	add := append([]otherVersion{{version: all.first}}, all.others...)
+	for _, o := range add {
+		known := o.version == 0 || o.version == v.first ||
+			slices.ContainsFunc(v.others, func(x otherVersion) bool { return x.version == o.version })
+		if !known && len(v.others) < otherVersions {
+			v.others = append(v.others, otherVersion{version: o.version, loss: oldLoss})
+		}
 	}
 	return v
 }
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,6 +88,24 @@
 	}
 }
 
+// Versions are named every few seconds, and nobody gives orders for a while. Fifty of
+// sixty engines have weights that were replaced twice. If only the newest two versions
+// counted, they would idle while all prompts queue at the other ten.
+func TestWeightsReplacedTwiceStillServe(t *testing.T) {
+	engines := map[int64]int{3: 50, 4: 3, 5: 7}
+	first := map[int64]int{}
+	for i := range uint64(1000) {
+		v := chooseVersions(engines, func(int64) bool { return true }, i*(math.MaxUint64/1000), newerLead)
+		first[v.first]++
+		if len(v.others) != 2 {
+			t.Fatalf("%d other versions are weighed", len(v.others))
+		}
+	}
+	if first[3] < 700 || first[4] > 100 || first[5] < 100 {
+		t.Errorf("prompts by version: %v", first)
+	}
+}
+
 // A rollout has reached one engine, which is now the only one for short prompts.
 // It fails or fills up, and callers would be turned away beside a dozen engines of
 // the older weights.
@@ -94,13 +113,13 @@
 	all := func(int64) bool { return true }
 	lane := chooseVersions(map[int64]int{2: 1}, all, 0, newerLead)
 	model := chooseVersions(map[int64]int{1: 12, 2: 1}, all, 0, newerLead)
-	if v := lane.orElse(model); v.first != 2 || v.other != 1 || v.otherLoss != oldLoss {
+	if v := lane.orElse(model); v.first != 2 || !slices.Equal(v.others, []otherVersion{{version: 1, loss: oldLoss}}) {
 		t.Errorf("versions %+v", v)
 	}
 	if v := (versions{}).orElse(model); v.first == 0 {
 		t.Error("no way for a lane without engines")
 	}
-	if v := lane.orElse(versions{first: 2}); v.other != 0 {
+	if v := lane.orElse(versions{first: 2}); len(v.others) != 0 {
 		t.Errorf("another version out of nothing: %+v", v)
 	}
 }
--- a/router/ways.go
+++ b/router/ways.go
@@ -68,21 +68,20 @@
 // turned away. An overloaded fleet has no engine that idles, so that shared
 // parts stay at their homes there.
 func ways(w *forward.Work, v versions, in lane, where whereabouts) []way {
-	firstHeld, otherHeld := heldOf(w, v.first, where), heldOf(w, v.other, where)
-	first, other := levelsOf(w, v.first), levelsOf(w, v.other)
-	to := func(version int64, l lane, loss float64) way {
-		out := way{
-			pool: modelPool(w.Service.Name, w.In.Model, version, l), levels: first, held: firstHeld, lane: l, version: version, loss: loss,
-			left: v.firstLeft, once: w.Route != nil && !w.Route.Repeatable(),
+	once := w.Route != nil && !w.Route.Repeatable()
+	to := func(o otherVersion) func(l lane, loss float64) way {
+		levels, held := levelsOf(w, o.version), heldOf(w, o.version, where)
+		return func(l lane, loss float64) way {
+			return way{
+				pool: modelPool(w.Service.Name, w.In.Model, o.version, l), levels: levels, held: held,
+				lane: l, version: o.version, loss: o.loss + loss, left: o.left, once: once,
+			}
 		}
-		if version != v.first {
-			out.levels, out.held, out.left = other, otherHeld, v.otherLeft
-		}
-		return out
 	}
+	first := to(otherVersion{version: v.first, left: v.firstLeft})
 	// A long prompt among short ones holds up dozens of them.
 	otherLane, crossing := laneShort, float64(lastLoss)
-	out := []way{to(v.first, in, 0)}
+	out := []way{first(in, 0)}
 	if in == laneLong {
 		away := out[0]
 		away.away, away.loss = true, awayLoss
@@ -90,9 +89,10 @@
 	} else {
 		otherLane, crossing = laneLong, laneLoss
 	}
-	out = append(out, to(v.first, otherLane, crossing))
-	if v.other != 0 {
-		out = append(out, to(v.other, in, v.otherLoss), to(v.other, otherLane, v.otherLoss+crossing))
+	out = append(out, first(otherLane, crossing))
+	for _, o := range v.others {
+		other := to(o)
+		out = append(out, other(in, 0), other(otherLane, crossing))
 	}
 	return out
 }
--- a/router/ways_test.go
+++ b/router/ways_test.go
@@ -33,7 +33,7 @@
 		r.ways = func(part string) []way {
 			v := chooseVersions(map[int64]int{1: 9, 2: 3}, func(int64) bool { return true }, hash.Text(part), newerLead)
 			pools := map[int64]string{1: "old", 2: "new"}
-			return []way{{pool: pools[v.first]}, {pool: pools[v.other], loss: v.otherLoss}}[:count]
+			return []way{{pool: pools[v.first]}, {pool: pools[v.others[0].version], loss: v.others[0].loss}}[:count]
 		}
 		r.run(20, 0, 34)
 		return r
@@ -119,7 +119,7 @@
 		t.Errorf("long prompt: %q, %v", got.pool, err)
 	}
 	long := fakePools{modelPool("s", "m", 2, laneLong): time.Second}
-	got, err = bestWay(time.Time{}, long, placement.Request{}, ways(w, versions{first: 3, other: 2}, laneShort, nil), replayTarget)
+	got, err = bestWay(time.Time{}, long, placement.Request{}, ways(w, versions{first: 3, others: []otherVersion{{version: 2}}}, laneShort, nil), replayTarget)
 	if err != nil || got.version != 2 {
 		t.Errorf("short prompt: %q, %v", got.pool, err)
 	}
