--- a/placement/cost.go
+++ b/placement/cost.go
@@ -21,12 +21,13 @@
 	usual    float64 // wait in seconds among the candidates that were heard of lately
 	slack    float64 // wait in seconds that a cold prefix takes to be at home
 	held     *Held
+	sole     bool
 }
 
 func (v *View) costModel(now time.Time, r *Request, home *entry) costModel {
 	m := costModel{
 		id: r.ID, priority: r.Priority, tokens: float64(r.Tokens), homes: 1, stored: v.storedTokens(now, r),
-		held: r.Held,
+		held: r.Held, sole: r.Sole,
 	}
 	if home == nil {
 		return m
@@ -76,7 +77,10 @@
 	if c.rank >= m.homes || m.homes == 1 {
 		c.cost += wasteWeight * (m.tokens - m.reach(c)) / e.rate
 	}
-	c.cost += fillCost*filled(e) + v.doubt(now, e, c.endpoint, m.id)
+	c.cost += fillCost * filled(e)
+	if !m.sole {
+		c.cost += v.doubt(now, e, c.endpoint, m.id)
+	}
 	c.cost += crowdWeight * v.arrivals(e) * c.compute * c.compute / 2
 	if c.rank >= m.homes {
 		c.cost += (1 - m.known) * m.slack
@@ -157,8 +161,9 @@
 	for urgent := range p + 1 {
 		wait += float64(e.pending[urgent]) / e.rate
 	}
-	if over := e.load.Running + e.load.Waiting + e.queued + 1 - e.load.Slots; e.load.Slots > 0 && over > 0 {
-		wait += float64(over) * v.service / float64(e.load.Slots)
+	waiting := v.stillWaiting(float64(e.load.Waiting), now.Sub(e.loadAt).Seconds())
+	if over := float64(e.load.Running+e.queued+1-e.load.Slots) + waiting; e.load.Slots > 0 && over > 0 {
+		wait += over * v.service / float64(e.load.Slots)
 	}
 	return max(wait, v.observed(now, e, p).Seconds())
 }
@@ -225,6 +230,16 @@
 	return tokens * math.Exp2(-elapsed/v.o.QueueLife.Seconds())
 }
 
+// stillWaiting is what is left of a reported number of waiting requests after a while.
+// An endpoint that gets no requests from here because of its queue tells nothing
+// more, and would count as full for ever.
+func (v *View) stillWaiting(requests, elapsed float64) float64 {
+	if v.o.QueueLife <= 0 {
+		return requests
+	}
+	return requests * math.Exp2(-elapsed/v.o.QueueLife.Seconds())
+}
+
 // ahead is the part of the reported queue that a request of the priority waits
 // for. An endpoint that does not split its queue is taken to serve in order.
 func ahead(l *fleet.Load, p contract.Priority) int {
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -252,12 +252,16 @@
 	}
 	e.load, e.loadAt = l, l.At
 	e.drains = l.Draining
-	for i := e.firstRes; i != none; i = e.firstRes {
+	for i := e.firstRes; i != none; {
 		r := &v.reservations[i]
 		if r.placed.Add(v.delayTo(e)).After(l.At) {
 			return
 		}
-		v.cover(e, i)
+		next := r.next
+		if !r.sole {
+			v.cover(e, i)
+		}
+		i = next
 	}
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -13,11 +13,11 @@
 const (
 	// wholePool is the size up to which every endpoint of a pool is weighed.
 	// In a larger one only homes, holders and a few samples are.
-	wholePool = 64
+	wholePool = 128
 	// sampled is the number of further endpoints weighed in a large pool.
 	sampled = 4
 	// maxCandidates bounds the endpoints weighed for one request.
-	maxCandidates = 96
+	maxCandidates = 160
 	// priorLife is how fast that fades once the daemon follows the events of an
 	// endpoint: the half-life in seconds.
 	priorLife = 2.0
@@ -302,7 +302,9 @@
 // choose takes the candidate of the lowest cost.
 func (v *View) choose(now time.Time, r *Request, home *entry, reason Reason) Decision {
 	m := v.costModel(now, r, home)
-	m.usual = v.usualWait(now, r.Priority)
+	if !r.Sole {
+		m.usual = v.usualWait(now, r.Priority)
+	}
 	var best *candidate
 	for i := range v.scratch.candidates {
 		c := &v.scratch.candidates[i]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -101,6 +101,9 @@
 	Priority contract.Priority
 	Avoid    []fleet.EndpointID // tried already
 	Held     *Held              // nil: nothing is known but what answers told
+	// Sole says that this daemon places all requests of the pool: an endpoint that
+	// it sent nothing to is idle, however long ago its load was told.
+	Sole bool
 }
 
 // Held is where the beginning of one prompt is held, as endpoints told it
--- a/placement/reservations.go
+++ b/placement/reservations.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/fleet"
 )
 
 // reservation is the work that the daemon has sent to an endpoint and that no
@@ -23,6 +24,7 @@
 	first    time.Time // of the answer's first token
 	expires  time.Time
 	covered  bool // by a load report or the answer
+	sole     bool // only its own answer shows that it was read, see Request.Sole
 	prev     int32
 	next     int32 // in the endpoint's list, or of free slots
 }
@@ -42,7 +44,7 @@
 	i := v.freeReservation()
 	v.reservations[i] = reservation{
 		owner: owner, endpoint: ep, tokens: tokens, priority: r.Priority, placed: now,
-		expires: now.Add(v.o.ReservationTTL), prev: none, next: none,
+		expires: now.Add(v.o.ReservationTTL), prev: none, next: none, sole: r.Sole,
 	}
 	v.byOwner[owner] = i
 	if v.ages.size >= agesPerReservation*v.o.MaxReservations {
@@ -62,6 +64,18 @@
 	e.queued++
 }
 
+// Unread returns how many prompts this daemon sent to the endpoint that are not
+// known to have been read.
+func (v *View) Unread(id fleet.EndpointID) int {
+	n := 0
+	if at, ok := v.byID[id]; ok {
+		for i := v.endpoints[at].firstRes; i != none; i = v.reservations[i].next {
+			n++
+		}
+	}
+	return n
+}
+
 func (v *View) freeReservation() int32 {
 	if n := len(v.freeReservations); n > 0 {
 		i := v.freeReservations[n-1]
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -159,3 +159,10 @@
 	defer s.mu.Unlock()
 	return s.view.Dump(now)
 }
+
+// Unread is View.Unread.
+func (s *Shared) Unread(id fleet.EndpointID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Unread(id)
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -75,7 +75,7 @@
 	if a.Load != nil {
 		v.takeLoad(e, *a.Load)
 	}
-	if owned && a.Load == nil {
+	if owned && (a.Load == nil || v.reservations[i].sole) {
 		v.cover(&v.endpoints[v.reservations[i].endpoint], i)
 	}
 	v.learn(now, e, a)
--- a/router/learn.go
+++ b/router/learn.go
@@ -107,7 +107,7 @@
 	now := time.Now()
 	if info.Load != nil {
 		info.Load.At = now
-		info.Load.WaitingTokens = p.waitingTokens(lane(pl.Notes.Engine), info.Load.Waiting)
+		info.Load.WaitingTokens = p.waitingAt(pl, info.Load.Waiting)
 	}
 	p.answered(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
@@ -121,6 +121,16 @@
 	p.turnedAway(now, pl, info)
 }
 
+// waitingAt estimates the prompts that wait at the engine of a placement. Where this
+// daemon places all long prompts, it counts its own by their reservations, and what
+// else waits is short.
+func (p *placer) waitingAt(pl *forward.Placement, waiting int) int {
+	if pl.Notes.Sole {
+		return p.waitingTokens(laneShort, max(0, waiting-p.s.view.Unread(pl.Target.Key)))
+	}
+	return p.waitingTokens(lane(pl.Notes.Engine), waiting)
+}
+
 // waitingTokens estimates the prompts that wait at an engine of the lane. Engines
 // tell in their answers how many requests wait, not how long they are.
 func (p *placer) waitingTokens(in lane, waiting int) int {
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -57,6 +57,10 @@
 const callerPatience = 2400 * time.Millisecond
 
 func newReplay(engines int, o placement.Options, part float64) *replay {
+	return newReplayOf(daemonCount, engines, o, part)
+}
+
+func newReplayOf(daemons, engines int, o placement.Options, part float64) *replay {
 	r := &replay{rng: rand.New(rand.NewPCG(11, 4))}
 	for i := range engines {
 		r.engines = append(r.engines, &engineModel{id: fleet.EndpointID(fmt.Sprint("e", i))})
@@ -66,7 +70,7 @@
 	if part > 0 {
 		short, long = split(members, int(math.Round(part*float64(engines))), false)
 	}
-	for range daemonCount {
+	for range daemons {
 		v := placement.NewView(o)
 		v.SetPool("short", short)
 		v.SetPool("long", long)
@@ -277,6 +281,28 @@
 	}
 }
 
+// Seventy daemons place 160 long prompts a second on 58 engines, which is half of what
+// these read. None knows of the others' prompts until an engine tells its load, and they
+// meet: a sixth and more are late. One that places all for them knows where each went.
+func TestOneDaemonThatPlacesAllKeepsPromptsApart(t *testing.T) {
+	o := options()
+	o.HomePrior = homePrior
+	late := func(daemons int) float64 {
+		r := newReplayOf(daemons, 58, o, 0)
+		r.waited = true
+		r.ways = func(string) []way {
+			return []way{{pool: "long"}, {pool: "long", away: true, loss: awayLoss}}
+		}
+		r.run(20, 0, 160)
+		return 1 - float64(r.within(1, replayTarget))/float64(len(r.waits[1])+r.lost)
+	}
+	many, one := late(70), late(1)
+	t.Logf("late: %.3f placed by seventy daemons, %.3f by one", many, one)
+	if many < 1.0/6 || one > many/3 {
+		t.Errorf("late: %.3f placed by seventy daemons, %.3f by one", many, one)
+	}
+}
+
 // The same overload, seen only through what answers tell of the load, as if each
 // daemon were alone. The requests that wait must make the difference.
 func TestWaitingRequestsMakeRefusalsMeetTheOverload(t *testing.T) {
--- a/router/moves.go
+++ b/router/moves.go
@@ -18,23 +18,29 @@
 // To read a long shared part again takes the engine's whole time for over 100
 // ms; to fetch it takes 5 to 25 ms. A fetch of what nobody has costs a
 // millisecond, and an engine fetches only what it lacks.
-func (p *placer) moves(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, out *forward.Outbound) {
-	at := prefix.Affinity(r.Levels)
+func (p *placer) moves(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, from fleet.EndpointID, out *forward.Outbound) {
+	levels := r.Levels
+	if levels == nil {
+		levels = prefix.Chain(seedOf(w, out.Version), w.In.Parts)
+	}
+	at := prefix.Affinity(levels)
 	if at < 0 {
 		return
 	}
 	if address, known := p.fetchFrom(now, w, r, d, out.CacheSalt); known {
 		out.FetchFrom = address
 	}
-	if r.Levels[at].Tokens < leastFetched {
+	if levels[at].Tokens < leastFetched {
 		return
 	}
-	key := r.Levels[at].Key
+	key := levels[at].Key
 	store := storeOf(w.Table, key)
 	peer := p.s.places[d.Peer]
 	away := d.Reason == placement.ReasonSpill && r.Held == nil
 	switch {
 	case out.FetchFrom != "":
+	case from != "" && from != d.Endpoint && p.s.places[from] != nil:
+		out.FetchFrom = p.s.places[from].Address
 	case away && peer != nil && !p.s.unusable(now, d.Peer):
 		out.FetchFrom = peer.Address
 	case store != "":
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -78,7 +78,8 @@
 type Neighbour struct {
 	Name    string
 	Zone    fleet.ZoneID
-	Address string // IP:port for other daemons
+	Address string  // IP:port for other daemons
+	Cores   float64 // processor that it may use; 0: not told
 }
 
 // Announcements is where daemons tell each other of themselves.
--- /dev/null
+++ b/router/parts_test.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/prefix"
+)
+
+func anyEngine(fleet.EndpointID) bool { return true }
+
+// A prompt's shared part is being read by one engine. Whoever comes next must go there,
+// and may fetch it from there only once it is read: a fetch before finds nothing, and the
+// part is read twice.
+func TestPartIsFetchedOnceItIsRead(t *testing.T) {
+	x, now := newPartIndex(), time.Unix(1_800_000_000, 0)
+	x.placed(now, prefix.Key{1}, 13_000, 17_000, 200_000, "a", now.Add(200*time.Millisecond))
+	if h, from := x.held(now, prefix.Key{1}, 200_000, anyEngine); h.At["a"] != 13_000 || h.Best != 0 || from != "" {
+		t.Errorf("%+v from %q while it is read", h, from)
+	}
+	if h, from := x.held(now.Add(time.Second), prefix.Key{1}, 200_000, anyEngine); h.Best != 13_000 || from != "a" {
+		t.Errorf("%+v from %q after it was read", h, from)
+	}
+	if h, from := x.held(now.Add(time.Second), prefix.Key{1}, 200_000, func(fleet.EndpointID) bool { return false }); len(h.At) > 0 || from != "" {
+		t.Errorf("%+v from %q, which may not be used", h, from)
+	}
+}
+
+// An engine is sent more than its memory keeps, and evicts the part. To count on it would
+// send prompts to an engine that reads it again, past others that wait less.
+func TestPartIsGoneAfterWhatTheMemoryKeeps(t *testing.T) {
+	x, now := newPartIndex(), time.Unix(1_800_000_000, 0)
+	x.placed(now, prefix.Key{1}, 13_000, 17_000, 200_000, "a", now)
+	for i := range 9 {
+		x.placed(now, prefix.Key{2, byte(i)}, 13_000, 17_000, 200_000, "a", now)
+	}
+	later := now.Add(time.Second)
+	if h, from := x.held(later, prefix.Key{1}, 200_000, anyEngine); len(h.At) > 0 || from != "" {
+		t.Errorf("%+v from %q", h, from)
+	}
+	if _, from := x.held(later, prefix.Key{2, 8}, 200_000, anyEngine); from != "a" {
+		t.Error("the newest part is gone as well")
+	}
+}
+
+// Parts come and go for ever. What is remembered of them must not grow.
+func TestUnusedPartsAreForgotten(t *testing.T) {
+	x, now := newPartIndex(), time.Unix(1_800_000_000, 0)
+	for i := range 200 {
+		x.placed(now, prefix.Key{byte(i)}, 1, 2, 100, fleet.EndpointID(rune('a'+i%6)), now)
+		x.placed(now, prefix.Key{0}, 1, 2, 100, fleet.EndpointID(rune('a'+i%6)), now.Add(time.Duration(i)))
+	}
+	if n := len(x.parts[prefix.Key{0}].holders); n > partHolders {
+		t.Errorf("%d holders of one part", n)
+	}
+	x.expire(now.Add(partLife + time.Second))
+	if len(x.parts) > 0 {
+		t.Errorf("%d parts left", len(x.parts))
+	}
+}
--- a/router/placer.go
+++ b/router/placer.go
@@ -61,6 +61,9 @@
 	old     time.Duration        // Settings.VersionWithin
 	lastID  atomic.Uint64        // of placements; begins at random, as the ID draws among equal endpoints
 
+	partsMu sync.Mutex
+	parts   *partIndex // of the prompts placed for all daemons
+
 	unansweredMu sync.Mutex
 	unanswered   map[uint64]unanswered // by placement
 
@@ -70,7 +73,7 @@
 }
 
 func newPlacer(s *state, set *Settings, engines weights.Engines, clock func() time.Duration, rng *rand.Rand) *placer {
-	p := &placer{unanswered: map[uint64]unanswered{}, s: s, engines: engines, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
+	p := &placer{parts: newPartIndex(), unanswered: map[uint64]unanswered{}, s: s, engines: engines, clock: clock, old: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
 		Fraction: set.RetryRatio * retryPart, Floor: 0.05, Burst: retryBurst, Debt: 1,
 	})}
 	p.lastID.Store(rng.Uint64())
@@ -100,7 +103,7 @@
 		Priority: priorityOf(w.Route.Urgency(w.Organisation)),
 	}
 	if w.Service.Engine != nil && w.In.Model != "" {
-		return p.placeModel(ctx, now, w, &r)
+		return p.placeModel(ctx, now, w, &r, true)
 	}
 	d, err := p.choose(now, &r, w.Route.Repeatable())
 	if err != nil {
@@ -113,15 +116,81 @@
 	return p.placed(now, w, &r, &d, &way{}), nil
 }
 
+// placeKnown places a prompt by what is known, without asking engines for their load.
+func (p *placer) placeKnown(now time.Time, w *forward.Work) (forward.Placement, error) {
+	p.s.settle(now)
+	r := placement.Request{
+		Tokens: w.In.PromptTokens, Avoid: w.Avoid, Priority: priorityOf(w.Route.Urgency(w.Organisation)),
+		Sole: laneOf(w.In.PromptTokens) == laneLong,
+	}
+	return p.placeModel(context.Background(), now, w, &r, false)
+}
+
+// shared tells where the shared part of a prompt is, for the daemon that places all.
+func (p *placer) shared(now time.Time, w *forward.Work, version int64) (*placement.Held, fleet.EndpointID) {
+	levels := prefix.Chain(seedOf(w, version), w.In.Parts)
+	at := prefix.Affinity(levels)
+	if at < 0 || len(levels) < 2 {
+		return &placement.Held{At: map[fleet.EndpointID]int{}}, ""
+	}
+	p.partsMu.Lock()
+	defer p.partsMu.Unlock()
+	engine := w.Service.Engine
+	held, from := p.parts.held(now, levels[at].Key, engine.CapacityTokens, p.mayFetch)
+	if engine.BytesPerToken > 0 {
+		held.Rate = engine.LinkMbps * 1e6 / 8 / float64(engine.BytesPerToken) / 2
+	}
+	return held, from
+}
+
+// expireParts forgets shared parts that were not used for long.
+func (p *placer) expireParts(now time.Time) {
+	p.partsMu.Lock()
+	defer p.partsMu.Unlock()
+	p.parts.expire(now)
+}
+
+// addTold adds what engines and stores tell themselves. What they do not hold yet may
+// be on its way to them.
+func addTold(h, told *placement.Held) {
+	for key, tokens := range told.At {
+		h.At[key] = max(h.At[key], tokens)
+	}
+	if told.Best > h.Best {
+		h.Best, h.Rate = told.Best, told.Rate
+	}
+}
+
+func (p *placer) mayFetch(key fleet.EndpointID) bool {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	return p.s.places[key] != nil && !p.s.unusable(time.Now(), key)
+}
+
+// sent notes where the shared part of a prompt goes.
+func (p *placer) sent(now time.Time, w *forward.Work, version int64, d *placement.Decision) {
+	levels := prefix.Chain(seedOf(w, version), w.In.Parts)
+	at := prefix.Affinity(levels)
+	if at < 0 || len(levels) < 2 {
+		return
+	}
+	p.partsMu.Lock()
+	defer p.partsMu.Unlock()
+	p.parts.placed(now, levels[at].Key, levels[at].Tokens, w.In.PromptTokens, w.Service.Engine.CapacityTokens, d.Endpoint, now.Add(d.ExpectedFirst))
+}
+
 // placeModel places a prompt at an engine of its model.
-func (p *placer) placeModel(ctx context.Context, now time.Time, w *forward.Work, r *placement.Request) (forward.Placement, error) {
-	v, err := p.versions(now, w)
+func (p *placer) placeModel(ctx context.Context, now time.Time, w *forward.Work, r *placement.Request, ask bool) (forward.Placement, error) {
+	v, err := p.versions(w)
 	if err != nil {
 		return forward.Placement{}, err
 	}
 	in := laneOf(w.In.PromptTokens)
 	all := ways(w, v, in, p.whereabouts())
-	if in == laneLong {
+	if r.Sole {
+		p.anywhere(now, w, all)
+	}
+	if ask && in == laneLong {
 		first := *r
 		first.Pool, first.Levels = all[0].pool, all[0].levels()
 		p.ask(ctx, now, &first, w.In.Model)
@@ -138,9 +207,27 @@
 		}
 	}
 	p.s.view.Reserve(now, best.request, &best.decision)
+	if r.Sole {
+		p.sent(now, w, best.version, &best.decision)
+	}
 	return p.placed(now, w, &best.request, &best.decision, &best.way), nil
 }
 
+// anywhere has the ways lead to any engine, by where the shared part is rather than
+// where its home is.
+func (p *placer) anywhere(now time.Time, w *forward.Work, all []way) {
+	for i := range all {
+		at := &all[i]
+		at.levels = func() []prefix.Level { return nil }
+		held, from := p.shared(now, w, at.version)
+		if told := at.held(); told != nil {
+			addTold(held, told)
+		}
+		at.held = func() *placement.Held { return held }
+		at.from = from
+	}
+}
+
 // chooseWay takes the best way to an endpoint that may be tried.
 func (p *placer) chooseWay(now time.Time, w *forward.Work, r *placement.Request, all []way) (weighed, error) {
 	try := *r
@@ -185,12 +272,18 @@
 	return p.rng.Uint64()
 }
 
+// arrived counts a prompt of this daemon's callers into the split of the engines.
+func (p *placer) arrived(now time.Time, w *forward.Work) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), w.In.PromptTokens, w.Service.Engine.Slots)
+}
+
 // versions chooses the weight versions that the request may be bound to.
-func (p *placer) versions(now time.Time, w *forward.Work) (versions, error) {
+func (p *placer) versions(w *forward.Work) (versions, error) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	n := p.s.named[w.In.Model]
-	p.s.lanes.seen(now, laneOf(w.In.PromptTokens), w.In.PromptTokens, w.Service.Engine.Slots)
 	at := uint64(0)
 	if len(w.In.Parts) > 0 {
 		at = hash.Text(w.In.Parts[0].ID)
@@ -272,13 +365,13 @@
 		reading: time.Duration(float64(r.Tokens) / prefillRate * float64(time.Second)),
 	}
 	p.unansweredMu.Unlock()
-	out.Notes = forward.Notes{Prompt: int(laneOf(w.In.PromptTokens)), Engine: int(to.lane)}
+	out.Notes = forward.Notes{Prompt: int(laneOf(w.In.PromptTokens)), Engine: int(to.lane), Sole: r.Sole}
 	out.Out.CacheSalt = salt(w, to.version)
 	out.Out.Urgency = min(9, 1+2*w.Route.Urgency(w.Organisation))
 	if at := prefix.Affinity(r.Levels); at >= 0 {
 		out.Prefix = r.Levels[at].Key.String()[:prefixDigits]
 	}
-	p.moves(now, w, r, d, &out.Out)
+	p.moves(now, w, r, d, to.from, &out.Out)
 	return out
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -79,6 +79,7 @@
 	watch      *cacheWatch
 	datagrams  *datagrams
 	limits     *limiter
+	dispatch   *dispatch
 	feeds      [topicCount]*feed
 	log        *logging.Logger
 	fold       fold // of the lines of ordinary requests
@@ -114,17 +115,18 @@
 	r.countStoreCalls()
 	r.watch = newCacheWatch(o.CacheFeed, BootClock, r.log)
 	r.placer.watch = r.watch
-	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress}
+	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress, Cores: o.Settings.Cores}
 	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), BootClock, r.log)
 	r.datagrams = newDatagrams(r.metrics.scope, r.log)
+	r.datagrams.take = r.receive
 	r.limits = newLimiter(me, &o.Settings, BootClock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
-	r.datagrams.take = r.limits.receive
+	r.dispatch = newDispatch(me, s, r.placer, BootClock, r.log, r.datagrams.send)
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
 	}
 	r.front = &http.Server{
 		Handler: forward.NewHandler(forward.Options{
-			Wire: o.Wire, Client: r.client, Placer: r.placer,
+			Wire: o.Wire, Client: r.client, Placer: r.dispatch,
 			Table:     func() *routes.Table { return s.table.Load() },
 			KeysFresh: r.keysFresh,
 			KeysAge:   r.keysAge,
@@ -214,6 +216,13 @@
 	return r.shutDown(front)
 }
 
+// receive takes a message of another daemon by the first byte, which names its kind.
+func (r *Router) receive(from string, data []byte) {
+	if !r.dispatch.receive(from, data) {
+		r.limits.receive(from, data)
+	}
+}
+
 // Reload takes settings that have changed. What was accepted stays in force if
 // they can't be used.
 func (r *Router) Reload(set Settings, err error) {
@@ -282,6 +291,7 @@
 		r.s.refresh(now)
 		r.s.mu.Unlock()
 		r.placer.overdue(now)
+		r.dispatch.expire(now)
 		if ready := r.ready(); ready != wasReady {
 			wasReady = ready
 			r.log.Info("Readiness changed.", "ready", ready, "keys_age_ms", r.keysAge().Milliseconds(), "leaving", r.leaving.Load())
@@ -298,6 +308,7 @@
 
 func (r *Router) everySecond(now time.Time) {
 	r.s.view.Expire(now)
+	r.placer.expireParts(now)
 	r.measureReading()
 	r.s.mu.Lock()
 	r.s.directory.Expire(now)
--- a/router/ways.go
+++ b/router/ways.go
@@ -40,10 +40,11 @@
 	held    func() *placement.Held // where the prompt's beginning is; nil: not known
 	lane    lane                   // of the engines
 	version int64
-	away    bool          // not at the home of the shared part
-	loss    float64       // beside the wait, as a part of the objective
-	left    time.Duration // until it must have begun there; 0 or noBound: any time
-	once    bool          // it may not be placed anew once it was sent
+	away    bool             // not at the home of the shared part
+	loss    float64          // beside the wait, as a part of the objective
+	left    time.Duration    // until it must have begun there; 0 or noBound: any time
+	once    bool             // it may not be placed anew once it was sent
+	from    fleet.EndpointID // holds the beginning and can pass it on; empty: not known
 }
 
 // inTime tells whether the prompt will probably have begun before the bound on
