Tell daemons at once which engines are about to load

Cause: the others hear of an order with the lease, up to a second later.

Ruled out: a pause before each order, as the message is there before the prompts of the next milliseconds are placed.

Change: the daemon that gives orders sends datagrams of each order and of each end of a load to at most 128 daemons, those that may dispatch first. The lease tells the same as before.

Test: TestLoadsAreToldAtOnce.

--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/weights"
 )
 
 // Times and bounds of dispatching.
@@ -25,6 +26,11 @@
 	// openSlack is how much longer than expected the beginning of an answer may take
 	// before a placement is taken to be over. The message of its end was lost then.
 	openSlack = time.Second
+	// toldDaemons bounds the daemons that are told of loads, those that may dispatch
+	// first. The others hear of them with the lease.
+	toldDaemons = 128
+	// toldNews bounds the engines in one such message.
+	toldNews = 8
 	// dispatchTries is how many daemons may be passed over before a daemon takes
 	// itself to be cut off.
 	dispatchTries = 3
@@ -72,11 +78,30 @@
 	}
 }
 
+// tellLoads tells other daemons of engines that are about to take new weights, or have
+// them. The lease tells it as well, up to a second later, and a prompt that meets an
+// engine which loads is turned away.
+func (d *dispatch) tellLoads(news []weights.News) {
+	d.mu.Lock()
+	all := d.daemons[:min(len(d.daemons), toldDaemons)]
+	d.mu.Unlock()
+	for part := range slices.Chunk(news, toldNews) {
+		for _, n := range all {
+			if n.Name != d.me.Name {
+				d.post(n.Address, kindLoads, part)
+			}
+		}
+	}
+}
+
 // setDaemons takes the list of all daemons.
 func (d *dispatch) setDaemons(all []Neighbour) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.daemons = slices.DeleteFunc(slices.Clone(all), func(n Neighbour) bool { return n.Address == "" })
+	slices.SortFunc(d.daemons, func(a, b Neighbour) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
+	})
 }
 
 // dispatcher is the daemon that places the prompts of a group; false: this one does.
--- a/router/dispatch_messages.go
+++ b/router/dispatch_messages.go
@@ -10,6 +10,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/weights"
 )
 
 // Kinds of message between daemons.
@@ -18,6 +19,7 @@
 	kindPlaced   = 0x22
 	kindAnswered = 0x23
 	kindEnded    = 0x24
+	kindLoads    = 0x25
 )
 
 // placeMessage asks for a place.
@@ -83,7 +85,7 @@
 // receive takes a message of another daemon. It returns false if it is not one of
 // dispatching.
 func (d *dispatch) receive(from string, data []byte) bool {
-	if len(data) == 0 || data[0] < kindPlace || data[0] > kindEnded {
+	if len(data) == 0 || data[0] < kindPlace || data[0] > kindLoads {
 		return false
 	}
 	if err := d.take(from, data[0], data[1:]); err != nil {
@@ -114,6 +116,12 @@
 		if p := d.opened(dispatched{from, m.ID}, false); p != nil {
 			d.placer.Answered(p, &m.Info)
 		}
+	case kindLoads:
+		var m []weights.News
+		if err := json.Unmarshal(data, &m); err != nil {
+			return err
+		}
+		d.s.news(time.Now(), m)
 	case kindEnded:
 		var m endedMessage
 		if err := json.Unmarshal(data, &m); err != nil {
--- a/router/dispatch_test.go
+++ b/router/dispatch_test.go
@@ -212,3 +212,25 @@
 		t.Error(err)
 	}
 }
+
+// The daemon that gives orders is about to order an engine. Another daemon that hears of
+// it half a second later sends it a prompt meanwhile, which the engine turns away; the
+// route allows one attempt, and the caller gets nothing.
+func TestLoadsAreToldAtOnce(t *testing.T) {
+	w := newDispatchWorld(t, 3, 4)
+	loading := weights.News{Engine: "B@0", Model: "m", Version: 2, Loading: true}
+	w.all[0].tellLoads([]weights.News{loading})
+	for _, d := range w.all[1:] {
+		if !d.s.unusable(time.Now(), "B@0") || d.s.unusable(time.Now(), "A@0") {
+			t.Errorf("%s: the engine that loads is used, or another is not", d.me.Name)
+		}
+	}
+	done := loading
+	done.Loading = false
+	w.all[0].tellLoads([]weights.News{done})
+	for _, d := range w.all[1:] {
+		if d.s.unusable(time.Now(), "B@0") || d.s.places["B@0"].Versions["m"] != 2 {
+			t.Errorf("%s: the engine that has its weights is not used", d.me.Name)
+		}
+	}
+}
--- a/router/orders.go
+++ b/router/orders.go
@@ -264,6 +264,7 @@
 		return
 	}
 	l.r.s.news(time.Now(), news)
+	l.r.dispatch.tellLoads(news)
 	var all sync.WaitGroup
 	for _, e := range next {
 		all.Add(1)
@@ -445,5 +446,6 @@
 	l.untold = append(l.untold, news)
 	l.mu.Unlock()
 	l.r.log.Info("Engine has its weights.", "endpoint", e.ID, "model", model, "version", version)
+	l.r.dispatch.tellLoads([]weights.News{news})
 	l.r.s.news(time.Now(), []weights.News{news})
 }
