Read the body of a refused request away after the refusal was sent

Cause: a refusal of a rate limit is sent before the body is read, for which the server is told not to read it first. It then read what was left beside the next request of the connection, and panicked (invalid concurrent Body.Read call), so that the caller's next request broke off.

Ruled out: closing the connection, which would cost a new one for each refusal.

Change: the refusal is flushed, then the body is read to its end within the bound on bodies. Test: TestRefusedRequestsKeepTheirConnection.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -227,10 +227,7 @@
 // readBody takes the whole request in before it is placed, so that it can be
 // sent again.
 func (c *call) readBody() bool {
-	limit := c.work.Table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := c.bodyLimit()
 	if c.r.ContentLength > limit {
 		c.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return false
@@ -253,6 +250,14 @@
 	return true
 }
 
+// bodyLimit is the longest body in bytes.
+func (c *call) bodyLimit() int64 {
+	if limit := c.work.Table.Limits.BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultBodyBytes
+}
+
 func (c *call) setDeadline() {
 	limit := c.work.Route.Timeout
 	if limit <= 0 {
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/routes"
@@ -42,16 +44,32 @@
 	}
 	c.report.Quota = v
 	if !v.Admitted {
-		// The server would read the body before it sends the refusal. Where it
-		// can't be told not to, the refusal comes later.
-		_ = c.rc.EnableFullDuplex()
-		c.refuse(http.StatusTooManyRequests, CodeRateLimited, v.RetryAfter)
+		c.refuseUnread(http.StatusTooManyRequests, CodeRateLimited, v.RetryAfter)
 		return false
 	}
 	c.quota.taken = 1
 	return true
 }
 
+// refuseUnread answers before the body is read, and then reads it away.
+//
+// The server would read the body first. Told not to, it must not find a part of it
+// left when the handler ends: it would read that beside the next request, and break
+// the connection.
+func (c *call) refuseUnread(status int, code string, retryAfter time.Duration) {
+	duplex := c.rc.EnableFullDuplex()
+	c.refuse(status, code, retryAfter)
+	if duplex != nil {
+		return // the server reads the body itself, before it sends the refusal
+	}
+	if err := c.rc.Flush(); err != nil {
+		c.abort()
+	}
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(c.w, c.r.Body, c.bodyLimit())); err != nil {
+		c.abort() // what is left of the body can't be told from the next request
+	}
+}
+
 // chargeAgain charges the next attempt if one before it may have run: a limit
 // counts what endpoints run.
 func (c *call) chargeAgain() {
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,3 +122,32 @@
 		t.Errorf("%d places sought, charged for %d runs", p.placed, l.runs())
 	}
 }
+
+// Callers keep a connection and send request after request with bodies while their
+// organisation is at its limit. Each must be refused on its own: a server that leaves a
+// part of a body unread takes it for the next request, or breaks the connection.
+func TestRefusedRequestsKeepTheirConnection(t *testing.T) {
+	l := &countingLimiter{verdict: quota.Verdict{RetryAfter: time.Second}}
+	s := limited(t, &listPlacer{}, l)
+	conns := map[string]bool{}
+	for i := range 20 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", strings.NewReader(strings.Repeat("x", 17_000*(i%3))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h"
+		trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { conns[c.Conn.LocalAddr().String()] = true }}
+		resp, err := s.Client().Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusTooManyRequests {
+			t.Fatalf("request %d: status %d", i, resp.StatusCode)
+		}
+	}
+	if len(conns) > 1 {
+		t.Errorf("%d connections for requests one after the other", len(conns))
+	}
+}
