Take a dispatcher's place only within what the daemon knows itself

Cause: a dispatcher that lost the store or was frozen knows late of new weights, and the time in which a prompt had to begin came from it alone.

The test fails without it.

Change: the daemon that asked bounds the wait by its own knowledge, and takes no place at an endpoint that it does not know of the service, or that is leaving. Test: TestDispatcherThatLostTheStoreSendsNobodyToOldWeights.

--- a/quota/size_test.go
+++ b/quota/size_test.go
@@ -14,6 +14,7 @@
 // each daemon sends must stay within its bytes, and no organisation may be refused below
 // its limit.
 func TestMessagesOfAThousandDaemons(t *testing.T) {
+	t.Parallel()
 	var rates []float64
 	for i := range 333 {
 		rates = append(rates, 3e6/float64(1+i)+60_000)
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -219,21 +219,37 @@
 		return forward.Placement{}, false, nil
 	}
 	p := *got.Place
-	d.s.mu.Lock()
-	e := d.s.places[p.Target.Key]
-	known := e != nil && e.ID == p.Target.ID && !d.s.unusable(time.Now(), p.Target.Key)
-	d.s.mu.Unlock()
-	if !known || slices.Contains(w.Avoid, p.Target.Key) {
+	left := d.leftAt(w, &p)
+	if got.LeftMs > 0 {
+		left = min(left, time.Duration(got.LeftMs)*time.Millisecond)
+	}
+	if left <= beginLeast || slices.Contains(w.Avoid, p.Target.Key) {
 		d.post(from.Address, kindEnded, endedMessage{ID: got.ID, End: forward.End{Left: true}})
 		return forward.Placement{}, false, nil
 	}
-	if got.LeftMs > 0 {
-		p.BeginBy = time.Now().Add(time.Duration(got.LeftMs) * time.Millisecond)
+	p.BeginBy = time.Time{}
+	if left != noBound {
+		p.BeginBy = time.Now().Add(left)
 	}
 	p.ID, p.Notes.Dispatcher = got.ID, from.Address
 	return p, true, nil
 }
 
+// leftAt is how long a prompt may wait at a place before it begins, by what this daemon
+// knows; 0: it may not go there.
+//
+// A dispatcher that has lost the store knows neither new weights nor that an endpoint
+// leaves. By its word alone prompts would begin on weights that are out of use.
+func (d *dispatch) leftAt(w *forward.Work, p *forward.Placement) time.Duration {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	e := d.s.places[p.Target.Key]
+	if e == nil || e.ID != p.Target.ID || e.Service != w.Service.Name || d.s.unusable(time.Now(), p.Target.Key) {
+		return 0
+	}
+	return d.s.named[w.In.Model].left(p.Out.Version, d.placer.clock(), d.old)
+}
+
 func (d *dispatch) passOver(n Neighbour) {
 	d.mu.Lock()
 	d.away[n.Address] = d.clock() + dispatchAway
--- a/router/dispatch_test.go
+++ b/router/dispatch_test.go
@@ -234,3 +234,24 @@
 		}
 	}
 }
+
+// The dispatcher has lost the store and does not know that new weights were named twenty
+// seconds ago. A daemon that knows must not send a prompt to the old ones by its word.
+func TestDispatcherThatLostTheStoreSendsNobodyToOldWeights(t *testing.T) {
+	w := newDispatchWorld(t, 3, 4)
+	to, _ := w.all[0].dispatcher(w.all[0].groupOf(w.work(w.all[0], "p")))
+	for _, d := range w.all {
+		if d.me == to {
+			continue
+		}
+		d.s.named["m"] = named{{version: 2, since: d.clock() - time.Hour}}
+		if p, err := d.Place(context.Background(), w.work(d, "p")); err == nil {
+			t.Errorf("placed on version %d by %q", p.Out.Version, p.Notes.Dispatcher)
+		}
+		d.s.named["m"] = named{{version: 2, since: d.clock()}}
+		p := w.place(t, d, "p")
+		if left := time.Until(p.BeginBy); p.BeginBy.IsZero() || left > time.Minute {
+			t.Errorf("the prompt may begin until %v from now", left)
+		}
+	}
+}
