--- a/router/dispatch_test.go
+++ b/router/dispatch_test.go
@@ -28,7 +28,7 @@
 	return weights.Report{}, errors.New("no answer")
 }
 
-func newDispatchWorld(t *testing.T, daemons, engines int) *dispatchWorld {
+func newDispatchWorld(t testing.TB, daemons, engines int) *dispatchWorld {
 	t.Helper()
 	w := &dispatchWorld{lost: map[string]bool{}}
 	table := &routes.Table{
@@ -255,3 +255,23 @@
 		}
 	}
 }
+
+// What a long prompt costs both daemons together: the question, the choice among 72
+// engines, the answer, and the messages of its beginning and end.
+func BenchmarkDispatch(b *testing.B) {
+	w := newDispatchWorld(b, 2, 72)
+	to, _ := w.all[0].dispatcher(w.all[0].groupOf(w.work(w.all[0], "p")))
+	asker := w.all[0]
+	if to == asker.me {
+		asker = w.all[1]
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p, err := asker.Place(context.Background(), w.work(asker, string(rune('a'+i%500))))
+		if err != nil {
+			b.Fatal(err)
+		}
+		asker.Answered(&p, &forward.AnswerInfo{Load: &fleet.Load{Running: 1, Slots: 16}})
+		asker.Ended(&p, forward.End{Whole: true})
+	}
+}
--- a/router/placer.go
+++ b/router/placer.go
@@ -103,7 +103,7 @@
 		Priority: priorityOf(w.Route.Urgency(w.Organisation)),
 	}
 	if w.Service.Engine != nil && w.In.Model != "" {
-		return p.placeModel(ctx, now, w, &r, true)
+		return p.placeModel(ctx, now, w, &r)
 	}
 	d, err := p.choose(now, &r, w.Route.Repeatable())
 	if err != nil {
@@ -116,14 +116,15 @@
 	return p.placed(now, w, &r, &d, &way{}), nil
 }
 
-// placeKnown places a prompt by what is known, without asking engines for their load.
+// placeKnown places a long prompt by what is known, without asking engines for their
+// load: this daemon places all of them.
 func (p *placer) placeKnown(now time.Time, w *forward.Work) (forward.Placement, error) {
 	p.s.settle(now)
 	r := placement.Request{
 		Tokens: w.In.PromptTokens, Avoid: w.Avoid, Priority: priorityOf(w.Route.Urgency(w.Organisation)),
-		Sole: laneOf(w.In.PromptTokens) == laneLong,
+		Sole: true,
 	}
-	return p.placeModel(context.Background(), now, w, &r, false)
+	return p.placeModel(context.Background(), now, w, &r)
 }
 
 // shared tells where the shared part of a prompt is, for the daemon that places all.
@@ -180,17 +181,17 @@
 }
 
 // placeModel places a prompt at an engine of its model.
-func (p *placer) placeModel(ctx context.Context, now time.Time, w *forward.Work, r *placement.Request, ask bool) (forward.Placement, error) {
+func (p *placer) placeModel(ctx context.Context, now time.Time, w *forward.Work, r *placement.Request) (forward.Placement, error) {
 	v, err := p.versions(w)
 	if err != nil {
 		return forward.Placement{}, err
 	}
 	in := laneOf(w.In.PromptTokens)
 	all := ways(w, v, in, p.whereabouts())
-	if r.Sole {
+	switch {
+	case r.Sole:
 		p.anywhere(now, w, all)
-	}
-	if ask && in == laneLong {
+	case in == laneLong:
 		first := *r
 		first.Pool, first.Levels = all[0].pool, all[0].levels()
 		p.ask(ctx, now, &first, w.In.Model)
