--- a/router/daemons.go
+++ b/router/daemons.go
@@ -19,7 +19,7 @@
 	daemonsEvery = time.Second
 	// startTogether is how long a daemon that was not on the list waits before it reads
 	// it again and then follows the store: the others of a new deployment start within
-	// as long. 295 that knew of a few others only made 1,870 calls in their first second.
+	// as long. A daemon that knows of a few others only turns to the store.
 	startTogether = 400 * time.Millisecond
 	// announceAgain is how long a daemon waits to see itself on the list. Neighbours
 	// may tell of it a few seconds late.
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -24,9 +24,8 @@
 	// operator's topic through a neighbour. A few daemons cost the store little, and
 	// one that waits for news at the store knows of them at once.
 	relayFrom = 8
-	// relayListFrom is the same for the topics that are read again and again: eight
-	// daemons in three zones made 1,108 calls to the store on a calm day of 34 s with
-	// a reader each, and 764 so (one play each).
+	// relayListFrom is the same for the topics that are read again and again, where
+	// each reader of the store makes most of the calls.
 	relayListFrom = 2
 	// relayAgePart is the age of what a daemon knows through a neighbour from which
 	// it leaves that neighbour, as a part of the bound on news of the topic. The
@@ -39,9 +38,8 @@
 	relayAgeMost = 0.68
 	// relayWaitPart is how long the daemon that reads for its zone lets a read of the
 	// operator's topic wait, as a part of the bound on news. The answer confirms what
-	// was known when the read was sent, so knowledge is up to two waits old. With 1.5 s
-	// of a bound of 4 s it was 3 s old, past the age at which a neighbour is left, and
-	// 64 daemons of a zone turned to the store at once every 1.5 s.
+	// was known when the read was sent, so knowledge is up to two waits old. Past
+	// relayAgePart the whole zone would turn to the store at once.
 	relayWaitPart = 0.18
 	// relayTimePart is what an answer may take beyond the time that it was to wait, as
 	// a part of the bound on news: 0.3 s of 4 s. A daemon with a fifth of a core may
