Tell repeats of a request and lost connections apart in the lines of requests

Each line now has the request's fingerprint (organisation, method, host, path with query, body), each attempt that lost its connection how it was lost. No change of what is decided.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -43,7 +43,7 @@
 		if errors.Is(err, ErrNotSent) {
 			failure = retry.NotSent
 		}
-		end = End{Failure: failure, Lost: !withdrawn, Withdrawn: withdrawn}
+		end = End{Failure: failure, Lost: !withdrawn, Withdrawn: withdrawn, Cause: err}
 		return false, retry.Attempt{Endpoint: p.Target.Key, Failure: failure}
 	}
 	c.report.Attempts[len(c.report.Attempts)-1].Load = a.Info.Load
@@ -81,6 +81,9 @@
 func (c *call) noteAttempt(end *End) {
 	r := &c.report.Attempts[len(c.report.Attempts)-1]
 	r.After = time.Since(c.work.Arrived)
+	if end.Lost {
+		r.Lost = lossOf(end.Cause)
+	}
 	switch {
 	case end.Left:
 		r.Result = retry.CallerLeft.String()
@@ -120,7 +123,7 @@
 	}
 	a.Close(err == nil)
 	if err != nil {
-		return End{Failure: retry.Broken, Lost: true}
+		return End{Failure: retry.Broken, Lost: true, Cause: err}
 	}
 	answer := &whole{status: a.Status, header: a.Header, body: body}
 	if a.Status >= http.StatusInternalServerError && c.retry.Idempotent {
@@ -144,7 +147,7 @@
 	}
 	a.Close(err == nil)
 	if err != nil {
-		return End{Failure: retry.Broken, Lost: true}
+		return End{Failure: retry.Broken, Lost: true, Cause: err}
 	}
 	return End{Whole: true}
 }
@@ -178,7 +181,7 @@
 			return c.endStream(a)
 		case readErr != nil:
 			a.Close(false)
-			return End{Failure: retry.Broken, Lost: true}
+			return End{Failure: retry.Broken, Lost: true, Cause: readErr}
 		}
 	}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/hash"
+	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
@@ -58,6 +59,7 @@
 // Report is what became of one request.
 type Report struct {
 	ID           string
+	Fingerprint  quarantine.Fingerprint // the zero value: the request was not read
 	Route        string
 	Kind         routes.Kind
 	Organisation string
@@ -91,6 +93,7 @@
 	Saved    bool        // it was sent to the store
 	Load     *fleet.Load // that the answer told; nil: none
 	Result   string
+	Lost     string        // how the connection ended; empty: it did not
 	After    time.Duration // from the request's arrival to the attempt's end
 }
 
@@ -185,6 +188,7 @@
 		return
 	}
 	c.prepare()
+	c.identify()
 	c.o.Placer.First()
 	c.attempts()
 }
@@ -286,6 +290,12 @@
 	c.out.Host, c.out.Header = c.r.Host, header
 }
 
+// identify makes repeats of the request known under any id.
+func (c *call) identify() {
+	c.work.Fingerprint = quarantine.FingerprintOf(c.report.Organisation, c.out.Method, c.out.Host, c.out.URI, c.out.Body)
+	c.report.Fingerprint = c.work.Fingerprint
+}
+
 // attempts sends the request until it has an answer or is given up.
 func (c *call) attempts() {
 	for ; ; c.work.Attempt++ {
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -16,6 +17,7 @@
 	Table        *routes.Table
 	Organisation *routes.Organisation // nil on public routes
 	In           *Inbound
+	Fingerprint  quarantine.Fingerprint
 	Arrived      time.Time
 	Deadline     time.Time
 	Avoid        []fleet.EndpointID // tried already
@@ -81,8 +83,9 @@
 	Error   bool // with a failure of its own
 	NotRun  bool
 	Failure retry.Failure
-	Lost    bool // the connection was refused, lost or fell silent
-	Left    bool // the caller did
+	Lost    bool  // the connection was refused, lost or fell silent
+	Cause   error `json:"-"` // of the loss; nil: the answer was incomplete though the connection held
+	Left    bool  // the caller did
 	// Withdrawn says that the time was over in which the request had to begin.
 	Withdrawn bool
 }
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,32 @@
+package quarantine
+
+import "testing"
+
+// A caller's repeat must be known under another id, and no other caller's request may
+// be taken for it.
+func TestFingerprintNamesTheRequestAndItsOrganisation(t *testing.T) {
+	base := FingerprintOf("org", "POST", "h", "/a?b", []byte("body"))
+	if base != FingerprintOf("org", "POST", "h", "/a?b", []byte("body")) {
+		t.Error("a repeat has another fingerprint")
+	}
+	for name, other := range map[string]Fingerprint{
+		"organisation": FingerprintOf("other", "POST", "h", "/a?b", []byte("body")),
+		"method":       FingerprintOf("org", "PUT", "h", "/a?b", []byte("body")),
+		"host":         FingerprintOf("org", "POST", "g", "/a?b", []byte("body")),
+		"path":         FingerprintOf("org", "POST", "h", "/a?c", []byte("body")),
+		"body":         FingerprintOf("org", "POST", "h", "/a?b", []byte("bodY")),
+		"shifted":      FingerprintOf("orgP", "OST", "h", "/a?b", []byte("body")),
+	} {
+		if other == base {
+			t.Errorf("another %s has the same fingerprint", name)
+		}
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 4<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		FingerprintOf("org", "POST", "host.example", "/a/b", body)
+	}
+}
--- a/router/report.go
+++ b/router/report.go
@@ -9,6 +9,7 @@
 
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/freshness"
+	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/telemetry"
 )
 
@@ -69,6 +70,9 @@
 		"ms", rep.Duration.Milliseconds(), "config", rep.TableVersion, "keys_age_ms", rep.KeysAge.Milliseconds(),
 		"limit_ms", rep.Deadline.Milliseconds(),
 	}
+	if rep.Fingerprint != (quarantine.Fingerprint{}) {
+		fields = append(fields, "fingerprint", rep.Fingerprint.String())
+	}
 	if rep.FirstEvent > 0 {
 		fields = append(fields, "first_ms", rep.FirstEvent.Milliseconds())
 	}
@@ -124,7 +128,12 @@
 	b = append(b, " end_ms="...)
 	b = strconv.AppendInt(b, int64(a.After/time.Millisecond), 10)
 	b = append(b, ' ')
-	return string(append(b, a.Result...))
+	b = append(b, a.Result...)
+	if a.Lost != "" {
+		b = append(b, " lost="...)
+		b = append(b, a.Lost...)
+	}
+	return string(b)
 }
 
 // measureReading tells how old what the daemon knows is, and how far from the store it
