Reproduce a repeated request that ends engine after engine

A fleet in virtual time: the routed daemons' own handlers, placement and messages, endpoints in memory that end when they run the request and are back two seconds later under another id.

For it the daemon takes its clock, its way to endpoints and its messages as inputs; nothing is decided otherwise.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -57,20 +57,27 @@
 	errStray    = errors.New("forward: answers of other requests only")
 )
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Client sends requests to endpoints over connections that it keeps.
 type Client struct {
-	wire   Wire
-	dialer net.Dialer
+	wire Wire
+	dial Dial
 
 	mu   sync.Mutex
 	idle map[fleet.EndpointID][]*conn
 	open map[fleet.EndpointID]int
 }
 
-// NewClient returns a client without connections.
-func NewClient(w Wire) *Client {
+// NewClient returns a client without connections. dial is nil for TCP.
+func NewClient(w Wire, dial Dial) *Client {
+	if dial == nil {
+		d := Dialer()
+		dial = d.DialContext
+	}
 	return &Client{
-		wire: w, dialer: Dialer(),
+		wire: w, dial: dial,
 		idle: map[fleet.EndpointID][]*conn{}, open: map[fleet.EndpointID]int{},
 	}
 }
@@ -120,7 +127,7 @@
 		}
 		c.close(k)
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", t.Address)
+	raw, err := c.dial(ctx, "tcp", t.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/forward/conn_test.go
+++ b/forward/conn_test.go
@@ -93,7 +93,7 @@
 
 func TestConnectionIsUsedAgainAndBytesAreUnchanged(t *testing.T) {
 	target, seen := endpoint(t, text("a1", "first"), text("a2", "secnd"))
-	c := NewClient(plainWire{})
+	c := NewClient(plainWire{}, nil)
 	for i, want := range []string{"first", "secnd"} {
 		got, err := read(t, c, target, []string{"a1", "a2"}[i])
 		if err != nil || got != want {
@@ -113,7 +113,7 @@
 // get another caller's answer.
 func TestSecondAnswerIsNotGivenToTheNextRequest(t *testing.T) {
 	target, _ := endpoint(t, text("a1", "first"), text("a1", "again")+text("a2", "right"))
-	c := NewClient(plainWire{})
+	c := NewClient(plainWire{}, nil)
 	if _, err := read(t, c, target, "a1"); err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +126,7 @@
 // connection must not be used at all.
 func TestConnectionWithStrayBytesIsDropped(t *testing.T) {
 	target, _ := endpoint(t, text("a1", "first")+text("a1", "extra"), text("a2", "wrong"))
-	c := NewClient(plainWire{})
+	c := NewClient(plainWire{}, nil)
 	if _, err := read(t, c, target, "a1"); err != nil {
 		t.Fatal(err)
 	}
@@ -143,7 +143,7 @@
 		t.Fatal(err)
 	}
 	_ = l.Close()
-	_, err = read(t, NewClient(plainWire{}), Target{Key: "e", Address: l.Addr().String()}, "a1")
+	_, err = read(t, NewClient(plainWire{}, nil), Target{Key: "e", Address: l.Addr().String()}, "a1")
 	if !errors.Is(err, ErrNotSent) {
 		t.Errorf("error %v", err)
 	}
@@ -176,7 +176,7 @@
 func TestClosedConnectionIsNoAnswer(t *testing.T) {
 	for name, reply := range map[string]string{"nothing": "", "half a header": "HTTP/1.1 200 OK\r\nAtt", "no answer at all": "\x00\x01garbage\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			_, err := read(t, NewClient(plainWire{}), Target{Key: "e", Address: replyOnce(t, reply)}, "a1")
+			_, err := read(t, NewClient(plainWire{}, nil), Target{Key: "e", Address: replyOnce(t, reply)}, "a1")
 			if !errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) {
 				t.Errorf("error %v", err)
 			}
@@ -192,7 +192,7 @@
 		"chunks": "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got, err := read(t, NewClient(plainWire{}), Target{Key: "e", Address: replyOnce(t, reply)}, "a1"); err == nil {
+			if got, err := read(t, NewClient(plainWire{}, nil), Target{Key: "e", Address: replyOnce(t, reply)}, "a1"); err == nil {
 				t.Errorf("taken as whole: %q", got)
 			}
 		})
@@ -220,7 +220,7 @@
 		<-release
 	}()
 	defer close(release)
-	c := NewClient(plainWire{})
+	c := NewClient(plainWire{}, nil)
 	o := outgoing("a1")
 	o.Body = make([]byte, 32<<20) // more than the sockets hold
 	a, err := c.Send(t.Context(), Target{Key: "e", Address: l.Addr().String()}, o)
@@ -242,7 +242,7 @@
 	target, seen := endpoint(t, "")
 	ctx, cancel := context.WithCancel(t.Context())
 	failed := make(chan error, 1)
-	c := NewClient(plainWire{})
+	c := NewClient(plainWire{}, nil)
 	go func() {
 		_, err := c.Send(ctx, target, outgoing("a1"))
 		failed <- err
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -68,7 +68,7 @@
 	table.Index()
 	callers := NewCallers()
 	h := NewHandler(Options{
-		Wire: plainWire{}, Client: NewClient(plainWire{}), Placer: p,
+		Wire: plainWire{}, Client: NewClient(plainWire{}, nil), Placer: p,
 		Table:     func() *routes.Table { return table },
 		KeysFresh: func() bool { return true }, KeysAge: func() time.Duration { return 0 },
 		Leaving: func() bool { return !stops.IsZero() }, StopsAt: func() time.Time { return stops },
--- /dev/null
+++ b/router/crash_test.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/merlindock/merlindock/routes"
+)
+
+// crashLoad is a request that ends the endpoints that run it, sent again and again
+// beside ordinary ones.
+type crashLoad struct {
+	every    time.Duration // between two of its repeats
+	ordinary time.Duration // between two ordinary requests
+	lasts    time.Duration
+
+	mu       sync.Mutex
+	asked    int // ordinary requests
+	unserved int
+	late     int // of these, sent after the settling time
+}
+
+// play sends the load to all daemons.
+func (l *crashLoad) play(f *memoryFleet) {
+	var all sync.WaitGroup
+	for at := time.Duration(0); at < l.lasts; at += l.ordinary {
+		all.Go(func() {
+			time.Sleep(at)
+			got := f.ask(f.someDaemon(), fleetKey, "/x", fmt.Sprint("ordinary ", at))
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.asked++
+			if got.Code != http.StatusOK {
+				l.unserved++
+				if at > 2*fleetStable+fleetBack {
+					l.late++
+				}
+			}
+		})
+	}
+	for at := time.Duration(0); at < l.lasts; at += l.every {
+		all.Go(func() {
+			time.Sleep(at)
+			f.ask(f.someDaemon(), fleetKey, "/x", crashBody)
+		})
+	}
+	all.Wait()
+}
+
+// crashes lists when the request reached endpoints, and when the third of them ended.
+func (f *memoryFleet) crashes() (reached []time.Time, third time.Time) {
+	var ends []time.Time
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.endpoints {
+		for _, a := range e.arrivals {
+			if a.body != crashBody {
+				continue
+			}
+			reached = append(reached, a.at)
+			if a.ran {
+				ends = append(ends, a.at.Add(fleetRun))
+			}
+		}
+	}
+	slices.SortFunc(reached, time.Time.Compare)
+	slices.SortFunc(ends, time.Time.Compare)
+	if len(ends) < 3 {
+		return reached, time.Time{}
+	}
+	return reached, ends[2]
+}
+
+// later counts the times after the given one.
+func later(all []time.Time, than time.Time) int {
+	at, _ := slices.BinarySearchFunc(all, than, func(a, b time.Time) int {
+		return cmp.Compare(a.UnixNano(), b.UnixNano())
+	})
+	return len(all) - at
+}
+
+// Guards against a request that ends engine after engine because its caller repeats it
+// under new ids at other daemons.
+func TestRepeatedRequestThatCrashesEndpointsIsKeptFromThem(t *testing.T) {
+	for name, route := range map[string]routes.Route{
+		"resumable stream": {Kind: routes.Stream, Resumable: true},
+		"stream":           {Kind: routes.Stream},
+		"safe":             {Kind: routes.Safe},
+		"unsafe":           {Kind: routes.Unsafe},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 9, 18, route)
+				l := crashLoad{every: 200 * time.Millisecond, ordinary: 20 * time.Millisecond, lasts: 30 * time.Second}
+				l.play(f)
+				reached, third := f.crashes()
+				if third.IsZero() {
+					t.Fatal("no three endpoints ended")
+				}
+				after := later(reached, third.Add(fleetStable))
+				t.Logf("reached endpoints %d times, %d after the settling time; %d of %d others not served, %d of them late", len(reached), after, l.unserved, l.asked, l.late)
+				if after > 3 {
+					t.Errorf("reached endpoints %d times more", after)
+				}
+				if l.late > 0 {
+					t.Errorf("%d ordinary requests were not served after the settling time", l.late)
+				}
+			})
+		})
+	}
+}
--- a/router/datagrams.go
+++ b/router/datagrams.go
@@ -20,7 +20,8 @@
 type datagrams struct {
 	log    *logging.Logger
 	unsent tally.Counter
-	conn   *net.UDPConn // nil: there are no other daemons
+	conn   *net.UDPConn
+	write  func(to netip.AddrPort, data []byte) error // nil: there are no other daemons
 	take   func(from string, data []byte)
 }
 
@@ -35,6 +36,10 @@
 		return eris.Wrap(err, "the address for messages of other daemons is malformed")
 	}
 	d.conn, err = net.ListenUDP("udp4", at)
+	d.write = func(to netip.AddrPort, data []byte) error {
+		_, err := d.conn.WriteToUDPAddrPort(data, to)
+		return err
+	}
 	return eris.Wrap(err, "the address for messages of other daemons cannot be listened on")
 }
 
@@ -57,12 +62,12 @@
 
 // send hands a message to the kernel and never waits for its way.
 func (d *datagrams) send(to string, data []byte) {
-	if d.conn == nil {
+	if d.write == nil {
 		return
 	}
 	at, err := netip.ParseAddrPort(to)
 	if err == nil {
-		_, err = d.conn.WriteToUDPAddrPort(data, at)
+		err = d.write(at, data)
 	}
 	if err != nil {
 		d.unsent.Inc(1) // its sender takes it for lost
--- a/router/router.go
+++ b/router/router.go
@@ -57,10 +57,12 @@
 	// Clock runs on while the machine is suspended; nil: BootClock.
 	Clock     func() time.Duration
 	CacheFeed CacheFeed // nil: nobody tells of caches
-	Wire      forward.Wire
-	Engines   weights.Engines
-	Logs      *logging.Factory
-	Rand      *rand.Rand // seeded
+	// Dial opens connections to endpoints; nil: TCP.
+	Dial    forward.Dial
+	Wire    forward.Wire
+	Engines weights.Engines
+	Logs    *logging.Factory
+	Rand    *rand.Rand // seeded
 	// MetricsPort is where metrics are served at Settings.MetricsHost; 0: nowhere.
 	MetricsPort string
 }
@@ -103,24 +105,31 @@
 
 // New returns a daemon that has not started.
 func New(o Options) *Router {
+	return newRouter(o, newMeters(telemetry.New(o.Settings.Name, string(o.Settings.Zone))))
+}
+
+func newRouter(o Options, metrics *meters) *Router {
+	if o.Clock == nil {
+		o.Clock = BootClock
+	}
 	s := newState(&o.Settings, o.Rand)
 	r := &Router{
-		o: o, clock: BootClock, s: s,
-		placer:  newPlacer(s, &o.Settings, o.Engines, BootClock, o.Rand),
-		client:  forward.NewClient(o.Wire),
+		o: o, clock: o.Clock, s: s,
+		placer:  newPlacer(s, &o.Settings, o.Engines, o.Clock, o.Rand),
+		client:  forward.NewClient(o.Wire, o.Dial),
 		callers: forward.NewCallers(),
 		log:     o.Logs.For(logging.PartRouter),
-		metrics: newMeters(telemetry.New(o.Settings.Name, string(o.Settings.Zone))),
+		metrics: metrics,
 	}
 	r.countStoreCalls()
-	r.watch = newCacheWatch(o.CacheFeed, BootClock, r.log)
+	r.watch = newCacheWatch(o.CacheFeed, o.Clock, r.log)
 	r.placer.watch = r.watch
 	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress, Cores: o.Settings.Cores}
-	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), BootClock, r.log)
+	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), o.Clock, r.log)
 	r.datagrams = newDatagrams(r.metrics.scope, r.log)
 	r.datagrams.take = r.receive
-	r.limits = newLimiter(me, &o.Settings, BootClock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
-	r.dispatch = newDispatch(me, s, r.placer, BootClock, r.log, r.datagrams.send)
+	r.limits = newLimiter(me, &o.Settings, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
+	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
 	}
