Hold requests that end the endpoints that run them

Callers saw: a request of one organisation, repeated under new ids at all daemons, ended 58 and 62 engines; in the worst seconds half of all requests was not served.

Cause: nothing in the router knows a request beyond its own attempts. Each repeat is a new request at any daemon, and each run ends an engine with whatever else that runs. Class: query of death. Ruled out: engines that end by themselves (27 of 29 had the request, none ended between the spells); the router's own retries (9 of 34 attempts).

Change: a request is known by its fingerprint. A daemon that loses an attempt asks whether the endpoint still takes connections; if not, it reports fingerprint and endpoint to three owners chosen by rendezvous hashing. After three different endpoints the request is held at all daemons for 10 minutes: 503, quarantined, with the time to come back. A whole answer from any endpoint clears a request. A request at two ends is not sent on by the daemon itself.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,6 +27,7 @@
 		// An abort of the handler passes here as well.
 		end.Left = c.r.Context().Err() != nil
 		c.noteAttempt(&end)
+		c.tellQuarantine(p.Target, &end)
 		if end.mayHaveRun() {
 			c.quota.ran++
 		}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -53,7 +53,9 @@
 	StopsAt func() time.Time
 	Callers *Callers
 	Limiter Limiter // nil: organisations have no rate limits
-	Report  func(*Report)
+	// Quarantine is nil if requests are kept from endpoints by nothing.
+	Quarantine Quarantine
+	Report     func(*Report)
 }
 
 // Report is what became of one request.
@@ -189,6 +191,9 @@
 	}
 	c.prepare()
 	c.identify()
+	if c.quarantined() {
+		return
+	}
 	c.o.Placer.First()
 	c.attempts()
 }
@@ -299,6 +304,10 @@
 // attempts sends the request until it has an answer or is given up.
 func (c *call) attempts() {
 	for ; ; c.work.Attempt++ {
+		if !c.mayRepeat() {
+			c.giveUp(retry.Decision{Code: CodeQuarantined})
+			return
+		}
 		p, err := c.o.Placer.Place(c.ctx, &c.work)
 		if err != nil {
 			c.unplaced(err)
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// Bounds and times.
+const (
+	// endsToHold is the number of endpoints that a request has to end before it is
+	// held. Below it a request that only stood beside the cause is not held.
+	endsToHold = 3
+	// endsToRepeat is the number from which a daemon does not send a request to
+	// another endpoint by itself.
+	endsToRepeat = 2
+	// HoldTime is how long a request is held.
+	HoldTime = 10 * time.Minute
+	// evidenceTime is how long an ended endpoint counts against a request.
+	evidenceTime = 2 * time.Minute
+	// clearTime is how long before an end a whole answer still speaks for a request.
+	// New weights may turn a request that was answered into one that ends endpoints.
+	clearTime = 10 * time.Second
+
+	maxSuspects = 8192
+	maxHolds    = 1024
+	maxAnswers  = 16_384
+	// endpointBytes is the longest key of an endpoint that is reported.
+	endpointBytes = 48
+)
+
+// Times and bounds of messages between daemons.
+const (
+	// ownerCount is the number of daemons that each report is sent to.
+	ownerCount = 3
+	// reportTimes is how often a report is sent, as messages may be lost, and
+	// reportEvery the time between.
+	reportTimes = 3
+	reportEvery = 100 * time.Millisecond
+	// directPeers is the number of daemons that an owner tells of a hold itself.
+	directPeers = 64
+	// relayPeers and relayTimes are the daemons that each daemon passes a change on
+	// to at each tick, and the number of ticks.
+	relayPeers = 3
+	relayTimes = 8
+	// syncEvery is the time between two messages with what is held, for daemons that
+	// were cut off or have started anew.
+	syncEvery = 250 * time.Millisecond
+	// Tick is how often Node.Tick is to be called.
+	Tick = 100 * time.Millisecond
+)
+
+// Hold is the decision to keep a request from endpoints.
+type Hold struct {
+	Left time.Duration // until it ends
+	Ends int           // endpoints that are known here to have ended; 0: none, another daemon knows
+}
+
+// Change is a hold that began or ended, for logs.
+type Change struct {
+	Fingerprint Fingerprint
+	Held        bool
+	Reason      Reason
+	Ends        []fleet.EndpointID // that the request ended, as far as they are known here
+	Left        time.Duration
+}
+
+// Reason is why a hold began or ended.
+type Reason string
+
+// The reasons.
+const (
+	ReasonEnds     Reason = "ended_endpoints" // this daemon owns the fingerprint
+	ReasonTold     Reason = "told"            // by another daemon
+	ReasonAnswered Reason = "answered"        // an endpoint gave a whole answer
+	ReasonOperator Reason = "operator"
+	ReasonExpired  Reason = "expired"
+)
+
+// Peer is a daemon of the deployment.
+type Peer struct {
+	Name    string
+	Address string // where it takes messages, IP:port
+}
+
+// Datagram is a message to another daemon. It may be lost, late or doubled.
+type Datagram struct {
+	To   string // Peer.Address
+	Data []byte
+}
--- a/router/crash_test.go
+++ b/router/crash_test.go
@@ -32,7 +32,7 @@
 	for at := time.Duration(0); at < l.lasts; at += l.ordinary {
 		all.Go(func() {
 			time.Sleep(at)
-			got := f.ask(f.someDaemon(), fleetKey, "/x", fmt.Sprint("ordinary ", at))
+			got := f.ask(f.someDaemon(), fleetKey, fmt.Sprint("ordinary ", at))
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.asked++
@@ -47,7 +47,7 @@
 	for at := time.Duration(0); at < l.lasts; at += l.every {
 		all.Go(func() {
 			time.Sleep(at)
-			f.ask(f.someDaemon(), fleetKey, "/x", crashBody)
+			f.ask(f.someDaemon(), fleetKey, crashBody)
 		})
 	}
 	all.Wait()
@@ -99,6 +99,12 @@
 				f := newFleet(t, 9, 18, route)
 				l := crashLoad{every: 200 * time.Millisecond, ordinary: 20 * time.Millisecond, lasts: 30 * time.Second}
 				l.play(f)
+				if got := f.ask(0, fleetKey, crashBody); got.Code != http.StatusServiceUnavailable || got.Body.String() != "quarantined\n" || got.Header().Get("Retry-After") == "" {
+					t.Errorf("a repeat is answered with %d %q %v", got.Code, got.Body, got.Header())
+				}
+				if got := f.ask(0, "other", "ordinary"); got.Code != http.StatusOK {
+					t.Errorf("another organisation's request is answered with %d %q", got.Code, got.Body)
+				}
 				reached, third := f.crashes()
 				if third.IsZero() {
 					t.Fatal("no three endpoints ended")
@@ -115,3 +121,47 @@
 		})
 	}
 }
+
+// Guards against refusing a request that many callers send since it stood at endpoints
+// that ended together for another reason.
+func TestHotRequestIsServedAfterARackEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, 18, routes.Route{Kind: routes.Stream, Resumable: true})
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		held := 0
+		for at := time.Duration(0); at < 10*time.Second; at += 5 * time.Millisecond {
+			all.Go(func() {
+				time.Sleep(at)
+				if got := f.ask(f.someDaemon(), fleetKey, "hot"); got.Body.String() == "quarantined\n" {
+					mu.Lock()
+					held++
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(4 * time.Second)
+		for _, e := range f.endpoints[:9] {
+			e.end(0)
+		}
+		all.Wait()
+		if held > 0 {
+			t.Errorf("%d requests were held", held)
+		}
+	})
+}
+
+// Guards against taking an answer that an endpoint cut short for the end of the
+// endpoint.
+func TestEndpointThatCutsAnswersHasNotEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 6, routes.Route{Kind: routes.Safe})
+		for range 20 {
+			f.ask(f.someDaemon(), fleetKey, cutBody)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got := f.ask(0, fleetKey, cutBody); got.Body.String() == "quarantined\n" {
+			t.Error("the request is held")
+		}
+	})
+}
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -48,6 +48,7 @@
 			all := slices.Collect(maps.Values(known))
 			r.neighbours.set(all)
 			r.limits.setDaemons(all)
+			r.quarantine.setDaemons(all)
 			r.dispatch.setDaemons(all)
 			changed = false
 		}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -135,11 +135,13 @@
 	}
 	f.mu.Unlock()
 	r.limits.setDaemons(all)
+	r.quarantine.setDaemons(all)
 	r.dispatch.setDaemons(all)
 	for _, e := range up {
 		r.list(e)
 	}
 	go r.keepTime(ctx)
+	go r.quarantine.run(ctx)
 	return r
 }
 
@@ -191,12 +193,12 @@
 }
 
 // ask sends a request to a daemon and returns the answer. A broken answer has status 0.
-func (f *memoryFleet) ask(daemon int, key, path, body string) (answer *httptest.ResponseRecorder) {
+func (f *memoryFleet) ask(daemon int, key, body string) (answer *httptest.ResponseRecorder) {
 	f.mu.Lock()
 	r := f.daemons[daemon]
 	id := strconv.FormatUint(f.rng.Uint64(), 16)
 	f.mu.Unlock()
-	req := httptest.NewRequestWithContext(f.ctx, http.MethodPost, path, bytes.NewBufferString(body))
+	req := httptest.NewRequestWithContext(f.ctx, http.MethodPost, "/x", bytes.NewBufferString(body))
 	req.Host = fleetHost
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Key", key)
@@ -220,7 +222,7 @@
 	return f.rng.IntN(len(f.daemons))
 }
 
-// memoryEndpoint runs requests. One with the body of crashBody ends it.
+// memoryEndpoint runs requests.
 type memoryEndpoint struct {
 	f     *memoryFleet
 	n     int
@@ -238,7 +240,11 @@
 	ran  bool
 }
 
-const crashBody = "crash"
+// Bodies of requests that end the endpoint, and whose answers it cuts short.
+const (
+	crashBody = "crash"
+	cutBody   = "cut"
+)
 
 func (e *memoryEndpoint) id() string { return fmt.Sprintf("e%d-%d", e.n, e.life) }
 
@@ -302,6 +308,10 @@
 		e.end(life)
 		return false
 	}
+	if body == cutBody {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 99\r\n\r\nid: 0")
+		return false
+	}
 	answer := "id: 0\ndata: one\n\n"
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
 	return err == nil
--- /dev/null
+++ b/router/quarantine_http.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+
+	"github.com/merlindock/merlindock/quarantine"
+)
+
+// heldRequest is a held request as operators see it.
+type heldRequest struct {
+	Fingerprint string `json:"fingerprint"`
+	LeftSeconds int64  `json:"left_s"`
+}
+
+// handle adds what operators may ask: GET /quarantine lists the requests that are
+// held, DELETE /quarantine/FINGERPRINT ends a hold at all daemons.
+func (h *holder) handle(mux *http.ServeMux) {
+	mux.HandleFunc("GET /quarantine", h.list)
+	mux.HandleFunc("DELETE /quarantine/{fingerprint}", h.lift)
+}
+
+func (h *holder) list(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	holds := h.node.Holds(h.clock())
+	h.mu.Unlock()
+	out := make([]heldRequest, 0, len(holds))
+	for f, hold := range holds {
+		out = append(out, heldRequest{Fingerprint: f.String(), LeftSeconds: int64(hold.Left.Seconds())})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		h.log.Info("List of held requests was not read.", "error", err.Error())
+	}
+}
+
+func (h *holder) lift(w http.ResponseWriter, r *http.Request) {
+	var f quarantine.Fingerprint
+	digits, err := hex.DecodeString(r.PathValue("fingerprint"))
+	if err != nil || len(digits) != len(f) {
+		http.Error(w, "the fingerprint is malformed", http.StatusBadRequest)
+		return
+	}
+	copy(f[:], digits)
+	h.mu.Lock()
+	lifted := h.node.Lift(h.clock(), f)
+	h.post()
+	h.mu.Unlock()
+	if !lifted {
+		http.Error(w, "no request with this fingerprint is held", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/telemetry"
 	"github.com/merlindock/merlindock/weights"
@@ -81,6 +82,7 @@
 	watch      *cacheWatch
 	datagrams  *datagrams
 	limits     *limiter
+	quarantine *holder
 	dispatch   *dispatch
 	feeds      [topicCount]*feed
 	log        *logging.Logger
@@ -129,6 +131,7 @@
 	r.datagrams = newDatagrams(r.metrics.scope, r.log)
 	r.datagrams.take = r.receive
 	r.limits = newLimiter(me, &o.Settings, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
+	r.quarantine = newHolder(me, o.Dial, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
@@ -136,14 +139,15 @@
 	r.front = &http.Server{
 		Handler: forward.NewHandler(forward.Options{
 			Wire: o.Wire, Client: r.client, Placer: r.dispatch,
-			Table:     func() *routes.Table { return s.table.Load() },
-			KeysFresh: r.keysFresh,
-			KeysAge:   r.keysAge,
-			Leaving:   r.leaving.Load,
-			StopsAt:   r.stopsAt,
-			Callers:   r.callers,
-			Limiter:   r.limits,
-			Report:    r.report,
+			Table:      func() *routes.Table { return s.table.Load() },
+			KeysFresh:  r.keysFresh,
+			KeysAge:    r.keysAge,
+			Leaving:    r.leaving.Load,
+			StopsAt:    r.stopsAt,
+			Callers:    r.callers,
+			Limiter:    r.limits,
+			Quarantine: r.quarantine,
+			Report:     r.report,
 		}),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -212,6 +216,7 @@
 		r.neighbours.proceed()
 	}
 	go r.limits.run(work)
+	go r.quarantine.run(work)
 	if r.o.MetricsPort != "" {
 		go r.serveMetrics()
 	}
@@ -227,7 +232,11 @@
 
 // receive takes a message of another daemon by the first byte, which names its kind.
 func (r *Router) receive(from string, data []byte) {
-	if !r.dispatch.receive(from, data) {
+	switch {
+	case r.dispatch.receive(from, data):
+	case quarantine.Owns(data):
+		r.quarantine.receive(from, data)
+	default:
 		r.limits.receive(from, data)
 	}
 }
@@ -285,12 +294,20 @@
 
 func (r *Router) serveMetrics() {
 	address := net.JoinHostPort(r.o.Settings.MetricsHost, r.o.MetricsPort)
-	s := &http.Server{Addr: address, ReadHeaderTimeout: headerTimeout, Handler: r.metrics.handler()}
+	s := &http.Server{Addr: address, ReadHeaderTimeout: headerTimeout, Handler: r.operations()}
 	if err := s.ListenAndServe(); err != nil {
 		r.log.Error("Metrics are not served.", "address", address, "error", err.Error())
 	}
 }
 
+// operations serves metrics, and holds of requests to operators.
+func (r *Router) operations() http.Handler {
+	mux := http.NewServeMux()
+	r.quarantine.handle(mux)
+	mux.Handle("/", r.metrics.handler())
+	return mux
+}
+
 // keepTime looks at what changes with time alone.
 func (r *Router) keepTime(ctx context.Context) {
 	wasReady, wasFresh := false, false
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -116,6 +116,7 @@
 	r.neighbours = newNeighbours(Neighbour{Name: set.Name, Zone: set.Zone, Address: set.PeerAddress}, &set, net.Dialer{}, w.clock, quiet())
 	unsent := func(string, []byte) {}
 	r.limits = newLimiter(r.neighbours.me, &set, w.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, quiet(), unsent)
+	r.quarantine = newHolder(r.neighbours.me, nil, w.clock, rand.New(rand.NewPCG(3, uint64(i))), tally.NoopScope, quiet(), unsent)
 	r.dispatch = newDispatch(r.neighbours.me, r.s, r.placer, w.clock, quiet(), unsent)
 	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
 		return w.ask(ctx, set.Name, address, t, q)
