Keep holds over a restart of all daemons

Cause: what is held lives in the daemons' memory only.

Change: the daemon that began a hold writes it beside the daemons' announcements in the store, which every daemon reads at its start, and drops it when the hold ends. No further reads. Class: state that outlives one process but not all.

TestHoldsOutliveARestartOfAllDaemons failed before: none of 9 daemons held the request after the restart. It holds now, a cleared request stays cleared, and no record is left once the hold is over.

--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -307,6 +307,31 @@
 	}
 }
 
+// Kept is a hold as it is kept outside the daemons, for those that start anew.
+type Kept struct {
+	Fingerprint Fingerprint
+	Round       uint64        // of the holds of one request the later round counts
+	Age         time.Duration // of the first of the ends
+	Left        time.Duration
+}
+
+// Keep returns the hold of a request; false if it is not held.
+func (n *Node) Keep(now time.Duration, f Fingerprint) (Kept, bool) {
+	if _, held := n.Held(now, f); !held {
+		return Kept{}, false
+	}
+	t := n.toldOf(now, f)
+	return Kept{Fingerprint: f, Round: t.round, Age: t.since, Left: t.left}, true
+}
+
+// Recall takes a hold that was kept. All daemons read it, so it is not passed on.
+func (n *Node) Recall(now time.Duration, k Kept) {
+	n.heard(now, told{fingerprint: k.Fingerprint, round: k.Round, since: k.Age, left: min(k.Left, HoldTime)})
+	if h := n.holds[k.Fingerprint]; h != nil && !h.cleared {
+		h.relays = 0
+	}
+}
+
 // Outbox returns what is to be sent, and forgets it.
 func (n *Node) Outbox() []Datagram {
 	out := n.out
--- a/router/counted.go
+++ b/router/counted.go
@@ -58,3 +58,9 @@
 	c.count("append", TopicDaemons)
 	return c.list.Announce(ctx, n)
 }
+
+// Record implements Announcements.
+func (c *counted) Record(ctx context.Context, key string, value []byte) error {
+	c.count("append", TopicDaemons)
+	return c.list.Record(ctx, key, value)
+}
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -32,6 +32,9 @@
 	known := map[string]Neighbour{}
 	changed := false
 	f.apply = func(record Record) bool {
+		if r.quarantine.recall(record) {
+			return true
+		}
 		news := r.daemonRecord(known, record)
 		changed = changed || news
 		return news
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -83,6 +83,8 @@
 // Announcements is where daemons tell each other of themselves.
 type Announcements interface {
 	Announce(ctx context.Context, n Neighbour) error
+	// Record keeps a value under a key beside the announcements; no value drops the key.
+	Record(ctx context.Context, key string, value []byte) error
 }
 
 // neighbours reads topics through other daemons of the zone, see package readers.
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -33,6 +33,7 @@
 // holder implements forward.Quarantine: it finds out which endpoints have ended, and
 // carries the messages of a quarantine.Node.
 type holder struct {
+	me    string // name of this daemon
 	clock func() time.Duration
 	dial  forward.Dial
 	log   *logging.Logger
@@ -40,6 +41,8 @@
 
 	held, lifted, refused tally.Counter
 
+	keeper *holdKeeper // nil: holds are not kept outside the daemons
+
 	mu       sync.Mutex
 	node     *quarantine.Node
 	checking map[fleet.EndpointID]*endCheck
@@ -59,7 +62,7 @@
 		dial = d.DialContext
 	}
 	return &holder{
-		clock: clock, dial: dial, log: log, send: send,
+		me: me.Name, clock: clock, dial: dial, log: log, send: send,
 		held: scope.Counter("quarantine_held"), lifted: scope.Counter("quarantine_lifted"), refused: scope.Counter("quarantine_refused"),
 		node: quarantine.NewNode(quarantine.Options{
 			Me:   quarantine.Peer{Name: me.Name, Address: me.Address},
@@ -104,10 +107,12 @@
 	for _, c := range h.node.Changes() {
 		if c.Held {
 			h.held.Inc(1)
+			h.keep(&c)
 			h.log.Warn("Request is held.", "fingerprint", c.Fingerprint.String(), "reason", string(c.Reason), "ended", c.Ends, "left_ms", c.Left.Milliseconds())
 			continue
 		}
 		h.lifted.Inc(1)
+		h.keep(&c)
 		h.log.Info("Request is no longer held.", "fingerprint", c.Fingerprint.String(), "reason", string(c.Reason))
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -133,6 +133,9 @@
 	r.limits = newLimiter(me, &o.Settings, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.quarantine = newHolder(me, o.Dial, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
+	if r.o.Announcements != nil {
+		r.quarantine.keeper = newHoldKeeper(r.o.Announcements, r.log)
+	}
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
 	}
@@ -211,6 +214,7 @@
 		go r.datagrams.run(work)
 		go r.serveNeighbours(peers)
 		go r.followDaemons(work)
+		go r.quarantine.keeper.run(work)
 	} else {
 		r.limits.setDaemons([]Neighbour{r.neighbours.me})
 		r.neighbours.proceed()
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -16,6 +16,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/readers"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/weights"
@@ -97,6 +99,8 @@
 			go r.followDaemons(ctx)
 			go r.followOperator(ctx)
 			go r.followEndpoints(ctx)
+			go r.quarantine.run(ctx)
+			go r.quarantine.keeper.run(ctx)
 			l := &leader{r: r, lease: weights.NewLease(all[i].o.Settings.Name, time.Second), sub: &subscription{n: r.neighbours, topic: TopicLease}}
 			go l.follow(ctx)
 		}(time.Duration(rng.Int64N(int64(300 * time.Millisecond))))
@@ -117,6 +121,7 @@
 	unsent := func(string, []byte) {}
 	r.limits = newLimiter(r.neighbours.me, &set, w.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, quiet(), unsent)
 	r.quarantine = newHolder(r.neighbours.me, nil, w.clock, rand.New(rand.NewPCG(3, uint64(i))), tally.NoopScope, quiet(), unsent)
+	r.quarantine.keeper = newHoldKeeper(store, quiet())
 	r.dispatch = newDispatch(r.neighbours.me, r.s, r.placer, w.clock, quiet(), unsent)
 	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
 		return w.ask(ctx, set.Name, address, t, q)
@@ -144,6 +149,9 @@
 	r := Record{Key: key, Value: []byte(value), Offset: int64(len(w.topics[t]))}
 	w.topics[t] = append(w.topics[t], r)
 	w.newest[t][key] = r
+	if value == "" {
+		delete(w.newest[t], key)
+	}
 	close(w.woken)
 	w.woken = make(chan struct{})
 }
@@ -336,6 +344,14 @@
 	return nil
 }
 
+func (s *zoneStore) Record(ctx context.Context, key string, value []byte) error {
+	if err := s.call(ctx); err != nil {
+		return err
+	}
+	s.w.write(TopicDaemons, key, string(value))
+	return nil
+}
+
 // zoneCodec reads the records of a zoneWorld.
 type zoneCodec struct{}
 
@@ -568,3 +584,36 @@
 		})
 	}
 }
+
+// Guards against a request that is sent again after all daemons were restarted
+// together, as none remembers that it is held.
+func TestHoldsOutliveARestartOfAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons = 9
+		w := newZone(t, daemons)
+		time.Sleep(settled)
+		f := quarantine.FingerprintOf("org", "POST", "h", "/x", nil)
+		lifted := quarantine.FingerprintOf("org", "POST", "h", "/y", nil)
+		for _, end := range []fleet.EndpointID{"a", "b", "c"} {
+			w.all[0].quarantine.ended(f, end)
+			w.all[0].quarantine.ended(lifted, end)
+		}
+		time.Sleep(settled)
+		w.all[0].quarantine.Answered(lifted)
+		time.Sleep(settled)
+		w.start(daemons)
+		time.Sleep(settled)
+		for i, r := range w.all {
+			if _, held := r.quarantine.Held(f); !held {
+				t.Errorf("daemon %d does not hold the request", i)
+			}
+			if _, held := r.quarantine.Held(lifted); held {
+				t.Errorf("daemon %d holds a request that was cleared", i)
+			}
+		}
+		time.Sleep(quarantine.HoldTime)
+		if n := len(w.newest[TopicDaemons]); n > daemons {
+			t.Errorf("%d records are left of %d daemons", n, daemons)
+		}
+	})
+}
