Read the limit that an endpoint names, and log it with each attempt

No line told whether an answer named a limit, so that daemons which did not know of it could not be told from ones that did not keep to it. No change of what is decided.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -47,7 +47,8 @@
 		end = End{Failure: failure, Lost: !withdrawn, Withdrawn: withdrawn, Cause: err}
 		return false, retry.Attempt{Endpoint: p.Target.Key, Failure: failure}
 	}
-	c.report.Attempts[len(c.report.Attempts)-1].Load = a.Info.Load
+	last := &c.report.Attempts[len(c.report.Attempts)-1]
+	last.Load, last.Limit = a.Info.Load, a.Info.Limit
 	c.o.Placer.Answered(p, &a.Info)
 	end = c.take(a)
 	return end.Whole, retry.Attempt{Endpoint: p.Target.Key, Failure: end.Failure}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -94,6 +94,7 @@
 	Fetch    string      // IP:port it was fetched from
 	Saved    bool        // it was sent to the store
 	Load     *fleet.Load // that the answer told; nil: none
+	Limit    *float64    // that the answer named; nil: none
 	Result   string
 	Lost     string        // how the connection ended; empty: it did not
 	After    time.Duration // from the request's arrival to the attempt's end
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -59,6 +59,9 @@
 	Version    int64       // weights at the start of the answer; 0: not told
 	Load       *fleet.Load // nil: not told
 	KeepAlive  time.Duration
+	// Limit is how many requests a second the endpoint takes of all daemons
+	// together; nil: it names none.
+	Limit *float64
 }
 
 // Wire knows the names of headers.
--- a/router/report.go
+++ b/router/report.go
@@ -125,6 +125,10 @@
 		b = append(b, '+')
 		b = strconv.AppendInt(b, int64(l.Waiting), 10)
 	}
+	if a.Limit != nil {
+		b = append(b, " limit="...)
+		b = strconv.AppendFloat(b, *a.Limit, 'g', 6, 64)
+	}
 	b = append(b, " end_ms="...)
 	b = strconv.AppendInt(b, int64(a.After/time.Millisecond), 10)
 	b = append(b, ' ')
