Move how facts spread among daemons out of the quarantine

Holds were passed on by code of their own; limits that endpoints name need the same. No change of behaviour: the quarantine's tests pass unchanged but for the names of types.

--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/gossip"
 	"github.com/merlindock/merlindock/internal/hash"
 )
 
 // Options are what a Node needs.
 type Options struct {
-	Me   Peer
+	Me   gossip.Peer
 	Rand *rand.Rand // seeded; draws the daemons that are told
 }
 
@@ -20,15 +21,12 @@
 // What it wants to send is collected until Outbox is called, what it decided until
 // Changes is.
 type Node struct {
-	o        Options
-	peers    []Peer // without this daemon
+	peers    *gossip.Peers
 	suspects suspects
 	answers  answers
 	holds    map[Fingerprint]*hold
 	reports  []outgoingReport
-	synced   time.Duration
 	turn     int // of the holds, in messages with what is held
-	out      []Datagram
 	changes  []Change
 }
 
@@ -45,20 +43,18 @@
 type outgoingReport struct {
 	fingerprint Fingerprint
 	end         end
-	owners      []Peer
+	owners      []gossip.Peer
 	sent        int
 	due         time.Duration // the next time
 }
 
 // NewNode returns a Node that knows no other daemons and holds nothing.
 func NewNode(o Options) *Node {
-	return &Node{o: o, suspects: newSuspects(), answers: newAnswers(), holds: map[Fingerprint]*hold{}}
+	return &Node{peers: gossip.NewPeers(o.Me, o.Rand), suspects: newSuspects(), answers: newAnswers(), holds: map[Fingerprint]*hold{}}
 }
 
 // SetPeers takes the list of all daemons.
-func (n *Node) SetPeers(all []Peer) {
-	n.peers = slices.DeleteFunc(slices.Clone(all), func(p Peer) bool { return p == n.o.Me || p.Address == "" })
-}
+func (n *Node) SetPeers(all []gossip.Peer) { n.peers.Set(all) }
 
 // Held tells whether the request is held.
 func (n *Node) Held(now time.Duration, f Fingerprint) (Hold, bool) {
@@ -100,7 +96,7 @@
 		round = h.round + 1
 	}
 	if n.apply(now, told{fingerprint: f, round: round, since: now - first(ends), left: HoldTime}, ReasonEnds) {
-		n.tell(now, f, n.some(directPeers))
+		n.tell(now, f, gossip.DirectPeers)
 	}
 }
 
@@ -123,7 +119,7 @@
 		return false
 	}
 	n.apply(now, told{fingerprint: f, round: h.round, cleared: true, since: now - h.since, left: h.until - now}, why)
-	n.tell(now, f, n.some(directPeers))
+	n.tell(now, f, gossip.DirectPeers)
 	return true
 }
 
@@ -137,7 +133,7 @@
 		n.makeRoom()
 	}
 	n.holds[t.fingerprint] = &hold{
-		round: t.round, cleared: t.cleared, since: now - t.since, until: now + t.left, relays: relayTimes,
+		round: t.round, cleared: t.cleared, since: now - t.since, until: now + t.left, relays: gossip.RelayTimes,
 	}
 	c := Change{Fingerprint: t.fingerprint, Held: !t.cleared, Reason: why, Left: t.left}
 	for _, e := range n.suspects.ends[t.fingerprint] {
@@ -182,18 +178,17 @@
 			}
 		case h.relays > 0:
 			h.relays--
-			n.tell(now, f, n.some(relayPeers))
+			n.tell(now, f, gossip.RelayPeers)
 		}
 	}
-	if now-n.synced >= syncEvery {
-		n.synced = now
+	if len(n.holds) > 0 && n.peers.SyncDue(now) {
 		n.sync(now)
 	}
 }
 
 // sendReports sends each report to the owners of its fingerprint.
 func (n *Node) sendReports(now time.Duration) {
-	byOwner := map[string][]report{}
+	byOwner := map[gossip.Peer][]report{}
 	n.reports = slices.DeleteFunc(n.reports, func(r outgoingReport) bool { return r.sent >= reportTimes })
 	for i := range n.reports {
 		r := &n.reports[i]
@@ -202,23 +197,23 @@
 		}
 		r.sent, r.due = r.sent+1, now+reportEvery
 		for _, owner := range r.owners {
-			byOwner[owner.Address] = append(byOwner[owner.Address], report{r.fingerprint, r.end.endpoint, now - r.end.at})
+			byOwner[owner] = append(byOwner[owner], report{r.fingerprint, r.end.endpoint, now - r.end.at})
 		}
 	}
 	for to, all := range byOwner {
 		for part := range slices.Chunk(all, maxReports) {
-			n.out = append(n.out, Datagram{to, encodeReports(part)})
+			n.peers.Send(to, encodeReports(part))
 		}
 	}
 }
 
 // owners are the daemons that count the ends of a request, the same ones at all
 // daemons that know the same list.
-func (n *Node) owners(f Fingerprint) []Peer {
-	rank := func(p Peer) uint64 { return hash.Text(string(f[:]) + "/quarantine/" + p.Name) }
-	var best []Peer
-	for _, p := range n.peers {
-		at, _ := slices.BinarySearchFunc(best, p, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
+func (n *Node) owners(f Fingerprint) []gossip.Peer {
+	rank := func(p gossip.Peer) uint64 { return hash.Text(string(f[:]) + "/quarantine/" + p.Name) }
+	var best []gossip.Peer
+	for _, p := range n.peers.Others() {
+		at, _ := slices.BinarySearchFunc(best, p, func(a, b gossip.Peer) int { return cmp.Compare(rank(a), rank(b)) })
 		if at < ownerCount {
 			best = slices.Insert(best, at, p)
 			best = best[:min(len(best), ownerCount)]
@@ -227,24 +222,9 @@
 	return best
 }
 
-// some draws daemons.
-func (n *Node) some(most int) []Peer {
-	if len(n.peers) <= most {
-		return n.peers
-	}
-	out := make([]Peer, 0, most)
-	for _, i := range n.o.Rand.Perm(len(n.peers))[:most] {
-		out = append(out, n.peers[i])
-	}
-	return out
-}
-
 // tell tells daemons of the hold of a request.
-func (n *Node) tell(now time.Duration, f Fingerprint, peers []Peer) {
-	data := encodeHolds([]told{n.toldOf(now, f)})
-	for _, p := range peers {
-		n.out = append(n.out, Datagram{p.Address, data})
-	}
+func (n *Node) tell(now time.Duration, f Fingerprint, peers int) {
+	n.peers.Tell(peers, encodeHolds([]told{n.toldOf(now, f)}))
 }
 
 func (n *Node) toldOf(now time.Duration, f Fingerprint) told {
@@ -256,9 +236,6 @@
 
 // sync tells some daemon of some holds, in turn.
 func (n *Node) sync(now time.Duration) {
-	if len(n.holds) == 0 || len(n.peers) == 0 {
-		return
-	}
 	all := make([]Fingerprint, 0, len(n.holds))
 	for f := range n.holds {
 		all = append(all, f)
@@ -269,7 +246,7 @@
 		n.turn = (n.turn + 1) % len(all)
 		next = append(next, n.toldOf(now, all[n.turn]))
 	}
-	n.out = append(n.out, Datagram{n.some(1)[0].Address, encodeHolds(next)})
+	n.peers.Tell(1, encodeHolds(next))
 }
 
 // Receive takes a message of another daemon.
@@ -333,11 +310,7 @@
 }
 
 // Outbox returns what is to be sent, and forgets it.
-func (n *Node) Outbox() []Datagram {
-	out := n.out
-	n.out = nil
-	return out
-}
+func (n *Node) Outbox() []gossip.Datagram { return n.peers.Outbox() }
 
 // Changes returns the holds that began or ended, and forgets them.
 func (n *Node) Changes() []Change {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -37,17 +37,6 @@
 	// reportEvery the time between.
 	reportTimes = 3
 	reportEvery = 100 * time.Millisecond
-	// directPeers is the number of daemons that an owner tells of a hold itself.
-	directPeers = 64
-	// relayPeers and relayTimes are the daemons that each daemon passes a change on
-	// to at each tick, and the number of ticks.
-	relayPeers = 3
-	relayTimes = 8
-	// syncEvery is the time between two messages with what is held, for daemons that
-	// were cut off or have started anew.
-	syncEvery = 250 * time.Millisecond
-	// Tick is how often Node.Tick is to be called.
-	Tick = 100 * time.Millisecond
 )
 
 // Hold is the decision to keep a request from endpoints.
@@ -76,15 +65,3 @@
 	ReasonOperator Reason = "operator"
 	ReasonExpired  Reason = "expired"
 )
-
-// Peer is a daemon of the deployment.
-type Peer struct {
-	Name    string
-	Address string // where it takes messages, IP:port
-}
-
-// Datagram is a message to another daemon. It may be lost, late or doubled.
-type Datagram struct {
-	To   string // Peer.Address
-	Data []byte
-}
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/gossip"
 )
 
 // deployment plays the nodes of all daemons in virtual time, in steps of 10 ms.
@@ -15,8 +16,8 @@
 	rng   *rand.Rand
 	now   time.Duration
 	nodes []*Node
-	peers []Peer
-	mail  map[time.Duration][]Datagram
+	peers []gossip.Peer
+	mail  map[time.Duration][]gossip.Datagram
 	loss  float64
 	away  map[int]bool // daemons that no message reaches or leaves
 	bytes []int        // that each daemon sent
@@ -32,10 +33,10 @@
 func newDeployment(t *testing.T, daemons int, loss float64) *deployment {
 	d := &deployment{
 		t: t, rng: rand.New(rand.NewPCG(uint64(daemons), 7)), now: time.Hour, loss: loss,
-		mail: map[time.Duration][]Datagram{}, away: map[int]bool{}, bytes: make([]int, daemons),
+		mail: map[time.Duration][]gossip.Datagram{}, away: map[int]bool{}, bytes: make([]int, daemons),
 	}
 	for i := range daemons {
-		d.peers = append(d.peers, Peer{Name: fmt.Sprint("front-", i), Address: fmt.Sprint(i)})
+		d.peers = append(d.peers, gossip.Peer{Name: fmt.Sprint("front-", i), Address: fmt.Sprint(i)})
 	}
 	d.nodes = make([]*Node, daemons)
 	for i := range d.nodes {
@@ -68,7 +69,7 @@
 		}
 		delete(d.mail, d.now)
 		for i, n := range d.nodes {
-			if (d.now/simStep+time.Duration(i))%(Tick/simStep) == 0 {
+			if (d.now/simStep+time.Duration(i))%(gossip.Tick/simStep) == 0 {
 				n.Tick(d.now)
 				d.collect(i)
 			}
@@ -305,15 +306,15 @@
 	d.nodes[0].Tick(d.now)
 	d.nodes[0].Outbox()
 	d.bytes[0] = 0
-	for range 10 * relayTimes {
+	for range 10 * gossip.RelayTimes {
 		d.nodes[0].Tick(d.now)
-		d.now += Tick
+		d.now += gossip.Tick
 		d.collect(0)
 	}
 	calm := d.bytes[0]
 	for range 100 {
 		d.nodes[0].Tick(d.now)
-		d.now += Tick
+		d.now += gossip.Tick
 		d.collect(0)
 	}
 	if perSecond := (d.bytes[0] - calm) / 10; perSecond > 1500 {
@@ -326,8 +327,8 @@
 	f.Add(encodeReports([]report{{named("a"), "i-1@0", time.Second}}))
 	f.Add(encodeHolds([]told{{fingerprint: named("a"), round: 1, left: time.Second}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		n := NewNode(Options{Me: Peer{"a", "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
-		n.SetPeers([]Peer{{"b", "b"}})
+		n := NewNode(Options{Me: gossip.Peer{Name: "a", Address: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
+		n.SetPeers([]gossip.Peer{{Name: "b", Address: "b"}})
 		_ = n.Receive(time.Hour, data)
 		n.Tick(time.Hour + time.Second)
 	})
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -13,6 +13,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/gossip"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/quarantine"
@@ -65,7 +66,7 @@
 		me: me.Name, clock: clock, dial: dial, log: log, send: send,
 		held: scope.Counter("quarantine_held"), lifted: scope.Counter("quarantine_lifted"), refused: scope.Counter("quarantine_refused"),
 		node: quarantine.NewNode(quarantine.Options{
-			Me:   quarantine.Peer{Name: me.Name, Address: me.Address},
+			Me:   gossip.Peer{Name: me.Name, Address: me.Address},
 			Rand: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
 		}),
 		checking: map[fleet.EndpointID]*endCheck{},
@@ -74,7 +75,7 @@
 
 // run does what is due with time alone until the context ends.
 func (h *holder) run(ctx context.Context) {
-	for pause.For(ctx, quarantine.Tick) == nil {
+	for pause.For(ctx, gossip.Tick) == nil {
 		h.mu.Lock()
 		now := h.clock()
 		h.node.Tick(now)
@@ -119,9 +120,9 @@
 
 // setDaemons takes the list of all daemons.
 func (h *holder) setDaemons(all []Neighbour) {
-	peers := make([]quarantine.Peer, 0, len(all))
+	peers := make([]gossip.Peer, 0, len(all))
 	for _, d := range all {
-		peers = append(peers, quarantine.Peer{Name: d.Name, Address: d.Address})
+		peers = append(peers, gossip.Peer{Name: d.Name, Address: d.Address})
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
