Keep the requests of all daemons within the limit that an endpoint names

What was seen: an engine that named 22.2 requests a second got 207 in 4 s (138 allowed), one that named 1 got 12 (11 allowed).

Cause: the header was not decoded, and the router knew no limit of an endpoint. Class: a bound that belongs to all daemons together. Ruled out: daemons that keep to it each for itself (arrivals did not react at all).

Change: a daemon that hears of a limit tells the others (package limits). Each request to such an endpoint takes a unit that an owner lends, by the code that holds organisations to their limits (package quota).

--- /dev/null
+++ b/limits/limits_test.go
@@ -0,0 +1,149 @@
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/gossip"
+)
+
+// books are the Books of all daemons, in virtual time in steps of a tick.
+type books struct {
+	t    *testing.T
+	rng  *rand.Rand
+	now  time.Duration
+	all  []*Book
+	loss float64
+	away map[string]bool
+}
+
+func newBooks(t *testing.T, daemons int) *books {
+	b := &books{t: t, rng: rand.New(rand.NewPCG(uint64(daemons), 3)), now: time.Hour, loss: 0.05, away: map[string]bool{}}
+	var peers []gossip.Peer
+	for i := range daemons {
+		peers = append(peers, gossip.Peer{Name: fmt.Sprint("front-", i), Address: fmt.Sprint(i)})
+	}
+	for i := range daemons {
+		book := NewBook(Options{Me: peers[i], Rand: rand.New(rand.NewPCG(uint64(i), 5))})
+		book.SetPeers(peers)
+		b.all = append(b.all, book)
+	}
+	return b
+}
+
+func (b *books) pass(span time.Duration) {
+	for until := b.now + span; b.now < until; b.now += gossip.Tick {
+		for i, book := range b.all {
+			book.Tick(b.now)
+			book.Changes()
+			for _, m := range book.Outbox() {
+				var to int
+				if _, err := fmt.Sscan(m.To, &to); err != nil {
+					b.t.Fatal(err)
+				}
+				if b.rng.Float64() < b.loss || b.away[m.To] || b.away[fmt.Sprint(i)] {
+					continue
+				}
+				if err := b.all[to].Receive(b.now, m.Data); err != nil {
+					b.t.Fatal(err)
+				}
+			}
+		}
+	}
+}
+
+// knowing counts the daemons that keep to the given limit; negative: to none.
+func (b *books) knowing(e fleet.EndpointID, limit float64) int {
+	n := 0
+	for _, book := range b.all {
+		l, ok := book.Limits()[KeyOf(e)]
+		if limit < 0 && !ok || ok && l.PerSecond == limit {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against daemons that send as before since they have had no answer of the
+// endpoint themselves, and against ones that never hear that its limit is over.
+func TestAllDaemonsHearOfLimits(t *testing.T) {
+	for _, daemons := range []int{2, 9, 73, 295, 1100} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			b := newBooks(t, daemons)
+			first, second := 23.9, 5.0
+			for _, step := range []struct {
+				by   int
+				said *float64
+				want float64
+			}{{0, &first, first}, {daemons - 1, &second, second}, {daemons / 2, nil, none}} {
+				b.all[step.by].Answered(b.now, "i-1@0", step.said)
+				b.pass(2 * time.Second)
+				if n := b.knowing("i-1@0", step.want); n < daemons {
+					t.Errorf("%d of %d daemons keep to %g", n, daemons, step.want)
+				}
+			}
+			b.pass(2 * endedTime)
+			if n := len(b.all[0].words); n > 0 {
+				t.Errorf("%d words are kept of limits that are over", n)
+			}
+		})
+	}
+}
+
+// Guards against a daemon that was cut off and brings an old limit back.
+func TestOldLimitDoesNotComeBack(t *testing.T) {
+	b := newBooks(t, 9)
+	old, next := 20.0, 2.0
+	b.all[0].Answered(b.now, "i-1@0", &old)
+	b.pass(time.Second)
+	b.away["3"] = true
+	b.all[0].Answered(b.now, "i-1@0", &next)
+	b.pass(5 * time.Second)
+	delete(b.away, "3")
+	b.pass(5 * time.Second)
+	if n := b.knowing("i-1@0", next); n < 9 {
+		t.Errorf("%d of 9 daemons keep to the newer limit", n)
+	}
+}
+
+// Guards against an endpoint that names 0 and never gets another request, so that the
+// end of its limit is never heard of.
+func TestZeroStillLetsSomeRequestsThrough(t *testing.T) {
+	b := newBooks(t, 1)
+	zero := 0.0
+	b.all[0].Answered(b.now, "i-1@0", &zero)
+	if l := b.all[0].Limits()[KeyOf("i-1@0")]; l.PerSecond != least || l.Burst < 1 {
+		t.Errorf("limit %+v", l)
+	}
+}
+
+// Guards against memory and messages that grow with endpoints long gone.
+func TestGoneEndpointsAreForgotten(t *testing.T) {
+	b := newBooks(t, 2)
+	limit := 1.0
+	for i := range 2 * maxEndpoints {
+		b.all[0].Answered(b.now, fleet.EndpointID(fmt.Sprint(i)), &limit)
+		b.all[0].Outbox()
+	}
+	if n := len(b.all[0].words); n > maxEndpoints {
+		t.Errorf("%d endpoints", n)
+	}
+	b.all[0].Retain(func(e fleet.EndpointID) bool { return e == "1" })
+	if got := b.all[0].Limited(); len(got) != 1 || got[0] != "1" {
+		t.Errorf("left %v", got)
+	}
+}
+
+// Guards against messages of any other sender that end a daemon.
+func FuzzReceive(f *testing.F) {
+	f.Add(encode([]told{{"i-1@0", 23.9, time.Second}, {"i-2@0", none, 0}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b := NewBook(Options{Me: gossip.Peer{Name: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
+		_ = b.Receive(time.Hour, data)
+		b.Tick(time.Hour + time.Second)
+		b.Limits()
+	})
+}
--- a/quota/node.go
+++ b/quota/node.go
@@ -192,6 +192,22 @@
 	return Verdict{}, false
 }
 
+// Holds tells whether the next request of one unit would be admitted at once.
+func (n *Node) Holds(now time.Duration, key Key) bool {
+	a := n.accounts[key]
+	if a == nil {
+		return true
+	}
+	a.turn(now)
+	return len(a.waiters) == 0 && a.balance() >= 1-rounding
+}
+
+// Denied tells whether the next request of one unit would be turned away at once.
+func (n *Node) Denied(now time.Duration, key Key) bool {
+	a := n.accounts[key]
+	return a != nil && now < a.deniedUntil && !n.Holds(now, key)
+}
+
 // GiveBack returns what a request took that did not run.
 func (n *Node) GiveBack(key Key, tokens int) {
 	if a := n.accounts[key]; a != nil {
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -52,6 +52,7 @@
 			r.neighbours.set(all)
 			r.limits.setDaemons(all)
 			r.quarantine.setDaemons(all)
+			r.endpointLimits.setDaemons(all)
 			r.dispatch.setDaemons(all)
 			changed = false
 		}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -210,8 +210,9 @@
 // usable takes a dispatcher's answer, if this daemon knows the place as well.
 func (d *dispatch) usable(from Neighbour, w *forward.Work, got *placedMessage) (forward.Placement, bool, error) {
 	switch {
-	case got.Refused != nil && got.Refused.Code == codeNoEndpoint:
-		// The dispatcher may be cut off from the endpoints; this daemon may not be.
+	case got.Refused != nil && (got.Refused.Code == codeNoEndpoint || got.Refused.Code == codeAtLimits):
+		// The dispatcher may be cut off from the endpoints, or from the daemon that parts
+		// a limit; this daemon may not be.
 		return forward.Placement{}, false, nil
 	case got.Refused != nil:
 		return forward.Placement{}, true, got.Refused
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -102,7 +102,7 @@
 }
 
 // startDaemon starts a daemon, or starts it anew without what it knew.
-func (f *memoryFleet) startDaemon(i int) *Router {
+func (f *memoryFleet) startDaemon(i int) {
 	f.mu.Lock()
 	seed := f.rng.Uint64()
 	f.mu.Unlock()
@@ -136,13 +136,14 @@
 	f.mu.Unlock()
 	r.limits.setDaemons(all)
 	r.quarantine.setDaemons(all)
+	r.endpointLimits.setDaemons(all)
 	r.dispatch.setDaemons(all)
 	for _, e := range up {
 		r.list(e)
 	}
 	go r.keepTime(ctx)
 	go r.quarantine.run(ctx)
-	return r
+	go r.endpointLimits.run(ctx)
 }
 
 // list tells the daemon of an endpoint, as its entry in the store does.
--- a/router/learn.go
+++ b/router/learn.go
@@ -105,6 +105,9 @@
 // Answered implements forward.Placer.
 func (p *placer) Answered(pl *forward.Placement, info *forward.AnswerInfo) {
 	now := time.Now()
+	if p.limits != nil {
+		p.limits.answered(pl.Target.Key, info)
+	}
 	if info.Load != nil {
 		info.Load.At = now
 		info.Load.WaitingTokens = p.waitingAt(pl, info.Load.Waiting)
@@ -180,6 +183,9 @@
 func (p *placer) Ended(pl *forward.Placement, end forward.End) {
 	now := time.Now()
 	p.answered(now, pl.ID, false)
+	if p.limits != nil && end.Lost && end.Failure == retry.NotSent && pl.Notes.Dispatcher == "" {
+		p.limits.giveBack(pl.Target.Key)
+	}
 	if end.Whole || end.Left {
 		p.s.view.Finished(now, pl.ID)
 	} else {
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -110,3 +110,99 @@
 		})
 	}
 }
+
+// Guards against turning callers away, or leaving endpoints idle, while all endpoints
+// of a service name limits below what is asked of them.
+func TestEndpointsAtTheirLimitsAreUsedToThem(t *testing.T) {
+	for _, daemons := range []int{6, 73} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const limit, count = 20.0, 4
+				f := newFleet(t, daemons, count, routes.Route{Kind: routes.Safe})
+				for _, e := range f.endpoints {
+					rate := limit
+					e.name(&rate)
+				}
+				bound := time.Now().Add(fleetStable)
+				l := limitLoad{perSecond: 2 * limit * count, lasts: 15 * time.Second}
+				l.play(f)
+				for i, e := range f.endpoints {
+					most, all := e.most(bound, time.Now())
+					t.Logf("endpoint %d: at most %d in %v, %.1f a second", i, most, limitWindow, float64(all)/12)
+					if most > allowed(limit) {
+						t.Errorf("endpoint %d got %d in %v, allowed %d", i, most, limitWindow, allowed(limit))
+					}
+					if rate := float64(all) / 12; rate < 0.8*limit {
+						t.Errorf("endpoint %d got %.1f a second of %g", i, rate, limit)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a limit that goes on after the endpoint has stopped naming it, and
+// against one that was lowered and is kept as it was.
+func TestChangedLimitIsKeptAndItsEndIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, 3, routes.Route{Kind: routes.Stream, Resumable: true})
+		e := f.endpoints[0]
+		high, low, zero := 20.0, 2.0, 0.0
+		e.name(&high)
+		began := time.Now()
+		time.AfterFunc(8*time.Second, func() { e.name(&low) })
+		time.AfterFunc(16*time.Second, func() { e.name(&zero) })
+		time.AfterFunc(40*time.Second, func() { e.name(nil) })
+		l := limitLoad{perSecond: 60, lasts: 70 * time.Second}
+		l.play(f)
+		at := func(s int) time.Time { return began.Add(time.Duration(s) * time.Second) }
+		for _, c := range []struct {
+			from, to int
+			limit    float64
+		}{{3, 8, high}, {11, 16, low}, {19, 40, zero}} {
+			if most, _ := e.most(at(c.from), at(c.to)); most > allowed(c.limit) {
+				t.Errorf("from %d to %d s: %d in %v, allowed %d", c.from, c.to, most, limitWindow, allowed(c.limit))
+			}
+		}
+		if _, all := e.most(at(60), at(70)); all < 100 {
+			t.Errorf("%d requests in 10 s after the limit was over", all)
+		}
+		if l.unserved > 0 {
+			t.Errorf("%d requests were not served", l.unserved)
+		}
+	})
+}
+
+// Guards against daemons that pass a limit together after a restart, a cut or a freeze
+// of some of them, or after an endpoint is back under another id.
+func TestLimitHoldsWhileDaemonsComeAndGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons = 9
+		f := newFleet(t, daemons, 3, routes.Route{Kind: routes.Stream, Resumable: true})
+		e, limit := f.endpoints[0], 15.0
+		e.name(&limit)
+		bound := time.Now().Add(fleetStable)
+		time.AfterFunc(5*time.Second, func() {
+			f.mu.Lock()
+			for i := range 4 {
+				f.cut[daemonAddress(i)] = true
+			}
+			f.mu.Unlock()
+		})
+		time.AfterFunc(12*time.Second, func() {
+			f.mu.Lock()
+			clear(f.cut)
+			f.mu.Unlock()
+		})
+		for i := range daemons {
+			time.AfterFunc(time.Duration(15+i)*time.Second, func() { f.startDaemon(i) })
+		}
+		l := limitLoad{perSecond: 90, lasts: 30 * time.Second}
+		l.play(f)
+		most, all := e.most(bound, time.Now())
+		t.Logf("at most %d in %v, allowed %d; %.1f a second", most, limitWindow, allowed(limit), float64(all)/27)
+		if most > allowed(limit) {
+			t.Errorf("got %d requests in %v, allowed %d", most, limitWindow, allowed(limit))
+		}
+	})
+}
--- a/router/placer.go
+++ b/router/placer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/health"
 	"github.com/merlindock/merlindock/internal/hash"
+	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/retry"
@@ -50,12 +50,14 @@
 const (
 	codeNoEndpoint = "no_endpoint"
 	codeOverloaded = "overloaded"
+	codeAtLimits   = "endpoints_at_limits"
 )
 
 // placer implements forward.Placer.
 type placer struct {
 	s       *state
-	watch   *cacheWatch // nil: nothing is known of caches
+	watch   *cacheWatch     // nil: nothing is known of caches
+	limits  *endpointLimits // nil: limits of endpoints are not kept
 	engines weights.Engines
 	clock   func() time.Duration // boot clock
 	old     time.Duration        // Settings.VersionWithin
@@ -94,8 +96,22 @@
 	return retry.Decide(time.Now(), r, a, p.budget, p.rng)
 }
 
-// Place implements forward.Placer.
+// Place implements forward.Placer. While all endpoints are at their limits it waits for
+// other daemons' words for a moment.
 func (p *placer) Place(ctx context.Context, w *forward.Work) (forward.Placement, error) {
+	for waited := 0; ; waited++ {
+		out, err := p.place(ctx, w)
+		var refused *forward.RefusedError
+		if !errors.As(err, &refused) || refused.Code != codeAtLimits || waited == roomWaits || !p.limits.waits() {
+			return out, err
+		}
+		if err := pause.For(ctx, roomWait); err != nil {
+			return out, err
+		}
+	}
+}
+
+func (p *placer) place(ctx context.Context, w *forward.Work) (forward.Placement, error) {
 	now := time.Now()
 	p.s.settle(now)
 	r := placement.Request{
@@ -232,18 +248,18 @@
 // chooseWay takes the best way to an endpoint that may be tried.
 func (p *placer) chooseWay(now time.Time, w *forward.Work, r *placement.Request, all []way) (weighed, error) {
 	try := *r
-	for range placeTries {
-		try.ID = p.lastID.Add(1)
+	t := p.tries(r.Avoid)
+	for t.next() {
+		try.ID, try.Avoid = p.lastID.Add(1), t.avoid
 		best, err := bestWay(now, p.s.view, try, all, w.Route.Target)
 		if err != nil {
 			break
 		}
-		if p.mayTry(now, best.decision.Endpoint, w.Route.Repeatable()) {
+		if t.take(now, best.decision.Endpoint, w.Route.Repeatable()) {
 			return best, nil
 		}
-		try.Avoid = append(slices.Clone(try.Avoid), best.decision.Endpoint)
 	}
-	return weighed{}, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
+	return weighed{}, t.refusal()
 }
 
 // refuseParts is the part of the objective that a prompt may be expected to wait
@@ -312,22 +328,22 @@
 
 // choose places the request at an endpoint that may be tried.
 func (p *placer) choose(now time.Time, r *placement.Request, repeatable bool) (placement.Decision, error) {
-	for range placeTries {
-		r.ID = p.lastID.Add(1)
+	t := p.tries(r.Avoid)
+	for t.next() {
+		r.ID, r.Avoid = p.lastID.Add(1), t.avoid
 		d, err := p.s.view.Place(now, *r)
 		switch {
 		case errors.Is(err, placement.ErrNoEndpoint), errors.Is(err, placement.ErrUnknownPool):
-			return d, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
+			return d, t.refusal()
 		case err != nil:
 			return d, err
 		}
-		if p.mayTry(now, d.Endpoint, repeatable) {
+		if t.take(now, d.Endpoint, repeatable) {
 			return d, nil
 		}
 		p.s.view.Finished(now, r.ID)
-		r.Avoid = append(slices.Clone(r.Avoid), d.Endpoint)
 	}
-	return placement.Decision{}, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
+	return placement.Decision{}, t.refusal()
 }
 
 // mayTry tells whether the endpoint may have this request: one that is due back
--- a/router/router.go
+++ b/router/router.go
@@ -78,16 +78,17 @@
 	front   *http.Server
 	callers *forward.Callers
 
-	neighbours *neighbours
-	watch      *cacheWatch
-	datagrams  *datagrams
-	limits     *limiter
-	quarantine *holder
-	dispatch   *dispatch
-	feeds      [topicCount]*feed
-	log        *logging.Logger
-	fold       fold // of the lines of ordinary requests
-	metrics    *meters
+	neighbours     *neighbours
+	watch          *cacheWatch
+	datagrams      *datagrams
+	limits         *limiter
+	quarantine     *holder
+	endpointLimits *endpointLimits
+	dispatch       *dispatch
+	feeds          [topicCount]*feed
+	log            *logging.Logger
+	fold           fold // of the lines of ordinary requests
+	metrics        *meters
 
 	leaving atomic.Bool
 	// stops is when the process ends, once callers should know of it.
@@ -132,6 +133,8 @@
 	r.datagrams.take = r.receive
 	r.limits = newLimiter(me, &o.Settings, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.quarantine = newHolder(me, o.Dial, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
+	r.endpointLimits = newEndpointLimits(me, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
+	r.placer.limits = r.endpointLimits
 	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	if r.o.Announcements != nil {
 		r.quarantine.keeper = newHoldKeeper(r.o.Announcements, r.log)
@@ -221,6 +224,7 @@
 	}
 	go r.limits.run(work)
 	go r.quarantine.run(work)
+	go r.endpointLimits.run(work)
 	if r.o.MetricsPort != "" {
 		go r.serveMetrics()
 	}
@@ -238,6 +242,7 @@
 func (r *Router) receive(from string, data []byte) {
 	switch {
 	case r.dispatch.receive(from, data):
+	case r.endpointLimits.receive(from, data):
 	case quarantine.Owns(data):
 		r.quarantine.receive(from, data)
 	default:
@@ -261,6 +266,7 @@
 	began := time.Now()
 	r.leaving.Store(true)
 	r.limits.leave()
+	r.endpointLimits.leave()
 	r.log.Info("Stopping.")
 	end := began.Add(r.o.Settings.StopWithin - stopReserve)
 	_ = pause.For(context.Background(), balancerLag)
@@ -352,5 +358,7 @@
 		known[key] = true
 	}
 	r.s.mu.Unlock()
-	r.client.CloseIdle(func(key fleet.EndpointID) bool { return known[key] })
+	isKnown := func(key fleet.EndpointID) bool { return known[key] }
+	r.client.CloseIdle(isKnown)
+	r.endpointLimits.retain(isKnown)
 }
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -121,6 +121,7 @@
 	unsent := func(string, []byte) {}
 	r.limits = newLimiter(r.neighbours.me, &set, w.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, quiet(), unsent)
 	r.quarantine = newHolder(r.neighbours.me, nil, w.clock, rand.New(rand.NewPCG(3, uint64(i))), tally.NoopScope, quiet(), unsent)
+	r.endpointLimits = newEndpointLimits(r.neighbours.me, w.clock, rand.New(rand.NewPCG(4, uint64(i))), tally.NoopScope, quiet(), unsent)
 	r.quarantine.keeper = newHoldKeeper(store, quiet())
 	r.dispatch = newDispatch(r.neighbours.me, r.s, r.placer, w.clock, quiet(), unsent)
 	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
