Give engines that name a limit to the long prompts

An engine for short prompts takes 25 to 55 a second, one for long prompts 2 to 5: a limit of 22 halves the first and means nothing to the second.

Change: in the order by which engines are parted, those that name a limit come last for short prompts.

--- a/router/lanes.go
+++ b/router/lanes.go
@@ -119,23 +119,30 @@
 // cache that speaks for older weights, and while a rollout is under way engines
 // of both would be kept for them. alone says that a single engine may be used at
 // present, which then serves both.
-func splitVersions(engines map[int64][]fleet.Endpoint, k int, alone bool) (short, long map[int64][]fleet.Endpoint) {
+func splitVersions(engines map[int64][]fleet.Endpoint, k int, alone bool, limited map[fleet.EndpointID]bool) (short, long map[int64][]fleet.Endpoint) {
 	short, long = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
 	for _, v := range slices.Backward(slices.Sorted(maps.Keys(engines))) {
-		short[v], long[v] = split(engines[v], k, alone)
+		short[v], long[v] = split(engines[v], k, alone, limited)
 		k -= len(short[v])
 	}
 	return short, long
 }
 
 // split parts the members of a pool. All daemons put the engines in the same
-// order, so that they agree but for the last place.
-func split(members []fleet.Endpoint, k int, alone bool) (short, long []fleet.Endpoint) {
+// order, so that they agree but for the last place. Engines that name a limit of
+// requests come last: they serve few long prompts a second, and many short ones.
+func split(members []fleet.Endpoint, k int, alone bool, limited map[fleet.EndpointID]bool) (short, long []fleet.Endpoint) {
 	if len(members) == 1 && alone {
 		return members, members
 	}
 	ordered := slices.Clone(members)
 	slices.SortFunc(ordered, func(a, b fleet.Endpoint) int {
+		if limited[a.ID] != limited[b.ID] {
+			if limited[a.ID] {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Or(cmp.Compare(laneHash(a.ID), laneHash(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	k = min(k, len(ordered))
--- a/router/lanes_test.go
+++ b/router/lanes_test.go
@@ -30,7 +30,7 @@
 		{18, 0, 3, 3, 0},
 	} {
 		engines := map[int64][]fleet.Endpoint{6: members("o", c.older), 7: members("n", c.newer)}
-		short, long := splitVersions(engines, c.k, false)
+		short, long := splitVersions(engines, c.k, false, nil)
 		if len(short[6]) != c.shortOlder || len(short[7]) != c.shortNewer || len(long[6]) != c.older-c.shortOlder || len(long[7]) != c.newer-c.shortNewer {
 			t.Errorf("%+v: short %d and %d, long %d and %d", c, len(short[6]), len(short[7]), len(long[6]), len(long[7]))
 		}
--- a/router/limits.go
+++ b/router/limits.go
@@ -36,6 +36,7 @@
 	send  func(to string, data []byte)
 
 	passed, taken tally.Counter
+	changed       func(limited map[fleet.EndpointID]bool) // must not call back
 
 	mu    sync.Mutex
 	book  *limits.Book
@@ -57,7 +58,8 @@
 			Me: quota.Daemon{Name: me.Name, Address: me.Address}, Tolerance: limits.Tolerance,
 			Nonce: rng.Uint64(), Rand: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
 		}),
-		keys: map[fleet.EndpointID]quota.Key{}, asked: map[quota.Key]bool{},
+		changed: func(map[fleet.EndpointID]bool) {},
+		keys:    map[fleet.EndpointID]quota.Key{}, asked: map[quota.Key]bool{},
 	}
 }
 
@@ -121,9 +123,12 @@
 func (l *endpointLimits) apply() {
 	l.quota.SetLimits(l.clock(), l.book.Limits())
 	clear(l.keys)
+	limited := map[fleet.EndpointID]bool{}
 	for _, e := range l.book.Limited() {
 		l.keys[e] = limits.KeyOf(e)
+		limited[e] = true
 	}
+	l.changed(limited)
 }
 
 func (l *endpointLimits) note(c *limits.Change) {
@@ -155,9 +160,9 @@
 func (l *endpointLimits) retain(known func(fleet.EndpointID) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := len(l.keys)
+	before := len(l.book.Limited())
 	l.book.Retain(known)
-	if before > 0 {
+	if len(l.book.Limited()) != before {
 		l.apply()
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -135,6 +135,7 @@
 	r.quarantine = newHolder(me, o.Dial, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.endpointLimits = newEndpointLimits(me, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.placer.limits = r.endpointLimits
+	r.endpointLimits.changed = func(limited map[fleet.EndpointID]bool) { s.limited.Store(&limited) }
 	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	if r.o.Announcements != nil {
 		r.quarantine.keeper = newHoldKeeper(r.o.Announcements, r.log)
--- a/router/state.go
+++ b/router/state.go
@@ -44,6 +44,8 @@
 	table     atomic.Pointer[routes.Table]
 	operator  freshness.Confirmed // reads of the operator's topic
 	endpoints freshness.Confirmed
+	// limited are the endpoints that name a limit. It is replaced as a whole.
+	limited atomic.Pointer[map[fleet.EndpointID]bool]
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -55,9 +57,10 @@
 	pools     map[string]bool
 	saved     map[prefix.Key]time.Time // when a part was sent to the store
 	lanes     laneSplit
-	part      float64 // of the engines for short prompts, as the pools have it
-	usable    int     // engines that were neither resting nor ejected then
-	dirty     bool    // some endpoint's version or state changed
+	part      float64                    // of the engines for short prompts, as the pools have it
+	usable    int                        // engines that were neither resting nor ejected then
+	dirty     bool                       // some endpoint's version or state changed
+	split     *map[fleet.EndpointID]bool // the limited endpoints, as the pools have them
 
 	view *placement.Shared
 }
@@ -149,6 +152,13 @@
 		}
 	}
 	part := s.lanes.short()
+	if limited := s.limited.Load(); limited != s.split {
+		s.split, s.dirty = limited, true
+	}
+	var limited map[fleet.EndpointID]bool
+	if s.split != nil {
+		limited = *s.split
+	}
 	usable := 0
 	for key, byVersion := range engines {
 		n := 0
@@ -157,7 +167,7 @@
 		}
 		usable += n
 		name := modelKey(key.service, key.model)
-		short, long := splitVersions(byVersion, shortCount(part, n), n == 1)
+		short, long := splitVersions(byVersion, shortCount(part, n), n == 1, limited)
 		versions[name] = map[int64]int{}
 		for version, members := range byVersion {
 			if len(members) > 0 {
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -127,7 +127,7 @@
 // Of two engines one is out. The other must take long prompts too.
 func TestSingleUsableEngineServesBoth(t *testing.T) {
 	engines := map[int64][]fleet.Endpoint{5: members("a", 1), 4: nil}
-	short, long := splitVersions(engines, shortCount(0.3, 1), true)
+	short, long := splitVersions(engines, shortCount(0.3, 1), true, nil)
 	if len(short[5]) != 1 || len(long[5]) != 1 {
 		t.Errorf("short %d, long %d", len(short[5]), len(long[5]))
 	}
