--- a/router/learn.go
+++ b/router/learn.go
@@ -183,8 +183,8 @@
 func (p *placer) Ended(pl *forward.Placement, end forward.End) {
 	now := time.Now()
 	p.answered(now, pl.ID, false)
-	if p.limits != nil && end.Lost && end.Failure == retry.NotSent && pl.Notes.Dispatcher == "" {
-		p.limits.giveBack(pl.Target.Key)
+	if end.Lost && end.Failure == retry.NotSent && pl.Notes.Dispatcher == "" {
+		p.giveBack(pl.Target.Key)
 	}
 	if end.Whole || end.Left {
 		p.s.view.Finished(now, pl.ID)
--- a/router/limits.go
+++ b/router/limits.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -199,6 +201,21 @@
 	return out
 }
 
+// limited lists the endpoints that have a limit.
+func (l *endpointLimits) limited() []fleet.EndpointID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.keys))
+}
+
+// has tells whether the endpoint has a limit.
+func (l *endpointLimits) has(e fleet.EndpointID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, limited := l.keys[e]
+	return limited
+}
+
 // take counts a request that is about to be sent to the endpoint. It returns false if
 // that has no room. It never waits: the word of another daemon that comes later counts
 // for the next request.
--- a/router/placer.go
+++ b/router/placer.go
@@ -127,6 +127,7 @@
 	}
 	if left := time.Until(w.Deadline); d.ExpectedFirst > time.Duration(waitPart*float64(left)) {
 		p.s.view.Finished(now, r.ID)
+		p.giveBack(d.Endpoint)
 		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.spread()}
 	}
 	return p.placed(now, w, &r, &d, &way{}), nil
@@ -218,6 +219,7 @@
 	}
 	// A stream that goes on elsewhere is not refused: its caller has a part.
 	if !w.Resuming && best.decision.ExpectedWait > time.Duration(refuseParts[in]*float64(w.Route.Target)) {
+		p.giveBack(best.decision.Endpoint)
 		return forward.Placement{}, &forward.RefusedError{
 			Code: codeOverloaded, RetryAfter: p.spread(),
 			Endpoint: string(best.decision.Endpoint), Wait: best.decision.ExpectedWait, Age: best.decision.LoadAge,
@@ -230,6 +232,13 @@
 	return p.placed(now, w, &best.request, &best.decision, &best.way), nil
 }
 
+// giveBack returns what a request took of an endpoint's limit that is not sent there.
+func (p *placer) giveBack(e fleet.EndpointID) {
+	if p.limits != nil {
+		p.limits.giveBack(e)
+	}
+}
+
 // anywhere has the ways lead to any engine, by where the shared part is rather than
 // where its home is.
 func (p *placer) anywhere(now time.Time, w *forward.Work, all []way) {
@@ -248,10 +257,13 @@
 // chooseWay takes the best way to an endpoint that may be tried.
 func (p *placer) chooseWay(now time.Time, w *forward.Work, r *placement.Request, all []way) (weighed, error) {
 	try := *r
-	t := p.tries(r.Avoid)
+	t := p.tries(r.Avoid, laneOf(w.In.PromptTokens) == laneShort)
 	for t.next() {
 		try.ID, try.Avoid = p.lastID.Add(1), t.avoid
 		best, err := bestWay(now, p.s.view, try, all, w.Route.Target)
+		if err != nil && t.widen() {
+			continue
+		}
 		if err != nil {
 			break
 		}
@@ -328,7 +340,7 @@
 
 // choose places the request at an endpoint that may be tried.
 func (p *placer) choose(now time.Time, r *placement.Request, repeatable bool) (placement.Decision, error) {
-	t := p.tries(r.Avoid)
+	t := p.tries(r.Avoid, false)
 	for t.next() {
 		r.ID, r.Avoid = p.lastID.Add(1), t.avoid
 		d, err := p.s.view.Place(now, *r)
--- a/router/tries.go
+++ b/router/tries.go
@@ -14,18 +14,41 @@
 	avoid   []fleet.EndpointID
 	left    int
 	limited bool // some endpoint was at its limit
+	spared  bool // endpoints with a limit are left to other requests, as long as there are others
+	full    []fleet.EndpointID
 }
 
-// tries begins with the endpoints that are not at their limits.
-func (p *placer) tries(avoid []fleet.EndpointID) *tries {
+// tries begins with the endpoints that are not at their limits. spare leaves those that
+// have a limit to other requests, as long as there are others.
+func (p *placer) tries(avoid []fleet.EndpointID, spare bool) *tries {
 	t := &tries{p: p, avoid: slices.Clone(avoid), left: placeTries}
-	if p.limits != nil {
-		full := p.limits.full()
-		t.avoid, t.limited = append(t.avoid, full...), len(full) > 0
+	if p.limits == nil {
+		return t
 	}
+	t.full = p.limits.full()
+	t.limited = len(t.full) > 0
+	out := t.full
+	if spare {
+		out = p.limits.limited()
+		t.spared = len(out) > len(t.full)
+	}
+	t.avoid = append(t.avoid, out...)
 	return t
 }
 
+// widen takes in the endpoints that were spared. It returns false if there are none.
+func (t *tries) widen() bool {
+	if !t.spared {
+		return false
+	}
+	t.spared = false
+	t.avoid = slices.DeleteFunc(t.avoid, func(e fleet.EndpointID) bool {
+		return t.p.limits.has(e) && !slices.Contains(t.full, e)
+	})
+	t.left++
+	return true
+}
+
 // next tells whether another endpoint may be tried.
 func (t *tries) next() bool {
 	t.left--
