--- a/router/lanes_test.go
+++ b/router/lanes_test.go
@@ -67,3 +67,21 @@
 		t.Errorf("%d engines of 14", n)
 	}
 }
+
+// Guards against an engine that takes few requests a second and is kept for the short
+// prompts, of which there are many.
+func TestEnginesWithALimitServeLongPrompts(t *testing.T) {
+	all := members("a", 6)
+	short, _ := split(all, 2, false, nil)
+	limited := map[fleet.EndpointID]bool{short[0].ID: true}
+	now, long := split(all, 2, false, limited)
+	if len(now) != 2 || len(long) != 4 || now[0].ID != short[1].ID || limited[now[1].ID] {
+		t.Errorf("short prompts go to %v", now)
+	}
+	for _, e := range all {
+		limited[e.ID] = true
+	}
+	if now, _ := split(all, 2, false, limited); len(now) != 2 {
+		t.Errorf("%d engines for short prompts if all have a limit", len(now))
+	}
+}
