Move a daemon's part in the quarantine to a package of its own

The daemon of the product's own interface needs the same: finding out which endpoints ended, the messages, the operators' list. Package guard has it, and the router keeps what it alone has, the holds in its store.

--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/retry"
 )
@@ -19,8 +20,9 @@
 	// MayRepeat tells whether the request may be sent on after it was lost at an
 	// endpoint.
 	MayRepeat(f quarantine.Fingerprint) bool
-	// Lost takes an attempt whose connection ended. The endpoint may have ended too.
-	Lost(f quarantine.Fingerprint, t Target)
+	// Lost takes an attempt whose connection ended. The endpoint may have ended too. key
+	// names one life of it.
+	Lost(f quarantine.Fingerprint, key fleet.EndpointID, address string)
 	// Answered takes that an endpoint answered the request whole.
 	Answered(f quarantine.Fingerprint)
 }
@@ -49,6 +51,6 @@
 	case end.Whole || end.Error:
 		c.o.Quarantine.Answered(c.work.Fingerprint)
 	case end.Lost && end.Failure != retry.NotSent && lossOf(end.Cause) != lossSilent:
-		c.o.Quarantine.Lost(c.work.Fingerprint, t)
+		c.o.Quarantine.Lost(c.work.Fingerprint, t.Key, t.Address)
 	}
 }
--- a/router/quarantine_http.go
+++ b/guard/http.go
@@ -1,4 +1,4 @@
-package router
+package guard
 
 import (
 	"encoding/hex"
@@ -14,28 +14,28 @@
 	LeftSeconds int64  `json:"left_s"`
 }
 
-// handle adds what operators may ask: GET /quarantine lists the requests that are
+// Handle adds what operators may ask: GET /quarantine lists the requests that are
 // held, DELETE /quarantine/FINGERPRINT ends a hold at all daemons.
-func (h *holder) handle(mux *http.ServeMux) {
-	mux.HandleFunc("GET /quarantine", h.list)
-	mux.HandleFunc("DELETE /quarantine/{fingerprint}", h.lift)
+func (g *Guard) Handle(mux *http.ServeMux) {
+	mux.HandleFunc("GET /quarantine", g.list)
+	mux.HandleFunc("DELETE /quarantine/{fingerprint}", g.lift)
 }
 
-func (h *holder) list(w http.ResponseWriter, _ *http.Request) {
-	h.mu.Lock()
-	holds := h.node.Holds(h.clock())
-	h.mu.Unlock()
+func (g *Guard) list(w http.ResponseWriter, _ *http.Request) {
+	g.mu.Lock()
+	holds := g.node.Holds(g.o.Clock())
+	g.mu.Unlock()
 	out := make([]heldRequest, 0, len(holds))
 	for f, hold := range holds {
 		out = append(out, heldRequest{Fingerprint: f.String(), LeftSeconds: int64(hold.Left.Seconds())})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(out); err != nil {
-		h.log.Info("List of held requests was not read.", "error", err.Error())
+		g.o.Log.Info("List of held requests was not read.", "error", err.Error())
 	}
 }
 
-func (h *holder) lift(w http.ResponseWriter, r *http.Request) {
+func (g *Guard) lift(w http.ResponseWriter, r *http.Request) {
 	var f quarantine.Fingerprint
 	digits, err := hex.DecodeString(r.PathValue("fingerprint"))
 	if err != nil || len(digits) != len(f) {
@@ -43,10 +43,10 @@
 		return
 	}
 	copy(f[:], digits)
-	h.mu.Lock()
-	lifted := h.node.Lift(h.clock(), f)
-	h.post()
-	h.mu.Unlock()
+	g.mu.Lock()
+	lifted := g.node.Lift(g.o.Clock(), f)
+	g.post()
+	g.mu.Unlock()
 	if !lifted {
 		http.Error(w, "no request with this fingerprint is held", http.StatusNotFound)
 		return
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -32,7 +32,7 @@
 	known := map[string]Neighbour{}
 	changed := false
 	f.apply = func(record Record) bool {
-		if r.quarantine.recall(record) {
+		if r.recallHold(record) {
 			return true
 		}
 		news := r.daemonRecord(known, record)
@@ -51,7 +51,7 @@
 			all := slices.Collect(maps.Values(known))
 			r.neighbours.set(all)
 			r.limits.setDaemons(all)
-			r.quarantine.setDaemons(all)
+			r.quarantine.SetDaemons(peersOf(all))
 			r.endpointLimits.setDaemons(all)
 			r.dispatch.setDaemons(all)
 			changed = false
--- a/router/datagrams.go
+++ b/router/datagrams.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/merlindock/merlindock/gossip"
 	"github.com/merlindock/merlindock/logging"
 )
 
@@ -73,3 +74,12 @@
 		d.unsent.Inc(1) // its sender takes it for lost
 	}
 }
+
+// peersOf lists daemons as package gossip names them.
+func peersOf(all []Neighbour) []gossip.Peer {
+	out := make([]gossip.Peer, 0, len(all))
+	for _, d := range all {
+		out = append(out, gossip.Peer{Name: d.Name, Address: d.Address})
+	}
+	return out
+}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -135,14 +135,14 @@
 	}
 	f.mu.Unlock()
 	r.limits.setDaemons(all)
-	r.quarantine.setDaemons(all)
+	r.quarantine.SetDaemons(peersOf(all))
 	r.endpointLimits.setDaemons(all)
 	r.dispatch.setDaemons(all)
 	for _, e := range up {
 		r.list(e)
 	}
 	go r.keepTime(ctx)
-	go r.quarantine.run(ctx)
+	go r.quarantine.Run(ctx)
 	go r.endpointLimits.run(ctx)
 }
 
--- a/router/limits.go
+++ b/router/limits.go
@@ -144,17 +144,15 @@
 
 // setDaemons takes the list of all daemons.
 func (l *endpointLimits) setDaemons(all []Neighbour) {
-	peers := make([]gossip.Peer, 0, len(all))
 	var daemons []quota.Daemon
 	for _, d := range all {
-		peers = append(peers, gossip.Peer{Name: d.Name, Address: d.Address})
 		if d.Address != "" {
 			daemons = append(daemons, quota.Daemon{Name: d.Name, Address: d.Address})
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.SetPeers(peers)
+	l.book.SetPeers(peersOf(all))
 	l.quota.SetDaemons(daemons)
 }
 
--- a/router/quarantine_store.go
+++ b/router/quarantine_store.go
@@ -33,6 +33,7 @@
 // holdKeeper writes holds to the store, where daemons that start anew find them. Only
 // the daemon that began a hold writes it, and drops it when it ends.
 type holdKeeper struct {
+	me    string // name of this daemon
 	store Announcements
 	log   *logging.Logger
 	woken chan struct{}
@@ -42,9 +43,9 @@
 	unsaved map[quarantine.Fingerprint][]byte // no value: the hold has ended
 }
 
-func newHoldKeeper(store Announcements, log *logging.Logger) *holdKeeper {
+func newHoldKeeper(me string, store Announcements, log *logging.Logger) *holdKeeper {
 	return &holdKeeper{
-		store: store, log: log, woken: make(chan struct{}, 1),
+		me: me, store: store, log: log, woken: make(chan struct{}, 1),
 		mine: map[quarantine.Fingerprint]bool{}, unsaved: map[quarantine.Fingerprint][]byte{},
 	}
 }
@@ -116,30 +117,26 @@
 	return failed
 }
 
-// keep has a change written, if this daemon began the hold. Call it with mu held.
-func (h *holder) keep(c *quarantine.Change) {
-	if h.keeper == nil {
+// changed has a hold written that began here, or dropped if it has ended.
+func (k *holdKeeper) changed(c *quarantine.Change, kept *quarantine.Kept) {
+	switch {
+	case !c.Held:
+		k.put(c.Fingerprint, nil)
 		return
-	}
-	if !c.Held {
-		h.keeper.put(c.Fingerprint, nil)
-		return
-	}
-	kept, held := h.node.Keep(h.clock(), c.Fingerprint)
-	if !held || c.Reason != quarantine.ReasonEnds {
+	case kept == nil:
 		return
 	}
 	now := time.Now()
-	value, err := json.Marshal(keptHold{Daemon: h.me, Round: kept.Round, Began: now.Add(-kept.Age).UnixMilli(), Until: now.Add(kept.Left).UnixMilli()})
+	value, err := json.Marshal(keptHold{Daemon: k.me, Round: kept.Round, Began: now.Add(-kept.Age).UnixMilli(), Until: now.Add(kept.Left).UnixMilli()})
 	if err != nil {
-		h.log.Error("Hold can't be encoded.", "fingerprint", c.Fingerprint.String(), "error", err.Error())
+		k.log.Error("Hold can't be encoded.", "fingerprint", c.Fingerprint.String(), "error", err.Error())
 		return
 	}
-	h.keeper.put(c.Fingerprint, value)
+	k.put(c.Fingerprint, value)
 }
 
-// recall takes a hold from the store. It returns false for other records.
-func (h *holder) recall(record Record) bool {
+// recallHold takes a hold from the store. It returns false for other records.
+func (r *Router) recallHold(record Record) bool {
 	digits, ok := strings.CutPrefix(record.Key, holdKey)
 	if !ok {
 		return false
@@ -154,21 +151,16 @@
 		err = json.Unmarshal(record.Value, &kept)
 	}
 	if err != nil || len(raw) != len(f) {
-		h.log.Info("Record is no hold.", "key", record.Key, "offset", record.Offset)
+		r.log.Info("Record is no hold.", "key", record.Key, "offset", record.Offset)
 		return true
 	}
 	copy(f[:], raw)
 	left := time.Until(time.UnixMilli(kept.Until))
-	if kept.Daemon == h.me && h.keeper != nil {
-		h.keeper.adopt(f, left > 0)
+	if kept.Daemon == r.o.Settings.Name && r.keeper != nil {
+		r.keeper.adopt(f, left > 0)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.node.Recall(h.clock(), quarantine.Kept{
-		Fingerprint: f, Round: kept.Round,
-		Age:  max(0, time.Since(time.UnixMilli(kept.Began))),
-		Left: left,
+	r.quarantine.Recall(quarantine.Kept{
+		Fingerprint: f, Round: kept.Round, Age: max(0, time.Since(time.UnixMilli(kept.Began))), Left: left,
 	})
-	h.post()
 	return true
 }
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,8 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/gossip"
+	"github.com/merlindock/merlindock/guard"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/quarantine"
@@ -82,7 +84,8 @@
 	watch          *cacheWatch
 	datagrams      *datagrams
 	limits         *limiter
-	quarantine     *holder
+	quarantine     *guard.Guard
+	keeper         *holdKeeper // of holds; nil: there is no list of daemons
 	endpointLimits *endpointLimits
 	dispatch       *dispatch
 	feeds          [topicCount]*feed
@@ -132,14 +135,11 @@
 	r.datagrams = newDatagrams(r.metrics.scope, r.log)
 	r.datagrams.take = r.receive
 	r.limits = newLimiter(me, &o.Settings, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
-	r.quarantine = newHolder(me, o.Dial, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
+	r.quarantine = r.newGuard(me)
 	r.endpointLimits = newEndpointLimits(me, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.placer.limits = r.endpointLimits
 	r.endpointLimits.changed = func(limited map[fleet.EndpointID]bool) { s.limited.Store(&limited) }
 	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
-	if r.o.Announcements != nil {
-		r.quarantine.keeper = newHoldKeeper(r.o.Announcements, r.log)
-	}
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
 	}
@@ -165,6 +165,24 @@
 	return r
 }
 
+// newGuard sets the keeping of holds up, where there is a list of daemons to keep them
+// beside.
+func (r *Router) newGuard(me Neighbour) *guard.Guard {
+	o := guard.Options{
+		Me: gossip.Peer{Name: me.Name, Address: me.Address}, Clock: r.o.Clock, Dial: r.o.Dial, Rand: r.o.Rand,
+		Scope: r.metrics.scope, Log: r.log, Send: r.datagrams.send,
+	}
+	if o.Dial == nil {
+		d := forward.Dialer()
+		o.Dial = d.DialContext
+	}
+	if r.o.Announcements != nil {
+		r.keeper = newHoldKeeper(me.Name, r.o.Announcements, r.log)
+		o.Changed = r.keeper.changed
+	}
+	return guard.New(o)
+}
+
 func (r *Router) keysFresh() bool {
 	return r.s.operator.Within(r.clock(), time.Duration(freshPart*float64(r.o.Settings.RevokeWithin)))
 }
@@ -218,13 +236,13 @@
 		go r.datagrams.run(work)
 		go r.serveNeighbours(peers)
 		go r.followDaemons(work)
-		go r.quarantine.keeper.run(work)
+		go r.keeper.run(work)
 	} else {
 		r.limits.setDaemons([]Neighbour{r.neighbours.me})
 		r.neighbours.proceed()
 	}
 	go r.limits.run(work)
-	go r.quarantine.run(work)
+	go r.quarantine.Run(work)
 	go r.endpointLimits.run(work)
 	if r.o.MetricsPort != "" {
 		go r.serveMetrics()
@@ -245,7 +263,7 @@
 	case r.dispatch.receive(from, data):
 	case r.endpointLimits.receive(from, data):
 	case quarantine.Owns(data):
-		r.quarantine.receive(from, data)
+		r.quarantine.Receive(from, data)
 	default:
 		r.limits.receive(from, data)
 	}
@@ -314,7 +332,7 @@
 // operations serves metrics, and holds of requests to operators.
 func (r *Router) operations() http.Handler {
 	mux := http.NewServeMux()
-	r.quarantine.handle(mux)
+	r.quarantine.Handle(mux)
 	mux.Handle("/", r.metrics.handler())
 	return mux
 }
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,8 +100,8 @@
 			go r.followDaemons(ctx)
 			go r.followOperator(ctx)
 			go r.followEndpoints(ctx)
-			go r.quarantine.run(ctx)
-			go r.quarantine.keeper.run(ctx)
+			go r.quarantine.Run(ctx)
+			go r.keeper.run(ctx)
 			l := &leader{r: r, lease: weights.NewLease(all[i].o.Settings.Name, time.Second), sub: &subscription{n: r.neighbours, topic: TopicLease}}
 			go l.follow(ctx)
 		}(time.Duration(rng.Int64N(int64(300 * time.Millisecond))))
@@ -120,9 +121,11 @@
 	r.neighbours = newNeighbours(Neighbour{Name: set.Name, Zone: set.Zone, Address: set.PeerAddress}, &set, net.Dialer{}, w.clock, quiet())
 	unsent := func(string, []byte) {}
 	r.limits = newLimiter(r.neighbours.me, &set, w.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, quiet(), unsent)
-	r.quarantine = newHolder(r.neighbours.me, nil, w.clock, rand.New(rand.NewPCG(3, uint64(i))), tally.NoopScope, quiet(), unsent)
+	r.o.Rand, r.o.Clock = rand.New(rand.NewPCG(3, uint64(i))), w.clock
+	r.datagrams = newDatagrams(tally.NoopScope, quiet())
+	r.o.Dial = w.dialEnded
+	r.quarantine = r.newGuard(r.neighbours.me)
 	r.endpointLimits = newEndpointLimits(r.neighbours.me, w.clock, rand.New(rand.NewPCG(4, uint64(i))), tally.NoopScope, quiet(), unsent)
-	r.quarantine.keeper = newHoldKeeper(store, quiet())
 	r.dispatch = newDispatch(r.neighbours.me, r.s, r.placer, w.clock, quiet(), unsent)
 	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
 		return w.ask(ctx, set.Name, address, t, q)
@@ -133,6 +136,11 @@
 	return r
 }
 
+// dialEnded is a connection to an endpoint that has ended.
+func (w *zoneWorld) dialEnded(context.Context, string, string) (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+}
+
 // clock does not begin at zero, which is the time of nothing.
 func (w *zoneWorld) clock() time.Duration { return time.Hour + time.Since(w.began) }
 
@@ -596,8 +604,8 @@
 		f := quarantine.FingerprintOf("org", "POST", "h", "/x", nil)
 		lifted := quarantine.FingerprintOf("org", "POST", "h", "/y", nil)
 		for _, end := range []fleet.EndpointID{"a", "b", "c"} {
-			w.all[0].quarantine.ended(f, end)
-			w.all[0].quarantine.ended(lifted, end)
+			w.all[0].quarantine.Lost(f, end, "e")
+			w.all[0].quarantine.Lost(lifted, end, "e")
 		}
 		time.Sleep(settled)
 		w.all[0].quarantine.Answered(lifted)
