--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -4,11 +4,14 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/merlindock/merlindock/daemon"
@@ -54,6 +57,9 @@
 	CachePieces int  // of one runner
 	NoEvents    bool // daemons do not follow cache events
 	NoNotices   bool // daemons send each other no notices
+	// Ends tells whether a request with the body ends the runner that runs it; nil:
+	// none does.
+	Ends func(body string) bool
 }
 
 // Cluster is a running deployment. It belongs to one goroutine.
@@ -73,6 +79,7 @@
 	endpoints []fleet.Endpoint
 	servers   []*http.Server
 	transport *http.Transport
+	ended     atomic.Int64 // runners, by a request that ends them
 }
 
 // Node is one daemon.
@@ -165,6 +172,9 @@
 }
 
 func (c *Cluster) endpoint(id, class, address string, i int, h http.Handler) {
+	if class == "runner" && c.o.Ends != nil {
+		h = c.ending(i, address, h)
+	}
 	c.servers = append(c.servers, c.network.Serve(address, h))
 	c.endpoints = append(c.endpoints, fleet.Endpoint{
 		ID:      fleet.EndpointID(id),
@@ -176,6 +186,29 @@
 	})
 }
 
+// backAfter is the time until a runner that ended is back.
+const backAfter = 2 * time.Second
+
+// ending ends a runner that gets a request which ends it, and everything that it runs.
+func (c *Cluster) ending(i int, address string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !c.o.Ends(string(body)) {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			h.ServeHTTP(w, r)
+			return
+		}
+		c.ended.Add(1)
+		c.network.Refuse(address, true)
+		c.Runners[i].Crash()
+		time.AfterFunc(backAfter, func() {
+			c.Runners[i].Restart()
+			c.network.Refuse(address, false)
+		})
+		panic(http.ErrAbortHandler)
+	})
+}
+
 // list puts endpoints and daemons on the platform's list.
 func (c *Cluster) list() {
 	var daemons []ports.Daemon
--- /dev/null
+++ b/lab/cluster/crash_test.go
@@ -0,0 +1,50 @@
+package cluster
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against a request that ends runner after runner because its caller repeats it
+// at other daemons.
+func TestRepeatedRequestThatCrashesRunnersIsKeptFromThem(t *testing.T) {
+	const deadly = "deadly question"
+	ends := func(body string) bool { return strings.Contains(body, deadly) }
+	inCluster(t, Options{Daemons: 3, Runners: 8, Ends: ends}, func(t *testing.T, c *Cluster) {
+		var unserved atomic.Int64
+		const settled = 3 * time.Second
+		third, before := time.Time{}, int64(0)
+		began := time.Now()
+		for i := 0; time.Since(began) < 30*time.Second; i++ {
+			c.ask(t, i%len(c.Nodes), deadly, 5)
+			go func() {
+				if a := c.ask(t, (i+1)%len(c.Nodes), fmt.Sprint("question ", i), 5); !a.whole(5) && time.Since(began) > 10*time.Second {
+					unserved.Add(1)
+				}
+			}()
+			time.Sleep(200 * time.Millisecond) // virtual
+			if n := c.ended.Load(); third.IsZero() && n >= 3 {
+				third = time.Now()
+			}
+			if !third.IsZero() && time.Since(third) < settled {
+				before = c.ended.Load()
+			}
+		}
+		time.Sleep(time.Second) // virtual
+		t.Logf("%d runners ended, %d of them after the settling time; %d others not served", c.ended.Load(), c.ended.Load()-before, unserved.Load())
+		if n := c.ended.Load() - before; n > 3 {
+			t.Errorf("%d runners ended after the settling time", n)
+		}
+		if n := unserved.Load(); n > 0 {
+			t.Errorf("%d others were not served", n)
+		}
+		a := c.ask(t, 0, deadly, 5)
+		if a.status != http.StatusServiceUnavailable || a.outcome != "not_run" || a.header.Get("Retry-After") == "" {
+			t.Errorf("a repeat: %s", a)
+		}
+	})
+}
--- a/lab/standin/network.go
+++ b/lab/standin/network.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"google.golang.org/grpc/test/bufconn"
@@ -20,8 +21,20 @@
 type Network struct {
 	ConnBytes int // buffered each way by connections; 0: DefaultConnBytes
 
-	mu        sync.Mutex // guards listeners
+	mu        sync.Mutex // guards what follows
 	listeners map[string]*bufconn.Listener
+	refused   map[string]bool // addresses where nobody listens for now
+}
+
+// Refuse has connections to an address refused, as after the end of its process, or
+// taken again.
+func (n *Network) Refuse(address string, refused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refused == nil {
+		n.refused = make(map[string]bool)
+	}
+	n.refused[address] = refused
 }
 
 // Listen returns a listener for an address, which replaces an earlier one.
@@ -42,8 +55,11 @@
 // not looked at.
 func (n *Network) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
-	l := n.listeners[address]
+	l, refused := n.listeners[address], n.refused[address]
 	n.mu.Unlock()
+	if refused {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
 	if l == nil {
 		return nil, fmt.Errorf("standin: nothing listens on %s", address)
 	}
