Hold requests that end runners in the product's own path as well

The same cause as in the routed path: nothing knew a request beyond its own attempts. The gateway asks and tells the same quarantine; daemons carry its messages by a call of their own, Relay.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/merlindock/merlindock/admin"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/guard"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/peer"
@@ -70,6 +71,7 @@
 	drainer   *gateway.Drainer
 	shutdown  *shutdown
 	peers     *peer.Service
+	guard     *guard.Guard
 	gateway   *gateway.Gateway
 	claimer   *claimer
 	orders    *orderGiver
@@ -105,6 +107,7 @@
 	d.retries = newRetries(o.Now, newRand(s.Daemon.ID, d.life))
 	d.claimer = newClaimer(d)
 	d.orders = newOrderGiver(d)
+	d.guard = d.newGuard()
 	peers, err := peer.New(d.peerOptions())
 	if err != nil {
 		return nil, eris.Wrap(err, "daemon: peers")
@@ -117,15 +120,16 @@
 func (d *Daemon) gatewayOptions(client *engine.Client) gateway.Options {
 	s := d.o.Settings.Callers
 	return gateway.Options{
-		Catalogue: d.catalogue.index,
-		Bind:      d.fleet.bind,
-		Engine:    client,
-		Placer:    d.fleet,
-		Admitter:  d.admission,
-		Claimer:   d.claimer,
-		Retry:     d.retries,
-		Observer:  newObserver(d.metrics.Scope, d.o.Logs.For(logging.PartGateway)),
-		Drainer:   d.drainer,
+		Catalogue:  d.catalogue.index,
+		Bind:       d.fleet.bind,
+		Engine:     client,
+		Placer:     d.fleet,
+		Admitter:   d.admission,
+		Claimer:    d.claimer,
+		Retry:      d.retries,
+		Observer:   newObserver(d.metrics.Scope, d.o.Logs.For(logging.PartGateway)),
+		Drainer:    d.drainer,
+		Quarantine: d.guard,
 		Limits: gateway.Limits{
 			BodyBytes:      s.BodyBytes,
 			StallBudget:    s.WriteTimeout,
@@ -196,6 +200,10 @@
 	g.Go(func() error { return d.watch(ctx) })
 	g.Go(func() error { return d.orders.run(ctx) })
 	g.Go(func() error { return d.closeGaps(ctx) })
+	g.Go(func() error {
+		d.guard.Run(ctx)
+		return nil
+	})
 	g.Go(func() error {
 		d.bootstrap(ctx)
 		return nil
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/gossip"
 	"github.com/merlindock/merlindock/ledger"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/neighbour"
@@ -57,6 +58,11 @@
 	}
 	d.fleet.placement.SetDaemons(max(live, 1))
 	d.admission.setDaemons(live)
+	peers := make([]gossip.Peer, 0, len(list))
+	for i := range list {
+		peers = append(peers, gossip.Peer{Name: list[i].ID, Address: list[i].PeerAddress})
+	}
+	d.guard.SetDaemons(peers)
 }
 
 func (d *Daemon) peerOptions() peer.Options {
@@ -72,6 +78,7 @@
 		LocalDigest:   d.localDigest,
 		Heard:         d.heard,
 		Notified:      d.fleet.notified,
+		Relayed:       d.guard.Receive,
 		FetchManifest: d.fetchManifest,
 		Await: func(ctx context.Context, r neighbour.Revision) bool {
 			return d.manifests.Await(ctx, r.Offset)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -54,7 +54,7 @@
 	Callers *Callers
 	Limiter Limiter // nil: organisations have no rate limits
 	// Quarantine is nil if requests are kept from endpoints by nothing.
-	Quarantine Quarantine
+	Quarantine quarantine.Gate
 	Report     func(*Report)
 }
 
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -2,10 +2,7 @@
 
 import (
 	"net/http"
-	"time"
 
-	"github.com/merlindock/merlindock/fleet"
-	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/retry"
 )
 
@@ -13,20 +10,6 @@
 // that ran it have ended.
 const CodeQuarantined = "quarantined"
 
-// Quarantine keeps requests from endpoints that end whenever they run them.
-type Quarantine interface {
-	// Held tells how long the request is still held; false if it is not.
-	Held(f quarantine.Fingerprint) (left time.Duration, held bool)
-	// MayRepeat tells whether the request may be sent on after it was lost at an
-	// endpoint.
-	MayRepeat(f quarantine.Fingerprint) bool
-	// Lost takes an attempt whose connection ended. The endpoint may have ended too. key
-	// names one life of it.
-	Lost(f quarantine.Fingerprint, key fleet.EndpointID, address string)
-	// Answered takes that an endpoint answered the request whole.
-	Answered(f quarantine.Fingerprint)
-}
-
 // quarantined refuses a request that is held. Nothing of it has left for an endpoint.
 func (c *call) quarantined() bool {
 	if c.o.Quarantine == nil {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -33,6 +33,9 @@
 	}
 	c.g.bodiesInUse.Add(int64(len(c.body)) - reserved)
 	reserved = int64(len(c.body))
+	if refusal := c.quarantined(); refusal != nil {
+		return refusal
+	}
 	return serve()
 }
 
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -35,6 +35,7 @@
 	CodeUnknownPath      = "unknown_path"
 	CodeNoManifest       = "no_manifest"
 	CodeOverloaded       = "overloaded"
+	CodeQuarantined      = "quarantined"
 	CodeNoEndpoint       = "no_endpoint"
 	CodeEndpointFailed   = "endpoint_failed"
 	CodeStreamCut        = "stream_cut"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/quarantine"
 )
 
 // Headers between callers and the gateway.
@@ -85,7 +86,9 @@
 	Retry    RetryPolicy // nil: SimpleRetry
 	Observer Observer    // nil: none
 	Drainer  *Drainer    // nil: one of its own
-	Limits   Limits
+	// Quarantine is nil if requests are kept from endpoints by nothing.
+	Quarantine quarantine.Gate
+	Limits     Limits
 }
 
 // Gateway is the caller-facing http.Handler.
@@ -152,7 +155,9 @@
 	priority contract.Priority
 	deadline time.Time
 	explicit bool // the caller gave the deadline
-	report   Report
+	// fingerprint is the same for all repeats of the request.
+	fingerprint quarantine.Fingerprint
+	report      Report
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -216,6 +216,9 @@
 		}
 	}
 	mc.place.Exclude = append(mc.place.Exclude, p.Endpoint)
+	if !mc.mayRepeat() {
+		return mc.quarantinedAfter(mc.mayHaveRun)
+	}
 	wait, ok := mc.g.o.Retry.Next(Failure{
 		Organisation: mc.org.ID,
 		Priority:     mc.priority,
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -65,6 +65,7 @@
 func (c *call) settle(p *Placement, r *PlaceRequest, res *Result, err error) {
 	res.Err = err
 	res.Outcome = c.attemptOutcome(err)
+	c.tellQuarantine(p, res)
 	c.g.o.Observer.Attempt(r, p, res)
 	if p.Done != nil {
 		p.Done(*res)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -168,6 +168,9 @@
 		return sc.failed(true)
 	}
 	sc.place.Exclude = append(sc.place.Exclude, p.Endpoint)
+	if !sc.mayRepeat() {
+		return sc.quarantinedAfter(sc.mayHaveRun)
+	}
 	wait, ok := sc.g.o.Retry.Next(Failure{
 		Organisation: sc.org.ID,
 		Priority:     sc.priority,
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -52,7 +52,9 @@
 // Guard keeps requests from endpoints that end whenever they run them. It is safe for
 // concurrent use.
 type Guard struct {
-	o Options
+	o   Options
+	ctx context.Context // ends with Run
+	end func()
 
 	held, lifted, refused tally.Counter
 
@@ -71,8 +73,9 @@
 
 // New returns a Guard that holds nothing.
 func New(o Options) *Guard {
+	ctx, end := context.WithCancel(context.Background())
 	return &Guard{
-		o: o, held: o.Scope.Counter("quarantine_held"), lifted: o.Scope.Counter("quarantine_lifted"),
+		o: o, ctx: ctx, end: end, held: o.Scope.Counter("quarantine_held"), lifted: o.Scope.Counter("quarantine_lifted"),
 		refused:  o.Scope.Counter("quarantine_refused"),
 		node:     quarantine.NewNode(quarantine.Options{Me: o.Me, Rand: rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))}),
 		checking: map[fleet.EndpointID]*endCheck{},
@@ -81,6 +84,7 @@
 
 // Run does what is due with time alone until the context ends.
 func (g *Guard) Run(ctx context.Context) {
+	defer g.end()
 	for pause.For(ctx, gossip.Tick) == nil {
 		g.mu.Lock()
 		now := g.o.Clock()
@@ -198,7 +202,9 @@
 	ended := false
 	for n := 0; n < endedTries && !ended; n++ {
 		if n > 0 {
-			_ = pause.For(context.Background(), endedAgain)
+			if pause.For(g.ctx, endedAgain) != nil {
+				return
+			}
 		}
 		ended = g.refuses(address)
 	}
@@ -215,7 +221,7 @@
 
 // refuses tells whether nobody listens at the address any more.
 func (g *Guard) refuses(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), endedTime)
+	ctx, cancel := context.WithTimeout(g.ctx, endedTime)
 	defer cancel()
 	conn, err := g.o.Dial(ctx, "tcp", address)
 	if err == nil {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -200,7 +200,7 @@
 		}
 		c.ended.Add(1)
 		c.network.Refuse(address, true)
-		c.Runners[i].Crash()
+		c.Runners[i].Runner.Crash()
 		time.AfterFunc(backAfter, func() {
 			c.Runners[i].Restart()
 			c.network.Refuse(address, false)
--- a/lab/cluster/crash_test.go
+++ b/lab/cluster/crash_test.go
@@ -14,7 +14,7 @@
 func TestRepeatedRequestThatCrashesRunnersIsKeptFromThem(t *testing.T) {
 	const deadly = "deadly question"
 	ends := func(body string) bool { return strings.Contains(body, deadly) }
-	inCluster(t, Options{Daemons: 3, Runners: 8, Ends: ends}, func(t *testing.T, c *Cluster) {
+	inCluster(t, Options{Daemons: 3, Runners: 8, NoOrders: true, Ends: ends}, func(t *testing.T, c *Cluster) {
 		var unserved atomic.Int64
 		const settled = 3 * time.Second
 		third, before := time.Time{}, int64(0)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -58,6 +58,8 @@
 	// Notified takes another daemon's notices; times are by this daemon's
 	// clock. May be nil.
 	Notified func(from string, notices []placement.Notice)
+	// Relayed takes a message that another daemon sent by Relay. May be nil.
+	Relayed func(from string, data []byte)
 	// FetchManifest returns the accepted manifest of the given revision, for a
 	// neighbour. It may return a later one.
 	FetchManifest func(ctx context.Context, r neighbour.Revision) (Accepted, error)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -65,3 +65,17 @@
 	ReasonOperator Reason = "operator"
 	ReasonExpired  Reason = "expired"
 )
+
+// Gate is asked before a request is sent to an endpoint, and told what came of it.
+type Gate interface {
+	// Held tells how long the request is still held; false if it is not.
+	Held(f Fingerprint) (left time.Duration, held bool)
+	// MayRepeat tells whether the request may be sent on after it was lost at an
+	// endpoint.
+	MayRepeat(f Fingerprint) bool
+	// Lost takes an attempt whose connection ended. The endpoint may have ended too. key
+	// names one life of it.
+	Lost(f Fingerprint, key fleet.EndpointID, address string)
+	// Answered takes that an endpoint answered the request whole.
+	Answered(f Fingerprint)
+}
