Count endpoints whose host falls silent as ended

What would be seen: a request that takes the host of its engine with it is repeated for ever, as only engines that refuse connections counted.

Cause: the end of an endpoint was taken from refused connections alone, and a lost connection whose peer acknowledges nothing any more was taken for the daemon's own time being over. Both are time-outs; the daemon's own is now told apart.

TestRepeatedRequestThatCrashesEndpointsIsKeptFromThem/hosts_fall_silent failed before, 122 arrivals after the third end and 3 s; now 3 in all.

--- a/forward/loss.go
+++ b/forward/loss.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 )
 
@@ -12,7 +13,8 @@
 	lossRefused   = "refused"   // nobody listens there
 	lossReset     = "reset"     // the endpoint, or its kernel, ended it at once
 	lossClosed    = "closed"    // it ended before the answer did
-	lossSilent    = "silent"    // no answer or acknowledgement came in time
+	lossSilent    = "silent"    // the endpoint's host acknowledged nothing any more
+	lossTimeout   = "timeout"   // the daemon's own time for it was over
 	lossMalformed = "malformed" // what came is no answer
 )
 
@@ -20,6 +22,8 @@
 func lossOf(cause error) string {
 	var timeout net.Error
 	switch {
+	case errors.Is(cause, os.ErrDeadlineExceeded):
+		return lossTimeout
 	case errors.Is(cause, syscall.ECONNREFUSED):
 		return lossRefused
 	case errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -33,7 +33,7 @@
 	case c.o.Quarantine == nil || end.NotRun || end.Left:
 	case end.Whole || end.Error:
 		c.o.Quarantine.Answered(c.work.Fingerprint)
-	case end.Lost && end.Failure != retry.NotSent && lossOf(end.Cause) != lossSilent:
+	case end.Lost && end.Failure != retry.NotSent && lossOf(end.Cause) != lossTimeout:
 		c.o.Quarantine.Lost(c.work.Fingerprint, t.Key, t.Address)
 	}
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -206,7 +206,7 @@
 				return
 			}
 		}
-		ended = g.refuses(address)
+		ended = g.gone(address)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -219,16 +219,17 @@
 	c.lost = nil
 }
 
-// refuses tells whether nobody listens at the address any more.
-func (g *Guard) refuses(address string) bool {
+// gone tells whether nobody listens at the address any more, or the host is silent.
+func (g *Guard) gone(address string) bool {
 	ctx, cancel := context.WithTimeout(g.ctx, endedTime)
 	defer cancel()
 	conn, err := g.o.Dial(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
+		return false
 	}
-	var op *net.OpError
-	return errors.As(err, &op) && errors.Is(err, syscall.ECONNREFUSED)
+	var timeout net.Error
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout() && g.ctx.Err() == nil
 }
 
 // ended takes that an endpoint ended while it ran a request. Call it with mu held.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -32,7 +32,7 @@
 // Times and bounds of messages between daemons.
 const (
 	// ownerCount is the number of daemons that each report is sent to.
-	ownerCount = 3
+	ownerCount = 5
 	// reportTimes is how often a report is sent, as messages may be lost, and
 	// reportEvery the time between.
 	reportTimes = 3
--- a/router/crash_test.go
+++ b/router/crash_test.go
@@ -88,15 +88,22 @@
 // Guards against a request that ends engine after engine because its caller repeats it
 // under new ids at other daemons.
 func TestRepeatedRequestThatCrashesEndpointsIsKeptFromThem(t *testing.T) {
-	for name, route := range map[string]routes.Route{
-		"resumable stream": {Kind: routes.Stream, Resumable: true},
-		"stream":           {Kind: routes.Stream},
-		"safe":             {Kind: routes.Safe},
-		"unsafe":           {Kind: routes.Unsafe},
+	for name, c := range map[string]struct {
+		route routes.Route
+		dark  bool
+	}{
+		"resumable stream":  {routes.Route{Kind: routes.Stream, Resumable: true}, false},
+		"stream":            {routes.Route{Kind: routes.Stream}, false},
+		"safe":              {routes.Route{Kind: routes.Safe}, false},
+		"unsafe":            {routes.Route{Kind: routes.Unsafe}, false},
+		"hosts fall silent": {routes.Route{Kind: routes.Safe}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t, 9, 18, route)
+				f := newFleet(t, 9, 18, c.route)
+				for _, e := range f.endpoints {
+					e.dark = c.dark
+				}
 				l := crashLoad{every: 200 * time.Millisecond, ordinary: 20 * time.Millisecond, lasts: 30 * time.Second}
 				l.play(f)
 				if got := f.ask(0, fleetKey, crashBody); got.Code != http.StatusServiceUnavailable || got.Body.String() != "quarantined\n" || got.Header().Get("Retry-After") == "" {
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -231,6 +231,7 @@
 	life  int
 	conns map[net.Conn]bool
 	limit *float64 // requests a second that it names; nil: none
+	dark  bool     // it falls silent with its host instead of ending
 
 	arrivals []arrival
 }
@@ -268,13 +269,31 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.endpoints[n]
-	if !e.up {
+	switch {
+	case !e.up && e.dark:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ETIMEDOUT}
+	case !e.up:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	near, far := net.Pipe()
 	e.conns[far] = true
 	go e.serve(far)
-	return near, nil
+	return &memoryConn{Conn: near, dark: e.dark}, nil
+}
+
+// memoryConn is a daemon's side of a connection.
+type memoryConn struct {
+	net.Conn
+	dark bool
+}
+
+// Read implements net.Conn. The end of a host that fell silent shows as a time-out.
+func (c *memoryConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.dark && errors.Is(err, io.EOF) {
+		err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ETIMEDOUT}
+	}
+	return n, err
 }
 
 func (e *memoryEndpoint) serve(c net.Conn) {
