Forget limits that no answer repeats

What would be seen: after an engine with a limit has ended, daemons forget it in turn and learn it again from each other, with a line and 24 messages each time, for ever. Found by reading; before, each daemon forgot endpoints that it did not list.

Change: a word counts for a minute after the answer it is from, at all daemons alike.

--- a/limits/limits.go
+++ b/limits/limits.go
@@ -27,8 +27,9 @@
 	// least is the lowest rate that is kept to, in requests/s. Without any request no
 	// answer would tell that the limit is over.
 	least = 0.1
-	// endedTime is how long the end of a limit is passed on.
-	endedTime = time.Minute
+	// wordTime is how long a word counts that no answer of its endpoint repeats. The
+	// endpoint may have ended.
+	wordTime = time.Minute
 	// burstTime is the time for which an endpoint may be sent its rate at once.
 	burstTime = 500 * time.Millisecond
 )
@@ -116,7 +117,7 @@
 	for _, t := range all {
 		known := b.words[t.endpoint]
 		switch at := now - t.age; {
-		case known == nil && t.limit < 0:
+		case known == nil && t.limit < 0, t.age > wordTime:
 		case known == nil || known.limit != t.limit && at > known.at:
 			b.set(now, t, true)
 		case known.limit == t.limit:
@@ -129,8 +130,11 @@
 // Tick does what is due with time alone.
 func (b *Book) Tick(now time.Duration) {
 	for e, w := range b.words {
-		if w.limit < 0 && now-w.at > endedTime {
+		if now-w.at > wordTime {
 			delete(b.words, e)
+			if w.limit >= 0 {
+				b.changes = append(b.changes, Change{Endpoint: e, Age: now - w.at})
+			}
 			continue
 		}
 		if w.relays > 0 {
@@ -162,15 +166,6 @@
 	return out
 }
 
-// Retain forgets endpoints that are gone.
-func (b *Book) Retain(known func(fleet.EndpointID) bool) {
-	for e := range b.words {
-		if !known(e) {
-			delete(b.words, e)
-		}
-	}
-}
-
 // Limited lists the endpoints that have a limit.
 func (b *Book) Limited() []fleet.EndpointID {
 	var out []fleet.EndpointID
--- a/router/limits.go
+++ b/router/limits.go
@@ -156,17 +156,6 @@
 	l.quota.SetDaemons(daemons)
 }
 
-// retain forgets endpoints that are gone.
-func (l *endpointLimits) retain(known func(fleet.EndpointID) bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	before := len(l.book.Limited())
-	l.book.Retain(known)
-	if len(l.book.Limited()) != before {
-		l.apply()
-	}
-}
-
 // leave has other daemons turn elsewhere at once.
 func (l *endpointLimits) leave() {
 	l.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -377,7 +377,5 @@
 		known[key] = true
 	}
 	r.s.mu.Unlock()
-	isKnown := func(key fleet.EndpointID) bool { return known[key] }
-	r.client.CloseIdle(isKnown)
-	r.endpointLimits.retain(isKnown)
+	r.client.CloseIdle(func(key fleet.EndpointID) bool { return known[key] })
 }
