--- a/router/daemons.go
+++ b/router/daemons.go
@@ -52,7 +52,7 @@
 			r.neighbours.set(all)
 			r.limits.setDaemons(all)
 			r.quarantine.SetDaemons(peersOf(all))
-			r.endpointLimits.setDaemons(all)
+			r.room.SetDaemons(peersOf(all))
 			r.dispatch.setDaemons(all)
 			changed = false
 		}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -136,14 +136,14 @@
 	f.mu.Unlock()
 	r.limits.setDaemons(all)
 	r.quarantine.SetDaemons(peersOf(all))
-	r.endpointLimits.setDaemons(all)
+	r.room.SetDaemons(peersOf(all))
 	r.dispatch.setDaemons(all)
 	for _, e := range up {
 		r.list(e)
 	}
 	go r.keepTime(ctx)
 	go r.quarantine.Run(ctx)
-	go r.endpointLimits.run(ctx)
+	go r.room.Run(ctx)
 }
 
 // list tells the daemon of an endpoint, as its entry in the store does.
--- a/router/learn.go
+++ b/router/learn.go
@@ -105,8 +105,8 @@
 // Answered implements forward.Placer.
 func (p *placer) Answered(pl *forward.Placement, info *forward.AnswerInfo) {
 	now := time.Now()
-	if p.limits != nil {
-		p.limits.answered(pl.Target.Key, info)
+	if p.room != nil && !info.Misplaced { // else it may be another endpoint's
+		p.room.Answered(pl.Target.Key, info.Limit)
 	}
 	if info.Load != nil {
 		info.Load.At = now
--- a/router/placer.go
+++ b/router/placer.go
@@ -18,6 +18,7 @@
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/retry"
+	"github.com/merlindock/merlindock/room"
 	"github.com/merlindock/merlindock/weights"
 )
 
@@ -56,8 +57,8 @@
 // placer implements forward.Placer.
 type placer struct {
 	s       *state
-	watch   *cacheWatch     // nil: nothing is known of caches
-	limits  *endpointLimits // nil: limits of endpoints are not kept
+	watch   *cacheWatch  // nil: nothing is known of caches
+	room    *room.Keeper // nil: limits of endpoints are not kept
 	engines weights.Engines
 	clock   func() time.Duration // boot clock
 	old     time.Duration        // Settings.VersionWithin
@@ -102,10 +103,10 @@
 	for waited := 0; ; waited++ {
 		out, err := p.place(ctx, w)
 		var refused *forward.RefusedError
-		if !errors.As(err, &refused) || refused.Code != codeAtLimits || waited == roomWaits || !p.limits.waits() {
+		if !errors.As(err, &refused) || refused.Code != codeAtLimits || waited == room.Waits || !p.room.Waiting() {
 			return out, err
 		}
-		if err := pause.For(ctx, roomWait); err != nil {
+		if err := pause.For(ctx, room.Wait); err != nil {
 			return out, err
 		}
 	}
@@ -234,8 +235,8 @@
 
 // giveBack returns what a request took of an endpoint's limit that is not sent there.
 func (p *placer) giveBack(e fleet.EndpointID) {
-	if p.limits != nil {
-		p.limits.giveBack(e)
+	if p.room != nil {
+		p.room.GiveBack(e)
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/quarantine"
+	"github.com/merlindock/merlindock/room"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/telemetry"
 	"github.com/merlindock/merlindock/weights"
@@ -80,18 +81,18 @@
 	front   *http.Server
 	callers *forward.Callers
 
-	neighbours     *neighbours
-	watch          *cacheWatch
-	datagrams      *datagrams
-	limits         *limiter
-	quarantine     *guard.Guard
-	keeper         *holdKeeper // of holds; nil: there is no list of daemons
-	endpointLimits *endpointLimits
-	dispatch       *dispatch
-	feeds          [topicCount]*feed
-	log            *logging.Logger
-	fold           fold // of the lines of ordinary requests
-	metrics        *meters
+	neighbours *neighbours
+	watch      *cacheWatch
+	datagrams  *datagrams
+	limits     *limiter
+	quarantine *guard.Guard
+	keeper     *holdKeeper  // of holds; nil: there is no list of daemons
+	room       *room.Keeper // at endpoints that name limits
+	dispatch   *dispatch
+	feeds      [topicCount]*feed
+	log        *logging.Logger
+	fold       fold // of the lines of ordinary requests
+	metrics    *meters
 
 	leaving atomic.Bool
 	// stops is when the process ends, once callers should know of it.
@@ -136,9 +137,8 @@
 	r.datagrams.take = r.receive
 	r.limits = newLimiter(me, &o.Settings, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	r.quarantine = r.newGuard(me)
-	r.endpointLimits = newEndpointLimits(me, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
-	r.placer.limits = r.endpointLimits
-	r.endpointLimits.changed = func(limited map[fleet.EndpointID]bool) { s.limited.Store(&limited) }
+	r.room = r.newRoom(me)
+	r.placer.room = r.room
 	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	for t := range r.feeds {
 		r.feeds[t] = newFeed(Topic(t) != TopicLease)
@@ -183,6 +183,14 @@
 	return guard.New(o)
 }
 
+func (r *Router) newRoom(me Neighbour) *room.Keeper {
+	return room.New(room.Options{
+		Me: gossip.Peer{Name: me.Name, Address: me.Address}, Clock: r.o.Clock, Rand: r.o.Rand,
+		Scope: r.metrics.scope, Log: r.log, Send: r.datagrams.send,
+		Changed: func(limited map[fleet.EndpointID]bool) { r.s.limited.Store(&limited) },
+	})
+}
+
 func (r *Router) keysFresh() bool {
 	return r.s.operator.Within(r.clock(), time.Duration(freshPart*float64(r.o.Settings.RevokeWithin)))
 }
@@ -243,7 +251,7 @@
 	}
 	go r.limits.run(work)
 	go r.quarantine.Run(work)
-	go r.endpointLimits.run(work)
+	go r.room.Run(work)
 	if r.o.MetricsPort != "" {
 		go r.serveMetrics()
 	}
@@ -261,7 +269,7 @@
 func (r *Router) receive(from string, data []byte) {
 	switch {
 	case r.dispatch.receive(from, data):
-	case r.endpointLimits.receive(from, data):
+	case r.room.Receive(from, data):
 	case quarantine.Owns(data):
 		r.quarantine.Receive(from, data)
 	default:
@@ -285,7 +293,7 @@
 	began := time.Now()
 	r.leaving.Store(true)
 	r.limits.leave()
-	r.endpointLimits.leave()
+	r.room.Leave()
 	r.log.Info("Stopping.")
 	end := began.Add(r.o.Settings.StopWithin - stopReserve)
 	_ = pause.For(context.Background(), balancerLag)
--- a/router/tries.go
+++ b/router/tries.go
@@ -22,14 +22,14 @@
 // have a limit to other requests, as long as there are others.
 func (p *placer) tries(avoid []fleet.EndpointID, spare bool) *tries {
 	t := &tries{p: p, avoid: slices.Clone(avoid), left: placeTries}
-	if p.limits == nil {
+	if p.room == nil {
 		return t
 	}
-	t.full = p.limits.full()
+	t.full = p.room.Full()
 	t.limited = len(t.full) > 0
 	out := t.full
 	if spare {
-		out = p.limits.limited()
+		out = p.room.Limited()
 		t.spared = len(out) > len(t.full)
 	}
 	t.avoid = append(t.avoid, out...)
@@ -43,7 +43,7 @@
 	}
 	t.spared = false
 	t.avoid = slices.DeleteFunc(t.avoid, func(e fleet.EndpointID) bool {
-		return t.p.limits.has(e) && !slices.Contains(t.full, e)
+		return t.p.room.Has(e) && !slices.Contains(t.full, e)
 	})
 	t.left++
 	return true
@@ -58,7 +58,7 @@
 // take tells whether the endpoint may have the request. If not, the next try avoids it.
 func (t *tries) take(now time.Time, e fleet.EndpointID, repeatable bool) bool {
 	if t.p.mayTry(now, e, repeatable) {
-		if t.p.limits == nil || t.p.limits.take(e) {
+		if t.p.room == nil || t.p.room.Take(e) {
 			return true
 		}
 		// What is at its limit shortens the list of all that are not, once.
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -125,7 +125,7 @@
 	r.datagrams = newDatagrams(tally.NoopScope, quiet())
 	r.o.Dial = w.dialEnded
 	r.quarantine = r.newGuard(r.neighbours.me)
-	r.endpointLimits = newEndpointLimits(r.neighbours.me, w.clock, rand.New(rand.NewPCG(4, uint64(i))), tally.NoopScope, quiet(), unsent)
+	r.room = r.newRoom(r.neighbours.me)
 	r.dispatch = newDispatch(r.neighbours.me, r.s, r.placer, w.clock, quiet(), unsent)
 	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
 		return w.ask(ctx, set.Name, address, t, q)
