Reproduce a runner's limit that the product's own daemons don't keep

Whole daemons with their own interface, in virtual time, 5 of them and 3 runners of which one names a limit. The header that the test's runner sends is the one the fix will read.

--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -11,10 +11,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/merlindock/merlindock/daemon"
+	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/lab/standin"
 	"github.com/merlindock/merlindock/lab/standin/plog"
@@ -60,6 +63,8 @@
 	// Ends tells whether a request with the body ends the runner that runs it; nil:
 	// none does.
 	Ends func(body string) bool
+	// Limits are what runners name, in requests a second of all daemons; 0: nothing.
+	Limits map[int]float64
 }
 
 // Cluster is a running deployment. It belongs to one goroutine.
@@ -80,6 +85,8 @@
 	servers   []*http.Server
 	transport *http.Transport
 	ended     atomic.Int64 // runners, by a request that ends them
+	reachedMu sync.Mutex
+	reached   []time.Time // when requests reached a runner with a limit
 }
 
 // Node is one daemon.
@@ -175,6 +182,9 @@
 	if class == "runner" && c.o.Ends != nil {
 		h = c.ending(i, address, h)
 	}
+	if limit := c.o.Limits[i]; class == "runner" && limit > 0 {
+		h = c.limited(limit, h)
+	}
 	c.servers = append(c.servers, c.network.Serve(address, h))
 	c.endpoints = append(c.endpoints, fleet.Endpoint{
 		ID:      fleet.EndpointID(id),
@@ -209,6 +219,19 @@
 	})
 }
 
+// limited has a runner name a limit, and notes when requests reach it.
+func (c *Cluster) limited(limit float64, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != engine.PathLoad && r.URL.Path != engine.PathEvents {
+			c.reachedMu.Lock()
+			c.reached = append(c.reached, time.Now())
+			c.reachedMu.Unlock()
+		}
+		w.Header().Set("Merlin-Limit", strconv.FormatFloat(limit, 'g', -1, 64))
+		h.ServeHTTP(w, r)
+	})
+}
+
 // list puts endpoints and daemons on the platform's list.
 func (c *Cluster) list() {
 	var daemons []ports.Daemon
--- /dev/null
+++ b/lab/cluster/limit_test.go
@@ -0,0 +1,53 @@
+package cluster
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against each daemon keeping to a runner's limit alone, or not at all, so that
+// the runner gets many times what it takes.
+func TestLimitOfARunnerHoldsOverAllDaemons(t *testing.T) {
+	const (
+		limit   = 3.0
+		window  = 4 * time.Second
+		settled = 3 * time.Second
+		allowed = 1.5*limit*4 + 5
+	)
+	inCluster(t, Options{Daemons: 5, Runners: 3, NoOrders: true, Limits: map[int]float64{0: limit}}, func(t *testing.T, c *Cluster) {
+		began := time.Now()
+		var all sync.WaitGroup
+		var unserved atomic.Int64
+		for i := range 800 {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * 25 * time.Millisecond) // virtual
+				if a := c.askOn(t, i%len(c.Nodes), fmt.Sprint("document ", i), "question", 5); !a.whole(5) {
+					unserved.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		most, count, first := 0, 0, 0
+		for i, at := range c.reached {
+			for at.Sub(c.reached[first]) > window || c.reached[first].Sub(began) < settled && first < i {
+				first++
+			}
+			if at.Sub(began) >= settled {
+				most, count = max(most, i-first+1), count+1
+			}
+		}
+		t.Logf("at most %d in %v, allowed %.0f; %.1f a second of %g; %d not served", most, window, allowed, float64(count)/17, limit, unserved.Load())
+		if most > allowed {
+			t.Errorf("got %d requests in %v, allowed %.0f", most, window, allowed)
+		}
+		if float64(count)/17 < limit/2 {
+			t.Errorf("got %.1f a second of %g", float64(count)/17, limit)
+		}
+		if n := unserved.Load(); n > 0 {
+			t.Errorf("%d requests were not served", n)
+		}
+	})
+}
