Keep to the limits of runners in the product's own path as well

The product's protocol had no word for it: an answer may carry Merlin-Limit now, read like the platform's. Daemons tell each other by the call Relay, part the limit among them by the same packages, and place a request elsewhere while a runner has no room.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/peer"
 	"github.com/merlindock/merlindock/ports"
+	"github.com/merlindock/merlindock/room"
 	"github.com/merlindock/merlindock/settings"
 	"github.com/merlindock/merlindock/telemetry"
 )
@@ -72,6 +73,7 @@
 	shutdown  *shutdown
 	peers     *peer.Service
 	guard     *guard.Guard
+	room      *room.Keeper
 	gateway   *gateway.Gateway
 	claimer   *claimer
 	orders    *orderGiver
@@ -107,7 +109,7 @@
 	d.retries = newRetries(o.Now, newRand(s.Daemon.ID, d.life))
 	d.claimer = newClaimer(d)
 	d.orders = newOrderGiver(d)
-	d.guard = d.newGuard()
+	d.guard, d.room = d.newGuard(), d.newRoom()
 	peers, err := peer.New(d.peerOptions())
 	if err != nil {
 		return nil, eris.Wrap(err, "daemon: peers")
@@ -204,6 +206,10 @@
 		d.guard.Run(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		d.room.Run(ctx)
+		return nil
+	})
 	g.Go(func() error {
 		d.bootstrap(ctx)
 		return nil
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -63,6 +63,7 @@
 		peers = append(peers, gossip.Peer{Name: list[i].ID, Address: list[i].PeerAddress})
 	}
 	d.guard.SetDaemons(peers)
+	d.room.SetDaemons(peers)
 }
 
 func (d *Daemon) peerOptions() peer.Options {
@@ -78,7 +79,7 @@
 		LocalDigest:   d.localDigest,
 		Heard:         d.heard,
 		Notified:      d.fleet.notified,
-		Relayed:       d.guard.Receive,
+		Relayed:       d.relayed,
 		FetchManifest: d.fetchManifest,
 		Await: func(ctx context.Context, r neighbour.Revision) bool {
 			return d.manifests.Await(ctx, r.Offset)
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -11,8 +13,10 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/gateway"
 	"github.com/merlindock/merlindock/health"
+	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/prefix"
+	"github.com/merlindock/merlindock/room"
 )
 
 // requestIDs numbers what one daemon places and admits.
@@ -28,11 +32,31 @@
 // that was chosen is on trial with another one.
 const trialsAtOnce = 3
 
-// Place implements gateway.Placer.
-func (v *fleetView) Place(_ context.Context, r *gateway.PlaceRequest) (gateway.Placement, error) {
+// errAtLimits is what callers are told while all endpoints are at the limits that they
+// name.
+var errAtLimits = &gateway.Refusal{
+	Status: http.StatusServiceUnavailable, Code: gateway.CodeOverloaded, Outcome: gateway.OutcomeNotRun,
+	Message: "all endpoints are at the limits that they name", RetryAfter: gateway.DefaultRetryAfter,
+}
+
+// Place implements gateway.Placer. While all endpoints are at their limits it waits for
+// other daemons' words for a moment.
+func (v *fleetView) Place(ctx context.Context, r *gateway.PlaceRequest) (gateway.Placement, error) {
 	if r.Attempt <= 1 {
 		v.daemon.retries.earn()
 	}
+	for waited := 0; ; waited++ {
+		p, err := v.place(r)
+		if !errors.Is(err, errAtLimits) || waited == room.Waits || !v.daemon.room.Waiting() {
+			return p, err
+		}
+		if err := pause.For(ctx, room.Wait); err != nil {
+			return p, err
+		}
+	}
+}
+
+func (v *fleetView) place(r *gateway.PlaceRequest) (gateway.Placement, error) {
 	levels := v.levels(r)
 	request := placement.Request{
 		Pool:     classPool(r.Class),
@@ -45,20 +69,32 @@
 		request.Pool = modelPool(r.Target.Model, r.Target.Version)
 	}
 	repeatable := r.Kind == fleet.KindModel
+	full := v.daemon.room.Full()
+	request.Avoid = append(slices.Clone(r.Exclude), full...)
 	for tries := 0; ; tries++ {
 		request.ID = v.ids.next()
 		decision, err := v.placement.Place(v.now(), request)
 		if err != nil && repeatable && tries > 0 && tries < trialsAtOnce {
 			// Only endpoints on trial are left: better one of them than none.
-			tries, request.Avoid = trialsAtOnce-1, r.Exclude
+			tries, request.Avoid = trialsAtOnce-1, append(slices.Clone(r.Exclude), full...)
 			continue
 		}
+		if err != nil && len(full) > 0 {
+			return gateway.Placement{}, errAtLimits
+		}
 		if err != nil {
 			return gateway.Placement{}, err
 		}
 		last := tries == trialsAtOnce
 		if v.mayTry(decision.Endpoint, repeatable) || (last && repeatable) {
-			return v.placed(request.ID, levels, &decision), nil
+			if v.daemon.room.Take(decision.Endpoint) {
+				return v.placed(request.ID, levels, &decision), nil
+			}
+			v.placement.Finished(v.now(), request.ID)
+			full = append(full, decision.Endpoint)
+			request.Avoid = append(slices.Clone(request.Avoid), decision.Endpoint)
+			tries--
+			continue
 		}
 		v.placement.Finished(v.now(), request.ID)
 		if last {
@@ -127,6 +163,7 @@
 }
 
 func (v *fleetView) began(id uint64, e fleet.EndpointID, levels []prefix.Level, m engine.Metadata) {
+	v.daemon.room.Answered(e, m.Limit)
 	if m.NotRun {
 		return
 	}
@@ -154,12 +191,16 @@
 		dead := r.Outcome == gateway.AttemptNotSent
 		v.placement.Failed(now, placement.Failure{ID: id, Endpoint: e, Dead: dead})
 	}
+	if r.Status != 0 {
+		v.daemon.room.Answered(e, r.Meta.Limit)
+	}
 	switch r.Outcome {
 	case gateway.AttemptAnswered:
 		v.healthMu.Lock()
 		v.health.Success(now, e, r.Meta.Incarnation, slowness(r.FirstToken, expected))
 		v.healthMu.Unlock()
 	case gateway.AttemptNotSent:
+		v.daemon.room.GiveBack(e)
 		v.refused(e)
 	case gateway.AttemptNotRun:
 		v.notRun(e, r.Meta)
--- a/engine/answer.go
+++ b/engine/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/limits"
 )
 
 // CachedUnknown is the number of cached tokens when the endpoint gave none.
@@ -23,6 +24,7 @@
 	CachedTokens  int               // CachedUnknown: not known
 	Load          fleet.Load
 	HasLoad       bool
+	Limit         *float64 // requests a second that it takes of all daemons; nil: not said
 	NotRun        bool
 	WeightVersion string // empty: not said
 }
@@ -32,6 +34,7 @@
 		Attempt:       h.Get(HeaderAttempt),
 		CachedTokens:  CachedUnknown,
 		WeightVersion: h.Get(HeaderWeightVersion),
+		Limit:         limits.Parse(h.Get(HeaderLimit)),
 	}
 	// An endpoint that answers "not run" makes the daemon send the request
 	// again. Without the echo it could be the answer to somebody else, and a
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -21,6 +21,7 @@
 	HeaderIncarnation  = "Merlin-Incarnation"   // which life of the endpoint answers
 	HeaderCachedTokens = "Merlin-Cached-Tokens" // prompt tokens taken from its cache
 	HeaderLoad         = "Merlin-Load"          // fleet.Load as JSON
+	HeaderLimit        = "Merlin-Limit"         // requests a second that it takes of all daemons
 	HeaderNotRun       = "Merlin-Not-Run"       // "true": the endpoint did no part of the request
 	// HeaderWeightVersion in an answer: the weight version that answered.
 )
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -227,7 +227,7 @@
 			c.reached = append(c.reached, time.Now())
 			c.reachedMu.Unlock()
 		}
-		w.Header().Set("Merlin-Limit", strconv.FormatFloat(limit, 'g', -1, 64))
+		w.Header().Set(engine.HeaderLimit, strconv.FormatFloat(limit, 'g', -1, 64))
 		h.ServeHTTP(w, r)
 	})
 }
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -9,8 +9,11 @@
 package limits
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -38,6 +41,16 @@
 // their way for a moment after they were counted.
 var Tolerance = quota.Tolerance{Overage: 0.2, Slack: 2}
 
+// Parse reads a limit in requests a second. One that is no such number counts as none:
+// the endpoint sheds load by itself then.
+func Parse(text string) *float64 {
+	v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return nil
+	}
+	return &v
+}
+
 // KeyOf names an endpoint in messages of package quota.
 func KeyOf(e fleet.EndpointID) quota.Key { return quota.KeyOf("endpoint/" + string(e)) }
 
