--- a/limits/limits.go
+++ b/limits/limits.go
@@ -5,7 +5,7 @@
 // its part before its own first answer, and hears of a limit's end though it may send
 // next to nothing itself. How the requests are parted is decided in package quota.
 //
-// The package does no I/O and reads no clock. A Book is not safe for concurrent use.
+// The package does no I/O and reads no clock. A Table is not safe for concurrent use.
 package limits
 
 import (
@@ -30,9 +30,9 @@
 	// least is the lowest rate that is kept to, in requests/s. Without any request no
 	// answer would tell that the limit is over.
 	least = 0.1
-	// wordTime is how long a word counts that no answer of its endpoint repeats. The
+	// entryTTL is how long a limit counts that no answer of its endpoint repeats. The
 	// endpoint may have ended.
-	wordTime = time.Minute
+	entryTTL = time.Minute
 	// burstTime is the time for which an endpoint may be sent its rate at once.
 	burstTime = 500 * time.Millisecond
 )
@@ -58,12 +58,12 @@
 type Change struct {
 	Endpoint fleet.EndpointID
 	Limit    *float64 // requests/s; nil: none any more
-	Told     bool     // by another daemon
+	FromPeer bool     // another daemon told it
 	Age      time.Duration
 }
 
-// word is what an endpoint last said.
-type word struct {
+// entry is what an endpoint last said.
+type entry struct {
 	limit  float64 // negative: none
 	at     time.Duration
 	relays int // ticks at which it is still passed on
@@ -72,35 +72,35 @@
 // none is the limit of an endpoint that names none.
 const none = -1.0
 
-// Options are what a Book needs.
+// Options are what a Table needs.
 type Options struct {
 	Me   gossip.Peer
-	Rand *rand.Rand // seeded; draws the daemons that are told
+	Rand *rand.Rand // seeded; draws the peers that are told
 }
 
-// Book is one daemon's knowledge.
-type Book struct {
+// Table is one daemon's knowledge.
+type Table struct {
 	peers   *gossip.Peers
-	words   map[fleet.EndpointID]*word
-	turn    int // of the words, in messages with what is known
+	entries map[fleet.EndpointID]*entry
+	turn    int // of the entries, in messages with what is known
 	changes []Change
 }
 
-// NewBook returns a Book that knows no limits.
-func NewBook(o Options) *Book {
-	return &Book{peers: gossip.NewPeers(o.Me, o.Rand), words: map[fleet.EndpointID]*word{}}
+// NewTable returns a Table that knows no limits.
+func NewTable(o Options) *Table {
+	return &Table{peers: gossip.NewPeers(o.Me, o.Rand), entries: map[fleet.EndpointID]*entry{}}
 }
 
 // SetPeers takes the list of all daemons.
-func (b *Book) SetPeers(all []gossip.Peer) { b.peers.Set(all) }
+func (t *Table) SetPeers(all []gossip.Peer) { t.peers.Set(all) }
 
 // Answered takes what an answer of the endpoint named; nil: no limit.
-func (b *Book) Answered(now time.Duration, e fleet.EndpointID, limit *float64) {
+func (t *Table) Answered(now time.Duration, e fleet.EndpointID, limit *float64) {
 	said := none
 	if limit != nil {
 		said = *limit
 	}
-	known := b.words[e]
+	known := t.entries[e]
 	switch {
 	case known == nil && said < 0 || len(e) > endpointBytes:
 		return
@@ -108,32 +108,32 @@
 		known.at = now
 		return
 	}
-	b.set(now, told{endpoint: e, limit: said}, false)
-	b.peers.Tell(gossip.DirectPeers, encode([]told{{endpoint: e, limit: said}}))
+	t.set(now, update{endpoint: e, limit: said}, false)
+	t.peers.Tell(gossip.DirectPeers, encode([]update{{endpoint: e, limit: said}}))
 }
 
-func (b *Book) set(now time.Duration, t told, heard bool) {
-	if b.words[t.endpoint] == nil && len(b.words) >= maxEndpoints {
+func (t *Table) set(now time.Duration, u update, fromPeer bool) {
+	if t.entries[u.endpoint] == nil && len(t.entries) >= maxEndpoints {
 		return
 	}
-	b.words[t.endpoint] = &word{limit: t.limit, at: now - t.age, relays: gossip.RelayTimes}
-	c := Change{Endpoint: t.endpoint, Told: heard, Age: t.age}
-	if t.limit >= 0 {
-		c.Limit = &t.limit
+	t.entries[u.endpoint] = &entry{limit: u.limit, at: now - u.age, relays: gossip.RelayTimes}
+	c := Change{Endpoint: u.endpoint, FromPeer: fromPeer, Age: u.age}
+	if u.limit >= 0 {
+		c.Limit = &u.limit
 	}
-	b.changes = append(b.changes, c)
+	t.changes = append(t.changes, c)
 }
 
 // Receive takes a message of another daemon. The error is ErrMessage.
-func (b *Book) Receive(now time.Duration, data []byte) error {
+func (t *Table) Receive(now time.Duration, data []byte) error {
 	all, err := decode(data)
-	for _, t := range all {
-		known := b.words[t.endpoint]
-		switch at := now - t.age; {
-		case known == nil && t.limit < 0, t.age > wordTime:
-		case known == nil || known.limit != t.limit && at > known.at:
-			b.set(now, t, true)
-		case known.limit == t.limit:
+	for _, u := range all {
+		known := t.entries[u.endpoint]
+		switch at := now - u.age; {
+		case known == nil && u.limit < 0, u.age > entryTTL:
+		case known == nil || known.limit != u.limit && at > known.at:
+			t.set(now, u, true)
+		case known.limit == u.limit:
 			known.at = max(known.at, at)
 		}
 	}
@@ -141,48 +141,48 @@
 }
 
 // Tick does what is due with time alone.
-func (b *Book) Tick(now time.Duration) {
-	for e, w := range b.words {
-		if now-w.at > wordTime {
-			delete(b.words, e)
+func (t *Table) Tick(now time.Duration) {
+	for e, w := range t.entries {
+		if now-w.at > entryTTL {
+			delete(t.entries, e)
 			if w.limit >= 0 {
-				b.changes = append(b.changes, Change{Endpoint: e, Age: now - w.at})
+				t.changes = append(t.changes, Change{Endpoint: e, Age: now - w.at})
 			}
 			continue
 		}
 		if w.relays > 0 {
 			w.relays--
-			b.peers.Tell(gossip.RelayPeers, encode([]told{toldOf(now, e, w)}))
+			t.peers.Tell(gossip.RelayPeers, encode([]update{updateOf(now, e, w)}))
 		}
 	}
-	if len(b.words) > 0 && b.peers.SyncDue(now) {
-		b.peers.Tell(1, encode(b.next(now)))
+	if len(t.entries) > 0 && t.peers.SyncDue(now) {
+		t.peers.Tell(1, encode(t.next(now)))
 	}
 }
 
-func toldOf(now time.Duration, e fleet.EndpointID, w *word) told {
-	return told{endpoint: e, limit: w.limit, age: min(max(now-w.at, 0), maxAge)}
+func updateOf(now time.Duration, e fleet.EndpointID, w *entry) update {
+	return update{endpoint: e, limit: w.limit, age: min(max(now-w.at, 0), maxAge)}
 }
 
 // next returns some of what is known, in turn.
-func (b *Book) next(now time.Duration) []told {
-	all := make([]fleet.EndpointID, 0, len(b.words))
-	for e := range b.words {
+func (t *Table) next(now time.Duration) []update {
+	all := make([]fleet.EndpointID, 0, len(t.entries))
+	for e := range t.entries {
 		all = append(all, e)
 	}
 	slices.Sort(all)
-	var out []told
-	for range min(syncWords, len(all)) {
-		b.turn = (b.turn + 1) % len(all)
-		out = append(out, toldOf(now, all[b.turn], b.words[all[b.turn]]))
+	var out []update
+	for range min(syncUpdates, len(all)) {
+		t.turn = (t.turn + 1) % len(all)
+		out = append(out, updateOf(now, all[t.turn], t.entries[all[t.turn]]))
 	}
 	return out
 }
 
 // Limited lists the endpoints that have a limit.
-func (b *Book) Limited() []fleet.EndpointID {
+func (t *Table) Limited() []fleet.EndpointID {
 	var out []fleet.EndpointID
-	for e, w := range b.words {
+	for e, w := range t.entries {
 		if w.limit >= 0 {
 			out = append(out, e)
 		}
@@ -191,9 +191,9 @@
 }
 
 // Limits returns the limits by their keys, as package quota takes them.
-func (b *Book) Limits() map[quota.Key]quota.Limit {
+func (t *Table) Limits() map[quota.Key]quota.Limit {
 	out := map[quota.Key]quota.Limit{}
-	for e, w := range b.words {
+	for e, w := range t.entries {
 		if w.limit >= 0 {
 			rate := max(w.limit, least)
 			out[KeyOf(e)] = quota.Limit{PerSecond: rate, Burst: max(1, rate*burstTime.Seconds())}
@@ -203,11 +203,11 @@
 }
 
 // Outbox returns what is to be sent, and forgets it.
-func (b *Book) Outbox() []gossip.Datagram { return b.peers.Outbox() }
+func (t *Table) Outbox() []gossip.Datagram { return t.peers.Outbox() }
 
 // Changes returns the limits that changed, and forgets them.
-func (b *Book) Changes() []Change {
-	out := b.changes
-	b.changes = nil
+func (t *Table) Changes() []Change {
+	out := t.changes
+	t.changes = nil
 	return out
 }
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -10,36 +10,36 @@
 	"github.com/merlindock/merlindock/gossip"
 )
 
-// books are the Books of all daemons, in virtual time in steps of a tick.
-type books struct {
+// tables are the Books of all daemons, in virtual time in steps of a tick.
+type tables struct {
 	t    *testing.T
 	rng  *rand.Rand
 	now  time.Duration
-	all  []*Book
+	all  []*Table
 	loss float64
 	away map[string]bool
 }
 
-func newBooks(t *testing.T, daemons int) *books {
-	b := &books{t: t, rng: rand.New(rand.NewPCG(uint64(daemons), 3)), now: time.Hour, loss: 0.05, away: map[string]bool{}}
+func newTables(t *testing.T, daemons int) *tables {
+	b := &tables{t: t, rng: rand.New(rand.NewPCG(uint64(daemons), 3)), now: time.Hour, loss: 0.05, away: map[string]bool{}}
 	var peers []gossip.Peer
 	for i := range daemons {
 		peers = append(peers, gossip.Peer{Name: fmt.Sprint("front-", i), Address: fmt.Sprint(i)})
 	}
 	for i := range daemons {
-		book := NewBook(Options{Me: peers[i], Rand: rand.New(rand.NewPCG(uint64(i), 5))})
-		book.SetPeers(peers)
-		b.all = append(b.all, book)
+		table := NewTable(Options{Me: peers[i], Rand: rand.New(rand.NewPCG(uint64(i), 5))})
+		table.SetPeers(peers)
+		b.all = append(b.all, table)
 	}
 	return b
 }
 
-func (b *books) pass(span time.Duration) {
+func (b *tables) pass(span time.Duration) {
 	for until := b.now + span; b.now < until; b.now += gossip.Tick {
-		for i, book := range b.all {
-			book.Tick(b.now)
-			book.Changes()
-			for _, m := range book.Outbox() {
+		for i, table := range b.all {
+			table.Tick(b.now)
+			table.Changes()
+			for _, m := range table.Outbox() {
 				var to int
 				if _, err := fmt.Sscan(m.To, &to); err != nil {
 					b.t.Fatal(err)
@@ -56,10 +56,10 @@
 }
 
 // knowing counts the daemons that keep to the given limit; negative: to none.
-func (b *books) knowing(e fleet.EndpointID, limit float64) int {
+func (b *tables) knowing(e fleet.EndpointID, limit float64) int {
 	n := 0
-	for _, book := range b.all {
-		l, ok := book.Limits()[KeyOf(e)]
+	for _, table := range b.all {
+		l, ok := table.Limits()[KeyOf(e)]
 		if limit < 0 && !ok || ok && l.PerSecond == limit {
 			n++
 		}
@@ -72,7 +72,7 @@
 func TestAllDaemonsHearOfLimits(t *testing.T) {
 	for _, daemons := range []int{2, 9, 73, 295, 1100} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
-			b := newBooks(t, daemons)
+			b := newTables(t, daemons)
 			first, second := 23.9, 5.0
 			for _, step := range []struct {
 				by   int
@@ -85,9 +85,9 @@
 					t.Errorf("%d of %d daemons keep to %g", n, daemons, step.want)
 				}
 			}
-			b.pass(2 * wordTime)
-			if n := len(b.all[0].words); n > 0 {
-				t.Errorf("%d words are kept of limits that are over", n)
+			b.pass(2 * entryTTL)
+			if n := len(b.all[0].entries); n > 0 {
+				t.Errorf("%d entries are kept of limits that are over", n)
 			}
 		})
 	}
@@ -95,7 +95,7 @@
 
 // Guards against a daemon that was cut off and brings an old limit back.
 func TestOldLimitDoesNotComeBack(t *testing.T) {
-	b := newBooks(t, 9)
+	b := newTables(t, 9)
 	old, next := 20.0, 2.0
 	b.all[0].Answered(b.now, "i-1@0", &old)
 	b.pass(time.Second)
@@ -112,7 +112,7 @@
 // Guards against an endpoint that names 0 and never gets another request, so that the
 // end of its limit is never heard of.
 func TestZeroStillLetsSomeRequestsThrough(t *testing.T) {
-	b := newBooks(t, 1)
+	b := newTables(t, 1)
 	zero := 0.0
 	b.all[0].Answered(b.now, "i-1@0", &zero)
 	if l := b.all[0].Limits()[KeyOf("i-1@0")]; l.PerSecond != least || l.Burst < 1 {
@@ -120,39 +120,39 @@
 	}
 }
 
-// Guards against words of endpoints that have ended which daemons tell each other for
+// Guards against limits of endpoints that have ended which daemons tell each other for
 // ever, each in turn having forgotten them.
-func TestWordsOfGoneEndpointsAreForgotten(t *testing.T) {
+func TestLimitsOfGoneEndpointsAreForgotten(t *testing.T) {
 	const daemons = 9
-	b := newBooks(t, daemons)
+	b := newTables(t, daemons)
 	limit := 5.0
 	b.all[0].Answered(b.now, "i-1@0", &limit)
-	b.pass(wordTime / 2)
+	b.pass(entryTTL / 2)
 	b.all[3].Answered(b.now, "i-1@0", &limit)
-	b.pass(wordTime * 3 / 4)
+	b.pass(entryTTL * 3 / 4)
 	if n := b.knowing("i-1@0", limit); n < daemons {
 		t.Errorf("%d of %d daemons know a limit that was named again", n, daemons)
 	}
-	b.pass(wordTime)
-	for i, book := range b.all {
-		if n := len(book.words); n > 0 {
-			t.Errorf("daemon %d keeps %d words", i, n)
+	b.pass(entryTTL)
+	for i, table := range b.all {
+		if n := len(table.entries); n > 0 {
+			t.Errorf("daemon %d keeps %d entries", i, n)
 		}
 	}
 	for i := range 2 * maxEndpoints {
 		b.all[0].Answered(b.now, fleet.EndpointID(fmt.Sprint(i)), &limit)
 		b.all[0].Outbox()
 	}
-	if n := len(b.all[0].words); n > maxEndpoints {
+	if n := len(b.all[0].entries); n > maxEndpoints {
 		t.Errorf("%d endpoints", n)
 	}
 }
 
 // Guards against messages of any other sender that end a daemon.
 func FuzzReceive(f *testing.F) {
-	f.Add(encode([]told{{"i-1@0", 23.9, time.Second}, {"i-2@0", none, 0}}))
+	f.Add(encode([]update{{"i-1@0", 23.9, time.Second}, {"i-2@0", none, 0}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		b := NewBook(Options{Me: gossip.Peer{Name: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
+		b := NewTable(Options{Me: gossip.Peer{Name: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
 		_ = b.Receive(time.Hour, data)
 		b.Tick(time.Hour + time.Second)
 		b.Limits()
--- a/limits/message.go
+++ b/limits/message.go
@@ -12,29 +12,29 @@
 // ErrMessage reports a message that no daemon of this release sends.
 var ErrMessage = errors.New("limits: message is malformed")
 
-// kindWords is the kind of message, with the version of its layout.
-const kindWords = 0x41
+// kindUpdates is the kind of message, with the version of its layout.
+const kindUpdates = 0x41
 
 // Owns tells whether a message is one of this package.
-func Owns(data []byte) bool { return len(data) > 0 && data[0] == kindWords }
+func Owns(data []byte) bool { return len(data) > 0 && data[0] == kindUpdates }
 
 // Bounds of messages. One fits into a datagram on links of any usual size.
 const (
-	maxWords  = 16
-	syncWords = 8 // in one message with what is known
-	maxAge    = 10 * time.Minute
+	maxUpdates  = 16
+	syncUpdates = 8 // in one message with what is known
+	maxAge      = 10 * time.Minute
 )
 
-// told is what an endpoint said, as daemons tell each other.
-type told struct {
+// update is what an endpoint said, as daemons tell each other.
+type update struct {
 	endpoint fleet.EndpointID
 	limit    float64 // requests/s; negative: none
 	age      time.Duration
 }
 
-func encode(all []told) []byte {
-	b := []byte{kindWords}
-	for _, t := range all[:min(len(all), maxWords)] {
+func encode(all []update) []byte {
+	b := []byte{kindUpdates}
+	for _, t := range all[:min(len(all), maxUpdates)] {
 		b = append(b, byte(len(t.endpoint)))
 		b = append(b, t.endpoint...)
 		b = binary.LittleEndian.AppendUint64(b, math.Float64bits(t.limit))
@@ -43,17 +43,17 @@
 	return b
 }
 
-func decode(b []byte) ([]told, error) {
+func decode(b []byte) ([]update, error) {
 	if !Owns(b) {
 		return nil, ErrMessage
 	}
-	var out []told
+	var out []update
 	for b = b[1:]; len(b) > 0; {
 		length := int(b[0])
-		if length > endpointBytes || len(b) < 1+length+8 || len(out) == maxWords {
+		if length > endpointBytes || len(b) < 1+length+8 || len(out) == maxUpdates {
 			return nil, ErrMessage
 		}
-		t := told{endpoint: fleet.EndpointID(b[1 : 1+length])}
+		t := update{endpoint: fleet.EndpointID(b[1 : 1+length])}
 		b = b[1+length:]
 		t.limit = math.Float64frombits(binary.LittleEndian.Uint64(b))
 		age, n := binary.Uvarint(b[8:])
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -25,7 +25,7 @@
 // Bounds of messages. One fits into a datagram on links of any usual size.
 const (
 	maxReports = 16
-	maxTold    = 32
+	maxUpdates = 32
 	syncHolds  = 8 // in one message with what is held
 	maxRound   = 1 << 20
 )
@@ -37,9 +37,9 @@
 	age         time.Duration
 }
 
-// told is a hold as daemons tell each other of it. Of two about one request the later
+// update is a hold as daemons tell each other of it. Of two about one request the later
 // round counts, and within a round that it is cleared.
-type told struct {
+type update struct {
 	fingerprint Fingerprint
 	round       uint64
 	cleared     bool
@@ -58,9 +58,9 @@
 	return b
 }
 
-func encodeHolds(all []told) []byte {
+func encodeHolds(all []update) []byte {
 	b := []byte{kindHolds}
-	for _, t := range all[:min(len(all), maxTold)] {
+	for _, t := range all[:min(len(all), maxUpdates)] {
 		b = append(b, t.fingerprint[:]...)
 		state := t.round << 1
 		if t.cleared {
@@ -131,9 +131,9 @@
 	})
 }
 
-func decodeHolds(b []byte) ([]told, error) {
-	return decodeAll(b, kindHolds, maxTold, func(r *fields) told {
-		t := told{fingerprint: Fingerprint(r.take(fingerprintBytes))}
+func decodeHolds(b []byte) ([]update, error) {
+	return decodeAll(b, kindHolds, maxUpdates, func(r *fields) update {
+		t := update{fingerprint: Fingerprint(r.take(fingerprintBytes))}
 		state := r.number(maxRound<<1 | 1)
 		t.round, t.cleared = state>>1, state&1 == 1
 		t.since = r.duration(HoldTime + evidenceTime)
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -95,7 +95,7 @@
 		}
 		round = h.round + 1
 	}
-	if n.apply(now, told{fingerprint: f, round: round, since: now - first(ends), left: HoldTime}, ReasonEnds) {
+	if n.apply(now, update{fingerprint: f, round: round, since: now - first(ends), left: HoldTime}, ReasonEnds) {
 		n.tell(now, f, gossip.DirectPeers)
 	}
 }
@@ -118,13 +118,13 @@
 	if h == nil || h.cleared || now >= h.until {
 		return false
 	}
-	n.apply(now, told{fingerprint: f, round: h.round, cleared: true, since: now - h.since, left: h.until - now}, why)
+	n.apply(now, update{fingerprint: f, round: h.round, cleared: true, since: now - h.since, left: h.until - now}, why)
 	n.tell(now, f, gossip.DirectPeers)
 	return true
 }
 
 // apply takes a hold or a clearance if it is newer than what is known.
-func (n *Node) apply(now time.Duration, t told, why Reason) bool {
+func (n *Node) apply(now time.Duration, t update, why Reason) bool {
 	h := n.holds[t.fingerprint]
 	if h != nil && now < h.until && !newer(t, h) {
 		return false
@@ -146,7 +146,7 @@
 	return true
 }
 
-func newer(t told, h *hold) bool {
+func newer(t update, h *hold) bool {
 	return t.round > h.round || t.round == h.round && t.cleared && !h.cleared
 }
 
@@ -224,12 +224,12 @@
 
 // tell tells daemons of the hold of a request.
 func (n *Node) tell(now time.Duration, f Fingerprint, peers int) {
-	n.peers.Tell(peers, encodeHolds([]told{n.toldOf(now, f)}))
+	n.peers.Tell(peers, encodeHolds([]update{n.updateOf(now, f)}))
 }
 
-func (n *Node) toldOf(now time.Duration, f Fingerprint) told {
+func (n *Node) updateOf(now time.Duration, f Fingerprint) update {
 	h := n.holds[f]
-	return told{
+	return update{
 		fingerprint: f, round: h.round, cleared: h.cleared, since: min(now-h.since, HoldTime+evidenceTime), left: max(h.until-now, 0),
 	}
 }
@@ -241,10 +241,10 @@
 		all = append(all, f)
 	}
 	slices.SortFunc(all, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
-	var next []told
+	var next []update
 	for range min(syncHolds, len(all)) {
 		n.turn = (n.turn + 1) % len(all)
-		next = append(next, n.toldOf(now, all[n.turn]))
+		next = append(next, n.updateOf(now, all[n.turn]))
 	}
 	n.peers.Tell(1, encodeHolds(next))
 }
@@ -260,7 +260,7 @@
 	}
 	all, err := decodeHolds(data)
 	for _, t := range all {
-		n.heard(now, t)
+		n.receiveUpdate(now, t)
 	}
 	return err
 }
@@ -273,9 +273,9 @@
 	}
 }
 
-// heard takes another daemon's word of a hold, and contradicts it if the request was
+// receiveUpdate takes another daemon's word of a hold, and contradicts it if the request was
 // answered here since the first of the ends.
-func (n *Node) heard(now time.Duration, t told) {
+func (n *Node) receiveUpdate(now time.Duration, t update) {
 	if t.left <= 0 || !n.apply(now, t, ReasonTold) {
 		return
 	}
@@ -297,13 +297,13 @@
 	if _, held := n.Held(now, f); !held {
 		return Kept{}, false
 	}
-	t := n.toldOf(now, f)
+	t := n.updateOf(now, f)
 	return Kept{Fingerprint: f, Round: t.round, Age: t.since, Left: t.left}, true
 }
 
 // Recall takes a hold that was kept. All daemons read it, so it is not passed on.
 func (n *Node) Recall(now time.Duration, k Kept) {
-	n.heard(now, told{fingerprint: k.Fingerprint, round: k.Round, since: k.Age, left: min(k.Left, HoldTime)})
+	n.receiveUpdate(now, update{fingerprint: k.Fingerprint, round: k.Round, since: k.Age, left: min(k.Left, HoldTime)})
 	if h := n.holds[k.Fingerprint]; h != nil && !h.cleared {
 		h.relays = 0
 	}
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -325,7 +325,7 @@
 // Guards against messages of any other sender that end a daemon.
 func FuzzReceive(f *testing.F) {
 	f.Add(encodeReports([]report{{named("a"), "i-1@0", time.Second}}))
-	f.Add(encodeHolds([]told{{fingerprint: named("a"), round: 1, left: time.Second}}))
+	f.Add(encodeHolds([]update{{fingerprint: named("a"), round: 1, left: time.Second}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		n := NewNode(Options{Me: gossip.Peer{Name: "a", Address: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
 		n.SetPeers([]gossip.Peer{{Name: "b", Address: "b"}})
--- a/room/room.go
+++ b/room/room.go
@@ -1,5 +1,5 @@
 // Package room is a daemon's part in keeping endpoints within the limits that they
-// name: it carries the messages of a limits.Book and of a quota.Node, and tells
+// name: it carries the messages of a limits.Table and of a quota.Node, and tells
 // placement which endpoints have room.
 package room
 
@@ -24,12 +24,12 @@
 // kindLimitQuota begins messages of package quota about limits of endpoints.
 const kindLimitQuota = 0x42
 
-// tick is how often words of other daemons that do not come are given up.
+// tick is how often answers of other daemons that do not come are given up.
 const tick = 20 * time.Millisecond
 
 // Times of placing while all endpoints are at their limits.
 const (
-	// Wait is how long a request waits for another daemon's word on a limit, and Waits
+	// Wait is how long a request waits for another daemon's answer on a limit, and Waits
 	// how often.
 	Wait  = 5 * time.Millisecond
 	Waits = 8
@@ -57,11 +57,11 @@
 	passed, taken tally.Counter
 
 	mu    sync.Mutex
-	book  *limits.Book
+	table *limits.Table
 	quota *quota.Node
 	keys  map[fleet.EndpointID]quota.Key // of endpoints with a limit
-	asked map[quota.Key]bool             // another daemon's word is waited for
-	left  []quota.Key                    // taken by that word, for requests that went elsewhere
+	asked map[quota.Key]bool             // another daemon's answer is waited for
+	left  []quota.Key                    // taken by that answer, for requests that went elsewhere
 }
 
 // New returns a Keeper that knows no limits.
@@ -69,7 +69,7 @@
 	draw := func() *rand.Rand { return rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())) }
 	return &Keeper{
 		o: o, passed: o.Scope.Counter("endpoint_limit_passed_over"), taken: o.Scope.Counter("endpoint_limit_taken"),
-		book: limits.NewBook(limits.Options{Me: o.Me, Rand: draw()}),
+		table: limits.NewTable(limits.Options{Me: o.Me, Rand: draw()}),
 		quota: quota.NewNode(quota.Options{
 			Me: quota.Daemon{Name: o.Me.Name, Address: o.Me.Address}, Tolerance: limits.Tolerance,
 			Nonce: o.Rand.Uint64(), Rand: draw(),
@@ -84,7 +84,7 @@
 		k.mu.Lock()
 		now := k.o.Clock()
 		if n%int(gossip.Tick/tick) == 0 {
-			k.book.Tick(now)
+			k.table.Tick(now)
 		}
 		if len(k.keys) > 0 {
 			k.quota.Tick(now)
@@ -102,7 +102,7 @@
 	var err error
 	k.mu.Lock()
 	if limits.Owns(data) {
-		err = k.book.Receive(k.o.Clock(), data)
+		err = k.table.Receive(k.o.Clock(), data)
 	} else {
 		err = k.quota.Receive(k.o.Clock(), from, data[1:])
 	}
@@ -116,7 +116,7 @@
 
 // post puts changes into force and sends what there is to send. Call it with mu held.
 func (k *Keeper) post() {
-	if changes := k.book.Changes(); len(changes) > 0 {
+	if changes := k.table.Changes(); len(changes) > 0 {
 		k.apply()
 		for i := range changes {
 			k.note(&changes[i])
@@ -126,7 +126,7 @@
 		k.quota.GiveBack(key, -1)
 	}
 	k.left = k.left[:0]
-	for _, d := range k.book.Outbox() {
+	for _, d := range k.table.Outbox() {
 		k.o.Send(d.To, d.Data)
 	}
 	for _, d := range k.quota.Outbox() {
@@ -136,10 +136,10 @@
 
 // apply puts the limits that are known into force.
 func (k *Keeper) apply() {
-	k.quota.SetLimits(k.o.Clock(), k.book.Limits())
+	k.quota.SetLimits(k.o.Clock(), k.table.Limits())
 	clear(k.keys)
 	limited := map[fleet.EndpointID]bool{}
-	for _, e := range k.book.Limited() {
+	for _, e := range k.table.Limited() {
 		k.keys[e] = limits.KeyOf(e)
 		limited[e] = true
 	}
@@ -149,7 +149,7 @@
 }
 
 func (k *Keeper) note(c *limits.Change) {
-	fields := []any{"endpoint", string(c.Endpoint), "told", c.Told, "age_ms", c.Age.Milliseconds()}
+	fields := []any{"endpoint", string(c.Endpoint), "from_peer", c.FromPeer, "age_ms", c.Age.Milliseconds()}
 	if c.Limit == nil {
 		k.o.Log.Info("Endpoint names no limit any more.", fields...)
 		return
@@ -167,7 +167,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.book.SetPeers(all)
+	k.table.SetPeers(all)
 	k.quota.SetDaemons(daemons)
 }
 
@@ -182,7 +182,7 @@
 func (k *Keeper) Answered(e fleet.EndpointID, limit *float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.book.Answered(k.o.Clock(), e, limit)
+	k.table.Answered(k.o.Clock(), e, limit)
 	k.post()
 }
 
@@ -216,7 +216,7 @@
 }
 
 // Take counts a request that is about to be sent to the endpoint. It returns false if
-// that has no room. It never waits: the word of another daemon that comes later counts
+// that has no room. It never waits: the answer of another daemon that comes later counts
 // for the next request.
 func (k *Keeper) Take(e fleet.EndpointID) bool {
 	k.mu.Lock()
@@ -257,7 +257,7 @@
 	return admitted
 }
 
-// Waiting tells whether some daemon's word on a limit is waited for.
+// Waiting tells whether some daemon's answer on a limit is waited for.
 func (k *Keeper) Waiting() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
