--- /dev/null
+++ b/guard/guard_test.go
@@ -0,0 +1,121 @@
+package guard
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/gossip"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/quarantine"
+)
+
+// lone is the Guard of a daemon without others. dial answers for all endpoints.
+func lone(t *testing.T, dial func() (net.Conn, error)) *Guard {
+	t.Helper()
+	began := time.Now()
+	g := New(Options{
+		Me: gossip.Peer{Name: "a"}, Rand: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope,
+		Clock: func() time.Duration { return time.Hour + time.Since(began) },
+		Dial:  func(context.Context, string, string) (net.Conn, error) { return dial() },
+		Log:   logging.Discard().For(logging.PartRouter), Send: func(string, []byte) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return g
+}
+
+var (
+	deadly    = quarantine.FingerprintOf("org", "POST", "h", "/x", []byte("deadly"))
+	endpoints = []fleet.EndpointID{"i-1@0", "i-2@0", "i-3@0"}
+)
+
+func lose(g *Guard) {
+	for _, e := range endpoints {
+		g.Lost(deadly, e, "10.0.0.1:1")
+	}
+	time.Sleep(time.Second) // virtual
+}
+
+func refused() (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+}
+
+// Guards against taking a lost connection alone, or a fault of this daemon, for the end
+// of an endpoint.
+func TestOnlyEndpointsThatAreGoneCount(t *testing.T) {
+	for name, c := range map[string]struct {
+		dial func() (net.Conn, error)
+		held bool
+	}{
+		"refuses":     {refused, true},
+		"is silent":   {func() (net.Conn, error) { return nil, &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT} }, true},
+		"takes":       {func() (net.Conn, error) { near, _ := net.Pipe(); return near, nil }, false},
+		"no more fds": {func() (net.Conn, error) { return nil, &net.OpError{Op: "socket", Err: syscall.EMFILE} }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := lone(t, c.dial)
+				lose(g)
+				if _, held := g.Held(deadly); held != c.held {
+					t.Errorf("held: %v", held)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an operator who can't see or end what is held.
+func TestOperatorsListAndEndHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := lone(t, refused)
+		mux := http.NewServeMux()
+		g.Handle(mux)
+		ask := func(method, path string) *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			mux.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), method, path, nil))
+			return w
+		}
+		if w := ask(http.MethodGet, "/quarantine"); w.Code != http.StatusOK || w.Body.String() != "[]\n" {
+			t.Errorf("nothing is held: %d %q", w.Code, w.Body)
+		}
+		lose(g)
+		var list []heldRequest
+		if err := json.Unmarshal(ask(http.MethodGet, "/quarantine").Body.Bytes(), &list); err != nil {
+			t.Fatal(err)
+		}
+		if len(list) != 1 || list[0].Fingerprint != deadly.String() || list[0].LeftSeconds < 590 {
+			t.Errorf("list %+v", list)
+		}
+		for path, want := range map[string]int{
+			"/quarantine/xyz": http.StatusBadRequest,
+			"/quarantine/00000000000000000000000000000000": http.StatusNotFound,
+			"/quarantine/" + deadly.String():               http.StatusNoContent,
+		} {
+			if w := ask(http.MethodDelete, path); w.Code != want {
+				t.Errorf("%s: %d", path, w.Code)
+			}
+		}
+		if _, held := g.Held(deadly); held {
+			t.Error("it is still held")
+		}
+	})
+}
