Send a request that ends its runners through the soak

No test's runner ended because of what it was asked. One request of fifty in the soak now ends each runner that runs it, which comes back under another start; restarts, freezes, cuts and lost stores overlap as before. Once all is calm it has to be refused as quarantined by all daemons after at most three further runs.

--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -16,6 +16,9 @@
 	ID     string
 	Events int           // of a stream
 	Pause  time.Duration // between events, or before an answer without any
+	// Ends is called with the body of each request that runs, and tells whether it ends
+	// the runner; nil: none does.
+	Ends func(body []byte) bool
 
 	mu        sync.Mutex
 	version   int64
@@ -157,10 +160,13 @@
 
 func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
 	// The end of the connection shows only once the body was read.
-	_, _ = io.Copy(io.Discard, req.Body)
+	body, _ := io.ReadAll(req.Body)
 	if r.refused(w, req) {
 		return
 	}
+	if r.Ends != nil && r.Ends(body) {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Response-Signature", "signed-"+r.ID)
 	r.mu.Lock()
 	fail, breakAt := r.failNext > 0, r.breakAt
--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -21,12 +21,14 @@
 
 // proxy carries connections from its own address to another.
 type proxy struct {
-	l  net.Listener
-	to string
+	at, to string
 
-	mu    sync.Mutex
-	mode  mode
-	conns map[net.Conn]struct{}
+	mu     sync.Mutex
+	l      net.Listener
+	ended  bool // nobody listens for now
+	closed bool
+	mode   mode
+	conns  map[net.Conn]struct{}
 }
 
 func newProxy(to string) (*proxy, error) {
@@ -34,12 +36,36 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{l: l, to: to, conns: map[net.Conn]struct{}{}}
-	go p.accept()
+	p := &proxy{l: l, at: l.Addr().String(), to: to, conns: map[net.Conn]struct{}{}}
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.l.Addr().String() }
+func (p *proxy) address() string { return p.at }
+
+// end breaks all connections and refuses others for a while, as the end of a process
+// behind the address does.
+func (p *proxy) end(span time.Duration) {
+	p.mu.Lock()
+	if p.ended {
+		p.mu.Unlock()
+		return
+	}
+	p.ended = true
+	_ = p.l.Close()
+	p.mu.Unlock()
+	p.reset()
+	time.AfterFunc(span, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		l, err := net.Listen("tcp", p.at)
+		if err != nil || p.closed {
+			return // the run is over, or daemons go on without the runner
+		}
+		p.l, p.ended = l, false
+		go p.accept(l)
+	})
+}
 
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
@@ -67,13 +93,16 @@
 
 func (p *proxy) close() {
 	p.set(pass)
+	p.mu.Lock()
+	p.closed = true
 	_ = p.l.Close()
+	p.mu.Unlock()
 	p.reset()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		client, err := p.l.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -27,6 +28,15 @@
 	recoverWithin = 15 * time.Second
 	streamEvents  = 5
 	stableKey     = "key-stable"
+	// deadlyBody is the body of a request that ends each runner which runs it, for
+	// deadlyFor. One request of deadlyOf is of that kind.
+	deadlyBody = "deadly"
+	deadlyFor  = 600 * time.Millisecond
+	deadlyOf   = 50
+	// settledAfter is when all daemons that are reached know what is held, and
+	// deadlyRuns how often it may run from then on.
+	settledAfter = 3 * time.Second
+	deadlyRuns   = 3
 )
 
 var binary string
@@ -96,6 +106,7 @@
 // attempt is one request of a caller and what became of it.
 type attempt struct {
 	id, path, key string
+	ask           string // body of the request
 	sent          time.Time
 	status        int
 	body          string
@@ -105,7 +116,9 @@
 // soak is one run.
 type soak struct {
 	t       *testing.T
-	rng     *rand.Rand // of the faults
+	rng     *rand.Rand   // of the faults
+	deadly  atomic.Int64 // runs of the deadly request
+	lives   atomic.Int64 // of runners
 	store   *metastore.Store
 	runners map[string]*metastore.Runner
 	links   []*proxy // to the runners
@@ -154,10 +167,26 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(link.close)
+	r.Ends = func(body []byte) bool {
+		if string(body) != deadlyBody {
+			return false
+		}
+		s.deadly.Add(1)
+		link.end(deadlyFor)
+		time.AfterFunc(deadlyFor, func() { s.register(id, service, link.address(), r.Version()) })
+		return true
+	}
 	s.runners[id], s.links = r, append(s.links, link)
-	entry := map[string]any{"service": service, "address": link.address(), "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "seq": 0}
+	s.register(id, service, link.address(), 1)
+}
+
+// register tells the store of a new life of a runner.
+func (s *soak) register(id, service, address string, version int64) {
+	entry := map[string]any{
+		"service": service, "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "seq": 0, "born": s.lives.Add(1),
+	}
 	if service == "models" {
-		entry["models"] = []map[string]any{{"name": "m", "version": 1}}
+		entry["models"] = []map[string]any{{"name": "m", "version": version}}
 	}
 	s.store.Put("keyed.servers", id, entry)
 }
@@ -237,8 +266,16 @@
 		all = append(all, key)
 	}
 	a.key = all[s.choices.IntN(len(all))]
+	if a.ask = "q"; s.choices.IntN(deadlyOf) == 0 {
+		a.path, a.key, a.ask = "/resume/x", stableKey, deadlyBody
+	}
 	s.mu.Unlock()
-	req, err := http.NewRequest(http.MethodPost, "http://"+front+a.path, strings.NewReader("q"))
+	return s.send(client, front, a)
+}
+
+// send sends a request to a daemon and notes what became of it.
+func (s *soak) send(client *http.Client, front string, a attempt) attempt {
+	req, err := http.NewRequest(http.MethodPost, "http://"+front+a.path, strings.NewReader(a.ask))
 	if err != nil {
 		a.err = err
 		return a
@@ -350,6 +387,7 @@
 		u()
 	}
 	s.recovers()
+	s.holdsTheDeadly()
 	close(stop)
 	done.Wait()
 }
@@ -372,6 +410,31 @@
 	}
 }
 
+// holdsTheDeadly sends the deadly request to all daemons once they are calm, and looks
+// at how often it reaches runners.
+func (s *soak) holdsTheDeadly() {
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	ask := func(d *process, n int) attempt {
+		return s.send(client, d.front, attempt{id: fmt.Sprint("deadly-", n), path: "/resume/x", key: stableKey, ask: deadlyBody})
+	}
+	for n := 0; s.deadly.Load() < 3; n++ {
+		ask(s.daemons[n%daemonCount], n)
+		<-time.After(deadlyFor)
+	}
+	<-time.After(settledAfter)
+	before := s.deadly.Load()
+	for n := range 4 * daemonCount {
+		a := ask(s.daemons[n%daemonCount], 1000+n)
+		if n >= deadlyRuns*daemonCount && (a.status != http.StatusServiceUnavailable || strings.TrimSpace(a.body) != "quarantined") {
+			s.t.Errorf("the deadly request is answered with %d %q, %v", a.status, a.body, a.err)
+		}
+	}
+	if n := s.deadly.Load() - before; n > deadlyRuns {
+		s.t.Errorf("the deadly request ran %d times after it had ended three runners", n)
+	}
+	s.t.Logf("the deadly request ran %d times", s.deadly.Load())
+}
+
 // check looks at what callers and runners saw.
 func (s *soak) check() {
 	runs := map[string][]metastore.Run{}
