Give the health of endpoints random numbers of its own

Cause: one source of random numbers served the jitter of ejections, under the lock of the daemon's state, and the pauses between retries, under another. What would be seen: jitter that repeats.

--- a/router/router.go
+++ b/router/router.go
@@ -119,7 +119,8 @@
 	if o.Clock == nil {
 		o.Clock = BootClock
 	}
-	s := newState(&o.Settings, o.Rand)
+	// The health of endpoints is judged under another lock than retries are.
+	s := newState(&o.Settings, rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
 	r := &Router{
 		o: o, clock: o.Clock, s: s,
 		placer:  newPlacer(s, &o.Settings, o.Engines, o.Clock, o.Rand),
