--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -621,6 +621,8 @@
 			}
 		}
 		time.Sleep(quarantine.HoldTime)
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		if n := len(w.newest[TopicDaemons]); n > daemons {
 			t.Errorf("%d records are left of %d daemons", n, daemons)
 		}
