--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -102,7 +102,7 @@
 		if err := json.Unmarshal(ask(http.MethodGet, "/quarantine").Body.Bytes(), &list); err != nil {
 			t.Fatal(err)
 		}
-		if len(list) != 1 || list[0].Fingerprint != deadly.String() || list[0].LeftSeconds < 590 {
+		if len(list) != 1 || list[0].Fingerprint != deadly.String() || list[0].LeftSeconds < 590 || list[0].Ends != 3 {
 			t.Errorf("list %+v", list)
 		}
 		for path, want := range map[string]int{
--- a/guard/http.go
+++ b/guard/http.go
@@ -12,6 +12,7 @@
 type heldRequest struct {
 	Fingerprint string `json:"fingerprint"`
 	LeftSeconds int64  `json:"left_s"`
+	Ends        int    `json:"ends"` // endpoints that ended under it, as far as this daemon knows
 }
 
 // Handle adds what operators may ask: GET /quarantine lists the requests that are
@@ -27,7 +28,7 @@
 	g.mu.Unlock()
 	out := make([]heldRequest, 0, len(holds))
 	for f, hold := range holds {
-		out = append(out, heldRequest{Fingerprint: f.String(), LeftSeconds: int64(hold.Left.Seconds())})
+		out = append(out, heldRequest{Fingerprint: f.String(), LeftSeconds: int64(hold.Left.Seconds()), Ends: hold.Ends})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(out); err != nil {
--- a/router/tries.go
+++ b/router/tries.go
@@ -61,7 +61,8 @@
 		if t.p.room == nil || t.p.room.Take(e) {
 			return true
 		}
-		// What is at its limit shortens the list of all that are not, once.
+		// This does not count as a try: each such endpoint is met once, as it is avoided
+		// from now on.
 		t.limited = true
 		t.left++
 	}
