Don't try an endpoint again because it names a limit

What would be seen: a short prompt that was lost at an endpoint with a limit is sent there again, as taking in the endpoints that were left to other requests forgot which ones it had been at. Found by reading.

TestTriedEndpointIsNotTriedAgainForItsLimit failed before: nothing was avoided any more.

--- a/room/room.go
+++ b/room/room.go
@@ -207,14 +207,6 @@
 	return slices.Collect(maps.Keys(k.keys))
 }
 
-// Has tells whether the endpoint has a limit.
-func (k *Keeper) Has(e fleet.EndpointID) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	_, limited := k.keys[e]
-	return limited
-}
-
 // Take counts a request that is about to be sent to the endpoint. It returns false if
 // that has no room. It never waits: the answer of another daemon that comes later counts
 // for the next request.
--- a/router/placer.go
+++ b/router/placer.go
@@ -260,7 +260,7 @@
 	try := *r
 	t := p.tries(r.Avoid, laneOf(w.In.PromptTokens) == laneShort)
 	for t.next() {
-		try.ID, try.Avoid = p.lastID.Add(1), t.avoid
+		try.ID, try.Avoid = p.lastID.Add(1), t.avoid()
 		best, err := bestWay(now, p.s.view, try, all, w.Route.Target)
 		if err != nil && t.widen() {
 			continue
@@ -343,7 +343,7 @@
 func (p *placer) choose(now time.Time, r *placement.Request, repeatable bool) (placement.Decision, error) {
 	t := p.tries(r.Avoid, false)
 	for t.next() {
-		r.ID, r.Avoid = p.lastID.Add(1), t.avoid
+		r.ID, r.Avoid = p.lastID.Add(1), t.avoid()
 		d, err := p.s.view.Place(now, *r)
 		switch {
 		case errors.Is(err, placement.ErrNoEndpoint), errors.Is(err, placement.ErrUnknownPool):
--- a/router/tries.go
+++ b/router/tries.go
@@ -11,40 +11,37 @@
 // tries are the endpoints that one placement tries, one after another.
 type tries struct {
 	p       *placer
-	avoid   []fleet.EndpointID
+	barred  []fleet.EndpointID // tried before, or without room
+	spared  []fleet.EndpointID // left to other requests, as long as there are others
 	left    int
 	limited bool // some endpoint was at its limit
-	spared  bool // endpoints with a limit are left to other requests, as long as there are others
-	full    []fleet.EndpointID
 }
 
 // tries begins with the endpoints that are not at their limits. spare leaves those that
 // have a limit to other requests, as long as there are others.
 func (p *placer) tries(avoid []fleet.EndpointID, spare bool) *tries {
-	t := &tries{p: p, avoid: slices.Clone(avoid), left: placeTries}
+	t := &tries{p: p, barred: slices.Clone(avoid), left: placeTries}
 	if p.room == nil {
 		return t
 	}
-	t.full = p.room.Full()
-	t.limited = len(t.full) > 0
-	out := t.full
+	full := p.room.Full()
+	t.limited = len(full) > 0
+	t.barred = append(t.barred, full...)
 	if spare {
-		out = p.room.Limited()
-		t.spared = len(out) > len(t.full)
+		t.spared = p.room.Limited()
 	}
-	t.avoid = append(t.avoid, out...)
 	return t
 }
 
+// avoid lists the endpoints that the next try may not take.
+func (t *tries) avoid() []fleet.EndpointID { return slices.Concat(t.barred, t.spared) }
+
 // widen takes in the endpoints that were spared. It returns false if there are none.
 func (t *tries) widen() bool {
-	if !t.spared {
+	if len(t.spared) == 0 {
 		return false
 	}
-	t.spared = false
-	t.avoid = slices.DeleteFunc(t.avoid, func(e fleet.EndpointID) bool {
-		return t.p.room.Has(e) && !slices.Contains(t.full, e)
-	})
+	t.spared = nil
 	t.left++
 	return true
 }
@@ -61,12 +58,12 @@
 		if t.p.room == nil || t.p.room.Take(e) {
 			return true
 		}
-		// This does not count as a try: each such endpoint is met once, as it is avoided
+		// This does not count as a try: each such endpoint is met once, as it is barred
 		// from now on.
 		t.limited = true
 		t.left++
 	}
-	t.avoid = append(t.avoid, e)
+	t.barred = append(t.barred, e)
 	return false
 }
 
