--- a/router/crash_test.go
+++ b/router/crash_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -29,27 +29,23 @@
 // play sends the load to all daemons.
 func (l *crashLoad) play(f *memoryFleet) {
 	var all sync.WaitGroup
-	for at := time.Duration(0); at < l.lasts; at += l.ordinary {
-		all.Go(func() {
-			time.Sleep(at)
-			got := f.ask(f.someDaemon(), fleetKey, fmt.Sprint("ordinary ", at))
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.asked++
-			if got.Code != http.StatusOK {
-				l.unserved++
-				if at > 2*fleetStable+fleetBack {
-					l.late++
-				}
-			}
-		})
-	}
 	for at := time.Duration(0); at < l.lasts; at += l.every {
 		all.Go(func() {
 			time.Sleep(at)
 			f.ask(f.someDaemon(), fleetKey, crashBody)
 		})
 	}
+	f.load(l.ordinary, l.lasts, func(at time.Duration, got *httptest.ResponseRecorder) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.asked++
+		if got.Code != http.StatusOK {
+			l.unserved++
+			if at > 2*fleetStable+fleetBack {
+				l.late++
+			}
+		}
+	})
 	all.Wait()
 }
 
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -216,6 +216,19 @@
 	return answer
 }
 
+// load sends ordinary requests, all different, to drawn daemons at a steady rate, tells
+// of each answer and returns when all are there.
+func (f *memoryFleet) load(step, lasts time.Duration, answered func(at time.Duration, got *httptest.ResponseRecorder)) {
+	var all sync.WaitGroup
+	for at := time.Duration(0); at < lasts; at += step {
+		all.Go(func() {
+			time.Sleep(at)
+			answered(at, f.ask(f.someDaemon(), fleetKey, fmt.Sprint("ordinary ", at)))
+		})
+	}
+	all.Wait()
+}
+
 // someDaemon draws a daemon.
 func (f *memoryFleet) someDaemon() int {
 	f.mu.Lock()
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,21 +30,15 @@
 }
 
 func (l *limitLoad) play(f *memoryFleet) {
-	var all sync.WaitGroup
 	step := time.Duration(float64(time.Second) / l.perSecond)
-	for at := time.Duration(0); at < l.lasts; at += step {
-		all.Go(func() {
-			time.Sleep(at)
-			got := f.ask(f.someDaemon(), fleetKey, fmt.Sprint("ordinary ", at))
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.asked++
-			if got.Code != http.StatusOK {
-				l.unserved++
-			}
-		})
-	}
-	all.Wait()
+	f.load(step, l.lasts, func(_ time.Duration, got *httptest.ResponseRecorder) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.asked++
+		if got.Code != http.StatusOK {
+			l.unserved++
+		}
+	})
 }
 
 // name has an endpoint name a limit from now on; nil: none.
