Don't lend a part of a request as a whole one

What was seen: at 73 daemons an endpoint got 11.6 to 14.2 requests a second of a limit of 10 and 1.3 to 1.9 of 1, up to 10 in 4 s where 11 are allowed.

Cause: an owner's message rounded what it lends up to a whole unit. When some daemons ask another owner, as after one that did not know the limit yet, that has a part of 0.04 and lent whole requests. Ruled out: daemons that send without a unit (none did after the limit was known); parts that are pledged twice (0.958 and 0.041). Organisations' limits in requests are held by the same code and had the same fault.

Change: what is lent is sent in thousandths of a unit, rounded down, as a message of another kind.

TestPartOfARequestIsNotLentAsAWholeOne failed before.

--- a/quota/message.go
+++ b/quota/message.go
@@ -13,7 +13,7 @@
 // Kinds of message, with the version of their layout.
 const (
 	kindAsk   = 0x11
-	kindReply = 0x12
+	kindReply = 0x13
 )
 
 // Bounds of messages. One fits into a datagram on links of any usual size.
@@ -22,6 +22,7 @@
 	maxUnits    = 1 << 40
 	partUnit    = 1 << 24 // parts are sent in units of one over this
 	usedUnit    = 1000    // use is sent in thousandths of the limit
+	lentUnit    = 1000    // what is lent is sent in thousandths of a unit, rounded down
 	maxHold     = 10 * time.Second
 	maxAgain    = time.Minute
 	MaxDatagram = 1400 // bytes
@@ -94,7 +95,7 @@
 	b = binary.AppendUvarint(b, r.Seq)
 	for _, e := range r.Entries[:min(len(r.Entries), maxEntries)] {
 		b = binary.LittleEndian.AppendUint64(b, uint64(e.Key))
-		b = appendUnits(b, e.Lent)
+		b = appendUnits(b, math.Floor(e.Lent*lentUnit))
 		b = appendMillis(b, e.Again)
 		b = appendMillis(b, e.Retry)
 		b = appendUnits(b, e.Used*usedUnit)
@@ -183,7 +184,7 @@
 		if len(out.Entries) == maxEntries {
 			return reply{}, ErrMessage
 		}
-		out.Entries = append(out.Entries, replyEntry{Key: Key(r.fixed()), Lent: r.units(), Again: r.millis(maxAgain), Retry: r.millis(maxAgain), Used: r.units() / usedUnit})
+		out.Entries = append(out.Entries, replyEntry{Key: Key(r.fixed()), Lent: r.units() / lentUnit, Again: r.millis(maxAgain), Retry: r.millis(maxAgain), Used: r.units() / usedUnit})
 	}
 	if r.bad {
 		return reply{}, ErrMessage
--- a/quota/message_test.go
+++ b/quota/message_test.go
@@ -57,3 +57,15 @@
 		}
 	})
 }
+
+// Guards against owners with a small part of a limit, each of which lends a whole request
+// for a part of one.
+func TestPartOfARequestIsNotLentAsAWholeOne(t *testing.T) {
+	for _, lent := range []float64{0, 0.04, 0.999, 1, 17_000} {
+		r := reply{Seq: 1, Entries: []replyEntry{{Key: 7, Lent: lent}}}
+		got, err := decodeReply(r.encode())
+		if err != nil || got.Entries[0].Lent > lent || got.Entries[0].Lent < lent-0.001 {
+			t.Errorf("%g is lent as %+v, %v", lent, got.Entries, err)
+		}
+	}
+}
