Read the fields of daemons' messages in one place

Cause: quota, quarantine and limits each had a reader of message fields of its own, the same but for names. Change: package internal/wire reads them for all three; layouts stay as they are.

--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,37 @@
+package wire
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a message that ends early, or names a length beyond its end, and is
+// taken for a whole one.
+func TestFieldsThatAreMissingAreNoticed(t *testing.T) {
+	for name, read := range map[string]func(r *Reader){
+		"byte":     func(r *Reader) { r.Byte() },
+		"uint64":   func(r *Reader) { r.Uint64() },
+		"uvarint":  func(r *Reader) { r.Uvarint(1) },
+		"text":     func(r *Reader) { r.Text(4) },
+		"duration": func(r *Reader) { r.Millis(time.Second) },
+	} {
+		r := &Reader{}
+		if read(r); !r.Bad || r.More() {
+			t.Errorf("%s of nothing is not noticed", name)
+		}
+	}
+	for name, b := range map[string][]byte{"length past the end": {3, 'a'}, "too long": {5, 'a', 'b', 'c', 'd', 'e'}} {
+		r := &Reader{Rest: b}
+		if got := r.Text(4); !r.Bad || got != "" && name == "too long" {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+	r := &Reader{Rest: []byte{200, 1, 2}}
+	if r.Uvarint(100); !r.Bad {
+		t.Error("a number beyond its bound is taken")
+	}
+	r = &Reader{Rest: []byte{2, 'a', 'b', 7}}
+	if text, b := r.Text(4), r.Byte(); text != "ab" || b != 7 || r.Bad || r.More() {
+		t.Errorf("%q, %d, %+v", text, b, r)
+	}
+}
--- a/limits/message.go
+++ b/limits/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/wire"
 )
 
 // ErrMessage reports a message that no daemon of this release sends.
@@ -44,25 +45,20 @@
 }
 
 func decode(b []byte) ([]update, error) {
-	if !Owns(b) {
+	r := &wire.Reader{Rest: b}
+	if r.Byte() != kindUpdates {
 		return nil, ErrMessage
 	}
 	var out []update
-	for b = b[1:]; len(b) > 0; {
-		length := int(b[0])
-		if length > endpointBytes || len(b) < 1+length+8 || len(out) == maxUpdates {
+	for r.More() {
+		u := update{endpoint: fleet.EndpointID(r.Text(endpointBytes)), limit: math.Float64frombits(r.Uint64()), age: r.Millis(maxAge)}
+		if math.IsNaN(u.limit) || math.IsInf(u.limit, 0) {
 			return nil, ErrMessage
 		}
-		t := update{endpoint: fleet.EndpointID(b[1 : 1+length])}
-		b = b[1+length:]
-		t.limit = math.Float64frombits(binary.LittleEndian.Uint64(b))
-		age, n := binary.Uvarint(b[8:])
-		if n <= 0 || age > uint64(maxAge/time.Millisecond) || math.IsNaN(t.limit) || math.IsInf(t.limit, 0) {
-			return nil, ErrMessage
-		}
-		t.age = time.Duration(age) * time.Millisecond
-		b = b[8+n:]
-		out = append(out, t)
+		out = append(out, u)
+	}
+	if r.Bad || len(out) > maxUpdates {
+		return nil, ErrMessage
 	}
 	return out, nil
 }
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/wire"
 )
 
 // ErrMessage reports a message that no daemon of this release sends.
@@ -73,71 +74,36 @@
 	return b
 }
 
-// fields reads the fields of a message and notes if one is missing.
-type fields struct {
-	b   []byte
-	bad bool
-}
-
-func (r *fields) take(n int) []byte {
-	if len(r.b) < n {
-		r.bad, r.b = true, nil
-		return make([]byte, n)
-	}
-	v := r.b[:n]
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *fields) number(most uint64) uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 || v > most {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *fields) duration(most time.Duration) time.Duration {
-	return time.Duration(r.number(uint64(most/time.Millisecond))) * time.Millisecond
-}
-
 // decodeAll reads entries of a message until its end.
-func decodeAll[T any](b []byte, kind byte, most int, entry func(*fields) T) ([]T, error) {
-	if len(b) == 0 || b[0] != kind {
+func decodeAll[T any](b []byte, kind byte, most int, entry func(*wire.Reader) T) ([]T, error) {
+	r := &wire.Reader{Rest: b}
+	if r.Byte() != kind {
 		return nil, ErrMessage
 	}
 	var out []T
-	for r := (&fields{b: b[1:]}); len(r.b) > 0; {
-		next := entry(r)
-		if r.bad || len(out) == most {
-			return nil, ErrMessage
-		}
-		out = append(out, next)
+	for r.More() {
+		out = append(out, entry(r))
+	}
+	if r.Bad || len(out) > most {
+		return nil, ErrMessage
 	}
 	return out, nil
 }
 
 func decodeReports(b []byte) ([]report, error) {
-	return decodeAll(b, kindReport, maxReports, func(r *fields) report {
-		fingerprint := Fingerprint(r.take(fingerprintBytes))
-		length := int(r.take(1)[0])
-		if length > endpointBytes {
-			r.bad = true
-			return report{}
+	return decodeAll(b, kindReport, maxReports, func(r *wire.Reader) report {
+		return report{
+			fingerprint: Fingerprint(r.Bytes(fingerprintBytes)), endpoint: fleet.EndpointID(r.Text(endpointBytes)), age: r.Millis(evidenceTime),
 		}
-		return report{fingerprint: fingerprint, endpoint: fleet.EndpointID(r.take(length)), age: r.duration(evidenceTime)}
 	})
 }
 
 func decodeHolds(b []byte) ([]update, error) {
-	return decodeAll(b, kindHolds, maxUpdates, func(r *fields) update {
-		t := update{fingerprint: Fingerprint(r.take(fingerprintBytes))}
-		state := r.number(maxRound<<1 | 1)
-		t.round, t.cleared = state>>1, state&1 == 1
-		t.since = r.duration(HoldTime + evidenceTime)
-		t.left = r.duration(HoldTime)
-		return t
+	return decodeAll(b, kindHolds, maxUpdates, func(r *wire.Reader) update {
+		u := update{fingerprint: Fingerprint(r.Bytes(fingerprintBytes))}
+		state := r.Uvarint(maxRound<<1 | 1)
+		u.round, u.cleared = state>>1, state&1 == 1
+		u.since, u.left = r.Millis(HoldTime+evidenceTime), r.Millis(HoldTime)
+		return u
 	})
 }
--- a/quota/message.go
+++ b/quota/message.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math"
 	"time"
+
+	"github.com/merlindock/merlindock/internal/wire"
 )
 
 // ErrMessage reports a message that no daemon of this release sends.
@@ -103,90 +105,53 @@
 	return b
 }
 
-// reader reads the fields of a message and notes the first that is not there.
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) byte() byte {
-	if len(r.b) == 0 {
-		r.bad = true
-		return 0
-	}
-	v := r.b[0]
-	r.b = r.b[1:]
-	return v
-}
-
-func (r *reader) fixed() uint64 {
-	if len(r.b) < 8 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	v := binary.LittleEndian.Uint64(r.b)
-	r.b = r.b[8:]
-	return v
-}
-
-func (r *reader) number(most uint64) uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 || v > most {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) units() float64 { return float64(r.number(maxUnits)) }
+// reader reads the fields of a message.
+type reader struct{ wire.Reader }
 
-func (r *reader) millis(most time.Duration) time.Duration {
-	return time.Duration(r.number(uint64(most/time.Millisecond))) * time.Millisecond
-}
+func (r *reader) units() float64 { return float64(r.Uvarint(maxUnits)) }
 
 func (r *reader) shard() int {
-	s := int(r.byte())
+	s := int(r.Byte())
 	if s >= Shards {
-		r.bad = true
+		r.Bad = true
 		return 0
 	}
 	return s
 }
 
 func decodeAsk(b []byte) (ask, error) {
-	r := &reader{b: b}
-	if r.byte() != kindAsk {
+	r := &reader{wire.Reader{Rest: b}}
+	if r.Byte() != kindAsk {
 		return ask{}, ErrMessage
 	}
-	a := ask{Shard: r.shard(), Nonce: r.fixed(), Seq: r.number(math.MaxUint64)}
-	a.Part = float64(r.number(partUnit)) / partUnit
-	a.Hold = r.millis(maxHold)
-	for len(r.b) > 0 && !r.bad {
+	a := ask{Shard: r.shard(), Nonce: r.Uint64(), Seq: r.Uvarint(math.MaxUint64)}
+	a.Part = float64(r.Uvarint(partUnit)) / partUnit
+	a.Hold = r.Millis(maxHold)
+	for r.More() {
 		if len(a.Entries) == maxEntries {
 			return ask{}, ErrMessage
 		}
-		a.Entries = append(a.Entries, askEntry{Key: Key(r.fixed()), Need: r.units(), Ahead: r.units(), Refused: r.units()})
+		a.Entries = append(a.Entries, askEntry{Key: Key(r.Uint64()), Need: r.units(), Ahead: r.units(), Refused: r.units()})
 	}
-	if r.bad {
+	if r.Bad {
 		return ask{}, ErrMessage
 	}
 	return a, nil
 }
 
 func decodeReply(b []byte) (reply, error) {
-	r := &reader{b: b}
-	if r.byte() != kindReply {
+	r := &reader{wire.Reader{Rest: b}}
+	if r.Byte() != kindReply {
 		return reply{}, ErrMessage
 	}
-	out := reply{Shard: r.shard(), Leaving: r.byte() == 1, Seq: r.number(math.MaxUint64)}
-	for len(r.b) > 0 && !r.bad {
+	out := reply{Shard: r.shard(), Leaving: r.Byte() == 1, Seq: r.Uvarint(math.MaxUint64)}
+	for r.More() {
 		if len(out.Entries) == maxEntries {
 			return reply{}, ErrMessage
 		}
-		out.Entries = append(out.Entries, replyEntry{Key: Key(r.fixed()), Lent: r.units() / lentUnit, Again: r.millis(maxAgain), Retry: r.millis(maxAgain), Used: r.units() / usedUnit})
+		out.Entries = append(out.Entries, replyEntry{Key: Key(r.Uint64()), Lent: r.units() / lentUnit, Again: r.Millis(maxAgain), Retry: r.Millis(maxAgain), Used: r.units() / usedUnit})
 	}
-	if r.bad {
+	if r.Bad {
 		return reply{}, ErrMessage
 	}
 	return out, nil
