--- /dev/null
+++ b/directory/changes_test.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260301")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// scanned finds the usable endpoints by a look at all.
+func scanned(d *Directory, now time.Time) map[fleet.EndpointID]bool {
+	live, lapsed := map[string][]*Endpoint{}, map[string][]*Endpoint{}
+	for _, e := range d.byID {
+		switch {
+		case e.State != Ready:
+		case !e.Gone:
+			live[e.Service] = append(live[e.Service], e)
+		case now.Sub(e.Removed) < lapseTogether:
+			lapsed[e.Service] = append(lapsed[e.Service], e)
+		}
+	}
+	out := map[fleet.EndpointID]bool{}
+	for _, all := range live {
+		for _, e := range all {
+			out[e.Key] = true
+		}
+	}
+	for service, all := range lapsed {
+		if len(all) < 2 || len(all)*lapsePart <= len(live[service])+len(all) {
+			continue
+		}
+		for _, e := range all {
+			if now.Sub(e.left) < d.grace {
+				out[e.Key] = true
+			}
+		}
+	}
+	return out
+}
+
+// Guards against endpoints that are told of as changes and differ from what a look at
+// all of them gives, whatever happens in whatever order.
+func TestChangesAddUpToAllEndpoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, now := New(testGrace), epoch
+		told := map[fleet.EndpointID]bool{}
+		id := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("e", rapid.IntRange(0, 7).Draw(t, "n")) })
+		put := rapid.Custom(func(t *rapid.T) Entry {
+			return Entry{
+				ID: id.Draw(t, "id"), Born: rapid.Int64Range(1, 2).Draw(t, "born"),
+				Service: rapid.SampledFrom([]string{"s", "s", "s", "t"}).Draw(t, "service"),
+				State:   rapid.SampledFrom([]State{Ready, Ready, Draining}).Draw(t, "state"),
+				Models:  map[string]int64{"m": rapid.Int64Range(1, 3).Draw(t, "version")},
+			}
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"put":    func(t *rapid.T) { d.Put(put.Draw(t, "entry")) },
+			"remove": func(t *rapid.T) { d.Remove(now, now.Add(-time.Second), id.Draw(t, "id")) },
+			"remove all but some": func(t *rapid.T) {
+				d.Retain(now, now, map[string]bool{id.Draw(t, "id"): true, id.Draw(t, "another"): true})
+			},
+			"learn": func(t *rapid.T) {
+				if e := d.Find(id.Draw(t, "id")); e != nil {
+					d.Learn(e.Key, e.ID, "m", rapid.Int64Range(1, 4).Draw(t, "version"))
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"expire": func(*rapid.T) {
+				now = now.Add(forgetAfter)
+				d.Changes(now) // as the tick before it does
+				for _, c := range d.Changes(now) {
+					t.Fatalf("change of %s out of nothing", c.Endpoint.Key)
+				}
+				told = scanned(d, now)
+				d.Expire(now)
+			},
+			"": func(t *rapid.T) {
+				for _, c := range d.Changes(now) {
+					delete(told, c.Endpoint.Key)
+					if c.Usable {
+						told[c.Endpoint.Key] = true
+					}
+				}
+				if want := scanned(d, now); !maps.Equal(told, want) {
+					t.Fatalf("told %v, there are %v", told, want)
+				}
+				counted := map[int64]int{}
+				for _, e := range d.byID {
+					if e.listed() {
+						counted[e.Versions["m"]]++
+					}
+				}
+				if !maps.Equal(counted, d.serving["m"]) && len(counted)+len(d.serving["m"]) > 0 {
+					t.Fatalf("engines by version: counted %v, there are %v", d.serving["m"], counted)
+				}
+			},
+		})
+	})
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -55,6 +55,18 @@
 	// Versions are the newest weight versions seen of this life, from its entry
 	// or its answers. A life never goes back to older weights.
 	Versions map[string]int64
+
+	usable   bool     // as Changes last told
+	touched  bool     // it is in Directory.touched
+	replaced bool     // another life has its id
+	lapsedIn *service // whose lapsed entries it is among; nil: none's
+}
+
+// Change is an endpoint that may be given work from now on, may not any more, or
+// differs from what was told of it.
+type Change struct {
+	Endpoint *Endpoint
+	Usable   bool
 }
 
 // Times of the fold.
@@ -64,12 +76,27 @@
 	lapseTogether = 3 * time.Second
 	// lapsePart is the part of a service's entries that has to vanish together.
 	lapsePart = 3
+	// forgetAfter is how long an endpoint that is gone is remembered.
+	forgetAfter = time.Minute
 )
 
 // Directory holds the endpoints. Make it with New.
+//
+// One change costs the same however many endpoints there are: Changes looks at what
+// was touched and at entries that lapsed lately, never at all endpoints.
 type Directory struct {
-	byID  map[string]*Endpoint
-	grace time.Duration
+	byID     map[string]*Endpoint
+	grace    time.Duration
+	services map[string]*service
+	serving  map[string]map[int64]int // engines that are listed and ready, by model and version
+	touched  []*Endpoint
+	removed  []*Endpoint // in the order of Removed
+}
+
+// service is what the fold needs to know of the endpoints of one service.
+type service struct {
+	live   int         // listed and ready
+	lapsed []*Endpoint // removed within lapseTogether while they were ready
 }
 
 // New returns an empty Directory. An endpoint whose entry lapsed together with
@@ -78,7 +105,9 @@
 // that left must get no work past the bound on leaving, so the grace lies below
 // that bound.
 func New(grace time.Duration) *Directory {
-	return &Directory{byID: map[string]*Endpoint{}, grace: grace}
+	return &Directory{
+		byID: map[string]*Endpoint{}, grace: grace, services: map[string]*service{}, serving: map[string]map[int64]int{},
+	}
 }
 
 // Key names one life of an endpoint.
@@ -91,16 +120,73 @@
 	key := Key(e.ID, e.Born)
 	old := d.byID[e.ID]
 	if old == nil || old.Key != key {
-		d.byID[e.ID] = &Endpoint{Entry: e, Key: key, Versions: newest(nil, e.Models)}
+		if old != nil {
+			d.uncount(old)
+			old.replaced = true
+			d.touch(old)
+		}
+		next := &Endpoint{Entry: e, Key: key, Versions: newest(nil, e.Models)}
+		d.byID[e.ID] = next
+		d.count(next)
+		d.touch(next)
 		return true
 	}
+	if !old.Gone && old.Entry.SaysAs(e) {
+		old.Entry = e
+		return false
+	}
 	changed := old.Gone || old.State != e.State || old.Service != e.Service ||
 		old.Address != e.Address || behind(old.Versions, e.Models)
+	d.uncount(old)
 	old.Entry, old.Gone = e, false
 	old.Versions = newest(old.Versions, e.Models)
+	d.count(old)
+	d.touch(old)
 	return changed
 }
 
+// listed tells whether the endpoint's entry is there and says that it is ready.
+func (e *Endpoint) listed() bool { return !e.Gone && !e.replaced && e.State == Ready }
+
+func (d *Directory) serviceOf(e *Endpoint) *service {
+	s := d.services[e.Service]
+	if s == nil {
+		s = &service{}
+		d.services[e.Service] = s
+	}
+	return s
+}
+
+// count adds a listed endpoint to the sums of its service and models.
+func (d *Directory) count(e *Endpoint) { d.add(e, 1) }
+
+// uncount takes it out again. Call it before the endpoint changes.
+func (d *Directory) uncount(e *Endpoint) { d.add(e, -1) }
+
+func (d *Directory) add(e *Endpoint, n int) {
+	if !e.listed() {
+		return
+	}
+	d.serviceOf(e).live += n
+	for model, v := range e.Versions {
+		versions := d.serving[model]
+		if versions == nil {
+			versions = map[int64]int{}
+			d.serving[model] = versions
+		}
+		if versions[v] += n; versions[v] == 0 {
+			delete(versions, v)
+		}
+	}
+}
+
+func (d *Directory) touch(e *Endpoint) {
+	if !e.touched {
+		e.touched = true
+		d.touched = append(d.touched, e)
+	}
+}
+
 // Remove takes that the entry of the id is gone, or can't be read any more. since
 // is the earliest moment at which that may have happened: a list that is read
 // every second tells of it up to a second late.
@@ -109,7 +195,14 @@
 	if e == nil || e.Gone {
 		return false
 	}
+	d.uncount(e)
 	e.Gone, e.Removed, e.left = true, now, since
+	d.removed = append(d.removed, e)
+	if s := d.serviceOf(e); e.State == Ready && e.lapsedIn != s {
+		e.lapsedIn = s
+		s.lapsed = append(s.lapsed, e)
+	}
+	d.touch(e)
 	return true
 }
 
@@ -132,67 +225,107 @@
 	if e == nil || e.Key != key || e.Versions[model] >= version {
 		return false
 	}
+	d.uncount(e)
 	e.Versions[model] = version
+	d.count(e)
+	d.touch(e)
 	return true
 }
 
 // Find returns the present life of the endpoint with the id.
 func (d *Directory) Find(id string) *Endpoint { return d.byID[id] }
 
+// Behind tells whether an engine that is listed and ready has the model with weights
+// older than the version.
+func (d *Directory) Behind(model string, version int64) bool {
+	for v, n := range d.serving[model] {
+		if n > 0 && v < version {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire forgets endpoints that have long been gone, so that the table stays
 // bounded by the endpoints of the last minute.
 func (d *Directory) Expire(now time.Time) {
-	for id, e := range d.byID {
-		if e.Gone && now.Sub(e.Removed) > time.Minute {
-			delete(d.byID, id)
+	for len(d.removed) > 0 && now.Sub(d.removed[0].Removed) > forgetAfter {
+		e := d.removed[0]
+		d.removed = d.removed[1:]
+		if e.Gone && d.byID[e.ID] == e && now.Sub(e.Removed) > forgetAfter {
+			delete(d.byID, e.ID)
 		}
 	}
 }
 
-// Usable lists the endpoints of the service that may be given new work, by key.
+// Changes returns what changed since it was called last, with time as well. Call it
+// after each change of the directory, and on a tick.
 //
 // An entry that vanishes alone means that its endpoint left. When many of a
 // service vanish at once, the store's leases ran out in an outage: nobody left,
 // and to believe it would refuse all work until the entries are back.
-func (d *Directory) Usable(now time.Time, service string) []*Endpoint {
-	var live, lapsed []*Endpoint
-	for _, e := range d.byID {
-		switch {
-		case e.Service != service || e.State != Ready:
-		case !e.Gone:
-			live = append(live, e)
-		case now.Sub(e.Removed) < lapseTogether:
-			lapsed = append(lapsed, e)
+func (d *Directory) Changes(now time.Time) []Change {
+	var out []Change
+	for _, s := range d.services {
+		if len(s.lapsed) > 0 {
+			out = s.judge(now, d.grace, out)
 		}
 	}
-	if len(lapsed) > 1 && len(lapsed)*lapsePart > len(live)+len(lapsed) {
-		for _, e := range lapsed {
-			if now.Sub(e.left) < d.grace {
-				live = append(live, e)
-			}
+	for _, e := range d.touched {
+		e.touched = false
+		if e.Gone && !e.replaced && e.State == Ready && now.Sub(e.Removed) < lapseTogether {
+			continue // judged above, with the others that lapsed
+		}
+		was := e.usable
+		e.usable = e.listed()
+		if was || e.usable {
+			out = append(out, Change{Endpoint: e, Usable: e.usable})
 		}
 	}
-	slices.SortFunc(live, func(a, b *Endpoint) int { return cmp.Compare(a.Key, b.Key) })
-	return live
+	d.touched = d.touched[:0]
+	return out
 }
 
-// Services lists the services that some endpoint is registered for.
-func (d *Directory) Services() []string {
-	var out []string
-	for _, e := range d.byID {
-		if !slices.Contains(out, e.Service) {
-			out = append(out, e.Service)
+// judge decides which of the entries that vanished lately still count, and adds the
+// endpoints for which that changed.
+func (s *service) judge(now time.Time, grace time.Duration, out []Change) []Change {
+	kept := s.lapsed[:0]
+	for _, e := range s.lapsed {
+		if e.lapsedIn != s {
+			continue // its entry named another service meanwhile
+		}
+		if !e.Gone || e.replaced || e.State != Ready {
+			e.lapsedIn = nil // it is back, or another life has its id
+			continue
+		}
+		if now.Sub(e.Removed) >= lapseTogether {
+			e.lapsedIn = nil
+			if e.usable {
+				e.usable = false
+				out = append(out, Change{Endpoint: e})
+			}
+			continue
+		}
+		kept = append(kept, e)
+	}
+	clear(s.lapsed[len(kept):])
+	s.lapsed = kept
+	together := len(kept) > 1 && len(kept)*lapsePart > s.live+len(kept)
+	for _, e := range kept {
+		usable := together && now.Sub(e.left) < grace
+		if usable != e.usable {
+			e.usable = usable
+			out = append(out, Change{Endpoint: e, Usable: usable})
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
-// All lists every endpoint that is registered now, by key.
-func (d *Directory) All() []*Endpoint {
+// Ready lists every endpoint that is listed and ready and has the model, by key.
+func (d *Directory) Ready(model string) []*Endpoint {
 	var out []*Endpoint
 	for _, e := range d.byID {
-		if !e.Gone {
+		if _, serves := e.Versions[model]; serves && e.listed() {
 			out = append(out, e)
 		}
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -22,7 +22,17 @@
 	return d
 }
 
-func usable(d *Directory, at time.Duration) int { return len(d.Usable(epoch.Add(at), "s")) }
+// usable counts the endpoints that may be given work.
+func usable(d *Directory, at time.Duration) int {
+	d.Changes(epoch.Add(at))
+	n := 0
+	for _, e := range d.byID {
+		if e.usable {
+			n++
+		}
+	}
+	return n
+}
 
 func TestHeartbeatAloneChangesNothing(t *testing.T) {
 	d := full(1)
--- a/health/group.go
+++ b/health/group.go
@@ -16,35 +16,63 @@
 	listed := make(map[fleet.EndpointID]bool, len(list))
 	for _, l := range list {
 		listed[l.ID] = true
-		e := t.endpoints[l.ID]
-		if e == nil {
-			t.add(now, l)
-			continue
-		}
-		if e.Class != l.Class || e.Zone != l.Zone {
-			t.remove(e)
-			t.add(now, l)
-			continue
-		}
-		e.Endpoint = l
-		e.missingAt = time.Time{}
+		t.list(now, l)
 	}
-	for id, e := range t.endpoints {
-		if listed[id] {
-			continue
-		}
-		if e.missingAt.IsZero() {
-			e.missingAt = now
-		}
-		if now.Sub(e.missingAt) > t.opts.MissingHold && now.Sub(e.answered) > t.opts.MissingHold {
-			t.remove(e)
+	for id := range t.endpoints {
+		if !listed[id] {
+			t.missing(now, id)
 		}
 	}
+	t.Expire(now)
 	for g := range t.groups {
 		t.keepFloorOf(g)
 	}
 }
 
+// List takes that the platform lists one endpoint. It is Sync for a shell that is told
+// of changes.
+func (t *Tracker) List(now time.Time, l fleet.Endpoint) {
+	t.list(now, l)
+	t.keepFloorOf(group{class: l.Class, zone: l.Zone})
+}
+
+func (t *Tracker) list(now time.Time, l fleet.Endpoint) {
+	e := t.endpoints[l.ID]
+	if e != nil && (e.Class != l.Class || e.Zone != l.Zone) {
+		t.remove(e)
+		t.keepFloor(e)
+		e = nil
+	}
+	if e == nil {
+		t.add(now, l)
+		return
+	}
+	e.Endpoint = l
+	e.missingAt = time.Time{}
+	delete(t.missed, l.ID)
+}
+
+// Missing takes that the platform does not list an endpoint any more.
+func (t *Tracker) Missing(now time.Time, id fleet.EndpointID) { t.missing(now, id) }
+
+func (t *Tracker) missing(now time.Time, id fleet.EndpointID) {
+	if e := t.endpoints[id]; e != nil && e.missingAt.IsZero() {
+		e.missingAt = now
+		t.missed[id] = e
+	}
+}
+
+// Expire forgets endpoints that the platform has not listed for long and that do not
+// answer. Call it about once a second.
+func (t *Tracker) Expire(now time.Time) {
+	for _, e := range t.missed {
+		if now.Sub(e.missingAt) > t.opts.MissingHold && now.Sub(e.answered) > t.opts.MissingHold {
+			t.remove(e)
+			t.keepFloor(e)
+		}
+	}
+}
+
 func (t *Tracker) add(now time.Time, l fleet.Endpoint) {
 	if len(t.endpoints) >= MaxEndpoints {
 		t.overflow++
@@ -58,6 +86,8 @@
 
 func (t *Tracker) remove(e *endpoint) {
 	delete(t.endpoints, e.ID)
+	delete(t.missed, e.ID)
+	t.setAway(e, false)
 	g := group{class: e.Class, zone: e.Zone}
 	rest := slices.DeleteFunc(t.groups[g], func(o *endpoint) bool { return o == e })
 	t.groups[g] = rest
@@ -80,6 +110,9 @@
 }
 
 func (t *Tracker) keepFloorOf(g group) {
+	if t.awayIn[g] == 0 {
+		return
+	}
 	staying := 0
 	var away []*endpoint
 	for _, e := range t.groups[g] {
@@ -112,6 +145,9 @@
 		return
 	}
 	t.checkAt = now.Add(outlierCheckInterval)
+	if !t.timed {
+		return
+	}
 	medians := t.medians()
 	for _, e := range t.endpoints {
 		m := medians[e.Class]
--- a/health/health.go
+++ b/health/health.go
@@ -17,7 +17,7 @@
 // Bounds and times.
 const (
 	// MaxEndpoints bounds the endpoints with state.
-	MaxEndpoints = 16_384
+	MaxEndpoints = 1 << 16
 
 	DefaultFailures      = 5
 	DefaultEjection      = 2 * time.Second
@@ -125,6 +125,10 @@
 	opts      Options
 	endpoints map[fleet.EndpointID]*endpoint
 	groups    map[group][]*endpoint
+	away      map[fleet.EndpointID]*endpoint // ejected, or kept in spite of it
+	awayIn    map[group]int
+	missed    map[fleet.EndpointID]*endpoint // that the list leaves out
+	timed     bool                           // some answer told how slow its endpoint is
 	checkAt   time.Time
 	overflow  uint64
 }
@@ -135,6 +139,9 @@
 		opts:      opts.withDefaults(),
 		endpoints: map[fleet.EndpointID]*endpoint{},
 		groups:    map[group][]*endpoint{},
+		away:      map[fleet.EndpointID]*endpoint{},
+		awayIn:    map[group]int{},
+		missed:    map[fleet.EndpointID]*endpoint{},
 	}
 }
 
@@ -148,6 +155,7 @@
 	e.answered = now
 	e.failures = 0
 	if slowness > 0 {
+		t.timed = true
 		e.samples = min(e.samples+1, slownessSamples)
 		e.slowness += (slowness - e.slowness) * max(slownessSmoothing, 1/float64(e.samples))
 	}
@@ -176,7 +184,8 @@
 	if !e.kept && now.Before(e.returnAt) {
 		return
 	}
-	e.away, e.kept = false, false
+	t.setAway(e, false)
+	e.kept = false
 	e.trialUntil = time.Time{}
 	e.startedAt = now
 	e.slowness, e.samples = 0, 0
@@ -235,6 +244,33 @@
 	return true
 }
 
+// setAway notes that the endpoint is ejected, or not any more.
+func (t *Tracker) setAway(e *endpoint, away bool) {
+	if e.away == away {
+		return
+	}
+	e.away = away
+	g := group{class: e.Class, zone: e.Zone}
+	if away {
+		t.away[e.ID] = e
+		t.awayIn[g]++
+		return
+	}
+	delete(t.away, e.ID)
+	if t.awayIn[g]--; t.awayIn[g] == 0 {
+		delete(t.awayIn, g)
+	}
+}
+
+// AppendAway appends the endpoints that are ejected, or would be if not too many of
+// their group were: all whose status may change with time or with another's failure.
+func (t *Tracker) AppendAway(to []fleet.EndpointID) []fleet.EndpointID {
+	for id := range t.away {
+		to = append(to, id)
+	}
+	return to
+}
+
 // eject sends the endpoint away for a time that doubles with each ejection. The
 // jitter keeps a thousand daemons that ejected it together from trying it
 // together.
@@ -245,7 +281,7 @@
 		away = time.Duration(float64(away) * (1 + ejectionJitter*(2*t.opts.Rand.Float64()-1)))
 	}
 	e.ejections = min(e.ejections+1, maxDoublings)
-	e.away = true
+	t.setAway(e, true)
 	e.failures = 0
 	e.returnAt = now.Add(away)
 	e.trialUntil = time.Time{}
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -107,6 +107,52 @@
 	v.scratch.grow(len(v.endpoints))
 }
 
+// Join adds an endpoint to a pool, at a cost that hardly grows with the pool. What was
+// learnt of an endpoint of another pool is kept.
+func (v *View) Join(name string, m fleet.Endpoint) {
+	p := v.pools[name]
+	if p == nil {
+		p = &pool{}
+		v.pools[name] = p
+	}
+	i := v.join(m)
+	if i == none {
+		return
+	}
+	at, member := slices.BinarySearch(p.members, i)
+	if member {
+		v.leave(i) // it was counted twice
+		return
+	}
+	p.members = slices.Insert(p.members, at, i)
+	v.epochs++
+	p.epoch = v.epochs
+	v.scratch.grow(len(v.endpoints))
+}
+
+// Leave takes an endpoint out of a pool. A pool without endpoints is forgotten, and so
+// is an endpoint without pools.
+func (v *View) Leave(name string, id fleet.EndpointID) {
+	p, i, known := v.pools[name], int32(0), false
+	if p != nil {
+		i, known = v.byID[id]
+	}
+	if !known {
+		return
+	}
+	at, member := slices.BinarySearch(p.members, i)
+	if !member {
+		return
+	}
+	p.members = slices.Delete(p.members, at, at+1)
+	v.epochs++
+	p.epoch = v.epochs
+	v.leave(i)
+	if len(p.members) == 0 {
+		delete(v.pools, name)
+	}
+}
+
 func (v *View) join(m fleet.Endpoint) int32 {
 	i, ok := v.byID[m.ID]
 	if !ok {
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -132,6 +132,20 @@
 	s.view.SetPool(name, members)
 }
 
+// Join is View.Join.
+func (s *Shared) Join(name string, m fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Join(name, m)
+}
+
+// Leave is View.Leave.
+func (s *Shared) Leave(name string, id fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Leave(name, id)
+}
+
 // SetGate is View.SetGate.
 func (s *Shared) SetGate(id fleet.EndpointID, g Gate) {
 	s.mu.Lock()
--- /dev/null
+++ b/pools/pools_test.go
@@ -0,0 +1,233 @@
+package pools
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/merlindock/merlindock/fleet"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260301")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// sets keeps the members of pools and fails on a change that changes nothing.
+type sets struct {
+	t     interface{ Fatalf(string, ...any) }
+	pools map[string]map[fleet.EndpointID]bool
+	moves int
+}
+
+func (s *sets) Join(pool string, e fleet.Endpoint) {
+	s.moves++
+	if s.pools[pool] == nil {
+		s.pools[pool] = map[fleet.EndpointID]bool{}
+	}
+	if s.pools[pool][e.ID] {
+		s.t.Fatalf("%s joins %q twice", e.ID, pool)
+	}
+	s.pools[pool][e.ID] = true
+}
+
+func (s *sets) Leave(pool string, id fleet.EndpointID) {
+	s.moves++
+	if !s.pools[pool][id] {
+		s.t.Fatalf("%s leaves %q and is not there", id, pool)
+	}
+	delete(s.pools[pool], id)
+	if len(s.pools[pool]) == 0 {
+		delete(s.pools, pool)
+	}
+}
+
+// known is an endpoint as a test has told of it.
+type known struct {
+	Endpoint
+	out, limited bool
+}
+
+// rebuilt makes all pools anew from all endpoints.
+func rebuilt(all map[fleet.EndpointID]known, part float64) map[string]map[fleet.EndpointID]bool {
+	pools := map[string]map[fleet.EndpointID]bool{}
+	add := func(pool string, id fleet.EndpointID) {
+		if pools[pool] == nil {
+			pools[pool] = map[fleet.EndpointID]bool{}
+		}
+		pools[pool][id] = true
+	}
+	in, out := map[modelKey]map[int64][]known{}, map[modelKey]map[int64][]known{}
+	for id, k := range all {
+		add(Plain(k.Class), id)
+		for model, v := range k.Versions {
+			key, into := modelKey{k.Class, model}, in
+			if k.out {
+				into = out
+			}
+			if into[key] == nil {
+				into[key] = map[int64][]known{}
+			}
+			into[key][v] = append(into[key][v], k)
+		}
+	}
+	for key, versions := range in {
+		n := 0
+		for _, members := range versions {
+			n += len(members)
+		}
+		left := ShortCount(part, n)
+		for _, v := range slices.Backward(slices.Sorted(maps.Keys(versions))) {
+			ordered := slices.SortedFunc(slices.Values(versions[v]), func(a, b known) int {
+				if a.limited != b.limited {
+					return map[bool]int{true: 1, false: -1}[a.limited]
+				}
+				return cmp.Or(cmp.Compare(laneHash(a.ID), laneHash(b.ID)), cmp.Compare(a.ID, b.ID))
+			})
+			short := min(left, len(ordered))
+			left -= short
+			lanes := [LaneCount][]known{Short: ordered[:short], Long: ordered[short:]}
+			if n == 1 {
+				lanes = [LaneCount][]known{Short: ordered, Long: ordered}
+			}
+			for l, members := range lanes {
+				if len(members) == 0 {
+					continue
+				}
+				for _, k := range slices.Concat(members, out[key][v]) {
+					add(OfModel(key.service, key.model, v, Lane(l)), k.ID)
+				}
+			}
+		}
+	}
+	return pools
+}
+
+// Guards against pools that drift from the endpoints: whatever changes in whatever
+// order, they are those that a rebuild from all endpoints gives.
+func TestPoolsFollowEveryChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		got := &sets{t: t, pools: map[string]map[fleet.EndpointID]bool{}}
+		part := 0.2
+		table := New(got, part)
+		all := map[fleet.EndpointID]known{}
+		id := rapid.Custom(func(t *rapid.T) fleet.EndpointID {
+			return fleet.EndpointID(fmt.Sprint("e", rapid.IntRange(0, 11).Draw(t, "n")))
+		})
+		versions := rapid.MapOfN(rapid.SampledFrom([]string{"m", "n"}), rapid.Int64Range(1, 3), 0, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				k := known{out: rapid.Bool().Draw(t, "out"), limited: rapid.Bool().Draw(t, "limited")}
+				k.ID, k.Class = id.Draw(t, "id"), rapid.SampledFrom([]string{"s", "t"}).Draw(t, "class")
+				k.Versions = versions.Draw(t, "versions")
+				all[k.ID] = k
+				table.Put(k.Endpoint, k.out, k.limited)
+			},
+			"remove": func(t *rapid.T) {
+				at := id.Draw(t, "id")
+				delete(all, at)
+				table.Remove(at)
+			},
+			"set out": func(t *rapid.T) {
+				at, out := id.Draw(t, "id"), rapid.Bool().Draw(t, "out")
+				if k, ok := all[at]; ok {
+					k.out = out
+					all[at] = k
+				}
+				table.SetOut(at, out)
+			},
+			"set limited": func(t *rapid.T) {
+				at, limited := id.Draw(t, "id"), rapid.Bool().Draw(t, "limited")
+				if k, ok := all[at]; ok {
+					k.limited = limited
+					all[at] = k
+				}
+				table.SetLimited(at, limited)
+			},
+			"set part": func(t *rapid.T) {
+				part = rapid.SampledFrom([]float64{0.1, 0.2, 0.5}).Draw(t, "part")
+				table.SetPart(part)
+			},
+			"": func(t *rapid.T) {
+				if want := rebuilt(all, part); !maps.EqualFunc(got.pools, want, maps.Equal) {
+					t.Fatalf("pools %v, rebuilt %v", got.pools, want)
+				}
+				for _, service := range []string{"s", "t"} {
+					for _, model := range []string{"m", "n"} {
+						counted(t, table, got.pools, all, service, model)
+					}
+				}
+			},
+		})
+	})
+}
+
+// counted compares the counts of a model with the members of its pools.
+func counted(t *rapid.T, table *Table, pools map[string]map[fleet.EndpointID]bool, all map[fleet.EndpointID]known, service, model string) {
+	counts := table.Counts(service, model)
+	usable := 0
+	for v := range int64(4) {
+		n := 0
+		for _, k := range all {
+			if at, serves := k.Versions[model]; k.Class == service && !k.out && serves && at == v {
+				n++
+			}
+		}
+		usable += n
+		if counts.All[v] != n {
+			t.Fatalf("%d engines of version %d are counted, %d there", counts.All[v], v, n)
+		}
+		for l := range LaneCount {
+			n := 0
+			for id := range pools[OfModel(service, model, v, l)] {
+				if !all[id].out {
+					n++
+				}
+			}
+			if counts.Lane[l][v] != n {
+				t.Fatalf("%d engines of version %d are counted in a lane, %d there", counts.Lane[l][v], v, n)
+			}
+		}
+	}
+	if table.Engines(service, model) != usable {
+		t.Fatalf("%d engines are counted, %d there", table.Engines(service, model), usable)
+	}
+}
+
+// Guards against a change of one endpoint that is paid for all: a daemon with a fifth of
+// a core that rebuilds ten thousand places spends it on that alone.
+func TestOneChangeMovesFewMembers(t *testing.T) {
+	for _, n := range []int{1000, 10_000} {
+		got := &sets{t: t, pools: map[string]map[fleet.EndpointID]bool{}}
+		table := New(got, 0.2)
+		put := func(i int, version int64, out bool) {
+			e := Endpoint{Versions: map[string]int64{"m": version}}
+			e.ID, e.Class = fleet.EndpointID(fmt.Sprint("e", i)), "s"
+			table.Put(e, out, false)
+		}
+		for i := range n {
+			put(i, 1, false)
+		}
+		for what, change := range map[string]func(){
+			"another version":   func() { put(7, 2, false) },
+			"rest":              func() { put(8, 1, true) },
+			"return":            func() { put(8, 1, false) },
+			"a removal":         func() { table.Remove("e9") },
+			"an endpoint more":  func() { put(n, 1, false) },
+			"nothing different": func() { put(10, 1, false) },
+		} {
+			before := got.moves
+			change()
+			if moves := got.moves - before; moves > 8 {
+				t.Errorf("%s among %d endpoints changes pools %d times", what, n, moves)
+			}
+		}
+	}
+}
--- a/router/caches.go
+++ b/router/caches.go
@@ -102,7 +102,7 @@
 	if t == nil {
 		return nil
 	}
-	engines := r.s.engineSources(t)
+	engines := r.s.engineSources(t, mostHolders+1)
 	if len(engines)+len(t.Stores) > mostHolders {
 		return nil
 	}
@@ -132,12 +132,15 @@
 	perToken int // bytes
 }
 
-// engineSources lists the engines that tell of their caches.
-func (s *state) engineSources(t *routes.Table) []engineSource {
+// engineSources lists the engines that tell of their caches, most of them at most.
+func (s *state) engineSources(t *routes.Table, most int) []engineSource {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []engineSource
 	for key, e := range s.places {
+		if len(out) == most {
+			break
+		}
 		service := t.Services[e.Service]
 		if service == nil || service.Engine == nil || service.Engine.Followers <= 0 {
 			continue
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -136,10 +136,7 @@
 // groupOf names the prompts that one dispatcher places.
 func (d *dispatch) groupOf(w *forward.Work) string {
 	d.s.mu.Lock()
-	engines := 0
-	for _, n := range d.s.versions[modelKey(w.Service.Name, w.In.Model)] {
-		engines += n
-	}
+	engines := d.s.pools.Engines(w.Service.Name, w.In.Model)
 	d.s.mu.Unlock()
 	group := w.Service.Name + "/" + w.In.Model
 	if groups := (engines + dispatchedEngines - 1) / dispatchedEngines; groups > 1 && len(w.In.Parts) > 0 {
--- a/router/lanes.go
+++ b/router/lanes.go
@@ -1,15 +1,10 @@
 package router
 
 import (
-	"cmp"
-	"maps"
 	"math"
-	"slices"
 	"time"
 
-	"github.com/merlindock/merlindock/internal/hash"
-
-	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/pools"
 )
 
 // Bounds of the split between short and long prompts.
@@ -34,16 +29,14 @@
 )
 
 // lane is the kind of engines that a prompt goes to.
-type lane uint8
+type lane = pools.Lane
 
 const (
-	laneLong lane = iota
-	laneShort
-	laneCount
+	laneLong  = pools.Long
+	laneShort = pools.Short
+	laneCount = pools.LaneCount
 )
 
-var laneNames = [laneCount]string{"long", "short"}
-
 func laneOf(promptTokens int) lane {
 	if promptTokens > 0 && promptTokens <= shortTokens {
 		return laneShort
@@ -108,45 +101,3 @@
 	}
 	return l.part
 }
-
-// shortCount is how many of n engines are for short prompts.
-func shortCount(part float64, n int) int {
-	return max(1, min(int(math.Round(part*float64(n))), n-1))
-}
-
-// splitVersions parts the engines of one model, by version, into k for short
-// prompts and the others. The newest come first: short prompts have nothing in a
-// cache that speaks for older weights, and while a rollout is under way engines
-// of both would be kept for them. alone says that a single engine may be used at
-// present, which then serves both.
-func splitVersions(engines map[int64][]fleet.Endpoint, k int, alone bool, limited map[fleet.EndpointID]bool) (short, long map[int64][]fleet.Endpoint) {
-	short, long = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
-	for _, v := range slices.Backward(slices.Sorted(maps.Keys(engines))) {
-		short[v], long[v] = split(engines[v], k, alone, limited)
-		k -= len(short[v])
-	}
-	return short, long
-}
-
-// split parts the members of a pool. All daemons put the engines in the same
-// order, so that they agree but for the last place. Engines that name a limit of
-// requests come last: they serve few long prompts a second, and many short ones.
-func split(members []fleet.Endpoint, k int, alone bool, limited map[fleet.EndpointID]bool) (short, long []fleet.Endpoint) {
-	if len(members) == 1 && alone {
-		return members, members
-	}
-	ordered := slices.Clone(members)
-	slices.SortFunc(ordered, func(a, b fleet.Endpoint) int {
-		if limited[a.ID] != limited[b.ID] {
-			if limited[a.ID] {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(laneHash(a.ID), laneHash(b.ID)), cmp.Compare(a.ID, b.ID))
-	})
-	k = min(k, len(ordered))
-	return ordered[:k], ordered[k:]
-}
-
-func laneHash(id fleet.EndpointID) uint64 { return hash.Text("lane/" + string(id)) }
--- a/router/lanes_test.go
+++ b/router/lanes_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/pools"
 )
 
 func members(prefix string, n int) []fleet.Endpoint {
@@ -30,7 +31,7 @@
 		{18, 0, 3, 3, 0},
 	} {
 		engines := map[int64][]fleet.Endpoint{6: members("o", c.older), 7: members("n", c.newer)}
-		short, long := splitVersions(engines, c.k, false, nil)
+		short, long := splitVersions(engines, c.k, nil)
 		if len(short[6]) != c.shortOlder || len(short[7]) != c.shortNewer || len(long[6]) != c.older-c.shortOlder || len(long[7]) != c.newer-c.shortNewer {
 			t.Errorf("%+v: short %d and %d, long %d and %d", c, len(short[6]), len(short[7]), len(long[6]), len(long[7]))
 		}
@@ -43,7 +44,7 @@
 func TestShortPartFollowsWhatIsRead(t *testing.T) {
 	l := laneSplit{stream: [laneCount]float64{laneShort: 0.15, laneLong: 0.8}}
 	short, long := l.workOf(laneShort, 370, 24), l.workOf(laneLong, 17_000, 24)
-	if n := shortCount(short/(short+long*47.5/189), 18); n < 2 || n > 3 {
+	if n := pools.ShortCount(short/(short+long*47.5/189), 18); n < 2 || n > 3 {
 		t.Errorf("%d engines of 18", n)
 	}
 }
@@ -63,7 +64,7 @@
 		l.seen(now, laneLong, 17_000, 16)
 		l.ended(laneLong, 800*time.Millisecond)
 	}
-	if n := shortCount(l.short(), 14); n < 4 || n > 6 {
+	if n := pools.ShortCount(l.short(), 14); n < 4 || n > 6 {
 		t.Errorf("%d engines of 14", n)
 	}
 }
@@ -72,16 +73,16 @@
 // prompts, of which there are many.
 func TestEnginesWithALimitServeLongPrompts(t *testing.T) {
 	all := members("a", 6)
-	short, _ := split(all, 2, false, nil)
+	short, _ := split(all, 2, nil)
 	limited := map[fleet.EndpointID]bool{short[0].ID: true}
-	now, long := split(all, 2, false, limited)
+	now, long := split(all, 2, limited)
 	if len(now) != 2 || len(long) != 4 || now[0].ID != short[1].ID || limited[now[1].ID] {
 		t.Errorf("short prompts go to %v", now)
 	}
 	for _, e := range all {
 		limited[e.ID] = true
 	}
-	if now, _ := split(all, 2, false, limited); len(now) != 2 {
+	if now, _ := split(all, 2, limited); len(now) != 2 {
 		t.Errorf("%d engines for short prompts if all have a limit", len(now))
 	}
 }
--- a/router/learn.go
+++ b/router/learn.go
@@ -209,6 +209,6 @@
 		p.s.health.Success(now, pl.Target.Key, 0, 0)
 	}
 	if p.s.unusable(now, pl.Target.Key) {
-		p.s.view.SetGate(pl.Target.Key, placement.GateEjected)
+		p.s.gate(pl.Target.Key)
 	}
 }
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -68,7 +68,7 @@
 	members := r.members()
 	short, long := members, members
 	if part > 0 {
-		short, long = split(members, int(math.Round(part*float64(engines))), false, nil)
+		short, long = split(members, int(math.Round(part*float64(engines))), nil)
 	}
 	for range daemons {
 		v := placement.NewView(o)
@@ -325,16 +325,17 @@
 	for i := range 10 {
 		members = append(members, fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i))})
 	}
-	short, long := split(members, 3, false, nil)
+	short, long := split(members, 3, nil)
 	slices.Reverse(members)
-	again, _ := split(members, 3, false, nil)
+	again, _ := split(members, 3, nil)
 	if len(short) != 3 || len(long) != 7 || !slices.Equal(short, again) {
 		t.Errorf("%d and %d, %v and %v", len(short), len(long), short, again)
 	}
-	if s, l := split(members[:1], 1, true, nil); len(s) != 1 || len(l) != 1 {
+	if s, l := split(members[:1], 1, nil); len(s) != 1 || len(l) != 1 {
 		t.Error("the only engine must serve both")
 	}
-	if s, l := split(members[:1], 1, false, nil); len(s) != 1 || len(l) != 0 {
+	versions := map[int64][]fleet.Endpoint{2: members[:1], 1: members[1:]}
+	if s, l := splitVersions(versions, 1, nil); len(s[2]) != 1 || len(l[2]) != 0 {
 		t.Error("the first engine of a version is for short prompts")
 	}
 }
--- a/router/orders.go
+++ b/router/orders.go
@@ -200,8 +200,8 @@
 		return
 	}
 	l.finishLoads(ctx, now)
-	for model, engines := range behind {
-		l.order(ctx, model, engines)
+	for _, model := range behind {
+		l.order(ctx, model, l.r.s.engines(time.Now(), l.r.clock(), l.r.o.Settings.VersionWithin, model))
 	}
 }
 
@@ -226,14 +226,12 @@
 	return contendMost + time.Duration(r.placer.fraction()*float64(contendMost))
 }
 
-// behind lists the engines of each model of which some have older weights than
-// named.
-func (l *leader) behind() map[string][]weights.Engine {
-	out := map[string][]weights.Engine{}
+// behind lists the models of which some engines have older weights than named.
+func (l *leader) behind() []string {
+	var out []string
 	for model, n := range l.r.s.namedVersions() {
-		engines := l.r.s.engines(time.Now(), l.r.clock(), l.r.o.Settings.VersionWithin, model)
-		if weights.Behind(engines, n.newest()) > 0 {
-			out[model] = engines
+		if l.r.s.behind(model, n.newest()) {
+			out = append(out, model)
 		}
 	}
 	return out
--- a/router/placer.go
+++ b/router/placer.go
@@ -16,6 +16,7 @@
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/pools"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/room"
@@ -116,7 +117,7 @@
 	now := time.Now()
 	p.s.settle(now)
 	r := placement.Request{
-		Pool: plainPool(w.Service.Name), Tokens: w.In.PromptTokens, Avoid: w.Avoid,
+		Pool: pools.Plain(w.Service.Name), Tokens: w.In.PromptTokens, Avoid: w.Avoid,
 		Priority: priorityOf(w.Route.Urgency(w.Organisation)),
 	}
 	if w.Service.Engine != nil && w.In.Model != "" {
@@ -319,7 +320,7 @@
 		at = hash.Text(w.In.Parts[0].ID)
 	}
 	in := laneOf(w.In.PromptTokens)
-	name := modelKey(w.Service.Name, w.In.Model)
+	engines := p.s.pools.Counts(w.Service.Name, w.In.Model)
 	clock := p.clock()
 	lead := newerLead
 	if in == laneShort {
@@ -327,8 +328,8 @@
 	}
 	left := func(v int64) time.Duration { return n.left(v, clock, p.old) }
 	allowed := func(v int64) bool { return left(v) > beginLeast }
-	v := chooseVersions(p.s.versions[laneKey(name, in)], allowed, at, lead)
-	v = v.orElse(chooseVersions(p.s.versions[name], allowed, at, lead))
+	v := chooseVersions(engines.Lane[in], allowed, at, lead)
+	v = v.orElse(chooseVersions(engines.All, allowed, at, lead))
 	if v.first == 0 {
 		return v, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointAfter}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -376,15 +376,12 @@
 	r.measureReading()
 	r.s.mu.Lock()
 	r.s.directory.Expire(now)
+	r.s.health.Expire(now)
 	for key, at := range r.s.saved {
 		if now.Sub(at) > savedFor {
 			delete(r.s.saved, key)
 		}
 	}
-	known := make(map[fleet.EndpointID]bool, len(r.s.places))
-	for key := range r.s.places {
-		known[key] = true
-	}
 	r.s.mu.Unlock()
-	r.client.CloseIdle(func(key fleet.EndpointID) bool { return known[key] })
+	r.client.CloseIdle(r.s.usable)
 }
--- /dev/null
+++ b/router/split_test.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/hash"
+	"github.com/merlindock/merlindock/pools"
+)
+
+// poolSets keeps the members of pools, as placement does.
+type poolSets map[string][]fleet.Endpoint
+
+func (s poolSets) Join(pool string, e fleet.Endpoint) { s[pool] = append(s[pool], e) }
+
+func (s poolSets) Leave(pool string, id fleet.EndpointID) {
+	s[pool] = slices.DeleteFunc(s[pool], func(e fleet.Endpoint) bool { return e.ID == id })
+}
+
+// splitVersions returns which of the engines of one model, by version, are for short
+// prompts and which for long ones, if k are for short ones.
+func splitVersions(engines map[int64][]fleet.Endpoint, k int, limited map[fleet.EndpointID]bool) (short, long map[int64][]fleet.Endpoint) {
+	n := 0
+	for _, members := range engines {
+		n += len(members)
+	}
+	sets := poolSets{}
+	table := pools.New(sets, float64(k)/float64(n))
+	for v, members := range engines {
+		for _, e := range members {
+			e.Class = "s"
+			table.Put(pools.Endpoint{Endpoint: e, Versions: map[string]int64{"m": v}}, false, limited[e.ID])
+		}
+	}
+	short, long = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
+	for v, members := range engines {
+		plain := map[fleet.EndpointID]fleet.Endpoint{}
+		for _, e := range members {
+			plain[e.ID] = e
+		}
+		for l, into := range map[lane]map[int64][]fleet.Endpoint{laneShort: short, laneLong: long} {
+			for _, e := range sets[pools.OfModel("s", "m", v, l)] {
+				into[v] = append(into[v], plain[e.ID])
+			}
+			slices.SortFunc(into[v], func(a, b fleet.Endpoint) int {
+				return cmp.Compare(hash.Text("lane/"+string(a.ID)), hash.Text("lane/"+string(b.ID)))
+			})
+		}
+	}
+	return short, long
+}
+
+// split is splitVersions for engines of one version.
+func split(members []fleet.Endpoint, k int, limited map[fleet.EndpointID]bool) (short, long []fleet.Endpoint) {
+	s, l := splitVersions(map[int64][]fleet.Endpoint{1: members}, k, limited)
+	return s[1], l[1]
+}
--- a/router/state.go
+++ b/router/state.go
@@ -1,11 +1,8 @@
 package router
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
-	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +12,7 @@
 	"github.com/merlindock/merlindock/freshness"
 	"github.com/merlindock/merlindock/health"
 	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/pools"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/weights"
@@ -52,33 +50,33 @@
 	named     map[string]named
 	health    *health.Tracker
 	resting   map[fleet.EndpointID]time.Time
+	gated     map[fleet.EndpointID]bool                // placement was told that they get no work
 	places    map[fleet.EndpointID]*directory.Endpoint // usable ones
-	versions  map[string]map[int64]int                 // usable engines by version, of a laneKey and of a modelKey
-	pools     map[string]bool
+	pools     *pools.Table
 	saved     map[prefix.Key]time.Time // when a part was sent to the store
 	lanes     laneSplit
-	part      float64                    // of the engines for short prompts, as the pools have it
-	usable    int                        // engines that were neither resting nor ejected then
 	dirty     bool                       // some endpoint's version or state changed
 	split     *map[fleet.EndpointID]bool // the limited endpoints, as the pools have them
+	checked   []fleet.EndpointID         // memory of recheck
 
 	view *placement.Shared
 }
 
 func newState(set *Settings, rng *rand.Rand) *state {
+	view := placement.NewShared(placement.Options{
+		Zone: set.Zone, PrefillRate: prefillRate, ImportLatency: importLatency, ReservationTTL: reservationTTL,
+		QueueLife: queueLife, HomePrior: homePrior,
+	})
 	return &state{
 		directory: directory.New(time.Duration(lapsePart * float64(set.DrainWithin))),
 		named:     map[string]named{},
 		health:    health.New(health.Options{Rand: rng, Failures: ejectAfter, Ejection: ejectFor, MaxEjection: ejectAtMost}),
 		resting:   map[fleet.EndpointID]time.Time{},
+		gated:     map[fleet.EndpointID]bool{},
 		places:    map[fleet.EndpointID]*directory.Endpoint{},
-		versions:  map[string]map[int64]int{},
-		pools:     map[string]bool{},
+		pools:     pools.New(view, firstShort),
 		saved:     map[prefix.Key]time.Time{},
-		view: placement.NewShared(placement.Options{
-			Zone: set.Zone, PrefillRate: prefillRate, ImportLatency: importLatency, ReservationTTL: reservationTTL,
-			QueueLife: queueLife, HomePrior: homePrior,
-		}),
+		view:      view,
 	}
 }
 
@@ -111,105 +109,94 @@
 	ejectAtMost = 4 * time.Second
 )
 
-func plainPool(service string) string { return service }
-
-func modelKey(service, model string) string { return service + "\x00" + model }
-
-func laneKey(model string, l lane) string { return model + "\x00" + laneNames[l] }
+// refresh puts into force what changed since it was called last, with time as well.
+// Call it with mu held after each change, and on a tick. It costs what changed, however
+// many endpoints there are.
+func (s *state) refresh(now time.Time) {
+	s.dirty = false
+	for _, c := range s.directory.Changes(now) {
+		if c.Usable {
+			s.put(now, c.Endpoint)
+		} else {
+			s.drop(now, c.Endpoint.Key)
+		}
+	}
+	s.splitLimited()
+	s.pools.SetPart(s.lanes.short())
+	s.recheck(now)
+}
 
-func modelPool(service, model string, version int64, l lane) string {
-	return modelKey(service, model) + "\x00" + strconv.FormatInt(version, 10) + "\x00" + laneNames[l]
+// put has an endpoint get work, or takes what changed of it.
+func (s *state) put(now time.Time, e *directory.Endpoint) {
+	s.places[e.Key] = e
+	member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: e.Service, Address: e.Address, State: fleet.VMLive}
+	s.health.List(now, member)
+	s.pools.Put(pools.Endpoint{Endpoint: member, Versions: e.Versions}, s.unusable(now, e.Key), s.split != nil && (*s.split)[e.Key])
+	if s.unusable(now, e.Key) {
+		s.gate(e.Key)
+	}
 }
 
-// servedModel names the engines of a service that have a model.
-type servedModel struct{ service, model string }
+// drop has an endpoint get no work any more.
+func (s *state) drop(now time.Time, key fleet.EndpointID) {
+	delete(s.places, key)
+	delete(s.gated, key)
+	s.pools.Remove(key)
+	s.health.Missing(now, key)
+}
 
-// refresh rebuilds the pools from the directory. Call it with mu held after
-// each change, and on a tick, as entries that lapsed stop counting with time.
-func (s *state) refresh(now time.Time) {
-	places := map[fleet.EndpointID]*directory.Endpoint{}
-	versions := map[string]map[int64]int{}
-	pools := map[string][]fleet.Endpoint{}
-	engines, out := map[servedModel]map[int64][]fleet.Endpoint{}, map[servedModel]map[int64][]fleet.Endpoint{}
-	var listed []fleet.Endpoint
-	for _, service := range s.directory.Services() {
-		for _, e := range s.directory.Usable(now, service) {
-			places[e.Key] = e
-			member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: service, Address: e.Address, State: fleet.VMLive}
-			listed = append(listed, member)
-			pools[plainPool(service)] = append(pools[plainPool(service)], member)
-			for model, v := range e.Versions {
-				key := servedModel{service, model}
-				if engines[key] == nil {
-					engines[key], out[key] = map[int64][]fleet.Endpoint{}, map[int64][]fleet.Endpoint{}
-				}
-				into := engines[key]
-				if s.unusable(now, e.Key) {
-					into = out[key]
-				}
-				into[v] = append(into[v], member)
-			}
-		}
-	}
-	part := s.lanes.short()
-	if limited := s.limited.Load(); limited != s.split {
-		s.split, s.dirty = limited, true
+// splitLimited takes which endpoints name a limit now.
+func (s *state) splitLimited() {
+	next := s.limited.Load()
+	if next == s.split {
+		return
 	}
-	var limited map[fleet.EndpointID]bool
 	if s.split != nil {
-		limited = *s.split
-	}
-	usable := 0
-	for key, byVersion := range engines {
-		n := 0
-		for _, members := range byVersion {
-			n += len(members)
-		}
-		usable += n
-		name := modelKey(key.service, key.model)
-		short, long := splitVersions(byVersion, shortCount(part, n), n == 1, limited)
-		versions[name] = map[int64]int{}
-		for version, members := range byVersion {
-			if len(members) > 0 {
-				versions[name][version] = len(members)
-			}
-		}
-		for l, parted := range [laneCount]map[int64][]fleet.Endpoint{laneShort: short, laneLong: long} {
-			counts := map[int64]int{}
-			versions[laneKey(name, lane(l))] = counts
-			for version, members := range parted {
-				if len(members) == 0 {
-					continue
-				}
-				counts[version] = len(members)
-				pools[modelPool(key.service, key.model, version, lane(l))] = append(members[:len(members):len(members)], out[key][version]...)
+		for key := range *s.split {
+			if next == nil || !(*next)[key] {
+				s.pools.SetLimited(key, false)
 			}
 		}
 	}
-	if part != s.part || usable != s.usable {
-		s.part, s.usable, s.dirty = part, usable, true
+	if next != nil {
+		for key := range *next {
+			s.pools.SetLimited(key, true)
+		}
 	}
-	s.versions = versions
-	if sameMembers(s.places, places) && !s.dirty {
-		s.regate(now)
-		return
+	s.split = next
+}
+
+// recheck looks at the endpoints that get no work for the moment, or may not: those
+// that rest, and those that health has ejected or keeps in spite of that.
+func (s *state) recheck(now time.Time) {
+	s.checked = s.health.AppendAway(s.checked[:0])
+	for key := range s.resting {
+		s.checked = append(s.checked, key)
 	}
-	s.dirty = false
-	for _, name := range slices.Sorted(maps.Keys(pools)) {
-		s.view.SetPool(name, pools[name])
+	for key := range s.gated {
+		s.checked = append(s.checked, key)
 	}
-	for name := range s.pools {
-		if _, ok := pools[name]; !ok {
-			s.view.SetPool(name, nil)
+	for _, key := range s.checked {
+		out := s.unusable(now, key)
+		s.pools.SetOut(key, out)
+		if out {
+			s.gate(key)
+		} else {
+			delete(s.gated, key)
+			s.view.SetGate(key, placement.GateOpen)
 		}
 	}
-	s.pools = map[string]bool{}
-	for name := range pools {
-		s.pools[name] = true
+	for key, until := range s.resting {
+		if now.After(until) {
+			delete(s.resting, key)
+		}
 	}
-	s.places = places
-	s.health.Sync(now, listed)
-	s.regate(now)
+}
+
+// gate tells placement that an endpoint gets no work for the moment.
+func (s *state) gate(key fleet.EndpointID) {
+	s.gated[key] = true
+	s.view.SetGate(key, placement.GateEjected)
 }
 
 // settle puts changes of the directory into force before a request is placed. A
@@ -223,8 +210,11 @@
 	}
 }
 
-func sameMembers(a, b map[fleet.EndpointID]*directory.Endpoint) bool {
-	return maps.EqualFunc(a, b, func(x, y *directory.Endpoint) bool { return x == y })
+// usable tells whether an endpoint may be given work.
+func (s *state) usable(key fleet.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.places[key] != nil
 }
 
 // unusable tells whether an endpoint gets no work for the moment.
@@ -232,28 +222,12 @@
 	return now.Before(s.resting[key]) || s.health.Status(now, key) == health.Ejected
 }
 
-// regate tells placement which endpoints are out for the moment.
-func (s *state) regate(now time.Time) {
-	for key := range s.places {
-		gate := placement.GateOpen
-		if s.unusable(now, key) {
-			gate = placement.GateEjected
-		}
-		s.view.SetGate(key, gate)
-	}
-	for key, until := range s.resting {
-		if now.After(until) {
-			delete(s.resting, key)
-		}
-	}
-}
-
 // rest leaves an endpoint alone for a while.
 func (s *state) rest(now time.Time, key fleet.EndpointID, d time.Duration) {
 	if until := now.Add(d); until.After(s.resting[key]) {
 		s.resting[key] = until
 	}
-	s.view.SetGate(key, placement.GateEjected)
+	s.gate(key)
 }
 
 // learn takes the version that an endpoint was seen to have.
@@ -262,7 +236,6 @@
 	if e == nil || !s.directory.Learn(key, e.ID, model, version) {
 		return false
 	}
-	s.dirty = true
 	s.refresh(now)
 	return true
 }
@@ -285,26 +258,28 @@
 			s.learn(now, key, n.Model, n.Version)
 		}
 	}
-	s.dirty = true
 	s.refresh(now)
 }
 
+// behind tells whether an engine has older weights of the model than the version.
+func (s *state) behind(model string, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Behind(model, version)
+}
+
 // engines lists the engines that serve the model, for the plan of orders.
 func (s *state) engines(now time.Time, clock, bound time.Duration, model string) []weights.Engine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []weights.Engine
-	for _, e := range s.directory.All() {
-		v, serves := e.Versions[model]
-		if !serves || e.State != directory.Ready {
-			continue
-		}
+	for _, e := range s.directory.Ready(model) {
+		v := e.Versions[model]
 		out = append(out, weights.Engine{
 			Target: weights.Target{Key: e.Key, ID: e.ID, Address: e.Address}, Zone: e.Zone, Version: v,
 			Backlog: s.view.Backlog(now, e.Key), Left: s.named[model].left(v, clock, bound),
 		})
 	}
-	slices.SortFunc(out, func(a, b weights.Engine) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
 
--- /dev/null
+++ b/router/state_test.go
@@ -0,0 +1,106 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/fleet"
+)
+
+// entryOf is the entry of one of a large number of engines and other endpoints in five
+// zones.
+func entryOf(i int, version int64) directory.Entry {
+	e := directory.Entry{
+		ID: fmt.Sprintf("i-%010x", i), Born: 1_800_000_000_000 + int64(i), Service: "models", Slots: 12,
+		Address: fmt.Sprintf("10.%d.%d.%d:8265", i%5, i/5/250, i/5%250), Zone: fleet.ZoneID("zone-" + strconv.Itoa(i%5)),
+		Models: map[string]int64{"m0": version},
+	}
+	if i%13 == 0 {
+		e.Service, e.Models = "counter", nil
+	}
+	return e
+}
+
+// stateOf knows a number of endpoints, all in force.
+func stateOf(endpoints int) *state {
+	s := newState(&Settings{Zone: "zone-0", DrainWithin: 5 * time.Second}, rand.New(rand.NewPCG(1, 2)))
+	for i := range endpoints {
+		s.directory.Put(entryOf(i, 1))
+	}
+	s.refresh(time.Unix(1_800_000_000, 0))
+	return s
+}
+
+// fleetSizes are the endpoints of a small deployment, of larger ones, and of twice the
+// largest.
+var fleetSizes = []int{72, 1_000, 10_003, 20_006}
+
+func BenchmarkTickWithNothingDue(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			s, now := stateOf(n), time.Unix(1_800_000_000, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(tick)
+				s.refresh(now)
+			}
+		})
+	}
+}
+
+func BenchmarkChangeOfOneEndpoint(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			s, now := stateOf(n), time.Unix(1_800_000_000, 0)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				e := entryOf(1+13*(i%(n/13)), 1)
+				e.State = directory.State(i / (n / 13) % 2)
+				s.directory.Put(e)
+				s.refresh(now)
+			}
+		})
+	}
+}
+
+// Guards against upkeep that grows with the fleet: a daemon with a fifth of a core that
+// looked at ten thousand endpoints ten times a second spent half of a core on it.
+func TestTickCostsTheSameHoweverManyEndpoints(t *testing.T) {
+	for _, n := range fleetSizes {
+		s, now := stateOf(n), time.Unix(1_800_000_000, 0)
+		if got := testing.AllocsPerRun(100, func() {
+			now = now.Add(tick)
+			s.refresh(now)
+		}); got > 0 {
+			t.Errorf("%d endpoints: %v allocations on a tick with nothing due", n, got)
+		}
+	}
+}
+
+// Guards against one endpoint's change that is paid for all of them.
+func TestChangeOfOneEndpointHardlyGrowsWithTheFleet(t *testing.T) {
+	least := func(n int) time.Duration {
+		s, now := stateOf(n), time.Unix(1_800_000_000, 0)
+		best := time.Hour
+		for range 5 {
+			began := time.Now()
+			for i := range 400 {
+				e := entryOf(1+13*(i/2%(n/13)), 1)
+				e.State = directory.State((i + 1) % 2)
+				s.directory.Put(e)
+				s.refresh(now)
+			}
+			best = min(best, time.Since(began))
+		}
+		return best / 400
+	}
+	small, large := least(1_000), least(20_006)
+	t.Logf("a change costs %v among 1,000 endpoints and %v among 20,006", small, large)
+	if large > 15*small {
+		t.Errorf("a change costs %v among 1,000 endpoints and %v among 20,006", small, large)
+	}
+}
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/pools"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/weights"
 )
@@ -127,11 +128,11 @@
 // Of two engines one is out. The other must take long prompts too.
 func TestSingleUsableEngineServesBoth(t *testing.T) {
 	engines := map[int64][]fleet.Endpoint{5: members("a", 1), 4: nil}
-	short, long := splitVersions(engines, shortCount(0.3, 1), true, nil)
+	short, long := splitVersions(engines, pools.ShortCount(0.3, 1), nil)
 	if len(short[5]) != 1 || len(long[5]) != 1 {
 		t.Errorf("short %d, long %d", len(short[5]), len(long[5]))
 	}
-	if n := shortCount(0.5, 2); n != 1 {
+	if n := pools.ShortCount(0.5, 2); n != 1 {
 		t.Errorf("%d of two engines for short prompts", n)
 	}
 }
--- a/router/ways.go
+++ b/router/ways.go
@@ -8,6 +8,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/pools"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -74,7 +75,7 @@
 		levels, held := levelsOf(w, o.version), heldOf(w, o.version, where)
 		return func(l lane, loss float64) way {
 			return way{
-				pool: modelPool(w.Service.Name, w.In.Model, o.version, l), levels: levels, held: held,
+				pool: pools.OfModel(w.Service.Name, w.In.Model, o.version, l), levels: levels, held: held,
 				lane: l, version: o.version, loss: o.loss + loss, left: o.left, once: once,
 			}
 		}
--- a/router/ways_test.go
+++ b/router/ways_test.go
@@ -7,6 +7,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/pools"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -113,12 +114,12 @@
 func TestLastEngineServesBothLanes(t *testing.T) {
 	short := fakePools{}
 	w := &forward.Work{In: &forward.Inbound{Model: "m"}, Service: &routes.Service{Name: "s"}}
-	short[modelPool("s", "m", 3, laneShort)] = time.Second
+	short[pools.OfModel("s", "m", 3, laneShort)] = time.Second
 	got, err := bestWay(time.Time{}, short, placement.Request{}, ways(w, versions{first: 3}, laneLong, nil), replayTarget)
-	if err != nil || got.pool != modelPool("s", "m", 3, laneShort) {
+	if err != nil || got.pool != pools.OfModel("s", "m", 3, laneShort) {
 		t.Errorf("long prompt: %q, %v", got.pool, err)
 	}
-	long := fakePools{modelPool("s", "m", 2, laneLong): time.Second}
+	long := fakePools{pools.OfModel("s", "m", 2, laneLong): time.Second}
 	got, err = bestWay(time.Time{}, long, placement.Request{}, ways(w, versions{first: 3, others: []otherVersion{{version: 2}}}, laneShort, nil), replayTarget)
 	if err != nil || got.version != 2 {
 		t.Errorf("short prompt: %q, %v", got.pool, err)
