Keep which endpoints may be given work in a package of its own

Cause: router's state held the list, health, rests, gates and pools beside weights and lanes, and half of the package reached into its maps. Change: package roster decides which endpoints get work and keeps placement's pools; router guards it with its lock.

--- a/router/caches.go
+++ b/router/caches.go
@@ -137,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []engineSource
-	for key, e := range s.places {
+	for key, e := range s.roster.All() {
 		if len(out) == most {
 			break
 		}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -136,7 +136,7 @@
 // groupOf names the prompts that one dispatcher places.
 func (d *dispatch) groupOf(w *forward.Work) string {
 	d.s.mu.Lock()
-	engines := d.s.pools.Engines(w.Service.Name, w.In.Model)
+	engines := d.s.roster.Engines(w.Service.Name, w.In.Model)
 	d.s.mu.Unlock()
 	group := w.Service.Name + "/" + w.In.Model
 	if groups := (engines + dispatchedEngines - 1) / dispatchedEngines; groups > 1 && len(w.In.Parts) > 0 {
@@ -241,8 +241,8 @@
 func (d *dispatch) leftAt(w *forward.Work, p *forward.Placement) time.Duration {
 	d.s.mu.Lock()
 	defer d.s.mu.Unlock()
-	e := d.s.places[p.Target.Key]
-	if e == nil || e.ID != p.Target.ID || e.Service != w.Service.Name || d.s.unusable(time.Now(), p.Target.Key) {
+	e := d.s.roster.Find(p.Target.Key)
+	if e == nil || e.ID != p.Target.ID || e.Service != w.Service.Name || d.s.roster.Unusable(time.Now(), p.Target.Key) {
 		return 0
 	}
 	return d.s.named[w.In.Model].left(p.Out.Version, d.placer.clock(), d.old)
--- a/router/dispatch_test.go
+++ b/router/dispatch_test.go
@@ -51,7 +51,7 @@
 		now := time.Now()
 		for e := range engines {
 			id := string(rune('A' + e))
-			s.directory.Put(directory.Entry{ID: id, Service: "s", Address: id, Zone: "z", Slots: 16, State: directory.Ready, Models: map[string]int64{"m": 1}})
+			s.roster.Put(directory.Entry{ID: id, Service: "s", Address: id, Zone: "z", Slots: 16, State: directory.Ready, Models: map[string]int64{"m": 1}})
 		}
 		s.mu.Lock()
 		s.refresh(now)
@@ -185,8 +185,8 @@
 	var asker *dispatch
 	for _, d := range w.all {
 		if d.me == to {
-			for key := range d.s.places {
-				d.s.rest(time.Now(), key, time.Minute)
+			for key := range d.s.roster.All() {
+				d.s.roster.Rest(time.Now(), key, time.Minute)
 			}
 		} else {
 			asker = d
@@ -221,7 +221,7 @@
 	loading := weights.News{Engine: "B@0", Model: "m", Version: 2, Loading: true}
 	w.all[0].tellLoads([]weights.News{loading})
 	for _, d := range w.all[1:] {
-		if !d.s.unusable(time.Now(), "B@0") || d.s.unusable(time.Now(), "A@0") {
+		if !d.s.roster.Unusable(time.Now(), "B@0") || d.s.roster.Unusable(time.Now(), "A@0") {
 			t.Errorf("%s: the engine that loads is used, or another is not", d.me.Name)
 		}
 	}
@@ -229,7 +229,7 @@
 	done.Loading = false
 	w.all[0].tellLoads([]weights.News{done})
 	for _, d := range w.all[1:] {
-		if d.s.unusable(time.Now(), "B@0") || d.s.places["B@0"].Versions["m"] != 2 {
+		if d.s.roster.Unusable(time.Now(), "B@0") || d.s.roster.Find("B@0").Versions["m"] != 2 {
 			t.Errorf("%s: the engine that has its weights is not used", d.me.Name)
 		}
 	}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -150,15 +150,13 @@
 func (r *Router) list(e directory.Entry) {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	r.s.directory.Put(e)
-	r.s.dirty = true
+	r.s.roster.Put(e)
 }
 
 func (r *Router) unlist(id string) {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	r.s.directory.Remove(time.Now(), time.Now(), id)
-	r.s.dirty = true
+	r.s.roster.Remove(time.Now(), time.Now(), id)
 }
 
 func noMeters() *meters {
--- a/router/follow.go
+++ b/router/follow.go
@@ -321,8 +321,7 @@
 	now := time.Now()
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	for _, id := range r.s.directory.Retain(now, now.Add(-unseen), present) {
-		r.s.dirty = true
+	for _, id := range r.s.roster.Retain(now, now.Add(-unseen), present) {
 		r.log.Info("Endpoint's entry is missing.", "endpoint", id, "unseen_ms", unseen.Milliseconds())
 	}
 }
@@ -337,8 +336,7 @@
 	defer r.s.mu.Unlock()
 	if len(record.Value) == 0 {
 		delete(said, record.Key)
-		if r.s.directory.Remove(now, since, record.Key) {
-			r.s.dirty = true
+		if r.s.roster.Remove(now, since, record.Key) {
 			r.log.Info("Endpoint's entry is gone.", "endpoint", record.Key, "offset", record.Offset, "unseen_ms", unseen.Milliseconds())
 		}
 		return true
@@ -346,14 +344,11 @@
 	entry, err := r.o.Codec.Endpoint(record.Key, record.Value)
 	if err != nil {
 		delete(said, record.Key)
-		if r.s.directory.Remove(now, since, record.Key) {
-			r.s.dirty = true
-		}
+		r.s.roster.Remove(now, since, record.Key)
 		r.log.Warn("Entry names no endpoint that can be used.", "endpoint", record.Key, "offset", record.Offset, "error", err.Error())
 		return true
 	}
-	if r.s.directory.Put(entry) {
-		r.s.dirty = true
+	if r.s.roster.Put(entry) {
 		r.log.Info("Endpoint changed.", "endpoint", entry.ID, "born", entry.Born, "service", entry.Service,
 			"state", int(entry.State), "zone", string(entry.Zone), "offset", record.Offset)
 	}
--- a/router/learn.go
+++ b/router/learn.go
@@ -84,7 +84,7 @@
 func (p *placer) target(key fleet.EndpointID) (weights.Target, bool) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	e := p.s.places[key]
+	e := p.s.roster.Find(key)
 	if e == nil {
 		return weights.Target{}, false
 	}
@@ -175,7 +175,7 @@
 	defer p.s.mu.Unlock()
 	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
 	if info.Misplaced || !full {
-		p.s.rest(now, pl.Target.Key, restAfterRefusal)
+		p.s.roster.Rest(now, pl.Target.Key, restAfterRefusal)
 	}
 }
 
@@ -201,14 +201,11 @@
 	}
 	if end.Lost && end.Failure == retry.NotSent {
 		// Nobody is there at all: nothing speaks for trying once more soon.
-		p.s.rest(now, pl.Target.Key, restUnreachable)
+		p.s.roster.Rest(now, pl.Target.Key, restUnreachable)
 	}
 	if end.Lost {
-		p.s.health.Failure(now, pl.Target.Key, 0)
+		p.s.roster.Failed(now, pl.Target.Key)
 	} else if end.Whole && !end.Error {
-		p.s.health.Success(now, pl.Target.Key, 0, 0)
-	}
-	if p.s.unusable(now, pl.Target.Key) {
-		p.s.gate(pl.Target.Key)
+		p.s.roster.Answered(now, pl.Target.Key)
 	}
 }
--- a/router/moves.go
+++ b/router/moves.go
@@ -35,13 +35,13 @@
 	}
 	key := levels[at].Key
 	store := storeOf(w.Table, key)
-	peer := p.s.places[d.Peer]
+	peer := p.s.roster.Find(d.Peer)
 	away := d.Reason == placement.ReasonSpill && r.Held == nil
 	switch {
 	case out.FetchFrom != "":
-	case from != "" && from != d.Endpoint && p.s.places[from] != nil:
-		out.FetchFrom = p.s.places[from].Address
-	case away && peer != nil && !p.s.unusable(now, d.Peer):
+	case from != "" && from != d.Endpoint && p.s.roster.Find(from) != nil:
+		out.FetchFrom = p.s.roster.Find(from).Address
+	case away && peer != nil && !p.s.roster.Unusable(now, d.Peer):
 		out.FetchFrom = peer.Address
 	case store != "":
 		out.FetchFrom = store
@@ -59,10 +59,10 @@
 	if p.watch == nil || r.Held == nil {
 		return "", false
 	}
-	engine := p.s.places[d.Endpoint]
+	engine := p.s.roster.Find(d.Endpoint)
 	address, tokens := p.watch.best(w, salt, engine.Zone, func(name string) bool {
 		key := fleet.EndpointID(name)
-		return key != d.Endpoint && (p.s.places[key] == nil || !p.s.unusable(now, key))
+		return key != d.Endpoint && (p.s.roster.Find(key) == nil || !p.s.roster.Unusable(now, key))
 	})
 	if tokens-r.Held.At[d.Endpoint] < leastFetched {
 		return "", false
--- a/router/placer.go
+++ b/router/placer.go
@@ -12,7 +12,6 @@
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
-	"github.com/merlindock/merlindock/health"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/placement"
@@ -184,7 +183,7 @@
 func (p *placer) mayFetch(key fleet.EndpointID) bool {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	return p.s.places[key] != nil && !p.s.unusable(time.Now(), key)
+	return p.s.roster.Find(key) != nil && !p.s.roster.Unusable(time.Now(), key)
 }
 
 // sent notes where the shared part of a prompt goes.
@@ -320,7 +319,7 @@
 		at = hash.Text(w.In.Parts[0].ID)
 	}
 	in := laneOf(w.In.PromptTokens)
-	engines := p.s.pools.Counts(w.Service.Name, w.In.Model)
+	engines := p.s.roster.Counts(w.Service.Name, w.In.Model)
 	clock := p.clock()
 	lead := newerLead
 	if in == laneShort {
@@ -360,22 +359,18 @@
 	return placement.Decision{}, t.refusal()
 }
 
-// mayTry tells whether the endpoint may have this request: one that is due back
-// after failures is tried by one request at a time.
+// mayTry tells whether the endpoint may have this request.
 func (p *placer) mayTry(now time.Time, key fleet.EndpointID, repeatable bool) bool {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	if p.s.places[key] == nil || now.Before(p.s.resting[key]) {
-		return false
-	}
-	return p.s.health.Status(now, key) != health.Trial || p.s.health.Allow(now, key, repeatable)
+	return p.s.roster.MayTry(now, key, repeatable)
 }
 
 // placed fills in what the endpoint is told.
 func (p *placer) placed(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, to *way) forward.Placement {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
-	e := p.s.places[d.Endpoint]
+	e := p.s.roster.Find(d.Endpoint)
 	out := forward.Placement{
 		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirst, Cached: d.ExpectedCached, Age: d.LoadAge,
 		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
--- a/router/reuse_test.go
+++ b/router/reuse_test.go
@@ -280,9 +280,9 @@
 		r.neighbours.set([]Neighbour{{Name: "d", Zone: "z"}})
 		r.s.table.Store(&routes.Table{Services: map[string]*routes.Service{"s": {Name: "s", Engine: &routes.Engine{Followers: 8}}}})
 		for i := range engines {
-			key := fleet.EndpointID(fmt.Sprint("e", i))
-			r.s.places[key] = &directory.Endpoint{Key: key, Entry: directory.Entry{Service: "s"}}
+			r.s.roster.Put(directory.Entry{ID: fmt.Sprint("e", i), Service: "s"})
 		}
+		r.s.refresh(time.Now())
 		return len(r.cacheSources())
 	}
 	if small, large := sources(18), sources(60); small != 18 || large != 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -375,8 +375,7 @@
 	r.placer.expireParts(now)
 	r.measureReading()
 	r.s.mu.Lock()
-	r.s.directory.Expire(now)
-	r.s.health.Expire(now)
+	r.s.roster.Expire(now)
 	for key, at := range r.s.saved {
 		if now.Sub(at) > savedFor {
 			delete(r.s.saved, key)
--- a/router/state.go
+++ b/router/state.go
@@ -7,13 +7,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/freshness"
 	"github.com/merlindock/merlindock/health"
 	"github.com/merlindock/merlindock/placement"
-	"github.com/merlindock/merlindock/pools"
 	"github.com/merlindock/merlindock/prefix"
+	"github.com/merlindock/merlindock/roster"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/weights"
 )
@@ -45,19 +44,12 @@
 	// limited are the endpoints that name a limit. It is replaced as a whole.
 	limited atomic.Pointer[map[fleet.EndpointID]bool]
 
-	mu        sync.Mutex
-	directory *directory.Directory
-	named     map[string]named
-	health    *health.Tracker
-	resting   map[fleet.EndpointID]time.Time
-	gated     map[fleet.EndpointID]bool                // placement was told that they get no work
-	places    map[fleet.EndpointID]*directory.Endpoint // usable ones
-	pools     *pools.Table
-	saved     map[prefix.Key]time.Time // when a part was sent to the store
-	lanes     laneSplit
-	dirty     bool                       // some endpoint's version or state changed
-	split     *map[fleet.EndpointID]bool // the limited endpoints, as the pools have them
-	checked   []fleet.EndpointID         // memory of recheck
+	mu     sync.Mutex
+	roster *roster.Roster
+	named  map[string]named
+	saved  map[prefix.Key]time.Time // when a part was sent to the store
+	lanes  laneSplit
+	split  *map[fleet.EndpointID]bool // the limited endpoints, as the roster has them
 
 	view *placement.Shared
 }
@@ -68,15 +60,14 @@
 		QueueLife: queueLife, HomePrior: homePrior,
 	})
 	return &state{
-		directory: directory.New(time.Duration(lapsePart * float64(set.DrainWithin))),
-		named:     map[string]named{},
-		health:    health.New(health.Options{Rand: rng, Failures: ejectAfter, Ejection: ejectFor, MaxEjection: ejectAtMost}),
-		resting:   map[fleet.EndpointID]time.Time{},
-		gated:     map[fleet.EndpointID]bool{},
-		places:    map[fleet.EndpointID]*directory.Endpoint{},
-		pools:     pools.New(view, firstShort),
-		saved:     map[prefix.Key]time.Time{},
-		view:      view,
+		roster: roster.New(roster.Options{
+			Grace:  time.Duration(lapsePart * float64(set.DrainWithin)),
+			Health: health.Options{Rand: rng, Failures: ejectAfter, Ejection: ejectFor, MaxEjection: ejectAtMost},
+			Part:   firstShort, View: view,
+		}),
+		named: map[string]named{},
+		saved: map[prefix.Key]time.Time{},
+		view:  view,
 	}
 }
 
@@ -110,102 +101,21 @@
 )
 
 // refresh puts into force what changed since it was called last, with time as well.
-// Call it with mu held after each change, and on a tick. It costs what changed, however
-// many endpoints there are.
+// Call it with mu held after changes, and on a tick.
 func (s *state) refresh(now time.Time) {
-	s.dirty = false
-	for _, c := range s.directory.Changes(now) {
-		if c.Usable {
-			s.put(now, c.Endpoint)
-		} else {
-			s.drop(now, c.Endpoint.Key)
-		}
-	}
-	s.splitLimited()
-	s.pools.SetPart(s.lanes.short())
-	s.recheck(now)
-}
-
-// put has an endpoint get work, or takes what changed of it.
-func (s *state) put(now time.Time, e *directory.Endpoint) {
-	s.places[e.Key] = e
-	member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: e.Service, Address: e.Address, State: fleet.VMLive}
-	s.health.List(now, member)
-	s.pools.Put(pools.Endpoint{Endpoint: member, Versions: e.Versions}, s.unusable(now, e.Key), s.split != nil && (*s.split)[e.Key])
-	if s.unusable(now, e.Key) {
-		s.gate(e.Key)
-	}
-}
-
-// drop has an endpoint get no work any more.
-func (s *state) drop(now time.Time, key fleet.EndpointID) {
-	delete(s.places, key)
-	delete(s.gated, key)
-	s.pools.Remove(key)
-	s.health.Missing(now, key)
-}
-
-// splitLimited takes which endpoints name a limit now.
-func (s *state) splitLimited() {
-	next := s.limited.Load()
-	if next == s.split {
-		return
-	}
-	if s.split != nil {
-		for key := range *s.split {
-			if next == nil || !(*next)[key] {
-				s.pools.SetLimited(key, false)
-			}
-		}
-	}
-	if next != nil {
-		for key := range *next {
-			s.pools.SetLimited(key, true)
-		}
-	}
-	s.split = next
-}
-
-// recheck looks at the endpoints that get no work for the moment, or may not: those
-// that rest, and those that health has ejected or keeps in spite of that.
-func (s *state) recheck(now time.Time) {
-	s.checked = s.health.AppendAway(s.checked[:0])
-	for key := range s.resting {
-		s.checked = append(s.checked, key)
+	if limited := s.limited.Load(); limited != s.split {
+		s.split = limited
+		s.roster.SetLimited(*limited)
 	}
-	for key := range s.gated {
-		s.checked = append(s.checked, key)
-	}
-	for _, key := range s.checked {
-		out := s.unusable(now, key)
-		s.pools.SetOut(key, out)
-		if out {
-			s.gate(key)
-		} else {
-			delete(s.gated, key)
-			s.view.SetGate(key, placement.GateOpen)
-		}
-	}
-	for key, until := range s.resting {
-		if now.After(until) {
-			delete(s.resting, key)
-		}
-	}
-}
-
-// gate tells placement that an endpoint gets no work for the moment.
-func (s *state) gate(key fleet.EndpointID) {
-	s.gated[key] = true
-	s.view.SetGate(key, placement.GateEjected)
+	s.roster.SetPart(s.lanes.short())
+	s.roster.Refresh(now)
 }
 
-// settle puts changes of the directory into force before a request is placed. A
-// daemon that has just become ready would else refuse its first callers until
-// the next tick.
+// settle puts changes of the list into force before a request is placed.
 func (s *state) settle(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.dirty {
+	if s.roster.Changed() {
 		s.refresh(now)
 	}
 }
@@ -214,30 +124,7 @@
 func (s *state) usable(key fleet.EndpointID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.places[key] != nil
-}
-
-// unusable tells whether an endpoint gets no work for the moment.
-func (s *state) unusable(now time.Time, key fleet.EndpointID) bool {
-	return now.Before(s.resting[key]) || s.health.Status(now, key) == health.Ejected
-}
-
-// rest leaves an endpoint alone for a while.
-func (s *state) rest(now time.Time, key fleet.EndpointID, d time.Duration) {
-	if until := now.Add(d); until.After(s.resting[key]) {
-		s.resting[key] = until
-	}
-	s.gate(key)
-}
-
-// learn takes the version that an endpoint was seen to have.
-func (s *state) learn(now time.Time, key fleet.EndpointID, model string, version int64) bool {
-	e := s.places[key]
-	if e == nil || !s.directory.Learn(key, e.ID, model, version) {
-		return false
-	}
-	s.refresh(now)
-	return true
+	return s.roster.Find(key) != nil
 }
 
 // news takes what the holder of the order lease tells of engines.
@@ -246,16 +133,16 @@
 	defer s.mu.Unlock()
 	for _, n := range all {
 		key := fleet.EndpointID(n.Engine)
-		e := s.places[key]
+		e := s.roster.Find(key)
 		if e == nil {
 			continue
 		}
 		switch {
 		case n.Loading && e.Versions[n.Model] < n.Version:
-			s.rest(now, key, loadingNews)
+			s.roster.Rest(now, key, loadingNews)
 		case !n.Loading:
-			delete(s.resting, key)
-			s.learn(now, key, n.Model, n.Version)
+			s.roster.Wake(key)
+			s.roster.Learn(now, key, n.Model, n.Version)
 		}
 	}
 	s.refresh(now)
@@ -265,7 +152,7 @@
 func (s *state) behind(model string, version int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.directory.Behind(model, version)
+	return s.roster.Behind(model, version)
 }
 
 // engines lists the engines that serve the model, for the plan of orders.
@@ -273,7 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []weights.Engine
-	for _, e := range s.directory.Ready(model) {
+	for _, e := range s.roster.Ready(model) {
 		v := e.Versions[model]
 		out = append(out, weights.Engine{
 			Target: weights.Target{Key: e.Key, ID: e.ID, Address: e.Address}, Zone: e.Zone, Version: v,
--- a/router/state_test.go
+++ b/router/state_test.go
@@ -29,7 +29,7 @@
 func stateOf(endpoints int) *state {
 	s := newState(&Settings{Zone: "zone-0", DrainWithin: 5 * time.Second}, rand.New(rand.NewPCG(1, 2)))
 	for i := range endpoints {
-		s.directory.Put(entryOf(i, 1))
+		s.roster.Put(entryOf(i, 1))
 	}
 	s.refresh(time.Unix(1_800_000_000, 0))
 	return s
@@ -60,7 +60,7 @@
 			for i := 0; b.Loop(); i++ {
 				e := entryOf(1+13*(i%(n/13)), 1)
 				e.State = directory.State(i / (n / 13) % 2)
-				s.directory.Put(e)
+				s.roster.Put(e)
 				s.refresh(now)
 			}
 		})
@@ -91,7 +91,7 @@
 			for i := range 400 {
 				e := entryOf(1+13*(i/2%(n/13)), 1)
 				e.State = directory.State((i + 1) % 2)
-				s.directory.Put(e)
+				s.roster.Put(e)
 				s.refresh(now)
 			}
 			best = min(best, time.Since(began))
