Keep what an endpoint told of itself only where it told something

Cause: 520 bytes an endpoint in placement, of which 300 are for loads and waits that a daemon of a large fleet hears from a few of ten thousand. Change: endpoints that told nothing share one empty record, which is copied before the first change.

--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -32,7 +32,6 @@
 
 	incarnation fleet.Incarnation
 	heard       time.Time // when the newest message of it was true
-	retired     [retiredLives]fleet.Incarnation
 	// life changes whenever what was learnt of the cache stops being true: a
 	// new incarnation, a failure, a cleared cache, another endpoint in the
 	// slot. Holders carry the life they were learnt in.
@@ -40,8 +39,7 @@
 	emptied time.Time // when that happened last
 	lost    time.Time // when a connection to it was last lost
 
-	load     fleet.Load
-	loadAt   time.Time
+	*told
 	rate     float64 // prefill tokens/s
 	idleLife time.Duration
 
@@ -53,7 +51,23 @@
 	lastRes  int32
 	pending  [contract.PriorityCount]int // prompt tokens of those reservations
 	queued   int                         // their number
-	waits    [contract.PriorityCount]observedWait
+}
+
+// told is what an endpoint said or showed of itself. Those that never did share one,
+// as a daemon of a large fleet deals with few endpoints: own comes before each change.
+type told struct {
+	load    fleet.Load
+	loadAt  time.Time
+	retired [retiredLives]fleet.Incarnation
+	waits   [contract.PriorityCount]observedWait
+}
+
+var nothingTold = &told{}
+
+func (e *endpoint) own() {
+	if e.told == nothingTold {
+		e.told = &told{}
+	}
 }
 
 // observedWait is how long requests were last seen to wait at an endpoint.
@@ -163,7 +177,7 @@
 		v.lives++
 		v.endpoints[i] = endpoint{
 			id: m.ID, hash: xxhash.Sum64String(string(m.ID)), life: v.lives,
-			rate: v.o.PrefillRate, idleLife: v.o.CacheLife, firstRes: none, lastRes: none,
+			rate: v.o.PrefillRate, idleLife: v.o.CacheLife, firstRes: none, lastRes: none, told: nothingTold,
 		}
 	}
 	e := &v.endpoints[i]
@@ -198,7 +212,7 @@
 	v.dropReservationsOf(i)
 	delete(v.byID, e.id)
 	v.lives++
-	*e = endpoint{life: v.lives}
+	*e = endpoint{life: v.lives, told: nothingTold}
 	v.freeEndpoints = append(v.freeEndpoints, i)
 }
 
@@ -239,6 +253,7 @@
 		return false
 	}
 	if e.incarnation != 0 {
+		e.own()
 		copy(e.retired[1:], e.retired[:])
 		e.retired[0] = e.incarnation
 		v.forgetCache(e, at)
@@ -273,6 +288,7 @@
 func (e *endpoint) revive(l *fleet.Load) {
 	i := slices.Index(e.retired[:], l.Incarnation)
 	if i >= 0 && l.At.After(e.heard.Add(lateMessages)) {
+		e.own()
 		e.retired[i] = 0
 	}
 }
@@ -296,6 +312,7 @@
 	if l.At.Before(e.loadAt) {
 		return
 	}
+	e.own()
 	e.load, e.loadAt = l, l.At
 	e.drains = l.Draining
 	for i := e.firstRes; i != none; {
--- a/placement/view.go
+++ b/placement/view.go
@@ -93,6 +93,7 @@
 		return
 	}
 	if answered || wait > v.observed(now, e, p) {
+		e.own()
 		e.waits[p] = observedWait{wait: max(wait, 0), at: now}
 	}
 }
