Read through the daemons with the widest links

Cause: a hash alone drew the tree in which the daemons of a zone read the store. Of 985 daemons 935 have links of 20 Mbit/s and a fifth of a core, so that the one that reads for its zone is a small one with 95 in 100, carries 2,000 heartbeats a second, and falls behind; its readers then turn to the store, all at once.

Change: a daemon announces its link; the order of a zone is by link, processor and then the hash, and a daemon carries one reader for each 20 Mbit/s, 8 at least and 24 at most. Zones of daemons that are alike have the tree that they had. Ruled out: to give small daemons fewer readers instead, as the reader of the zone would still be one of them.

TestLargeLinksCarryTheZone; on the code before, it has neither links nor a large one that comes first. A zone of 220 daemons of which 10 are large is two steps deep instead of three.

--- a/readers/readers.go
+++ b/readers/readers.go
@@ -4,10 +4,11 @@
 // If every daemon read the store itself, the calls would grow with the number of
 // daemons, and if all read through one, that one's link and processor would carry
 // them all: a change of 100 kB takes 2.6 s to reach 64 readers over 20 Mbit/s. So
-// the daemons of a zone form a tree. A hash of the names gives them one order, the
-// first reads the store and each other one reads through an earlier one, at most
-// Fanout through each. All come to the same tree with no message. Daemons that know
-// of different ones still form no circle, as each reads through earlier ones only.
+// the daemons of a zone form a tree. Their links, processors and a hash of their names
+// give them one order, the first reads the store and each other one reads through an
+// earlier one, as many through each as its link carries. All come to the same tree with
+// no message. Daemons that know of different ones still form no circle, as each reads
+// through earlier ones only.
 //
 // The package does no I/O and reads no clock. A Choice is not safe for concurrent
 // use.
@@ -22,10 +23,14 @@
 )
 
 const (
-	// Fanout is the most daemons that read through one as long as all answer. 65
-	// daemons of a zone are two steps from the store with it, 220 are three, and a
-	// daemon with a link of 20 Mbit/s passes on a change of 100 kB in 0.3 s.
+	// Fanout is the most daemons that read through one as long as all answer, if its
+	// link is not known to carry more. A daemon with a link of 20 Mbit/s passes on a
+	// change of 100 kB to as many in 0.3 s.
 	Fanout = 8
+	// mbpsEach is the link that one more reader takes, in Mbit/s, and mostFanout the most
+	// readers of a daemon: when it is lost, all of them turn elsewhere at once.
+	mbpsEach   = 20
+	mostFanout = 24
 	// leaveFor is how long a daemon is passed over that did not answer or knew less
 	// than others; each further time twice as long, up to leaveAtMost. Machines
 	// that are gone for good stay on the list, and each try costs a timeout.
@@ -36,17 +41,34 @@
 // Daemon is a daemon that can be read through.
 type Daemon struct {
 	Name    string
-	Address string // IP:port
+	Address string  // IP:port
+	Mbps    float64 // of its link; 0: not known
+	Cores   float64 // processor that it may use; 0: not known
+}
+
+// fanout is how many daemons read through this one as long as all answer.
+func (d *Daemon) fanout() int {
+	return max(Fanout, min(int(d.Mbps/mbpsEach), mostFanout))
 }
 
 // Choice is one daemon's view of the tree.
 type Choice struct {
-	me    string
+	me    Daemon
 	order []Daemon // of the zone
 	index int      // of this daemon in it
+	place place    // of this daemon in the tree
 	left  map[string]absence
 }
 
+// place is a daemon's place in the tree.
+type place struct {
+	depth  int // steps from the store
+	parent int // index of the daemon that it reads through; -1: it reads the store
+	// start and width are the index of the first daemon of the parent's level, and how
+	// many that level has.
+	start, width int
+}
+
 // absence is a daemon that is passed over.
 type absence struct {
 	until time.Duration
@@ -54,19 +76,26 @@
 }
 
 // New returns the choice of a daemon that knows of no other yet.
-func New(me string) *Choice {
-	return &Choice{me: me, order: []Daemon{{Name: me}}, left: map[string]absence{}}
+func New(me Daemon) *Choice {
+	c := &Choice{me: me, left: map[string]absence{}}
+	c.Set(nil)
+	return c
 }
 
 // Set takes the daemons of the zone. This daemon counts, whether it is among them
 // or not.
 func (c *Choice) Set(zone []Daemon) {
-	c.order = slices.DeleteFunc(slices.Clone(zone), func(d Daemon) bool { return d.Name == c.me })
-	c.order = append(c.order, Daemon{Name: c.me})
+	c.order = slices.DeleteFunc(slices.Clone(zone), func(d Daemon) bool { return d.Name == c.me.Name })
+	c.order = append(c.order, c.me)
+	ranks := make(map[string]uint64, len(c.order))
+	for _, d := range c.order {
+		ranks[d.Name] = rank(d)
+	}
 	slices.SortFunc(c.order, func(a, b Daemon) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Mbps, a.Mbps), cmp.Compare(b.Cores, a.Cores), cmp.Compare(ranks[a.Name], ranks[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
-	c.index = slices.IndexFunc(c.order, func(d Daemon) bool { return d.Name == c.me })
+	c.index = slices.IndexFunc(c.order, func(d Daemon) bool { return d.Name == c.me.Name })
+	c.place = placeOf(c.order, c.index)
 	known := make(map[string]absence, len(c.left))
 	for _, d := range c.order {
 		if a, ok := c.left[d.Address]; ok {
@@ -78,6 +107,26 @@
 
 func rank(d Daemon) uint64 { return hash.Text("reader/" + d.Name) }
 
+// placeOf fills the tree level by level, in order, up to the daemon at the index.
+func placeOf(order []Daemon, index int) place {
+	if index == 0 {
+		return place{parent: -1}
+	}
+	p := place{depth: 1, width: 1}
+	next, levelEnd := 1, 1 // the first daemon without a parent; the end of the parents' level
+	for parent := 0; ; parent++ {
+		if parent == levelEnd {
+			p.depth++
+			p.start, p.width = levelEnd, next-levelEnd
+			levelEnd = next
+		}
+		if next += order[parent].fanout(); index < next {
+			p.parent = parent
+			return p
+		}
+	}
+}
+
 // Size is the number of daemons in the zone, this one included.
 func (c *Choice) Size() int { return len(c.order) }
 
@@ -102,12 +151,11 @@
 	if c.index == 0 {
 		return nil
 	}
-	parent := (c.index - 1) / Fanout
-	_, start, width := level(parent)
-	out := []int{parent}
-	if width > 1 {
+	p := c.place
+	out := []int{p.parent}
+	if p.width > 1 {
 		// Those that read through one daemon turn to different ones when it is lost.
-		out = append(out, start+(parent-start+1+c.index%(width-1))%width)
+		out = append(out, p.start+(p.parent-p.start+1+c.index%(p.width-1))%p.width)
 	}
 	for i := range c.index {
 		out = append(out, i)
@@ -117,20 +165,7 @@
 
 // Depth is how many steps this daemon is from the store as long as all answer; 0:
 // it reads the store itself.
-func (c *Choice) Depth() int {
-	depth, _, _ := level(c.index)
-	return depth
-}
-
-// level returns the depth of an index in the order, and where that level of the tree
-// begins and how many fit into it.
-func level(index int) (depth, start, width int) {
-	width = 1
-	for index >= start+width {
-		depth, start, width = depth+1, start+width, width*Fanout
-	}
-	return depth, start, width
-}
+func (c *Choice) Depth() int { return c.place.depth }
 
 // Other returns any other daemon of the zone, chosen by a number in [0, 1). It is
 // for a daemon that finds neither a candidate nor the store.
--- a/readers/readers_test.go
+++ b/readers/readers_test.go
@@ -16,7 +16,7 @@
 	}
 	out := make([]*Choice, n)
 	for _, d := range all {
-		c := New(d.Name)
+		c := New(d)
 		c.Set(all)
 		out[c.index] = c
 	}
@@ -38,9 +38,9 @@
 				continue
 			}
 			children[through[0].Name]++
-			depth[c.me] = depth[through[0].Name] + 1
-			if depth[c.me] > deepest {
-				t.Errorf("of %d daemons number %d is %d steps from the store", n, c.index, depth[c.me])
+			depth[c.me.Name] = depth[through[0].Name] + 1
+			if depth[c.me.Name] > deepest {
+				t.Errorf("of %d daemons number %d is %d steps from the store", n, c.index, depth[c.me.Name])
 			}
 		}
 		for name, k := range children {
@@ -61,7 +61,7 @@
 			all = append(all, Daemon{Name: fmt.Sprintf("vm-%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i)})
 		}
 		for i, d := range all {
-			c := New(d.Name)
+			c := New(d)
 			known := rapid.SliceOfDistinct(rapid.SampledFrom(all), func(d Daemon) string { return d.Name }).Draw(t, fmt.Sprint("known to ", i))
 			c.Set(known)
 			if c.order[c.index].Name != d.Name {
@@ -84,21 +84,21 @@
 		next := map[string]int{}
 		for _, c := range all[9:] {
 			through := c.Candidates(0, 1)[0]
-			if through.Name != all[lost].me {
+			if through.Name != all[lost].me.Name {
 				continue
 			}
 			c.Leave(0, through)
 			instead := c.Candidates(0, 1)[0]
-			if instead.Name == all[lost].me {
-				t.Fatalf("%s goes on with the lost daemon", c.me)
+			if instead.Name == all[lost].me.Name {
+				t.Fatalf("%s goes on with the lost daemon", c.me.Name)
 			}
 			if next[instead.Name]++; next[instead.Name] > 2 {
 				t.Errorf("%d readers of daemon %d turn to %s", next[instead.Name], lost, instead.Name)
 			}
 			c.Served(through)
 		}
-		if next[all[0].me] > 0 {
-			t.Errorf("%d readers of daemon %d turn to the first", next[all[0].me], lost)
+		if next[all[0].me.Name] > 0 {
+			t.Errorf("%d readers of daemon %d turn to the first", next[all[0].me.Name], lost)
 		}
 	}
 }
@@ -131,16 +131,55 @@
 		seen := map[string]bool{}
 		for i := range 60 {
 			d, ok := c.Other(float64(i) / 60)
-			if !ok || d.Name == c.me {
-				t.Fatalf("%s is given %v", c.me, d)
+			if !ok || d.Name == c.me.Name {
+				t.Fatalf("%s is given %v", c.me.Name, d)
 			}
 			seen[d.Name] = true
 		}
 		if len(seen) != 6 {
-			t.Errorf("%s meets %d of 6 others", c.me, len(seen))
+			t.Errorf("%s meets %d of 6 others", c.me.Name, len(seen))
 		}
 	}
-	if _, ok := New("alone").Other(0.5); ok {
+	if _, ok := New(Daemon{Name: "alone"}).Other(0.5); ok {
 		t.Error("a daemon alone in its zone found another")
 	}
 }
+
+// Guards against a zone that hangs on its smallest links: a daemon of 20 Mbit/s that
+// reads for 220 others falls behind, and all of them turn to the store at once.
+func TestLargeLinksCarryTheZone(t *testing.T) {
+	const large, small = 10, 210
+	var all []Daemon
+	for i := range large + small {
+		d := Daemon{Name: fmt.Sprintf("vm-%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Mbps: 20, Cores: 0.2}
+		if i%22 == 7 {
+			d.Mbps, d.Cores = 1000, 1.6
+		}
+		all = append(all, d)
+	}
+	children := map[string]int{}
+	for _, d := range all {
+		c := New(d)
+		c.Set(all)
+		if c.Depth() > 2 {
+			t.Errorf("%s is %d steps from the store", d.Name, c.Depth())
+		}
+		for _, through := range c.Candidates(0, 1) {
+			if through.Mbps < 1000 {
+				t.Errorf("%s reads through %s, which has %v Mbit/s", d.Name, through.Name, through.Mbps)
+			}
+			children[through.Name]++
+		}
+	}
+	for name, n := range children {
+		if n > mostFanout {
+			t.Errorf("%d read through %s", n, name)
+		}
+	}
+	// A daemon that is not on the list yet knows its own link.
+	c := New(all[7])
+	c.Set(all[:5])
+	if c.Depth() != 0 {
+		t.Error("a large link reads through a small one that may read through it")
+	}
+}
--- a/router/feed_test.go
+++ b/router/feed_test.go
@@ -204,7 +204,7 @@
 	var out []readers.Daemon
 	for i := 0; len(out) < relayFrom; i++ {
 		out = append(out, readers.Daemon{Name: fmt.Sprint("later-", i), Address: "127.0.0.1:1"})
-		c := readers.New(v.me.Name)
+		c := readers.New(readers.Daemon{Name: v.me.Name})
 		c.Set(append([]readers.Daemon{{Name: through, Address: "x"}}, out...))
 		if found := c.Candidates(0, relayTries); len(found) != 1 || found[0].Name != through {
 			out = out[:len(out)-1]
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -80,6 +80,13 @@
 	Cores   float64 // processor that it may use; 0: not told
 }
 
+	// LinkMbps is its link in Mbit/s; 0: not told.
+	LinkMbps float64
+}
+
+// reader is the daemon as package readers takes it.
+func (n *Neighbour) reader() readers.Daemon {
+	return readers.Daemon{Name: n.Name, Address: n.Address, Mbps: n.LinkMbps, Cores: n.Cores}
 // Announcements is where daemons tell each other of themselves.
 type Announcements interface {
 	Announce(ctx context.Context, n Neighbour) error
@@ -117,7 +124,7 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: int(topicCount), IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 	}}
 	return &neighbours{
-		me: me, clock: clock, log: log, choice: readers.New(me.Name), listed: make(chan struct{}),
+		me: me, clock: clock, log: log, choice: readers.New(me.reader()), listed: make(chan struct{}),
 		grace: grace, next: time.Duration(relayNextPart * float64(set.ConfigWithin)),
 		oldest: [topicCount]time.Duration{
 			TopicOperator:  time.Duration(relayAgePart * float64(set.ConfigWithin)),
@@ -136,7 +143,7 @@
 	var zone []readers.Daemon
 	for _, d := range all {
 		if d.Zone == n.me.Zone && d.Address != "" {
-			zone = append(zone, readers.Daemon{Name: d.Name, Address: d.Address})
+			zone = append(zone, d.reader())
 		}
 	}
 	n.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,7 @@
 	r.countStoreCalls()
 	r.watch = newCacheWatch(o.CacheFeed, o.Clock, r.log)
 	r.placer.watch = r.watch
-	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress, Cores: o.Settings.Cores}
+	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress, Cores: o.Settings.Cores, LinkMbps: o.Settings.LinkMbps}
 	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), o.Clock, r.log)
 	r.datagrams = newDatagrams(r.metrics.scope, r.log)
 	r.datagrams.take = r.receive
--- a/router/settings.go
+++ b/router/settings.go
@@ -30,6 +30,7 @@
 	MetricsHost   string
 	MemoryBytes   int64
 	Cores         float64 // processor that the daemon may use; 0: not told
+	LinkMbps      float64 // of the VM's link; 0: not told
 
 	DrainWithin   time.Duration // an endpoint that leaves gets no new work after it
 	ConfigWithin  time.Duration // a configuration is in force everywhere after it
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -221,7 +221,7 @@
 		zone = append(zone, readers.Daemon{Name: r.o.Settings.Name, Address: r.o.Settings.PeerAddress})
 	}
 	for _, r := range w.all {
-		c := readers.New(r.o.Settings.Name)
+		c := readers.New(readers.Daemon{Name: r.o.Settings.Name})
 		c.Set(zone)
 		out[len(c.Candidates(0, len(zone)))] = r
 	}
