--- a/directory/changes_test.go
+++ b/directory/changes_test.go
@@ -111,3 +111,33 @@
 		})
 	})
 }
+
+func TestEntrySurvivesTheWire(t *testing.T) {
+	text := rapid.StringN(0, 20, 60)
+	rapid.Check(t, func(t *rapid.T) {
+		e := Entry{
+			ID: "a", Born: rapid.Int64().Draw(t, "born"), Service: text.Draw(t, "service"), Address: text.Draw(t, "address"),
+			Zone: fleet.ZoneID(text.Draw(t, "zone")), Slots: rapid.IntRange(0, 1<<20).Draw(t, "slots"),
+			State: rapid.SampledFrom([]State{Ready, Draining}).Draw(t, "state"), Orders: rapid.Int64().Draw(t, "orders"),
+			Models: rapid.MapOfN(text, rapid.Int64(), 0, 5).Draw(t, "models"),
+		}
+		got, err := DecodeEntry("a", e.Append(nil))
+		if err != nil || got.Orders != e.Orders || !got.SaysAs(e) {
+			t.Fatalf("%+v came as %+v, %v", e, got, err)
+		}
+	})
+}
+
+func FuzzDecodeEntry(f *testing.F) {
+	e := Entry{ID: "a", Born: 5, Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: 3, Models: map[string]int64{"m": 2}}
+	f.Add(e.Append(nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := DecodeEntry("a", data)
+		if err != nil {
+			return
+		}
+		if again, err := DecodeEntry("a", got.Append(nil)); err != nil || !again.SaysAs(got) {
+			t.Errorf("%+v came as %+v, %v", got, again, err)
+		}
+	})
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -53,7 +53,8 @@
 	Removed time.Time        // when that was read
 	left    time.Time        // the earliest moment at which it may have been removed
 	// Versions are the newest weight versions seen of this life, from its entry
-	// or its answers. A life never goes back to older weights.
+	// or its answers. A life never goes back to older weights. They may be shared and
+	// are replaced as a whole.
 	Versions map[string]int64
 
 	usable   bool     // as Changes last told
@@ -62,6 +63,16 @@
 	lapsedIn *service // whose lapsed entries it is among; nil: none's
 }
 
+// News is what an entry says beyond the one before it.
+type News uint8
+
+// The kinds of news.
+const (
+	Repeat News = iota // nothing but the count of orders
+	Detail             // something that does not decide where work may go
+	Changed
+)
+
 // Change is an endpoint that may be given work from now on, may not any more, or
 // differs from what was told of it.
 type Change struct {
@@ -86,6 +97,7 @@
 // was touched and at entries that lapsed lately, never at all endpoints.
 type Directory struct {
 	byID     map[string]*Endpoint
+	shared   shared
 	grace    time.Duration
 	services map[string]*service
 	serving  map[string]map[int64]int // engines that are listed and ready, by model and version
@@ -115,25 +127,25 @@
 	return fleet.EndpointID(id + "@" + strconv.FormatInt(born, 36))
 }
 
-// Put takes an entry. It returns false if nothing changed but the sequence.
-func (d *Directory) Put(e Entry) bool {
-	key := Key(e.ID, e.Born)
+// Put takes an entry.
+func (d *Directory) Put(e Entry) News {
 	old := d.byID[e.ID]
-	if old == nil || old.Key != key {
+	if old != nil && !old.Gone && old.Entry.SaysAs(e) {
+		old.Orders = e.Orders
+		return Repeat
+	}
+	d.shared.share(&e)
+	if key := Key(e.ID, e.Born); old == nil || old.Key != key {
 		if old != nil {
 			d.uncount(old)
 			old.replaced = true
 			d.touch(old)
 		}
-		next := &Endpoint{Entry: e, Key: key, Versions: newest(nil, e.Models)}
+		next := &Endpoint{Entry: e, Key: key, Versions: e.Models}
 		d.byID[e.ID] = next
 		d.count(next)
 		d.touch(next)
-		return true
-	}
-	if !old.Gone && old.Entry.SaysAs(e) {
-		old.Entry = e
-		return false
+		return Changed
 	}
 	changed := old.Gone || old.State != e.State || old.Service != e.Service ||
 		old.Address != e.Address || behind(old.Versions, e.Models)
@@ -142,7 +154,10 @@
 	old.Versions = newest(old.Versions, e.Models)
 	d.count(old)
 	d.touch(old)
-	return changed
+	if changed {
+		return Changed
+	}
+	return Detail
 }
 
 // listed tells whether the endpoint's entry is there and says that it is ready.
@@ -226,7 +241,7 @@
 		return false
 	}
 	d.uncount(e)
-	e.Versions[model] = version
+	e.Versions = newest(e.Versions, map[string]int64{model: version})
 	d.count(e)
 	d.touch(e)
 	return true
@@ -333,19 +348,21 @@
 	return out
 }
 
+// newest merges versions, without a change to either map.
 func newest(known, said map[string]int64) map[string]int64 {
-	if known == nil {
-		known = make(map[string]int64, len(said))
+	if !behind(known, said) {
+		return known
 	}
+	out := maps.Clone(known)
 	for model, v := range said {
-		known[model] = max(known[model], v)
+		out[model] = max(out[model], v)
 	}
-	return known
+	return out
 }
 
 func behind(known, said map[string]int64) bool {
 	for model, v := range said {
-		if v > known[model] {
+		if has, known := known[model]; !known || v > has {
 			return true
 		}
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -38,7 +38,7 @@
 	d := full(1)
 	e := entry("e0", 1)
 	e.Orders = 9
-	if d.Put(e) {
+	if d.Put(e) != Repeat {
 		t.Error("a heartbeat counts as a change")
 	}
 }
@@ -57,7 +57,7 @@
 	d := full(2)
 	e := entry("e0", 1)
 	e.State = Draining
-	if !d.Put(e) || usable(d, 0) != 1 {
+	if d.Put(e) != Changed || usable(d, 0) != 1 {
 		t.Errorf("%d usable", usable(d, 0))
 	}
 }
@@ -85,7 +85,7 @@
 	d := full(1)
 	old := d.Find("e0").Key
 	d.Learn(old, "e0", "m", 7)
-	if !d.Put(entry("e0", 2)) {
+	if d.Put(entry("e0", 2)) != Changed {
 		t.Error("the restart is no change")
 	}
 	e := d.Find("e0")
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,294 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func record(offset int64) Record { return Record{Key: "k", Value: []byte("v"), Offset: offset} }
+
+// fixed is a clock that stands at a time.
+func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// read puts a question; ok is false if the feed knows too little.
+func read(f *Feed, ctx context.Context, clock func() time.Duration, q Question) (got Answer, ok bool) {
+	got, err := f.Read(ctx, clock, q)
+	return got, err == nil
+}
+
+// A neighbour passes on what it read four seconds ago. Whoever believes keys for
+// five seconds must count those four, or a key that was taken away is served for
+// twice the bound.
+func TestFeedTellsHowOldItIs(t *testing.T) {
+	f := New(true)
+	f.Add(Batch{All: true, Records: []Record{record(0)}, Next: 1, Whole: true, Confirmed: 10 * time.Second})
+	got, ok := read(f, t.Context(), fixed(14*time.Second), Question{From: -1})
+	if !ok || !got.All || len(got.Records) != 1 || got.Next != 1 || got.Age != 4*time.Second {
+		t.Errorf("%+v, %v", got, ok)
+	}
+}
+
+// A daemon has read only a part of what the store holds. Its readers would take keys
+// for confirmed though the record that takes them away comes with the next part.
+func TestAPartConfirmsNothing(t *testing.T) {
+	f := New(true)
+	f.Add(Batch{All: true, Records: []Record{record(0)}, Next: 1, Whole: true, Confirmed: time.Second})
+	f.Add(Batch{From: 1, Records: []Record{record(1)}, Next: 2, Confirmed: 5 * time.Second})
+	if got, ok := read(f, t.Context(), fixed(5*time.Second), Question{From: 1}); !ok || got.Age != 4*time.Second || len(got.Records) != 1 {
+		t.Errorf("%+v, %v", got, ok)
+	}
+}
+
+// A reader is behind what the feed still holds, or ahead of it. It would miss
+// records, such as a configuration, if it read on here; and if it were sent to the
+// store for being ahead, all readers of a daemon would go there as soon as one
+// record reached them another way.
+func TestFeedNeverSkipsRecords(t *testing.T) {
+	const most = keptRecords + keptRecords/slackPart // records are dropped past it
+	part := func(from, next int64) Batch {
+		b := Batch{From: from, Next: next, Whole: true}
+		for i := from; i < next; i++ {
+			b.Records = append(b.Records, record(i))
+		}
+		return b
+	}
+	for _, keyed := range []bool{false, true} {
+		f := New(keyed)
+		if _, ok := read(f, t.Context(), fixed(0), Question{}); ok {
+			t.Error("an empty feed answers")
+		}
+		f.Add(part(5, 6))
+		for from, want := range map[int64]bool{4: keyed, 5: true, 6: true, 7: true} {
+			got, ok := read(f, t.Context(), fixed(0), Question{From: from})
+			if ok != want || ok && (got.Next < from || got.All != (from == 4) || len(got.Records) != int(max(0, 6-max(from, 5)))) {
+				t.Errorf("keyed %v, from %d: %+v, %v", keyed, from, got, ok)
+			}
+		}
+		f.Add(part(9, 10))
+		if got, ok := read(f, t.Context(), fixed(0), Question{From: 6}); ok != keyed || got.All != keyed {
+			t.Error("a gap was read over")
+		}
+		for i := int64(10); i < most+50; i++ {
+			f.Add(part(i, i+1))
+		}
+		if got, ok := read(f, t.Context(), fixed(0), Question{From: 9}); ok != keyed || got.All != keyed {
+			t.Error("records that were dropped are passed over")
+		}
+		// Two reads that overlap add each record once.
+		f.Add(part(most, most+51))
+		if got, ok := read(f, t.Context(), fixed(0), Question{From: most + 48}); !ok || len(got.Records) != 3 {
+			t.Errorf("%d records after an overlap", len(got.Records))
+		}
+	}
+}
+
+func TestFeedWakesItsReaders(t *testing.T) {
+	for name, b := range map[string]Batch{
+		"a record":       {From: 3, Records: []Record{record(3)}, Next: 4},
+		"a confirmation": {From: 3, Next: 3, Whole: true, Confirmed: 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := New(true)
+			f.Add(Batch{Next: 3, Whole: true, Confirmed: 1})
+			began := time.Now()
+			go func() {
+				time.Sleep(100 * time.Millisecond) // virtual
+				f.Add(b)
+			}()
+			got, ok := read(f, context.Background(), fixed(2), Question{From: 3, Hold: time.Second, Stamp: 1})
+			if !ok || len(got.Records) != len(b.Records) || time.Since(began) != 100*time.Millisecond {
+				t.Errorf("%s: %+v, %v after %v", name, got, ok, time.Since(began))
+			}
+		})
+	}
+}
+
+// many is a feed of a number of keys with values of a size.
+func many(keys, size int) *Feed {
+	f := New(true)
+	b := Batch{All: true, Next: int64(keys), Whole: true, Confirmed: time.Second}
+	for i := range keys {
+		b.Records = append(b.Records, Record{Key: fmt.Sprintf("k%06d", i), Value: make([]byte, size), Offset: int64(i)})
+	}
+	f.Add(b)
+	return f
+}
+
+// pages reads everything page by page, and returns the keys and the pages.
+func pages(t *testing.T, f *Feed, at func(page int)) (keys map[string]Record, n int) {
+	t.Helper()
+	keys = map[string]Record{}
+	for after := ""; ; n++ {
+		got, err := f.Read(t.Context(), fixed(time.Second), Question{From: -1, After: after})
+		if err != nil || !got.All {
+			t.Fatalf("page %d: %+v, %v", n, got, err)
+		}
+		for _, r := range got.Records {
+			keys[r.Key] = r
+			after = r.Key
+		}
+		if !got.More {
+			return keys, n + 1
+		}
+		at(n)
+	}
+}
+
+// Guards against a list that goes as one answer: over a link of 20 Mbit/s the one of ten
+// thousand endpoints took longer than any answer may, and each try began anew.
+func TestEverythingGoesInPages(t *testing.T) {
+	const keys, size = 10_003, 270
+	f := many(keys, size)
+	got, n := pages(t, f, func(int) {})
+	if len(got) != keys || n < keys*size/pageBytes || n > 2*keys*size/pageBytes {
+		t.Errorf("%d keys in %d pages", len(got), n)
+	}
+	large, n := pages(t, many(3, 4*pageBytes), func(int) {})
+	if len(large) != 3 || n != 3 {
+		t.Errorf("%d keys in %d pages that each have a record over the size of a page", len(large), n)
+	}
+}
+
+// Guards against keys that come or go between two pages and are missed, or kept, by
+// those who read the pages.
+func TestChangesBetweenPagesAreReadAfterwards(t *testing.T) {
+	f := many(5000, 100)
+	next := int64(5000)
+	change := func(key, value string) {
+		f.Add(Batch{From: next, Records: []Record{{Key: key, Value: []byte(value), Offset: next}}, Next: next + 1, Whole: true, Confirmed: time.Second})
+		next++
+	}
+	first, err := f.Read(t.Context(), fixed(time.Second), Question{From: -1})
+	if err != nil || !first.More {
+		t.Fatalf("%+v, %v", first, err)
+	}
+	got, _ := pages(t, f, func(n int) {
+		if n == 0 {
+			change("k000000", "")      // told already
+			change("k000000a", "come") // among what was told
+			change("k004999", "")      // not told yet
+		}
+	})
+	after, err := f.Read(t.Context(), fixed(time.Second), Question{From: first.Next})
+	if err != nil || after.All {
+		t.Fatalf("%+v, %v", after, err)
+	}
+	for _, r := range after.Records {
+		got[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(got, r.Key)
+		}
+	}
+	if _, there := got["k000000"]; there || string(got["k000000a"].Value) != "come" || len(got) != 4999 {
+		t.Errorf("%d keys", len(got))
+	}
+}
+
+// Guards against an answer with thousands of changes that holds up a small link.
+func TestManyChangesGoInParts(t *testing.T) {
+	f := New(true)
+	f.Add(Batch{All: true, Whole: true, Confirmed: time.Second})
+	b := Batch{Whole: true, Confirmed: 2 * time.Second}
+	for i := range int64(1000) {
+		b.Records = append(b.Records, Record{Key: fmt.Sprint("k", i), Value: make([]byte, 270), Offset: i})
+	}
+	b.Next = 1000
+	f.Add(b)
+	n := 0
+	for from := int64(0); ; {
+		got, err := f.Read(t.Context(), fixed(2*time.Second), Question{From: from, Stamp: int64(time.Second)})
+		if err != nil || got.All || len(got.Records) == 0 || got.Records[0].Offset != from {
+			t.Fatalf("from %d: %+v, %v", from, got, err)
+		}
+		n += len(got.Records)
+		from = got.Next
+		if !got.More {
+			break
+		}
+	}
+	if n != 1000 {
+		t.Errorf("%d records", n)
+	}
+}
+
+// Guards against a daemon that turns to the store while the one that it reads through is
+// still reading: it has to be told how that goes on.
+func TestFeedThatKnowsNothingTellsOfItsProgress(t *testing.T) {
+	f := New(true)
+	f.Progress(3 * time.Second)
+	var unknown *UnknownError
+	if _, err := f.Read(t.Context(), fixed(5*time.Second), Question{From: -1}); !errors.As(err, &unknown) || unknown.Quiet != 2*time.Second {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestAnswerSurvivesTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := rapid.Custom(func(t *rapid.T) Record {
+			return Record{
+				Key: rapid.String().Draw(t, "key"), Value: rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "value"),
+				Offset: rapid.Int64Range(0, 1<<50).Draw(t, "offset"),
+			}
+		})
+		a := Answer{
+			Records: rapid.SliceOfN(record, 0, 20).Draw(t, "records"), All: rapid.Bool().Draw(t, "all"), More: rapid.Bool().Draw(t, "more"),
+			Next: rapid.Int64().Draw(t, "next"), Age: time.Duration(rapid.Int64().Draw(t, "age")),
+			Held: time.Duration(rapid.Int64().Draw(t, "held")), Stamp: rapid.Int64().Draw(t, "stamp"),
+		}
+		got, err := Decode(a.Append(nil))
+		if err != nil || fmt.Sprint(got) != fmt.Sprint(a) {
+			t.Fatalf("%+v came as %+v, %v", a, got, err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	a := Answer{Records: []Record{record(3), {Key: "x", Offset: 9}}, All: true, Next: 10, Stamp: 4}
+	f.Add(a.Append(nil))
+	long := Answer{Records: []Record{{Key: "y", Value: make([]byte, 2*compressFrom)}}}
+	f.Add(long.Append(nil))
+	f.Add([]byte{formVersion, flagCompressed, 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := Decode(data)
+		if err != nil {
+			return
+		}
+		if again, err := Decode(got.Append(nil)); err != nil || fmt.Sprint(again) != fmt.Sprint(got) {
+			t.Errorf("%+v came as %+v, %v", got, again, err)
+		}
+	})
+}
+
+func BenchmarkPageOnTheWire(b *testing.B) {
+	f := New(true)
+	all := Batch{All: true, Whole: true, Confirmed: time.Second}
+	for i := range 10_003 {
+		value := fmt.Sprintf(`{"service":"models","address":"10.%d.%d.%d:8265","zone":"zone-%d","version":1,"slots":12,"state":"ready","coldLeftMs":0,"seq":%d,"models":[{"name":"m0","version":1}],"born":%d}`,
+			i%5, i/250, i%250, i%5, i*7, 1_800_000_000_000+i*31)
+		all.Records = append(all.Records, Record{Key: fmt.Sprintf("i-%010x", i*977), Value: []byte(value), Offset: int64(i)})
+	}
+	f.Add(all)
+	b.ReportAllocs()
+	bytes, n := 0, 0
+	for b.Loop() {
+		after := ""
+		for more := true; more; n++ {
+			got := f.page(after)
+			data := got.Append(nil)
+			back, err := Decode(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes += len(data)
+			after, more = back.Records[len(back.Records)-1].Key, back.More
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/list")
+	b.ReportMetric(float64(n)/float64(b.N), "pages/list")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,6 +46,17 @@
 	return v
 }
 
+// Varint reads a signed number of variable length.
+func (r *Reader) Varint() int64 {
+	v, n := binary.Varint(r.Rest)
+	if n <= 0 {
+		r.fail()
+		return 0
+	}
+	r.Rest = r.Rest[n:]
+	return v
+}
+
 // Text reads a text behind its length in one byte, at most the given one.
 func (r *Reader) Text(most int) string {
 	n := int(r.Byte())
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -58,8 +58,12 @@
 	}
 }
 
-// Put takes an entry. It returns false if it changes nothing that matters.
-func (r *Roster) Put(e directory.Entry) bool { return r.note(r.directory.Put(e)) }
+// Put takes an entry.
+func (r *Roster) Put(e directory.Entry) directory.News {
+	news := r.directory.Put(e)
+	r.note(news == directory.Changed)
+	return news
+}
 
 // Remove takes that the entry of the id is gone, see directory.Directory.Remove.
 func (r *Roster) Remove(now, since time.Time, id string) bool {
--- a/router/caches.go
+++ b/router/caches.go
@@ -99,8 +99,8 @@
 // cacheSources lists the engines and stores that this daemon should follow.
 func (r *Router) cacheSources() []source {
 	t := r.s.table.Load()
-	if t == nil {
-		return nil
+	if _, listed := r.s.endpoints.Age(r.clock()); t == nil || !listed {
+		return nil // how many engines there are is not known yet
 	}
 	engines := r.s.engineSources(t, mostHolders+1)
 	if len(engines)+len(t.Stores) > mostHolders {
--- a/router/counted.go
+++ b/router/counted.go
@@ -29,10 +29,10 @@
 	c.scope.Tagged(map[string]string{"call": call, "topic": t.String()}).Counter("store_calls").Inc(1)
 }
 
-// Newest implements Store. An answer of several pages counts once.
-func (c *counted) Newest(ctx context.Context, t Topic) (Records, error) {
+// Newest implements Store.
+func (c *counted) Newest(ctx context.Context, t Topic, after string) (Page, error) {
 	c.count("newest", t)
-	return c.store.Newest(ctx, t)
+	return c.store.Newest(ctx, t, after)
 }
 
 // Read implements Store.
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -31,13 +31,13 @@
 	f := r.newFollower(TopicDaemons)
 	known := map[string]Neighbour{}
 	changed := false
-	f.apply = func(record Record) bool {
+	f.apply = func(record Record) (Record, bool) {
 		if r.recallHold(record) {
-			return true
+			return record, true
 		}
 		news := r.daemonRecord(known, record)
 		changed = changed || news
-		return news
+		return record, news
 	}
 	f.snapshot = func(present map[string]bool) {
 		maps.DeleteFunc(known, func(name string, _ Neighbour) bool { return !present[name] })
--- a/router/feed_test.go
+++ b/router/feed_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/readers"
 )
@@ -23,92 +22,6 @@
 
 func quiet() *logging.Logger { return logging.Discard().For(logging.PartRouter) }
 
-// A neighbour passes on what it read four seconds ago. Whoever believes keys for
-// five seconds must count those four, or a key that was taken away is served for
-// twice the bound.
-func TestFeedTellsHowOldItIs(t *testing.T) {
-	f := newFeed(true)
-	f.add(batch{all: true, records: []Record{record(0)}, next: 1, whole: true, confirmed: 10 * time.Second})
-	got, ok := f.read(t.Context(), fixed(14*time.Second), question{from: -1})
-	if !ok || !got.All || len(got.Records) != 1 || got.Next != 1 || got.Age != 4*time.Second {
-		t.Errorf("%+v, %v", got, ok)
-	}
-}
-
-// A daemon has read only a part of what the store holds. Its readers would take keys
-// for confirmed though the record that takes them away comes with the next part.
-func TestAPartConfirmsNothing(t *testing.T) {
-	f := newFeed(true)
-	f.add(batch{all: true, records: []Record{record(0)}, next: 1, whole: true, confirmed: time.Second})
-	f.add(batch{from: 1, records: []Record{record(1)}, next: 2, confirmed: 5 * time.Second})
-	if got, ok := f.read(t.Context(), fixed(5*time.Second), question{from: 1}); !ok || got.Age != 4*time.Second || len(got.Records) != 1 {
-		t.Errorf("%+v, %v", got, ok)
-	}
-}
-
-// A reader is behind what the feed still holds, or ahead of it. It would miss
-// records, such as a configuration, if it read on here; and if it were sent to the
-// store for being ahead, all readers of a daemon would go there as soon as one
-// record reached them another way.
-func TestFeedNeverSkipsRecords(t *testing.T) {
-	part := func(from, next int64) batch {
-		b := batch{from: from, next: next, whole: true}
-		for i := from; i < next; i++ {
-			b.records = append(b.records, record(i))
-		}
-		return b
-	}
-	for _, keyed := range []bool{false, true} {
-		f := newFeed(keyed)
-		if _, ok := f.read(t.Context(), fixed(0), question{}); ok {
-			t.Error("an empty feed answers")
-		}
-		f.add(part(5, 6))
-		for from, want := range map[int64]bool{4: keyed, 5: true, 6: true, 7: true} {
-			got, ok := f.read(t.Context(), fixed(0), question{from: from})
-			if ok != want || ok && (got.Next < from || got.All != (from == 4) || len(got.Records) != int(max(0, 6-max(from, 5)))) {
-				t.Errorf("keyed %v, from %d: %+v, %v", keyed, from, got, ok)
-			}
-		}
-		f.add(part(9, 10))
-		if got, ok := f.read(t.Context(), fixed(0), question{from: 6}); ok != keyed || got.All != keyed {
-			t.Error("a gap was read over")
-		}
-		for i := int64(10); i < feedRecords+50; i++ {
-			f.add(part(i, i+1))
-		}
-		if got, ok := f.read(t.Context(), fixed(0), question{from: 9}); ok != keyed || got.All != keyed {
-			t.Error("records that were dropped are passed over")
-		}
-		// Two reads that overlap add each record once.
-		f.add(part(feedRecords, feedRecords+51))
-		if got, ok := f.read(t.Context(), fixed(0), question{from: feedRecords + 48}); !ok || len(got.Records) != 3 {
-			t.Errorf("%d records after an overlap", len(got.Records))
-		}
-	}
-}
-
-func TestFeedWakesItsReaders(t *testing.T) {
-	for name, b := range map[string]batch{
-		"a record":       {from: 3, records: []Record{record(3)}, next: 4},
-		"a confirmation": {from: 3, next: 3, whole: true, confirmed: 2},
-	} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFeed(true)
-			f.add(batch{next: 3, whole: true, confirmed: 1})
-			began := time.Now()
-			go func() {
-				time.Sleep(100 * time.Millisecond) // virtual
-				f.add(b)
-			}()
-			got, ok := f.read(context.Background(), fixed(2), question{from: 3, hold: time.Second, stamp: 1})
-			if !ok || len(got.Records) != len(b.records) || time.Since(began) != 100*time.Millisecond {
-				t.Errorf("%s: %+v, %v after %v", name, got, ok, time.Since(began))
-			}
-		})
-	}
-}
-
 // bounds are those on news of the topics.
 var bounds = &Settings{ConfigWithin: 2 * time.Second, DrainWithin: 2 * time.Second}
 
@@ -158,7 +71,7 @@
 	}
 	first := v.candidates(TopicOperator, false, 0)[0]
 	s := &subscription{n: v, topic: TopicOperator, some: true}
-	if _, _, ok := s.read(t.Context(), 0); ok {
+	if _, _, ok := s.read(t.Context(), 0, ""); ok {
 		t.Fatal("a dead neighbour answered")
 	}
 	for _, next := range v.candidates(TopicOperator, false, 0) {
@@ -180,8 +93,8 @@
 		answer string
 		ok     bool
 	}{
-		"fresh":     {encode(t, relayed{Records: []Record{record(4)}, Next: 5, Age: oldest - time.Millisecond}), true},
-		"old":       {encode(t, relayed{Next: 5, Age: oldest + time.Millisecond}), false},
+		"fresh":     {encode(feed.Answer{Records: []Record{record(4)}, Next: 5, Age: oldest - time.Millisecond}), true},
+		"old":       {encode(feed.Answer{Next: 5, Age: oldest + time.Millisecond}), false},
 		"malformed": {`{"records":7}`, false},
 		"cut":       {`{"records":[`, false},
 	} {
@@ -191,7 +104,7 @@
 			v := zoneOf(10, "j")
 			v.choice.Set(append([]readers.Daemon{{Name: "n", Address: server.Listener.Addr().String()}}, nobodyElse(v, "n")...))
 			s := &subscription{n: v, topic: TopicOperator}
-			got, confirmed, ok := s.read(t.Context(), 4)
+			got, confirmed, ok := s.read(t.Context(), 4, "")
 			if ok != c.ok || (ok && (len(got.Records) != 1 || string(got.Records[0].Value) != "v" || confirmed != time.Millisecond-oldest)) {
 				t.Errorf("%+v of %v, %v", got, confirmed, ok)
 			}
@@ -260,14 +173,7 @@
 	}
 }
 
-func encode(t *testing.T, r relayed) string {
-	t.Helper()
-	b, err := json.Marshal(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(b)
-}
+func encode(a feed.Answer) string { return string(a.Append(nil)) }
 
 // A removal is read nine tenths of a second after the read before, and may be as
 // old as that: the endpoint's time to leave runs since then. After failed reads
@@ -308,13 +214,13 @@
 		neighbours: newNeighbours(Neighbour{}, bounds, net.Dialer{}, BootClock, quiet()),
 	}
 	for topic := range r.feeds {
-		r.feeds[topic] = newFeed(true)
+		r.feeds[topic] = feed.New(true)
 	}
 	f := r.newFollower(TopicOperator)
 	f.loaded, f.reads, f.next, f.known = true, 4, 7, BootClock()-1500*time.Millisecond
-	f.apply = func(record Record) bool {
+	f.apply = func(record Record) (Record, bool) {
 		r.operatorRecord(record, false, f.unseen())
-		return true
+		return record, true
 	}
 	if _, err := f.read(t.Context(), time.Second); err != nil {
 		t.Fatal(err)
--- a/router/follow.go
+++ b/router/follow.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"time"
 
 	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/internal/pause"
 )
 
@@ -48,8 +48,10 @@
 	sub    *subscription
 	next   int64
 	loaded bool
-	// apply takes a record, and tells whether it says more than the one before it.
-	apply  func(Record) bool
+	load   *load // of everything, that is under way; nil: none
+	// apply takes a record. It returns what neighbours are told of it, and whether it
+	// says more than the one before it.
+	apply  func(Record) (told Record, more bool)
 	reads  int // answered
 	failed int // reads of the store in a row
 	// known is until when, by the boot clock, the newest answer tells all there was.
@@ -60,19 +62,82 @@
 	relayed bool
 }
 
+// load is a read of the newest of each key, page by page. What changes meanwhile is
+// read from next on.
+type load struct {
+	relayed   bool // from neighbours, whichever gives the next page
+	after     string
+	next      int64
+	confirmed time.Duration // everything up to next was there then
+	records   []Record
+}
+
 func (r *Router) newFollower(t Topic) *follower {
 	return &follower{r: r, sub: &subscription{n: r.neighbours, topic: t}}
 }
 
+func (f *follower) feed() *feed.Feed { return f.r.feeds[f.sub.topic] }
+
 // progress is what a read brought.
 type progress struct {
 	more  bool // more is there already
 	newer bool // the store confirmed that this is all at a later time than before
 }
 
-// read makes one read and applies it.
+// read makes one read, through a neighbour or of the store itself, and applies it.
 func (f *follower) read(ctx context.Context, wait time.Duration) (progress, error) {
-	b, err := f.ask(ctx, wait)
+	from, after := f.next, ""
+	if f.loading() {
+		from, after = -1, f.pageAfter(true)
+	}
+	got, confirmed, ok := f.sub.read(ctx, from, after)
+	f.feed().Progress(f.sub.progress)
+	f.relayed = ok
+	switch {
+	case ok && got.All:
+		return f.takePage(after, confirmed, Page{Records: got.Records, End: got.Next, More: got.More}), nil
+	case ok:
+		return f.take(feed.Batch{From: f.next, Records: got.Records, Next: got.Next, Whole: !got.More, Confirmed: confirmed}), nil
+	case ctx.Err() != nil:
+		return progress{}, ctx.Err() // the question was cut off, no neighbour is at fault
+	case f.sub.rests():
+		return progress{}, errResting
+	}
+	return f.readStore(ctx, wait)
+}
+
+// loading tells whether everything has to be read.
+func (f *follower) loading() bool { return !f.loaded || f.load != nil }
+
+// pageAfter is the key after which the next page begins. A load that neighbours began
+// is not continued at the store, nor the other way round: nothing says that both put
+// keys into one order.
+func (f *follower) pageAfter(relayed bool) string {
+	if f.load == nil || f.load.relayed != relayed {
+		return ""
+	}
+	return f.load.after
+}
+
+// readStore makes one read of the store. A read of everything has a time for each page
+// and none for all: a small link would otherwise never get to the end.
+func (f *follower) readStore(ctx context.Context, wait time.Duration) (progress, error) {
+	sent := f.r.clock()
+	if f.loading() {
+		call, cancel := context.WithTimeout(ctx, answerTime)
+		defer cancel()
+		after := f.pageAfter(false)
+		page, err := f.r.o.Store.Newest(call, f.sub.topic, after)
+		if err != nil {
+			return progress{}, err
+		}
+		f.sub.answered()
+		f.feed().Progress(f.r.clock())
+		return f.takePage(after, sent, page), nil
+	}
+	call, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	got, err := f.r.o.Store.Read(call, f.sub.topic, f.next, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.loaded = false
 		f.r.log.Info("History of the store is gone, reading the newest of each key.", "topic", f.sub.topic.String(), "next", f.next)
@@ -81,32 +146,62 @@
 	if err != nil {
 		return progress{}, err
 	}
-	until := f.r.clock()
-	if f.relayed {
-		until = b.confirmed
-	}
-	b.records = f.fold(b)
-	f.known = max(f.known, until)
-	f.r.feeds[f.sub.topic].add(b)
-	f.next, f.loaded = b.next, true
-	f.reads++
-	return progress{more: !b.whole, newer: b.whole && f.sub.confirm(b.confirmed)}, nil
+	f.sub.answered()
+	return f.take(feed.Batch{From: f.next, Records: got.Records, Next: got.Next, Whole: got.End <= got.Next, Confirmed: sent}), nil
+}
+
+// takePage applies one page of a read of everything.
+func (f *follower) takePage(after string, confirmed time.Duration, p Page) progress {
+	if f.load == nil || f.load.relayed != f.relayed || f.load.after != after {
+		f.load = &load{relayed: f.relayed, next: p.End, confirmed: confirmed}
+	}
+	l := f.load
+	l.next, l.confirmed = min(l.next, p.End), min(l.confirmed, confirmed)
+	for _, record := range p.Records {
+		told, _ := f.apply(record)
+		l.records = append(l.records, told)
+		l.after = record.Key
+	}
+	if p.More {
+		return progress{more: true}
+	}
+	if f.snapshot != nil {
+		f.snapshot(keysOf(l.records))
+	}
+	f.load = nil
+	return f.finish(feed.Batch{From: f.next, All: true, Records: l.records, Next: l.next, Whole: true, Confirmed: l.confirmed})
 }
 
-// fold applies the records of a read and returns those that neighbours need.
-func (f *follower) fold(b batch) []Record {
+// take applies the records since the read before.
+func (f *follower) take(b feed.Batch) progress {
+	b.Records = f.fold(b.Records)
+	return f.finish(b)
+}
+
+// fold applies records and returns those that neighbours need.
+func (f *follower) fold(records []Record) []Record {
 	var told []Record
-	for _, record := range b.records {
-		if f.apply(record) || b.all {
+	for _, record := range records {
+		if record, more := f.apply(record); more {
 			told = append(told, record)
 		}
 	}
-	if b.all && f.snapshot != nil {
-		f.snapshot(keysOf(b.records))
-	}
 	return told
 }
 
+// finish keeps what a read brought for the neighbours.
+func (f *follower) finish(b feed.Batch) progress {
+	until := f.r.clock()
+	if f.relayed || b.All {
+		until = b.Confirmed
+	}
+	f.known = max(f.known, until)
+	f.feed().Add(b)
+	f.next, f.loaded = b.Next, true
+	f.reads++
+	return progress{more: !b.Whole, newer: b.Whole && f.sub.confirm(b.Confirmed)}
+}
+
 func keysOf(records []Record) map[string]bool {
 	out := make(map[string]bool, len(records))
 	for _, r := range records {
@@ -125,41 +220,6 @@
 	return max(0, f.r.clock()-f.known)
 }
 
-// ask reads through a neighbour or the store itself.
-func (f *follower) ask(ctx context.Context, wait time.Duration) (batch, error) {
-	from := f.next
-	if !f.loaded {
-		from = -1
-	}
-	if got, confirmed, ok := f.sub.read(ctx, from); ok {
-		f.relayed = true
-		return batch{from: f.next, all: got.All, records: got.Records, next: got.Next, whole: true, confirmed: confirmed}, nil
-	}
-	f.relayed = false
-	if err := ctx.Err(); err != nil {
-		return batch{}, err // the question was cut off, no neighbour is at fault
-	}
-	if f.sub.rests() {
-		return batch{}, errResting
-	}
-	sent := f.r.clock()
-	got, err := f.askStore(ctx, wait)
-	if err != nil {
-		return batch{}, err
-	}
-	f.sub.answered()
-	return batch{from: f.next, all: !f.loaded, records: got.Records, next: got.Next, whole: got.End <= got.Next, confirmed: sent}, nil
-}
-
-func (f *follower) askStore(ctx context.Context, wait time.Duration) (Records, error) {
-	call, cancel := context.WithTimeout(ctx, wait+answerTime)
-	defer cancel()
-	if f.loaded {
-		return f.r.o.Store.Read(call, f.sub.topic, f.next, wait)
-	}
-	return f.r.o.Store.Newest(call, f.sub.topic)
-}
-
 // note logs that the store was lost or is back.
 func (f *follower) note(err error) {
 	if err == nil {
@@ -193,9 +253,9 @@
 // followOperator keeps the configuration and the named versions.
 func (r *Router) followOperator(ctx context.Context) {
 	f := r.newFollower(TopicOperator)
-	f.apply = func(record Record) bool {
+	f.apply = func(record Record) (Record, bool) {
 		r.operatorRecord(record, !f.loaded && f.reads == 0, f.unseen())
-		return true
+		return record, true
 	}
 	r.neighbours.await(ctx)
 	for ctx.Err() == nil {
@@ -228,20 +288,23 @@
 // newEndpointsFollower returns the follower of the endpoints' entries.
 func (r *Router) newEndpointsFollower() *follower {
 	f := r.newFollower(TopicEndpoints)
-	said := map[string]directory.Entry{}
-	f.apply = func(record Record) bool { return r.endpointRecord(record, f.unseen(), said) }
+	f.apply = func(record Record) (Record, bool) {
+		return r.endpointRecord(record, f.relayed, f.unseen(), f.load != nil)
+	}
 	f.snapshot = func(present map[string]bool) {
+		r.log.Info("Endpoints were read.", "endpoints", len(present), "through_neighbour", f.relayed)
 		r.endpointsPresent(present, f.unseen())
-		// An entry that is missing counts as said no more, or its return would be taken for
-		// a repeat and kept from the daemons that read through this one.
-		maps.DeleteFunc(said, func(id string, _ directory.Entry) bool { return !present[id] })
 	}
 	return f
 }
 
 // followEndpoints keeps the list of endpoints.
 func (r *Router) followEndpoints(ctx context.Context) {
-	f := r.newEndpointsFollower()
+	r.keepReading(ctx, r.newEndpointsFollower())
+}
+
+// keepReading reads a topic that changes all the time.
+func (r *Router) keepReading(ctx context.Context, f *follower) {
 	r.neighbours.await(ctx)
 	for ctx.Err() == nil {
 		p, err := f.read(ctx, 0)
@@ -326,33 +389,54 @@
 	}
 }
 
-// endpointRecord folds an entry of an endpoint. unseen is how long before now it
-// may have changed. It returns whether the entry says more than the one that said
-// holds of the endpoint, and puts it there.
-func (r *Router) endpointRecord(record Record, unseen time.Duration, said map[string]directory.Entry) bool {
+// endpointRecord folds an entry of an endpoint, and returns it as neighbours are told
+// of it and whether it says more than the one before it. unseen is how long before now
+// it may have changed. One of many has no line of its own.
+func (r *Router) endpointRecord(record Record, relayed bool, unseen time.Duration, oneOfMany bool) (Record, bool) {
 	now := time.Now()
 	since := now.Add(-unseen)
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	if len(record.Value) == 0 {
-		delete(said, record.Key)
 		if r.s.roster.Remove(now, since, record.Key) {
 			r.log.Info("Endpoint's entry is gone.", "endpoint", record.Key, "offset", record.Offset, "unseen_ms", unseen.Milliseconds())
 		}
-		return true
+		return record, true
+	}
+	decode := r.o.Codec.Endpoint
+	if relayed {
+		decode = directory.DecodeEntry
 	}
-	entry, err := r.o.Codec.Endpoint(record.Key, record.Value)
+	entry, err := decode(record.Key, record.Value)
 	if err != nil {
-		delete(said, record.Key)
 		r.s.roster.Remove(now, since, record.Key)
 		r.log.Warn("Entry names no endpoint that can be used.", "endpoint", record.Key, "offset", record.Offset, "error", err.Error())
-		return true
+		record.Value = nil
+		return record, true
 	}
-	if r.s.roster.Put(entry) {
-		r.log.Info("Endpoint changed.", "endpoint", entry.ID, "born", entry.Born, "service", entry.Service,
-			"state", int(entry.State), "zone", string(entry.Zone), "offset", record.Offset)
+	news := r.s.roster.Put(entry)
+	if news == directory.Changed && !oneOfMany {
+		r.noteEndpoint(now, &entry, record.Offset)
+	}
+	more := news != directory.Repeat
+	if !relayed && (more || oneOfMany) {
+		record.Value = entry.Append(nil)
+	}
+	return record, more
+}
+
+// noteEndpoint writes the line of an endpoint that changed. When thousands register
+// within seconds, those that are ready are counted but for the first ones of a second.
+func (r *Router) noteEndpoint(now time.Time, entry *directory.Entry, offset int64) {
+	if entry.State == directory.Ready {
+		write, leftOut := r.registered.take(now)
+		if leftOut > 0 {
+			r.log.Info("Endpoints that changed and are ready were counted only.", "endpoints", leftOut)
+		}
+		if !write {
+			return
+		}
 	}
-	old, some := said[entry.ID]
-	said[entry.ID] = entry
-	return !some || !entry.SaysAs(old)
+	r.log.Info("Endpoint changed.", "endpoint", entry.ID, "born", entry.Born, "service", entry.Service,
+		"state", int(entry.State), "zone", string(entry.Zone), "offset", offset)
 }
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/logging"
@@ -51,9 +52,8 @@
 	relayNextPart = 0.04
 	// relayHold is the longest wait. A question is asked again after it.
 	relayHold = 2 * time.Second
-	// relayAllTime is what an answer with everything of a topic may take: at a start
-	// eight daemons ask for some 100 kB each.
-	relayAllTime = time.Second
+	// relayPageTime is what a page of everything of a topic may take.
+	relayPageTime = time.Second
 	// relayPause spreads reads of a topic that changes all the time.
 	relayPause = 150 * time.Millisecond
 	// relayTries is how many neighbours are asked before the store is.
@@ -63,13 +63,15 @@
 	// a daemon that is not known yet is not read through.
 	leaseAge   = 25 * time.Second
 	daemonsAge = 25 * time.Second
-	// startPatience is how long a daemon that starts waits for its neighbours to know
-	// something before it asks the store. When hundreds start together, those before it
-	// start as well; the first of each zone waits for nobody.
+	// startPatience is how long a daemon that starts waits for its neighbours before it
+	// asks the store, since one of those before it last came closer to knowing the topic.
+	// When hundreds start together, all wait for the first of each zone, which waits for
+	// nobody, however long that reads.
 	startPatience = time.Second
-	// relayBytes bounds one answer.
-	relayBytes = 16 << 20
-	relayPath  = "/read"
+	relayPath     = "/v2/read"
+	// quietHeader is in the answer of a daemon that knows too little: how long ago it
+	// came closer to knowing the topic, in nanoseconds.
+	quietHeader = "Quiet-Ns"
 )
 
 // Neighbour is another daemon as it announced itself.
@@ -78,8 +80,6 @@
 	Zone    fleet.ZoneID
 	Address string  // IP:port for other daemons
 	Cores   float64 // processor that it may use; 0: not told
-}
-
 	// LinkMbps is its link in Mbit/s; 0: not told.
 	LinkMbps float64
 }
@@ -87,6 +87,8 @@
 // reader is the daemon as package readers takes it.
 func (n *Neighbour) reader() readers.Daemon {
 	return readers.Daemon{Name: n.Name, Address: n.Address, Mbps: n.LinkMbps, Cores: n.Cores}
+}
+
 // Announcements is where daemons tell each other of themselves.
 type Announcements interface {
 	Announce(ctx context.Context, n Neighbour) error
@@ -105,7 +107,7 @@
 	grace  time.Duration             // an answer's time beyond its wait
 	next   time.Duration             // how long the second neighbour may wait
 	// ask puts a question to the daemon at an address.
-	ask func(ctx context.Context, address string, t Topic, q question) (relayed, error)
+	ask func(ctx context.Context, address string, t Topic, q feed.Question) (feed.Answer, error)
 	// listed is closed once the daemon knows of others, or can't.
 	listed   chan struct{}
 	listOnce sync.Once
@@ -132,7 +134,7 @@
 			TopicLease:     leaseAge,
 			TopicDaemons:   daemonsAge,
 		},
-		ask: func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
+		ask: func(ctx context.Context, address string, t Topic, q feed.Question) (feed.Answer, error) {
 			return askNeighbour(ctx, client, address, t, q)
 		},
 	}
@@ -166,14 +168,15 @@
 }
 
 // starting tells whether a daemon that knows nothing of the topic yet should go on
-// asking its neighbours rather than the store.
-func (n *neighbours) starting(t Topic) bool {
+// asking its neighbours rather than the store. progress is when it, or one that it
+// reads through, last came closer to knowing it.
+func (n *neighbours) starting(t Topic, progress time.Duration) bool {
 	if !n.relays(t) {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.choice.Depth() > 0 && n.clock() < n.began+startPatience
+	return n.choice.Depth() > 0 && n.clock() < max(n.began, progress)+startPatience
 }
 
 // await waits until the daemon knows of others, so that it does not read everything
@@ -282,43 +285,51 @@
 }
 
 // StatusError is the answer of a daemon that can't tell what was asked.
-type StatusError struct{ Status int }
+type StatusError struct {
+	Status int
+	Quiet  time.Duration // how long ago it came closer to knowing the topic; 0: not told
+}
 
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("router: neighbour answered with status %d", e.Status)
 }
 
-func askNeighbour(ctx context.Context, client *http.Client, address string, t Topic, q question) (relayed, error) {
+func askNeighbour(ctx context.Context, client *http.Client, address string, t Topic, q feed.Question) (feed.Answer, error) {
 	query := url.Values{
-		"topic": {strconv.Itoa(int(t))}, "from": {strconv.FormatInt(q.from, 10)}, "hold_ns": {strconv.FormatInt(int64(q.hold), 10)},
-		"age_ns": {strconv.FormatInt(int64(q.age), 10)}, "stamp": {strconv.FormatInt(q.stamp, 10)},
+		"topic": {strconv.Itoa(int(t))}, "from": {strconv.FormatInt(q.From, 10)}, "hold_ns": {strconv.FormatInt(int64(q.Hold), 10)},
+		"age_ns": {strconv.FormatInt(int64(q.Age), 10)}, "stamp": {strconv.FormatInt(q.Stamp, 10)},
+	}
+	if q.After != "" {
+		query.Set("after", q.After)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+relayPath+"?"+query.Encode(), nil)
 	if err != nil {
-		return relayed{}, fmt.Errorf("router: neighbour: %w", err)
+		return feed.Answer{}, fmt.Errorf("router: neighbour: %w", err)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return relayed{}, fmt.Errorf("router: neighbour gave no answer: %w", err)
+		return feed.Answer{}, fmt.Errorf("router: neighbour gave no answer: %w", err)
 	}
 	defer resp.Body.Close()
-	body := io.LimitReader(resp.Body, relayBytes)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, feed.AnswerBytes))
+	if err != nil {
+		return feed.Answer{}, fmt.Errorf("router: answer of a neighbour broke off: %w", err)
+	}
 	if resp.StatusCode != http.StatusOK {
-		if _, err := io.Copy(io.Discard, body); err != nil {
-			return relayed{}, fmt.Errorf("router: answer of a neighbour broke off: %w", err)
+		refused := &StatusError{Status: resp.StatusCode}
+		if quiet, err := strconv.ParseInt(resp.Header.Get(quietHeader), 10, 64); err == nil {
+			refused.Quiet = time.Duration(quiet)
 		}
-		return relayed{}, &StatusError{resp.StatusCode}
-	}
-	var r relayed
-	if err := json.NewDecoder(body).Decode(&r); err != nil {
-		return relayed{}, fmt.Errorf("router: answer of a neighbour is malformed: %w", err)
+		return feed.Answer{}, refused
 	}
-	return r, nil
+	return feed.Decode(body)
 }
 
 // serveNeighbours answers the reads of other daemons.
 func (r *Router) serveNeighbours(l net.Listener) {
-	s := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: http.HandlerFunc(r.relay)}
+	mux := http.NewServeMux()
+	mux.HandleFunc(relayPath, r.relay)
+	s := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: mux}
 	if err := s.Serve(l); err != nil {
 		r.log.Error("Neighbours are no longer answered.", "error", err.Error())
 	}
@@ -330,18 +341,22 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	got, ok := r.feeds[topic].read(req.Context(), r.clock, q)
-	if !ok {
+	got, err := r.feeds[topic].Read(req.Context(), r.clock, q)
+	if err != nil {
+		var unknown *feed.UnknownError
+		if errors.As(err, &unknown) {
+			w.Header().Set(quietHeader, strconv.FormatInt(int64(unknown.Quiet), 10))
+		}
 		w.WriteHeader(http.StatusGone)
 		return
 	}
 	// A neighbour that is gone has nobody to tell of it.
-	_ = json.NewEncoder(w).Encode(got)
+	_, _ = w.Write(got.Append(nil))
 }
 
 // questionOf reads a question. It returns an error if a part is no number or out of
 // its bounds.
-func questionOf(query url.Values) (Topic, question, error) {
+func questionOf(query url.Values) (Topic, feed.Question, error) {
 	var failed error
 	number := func(name string) int64 {
 		v, err := strconv.ParseInt(query.Get(name), 10, 64)
@@ -351,9 +366,12 @@
 		return v
 	}
 	topic := number("topic")
-	q := question{from: number("from"), hold: time.Duration(number("hold_ns")), age: time.Duration(number("age_ns")), stamp: number("stamp")}
-	if failed == nil && (topic < 0 || topic >= int64(topicCount) || q.hold > relayHold) {
-		failed = fmt.Errorf("router: question for topic %d with a wait of %v is out of bounds", topic, q.hold)
+	q := feed.Question{
+		From: number("from"), After: query.Get("after"),
+		Hold: time.Duration(number("hold_ns")), Age: time.Duration(number("age_ns")), Stamp: number("stamp"),
+	}
+	if failed == nil && (topic < 0 || topic >= int64(topicCount) || q.Hold > relayHold) {
+		failed = fmt.Errorf("router: question for topic %d with a wait of %v is out of bounds", topic, q.Hold)
 	}
 	return Topic(topic), q, failed
 }
--- a/router/neighbours_test.go
+++ b/router/neighbours_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/hash"
 )
@@ -22,7 +23,7 @@
 	t.Helper()
 	r = &Router{clock: fixed(10 * time.Second), log: quiet()}
 	for topic := range r.feeds {
-		r.feeds[topic] = newFeed(Topic(topic) != TopicLease)
+		r.feeds[topic] = feed.New(Topic(topic) != TopicLease)
 	}
 	server := httptest.NewServer(http.HandlerFunc(r.relay))
 	t.Cleanup(server.Close)
@@ -33,25 +34,25 @@
 // as newer than they are, or read on in the wrong place.
 func TestQuestionsAndAnswersArriveWhole(t *testing.T) {
 	r, address := relayServer(t)
-	r.feeds[TopicOperator].add(batch{all: true, records: []Record{{Key: "k", Value: []byte("v"), Offset: 6}}, next: 7, whole: true, confirmed: 8 * time.Second})
-	r.feeds[TopicOperator].add(batch{from: 7, records: []Record{{Key: "k", Value: []byte("w"), Offset: 7}}, next: 8, whole: true, confirmed: 9 * time.Second})
+	r.feeds[TopicOperator].Add(feed.Batch{All: true, Records: []Record{{Key: "k", Value: []byte("v"), Offset: 6}}, Next: 7, Whole: true, Confirmed: 8 * time.Second})
+	r.feeds[TopicOperator].Add(feed.Batch{From: 7, Records: []Record{{Key: "k", Value: []byte("w"), Offset: 7}}, Next: 8, Whole: true, Confirmed: 9 * time.Second})
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	for name, c := range map[string]struct {
-		q    question
+		q    feed.Question
 		all  bool
 		want string
 	}{
-		"everything":            {question{from: -1, age: time.Hour}, true, "w"},
-		"behind what is kept":   {question{from: 3, age: time.Hour}, true, "w"},
-		"the newest record":     {question{from: 7, age: time.Hour}, false, "w"},
-		"nothing new":           {question{from: 8, hold: time.Millisecond, stamp: int64(9 * time.Second)}, false, ""},
-		"older than the asker":  {question{from: 8, hold: time.Millisecond, age: time.Millisecond}, false, ""},
-		"ahead of this daemon":  {question{from: 12, age: time.Hour}, false, ""},
-		"a new stamp, no wait ": {question{from: 8, stamp: 5}, false, ""},
+		"everything":            {feed.Question{From: -1, Age: time.Hour}, true, "w"},
+		"behind what is kept":   {feed.Question{From: 3, Age: time.Hour}, true, "w"},
+		"the newest record":     {feed.Question{From: 7, Age: time.Hour}, false, "w"},
+		"nothing new":           {feed.Question{From: 8, Hold: time.Millisecond, Stamp: int64(9 * time.Second)}, false, ""},
+		"older than the asker":  {feed.Question{From: 8, Hold: time.Millisecond, Age: time.Millisecond}, false, ""},
+		"ahead of this daemon":  {feed.Question{From: 12, Age: time.Hour}, false, ""},
+		"a new stamp, no wait ": {feed.Question{From: 8, Stamp: 5}, false, ""},
 	} {
 		got, err := askNeighbour(t.Context(), client, address, TopicOperator, c.q)
-		if err != nil || got.All != c.all || got.Next != max(8, c.q.from) || got.Age != time.Second || got.Stamp != int64(9*time.Second) {
+		if err != nil || got.All != c.all || got.Next != max(8, c.q.From) || got.Age != time.Second || got.Stamp != int64(9*time.Second) {
 			t.Errorf("%s: %+v, %v", name, got, err)
 		}
 		if some := len(got.Records) > 0; some != (c.want != "") || some && string(got.Records[0].Value) != c.want {
@@ -59,7 +60,7 @@
 		}
 	}
 	var refused *StatusError
-	if _, err := askNeighbour(t.Context(), client, address, TopicEndpoints, question{from: -1}); !errors.As(err, &refused) || refused.Status != http.StatusGone {
+	if _, err := askNeighbour(t.Context(), client, address, TopicEndpoints, feed.Question{From: -1}); !errors.As(err, &refused) || refused.Status != http.StatusGone {
 		t.Errorf("a daemon that knows nothing answers with %v", err)
 	}
 }
@@ -132,14 +133,16 @@
 // zone, it would ask those that read through itself, and wait for news of its own.
 func TestAnAnswerOfANeighbourEndsTheSearch(t *testing.T) {
 	v := zoneOf(10, "j")
-	v.ask = func(context.Context, string, Topic, question) (relayed, error) { return relayed{Next: 5}, nil }
+	v.ask = func(context.Context, string, Topic, feed.Question) (feed.Answer, error) {
+		return feed.Answer{Next: 5}, nil
+	}
 	s := &subscription{n: v, topic: TopicOperator, some: true}
 	earlier := v.candidates(TopicOperator, false, 0.99)
 	if len(earlier) == 0 {
 		t.Fatal("this daemon reads the store itself")
 	}
 	s.failed()
-	if _, _, ok := s.read(t.Context(), 5); !ok {
+	if _, _, ok := s.read(t.Context(), 5, ""); !ok {
 		t.Fatal("the neighbour's answer was not taken")
 	}
 	if got := v.candidates(TopicOperator, s.lost, 0.99); !slices.Equal(got, earlier) {
--- a/router/orders.go
+++ b/router/orders.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/weights"
@@ -96,7 +97,9 @@
 	l.mu.Lock()
 	from := l.lease.Next()
 	l.mu.Unlock()
-	if got, confirmed, ok := l.sub.read(ctx, from); ok {
+	got, confirmed, ok := l.sub.read(ctx, from, "")
+	l.r.feeds[TopicLease].Progress(l.sub.progress)
+	if ok {
 		var records [][]byte
 		for _, r := range got.Records {
 			records = append(records, r.Value)
@@ -156,12 +159,12 @@
 // take folds records of the lease that begin at the offset, and keeps them for the
 // neighbours. The log had no more than up to end when it was confirmed.
 func (l *leader) take(from int64, records [][]byte, end int64, confirmed time.Duration) {
-	b := batch{from: from, next: from + int64(len(records)), confirmed: confirmed}
+	b := feed.Batch{From: from, Next: from + int64(len(records)), Confirmed: confirmed}
 	for i, r := range records {
-		b.records = append(b.records, Record{Value: r, Offset: from + int64(i)})
+		b.Records = append(b.Records, Record{Value: r, Offset: from + int64(i)})
 	}
-	b.whole = b.next >= end
-	l.r.feeds[TopicLease].add(b)
+	b.Whole = b.Next >= end
+	l.r.feeds[TopicLease].Add(b)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(records) == 0 && end > from {
@@ -306,8 +309,8 @@
 			l.lease.Granted(l.r.clock())
 			// Neighbours that read through this daemon would find a gap otherwise, and
 			// all turn to the store.
-			l.r.feeds[TopicLease].add(batch{
-				from: at, records: []Record{{Value: record, Offset: at}}, next: at + 1, whole: true, confirmed: sent,
+			l.r.feeds[TopicLease].Add(feed.Batch{
+				From: at, Records: []Record{{Value: record, Offset: at}}, Next: at + 1, Whole: true, Confirmed: sent,
 			})
 		}
 		return l.lease.Held(l.r.clock())
--- a/router/reuse_test.go
+++ b/router/reuse_test.go
@@ -276,13 +276,17 @@
 func TestLargeFleetsAreNotFollowed(t *testing.T) {
 	sources := func(engines int) int {
 		set := Settings{Zone: "z"}
-		r := &Router{s: newState(&set, rand.New(rand.NewPCG(1, 2))), neighbours: newNeighbours(Neighbour{Name: "d"}, &set, forward.Dialer(), fixed(0), quiet())}
+		r := &Router{clock: fixed(time.Second), s: newState(&set, rand.New(rand.NewPCG(1, 2))), neighbours: newNeighbours(Neighbour{Name: "d"}, &set, forward.Dialer(), fixed(0), quiet())}
 		r.neighbours.set([]Neighbour{{Name: "d", Zone: "z"}})
 		r.s.table.Store(&routes.Table{Services: map[string]*routes.Service{"s": {Name: "s", Engine: &routes.Engine{Followers: 8}}}})
 		for i := range engines {
 			r.s.roster.Put(directory.Entry{ID: fmt.Sprint("e", i), Service: "s"})
 		}
 		r.s.refresh(time.Now())
+		if len(r.cacheSources()) > 0 {
+			t.Error("followed before the list is known")
+		}
+		r.s.endpoints.Answered(r.clock(), r.clock())
 		return len(r.cacheSources())
 	}
 	if small, large := sources(18), sources(60); small != 18 || large != 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/gossip"
@@ -89,11 +90,11 @@
 	keeper     *holdKeeper  // of holds; nil: there is no list of daemons
 	room       *room.Keeper // at endpoints that name limits
 	dispatch   *dispatch
-	feeds      [topicCount]*feed
+	feeds      [topicCount]*feed.Feed
 	log        *logging.Logger
 	fold       fold // of the lines of ordinary requests
-	metrics    *meters
 	registered fold // of the lines of endpoints that are ready
+	metrics    *meters
 
 	leaving atomic.Bool
 	// stops is when the process ends, once callers should know of it.
@@ -129,8 +130,8 @@
 		callers: forward.NewCallers(),
 		log:     o.Logs.For(logging.PartRouter),
 		metrics: metrics,
-	}
 		fold:    fold{most: ordinaryPerSecond}, registered: fold{most: readyPerSecond},
+	}
 	r.countStoreCalls()
 	r.watch = newCacheWatch(o.CacheFeed, o.Clock, r.log)
 	r.placer.watch = r.watch
@@ -144,7 +145,7 @@
 	r.placer.room = r.room
 	r.dispatch = newDispatch(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	for t := range r.feeds {
-		r.feeds[t] = newFeed(Topic(t) != TopicLease)
+		r.feeds[t] = feed.New(Topic(t) != TopicLease)
 	}
 	r.front = &http.Server{
 		Handler: forward.NewHandler(forward.Options{
--- a/router/store.go
+++ b/router/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -27,13 +28,8 @@
 // String returns the name used in logs.
 func (t Topic) String() string { return topicNames[t] }
 
-// Record is the newest value of a key, or one change of it. Without a value
-// the key was dropped.
-type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
-}
+// Record is the newest value of a key, or one change of it.
+type Record = feed.Record
 
 // Records are the answer to one read.
 type Records struct {
@@ -68,10 +64,19 @@
 	return fmt.Sprintf("router: append refused, the topic ends at %d", e.End)
 }
 
+// Page is a part of the newest records of a topic.
+type Page struct {
+	Records []Record
+	End     int64 // of the topic when the page was answered
+	More    bool  // there are later keys
+}
+
 // Store is what a daemon reads.
 type Store interface {
-	// Newest returns the newest record of each key of the topic.
-	Newest(ctx context.Context, t Topic) (Records, error)
+	// Newest returns the newest record of each key of the topic after the given one, as
+	// many as fit into one answer. Pages are no snapshot: what changes meanwhile is read
+	// from the end that the first page named.
+	Newest(ctx context.Context, t Topic, after string) (Page, error)
 	// Read returns records from the offset on, and waits for one for a while.
 	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Records, error)
 }
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/readers"
 )
 
@@ -23,6 +24,9 @@
 	// of and stamp are the neighbour of the newest answer and what that bore.
 	of    string
 	stamp int64
+	// progress is when this daemon, or one that it reads through, last came closer to
+	// knowing the topic.
+	progress time.Duration
 	// outdated are the neighbours that knew too little at the newest read. They are
 	// left only if somebody knows more: when the store is lost, nobody does.
 	outdated []readers.Daemon
@@ -43,7 +47,7 @@
 // will know soon, or a read failed a moment ago. A daemon that no neighbour answers asks
 // it all the same, as nobody else would tell when it is back.
 func (s *subscription) rests() bool {
-	if !s.some && s.n.starting(s.topic) {
+	if !s.some && s.n.starting(s.topic, s.progress) {
 		return true
 	}
 	return s.lost && s.company && s.n.clock() < s.until
@@ -78,16 +82,19 @@
 	s.outdated = nil
 }
 
-// read asks the neighbours for what comes from the offset on, waiting for news. ok is
-// false if the store must be asked.
-func (s *subscription) read(ctx context.Context, from int64) (got relayed, confirmed time.Duration, ok bool) {
+// read asks the neighbours for what comes from the offset on, or for the newest of the
+// keys after one, waiting for news. ok is false if the store must be asked.
+func (s *subscription) read(ctx context.Context, from int64, after string) (got feed.Answer, confirmed time.Duration, ok bool) {
 	s.outdated, s.company = nil, false
 	for i, d := range s.n.candidates(s.topic, s.lost, rand.Float64()) {
-		got, confirmed, err := s.ask(ctx, d, from, i == 0)
+		got, confirmed, err := s.ask(ctx, d, from, after, i == 0)
 		var refused *StatusError
 		switch {
 		case errors.As(err, &refused):
 			s.company = true
+			if refused.Quiet > 0 {
+				s.progress = max(s.progress, s.n.clock()-refused.Quiet)
+			}
 			continue // it knows nothing yet
 		case err != nil:
 			if age, some := s.age(); some {
@@ -103,31 +110,31 @@
 			s.outdated = append(s.outdated, d)
 			continue
 		}
-		s.lost = false
+		s.lost, s.progress = false, s.n.clock()
 		s.leaveOutdated()
 		s.n.serves(s.topic, d, got.Age)
 		return got, confirmed, true
 	}
-	return relayed{}, 0, false
+	return feed.Answer{}, 0, false
 }
 
 // ask puts the question to one neighbour, and returns when the store confirmed what
 // it tells: the answer left Held after the question or later.
-func (s *subscription) ask(ctx context.Context, d readers.Daemon, from int64, first bool) (relayed, time.Duration, error) {
-	q, grace := question{from: from, hold: s.n.next}, s.n.grace
+func (s *subscription) ask(ctx context.Context, d readers.Daemon, from int64, after string, first bool) (feed.Answer, time.Duration, error) {
+	q, grace := feed.Question{From: from, After: after, Hold: s.n.next}, s.n.grace
 	age, some := s.age()
 	if some {
-		q.age = age
+		q.Age = age
 		if s.of == d.Name {
-			q.stamp = s.stamp
+			q.Stamp = s.stamp
 		}
 	} else {
-		q.age, grace = s.n.patience(s.topic), max(grace, relayAllTime)
+		q.Age, grace = s.n.patience(s.topic), max(grace, relayPageTime)
 	}
 	if first && some {
-		q.hold = max(s.n.next, min(relayHold, s.n.patience(s.topic)-age))
+		q.Hold = max(s.n.next, min(relayHold, s.n.patience(s.topic)-age))
 	}
-	call, cancel := context.WithTimeout(ctx, q.hold+grace)
+	call, cancel := context.WithTimeout(ctx, q.Hold+grace)
 	defer cancel()
 	sent := s.n.clock()
 	got, err := s.n.ask(call, d.Address, s.topic, q)
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/readers"
@@ -42,6 +45,13 @@
 	refuses map[string]bool // daemons that the store turns away
 	dead    map[string]bool // daemons that answer nobody
 	down    map[string]bool // daemons that do not run: their machines refuse connections
+	// mbps is each daemon's link in Mbit/s, and busy until when it carries something;
+	// nil: bytes take no time.
+	mbps  func(name string) float64
+	busy  map[string]time.Duration
+	bytes int // that the store sent
+	// follow, if set, follows the endpoints in place of the daemon.
+	follow func(ctx context.Context, r *Router)
 }
 
 const (
@@ -59,6 +69,14 @@
 
 // newZone starts daemons within 0.3 s.
 func newZone(t *testing.T, daemons int) *zoneWorld {
+	w := newWorld(t)
+	go w.beat()
+	w.start(daemons)
+	return w
+}
+
+// newWorld is a zone without daemons.
+func newWorld(t *testing.T) *zoneWorld {
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
 		cancel()
@@ -67,13 +85,12 @@
 	w := &zoneWorld{
 		t: t, ctx: ctx, began: time.Now(), woken: make(chan struct{}),
 		away: map[string]bool{}, refuses: map[string]bool{}, dead: map[string]bool{}, down: map[string]bool{},
+		busy: map[string]time.Duration{}, follow: func(ctx context.Context, r *Router) { r.followEndpoints(ctx) },
 	}
 	for topic := range w.newest {
 		w.newest[topic] = map[string]Record{}
 	}
 	w.write(TopicOperator, "config", "1")
-	go w.beat()
-	w.start(daemons)
 	return w
 }
 
@@ -99,7 +116,7 @@
 			w.set(w.down, false, r.o.Settings.Name)
 			go r.followDaemons(ctx)
 			go r.followOperator(ctx)
-			go r.followEndpoints(ctx)
+			go w.follow(ctx, r)
 			go r.quarantine.Run(ctx)
 			go r.keeper.run(ctx)
 			l := &leader{r: r, lease: weights.NewLease(all[i].o.Settings.Name, time.Second), sub: &subscription{n: r.neighbours, topic: TopicLease}}
@@ -118,7 +135,11 @@
 	}
 	store := &zoneStore{w: w, me: set.Name}
 	r.o.Store, r.o.Lease, r.o.Announcements = store, store, store
-	r.neighbours = newNeighbours(Neighbour{Name: set.Name, Zone: set.Zone, Address: set.PeerAddress}, &set, net.Dialer{}, w.clock, quiet())
+	me := Neighbour{Name: set.Name, Zone: set.Zone, Address: set.PeerAddress}
+	if w.mbps != nil {
+		me.LinkMbps = w.mbps(set.Name)
+	}
+	r.neighbours = newNeighbours(me, &set, net.Dialer{}, w.clock, quiet())
 	unsent := func(string, []byte) {}
 	r.limits = newLimiter(r.neighbours.me, &set, w.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, quiet(), unsent)
 	r.o.Rand, r.o.Clock = rand.New(rand.NewPCG(3, uint64(i))), w.clock
@@ -127,11 +148,11 @@
 	r.quarantine = r.newGuard(r.neighbours.me)
 	r.room = r.newRoom(r.neighbours.me)
 	r.dispatch = newDispatch(r.neighbours.me, r.s, r.placer, w.clock, quiet(), unsent)
-	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q question) (relayed, error) {
+	r.neighbours.ask = func(ctx context.Context, address string, t Topic, q feed.Question) (feed.Answer, error) {
 		return w.ask(ctx, set.Name, address, t, q)
 	}
 	for t := range r.feeds {
-		r.feeds[t] = newFeed(Topic(t) != TopicLease)
+		r.feeds[t] = feed.New(Topic(t) != TopicLease)
 	}
 	return r
 }
@@ -186,33 +207,63 @@
 }
 
 // ask carries a question from one daemon to another.
-func (w *zoneWorld) ask(ctx context.Context, me, address string, t Topic, q question) (relayed, error) {
+func (w *zoneWorld) ask(ctx context.Context, me, address string, t Topic, q feed.Question) (feed.Answer, error) {
 	i, err := strconv.Atoi(address)
 	if err != nil {
-		return relayed{}, err
+		return feed.Answer{}, err
 	}
 	time.Sleep(neighbourWay)
 	w.mu.Lock()
 	to := w.all[i]
 	w.mu.Unlock()
 	if w.is(w.down, to.o.Settings.Name) {
-		return relayed{}, errNoAnswer
+		return feed.Answer{}, errNoAnswer
 	}
 	if w.is(w.dead, to.o.Settings.Name) || w.is(w.dead, me) {
 		<-ctx.Done()
-		return relayed{}, ctx.Err()
+		return feed.Answer{}, ctx.Err()
 	}
-	got, ok := to.feeds[t].read(ctx, w.clock, q)
+	got, err := to.feeds[t].Read(ctx, w.clock, q)
+	w.carry(to.o.Settings.Name, me, len(got.Append(nil)))
 	time.Sleep(neighbourWay)
+	var unknown *feed.UnknownError
 	switch {
 	case ctx.Err() != nil:
-		return relayed{}, ctx.Err()
-	case !ok:
-		return relayed{}, &StatusError{Status: 410}
+		return feed.Answer{}, ctx.Err()
+	case errors.As(err, &unknown):
+		return feed.Answer{}, &StatusError{Status: 410, Quiet: unknown.Quiet}
 	}
-	return got, nil
+	return got, err
 }
 
+// carry waits until bytes have come from one daemon, or the store, to another. Each
+// carries them one after another, as fast as its link does.
+func (w *zoneWorld) carry(from, to string, bytes int) {
+	if w.mbps == nil {
+		return
+	}
+	takes := func(mbps float64) time.Duration {
+		const bits, mega = 8, 1e6
+		return time.Duration(bits * float64(bytes) / mbps / mega * float64(time.Second))
+	}
+	w.mu.Lock()
+	begin := time.Since(w.began)
+	if from != storeName {
+		begin = max(begin, w.busy[from])
+		w.busy[from] = begin + takes(w.mbps(from))
+	}
+	w.busy[to] = max(begin, w.busy[to]) + takes(w.mbps(to))
+	end := max(w.busy[to], w.busy[from])
+	if from == storeName {
+		w.bytes += bytes
+	}
+	w.mu.Unlock()
+	time.Sleep(end - time.Since(w.began))
+}
+
+// storeName is the store where bytes come from.
+const storeName = "store"
+
 // inOrder lists the daemons by how soon they come in the zone's tree.
 func (w *zoneWorld) inOrder() []*Router {
 	out := make([]*Router, len(w.all))
@@ -294,21 +345,33 @@
 	return nil
 }
 
-func (s *zoneStore) Newest(ctx context.Context, t Topic) (Records, error) {
+func (s *zoneStore) Newest(ctx context.Context, t Topic, after string) (Page, error) {
 	if err := s.call(ctx); err != nil {
-		return Records{}, err
+		return Page{}, err
 	}
-	defer time.Sleep(storeWay / 2)
 	s.w.mu.Lock()
-	defer s.w.mu.Unlock()
-	end := int64(len(s.w.topics[t]))
-	out := Records{Next: end, End: end}
-	for _, r := range s.w.newest[t] {
+	out := Page{End: int64(len(s.w.topics[t]))}
+	bytes := 0
+	for _, key := range slices.Sorted(maps.Keys(s.w.newest[t])) {
+		if key <= after {
+			continue
+		}
+		if out.More = len(out.Records) == storePage; out.More {
+			break
+		}
+		r := s.w.newest[t][key]
 		out.Records = append(out.Records, r)
+		bytes += len(r.Key) + len(r.Value)*4/3
 	}
-	return out, nil
+	s.w.mu.Unlock()
+	s.w.carry(storeName, s.me, bytes)
+	time.Sleep(storeWay / 2)
+	return out, ctx.Err()
 }
 
+// storePage is the most records of one page of the store.
+const storePage = 500
+
 func (s *zoneStore) Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Records, error) {
 	if err := s.call(ctx); err != nil {
 		return Records{}, err
@@ -349,7 +412,7 @@
 	if err := s.call(ctx); err != nil {
 		return err
 	}
-	s.w.write(TopicDaemons, n.Name, string(n.Zone)+" "+n.Address)
+	s.w.write(TopicDaemons, n.Name, fmt.Sprint(n.Zone, " ", n.Address, " ", n.LinkMbps))
 	return nil
 }
 
@@ -375,8 +438,12 @@
 }
 
 func (zoneCodec) Daemon(name string, value []byte) (Neighbour, error) {
-	zone, address, _ := strings.Cut(string(value), " ")
-	return Neighbour{Name: name, Zone: zoneSettings.Zone, Address: address}, map[bool]error{false: errNoAnswer}[zone == "z"]
+	fields := strings.Fields(string(value))
+	if len(fields) != 3 || fields[0] != string(zoneSettings.Zone) {
+		return Neighbour{}, errNoAnswer
+	}
+	mbps, err := strconv.ParseFloat(fields[2], 64)
+	return Neighbour{Name: name, Zone: zoneSettings.Zone, Address: fields[1], LinkMbps: mbps}, err
 }
 
 // settled is when a zone that starts together has found its order.
@@ -444,6 +511,57 @@
 	}
 }
 
+// Guards against a zone that never gets to know ten thousand endpoints: 210 of its 220
+// daemons have links of 20 Mbit/s, and a list that is sent whole, or read whole within a
+// time for all of it, is begun again and again.
+func TestAZoneOfSmallLinksLearnsALargeList(t *testing.T) {
+	const daemons, large, listed = 220, 10, 10_003
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.mbps = func(name string) float64 {
+			if n, _ := strconv.Atoi(strings.TrimPrefix(name, "front-")); n < large {
+				return 1000
+			}
+			return 20
+		}
+		rng := rand.New(rand.NewPCG(7, 11))
+		for i := range listed {
+			w.write(TopicEndpoints, fmt.Sprintf("i-%010x", rng.Uint64N(1<<40)), fmt.Sprintf(
+				`{"service":"models-%d","address":"10.%d.%d.%d:8265","zone":"hall-limoilou","version":1,"slots":12,"state":"ready","coldLeftMs":0,"seq":%d,"stage":"unified","models":[{"name":"daka510000","version":1,"adapters":[]}],"born":%d}`,
+				i%2, i%5, rng.IntN(250), rng.IntN(250), rng.IntN(30), 1_800_000_000_000+rng.Int64N(1e7)))
+		}
+		var mu sync.Mutex
+		known := map[string]time.Duration{}
+		w.follow = func(ctx context.Context, r *Router) {
+			f := r.newFollower(TopicEndpoints)
+			f.apply = func(record Record) (Record, bool) { return record, true }
+			f.snapshot = func(present map[string]bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				if len(present) == listed {
+					known[r.o.Settings.Name] = time.Since(w.began)
+				}
+			}
+			r.keepReading(ctx, f)
+		}
+		w.start(daemons)
+		time.Sleep(8 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		last := time.Duration(0)
+		for _, at := range known {
+			last = max(last, at)
+		}
+		t.Logf("%d of %d daemons know the list, the last after %v; %d calls and %d bytes of the store", len(known), daemons, last, w.made(), w.bytes)
+		if len(known) < daemons {
+			t.Errorf("%d of %d daemons know the list after 8 s", len(known), daemons)
+		}
+		if most := 2*daemons + zoneStart + listed/storePage + 1; w.made() > most || w.bytes > 8_000_000 {
+			t.Errorf("%d calls and %d bytes of the store", w.made(), w.bytes)
+		}
+	})
+}
+
 // A configuration must be in force everywhere within its bound, whatever happens to
 // the daemons that read for others: one keeps its neighbours and loses the store,
 // one stands still, or the store turns a third of the daemons away. Those that the
@@ -535,15 +653,15 @@
 		w := newZone(t, 1)
 		f := w.all[0].newEndpointsFollower()
 		entry := []Record{{Key: "e1", Value: []byte("1")}}
-		if told := f.fold(batch{all: true, records: entry}); len(told) != 1 {
+		f.takePage("", w.clock(), Page{Records: entry})
+		if got, err := f.feed().Read(t.Context(), w.clock, feed.Question{From: -1}); err != nil || len(got.Records) != 1 {
 			t.Fatal("everything is told at first")
 		}
-		f.loaded = true
-		if told := f.fold(batch{records: entry}); len(told) != 0 {
+		if told := f.fold(entry); len(told) != 0 {
 			t.Error("a repeat is told")
 		}
-		f.fold(batch{all: true})
-		if told := f.fold(batch{records: entry}); len(told) != 1 {
+		f.takePage("", w.clock(), Page{})
+		if told := f.fold(entry); len(told) != 1 {
 			t.Error("the entry that is back is not told")
 		}
 	})
