Measure what a routed daemon's upkeep grows by

Cause: docs/CAPACITY.md had no row of a routed daemon's upkeep; rows of the product's path were read for it, 50 ns an endpoint where it took 4,700. Change: merlindock capacity measures the roster (tick, one change, bytes), the list for other daemons (bytes on the wire and kept, time of both ends) and the tree of readers, at 72 to 20,006 endpoints and 73 to 1,970 daemons.

--- a/lab/capacity/parts.go
+++ b/lab/capacity/parts.go
@@ -297,6 +297,13 @@
 		{keyClaims, claims.perSecond},
 		{keyClaimBytes, claims.bytes},
 		{keyProbe, probeBytes},
+		{keyRosterTick, rosterTick},
+		{keyRosterChange, rosterChange},
+		{keyRosterBytes, rosterBytes},
+		{keyFeedBytes, feedBytes},
+		{keyFeedTime, feedTime},
+		{keyFeedState, feedState},
+		{keyReaders, readersSet},
 	}
 }
 
@@ -328,4 +335,11 @@
 	keyClaims            = "claims"
 	keyClaimBytes        = "claim-bytes"
 	keyProbe             = "probe"
+	keyRosterTick        = "roster-tick"
+	keyRosterChange      = "roster-change"
+	keyRosterBytes       = "roster-bytes"
+	keyFeedBytes         = "feed-bytes"
+	keyFeedTime          = "feed-time"
+	keyFeedState         = "feed-state"
+	keyReaders           = "readers"
 )
