Weigh the endpoints that hold a prompt's beginning in a large pool

Cause: in a pool of more than 128 engines only homes, believed holders and four samples are weighed. Pools of up to 128 are weighed whole as before.

TestHolderIsWeighedInALargePool failed before.

--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -204,6 +205,7 @@
 		return
 	}
 	v.gatherHolders(p, r, gate)
+	v.gatherHeld(p, r, gate)
 	for i := range uint64(sampled) {
 		at := mix(r.ID^i<<32) % uint64(len(p.members))
 		v.consider(p.members[at], r, gate)
@@ -228,6 +230,19 @@
 	}
 }
 
+// gatherHeld adds those that hold the beginning by their own word. A few samples of a
+// large pool would miss them.
+func (v *View) gatherHeld(p *pool, r *Request, gate Gate) {
+	if r.Held == nil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.Held.At)) {
+		if ep, known := v.byID[id]; known && v.serves(p, ep) {
+			v.consider(ep, r, gate)
+		}
+	}
+}
+
 // serves tells whether the endpoint is a member of the pool.
 func (v *View) serves(p *pool, ep int32) bool {
 	_, ok := slices.BinarySearch(p.members, ep)
--- a/placement/view_test.go
+++ b/placement/view_test.go
@@ -268,3 +268,18 @@
 		}
 	}
 }
+
+// Guards against a large pool of which a few samples are weighed and the one endpoint
+// that holds the prompt's beginning is not: each prompt was read or fetched anew.
+func TestHolderIsWeighedInALargePool(t *testing.T) {
+	v := testView(1000)
+	for id := range uint64(50) {
+		r := Request{
+			ID: id + 1, Pool: testPool, Tokens: 17_000, Sole: true,
+			Held: &Held{At: map[fleet.EndpointID]int{"runner-777": 13_000, "gone": 13_000}},
+		}
+		if d, err := v.Weigh(epoch, r); err != nil || d.Endpoint != "runner-777" {
+			t.Fatalf("request %d goes to %s, %v", id, d.Endpoint, err)
+		}
+	}
+}
