Save no copies of parts that engines keep anyway

Cause: half of all reads are sent to the store of KV cache, whatever the engines' memory. 9,211 engines that are sent 239 long prompts a second keep what they read for minutes. Change: a dispatcher knows what it sends its group's part of the engines; a part is saved only if they would evict it within the time for which the dispatcher remembers it. Daemons that place by themselves save as before.

TestEnginesWithMemoryToSpareKeepTheirParts.

--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -139,12 +139,17 @@
 	engines := d.s.roster.Engines(w.Service.Name, w.In.Model)
 	d.s.mu.Unlock()
 	group := w.Service.Name + "/" + w.In.Model
-	if groups := (engines + dispatchedEngines - 1) / dispatchedEngines; groups > 1 && len(w.In.Parts) > 0 {
+	if groups := dispatchGroups(engines); groups > 1 && len(w.In.Parts) > 0 {
 		group += "/" + string(rune('a'+hash.Text(w.In.Parts[0].ID)%uint64(groups)))
 	}
 	return group
 }
 
+// dispatchGroups is how many groups the prompts of a model with so many engines form.
+func dispatchGroups(engines int) int {
+	return max(1, (engines+dispatchedEngines-1)/dispatchedEngines)
+}
+
 // Place implements forward.Placer.
 func (d *dispatch) Place(ctx context.Context, w *forward.Work) (forward.Placement, error) {
 	if w.Service.Engine == nil || w.In.Model == "" {
--- a/router/moves.go
+++ b/router/moves.go
@@ -18,7 +18,7 @@
 // To read a long shared part again takes the engine's whole time for over 100
 // ms; to fetch it takes 5 to 25 ms. A fetch of what nobody has costs a
 // millisecond, and an engine fetches only what it lacks.
-func (p *placer) moves(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, from fleet.EndpointID, out *forward.Outbound) {
+func (p *placer) moves(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, to *way, out *forward.Outbound) {
 	levels := r.Levels
 	if levels == nil {
 		levels = prefix.Chain(seedOf(w, out.Version), w.In.Parts)
@@ -39,20 +39,31 @@
 	away := d.Reason == placement.ReasonSpill && r.Held == nil
 	switch {
 	case out.FetchFrom != "":
-	case from != "" && from != d.Endpoint && p.s.roster.Find(from) != nil:
-		out.FetchFrom = p.s.roster.Find(from).Address
+	case to.from != "" && to.from != d.Endpoint && p.s.roster.Find(to.from) != nil:
+		out.FetchFrom = p.s.roster.Find(to.from).Address
 	case away && peer != nil && !p.s.roster.Unusable(now, d.Peer):
 		out.FetchFrom = peer.Address
 	case store != "":
 		out.FetchFrom = store
 	}
 	// What is read away from home is saved for the home, which would read it again.
-	if store != "" && now.Sub(p.s.saved[key]) > savedFor && (away || p.fraction() < savePart) {
+	if store != "" && now.Sub(p.s.saved[key]) > savedFor && !to.kept && (away || p.fraction() < savePart) {
 		p.s.saved[key] = now
 		out.SaveTo = store
 	}
 }
 
+// enginesKeep tells whether the engines of a model have memory enough to keep what they
+// read for a while, by what the daemon that places all prompts of its group sends them.
+func (p *placer) enginesKeep(now time.Time, w *forward.Work) bool {
+	p.s.mu.Lock()
+	engines := p.s.roster.Engines(w.Service.Name, w.In.Model)
+	p.s.mu.Unlock()
+	p.partsMu.Lock()
+	defer p.partsMu.Unlock()
+	return p.parts.keeps(now, engines/dispatchGroups(engines), w.Service.Engine.CapacityTokens)
+}
+
 // fetchFrom chooses the source of a prompt's beginning among the holders that tell
 // what they hold. known is false if there is none that helps.
 func (p *placer) fetchFrom(now time.Time, w *forward.Work, r *placement.Request, d *placement.Decision, salt string) (address string, known bool) {
--- a/router/parts.go
+++ b/router/parts.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -17,6 +18,8 @@
 	partHolders = 4
 	// partLife is how long a part is remembered that is not used again.
 	partLife = 30 * time.Second
+	// readMemory is the time over which the rate of reading is averaged.
+	readMemory = 10 * time.Second
 )
 
 // partIndex remembers which engines were sent which shared parts of prompts. It
@@ -25,6 +28,8 @@
 type partIndex struct {
 	parts   map[prefix.Key]*sharedPart
 	engines map[fleet.EndpointID]float64 // tokens sent there so far
+	rate    float64                      // tokens/s sent to all engines, averaged
+	rated   time.Time
 }
 
 type sharedPart struct {
@@ -61,6 +66,18 @@
 	}
 	x.engines[engine] += float64(read)
 	h.sent = x.engines[engine]
+	x.rate = x.readRate(now) + float64(read)/readMemory.Seconds()
+	x.rated = now
+}
+
+func (x *partIndex) readRate(now time.Time) float64 {
+	return x.rate * math.Exp(-now.Sub(x.rated).Seconds()/readMemory.Seconds())
+}
+
+// keeps tells whether engines keep a part for as long as it is remembered here, at the
+// present rate of reading. A copy of it elsewhere is of no use then.
+func (x *partIndex) keeps(now time.Time, engines, capacity int) bool {
+	return x.readRate(now)*partLife.Seconds() < keptPart*float64(engines)*float64(capacity)
 }
 
 // holder returns the engine's entry, nil if it has none.
--- a/router/parts_test.go
+++ b/router/parts_test.go
@@ -59,3 +59,26 @@
 		t.Errorf("%d parts left", len(x.parts))
 	}
 }
+
+// Guards against copies that nobody fetches: nine thousand engines keep what they read
+// for minutes, and half of all reads were sent to a store besides.
+func TestEnginesWithMemoryToSpareKeepTheirParts(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	read := func(prompts int) *partIndex {
+		x := newPartIndex()
+		for i := range prompts * 20 {
+			x.placed(now.Add(time.Duration(i)*time.Second/time.Duration(prompts)), prefix.Key{byte(i), byte(i >> 8)}, 13_000, 17_000, 186_200, "a", now)
+		}
+		return x
+	}
+	later := now.Add(20 * time.Second)
+	if !read(7).keeps(later, 256, 186_200) {
+		t.Error("256 engines that are sent seven prompts a second evict them")
+	}
+	if read(150).keeps(later, 72, 186_200) {
+		t.Error("72 engines that are sent 150 prompts a second keep them")
+	}
+	if x := read(150); !x.keeps(later.Add(time.Minute), 72, 186_200) {
+		t.Error("the rate of a minute ago counts")
+	}
+}
--- a/router/placer.go
+++ b/router/placer.go
@@ -229,6 +229,7 @@
 	p.s.view.Reserve(now, best.request, &best.decision)
 	if r.Sole {
 		p.sent(now, w, best.version, &best.decision)
+		best.kept = p.enginesKeep(now, w)
 	}
 	return p.placed(now, w, &best.request, &best.decision, &best.way), nil
 }
@@ -397,7 +398,7 @@
 	if at := prefix.Affinity(r.Levels); at >= 0 {
 		out.Prefix = r.Levels[at].Key.String()[:prefixDigits]
 	}
-	p.moves(now, w, r, d, to.from, &out.Out)
+	p.moves(now, w, r, d, to, &out.Out)
 	return out
 }
 
--- a/router/ways.go
+++ b/router/ways.go
@@ -46,6 +46,7 @@
 	left    time.Duration    // until it must have begun there; 0 or noBound: any time
 	once    bool             // it may not be placed anew once it was sent
 	from    fleet.EndpointID // holds the beginning and can pass it on; empty: not known
+	kept    bool             // engines keep what they read for a while
 }
 
 // inTime tells whether the prompt will probably have begun before the bound on
