Change placement's pools together

Cause: with changes one at a time, an engine that moves from one place in its pools to another is in neither for some microseconds, and a request that is weighed just then finds no engine. Change: the changes of one refresh are made under one lock; what is learnt of versions waits for the refresh of the same batch of news.

TestOnlyEngineIsFoundWhileItsPlaceChanges: a single engine whose limit comes and goes was not found by some of the requests that the test weighs meanwhile without the change; found by all with it, with the race detector too.

--- a/placement/shared.go
+++ b/placement/shared.go
@@ -20,6 +20,14 @@
 // NewShared returns a Shared around a new View.
 func NewShared(o Options) *Shared { return &Shared{view: NewView(o)} }
 
+// Batch makes several changes that are seen together or not at all. change must not call
+// back.
+func (s *Shared) Batch(change func(v *View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.view)
+}
+
 // Place is View.Place.
 func (s *Shared) Place(now time.Time, r Request) (Decision, error) {
 	s.mu.Lock()
--- a/pools/model.go
+++ b/pools/model.go
@@ -154,9 +154,9 @@
 	}
 }
 
-// fill has the engines that get no work for the moment follow the others into the
-// pools: they stay where they were when they return, and a lane without any other
-// engine has none.
+// fill keeps the engines that get no work for the moment in the pools of both lanes, so
+// that they keep their place while they are away. A lane without a usable engine has no
+// pool.
 func (v *version) fill(sink Sink) {
 	for l, n := range v.lanes() {
 		filled := n > 0
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -100,7 +100,7 @@
 	r.recheck(now)
 }
 
-// put has an endpoint get work, or takes what changed of it.
+// put adds a usable endpoint to the pools, or updates it there.
 func (r *Roster) put(now time.Time, e *directory.Endpoint) {
 	r.usable[e.Key] = e
 	member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: e.Service, Address: e.Address, State: fleet.VMLive}
@@ -112,7 +112,7 @@
 	}
 }
 
-// drop has an endpoint get no work any more.
+// drop takes an endpoint out of the pools.
 func (r *Roster) drop(now time.Time, key fleet.EndpointID) {
 	delete(r.usable, key)
 	delete(r.gated, key)
@@ -120,8 +120,8 @@
 	r.health.Missing(now, key)
 }
 
-// recheck looks at the endpoints that get no work for the moment, or may not: those
-// that rest, and those that health has ejected or keeps in spite of that.
+// recheck looks at the endpoints whose state may change with time: those that rest, and
+// those that health has ejected or keeps in spite of that.
 func (r *Roster) recheck(now time.Time) {
 	r.due = r.health.AppendAway(r.due[:0])
 	for key := range r.resting {
@@ -147,7 +147,7 @@
 	}
 }
 
-// gate tells placement that an endpoint gets no work for the moment.
+// gate tells placement to send an endpoint no work for the moment.
 func (r *Roster) gate(key fleet.EndpointID) {
 	r.gated[key] = true
 	r.view.SetGate(key, placement.GateEjected)
@@ -169,7 +169,7 @@
 // SetPart sets the part of the engines that is for short prompts.
 func (r *Roster) SetPart(part float64) { r.pools.SetPart(part) }
 
-// Rest leaves an endpoint alone for a while.
+// Rest withholds work from an endpoint for a while.
 func (r *Roster) Rest(now time.Time, key fleet.EndpointID, d time.Duration) {
 	if until := now.Add(d); until.After(r.resting[key]) {
 		r.resting[key] = until
@@ -180,15 +180,10 @@
 // Wake ends a rest.
 func (r *Roster) Wake(key fleet.EndpointID) { delete(r.resting, key) }
 
-// Learn takes the weight version that an endpoint was seen to have, and puts it into
-// force.
-func (r *Roster) Learn(now time.Time, key fleet.EndpointID, model string, version int64) bool {
+// Learn takes the weight version that an endpoint was seen to have.
+func (r *Roster) Learn(key fleet.EndpointID, model string, version int64) bool {
 	e := r.usable[key]
-	if e == nil || !r.directory.Learn(key, e.ID, model, version) {
-		return false
-	}
-	r.Refresh(now)
-	return true
+	return e != nil && r.note(r.directory.Learn(key, e.ID, model, version))
 }
 
 // Failed takes an attempt that the endpoint failed.
@@ -197,7 +192,7 @@
 	r.close(now, key)
 }
 
-// Answered takes a whole answer of the endpoint that is no error.
+// Answered takes a whole answer of the endpoint that is not an error.
 func (r *Roster) Answered(now time.Time, key fleet.EndpointID) {
 	r.health.Success(now, key, 0, 0)
 	r.close(now, key)
--- a/router/state.go
+++ b/router/state.go
@@ -51,7 +51,43 @@
 	lanes  laneSplit
 	split  *map[fleet.EndpointID]bool // the limited endpoints, as the roster has them
 
-	view *placement.Shared
+	view    *placement.Shared
+	changes *viewChanges // of the roster
+}
+
+// viewChanges carries the roster's changes to placement. Those of one refresh are made
+// together: an engine that moves from one pool to another would else be in neither for a
+// moment, and a request that is placed just then refused. The state's lock guards it.
+type viewChanges struct {
+	shared *placement.Shared
+	batch  *placement.View // while a batch is under way
+}
+
+// Join implements roster.View.
+func (c *viewChanges) Join(pool string, e fleet.Endpoint) {
+	if c.batch != nil {
+		c.batch.Join(pool, e)
+		return
+	}
+	c.shared.Join(pool, e)
+}
+
+// Leave implements roster.View.
+func (c *viewChanges) Leave(pool string, id fleet.EndpointID) {
+	if c.batch != nil {
+		c.batch.Leave(pool, id)
+		return
+	}
+	c.shared.Leave(pool, id)
+}
+
+// SetGate implements roster.View.
+func (c *viewChanges) SetGate(id fleet.EndpointID, g placement.Gate) {
+	if c.batch != nil {
+		c.batch.SetGate(id, g)
+		return
+	}
+	c.shared.SetGate(id, g)
 }
 
 func newState(set *Settings, rng *rand.Rand) *state {
@@ -59,15 +95,16 @@
 		Zone: set.Zone, PrefillRate: prefillRate, ImportLatency: importLatency, ReservationTTL: reservationTTL,
 		QueueLife: queueLife, HomePrior: homePrior,
 	})
+	changes := &viewChanges{shared: view}
 	return &state{
 		roster: roster.New(roster.Options{
 			Grace:  time.Duration(lapsePart * float64(set.DrainWithin)),
 			Health: health.Options{Rand: rng, Failures: ejectAfter, Ejection: ejectFor, MaxEjection: ejectAtMost},
-			Part:   firstShort, View: view,
+			Part:   firstShort, View: changes,
 		}),
 		named: map[string]named{},
 		saved: map[prefix.Key]time.Time{},
-		view:  view,
+		view:  view, changes: changes,
 	}
 }
 
@@ -103,12 +140,16 @@
 // refresh puts into force what changed since it was called last, with time as well.
 // Call it with mu held after changes, and on a tick.
 func (s *state) refresh(now time.Time) {
-	if limited := s.limited.Load(); limited != s.split {
-		s.split = limited
-		s.roster.SetLimited(*limited)
-	}
-	s.roster.SetPart(s.lanes.short())
-	s.roster.Refresh(now)
+	s.view.Batch(func(v *placement.View) {
+		s.changes.batch = v
+		defer func() { s.changes.batch = nil }()
+		if limited := s.limited.Load(); limited != s.split {
+			s.split = limited
+			s.roster.SetLimited(*limited)
+		}
+		s.roster.SetPart(s.lanes.short())
+		s.roster.Refresh(now)
+	})
 }
 
 // settle puts changes of the list into force before a request is placed.
@@ -142,7 +183,7 @@
 			s.roster.Rest(now, key, loadingNews)
 		case !n.Loading:
 			s.roster.Wake(key)
-			s.roster.Learn(now, key, n.Model, n.Version)
+			s.roster.Learn(key, n.Model, n.Version)
 		}
 	}
 	s.refresh(now)
--- a/router/state_test.go
+++ b/router/state_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/placement"
+	"github.com/merlindock/merlindock/pools"
 )
 
 // entryOf is the entry of one of a large number of engines and other endpoints in five
@@ -104,3 +106,36 @@
 		t.Errorf("a change costs %v among 1,000 endpoints and %v among 20,006", small, large)
 	}
 }
+
+// Guards against an engine that is in no pool for a moment while it changes its place:
+// a request that is placed just then would be refused beside an idle engine.
+func TestOnlyEngineIsFoundWhileItsPlaceChanges(t *testing.T) {
+	s, now := stateOf(0), time.Unix(1_800_000_000, 0)
+	e := entryOf(1, 1)
+	s.roster.Put(e)
+	s.refresh(now)
+	key := directory.Key(e.ID, e.Born)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 20_000 {
+			s.limited.Store(&map[fleet.EndpointID]bool{key: i%2 == 0})
+			s.mu.Lock()
+			s.refresh(now)
+			s.mu.Unlock()
+		}
+	}()
+	for n := uint64(1); ; n++ {
+		for l := range laneCount {
+			r := placement.Request{ID: n, Pool: pools.OfModel(e.Service, "m0", 1, l), Tokens: 100}
+			if _, err := s.view.Weigh(now, r); err != nil {
+				t.Fatalf("request %d for lane %d: %v", n, l, err)
+			}
+		}
+		select {
+		case <-done:
+			return
+		default:
+		}
+	}
+}
