--- a/feed/feed.go
+++ b/feed/feed.go
@@ -51,6 +51,8 @@
 	// is no answer of it.
 	Age   time.Duration
 	Stamp int64
+	// Any says that what a daemon heard from one that may read through the asker will do.
+	Any bool
 }
 
 // Answer is what a daemon tells of a topic.
@@ -65,6 +67,10 @@
 	Age   time.Duration
 	Held  time.Duration
 	Stamp int64
+	// Detached says that the daemon has lost its way to the store and heard this from
+	// one that may read through it. Two daemons that take such answers for news wait for
+	// each other until neither knows anything new.
+	Detached bool
 }
 
 // UnknownError is the answer of a daemon that does not know the topic yet.
@@ -107,6 +113,7 @@
 	keys      []string          // of newest, in order; nil: not sorted yet
 	confirmed time.Duration     // the store had no more than this then
 	some      bool              // it has been confirmed
+	detached  bool              // as in Answer
 	progress  time.Duration     // when this daemon came closer to knowing the topic
 	woken     chan struct{}     // closed when something changes
 }
@@ -124,6 +131,18 @@
 	f.progress = max(f.progress, at)
 }
 
+// SetDetached says whether the newest read was answered by a daemon that may read
+// through this one.
+func (f *Feed) SetDetached(detached bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.detached != detached {
+		f.detached = detached
+		close(f.woken)
+		f.woken = make(chan struct{})
+	}
+}
+
 // Add takes what was read. Two reads of one topic may overlap.
 func (f *Feed) Add(b Batch) {
 	f.mu.Lock()
@@ -210,12 +229,12 @@
 			fresh = f.confirmed > began-q.Age
 		}
 		now, woken, progress := clock(), f.woken, f.progress
-		got.Age, got.Held = now-f.confirmed, now-began
+		got.Age, got.Held, got.Detached = now-f.confirmed, now-began, f.detached
 		f.mu.Unlock()
 		switch {
 		case over && !ok:
 			return Answer{}, &UnknownError{Quiet: now - progress}
-		case over || ok && (fresh || got.All || len(got.Records) > 0):
+		case over || ok && (fresh || got.All || len(got.Records) > 0 || got.Detached && !q.Any):
 			return got, nil
 		}
 		select {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -237,7 +237,7 @@
 			}
 		})
 		a := Answer{
-			Records: rapid.SliceOfN(record, 0, 20).Draw(t, "records"), All: rapid.Bool().Draw(t, "all"), More: rapid.Bool().Draw(t, "more"),
+			Records: rapid.SliceOfN(record, 0, 20).Draw(t, "records"), All: rapid.Bool().Draw(t, "all"), More: rapid.Bool().Draw(t, "more"), Detached: rapid.Bool().Draw(t, "detached"),
 			Next: rapid.Int64().Draw(t, "next"), Age: time.Duration(rapid.Int64().Draw(t, "age")),
 			Held: time.Duration(rapid.Int64().Draw(t, "held")), Stamp: rapid.Int64().Draw(t, "stamp"),
 		}
@@ -292,3 +292,27 @@
 	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/list")
 	b.ReportMetric(float64(n)/float64(b.N), "pages/list")
 }
+
+// Guards against two daemons that wait for each other's news: one that has lost the
+// store hears from those that read through it, and must not keep them waiting.
+func TestDetachedFeedKeepsNobodyWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(true)
+		f.Add(Batch{Next: 3, Whole: true, Confirmed: time.Second})
+		f.SetDetached(true)
+		began := time.Now()
+		ask := func(anything bool) (Answer, time.Duration) {
+			got, err := f.Read(t.Context(), fixed(time.Second), Question{From: 3, Hold: time.Minute, Stamp: int64(time.Second), Any: anything})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return got, time.Since(began)
+		}
+		if got, waited := ask(false); !got.Detached || waited > 0 {
+			t.Errorf("%+v after %v", got, waited)
+		}
+		if got, waited := ask(true); !got.Detached || waited != time.Minute {
+			t.Errorf("%+v after %v for a daemon that has no other", got, waited)
+		}
+	})
+}
--- a/feed/wire.go
+++ b/feed/wire.go
@@ -17,6 +17,7 @@
 	flagAll        = 1 << 0
 	flagMore       = 1 << 1
 	flagCompressed = 1 << 2
+	flagDetached   = 1 << 3
 
 	// compressFrom is the size from which an answer is compressed, in bytes.
 	compressFrom = 512
@@ -60,6 +61,9 @@
 	if a.More {
 		flags |= flagMore
 	}
+	if a.Detached {
+		flags |= flagDetached
+	}
 	if len(body) >= compressFrom {
 		flags |= flagCompressed
 		body = s2.Encode(nil, body)
@@ -84,7 +88,7 @@
 		}
 	}
 	r := reader{rest: body}
-	out := Answer{All: flags&flagAll != 0, More: flags&flagMore != 0}
+	out := Answer{All: flags&flagAll != 0, More: flags&flagMore != 0, Detached: flags&flagDetached != 0}
 	out.Next = r.varint()
 	out.Age, out.Held = time.Duration(r.varint()), time.Duration(r.varint())
 	out.Stamp = r.varint()
--- a/router/follow.go
+++ b/router/follow.go
@@ -92,6 +92,7 @@
 	}
 	got, confirmed, ok := f.sub.read(ctx, from, after)
 	f.feed().Progress(f.sub.progress)
+	f.feed().SetDetached(f.sub.detached)
 	f.relayed = ok
 	switch {
 	case ok && got.All:
@@ -131,7 +132,7 @@
 		if err != nil {
 			return progress{}, err
 		}
-		f.sub.answered()
+		f.answered()
 		f.feed().Progress(f.r.clock())
 		return f.takePage(after, sent, page), nil
 	}
@@ -146,10 +147,16 @@
 	if err != nil {
 		return progress{}, err
 	}
-	f.sub.answered()
+	f.answered()
 	return f.take(feed.Batch{From: f.next, Records: got.Records, Next: got.Next, Whole: got.End <= got.Next, Confirmed: sent}), nil
 }
 
+// answered takes that the store itself answered.
+func (f *follower) answered() {
+	f.sub.answered()
+	f.feed().SetDetached(false)
+}
+
 // takePage applies one page of a read of everything.
 func (f *follower) takePage(after string, confirmed time.Duration, p Page) progress {
 	if f.load == nil || f.load.relayed != f.relayed || f.load.after != after {
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -227,7 +227,7 @@
 }
 
 // candidates lists whom to ask. A daemon that was turned away by the store asks any
-// other daemon of the zone as well.
+// other daemon of the zone as well: the last one, which may read through this daemon.
 func (n *neighbours) candidates(t Topic, lost bool, number float64) []readers.Daemon {
 	if !n.relays(t) {
 		return nil
@@ -302,6 +302,9 @@
 	if q.After != "" {
 		query.Set("after", q.After)
 	}
+	if q.Any {
+		query.Set("any", "1")
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+relayPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return feed.Answer{}, fmt.Errorf("router: neighbour: %w", err)
@@ -367,7 +370,7 @@
 	}
 	topic := number("topic")
 	q := feed.Question{
-		From: number("from"), After: query.Get("after"),
+		From: number("from"), After: query.Get("after"), Any: query.Get("any") == "1",
 		Hold: time.Duration(number("hold_ns")), Age: time.Duration(number("age_ns")), Stamp: number("stamp"),
 	}
 	if failed == nil && (topic < 0 || topic >= int64(topicCount) || q.Hold > relayHold) {
--- a/router/neighbours_test.go
+++ b/router/neighbours_test.go
@@ -149,3 +149,25 @@
 		t.Errorf("asks %v, and before it %v", got, earlier)
 	}
 }
+
+// Guards against a zone that hears nothing new for seconds and then turns to the store
+// at once: the daemon that it reads through has lost the store, and hears from one that
+// reads through it.
+func TestDetachedNeighbourIsTheLastResort(t *testing.T) {
+	v := zoneOf(10, "j")
+	v.ask = func(context.Context, string, Topic, feed.Question) (feed.Answer, error) {
+		return feed.Answer{Next: 5, Detached: true}, nil
+	}
+	s := &subscription{n: v, topic: TopicOperator, some: true}
+	if _, _, ok := s.read(t.Context(), 5, ""); ok {
+		t.Error("taken for news while the store may answer")
+	}
+	s.failed()
+	if _, _, ok := s.read(t.Context(), 5, ""); !ok || !s.detached {
+		t.Error("not taken after the store had turned the daemon away")
+	}
+	s.answered()
+	if s.detached {
+		t.Error("still detached after an answer of the store")
+	}
+}
--- a/router/orders.go
+++ b/router/orders.go
@@ -99,6 +99,7 @@
 	l.mu.Unlock()
 	got, confirmed, ok := l.sub.read(ctx, from, "")
 	l.r.feeds[TopicLease].Progress(l.sub.progress)
+	l.r.feeds[TopicLease].SetDetached(l.sub.detached)
 	if ok {
 		var records [][]byte
 		for _, r := range got.Records {
@@ -121,6 +122,7 @@
 	}
 	l.sub.confirm(sent)
 	l.sub.answered()
+	l.r.feeds[TopicLease].SetDetached(false)
 	return leaseEvery
 }
 
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -24,6 +24,9 @@
 	// of and stamp are the neighbour of the newest answer and what that bore.
 	of    string
 	stamp int64
+	// detached says that the newest answer came from a daemon that may read through this
+	// one: this daemon has lost the store.
+	detached bool
 	// progress is when this daemon, or one that it reads through, last came closer to
 	// knowing the topic.
 	progress time.Duration
@@ -70,7 +73,7 @@
 
 // answered takes that the store itself answered a read.
 func (s *subscription) answered() {
-	s.lost = false
+	s.lost, s.detached = false, false
 	s.leaveOutdated()
 }
 
@@ -82,11 +85,26 @@
 	s.outdated = nil
 }
 
+// told is an answer of a neighbour that can be used.
+type told struct {
+	by        readers.Daemon
+	answer    feed.Answer
+	confirmed time.Duration
+	detached  bool // see subscription
+}
+
 // read asks the neighbours for what comes from the offset on, or for the newest of the
 // keys after one, waiting for news. ok is false if the store must be asked.
+//
+// A neighbour that is detached itself is taken only by a daemon that the store has just
+// turned away: everybody else finds a way to the store, and would else wait for news
+// that come from itself.
 func (s *subscription) read(ctx context.Context, from int64, after string) (got feed.Answer, confirmed time.Duration, ok bool) {
 	s.outdated, s.company = nil, false
-	for i, d := range s.n.candidates(s.topic, s.lost, rand.Float64()) {
+	lost := s.lost
+	var spare *told
+	candidates := s.n.candidates(s.topic, lost, rand.Float64())
+	for i, d := range candidates {
 		got, confirmed, err := s.ask(ctx, d, from, after, i == 0)
 		var refused *StatusError
 		switch {
@@ -102,7 +120,7 @@
 			}
 			continue
 		}
-		s.of, s.stamp, s.company = d.Name, got.Stamp, true
+		s.company = true
 		if s.some {
 			confirmed = max(confirmed, s.confirmed)
 		}
@@ -110,18 +128,36 @@
 			s.outdated = append(s.outdated, d)
 			continue
 		}
-		s.lost, s.progress = false, s.n.clock()
-		s.leaveOutdated()
-		s.n.serves(s.topic, d, got.Age)
+		t := told{by: d, answer: got, confirmed: confirmed, detached: lost && i == len(candidates)-1}
+		if got.Detached {
+			s.outdated = append(s.outdated, d)
+			t.detached = true
+			spare = &t
+			continue
+		}
+		s.use(&t)
 		return got, confirmed, true
 	}
+	if lost && spare != nil {
+		s.outdated = nil
+		s.use(spare)
+		return spare.answer, spare.confirmed, true
+	}
 	return feed.Answer{}, 0, false
 }
 
+// use takes an answer.
+func (s *subscription) use(t *told) {
+	s.of, s.stamp = t.by.Name, t.answer.Stamp
+	s.lost, s.detached, s.progress = false, t.detached, s.n.clock()
+	s.leaveOutdated()
+	s.n.serves(s.topic, t.by, t.answer.Age)
+}
+
 // ask puts the question to one neighbour, and returns when the store confirmed what
 // it tells: the answer left Held after the question or later.
 func (s *subscription) ask(ctx context.Context, d readers.Daemon, from int64, after string, first bool) (feed.Answer, time.Duration, error) {
-	q, grace := feed.Question{From: from, After: after, Hold: s.n.next}, s.n.grace
+	q, grace := feed.Question{From: from, After: after, Hold: s.n.next, Any: s.lost}, s.n.grace
 	age, some := s.age()
 	if some {
 		q.Age = age
