--- a/directory/directory.go
+++ b/directory/directory.go
@@ -130,7 +130,7 @@
 // Put takes an entry.
 func (d *Directory) Put(e Entry) News {
 	old := d.byID[e.ID]
-	if old != nil && !old.Gone && old.Entry.SaysAs(e) {
+	if old != nil && !old.Gone && old.SaysAs(e) {
 		old.Orders = e.Orders
 		return Repeat
 	}
--- a/lab/capacity/routed.go
+++ b/lab/capacity/routed.go
@@ -89,16 +89,17 @@
 	return f
 }
 
-// pagesOf returns the bytes of all pages on the wire, and their number.
-func pagesOf(f *feed.Feed) (bytes, pages float64) {
+// pagesOf returns the bytes of all pages on the wire.
+func pagesOf(f *feed.Feed) float64 {
 	clock := func() time.Duration { return time.Second }
-	for q := (feed.Question{From: -1}); ; pages++ {
+	bytes := 0.0
+	for q := (feed.Question{From: -1}); ; {
 		got := must(f.Read(context.Background(), clock, q))
 		data := got.Append(nil)
 		back := must(feed.Decode(data))
 		bytes += float64(len(data))
 		if !back.More {
-			return bytes, pages + 1
+			return bytes
 		}
 		q.After = back.Records[len(back.Records)-1].Key
 	}
@@ -106,8 +107,7 @@
 
 func feedBytes() Slope {
 	return measure("list of endpoints for another daemon, on the wire", "endpoints", "bytes", routedEndpoints, func(size int) float64 {
-		bytes, _ := pagesOf(feedOf(size))
-		return bytes
+		return pagesOf(feedOf(size))
 	})
 }
 
--- a/router/state_test.go
+++ b/router/state_test.go
@@ -15,11 +15,11 @@
 
 // entryOf is the entry of one of a large number of engines and other endpoints in five
 // zones.
-func entryOf(i int, version int64) directory.Entry {
+func entryOf(i int) directory.Entry {
 	e := directory.Entry{
 		ID: fmt.Sprintf("i-%010x", i), Born: 1_800_000_000_000 + int64(i), Service: "models", Slots: 12,
 		Address: fmt.Sprintf("10.%d.%d.%d:8265", i%5, i/5/250, i/5%250), Zone: fleet.ZoneID("zone-" + strconv.Itoa(i%5)),
-		Models: map[string]int64{"m0": version},
+		Models: map[string]int64{"m0": 1},
 	}
 	if i%13 == 0 {
 		e.Service, e.Models = "counter", nil
@@ -31,7 +31,7 @@
 func stateOf(endpoints int) *state {
 	s := newState(&Settings{Zone: "zone-0", DrainWithin: 5 * time.Second}, rand.New(rand.NewPCG(1, 2)))
 	for i := range endpoints {
-		s.roster.Put(entryOf(i, 1))
+		s.roster.Put(entryOf(i))
 	}
 	s.refresh(time.Unix(1_800_000_000, 0))
 	return s
@@ -60,7 +60,7 @@
 			s, now := stateOf(n), time.Unix(1_800_000_000, 0)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				e := entryOf(1+13*(i%(n/13)), 1)
+				e := entryOf(1+13*(i%(n/13)))
 				e.State = directory.State(i / (n / 13) % 2)
 				s.roster.Put(e)
 				s.refresh(now)
@@ -91,7 +91,7 @@
 		for range 5 {
 			began := time.Now()
 			for i := range 400 {
-				e := entryOf(1+13*(i/2%(n/13)), 1)
+				e := entryOf(1+13*(i/2%(n/13)))
 				e.State = directory.State((i + 1) % 2)
 				s.roster.Put(e)
 				s.refresh(now)
@@ -111,7 +111,7 @@
 // a request that is placed just then would be refused beside an idle engine.
 func TestOnlyEngineIsFoundWhileItsPlaceChanges(t *testing.T) {
 	s, now := stateOf(0), time.Unix(1_800_000_000, 0)
-	e := entryOf(1, 1)
+	e := entryOf(1)
 	s.roster.Put(e)
 	s.refresh(now)
 	key := directory.Key(e.ID, e.Born)
