--- a/router/state_test.go
+++ b/router/state_test.go
@@ -60,7 +60,7 @@
 			s, now := stateOf(n), time.Unix(1_800_000_000, 0)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				e := entryOf(1+13*(i%(n/13)))
+				e := entryOf(1 + 13*(i%(n/13)))
 				e.State = directory.State(i / (n / 13) % 2)
 				s.roster.Put(e)
 				s.refresh(now)
@@ -91,7 +91,7 @@
 		for range 5 {
 			began := time.Now()
 			for i := range 400 {
-				e := entryOf(1+13*(i/2%(n/13)))
+				e := entryOf(1 + 13*(i/2%(n/13)))
 				e.State = directory.State((i + 1) % 2)
 				s.roster.Put(e)
 				s.refresh(now)
