Keep the rest before the store is asked again by a detached daemon

Cause: since detached neighbours are not read through by others, a daemon that took one for lack of another counted the store as found. Its next read found the neighbour detached again and went to the store at once, without the rest that follows a failed read. Change: the store stays lost to such a daemon, which takes the detached neighbour's word until its turn to ask.

Measured, go test -race ./router -run TestAZoneWaitsForTheStoreAsOneDaemon -count 25: 7 failed before, none now. The two cases of TestNewsReachAZoneWhoseReadersFail with a third turned away, 30 runs each: none failed.

--- a/router/subscription.go
+++ b/router/subscription.go
@@ -138,9 +138,10 @@
 		s.use(&t)
 		return got, confirmed, true
 	}
-	if lost && spare != nil {
+	if lost && spare != nil && s.n.clock() < s.until {
 		s.outdated = nil
 		s.use(spare)
+		s.lost = true // the store is asked again at this daemon's turn
 		return spare.answer, spare.confirmed, true
 	}
 	return feed.Answer{}, 0, false
