Take the list of daemons for known only when all its pages are there

What was seen: after all 985 daemons of the whole fleet were killed at once they did not serve again within eleven seconds.

Cause: the list is read in pages of 500 since lists go in pages, and the daemon took the first page for the list. Those on later pages were missing on it: 485 daemons announced themselves once more, zones that come later in the order of names knew of nobody, and each of their daemons read everything from the store by itself. The lines show the pause of a second between the pages.

Change: nothing is done with the list between two of its pages.

TestAZoneRestartsWithAListOfManyPages: 170 of 220 daemons announced themselves again before, none now. Not yet measured at full size.

--- a/router/daemons.go
+++ b/router/daemons.go
@@ -45,8 +45,11 @@
 	}
 	var announced time.Duration // when this daemon last put itself on the list
 	for ctx.Err() == nil {
-		_, err := f.read(ctx, r.daemonsWait(f, known))
+		p, err := f.read(ctx, r.daemonsWait(f, known))
 		f.note(err)
+		if err == nil && p.more {
+			continue // a part of the list says nothing of who is missing
+		}
 		if changed {
 			all := slices.Collect(maps.Values(known))
 			r.neighbours.set(all)
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -50,7 +50,8 @@
 	mbps  func(name string) float64
 	busy  map[string]time.Duration
 	bytes int // that the store sent
-	// follow, if set, follows the endpoints in place of the daemon.
+	page  int // the most records of one page of the store
+	// follow follows the endpoints in place of the daemon.
 	follow func(ctx context.Context, r *Router)
 }
 
@@ -85,7 +86,7 @@
 	w := &zoneWorld{
 		t: t, ctx: ctx, began: time.Now(), woken: make(chan struct{}),
 		away: map[string]bool{}, refuses: map[string]bool{}, dead: map[string]bool{}, down: map[string]bool{},
-		busy: map[string]time.Duration{}, follow: func(ctx context.Context, r *Router) { r.followEndpoints(ctx) },
+		page: storePage, busy: map[string]time.Duration{}, follow: func(ctx context.Context, r *Router) { r.followEndpoints(ctx) },
 	}
 	for topic := range w.newest {
 		w.newest[topic] = map[string]Record{}
@@ -356,7 +357,7 @@
 		if key <= after {
 			continue
 		}
-		if out.More = len(out.Records) == storePage; out.More {
+		if out.More = len(out.Records) == s.w.page; out.More {
 			break
 		}
 		r := s.w.newest[t][key]
@@ -369,7 +370,7 @@
 	return out, ctx.Err()
 }
 
-// storePage is the most records of one page of the store.
+// storePage is the most records of one page of the store, unless a test says otherwise.
 const storePage = 500
 
 func (s *zoneStore) Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Records, error) {
@@ -562,6 +563,31 @@
 	})
 }
 
+// Guards against a daemon that takes the first page of the list of daemons for the whole:
+// those on later pages knew of nobody after a restart of all, announced themselves once
+// more, and each read everything from the store.
+func TestAZoneRestartsWithAListOfManyPages(t *testing.T) {
+	const daemons, page = 220, 50
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.page = page
+		go w.beat()
+		w.start(daemons)
+		time.Sleep(settled)
+		before, appended := w.made(), len(w.topics[TopicDaemons])
+		w.start(daemons)
+		time.Sleep(settled)
+		pages := daemons/page + 1
+		t.Logf("%d calls", w.made()-before)
+		if calls := w.made() - before; calls > daemons*pages+zoneStart*2 {
+			t.Errorf("%d daemons made %d calls", daemons, calls)
+		}
+		if again := len(w.topics[TopicDaemons]) - appended; again > 0 {
+			t.Errorf("%d daemons announced themselves again", again)
+		}
+	})
+}
+
 // A configuration must be in force everywhere within its bound, whatever happens to
 // the daemons that read for others: one keeps its neighbours and loses the store,
 // one stands still, or the store turns a third of the daemons away. Those that the
