Have daemons that start turn to the store one after the other

Cause: when the first daemon of a zone makes no progress for a second, all others turned to the store at once, and a store that is slow answers nobody then. Also a page of the list of daemons that failed had the daemon go on with the part that it had, in which others of its zone may be missing.

A part of the list is used only after three pages failed in a row.

Not yet measured at full size.

--- a/readers/readers.go
+++ b/readers/readers.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// Before is the number of daemons that come before this one.
+func (c *Choice) Before() int { return c.index }
+
 // Size is the number of daemons in the zone, this one included.
 func (c *Choice) Size() int { return len(c.order) }
 
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -21,6 +21,9 @@
 	// it again and then follows the store: the others of a new deployment start within
 	// as long. A daemon that knows of a few others only turns to the store.
 	startTogether = 400 * time.Millisecond
+	// listTries is how often in a row a page of the list may fail before a daemon goes on
+	// with the part that it has.
+	listTries = 3
 	// announceAgain is how long a daemon waits to see itself on the list. Neighbours
 	// may tell of it a few seconds late.
 	announceAgain = 10 * time.Second
@@ -45,10 +48,14 @@
 	}
 	var announced time.Duration // when this daemon last put itself on the list
 	for ctx.Err() == nil {
-		p, err := f.read(ctx, r.daemonsWait(f, known))
+		_, err := f.read(ctx, r.daemonsWait(f, known))
 		f.note(err)
-		if err == nil && p.more {
-			continue // a part of the list says nothing of who is missing
+		if f.load != nil && f.failed < listTries {
+			// A part of the list says nothing of who is missing.
+			if err != nil {
+				f.pauseAfter(ctx)
+			}
+			continue
 		}
 		if changed {
 			all := slices.Collect(maps.Values(known))
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -169,14 +169,20 @@
 
 // starting tells whether a daemon that knows nothing of the topic yet should go on
 // asking its neighbours rather than the store. progress is when it, or one that it
-// reads through, last came closer to knowing it.
-func (n *neighbours) starting(t Topic, progress time.Duration) bool {
+// reads through, last came closer to knowing it; company says that some neighbour
+// answers. Daemons in company turn to the store one after the other, as a store that is
+// slow to answer the first would else have to answer all.
+func (n *neighbours) starting(t Topic, progress time.Duration, company bool) bool {
 	if !n.relays(t) {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.choice.Depth() > 0 && n.clock() < max(n.began, progress)+startPatience
+	until := max(n.began, progress) + startPatience
+	if company {
+		until += time.Duration(n.choice.Before()) * restEach
+	}
+	return n.choice.Depth() > 0 && n.clock() < until
 }
 
 // await waits until the daemon knows of others, so that it does not read everything
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -50,7 +50,7 @@
 // will know soon, or a read failed a moment ago. A daemon that no neighbour answers asks
 // it all the same, as nobody else would tell when it is back.
 func (s *subscription) rests() bool {
-	if !s.some && s.n.starting(s.topic, s.progress) {
+	if !s.some && s.n.starting(s.topic, s.progress, s.company) {
 		return true
 	}
 	return s.lost && s.company && s.n.clock() < s.until
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -588,6 +588,31 @@
 	})
 }
 
+// Guards against a zone that turns to the store at once when that is slow to answer the
+// first daemon: it then answers nobody.
+func TestAZoneStartsOneAfterTheOtherWithoutItsFirst(t *testing.T) {
+	const daemons = 220
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		go w.beat()
+		w.start(daemons)
+		time.Sleep(settled)
+		first := w.inOrder()[0].o.Settings.Name
+		w.set(w.away, true, first)
+		before, began := w.made(), time.Now()
+		w.start(daemons)
+		for w.oldest(map[string]bool{first: true}) > zoneSettings.RevokeWithin && time.Since(began) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		took := time.Since(began)
+		calls := w.made() - before
+		t.Logf("keys known after %v, %d calls", took, calls)
+		if took > 4*time.Second || calls > daemons+zoneStart {
+			t.Errorf("keys known after %v, %d calls", took, calls)
+		}
+	})
+}
+
 // A configuration must be in force everywhere within its bound, whatever happens to
 // the daemons that read for others: one keeps its neighbours and loses the store,
 // one stands still, or the store turns a third of the daemons away. Those that the
