Read a feed's answers with the reader of messages

Cause: feed had a reader of message fields of its own, beside internal/wire which does the same. Change: it uses that one; the form stays as it is. FuzzDecode's seeds and the round trip pass unchanged.

--- a/feed/wire.go
+++ b/feed/wire.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/klauspost/compress/s2"
+
+	"github.com/merlindock/merlindock/internal/wire"
 )
 
 // The form of an answer: a byte with the version of the form, a byte with flags, and
@@ -87,61 +89,24 @@
 			return Answer{}, fmt.Errorf("%w: %w", ErrForm, err)
 		}
 	}
-	r := reader{rest: body}
+	r := wire.Reader{Rest: body}
 	out := Answer{All: flags&flagAll != 0, More: flags&flagMore != 0, Detached: flags&flagDetached != 0}
-	out.Next = r.varint()
-	out.Age, out.Held = time.Duration(r.varint()), time.Duration(r.varint())
-	out.Stamp = r.varint()
-	n := r.uvarint()
-	if n > uint64(len(r.rest)/leastRecord) {
-		return Answer{}, ErrForm
-	}
+	out.Next = r.Varint()
+	out.Age, out.Held = time.Duration(r.Varint()), time.Duration(r.Varint())
+	out.Stamp = r.Varint()
+	n := r.Uvarint(uint64(len(r.Rest) / leastRecord))
 	out.Records = make([]Record, 0, n)
 	offset := int64(0)
 	for range n {
-		offset += r.varint()
-		key, value := r.bytes(), r.bytes()
-		out.Records = append(out.Records, Record{Key: string(key), Value: value, Offset: offset})
+		offset += r.Varint()
+		key := string(field(&r))
+		out.Records = append(out.Records, Record{Key: key, Value: field(&r), Offset: offset})
 	}
-	if r.failed || len(r.rest) > 0 {
+	if r.Bad || len(r.Rest) > 0 {
 		return Answer{}, ErrForm
 	}
 	return out, nil
 }
 
-// reader reads the fields of an answer. After a field that is malformed all others are
-// zero.
-type reader struct {
-	rest   []byte
-	failed bool
-}
-
-func (r *reader) varint() int64 {
-	v, n := binary.Varint(r.rest)
-	return int64(r.took(uint64(v), n))
-}
-
-func (r *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.rest)
-	return r.took(v, n)
-}
-
-func (r *reader) took(v uint64, n int) uint64 {
-	if n <= 0 || r.failed {
-		r.failed = true
-		return 0
-	}
-	r.rest = r.rest[n:]
-	return v
-}
-
-func (r *reader) bytes() []byte {
-	n := r.uvarint()
-	if r.failed || n > uint64(len(r.rest)) {
-		r.failed = true
-		return nil
-	}
-	out := r.rest[:n:n]
-	r.rest = r.rest[n:]
-	return out
-}
+// field reads bytes behind their number.
+func field(r *wire.Reader) []byte { return r.Bytes(int(r.Uvarint(uint64(len(r.Rest))))) }
