--- a/pools/pools.go
+++ b/pools/pools.go
@@ -104,13 +104,18 @@
 	t.withdraw(old)
 	old.out, old.limited = out, limited
 	for name, version := range e.Versions {
-		m := t.modelOf(modelKey{e.Class, name})
-		old.engines = append(old.engines, engine{m, version})
-		m.insert(old, version, t.sink)
-		m.spread(t.part, t.sink)
+		t.enter(old, modelKey{e.Class, name}, version)
 	}
 }
 
+// enter puts a member into the pools of a model.
+func (t *Table) enter(m *member, key modelKey, version int64) {
+	of := t.modelOf(key)
+	m.engines = append(m.engines, engine{of, version})
+	of.insert(m, version, t.sink)
+	of.spread(t.part, t.sink)
+}
+
 // has tells whether the member's engines are those of the versions.
 func (m *member) has(versions map[string]int64) bool {
 	if len(m.engines) != len(versions) {
@@ -169,10 +174,7 @@
 	t.withdraw(m)
 	change()
 	for _, e := range engines {
-		of := t.modelOf(e.of.key)
-		m.engines = append(m.engines, engine{of, e.version})
-		of.insert(m, e.version, t.sink)
-		of.spread(t.part, t.sink)
+		t.enter(m, e.of.key, e.version)
 	}
 }
 
