Take figures of trials out of comments

Cause: four comments told what trials had shown, and one package comment read like it. Change: the reasons stay. Measured: nothing, comments only.

--- a/placement/baseline/baseline.go
+++ b/placement/baseline/baseline.go
@@ -1,5 +1,5 @@
-// Package baseline holds the simple ways of placing requests that package
-// placement is measured against. They see the same late load reports, and are
+// Package baseline holds simple ways of placing requests, as references for package
+// placement in tests and replays. They see the same late load reports, and are
 // told of failing endpoints, but learn nothing of caches.
 package baseline
 
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -183,8 +183,7 @@
 // What an endpoint said loses its meaning within seconds, and an endpoint of which
 // nothing is known would count as idle. With many daemons most endpoints are not
 // heard of for seconds, and whoever looks for a short queue would go to just
-// those: requests that left a full lane waited 0.7 to 2.3 s at engines that
-// were expected to take 10 to 40 ms. What is not known is taken to be as usual.
+// those, all at once. What is not known is taken to be as usual.
 func (v *View) usualWait(now time.Time, p contract.Priority) float64 {
 	sum, weight := 0.0, 0.0
 	for i := range v.scratch.candidates {
--- a/router/follow.go
+++ b/router/follow.go
@@ -33,8 +33,8 @@
 	maxPause = 400 * time.Millisecond
 	// restEach is how long a daemon that reads through neighbours leaves the store
 	// alone after a failed read, for each daemon of its zone, give or take a half. The
-	// daemon that reads for the zone finds the store again first. With 65 daemons a
-	// zone asks ten times a second for each topic; each on its own pace asked 300 times.
+	// daemon that reads for the zone finds the store again first, and the calls of a zone
+	// do not grow with its daemons.
 	restEach = 100 * time.Millisecond
 )
 
--- a/router/orders.go
+++ b/router/orders.go
@@ -31,8 +31,8 @@
 	reportEvery = 350 * time.Millisecond
 	// contendStep lies between the claims of two daemons that could both give orders.
 	// A claim is known everywhere within a tenth of a second after a calm time, and
-	// within leaseEvery in a rollout. Of 295 daemons that claimed within 250 ms, 294 made
-	// two calls to the store each in vain.
+	// within leaseEvery in a rollout. Of daemons that claim within that time all but one
+	// call the store in vain.
 	contendStep = 150 * time.Millisecond
 	// contendMost bounds the time in which every daemon has claimed, and as long again
 	// at random: the first ones may all be gone.
--- a/router/state.go
+++ b/router/state.go
@@ -120,7 +120,7 @@
 	// homePrior is how likely a home has a shared part that this daemon knows
 	// nothing of. It is well below one half, as each new version of the weights and each
 	// isolated organisation reads all parts anew, and an engine's memory holds no more
-	// prompts than it runs. With 0.9 queues were taken to be a third as long as they were.
+	// prompts than it runs.
 	homePrior = 0.35
 	// queueLife is the half-life of what an engine said of its queue. Some of it
 	// is worked off before the next answer comes, and others add to it.
