Hash daemons for a dispatcher only where processors are equal

Cause: a daemon made two hashes of names for each other daemon and long prompt, 985 of them in the whole fleet, though most differ in processor. Change: the hash decides between equal ones only; the order is the same.

--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -129,8 +129,11 @@
 // dispatchesBefore orders the daemons: those with more processor first, and then by a
 // hash, so that groups are spread and all daemons come to the same order.
 func dispatchesBefore(group string, a, b Neighbour) bool {
+	if a.Cores != b.Cores {
+		return a.Cores > b.Cores
+	}
 	rank := func(n Neighbour) uint64 { return hash.Text("dispatch/" + group + "/" + n.Name) }
-	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name)) < 0
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name)) < 0
 }
 
 // groupOf names the prompts that one dispatcher places.
