Move the read of everything into a file of its own

Change: pages and the load that they belong to stand in router/load.go. Measured: nothing, code was moved only; router's tests pass.

--- a/router/follow.go
+++ b/router/follow.go
@@ -62,16 +62,6 @@
 	relayed bool
 }
 
-// load is a read of the newest of each key, page by page. What changes meanwhile is
-// read from next on.
-type load struct {
-	relayed   bool // from neighbours, whichever gives the next page
-	after     string
-	next      int64
-	confirmed time.Duration // everything up to next was there then
-	records   []Record
-}
-
 func (r *Router) newFollower(t Topic) *follower {
 	return &follower{r: r, sub: &subscription{n: r.neighbours, topic: t}}
 }
@@ -107,19 +97,6 @@
 	return f.readStore(ctx, wait)
 }
 
-// loading tells whether everything has to be read.
-func (f *follower) loading() bool { return !f.loaded || f.load != nil }
-
-// pageAfter is the key after which the next page begins. A load that neighbours began
-// is not continued at the store, nor the other way round: nothing says that both put
-// keys into one order.
-func (f *follower) pageAfter(relayed bool) string {
-	if f.load == nil || f.load.relayed != relayed {
-		return ""
-	}
-	return f.load.after
-}
-
 // readStore makes one read of the store. A read of everything has a time for each page
 // and none for all: a small link would otherwise never get to the end.
 func (f *follower) readStore(ctx context.Context, wait time.Duration) (progress, error) {
@@ -157,28 +134,6 @@
 	f.feed().SetDetached(false)
 }
 
-// takePage applies one page of a read of everything.
-func (f *follower) takePage(after string, confirmed time.Duration, p Page) progress {
-	if f.load == nil || f.load.relayed != f.relayed || f.load.after != after {
-		f.load = &load{relayed: f.relayed, next: p.End, confirmed: confirmed}
-	}
-	l := f.load
-	l.next, l.confirmed = min(l.next, p.End), min(l.confirmed, confirmed)
-	for _, record := range p.Records {
-		told, _ := f.apply(record)
-		l.records = append(l.records, told)
-		l.after = record.Key
-	}
-	if p.More {
-		return progress{more: true}
-	}
-	if f.snapshot != nil {
-		f.snapshot(keysOf(l.records))
-	}
-	f.load = nil
-	return f.finish(feed.Batch{From: f.next, All: true, Records: l.records, Next: l.next, Whole: true, Confirmed: l.confirmed})
-}
-
 // take applies the records since the read before.
 func (f *follower) take(b feed.Batch) progress {
 	b.Records = f.fold(b.Records)
@@ -209,14 +164,6 @@
 	return progress{more: !b.Whole, newer: b.Whole && f.sub.confirm(b.Confirmed)}
 }
 
-func keysOf(records []Record) map[string]bool {
-	out := make(map[string]bool, len(records))
-	for _, r := range records {
-		out[r.Key] = true
-	}
-	return out
-}
-
 // unseen is how long the topic may have been otherwise than this daemon knew,
 // when a read shows it. After failed reads it is zero: entries lapse while the
 // store is away, and nothing but the return of the store begins their time.
