--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -51,6 +51,7 @@
 	}
 	last := &c.report.Attempts[len(c.report.Attempts)-1]
 	last.Load, last.Limit = a.Info.Load, a.Info.Limit
+	last.Leaving, last.Backoff = a.Info.Leaving, a.Info.Backoff
 	c.o.Placer.AnswerStarted(p, &a.Info)
 	end = c.relayAnswer(a)
 	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: end.Failure}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -96,6 +96,8 @@
 	Saved    bool        // whether the endpoint sent the prefix to the store
 	Load     *fleet.Load // reported with the answer; nil: none
 	Limit    *float64    // reported with the answer; nil: none
+	Leaving  bool        // the answer announced the endpoint's shutdown
+	Backoff  time.Duration
 	Result   string
 	Lost     string        // how the connection was lost; empty: it was not
 	After    time.Duration // from the request's arrival to the attempt's end
--- a/forward/headers.go
+++ b/forward/headers.go
@@ -65,6 +65,11 @@
 	// Limit is how many requests/s the endpoint accepts from all daemons together;
 	// nil: not given.
 	Limit *float64
+	// Leaving states that the endpoint has announced its shutdown.
+	Leaving bool
+	// Backoff is for how long the endpoint asks this daemon to send it nothing;
+	// 0: not asked.
+	Backoff time.Duration
 }
 
 // HeaderCodec reads and writes the headers of the platform.
--- a/router/report.go
+++ b/router/report.go
@@ -129,6 +129,13 @@
 		b = append(b, " limit="...)
 		b = strconv.AppendFloat(b, *a.Limit, 'g', 6, 64)
 	}
+	if a.Leaving {
+		b = append(b, " leaving"...)
+	}
+	if a.Backoff > 0 {
+		b = append(b, " backoff_ms="...)
+		b = strconv.AppendInt(b, a.Backoff.Milliseconds(), 10)
+	}
 	b = append(b, " end_ms="...)
 	b = strconv.AppendInt(b, int64(a.After/time.Millisecond), 10)
 	b = append(b, ' ')
