Accept entries that list models only later

A daemon crashed (panic: assignment to entry in nil map) when an endpoint whose entry had listed no models listed one under the same incarnation: the map of its versions was cloned from nil. Entries may come from other writers with fields missing, and all daemons read the same one, so all would have crashed together.

The new test panicked before; with the change it passes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -359,7 +359,8 @@
 	if !hasNewer(known, reported) {
 		return known
 	}
-	out := maps.Clone(known)
+	out := make(map[string]int64, len(known)+len(reported))
+	maps.Copy(out, known)
 	for model, v := range reported {
 		out[model] = max(out[model], v)
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -173,3 +173,16 @@
 		}
 	}
 }
+
+// Guards against a daemon that crashes when an endpoint that listed no models lists some.
+func TestEntryThatGainsModels(t *testing.T) {
+	d := New(time.Second)
+	d.Put(Entry{ID: "e", Service: "s"})
+	d.Put(Entry{ID: "e", Service: "s", Models: map[string]int64{"m": 2}})
+	if got := d.Find("e").Versions["m"]; got != 2 {
+		t.Errorf("version %d", got)
+	}
+	if len(d.Ready("m")) != 1 {
+		t.Error("the endpoint is not ready for its model")
+	}
+}
