--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -23,7 +23,9 @@
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/weights"
 )
 
 // simulatedFleet simulates a deployment in virtual time: daemons and their callers,
@@ -43,6 +45,7 @@
 	disconnected map[netip.AddrPort]bool // daemons that can neither send nor receive messages
 	sentMessages int                     // between daemons
 	sentBytes    int
+	promptTokens int // of each request; 0: requests name no model
 }
 
 const (
@@ -53,6 +56,7 @@
 	fleetUnlistDelay = 3600 * time.Millisecond // from its crash until daemons see that its entry is removed
 	fleetHost        = "h.example"
 	fleetKey         = "key"
+	fleetModel       = "m"
 	fleetTimeout     = 4 * time.Second
 	fleetSettleTime  = 3 * time.Second // without a fault, after which limits and quarantine must hold
 	fleetRetryRatio  = 0.2
@@ -111,7 +115,7 @@
 			Name: fmt.Sprint("front-", i), Zone: "z", PeerAddress: daemonAddress(i).String(),
 			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio,
 		},
-		Clock: f.clock, Dial: f.dial, Wire: testWire{}, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
+		Clock: f.clock, Dial: f.dialFrom(i), Wire: testWire{}, Engines: silentEngines{}, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
 	}, noopMeters())
 	me := daemonAddress(i)
 	r.datagrams.write = func(to netip.AddrPort, data []byte) error { return f.deliver(me, to, data) }
@@ -204,6 +208,9 @@
 	req.Host = fleetHost
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Key", key)
+	if f.promptTokens > 0 {
+		req.Header.Set("Prompt", strconv.Itoa(f.promptTokens))
+	}
 	answer = httptest.NewRecorder()
 	defer func() {
 		if reason := recover(); reason != nil {
@@ -245,6 +252,8 @@
 	incarnation     int
 	conns           map[net.Conn]bool
 	limit           *float64 // requests/s that its answers report; nil: none
+	leaving         bool     // its answers announce its shutdown
+	retryAfter      string   // if set, it rejects all requests with this Retry-After
 	hostUnreachable bool     // its host is unreachable after a crash, instead of refusing connections
 
 	arrivals []arrival
@@ -252,9 +261,11 @@
 
 // arrival is a request that reached an endpoint.
 type arrival struct {
-	at   time.Time
-	body string
-	ran  bool
+	at       time.Time
+	daemon   int // that sent it
+	body     string
+	ran      bool
+	rejected bool
 }
 
 // Bodies of requests that crash the endpoint or whose answers it truncates.
@@ -266,11 +277,44 @@
 func (e *simulatedEndpoint) id() string { return fmt.Sprintf("e%d-%d", e.index, e.incarnation) }
 
 func (e *simulatedEndpoint) entry() directory.Entry {
-	return directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Slots: 24}
+	entry := directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Slots: 24}
+	if e.f.table.Services["s"].Engine != nil {
+		entry.Models = map[string]int64{fleetModel: 1}
+	}
+	return entry
+}
+
+// silentEngines implements weights.Engines. Its engines answer nothing but requests.
+type silentEngines struct{}
+
+var errSilentEngine = errors.New("engine does not answer")
+
+func (silentEngines) Report(context.Context, weights.Target, string) (weights.Report, error) {
+	return weights.Report{}, errSilentEngine
+}
+
+func (silentEngines) Order(context.Context, weights.Target, weights.Order) (weights.Reply, error) {
+	return weights.Unanswered, errSilentEngine
+}
+
+// serveModel makes the endpoints engines of one model, and all requests prompts of the
+// given length.
+func (f *simulatedFleet) serveModel(promptTokens int) {
+	f.promptTokens = promptTokens
+	f.table.Services["s"].Engine = &routes.Engine{Slots: 24, Models: []string{fleetModel}}
+	for _, e := range f.endpoints {
+		for _, r := range f.daemons {
+			r.addEndpoint(e.entry())
+		}
+	}
+}
+
+// dialFrom returns the forward.Dial of a daemon.
+func (f *simulatedFleet) dialFrom(daemon int) forward.Dial {
+	return func(_ context.Context, _, address string) (net.Conn, error) { return f.dial(daemon, address) }
 }
 
-// dial implements forward.Dial.
-func (f *simulatedFleet) dial(_ context.Context, _, address string) (net.Conn, error) {
+func (f *simulatedFleet) dial(daemon int, address string) (net.Conn, error) {
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
@@ -291,7 +335,7 @@
 	}
 	near, far := net.Pipe()
 	e.conns[far] = true
-	go e.serve(far)
+	go e.serve(far, daemon)
 	return &simulatedConn{Conn: near, hostUnreachable: e.hostUnreachable}, nil
 }
 
@@ -311,7 +355,7 @@
 	return n, err
 }
 
-func (e *simulatedEndpoint) serve(c net.Conn) {
+func (e *simulatedEndpoint) serve(c net.Conn, daemon int) {
 	defer c.Close()
 	for in := bufio.NewReader(c); ; {
 		req, err := http.ReadRequest(in)
@@ -322,23 +366,31 @@
 		if err != nil {
 			return
 		}
-		if !e.run(c, req, string(body)) {
+		if !e.run(c, daemon, req, string(body)) {
 			return
 		}
 	}
 }
 
 // run runs one request. It returns false if the connection has to be closed.
-func (e *simulatedEndpoint) run(c net.Conn, req *http.Request, body string) bool {
+func (e *simulatedEndpoint) run(c net.Conn, daemon int, req *http.Request, body string) bool {
 	e.f.mu.Lock()
 	incarnation, ours := e.incarnation, req.Header.Get("Instance") == e.id()
-	e.arrivals = append(e.arrivals, arrival{at: time.Now(), body: body, ran: ours})
-	limit := e.limit
+	rejected := ours && e.retryAfter != ""
+	e.arrivals = append(e.arrivals, arrival{at: time.Now(), daemon: daemon, body: body, ran: ours && !rejected, rejected: rejected})
+	limit, retryAfter, leaving := e.limit, e.retryAfter, e.leaving
 	e.f.mu.Unlock()
 	head := "Attempt-Id: " + req.Header.Get("Attempt-Id") + "\r\nSignature: s\r\n"
 	if limit != nil {
 		head += "Limit: " + strconv.FormatFloat(*limit, 'g', -1, 64) + "\r\n"
 	}
+	if leaving && ours {
+		head += "Leaving: 1\r\n"
+	}
+	if rejected {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+head+"Not-Run: 1\r\nRetry-After: "+retryAfter+"\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
 	if !ours {
 		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
 		return err == nil
@@ -399,7 +451,12 @@
 type testWire struct{}
 
 func (testWire) DecodeRequest(h http.Header) forward.RequestInfo {
-	return forward.RequestInfo{AttemptID: h.Get("Attempt-Id"), APIKey: h.Get("Key"), LastEvent: forward.NoEvent}
+	in := forward.RequestInfo{AttemptID: h.Get("Attempt-Id"), APIKey: h.Get("Key"), LastEvent: forward.NoEvent}
+	if tokens, err := strconv.Atoi(h.Get("Prompt")); err == nil {
+		in.Model, in.PromptTokens = fleetModel, tokens
+		in.Parts = []prefix.Segment{{ID: "shared", Tokens: tokens / 2}, {ID: in.AttemptID, Tokens: tokens - tokens/2}}
+	}
+	return in
 }
 
 func (testWire) EncodeRequest(h http.Header, o *forward.RouterInfo) {
@@ -412,9 +469,13 @@
 	if v, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		limit = &v
 	}
+	var backoff time.Duration
+	if v, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil {
+		backoff = time.Duration(v * float64(time.Second))
+	}
 	return forward.AnswerInfo{
-		Limit: limit, AttemptID: h.Get("Attempt-Id"), Signed: h.Get("Signature") != "", NotRun: misplaced, Misplaced: misplaced,
-		KeepAlive: 5 * time.Second,
+		Limit: limit, AttemptID: h.Get("Attempt-Id"), Signed: h.Get("Signature") != "", NotRun: misplaced || h.Get("Not-Run") != "", Misplaced: misplaced,
+		KeepAlive: 5 * time.Second, Leaving: h.Get("Leaving") != "", Backoff: backoff,
 	}
 }
 
