Keep a chosen endpoint until its placement is made

A daemon could crash, or close a caller's connection without an answer, when an endpoint left the list between the choice of the endpoint and the placement: both look it up under the same lock, but at two times, and the second lookup assumed that the first still holds. In a handler net/http recovers the panic and closes the connection; where this daemon places for another one, the process ends.

The choice now returns the endpoint that it found, and the placement uses that. A request that is sent to an endpoint a moment after it left is handled as before.

--- a/router/attempts.go
+++ b/router/attempts.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 )
@@ -55,12 +56,12 @@
 	return a.remaining >= 0
 }
 
-// acquire reports whether the endpoint can take the request, and takes capacity of its
-// limit. If it cannot, the next attempt excludes it.
-func (a *attempts) acquire(now time.Time, e fleet.EndpointID, repeatable bool) bool {
-	if a.p.mayTry(now, e, repeatable) {
+// acquire returns the endpoint if it can take the request, and takes capacity of its
+// limit. Otherwise it returns nil, and the next attempt excludes the endpoint.
+func (a *attempts) acquire(now time.Time, e fleet.EndpointID, repeatable bool) *directory.Endpoint {
+	if found := a.p.mayTry(now, e, repeatable); found != nil {
 		if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(e) {
-			return true
+			return found
 		}
 		// Not counted as an attempt: each such endpoint is met once, as it is excluded
 		// from now on.
@@ -68,7 +69,7 @@
 		a.remaining++
 	}
 	a.excluded = append(a.excluded, e)
-	return false
+	return nil
 }
 
 // refusal returns the error for a request that no endpoint can take.
--- a/router/cache_transfer.go
+++ b/router/cache_transfer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/placement"
@@ -18,7 +19,7 @@
 // Computing a long shared prefix again occupies an engine for over 100 ms, while
 // fetching it takes 5 to 25 ms. An attempt to fetch a prefix that the source does not
 // have costs a millisecond, and an engine fetches only what it lacks.
-func (p *placer) setCacheTransfer(now time.Time, req *forward.PlacementRequest, r *placement.Request, d *placement.Decision, to *candidate, out *forward.RouterInfo) {
+func (p *placer) setCacheTransfer(now time.Time, req *forward.PlacementRequest, r *placement.Request, d *placement.Decision, e *directory.Endpoint, to *candidate, out *forward.RouterInfo) {
 	levels := r.Levels
 	if levels == nil {
 		levels = prefix.SegmentLevels(seedOf(req, out.Version), req.In.Parts)
@@ -27,7 +28,7 @@
 	if at < 0 {
 		return
 	}
-	if address, known := p.fetchFrom(now, req, r, d, out.CacheSalt); known {
+	if address, known := p.fetchFrom(now, req, r, e, out.CacheSalt); known {
 		out.FetchFrom = address
 	}
 	if levels[at].Tokens < minFetchTokens {
@@ -69,16 +70,15 @@
 // fetchFrom returns the address of the holder with the longest cached prefix of the
 // prompt, among those whose cache contents are known. known is false if no holder has
 // enough more than the chosen engine.
-func (p *placer) fetchFrom(now time.Time, req *forward.PlacementRequest, r *placement.Request, d *placement.Decision, salt string) (address string, known bool) {
+func (p *placer) fetchFrom(now time.Time, req *forward.PlacementRequest, r *placement.Request, engine *directory.Endpoint, salt string) (address string, known bool) {
 	if p.cacheTracker == nil || r.Locations == nil {
 		return "", false
 	}
-	engine := p.state.roster.Find(d.Endpoint)
 	address, tokens := p.cacheTracker.bestSource(req, salt, engine.Zone, func(name string) bool {
 		key := fleet.EndpointID(name)
-		return key != d.Endpoint && (p.state.roster.Find(key) == nil || !p.state.roster.Unusable(now, key))
+		return key != engine.Key && (p.state.roster.Find(key) == nil || !p.state.roster.Unusable(now, key))
 	})
-	if tokens-r.Locations.Tokens[d.Endpoint] < minFetchTokens {
+	if tokens-r.Locations.Tokens[engine.Key] < minFetchTokens {
 		return "", false
 	}
 	return address, true
--- a/router/candidates.go
+++ b/router/candidates.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/placement"
@@ -133,6 +134,7 @@
 	candidate
 	request  placement.Request
 	decision placement.Decision
+	endpoint *directory.Endpoint // that can take the request; nil: not determined
 }
 
 // cost returns the cost of the candidate as a fraction of the latency objective:
--- a/router/placer.go
+++ b/router/placer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/endpointlimit"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
@@ -62,8 +63,8 @@
 	endpointLimits *endpointlimit.Limiter // nil: limits of endpoints are not enforced
 	engines        weights.Engines
 	clock          func() time.Duration // boot clock
-	versionBound   time.Duration        // Settings.VersionWithin
-	lastID         atomic.Uint64        // placement ID; starts at random, as the ID breaks ties between equal endpoints
+	versionBound   time.Duration // Settings.VersionWithin
+	lastID         atomic.Uint64 // placement ID; starts at random, as the ID breaks ties between equal endpoints
 
 	segmentsMu sync.Mutex
 	segments   *segmentIndex // of the prompts placed as dispatcher
@@ -123,7 +124,7 @@
 	if req.Service.Engine != nil && req.In.Model != "" {
 		return p.placeModel(ctx, now, req, &r)
 	}
-	d, err := p.chooseEndpoint(now, &r, req.Route.Repeatable())
+	d, e, err := p.chooseEndpoint(now, &r, req.Route.Repeatable())
 	if err != nil {
 		return forward.Placement{}, err
 	}
@@ -132,7 +133,7 @@
 		p.releaseLimit(d.Endpoint)
 		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.overloadRetryAfter()}
 	}
-	return p.newPlacement(now, req, &r, &d, &candidate{}), nil
+	return p.newPlacement(now, req, &r, &d, e, &candidate{}), nil
 }
 
 // placeAsDispatcher places a long prompt from local state without querying engines for
@@ -235,7 +236,7 @@
 		p.recordSegment(now, req, best.version, &best.decision)
 		best.retained = p.enginesRetain(now, req)
 	}
-	return p.newPlacement(now, req, &best.request, &best.decision, &best.candidate), nil
+	return p.newPlacement(now, req, &best.request, &best.decision, best.endpoint, &best.candidate), nil
 }
 
 // releaseLimit returns the capacity that a request took of an endpoint's limit without
@@ -274,7 +275,7 @@
 		if err != nil {
 			break
 		}
-		if tries.acquire(now, best.decision.Endpoint, req.Route.Repeatable()) {
+		if best.endpoint = tries.acquire(now, best.decision.Endpoint, req.Route.Repeatable()); best.endpoint != nil {
 			return best, nil
 		}
 	}
@@ -347,38 +348,40 @@
 }
 
 // chooseEndpoint places the request on an endpoint that can take it.
-func (p *placer) chooseEndpoint(now time.Time, r *placement.Request, repeatable bool) (placement.Decision, error) {
+func (p *placer) chooseEndpoint(now time.Time, r *placement.Request, repeatable bool) (placement.Decision, *directory.Endpoint, error) {
 	tries := p.newAttempts(r.Avoid, false)
 	for tries.next() {
 		r.ID, r.Avoid = p.lastID.Add(1), tries.excludedEndpoints()
 		d, err := p.state.view.Place(now, *r)
 		switch {
 		case errors.Is(err, placement.ErrNoEndpoint), errors.Is(err, placement.ErrUnknownPool):
-			return d, tries.refusal()
+			return d, nil, tries.refusal()
 		case err != nil:
-			return d, err
+			return d, nil, err
 		}
-		if tries.acquire(now, d.Endpoint, repeatable) {
-			return d, nil
+		if e := tries.acquire(now, d.Endpoint, repeatable); e != nil {
+			return d, e, nil
 		}
 		p.state.view.Finished(now, r.ID)
 	}
-	return placement.Decision{}, tries.refusal()
+	return placement.Decision{}, nil, tries.refusal()
 }
 
-// mayTry reports whether the endpoint may be sent this request.
-func (p *placer) mayTry(now time.Time, key fleet.EndpointID, repeatable bool) bool {
+// mayTry returns the endpoint if it may be sent this request, and nil otherwise.
+func (p *placer) mayTry(now time.Time, key fleet.EndpointID, repeatable bool) *directory.Endpoint {
 	p.state.mu.Lock()
 	defer p.state.mu.Unlock()
-	return p.state.roster.MayTry(now, key, repeatable)
+	if !p.state.roster.MayTry(now, key, repeatable) {
+		return nil
+	}
+	return p.state.roster.Find(key)
 }
 
 // newPlacement builds the placement with the headers for the endpoint, and records the
-// request as unanswered.
-func (p *placer) newPlacement(now time.Time, req *forward.PlacementRequest, r *placement.Request, d *placement.Decision, to *candidate) forward.Placement {
+// request as unanswered. The endpoint may have been removed from the roster meanwhile.
+func (p *placer) newPlacement(now time.Time, req *forward.PlacementRequest, r *placement.Request, d *placement.Decision, e *directory.Endpoint, to *candidate) forward.Placement {
 	p.state.mu.Lock()
 	defer p.state.mu.Unlock()
-	e := p.state.roster.Find(d.Endpoint)
 	out := forward.Placement{
 		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirstToken, Cached: d.ExpectedCached, Age: d.LoadAge,
 		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
@@ -405,7 +408,7 @@
 	if at := prefix.AffinityLevel(r.Levels); at >= 0 {
 		out.Prefix = r.Levels[at].Key.String()[:prefixDigits]
 	}
-	p.setCacheTransfer(now, req, r, d, to, &out.Out)
+	p.setCacheTransfer(now, req, r, d, e, to, &out.Out)
 	return out
 }
 
