Stop sending to endpoints whose answers announce their shutdown

Cause: an endpoint's shutdown was known from its entry in the store alone. While the store is away, or the entry is late, daemons went on. Evidence: the arrivals do not react to the announcement at any daemon (24, 18, 19 requests in the seconds after it, 25 and 24 once the store answers again) and end with the entry. Ruled out: an announcement that is noticed and forgotten (the arrivals never fall), requests placed before and sent late (they arrived 4 to 9 ms before).

Answers and engine reports now mark the incarnation. The mark is kept with the incarnation and not with its entry, so no entry undoes it, and it ends with the next incarnation. Marked endpoints leave the pools, so all that choose pass them over.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,6 +11,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -57,6 +58,7 @@
 	// between endpoints: it is replaced, never modified.
 	Versions map[string]int64
 
+	leaving       bool     // it has announced its shutdown in an answer
 	usable        bool     // as last returned by Changes
 	changed       bool     // it is in Directory.changed
 	replaced      bool     // another incarnation has its ID
@@ -90,6 +92,9 @@
 	outageDivisor = 3
 	// removedRetention is how long a removed endpoint is kept.
 	removedRetention = time.Minute
+	// leavingRetention is how long the announced shutdown of an endpoint without an entry
+	// is remembered. Its entry may return after the store was unavailable.
+	leavingRetention = 10 * time.Minute
 )
 
 // Directory holds the endpoints by ID. Create it with New.
@@ -103,7 +108,8 @@
 	services      map[string]*service
 	readyVersions map[string]map[int64]int // number of ready engines, by model and version
 	changed       []*Endpoint
-	removed       []*Endpoint // in the order of RemovedAt
+	removed       []*Endpoint                    // in the order of RemovedAt
+	leaving       map[fleet.EndpointID]time.Time // when the shutdown was last announced
 }
 
 // service holds the counts of one service that outages are detected by.
@@ -120,15 +126,18 @@
 func New(grace time.Duration) *Directory {
 	return &Directory{
 		byID: map[string]*Endpoint{}, grace: grace, services: map[string]*service{}, readyVersions: map[string]map[int64]int{},
+		leaving: map[fleet.EndpointID]time.Time{},
 	}
 }
 
 // Key returns the ID of one incarnation of an endpoint: its own ID with the start of
 // the process.
 func Key(id string, born int64) fleet.EndpointID {
-	return fleet.EndpointID(id + "@" + strconv.FormatInt(born, 36))
+	return fleet.EndpointID(id + keySeparator + strconv.FormatInt(born, 36))
 }
 
+const keySeparator = "@"
+
 // Put adds or updates the endpoint of an entry and returns how the entry differs from
 // the previous one.
 func (d *Directory) Put(e Entry) PutResult {
@@ -144,7 +153,8 @@
 			old.replaced = true
 			d.markChanged(old)
 		}
-		next := &Endpoint{Entry: e, Key: key, Versions: e.Models}
+		_, leaving := d.leaving[key]
+		next := &Endpoint{Entry: e, Key: key, Versions: e.Models, leaving: leaving}
 		d.byID[e.ID] = next
 		d.count(next)
 		d.markChanged(next)
@@ -163,8 +173,12 @@
 	return DetailChanged
 }
 
-// ready reports whether the endpoint's entry is present, current and in state Ready.
-func (e *Endpoint) ready() bool { return !e.Removed && !e.replaced && e.State == Ready }
+// ready reports whether the endpoint's entry is present, current and in state Ready, and
+// its shutdown is not announced.
+func (e *Endpoint) ready() bool { return !e.Removed && !e.replaced && e.wasReady() }
+
+// wasReady reports whether the endpoint was ready as of its last entry and answers.
+func (e *Endpoint) wasReady() bool { return e.State == Ready && !e.leaving }
 
 func (d *Directory) serviceOf(e *Endpoint) *service {
 	s := d.services[e.Service]
@@ -216,7 +230,7 @@
 	d.uncount(e)
 	e.Removed, e.RemovedAt, e.earliestRemoval = true, now, since
 	d.removed = append(d.removed, e)
-	if s := d.serviceOf(e); e.State == Ready && e.lapsedService != s {
+	if s := d.serviceOf(e); e.wasReady() && e.lapsedService != s {
 		e.lapsedService = s
 		s.lapsed = append(s.lapsed, e)
 	}
@@ -252,6 +266,23 @@
 	return true
 }
 
+// MarkLeaving records that this incarnation announced its shutdown in an answer, and
+// reports whether that is new. The announcement holds until the incarnation ends: its
+// entry may say for a long time that it is ready, as entries lag behind answers.
+func (d *Directory) MarkLeaving(now time.Time, key fleet.EndpointID, id string) bool {
+	_, known := d.leaving[key]
+	d.leaving[key] = now
+	if known {
+		return false
+	}
+	if e := d.byID[id]; e != nil && e.Key == key {
+		d.uncount(e)
+		e.leaving = true
+		d.markChanged(e)
+	}
+	return true
+}
+
 // Find returns the current incarnation of the endpoint with the ID, or nil.
 func (d *Directory) Find(id string) *Endpoint { return d.byID[id] }
 
@@ -276,6 +307,12 @@
 			delete(d.byID, e.ID)
 		}
 	}
+	for key, at := range d.leaving {
+		id := key[:strings.LastIndex(string(key), keySeparator)]
+		if e := d.byID[string(id)]; (e == nil || e.Key != key) && now.Sub(at) > leavingRetention {
+			delete(d.leaving, key)
+		}
+	}
 }
 
 // Changes returns what changed since the last call, including changes by the passing of
@@ -294,7 +331,7 @@
 	}
 	for _, e := range d.changed {
 		e.changed = false
-		if e.Removed && !e.replaced && e.State == Ready && now.Sub(e.RemovedAt) < lapseWindow {
+		if e.Removed && !e.replaced && e.wasReady() && now.Sub(e.RemovedAt) < lapseWindow {
 			continue // handled by updateLapsed
 		}
 		wasUsable := e.usable
@@ -315,8 +352,8 @@
 		if e.lapsedService != s {
 			continue // its entry has named another service since
 		}
-		if !e.Removed || e.replaced || e.State != Ready {
-			e.lapsedService = nil // registered again, or replaced by another incarnation
+		if !e.Removed || e.replaced || !e.wasReady() {
+			e.lapsedService = nil // registered again, replaced by another incarnation, or leaving
 			continue
 		}
 		if now.Sub(e.RemovedAt) >= lapseWindow {
--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -29,6 +29,7 @@
 	failNext     int // number of requests to answer with an error
 	cancelled    int
 	refuseOrders bool
+	leaving      bool
 }
 
 // Run is a request that the runner has accepted and run.
@@ -74,6 +75,13 @@
 	r.refuseOrders = true
 }
 
+// AnnounceShutdown makes all answers of the runner announce its shutdown. It serves on.
+func (r *Runner) AnnounceShutdown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
 // Runs returns the requests that the runner has run.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -102,6 +110,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.mu.Lock()
+	if r.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	r.mu.Unlock()
 	switch req.URL.Path {
 	case "/v1/report":
 		r.report(w)
--- /dev/null
+++ b/lab/routed/leaving_test.go
@@ -0,0 +1,49 @@
+package routed
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/lab/metastore"
+)
+
+// Guards against requests to a runner that announced its shutdown in an answer, while its
+// entry in the store still says that it is ready.
+func TestRunnerThatAnnouncesShutdownGetsNoMoreRequests(t *testing.T) {
+	w := newTestbed(t)
+	for name, send := range map[string]func() reply{
+		"plain request": func() reply { return w.send(http.MethodGet, "/look/a", "key-a", nil) },
+		"prompt":        func() reply { return w.sendModelRequest("/talk/x") },
+	} {
+		runner := w.runnerOf(send())
+		runner.AnnounceShutdown()
+		w.waitUntil("the announcement is read", func() bool {
+			before := len(runner.Runs())
+			return send().status == http.StatusOK && len(runner.Runs()) == before
+		})
+		told := len(runner.Runs())
+		for end := time.Now().Add(time.Second); time.Now().Before(end); {
+			if got := send(); got.status != http.StatusOK {
+				t.Fatalf("%s: status %d while another runner is ready", name, got.status)
+			}
+		}
+		if after := len(runner.Runs()); after > told {
+			t.Errorf("%s: %s got %d further requests", name, runner.ID, after-told)
+		}
+	}
+}
+
+// runnerOf returns the runner that ran the request.
+func (w *testbed) runnerOf(got reply) *metastore.Runner {
+	w.t.Helper()
+	for _, r := range w.runners {
+		for _, run := range r.Runs() {
+			if run.Attempt == got.id {
+				return r
+			}
+		}
+	}
+	w.t.Fatalf("no runner ran the request, status %d", got.status)
+	return nil
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -192,6 +192,12 @@
 	return e != nil && r.markChanged(r.directory.ObserveVersion(key, e.ID, model, version))
 }
 
+// MarkLeaving records that an endpoint announced its shutdown, see
+// directory.Directory.MarkLeaving.
+func (r *Roster) MarkLeaving(now time.Time, key fleet.EndpointID, id string) bool {
+	return r.markChanged(r.directory.MarkLeaving(now, key, id))
+}
+
 // RecordFailure records an attempt that failed at the endpoint.
 func (r *Roster) RecordFailure(now time.Time, key fleet.EndpointID) {
 	r.health.RecordFailure(now, key, 0)
--- a/router/dispatch_test.go
+++ b/router/dispatch_test.go
@@ -58,7 +58,7 @@
 		s.refresh(now)
 		s.mu.Unlock()
 		from := list[i].Address
-		d := newDispatchPlacer(list[i], s, newPlacer(s, set, unresponsiveEngines{}, clock, rng), clock, discardLog(), func(to string, data []byte) { c.send(from, to, data) })
+		d := newDispatchPlacer(list[i], s, newPlacer(s, set, unresponsiveEngines{}, clock, discardLog(), rng), clock, discardLog(), func(to string, data []byte) { c.send(from, to, data) })
 		d.setDaemons(list)
 		c.daemons = append(c.daemons, d)
 	}
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -75,6 +75,9 @@
 			if err != nil {
 				return // placement uses the loads it has; the attempt shows the fault
 			}
+			if report.Leaving {
+				p.endpointLeaving(time.Now(), key, target.ID)
+			}
 			p.state.view.LoadReported(key, fleet.Load{
 				At: time.Now().Add(-loadReportAge), Running: report.Running, Waiting: report.Waiting,
 				WaitingTokens: p.estimateQueued(subpoolLong, &report),
@@ -112,6 +115,9 @@
 	if p.endpointLimits != nil && !info.Misplaced { // a misplaced answer may come from another endpoint
 		p.endpointLimits.Answered(pl.Target.Key, info.Limit)
 	}
+	if info.Leaving && identified(pl, info) {
+		p.endpointLeaving(now, pl.Target.Key, pl.Target.ID)
+	}
 	if info.Load != nil {
 		info.Load.At = now
 		info.Load.WaitingTokens = p.estimateWaitingAt(pl, info.Load.Waiting)
@@ -128,6 +134,19 @@
 	p.handleRejection(now, pl, info)
 }
 
+// identified reports whether an answer comes from the endpoint of the placement. Another
+// endpoint at the same address refuses requests that name this one.
+func identified(pl *forward.Placement, info *forward.AnswerInfo) bool {
+	return !info.Misplaced || info.EndpointID == pl.Target.ID
+}
+
+// endpointLeaving stops the requests to an endpoint that announced its shutdown.
+func (p *placer) endpointLeaving(now time.Time, key fleet.EndpointID, id string) {
+	if p.state.markLeaving(now, key, id) {
+		p.log.Info("Endpoint announced its shutdown.", "endpoint", string(key))
+	}
+}
+
 // estimateWaitingAt estimates the prompt tokens that wait at the engine of a placement.
 // Where this daemon places all long prompts, it accounts for them by their
 // reservations, and all other waiting prompts are short.
--- a/router/engine_feedback_test.go
+++ b/router/engine_feedback_test.go
@@ -49,7 +49,7 @@
 	s := newState(&Settings{Zone: "z"}, rand.New(rand.NewPCG(1, 2)))
 	s.subpools.meanTokens = [subpoolCount]float64{subpoolShort: 370, subpoolLong: 17_000}
 	s.view.SetPool("long", []fleet.Endpoint{{ID: "a", Zone: "z", State: fleet.VMLive}})
-	p := newPlacer(s, &Settings{}, nil, BootClock, rand.New(rand.NewPCG(3, 4)))
+	p := newPlacer(s, &Settings{}, nil, BootClock, discardLog(), rand.New(rand.NewPCG(3, 4)))
 	pl := forward.Placement{Target: forward.Target{Key: "a"}, Notes: forward.PlacerState{Prompt: int(subpoolShort), Engine: int(subpoolLong)}}
 	p.AnswerStarted(&pl, &forward.AnswerInfo{Load: &fleet.Load{Running: 4, Waiting: 3, Slots: 24}})
 	d, err := s.view.Select(now, placement.Request{ID: 1, Pool: "long", Tokens: 300})
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -25,7 +25,6 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/routes"
-	"github.com/merlindock/merlindock/weights"
 )
 
 // simulatedFleet simulates a deployment in virtual time: daemons and their callers,
@@ -39,6 +38,7 @@
 	mu           sync.Mutex
 	rng          *rand.Rand
 	daemons      []*Router
+	receiving    []sync.Mutex // by daemon
 	cancels      []context.CancelFunc
 	endpoints    []*simulatedEndpoint
 	lossRate     float64                 // fraction of the messages between daemons that are lost
@@ -94,6 +94,7 @@
 		f.endpoints = append(f.endpoints, &simulatedEndpoint{f: f, index: i, up: true, conns: map[net.Conn]bool{}})
 	}
 	f.daemons = make([]*Router, daemons)
+	f.receiving = make([]sync.Mutex, daemons)
 	f.cancels = make([]context.CancelFunc, daemons)
 	for i := range daemons {
 		f.startDaemon(i)
@@ -115,7 +116,7 @@
 			Name: fmt.Sprint("front-", i), Zone: "z", PeerAddress: daemonAddress(i).String(),
 			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio,
 		},
-		Clock: f.clock, Dial: f.dialFrom(i), Wire: testWire{}, Engines: silentEngines{}, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
+		Clock: f.clock, Dial: f.dialFrom(i), Wire: testWire{}, Engines: unresponsiveEngines{}, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
 	}, noopMeters())
 	me := daemonAddress(i)
 	r.datagrams.write = func(to netip.AddrPort, data []byte) error { return f.deliver(me, to, data) }
@@ -192,6 +193,8 @@
 		f.mu.Lock()
 		r := f.daemons[i]
 		f.mu.Unlock()
+		f.receiving[i].Lock() // a daemon handles one message after another
+		defer f.receiving[i].Unlock()
 		r.receive(from.String(), data)
 	})
 	return nil
@@ -284,19 +287,6 @@
 	return entry
 }
 
-// silentEngines implements weights.Engines. Its engines answer nothing but requests.
-type silentEngines struct{}
-
-var errSilentEngine = errors.New("engine does not answer")
-
-func (silentEngines) Report(context.Context, weights.Target, string) (weights.Report, error) {
-	return weights.Report{}, errSilentEngine
-}
-
-func (silentEngines) Order(context.Context, weights.Target, weights.Order) (weights.Reply, error) {
-	return weights.Unanswered, errSilentEngine
-}
-
 // serveModel makes the endpoints engines of one model, and all requests prompts of the
 // given length.
 func (f *simulatedFleet) serveModel(promptTokens int) {
--- a/router/neighbours_test.go
+++ b/router/neighbours_test.go
@@ -107,7 +107,7 @@
 	for _, me := range all {
 		r := &Router{
 			neighbours: newNeighbours(me, set, net.Dialer{}, fixedClock(0), discardLog()),
-			placer:     newPlacer(newState(set, rand.New(rand.NewPCG(1, 2))), set, nil, fixedClock(0), rand.New(rand.NewPCG(3, hash.Text(me.Name)))),
+			placer:     newPlacer(newState(set, rand.New(rand.NewPCG(1, 2))), set, nil, fixedClock(0), discardLog(), rand.New(rand.NewPCG(3, hash.Text(me.Name)))),
 		}
 		r.neighbours.set(all)
 		waits = append(waits, r.claimDelay(false))
--- a/router/orders.go
+++ b/router/orders.go
@@ -362,6 +362,9 @@
 	switch {
 	case err != nil:
 		l.router.log.Warn("Engine did not return a report.", "endpoint", e.ID, "error", err.Error())
+	case report.Leaving:
+		l.router.placer.endpointLeaving(time.Now(), e.Key, e.ID)
+		return
 	case report.Version >= version:
 		l.recordLoaded(e, model, report.Version)
 		return
--- a/router/placer.go
+++ b/router/placer.go
@@ -16,6 +16,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/internal/pause"
+	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/pools"
 	"github.com/merlindock/merlindock/prefix"
@@ -63,6 +64,7 @@
 	endpointLimits *endpointlimit.Limiter // nil: limits of endpoints are not enforced
 	engines        weights.Engines
 	clock          func() time.Duration // boot clock
+	log            *logging.Logger
 	versionBound   time.Duration // Settings.VersionWithin
 	lastID         atomic.Uint64 // placement ID; starts at random, as the ID breaks ties between equal endpoints
 
@@ -77,8 +79,8 @@
 	rng      *rand.Rand
 }
 
-func newPlacer(s *state, set *Settings, engines weights.Engines, clock func() time.Duration, rng *rand.Rand) *placer {
-	p := &placer{segments: newSegmentIndex(), unanswered: map[uint64]unanswered{}, state: s, engines: engines, clock: clock, versionBound: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
+func newPlacer(s *state, set *Settings, engines weights.Engines, clock func() time.Duration, log *logging.Logger, rng *rand.Rand) *placer {
+	p := &placer{log: log, segments: newSegmentIndex(), unanswered: map[uint64]unanswered{}, state: s, engines: engines, clock: clock, versionBound: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
 		Fraction: set.RetryRatio * retryBudgetFraction, Floor: 0.05, Burst: maxRetryBurst, Debt: 1,
 	})}
 	p.lastID.Store(rng.Uint64())
--- a/router/removal_test.go
+++ b/router/removal_test.go
@@ -16,7 +16,7 @@
 // the choice of the endpoint and the placement.
 func TestEndpointIsRemovedDuringPlacement(t *testing.T) {
 	s := newState(&Settings{Zone: "z"}, rand.New(rand.NewPCG(1, 2)))
-	p := newPlacer(s, &Settings{}, unresponsiveEngines{}, BootClock, rand.New(rand.NewPCG(3, 4)))
+	p := newPlacer(s, &Settings{}, unresponsiveEngines{}, BootClock, discardLog(), rand.New(rand.NewPCG(3, 4)))
 	put := func(state directory.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/router/router.go
+++ b/router/router.go
@@ -127,12 +127,13 @@
 	// Endpoint health uses a random source of its own, as it is guarded by another lock
 	// than retries.
 	s := newState(&o.Settings, rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())))
+	log := o.Logs.For(logging.ComponentRouter)
 	r := &Router{
 		options: o, clock: o.Clock, state: s,
-		placer:     newPlacer(s, &o.Settings, o.Engines, o.Clock, o.Rand),
+		placer:     newPlacer(s, &o.Settings, o.Engines, o.Clock, log, o.Rand),
 		client:     forward.NewClient(o.Wire, o.Dial),
 		callers:    forward.NewCallerConns(),
-		log:        o.Logs.For(logging.ComponentRouter),
+		log:        log,
 		metrics:    metrics,
 		requestLog: lineLimiter{perSecond: ordinaryPerSecond}, endpointLog: lineLimiter{perSecond: readyPerSecond},
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -166,6 +166,14 @@
 	}
 }
 
+// markLeaving records that an endpoint announced its shutdown, and reports whether that is
+// new.
+func (s *state) markLeaving(now time.Time, key fleet.EndpointID, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.MarkLeaving(now, key, id)
+}
+
 // usable reports whether an endpoint is on the list.
 func (s *state) usable(key fleet.EndpointID) bool {
 	s.mu.Lock()
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -36,6 +36,7 @@
 	Version        int64 // loaded weight version of the model
 	AcceptedOrders int64 // orders accepted since the engine started
 	Busy           bool  // an order is in progress
+	Leaving        bool  // the engine has announced its shutdown
 	Running        int   // requests in the batch
 	Waiting        int   // requests that are not in the batch yet
 	AwaitingAnswer int   // requests in the batch without an answer so far
