--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// usableAfter applies changes and reports whether the endpoint is usable as of them.
-func usableAfter(d *Directory, now time.Time, was bool, id string) bool {
+// usableAfter applies changes and reports whether the endpoint e is usable after them.
+func usableAfter(d *Directory, now time.Time, was bool) bool {
 	for _, c := range d.Changes(now) {
-		if c.Endpoint.ID == id {
+		if c.Endpoint.ID == "e" {
 			was = c.Usable
 		}
 	}
@@ -50,17 +50,17 @@
 			d.Put(e)
 			d.Put(Entry{ID: "f", Service: "s", Address: "a:2"})
 			d.Put(Entry{ID: "g", Service: "s", Address: "a:3"})
-			if !usableAfter(d, now, false, "e") {
+			if !usableAfter(d, now, false) {
 				t.Fatal("not usable before")
 			}
 			if !d.MarkLeaving(now, key, "e") {
 				t.Error("the first announcement does not count as new")
 			}
-			if usableAfter(d, now, true, "e") {
+			if usableAfter(d, now, true) {
 				t.Error("usable after the announcement")
 			}
 			next(d)
-			if usableAfter(d, now, false, "e") {
+			if usableAfter(d, now, false) {
 				t.Error("usable again")
 			}
 		})
@@ -75,14 +75,14 @@
 	d.Put(Entry{ID: "e", Born: 7, Service: "s", Address: "a:1"})
 	d.MarkLeaving(now, Key("e", 7), "e")
 	d.Put(Entry{ID: "e", Born: 8, Service: "s", Address: "a:1"})
-	if !usableAfter(d, now, false, "e") {
+	if !usableAfter(d, now, false) {
 		t.Error("the next incarnation is not usable")
 	}
 	d.MarkLeaving(now, Key("e", 7), "e")
-	if !usableAfter(d, now, true, "e") {
+	if !usableAfter(d, now, true) {
 		t.Error("a late announcement of the previous incarnation makes the next one unusable")
 	}
-	if d.Put(Entry{ID: "e", Born: 7, Service: "s", Address: "a:1"}); usableAfter(d, now, true, "e") {
+	if d.Put(Entry{ID: "e", Born: 7, Service: "s", Address: "a:1"}); usableAfter(d, now, true) {
 		t.Error("a late entry of the previous incarnation makes it usable")
 	}
 }
