Send nothing to an endpoint during the backoff it asked for

Cause: a rejection suspended the endpoint for 0.4 s, whatever its Retry-After said. Ruled out: a suspension that the end of a load lifts early (no such line in these seconds) and placements by another daemon (these are short prompts).

A backoff is now kept apart from suspensions, which the daemon ends by itself; only its time and the endpoint's next incarnation end it. It concerns the daemon that was asked: that daemon names such endpoints to a dispatcher, and a dispatcher does not take them over. A request that has failed once does not try endpoints that have run nothing since their backoff while there are others. If all endpoints of a service are in a backoff, callers are refused at once and return when the first one takes requests again, at different times.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -286,6 +286,14 @@
 // Find returns the current incarnation of the endpoint with the ID, or nil.
 func (d *Directory) Find(id string) *Endpoint { return d.byID[id] }
 
+// ReadyCount returns the number of ready endpoints of a service.
+func (d *Directory) ReadyCount(service string) int {
+	if s := d.services[service]; s != nil {
+		return s.live
+	}
+	return 0
+}
+
 // HasOlderVersion reports whether a ready engine has the model with weights older than
 // the version.
 func (d *Directory) HasOlderVersion(model string, version int64) bool {
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -99,3 +99,24 @@
 		t.Errorf("%d announcements kept, want that of the listed endpoint", len(d.leaving))
 	}
 }
+
+// Guards against an endpoint that stays usable for the grace period after its entry lapsed
+// in an outage, although it announces its shutdown.
+func TestAnnouncedShutdownEndsGrace(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	d := New(2 * time.Second)
+	for _, id := range []string{"e", "f", "g"} {
+		d.Put(Entry{ID: id, Service: "s"})
+	}
+	d.Changes(now)
+	for _, id := range []string{"e", "f", "g"} {
+		d.Remove(now, now, id)
+	}
+	if !usableAfter(d, now, true) {
+		t.Fatal("not usable during the grace period")
+	}
+	d.MarkLeaving(now, Key("e", 0), "e")
+	if usableAfter(d, now, true) {
+		t.Error("usable after the announcement")
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -194,5 +194,6 @@
 const (
 	Available Availability = iota
 	Ejected                // failing: used only if no available endpoint is left
+	Paused                 // gets no requests for now
 	Draining               // leaving: gets no new requests
 )
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,6 +10,7 @@
 import (
 	"iter"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/merlindock/merlindock/directory"
@@ -45,6 +46,8 @@
 
 	usable         map[fleet.EndpointID]*directory.Endpoint
 	suspendedUntil map[fleet.EndpointID]time.Time // end of the suspension
+	backoffUntil   map[fleet.EndpointID]time.Time // end of the backoff that the endpoint asked for
+	backedOff      map[fleet.EndpointID]bool      // they have not run a request since their last backoff
 	unavailable    map[fleet.EndpointID]bool      // not available to placement
 	limited        map[fleet.EndpointID]bool      // they report a request limit
 	changed        bool                           // there are changes for Refresh
@@ -56,7 +59,7 @@
 	return &Roster{
 		directory: directory.New(o.Grace), health: health.New(o.Health), pools: pools.New(o.Placement, o.ShortFraction), placement: o.Placement,
 		usable: map[fleet.EndpointID]*directory.Endpoint{}, suspendedUntil: map[fleet.EndpointID]time.Time{},
-		unavailable: map[fleet.EndpointID]bool{},
+		backoffUntil: map[fleet.EndpointID]time.Time{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
 	}
 }
 
@@ -110,7 +113,7 @@
 	unusable := r.Unusable(now, e.Key)
 	r.pools.Put(pools.Endpoint{Endpoint: member, Versions: e.Versions}, unusable, r.limited[e.Key])
 	if unusable {
-		r.setUnavailable(e.Key)
+		r.setUnavailable(now, e.Key)
 	}
 }
 
@@ -118,17 +121,21 @@
 func (r *Roster) removeUsable(now time.Time, key fleet.EndpointID) {
 	delete(r.usable, key)
 	delete(r.unavailable, key)
+	delete(r.backedOff, key)
 	r.pools.Remove(key)
 	r.health.SetMissing(now, key)
 }
 
 // recheck updates the endpoints whose state may change with time: those that are
-// suspended, and those that health ejected or retains despite failures.
+// suspended or in a backoff, and those that health ejected or retains despite failures.
 func (r *Roster) recheck(now time.Time) {
 	r.recheckBuf = r.health.AppendEjected(r.recheckBuf[:0])
 	for key := range r.suspendedUntil {
 		r.recheckBuf = append(r.recheckBuf, key)
 	}
+	for key := range r.backoffUntil {
+		r.recheckBuf = append(r.recheckBuf, key)
+	}
 	for key := range r.unavailable {
 		r.recheckBuf = append(r.recheckBuf, key)
 	}
@@ -136,24 +143,33 @@
 		unusable := r.Unusable(now, key)
 		r.pools.SetSuspended(key, unusable)
 		if unusable {
-			r.setUnavailable(key)
+			r.setUnavailable(now, key)
 		} else {
 			delete(r.unavailable, key)
 			r.placement.SetAvailability(key, placement.Available)
 		}
 	}
-	for key, until := range r.suspendedUntil {
+	deleteEnded(now, r.suspendedUntil)
+	deleteEnded(now, r.backoffUntil)
+}
+
+func deleteEnded(now time.Time, ends map[fleet.EndpointID]time.Time) {
+	for key, until := range ends {
 		if now.After(until) {
-			delete(r.suspendedUntil, key)
+			delete(ends, key)
 		}
 	}
 }
 
 // setUnavailable makes placement send no requests to an endpoint until recheck finds it
-// usable.
-func (r *Roster) setUnavailable(key fleet.EndpointID) {
+// usable. Only an ejected endpoint may be tried if no other is left.
+func (r *Roster) setUnavailable(now time.Time, key fleet.EndpointID) {
 	r.unavailable[key] = true
-	r.placement.SetAvailability(key, placement.Ejected)
+	if r.paused(now, key) {
+		r.placement.SetAvailability(key, placement.Paused)
+	} else {
+		r.placement.SetAvailability(key, placement.Ejected)
+	}
 }
 
 // SetLimited sets the endpoints that report a request limit, see package limits. The
@@ -179,12 +195,65 @@
 	if until := now.Add(d); until.After(r.suspendedUntil[key]) {
 		r.suspendedUntil[key] = until
 	}
-	r.setUnavailable(key)
+	r.setUnavailable(now, key)
 }
 
-// Resume ends a suspension.
+// Resume ends a suspension. It does not end a backoff.
 func (r *Roster) Resume(key fleet.EndpointID) { delete(r.suspendedUntil, key) }
 
+// maxBackoff bounds a backoff. Endpoints recover from overload within minutes; a longer
+// time is probably an error of the endpoint, and would take it out of use until it
+// restarts.
+const maxBackoff = time.Hour
+
+// BackOff keeps requests from an endpoint for the time that it asked for, or for longer if
+// it asked for that before. Neither a success nor Resume ends a backoff, as it is the
+// endpoint that knows when it can take requests again. It reports whether the endpoint was
+// in no backoff before.
+func (r *Roster) BackOff(now time.Time, key fleet.EndpointID, d time.Duration) bool {
+	before := r.backoffUntil[key]
+	if until := now.Add(min(d, maxBackoff)); until.After(before) {
+		r.backoffUntil[key] = until
+	}
+	r.backedOff[key] = true
+	r.setUnavailable(now, key)
+	return !now.Before(before)
+}
+
+// RecordRun records that an endpoint runs a request, so that it can take requests.
+func (r *Roster) RecordRun(key fleet.EndpointID) { delete(r.backedOff, key) }
+
+// BackedOff returns the endpoints that have run no request since their last backoff, which
+// may still last. They may still be overloaded.
+func (r *Roster) BackedOff() []fleet.EndpointID {
+	return slices.Collect(maps.Keys(r.backedOff))
+}
+
+// BackingOff returns the usable endpoints of a service that asked for a backoff.
+func (r *Roster) BackingOff(now time.Time, service string) []fleet.EndpointID {
+	var out []fleet.EndpointID
+	for key, until := range r.backoffUntil {
+		if e := r.usable[key]; e != nil && e.Service == service && now.Before(until) {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// AllBackingOffFor returns how long it takes until the first endpoint of a service ends its
+// backoff. It returns 0 if an endpoint is in none.
+func (r *Roster) AllBackingOffFor(now time.Time, service string) time.Duration {
+	all := r.BackingOff(now, service)
+	if len(all) == 0 || len(all) < r.directory.ReadyCount(service) {
+		return 0
+	}
+	first := maxBackoff
+	for _, key := range all {
+		first = min(first, r.backoffUntil[key].Sub(now))
+	}
+	return first
+}
+
 // ObserveVersion records the weight version in an answer of the endpoint, and
 // reports whether it is higher than the known one.
 func (r *Roster) ObserveVersion(key fleet.EndpointID, model string, version int64) bool {
@@ -214,19 +283,24 @@
 // it. An endpoint that is usable again is made available by recheck.
 func (r *Roster) updateAvailability(now time.Time, key fleet.EndpointID) {
 	if r.Unusable(now, key) {
-		r.setUnavailable(key)
+		r.setUnavailable(now, key)
 	}
 }
 
-// Unusable reports whether an endpoint is suspended or ejected.
+// Unusable reports whether an endpoint is suspended, in a backoff or ejected.
 func (r *Roster) Unusable(now time.Time, key fleet.EndpointID) bool {
-	return now.Before(r.suspendedUntil[key]) || r.health.Status(now, key) == health.Ejected
+	return r.paused(now, key) || r.health.Status(now, key) == health.Ejected
+}
+
+// paused reports whether an endpoint is suspended or in a backoff.
+func (r *Roster) paused(now time.Time, key fleet.EndpointID) bool {
+	return now.Before(r.suspendedUntil[key]) || now.Before(r.backoffUntil[key])
 }
 
 // MayTry reports whether a request may be sent to an endpoint. An endpoint on trial after
 // an ejection gets one request at a time.
 func (r *Roster) MayTry(now time.Time, key fleet.EndpointID, repeatable bool) bool {
-	if r.usable[key] == nil || now.Before(r.suspendedUntil[key]) {
+	if r.usable[key] == nil || r.paused(now, key) {
 		return false
 	}
 	return r.health.Status(now, key) != health.Trial || r.health.Allow(now, key, repeatable)
--- a/router/attempts.go
+++ b/router/attempts.go
@@ -12,6 +12,7 @@
 // attempts selects the endpoints that one placement tries, one after another.
 type attempts struct {
 	p            *placer
+	service      string
 	excluded     []fleet.EndpointID // tried before, or at their limit
 	reserved     []fleet.EndpointID // used only if no other endpoint is left
 	remaining    int
@@ -20,9 +21,15 @@
 
 // newAttempts excludes the endpoints to avoid and those at their limits. If spare is
 // set, endpoints that have a limit are left to other requests as long as there are
-// others.
-func (p *placer) newAttempts(avoid []fleet.EndpointID, spare bool) *attempts {
-	a := &attempts{p: p, excluded: slices.Clone(avoid), remaining: maxPlaceAttempts}
+// others. A request that has failed already is not used to find out whether an endpoint
+// has recovered from the overload for which it asked for a backoff.
+func (p *placer) newAttempts(req *forward.PlacementRequest, avoid []fleet.EndpointID, spare bool) *attempts {
+	a := &attempts{p: p, service: req.Service.Name, excluded: slices.Clone(avoid), remaining: maxPlaceAttempts}
+	if req.Attempt > 0 {
+		p.state.mu.Lock()
+		a.reserved = p.state.roster.BackedOff()
+		p.state.mu.Unlock()
+	}
 	if p.endpointLimits == nil {
 		return a
 	}
@@ -30,7 +37,7 @@
 	a.limitReached = len(full) > 0
 	a.excluded = append(a.excluded, full...)
 	if spare {
-		a.reserved = p.endpointLimits.Limited()
+		a.reserved = append(a.reserved, p.endpointLimits.Limited()...)
 	}
 	return a
 }
@@ -73,9 +80,22 @@
 }
 
 // refusal returns the error for a request that no endpoint can take.
-func (a *attempts) refusal() *forward.RefusedError {
+func (a *attempts) refusal(now time.Time) *forward.RefusedError {
 	if a.limitReached {
 		return &forward.RefusedError{Code: codeAtLimits, RetryAfter: a.p.overloadRetryAfter()}
 	}
+	return a.p.noEndpoint(now, a.service)
+}
+
+// noEndpoint returns the error for a request that no endpoint of the service can take. If
+// all of them asked this daemon to back off, callers return when the first one takes
+// requests again, spread over a while.
+func (p *placer) noEndpoint(now time.Time, service string) *forward.RefusedError {
+	p.state.mu.Lock()
+	left := p.state.roster.AllBackingOffFor(now, service)
+	p.state.mu.Unlock()
+	if left > 0 {
+		return &forward.RefusedError{Code: codeBackingOff, RetryAfter: left + p.overloadRetryAfter()}
+	}
 	return &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointRetryAfter}
 }
--- a/router/attempts_test.go
+++ b/router/attempts_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/merlindock/merlindock/endpointlimit"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/routes"
 )
 
 // Guards against sending a request again to an endpoint that failed it, when endpoints
@@ -23,7 +25,7 @@
 	for _, e := range []fleet.EndpointID{"tried", "spared"} {
 		k.Answered(e, &limit)
 	}
-	a := (&placer{endpointLimits: k}).newAttempts([]fleet.EndpointID{"tried"}, true)
+	a := (&placer{endpointLimits: k}).newAttempts(&forward.PlacementRequest{Service: &routes.Service{}}, []fleet.EndpointID{"tried"}, true)
 	if excluded := a.excludedEndpoints(); !slices.Contains(excluded, "tried") || !slices.Contains(excluded, "spared") {
 		t.Errorf("%v are excluded at first", excluded)
 	}
--- a/router/backoff_test.go
+++ b/router/backoff_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -140,3 +142,82 @@
 		})
 	}
 }
+
+// Guards against callers that wait for their deadline, or all return in one instant, or
+// before an endpoint takes requests again, when all endpoints asked for a backoff.
+func TestAllEndpointsBackingOffIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2, routes.Route{Kind: routes.Safe})
+		for i, e := range f.endpoints {
+			e.rejectAll(strconv.Itoa(3 + i))
+		}
+		asked := time.Now()
+		f.request(0, fleetKey, "both endpoints reject it")
+		returns := map[string]bool{}
+		for range 20 {
+			began := time.Now()
+			got := f.request(0, fleetKey, "refused")
+			if took := time.Since(began); took > 50*time.Millisecond {
+				t.Errorf("refused after %v", took)
+			}
+			after, err := strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+			back := time.Since(asked) + time.Duration(after*float64(time.Second))
+			if got.Code != http.StatusServiceUnavailable || err != nil || back < 3*time.Second || back > 3600*time.Millisecond {
+				t.Errorf("status %d, returns %v after the first rejection, error %v", got.Code, back, err)
+			}
+			returns[got.Header().Get("Retry-After")] = true
+			time.Sleep(10 * time.Millisecond)
+		}
+		if len(returns) < 10 {
+			t.Errorf("20 callers return at %d times", len(returns))
+		}
+	})
+}
+
+// Guards against a dispatcher that stops its own requests for a backoff that an endpoint
+// asked another daemon for, and against one that chooses such an endpoint for that daemon.
+func TestBackoffConcernsOneDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newDispatchCluster(t, 2, 4)
+		other, dispatcher := c.daemons[0], c.daemons[1]
+		req := c.longPrompt(other, "part")
+		if to, ok := other.dispatcher(other.groupOf(req)); ok && to == other.self {
+			other, dispatcher = dispatcher, other
+		}
+		p := c.place(t, other, "part")
+		if p.Notes.Dispatcher == "" {
+			t.Fatal("the dispatcher did not place the prompt")
+		}
+		other.AnswerStarted(&p, &forward.AnswerInfo{NotRun: true, Backoff: time.Minute})
+		other.AttemptEnded(&p, forward.AttemptEnd{NotRun: true, Failure: retry.NotRun})
+		if got := other.backingOff(req); len(got) != 1 || got[0] != p.Target.Key {
+			t.Errorf("the daemon backs off from %v", got)
+		}
+		if got := dispatcher.backingOff(req); len(got) != 0 {
+			t.Errorf("the dispatcher backs off from %v", got)
+		}
+		time.Sleep(2 * refusalSuspension)
+		dispatcher.state.refresh(time.Now())
+		if again := c.place(t, other, "part"); again.Target.Key == p.Target.Key || again.Notes.Dispatcher == "" {
+			t.Errorf("placed on %s by %q", again.Target.Key, again.Notes.Dispatcher)
+		}
+	})
+}
+
+// Guards against an announcement or a backoff that is taken for that of the endpoint a
+// request was meant for, while another one answers at its address.
+func TestMisplacedAnswerSaysNothingOfItsTarget(t *testing.T) {
+	c := newDispatchCluster(t, 1, 2)
+	d := c.daemons[0]
+	p := c.place(t, d, "part")
+	d.AnswerStarted(&p, &forward.AnswerInfo{NotRun: true, Misplaced: true, Leaving: true, Backoff: time.Minute})
+	d.state.refresh(time.Now())
+	if d.state.roster.Find(p.Target.Key) == nil || len(d.backingOff(c.longPrompt(d, "part"))) > 0 {
+		t.Error("the endpoint counts as leaving or in a backoff")
+	}
+	d.AnswerStarted(&p, &forward.AnswerInfo{NotRun: true, Misplaced: true, Leaving: true, EndpointID: p.Target.ID})
+	d.state.refresh(time.Now())
+	if d.state.roster.Find(p.Target.Key) != nil {
+		t.Error("an announcement that names the endpoint is ignored")
+	}
+}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -188,7 +188,7 @@
 func (d *dispatchPlacer) askDispatcher(ctx context.Context, to Neighbour, req *forward.PlacementRequest) (p forward.Placement, ok bool, err error) {
 	m := placeMessage{
 		ID: d.lastID.Add(1), Route: req.Route.Name, Service: req.Service.Name, In: *req.In,
-		LeftMs: time.Until(req.Deadline).Milliseconds(), Avoid: req.Excluded, Resuming: req.Resuming,
+		LeftMs: time.Until(req.Deadline).Milliseconds(), Avoid: append(d.backingOff(req), req.Excluded...), Resuming: req.Resuming,
 	}
 	m.In.APIKey = ""
 	m.Loads = d.takeObservedLoads(time.Now())
@@ -219,12 +219,25 @@
 	return p, false, nil
 }
 
+// maxAvoidedEndpoints bounds the endpoints in a backoff that a message to the dispatcher
+// names. It has to fit into a datagram, and acceptAnswer checks the answer in any case.
+const maxAvoidedEndpoints = 32
+
+// backingOff returns the endpoints of the request's service that asked this daemon to back
+// off. The dispatcher does not know of them.
+func (d *dispatchPlacer) backingOff(req *forward.PlacementRequest) []fleet.EndpointID {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	all := d.state.roster.BackingOff(time.Now(), req.Service.Name)
+	return all[:min(len(all), maxAvoidedEndpoints)]
+}
+
 // acceptAnswer validates a dispatcher's answer against this daemon's own state.
 func (d *dispatchPlacer) acceptAnswer(from Neighbour, req *forward.PlacementRequest, got *placedMessage) (forward.Placement, bool, error) {
 	switch {
-	case got.Refused != nil && (got.Refused.Code == codeNoEndpoint || got.Refused.Code == codeAtLimits):
+	case got.Refused != nil && got.Refused.Code != codeOverloaded:
 		// The dispatcher may be cut off from the endpoints or from the daemon that
-		// distributes a limit, while this daemon is not.
+		// distributes a limit, or was itself asked to back off, while this daemon is not.
 		return forward.Placement{}, false, nil
 	case got.Refused != nil:
 		return forward.Placement{}, true, got.Refused
--- a/router/dispatch_messages.go
+++ b/router/dispatch_messages.go
@@ -117,6 +117,7 @@
 		if err := json.Unmarshal(data, &m); err != nil {
 			return err
 		}
+		m.Info.Backoff = 0 // asked of the daemon that sent the request
 		if p := d.openFor(placementKey{from, m.ID}, false); p != nil {
 			d.placer.AnswerStarted(p, &m.Info)
 		}
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -118,12 +118,18 @@
 	if info.Leaving && identified(pl, info) {
 		p.endpointLeaving(now, pl.Target.Key, pl.Target.ID)
 	}
+	if info.Backoff > 0 && identified(pl, info) {
+		p.endpointBackoff(now, pl.Target.Key, info.Backoff)
+	}
 	if info.Load != nil {
 		info.Load.At = now
 		info.Load.WaitingTokens = p.estimateWaitingAt(pl, info.Load.Waiting)
 	}
 	p.finishWaiting(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
+		p.state.mu.Lock()
+		p.state.roster.RecordRun(pl.Target.Key)
+		p.state.mu.Unlock()
 		pl.Notes.Began = now
 		p.state.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: capSlots(info.Load)})
 		return
@@ -147,6 +153,17 @@
 	}
 }
 
+// endpointBackoff stops the requests to an endpoint for the time that it asked this daemon
+// for.
+func (p *placer) endpointBackoff(now time.Time, key fleet.EndpointID, d time.Duration) {
+	p.state.mu.Lock()
+	began := p.state.roster.BackOff(now, key, d)
+	p.state.mu.Unlock()
+	if began {
+		p.log.Info("Endpoint asked for a backoff.", "endpoint", string(key), "backoff_ms", d.Milliseconds())
+	}
+}
+
 // estimateWaitingAt estimates the prompt tokens that wait at the engine of a placement.
 // Where this daemon places all long prompts, it accounts for them by their
 // reservations, and all other waiting prompts are short.
--- a/router/placer.go
+++ b/router/placer.go
@@ -55,6 +55,7 @@
 	codeNoEndpoint = "no_endpoint"
 	codeOverloaded = "overloaded"
 	codeAtLimits   = "endpoints_at_limits"
+	codeBackingOff = "endpoints_backing_off"
 )
 
 // placer implements forward.Placer by placing requests on its own.
@@ -126,7 +127,7 @@
 	if req.Service.Engine != nil && req.In.Model != "" {
 		return p.placeModel(ctx, now, req, &r)
 	}
-	d, e, err := p.chooseEndpoint(now, &r, req.Route.Repeatable())
+	d, e, err := p.chooseEndpoint(now, req, &r)
 	if err != nil {
 		return forward.Placement{}, err
 	}
@@ -206,9 +207,9 @@
 
 // placeModel places a prompt on an engine that serves its model.
 func (p *placer) placeModel(ctx context.Context, now time.Time, req *forward.PlacementRequest, r *placement.Request) (forward.Placement, error) {
-	v, err := p.eligibleVersions(req)
-	if err != nil {
-		return forward.Placement{}, err
+	v := p.eligibleVersions(req)
+	if v.first == 0 {
+		return forward.Placement{}, p.noEndpoint(now, req.Service.Name)
 	}
 	in := subpoolOf(req.In.PromptTokens)
 	all := listCandidates(req, v, in, p.prefixLocations())
@@ -267,7 +268,7 @@
 // chooseCandidate returns the best candidate whose endpoint can take the request.
 func (p *placer) chooseCandidate(now time.Time, req *forward.PlacementRequest, r *placement.Request, all []candidate) (evaluatedCandidate, error) {
 	try := *r
-	tries := p.newAttempts(r.Avoid, subpoolOf(req.In.PromptTokens) == subpoolShort)
+	tries := p.newAttempts(req, r.Avoid, subpoolOf(req.In.PromptTokens) == subpoolShort)
 	for tries.next() {
 		try.ID, try.Avoid = p.lastID.Add(1), tries.excludedEndpoints()
 		best, err := bestCandidate(now, p.state.view, try, all, req.Route.TargetLatency)
@@ -281,7 +282,7 @@
 			return best, nil
 		}
 	}
-	return evaluatedCandidate{}, tries.refusal()
+	return evaluatedCandidate{}, tries.refusal(now)
 }
 
 // modelWaitFractions is the expected wait before a prompt is read above which it is
@@ -319,8 +320,9 @@
 	p.state.subpools.addRequest(now, subpoolOf(req.In.PromptTokens), req.In.PromptTokens, req.Service.Engine.Slots)
 }
 
-// eligibleVersions chooses the weight versions that the request may be bound to.
-func (p *placer) eligibleVersions(req *forward.PlacementRequest) (versionChoice, error) {
+// eligibleVersions chooses the weight versions that the request may be bound to. There is
+// no first one if no engine can take the request.
+func (p *placer) eligibleVersions(req *forward.PlacementRequest) versionChoice {
 	p.state.mu.Lock()
 	defer p.state.mu.Unlock()
 	n := p.state.named[req.In.Model]
@@ -340,33 +342,35 @@
 	v := chooseVersions(engines.BySubpool[pool], allowed, segmentHash, lead)
 	v = v.fillFrom(chooseVersions(engines.ByVersion, allowed, segmentHash, lead))
 	if v.first == 0 {
-		return v, &forward.RefusedError{Code: codeNoEndpoint, RetryAfter: noEndpointRetryAfter}
+		return v
 	}
 	v.firstBeginWithin = timeLeft(v.first)
 	for i := range v.others {
 		v.others[i].beginWithin = timeLeft(v.others[i].version)
 	}
-	return v, nil
+	return v
 }
 
 // chooseEndpoint places the request on an endpoint that can take it.
-func (p *placer) chooseEndpoint(now time.Time, r *placement.Request, repeatable bool) (placement.Decision, *directory.Endpoint, error) {
-	tries := p.newAttempts(r.Avoid, false)
+func (p *placer) chooseEndpoint(now time.Time, req *forward.PlacementRequest, r *placement.Request) (placement.Decision, *directory.Endpoint, error) {
+	tries := p.newAttempts(req, r.Avoid, false)
 	for tries.next() {
 		r.ID, r.Avoid = p.lastID.Add(1), tries.excludedEndpoints()
 		d, err := p.state.view.Place(now, *r)
 		switch {
+		case errors.Is(err, placement.ErrNoEndpoint) && tries.includeReserved():
+			continue
 		case errors.Is(err, placement.ErrNoEndpoint), errors.Is(err, placement.ErrUnknownPool):
-			return d, nil, tries.refusal()
+			return d, nil, tries.refusal(now)
 		case err != nil:
 			return d, nil, err
 		}
-		if e := tries.acquire(now, d.Endpoint, repeatable); e != nil {
+		if e := tries.acquire(now, d.Endpoint, req.Route.Repeatable()); e != nil {
 			return d, e, nil
 		}
 		p.state.view.Finished(now, r.ID)
 	}
-	return placement.Decision{}, nil, tries.refusal()
+	return placement.Decision{}, nil, tries.refusal(now)
 }
 
 // mayTry returns the endpoint if it may be sent this request, and nil otherwise.
