--- a/router/orders.go
+++ b/router/orders.go
@@ -56,6 +56,9 @@
 	lastPoll     time.Duration
 	nextClaim    time.Duration // earliest time of the next claim, after a failed one
 	failedClaims int           // consecutive failed claims
+	failedReads  int           // consecutive failed reads of the lease
+	conflicts    int           // consecutive claims refused at the same offset
+	conflictAt   int64         // that offset
 	behindSince  time.Duration // when engines were first found behind; 0: none are
 	claimDelay   time.Duration
 
@@ -147,6 +150,7 @@
 	defer cancel()
 	sent := l.router.clock()
 	records, end, err := l.router.options.Lease.LeaseRecords(call, from, wait)
+	l.logRead(from, err)
 	var truncated *HistoryTruncatedError
 	if errors.As(err, &truncated) {
 		l.mu.Lock()
@@ -161,6 +165,39 @@
 	return nil
 }
 
+// logRead logs when the lease becomes unreadable and when it can be read again.
+func (l *leader) logRead(from int64, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil && l.failedReads > 0:
+		l.router.log.Info("Store answers again.", "topic", TopicLease.String(), "failed_reads", l.failedReads)
+	case err != nil && l.failedReads == 0:
+		l.router.log.Warn("Store cannot be read.", "topic", TopicLease.String(), "from", from, "error", err.Error())
+	}
+	if err == nil {
+		l.failedReads = 0
+	} else {
+		l.failedReads++
+	}
+}
+
+// logConflict logs claims that are refused at the same offset again and again: the daemon
+// has another log in mind than the store.
+func (l *leader) logConflict(at, end int64) {
+	if at != l.conflictAt {
+		l.conflictAt, l.conflicts = at, 0
+	}
+	l.conflicts++
+	if l.conflicts == maxConflicts {
+		l.router.log.Warn("Rollout lease is refused repeatedly.", "offset", at, "end", end)
+	}
+}
+
+// maxConflicts is the number of claims refused at one offset above which this is logged.
+// Daemons that claim at the same time are refused once.
+const maxConflicts = 3
+
 // applyRecords applies lease records that begin at the offset and publishes them to
 // neighbours. end is the end of the log at the time it was confirmed.
 func (l *leader) applyRecords(from int64, records [][]byte, end int64, confirmed time.Duration) {
@@ -322,6 +359,7 @@
 		return l.lease.MayOrder(l.router.clock())
 	case errors.As(err, &conflict):
 		// Another daemon claimed first; read its claim.
+		l.logConflict(at, conflict.End)
 		_ = l.readLease(ctx, at, 0)
 		return false
 	default:
