--- a/lab/metastore/metastore.go
+++ b/lab/metastore/metastore.go
@@ -3,7 +3,8 @@
 // each key, with the platform's HTTP API.
 //
 // Faults can be set while it serves: it rejects calls, does not answer, drops the history
-// of a topic, or closes the connection of an append after executing it.
+// of a topic, closes the connection of an append after executing it, or is restored from
+// an earlier copy.
 package metastore
 
 import (
@@ -11,7 +12,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +40,7 @@
 	calls    int
 	appends  int
 	appended chan struct{} // closed and replaced when a record is appended
+	era      int64         // rises with each Restore
 }
 
 type topic struct {
@@ -53,7 +57,9 @@
 }
 
 // New returns an empty store.
-func New() *Store { return &Store{topics: map[string]*topic{}, appended: make(chan struct{})} }
+func New() *Store {
+	return &Store{topics: map[string]*topic{}, appended: make(chan struct{}), era: 1}
+}
 
 // SetFault sets the store's fault.
 func (s *Store) SetFault(f Fault) {
@@ -92,6 +98,37 @@
 	s.append(name, append(append([]byte{byte(len(key))}, key...), raw...))
 }
 
+// Copy is the content of a store at one time.
+type Copy map[string]*topic
+
+// Copy returns a copy of the present content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cloneTopics(s.topics)
+}
+
+// Restore replaces the content by that of a copy. Offsets after those of the copy are
+// given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = cloneTopics(c)
+	s.era++
+	close(s.appended)
+	s.appended = make(chan struct{})
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	out := map[string]*topic{}
+	for name, t := range topics {
+		out[name] = &topic{
+			firstRetained: t.firstRetained, records: slices.Clone(t.records), newest: maps.Clone(t.newest), keys: slices.Clone(t.keys),
+		}
+	}
+	return out
+}
+
 // Compact removes all records of a topic but the newest of each key.
 func (s *Store) Compact(name string) {
 	s.mu.Lock()
@@ -134,6 +171,7 @@
 		s.appends++
 	}
 	fault := s.fault
+	s.setEra(w)
 	s.mu.Unlock()
 	switch fault {
 	case Busy:
@@ -158,6 +196,11 @@
 	}
 }
 
+// setEra adds the present era to an answer. The caller holds mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+}
+
 func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request, fault Fault) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil || len(body) < 4 {
@@ -166,6 +209,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	name := r.URL.Query().Get("topic")
 	end := int64(len(s.topic(name).records))
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(end, 10) {
@@ -185,13 +229,20 @@
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	era := int64(0)
 	for {
 		s.mu.Lock()
+		if era != 0 && era != s.era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler) // no connection outlasts a restore
+		}
+		era = s.era
+		s.setEra(w)
 		t := s.topic(q.Get("topic"))
 		first, end, woken := t.firstRetained, int64(len(t.records)), s.appended
 		records := t.records[min(max(from, 0), end):]
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			writeJSON(w, http.StatusGone, map[string]any{"first": first})
 			return
 		}
@@ -222,6 +273,7 @@
 func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	items := []map[string]any{}
 	for _, key := range t.keys {
--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -30,6 +30,7 @@
 	cancelled    int
 	refuseOrders bool
 	leaving      bool
+	tokens       []int64 // fencing tokens of the orders received
 }
 
 // Run is a request that the runner has accepted and run.
@@ -97,6 +98,13 @@
 	return r.cancelled
 }
 
+// FencingTokens returns the fencing tokens of the orders that the runner received.
+func (r *Runner) FencingTokens() []int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]int64(nil), r.tokens...)
+}
+
 // Version returns the weight version of the runner.
 func (r *Runner) Version() int64 {
 	r.mu.Lock()
@@ -137,6 +145,7 @@
 	var o struct {
 		Version  int64 `json:"version"`
 		Expected int64 `json:"expected"`
+		Token    int64 `json:"fencingToken"`
 	}
 	if json.NewDecoder(req.Body).Decode(&o) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -144,6 +153,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tokens = append(r.tokens, o.Token)
 	if r.refuseOrders || o.Expected != r.orders {
 		w.WriteHeader(http.StatusConflict)
 		return
