Give offsets the generation of the store

Cause: daemons kept positions in a log as if they were its order in time. The lease was read and claimed at offset 22 of a topic that ended at 17: reads were answered 410 with a lower offset, which was ignored, and claims were refused. Where the topic had grown beyond the offset again, changes were never read. Evidence: ten refused calls a second at each of six daemons from the naming on, no order until the restart and the first 0.1 s after it; at a real daemon a key revoked after a restore stays in use.

An offset now holds the generation of the store, which its answers give, in the upper bits. It grows over restores, and so does all that is made from it: what neighbours compare, what a claim is appended at, fencing tokens. A read at an offset of an earlier generation is an error whatever the store answers. Followers read all keys anew and keep what is newer than the copy; entries that contradict newer ones are not believed for 5 s; what daemons wrote and the copy lacks is written again. The holder of the lost lease goes on, others wait for its end.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -59,6 +59,7 @@
 	Versions map[string]int64
 
 	leaving       bool     // it has announced its shutdown in an answer
+	unlisted      bool     // its entry was missing after a restore of the store
 	usable        bool     // as last returned by Changes
 	changed       bool     // it is in Directory.changed
 	replaced      bool     // another incarnation has its ID
@@ -163,7 +164,7 @@
 	changed := old.Removed || old.State != e.State || old.Service != e.Service ||
 		old.Address != e.Address || hasNewer(old.Versions, e.Models)
 	d.uncount(old)
-	old.Entry, old.Removed = e, false
+	old.Entry, old.Removed, old.unlisted = e, false, false
 	old.Versions = mergeNewest(old.Versions, e.Models)
 	d.count(old)
 	d.markChanged(old)
@@ -252,6 +253,24 @@
 	return removed
 }
 
+// RetainRestored is Retain for the first snapshot after the store was restored from a
+// copy. The entries that are missing were probably lost with the records after the copy,
+// and their endpoints register again, so they stay usable for the grace period.
+func (d *Directory) RetainRestored(now, _ time.Time, present map[string]bool) []string {
+	missing := d.Retain(now, now, present)
+	for _, id := range missing {
+		d.byID[id].unlisted = true
+	}
+	return missing
+}
+
+// EndedBefore reports whether the entry, in state ready, contradicts what was read before:
+// that this incarnation drains or is gone.
+func (d *Directory) EndedBefore(e Entry) bool {
+	old := d.byID[e.ID]
+	return old != nil && old.Key == Key(e.ID, e.Born) && e.State == Ready && (old.Removed && !old.unlisted || old.State == Draining)
+}
+
 // ObserveVersion records the weight version in an answer of this incarnation, and
 // reports whether it is higher than the known one.
 func (d *Directory) ObserveVersion(key fleet.EndpointID, id, model string, version int64) bool {
@@ -378,7 +397,7 @@
 	s.lapsed = kept
 	outage := len(kept) > 1 && len(kept)*outageDivisor > s.live+len(kept)
 	for _, e := range kept {
-		usable := outage && now.Sub(e.earliestRemoval) < grace
+		usable := (outage || e.unlisted) && now.Sub(e.earliestRemoval) < grace
 		if usable != e.usable {
 			e.usable = usable
 			out = append(out, Change{Endpoint: e, Usable: usable})
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -46,7 +46,7 @@
 
 // Query is a read of a topic by another daemon.
 type Query struct {
-	From    int64         // first offset wanted; negative for a snapshot
+	From    int64         // first offset wanted; 0: from the beginning; negative for a snapshot
 	After   string        // last key received of a snapshot; it continues with later keys
 	MaxWait time.Duration // how long to wait for an update
 	// Age is how long ago the client's state was confirmed, and Stamp the Answer.Stamp of
@@ -262,11 +262,15 @@
 	if !f.everConfirmed {
 		return Answer{}, false
 	}
-	if q.From < f.oldest {
+	first := q.From
+	if first == 0 {
+		first = OffsetIn(Generation(f.next), 0)
+	}
+	if first < f.oldest {
 		return f.page(q.After), f.keyed
 	}
-	out := Answer{Next: max(q.From, f.next), Stamp: int64(f.confirmed)}
-	from, _ := slices.BinarySearchFunc(f.records, q.From, func(r Record, from int64) int { return cmp.Compare(r.Offset, from) })
+	out := Answer{Next: max(first, f.next), Stamp: int64(f.confirmed)}
+	from, _ := slices.BinarySearchFunc(f.records, first, func(r Record, from int64) int { return cmp.Compare(r.Offset, from) })
 	n := 0
 	for at, size := from, 0; at < len(f.records); at++ {
 		if size += f.records[at].size(); n > 0 && size > maxPageBytes {
--- a/feed/wire.go
+++ b/feed/wire.go
@@ -14,7 +14,8 @@
 // Encoding of an answer: a byte with the format version, a byte with flags, and the
 // fields, which are compressed from minCompressedBytes on.
 const (
-	formatVersion = 1
+	// formatVersion is not 1, whose offsets hold no generation.
+	formatVersion = 2
 
 	flagAll        = 1 << 0
 	flagMore       = 1 << 1
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,6 +47,7 @@
 	usable         map[fleet.EndpointID]*directory.Endpoint
 	suspendedUntil map[fleet.EndpointID]time.Time // end of the suspension
 	backoffUntil   map[fleet.EndpointID]time.Time // end of the backoff that the endpoint asked for
+	doubtedUntil   map[fleet.EndpointID]time.Time // until then an entry of a restored store is not believed
 	backedOff      map[fleet.EndpointID]bool      // they have not run a request since their last backoff
 	unavailable    map[fleet.EndpointID]bool      // not available to placement
 	limited        map[fleet.EndpointID]bool      // they report a request limit
@@ -59,7 +60,7 @@
 	return &Roster{
 		directory: directory.New(o.Grace), health: health.New(o.Health), pools: pools.New(o.Placement, o.ShortFraction), placement: o.Placement,
 		usable: map[fleet.EndpointID]*directory.Endpoint{}, suspendedUntil: map[fleet.EndpointID]time.Time{},
-		backoffUntil: map[fleet.EndpointID]time.Time{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
+		backoffUntil: map[fleet.EndpointID]time.Time{}, doubtedUntil: map[fleet.EndpointID]time.Time{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
 	}
 }
 
@@ -70,6 +71,28 @@
 	return result
 }
 
+// restoredEntryDoubt is how long an entry of a restored store that contradicts a newer one
+// is not believed. Endpoints write again within two seconds what the store lost, and the
+// entry of one that is gone lapses after three heartbeats.
+const restoredEntryDoubt = 5 * time.Second
+
+// PutRestored is Put for an entry of the first snapshot after the store was restored from a
+// copy. The copy may be older than what was read before: an endpoint that drained or was
+// gone then gets no requests until the entry had the time to be corrected.
+func (r *Roster) PutRestored(now time.Time, e directory.Entry) directory.PutResult {
+	if r.directory.EndedBefore(e) {
+		r.doubtedUntil[directory.Key(e.ID, e.Born)] = now.Add(restoredEntryDoubt)
+	}
+	return r.Put(e)
+}
+
+// RetainRestored removes entries, see directory.Directory.RetainRestored.
+func (r *Roster) RetainRestored(now, since time.Time, present map[string]bool) []string {
+	missing := r.directory.RetainRestored(now, since, present)
+	r.markChanged(len(missing) > 0)
+	return missing
+}
+
 // Remove marks an entry as removed, see directory.Directory.Remove.
 func (r *Roster) Remove(now, since time.Time, id string) bool {
 	return r.markChanged(r.directory.Remove(now, since, id))
@@ -136,6 +159,9 @@
 	for key := range r.backoffUntil {
 		r.recheckBuf = append(r.recheckBuf, key)
 	}
+	for key := range r.doubtedUntil {
+		r.recheckBuf = append(r.recheckBuf, key)
+	}
 	for key := range r.unavailable {
 		r.recheckBuf = append(r.recheckBuf, key)
 	}
@@ -151,6 +177,7 @@
 	}
 	deleteEnded(now, r.suspendedUntil)
 	deleteEnded(now, r.backoffUntil)
+	deleteEnded(now, r.doubtedUntil)
 }
 
 func deleteEnded(now time.Time, ends map[fleet.EndpointID]time.Time) {
@@ -292,9 +319,10 @@
 	return r.paused(now, key) || r.health.Status(now, key) == health.Ejected
 }
 
-// paused reports whether an endpoint is suspended or in a backoff.
+// paused reports whether an endpoint is suspended, in a backoff, or listed by a doubtful
+// entry.
 func (r *Roster) paused(now time.Time, key fleet.EndpointID) bool {
-	return now.Before(r.suspendedUntil[key]) || now.Before(r.backoffUntil[key])
+	return now.Before(r.suspendedUntil[key]) || now.Before(r.backoffUntil[key]) || now.Before(r.doubtedUntil[key])
 }
 
 // MayTry reports whether a request may be sent to an endpoint. An endpoint on trial after
--- a/router/counting_store.go
+++ b/router/counting_store.go
@@ -42,7 +42,7 @@
 }
 
 // LeaseRecords implements LeaseLog.
-func (c *countingStore) LeaseRecords(ctx context.Context, from int64, wait time.Duration) ([][]byte, int64, error) {
+func (c *countingStore) LeaseRecords(ctx context.Context, from int64, wait time.Duration) (LeaseRecords, error) {
 	c.count("read", TopicLease)
 	return c.lease.LeaseRecords(ctx, from, wait)
 }
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/internal/pause"
 )
 
@@ -35,22 +36,30 @@
 func (r *Router) followDaemons(ctx context.Context) {
 	f := r.newFollower(TopicDaemons)
 	known := map[string]Neighbour{}
-	changed := false
+	generations := map[string]int64{} // of the store, in which a daemon was last listed
+	changed, lost := false, false     // lost: the store has lost this daemon's announcement
 	f.apply = func(record Record) (Record, bool) {
 		if r.loadHold(record) {
 			return record, true
 		}
+		lost = lost && record.Key != r.neighbours.self.Name
+		generations[record.Key] = feed.Generation(record.Offset)
 		differs := r.daemonRecord(known, record)
 		changed = changed || differs
 		return record, differs
 	}
 	f.onSnapshot = func(present map[string]bool) {
-		maps.DeleteFunc(known, func(name string, _ Neighbour) bool { return !present[name] })
 		changed = true
+		lost = !present[r.neighbours.self.Name]
+		r.holdStore.rewrite(present)
+		// A store that was restored from a copy may lack daemons that run. They announce
+		// themselves again, as this one does.
+		generation := feed.Generation(f.fullRead.next)
+		maps.DeleteFunc(known, func(name string, _ Neighbour) bool { return !present[name] && generations[name] == generation })
 	}
 	var announced time.Duration // time of this daemon's last announcement
 	for ctx.Err() == nil {
-		_, err := f.read(ctx, r.daemonsWait(f, known))
+		_, err := f.read(ctx, r.daemonsWait(f, known, lost))
 		f.logStoreState(err)
 		if f.fullRead != nil && f.failedReads < maxPageFailures {
 			// An incomplete list does not show which daemons are missing.
@@ -73,7 +82,7 @@
 			f.pauseAfterFailure(ctx)
 			continue
 		}
-		missing := known[r.neighbours.self.Name] != r.neighbours.self
+		missing := lost || known[r.neighbours.self.Name] != r.neighbours.self
 		if now := r.clock(); missing && (announced == 0 || now > announced+announceInterval) && r.announce(ctx) {
 			announced = now
 			if f.answeredReads == 1 {
@@ -88,8 +97,8 @@
 
 // daemonsWait returns how long a read of the list waits for a record: zero while this
 // daemon is not on the list, after a failed read, and when the list is out of date.
-func (r *Router) daemonsWait(f *follower, known map[string]Neighbour) time.Duration {
-	if known[r.neighbours.self.Name] != r.neighbours.self || f.failedReads > 0 || f.subscription.stale() {
+func (r *Router) daemonsWait(f *follower, known map[string]Neighbour, lost bool) time.Duration {
+	if lost || known[r.neighbours.self.Name] != r.neighbours.self || f.failedReads > 0 || f.subscription.stale() {
 		return 0
 	}
 	return maxDaemonsWait
@@ -116,7 +125,7 @@
 	}
 	d, err := r.options.Codec.Daemon(record.Key, record.Value)
 	if err != nil {
-		r.log.Info("Record is not a daemon announcement.", "key", record.Key, "offset", record.Offset, "error", err.Error())
+		r.log.Info("Record is not a daemon announcement.", "key", record.Key, "offset", feed.Position(record.Offset), "error", err.Error())
 		return false
 	}
 	known[record.Key] = d
--- a/router/follower.go
+++ b/router/follower.go
@@ -52,6 +52,9 @@
 	next         int64
 	complete     bool
 	fullRead     *fullRead // in progress; nil: none
+	// restored reports that the store was restored from a copy since the last full read,
+	// so that the next one may find older records than those that were applied.
+	restored bool
 	// apply applies a record. It returns the record as relayed to neighbours, and
 	// whether it differs from the previous one.
 	apply         func(Record) (relayed Record, changed bool)
@@ -91,7 +94,7 @@
 	f.relayed = ok
 	switch {
 	case ok && got.Snapshot:
-		return f.applyPage(after, confirmed, Page{Records: got.Records, End: got.Next, More: got.More}), nil
+		return f.applyPage(after, confirmed, Page{Records: got.Records, End: got.Next, More: got.More})
 	case ok:
 		return f.applyBatch(feed.Batch{From: f.next, Records: got.Records, Next: got.Next, Complete: !got.More, Confirmed: confirmed}), nil
 	case ctx.Err() != nil:
@@ -116,21 +119,24 @@
 		}
 		f.answered()
 		f.feed().RecordProgress(f.router.clock())
-		return f.applyPage(after, sent, page), nil
+		return f.applyPage(after, sent, page)
 	}
 	readCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	got, err := f.router.options.Store.Read(readCtx, f.subscription.topic, f.next, wait)
-	if errors.Is(err, ErrHistoryTruncated) {
+	var truncated *HistoryTruncatedError
+	if errors.As(err, &truncated) {
 		f.complete = false
-		f.router.log.Info("History of the store is no longer kept, reading the newest record of each key.", "topic", f.subscription.topic.String(), "next", f.next)
+		f.subscription.generation = max(f.subscription.generation, feed.Generation(truncated.First))
+		f.router.log.Info("History of the store is no longer kept, reading the newest record of each key.",
+			"topic", f.subscription.topic.String(), "generation", feed.Generation(f.next), "next", feed.Position(f.next))
 		return readResult{more: true}, nil
 	}
 	if err != nil {
 		return readResult{}, err
 	}
 	f.answered()
-	return f.applyBatch(feed.Batch{From: f.next, Records: got.Records, Next: got.Next, Complete: got.End <= got.Next, Confirmed: sent}), nil
+	return f.applyBatch(feed.Batch{From: got.From, Records: got.Records, Next: got.Next, Complete: got.End <= got.Next, Confirmed: sent}), nil
 }
 
 // answered records that the store itself answered.
@@ -166,6 +172,8 @@
 	f.knownAt = max(f.knownAt, until)
 	f.feed().Add(b)
 	f.next, f.complete = b.Next, true
+	f.subscription.generation = max(f.subscription.generation, feed.Generation(b.Next))
+	f.router.generation.Store(f.subscription.generation)
 	f.answeredReads++
 	return readResult{more: !b.Complete, newer: b.Complete && f.subscription.confirm(b.Confirmed)}
 }
@@ -251,11 +259,13 @@
 func (r *Router) newEndpointsFollower() *follower {
 	f := r.newFollower(TopicEndpoints)
 	f.apply = func(record Record) (Record, bool) {
-		return r.endpointRecord(record, f.relayed, f.undetectedFor(), f.fullRead != nil)
+		return r.endpointRecord(record, &recordSource{
+			relayed: f.relayed, unseen: f.undetectedFor(), fullRead: f.fullRead != nil, restored: f.restored,
+		})
 	}
 	f.onSnapshot = func(present map[string]bool) {
 		r.log.Info("Endpoints were read.", "endpoints", len(present), "through_neighbour", f.relayed)
-		r.endpointsPresent(present, f.undetectedFor())
+		r.endpointsPresent(present, f.undetectedFor(), f.restored)
 	}
 	return f
 }
@@ -309,7 +319,7 @@
 	change, err := r.options.Codec.Operator(record.Key, record.Value)
 	if err != nil {
 		r.log.Error("Operator record cannot be decoded, the previous one stays in force.",
-			"key", record.Key, "offset", record.Offset, "error", err.Error())
+			"key", record.Key, "offset", feed.Position(record.Offset), "error", err.Error())
 		return
 	}
 	if t := change.Table; t != nil {
@@ -318,7 +328,7 @@
 		}
 		r.state.table.Store(t)
 		r.limits.setLimits(t)
-		r.log.Info("Configuration is in force.", "version", t.Version, "offset", record.Offset,
+		r.log.Info("Configuration is in force.", "version", t.Version, "offset", feed.Position(record.Offset),
 			"routes", len(t.Routes), "services", len(t.Services), "keys", len(t.Organisations))
 		return
 	}
@@ -338,51 +348,67 @@
 		n.guessed = true
 	}
 	r.state.named[change.Model] = r.state.named[change.Model].add(n)
-	r.log.Info("New weight version is named.", "model", change.Model, "version", change.Weights, "offset", record.Offset, "unseen_ms", unseen.Milliseconds())
+	r.log.Info("New weight version is named.", "model", change.Model, "version", change.Weights, "offset", feed.Position(record.Offset), "unseen_ms", unseen.Milliseconds())
 }
 
-// endpointsPresent removes the endpoints that are missing from a full read.
-func (r *Router) endpointsPresent(present map[string]bool, unseen time.Duration) {
+// endpointsPresent removes the endpoints that are missing from a full read. If the store
+// was restored, they are used for a while longer, as those that run register again.
+func (r *Router) endpointsPresent(present map[string]bool, unseen time.Duration, restored bool) {
 	now := time.Now()
 	r.state.mu.Lock()
 	defer r.state.mu.Unlock()
-	for _, id := range r.state.roster.Retain(now, now.Add(-unseen), present) {
+	retain := r.state.roster.Retain
+	if restored {
+		retain = r.state.roster.RetainRestored
+	}
+	for _, id := range retain(now, now.Add(-unseen), present) {
 		r.log.Info("Endpoint's entry is missing from a full read.", "endpoint", id, "unseen_ms", unseen.Milliseconds())
 	}
 }
 
+// recordSource describes the read that returned a record.
+type recordSource struct {
+	relayed  bool          // a neighbour answered it
+	unseen   time.Duration // how long before now the record may have changed
+	fullRead bool
+	restored bool // the full read follows a restore of the store from a copy
+}
+
 // endpointRecord applies an entry of an endpoint. It returns the record as relayed to
-// neighbours, and whether it differs from the previous one. unseen is how long before
-// now the entry may have changed. Changed entries that are part of a full read are not
-// logged.
-func (r *Router) endpointRecord(record Record, relayed bool, unseen time.Duration, inFullRead bool) (Record, bool) {
+// neighbours, and whether it differs from the previous one. Changed entries that are part
+// of a full read are not logged.
+func (r *Router) endpointRecord(record Record, by *recordSource) (Record, bool) {
 	now := time.Now()
-	since := now.Add(-unseen)
+	since := now.Add(-by.unseen)
 	r.state.mu.Lock()
 	defer r.state.mu.Unlock()
 	if len(record.Value) == 0 {
 		if r.state.roster.Remove(now, since, record.Key) {
-			r.log.Info("Endpoint's entry was removed.", "endpoint", record.Key, "offset", record.Offset, "unseen_ms", unseen.Milliseconds())
+			r.log.Info("Endpoint's entry was removed.", "endpoint", record.Key, "offset", feed.Position(record.Offset), "unseen_ms", by.unseen.Milliseconds())
 		}
 		return record, true
 	}
 	decode := r.options.Codec.Endpoint
-	if relayed {
+	if by.relayed {
 		decode = directory.DecodeEntry
 	}
 	entry, err := decode(record.Key, record.Value)
 	if err != nil {
 		r.state.roster.Remove(now, since, record.Key)
-		r.log.Warn("Endpoint entry is not usable.", "endpoint", record.Key, "offset", record.Offset, "error", err.Error())
+		r.log.Warn("Endpoint entry is not usable.", "endpoint", record.Key, "offset", feed.Position(record.Offset), "error", err.Error())
 		record.Value = nil
 		return record, true
 	}
-	change := r.state.roster.Put(entry)
-	if change == directory.RoutingChanged && !inFullRead {
-		r.logEndpointChange(now, &entry, record.Offset)
+	put := r.state.roster.Put
+	if by.restored {
+		put = func(e directory.Entry) directory.PutResult { return r.state.roster.PutRestored(now, e) }
+	}
+	change := put(entry)
+	if change == directory.RoutingChanged && !by.fullRead {
+		r.logEndpointChange(now, &entry, feed.Position(record.Offset))
 	}
 	changed := change != directory.HeartbeatOnly
-	if !relayed && (changed || inFullRead) {
+	if !by.relayed && (changed || by.fullRead) {
 		record.Value = entry.Append(nil)
 	}
 	return record, changed
--- a/router/full_read.go
+++ b/router/full_read.go
@@ -29,8 +29,24 @@
 	return f.fullRead.after
 }
 
-// applyPage applies one page of a full read.
-func (f *follower) applyPage(after string, confirmed time.Duration, p Page) readResult {
+// applyPage applies one page of a full read. The pages of a full read are of one
+// generation of the store.
+func (f *follower) applyPage(after string, confirmed time.Duration, p Page) (readResult, error) {
+	generation := feed.Generation(p.End)
+	if generation < feed.Generation(f.next) {
+		return readResult{}, ErrOlderGeneration
+	}
+	if f.answeredReads > 0 && generation > feed.Generation(f.next) && !f.restored {
+		f.restored = true
+		f.router.log.Info("Store was restored from a copy, reading the newest record of each key.",
+			"topic", f.subscription.topic.String(), "generation", generation, "through_neighbour", f.relayed)
+	}
+	if f.fullRead != nil && feed.Generation(f.fullRead.next) != generation {
+		f.fullRead, f.complete = nil, false
+		if after != "" {
+			return readResult{more: true}, nil
+		}
+	}
 	if f.fullRead == nil || f.fullRead.relayed != f.relayed || f.fullRead.after != after {
 		f.fullRead = &fullRead{relayed: f.relayed, next: p.End, confirmed: confirmed}
 	}
@@ -42,13 +58,13 @@
 		l.after = record.Key
 	}
 	if p.More {
-		return readResult{more: true}
+		return readResult{more: true}, nil
 	}
 	if f.onSnapshot != nil {
 		f.onSnapshot(keysOf(l.records))
 	}
-	f.fullRead = nil
-	return f.publish(feed.Batch{From: f.next, Snapshot: true, Records: l.records, Next: l.next, Complete: true, Confirmed: l.confirmed})
+	f.fullRead, f.restored = nil, false
+	return f.publish(feed.Batch{From: f.next, Snapshot: true, Records: l.records, Next: l.next, Complete: true, Confirmed: l.confirmed}), nil
 }
 
 func keysOf(records []Record) map[string]bool {
--- a/router/orders.go
+++ b/router/orders.go
@@ -103,16 +103,17 @@
 	l.mu.Lock()
 	from := l.lease.NextOffset()
 	l.mu.Unlock()
+	l.subscription.generation = feed.Generation(from)
 	got, confirmed, ok := l.subscription.read(ctx, from, "")
 	l.router.feeds[TopicLease].RecordProgress(l.subscription.progress)
 	l.router.feeds[TopicLease].SetDetached(l.subscription.detached)
 	if ok {
-		var records [][]byte
+		batch := LeaseRecords{From: got.Next - int64(len(got.Records)), End: got.Next}
 		for _, r := range got.Records {
-			records = append(records, r.Value)
+			batch.Records = append(batch.Records, r.Value)
 		}
 		l.subscription.confirm(confirmed)
-		l.applyRecords(from, records, got.Next, confirmed)
+		l.applyRecords(batch, confirmed)
 		return relayPause
 	}
 	if ctx.Err() != nil {
@@ -149,31 +150,52 @@
 	call, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	sent := l.router.clock()
-	records, end, err := l.router.options.Lease.LeaseRecords(call, from, wait)
+	got, err := l.router.options.Lease.LeaseRecords(call, from, wait)
 	l.logRead(from, err)
 	var truncated *HistoryTruncatedError
 	if errors.As(err, &truncated) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.lease.SkipTo(l.router.clock(), truncated.First)
+		l.skipTo(from, truncated)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	l.applyRecords(from, records, end, sent)
+	l.applyRecords(got, sent)
 	return nil
 }
 
+// skipTo continues at the oldest offset that the store holds, unless the lease was read
+// further meanwhile.
+func (l *leader) skipTo(from int64, truncated *HistoryTruncatedError) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease.NextOffset() != from {
+		return
+	}
+	message := "History of the store is no longer kept, skipping lease records."
+	if truncated.First < from {
+		l.lease.Rewind(l.router.clock(), truncated.First)
+	} else {
+		l.lease.SkipTo(l.router.clock(), truncated.First)
+	}
+	if truncated.Restored || truncated.First < from {
+		message = "Store was restored from a copy, reading the lease again."
+	}
+	l.router.log.Info(message, "generation", feed.Generation(truncated.First), "first", feed.Position(truncated.First), "next", feed.Position(from))
+}
+
 // logRead logs when the lease becomes unreadable and when it can be read again.
 func (l *leader) logRead(from int64, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case err == nil && l.failedReads > 0:
 		l.router.log.Info("Store answers again.", "topic", TopicLease.String(), "failed_reads", l.failedReads)
 	case err != nil && l.failedReads == 0:
-		l.router.log.Warn("Store cannot be read.", "topic", TopicLease.String(), "from", from, "error", err.Error())
+		l.router.log.Warn("Store cannot be read.", "topic", TopicLease.String(), "from", feed.Position(from), "error", err.Error())
 	}
 	if err == nil {
 		l.failedReads = 0
@@ -190,7 +212,7 @@
 	}
 	l.conflicts++
 	if l.conflicts == maxConflicts {
-		l.router.log.Warn("Rollout lease is refused repeatedly.", "offset", at, "end", end)
+		l.router.log.Warn("Rollout lease is refused repeatedly.", "offset", feed.Position(at), "end", feed.Position(end))
 	}
 }
 
@@ -198,24 +220,24 @@
 // Daemons that claim at the same time are refused once.
 const maxConflicts = 3
 
-// applyRecords applies lease records that begin at the offset and publishes them to
-// neighbours. end is the end of the log at the time it was confirmed.
-func (l *leader) applyRecords(from int64, records [][]byte, end int64, confirmed time.Duration) {
-	b := feed.Batch{From: from, Next: from + int64(len(records)), Confirmed: confirmed}
-	for i, r := range records {
-		b.Records = append(b.Records, Record{Value: r, Offset: from + int64(i)})
-	}
-	b.Complete = b.Next >= end
+// applyRecords applies lease records and publishes them to neighbours. They had the given
+// end at the time confirmed.
+func (l *leader) applyRecords(got LeaseRecords, confirmed time.Duration) {
+	b := feed.Batch{From: got.From, Next: got.From + int64(len(got.Records)), Confirmed: confirmed}
+	for i, r := range got.Records {
+		b.Records = append(b.Records, Record{Value: r, Offset: got.From + int64(i)})
+	}
+	b.Complete = b.Next >= got.End
 	l.router.feeds[TopicLease].Add(b)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(records) == 0 && end > from {
-		l.lease.SkipTo(l.router.clock(), end)
+	if len(got.Records) == 0 && got.End > max(got.From, l.lease.NextOffset()) {
+		l.lease.SkipTo(l.router.clock(), got.End)
 	}
 	before := l.lease.Holder()
-	claims := l.lease.Observe(l.router.clock(), from, records)
+	claims := l.lease.Observe(l.router.clock(), got.From, got.Records)
 	if after := l.lease.Holder(); after != before {
-		l.router.log.Info("Rollout lease changed its holder.", "holder", after, "offset", l.lease.NextOffset()-1)
+		l.router.log.Info("Rollout lease changed its holder.", "holder", after, "offset", feed.Position(l.lease.NextOffset()-1))
 	}
 	for _, c := range claims {
 		l.router.state.applyEngineUpdates(time.Now(), c.Updates)
@@ -239,7 +261,7 @@
 		l.behindSince, l.claimDelay = now, l.router.claimDelay(l.holdsLease())
 	}
 	l.mu.Lock()
-	due := max(l.behindSince, l.lease.ClaimableAt()) + l.claimDelay
+	due := max(l.behindSince, l.lease.ClaimableAt(now)) + l.claimDelay
 	l.mu.Unlock()
 	if now < due || l.router.shuttingDown.Load() {
 		return
@@ -361,6 +383,9 @@
 		// Another daemon claimed first; read its claim.
 		l.logConflict(at, conflict.End)
 		_ = l.readLease(ctx, at, 0)
+		if l.nextOffset() == at {
+			l.claimFailed(err) // nothing was read that explains the conflict
+		}
 		return false
 	default:
 		l.claimFailed(err)
@@ -380,6 +405,12 @@
 	return true
 }
 
+func (l *leader) nextOffset() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease.NextOffset()
+}
+
 // claimFailed delays the next claim. The store rejects calls above its rate limits, and
 // a daemon that retries ten times a second uses up the limit for the others.
 func (l *leader) claimFailed(err error) {
--- a/router/quarantine_store.go
+++ b/router/quarantine_store.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/quarantine"
@@ -39,14 +40,14 @@
 	wake  chan struct{}
 
 	mu      sync.Mutex
-	owned   map[quarantine.Fingerprint]bool
+	owned   map[quarantine.Fingerprint][]byte // holds as they were written
 	pending map[quarantine.Fingerprint][]byte // empty value: the hold has ended
 }
 
 func newHoldStore(me string, store DaemonRegistry, log *logging.Logger) *holdStore {
 	return &holdStore{
 		self: me, store: store, log: log, wake: make(chan struct{}, 1),
-		owned: map[quarantine.Fingerprint]bool{}, pending: map[quarantine.Fingerprint][]byte{},
+		owned: map[quarantine.Fingerprint][]byte{}, pending: map[quarantine.Fingerprint][]byte{},
 	}
 }
 
@@ -54,13 +55,19 @@
 func (s *holdStore) put(f quarantine.Fingerprint, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(value) == 0 && !s.owned[f] {
+	if len(value) == 0 && s.owned[f] == nil {
 		return
 	}
-	s.owned[f] = len(value) > 0
-	if !s.owned[f] {
+	if len(value) > 0 {
+		s.owned[f] = value
+	} else {
 		delete(s.owned, f)
 	}
+	s.schedule(f, value)
+}
+
+// schedule schedules a write. The caller holds mu.
+func (s *holdStore) schedule(f quarantine.Fingerprint, value []byte) {
 	s.pending[f] = value
 	select {
 	case s.wake <- struct{}{}:
@@ -68,11 +75,23 @@
 	}
 }
 
+// rewrite schedules the holds that the store has lost to be written again. present has the
+// keys of its records.
+func (s *holdStore) rewrite(present map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f, value := range s.owned {
+		if !present[holdKeyPrefix+f.String()] {
+			s.schedule(f, value)
+		}
+	}
+}
+
 // adopt takes over a hold that this daemon wrote before it restarted, and schedules its
 // deletion if it has ended.
-func (s *holdStore) adopt(f quarantine.Fingerprint, lasts bool) {
+func (s *holdStore) adopt(f quarantine.Fingerprint, value []byte, lasts bool) {
 	s.mu.Lock()
-	s.owned[f] = true
+	s.owned[f] = value
 	s.mu.Unlock()
 	if !lasts {
 		s.put(f, nil)
@@ -152,13 +171,13 @@
 		err = json.Unmarshal(record.Value, &stored)
 	}
 	if err != nil || len(raw) != len(f) {
-		r.log.Info("Record is not a valid hold.", "key", record.Key, "offset", record.Offset)
+		r.log.Info("Record is not a valid hold.", "key", record.Key, "offset", feed.Position(record.Offset))
 		return true
 	}
 	copy(f[:], raw)
 	left := time.Until(time.UnixMilli(stored.Until))
 	if stored.Daemon == r.options.Settings.Name && r.holdStore != nil {
-		r.holdStore.adopt(f, left > 0)
+		r.holdStore.adopt(f, record.Value, left > 0)
 	}
 	r.quarantine.Restore(quarantine.StoredHold{
 		Fingerprint: f, Round: stored.Round, Age: max(0, time.Since(time.UnixMilli(stored.Began))), Left: left,
--- a/router/report.go
+++ b/router/report.go
@@ -155,6 +155,7 @@
 			r.metrics.scope.Tagged(map[string]string{"topic": topic.String()}).Gauge("knowledge_age_seconds").Update(age.Seconds())
 		}
 	}
+	r.metrics.scope.Gauge("store_generation").Update(float64(r.generation.Load()))
 	daemons, steps := r.neighbours.position()
 	r.metrics.scope.Gauge("zone_daemons").Update(float64(daemons))
 	r.metrics.scope.Gauge("steps_to_store").Update(float64(steps))
--- a/router/router.go
+++ b/router/router.go
@@ -96,6 +96,7 @@
 	endpointLog    lineLimiter // limits the lines of endpoints that are ready
 	metrics        *meters
 
+	generation   atomic.Int64 // of the store, as of the last complete read of a topic
 	shuttingDown atomic.Bool
 	// stopDeadline is when the process ends. It is nil until callers need to be
 	// informed.
--- a/router/store.go
+++ b/router/store.go
@@ -33,6 +33,7 @@
 
 // Records is the result of a read.
 type Records struct {
+	From    int64 // offset of the first record; not the requested one if that was 0
 	Records []Record
 	Next    int64 // offset for the next read
 	End     int64 // end of the topic when the read was answered
@@ -43,13 +44,21 @@
 	// ErrHistoryTruncated is returned when the requested records are no longer kept. The
 	// newest record of each key is still available.
 	ErrHistoryTruncated = errors.New("router: history of the store is no longer kept")
+	// ErrOlderGeneration is returned for an answer of a generation of the store before
+	// the one that was asked for.
+	ErrOlderGeneration = errors.New("router: store answered from an older generation")
 	// ErrStoreBusy is returned when the store rejected the call without executing it.
 	ErrStoreBusy = errors.New("router: store rejected the call")
 )
 
 // HistoryTruncatedError is an ErrHistoryTruncated with the offset of the oldest record
 // that is kept.
-type HistoryTruncatedError struct{ First int64 }
+type HistoryTruncatedError struct {
+	First int64
+	// Restored states that the store was restored from a copy. Records that were read
+	// may be lost, and the newest records may be older than those.
+	Restored bool
+}
 
 func (e *HistoryTruncatedError) Error() string {
 	return fmt.Sprintf("%v: the oldest kept is %d", ErrHistoryTruncated, e.First)
@@ -73,24 +82,34 @@
 	More    bool  // there are further keys
 }
 
-// Store reads topics of the metadata store.
+// Store reads topics of the metadata store. Its offsets hold the generation of the store,
+// see package feed. A read at an offset of an earlier generation returns a
+// *HistoryTruncatedError.
 type Store interface {
 	// Newest returns the newest records of the keys that follow after, as many as fit
 	// into one answer. Pages are not a snapshot: changes that happen meanwhile must be
 	// read from the End of the first page.
 	Newest(ctx context.Context, t Topic, after string) (Page, error)
-	// Read returns records from the offset on. If there are none, it waits up to wait
-	// for one.
+	// Read returns records from the offset on, or from the beginning if that is 0. If
+	// there are none, it waits up to wait for one.
 	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Records, error)
 }
 
+// LeaseRecords are consecutive records of the lease.
+type LeaseRecords struct {
+	From    int64 // offset of the first record; not the requested one if that was 0
+	Records [][]byte
+	End     int64 // end of the topic when the read was answered
+}
+
 // LeaseLog is the topic in which daemons agree on the rollout leader.
 type LeaseLog interface {
-	// LeaseRecords returns the records from the offset on and the end of the topic. If
-	// there are none, it waits up to wait for one.
-	LeaseRecords(ctx context.Context, from int64, wait time.Duration) ([][]byte, int64, error)
+	// LeaseRecords returns the records from the offset on, or from the beginning if that
+	// is 0. If there are none, it waits up to wait for one.
+	LeaseRecords(ctx context.Context, from int64, wait time.Duration) (LeaseRecords, error)
 	// AppendLease appends a record if the topic ends at the offset, and returns an
-	// *AppendConflictError if it does not.
+	// *AppendConflictError if it does not. It also returns that error if the record was
+	// appended at the same position of a newer generation.
 	AppendLease(ctx context.Context, at int64, record []byte) error
 }
 
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -16,6 +16,7 @@
 	neighbours *neighbours
 	topic      Topic
 
+	generation        int64 // of the store; answers of older ones are not used
 	known             bool
 	confirmed         time.Duration // boot clock; the store had no more records at this time
 	storeLost         bool          // the last read from the store failed, and no neighbour has answered since
@@ -125,6 +126,9 @@
 			continue
 		}
 		s.neighbourAnswered = true
+		if feed.Generation(got.Next) < s.generation {
+			continue // it does not know yet that the store was restored
+		}
 		if s.known {
 			confirmed = max(confirmed, s.confirmed)
 		}
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -40,6 +40,7 @@
 	daemons      []*Router
 	topics       [topicCount][]Record
 	newest       [topicCount]map[string]Record
+	generation   int64 // of the store; 0: its offsets hold none
 	appended     chan struct{}
 	storeCalls   int
 	storeSilent  map[string]bool // daemons whose calls the store does not answer
@@ -54,6 +55,8 @@
 	pageSize      int // maximum number of records in a page of the store
 	// followEndpoints replaces Router.followEndpoints.
 	followEndpoints func(ctx context.Context, r *Router)
+	codec           Codec
+	engines         weights.Engines // nil: the daemons give no orders
 }
 
 const (
@@ -89,7 +92,7 @@
 	z := &simulatedZone{
 		t: t, ctx: ctx, began: time.Now(), appended: make(chan struct{}),
 		storeSilent: map[string]bool{}, storeRefuses: map[string]bool{}, frozen: map[string]bool{}, stopped: map[string]bool{},
-		pageSize: storePageSize, linkBusyUntil: map[string]time.Duration{}, followEndpoints: func(ctx context.Context, r *Router) { r.followEndpoints(ctx) },
+		codec: zoneCodec{}, pageSize: storePageSize, linkBusyUntil: map[string]time.Duration{}, followEndpoints: func(ctx context.Context, r *Router) { r.followEndpoints(ctx) },
 	}
 	for topic := range z.newest {
 		z.newest[topic] = map[string]Record{}
@@ -123,6 +126,10 @@
 			go z.followEndpoints(ctx, r)
 			go r.quarantine.Run(ctx)
 			go r.holdStore.run(ctx)
+			if z.engines != nil {
+				r.runLeader(ctx)
+				return
+			}
 			l := &leader{router: r, lease: weights.NewLease(all[i].options.Settings.Name, time.Second), subscription: &subscription{neighbours: r.neighbours, topic: TopicLease}}
 			go l.follow(ctx)
 		}(time.Duration(rng.Int64N(int64(300 * time.Millisecond))))
@@ -133,10 +140,11 @@
 	set := zoneSettings
 	set.Name, set.PeerAddress = fmt.Sprintf("front-%d", i), strconv.Itoa(i)
 	r := &Router{
-		options: Options{Settings: set, Codec: zoneCodec{}}, clock: z.clock,
+		options: Options{Settings: set, Codec: z.codec, Engines: z.engines}, clock: z.clock,
 		state: newState(&set, rand.New(rand.NewPCG(1, uint64(i)))), log: discardLog(),
-		metrics: &meters{scope: tally.NoopScope, storeFailures: tally.NoopScope.Counter("")},
+		metrics: &meters{scope: tally.NoopScope, storeFailures: tally.NoopScope.Counter(""), orders: tally.NoopScope.Counter("")},
 	}
+	r.placer = newPlacer(r.state, &set, z.engines, z.clock, discardLog(), rand.New(rand.NewPCG(4, uint64(i))))
 	store := &zoneStore{zone: z, daemon: set.Name}
 	r.options.Store, r.options.Lease, r.options.DaemonRegistry = store, store, store
 	me := Neighbour{Name: set.Name, Zone: set.Zone, Address: set.PeerAddress}
@@ -180,16 +188,26 @@
 func (z *simulatedZone) write(t Topic, key, value string) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	r := Record{Key: key, Value: []byte(value), Offset: int64(len(z.topics[t]))}
-	z.topics[t] = append(z.topics[t], r)
-	z.newest[t][key] = r
-	if value == "" {
-		delete(z.newest[t], key)
-	}
+	z.append(t, Record{Key: key, Value: []byte(value)})
 	close(z.appended)
 	z.appended = make(chan struct{})
 }
 
+// append appends a record. The caller holds mu.
+func (z *simulatedZone) append(t Topic, r Record) {
+	r.Offset = z.end(t)
+	z.topics[t] = append(z.topics[t], r)
+	z.newest[t][r.Key] = r
+	if len(r.Value) == 0 {
+		delete(z.newest[t], r.Key)
+	}
+}
+
+// end returns the offset after the last record of a topic. The caller holds mu.
+func (z *simulatedZone) end(t Topic) int64 {
+	return feed.OffsetIn(z.generation, int64(len(z.topics[t])))
+}
+
 func (z *simulatedZone) setFlag(where map[string]bool, on bool, names ...string) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -355,7 +373,7 @@
 		return Page{}, err
 	}
 	s.zone.mu.Lock()
-	out := Page{End: int64(len(s.zone.topics[t]))}
+	out := Page{End: s.zone.end(t)}
 	bytes := 0
 	for _, key := range slices.Sorted(maps.Keys(s.zone.newest[t])) {
 		if key <= after {
@@ -384,10 +402,22 @@
 	defer time.Sleep(storeRoundTrip / 2)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.zone.mu.Lock()
+	generation := s.zone.generation
+	s.zone.mu.Unlock()
 	for waited := wait == 0; ; {
 		s.zone.mu.Lock()
-		end, appended := int64(len(s.zone.topics[t])), s.zone.appended
-		out := Records{Records: append([]Record(nil), s.zone.topics[t][from:]...), Next: end, End: end}
+		if s.zone.generation != generation {
+			s.zone.mu.Unlock()
+			return Records{}, errNoAnswer // no connection outlasts a restore
+		}
+		end, appended, position := s.zone.end(t), s.zone.appended, feed.Position(from)
+		older := from != 0 && feed.Generation(from) < generation
+		if older || position > int64(len(s.zone.topics[t])) {
+			s.zone.mu.Unlock()
+			return Records{}, &HistoryTruncatedError{First: feed.OffsetIn(generation, 0), Restored: older}
+		}
+		out := Records{From: feed.OffsetIn(generation, position), Records: append([]Record(nil), s.zone.topics[t][position:]...), Next: end, End: end}
 		s.zone.mu.Unlock()
 		if waited || len(out.Records) > 0 {
 			return out, nil
@@ -402,16 +432,37 @@
 	}
 }
 
-func (s *zoneStore) LeaseRecords(ctx context.Context, from int64, wait time.Duration) ([][]byte, int64, error) {
+func (s *zoneStore) LeaseRecords(ctx context.Context, from int64, wait time.Duration) (LeaseRecords, error) {
 	got, err := s.Read(ctx, TopicLease, from, wait)
-	var out [][]byte
+	out := LeaseRecords{From: got.From, End: got.End}
 	for _, r := range got.Records {
-		out = append(out, r.Value)
+		out.Records = append(out.Records, r.Value)
 	}
-	return out, got.End, err
+	return out, err
 }
 
-func (s *zoneStore) AppendLease(context.Context, int64, []byte) error { return errNoAnswer }
+// AppendLease appends at the position of the offset, in whichever generation the store has.
+func (s *zoneStore) AppendLease(ctx context.Context, at int64, record []byte) error {
+	if s.zone.engines == nil {
+		return errNoAnswer
+	}
+	if err := s.call(ctx); err != nil {
+		return err
+	}
+	defer time.Sleep(storeRoundTrip / 2)
+	s.zone.mu.Lock()
+	defer s.zone.mu.Unlock()
+	if feed.Position(at) != int64(len(s.zone.topics[TopicLease])) {
+		return &AppendConflictError{End: s.zone.end(TopicLease)}
+	}
+	s.zone.append(TopicLease, Record{Value: record})
+	close(s.zone.appended)
+	s.zone.appended = make(chan struct{})
+	if feed.Generation(at) != s.zone.generation {
+		return &AppendConflictError{End: s.zone.end(TopicLease)}
+	}
+	return nil
+}
 
 func (s *zoneStore) Announce(ctx context.Context, n Neighbour) error {
 	if err := s.call(ctx); err != nil {
@@ -709,14 +760,18 @@
 		z := newZoneWithHeartbeats(t, 1)
 		f := z.daemons[0].newEndpointsFollower()
 		entry := []Record{{Key: "e1", Value: []byte("1")}}
-		f.applyPage("", z.clock(), Page{Records: entry})
+		if _, err := f.applyPage("", z.clock(), Page{Records: entry}); err != nil {
+			t.Fatal(err)
+		}
 		if got, err := f.feed().Read(t.Context(), z.clock, feed.Query{From: -1}); err != nil || len(got.Records) != 1 {
 			t.Fatal("the entry of the first full read is not relayed")
 		}
 		if relayed := f.applyRecords(entry); len(relayed) != 0 {
 			t.Error("an unchanged entry is relayed")
 		}
-		f.applyPage("", z.clock(), Page{})
+		if _, err := f.applyPage("", z.clock(), Page{}); err != nil {
+			t.Fatal(err)
+		}
 		if relayed := f.applyRecords(entry); len(relayed) != 1 {
 			t.Error("the restored entry is not relayed")
 		}
--- a/weights/lease.go
+++ b/weights/lease.go
@@ -71,6 +71,11 @@
 	grantedAt time.Duration // when this daemon's newest appended claim was sent
 	mine      bool
 	token     int64
+	minToken  int64         // offsets up to here were given out before
+	notBefore time.Duration // no claim before this time; zero: no limit
+	// resumeUntil is until when the holder of a term that was lost with the log may claim
+	// again, whatever it reads; zero: there is none.
+	resumeUntil time.Duration
 
 	pending  Claim // sent, possibly without an answer
 	sentAt   time.Duration
@@ -91,6 +96,7 @@
 // seen before.
 func (l *Lease) Observe(now time.Duration, from int64, records [][]byte) []Claim {
 	var claims []Claim
+	l.next = max(l.next, from)
 	for i, r := range records {
 		at := from + int64(i)
 		if at < l.next {
@@ -114,7 +120,7 @@
 	if c.Holder == l.name && l.inFlight && c.Nonce == l.pending.Nonce {
 		l.grantedAt, l.inFlight = l.sentAt, false
 		if !l.mine {
-			l.token = at + 1
+			l.token = max(at, l.minToken) + 1
 		}
 		l.mine = true
 		return
@@ -124,27 +130,51 @@
 
 // SkipTo continues at first, the oldest offset that the log still holds. The writer of the
 // missing records may still be giving orders, so the gap counts as a claim of an unknown
-// holder that was read now.
+// holder that was read now. Neither a claim in flight nor the claims that follow show
+// whether that holder's term is over: after a restore of the log they may be older.
+//
+// The holder itself continues. No other daemon claims before its lease and the pause have
+// passed, so there are no missing claims by then.
 func (l *Lease) SkipTo(now time.Duration, first int64) {
-	if first <= l.next {
-		return
+	if first > l.next {
+		l.moveTo(now, first)
 	}
+}
+
+// Rewind continues at first, in a log that ends before NextOffset: it was restored from a
+// copy, and gives out the offsets after that again. It is like SkipTo in all else.
+func (l *Lease) Rewind(now time.Duration, first int64) { l.moveTo(now, first) }
+
+func (l *Lease) moveTo(now time.Duration, first int64) {
+	l.minToken = max(l.minToken, l.next)
 	l.next = first
+	l.inFlight = false
+	if l.mine {
+		l.resumeUntil = l.grantedAt + LeaseDuration + l.pause
+	}
+	l.notBefore = now + l.takeoverDelay()
 	l.apply(now, first-1, Claim{})
 }
 
+// takeoverDelay returns how long after a claim was read another daemon may claim.
+func (l *Lease) takeoverDelay() time.Duration { return LeaseDuration + l.pause + clockSlack }
+
 // ClaimableAt returns the time from which this daemon may claim; zero: at any time.
-func (l *Lease) ClaimableAt() time.Duration {
-	if !l.claimed || l.last.Holder == l.name {
+func (l *Lease) ClaimableAt(now time.Duration) time.Duration {
+	switch {
+	case now < l.resumeUntil:
 		return 0
+	case !l.claimed || l.last.Holder == l.name:
+		return l.notBefore
+	default:
+		return max(l.notBefore, l.readAt+l.takeoverDelay())
 	}
-	return l.readAt + LeaseDuration + l.pause + clockSlack
 }
 
 // Claim returns the record to append at NextOffset, or false while another daemon may still
 // give orders. The nonce must be new.
 func (l *Lease) Claim(now time.Duration, c Claim) (Claim, bool) {
-	if now < l.ClaimableAt() {
+	if now < l.ClaimableAt(now) {
 		return Claim{}, false
 	}
 	c.Holder = l.name
@@ -175,7 +205,8 @@
 	return !l.mine || now-l.grantedAt >= RenewAfter
 }
 
-// FencingToken returns the fencing token of the present term. It grows with every term.
+// FencingToken returns the fencing token of the present term. It grows with every term, as
+// offsets do.
 func (l *Lease) FencingToken() int64 { return l.token }
 
 // Holder returns the name of the newest claim's daemon.
