Play restores, announced shutdowns and backoffs in the soak

From seed 10000 on, the soak also restores the store from an earlier copy, has runners announce their shutdown until their next incarnation, and has them reject requests with Retry-After. Lower seeds keep their faults, so those that have failed stay as they were. A test at a real daemon counts requests during a backoff.

--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -31,6 +31,8 @@
 	refuseOrders bool
 	leaving      bool
 	tokens       []int64 // fencing tokens of the orders received
+	retryAfter   string  // of rejections; empty: requests are not rejected
+	rejections   []time.Time
 }
 
 // Run is a request that the runner has accepted and run.
@@ -83,6 +85,28 @@
 	r.leaving = true
 }
 
+// EndShutdown takes back AnnounceShutdown, as the next incarnation of the runner does.
+func (r *Runner) EndShutdown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = false
+}
+
+// RejectAll makes the runner reject all requests with the Retry-After value; empty: it
+// serves again.
+func (r *Runner) RejectAll(retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryAfter = retryAfter
+}
+
+// Rejections returns the times of rejections with Retry-After.
+func (r *Runner) Rejections() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.rejections...)
+}
+
 // Runs returns the requests that the runner has run.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -173,6 +197,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return true
 	}
+	if r.retryAfter != "" {
+		r.rejections = append(r.rejections, time.Now())
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", r.retryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
 	if r.rejectNext > 0 {
 		r.rejectNext--
 		w.Header().Set("Not-Executed", "1")
--- a/lab/routed/leaving_test.go
+++ b/lab/routed/leaving_test.go
@@ -47,3 +47,27 @@
 	w.t.Fatalf("no runner ran the request, status %d", got.status)
 	return nil
 }
+
+// Guards against requests to a runner during the backoff that it asked for in a rejection.
+func TestRunnerIsLeftAloneDuringBackoff(t *testing.T) {
+	w := newTestbed(t)
+	look := func() reply { return w.send(http.MethodGet, "/look/a", "key-a", nil) }
+	runner := w.runnerOf(look())
+	runner.RejectAll("3")
+	w.waitUntil("the runner rejects a request", func() bool {
+		look()
+		return len(runner.Rejections()) > 0
+	})
+	asked := runner.Rejections()[0]
+	for time.Since(asked) < 2500*time.Millisecond {
+		if got := look(); got.status != http.StatusOK {
+			t.Fatalf("status %d while another runner serves", got.status)
+		}
+	}
+	if n := len(runner.Rejections()); n > 3 {
+		t.Errorf("%d requests reached the runner after it had asked for 3 s without any", n-1)
+	}
+	runner.RejectAll("")
+	before := len(runner.Runs())
+	w.waitUntil("the runner serves again", func() bool { return look().status == http.StatusOK && len(runner.Runs()) > before })
+}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -125,11 +125,15 @@
 	runners      map[string]*metastore.Runner
 	runnerLinks  []*proxy // to the runners
 	daemons      []*process
+	faultKinds   int            // number of kinds that injectFault chooses from
+	storeCopy    metastore.Copy // from which the store is restored
 
 	mu         sync.Mutex
 	callerRand *rand.Rand // chooses the callers' requests
 	attempts   []attempt
 	version    int
+	config     map[string]any // the newest configuration
+	entries    map[string]any // the newest entries of runners
 	weights    int
 	keys       []string             // valid keys besides stableKey
 	revoked    map[string]time.Time // time of the configuration without the key
@@ -140,7 +144,7 @@
 	t.Helper()
 	s := &soak{
 		t: t, faultRand: rand.New(rand.NewPCG(seed, 9)), callerRand: rand.New(rand.NewPCG(seed, 10)), store: metastore.New(),
-		runners: map[string]*metastore.Runner{}, revoked: map[string]time.Time{}, weights: 1,
+		entries: map[string]any{}, runners: map[string]*metastore.Runner{}, revoked: map[string]time.Time{}, weights: 1,
 	}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
@@ -154,11 +158,21 @@
 	return s
 }
 
+// modelRunners is the number of runners that serve the model. The others are plain.
+const modelRunners = 3
+
+func (s *soak) runnerID(i int) string {
+	if i < modelRunners {
+		return fmt.Sprint("llm-", i)
+	}
+	return fmt.Sprint("app-", i)
+}
+
 func (s *soak) addRunner(i int) {
-	id, service := fmt.Sprint("llm-", i), "models"
+	id, service := s.runnerID(i), "models"
 	r := &metastore.Runner{ID: id, Events: streamEvents, Pause: 20 * time.Millisecond}
-	if i >= 3 {
-		id, service = fmt.Sprint("app-", i), "app"
+	if i >= modelRunners {
+		service = "app"
 		r = &metastore.Runner{ID: id, Pause: 40 * time.Millisecond}
 	}
 	r.SetVersion(1)
@@ -190,6 +204,9 @@
 	if service == "models" {
 		entry["models"] = []map[string]any{{"name": "m", "version": version}}
 	}
+	s.mu.Lock()
+	s.entries[id] = entry
+	s.mu.Unlock()
 	s.store.Put("keyed.servers", id, entry)
 }
 
@@ -240,7 +257,7 @@
 			"service": service, "maxAttempts": attempts, "sticky": kind == "stream", "resumable": resumable,
 		}
 	}
-	s.store.Put("keyed.op", "config", map[string]any{
+	s.config = map[string]any{
 		"version": s.version,
 		"routes": []any{
 			route("talk", "/talk/", "stream", "models", 1, false), route("resume", "/resume/", "stream", "models", 2, true),
@@ -252,7 +269,8 @@
 		},
 		"limits":  map[string]any{"maxBodyBytes": 100000},
 		"tenants": []any{map[string]any{"name": "org-a", "apiKeys": append([]string{stableKey}, s.keys...)}},
-	})
+	}
+	s.store.Put("keyed.op", "config", s.config)
 	for _, key := range removed {
 		s.revoked[key] = time.Now()
 	}
@@ -323,7 +341,7 @@
 func (s *soak) injectFault() func() {
 	d := s.daemons[s.faultRand.IntN(daemonCount)]
 	link := s.runnerLinks[s.faultRand.IntN(len(s.runnerLinks))]
-	switch s.faultRand.IntN(10) {
+	switch s.faultRand.IntN(s.faultKinds) {
 	case 0:
 		d.store.setMode(mode(1 + s.faultRand.IntN(int(modeCount)-1)))
 		return func() { d.store.setMode(passThrough) }
@@ -349,11 +367,54 @@
 		s.store.Compact("keyed.op")
 	case 9:
 		s.weights++
-		s.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": s.weights})
+		s.nameVersion()
+	case 10:
+		s.restoreStore()
+	case 11:
+		return s.announceShutdown(s.faultRand.IntN(len(s.runnerLinks)))
+	case 12:
+		r := s.runners[s.runnerID(s.faultRand.IntN(len(s.runnerLinks)))]
+		r.RejectAll("0.8")
+		return func() { r.RejectAll("") }
 	}
 	return func() {}
 }
 
+func (s *soak) nameVersion() {
+	s.store.Put("keyed.op", "version/m", map[string]any{"model": "m", "version": s.weights})
+}
+
+// restoreStore restores the store from an earlier copy while it is away. The operator and
+// the runners write again what was lost.
+func (s *soak) restoreStore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.SetFault(metastore.Busy)
+	s.store.Restore(s.storeCopy)
+	s.store.Put("keyed.op", "config", s.config)
+	s.nameVersion()
+	for id, entry := range s.entries {
+		s.store.Put("keyed.servers", id, entry)
+	}
+	s.store.SetFault(metastore.NoFault)
+	s.storeCopy = s.store.Copy()
+}
+
+// announceShutdown makes a runner announce its shutdown, and returns a function that starts
+// its next incarnation.
+func (s *soak) announceShutdown(i int) func() {
+	id, service := s.runnerID(i), "models"
+	if i >= modelRunners {
+		service = "app"
+	}
+	r := s.runners[id]
+	r.AnnounceShutdown()
+	return func() {
+		r.EndShutdown()
+		s.register(id, service, s.runnerLinks[i].address(), r.Version())
+	}
+}
+
 func (s *soak) restart(d *process, sig syscall.Signal) func() {
 	d.stop(sig)
 	return func() {
@@ -521,9 +582,24 @@
 	}
 }
 
+// firstSeedWithAllFaults is the lowest seed that also restores the store from copies, and
+// has runners announce their shutdown or ask for backoffs. Lower seeds keep their faults.
+const firstSeedWithAllFaults = 10_000
+
+func TestSoakWithAllFaults(t *testing.T) {
+	for seed := firstSeedWithAllFaults; seed < firstSeedWithAllFaults+2; seed++ {
+		runSeed(t, seed)
+	}
+}
+
 func runSeed(t *testing.T, seed int) {
 	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 		s := newSoak(t, uint64(seed))
+		s.faultKinds = 10
+		if seed >= firstSeedWithAllFaults {
+			s.faultKinds = 13
+		}
+		s.storeCopy = s.store.Copy()
 		s.run(time.Duration(envInt("SOAK_SECONDS", 6)) * time.Second)
 		s.checkAttempts()
 	})
