Tidy the handling of restores

Errors and log lines give positions instead of offsets with the generation in them, a truncated read of the lease has one line instead of two, endpoints that are gone are not kept as backed off. No other change of behaviour.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -256,7 +256,7 @@
 // RetainRestored is Retain for the first snapshot after the store was restored from a
 // copy. The entries that are missing were probably lost with the records after the copy,
 // and their endpoints register again, so they stay usable for the grace period.
-func (d *Directory) RetainRestored(now, _ time.Time, present map[string]bool) []string {
+func (d *Directory) RetainRestored(now time.Time, present map[string]bool) []string {
 	missing := d.Retain(now, now, present)
 	for _, id := range missing {
 		d.byID[id].unlisted = true
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -91,13 +91,13 @@
 	Wait     time.Duration // expected until the first token
 	LoadAge  time.Duration
 	Cached   int
-	Prefix   string      // shared segment that decided the placement
-	Fetch    string      // IP:port that the endpoint fetched the prefix from
-	Saved    bool        // whether the endpoint sent the prefix to the store
-	Load     *fleet.Load // reported with the answer; nil: none
-	Limit    *float64    // reported with the answer; nil: none
-	Leaving  bool        // the answer announced the endpoint's shutdown
-	Backoff  time.Duration
+	Prefix   string        // shared segment that decided the placement
+	Fetch    string        // IP:port that the endpoint fetched the prefix from
+	Saved    bool          // whether the endpoint sent the prefix to the store
+	Load     *fleet.Load   // reported with the answer; nil: none
+	Limit    *float64      // reported with the answer; nil: none
+	Leaving  bool          // the answer announced the endpoint's shutdown
+	Backoff  time.Duration // that the endpoint asked for; 0: none
 	Result   string
 	Lost     string        // how the connection was lost; empty: it was not
 	After    time.Duration // from the request's arrival to the attempt's end
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -87,8 +87,8 @@
 }
 
 // RetainRestored removes entries, see directory.Directory.RetainRestored.
-func (r *Roster) RetainRestored(now, since time.Time, present map[string]bool) []string {
-	missing := r.directory.RetainRestored(now, since, present)
+func (r *Roster) RetainRestored(now time.Time, present map[string]bool) []string {
+	missing := r.directory.RetainRestored(now, present)
 	r.markChanged(len(missing) > 0)
 	return missing
 }
@@ -242,7 +242,9 @@
 	if until := now.Add(min(d, maxBackoff)); until.After(before) {
 		r.backoffUntil[key] = until
 	}
-	r.backedOff[key] = true
+	if r.usable[key] != nil {
+		r.backedOff[key] = true
+	}
 	r.setUnavailable(now, key)
 	return !now.Before(before)
 }
--- a/router/follower.go
+++ b/router/follower.go
@@ -357,11 +357,13 @@
 	now := time.Now()
 	r.state.mu.Lock()
 	defer r.state.mu.Unlock()
-	retain := r.state.roster.Retain
+	var missing []string
 	if restored {
-		retain = r.state.roster.RetainRestored
+		missing = r.state.roster.RetainRestored(now, present)
+	} else {
+		missing = r.state.roster.Retain(now, now.Add(-unseen), present)
 	}
-	for _, id := range retain(now, now.Add(-unseen), present) {
+	for _, id := range missing {
 		r.log.Info("Endpoint's entry is missing from a full read.", "endpoint", id, "unseen_ms", unseen.Milliseconds())
 	}
 }
@@ -399,11 +401,12 @@
 		record.Value = nil
 		return record, true
 	}
-	put := r.state.roster.Put
+	var change directory.PutResult
 	if by.restored {
-		put = func(e directory.Entry) directory.PutResult { return r.state.roster.PutRestored(now, e) }
+		change = r.state.roster.PutRestored(now, entry)
+	} else {
+		change = r.state.roster.Put(entry)
 	}
-	change := put(entry)
 	if change == directory.RoutingChanged && !by.fullRead {
 		r.logEndpointChange(now, &entry, feed.Position(record.Offset))
 	}
--- a/router/generation_test.go
+++ b/router/generation_test.go
@@ -92,7 +92,7 @@
 	e := testEntry(1)
 	s.roster.Put(e)
 	s.refresh(now)
-	s.roster.RetainRestored(now, now, map[string]bool{})
+	s.roster.RetainRestored(now, map[string]bool{})
 	s.refresh(now)
 	s.roster.PutRestored(now.Add(time.Second), e)
 	s.refresh(now.Add(time.Second))
--- a/router/orders.go
+++ b/router/orders.go
@@ -186,8 +186,8 @@
 
 // logRead logs when the lease becomes unreadable and when it can be read again.
 func (l *leader) logRead(from int64, err error) {
-	if errors.Is(err, context.Canceled) {
-		return
+	if errors.Is(err, context.Canceled) || errors.Is(err, ErrHistoryTruncated) {
+		return // skipTo logs the latter
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/store.go
+++ b/router/store.go
@@ -61,7 +61,7 @@
 }
 
 func (e *HistoryTruncatedError) Error() string {
-	return fmt.Sprintf("%v: the oldest kept is %d", ErrHistoryTruncated, e.First)
+	return fmt.Sprintf("%v: the oldest kept is %d", ErrHistoryTruncated, feed.Position(e.First))
 }
 
 // Is reports whether target is ErrHistoryTruncated.
@@ -72,7 +72,7 @@
 type AppendConflictError struct{ End int64 }
 
 func (e *AppendConflictError) Error() string {
-	return fmt.Sprintf("router: append refused, the topic ends at %d", e.End)
+	return fmt.Sprintf("router: append refused, the topic ends at %d", feed.Position(e.End))
 }
 
 // Page is a page of the newest records of a topic.
