Keep reported times of named versions until the operator's topic is read

A daemon that starts reads the lease and the operator's topic at the same time. Claims carry the times of all named versions; those that were read before the first named version were dropped. The daemon then knows the newest version only, with a guessed age, takes engines that are long out of bounds for usable, and orders them by backlog: three engines with version 2, out of bounds since 26.2 s, were ordered at 31.9 s, after two with version 3. It would also send requests to such engines.

Reported times are now kept until the first version of their model is read. A report alone still names no version. The new test fails without it.

--- a/router/follower.go
+++ b/router/follower.go
@@ -335,11 +335,6 @@
 	if change.Model == "" {
 		return
 	}
-	r.state.mu.Lock()
-	defer r.state.mu.Unlock()
-	if r.state.named[change.Model].newest() >= change.Weights {
-		return
-	}
 	// A waiting read may return the record a second late. If the time were counted from
 	// the read, requests would begin on the previous weights after their bound.
 	n := namedVersion{version: change.Weights, since: r.clock() - unseen}
@@ -347,7 +342,9 @@
 		n.since -= time.Duration(guessedAgeFraction * float64(r.options.Settings.VersionWithin))
 		n.guessed = true
 	}
-	r.state.named[change.Model] = r.state.named[change.Model].add(n)
+	if !r.state.addNamed(change.Model, n) {
+		return
+	}
 	r.log.Info("New weight version is named.", "model", change.Model, "version", change.Weights, "offset", feed.Position(record.Offset), "unseen_ms", unseen.Milliseconds())
 }
 
--- a/router/state.go
+++ b/router/state.go
@@ -49,7 +49,8 @@
 	mu             sync.Mutex
 	roster         *roster.Roster
 	named          map[string]versionHistory
-	savedAt        map[prefix.Key]time.Time // when a segment was last saved to the store
+	reported       map[string][]namedVersion // by model, until its first named version is read
+	savedAt        map[prefix.Key]time.Time  // when a segment was last saved to the store
 	subpools       subpoolSplit
 	appliedLimited *map[fleet.EndpointID]bool // the value of limited last passed to the roster
 
@@ -105,7 +106,7 @@
 			Health:        health.Options{Rand: rng, Failures: ejectionFailures, Ejection: ejectionDuration, MaxEjection: maxEjection},
 			ShortFraction: initialShortFraction, Placement: changes,
 		}),
-		named:   map[string]versionHistory{},
+		named: map[string]versionHistory{}, reported: map[string][]namedVersion{},
 		savedAt: map[prefix.Key]time.Time{},
 		view:    view, changes: changes,
 	}
@@ -238,8 +239,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range reported {
-		s.named[r.Model] = s.named[r.Model].withReported(now, wall, r)
+		if h := s.named[r.Model]; len(h) > 0 {
+			s.named[r.Model] = h.withReported(now, wall, r)
+			continue
+		}
+		if early := s.reported[r.Model]; len(early) < maxNamedVersions && (early != nil || len(s.reported) < maxReportedModels) {
+			s.reported[r.Model] = append(early, reportedVersion(now, wall, r))
+		}
+	}
+}
+
+// maxReportedModels bounds the models with reported versions of which none was read from
+// the operator's topic.
+const maxReportedModels = 64
+
+// addNamed adds a version that the operator named, with what was reported of its model
+// before. It returns false if the version is not newer than the known ones.
+func (s *state) addNamed(model string, n namedVersion) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.named[model].newest() >= n.version {
+		return false
+	}
+	h := s.named[model].add(n)
+	for _, reported := range s.reported[model] {
+		h = h.merge(reported)
 	}
+	delete(s.reported, model)
+	s.named[model] = h
+	return true
 }
 
 // namedTimes returns the times at which versions were named, for other daemons.
--- a/router/versions.go
+++ b/router/versions.go
@@ -87,12 +87,22 @@
 	return noTimeLimit
 }
 
+// reportedVersion returns a version with the time at which another daemon reports that it
+// was named.
+func reportedVersion(now time.Duration, wall time.Time, at weights.VersionTime) namedVersion {
+	age := max(0, wall.Sub(time.UnixMilli(at.UnixMs))) + clockSlack
+	return namedVersion{version: at.Version, since: now - age}
+}
+
 // withReported returns the history with the time at which another daemon reports that a
 // version was named.
 func (h versionHistory) withReported(now time.Duration, wall time.Time, at weights.VersionTime) versionHistory {
-	age := max(0, wall.Sub(time.UnixMilli(at.UnixMs))) + clockSlack
-	reported := namedVersion{version: at.Version, since: now - age}
-	i, found := slices.BinarySearchFunc(h, at.Version, func(m namedVersion, v int64) int { return cmp.Compare(m.version, v) })
+	return h.merge(reportedVersion(now, wall, at))
+}
+
+// merge returns the history with a reported version.
+func (h versionHistory) merge(reported namedVersion) versionHistory {
+	i, found := slices.BinarySearchFunc(h, reported.version, func(m namedVersion, v int64) int { return cmp.Compare(m.version, v) })
 	out := slices.Clone(h)
 	switch {
 	case found && out[i].guessed:
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -162,3 +163,32 @@
 		}
 	}
 }
+
+// Guards against times of named versions that are lost because a daemon that starts reads
+// the lease before the operator's topic. It would take old weights for usable, and order
+// engines with them last.
+func TestReportedTimesBeforeFirstVersion(t *testing.T) {
+	boot, wall := time.Hour, time.UnixMilli(1_800_000_000_000)
+	ago := func(d time.Duration) int64 { return wall.Add(-d).UnixMilli() }
+	s := newState(&Settings{Zone: "z", VersionWithin: versionBound}, rand.New(rand.NewPCG(1, 2)))
+	s.applyNamedTimes(boot, wall, []weights.VersionTime{
+		{Model: "m", Version: 2, UnixMs: ago(3 * versionBound)}, {Model: "m", Version: 3, UnixMs: ago(2 * versionBound)}, {Model: "m", Version: 4, UnixMs: ago(versionBound / 4)},
+		{Model: "m", Version: 6, UnixMs: ago(0)}, {Model: "other", Version: 2, UnixMs: ago(0)},
+	})
+	if got := s.namedVersions()["m"].newest(); got != 0 {
+		t.Errorf("version %d counts as named by a report alone", got)
+	}
+	if !s.addNamed("m", namedVersion{version: 4, since: boot - versionBound/2, guessed: true}) || s.addNamed("m", namedVersion{version: 3, since: boot}) {
+		t.Error("the newest version is not added, or an older one is")
+	}
+	n := s.namedVersions()["m"]
+	if n.newest() != 4 || len(n) != 3 {
+		t.Fatalf("named versions %v", n)
+	}
+	if n.timeToBegin(1, boot, versionBound) > n.timeToBegin(2, boot, versionBound) || n.timeToBegin(2, boot, versionBound) >= 0 {
+		t.Errorf("%v left to begin on version 1, %v on version 2", n.timeToBegin(1, boot, versionBound), n.timeToBegin(2, boot, versionBound))
+	}
+	if left, want := n.timeToBegin(3, boot, versionBound), 3*versionBound/4-beginSlack-clockSlack; left != want {
+		t.Errorf("%v left to begin on version 3, want %v", left, want)
+	}
+}
