--- a/feed/wire.go
+++ b/feed/wire.go
@@ -14,8 +14,7 @@
 // Encoding of an answer: a byte with the format version, a byte with flags, and the
 // fields, which are compressed from minCompressedBytes on.
 const (
-	// formatVersion is not 1, whose offsets hold no generation.
-	formatVersion = 2
+	formatVersion = 1
 
 	flagAll        = 1 << 0
 	flagMore       = 1 << 1
