Do not confirm guessed times of named versions by their own report

Cause: a daemon that starts guesses the age of the newest version, publishes the guess with its claim of the lease as the time of the naming, and reads its own claim back as another daemon's report, which replaces the guess and adds 3 s for the difference of clocks. Ruled out: reported times lost at the start (all versions are known here).

Claims now say which times are guesses. A guess is replaced by a fact, or by a clearly earlier guess, and a version never counts as older than the one before it. The new test fails before: the guess counts as a fact, 3 s older, and version 3 as out of use before version 2.

--- a/router/state.go
+++ b/router/state.go
@@ -277,7 +277,7 @@
 	var out []weights.VersionTime
 	for model, history := range s.named {
 		for _, n := range history {
-			out = append(out, weights.VersionTime{Model: model, Version: n.version, UnixMs: wall.Add(n.since - now).UnixMilli()})
+			out = append(out, weights.VersionTime{Model: model, Version: n.version, UnixMs: wall.Add(n.since - now).UnixMilli(), Guessed: n.guessed})
 		}
 	}
 	return out
--- a/router/versions.go
+++ b/router/versions.go
@@ -90,8 +90,11 @@
 // reportedVersion returns a version with the time at which another daemon reports that it
 // was named.
 func reportedVersion(now time.Duration, wall time.Time, at weights.VersionTime) namedVersion {
-	age := max(0, wall.Sub(time.UnixMilli(at.UnixMs))) + clockSlack
-	return namedVersion{version: at.Version, since: now - age}
+	age := max(0, wall.Sub(time.UnixMilli(at.UnixMs)))
+	if !at.Guessed {
+		age += clockSlack
+	}
+	return namedVersion{version: at.Version, since: now - age, guessed: at.Guessed}
 }
 
 // withReported returns the history with the time at which another daemon reports that a
@@ -100,17 +103,22 @@
 	return h.merge(reportedVersion(now, wall, at))
 }
 
-// merge returns the history with a reported version.
+// merge returns the history with a reported version. A guess is replaced by a fact, or by
+// an earlier guess: that of a daemon that found the version when it started before this
+// one. This daemon's own guess comes back with its claims.
 func (h versionHistory) merge(reported namedVersion) versionHistory {
 	i, found := slices.BinarySearchFunc(h, reported.version, func(m namedVersion, v int64) int { return cmp.Compare(m.version, v) })
 	out := slices.Clone(h)
 	switch {
-	case found && out[i].guessed:
+	case found && out[i].guessed && (!reported.guessed || reported.since < out[i].since-clockSlack):
 		out[i] = reported
 	case !found && i < len(out):
 		// The version was replaced before this daemon started.
 		out = slices.Insert(out, i, reported)
 	}
+	for i := 1; i < len(out); i++ {
+		out[i].since = max(out[i].since, out[i-1].since) // reported times are inexact
+	}
 	return out
 }
 
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -192,3 +192,35 @@
 		t.Errorf("%v left to begin on version 3, want %v", left, want)
 	}
 }
+
+// Guards against a daemon that takes its own guess of when a version was named for a fact,
+// once it has published it with a claim, and so takes weights for older than the ones
+// before them.
+func TestGuessedTimeIsNotConfirmedByItself(t *testing.T) {
+	boot, wall := time.Hour, time.UnixMilli(1_800_000_000_000)
+	ago := func(d time.Duration) int64 { return wall.Add(-d).UnixMilli() }
+	s := newState(&Settings{Zone: "z", VersionWithin: versionBound}, rand.New(rand.NewPCG(1, 2)))
+	s.addNamed("m", namedVersion{version: 4, since: boot - versionBound/2, guessed: true})
+	s.applyNamedTimes(boot, wall, []weights.VersionTime{
+		{Model: "m", Version: 2, UnixMs: ago(12 * time.Second)}, {Model: "m", Version: 3, UnixMs: ago(6500 * time.Millisecond)},
+	})
+	for range 10 {
+		s.applyNamedTimes(boot, wall, s.namedTimes(boot, wall)) // its own claim, read back
+	}
+	n := s.namedVersions()["m"]
+	if !n[2].guessed || n[2].since < boot-versionBound/2 {
+		t.Errorf("version 4 counts as named %v ago, guessed: %v", boot-n[2].since, n[2].guessed)
+	}
+	if one, two, three := n.timeToBegin(1, boot, versionBound), n.timeToBegin(2, boot, versionBound), n.timeToBegin(3, boot, versionBound); one > two || two > three {
+		t.Errorf("left to begin on versions 1 to 3: %v, %v, %v", one, two, three)
+	}
+	// A daemon that has observed the naming knows better, one that started earlier too.
+	s.applyNamedTimes(boot, wall, []weights.VersionTime{{Model: "m", Version: 4, UnixMs: ago(11 * time.Second), Guessed: true}})
+	if n := s.namedVersions()["m"]; !n[2].guessed || n[2].since != boot-9500*time.Millisecond {
+		t.Errorf("version 4 counts as named %v ago, guessed: %v", boot-n[2].since, n[2].guessed)
+	}
+	s.applyNamedTimes(boot, wall, []weights.VersionTime{{Model: "m", Version: 4, UnixMs: ago(time.Second)}})
+	if n := s.namedVersions()["m"]; n[2].guessed || n[2].since != boot-time.Second-clockSlack {
+		t.Errorf("version 4 counts as named %v ago, guessed: %v", boot-n[2].since, n[2].guessed)
+	}
+}
--- a/weights/lease.go
+++ b/weights/lease.go
@@ -34,6 +34,9 @@
 	Model   string `json:"model"`
 	Version int64  `json:"version"`
 	UnixMs  int64  `json:"unix_ms"` // by the holder's wall clock, which may be off by seconds
+	// Guessed states that the version existed when the holder started, so that it does not
+	// know the time.
+	Guessed bool `json:"guessed,omitempty"`
 }
 
 // EngineUpdate is a message of the holder to the other daemons about an engine it gives
