--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -172,8 +172,11 @@
 	ago := func(d time.Duration) int64 { return wall.Add(-d).UnixMilli() }
 	s := newState(&Settings{Zone: "z", VersionWithin: versionBound}, rand.New(rand.NewPCG(1, 2)))
 	s.applyNamedTimes(boot, wall, []weights.VersionTime{
-		{Model: "m", Version: 2, UnixMs: ago(3 * versionBound)}, {Model: "m", Version: 3, UnixMs: ago(2 * versionBound)}, {Model: "m", Version: 4, UnixMs: ago(versionBound / 4)},
-		{Model: "m", Version: 6, UnixMs: ago(0)}, {Model: "other", Version: 2, UnixMs: ago(0)},
+		{Model: "m", Version: 2, UnixMs: ago(3 * versionBound)},
+		{Model: "m", Version: 3, UnixMs: ago(2 * versionBound)},
+		{Model: "m", Version: 4, UnixMs: ago(versionBound / 4)},
+		{Model: "m", Version: 6, UnixMs: ago(0)},
+		{Model: "other", Version: 2, UnixMs: ago(0)},
 	})
 	if got := s.namedVersions()["m"].newest(); got != 0 {
 		t.Errorf("version %d counts as named by a report alone", got)
