Keep the reported time of each version once before the topic is read

A claim repeats the times of all named versions, and the reports that wait for the operator's topic were bounded by their number: a daemon that starts with a long log of claims would have kept those of the first versions again and again and dropped the newer ones. Found by reading the change once more; not seen.

Reports are kept by version now, the newest of each, a fact before a guess. The test repeats a report and fails before.

--- a/router/state.go
+++ b/router/state.go
@@ -49,7 +49,7 @@
 	mu             sync.Mutex
 	roster         *roster.Roster
 	named          map[string]versionHistory
-	reported       map[string][]namedVersion // by model, until its first named version is read
+	reported       map[string]versionHistory // by model, until its first named version is read
 	savedAt        map[prefix.Key]time.Time  // when a segment was last saved to the store
 	subpools       subpoolSplit
 	appliedLimited *map[fleet.EndpointID]bool // the value of limited last passed to the roster
@@ -106,7 +106,7 @@
 			Health:        health.Options{Rand: rng, Failures: ejectionFailures, Ejection: ejectionDuration, MaxEjection: maxEjection},
 			ShortFraction: initialShortFraction, Placement: changes,
 		}),
-		named: map[string]versionHistory{}, reported: map[string][]namedVersion{},
+		named: map[string]versionHistory{}, reported: map[string]versionHistory{},
 		savedAt: map[prefix.Key]time.Time{},
 		view:    view, changes: changes,
 	}
@@ -243,8 +243,8 @@
 			s.named[r.Model] = h.withReported(now, wall, r)
 			continue
 		}
-		if early := s.reported[r.Model]; len(early) < maxNamedVersions && (early != nil || len(s.reported) < maxReportedModels) {
-			s.reported[r.Model] = append(early, reportedVersion(now, wall, r))
+		if early := s.reported[r.Model]; early != nil || len(s.reported) < maxReportedModels {
+			s.reported[r.Model] = early.put(reportedVersion(now, wall, r))
 		}
 	}
 }
--- a/router/versions.go
+++ b/router/versions.go
@@ -122,6 +122,20 @@
 	return out
 }
 
+// put returns the history with a reported version, in place of an earlier report of it. A
+// guess does not replace a fact.
+func (h versionHistory) put(reported namedVersion) versionHistory {
+	i, found := slices.BinarySearchFunc(h, reported.version, func(m namedVersion, v int64) int { return cmp.Compare(m.version, v) })
+	out := slices.Clone(h)
+	switch {
+	case !found:
+		out = slices.Insert(out, i, reported)
+	case out[i].guessed || !reported.guessed:
+		out[i] = reported
+	}
+	return out[max(0, len(out)-maxNamedVersions):]
+}
+
 // versionChoice holds the weight versions that a request may be bound to.
 type versionChoice struct {
 	first            int64         // 0: no engine can serve the request
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -171,6 +171,9 @@
 	boot, wall := time.Hour, time.UnixMilli(1_800_000_000_000)
 	ago := func(d time.Duration) int64 { return wall.Add(-d).UnixMilli() }
 	s := newState(&Settings{Zone: "z", VersionWithin: versionBound}, rand.New(rand.NewPCG(1, 2)))
+	for range 2 * maxNamedVersions { // every claim repeats the times of those before it
+		s.applyNamedTimes(boot, wall, []weights.VersionTime{{Model: "m", Version: 2, UnixMs: ago(3 * versionBound)}})
+	}
 	s.applyNamedTimes(boot, wall, []weights.VersionTime{
 		{Model: "m", Version: 2, UnixMs: ago(3 * versionBound)},
 		{Model: "m", Version: 3, UnixMs: ago(2 * versionBound)},
