Keep the pauses of endpoints in one place, by their reason

Three maps had the same code to set, check, list and expire a pause, and every answer took the state's lock once more to note that its endpoint runs requests.

Pauses are kept by reason, each with its own end as before. That an endpoint has recovered from its overload is noted with the success of a request, where the lock is held already. The index of a version in a history is found in one place. Three comments said "measured" of what the program itself observes.

--- a/placement/table.go
+++ b/placement/table.go
@@ -7,7 +7,7 @@
 	"github.com/merlindock/merlindock/prefix"
 )
 
-// rateHalfLife is the half-life of the measured request rate of a prefix. A prefix that
+// rateHalfLife is the half-life of the request rate of a prefix. A prefix that
 // suddenly becomes hot must be spread within seconds.
 const rateHalfLife = 2 * time.Second
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -44,24 +44,36 @@
 	pools     *pools.Table
 	placement PlacementSink
 
-	usable         map[fleet.EndpointID]*directory.Endpoint
-	suspendedUntil map[fleet.EndpointID]time.Time // end of the suspension
-	backoffUntil   map[fleet.EndpointID]time.Time // end of the backoff that the endpoint asked for
-	doubtedUntil   map[fleet.EndpointID]time.Time // until then an entry of a restored store is not believed
-	backedOff      map[fleet.EndpointID]bool      // they have not run a request since their last backoff
-	unavailable    map[fleet.EndpointID]bool      // not available to placement
-	limited        map[fleet.EndpointID]bool      // they report a request limit
-	changed        bool                           // there are changes for Refresh
-	recheckBuf     []fleet.EndpointID             // reused by recheck
-}
+	usable      map[fleet.EndpointID]*directory.Endpoint
+	pausedUntil [pauseReasons]map[fleet.EndpointID]time.Time
+	backedOff   map[fleet.EndpointID]bool // they have answered no request since their last backoff
+	unavailable map[fleet.EndpointID]bool // not available to placement
+	limited     map[fleet.EndpointID]bool // they report a request limit
+	changed     bool                      // there are changes for Refresh
+	recheckBuf  []fleet.EndpointID        // reused by recheck
+}
+
+// pauseReason is why an endpoint gets no requests for a time. Pauses for different reasons
+// end independently.
+type pauseReason uint8
+
+const (
+	suspended  pauseReason = iota // by this daemon
+	backingOff                    // the endpoint asked for it
+	doubted                       // a restored store lists it, contrary to newer knowledge
+	pauseReasons
+)
 
 // New returns a Roster without endpoints.
 func New(o Options) *Roster {
-	return &Roster{
+	r := &Roster{
 		directory: directory.New(o.Grace), health: health.New(o.Health), pools: pools.New(o.Placement, o.ShortFraction), placement: o.Placement,
-		usable: map[fleet.EndpointID]*directory.Endpoint{}, suspendedUntil: map[fleet.EndpointID]time.Time{},
-		backoffUntil: map[fleet.EndpointID]time.Time{}, doubtedUntil: map[fleet.EndpointID]time.Time{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
+		usable: map[fleet.EndpointID]*directory.Endpoint{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
+	}
+	for reason := range r.pausedUntil {
+		r.pausedUntil[reason] = map[fleet.EndpointID]time.Time{}
 	}
+	return r
 }
 
 // Put adds or updates an endpoint, see directory.Directory.Put.
@@ -81,7 +93,7 @@
 // gone then gets no requests until the entry had the time to be corrected.
 func (r *Roster) PutRestored(now time.Time, e directory.Entry) directory.PutResult {
 	if r.directory.EndedBefore(e) {
-		r.doubtedUntil[directory.Key(e.ID, e.Born)] = now.Add(restoredEntryDoubt)
+		r.pause(doubted, directory.Key(e.ID, e.Born), now.Add(restoredEntryDoubt))
 	}
 	return r.Put(e)
 }
@@ -153,14 +165,10 @@
 // suspended or in a backoff, and those that health ejected or retains despite failures.
 func (r *Roster) recheck(now time.Time) {
 	r.recheckBuf = r.health.AppendEjected(r.recheckBuf[:0])
-	for key := range r.suspendedUntil {
-		r.recheckBuf = append(r.recheckBuf, key)
-	}
-	for key := range r.backoffUntil {
-		r.recheckBuf = append(r.recheckBuf, key)
-	}
-	for key := range r.doubtedUntil {
-		r.recheckBuf = append(r.recheckBuf, key)
+	for _, paused := range r.pausedUntil {
+		for key := range paused {
+			r.recheckBuf = append(r.recheckBuf, key)
+		}
 	}
 	for key := range r.unavailable {
 		r.recheckBuf = append(r.recheckBuf, key)
@@ -175,15 +183,11 @@
 			r.placement.SetAvailability(key, placement.Available)
 		}
 	}
-	deleteEnded(now, r.suspendedUntil)
-	deleteEnded(now, r.backoffUntil)
-	deleteEnded(now, r.doubtedUntil)
-}
-
-func deleteEnded(now time.Time, ends map[fleet.EndpointID]time.Time) {
-	for key, until := range ends {
-		if now.After(until) {
-			delete(ends, key)
+	for _, paused := range r.pausedUntil {
+		for key, until := range paused {
+			if now.After(until) {
+				delete(paused, key)
+			}
 		}
 	}
 }
@@ -219,14 +223,20 @@
 // Suspend keeps requests from an endpoint for the given time, or for longer if it is
 // suspended already.
 func (r *Roster) Suspend(now time.Time, key fleet.EndpointID, d time.Duration) {
-	if until := now.Add(d); until.After(r.suspendedUntil[key]) {
-		r.suspendedUntil[key] = until
-	}
+	r.pause(suspended, key, now.Add(d))
 	r.setUnavailable(now, key)
 }
 
+// pause pauses an endpoint until the time, or for longer if it is paused for this reason
+// already.
+func (r *Roster) pause(reason pauseReason, key fleet.EndpointID, until time.Time) {
+	if until.After(r.pausedUntil[reason][key]) {
+		r.pausedUntil[reason][key] = until
+	}
+}
+
 // Resume ends a suspension. It does not end a backoff.
-func (r *Roster) Resume(key fleet.EndpointID) { delete(r.suspendedUntil, key) }
+func (r *Roster) Resume(key fleet.EndpointID) { delete(r.pausedUntil[suspended], key) }
 
 // maxBackoff bounds a backoff. Endpoints recover from overload within minutes; a longer
 // time is probably an error of the endpoint, and would take it out of use until it
@@ -238,10 +248,8 @@
 // endpoint that knows when it can take requests again. It reports whether the endpoint was
 // in no backoff before.
 func (r *Roster) BackOff(now time.Time, key fleet.EndpointID, d time.Duration) bool {
-	before := r.backoffUntil[key]
-	if until := now.Add(min(d, maxBackoff)); until.After(before) {
-		r.backoffUntil[key] = until
-	}
+	before := r.pausedUntil[backingOff][key]
+	r.pause(backingOff, key, now.Add(min(d, maxBackoff)))
 	if r.usable[key] != nil {
 		r.backedOff[key] = true
 	}
@@ -249,11 +257,8 @@
 	return !now.Before(before)
 }
 
-// RecordRun records that an endpoint runs a request, so that it can take requests.
-func (r *Roster) RecordRun(key fleet.EndpointID) { delete(r.backedOff, key) }
-
-// BackedOff returns the endpoints that have run no request since their last backoff, which
-// may still last. They may still be overloaded.
+// BackedOff returns the endpoints that have answered no request since their last backoff,
+// which may still last. They may still be overloaded.
 func (r *Roster) BackedOff() []fleet.EndpointID {
 	return slices.Collect(maps.Keys(r.backedOff))
 }
@@ -261,7 +266,7 @@
 // BackingOff returns the usable endpoints of a service that asked for a backoff.
 func (r *Roster) BackingOff(now time.Time, service string) []fleet.EndpointID {
 	var out []fleet.EndpointID
-	for key, until := range r.backoffUntil {
+	for key, until := range r.pausedUntil[backingOff] {
 		if e := r.usable[key]; e != nil && e.Service == service && now.Before(until) {
 			out = append(out, key)
 		}
@@ -278,7 +283,7 @@
 	}
 	first := maxBackoff
 	for _, key := range all {
-		first = min(first, r.backoffUntil[key].Sub(now))
+		first = min(first, r.pausedUntil[backingOff][key].Sub(now))
 	}
 	return first
 }
@@ -304,6 +309,7 @@
 
 // RecordSuccess records a complete answer of the endpoint that is not an error.
 func (r *Roster) RecordSuccess(now time.Time, key fleet.EndpointID) {
+	delete(r.backedOff, key)
 	r.health.RecordSuccess(now, key, 0, 0)
 	r.updateAvailability(now, key)
 }
@@ -316,15 +322,19 @@
 	}
 }
 
-// Unusable reports whether an endpoint is suspended, in a backoff or ejected.
+// Unusable reports whether an endpoint is paused or ejected.
 func (r *Roster) Unusable(now time.Time, key fleet.EndpointID) bool {
 	return r.paused(now, key) || r.health.Status(now, key) == health.Ejected
 }
 
-// paused reports whether an endpoint is suspended, in a backoff, or listed by a doubtful
-// entry.
+// paused reports whether an endpoint gets no requests for now.
 func (r *Roster) paused(now time.Time, key fleet.EndpointID) bool {
-	return now.Before(r.suspendedUntil[key]) || now.Before(r.backoffUntil[key]) || now.Before(r.doubtedUntil[key])
+	for _, until := range r.pausedUntil {
+		if now.Before(until[key]) {
+			return true
+		}
+	}
+	return false
 }
 
 // MayTry reports whether a request may be sent to an endpoint. An endpoint on trial after
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -38,7 +38,7 @@
 	for name, during := range map[string]func(r *Roster, a fleet.EndpointID){
 		"nothing":           func(*Roster, fleet.EndpointID) {},
 		"end of suspension": func(r *Roster, a fleet.EndpointID) { r.Suspend(began, a, time.Second); r.Resume(a) },
-		"success":           func(r *Roster, a fleet.EndpointID) { r.RecordRun(a); r.RecordSuccess(began, a) },
+		"success":           func(r *Roster, a fleet.EndpointID) { r.RecordSuccess(began, a) },
 		"shorter backoff":   func(r *Roster, a fleet.EndpointID) { r.BackOff(began.Add(time.Second), a, time.Second) },
 		"entry read again": func(r *Roster, _ fleet.EndpointID) {
 			r.Put(directory.Entry{ID: "a", Born: 1, Service: "s", Slots: 3, Models: map[string]int64{"m": 1}})
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -127,9 +127,6 @@
 	}
 	p.finishWaiting(now, pl.ID, !info.NotRun)
 	if !info.NotRun {
-		p.state.mu.Lock()
-		p.state.roster.RecordRun(pl.Target.Key)
-		p.state.mu.Unlock()
 		pl.Notes.Began = now
 		p.state.view.Answered(now, placement.Answer{ID: pl.ID, Endpoint: pl.Target.Key, CachedTokens: pl.Cached, Load: capSlots(info.Load)})
 		return
--- a/router/versions.go
+++ b/router/versions.go
@@ -103,11 +103,16 @@
 	return h.merge(reportedVersion(now, wall, at))
 }
 
+// find returns the index of a version, or where it belongs.
+func (h versionHistory) find(version int64) (int, bool) {
+	return slices.BinarySearchFunc(h, version, func(m namedVersion, v int64) int { return cmp.Compare(m.version, v) })
+}
+
 // merge returns the history with a reported version. A guess is replaced by a fact, or by
 // an earlier guess: that of a daemon that found the version when it started before this
 // one. This daemon's own guess comes back with its claims.
 func (h versionHistory) merge(reported namedVersion) versionHistory {
-	i, found := slices.BinarySearchFunc(h, reported.version, func(m namedVersion, v int64) int { return cmp.Compare(m.version, v) })
+	i, found := h.find(reported.version)
 	out := slices.Clone(h)
 	switch {
 	case found && out[i].guessed && (!reported.guessed || reported.since < out[i].since-clockSlack):
@@ -125,7 +130,7 @@
 // put returns the history with a reported version, in place of an earlier report of it. A
 // guess does not replace a fact.
 func (h versionHistory) put(reported namedVersion) versionHistory {
-	i, found := slices.BinarySearchFunc(h, reported.version, func(m namedVersion, v int64) int { return cmp.Compare(m.version, v) })
+	i, found := h.find(reported.version)
 	out := slices.Clone(h)
 	switch {
 	case !found:
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -28,7 +28,7 @@
 	// serve.
 	maxOrderedFraction = 0.5
 	// initialRatio is the assumed ratio of an engine's absence to its load time until
-	// several absences were measured.
+	// several absences are known.
 	initialRatio = 1.5
 	// minAbsenceHalfLife is the half-life with which the minimum rises towards later measurements:
 	// loads may come to take longer.
@@ -56,7 +56,7 @@
 // Plan selects the engines of one model to order next. It is not safe for concurrent use.
 type Plan struct {
 	orders      map[fleet.EndpointID]sentOrder
-	meanAbsence time.Duration // smoothed mean time from an order to the end of its load; 0: none measured
+	meanAbsence time.Duration // smoothed mean time from an order to the end of its load; 0: none known
 	minAbsence  time.Duration // slowly rising minimum of that time: an estimate of the load alone
 	measuredAt  time.Duration // when these were last updated
 }
