Test that a doubted entry outlasts the end of a suspension

A mutant that kept the doubt as a suspension survived the tests: the end of a load of weights would have lifted it. The new test catches it; no code changes.

--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -120,3 +120,20 @@
 		t.Errorf("endpoints in a backoff: %v", got)
 	}
 }
+
+// Guards against an endpoint that gets requests because its weights are loaded, while the
+// entry that lists it again is doubted.
+func TestDoubtOutlastsSuspension(t *testing.T) {
+	r, _, a, _ := newTestRoster()
+	r.Remove(began, began, "a")
+	r.Refresh(began)
+	r.PutRestored(began, directory.Entry{ID: "a", Born: 1, Service: "s", Models: map[string]int64{"m": 1}})
+	r.Refresh(began)
+	r.Resume(a)
+	if at := began.Add(restoredEntryDoubt - time.Millisecond); r.MayTry(at, a, true) {
+		t.Error("requests may be sent to an endpoint that was gone before the restore")
+	}
+	if at := began.Add(restoredEntryDoubt + time.Millisecond); !r.MayTry(at, a, true) {
+		t.Error("no requests may be sent once the entry had the time to be corrected")
+	}
+}
