--- a/router/restore_test.go
+++ b/router/restore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -81,6 +82,7 @@
 	mu      sync.Mutex
 	engines map[string]*rolloutEngine
 	orders  []receivedOrder
+	late    *rand.Rand // if set, half of the orders are left unanswered and carried out late
 }
 
 type rolloutEngine struct {
@@ -88,6 +90,7 @@
 	busy         bool
 	draining     bool
 	gone         bool
+	silent       bool // it neither answers nor carries out orders
 }
 
 // receivedOrder is an order that reached an engine.
@@ -158,14 +161,34 @@
 }
 
 // Order implements weights.Engines.
-func (e *rolloutEngines) Order(_ context.Context, t weights.Target, o weights.Order) (weights.Reply, error) {
+func (e *rolloutEngines) Order(ctx context.Context, t weights.Target, o weights.Order) (weights.Reply, error) {
 	time.Sleep(neighbourLatency)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, receivedOrder{time.Now(), o.Holder, o.Token})
-	engine := e.engines[t.ID]
+	switch {
+	case e.engines[t.ID].silent:
+	case e.late != nil && e.late.IntN(2) == 0:
+		time.AfterFunc(time.Second+time.Duration(e.late.Int64N(int64(5*time.Second))), func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.carryOut(t.ID, o)
+		})
+	default:
+		return e.carryOut(t.ID, o), nil
+	}
+	e.mu.Unlock()
+	<-ctx.Done()
+	e.mu.Lock()
+	return weights.Unanswered, ctx.Err()
+}
+
+// carryOut begins to load the ordered weights, unless the engine is loading or has accepted
+// another order since the report that the order names. The caller holds mu.
+func (e *rolloutEngines) carryOut(id string, o weights.Order) weights.Reply {
+	engine := e.engines[id]
 	if engine.busy || engine.seq != o.ExpectedOrders {
-		return weights.Refused, nil
+		return weights.Refused
 	}
 	engine.seq++
 	engine.busy = true
@@ -173,9 +196,9 @@
 		e.mu.Lock()
 		engine.version, engine.busy = o.Version, false
 		e.mu.Unlock()
-		e.writeEntry(t.ID)
+		e.writeEntry(id)
 	})
-	return weights.Accepted, nil
+	return weights.Accepted
 }
 
 // behind returns the number of engines with a version older than the given one.
--- /dev/null
+++ b/router/rollout_test.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// lastHolder returns the index of the daemon that gave the last order.
+func (e *rolloutEngines) lastHolder() int {
+	e.mu.Lock()
+	holder := e.orders[len(e.orders)-1].holder
+	e.mu.Unlock()
+	return slices.IndexFunc(e.zone.daemons, func(r *Router) bool {
+		return r.options.Settings.Name+"@"+r.options.Settings.CallerAddress == holder
+	})
+}
+
+// Guards against rollouts that stand still while an engine leaves its order unanswered: the
+// others would get none for as long as the leader waits.
+func TestUnansweredOrderDoesNotHoldUpOthers(t *testing.T) {
+	rollout := func(silent int) (took time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			_, e := newRolloutZone(t, 3, 18)
+			for i := range silent {
+				e.engines[fmt.Sprint("e", i)].silent = true
+			}
+			time.Sleep(zoneSettleTime)
+			e.name(2)
+			began := time.Now()
+			for e.behind(2) > silent && time.Since(began) < time.Minute {
+				time.Sleep(50 * time.Millisecond)
+			}
+			took = time.Since(began)
+			e.checkOrders(t)
+		})
+		return took
+	}
+	all, one := rollout(0), rollout(1)
+	t.Logf("%v with all engines, %v with one that answers no order", all, one)
+	// One of the orders given at a time is always that of the silent engine.
+	if one > all*3/2 {
+		t.Errorf("a rollout takes %v with one engine that answers no order, %v without", one, all)
+	}
+}
+
+// Guards against engines that are left behind when versions are named within seconds, half
+// of the orders are carried out late, and the leader is frozen, then killed.
+func TestRolloutsWithLateOrdersAndFailingLeaders(t *testing.T) {
+	const bound = 15 * time.Second
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z, e := newRolloutZone(t, 6, 18)
+				e.late = rand.New(rand.NewPCG(seed, 3))
+				time.Sleep(zoneSettleTime)
+				e.name(2)
+				time.Sleep(2100 * time.Millisecond)
+				frozen := z.daemons[e.lastHolder()].options.Settings.Name
+				z.setFlag(z.frozen, true, frozen)
+				time.Sleep(3200 * time.Millisecond)
+				e.name(3)
+				third := time.Now()
+				time.Sleep(1900 * time.Millisecond)
+				z.setFlag(z.frozen, false, frozen)
+				time.Sleep(3400 * time.Millisecond)
+				e.name(4)
+				time.Sleep(600 * time.Millisecond)
+				z.restart(e.lastHolder(), 500*time.Millisecond)
+				time.Sleep(time.Until(third.Add(3 * bound / 2)))
+				n := e.behind(3)
+				t.Logf("%d of 18 engines are older than version 3 after %v, %d orders", n, 3*bound/2, len(e.orders))
+				if n > 1 {
+					t.Errorf("%d of 18 engines are older than a version named %v ago", n, 3*bound/2)
+				}
+				e.checkOrders(t)
+			})
+		})
+	}
+}
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -38,6 +38,7 @@
 
 	mu           sync.Mutex
 	daemons      []*Router
+	stops        []context.CancelFunc // by daemon
 	topics       [topicCount][]Record
 	newest       [topicCount]map[string]Record
 	generation   int64 // of the store; 0: its offsets hold none
@@ -113,27 +114,50 @@
 		all[i] = z.newDaemon(i)
 	}
 	z.mu.Lock()
-	z.daemons = all
+	z.daemons, z.stops = all, make([]context.CancelFunc, daemons)
 	z.mu.Unlock()
 	rng := rand.New(rand.NewPCG(uint64(daemons), 7))
 	for i, r := range all {
 		z.setFlag(z.stopped, true, r.options.Settings.Name)
-		go func(after time.Duration) {
-			time.Sleep(after)
-			z.setFlag(z.stopped, false, r.options.Settings.Name)
-			go r.followDaemons(ctx)
-			go r.followOperator(ctx)
-			go z.followEndpoints(ctx, r)
-			go r.quarantine.Run(ctx)
-			go r.holdStore.run(ctx)
-			if z.engines != nil {
-				r.runLeader(ctx)
-				return
-			}
-			l := &leader{router: r, lease: weights.NewLease(all[i].options.Settings.Name, time.Second), subscription: &subscription{neighbours: r.neighbours, topic: TopicLease}}
-			go l.follow(ctx)
-		}(time.Duration(rng.Int64N(int64(300 * time.Millisecond))))
+		after := time.Duration(rng.Int64N(int64(300 * time.Millisecond)))
+		time.AfterFunc(after, func() { z.run(ctx, i, r) })
+	}
+}
+
+// run starts the work of a daemon.
+func (z *simulatedZone) run(ctx context.Context, i int, r *Router) {
+	ctx, stop := context.WithCancel(ctx)
+	z.mu.Lock()
+	z.stops[i] = stop
+	z.mu.Unlock()
+	z.setFlag(z.stopped, false, r.options.Settings.Name)
+	go r.followDaemons(ctx)
+	go r.followOperator(ctx)
+	go z.followEndpoints(ctx, r)
+	go r.quarantine.Run(ctx)
+	go r.holdStore.run(ctx)
+	if z.engines != nil {
+		go r.runLeader(ctx)
+		return
 	}
+	l := &leader{router: r, lease: weights.NewLease(r.options.Settings.Name, time.Second), subscription: &subscription{neighbours: r.neighbours, topic: TopicLease}}
+	go l.follow(ctx)
+}
+
+// restart kills a daemon and starts it again with empty state after a while.
+func (z *simulatedZone) restart(i int, after time.Duration) {
+	r := z.newDaemon(i)
+	z.mu.Lock()
+	z.stops[i]()
+	name := z.daemons[i].options.Settings.Name
+	z.mu.Unlock()
+	z.setFlag(z.stopped, true, name)
+	time.AfterFunc(after, func() {
+		z.mu.Lock()
+		z.daemons[i] = r
+		z.mu.Unlock()
+		z.run(z.ctx, i, r)
+	})
 }
 
 func (z *simulatedZone) newDaemon(i int) *Router {
