Do not await the replies to orders of weights

Cause: the leader gave its orders side by side and waited for all replies, so one engine that does not answer held up everything the leader does, polls of loading engines and further orders among it, for 0.8 s at each try.

An order counts from when it is about to be sent, so that nothing has to wait for its reply; a repeated one counts from its first sending, as before. The lease is checked right before each order, as before.

--- a/router/orders.go
+++ b/router/orders.go
@@ -180,15 +180,16 @@
 	}
 	l.router.state.applyEngineUpdates(time.Now(), updates)
 	l.router.dispatch.sendLoads(updates)
-	var all sync.WaitGroup
+	l.mu.Lock()
 	for _, e := range next {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			l.orderOne(ctx, plan, e, model, version)
-		}()
+		plan.Sent(l.router.clock(), e.Key, version)
+	}
+	l.mu.Unlock()
+	// Not awaited: an engine that does not answer would keep the others from getting
+	// orders until the timeout.
+	for _, e := range next {
+		go l.orderOne(ctx, plan, e, model, version)
 	}
-	all.Wait()
 }
 
 // claim appends a claim of the lease with updates for the other daemons, and reports
@@ -283,10 +284,9 @@
 		l.router.log.Warn("Engine did not return a report.", "endpoint", e.ID, "error", err.Error())
 	case report.Leaving:
 		l.router.placer.endpointLeaving(time.Now(), e.Key, e.ID)
-		return
 	case report.Version >= version:
 		l.recordLoaded(e, model, report.Version)
-		return
+		reply = weights.AlreadyHolds
 	case report.Busy:
 		reply = weights.Accepted
 	default:
--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -14,20 +14,29 @@
 	e.mu.Lock()
 	holder := e.orders[len(e.orders)-1].holder
 	e.mu.Unlock()
+	e.zone.mu.Lock()
+	defer e.zone.mu.Unlock()
 	return slices.IndexFunc(e.zone.daemons, func(r *Router) bool {
 		return r.options.Settings.Name+"@"+r.options.Settings.CallerAddress == holder
 	})
 }
 
+// silence makes the first engines answer no orders.
+func (e *rolloutEngines) silence(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range n {
+		e.engines[fmt.Sprint("e", i)].silent = true
+	}
+}
+
 // Guards against rollouts that stand still while an engine leaves its order unanswered: the
 // others would get none for as long as the leader waits.
 func TestUnansweredOrderDoesNotHoldUpOthers(t *testing.T) {
 	rollout := func(silent int) (took time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
 			_, e := newRolloutZone(t, 3, 18)
-			for i := range silent {
-				e.engines[fmt.Sprint("e", i)].silent = true
-			}
+			e.silence(silent)
 			time.Sleep(zoneSettleTime)
 			e.name(2)
 			began := time.Now()
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -18,6 +18,9 @@
 	// resendAfter is when an order without an answer is sent again. It carries the same
 	// count of accepted orders, so that at most one of the two is accepted.
 	resendAfter = 1500 * time.Millisecond
+	// maxReplyTime exceeds the time that the report before an order and the order itself may
+	// take.
+	maxReplyTime = 2 * time.Second
 	// refusedPause keeps an engine that refused from being ordered again at once.
 	refusedPause = 300 * time.Millisecond
 	// loadingFraction is the fraction of the engines that load at a time. Platforms sustain
@@ -155,15 +158,25 @@
 	p.measuredAt = now
 }
 
+// Sent records that an order is about to be sent to an engine. Until Replied is called, the
+// engine counts as loading.
+func (p *Plan) Sent(now time.Duration, key fleet.EndpointID, version int64) {
+	p.orders[key] = sentOrder{version: version, sent: p.firstSent(now, key, version), until: now + maxReplyTime, loading: true}
+}
+
+// firstSent returns when an order that may be repeated was first sent.
+func (p *Plan) firstSent(now time.Duration, key fleet.EndpointID, version int64) time.Duration {
+	if o, ok := p.orders[key]; ok && o.loading && o.version == version {
+		return o.sent
+	}
+	return now
+}
+
 // Replied records an engine's reply to an order.
 func (p *Plan) Replied(now time.Duration, key fleet.EndpointID, version int64, r Reply) {
 	switch r {
 	case Accepted:
-		sent := now
-		if o, ok := p.orders[key]; ok && o.loading && o.version == version {
-			sent = o.sent // the order was repeated
-		}
-		p.orders[key] = sentOrder{version: version, sent: sent, until: now + max(minLoadTime, loadTimeFactor*p.meanAbsence), loading: true}
+		p.orders[key] = sentOrder{version: version, sent: p.firstSent(now, key, version), until: now + max(minLoadTime, loadTimeFactor*p.meanAbsence), loading: true}
 	case Unanswered:
 		p.orders[key] = sentOrder{version: version, sent: now, until: now + resendAfter, loading: true}
 	case AlreadyHolds, Refused:
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -212,3 +212,30 @@
 		}
 	}
 }
+
+// Guards against an engine that is ordered twice while its first order is on its way, and
+// against a load that counts as shorter than it was because its order was repeated.
+func TestOrderOnItsWayCounts(t *testing.T) {
+	p, all := NewPlan(), engines(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+	first := p.Next(0, all, 2)
+	for _, e := range first {
+		p.Sent(0, e.Key, 2)
+	}
+	if again := p.Next(100*time.Millisecond, all, 2); len(again) > 0 {
+		t.Errorf("%d engines are ordered while %d orders are on their way", len(again), len(first))
+	}
+	p.Replied(800*time.Millisecond, first[0].Key, 2, Refused)
+	if next := p.Next(800*time.Millisecond, all, 2); len(next) != 1 || next[0].Key == first[0].Key {
+		t.Errorf("%v are ordered after a refusal", next)
+	}
+	key := first[1].Key
+	p.Replied(800*time.Millisecond, key, 2, Unanswered)
+	p.Sent(2400*time.Millisecond, key, 2)
+	p.Replied(2500*time.Millisecond, key, 2, Accepted)
+	if o := p.orders[key]; o.sent != 800*time.Millisecond {
+		t.Errorf("the load counts from %v", o.sent)
+	}
+	if got := p.Next(maxReplyTime+time.Second, all, 2); len(got) == 0 {
+		t.Error("orders without any reply hold up the rollout")
+	}
+}
