Let unanswered orders of weights leave room for others

Cause: an engine whose order is unanswered counted as loading, although it mostly serves on until the order is carried out, if at all. Four of 18 engines may be under an order, and late orders held these places for 4 s each instead of 2. Evidence: with the leader's view logged, two to four engines under order and none of them loading for seconds.

Unanswered orders no longer count against the number of engines that load at a time. All of them may begin to load, so at most half of the engines are under orders of either kind, the bound that there was before.

--- a/weights/plan.go
+++ b/weights/plan.go
@@ -69,6 +69,8 @@
 	sent    time.Duration
 	until   time.Duration // until then the engine counts as under the order, or is not ordered again
 	loading bool          // the engine may be loading
+	// unanswered states that it is not known whether the engine will carry out the order.
+	unanswered bool
 }
 
 // NewPlan returns a Plan without orders.
@@ -96,7 +98,7 @@
 // longer be used are ordered first, and then those with the smallest backlog.
 func (p *Plan) Next(now time.Duration, engines []Engine, named int64) []Engine {
 	absent := map[fleet.ZoneID]int{}
-	ordered := 0
+	ordered, unanswered := 0, 0
 	var waiting []Engine
 	for _, e := range engines {
 		if e.Version >= named {
@@ -113,6 +115,9 @@
 			waiting = append(waiting, e)
 		case o.loading:
 			ordered++
+			if o.unanswered {
+				unanswered++
+			}
 			absent[e.Zone]++
 		}
 	}
@@ -121,8 +126,10 @@
 			cmp.Compare(min(a.UsableFor, 0), min(b.UsableFor, 0)), cmp.Compare(a.Backlog/backlogStep, b.Backlog/backlogStep),
 			cmp.Compare(a.Version, b.Version), cmp.Compare(absent[a.Zone], absent[b.Zone]), cmp.Compare(a.Key, b.Key))
 	})
-	free := max(0, p.maxOrdered(len(engines))-ordered)
-	return waiting[:min(free, len(waiting))]
+	// Most engines with an unanswered order serve on, so that they do not take the place of
+	// others; but all of them may begin to load.
+	free := min(p.maxOrdered(len(engines))-(ordered-unanswered), maxAbsent(len(engines))-ordered)
+	return waiting[:min(max(0, free), len(waiting))]
 }
 
 // maxOrdered returns how many of n engines may be under an order.
@@ -136,10 +143,13 @@
 	if p.minAbsence > 0 {
 		ratio = p.meanAbsence.Seconds() / p.minAbsence.Seconds()
 	}
-	most := max(1, int(maxOrderedFraction*float64(n)))
-	return min(max(1, int(math.Round(loadingFraction*ratio*float64(n)))), most)
+	return min(max(1, int(math.Round(loadingFraction*ratio*float64(n)))), maxAbsent(n))
 }
 
+// maxAbsent returns how many of n engines may be under an order that they have answered or
+// not.
+func maxAbsent(n int) int { return max(1, int(maxOrderedFraction*float64(n))) }
+
 // finish records that an engine has the weights, and measures its absence.
 func (p *Plan) finish(now time.Duration, key fleet.EndpointID) {
 	if o, ordered := p.orders[key]; ordered && o.loading {
@@ -178,7 +188,7 @@
 	case Accepted:
 		p.orders[key] = sentOrder{version: version, sent: p.firstSent(now, key, version), until: now + max(minLoadTime, loadTimeFactor*p.meanAbsence), loading: true}
 	case Unanswered:
-		p.orders[key] = sentOrder{version: version, sent: now, until: now + resendAfter, loading: true}
+		p.orders[key] = sentOrder{version: version, sent: now, until: now + resendAfter, loading: true, unanswered: true}
 	case AlreadyHolds, Refused:
 		p.orders[key] = sentOrder{version: version, until: now + refusedPause}
 	}
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -239,3 +239,27 @@
 		t.Error("orders without any reply hold up the rollout")
 	}
 }
+
+// Guards against orders left unanswered that take the place of others, and against half of
+// the engines or more that load at once because all such orders are carried out late.
+func TestUnansweredOrdersLeaveRoom(t *testing.T) {
+	all := engines(slices.Repeat([]int64{1}, 12)...)
+	p := NewPlan()
+	at := p.Next(0, all, 2)
+	for _, e := range at {
+		p.Replied(0, e.Key, 2, Unanswered)
+	}
+	if next := p.Next(0, all, 2); len(next) != len(at) {
+		t.Errorf("%d engines are ordered beside %d unanswered orders", len(next), len(at))
+	}
+	ordered := len(at)
+	for range 12 {
+		for _, e := range p.Next(0, all, 2) {
+			p.Replied(0, e.Key, 2, Unanswered)
+			ordered++
+		}
+	}
+	if want := int(maxOrderedFraction * float64(len(all))); ordered != want {
+		t.Errorf("%d of %d engines have unanswered orders, want %d", ordered, len(all), want)
+	}
+}
