--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -78,18 +78,12 @@
 	r.refuseOrders = true
 }
 
-// AnnounceShutdown makes all answers of the runner announce its shutdown. It serves on.
-func (r *Runner) AnnounceShutdown() {
+// SetLeaving makes all answers of the runner announce its shutdown, or ends that, as its
+// next incarnation does. It serves on.
+func (r *Runner) SetLeaving(leaving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.leaving = true
-}
-
-// EndShutdown takes back AnnounceShutdown, as the next incarnation of the runner does.
-func (r *Runner) EndShutdown() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.leaving = false
+	r.leaving = leaving
 }
 
 // RejectAll makes the runner reject all requests with the Retry-After value; empty: it
--- a/lab/routed/leaving_test.go
+++ b/lab/routed/leaving_test.go
@@ -17,7 +17,7 @@
 		"prompt":        func() reply { return w.sendModelRequest("/talk/x") },
 	} {
 		runner := w.runnerOf(send())
-		runner.AnnounceShutdown()
+		runner.SetLeaving(true)
 		w.waitUntil("the announcement is read", func() bool {
 			before := len(runner.Runs())
 			return send().status == http.StatusOK && len(runner.Runs()) == before
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -408,9 +408,9 @@
 		service = "app"
 	}
 	r := s.runners[id]
-	r.AnnounceShutdown()
+	r.SetLeaving(true)
 	return func() {
-		r.EndShutdown()
+		r.SetLeaving(false)
 		s.register(id, service, s.runnerLinks[i].address(), r.Version())
 	}
 }
