Test that a prompt is not refused while engines are idle, failing

Evidence, from lines added to a scratch copy: the engine of the shared segment waits 225 ms and five others of its pool nothing; the limit is 180 ms. The placement elsewhere costs as much as the one there, so the engine of the segment is taken, and the prompt is then refused for that engine's wait. Whether the first three prompts meet at the dispatcher in this way depends on the order of the goroutines.

--- a/router/dispatch_test.go
+++ b/router/dispatch_test.go
@@ -111,6 +111,23 @@
 	}
 }
 
+// Guards against a prompt that is refused because of the queue at the engine that caches
+// its shared segment, while other engines are idle.
+func TestPromptOfHotSegmentIsNotRefusedWhileEnginesAreIdle(t *testing.T) {
+	c := newDispatchCluster(t, 1, 12)
+	req := c.longPrompt(c.daemons[0], "")
+	req.Route.TargetLatency, req.Service.Engine.LinkMbps = 300*time.Millisecond, 0
+	req.In.PromptTokens, req.In.Parts = 12_000, []prefix.Segment{{ID: "hot", Tokens: 6000}, {ID: "own", Tokens: 6000}}
+	used := map[fleet.EndpointID]bool{}
+	for sent := range 8 {
+		p, err := c.daemons[0].placeAsDispatcher(time.Now(), req)
+		if err != nil {
+			t.Fatalf("prompt %d is refused with %v, only %d of 12 engines have been sent one", sent, err, len(used))
+		}
+		used[p.Target.Key] = true
+	}
+}
+
 // Two daemons receive prompts with the same shared segment, one after the other. The
 // second prompt must be placed on the engine that reads the segment, or fetch it from
 // there.
