Test that daemons cut off from all endpoints serve their callers, failing

The test replays it in virtual time: one and three of four daemons are cut off for 10 s while the store, callers and other daemons reach them; connections hang, are reset, or live on while new ones are refused. The bound is the rule's: two thirds of what the others serve, or 10 and one in 50 that fail.

--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -45,7 +45,10 @@
 	disconnected map[netip.AddrPort]bool // daemons that can neither send nor receive messages
 	sentMessages int                     // between daemons
 	sentBytes    int
-	promptTokens int // of each request; 0: requests name no model
+	promptTokens int                           // of each request; 0: requests name no model
+	cuts         map[int]cutMode               // daemons that are cut off from all endpoints
+	conns        map[*simulatedConn]bool       // open connections of daemons to endpoints
+	peers        map[string]*simulatedListener // of the daemons, by address
 }
 
 const (
@@ -67,6 +70,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &simulatedFleet{
 		t: t, ctx: ctx, began: time.Now(), rng: rand.New(rand.NewPCG(uint64(daemons), 29)), disconnected: map[netip.AddrPort]bool{},
+		cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{},
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -76,6 +80,9 @@
 				_ = c.Close()
 			}
 		}
+		for _, l := range f.peers {
+			l.close()
+		}
 		f.mu.Unlock()
 		time.Sleep(time.Minute) // virtual, until everything has ended
 	})
@@ -149,6 +156,7 @@
 	go r.runPeriodic(ctx)
 	go r.quarantine.Run(ctx)
 	go r.endpointLimits.Run(ctx)
+	go r.serveNeighbours(f.listen(me.String()))
 }
 
 // addEndpoint adds an endpoint to the daemon's list, as its entry in the store does.
@@ -301,10 +309,17 @@
 
 // dialFrom returns the forward.Dial of a daemon.
 func (f *simulatedFleet) dialFrom(daemon int) forward.Dial {
-	return func(_ context.Context, _, address string) (net.Conn, error) { return f.dial(daemon, address) }
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return f.dial(ctx, daemon, address) }
 }
 
-func (f *simulatedFleet) dial(daemon int, address string) (net.Conn, error) {
+func (f *simulatedFleet) dial(ctx context.Context, daemon int, address string) (net.Conn, error) {
+	f.mu.Lock()
+	peer, cut := f.peers[address], f.cuts[daemon]
+	f.mu.Unlock()
+	if peer != nil {
+		time.Sleep(2 * fleetLatency)
+		return peer.connect()
+	}
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
@@ -313,6 +328,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cut == cutSilent {
+		return nil, unansweredDial(ctx)
+	}
 	time.Sleep(2 * fleetLatency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -320,29 +338,15 @@
 	switch {
 	case !e.up && e.hostUnreachable:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ETIMEDOUT}
-	case !e.up:
+	case !e.up || cut != notCut:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	near, far := net.Pipe()
 	e.conns[far] = true
 	go e.serve(far, daemon)
-	return &simulatedConn{Conn: near, hostUnreachable: e.hostUnreachable}, nil
-}
-
-// simulatedConn is the daemon's side of a connection to an endpoint.
-type simulatedConn struct {
-	net.Conn
-	hostUnreachable bool
-}
-
-// Read implements net.Conn. If the host is unreachable, the end of the connection is
-// reported as a timeout.
-func (c *simulatedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if c.hostUnreachable && errors.Is(err, io.EOF) {
-		err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ETIMEDOUT}
-	}
-	return n, err
+	c := &simulatedConn{Conn: near, f: f, daemon: daemon, hostUnreachable: e.hostUnreachable}
+	f.conns[c] = true
+	return c, nil
 }
 
 func (e *simulatedEndpoint) serve(c net.Conn, daemon int) {
