Connect to endpoints through another daemon while cut off from them

Cause: a daemon's own connections were its only path to endpoints, and a failure of its own links counted as one of theirs. Class: the state of the observer taken for that of the observed.

Now a connection that fails is asked of another daemon, which opens it and relays bytes (package relay, POST /v1/relay at the port for daemons). That it succeeds there is the proof that the path is lost and the endpoint is not; three such endpoints in a row, with no direct connection in between, and the daemon asks others for all of them, until probes reach two endpoints directly. Placement, limits, deadlines, at most once and retries stay with the daemon that accepted the request, as nothing reaches the endpoint before the connection is there: to the request path it is one more connection. One hop: the other daemon dials directly. Bytes from endpoints are framed, so that the end of the relaying daemon is not taken for the end of an answer without a length. The loss of the relaying daemon is no failure of the endpoint, and endpoints that others reach are no longer reported as crashed.

Ruled out: to be not ready only moves new connections, and only while half of a zone is ready; connections that are closed unread are failed attempts.

Logs say which paths are lost, by which evidence and through whom; lines of attempts have via=.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -28,6 +28,7 @@
 		// Deferred, so that it also runs when the handler panics with
 		// http.ErrAbortHandler.
 		end.Left = c.r.Context().Err() != nil
+		end.RelayLost = errors.Is(end.Cause, ErrRelayLost)
 		c.recordResult(&end)
 		c.reportToQuarantine(p.Target, &end)
 		if end.mayHaveRun() {
@@ -47,11 +48,15 @@
 			failure = retry.NotSent
 		}
 		end = AttemptEnd{Failure: failure, Lost: !withdrawn, Withdrawn: withdrawn, Cause: err}
+		var sent *attemptError
+		if errors.As(err, &sent) {
+			c.report.Attempts[len(c.report.Attempts)-1].Via = sent.via
+		}
 		return false, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: failure}
 	}
 	last := &c.report.Attempts[len(c.report.Attempts)-1]
 	last.Load, last.Limit = a.Info.Load, a.Info.Limit
-	last.Leaving, last.Backoff = a.Info.Leaving, a.Info.Backoff
+	last.Leaving, last.Backoff, last.Via = a.Info.Leaving, a.Info.Backoff, a.Via()
 	c.o.Placer.AnswerStarted(p, &a.Info)
 	end = c.relayAnswer(a)
 	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: end.Failure}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -60,8 +60,20 @@
 	// answer to it was received.
 	ErrNoAnswer     = errors.New("forward: no answer")
 	errStrayAnswers = errors.New("forward: answers of other requests only")
+	// ErrRelayLost reports that the daemon that relayed the connection was lost. The
+	// endpoint may be intact.
+	ErrRelayLost = errors.New("forward: relaying daemon lost")
 )
 
+// RelayedConn is a connection to an endpoint through another daemon.
+type RelayedConn interface {
+	net.Conn
+	// Via returns the name of that daemon.
+	Via() string
+	// Buffered returns the number of bytes that were received and not read.
+	Buffered() int
+}
+
 // Dial opens a connection, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -97,20 +109,34 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			ctl := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(ctl, err)
-		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUnackedTimeout(raw) },
+	}
+}
+
+// DetectLoss makes an accepted connection fail as those of Dialer do.
+func DetectLoss(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
 	}
+	return errors.Join(setUnackedTimeout(raw), c.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
+	}))
+}
+
+func setUnackedTimeout(raw syscall.RawConn) error {
+	var err error
+	ctl := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(ctl, err)
 }
 
 // conn is a connection to an endpoint with its read buffer.
 type conn struct {
 	net.Conn
 	key       fleet.EndpointID
+	address   string
 	r         *bufio.Reader
 	idleSince time.Time
 	maxIdle   time.Duration // idle time after which it is not reused
@@ -141,7 +167,7 @@
 	c.mu.Lock()
 	c.open[t.Key]++
 	c.mu.Unlock()
-	return &conn{Conn: raw, key: t.Key, r: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return &conn{Conn: raw, key: t.Key, address: t.Address, r: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
 func (c *Client) popIdle(key fleet.EndpointID) *conn {
@@ -163,6 +189,9 @@
 	if k.r.Buffered() > 0 {
 		return false
 	}
+	if relayed, ok := k.Conn.(RelayedConn); ok && relayed.Buffered() > 0 {
+		return false
+	}
 	sc, ok := k.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -204,15 +233,38 @@
 // CloseIdle closes the connections that have been idle for too long to be reused,
 // and those to endpoints for which known returns false.
 func (c *Client) CloseIdle(known func(fleet.EndpointID) bool) {
+	c.closeIdle(func(k *conn) bool { return !known(k.key) || time.Since(k.idleSince) >= k.maxIdle })
+}
+
+// CloseIdleDirect closes the idle connections of the daemon's own to an address, or to all
+// if it is empty.
+func (c *Client) CloseIdleDirect(address string) {
+	c.closeIdle(func(k *conn) bool { return k.via() == "" && (address == "" || k.address == address) })
+}
+
+// CloseIdleRelayed closes the idle connections through other daemons.
+func (c *Client) CloseIdleRelayed() {
+	c.closeIdle(func(k *conn) bool { return k.via() != "" })
+}
+
+// via returns the name of the daemon that relays the connection; empty: none.
+func (k *conn) via() string {
+	if relayed, ok := k.Conn.(RelayedConn); ok {
+		return relayed.Via()
+	}
+	return ""
+}
+
+func (c *Client) closeIdle(useless func(k *conn) bool) {
 	var old []*conn
 	c.mu.Lock()
 	for key, list := range c.idle {
 		kept := list[:0]
 		for _, k := range list {
-			if known(key) && time.Since(k.idleSince) < k.maxIdle {
-				kept = append(kept, k)
-			} else {
+			if useless(k) {
 				old = append(old, k)
+			} else {
+				kept = append(kept, k)
 			}
 		}
 		if len(kept) == 0 {
@@ -269,12 +321,27 @@
 	if err != nil {
 		stop()
 		c.close(k)
-		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		if k.via() == "" && classifyLoss(err) == lossSilent {
+			c.CloseIdleDirect(k.address) // they are on the same path
+		}
+		return nil, &attemptError{via: k.via(), err: err}
 	}
 	a.write, a.stopDeadline = w, stop
 	return a, nil
 }
 
+// attemptError is the error of a request that was sent and not answered.
+type attemptError struct {
+	via string // daemon that relayed it; empty: none
+	err error
+}
+
+func (e *attemptError) Error() string   { return ErrNoAnswer.Error() + ": " + e.err.Error() }
+func (e *attemptError) Unwrap() []error { return []error{ErrNoAnswer, e.err} }
+
+// Via returns the name of the daemon that relayed the request; empty: none.
+func (a *Answer) Via() string { return a.conn.via() }
+
 // requestWrite is a write of a request that may still be in progress. err is
 // valid once done is closed.
 type requestWrite struct {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -98,6 +98,7 @@
 	Limit    *float64      // reported with the answer; nil: none
 	Leaving  bool          // the answer announced the endpoint's shutdown
 	Backoff  time.Duration // that the endpoint asked for; 0: none
+	Via      string        // daemon that relayed the connection; empty: none
 	Result   string
 	Lost     string        // how the connection was lost; empty: it was not
 	After    time.Duration // from the request's arrival to the attempt's end
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -15,6 +15,7 @@
 	lossClosed    = "closed"    // closed before the end of the answer
 	lossSilent    = "silent"    // the endpoint's host stopped acknowledging
 	lossTimeout   = "timeout"   // closed by this daemon when the context ended
+	lossRelay     = "relay"     // the daemon that relayed the connection was lost
 	lossMalformed = "malformed" // the response can't be parsed or is incomplete
 )
 
@@ -24,6 +25,8 @@
 	switch {
 	case errors.Is(cause, os.ErrDeadlineExceeded):
 		return lossTimeout
+	case errors.Is(cause, ErrRelayLost):
+		return lossRelay
 	case errors.Is(cause, syscall.ECONNREFUSED):
 		return lossRefused
 	case errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -90,6 +90,9 @@
 	Lost    bool  // the connection was refused, lost or unresponsive
 	Cause   error `json:"-"` // of the loss; nil: the answer was incomplete on an intact connection
 	Left    bool  // the caller disconnected
+	// RelayLost states that the daemon that relayed the connection was lost, which shows
+	// nothing about the endpoint.
+	RelayLost bool
 	// Withdrawn states that the answer had not begun by Placement.BeginBy.
 	Withdrawn bool
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -45,6 +45,7 @@
 	placement PlacementSink
 
 	usable      map[fleet.EndpointID]*directory.Endpoint
+	byAddress   map[string]int // number of usable endpoints at an address
 	pausedUntil [pauseReasons]map[fleet.EndpointID]time.Time
 	backedOff   map[fleet.EndpointID]bool // they have answered no request since their last backoff
 	unavailable map[fleet.EndpointID]bool // not available to placement
@@ -68,7 +69,7 @@
 func New(o Options) *Roster {
 	r := &Roster{
 		directory: directory.New(o.Grace), health: health.New(o.Health), pools: pools.New(o.Placement, o.ShortFraction), placement: o.Placement,
-		usable: map[fleet.EndpointID]*directory.Endpoint{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
+		usable: map[fleet.EndpointID]*directory.Endpoint{}, byAddress: map[string]int{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
 	}
 	for reason := range r.pausedUntil {
 		r.pausedUntil[reason] = map[fleet.EndpointID]time.Time{}
@@ -142,7 +143,9 @@
 
 // addUsable adds a usable endpoint to the pools or updates it there.
 func (r *Roster) addUsable(now time.Time, e *directory.Endpoint) {
+	r.forgetAddress(e.Key)
 	r.usable[e.Key] = e
+	r.byAddress[e.Address]++
 	member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: e.Service, Address: e.Address, State: fleet.VMLive}
 	r.health.SetListed(now, member)
 	unusable := r.Unusable(now, e.Key)
@@ -154,6 +157,7 @@
 
 // removeUsable removes an endpoint from the pools.
 func (r *Roster) removeUsable(now time.Time, key fleet.EndpointID) {
+	r.forgetAddress(key)
 	delete(r.usable, key)
 	delete(r.unavailable, key)
 	delete(r.backedOff, key)
@@ -161,6 +165,20 @@
 	r.health.SetMissing(now, key)
 }
 
+// forgetAddress removes a usable endpoint from the index of addresses.
+func (r *Roster) forgetAddress(key fleet.EndpointID) {
+	e := r.usable[key]
+	if e == nil {
+		return
+	}
+	if r.byAddress[e.Address]--; r.byAddress[e.Address] <= 0 {
+		delete(r.byAddress, e.Address)
+	}
+}
+
+// HasAddress reports whether a usable endpoint has the address.
+func (r *Roster) HasAddress(address string) bool { return r.byAddress[address] > 0 }
+
 // recheck updates the endpoints whose state may change with time: those that are
 // suspended or in a backoff, and those that health ejected or retains despite failures.
 func (r *Roster) recheck(now time.Time) {
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -245,7 +245,9 @@
 		p.state.roster.Suspend(now, pl.Target.Key, unreachableSuspension)
 	}
 	if end.Lost {
-		p.state.roster.RecordFailure(now, pl.Target.Key)
+		if !end.RelayLost {
+			p.state.roster.RecordFailure(now, pl.Target.Key)
+		}
 	} else if end.Whole && !end.Error {
 		p.state.roster.RecordSuccess(now, pl.Target.Key)
 	}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/prefix"
@@ -84,6 +85,9 @@
 			l.close()
 		}
 		f.mu.Unlock()
+		for _, r := range f.daemons {
+			r.client.CloseIdle(func(fleet.EndpointID) bool { return false })
+		}
 		time.Sleep(time.Minute) // virtual, until everything has ended
 	})
 	route.Name, route.Host, route.PathPrefix, route.Timeout = "r", fleetHost, "/", fleetTimeout
@@ -123,7 +127,7 @@
 			Name: fmt.Sprint("front-", i), Zone: "z", PeerAddress: daemonAddress(i).String(),
 			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio,
 		},
-		Clock: f.clock, Dial: f.dialFrom(i), Wire: testWire{}, Engines: unresponsiveEngines{}, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
+		Clock: f.clock, Dial: f.dialFrom(i), DialPeer: f.dialFrom(i), Wire: testWire{}, Engines: unresponsiveEngines{}, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
 	}, noopMeters())
 	me := daemonAddress(i)
 	r.datagrams.write = func(to netip.AddrPort, data []byte) error { return f.deliver(me, to, data) }
@@ -150,12 +154,14 @@
 	r.quarantine.SetDaemons(peersOf(all))
 	r.endpointLimits.SetDaemons(peersOf(all))
 	r.dispatch.setDaemons(all)
+	r.setRelays(all)
 	for _, e := range up {
 		r.addEndpoint(e)
 	}
 	go r.runPeriodic(ctx)
 	go r.quarantine.Run(ctx)
 	go r.endpointLimits.Run(ctx)
+	go r.paths.Run(ctx)
 	go r.serveNeighbours(f.listen(me.String()))
 }
 
@@ -318,7 +324,7 @@
 	f.mu.Unlock()
 	if peer != nil {
 		time.Sleep(2 * fleetLatency)
-		return peer.connect()
+		return peer.connect(daemonAddress(daemon).String())
 	}
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -17,6 +17,7 @@
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/readtree"
+	"github.com/merlindock/merlindock/relay"
 )
 
 // Thresholds and timeouts for reading through neighbours.
@@ -346,10 +347,11 @@
 	return feed.Decode(body)
 }
 
-// serveNeighbours serves the reads of other daemons.
+// serveNeighbours serves the reads of other daemons and relays their connections.
 func (r *Router) serveNeighbours(l net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc(relayPath, r.handleRelayedRead)
+	mux.Handle(relay.Path, r.relayServer)
 	s := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: mux}
 	if err := s.Serve(l); err != nil {
 		r.log.Error("Reads of neighbours are no longer served.", "error", err.Error())
--- a/router/partition_test.go
+++ b/router/partition_test.go
@@ -92,6 +92,37 @@
 	}
 }
 
+// checkRunsOnce fails the test if a request ran at several endpoints.
+func (f *simulatedFleet) checkRunsOnce() {
+	f.t.Helper()
+	runs := map[string]int{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.endpoints {
+		for _, a := range e.arrivals {
+			if a.ran {
+				runs[a.body]++
+			}
+		}
+	}
+	for body, n := range runs {
+		if n > 1 {
+			f.t.Errorf("request %q ran %d times", body, n)
+		}
+	}
+}
+
+// checkDirect fails the test if a daemon still has other daemons relay its connections, and
+// returns if all connect to endpoints themselves.
+func (f *simulatedFleet) checkDirect() {
+	f.t.Helper()
+	for _, r := range f.daemons {
+		if r.paths.Isolated() || r.paths.Lost() > 0 {
+			f.t.Errorf("%s still counts %d paths as lost, isolated: %v", r.options.Settings.Name, r.paths.Lost(), r.paths.Isolated())
+		}
+	}
+}
+
 // Guards against callers that are refused because their daemon, or the one that places long
 // prompts for all, is cut off from all endpoints while other daemons reach them.
 func TestDaemonCutFromAllEndpointsServesItsCallers(t *testing.T) {
@@ -116,9 +147,61 @@
 							f.serveModel(c.promptTokens)
 						}
 						runPartition(f, count, mode).check(t)
+						f.checkDirect()
+						if !c.route.Repeatable() {
+							f.checkRunsOnce()
+						}
 					})
 				})
 			}
 		}
 	}
 }
+
+// Guards against a request that runs twice, or an endpoint that is taken for sick, because
+// the daemon that relays it falls silent or ends.
+func TestLostHelperIsNoFailureOfTheEndpoint(t *testing.T) {
+	for name, end := range map[string]func(f *simulatedFleet, helper int){
+		"ends":             func(f *simulatedFleet, helper int) { f.closePeers(helper) },
+		"is cut off later": func(f *simulatedFleet, helper int) { f.cut(helper, cutReset) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 4, 18, routes.Route{Kind: routes.Unsafe})
+				time.AfterFunc(7*time.Second, func() { end(f, 1) })
+				runPartition(f, 1, cutReset).check(t)
+				f.checkRunsOnce()
+			})
+		})
+	}
+}
+
+// Guards against daemons that relay for each other in a loop while none reaches endpoints,
+// and against callers that wait for their deadline then.
+func TestRefusesAtOnceWhileNoDaemonReachesEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 18, routes.Route{Kind: routes.Safe})
+		for d := range f.daemons {
+			f.cut(d, cutReset)
+		}
+		for at := range 200 {
+			began := time.Now()
+			got := f.request(f.randomDaemon(), fleetKey, fmt.Sprint("ordinary ", at))
+			if got.Code != http.StatusServiceUnavailable || got.Header().Get("Retry-After") == "" {
+				t.Fatalf("answered with %d %q", got.Code, got.Body)
+			}
+			if took := time.Since(began); took > 300*time.Millisecond {
+				t.Errorf("refused only after %v", took)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		for d := range f.daemons {
+			f.cut(d, notCut)
+		}
+		time.Sleep(2 * time.Second)
+		if got := f.request(0, fleetKey, "ordinary"); got.Code != http.StatusOK {
+			t.Errorf("answered with %d %q after the cut", got.Code, got.Body)
+		}
+		f.checkDirect()
+	})
+}
--- a/router/report.go
+++ b/router/report.go
@@ -129,6 +129,10 @@
 		b = append(b, " limit="...)
 		b = strconv.AppendFloat(b, *a.Limit, 'g', 6, 64)
 	}
+	if a.Via != "" {
+		b = append(b, " via="...)
+		b = append(b, a.Via...)
+	}
 	if a.Leaving {
 		b = append(b, " leaving"...)
 	}
@@ -155,6 +159,13 @@
 			r.metrics.scope.Tagged(map[string]string{"topic": topic.String()}).Gauge("knowledge_age_seconds").Update(age.Seconds())
 		}
 	}
+	isolated := 0.0
+	if r.paths.Isolated() {
+		isolated = 1
+	}
+	r.metrics.scope.Gauge("isolated").Update(isolated)
+	r.metrics.scope.Gauge("lost_paths").Update(float64(r.paths.Lost()))
+	r.metrics.scope.Gauge("relayed_connections").Update(float64(r.relayServer.Open()))
 	r.metrics.scope.Gauge("store_generation").Update(float64(r.generation.Load()))
 	daemons, steps := r.neighbours.position()
 	r.metrics.scope.Gauge("zone_daemons").Update(float64(daemons))
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/quarantineguard"
+	"github.com/merlindock/merlindock/relay"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/telemetry"
 	"github.com/merlindock/merlindock/weights"
@@ -62,12 +63,13 @@
 	// Clock continues while the machine is suspended; nil: BootClock.
 	Clock     func() time.Duration
 	CacheFeed CacheFeed // nil: cache events are not followed
-	// Dial opens connections to endpoints; nil: TCP.
-	Dial    forward.Dial
-	Wire    forward.HeaderCodec
-	Engines weights.Engines
-	Logs    *logging.Factory
-	Rand    *rand.Rand // seeded
+	// Dial opens connections to endpoints, and DialPeer to other daemons; nil: TCP.
+	Dial     forward.Dial
+	DialPeer forward.Dial
+	Wire     forward.HeaderCodec
+	Engines  weights.Engines
+	Logs     *logging.Factory
+	Rand     *rand.Rand // seeded
 	// MetricsPort is the port for metrics at Settings.MetricsHost; empty: none.
 	MetricsPort string
 }
@@ -89,6 +91,8 @@
 	quarantine     *quarantineguard.Guard
 	holdStore      *holdStore             // nil: there is no list of daemons
 	endpointLimits *endpointlimit.Limiter // limits that endpoints report
+	paths          *relay.Dialer          // connections to endpoints, through other daemons if need be
+	relayServer    *relay.Server
 	dispatch       *dispatchPlacer
 	feeds          [topicCount]*feed.Feed
 	log            *logging.Logger
@@ -96,7 +100,8 @@
 	endpointLog    lineLimiter // limits the lines of endpoints that are ready
 	metrics        *meters
 
-	generation   atomic.Int64 // of the store, as of the last complete read of a topic
+	peerHosts    atomic.Pointer[map[string]bool] // hosts of the other daemons
+	generation   atomic.Int64                    // of the store, as of the last complete read of a topic
 	shuttingDown atomic.Bool
 	// stopDeadline is when the process ends. It is nil until callers need to be
 	// informed.
@@ -132,13 +137,13 @@
 	r := &Router{
 		options: o, clock: o.Clock, state: s,
 		placer:     newPlacer(s, &o.Settings, o.Engines, o.Clock, log, o.Rand),
-		client:     forward.NewClient(o.Wire, o.Dial),
 		callers:    forward.NewCallerConns(),
 		log:        log,
 		metrics:    metrics,
 		requestLog: lineLimiter{perSecond: ordinaryPerSecond}, endpointLog: lineLimiter{perSecond: readyPerSecond},
 	}
 	r.countStoreCalls()
+	r.connectEndpoints()
 	r.cacheTracker = newCacheTracker(o.CacheFeed, o.Clock, r.log)
 	r.placer.cacheTracker = r.cacheTracker
 	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress, Cores: o.Settings.Cores, LinkMbps: o.Settings.LinkMbps}
@@ -179,13 +184,9 @@
 // are also stored beside it.
 func (r *Router) newQuarantineGuard(me Neighbour) *quarantineguard.Guard {
 	o := quarantineguard.Options{
-		Self: gossip.Peer{Name: me.Name, Address: me.Address}, Clock: r.options.Clock, Dial: r.options.Dial, Rand: r.options.Rand,
+		Self: gossip.Peer{Name: me.Name, Address: me.Address}, Clock: r.options.Clock, Dial: r.paths.Dial, Rand: r.options.Rand,
 		Scope: r.metrics.scope, Log: r.log, Send: r.datagrams.send,
 	}
-	if o.Dial == nil {
-		d := forward.Dialer()
-		o.Dial = d.DialContext
-	}
 	if r.options.DaemonRegistry != nil {
 		r.holdStore = newHoldStore(me.Name, r.options.DaemonRegistry, r.log)
 		o.OnChange = r.holdStore.changed
@@ -263,6 +264,7 @@
 	go r.limits.run(work)
 	go r.quarantine.Run(work)
 	go r.endpointLimits.Run(work)
+	go r.paths.Run(work)
 	if r.options.MetricsPort != "" {
 		go r.serveMetrics()
 	}
--- a/router/simulated_net_test.go
+++ b/router/simulated_net_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -135,8 +136,24 @@
 	}
 }
 
+// closePeers ends all connections of other daemons to a daemon, and refuses new ones, as if
+// its process had ended.
+func (f *simulatedFleet) closePeers(daemon int) {
+	f.mu.Lock()
+	l := f.peers[daemonAddress(daemon).String()]
+	f.mu.Unlock()
+	l.close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+}
+
 // simulatedListener is the address of a daemon for other daemons.
 type simulatedListener struct {
+	mu      sync.Mutex
+	open    []net.Conn
 	address string
 	conns   chan net.Conn
 	done    chan struct{}
@@ -157,10 +174,22 @@
 
 func (l *simulatedListener) close() { l.once.Do(func() { close(l.done) }) }
 
-func (l *simulatedListener) connect() (net.Conn, error) {
+// peerConn is a daemon's side of a connection from another daemon.
+type peerConn struct {
+	net.Conn
+	remote net.Addr
+}
+
+// RemoteAddr implements net.Conn.
+func (c *peerConn) RemoteAddr() net.Addr { return c.remote }
+
+func (l *simulatedListener) connect(from string) (net.Conn, error) {
 	near, far := net.Pipe()
 	select {
-	case l.conns <- far:
+	case l.conns <- &peerConn{Conn: far, remote: net.TCPAddrFromAddrPort(netip.MustParseAddrPort(from))}:
+		l.mu.Lock()
+		l.open = append(l.open, far)
+		l.mu.Unlock()
 		return near, nil
 	case <-l.done:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
--- a/router/state.go
+++ b/router/state.go
@@ -182,6 +182,13 @@
 	return s.roster.Find(key) != nil
 }
 
+// hasEndpointAt reports whether a usable endpoint has the address.
+func (s *state) hasEndpointAt(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.HasAddress(address)
+}
+
 // applyEngineUpdates applies the engine updates of the rollout leader.
 func (s *state) applyEngineUpdates(now time.Time, updates []weights.EngineUpdate) {
 	s.mu.Lock()
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -181,6 +181,7 @@
 	r.options.Rand, r.options.Clock = rand.New(rand.NewPCG(3, uint64(i))), z.clock
 	r.datagrams = newDatagrams(tally.NoopScope, discardLog())
 	r.options.Dial = z.refuseDial
+	r.connectEndpoints()
 	r.quarantine = r.newQuarantineGuard(r.neighbours.self)
 	r.endpointLimits = r.newEndpointLimits(r.neighbours.self)
 	r.dispatch = newDispatchPlacer(r.neighbours.self, r.state, r.placer, z.clock, discardLog(), discard)
