Leave the rollout lease to others while cut off from the engines

Cause: the lease depends on the store alone. A daemon that counts as isolated now neither claims nor renews it. Orders are not relayed: engines tell leaders apart by their address, and one leader would count as two. Reports of engines and cache events go over the connections of endpoints, so that a leader without requests notices the cut, and placement keeps its knowledge meanwhile.

--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -26,6 +26,7 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/weights"
 )
 
 // simulatedFleet simulates a deployment in virtual time: daemons and their callers,
@@ -127,7 +128,7 @@
 			Name: fmt.Sprint("front-", i), Zone: "z", PeerAddress: daemonAddress(i).String(),
 			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio,
 		},
-		Clock: f.clock, Dial: f.dialFrom(i), DialPeer: f.dialFrom(i), Wire: testWire{}, Engines: unresponsiveEngines{}, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
+		Clock: f.clock, Dial: f.dialFrom(i), DialPeer: f.dialFrom(i), Wire: testWire{}, NewEngines: func(forward.Dial) weights.Engines { return unresponsiveEngines{} }, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
 	}, noopMeters())
 	me := daemonAddress(i)
 	r.datagrams.write = func(to netip.AddrPort, data []byte) error { return f.deliver(me, to, data) }
--- a/router/orders.go
+++ b/router/orders.go
@@ -95,7 +95,8 @@
 // Daemons that claim at the same time are refused once.
 const maxConflicts = 3
 
-// step gives the orders that are due.
+// step gives the orders that are due. A daemon that is cut off from the engines leaves the
+// lease to others: orders are not relayed, as engines tell leaders apart by their address.
 func (l *leader) step(ctx context.Context) {
 	outdated := l.outdatedModels()
 	now := l.router.clock()
@@ -113,7 +114,7 @@
 	l.mu.Lock()
 	due := max(l.behindSince, l.lease.ClaimableAt(now)) + l.claimDelay
 	l.mu.Unlock()
-	if now < due || l.router.shuttingDown.Load() {
+	if now < due || l.router.shuttingDown.Load() || l.router.paths.Isolated() {
 		return
 	}
 	l.finishLoads(ctx, now)
@@ -276,7 +277,7 @@
 // order if it needs one.
 func (l *leader) orderOne(ctx context.Context, plan *weights.Plan, e weights.Engine, model string, version int64) {
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
-	report, err := l.router.options.Engines.Report(call, e.Target, model)
+	report, err := l.router.engines.Report(call, e.Target, model)
 	cancel()
 	reply := weights.Refused
 	switch {
@@ -312,7 +313,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, weights.OrderTimeout)
 	defer cancel()
-	reply, err := l.router.options.Engines.Order(call, e.Target, weights.Order{
+	reply, err := l.router.engines.Order(call, e.Target, weights.Order{
 		Model: model, Version: version, Running: weights.FinishRunning, Holder: me, Token: token, ExpectedOrders: expected,
 	})
 	fields := []any{"endpoint", e.ID, "model", model, "version", version, "token", token, "expected", expected, "reply", reply.String()}
@@ -337,7 +338,7 @@
 			defer all.Done()
 			call, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
-			report, err := l.router.options.Engines.Report(call, e.engine.Target, e.model)
+			report, err := l.router.engines.Report(call, e.engine.Target, e.model)
 			if err == nil && !report.Busy && report.Version >= e.version {
 				l.recordLoaded(e.engine, e.model, report.Version)
 			}
--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// Guards against rollouts that stand still because the leader is cut off from all engines
+// and keeps the lease.
+func TestLeaderCutFromEnginesPassesTheLease(t *testing.T) {
+	// A rollout may take 15 s, and the lease lapses before another daemon claims it.
+	bound := 15*time.Second + zoneSettings.OrderLease
+	synctest.Test(t, func(t *testing.T) {
+		z, e := newRolloutZone(t, 3, 18)
+		time.Sleep(zoneSettleTime)
+		e.name(2)
+		time.Sleep(2 * time.Second)
+		leader := z.daemons[e.lastHolder()].options.Settings.Name
+		z.setFlag(z.cutOff, true, leader)
+		e.name(3)
+		time.Sleep(bound)
+		if n := e.behind(3); n > 0 {
+			t.Errorf("%d engines have older weights %v after a version was named, the leader was cut off from engines", n, bound)
+		}
+		e.checkOrders(t)
+	})
+}
+
 // Guards against engines that are left behind when versions are named within seconds, half
 // of the orders are carried out late, and the leader is frozen, then killed.
 func TestRolloutsWithLateOrdersAndFailingLeaders(t *testing.T) {
--- a/router/router.go
+++ b/router/router.go
@@ -61,8 +61,11 @@
 	// DaemonRegistry is the list of daemons; nil: each daemon reads the store itself.
 	DaemonRegistry DaemonRegistry
 	// Clock continues while the machine is suspended; nil: BootClock.
-	Clock     func() time.Duration
-	CacheFeed CacheFeed // nil: cache events are not followed
+	Clock func() time.Duration
+	// NewCacheFeed and NewEngines return the clients of engines that use the given
+	// connections. Without NewCacheFeed cache events are not followed.
+	NewCacheFeed func(endpoints forward.Dial) CacheFeed
+	NewEngines   func(endpoints forward.Dial) weights.Engines
 	// Dial opens connections to endpoints, and DialPeer to other daemons; nil: TCP.
 	Dial     forward.Dial
 	DialPeer forward.Dial
@@ -80,6 +83,7 @@
 	clock        func() time.Duration // BootClock except in tests
 	state        *state
 	placer       *placer
+	engines      weights.Engines
 	client       *forward.Client
 	callerServer *http.Server
 	callers      *forward.CallerConns
@@ -136,7 +140,6 @@
 	log := o.Logs.For(logging.ComponentRouter)
 	r := &Router{
 		options: o, clock: o.Clock, state: s,
-		placer:     newPlacer(s, &o.Settings, o.Engines, o.Clock, log, o.Rand),
 		callers:    forward.NewCallerConns(),
 		log:        log,
 		metrics:    metrics,
@@ -144,7 +147,13 @@
 	}
 	r.countStoreCalls()
 	r.connectEndpoints()
-	r.cacheTracker = newCacheTracker(o.CacheFeed, o.Clock, r.log)
+	r.engines = o.NewEngines(r.paths.Dial)
+	r.placer = newPlacer(s, &o.Settings, r.engines, o.Clock, log, o.Rand)
+	var cacheFeed CacheFeed
+	if o.NewCacheFeed != nil {
+		cacheFeed = o.NewCacheFeed(r.paths.Dial)
+	}
+	r.cacheTracker = newCacheTracker(cacheFeed, o.Clock, r.log)
 	r.placer.cacheTracker = r.cacheTracker
 	me := Neighbour{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerAddress, Cores: o.Settings.Cores, LinkMbps: o.Settings.LinkMbps}
 	r.neighbours = newNeighbours(me, &o.Settings, forward.Dialer(), o.Clock, r.log)
@@ -241,7 +250,7 @@
 	go r.followEndpoints(work)
 	go r.runPeriodic(work)
 	go r.runLeader(work)
-	if o := r.options.CacheFeed; o != nil {
+	if r.options.NewCacheFeed != nil {
 		go r.followCaches(work)
 	}
 	go r.serveReady(healthListener)
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -1,12 +1,15 @@
 package router
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -47,6 +50,7 @@
 	storeSilent  map[string]bool // daemons whose calls the store does not answer
 	storeRefuses map[string]bool // daemons whose calls the store refuses
 	frozen       map[string]bool // daemons that do not answer and get no answers
+	cutOff       map[string]bool // daemons that reach engines only through others
 	stopped      map[string]bool // daemons that do not run; connections to them are refused
 	// mbps returns the link rate of a daemon in Mbit/s; nil: transfers take no time.
 	// linkBusyUntil is when the last transfer on each link ends.
@@ -92,7 +96,7 @@
 	})
 	z := &simulatedZone{
 		t: t, ctx: ctx, began: time.Now(), appended: make(chan struct{}),
-		storeSilent: map[string]bool{}, storeRefuses: map[string]bool{}, frozen: map[string]bool{}, stopped: map[string]bool{},
+		storeSilent: map[string]bool{}, storeRefuses: map[string]bool{}, frozen: map[string]bool{}, cutOff: map[string]bool{}, stopped: map[string]bool{},
 		codec: zoneCodec{}, pageSize: storePageSize, linkBusyUntil: map[string]time.Duration{}, followEndpoints: func(ctx context.Context, r *Router) { r.followEndpoints(ctx) },
 	}
 	for topic := range z.newest {
@@ -164,11 +168,12 @@
 	set := zoneSettings
 	set.Name, set.PeerAddress = fmt.Sprintf("front-%d", i), strconv.Itoa(i)
 	r := &Router{
-		options: Options{Settings: set, Codec: z.codec, Engines: z.engines}, clock: z.clock,
+		options: Options{Settings: set, Codec: z.codec}, clock: z.clock,
 		state: newState(&set, rand.New(rand.NewPCG(1, uint64(i)))), log: discardLog(),
 		metrics: &meters{scope: tally.NoopScope, storeFailures: tally.NoopScope.Counter(""), orders: tally.NoopScope.Counter("")},
 	}
-	r.placer = newPlacer(r.state, &set, z.engines, z.clock, discardLog(), rand.New(rand.NewPCG(4, uint64(i))))
+	r.engines = &enginesOfDaemon{Engines: z.engines, router: r, zone: z}
+	r.placer = newPlacer(r.state, &set, r.engines, z.clock, discardLog(), rand.New(rand.NewPCG(4, uint64(i))))
 	store := &zoneStore{zone: z, daemon: set.Name}
 	r.options.Store, r.options.Lease, r.options.DaemonRegistry = store, store, store
 	me := Neighbour{Name: set.Name, Zone: set.Zone, Address: set.PeerAddress}
@@ -180,7 +185,7 @@
 	r.limits = newLimiter(r.neighbours.self, &set, z.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, discardLog(), discard)
 	r.options.Rand, r.options.Clock = rand.New(rand.NewPCG(3, uint64(i))), z.clock
 	r.datagrams = newDatagrams(tally.NoopScope, discardLog())
-	r.options.Dial = z.refuseDial
+	r.options.Dial, r.options.DialPeer = z.refuseDial, z.dialHelper
 	r.connectEndpoints()
 	r.quarantine = r.newQuarantineGuard(r.neighbours.self)
 	r.endpointLimits = r.newEndpointLimits(r.neighbours.self)
@@ -194,6 +199,52 @@
 	return r
 }
 
+// enginesOfDaemon are the engines as a daemon reaches them. While it is cut off, it reads
+// their reports through other daemons, and its orders are lost.
+type enginesOfDaemon struct {
+	weights.Engines
+	router *Router
+	zone   *simulatedZone
+}
+
+var errCutOff = errors.New("cut off from the engine")
+
+// Report implements weights.Engines.
+func (e *enginesOfDaemon) Report(ctx context.Context, t weights.Target, model string) (weights.Report, error) {
+	if e.zone.flag(e.zone.cutOff, e.router.options.Settings.Name) {
+		c, err := e.router.paths.Dial(ctx, "tcp", t.Address)
+		if err != nil {
+			return weights.Report{}, err
+		}
+		_ = c.Close()
+	}
+	return e.Engines.Report(ctx, t, model)
+}
+
+// Order implements weights.Engines.
+func (e *enginesOfDaemon) Order(ctx context.Context, t weights.Target, o weights.Order) (weights.Reply, error) {
+	if e.zone.flag(e.zone.cutOff, e.router.options.Settings.Name) {
+		<-ctx.Done()
+		return weights.Unanswered, errCutOff
+	}
+	return e.Engines.Order(ctx, t, o)
+}
+
+// dialHelper connects to another daemon that reaches all endpoints.
+func (z *simulatedZone) dialHelper(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		in := bufio.NewReader(far)
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		_, _ = io.WriteString(far, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+		_, _ = io.Copy(io.Discard, in)
+	}()
+	return near, nil
+}
+
 // refuseDial fails like a connection to an endpoint that has crashed.
 func (z *simulatedZone) refuseDial(context.Context, string, string) (net.Conn, error) {
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
