--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -24,6 +24,7 @@
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/readtree"
 	"github.com/merlindock/merlindock/routes"
@@ -185,7 +186,7 @@
 	r.limits = newLimiter(r.neighbours.self, &set, z.clock, rand.New(rand.NewPCG(2, uint64(i))), tally.NoopScope, discardLog(), discard)
 	r.options.Rand, r.options.Clock = rand.New(rand.NewPCG(3, uint64(i))), z.clock
 	r.datagrams = newDatagrams(tally.NoopScope, discardLog())
-	r.options.Dial, r.options.DialPeer = z.refuseDial, z.dialHelper
+	r.options.Dial, r.options.DialPeer = z.refuseDial, z.dialHelperOf(set.Name)
 	r.connectEndpoints()
 	r.quarantine = r.newQuarantineGuard(r.neighbours.self)
 	r.endpointLimits = r.newEndpointLimits(r.neighbours.self)
@@ -230,19 +231,25 @@
 	return e.Engines.Order(ctx, t, o)
 }
 
-// dialHelper connects to another daemon that reaches all endpoints.
-func (z *simulatedZone) dialHelper(context.Context, string, string) (net.Conn, error) {
-	near, far := net.Pipe()
-	go func() {
-		defer far.Close()
-		in := bufio.NewReader(far)
-		if _, err := http.ReadRequest(in); err != nil {
-			return
+// dialHelperOf connects a daemon that is cut off to one that reaches all endpoints. Others
+// have no helper.
+func (z *simulatedZone) dialHelperOf(name string) forward.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if !z.flag(z.cutOff, name) {
+			return z.refuseDial(ctx, network, address)
 		}
-		_, _ = io.WriteString(far, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
-		_, _ = io.Copy(io.Discard, in)
-	}()
-	return near, nil
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			in := bufio.NewReader(far)
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(far, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+			_, _ = io.Copy(io.Discard, in)
+		}()
+		return near, nil
+	}
 }
 
 // refuseDial fails like a connection to an endpoint that has crashed.
