Test that brittle endpoints do not crash on rejections, failing

The test gives endpoints slots, some room to wait, and a limit of rejections that counts 3 s after it is reported; uneven daemons send between half and twice what the slots bear. The bounds are the rule's, 2 crashes and a tenth of the endpoints; besides, nobody may be refused while most slots are idle, and four fifths of what the slots bear have to be served.

The header is decoded and used by nothing yet.

--- a/forward/headers.go
+++ b/forward/headers.go
@@ -65,6 +65,9 @@
 	// Limit is how many requests/s the endpoint accepts from all daemons together;
 	// nil: not given.
 	Limit *float64
+	// RejectionLimit is how many requests/s the endpoint can reject for want of room, those
+	// of all daemons together, before it crashes; nil: not given.
+	RejectionLimit *float64
 	// Leaving states that the endpoint has announced its shutdown.
 	Leaving bool
 	// Backoff is for how long the endpoint asks this daemon to send it nothing;
--- /dev/null
+++ b/router/brittle_test.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/merlindock/merlindock/routes"
+)
+
+// simulatedCapacity limits the requests of an endpoint. It is guarded by the fleet's lock.
+type simulatedCapacity struct {
+	f              *simulatedFleet
+	slots, room    int // requests that run and that wait at most
+	serviceTime    time.Duration
+	rejectionLimit *float64 // rejections/s above which it crashes, as reported; nil: none
+	enforced       bool     // whether it crashes already
+
+	mu               sync.Mutex
+	running, waiting int
+	slotFree         chan struct{}
+	rejected         []time.Time
+	rejections       int
+	falls            int
+}
+
+func newCapacity(f *simulatedFleet, slots, room int, serviceTime time.Duration) *simulatedCapacity {
+	return &simulatedCapacity{f: f, slots: slots, room: room, serviceTime: serviceTime, slotFree: make(chan struct{}, slots)}
+}
+
+// enter reports whether a request may run or wait.
+func (k *simulatedCapacity) enter(*simulatedEndpoint) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.running+k.waiting >= k.slots+k.room {
+		k.rejections++
+		k.rejected = append(k.rejected, time.Now())
+		return false
+	}
+	k.waiting++
+	return true
+}
+
+// fallen reports whether the endpoint crashes because of the rejections of the last second.
+func (k *simulatedCapacity) fallen(*simulatedEndpoint) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	recent := 0
+	for _, at := range k.rejected {
+		if time.Since(at) < time.Second {
+			recent++
+		}
+	}
+	if k.rejectionLimit == nil || !k.enforced || float64(recent) <= *k.rejectionLimit {
+		return false
+	}
+	k.rejected = nil
+	k.falls++
+	return true
+}
+
+// serve waits for a slot and runs the request.
+func (k *simulatedCapacity) serve() {
+	k.slotFree <- struct{}{}
+	k.mu.Lock()
+	k.waiting--
+	k.running++
+	k.mu.Unlock()
+	time.Sleep(k.serviceTime)
+	<-k.slotFree
+}
+
+func (k *simulatedCapacity) leave(*simulatedEndpoint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.running = max(0, k.running-1)
+}
+
+// reset drops all requests, as a crash does.
+func (k *simulatedCapacity) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rejected = nil
+}
+
+// header returns the headers of the load and of the limit of rejections.
+func (k *simulatedCapacity) header() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := fmt.Sprintf("Load: %d,%d,%d\r\n", k.running, k.waiting, k.slots)
+	if k.rejectionLimit != nil {
+		out += "Brittle: " + strconv.FormatFloat(*k.rejectionLimit, 'g', -1, 64) + "\r\n"
+	}
+	return out
+}
+
+// brittleLoad is a load on endpoints that crash if they have to reject too much.
+type brittleLoad struct {
+	daemons, endpoints int
+	slots              int
+	fraction           float64 // of what the slots bear
+	rejectionLimit     float64 // rejections/s
+}
+
+// brittleResult counts requests that were sent while the endpoints crashed on rejections.
+type brittleResult struct {
+	sent, served, idleRefusals int
+	rejections, falls          int
+}
+
+const (
+	brittleServiceTime = 100 * time.Millisecond
+	brittleBegins      = 2 * time.Second // when endpoints begin to report their limit
+	brittleSettle      = 3 * time.Second // from then until less may wait and they crash
+	brittleLasts       = 12 * time.Second
+)
+
+// run sends the load to uneven daemons: each next one gets three quarters of the requests
+// of the one before.
+func (l brittleLoad) run(t *testing.T) (out brittleResult) {
+	f := newFleet(t, l.daemons, l.endpoints, routes.Route{Kind: routes.Unsafe})
+	for _, e := range f.endpoints {
+		e.capacity = newCapacity(f, l.slots, l.slots, brittleServiceTime)
+	}
+	all := func(change func(k *simulatedCapacity)) func() {
+		return func() {
+			for _, e := range f.endpoints {
+				e.capacity.mu.Lock()
+				change(e.capacity)
+				e.capacity.mu.Unlock()
+			}
+		}
+	}
+	time.AfterFunc(brittleBegins, all(func(k *simulatedCapacity) { k.rejectionLimit = &l.rejectionLimit }))
+	time.AfterFunc(brittleBegins+brittleSettle, all(func(k *simulatedCapacity) { k.room, k.enforced, k.rejections = 2, true, 0 }))
+	perSecond := l.fraction * float64(l.endpoints*l.slots) / brittleServiceTime.Seconds()
+	step := time.Duration(float64(time.Second) / perSecond)
+	var waits sync.WaitGroup
+	var mu sync.Mutex
+	for at := time.Duration(0); at < brittleBegins+brittleLasts; at += step {
+		waits.Go(func() {
+			time.Sleep(at)
+			daemon := 0
+			for f.draw() < 0.75 && daemon < l.daemons-1 {
+				daemon++
+			}
+			got := f.request(daemon, fleetKey, fmt.Sprint("ordinary ", at))
+			mu.Lock()
+			defer mu.Unlock()
+			out.add(f, at, got)
+		})
+	}
+	waits.Wait()
+	for _, e := range f.endpoints {
+		out.rejections += e.capacity.rejections
+		out.falls += e.capacity.falls
+	}
+	t.Logf("%.0f%% of what the slots bear, %d daemons, limit %v: %d of %d served, %d refused while most slots were idle, %d rejections, %d crashes of %d endpoints",
+		100*l.fraction, l.daemons, l.rejectionLimit, out.served, out.sent, out.idleRefusals, out.rejections, out.falls, l.endpoints)
+	return out
+}
+
+func (r *brittleResult) add(f *simulatedFleet, at time.Duration, got *httptest.ResponseRecorder) {
+	if at < brittleBegins+brittleSettle {
+		return
+	}
+	r.sent++
+	if got.Code == http.StatusOK {
+		r.served++
+		return
+	}
+	running, slots := 0, 0
+	for _, e := range f.endpoints {
+		e.capacity.mu.Lock()
+		running, slots = running+e.capacity.running, slots+e.capacity.slots
+		e.capacity.mu.Unlock()
+	}
+	if running < slots/2 {
+		r.idleRefusals++
+	}
+}
+
+// draw returns a random number in [0, 1).
+func (f *simulatedFleet) draw() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
+
+// Guards against endpoints that crash because daemons go on sending them more than they can
+// take, and against callers that are refused while slots are idle.
+func TestBrittleEndpointsDoNotCrashOnRejections(t *testing.T) {
+	for _, l := range []brittleLoad{
+		{3, 6, 8, 0.46, 5}, {3, 6, 8, 2, 5}, {3, 6, 8, 2, 0}, {6, 3, 6, 0.7, 5}, {6, 3, 6, 2, 5}, {6, 3, 6, 1.2, 8}, {24, 6, 6, 1.5, 5},
+	} {
+		t.Run(fmt.Sprintf("%d daemons, %d endpoints, load %v, limit %v", l.daemons, l.endpoints, l.fraction, l.rejectionLimit), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := l.run(t)
+				if allowed := 2 + l.endpoints/10; got.falls > allowed {
+					t.Errorf("%d crashes because of rejections, %d are allowed", got.falls, allowed)
+				}
+				if got.idleRefusals > got.sent/50 {
+					t.Errorf("%d of %d requests were refused while most slots were idle", got.idleRefusals, got.sent)
+				}
+				if borne := min(1, 1/l.fraction); float64(got.served) < 0.8*borne*float64(got.sent) {
+					t.Errorf("%d of %d requests were served, the slots bear %.0f%%", got.served, got.sent, 100*borne)
+				}
+			})
+		})
+	}
+}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/limits"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/routes"
@@ -269,10 +270,11 @@
 	up              bool
 	incarnation     int
 	conns           map[net.Conn]bool
-	limit           *float64 // requests/s that its answers report; nil: none
-	leaving         bool     // its answers announce its shutdown
-	retryAfter      string   // if set, it rejects all requests with this Retry-After
-	hostUnreachable bool     // its host is unreachable after a crash, instead of refusing connections
+	limit           *float64           // requests/s that its answers report; nil: none
+	leaving         bool               // its answers announce its shutdown
+	retryAfter      string             // if set, it rejects all requests with this Retry-After
+	hostUnreachable bool               // its host is unreachable after a crash, instead of refusing connections
+	capacity        *simulatedCapacity // nil: it runs any number of requests at once
 
 	arrivals []arrival
 }
@@ -392,11 +394,27 @@
 		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+head+"Not-Run: 1\r\nRetry-After: "+retryAfter+"\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
+	if k := e.capacity; k != nil && ours {
+		if !k.enter(e) {
+			if k.fallen(e) {
+				e.crash(incarnation)
+				return false
+			}
+			_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+head+k.header()+"Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		}
+		defer k.leave(e)
+	}
 	if !ours {
 		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
 		return err == nil
 	}
-	time.Sleep(fleetServiceTime)
+	if k := e.capacity; k != nil {
+		k.serve()
+		head += k.header()
+	} else {
+		time.Sleep(fleetServiceTime)
+	}
 	if body == crashBody {
 		e.crash(incarnation)
 		return false
@@ -420,6 +438,9 @@
 		return
 	}
 	e.up = false
+	if e.capacity != nil {
+		e.capacity.reset()
+	}
 	for c := range e.conns {
 		_ = c.Close()
 	}
@@ -474,7 +495,13 @@
 	if v, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil {
 		backoff = time.Duration(v * float64(time.Second))
 	}
+	var load *fleet.Load
+	var running, waiting, slots int
+	if n, _ := fmt.Sscanf(h.Get("Load"), "%d,%d,%d", &running, &waiting, &slots); n == 3 {
+		load = &fleet.Load{Running: running, Waiting: waiting, Slots: slots}
+	}
 	return forward.AnswerInfo{
+		Load: load, RejectionLimit: limits.Parse(h.Get("Brittle")),
 		Limit: limit, AttemptID: h.Get("Attempt-Id"), Signed: h.Get("Signature") != "", NotRun: misplaced || h.Get("Not-Run") != "", Misplaced: misplaced,
 		KeepAlive: 5 * time.Second, Leaving: h.Get("Leaving") != "", Backoff: backoff,
 	}
