Limit requests under way at endpoints that rejections crash

Cause: daemons learn that an endpoint is full by being rejected, each for itself, and after a crash send all they have to the ones that are left. Each daemon now limits what it has under way at such an endpoint, by the occupancy that answers report: the limit shrinks when requests wait for slots, grows while slots are free, and is a fraction of the time where there are more daemons than slots. So the room is not used up, and what surely finds none is refused at once, as endpoints_at_limits. A rejection halves the limit and pauses the endpoint, by the number that it reported. An endpoint that returns is limited before its first answer if others of its service are. The limit ends with the first answer without the report. Where nothing is reported nothing changes.

Ruled out: to divide N between daemons as the other limits are (endpointlimit). It counts requests, of which only those at risk would count, and its few tokens would leave slots idle.

--- a/router/attempts.go
+++ b/router/attempts.go
@@ -16,6 +16,7 @@
 	excluded     []fleet.EndpointID // tried before, or at their limit
 	reserved     []fleet.EndpointID // used only if no other endpoint is left
 	remaining    int
+	dispatching  bool // the daemon that sends the request checks its own limit of requests under way
 	limitReached bool // some endpoint was at its limit
 }
 
@@ -30,18 +31,23 @@
 		a.reserved = p.state.roster.BackedOff()
 		p.state.mu.Unlock()
 	}
+	a.exclude(p.headroom.full())
 	if p.endpointLimits == nil {
 		return a
 	}
-	full := p.endpointLimits.AtLimit()
-	a.limitReached = len(full) > 0
-	a.excluded = append(a.excluded, full...)
+	a.exclude(p.endpointLimits.AtLimit())
 	if spare {
 		a.reserved = append(a.reserved, p.endpointLimits.Limited()...)
 	}
 	return a
 }
 
+// exclude excludes endpoints that are at a limit.
+func (a *attempts) exclude(full []fleet.EndpointID) {
+	a.limitReached = a.limitReached || len(full) > 0
+	a.excluded = append(a.excluded, full...)
+}
+
 // excludedEndpoints returns the endpoints that the next attempt must not use.
 func (a *attempts) excludedEndpoints() []fleet.EndpointID {
 	return slices.Concat(a.excluded, a.reserved)
@@ -67,7 +73,7 @@
 // limit. Otherwise it returns nil, and the next attempt excludes the endpoint.
 func (a *attempts) acquire(now time.Time, e fleet.EndpointID, repeatable bool) *directory.Endpoint {
 	if found := a.p.mayTry(now, e, repeatable); found != nil {
-		if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(e) {
+		if a.acquireLimits(found) {
 			return found
 		}
 		// Not counted as an attempt: each such endpoint is met once, as it is excluded
@@ -79,6 +85,20 @@
 	return nil
 }
 
+// acquireLimits takes capacity of both limits of an endpoint, or of none.
+func (a *attempts) acquireLimits(e *directory.Endpoint) bool {
+	if !a.dispatching && !a.p.headroom.acquire(e) {
+		return false
+	}
+	if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(e.Key) {
+		return true
+	}
+	if !a.dispatching {
+		a.p.headroom.release(e.Key)
+	}
+	return false
+}
+
 // refusal returns the error for a request that no endpoint can take.
 func (a *attempts) refusal(now time.Time) *forward.RefusedError {
 	if a.limitReached {
--- a/router/attempts_test.go
+++ b/router/attempts_test.go
@@ -17,15 +17,16 @@
 // Guards against sending a request again to an endpoint that failed it, when endpoints
 // with a limit are allowed because no others are left.
 func TestTriedEndpointStaysExcluded(t *testing.T) {
+	clock := fixedClock(time.Hour)
 	k := endpointlimit.New(endpointlimit.Options{
-		Clock: func() time.Duration { return time.Hour }, Rand: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope,
+		Clock: clock, Rand: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope,
 		Log: discardLog(), Send: func(string, []byte) {},
 	})
 	limit := 100.0
 	for _, e := range []fleet.EndpointID{"tried", "spared"} {
 		k.Answered(e, &limit)
 	}
-	a := (&placer{endpointLimits: k}).newAttempts(&forward.PlacementRequest{Service: &routes.Service{}}, []fleet.EndpointID{"tried"}, true)
+	a := (&placer{endpointLimits: k, headroom: newSharedHeadroom(clock, rand.New(rand.NewPCG(1, 2)))}).newAttempts(&forward.PlacementRequest{Service: &routes.Service{}}, []fleet.EndpointID{"tried"}, true)
 	if excluded := a.excludedEndpoints(); !slices.Contains(excluded, "tried") || !slices.Contains(excluded, "spared") {
 		t.Errorf("%v are excluded at first", excluded)
 	}
--- a/router/backoff_test.go
+++ b/router/backoff_test.go
@@ -190,10 +190,10 @@
 		}
 		other.AnswerStarted(&p, &forward.AnswerInfo{NotRun: true, Backoff: time.Minute})
 		other.AttemptEnded(&p, forward.AttemptEnd{NotRun: true, Failure: retry.NotRun})
-		if got := other.backingOff(req); len(got) != 1 || got[0] != p.Target.Key {
+		if got := other.unavailable(req); len(got) != 1 || got[0] != p.Target.Key {
 			t.Errorf("the daemon backs off from %v", got)
 		}
-		if got := dispatcher.backingOff(req); len(got) != 0 {
+		if got := dispatcher.unavailable(req); len(got) != 0 {
 			t.Errorf("the dispatcher backs off from %v", got)
 		}
 		time.Sleep(2 * refusalSuspension)
@@ -212,7 +212,7 @@
 	p := c.place(t, d, "part")
 	d.AnswerStarted(&p, &forward.AnswerInfo{NotRun: true, Misplaced: true, Leaving: true, Backoff: time.Minute})
 	d.state.refresh(time.Now())
-	if d.state.roster.Find(p.Target.Key) == nil || len(d.backingOff(c.longPrompt(d, "part"))) > 0 {
+	if d.state.roster.Find(p.Target.Key) == nil || len(d.unavailable(c.longPrompt(d, "part"))) > 0 {
 		t.Error("the endpoint counts as leaving or in a backoff")
 	}
 	d.AnswerStarted(&p, &forward.AnswerInfo{NotRun: true, Misplaced: true, Leaving: true, EndpointID: p.Target.ID})
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -75,7 +75,7 @@
 			r.quarantine.SetDaemons(peersOf(all))
 			r.endpointLimits.SetDaemons(peersOf(all))
 			r.dispatch.setDaemons(all)
-			r.setRelays(all)
+			r.setPeers(all)
 			changed = false
 		}
 		if err != nil {
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -174,7 +174,7 @@
 	case !some:
 		return d.placer.Place(ctx, req)
 	case to == d.self:
-		return d.placeAsDispatcher(time.Now(), req)
+		return d.dispatchOwn(ctx, req)
 	}
 	p, ok, err := d.askDispatcher(ctx, to, req)
 	if !ok {
@@ -183,12 +183,22 @@
 	return p, err
 }
 
+// dispatchOwn places a prompt of this daemon's own callers as the dispatcher.
+func (d *dispatchPlacer) dispatchOwn(ctx context.Context, req *forward.PlacementRequest) (forward.Placement, error) {
+	p, err := d.placeAsDispatcher(time.Now(), req)
+	if err != nil || d.holdHeadroom(&p) {
+		return p, err
+	}
+	d.placer.AttemptEnded(&p, forward.AttemptEnd{Left: true})
+	return d.placer.Place(ctx, req)
+}
+
 // askDispatcher asks a dispatcher to place the request. ok is false if the dispatcher
 // gave no usable answer.
 func (d *dispatchPlacer) askDispatcher(ctx context.Context, to Neighbour, req *forward.PlacementRequest) (p forward.Placement, ok bool, err error) {
 	m := placeMessage{
 		ID: d.lastID.Add(1), Route: req.Route.Name, Service: req.Service.Name, In: *req.In,
-		LeftMs: time.Until(req.Deadline).Milliseconds(), Avoid: append(d.backingOff(req), req.Excluded...), Resuming: req.Resuming,
+		LeftMs: time.Until(req.Deadline).Milliseconds(), Avoid: append(d.unavailable(req), req.Excluded...), Resuming: req.Resuming,
 	}
 	m.In.APIKey = ""
 	m.Loads = d.takeObservedLoads(time.Now())
@@ -219,16 +229,17 @@
 	return p, false, nil
 }
 
-// maxAvoidedEndpoints bounds the endpoints in a backoff that a message to the dispatcher
+// maxAvoidedEndpoints bounds the unavailable endpoints that a message to the dispatcher
 // names. It has to fit into a datagram, and acceptAnswer checks the answer in any case.
 const maxAvoidedEndpoints = 32
 
-// backingOff returns the endpoints of the request's service that asked this daemon to back
-// off. The dispatcher does not know of them.
-func (d *dispatchPlacer) backingOff(req *forward.PlacementRequest) []fleet.EndpointID {
+// unavailable returns the endpoints of the request's service that asked this daemon to back
+// off, and those at its limit of requests under way. The dispatcher does not know of them.
+func (d *dispatchPlacer) unavailable(req *forward.PlacementRequest) []fleet.EndpointID {
+	full := d.headroom.full()
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
-	all := d.state.roster.BackingOff(time.Now(), req.Service.Name)
+	all := append(d.state.roster.BackingOff(time.Now(), req.Service.Name), full...)
 	return all[:min(len(all), maxAvoidedEndpoints)]
 }
 
@@ -249,7 +260,7 @@
 	if got.LeftMs > 0 {
 		beginWithin = min(beginWithin, time.Duration(got.LeftMs)*time.Millisecond)
 	}
-	if beginWithin <= minBeginTime || slices.Contains(req.Excluded, p.Target.Key) {
+	if beginWithin <= minBeginTime || slices.Contains(req.Excluded, p.Target.Key) || !d.holdHeadroom(&p) {
 		d.sendMessage(from.Address, kindEnded, endedMessage{ID: got.ID, End: forward.AttemptEnd{Left: true}})
 		return forward.Placement{}, false, nil
 	}
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -115,6 +115,7 @@
 	if p.endpointLimits != nil && !info.Misplaced { // a misplaced answer may come from another endpoint
 		p.endpointLimits.Answered(pl.Target.Key, info.Limit)
 	}
+	p.observeHeadroom(pl, info)
 	if info.Leaving && identified(pl, info) {
 		p.endpointLeaving(now, pl.Target.Key, pl.Target.ID)
 	}
@@ -223,6 +224,9 @@
 func (p *placer) AttemptEnded(pl *forward.Placement, end forward.AttemptEnd) {
 	now := time.Now()
 	p.finishWaiting(now, pl.ID, false)
+	if pl.Notes.Held {
+		p.headroom.release(pl.Target.Key)
+	}
 	if end.Lost && end.Failure == retry.NotSent && pl.Notes.Dispatcher == "" {
 		p.releaseLimit(pl.Target.Key)
 	}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -156,7 +156,7 @@
 	r.quarantine.SetDaemons(peersOf(all))
 	r.endpointLimits.SetDaemons(peersOf(all))
 	r.dispatch.setDaemons(all)
-	r.setRelays(all)
+	r.setPeers(all)
 	for _, e := range up {
 		r.addEndpoint(e)
 	}
--- /dev/null
+++ b/router/headroom.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/merlindock/merlindock/directory"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/headroom"
+)
+
+// sharedHeadroom is a headroom.Table that is safe for concurrent use.
+type sharedHeadroom struct {
+	clock func() time.Duration
+
+	mu    sync.Mutex
+	table *headroom.Table
+}
+
+func newSharedHeadroom(clock func() time.Duration, rng *rand.Rand) *sharedHeadroom {
+	return &sharedHeadroom{clock: clock, table: headroom.New(rng)}
+}
+
+func headroomTarget(e *directory.Endpoint) headroom.Target {
+	return headroom.Target{ID: e.Key, Service: e.Service, Slots: e.Slots}
+}
+
+func (s *sharedHeadroom) setDaemons(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetDaemons(n)
+}
+
+func (s *sharedHeadroom) acquire(e *directory.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Acquire(s.clock(), headroomTarget(e))
+}
+
+func (s *sharedHeadroom) release(key fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Released(s.clock(), key)
+}
+
+func (s *sharedHeadroom) full() []fleet.EndpointID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Full(s.clock())
+}
+
+func (s *sharedHeadroom) retain(known func(fleet.EndpointID) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Retain(s.clock(), known)
+}
+
+// answered adjusts the limit of the endpoint that gave an answer, and reports whether the
+// endpoint began to report that rejections crash it.
+func (s *sharedHeadroom) answered(e *directory.Endpoint, info *forward.AnswerInfo) (began bool) {
+	load := info.Load
+	rejected := info.NotRun && (load == nil || load.Running+load.Waiting >= load.Slots)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Answered(s.clock(), headroomTarget(e), headroom.Answer{Rejected: rejected, Limit: info.RejectionLimit, Load: load})
+}
+
+// observeHeadroom passes an answer on to the limits of endpoints that rejections crash.
+func (p *placer) observeHeadroom(pl *forward.Placement, info *forward.AnswerInfo) {
+	p.state.mu.Lock()
+	e := p.state.roster.Find(pl.Target.Key)
+	p.state.mu.Unlock()
+	if e == nil || info.Misplaced {
+		return
+	}
+	if p.headroom.answered(e, info) {
+		p.log.Info("Endpoint reports that rejections crash it.", "endpoint", string(e.Key), "limit", *info.RejectionLimit)
+	}
+}
+
+// holdHeadroom counts a request that a dispatcher placed. It returns false if the endpoint
+// is at this daemon's limit.
+func (p *placer) holdHeadroom(pl *forward.Placement) bool {
+	p.state.mu.Lock()
+	e := p.state.roster.Find(pl.Target.Key)
+	p.state.mu.Unlock()
+	pl.Notes.Held = e != nil && p.headroom.acquire(e)
+	return pl.Notes.Held
+}
--- a/router/paths.go
+++ b/router/paths.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net"
-	"slices"
 
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/reach"
@@ -35,9 +34,9 @@
 	})
 }
 
-// setRelays sets the daemons that may relay connections of this one, and for which this one
-// relays.
-func (r *Router) setRelays(all []Neighbour) {
+// setPeers sets the daemons that may relay connections of this one, and for which this one
+// relays, and which share the endpoints.
+func (r *Router) setPeers(all []Neighbour) {
 	hosts := map[string]bool{}
 	var peers []reach.Peer
 	for _, n := range all {
@@ -50,7 +49,8 @@
 		}
 	}
 	r.peerHosts.Store(&hosts)
-	r.paths.SetPeers(slices.Clip(peers))
+	r.paths.SetPeers(peers)
+	r.placer.headroom.setDaemons(len(peers) + 1)
 }
 
 // isPeer reports whether a connection from the address may be that of another daemon.
--- a/router/placer.go
+++ b/router/placer.go
@@ -63,6 +63,7 @@
 	state          *state
 	cacheTracker   *cacheTracker          // nil: cache contents are unknown
 	endpointLimits *endpointlimit.Limiter // nil: limits of endpoints are not enforced
+	headroom       *sharedHeadroom
 	engines        weights.Engines
 	clock          func() time.Duration // boot clock
 	log            *logging.Logger
@@ -85,6 +86,7 @@
 		Fraction: set.RetryRatio * retryBudgetFraction, Floor: 0.05, Burst: maxRetryBurst, Debt: 1,
 	})}
 	p.lastID.Store(rng.Uint64())
+	p.headroom = newSharedHeadroom(clock, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
 	return p
 }
 
@@ -133,7 +135,7 @@
 	}
 	if left := time.Until(req.Deadline); d.ExpectedFirstToken > time.Duration(maxWaitFraction*float64(left)) {
 		p.state.view.Finished(now, r.ID)
-		p.releaseLimit(d.Endpoint)
+		p.releaseLimits(d.Endpoint, &r)
 		return forward.Placement{}, &forward.RefusedError{Code: codeOverloaded, RetryAfter: p.overloadRetryAfter()}
 	}
 	return p.newPlacement(now, req, &r, &d, e, &candidate{}), nil
@@ -228,7 +230,7 @@
 	// A stream that resumes on another engine is not refused, as its caller has
 	// received a part of it.
 	if !req.Resuming && best.decision.ExpectedWait > time.Duration(modelWaitFractions[in]*float64(req.Route.TargetLatency)) {
-		p.releaseLimit(best.decision.Endpoint)
+		p.releaseLimits(best.decision.Endpoint, r)
 		return forward.Placement{}, &forward.RefusedError{
 			Code: codeOverloaded, RetryAfter: p.overloadRetryAfter(),
 			Endpoint: string(best.decision.Endpoint), Wait: best.decision.ExpectedWait, Age: best.decision.LoadAge,
@@ -242,6 +244,15 @@
 	return p.newPlacement(now, req, &best.request, &best.decision, best.endpoint, &best.candidate), nil
 }
 
+// releaseLimits returns the capacity that a request took of both limits of an endpoint
+// without being sent there.
+func (p *placer) releaseLimits(e fleet.EndpointID, r *placement.Request) {
+	p.releaseLimit(e)
+	if !r.Exclusive {
+		p.headroom.release(e)
+	}
+}
+
 // releaseLimit returns the capacity that a request took of an endpoint's limit without
 // being sent there.
 func (p *placer) releaseLimit(e fleet.EndpointID) {
@@ -269,6 +280,7 @@
 func (p *placer) chooseCandidate(now time.Time, req *forward.PlacementRequest, r *placement.Request, all []candidate) (evaluatedCandidate, error) {
 	try := *r
 	tries := p.newAttempts(req, r.Avoid, subpoolOf(req.In.PromptTokens) == subpoolShort)
+	tries.dispatching = r.Exclusive
 	for tries.next() {
 		try.ID, try.Avoid = p.lastID.Add(1), tries.excludedEndpoints()
 		best, err := bestCandidate(now, p.state.view, try, all, req.Route.TargetLatency)
@@ -392,6 +404,7 @@
 		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirstToken, Cached: d.ExpectedCached, Age: d.LoadAge,
 		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
 		Out:    forward.RouterInfo{EndpointID: e.ID, Version: to.version, Urgency: forward.NoUrgency},
+		Notes:  forward.PlacerState{Held: !r.Exclusive},
 	}
 	if req.Organisation != nil {
 		out.Out.Organisation = req.Organisation.Name
@@ -408,7 +421,7 @@
 		expectedRead: time.Duration(float64(r.Tokens) / prefillRate * float64(time.Second)),
 	}
 	p.unansweredMu.Unlock()
-	out.Notes = forward.PlacerState{Prompt: int(subpoolOf(req.In.PromptTokens)), Engine: int(to.subpool), Sole: r.Exclusive}
+	out.Notes.Prompt, out.Notes.Engine, out.Notes.Sole = int(subpoolOf(req.In.PromptTokens)), int(to.subpool), r.Exclusive
 	out.Out.CacheSalt = salt(req, to.version)
 	out.Out.Urgency = min(9, 1+2*req.Route.EffectivePriority(req.Organisation))
 	if at := prefix.AffinityLevel(r.Levels); at >= 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -407,4 +407,5 @@
 	}
 	r.state.mu.Unlock()
 	r.client.CloseIdle(r.state.usable)
+	r.placer.headroom.retain(r.state.usable)
 }
