Test that engines are used again after a silence, failing

What callers would see: two engines are silent for 1.4 s and answer at once again, and 49 of 66 long prompts are refused as overloaded later than a second after that, although the engines are idle. Short prompts, whose bound is five times as high, are served.

Cause: a wait that was observed (placement.View.ObserveWait) is overwritten only by an answer to a later request of the same daemon and otherwise decays by half in 1.5 s. Above the bound no request is placed, so nothing overwrites it.

Not mended: to admit a request whenever nothing is under way at the engine would admit nearly all on large deployments under overload, where each daemon rarely has a prompt under way at a given engine; a report of the engine that nothing waits would tell, but dispatchers ask for none.

--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -274,6 +274,7 @@
 	leaving         bool               // its answers announce its shutdown
 	retryAfter      string             // if set, it rejects all requests with this Retry-After
 	hostUnreachable bool               // its host is unreachable after a crash, instead of refusing connections
+	silentUntil     time.Time          // requests wait until then; zero: they do not
 	capacity        *simulatedCapacity // nil: it runs any number of requests at once
 
 	arrivals []arrival
@@ -377,6 +378,12 @@
 
 // run runs one request. It returns false if the connection has to be closed.
 func (e *simulatedEndpoint) run(c net.Conn, daemon int, req *http.Request, body string) bool {
+	e.f.mu.Lock()
+	silence := time.Until(e.silentUntil)
+	e.f.mu.Unlock()
+	if silence > 0 {
+		time.Sleep(silence)
+	}
 	e.f.mu.Lock()
 	incarnation, ours := e.incarnation, req.Header.Get("Instance") == e.id()
 	rejected := ours && e.retryAfter != ""
