--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -49,7 +48,7 @@
 						failed++
 					}
 				})
-				t.Log(fmt.Sprintf("%d of %d prompts refused later than %v after the silence, %d others lost", refused, late, settle, failed))
+				t.Logf("%d of %d prompts refused later than %v after the silence, %d others lost", refused, late, settle, failed)
 				if refused > 0 || failed > 0 {
 					t.Errorf("%d of %d prompts were refused later than %v after a silence of %v, %d were lost", refused, late, settle, silence, failed)
 				}
