--- a/lab/routed/testbed_test.go
+++ b/lab/routed/testbed_test.go
@@ -11,9 +11,12 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/lab/metastore"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/platform"
@@ -22,17 +25,18 @@
 
 // testbed is a daemon with a store and runners.
 type testbed struct {
-	t        *testing.T
-	store    *metastore.Store
-	runners  map[string]*metastore.Runner
-	front    string // the daemon's address for callers
-	ready    string
-	metrics  string
-	stop     context.CancelFunc // starts a graceful shutdown, as SIGTERM does
-	done     chan error
-	version  int
-	requests int
-	limit    map[string]any // rate limit of the organisation, as fields of the configuration
+	t            *testing.T
+	store        *metastore.Store
+	runners      map[string]*metastore.Runner
+	front        string // the daemon's address for callers
+	ready        string
+	metrics      string
+	storeAddress string
+	stop         context.CancelFunc // starts a graceful shutdown, as SIGTERM does
+	done         chan error
+	version      int
+	requests     atomic.Int64
+	limit        map[string]any // rate limit of the organisation, as fields of the configuration
 }
 
 // waitTimeout bounds every wait of a test. The conditions hold within a second on an idle
@@ -50,37 +54,62 @@
 	w.addRunner("app-1", "app", 0)
 	w.addRunner("app-2", "app", 0)
 	w.configure("key-a")
-	w.front, w.ready, w.metrics = metastore.FreeAddress(t), metastore.FreeAddress(t), metastore.FreeAddress(t)
-	set, err := platform.ParseSettings(strings.NewReader(settingsText(w.front, w.ready, store.Listener.Addr().String())))
+	w.storeAddress = store.Listener.Addr().String()
+	w.metrics = metastore.FreeAddress(t)
+	d := w.addDaemon("front-1", w.metrics, "", nil)
+	w.front, w.ready, w.stop, w.done = d.front, d.ready, d.stop, d.done
+	w.waitUntil("the daemon is ready", w.isReady)
+	return w
+}
+
+// daemon is a daemon that runs in the test's process.
+type daemon struct {
+	front, ready string // addresses
+	stop         context.CancelFunc
+	done         chan error
+}
+
+// addDaemon starts a daemon. peers is its address for other daemons, and dial opens its
+// connections to runners; both may be absent.
+func (w *testbed) addDaemon(name, metrics, peers string, dial forward.Dial) daemon {
+	w.t.Helper()
+	d := daemon{front: metastore.FreeAddress(w.t), ready: metastore.FreeAddress(w.t), done: make(chan error, 1)}
+	text := strings.Replace(settingsText(d.front, d.ready, w.storeAddress), "front-1", name, 1)
+	if _, port, err := net.SplitHostPort(peers); err == nil {
+		text += "internalPorts=" + port + "\n"
+	}
+	set, err := platform.ParseSettings(strings.NewReader(text))
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
+	}
+	port := ""
+	if metrics != "" {
+		_, port, err = net.SplitHostPort(metrics)
 	}
-	_, port, err := net.SplitHostPort(w.metrics)
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
 	var lines logLines
-	t.Cleanup(func() {
-		if t.Failed() {
-			t.Logf("lines of the daemon:\n%s", lines.last())
+	w.t.Cleanup(func() {
+		if w.t.Failed() {
+			w.t.Logf("lines of %s:\n%s", name, lines.last())
 		}
 	})
 	logs, err := logging.NewFactory(&lines, "info")
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	r := router.New(platform.Connect(router.Options{Settings: set, MetricsPort: port, Logs: logs, Rand: rand.New(rand.NewPCG(1, 2))}))
-	ctx, cancel := context.WithCancel(t.Context())
-	w.stop, w.done = cancel, make(chan error, 1)
-	go func() { w.done <- r.Run(ctx) }()
-	t.Cleanup(func() {
+	r := router.New(platform.Connect(router.Options{Settings: set, MetricsPort: port, Logs: logs, Rand: rand.New(rand.NewPCG(1, hash.Text(name))), Dial: dial}))
+	ctx, cancel := context.WithCancel(w.t.Context())
+	d.stop = cancel
+	go func() { d.done <- r.Run(ctx) }()
+	w.t.Cleanup(func() {
 		cancel()
-		if err := <-w.done; err != nil {
-			t.Errorf("the daemon stopped with %v", err)
+		if err := <-d.done; err != nil {
+			w.t.Errorf("%s stopped with %v", name, err)
 		}
 	})
-	w.waitUntil("the daemon is ready", w.isReady)
-	return w
+	return d
 }
 
 func settingsText(front, ready, store string) string {
@@ -175,8 +204,10 @@
 	}
 }
 
-func (w *testbed) isReady() bool {
-	resp, err := http.Get("http://" + w.ready + "/v1/readyz")
+func (w *testbed) isReady() bool { return isReadyAt(w.ready) }
+
+func isReadyAt(address string) bool {
+	resp, err := http.Get("http://" + address + "/v1/readyz")
 	if err != nil {
 		return false
 	}
@@ -197,9 +228,14 @@
 // send makes a request and reads its answer.
 func (w *testbed) send(method, path, key string, header http.Header) reply {
 	w.t.Helper()
-	w.requests++
-	id := fmt.Sprintf("attempt-%d", w.requests)
-	req, err := http.NewRequest(method, "http://"+w.front+path, strings.NewReader("a question"))
+	return w.sendTo(w.front, method, path, key, header)
+}
+
+// sendTo makes a request to a daemon and reads its answer.
+func (w *testbed) sendTo(front, method, path, key string, header http.Header) reply {
+	w.t.Helper()
+	id := fmt.Sprintf("attempt-%d", w.requests.Add(1))
+	req, err := http.NewRequest(method, "http://"+front+path, strings.NewReader("a question"))
 	if err != nil {
 		w.t.Fatal(err)
 	}
