--- a/lab/routed/partition_test.go
+++ b/lab/routed/partition_test.go
@@ -244,7 +244,7 @@
 // checkAnswer fails the test if an answer looks complete and is not, or if a request that
 // may run once ran twice or ran although the answer says that it did not.
 func (w *testbed) checkAnswer(got reply, n int) {
-	if n%4 >= 2 && got.status == http.StatusOK && got.err == nil && got.body != completeStream(6) {
+	if n%4 >= 2 && got.status == http.StatusOK && got.err == nil && got.body != completeStream() {
 		w.t.Errorf("%s: stream %q looks complete", got.id, got.body)
 	}
 	runs := len(w.runsOf(got.id))
--- a/lab/routed/routed_test.go
+++ b/lab/routed/routed_test.go
@@ -15,7 +15,7 @@
 func TestForwardsCompleteStream(t *testing.T) {
 	w := newTestbed(t)
 	got := w.sendModelRequest("/talk/a//b%2Fc?q=1")
-	if got.status != http.StatusOK || got.err != nil || got.body != completeStream(6) {
+	if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
 		t.Fatalf("status %d, error %v, body %q", got.status, got.err, got.body)
 	}
 	if !strings.HasPrefix(got.header.Get("Response-Signature"), "signed-llm-") || got.header.Get("Attempt-Id") != got.id {
@@ -125,7 +125,7 @@
 	w.runners["llm-1"].BreakNextStreamAt(3)
 	w.runners["llm-2"].BreakNextStreamAt(3)
 	got := w.sendModelRequest("/talk/resume/x")
-	if got.err != nil || got.body != completeStream(6) {
+	if got.err != nil || got.body != completeStream() {
 		t.Errorf("error %v, body %q", got.err, got.body)
 	}
 	if n := len(w.runsOf(got.id)); n != 2 {
@@ -269,7 +269,7 @@
 	if late.status != http.StatusOK || !late.closes {
 		t.Errorf("request after the signal: status %d, header %v", late.status, late.header)
 	}
-	if got := <-streamed; got.err != nil || got.body != completeStream(6) {
+	if got := <-streamed; got.err != nil || got.body != completeStream() {
 		t.Errorf("stream: error %v, body %q", got.err, got.body)
 	}
 	select {
--- a/lab/routed/testbed_test.go
+++ b/lab/routed/testbed_test.go
@@ -49,8 +49,8 @@
 	w := &testbed{t: t, store: metastore.New(), runners: map[string]*metastore.Runner{}}
 	store := httptest.NewServer(w.store)
 	t.Cleanup(store.Close)
-	w.addRunner("llm-1", "models", 6)
-	w.addRunner("llm-2", "models", 6)
+	w.addRunner("llm-1", "models", streamEvents)
+	w.addRunner("llm-2", "models", streamEvents)
 	w.addRunner("app-1", "app", 0)
 	w.addRunner("app-2", "app", 0)
 	w.configure("key-a")
@@ -281,10 +281,13 @@
 	return out
 }
 
-// completeStream returns the body of a stream of n events.
-func completeStream(n int) string {
+// streamEvents is the number of events in a stream of a model runner.
+const streamEvents = 6
+
+// completeStream returns the body of a stream.
+func completeStream() string {
 	var b strings.Builder
-	for i := range n {
+	for i := range streamEvents {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
 	}
 	return b.String()
