Name attempts at endpoints that no daemon reaches in the log

What an operator saw: an endpoint that other daemons do not reach either was logged as lost=malformed. It is lost=unreachable now. The daemons that were asked wrote a line each without a bound; the line of the request tells the same. No decision changes.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -63,6 +63,8 @@
 	// ErrRelayLost reports that the daemon that relayed the connection was lost. The
 	// endpoint may be intact.
 	ErrRelayLost = errors.New("forward: relaying daemon lost")
+	// ErrUnreachable reports that neither this daemon nor another one reaches the endpoint.
+	ErrUnreachable = errors.New("forward: endpoint is unreachable for other daemons")
 )
 
 // RelayedConn is a connection to an endpoint through another daemon.
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -10,13 +10,14 @@
 
 // Causes for the loss of a connection to an endpoint, as logged.
 const (
-	lossRefused   = "refused"   // nothing listens at the address
-	lossReset     = "reset"     // reset by the endpoint or its kernel
-	lossClosed    = "closed"    // closed before the end of the answer
-	lossSilent    = "silent"    // the endpoint's host stopped acknowledging
-	lossTimeout   = "timeout"   // closed by this daemon when the context ended
-	lossRelay     = "relay"     // the daemon that relayed the connection was lost
-	lossMalformed = "malformed" // the response can't be parsed or is incomplete
+	lossRefused     = "refused"     // nothing listens at the address
+	lossReset       = "reset"       // reset by the endpoint or its kernel
+	lossClosed      = "closed"      // closed before the end of the answer
+	lossSilent      = "silent"      // the endpoint's host stopped acknowledging
+	lossTimeout     = "timeout"     // closed by this daemon when the context ended
+	lossRelay       = "relay"       // the daemon that relayed the connection was lost
+	lossUnreachable = "unreachable" // other daemons do not reach the endpoint either
+	lossMalformed   = "malformed"   // the response can't be parsed or is incomplete
 )
 
 // classifyLoss returns how a connection was lost, by the error of the attempt.
@@ -27,6 +28,8 @@
 		return lossTimeout
 	case errors.Is(cause, ErrRelayLost):
 		return lossRelay
+	case errors.Is(cause, ErrUnreachable):
+		return lossUnreachable
 	case errors.Is(cause, syscall.ECONNREFUSED):
 		return lossRefused
 	case errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -38,12 +38,7 @@
 	readBufferSize = 4 << 10
 )
 
-// Errors of a relayed connection.
-var (
-	errNoHelper = errors.New("relay: no other daemon relays the connection")
-	// errUnreachable reports that other daemons do not reach the endpoint either.
-	errUnreachable = errors.New("relay: endpoint is unreachable for other daemons")
-)
+var errNoHelper = errors.New("relay: no other daemon relays the connection")
 
 // Options configure a Dialer.
 type Options struct {
@@ -175,11 +170,11 @@
 		}
 		d.helpers.Failed(d.o.Clock(), h)
 		d.mu.Unlock()
-		if errors.Is(askErr, errUnreachable) {
+		if errors.Is(askErr, forward.ErrUnreachable) {
 			err = askErr
 		}
 	}
-	if errors.Is(err, errUnreachable) {
+	if errors.Is(err, forward.ErrUnreachable) {
 		d.mu.Lock()
 		d.tracker.RelayFailed(address)
 		d.mu.Unlock()
@@ -245,7 +240,7 @@
 	case http.StatusSwitchingProtocols:
 		return c, nil
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
-		return nil, fmt.Errorf("%w: daemon %s: status %d", errUnreachable, h.Name, answer.StatusCode)
+		return nil, fmt.Errorf("%w: daemon %s: status %d", forward.ErrUnreachable, h.Name, answer.StatusCode)
 	default:
 		return nil, fmt.Errorf("relay: daemon %s answered with status %d", h.Name, answer.StatusCode)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -78,7 +78,6 @@
 	defer cancel()
 	endpoint, err := s.o.Dial(ctx, "tcp", address)
 	if err != nil {
-		s.o.Log.Info("Endpoint was not reached for another daemon.", "endpoint", address, "from", r.RemoteAddr, "error", err.Error())
 		w.WriteHeader(statusOfDial(err))
 		return
 	}
