Return an endpoint's capacity when its own dispatcher passes it over

What callers would see: an endpoint that reports both a limit of requests and one of rejections gets fewer requests than its limit, as a prompt that the dispatcher places for a caller of its own, and then sends elsewhere, keeps its part.

Found by reading the change. An option without a use goes as well. Not tested: no endpoint of the tests reports both.

--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -189,6 +189,7 @@
 	if err != nil || d.holdHeadroom(&p) {
 		return p, err
 	}
+	d.releaseLimit(p.Target.Key)
 	d.placer.AttemptEnded(&p, forward.AttemptEnd{Left: true})
 	return d.placer.Place(ctx, req)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -70,7 +70,6 @@
 	Dial     forward.Dial
 	DialPeer forward.Dial
 	Wire     forward.HeaderCodec
-	Engines  weights.Engines
 	Logs     *logging.Factory
 	Rand     *rand.Rand // seeded
 	// MetricsPort is the port for metrics at Settings.MetricsHost; empty: none.
