Ask daemons of other zones first as often as those of the own

What callers would see: while a whole zone is cut off, requests fail one after the other until each daemon of the zone has been asked in vain. A connection that fails is asked of one daemon as long as no path is known to be lost, and that was always one of the own zone.

Now it is one of another zone in half of the cases, which shows at once that the path is lost; from then on three are asked. TestAsksDaemonsOfOtherZones asked daemons of the own zone first in 100 of 100 calls before.

--- a/reach/helpers.go
+++ b/reach/helpers.go
@@ -62,8 +62,8 @@
 }
 
 // Choose returns up to limit distinct daemons to ask: one that helped before, and daemons
-// of the own and of other zones by turns. Avoided ones come last. Until maxPreferred have
-// helped, every other call asks another one first.
+// of the own and of other zones by turns, beginning with either. Avoided ones come last.
+// Until maxPreferred have helped, every other call asks another one first.
 func (h *Helpers) Choose(now time.Duration, limit int) []Peer {
 	var out, avoided []Peer
 	seen := map[string]bool{}
@@ -84,9 +84,10 @@
 	}
 	// Looking at a few more than asked for is enough to find some that are not avoided
 	// without a pass over a thousand daemons.
+	turn := h.rng.IntN(2)
 	for i := 0; i < 4*limit && len(out) < limit; i++ {
 		from := h.near
-		if i%2 == 1 || len(from) == 0 {
+		if (i+turn)%2 == 1 || len(from) == 0 {
 			from = h.far
 		}
 		if len(from) == 0 {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -144,6 +144,13 @@
 			t.Fatalf("asked zones %v", zones)
 		}
 	}
+	first := map[string]int{}
+	for range 100 {
+		first[h.Choose(0, 1)[0].Zone]++
+	}
+	if first["a"] < 20 || first["b"] < 20 {
+		t.Errorf("asked first: %v", first)
+	}
 }
 
 // Guards against a daemon that could not help being asked before others, or never again.
