--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -48,7 +48,8 @@
 	disconnected map[netip.AddrPort]bool // daemons that can neither send nor receive messages
 	sentMessages int                     // between daemons
 	sentBytes    int
-	promptTokens int                           // of each request; 0: requests name no model
+	promptTokens int // of each request; 0: requests name no model
+	zoneOf       func(daemon int) fleet.ZoneID
 	cuts         map[int]cutMode               // daemons that are cut off from all endpoints
 	conns        map[*simulatedConn]bool       // open connections of daemons to endpoints
 	peers        map[string]*simulatedListener // of the daemons, by address
@@ -70,10 +71,15 @@
 
 // newFleet starts daemons and the endpoints of one service, with one route to it.
 func newFleet(t *testing.T, daemons, endpoints int, route routes.Route) *simulatedFleet {
+	return newFleetOfZones(t, daemons, endpoints, route, func(int) fleet.ZoneID { return "z" })
+}
+
+// newFleetOfZones is newFleet with the zone of each daemon.
+func newFleetOfZones(t *testing.T, daemons, endpoints int, route routes.Route, zoneOf func(daemon int) fleet.ZoneID) *simulatedFleet {
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &simulatedFleet{
 		t: t, ctx: ctx, began: time.Now(), rng: rand.New(rand.NewPCG(uint64(daemons), 29)), disconnected: map[netip.AddrPort]bool{},
-		cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{},
+		zoneOf: zoneOf, cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{},
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -126,7 +132,7 @@
 	f.mu.Unlock()
 	r := newRouter(Options{
 		Settings: Settings{
-			Name: fmt.Sprint("front-", i), Zone: "z", PeerAddress: daemonAddress(i).String(),
+			Name: fmt.Sprint("front-", i), Zone: f.zoneOf(i), PeerAddress: daemonAddress(i).String(),
 			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio,
 		},
 		Clock: f.clock, Dial: f.dialFrom(i), DialPeer: f.dialFrom(i), Wire: testWire{}, NewEngines: func(forward.Dial) weights.Engines { return unresponsiveEngines{} }, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
@@ -143,7 +149,7 @@
 	f.daemons[i], f.cancels[i] = r, stop
 	all := make([]Neighbour, len(f.daemons))
 	for n := range all {
-		all[n] = Neighbour{Name: fmt.Sprint("front-", n), Zone: "z", Address: daemonAddress(n).String()}
+		all[n] = Neighbour{Name: fmt.Sprint("front-", n), Zone: f.zoneOf(n), Address: daemonAddress(n).String()}
 	}
 	var up []directory.Entry
 	for _, e := range f.endpoints {
--- a/router/partition_test.go
+++ b/router/partition_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -158,6 +159,26 @@
 	}
 }
 
+// Guards against callers of a whole zone, or of all zones but one, that are refused because
+// daemons ask only those for help that are cut off as well.
+func TestZonesCutFromAllEndpointsServeTheirCallers(t *testing.T) {
+	for _, zones := range []int{1, 2} {
+		for name, mode := range map[string]cutMode{"silent": cutSilent, "reset": cutReset} {
+			t.Run(fmt.Sprintf("%s, %d of 3 zones", name, zones), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					const zoneDaemons = 8
+					f := newFleetOfZones(t, 3*zoneDaemons, 18, routes.Route{Kind: routes.Unsafe}, func(daemon int) fleet.ZoneID {
+						return fleet.ZoneID(fmt.Sprint("z", daemon/zoneDaemons))
+					})
+					runPartition(f, zones*zoneDaemons, mode).check(t)
+					f.checkDirect()
+					f.checkRunsOnce()
+				})
+			})
+		}
+	}
+}
+
 // Guards against a request that runs twice, or an endpoint that is taken for sick, because
 // the daemon that relays it falls silent or ends.
 func TestLostHelperIsNoFailureOfTheEndpoint(t *testing.T) {
