Forget waits at engines that were observed over a lost path

What callers would see: while the daemon that places long prompts is cut off silently, all daemons refuse them as overloaded, also those that reach all engines.

Cause: requests that hang on a path without packets counted as waits of their engines, as the belief of a daemon that is cut off. Idle connections over such a path were closed already; the waits go with them now, and requests under way there are no longer observed.

The cases of the longest tests run in parallel, as the race detector took minutes for them one after the other.

--- a/placement/shared.go
+++ b/placement/shared.go
@@ -62,6 +62,13 @@
 	return s.view.StalePreferred(r, before, n)
 }
 
+// ForgetWaits calls View.ForgetWaits under the lock.
+func (s *SharedView) ForgetWaits(id fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.ForgetWaits(id)
+}
+
 // ObserveWait calls View.ObserveWait under the lock.
 func (s *SharedView) ObserveWait(now time.Time, id fleet.EndpointID, p contract.Priority, wait time.Duration, answered bool) {
 	s.mu.Lock()
--- a/placement/view.go
+++ b/placement/view.go
@@ -100,6 +100,14 @@
 	}
 }
 
+// ForgetWaits drops the observed waits of an endpoint. They were none of the endpoint's if
+// the path to it was lost.
+func (v *View) ForgetWaits(id fleet.EndpointID) {
+	if e := v.endpointOf(id); e != nil {
+		clear(e.waits[:])
+	}
+}
+
 // decayedWait returns the last observed wait for the priority or a more urgent one, decayed
 // by its age. Waits of less urgent requests are ignored, since more urgent ones are served
 // first.
--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -199,6 +199,7 @@
 		{3, 6, 8, 0.46, 5}, {3, 6, 8, 2, 5}, {3, 6, 8, 2, 0}, {6, 3, 6, 0.7, 5}, {6, 3, 6, 2, 5}, {6, 3, 6, 1.2, 8}, {24, 6, 6, 1.5, 5},
 	} {
 		t.Run(fmt.Sprintf("%d daemons, %d endpoints, load %v, limit %v", l.daemons, l.endpoints, l.fraction, l.rejectionLimit), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				got := l.run(t)
 				if allowed := 2 + l.endpoints/10; got.falls > allowed {
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// forgetWaits drops what was observed of waits at an endpoint, and stops observing the
+// requests that are under way there.
+func (p *placer) forgetWaits(key fleet.EndpointID) {
+	p.unansweredMu.Lock()
+	for id, u := range p.unanswered {
+		if u.endpoint == key {
+			delete(p.unanswered, id)
+		}
+	}
+	p.unansweredMu.Unlock()
+	p.state.view.ForgetWaits(key)
+}
+
 // queryLoads requests the load of the preferred engines of a long prompt unless a
 // recent one is known.
 //
--- a/router/partition_test.go
+++ b/router/partition_test.go
@@ -142,6 +142,7 @@
 		for name, mode := range modes {
 			for _, count := range []int{1, 3} {
 				t.Run(fmt.Sprintf("%s, %s, %d of 4", kind, name, count), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						f := newFleet(t, 4, 18, c.route)
 						if c.promptTokens > 0 {
@@ -165,6 +166,7 @@
 	for _, zones := range []int{1, 2} {
 		for name, mode := range map[string]cutMode{"silent": cutSilent, "reset": cutReset} {
 			t.Run(fmt.Sprintf("%s, %d of 3 zones", name, zones), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					const zoneDaemons = 8
 					f := newFleetOfZones(t, 3*zoneDaemons, 18, routes.Route{Kind: routes.Unsafe}, func(daemon int) fleet.ZoneID {
--- a/router/paths.go
+++ b/router/paths.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/reach"
 	"github.com/merlindock/merlindock/relay"
@@ -24,7 +25,7 @@
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64())) }
 	r.paths = relay.NewDialer(relay.Options{
 		Direct: direct, Peers: peers, Clock: r.clock, Log: r.log,
-		PathsLost: func(address string) { r.client.CloseIdleDirect(address) },
+		PathsLost: r.pathsLost,
 		PathsBack: func() { r.client.CloseIdleRelayed() },
 	}, reach.NewTracker(random()), reach.NewHelpers(string(o.Settings.Zone), random()))
 	r.client = forward.NewClient(o.Wire, r.paths.Dial)
@@ -34,6 +35,23 @@
 	})
 }
 
+// pathsLost drops what depends on paths that carry no packets: idle connections, and waits
+// that were observed over them. An empty address stands for all endpoints.
+func (r *Router) pathsLost(address string) {
+	r.client.CloseIdleDirect(address)
+	var concerned []fleet.EndpointID
+	r.state.mu.Lock()
+	for key, e := range r.state.roster.All() {
+		if address == "" || e.Address == address {
+			concerned = append(concerned, key)
+		}
+	}
+	r.state.mu.Unlock()
+	for _, key := range concerned {
+		r.placer.forgetWaits(key)
+	}
+}
+
 // setPeers sets the daemons that may relay connections of this one, and for which this one
 // relays, and which share the endpoints.
 func (r *Router) setPeers(all []Neighbour) {
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -56,3 +56,41 @@
 		})
 	}
 }
+
+// Guards against prompts of all daemons that are refused as overloaded because the daemon
+// that places them is cut off silently, and takes that for waits at the engines.
+func TestSilentCutIsNoWaitAtEngines(t *testing.T) {
+	const (
+		begins   = 3 * time.Second
+		settle   = 2 * time.Second
+		lasts    = 7 * time.Second
+		interval = 25 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 2, routes.Route{Kind: routes.Stream, Resumable: true})
+		f.serveModel(3000)
+		dispatcher, _ := f.daemons[0].dispatch.dispatcher("s/" + fleetModel)
+		cut := 0
+		for f.daemons[cut].options.Settings.Name != dispatcher.Name {
+			cut++
+		}
+		time.AfterFunc(begins, func() { f.cut(cut, cutSilent) })
+		var mu sync.Mutex
+		sent, refused := 0, 0
+		f.sendLoad(interval, lasts, func(at time.Duration, got *httptest.ResponseRecorder) {
+			mu.Lock()
+			defer mu.Unlock()
+			if at < begins+settle {
+				return
+			}
+			sent++
+			if got.Code != http.StatusOK {
+				refused++
+			}
+		})
+		f.cut(cut, notCut)
+		if refused > sent/50 {
+			t.Errorf("%d of %d prompts were refused from %v after the dispatcher was cut off silently", refused, sent, settle)
+		}
+	})
+}
