--- a/router/attempts.go
+++ b/router/attempts.go
@@ -87,7 +87,7 @@
 
 // acquireLimits takes capacity of both limits of an endpoint, or of none.
 func (a *attempts) acquireLimits(e *directory.Endpoint) bool {
-	if !a.dispatching && !a.p.headroom.acquire(e) {
+	if !a.dispatching && !a.p.headroom.acquire(a.p.headroomTarget(e)) {
 		return false
 	}
 	if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(e.Key) {
--- a/router/headroom.go
+++ b/router/headroom.go
@@ -23,7 +23,10 @@
 	return &sharedHeadroom{clock: clock, table: headroom.New(rng)}
 }
 
-func headroomTarget(e *directory.Endpoint) headroom.Target {
+// headroomTarget returns the target of an endpoint, whose entry may be updated meanwhile.
+func (p *placer) headroomTarget(e *directory.Endpoint) headroom.Target {
+	p.state.mu.Lock()
+	defer p.state.mu.Unlock()
 	return headroom.Target{ID: e.Key, Service: e.Service, Slots: e.Slots}
 }
 
@@ -33,10 +36,10 @@
 	s.table.SetDaemons(n)
 }
 
-func (s *sharedHeadroom) acquire(e *directory.Endpoint) bool {
+func (s *sharedHeadroom) acquire(to headroom.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Acquire(s.clock(), headroomTarget(e))
+	return s.table.Acquire(s.clock(), to)
 }
 
 func (s *sharedHeadroom) release(key fleet.EndpointID) {
@@ -59,12 +62,12 @@
 
 // answered adjusts the limit of the endpoint that gave an answer, and reports whether the
 // endpoint began to report that rejections crash it.
-func (s *sharedHeadroom) answered(e *directory.Endpoint, info *forward.AnswerInfo) (began bool) {
+func (s *sharedHeadroom) answered(to headroom.Target, info *forward.AnswerInfo) (began bool) {
 	load := info.Load
 	rejected := info.NotRun && (load == nil || load.Running+load.Waiting >= load.Slots)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Answered(s.clock(), headroomTarget(e), headroom.Answer{Rejected: rejected, Limit: info.RejectionLimit, Load: load})
+	return s.table.Answered(s.clock(), to, headroom.Answer{Rejected: rejected, Limit: info.RejectionLimit, Load: load})
 }
 
 // observeHeadroom passes an answer on to the limits of endpoints that rejections crash.
@@ -75,7 +78,7 @@
 	if e == nil || info.Misplaced {
 		return
 	}
-	if p.headroom.answered(e, info) {
+	if p.headroom.answered(p.headroomTarget(e), info) {
 		p.log.Info("Endpoint reports that rejections crash it.", "endpoint", string(e.Key), "limit", *info.RejectionLimit)
 	}
 }
@@ -86,6 +89,6 @@
 	p.state.mu.Lock()
 	e := p.state.roster.Find(pl.Target.Key)
 	p.state.mu.Unlock()
-	pl.Notes.Held = e != nil && p.headroom.acquire(e)
+	pl.Notes.Held = e != nil && p.headroom.acquire(p.headroomTarget(e))
 	return pl.Notes.Held
 }
