Index the addresses of usable endpoints apart from their entries

What callers would see: an endpoint whose entry names another address during the same incarnation may later be refused to daemons that are cut off (403 of POST /v1/relay), and its old address, which another service may have by then, stays allowed.

Cause: the directory updates entries in place, so that the index of addresses, which looked the old address up in the entry, found the new one. The index keeps the address that it counted.

Found by reading the change. TestKnowsAddressesOfUsableEndpoints failed before (the old address was still known) and passes.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -45,7 +45,8 @@
 	placement PlacementSink
 
 	usable      map[fleet.EndpointID]*directory.Endpoint
-	byAddress   map[string]int // number of usable endpoints at an address
+	addresses   map[fleet.EndpointID]string // of the usable endpoints
+	byAddress   map[string]int              // number of usable endpoints at an address
 	pausedUntil [pauseReasons]map[fleet.EndpointID]time.Time
 	backedOff   map[fleet.EndpointID]bool // they have answered no request since their last backoff
 	unavailable map[fleet.EndpointID]bool // not available to placement
@@ -69,7 +70,7 @@
 func New(o Options) *Roster {
 	r := &Roster{
 		directory: directory.New(o.Grace), health: health.New(o.Health), pools: pools.New(o.Placement, o.ShortFraction), placement: o.Placement,
-		usable: map[fleet.EndpointID]*directory.Endpoint{}, byAddress: map[string]int{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
+		usable: map[fleet.EndpointID]*directory.Endpoint{}, addresses: map[fleet.EndpointID]string{}, byAddress: map[string]int{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
 	}
 	for reason := range r.pausedUntil {
 		r.pausedUntil[reason] = map[fleet.EndpointID]time.Time{}
@@ -143,8 +144,9 @@
 
 // addUsable adds a usable endpoint to the pools or updates it there.
 func (r *Roster) addUsable(now time.Time, e *directory.Endpoint) {
-	r.forgetAddress(e.Key)
 	r.usable[e.Key] = e
+	r.forgetAddress(e.Key)
+	r.addresses[e.Key] = e.Address
 	r.byAddress[e.Address]++
 	member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: e.Service, Address: e.Address, State: fleet.VMLive}
 	r.health.SetListed(now, member)
@@ -165,14 +167,16 @@
 	r.health.SetMissing(now, key)
 }
 
-// forgetAddress removes a usable endpoint from the index of addresses.
+// forgetAddress removes an endpoint from the index of addresses. Its entry may name another
+// address by now.
 func (r *Roster) forgetAddress(key fleet.EndpointID) {
-	e := r.usable[key]
-	if e == nil {
+	address, indexed := r.addresses[key]
+	if !indexed {
 		return
 	}
-	if r.byAddress[e.Address]--; r.byAddress[e.Address] <= 0 {
-		delete(r.byAddress, e.Address)
+	delete(r.addresses, key)
+	if r.byAddress[address]--; r.byAddress[address] <= 0 {
+		delete(r.byAddress, address)
 	}
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -137,3 +137,24 @@
 		t.Error("no requests may be sent once the entry had the time to be corrected")
 	}
 }
+
+// Guards against an endpoint that other daemons are refused a connection to, and an address
+// that stays allowed, after the entry of an incarnation names another address.
+func TestKnowsAddressesOfUsableEndpoints(t *testing.T) {
+	r, _, _, _ := newTestRoster()
+	entry := directory.Entry{ID: "e", Service: "s", Address: "10.0.0.1:80", Zone: "z"}
+	put := func(address string, state directory.State) {
+		entry.Address, entry.State = address, state
+		r.Put(entry)
+		r.Refresh(began)
+	}
+	put("10.0.0.1:80", directory.Ready)
+	put("10.0.0.2:80", directory.Ready)
+	if r.HasAddress("10.0.0.1:80") || !r.HasAddress("10.0.0.2:80") {
+		t.Errorf("old address known: %v, new one: %v", r.HasAddress("10.0.0.1:80"), r.HasAddress("10.0.0.2:80"))
+	}
+	put("10.0.0.2:80", directory.Draining)
+	if r.HasAddress("10.0.0.2:80") {
+		t.Error("the address of a draining endpoint is known")
+	}
+}
