Record for each path whether it is silent

What callers would see: while some endpoints are silent and others refuse, idle connections over silent paths are kept, or those over paths that only refuse new ones are closed, by whichever connection failed last at any endpoint.

Cause: one flag of the dialer for all paths, in the shell. The tracker keeps it for each path now and says what a relayed connection shows: whether the loss is new, isolates the daemon, and is silent.

Found by reading the change. TestSilenceBelongsToThePath cannot be written against the flag; the tests of cut daemons pass as before.

--- a/reach/reach.go
+++ b/reach/reach.go
@@ -34,13 +34,23 @@
 type lostPath struct {
 	confirmedAt time.Duration
 	probedAt    time.Duration
+	silent      bool // no packet answered the direct connection
+}
+
+// Loss describes a path that turned out to be lost.
+type Loss struct {
+	New      bool // the path was not known to be lost
+	Isolated bool // the daemon counts as isolated from now on
+	// Silent states that packets get no answer over the path or, with Isolated, over some
+	// lost path, so that open connections are of no use either.
+	Silent bool
 }
 
 // Tracker holds the paths from this daemon to endpoints that are known to be lost. Times
 // are those of one monotonic clock.
 type Tracker struct {
 	rng       *rand.Rand
-	failing   map[string]bool // direct connections failed since the last relayed one
+	failing   map[string]bool // direct connections failed since the last relayed one; true: silently
 	lost      map[string]lostPath
 	streak    map[string]bool // lost since a direct connection last succeeded
 	isolated  bool
@@ -70,11 +80,12 @@
 	return t.isolated || lost
 }
 
-// DirectFailed records that a direct connection could not be established.
-func (t *Tracker) DirectFailed(address string) {
+// DirectFailed records that a direct connection could not be established. silent states
+// that no packet answered.
+func (t *Tracker) DirectFailed(address string, silent bool) {
 	clear(t.recovered)
 	if len(t.failing) < maxLost {
-		t.failing[address] = true
+		t.failing[address] = silent
 	}
 }
 
@@ -104,29 +115,30 @@
 	clear(t.recovered)
 }
 
-// RelayWorked records that another daemon reached the address. It reports whether the
-// daemon counts as isolated from now on.
-func (t *Tracker) RelayWorked(now time.Duration, address string) (began bool) {
-	_, known := t.lost[address]
-	if !known && !t.failing[address] {
-		return false
+// RelayWorked records that another daemon reached the address, and returns what that shows
+// of the path to it.
+func (t *Tracker) RelayWorked(now time.Duration, address string) Loss {
+	before, known := t.lost[address]
+	silent, failing := t.failing[address]
+	if !known && (!failing || len(t.lost) >= maxLost) {
+		return Loss{}
 	}
 	delete(t.failing, address)
-	if !known && len(t.lost) >= maxLost {
-		return false
-	}
 	if !known {
 		t.streak[address] = true
 	}
 	if !t.Suspicious() {
 		t.nextProbe = now + t.pause()
 	}
-	t.lost[address] = lostPath{confirmedAt: now, probedAt: max(now, t.lost[address].probedAt)}
-	if t.isolated || len(t.streak) < isolationPaths {
-		return false
+	t.lost[address] = lostPath{confirmedAt: now, probedAt: max(now, before.probedAt), silent: silent || before.silent}
+	found := Loss{New: !known, Silent: silent}
+	if !t.isolated && len(t.streak) >= isolationPaths {
+		t.isolated, found.Isolated = true, true
+		for _, p := range t.lost {
+			found.Silent = found.Silent || p.silent
+		}
 	}
-	t.isolated = true
-	return true
+	return found
 }
 
 // RelayFailed records that other daemons do not reach the address either.
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -10,8 +10,8 @@
 func newTracker() *Tracker { return NewTracker(rand.New(rand.NewPCG(1, 2))) }
 
 func (t *Tracker) lose(now time.Duration, address string) bool {
-	t.DirectFailed(address)
-	return t.RelayWorked(now, address)
+	t.DirectFailed(address, false)
+	return t.RelayWorked(now, address).Isolated
 }
 
 func isolated(t *testing.T) *Tracker {
@@ -37,12 +37,33 @@
 	}
 }
 
+// Guards against idle connections that are kept over a silent path, as another endpoint
+// refused a connection meanwhile, or closed although the path only refuses new ones.
+func TestSilenceBelongsToThePath(t *testing.T) {
+	tr := newTracker()
+	tr.DirectFailed("silent", true)
+	tr.DirectFailed("refused", false)
+	if got := tr.RelayWorked(time.Second, "silent"); !got.New || !got.Silent || got.Isolated {
+		t.Errorf("silent path: %+v", got)
+	}
+	if got := tr.RelayWorked(time.Second, "refused"); !got.New || got.Silent {
+		t.Errorf("path that refuses: %+v", got)
+	}
+	if got := tr.RelayWorked(time.Second, "refused"); got.New {
+		t.Errorf("known path: %+v", got)
+	}
+	tr.DirectFailed("third", false)
+	if got := tr.RelayWorked(time.Second, "third"); !got.Isolated || !got.Silent {
+		t.Errorf("third path, one of them silent: %+v", got)
+	}
+}
+
 // Guards against endpoints that are down being taken for a lost path.
 func TestEndpointThatIsDownForAllIsNoLostPath(t *testing.T) {
 	tr := newTracker()
 	for i := range 2 * isolationPaths {
 		address := fmt.Sprint("e", i)
-		tr.DirectFailed(address)
+		tr.DirectFailed(address, false)
 		tr.RelayFailed(address)
 		if tr.UseRelay(address) || tr.Suspicious() {
 			t.Fatalf("%s is relayed", address)
@@ -73,7 +94,7 @@
 	if tr.DirectWorked(2*time.Second, "e0") {
 		t.Error("ended by a single connection")
 	}
-	tr.DirectFailed("e1")
+	tr.DirectFailed("e1", false)
 	if tr.DirectWorked(2*time.Second, "e0") {
 		t.Error("ended by connections with a failure in between")
 	}
@@ -110,7 +131,7 @@
 		if address, due := tr.Probe(now); due {
 			probed[address]++
 			total++
-			tr.DirectFailed(address)
+			tr.DirectFailed(address, false)
 		}
 	}
 	if total > 27 || total < 15 || len(probed) != isolationPaths {
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -63,7 +63,6 @@
 	mu      sync.Mutex
 	tracker *reach.Tracker
 	helpers *reach.Helpers
-	silent  bool // direct connections fail without an answer
 }
 
 // NewDialer returns a Dialer that knows no other daemon.
@@ -141,8 +140,7 @@
 		}
 	case unreachable(err) && ctx.Err() == nil:
 		d.mu.Lock()
-		d.tracker.DirectFailed(address)
-		d.silent = silentDial(err)
+		d.tracker.DirectFailed(address, silentDial(err))
 		d.mu.Unlock()
 	}
 	return c, err
@@ -187,21 +185,21 @@
 // reached records that another daemon reached an endpoint.
 func (d *Dialer) reached(address string, through reach.Peer) {
 	d.mu.Lock()
-	known := d.tracker.UseRelay(address)
-	began := d.tracker.RelayWorked(d.o.Clock(), address)
-	lost, silent := d.tracker.Lost(), d.silent
+	found, lost := d.tracker.RelayWorked(d.o.Clock(), address), d.tracker.Lost()
 	d.mu.Unlock()
-	switch {
-	case began:
-		d.o.Log.Warn("Daemon reaches no endpoints itself. Other daemons relay its connections.", "endpoint", address, "through", through.Name, "lost", lost, "silent", silent)
-		if silent {
-			d.o.PathsLost("")
-		}
-	case !known:
-		d.o.Log.Info("Endpoint is reached through another daemon only.", "endpoint", address, "through", through.Name, "lost", lost, "silent", silent)
-		if silent {
-			d.o.PathsLost(address)
-		}
+	if !found.New {
+		return
+	}
+	concerned := address
+	fields := []any{"endpoint", address, "through", through.Name, "lost", lost, "silent", found.Silent}
+	if found.Isolated {
+		concerned = "" // all endpoints
+		d.o.Log.Warn("Daemon reaches no endpoints itself. Other daemons relay its connections.", fields...)
+	} else {
+		d.o.Log.Info("Endpoint is reached through another daemon only.", fields...)
+	}
+	if found.Silent {
+		d.o.PathsLost(concerned)
 	}
 }
 
