Look an endpoint up once for its limit of requests under way

An answer and a dispatched prompt took the state's lock twice in a row, once to find the endpoint and once to read its entry; waits were forgotten with one pass over all unanswered requests for each endpoint. Both are done once now, no decision changes.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -24,6 +24,7 @@
 	endpoint net.Listener
 	helper   *httptest.Server
 	server   *Server
+	served   chan struct{} // a request to the helper has ended
 	dialer   *Dialer
 	known    atomic.Bool
 	peer     atomic.Bool
@@ -47,7 +48,11 @@
 		Dial: tcp.DialContext, Known: func(string) bool { return w.known.Load() }, Peer: func(string) bool { return w.peer.Load() },
 		Unable: w.unable.Load, Log: log,
 	})
-	w.helper = httptest.NewServer(w.server)
+	w.served = make(chan struct{}, 100)
+	w.helper = httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w.server.ServeHTTP(out, r)
+		w.served <- struct{}{}
+	}))
 	t.Cleanup(w.helper.Close)
 	random := rand.New(rand.NewPCG(1, 2))
 	helpers := reach.NewHelpers("z", random)
@@ -140,10 +145,13 @@
 	if _, err := endpoint.Read(make([]byte, 1)); err == nil || errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("read %v", err)
 	}
-	for end := time.Now().Add(5 * time.Second); w.server.Open() > 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the helper still relays")
-		}
+	select {
+	case <-w.served:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the helper still relays")
+	}
+	if n := w.server.Open(); n != 0 {
+		t.Errorf("%d connections are counted as relayed", n)
 	}
 }
 
--- a/router/attempts.go
+++ b/router/attempts.go
@@ -73,7 +73,7 @@
 // limit. Otherwise it returns nil, and the next attempt excludes the endpoint.
 func (a *attempts) acquire(now time.Time, e fleet.EndpointID, repeatable bool) *directory.Endpoint {
 	if found := a.p.mayTry(now, e, repeatable); found != nil {
-		if a.acquireLimits(found) {
+		if a.acquireLimits(e) {
 			return found
 		}
 		// Not counted as an attempt: each such endpoint is met once, as it is excluded
@@ -86,15 +86,17 @@
 }
 
 // acquireLimits takes capacity of both limits of an endpoint, or of none.
-func (a *attempts) acquireLimits(e *directory.Endpoint) bool {
-	if !a.dispatching && !a.p.headroom.acquire(a.p.headroomTarget(e)) {
-		return false
+func (a *attempts) acquireLimits(e fleet.EndpointID) bool {
+	if !a.dispatching {
+		if to, usable := a.p.findHeadroomTarget(e); !usable || !a.p.headroom.acquire(to) {
+			return false
+		}
 	}
-	if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(e.Key) {
+	if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(e) {
 		return true
 	}
 	if !a.dispatching {
-		a.p.headroom.release(e.Key)
+		a.p.headroom.release(e)
 	}
 	return false
 }
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -48,17 +49,15 @@
 	}
 }
 
-// forgetWaits drops what was observed of waits at an endpoint, and stops observing the
+// forgetWaits drops what was observed of waits at endpoints, and stops observing the
 // requests that are under way there.
-func (p *placer) forgetWaits(key fleet.EndpointID) {
+func (p *placer) forgetWaits(at map[fleet.EndpointID]bool) {
 	p.unansweredMu.Lock()
-	for id, u := range p.unanswered {
-		if u.endpoint == key {
-			delete(p.unanswered, id)
-		}
-	}
+	maps.DeleteFunc(p.unanswered, func(_ uint64, u unanswered) bool { return at[u.endpoint] })
 	p.unansweredMu.Unlock()
-	p.state.view.ForgetWaits(key)
+	for key := range at {
+		p.state.view.ForgetWaits(key)
+	}
 }
 
 // queryLoads requests the load of the preferred engines of a long prompt unless a
--- a/router/headroom.go
+++ b/router/headroom.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/headroom"
@@ -23,11 +22,16 @@
 	return &sharedHeadroom{clock: clock, table: headroom.New(rng)}
 }
 
-// headroomTarget returns the target of an endpoint, whose entry may be updated meanwhile.
-func (p *placer) headroomTarget(e *directory.Endpoint) headroom.Target {
+// findHeadroomTarget returns a usable endpoint as package headroom names it. Its entry may be
+// updated at any time, so it is read under the lock.
+func (p *placer) findHeadroomTarget(key fleet.EndpointID) (to headroom.Target, usable bool) {
 	p.state.mu.Lock()
 	defer p.state.mu.Unlock()
-	return headroom.Target{ID: e.Key, Service: e.Service, Slots: e.Slots}
+	e := p.state.roster.Find(key)
+	if e == nil {
+		return headroom.Target{}, false
+	}
+	return headroom.Target{ID: e.Key, Service: e.Service, Slots: e.Slots}, true
 }
 
 func (s *sharedHeadroom) setDaemons(n int) {
@@ -72,23 +76,19 @@
 
 // observeHeadroom passes an answer on to the limits of endpoints that rejections crash.
 func (p *placer) observeHeadroom(pl *forward.Placement, info *forward.AnswerInfo) {
-	p.state.mu.Lock()
-	e := p.state.roster.Find(pl.Target.Key)
-	p.state.mu.Unlock()
-	if e == nil || info.Misplaced {
+	to, usable := p.findHeadroomTarget(pl.Target.Key)
+	if !usable || info.Misplaced {
 		return
 	}
-	if p.headroom.answered(p.headroomTarget(e), info) {
-		p.log.Info("Endpoint reports that rejections crash it.", "endpoint", string(e.Key), "limit", *info.RejectionLimit)
+	if p.headroom.answered(to, info) {
+		p.log.Info("Endpoint reports that rejections crash it.", "endpoint", string(to.ID), "limit", *info.RejectionLimit)
 	}
 }
 
 // holdHeadroom counts a request that a dispatcher placed. It returns false if the endpoint
 // is at this daemon's limit.
 func (p *placer) holdHeadroom(pl *forward.Placement) bool {
-	p.state.mu.Lock()
-	e := p.state.roster.Find(pl.Target.Key)
-	p.state.mu.Unlock()
-	pl.Notes.Held = e != nil && p.headroom.acquire(p.headroomTarget(e))
+	to, usable := p.findHeadroomTarget(pl.Target.Key)
+	pl.Notes.Held = usable && p.headroom.acquire(to)
 	return pl.Notes.Held
 }
--- a/router/paths.go
+++ b/router/paths.go
@@ -39,17 +39,15 @@
 // that were observed over them. An empty address stands for all endpoints.
 func (r *Router) pathsLost(address string) {
 	r.client.CloseIdleDirect(address)
-	var concerned []fleet.EndpointID
+	concerned := map[fleet.EndpointID]bool{}
 	r.state.mu.Lock()
 	for key, e := range r.state.roster.All() {
 		if address == "" || e.Address == address {
-			concerned = append(concerned, key)
+			concerned[key] = true
 		}
 	}
 	r.state.mu.Unlock()
-	for _, key := range concerned {
-		r.placer.forgetWaits(key)
-	}
+	r.placer.forgetWaits(concerned)
 }
 
 // setPeers sets the daemons that may relay connections of this one, and for which this one
