--- a/router/attempts.go
+++ b/router/attempts.go
@@ -7,6 +7,7 @@
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/headroom"
 )
 
 // attempts selects the endpoints that one placement tries, one after another.
@@ -72,8 +73,8 @@
 // acquire returns the endpoint if it can take the request, and takes capacity of its
 // limit. Otherwise it returns nil, and the next attempt excludes the endpoint.
 func (a *attempts) acquire(now time.Time, e fleet.EndpointID, repeatable bool) *directory.Endpoint {
-	if found := a.p.mayTry(now, e, repeatable); found != nil {
-		if a.acquireLimits(e) {
+	if found, to := a.p.mayTry(now, e, repeatable); found != nil {
+		if a.acquireLimits(to) {
 			return found
 		}
 		// Not counted as an attempt: each such endpoint is met once, as it is excluded
@@ -86,17 +87,15 @@
 }
 
 // acquireLimits takes capacity of both limits of an endpoint, or of none.
-func (a *attempts) acquireLimits(e fleet.EndpointID) bool {
-	if !a.dispatching {
-		if to, usable := a.p.findHeadroomTarget(e); !usable || !a.p.headroom.acquire(to) {
-			return false
-		}
+func (a *attempts) acquireLimits(to headroom.Target) bool {
+	if !a.dispatching && !a.p.headroom.acquire(to) {
+		return false
 	}
-	if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(e) {
+	if a.p.endpointLimits == nil || a.p.endpointLimits.Acquire(to.ID) {
 		return true
 	}
 	if !a.dispatching {
-		a.p.headroom.release(e)
+		a.p.headroom.release(to.ID)
 	}
 	return false
 }
--- a/router/headroom.go
+++ b/router/headroom.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/headroom"
@@ -22,8 +23,13 @@
 	return &sharedHeadroom{clock: clock, table: headroom.New(rng)}
 }
 
-// findHeadroomTarget returns a usable endpoint as package headroom names it. Its entry may be
-// updated at any time, so it is read under the lock.
+// headroomTarget returns an endpoint as package headroom names it. The caller holds the
+// state's lock, as the entry may be updated at any time.
+func headroomTarget(e *directory.Endpoint) headroom.Target {
+	return headroom.Target{ID: e.Key, Service: e.Service, Slots: e.Slots}
+}
+
+// findHeadroomTarget returns headroomTarget of a usable endpoint.
 func (p *placer) findHeadroomTarget(key fleet.EndpointID) (to headroom.Target, usable bool) {
 	p.state.mu.Lock()
 	defer p.state.mu.Unlock()
@@ -31,7 +37,7 @@
 	if e == nil {
 		return headroom.Target{}, false
 	}
-	return headroom.Target{ID: e.Key, Service: e.Service, Slots: e.Slots}, true
+	return headroomTarget(e), true
 }
 
 func (s *sharedHeadroom) setDaemons(n int) {
--- a/router/placer.go
+++ b/router/placer.go
@@ -14,6 +14,7 @@
 	"github.com/merlindock/merlindock/endpointlimit"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/headroom"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
@@ -110,7 +111,7 @@
 	for waited := 0; ; waited++ {
 		out, err := p.place(ctx, req)
 		var refused *forward.RefusedError
-		if !errors.As(err, &refused) || refused.Code != codeAtLimits || waited == endpointlimit.MaxReplyWaits || !p.endpointLimits.AwaitingReply() {
+		if !errors.As(err, &refused) || refused.Code != codeAtLimits || waited == endpointlimit.MaxReplyWaits || p.endpointLimits == nil || !p.endpointLimits.AwaitingReply() {
 			return out, err
 		}
 		if err := pause.For(ctx, endpointlimit.ReplyWait); err != nil {
@@ -385,14 +386,16 @@
 	return placement.Decision{}, nil, tries.refusal(now)
 }
 
-// mayTry returns the endpoint if it may be sent this request, and nil otherwise.
-func (p *placer) mayTry(now time.Time, key fleet.EndpointID, repeatable bool) *directory.Endpoint {
+// mayTry returns the endpoint if it may be sent this request, and nil otherwise, with what
+// its limit of requests under way depends on.
+func (p *placer) mayTry(now time.Time, key fleet.EndpointID, repeatable bool) (*directory.Endpoint, headroom.Target) {
 	p.state.mu.Lock()
 	defer p.state.mu.Unlock()
 	if !p.state.roster.MayTry(now, key, repeatable) {
-		return nil
+		return nil, headroom.Target{}
 	}
-	return p.state.roster.Find(key)
+	e := p.state.roster.Find(key)
+	return e, headroomTarget(e)
 }
 
 // newPlacement builds the placement with the headers for the endpoint, and records the
