Log software versions and the streams that callers take up again

Of a stream that is joined from two software versions no line told the version of an endpoint, nor which stream a request continues, so the ways by which streams are joined could not be counted. No decision depends on it.

--- a/directory/changes_test.go
+++ b/directory/changes_test.go
@@ -117,7 +117,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		e := Entry{
 			ID: "a", Born: rapid.Int64().Draw(t, "born"), Service: text.Draw(t, "service"), Address: text.Draw(t, "address"),
-			Zone: fleet.ZoneID(text.Draw(t, "zone")), Slots: rapid.IntRange(0, 1<<20).Draw(t, "slots"),
+			Zone: fleet.ZoneID(text.Draw(t, "zone")), Build: text.Draw(t, "build"), Slots: rapid.IntRange(0, 1<<20).Draw(t, "slots"),
 			State: rapid.SampledFrom([]State{Ready, Draining}).Draw(t, "state"), Orders: rapid.Int64().Draw(t, "orders"),
 			Models: rapid.MapOfN(text, rapid.Int64(), 0, 5).Draw(t, "models"),
 		}
@@ -129,7 +129,7 @@
 }
 
 func FuzzDecodeEntry(f *testing.F) {
-	e := Entry{ID: "a", Born: 5, Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: 3, Models: map[string]int64{"m": 2}}
+	e := Entry{ID: "a", Born: 5, Service: "s", Address: "10.0.0.1:1", Zone: "z", Build: "v1", Slots: 3, Models: map[string]int64{"m": 2}}
 	f.Add(e.Append(nil))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		got, err := DecodeEntry("a", data)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,6 +33,7 @@
 	Service string
 	Address string // IP:port
 	Zone    fleet.ZoneID
+	Build   string // version of its software; empty: unknown
 	Slots   int
 	State   State
 	Models  map[string]int64 // weight version by model
@@ -43,7 +44,7 @@
 // orders, which has no effect on routing.
 func (e Entry) EqualExceptOrders(other Entry) bool {
 	return e.ID == other.ID && e.Born == other.Born && e.Service == other.Service && e.Address == other.Address &&
-		e.Zone == other.Zone && e.Slots == other.Slots && e.State == other.State && maps.Equal(e.Models, other.Models)
+		e.Zone == other.Zone && e.Build == other.Build && e.Slots == other.Slots && e.State == other.State && maps.Equal(e.Models, other.Models)
 }
 
 // Endpoint is one incarnation of an endpoint with the state derived from its entry.
--- a/directory/intern.go
+++ b/directory/intern.go
@@ -13,7 +13,7 @@
 )
 
 // interner keeps one copy of the values that thousands of entries have in common: the
-// names of services and zones, and the maps of weight versions.
+// names of services and zones, software versions, and the maps of weight versions.
 type interner struct {
 	texts  map[string]string
 	models []map[string]int64
@@ -22,6 +22,7 @@
 // intern replaces the entry's names and versions by the shared copies.
 func (s *interner) intern(e *Entry) {
 	e.Service, e.Zone = s.internText(e.Service), fleet.ZoneID(s.internText(string(e.Zone)))
+	e.Build = s.internText(e.Build)
 	for _, m := range s.models {
 		if maps.Equal(m, e.Models) {
 			e.Models = m
--- a/directory/wire.go
+++ b/directory/wire.go
@@ -15,7 +15,7 @@
 var ErrMalformed = errors.New("directory: entry is malformed")
 
 const (
-	entryFormat = 1 // version of the encoding
+	entryFormat = 2 // version of the encoding
 	// maxTextBytes limits each string of an entry, and maxModels the number of its models.
 	maxTextBytes = 255
 	maxModels    = 255
@@ -26,13 +26,13 @@
 // maxModels omitted.
 func (e *Entry) Append(to []byte) []byte {
 	if to == nil {
-		to = make([]byte, 0, 24+len(e.Service)+len(e.Address)+len(e.Zone)+16*len(e.Models))
+		to = make([]byte, 0, 24+len(e.Service)+len(e.Address)+len(e.Zone)+len(e.Build)+16*len(e.Models))
 	}
 	to = append(to, entryFormat, byte(e.State))
 	to = binary.AppendVarint(to, e.Born)
 	to = binary.AppendVarint(to, e.Orders)
 	to = binary.AppendUvarint(to, uint64(max(e.Slots, 0)))
-	for _, text := range []string{e.Service, e.Address, string(e.Zone)} {
+	for _, text := range []string{e.Service, e.Address, string(e.Zone), e.Build} {
 		to = appendText(to, text)
 	}
 	names := slices.Sorted(maps.Keys(e.Models))
@@ -57,7 +57,7 @@
 	e.Born, e.Orders = r.Varint(), r.Varint()
 	e.Slots = int(r.Uvarint(math.MaxInt32))
 	e.Service, e.Address = r.Text(maxTextBytes), r.Text(maxTextBytes)
-	e.Zone = fleet.ZoneID(r.Text(maxTextBytes))
+	e.Zone, e.Build = fleet.ZoneID(r.Text(maxTextBytes)), r.Text(maxTextBytes)
 	for n := r.Byte(); n > 0 && !r.Malformed; n-- {
 		name := r.Text(maxTextBytes)
 		e.Models[name] = r.Varint()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -19,7 +19,7 @@
 // how the attempt failed.
 func (c *call) attempt(p *Placement) (bool, retry.FailedAttempt) {
 	c.report.Attempts = append(c.report.Attempts, AttemptReport{
-		Endpoint: string(p.Target.Key), Reason: p.Reason, Version: p.Out.Version,
+		Endpoint: string(p.Target.Key), Build: p.Build, Reason: p.Reason, Version: p.Out.Version,
 		Wait: p.Wait, Cached: p.Cached, LoadAge: p.Age,
 		Prefix: p.Prefix, Fetch: p.Out.FetchFrom, Saved: p.Out.SaveTo != "",
 	})
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -79,6 +79,9 @@
 	Target       time.Duration // latency objective for the first event; 0: none
 	Tokens       int           // of the prompt
 	OutputTokens int           // maximum requested by the caller
+	Continues    bool          // the caller takes up a stream
+	Resumes      string        // attempt that brought the stream's first event; empty: not known
+	LastEvent    int64         // that the caller has received; NoEvent: none given
 	Refused      *RefusedError // by the placer; nil: not refused
 	Quota        quota.Verdict // the zero value: the organisation has no rate limit
 }
@@ -86,6 +89,7 @@
 // AttemptReport describes one attempt of a request.
 type AttemptReport struct {
 	Endpoint string
+	Build    string // software version; empty: unknown
 	Reason   string
 	Version  int64
 	Wait     time.Duration // expected until the first token
@@ -146,6 +150,7 @@
 	c.in = h.o.Codec.DecodeRequest(r.Header)
 	c.events.last = c.in.LastEvent
 	c.report.ID, c.report.Arrived = c.in.AttemptID, c.req.Arrived
+	c.report.Continues, c.report.Resumes, c.report.LastEvent = c.in.Continues, c.in.Resumes, c.in.LastEvent
 	defer func() {
 		c.report.Duration = time.Since(c.req.Arrived)
 		h.o.Report(&c.report)
--- a/forward/headers.go
+++ b/forward/headers.go
@@ -35,6 +35,10 @@
 	LikelyOutput int   // estimated by the caller; 0: not given
 	QuotaTokens  int   // counted by rate limits; negative: not given
 	LastEvent    int64 // the stream resumes after this event; NoEvent: from the start
+	// Continues states that the caller received the beginning of the stream in an earlier
+	// attempt. Resumes is the attempt that brought its first event; empty: not known.
+	Continues bool
+	Resumes   string
 }
 
 // RouterInfo holds the values of the headers that the router sets on a request.
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -30,6 +30,7 @@
 type Placement struct {
 	ID     uint64
 	Target Target
+	Build  string     // software version of the endpoint; empty: unknown
 	Out    RouterInfo // without the remaining time and the last event
 	Reason string
 	Wait   time.Duration // expected until the first token
--- a/router/follower.go
+++ b/router/follower.go
@@ -426,6 +426,6 @@
 			return
 		}
 	}
-	r.log.Info("Endpoint changed.", "endpoint", entry.ID, "born", entry.Born, "service", entry.Service,
+	r.log.Info("Endpoint changed.", "endpoint", entry.ID, "born", entry.Born, "service", entry.Service, "build", entry.Build,
 		"state", int(entry.State), "zone", string(entry.Zone), "offset", offset)
 }
--- a/router/line_limiter.go
+++ b/router/line_limiter.go
@@ -54,5 +54,5 @@
 	if rep.FirstEvent > 0 {
 		took = rep.FirstEvent
 	}
-	return rep.Status < http.StatusBadRequest && rep.Code == "" && len(rep.Attempts) == 1 && (rep.Target == 0 || took <= rep.Target)
+	return rep.Status < http.StatusBadRequest && rep.Code == "" && !rep.Continues && len(rep.Attempts) == 1 && (rep.Target == 0 || took <= rep.Target)
 }
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -72,8 +72,9 @@
 	// hundreds of daemons start together, all wait for the first of each zone, however
 	// long its read takes; the first one waits for no other.
 	startTimeout = time.Second
-	// relayPath differs from that of earlier releases, whose offsets hold no generation.
-	relayPath = "/v3/read"
+	// relayPath differs from that of earlier releases, whose entries of endpoints hold no
+	// software version.
+	relayPath = "/v4/read"
 	// quietHeader is set when a daemon's data is insufficient for an answer. Its value
 	// is the time since that daemon's last progress on the topic, in nanoseconds.
 	quietHeader = "Quiet-Ns"
--- a/router/placer.go
+++ b/router/placer.go
@@ -405,9 +405,9 @@
 	defer p.state.mu.Unlock()
 	out := forward.Placement{
 		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirstToken, Cached: d.ExpectedCached, Age: d.LoadAge,
-		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address},
-		Out:    forward.RouterInfo{EndpointID: e.ID, Version: to.version, Urgency: forward.NoUrgency},
-		Notes:  forward.PlacerState{Held: !r.Exclusive},
+		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address}, Build: e.Build,
+		Out:   forward.RouterInfo{EndpointID: e.ID, Version: to.version, Urgency: forward.NoUrgency},
+		Notes: forward.PlacerState{Held: !r.Exclusive},
 	}
 	if req.Organisation != nil {
 		out.Out.Organisation = req.Organisation.Name
--- a/router/report.go
+++ b/router/report.go
@@ -73,6 +73,9 @@
 	if rep.Fingerprint != (quarantine.Fingerprint{}) {
 		fields = append(fields, "fingerprint", rep.Fingerprint.String())
 	}
+	if rep.Continues {
+		fields = append(fields, "resumes", rep.Resumes, "after_event", rep.LastEvent)
+	}
 	if rep.FirstEvent > 0 {
 		fields = append(fields, "first_ms", rep.FirstEvent.Milliseconds())
 	}
@@ -102,6 +105,10 @@
 	b = append(b, a.Reason...)
 	b = append(b, " v"...)
 	b = strconv.AppendInt(b, a.Version, 10)
+	if a.Build != "" {
+		b = append(b, " build="...)
+		b = append(b, a.Build...)
+	}
 	b = append(b, " wait_ms="...)
 	b = strconv.AppendInt(b, a.Wait.Milliseconds(), 10)
 	b = append(b, " load_age_ms="...)
