--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -53,6 +53,7 @@
 	cuts         map[int]cutMode               // daemons that are cut off from all endpoints
 	conns        map[*simulatedConn]bool       // open connections of daemons to endpoints
 	peers        map[string]*simulatedListener // of the daemons, by address
+	killed       map[*Router]bool              // daemons that have ended without shutting down
 }
 
 const (
@@ -79,7 +80,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &simulatedFleet{
 		t: t, ctx: ctx, began: time.Now(), rng: rand.New(rand.NewPCG(uint64(daemons), 29)), disconnected: map[netip.AddrPort]bool{},
-		zoneOf: zoneOf, cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{},
+		zoneOf: zoneOf, cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{}, killed: map[*Router]bool{},
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -110,7 +111,7 @@
 	}
 	f.table.BuildIndex()
 	for i := range endpoints {
-		f.endpoints = append(f.endpoints, &simulatedEndpoint{f: f, index: i, up: true, conns: map[net.Conn]bool{}})
+		f.endpoints = append(f.endpoints, &simulatedEndpoint{f: f, index: i, up: true, build: "v1", conns: map[net.Conn]bool{}})
 	}
 	f.daemons = make([]*Router, daemons)
 	f.receiving = make([]sync.Mutex, daemons)
@@ -282,6 +283,8 @@
 	hostUnreachable bool               // its host is unreachable after a crash, instead of refusing connections
 	silentUntil     time.Time          // requests wait until then; zero: they do not
 	capacity        *simulatedCapacity // nil: it runs any number of requests at once
+	build           string             // its software version
+	events          int                // of its answers; 0: all at once, one event
 
 	arrivals []arrival
 }
@@ -304,7 +307,7 @@
 func (e *simulatedEndpoint) id() string { return fmt.Sprintf("e%d-%d", e.index, e.incarnation) }
 
 func (e *simulatedEndpoint) entry() directory.Entry {
-	entry := directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Slots: 24}
+	entry := directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Build: e.build, Slots: 24}
 	if e.f.table.Services["s"].Engine != nil {
 		entry.Models = map[string]int64{fleetModel: 1}
 	}
@@ -436,6 +439,9 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 99\r\n\r\nid: 0")
 		return false
 	}
+	if e.events > 0 {
+		return e.stream(c, head, req)
+	}
 	answer := "id: 0\ndata: one\n\n"
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
 	return err == nil
@@ -487,6 +493,10 @@
 
 func (testWire) DecodeRequest(h http.Header) forward.RequestInfo {
 	in := forward.RequestInfo{AttemptID: h.Get("Attempt-Id"), APIKey: h.Get("Key"), LastEvent: forward.NoEvent}
+	in.Continues, in.Resumes = h.Get("Last-Event-Id") != "" || h.Get("Resumes") != "", h.Get("Resumes")
+	if id, err := strconv.ParseInt(h.Get("Last-Event-Id"), 10, 64); err == nil {
+		in.LastEvent = id
+	}
 	if tokens, err := strconv.Atoi(h.Get("Prompt")); err == nil {
 		in.Model, in.PromptTokens = fleetModel, tokens
 		in.Parts = []prefix.Segment{{ID: "shared", Tokens: tokens / 2}, {ID: in.AttemptID, Tokens: tokens - tokens/2}}
@@ -496,6 +506,9 @@
 
 func (testWire) EncodeRequest(h http.Header, o *forward.RouterInfo) {
 	h.Set("Instance", o.EndpointID)
+	if o.LastEvent != forward.NoEvent {
+		h.Set("Last-Event-Id", strconv.FormatInt(o.LastEvent, 10))
+	}
 }
 
 func (testWire) DecodeAnswer(status int, h http.Header) forward.AnswerInfo {
