Continue an interrupted stream at the software version that began it

Callers received answers whose events come from two software versions of one service: when an endpoint crashed in the middle of a stream, the daemon continued it at any endpoint of the model. What two versions generate does not fit together.

Cause: the software version was not part of any decision.

The placement says the version of its endpoint, and the first event that is delivered fixes the origin of the stream, its service and version. Later attempts of the request are placed only on endpoints with this origin, also by the dispatcher, whose choice is checked against the daemon's own list, as one of an earlier release ignores the origin. A version that is unknown has no endpoints. Without one the answer is aborted at once (stream_version_gone).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -163,7 +163,7 @@
 		return RoutingChanged
 	}
 	changed := old.Removed || old.State != e.State || old.Service != e.Service ||
-		old.Address != e.Address || hasNewer(old.Versions, e.Models)
+		old.Address != e.Address || old.Build != e.Build || hasNewer(old.Versions, e.Models)
 	d.uncount(old)
 	old.Entry, old.Removed, old.unlisted = e, false, false
 	old.Versions = mergeNewest(old.Versions, e.Models)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/streamorigin"
 )
 
 // relayBufferBytes is the size of the read buffer for streams.
@@ -58,6 +59,7 @@
 	last.Load, last.Limit = a.Info.Load, a.Info.Limit
 	last.Leaving, last.Backoff, last.Via = a.Info.Leaving, a.Info.Backoff, a.Via()
 	c.o.Placer.AnswerStarted(p, &a.Info)
+	c.build = p.Build
 	end = c.relayAnswer(a)
 	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: end.Failure}
 }
@@ -212,6 +214,9 @@
 	if c.report.FirstEvent == 0 {
 		c.report.FirstEvent = time.Since(c.req.Arrived)
 	}
+	if c.req.Origin == nil {
+		c.req.Origin = &streamorigin.Origin{Service: c.req.Service.Name, Build: c.build}
+	}
 	c.retryState.Delivered++
 	// A caller that stops reading must not occupy the engine's slot beyond the
 	// request's deadline.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -127,7 +127,8 @@
 	retryState retry.Request
 	report     Report
 
-	headerSent bool // the answer's header was sent
+	headerSent bool   // the answer's header was sent
+	build      string // software version of the endpoint that answers
 	events     eventSplitter
 	answer     *bufferedAnswer // a 5xx answer of an endpoint, sent if no other attempt succeeds
 	charge     quotaCharge
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -8,6 +8,7 @@
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/streamorigin"
 )
 
 // PlacementRequest is a request for which an endpoint is to be chosen.
@@ -23,6 +24,8 @@
 	Excluded     []fleet.EndpointID // already tried
 	Attempt      int                // from 0
 	Resuming     bool               // part of the answer was sent by another endpoint
+	// Origin is where the stream began that the request continues; nil: it begins anew.
+	Origin *streamorigin.Origin
 }
 
 // Placement is the endpoint chosen for an attempt. It is encoded in messages
--- a/placement/place.go
+++ b/placement/place.go
@@ -206,6 +206,10 @@
 	}
 	v.collectHolders(p, r, minAvailability)
 	v.collectReporting(p, r, minAvailability)
+	if r.Only != nil {
+		v.collectOnly(p, r, minAvailability)
+		return
+	}
 	for i := range uint64(sampleCount) {
 		at := mix(r.ID^i<<32) % uint64(len(p.members))
 		v.addCandidate(p.members[at], r, minAvailability)
@@ -243,6 +247,29 @@
 	}
 }
 
+// allows reports whether the request may be placed on the endpoint.
+func (r *Request) allows(id fleet.EndpointID) bool {
+	if r.Only == nil {
+		return true
+	}
+	_, ok := slices.BinarySearch(r.Only, id)
+	return ok
+}
+
+// collectOnly adds endpoints of the request's own choice, in an order that depends on the
+// request. Samples of a large pool would miss a few endpoints.
+func (v *View) collectOnly(p *pool, r *Request, minAvailability Availability) {
+	if len(r.Only) == 0 {
+		return
+	}
+	first := int(mix(r.ID) % uint64(len(r.Only)))
+	for i := range r.Only {
+		if ep, known := v.byID[r.Only[(first+i)%len(r.Only)]]; known && v.inPool(p, ep) {
+			v.addCandidate(ep, r, minAvailability)
+		}
+	}
+}
+
 // inPool reports whether the endpoint is a member of the pool.
 func (v *View) inPool(p *pool, ep int32) bool {
 	_, ok := slices.BinarySearch(p.members, ep)
@@ -254,7 +281,7 @@
 	if s.stamp[ep] == s.round || len(s.candidates) == maxCandidates {
 		return
 	}
-	if e.availability() > minAvailability || slices.Contains(r.Avoid, e.id) {
+	if e.availability() > minAvailability || slices.Contains(r.Avoid, e.id) || !r.allows(e.id) {
 		return
 	}
 	s.stamp[ep], s.slot[ep] = s.round, int32(len(s.candidates))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -99,6 +99,7 @@
 	Tokens    int // length of the whole prompt
 	Priority  contract.Priority
 	Avoid     []fleet.EndpointID // endpoints tried already
+	Only      []fleet.EndpointID // sorted: no others may be chosen; nil: any of the pool
 	Locations *PrefixLocations   // nil: only what answers and events showed is known
 	// Exclusive is set if this daemon places all requests of the pool: an endpoint that it
 	// sent nothing to is idle, however old its load report is.
--- a/placement/view_test.go
+++ b/placement/view_test.go
@@ -284,3 +284,24 @@
 		}
 	}
 }
+
+// Guards against a request that is refused, or placed elsewhere, because the few endpoints
+// that may take it are not among the samples of a large pool.
+func TestOnlyAllowedEndpointsAreChosenInLargePools(t *testing.T) {
+	for _, size := range []int{4, 2000} {
+		v := testView(size)
+		only := []fleet.EndpointID{"runner-1", "runner-3"}
+		for id := range uint64(200) {
+			r := promptRequest(id, "m", fmt.Sprint("document ", id))
+			r.Only = only
+			if d := place(t, v, epoch, r); d.Endpoint != only[0] && d.Endpoint != only[1] {
+				t.Fatalf("request %d is placed on %s of %d endpoints", id, d.Endpoint, size)
+			}
+		}
+		r := promptRequest(1000, "m", "document")
+		r.Only, r.Avoid = only, only
+		if d, err := v.Place(epoch, r); !errors.Is(err, ErrNoEndpoint) {
+			t.Errorf("placed on %s, %v", d.Endpoint, err)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,6 +47,7 @@
 	usable      map[fleet.EndpointID]*directory.Endpoint
 	addresses   map[fleet.EndpointID]string // of the usable endpoints
 	byAddress   map[string]int              // number of usable endpoints at an address
+	builds      builds
 	pausedUntil [pauseReasons]map[fleet.EndpointID]time.Time
 	backedOff   map[fleet.EndpointID]bool // they have answered no request since their last backoff
 	unavailable map[fleet.EndpointID]bool // not available to placement
@@ -70,7 +71,7 @@
 func New(o Options) *Roster {
 	r := &Roster{
 		directory: directory.New(o.Grace), health: health.New(o.Health), pools: pools.New(o.Placement, o.ShortFraction), placement: o.Placement,
-		usable: map[fleet.EndpointID]*directory.Endpoint{}, addresses: map[fleet.EndpointID]string{}, byAddress: map[string]int{}, backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
+		usable: map[fleet.EndpointID]*directory.Endpoint{}, addresses: map[fleet.EndpointID]string{}, byAddress: map[string]int{}, builds: newBuilds(), backedOff: map[fleet.EndpointID]bool{}, unavailable: map[fleet.EndpointID]bool{},
 	}
 	for reason := range r.pausedUntil {
 		r.pausedUntil[reason] = map[fleet.EndpointID]time.Time{}
@@ -148,6 +149,7 @@
 	r.forgetAddress(e.Key)
 	r.addresses[e.Key] = e.Address
 	r.byAddress[e.Address]++
+	r.builds.put(e)
 	member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: e.Service, Address: e.Address, State: fleet.VMLive}
 	r.health.SetListed(now, member)
 	unusable := r.Unusable(now, e.Key)
@@ -160,6 +162,7 @@
 // removeUsable removes an endpoint from the pools.
 func (r *Roster) removeUsable(now time.Time, key fleet.EndpointID) {
 	r.forgetAddress(key)
+	r.builds.remove(key)
 	delete(r.usable, key)
 	delete(r.unavailable, key)
 	delete(r.backedOff, key)
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/streamorigin"
 	"github.com/merlindock/merlindock/weights"
 )
 
@@ -199,7 +200,7 @@
 func (d *dispatchPlacer) askDispatcher(ctx context.Context, to Neighbour, req *forward.PlacementRequest) (p forward.Placement, ok bool, err error) {
 	m := placeMessage{
 		ID: d.lastID.Add(1), Route: req.Route.Name, Service: req.Service.Name, In: *req.In,
-		LeftMs: time.Until(req.Deadline).Milliseconds(), Avoid: append(d.unavailable(req), req.Excluded...), Resuming: req.Resuming,
+		LeftMs: time.Until(req.Deadline).Milliseconds(), Avoid: append(d.unavailable(req), req.Excluded...), Resuming: req.Resuming, Origin: req.Origin,
 	}
 	m.In.APIKey = ""
 	m.Loads = d.takeObservedLoads(time.Now())
@@ -257,7 +258,7 @@
 		return forward.Placement{}, false, nil
 	}
 	p := *got.Place
-	beginWithin := d.timeToBegin(req, &p)
+	beginWithin := d.checkPlacement(req, &p)
 	if got.LeftMs > 0 {
 		beginWithin = min(beginWithin, time.Duration(got.LeftMs)*time.Millisecond)
 	}
@@ -273,19 +274,24 @@
 	return p, true, nil
 }
 
-// timeToBegin returns how long a prompt may wait at the placement's endpoint before it
-// must begin, according to this daemon's state; 0: it must not be sent there.
+// checkPlacement returns how long a prompt may wait at the endpoint that a dispatcher chose
+// before it must begin, according to this daemon's state; 0: it must not be sent there. It
+// sets the endpoint's software version.
 //
 // A dispatcher that has lost the store sees neither newly named weights nor endpoints
 // that are draining. If its answer were accepted unchecked, prompts would begin on
-// weights that are out of use.
-func (d *dispatchPlacer) timeToBegin(req *forward.PlacementRequest, p *forward.Placement) time.Duration {
+// weights that are out of use. One of an earlier release knows no software versions.
+func (d *dispatchPlacer) checkPlacement(req *forward.PlacementRequest, p *forward.Placement) time.Duration {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
 	e := d.state.roster.Find(p.Target.Key)
 	if e == nil || e.ID != p.Target.ID || e.Service != req.Service.Name || d.state.roster.Unusable(time.Now(), p.Target.Key) {
 		return 0
 	}
+	p.Build = e.Build
+	if o := req.Origin; o != nil && (o.Build == "" || *o != streamorigin.Origin{Service: e.Service, Build: e.Build}) {
+		return 0
+	}
 	return d.state.named[req.In.Model].timeToBegin(p.Out.Version, d.placer.clock(), d.versionBound)
 }
 
--- a/router/dispatch_messages.go
+++ b/router/dispatch_messages.go
@@ -10,6 +10,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/streamorigin"
 	"github.com/merlindock/merlindock/weights"
 )
 
@@ -33,7 +34,9 @@
 	LeftMs   int64               `json:"left_ms"`
 	Avoid    []fleet.EndpointID  `json:"avoid,omitempty"`
 	Resuming bool                `json:"resuming,omitempty"`
-	Loads    []reportedLoad      `json:"loads,omitempty"`
+	// Origin restricts the endpoints. Daemons of earlier releases ignore it.
+	Origin *streamorigin.Origin `json:"origin,omitempty"`
+	Loads  []reportedLoad       `json:"loads,omitempty"`
 }
 
 // reportedLoad is the load that an engine reported to the sender.
@@ -210,7 +213,7 @@
 	}
 	req := &forward.PlacementRequest{
 		Route: &t.Routes[i], Service: t.Services[m.Service], Table: t, In: &m.In, Arrived: time.Now(),
-		Deadline: time.Now().Add(time.Duration(m.LeftMs) * time.Millisecond), Excluded: m.Avoid, Resuming: m.Resuming,
+		Deadline: time.Now().Add(time.Duration(m.LeftMs) * time.Millisecond), Excluded: m.Avoid, Resuming: m.Resuming, Origin: m.Origin,
 	}
 	if m.Org != "" {
 		req.Organisation = &routes.Organisation{Name: m.Org, Isolated: m.Isolated}
--- a/router/placer.go
+++ b/router/placer.go
@@ -57,6 +57,8 @@
 	codeOverloaded = "overloaded"
 	codeAtLimits   = "endpoints_at_limits"
 	codeBackingOff = "endpoints_backing_off"
+	// codeBuildGone refuses a stream whose software version no usable endpoint runs.
+	codeBuildGone = "stream_version_gone"
 )
 
 // placer implements forward.Placer by placing requests on its own.
@@ -127,6 +129,9 @@
 		Pool: pools.ServicePool(req.Service.Name), Tokens: req.In.PromptTokens, Avoid: req.Excluded,
 		Priority: priorityOf(req.Route.EffectivePriority(req.Organisation)),
 	}
+	if err := p.bindToOrigin(req, &r); err != nil {
+		return forward.Placement{}, err
+	}
 	if req.Service.Engine != nil && req.In.Model != "" {
 		return p.placeModel(ctx, now, req, &r)
 	}
@@ -150,9 +155,29 @@
 		Tokens: req.In.PromptTokens, Avoid: req.Excluded, Priority: priorityOf(req.Route.EffectivePriority(req.Organisation)),
 		Exclusive: true,
 	}
+	if err := p.bindToOrigin(req, &r); err != nil {
+		return forward.Placement{}, err
+	}
 	return p.placeModel(context.Background(), now, req, &r)
 }
 
+// bindToOrigin restricts a request that continues a stream to the endpoints that may
+// continue it.
+func (p *placer) bindToOrigin(req *forward.PlacementRequest, r *placement.Request) error {
+	if req.Origin == nil {
+		return nil
+	}
+	if req.Origin.Service == req.Service.Name {
+		p.state.mu.Lock()
+		r.Only = p.state.roster.WithBuild(req.Origin.Service, req.Origin.Build)
+		p.state.mu.Unlock()
+	}
+	if len(r.Only) == 0 {
+		return &forward.RefusedError{Code: codeBuildGone, RetryAfter: noEndpointRetryAfter}
+	}
+	return nil
+}
+
 // segmentLocations returns where the shared segment of a prompt is held and from which
 // engine it can be fetched. It is used by the dispatcher.
 func (p *placer) segmentLocations(now time.Time, req *forward.PlacementRequest, version int64) (*placement.PrefixLocations, fleet.EndpointID) {
