Continue a stream that its caller takes up at the software version that began it

Callers that took up a stream after they had lost their connection or their daemon received events of another software version than before, in an answer that looks whole.

Cause: a stream's origin was known to nobody but the daemon that began it, and not to that one once the request had ended; Resumes was not read, and the request was placed as if it were new.

Before the first event leaves, the origin is sent to three daemons that each daemon finds by rendezvous hashing of the stream's ID, in different zones if there are some; the daemon at which the caller takes the stream up asks six (package streamorigin). While a daemon knows of itself that a service has had one version for 20 s it sends nothing, and answers so in place of a record; when that ends, the records of open streams are sent. Unknown is no version: a stream without a record is refused unless such a daemon is found. The ID covers organisation, method, host and path, so that attempts of others are unknown as well. A daemon that shuts down hands its records over.

Weighed: telling all daemons (k grows with the fleet), asking all (a daemon that was killed can't answer), the store (limited calls, and a write before each first event), a version that follows from the attempt's ID (it changes with each endpoint that comes or goes).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -9,7 +9,6 @@
 
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
-	"github.com/merlindock/merlindock/streamorigin"
 )
 
 // relayBufferBytes is the size of the read buffer for streams.
@@ -214,9 +213,7 @@
 	if c.report.FirstEvent == 0 {
 		c.report.FirstEvent = time.Since(c.req.Arrived)
 	}
-	if c.req.Origin == nil {
-		c.req.Origin = &streamorigin.Origin{Service: c.req.Service.Name, Build: c.build}
-	}
+	c.streamBegins()
 	c.retryState.Delivered++
 	// A caller that stops reading must not occupy the engine's slot beyond the
 	// request's deadline.
@@ -238,6 +235,7 @@
 		return AttemptEnd{Failure: retry.Broken, Lost: true}
 	}
 	c.sendHeader(a)
+	c.streamEnds()
 	_ = c.rc.SetWriteDeadline(time.Time{})
 	return AttemptEnd{Whole: true}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -15,6 +15,7 @@
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/streamorigin"
 )
 
 // Timeouts, retry times and limits of the handler.
@@ -53,7 +54,9 @@
 	// stops and load balancers have had the time to remove it.
 	ShutdownDeadline func() time.Time
 	Callers          *CallerConns
-	Limiter          Limiter // nil: organisations have no rate limits
+	// Origins knows where streams began; nil: callers take them up at any endpoint.
+	Origins Origins
+	Limiter Limiter // nil: organisations have no rate limits
 	// Quarantine refuses requests whose endpoints crashed; nil: none are refused.
 	Quarantine quarantine.Gate
 	Report     func(*Report)
@@ -76,14 +79,15 @@
 	TableVersion int64
 	KeysAge      time.Duration
 	Deadline     time.Duration
-	Target       time.Duration // latency objective for the first event; 0: none
-	Tokens       int           // of the prompt
-	OutputTokens int           // maximum requested by the caller
-	Continues    bool          // the caller takes up a stream
-	Resumes      string        // attempt that brought the stream's first event; empty: not known
-	LastEvent    int64         // that the caller has received; NoEvent: none given
-	Refused      *RefusedError // by the placer; nil: not refused
-	Quota        quota.Verdict // the zero value: the organisation has no rate limit
+	Target       time.Duration        // latency objective for the first event; 0: none
+	Tokens       int                  // of the prompt
+	OutputTokens int                  // maximum requested by the caller
+	Continues    bool                 // the caller takes up a stream
+	Resumes      string               // attempt that brought the stream's first event; empty: not known
+	LastEvent    int64                // that the caller has received; NoEvent: none given
+	Origin       *streamorigin.Answer // of the stream that the caller takes up; nil: it was not looked for
+	Refused      *RefusedError        // by the placer; nil: not refused
+	Quota        quota.Verdict        // the zero value: the organisation has no rate limit
 }
 
 // AttemptReport describes one attempt of a request.
@@ -129,6 +133,8 @@
 
 	headerSent bool   // the answer's header was sent
 	build      string // software version of the endpoint that answers
+	stream     streamorigin.ID
+	lifetime   time.Duration // how long the caller may take the stream up
 	events     eventSplitter
 	answer     *bufferedAnswer // a 5xx answer of an endpoint, sent if no other attempt succeeds
 	charge     quotaCharge
@@ -187,7 +193,12 @@
 	c.ctx = ctx
 	c.req.In = &c.in
 	c.report.Tokens, c.report.OutputTokens = c.in.PromptTokens, c.in.OutputTokens
-	c.req.Service = t.Services[route.SelectBackend(hash.Text(c.in.AttemptID))]
+	c.setStream()
+	service, ok := c.findOrigin(route.SelectBackend(hash.Text(c.in.AttemptID)))
+	if !ok {
+		return
+	}
+	c.req.Service = t.Services[service]
 	if c.req.Service == nil {
 		c.refuse(http.StatusServiceUnavailable, "no_service", retryAfterFailure)
 		return
@@ -288,6 +299,7 @@
 	if c.in.Patience > 0 && c.in.Patience < limit {
 		limit = c.in.Patience
 	}
+	c.lifetime = max(limit, c.in.Patience)
 	c.req.Deadline = c.req.Arrived.Add(limit)
 	c.report.Deadline, c.report.Target = limit, c.req.Route.TargetLatency
 }
@@ -342,7 +354,7 @@
 			return
 		}
 		c.req.Excluded = c.retryState.Excluded()
-		c.req.Resuming = c.headerSent
+		c.req.Resuming = c.req.Resuming || c.headerSent
 		if !c.pause(d.Delay) {
 			return
 		}
--- /dev/null
+++ b/forward/origin_test.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/streamorigin"
+)
+
+// testOrigins is an Origins that gives one answer.
+type testOrigins struct {
+	answer streamorigin.Answer
+	body   *bytes.Buffer // received by the caller
+
+	mu     sync.Mutex
+	began  map[streamorigin.ID]streamorigin.Origin
+	ended  map[streamorigin.ID]bool
+	sought []streamorigin.ID
+}
+
+func (o *testOrigins) Began(id streamorigin.ID, at streamorigin.Origin, _ time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.body.Len() == 0 {
+		o.began[id] = at
+	}
+}
+
+func (o *testOrigins) Ended(id streamorigin.ID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended[id] = true
+}
+
+func (o *testOrigins) Find(_ context.Context, id streamorigin.ID, _ string) streamorigin.Answer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sought = append(o.sought, id)
+	return o.answer
+}
+
+// originPlacer places all requests on one endpoint and keeps their origins.
+type originPlacer struct {
+	listPlacer
+	origins []*streamorigin.Origin
+}
+
+func (p *originPlacer) Place(ctx context.Context, req *PlacementRequest) (Placement, error) {
+	p.origins = append(p.origins, req.Origin)
+	return p.listPlacer.Place(ctx, req)
+}
+
+// continuedWire is a codec whose callers take streams up.
+type continuedWire struct {
+	HeaderCodec
+	resumes string
+}
+
+func (w continuedWire) DecodeRequest(h http.Header) RequestInfo {
+	in := w.HeaderCodec.DecodeRequest(h)
+	in.Continues, in.Resumes, in.LastEvent = true, w.resumes, 0
+	return in
+}
+
+func streamTable(kind routes.Kind) *routes.Table {
+	t := &routes.Table{
+		Services: map[string]*routes.Service{"s": {Name: "s"}, "t": {Name: "t"}},
+		Routes: []routes.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: kind, Resumable: true, Timeout: 2 * time.Second,
+			MaxAttempts: 1, Public: true, Backends: []routes.Backend{{Service: "s", Weight: 1}},
+		}},
+	}
+	t.BuildIndex()
+	return t
+}
+
+// request sends one request to a handler and returns its answer and report.
+func request(t *testing.T, wire HeaderCodec, table *routes.Table, p Placer, o Origins) (*http.Response, *Report) {
+	t.Helper()
+	var report *Report
+	h := NewHandler(Options{
+		Codec: wire, Client: NewClient(wire, nil), Placer: p, Origins: o, Callers: NewCallerConns(),
+		Table: func() *routes.Table { return table }, Draining: func() bool { return false },
+		ShutdownDeadline: func() time.Time { return time.Time{} }, Report: func(r *Report) { report = r },
+	})
+	r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", "a2")
+	w := httptest.NewRecorder()
+	if o, ok := o.(*testOrigins); ok {
+		o.body = w.Body
+	}
+	h.ServeHTTP(w, r)
+	return w.Result(), report
+}
+
+// Guards against a stream that is continued at any endpoint because nobody knows where it
+// began, and against a refusal of one that was sent to an endpoint.
+func TestUnknownStreamIsRefusedUnsent(t *testing.T) {
+	s := streamorigin.Origin{Service: "s", Build: "v1"}
+	for name, c := range map[string]struct {
+		answer streamorigin.Answer
+		code   string
+	}{
+		"unknown":         {streamorigin.Answer{}, CodeStreamUnknown},
+		"ambiguous":       {streamorigin.Answer{Evidence: streamorigin.EvidenceAmbiguous}, CodeStreamUnknown},
+		"another service": {streamorigin.Answer{Origin: streamorigin.Origin{Service: "t", Build: "v1"}, Known: true}, CodeStreamMoved},
+		"known":           {streamorigin.Answer{Origin: s, Known: true}, "none_left"},
+	} {
+		p := &originPlacer{}
+		got, report := request(t, continuedWire{plainWire{}, "a1"}, streamTable(routes.Stream), p, &testOrigins{answer: c.answer})
+		if got.StatusCode != http.StatusServiceUnavailable || report.Code != c.code || len(report.Attempts) > 0 || report.Origin == nil {
+			t.Errorf("%s: status %d, code %q, attempts %+v", name, got.StatusCode, report.Code, report.Attempts)
+		}
+		if c.code == "none_left" && (len(p.origins) != 1 || *p.origins[0] != s) || c.code != "none_left" && len(p.origins) > 0 {
+			t.Errorf("%s: placed with %v", name, p.origins)
+		}
+	}
+	o := &testOrigins{}
+	if _, report := request(t, continuedWire{plainWire{}, "a1"}, streamTable(routes.Safe), &originPlacer{}, o); report.Code != "none_left" || len(o.sought) > 0 {
+		t.Errorf("a request that is no stream: code %q, origins sought %v", report.Code, o.sought)
+	}
+}
+
+// Guards against an origin that is recorded under another attempt than the one whose first
+// event the caller received, or only after it has.
+func TestOriginIsRecordedBeforeTheFirstEvent(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Response-Signature", "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	}))
+	defer endpoint.Close()
+	id := func(attempt string) streamorigin.ID {
+		return streamorigin.IDOf("", http.MethodPost, "h", "/x", attempt)
+	}
+	place := func() *listPlacer {
+		return &listPlacer{places: []Placement{{Target: Target{Key: "e", ID: "e", Address: endpoint.Listener.Addr().String()}, Build: "v1"}}}
+	}
+	o := &testOrigins{began: map[streamorigin.ID]streamorigin.Origin{}, ended: map[streamorigin.ID]bool{}}
+	if got, _ := request(t, plainWire{}, streamTable(routes.Stream), place(), o); got.StatusCode != http.StatusOK {
+		t.Fatal(got.Status)
+	}
+	if o.began[id("a2")] != (streamorigin.Origin{Service: "s", Build: "v1"}) || !o.ended[id("a2")] {
+		t.Errorf("a new stream: began %v, ended %v", o.began, o.ended)
+	}
+	o = &testOrigins{began: map[streamorigin.ID]streamorigin.Origin{}, ended: map[streamorigin.ID]bool{}, answer: streamorigin.Answer{Origin: streamorigin.Origin{Service: "s", Build: "v1"}, Known: true}}
+	if got, _ := request(t, continuedWire{plainWire{}, "a1"}, streamTable(routes.Stream), place(), o); got.StatusCode != http.StatusOK {
+		t.Fatal(got.Status)
+	}
+	if len(o.sought) != 1 || o.sought[0] != id("a1") || len(o.began) > 0 || !o.ended[id("a1")] {
+		t.Errorf("a stream that is taken up: sought %x, began %v, ended %v", o.sought, o.began, o.ended)
+	}
+}
--- a/roster/builds.go
+++ b/roster/builds.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
@@ -14,20 +15,25 @@
 type builds struct {
 	endpoints map[build]map[fleet.EndpointID]bool
 	of        map[fleet.EndpointID]build
+	since     time.Time           // when the first endpoint was listed
+	goneAt    map[build]time.Time // when the last endpoint with a version was no longer usable
 }
 
 func newBuilds() builds {
-	return builds{endpoints: map[build]map[fleet.EndpointID]bool{}, of: map[fleet.EndpointID]build{}}
+	return builds{endpoints: map[build]map[fleet.EndpointID]bool{}, of: map[fleet.EndpointID]build{}, goneAt: map[build]time.Time{}}
 }
 
 // put adds a usable endpoint or updates it.
-func (b *builds) put(e *directory.Endpoint) {
+func (b *builds) put(now time.Time, e *directory.Endpoint) {
+	if b.since.IsZero() {
+		b.since = now
+	}
 	next := build{e.Service, e.Build}
 	if before, indexed := b.of[e.Key]; indexed {
 		if before == next {
 			return
 		}
-		b.remove(e.Key)
+		b.remove(now, e.Key)
 	}
 	b.of[e.Key] = next
 	if b.endpoints[next] == nil {
@@ -37,7 +43,7 @@
 }
 
 // remove removes an endpoint that is not usable any more.
-func (b *builds) remove(key fleet.EndpointID) {
+func (b *builds) remove(now time.Time, key fleet.EndpointID) {
 	before, indexed := b.of[key]
 	if !indexed {
 		return
@@ -46,7 +52,45 @@
 	delete(b.endpoints[before], key)
 	if len(b.endpoints[before]) == 0 {
 		delete(b.endpoints, before)
+		b.goneAt[before] = now
+	}
+}
+
+// only returns the single version that a service has had since the time.
+func (b *builds) only(since time.Time, service string) (string, bool) {
+	if b.since.IsZero() || b.since.After(since) {
+		return "", false
+	}
+	version, found := "", 0
+	for k := range b.endpoints {
+		if k.service == service {
+			version = k.version
+			found++
+		}
+	}
+	for k, at := range b.goneAt {
+		if k.service == service && at.After(since) && b.endpoints[k] == nil {
+			version = k.version
+			found++
+		}
 	}
+	return version, found == 1 && version != ""
+}
+
+// expire forgets versions that no endpoint has had since the time.
+func (b *builds) expire(since time.Time) {
+	for k, at := range b.goneAt {
+		if at.Before(since) {
+			delete(b.goneAt, k)
+		}
+	}
+}
+
+// OnlyBuild returns the software version of a service if its usable endpoints have had no
+// other one for the given time. ok is false if they had, if the version of some is unknown,
+// or if the list of endpoints has been known for less.
+func (r *Roster) OnlyBuild(now time.Time, service string, lasted time.Duration) (version string, ok bool) {
+	return r.builds.only(now.Add(-lasted), service)
 }
 
 // WithBuild returns the usable endpoints of a service that run the version of its software,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -149,7 +149,7 @@
 	r.forgetAddress(e.Key)
 	r.addresses[e.Key] = e.Address
 	r.byAddress[e.Address]++
-	r.builds.put(e)
+	r.builds.put(now, e)
 	member := fleet.Endpoint{ID: e.Key, Zone: e.Zone, Class: e.Service, Address: e.Address, State: fleet.VMLive}
 	r.health.SetListed(now, member)
 	unusable := r.Unusable(now, e.Key)
@@ -162,7 +162,7 @@
 // removeUsable removes an endpoint from the pools.
 func (r *Roster) removeUsable(now time.Time, key fleet.EndpointID) {
 	r.forgetAddress(key)
-	r.builds.remove(key)
+	r.builds.remove(now, key)
 	delete(r.usable, key)
 	delete(r.unavailable, key)
 	delete(r.backedOff, key)
@@ -393,9 +393,14 @@
 // Engines returns the number of usable engines of a model.
 func (r *Roster) Engines(service, model string) int { return r.pools.EngineCount(service, model) }
 
+// buildRetention is how long a software version that no endpoint has is remembered. OnlyBuild
+// must not be asked for a longer time.
+const buildRetention = time.Minute
+
 // Expire drops state of endpoints that were removed long ago. Call it about once a
 // second.
 func (r *Roster) Expire(now time.Time) {
 	r.directory.Expire(now)
+	r.builds.expire(now.Add(-buildRetention))
 	r.health.Expire(now)
 }
--- a/router/daemons.go
+++ b/router/daemons.go
@@ -75,6 +75,7 @@
 			r.quarantine.SetDaemons(peersOf(all))
 			r.endpointLimits.SetDaemons(peersOf(all))
 			r.dispatch.setDaemons(all)
+			r.origins.setDaemons(all)
 			r.setPeers(all)
 			changed = false
 		}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/limits"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/prefix"
@@ -163,17 +164,27 @@
 	r.quarantine.SetDaemons(peersOf(all))
 	r.endpointLimits.SetDaemons(peersOf(all))
 	r.dispatch.setDaemons(all)
+	r.origins.setDaemons(all)
 	r.setPeers(all)
 	for _, e := range up {
 		r.addEndpoint(e)
 	}
 	go r.runPeriodic(ctx)
+	go r.origins.run(ctx)
+	go f.confirmEndpoints(ctx, r)
 	go r.quarantine.Run(ctx)
 	go r.endpointLimits.Run(ctx)
 	go r.paths.Run(ctx)
 	go r.serveNeighbours(f.listen(me.String()))
 }
 
+// confirmEndpoints confirms the daemon's list of endpoints as reads of the store do.
+func (f *simulatedFleet) confirmEndpoints(ctx context.Context, r *Router) {
+	for pause.Tick(ctx, 500*time.Millisecond) == nil {
+		r.state.endpoints.RecordAnswer(f.clock(), f.clock())
+	}
+}
+
 // addEndpoint adds an endpoint to the daemon's list, as its entry in the store does.
 func (r *Router) addEndpoint(e directory.Entry) {
 	r.state.mu.Lock()
--- a/router/report.go
+++ b/router/report.go
@@ -76,6 +76,9 @@
 	if rep.Continues {
 		fields = append(fields, "resumes", rep.Resumes, "after_event", rep.LastEvent)
 	}
+	if o := rep.Origin; o != nil {
+		fields = append(fields, "origin_service", o.Origin.Service, "origin_build", o.Origin.Build, "origin_evidence", o.Evidence, "origin_from", o.From, "origin_age_ms", o.Age.Milliseconds())
+	}
 	if rep.FirstEvent > 0 {
 		fields = append(fields, "first_ms", rep.FirstEvent.Milliseconds())
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/merlindock/merlindock/quarantineguard"
 	"github.com/merlindock/merlindock/relay"
 	"github.com/merlindock/merlindock/routes"
+	"github.com/merlindock/merlindock/streamorigin"
 	"github.com/merlindock/merlindock/telemetry"
 	"github.com/merlindock/merlindock/weights"
 )
@@ -97,6 +98,7 @@
 	paths          *relay.Dialer          // connections to endpoints, through other daemons if need be
 	relayServer    *relay.Server
 	dispatch       *dispatchPlacer
+	origins        *streamOrigins
 	feeds          [topicCount]*feed.Feed
 	log            *logging.Logger
 	requestLog     lineLimiter // limits the lines of ordinary requests
@@ -163,6 +165,7 @@
 	r.endpointLimits = r.newEndpointLimits(me)
 	r.placer.endpointLimits = r.endpointLimits
 	r.dispatch = newDispatchPlacer(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
+	r.origins = newStreamOrigins(me, &o.Settings, s, r.shuttingDown.Load, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	for t := range r.feeds {
 		r.feeds[t] = feed.New(Topic(t) != TopicLease)
 	}
@@ -175,6 +178,7 @@
 			Draining:         r.shuttingDown.Load,
 			ShutdownDeadline: r.stopTime,
 			Callers:          r.callers,
+			Origins:          r.origins,
 			Limiter:          r.limits,
 			Quarantine:       r.quarantine,
 			Report:           r.report,
@@ -267,9 +271,11 @@
 		go r.holdStore.run(work)
 	} else {
 		r.limits.setDaemons([]Neighbour{r.neighbours.self})
+		r.origins.setDaemons([]Neighbour{r.neighbours.self})
 		r.neighbours.allowReads()
 	}
 	go r.limits.run(work)
+	go r.origins.run(work)
 	go r.quarantine.Run(work)
 	go r.endpointLimits.Run(work)
 	go r.paths.Run(work)
@@ -292,6 +298,8 @@
 	switch {
 	case r.dispatch.receive(from, data):
 	case r.endpointLimits.Receive(from, data):
+	case streamorigin.IsMessage(data):
+		r.origins.receive(from, data)
 	case quarantine.IsMessage(data):
 		r.quarantine.Receive(from, data)
 	default:
@@ -317,6 +325,7 @@
 	r.shuttingDown.Store(true)
 	r.limits.stopLending()
 	r.endpointLimits.Leave()
+	r.origins.handOver()
 	r.log.Info("Stopping.")
 	end := began.Add(r.options.Settings.StopWithin - exitReserve)
 	_ = pause.For(context.Background(), balancerLag)
--- a/router/stream_builds_test.go
+++ b/router/stream_builds_test.go
@@ -298,6 +298,22 @@
 	}
 }
 
+// shutDownInTurn shuts down one daemon after another and restarts each with empty state.
+func (f *simulatedFleet) shutDownInTurn(every, lasts time.Duration) {
+	for at, i := every, 0; at < lasts; at, i = at+every, i+1 {
+		daemon := i % len(f.daemons)
+		time.AfterFunc(at, func() {
+			f.mu.Lock()
+			r := f.daemons[daemon]
+			f.mu.Unlock()
+			r.shuttingDown.Store(true)
+			r.origins.handOver()
+		})
+		time.AfterFunc(at+every*3/4, func() { f.kill(daemon) })
+		time.AfterFunc(at+every, func() { f.restart(daemon) })
+	}
+}
+
 // promptLengths are the kinds of requests that are placed in different ways.
 var promptLengths = map[string]int{"plain": 0, "short prompts": 300, "long prompts": 8000}
 
@@ -389,6 +405,11 @@
 			time.AfterFunc(500*time.Millisecond, func() { f.killInTurn(2500*time.Millisecond, lasts) })
 			return runStreams(f, lasts, 0, otherDaemon(f))
 		}},
+		{"daemons shut down in turn", 6, twoBuilds, func(f *simulatedFleet) *streamResult {
+			const lasts = 20 * time.Second
+			f.shutDownInTurn(400*time.Millisecond, lasts)
+			return runStreams(f, lasts, streamBreakAt, otherDaemon(f))
+		}},
 		{"messages are lost", 4, twoBuilds, func(f *simulatedFleet) *streamResult {
 			f.lossRate = 0.1
 			return runStreams(f, 8*time.Second, streamBreakAt, otherDaemon(f))
@@ -410,6 +431,61 @@
 	}
 }
 
+// Guards against a stream that continues at any software version because the caller names its
+// first attempt wrongly, or not at all, or that of another organisation or path.
+func TestStreamThatIsNamedWronglyIsRefusedWhileVersionsDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOfBuilds(t, 4, twoBuilds, 300)
+		began := func(path string) *callerStream {
+			s := &callerStream{key: fleetKey, path: path, last: -1, builds: map[string]bool{}, breakAt: streamBreakAt}
+			f.takeUp(0, s)
+			if s.last != streamBreakAt-1 {
+				t.Fatalf("the stream began up to event %d", s.last)
+			}
+			return s
+		}
+		for i, wrong := range []func(s *callerStream){
+			func(s *callerStream) { s.began = "" },
+			func(s *callerStream) { s.began = "never" },
+			func(s *callerStream) { s.began = strings.Repeat("a", 9<<10) },
+			func(s *callerStream) { s.key = "other" },
+			func(s *callerStream) { s.path += "/" },
+		} {
+			s := began(fmt.Sprint("/", i))
+			wrong(s)
+			if status := f.takeUp(1+i%3, s); status != http.StatusServiceUnavailable || s.received > 0 {
+				t.Errorf("case %d: status %d, %d events", i, status, s.received)
+			}
+		}
+		s := began("/same")
+		s.breakAt = 0
+		if status := f.takeUp(2, s); status != http.StatusOK || s.last != streamEvents-1 || len(s.builds) != 1 {
+			t.Errorf("named rightly: status %d, last event %d of builds %v", status, s.last, s.builds)
+		}
+	})
+}
+
+// Guards against a stream that is refused, or held, while its software version has no
+// endpoints left, although it is known at once.
+func TestStreamWhoseSoftwareVersionIsGoneIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOfBuilds(t, 4, twoBuilds, 300)
+		s := &callerStream{key: fleetKey, path: "/x", last: -1, builds: map[string]bool{}, breakAt: streamBreakAt}
+		f.takeUp(0, s)
+		for i := range f.endpoints {
+			other := "v2"
+			if s.builds["v2"] {
+				other = "v1"
+			}
+			f.setBuild(i, other)
+		}
+		asked := time.Now()
+		if status := f.takeUp(1, s); status != http.StatusServiceUnavailable || s.received > 0 || time.Since(asked) > 100*time.Millisecond {
+			t.Errorf("status %d after %v, %d events", status, time.Since(asked), s.received)
+		}
+	})
+}
+
 // Guards against a stream that continues at the software version that a dispatcher of an
 // earlier release chose, which ignores where the stream began.
 func TestDispatcherThatIgnoresTheOriginIsNotFollowed(t *testing.T) {
--- /dev/null
+++ b/router/stream_origins.go
@@ -0,0 +1,176 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/merlindock/merlindock/internal/pause"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/streamorigin"
+)
+
+// Timing of the questions where a stream began.
+const (
+	// originRetry is when daemons that have not replied are asked again. Replies take a few
+	// milliseconds.
+	originRetry = 25 * time.Millisecond
+	// originTimeout is when the origin is unknown unless a daemon has replied that it knows
+	// it.
+	originTimeout = 75 * time.Millisecond
+	// originInterval is how often records are sent that owners have come to need.
+	originInterval = 50 * time.Millisecond
+)
+
+// streamOrigins implements forward.Origins on top of a streamorigin.Node, whose messages it
+// sends and receives.
+type streamOrigins struct {
+	clock    func() time.Duration
+	log      *logging.Logger
+	scope    tally.Scope
+	state    *state
+	maxAge   time.Duration // of the list of endpoints, above which it shows no single version
+	stopping func() bool
+	send     func(to string, data []byte)
+
+	mu   sync.Mutex
+	node *streamorigin.Node
+}
+
+func newStreamOrigins(me Neighbour, set *Settings, s *state, stopping func() bool, clock func() time.Duration, rng *rand.Rand, scope tally.Scope, log *logging.Logger, send func(to string, data []byte)) *streamOrigins {
+	o := &streamOrigins{clock: clock, log: log, scope: scope, state: s, maxAge: set.DrainWithin, stopping: stopping, send: send}
+	o.node = streamorigin.NewNode(originDaemon(me), o, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
+	return o
+}
+
+func originDaemon(n Neighbour) streamorigin.Daemon {
+	return streamorigin.Daemon{Name: n.Name, Zone: string(n.Zone), Address: n.Address}
+}
+
+// setDaemons replaces the list of daemons.
+func (o *streamOrigins) setDaemons(all []Neighbour) {
+	var list []streamorigin.Daemon
+	for _, n := range all {
+		if n.Address != "" {
+			list = append(list, originDaemon(n))
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.SetDaemons(list)
+}
+
+// Only implements streamorigin.Builds. A daemon that shuts down says nothing of streams
+// without a record, as nobody can ask it soon.
+func (o *streamOrigins) Only(now time.Duration, service string) (string, bool) {
+	if o.stopping() || !o.state.endpoints.Within(now, o.maxAge) {
+		return "", false
+	}
+	at := time.Now()
+	o.state.refreshIfChanged(at)
+	o.state.mu.Lock()
+	defer o.state.mu.Unlock()
+	return o.state.roster.OnlyBuild(at, service, streamorigin.Window)
+}
+
+// run sends records that owners have come to need until the context ends.
+func (o *streamOrigins) run(ctx context.Context) {
+	for n := 0; pause.Tick(ctx, originInterval) == nil; n++ {
+		o.mu.Lock()
+		o.node.Tick(o.clock())
+		if n%20 == 0 {
+			o.node.Expire(o.clock())
+			o.scope.Gauge("stream_records").Update(float64(o.node.Records()))
+		}
+		o.sendPending()
+		o.mu.Unlock()
+	}
+}
+
+// receive passes a message of another daemon to the node.
+func (o *streamOrigins) receive(from string, data []byte) {
+	o.mu.Lock()
+	err := o.node.Receive(o.clock(), from, data)
+	o.sendPending()
+	o.mu.Unlock()
+	if err != nil {
+		o.log.Info("Message of another daemon is malformed.", "from", from, "error", err.Error())
+	}
+}
+
+// sendPending sends the messages in the node's outbox. The caller must hold mu.
+func (o *streamOrigins) sendPending() {
+	for _, d := range o.node.TakeOutbox() {
+		o.send(d.To, d.Data)
+	}
+}
+
+// handOver sends all records to other daemons, as this one shuts down.
+func (o *streamOrigins) handOver() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.HandOver(o.clock())
+	o.sendPending()
+}
+
+// Began implements forward.Origins.
+func (o *streamOrigins) Began(id streamorigin.ID, at streamorigin.Origin, lifetime time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.Began(o.clock(), id, at, lifetime)
+	o.sendPending()
+}
+
+// Ended implements forward.Origins.
+func (o *streamOrigins) Ended(id streamorigin.ID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.Ended(id)
+}
+
+// Find implements forward.Origins.
+func (o *streamOrigins) Find(ctx context.Context, id streamorigin.ID, service string) streamorigin.Answer {
+	decided := make(chan streamorigin.Answer, 1)
+	o.mu.Lock()
+	q := o.node.Ask(o.clock(), id, service, func(a streamorigin.Answer) { decided <- a })
+	o.sendPending()
+	o.mu.Unlock()
+	answer := o.await(ctx, q, decided)
+	evidence := answer.Evidence
+	if evidence == streamorigin.EvidenceNone {
+		evidence = "none"
+	}
+	o.scope.Tagged(map[string]string{"evidence": evidence}).Counter("stream_lookups").Inc(1)
+	return answer
+}
+
+// await waits for the decision of a query.
+func (o *streamOrigins) await(ctx context.Context, q *streamorigin.Query, decided <-chan streamorigin.Answer) streamorigin.Answer {
+	retry, timeout := time.NewTimer(originRetry), time.NewTimer(originTimeout)
+	defer retry.Stop()
+	defer timeout.Stop()
+	for {
+		select {
+		case answer := <-decided:
+			return answer
+		case <-retry.C:
+			o.mu.Lock()
+			q.Retry()
+			o.sendPending()
+			o.mu.Unlock()
+		case <-timeout.C:
+			o.closeQuery(q)
+		case <-ctx.Done():
+			o.closeQuery(q)
+		}
+	}
+}
+
+func (o *streamOrigins) closeQuery(q *streamorigin.Query) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q.Close()
+}
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -191,6 +191,7 @@
 	r.quarantine = r.newQuarantineGuard(r.neighbours.self)
 	r.endpointLimits = r.newEndpointLimits(r.neighbours.self)
 	r.dispatch = newDispatchPlacer(r.neighbours.self, r.state, r.placer, z.clock, discardLog(), discard)
+	r.origins = newStreamOrigins(r.neighbours.self, &set, r.state, r.shuttingDown.Load, z.clock, rand.New(rand.NewPCG(3, uint64(i))), tally.NoopScope, discardLog(), discard)
 	r.neighbours.request = func(ctx context.Context, address string, t Topic, q feed.Query) (feed.Answer, error) {
 		return z.query(ctx, set.Name, address, t, q)
 	}
