Take a stream up at the service of its first attempt on routes with several

A caller that took up a stream of a route that is split between services reached the service of its new attempt: the split goes by the attempt's ID. With the origin's record the stream was continued where it began; without one, while a service has a single version, it was continued at whichever service the new ID gave.

The split of a stream that is taken up goes by the attempt that began it.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -194,7 +194,7 @@
 	c.req.In = &c.in
 	c.report.Tokens, c.report.OutputTokens = c.in.PromptTokens, c.in.OutputTokens
 	c.setStream()
-	service, ok := c.findOrigin(route.SelectBackend(hash.Text(c.in.AttemptID)))
+	service, ok := c.findOrigin(route.SelectBackend(hash.Text(c.firstAttempt())))
 	if !ok {
 		return
 	}
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -32,14 +32,18 @@
 	Find(ctx context.Context, id streamorigin.ID, service string) streamorigin.Answer
 }
 
+// firstAttempt returns the attempt that brought the first event of the stream, or will.
+func (c *call) firstAttempt() string {
+	if c.continues() {
+		return c.in.Resumes
+	}
+	return c.in.AttemptID
+}
+
 // setStream sets the ID of a stream that its caller may take up.
 func (c *call) setStream() {
-	attempt := c.in.AttemptID
-	if c.in.Continues {
-		attempt = c.in.Resumes
-	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
-	c.stream = streamorigin.IDOf(c.report.Organisation, c.r.Method, c.r.Host, path, attempt)
+	c.stream = streamorigin.IDOf(c.report.Organisation, c.r.Method, c.r.Host, path, c.firstAttempt())
 }
 
 // continues reports whether the caller takes up a stream.
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/streamorigin"
 )
@@ -24,6 +26,8 @@
 	began  map[streamorigin.ID]streamorigin.Origin
 	ended  map[streamorigin.ID]bool
 	sought []streamorigin.ID
+
+	services []string // that the streams sought belong to unless another is known
 }
 
 func (o *testOrigins) Began(id streamorigin.ID, at streamorigin.Origin, _ time.Duration) {
@@ -40,9 +44,10 @@
 	o.ended[id] = true
 }
 
-func (o *testOrigins) Find(_ context.Context, id streamorigin.ID, _ string) streamorigin.Answer {
+func (o *testOrigins) Find(_ context.Context, id streamorigin.ID, service string) streamorigin.Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.services = append(o.services, service)
 	o.sought = append(o.sought, id)
 	return o.answer
 }
@@ -160,3 +165,18 @@
 		t.Errorf("a stream that is taken up: sought %x, began %v, ended %v", o.sought, o.began, o.ended)
 	}
 }
+
+// Guards against a stream of a route with several services that another service continues,
+// because the caller's later attempt has another ID.
+func TestStreamIsTakenUpAtTheServiceOfItsFirstAttempt(t *testing.T) {
+	table := streamTable(routes.Stream)
+	table.Routes[0].Backends = []routes.Backend{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+	for i := range 40 {
+		first := fmt.Sprint("attempt ", i)
+		o := &testOrigins{}
+		request(t, continuedWire{plainWire{}, first}, table, &originPlacer{}, o)
+		if want := table.Routes[0].SelectBackend(hash.Text(first)); len(o.services) != 1 || o.services[0] != want {
+			t.Fatalf("stream of %q: services %q, want %q", first, o.services, want)
+		}
+	}
+}
