Do not continue a stream at an endpoint that has restarted as another version

An endpoint that restarts under its ID and address with another software version was taken for the one of its entry until the next one was read: streams were continued there, and streams that began there were recorded at the old version.

A request that continues a stream is sent on a connection whose process stated the start that the entry names; a connection is asked once, before the first such request. New streams are sent so while the service's versions may differ, or after connections to the endpoint were lost. Endpoints whose IDs are those of one process are not asked, and one that states no start is not told apart. On a mismatch nothing was sent, and the endpoint is left alone like one that accepts no connection.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -34,10 +34,14 @@
 		if end.mayHaveRun() {
 			c.charge.ran++
 		}
+		if end.Lost && !end.RelayLost {
+			c.o.Client.Suspect(p.Target)
+		}
 		c.o.Placer.AttemptEnded(p, end)
 	}()
 	out := c.out
 	out.Header = c.out.Header.Clone()
+	out.SameIncarnation = c.dependsOnIncarnation(p.Target)
 	p.Out.Remaining = time.Until(c.req.Deadline)
 	p.Out.LastEvent = c.events.last
 	c.o.Codec.EncodeRequest(out.Header, &p.Out)
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -85,9 +86,10 @@
 	codec HeaderCodec
 	dial  Dial
 
-	mu   sync.Mutex
-	idle map[fleet.EndpointID][]*conn
-	open map[fleet.EndpointID]int
+	mu        sync.Mutex
+	idle      map[fleet.EndpointID][]*conn
+	open      map[fleet.EndpointID]int
+	suspected map[fleet.EndpointID]bool // see MayHaveRestarted
 }
 
 // NewClient returns a client without connections. If dial is nil, it uses the
@@ -99,7 +101,7 @@
 	}
 	return &Client{
 		codec: w, dial: dial,
-		idle: map[fleet.EndpointID][]*conn{}, open: map[fleet.EndpointID]int{},
+		idle: map[fleet.EndpointID][]*conn{}, open: map[fleet.EndpointID]int{}, suspected: map[fleet.EndpointID]bool{},
 	}
 }
 
@@ -142,6 +144,7 @@
 	r         *bufio.Reader
 	idleSince time.Time
 	maxIdle   time.Duration // idle time after which it is not reused
+	verified  bool          // it leads to the incarnation that its key names
 }
 
 // Open returns the number of connections to the endpoint, idle or in use.
@@ -157,9 +160,13 @@
 		if k == nil {
 			break
 		}
-		if time.Since(k.idleSince) < k.maxIdle && k.noPendingInput() {
+		fresh := time.Since(k.idleSince) < k.maxIdle
+		if fresh && k.noPendingInput() {
 			return k, nil
 		}
+		if fresh {
+			c.Suspect(t) // its end came before the endpoint's idle timeout
+		}
 		c.close(k)
 	}
 	raw, err := c.dial(ctx, "tcp", t.Address)
@@ -236,6 +243,9 @@
 // and those to endpoints for which known returns false.
 func (c *Client) CloseIdle(known func(fleet.EndpointID) bool) {
 	c.closeIdle(func(k *conn) bool { return !known(k.key) || time.Since(k.idleSince) >= k.maxIdle })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.suspected, func(key fleet.EndpointID, _ bool) bool { return !known(key) })
 }
 
 // CloseIdleDirect closes the idle connections of the daemon's own to an address, or to all
@@ -290,6 +300,8 @@
 	Header    http.Header
 	Body      []byte
 	HasBody   bool
+	// SameIncarnation states that no other incarnation of the endpoint may run the request.
+	SameIncarnation bool
 }
 
 // Answer is an endpoint's answer whose body was not read yet. The caller of Send
@@ -317,6 +329,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.SameIncarnation {
+		if err := c.verify(ctx, k, t); err != nil {
+			c.close(k)
+			return nil, err
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
 	w := c.write(k, o)
 	a, err := c.receive(k, o)
--- a/forward/headers.go
+++ b/forward/headers.go
@@ -95,6 +95,7 @@
 	Key     fleet.EndpointID
 	ID      string
 	Address string
+	Born    int64 // start of the incarnation, Unix milliseconds; 0: the ID is that of one incarnation
 }
 
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -18,6 +18,7 @@
 	lossRelay       = "relay"       // the daemon that relayed the connection was lost
 	lossUnreachable = "unreachable" // other daemons do not reach the endpoint either
 	lossMalformed   = "malformed"   // the response can't be parsed or is incomplete
+	lossRestarted   = "restarted"   // another incarnation has the endpoint's address
 )
 
 // classifyLoss returns how a connection was lost, by the error of the attempt.
@@ -26,6 +27,8 @@
 	switch {
 	case errors.Is(cause, os.ErrDeadlineExceeded):
 		return lossTimeout
+	case errors.Is(cause, ErrOtherIncarnation):
+		return lossRestarted
 	case errors.Is(cause, ErrRelayLost):
 		return lossRelay
 	case errors.Is(cause, ErrUnreachable):
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -27,6 +27,9 @@
 	Began(id streamorigin.ID, o streamorigin.Origin, lifetime time.Duration)
 	// Ended reports that the caller has received the stream whole.
 	Ended(id streamorigin.ID)
+	// Single reports whether a service is known to have had one software version for longer
+	// than streams last.
+	Single(service string) bool
 	// Find returns where a stream began. service is the one it belongs to unless another is
 	// known.
 	Find(ctx context.Context, id streamorigin.ID, service string) streamorigin.Answer
@@ -92,6 +95,16 @@
 	}
 }
 
+// dependsOnIncarnation reports whether the request must not reach another incarnation of the
+// endpoint, whose software version may differ: it continues a stream, or begins one that may
+// be continued while versions differ or the endpoint may have restarted.
+func (c *call) dependsOnIncarnation(t Target) bool {
+	if c.req.Origin != nil || !c.recordsOrigin() {
+		return c.req.Origin != nil
+	}
+	return t.Born != 0 && (c.o.Client.MayHaveRestarted(t) || !c.o.Origins.Single(c.req.Service.Name))
+}
+
 // recordsOrigin reports whether the caller may take the stream up by the ID of an attempt.
 func (c *call) recordsOrigin() bool {
 	return c.o.Origins != nil && c.req.Route.Resumable && c.in.AttemptID != ""
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -38,6 +38,8 @@
 	}
 }
 
+func (o *testOrigins) Single(string) bool { return true }
+
 func (o *testOrigins) Ended(id streamorigin.ID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -16,6 +16,8 @@
 	ID     string
 	Events int           // number of events of a stream; 0: answers are not streams
 	Pause  time.Duration // after each event, or before an answer that is not a stream
+	Build  string        // software version, which ends each event's data; empty: it does not
+	Born   int64         // start of the process that its report states; 0: none
 	// Ends is called with the body of each request that runs and returns whether the
 	// runner crashes. A nil Ends is the same as one that returns false.
 	Ends func(body []byte) bool
@@ -154,9 +156,13 @@
 func (r *Runner) report(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{
+	report := map[string]any{
 		"models": []map[string]any{{"name": "m", "version": r.version}}, "busy": false, "seq": r.orders,
-	})
+	}
+	if r.Born != 0 {
+		report["born"] = r.Born
+	}
+	writeJSON(w, http.StatusOK, report)
 }
 
 func (r *Runner) order(w http.ResponseWriter, req *http.Request) {
@@ -248,7 +254,11 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i); err != nil {
+		data := fmt.Sprint("piece ", i)
+		if r.Build != "" {
+			data += " " + r.Build
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data); err != nil {
 			break
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/lab/routed/testbed_test.go
+++ b/lab/routed/testbed_test.go
@@ -146,8 +146,13 @@
 }
 
 func (w *testbed) register(id, service, address string, born int) {
+	w.registerBuild(id, service, address, "v1", int64(born))
+}
+
+// registerBuild is register with the version of the runner's software.
+func (w *testbed) registerBuild(id, service, address, build string, born int64) {
 	entry := map[string]any{
-		"service": service, "address": address, "zone": "z1", "version": "v1", "slots": 8,
+		"service": service, "address": address, "zone": "z1", "version": build, "slots": 8,
 		"state": "ready", "coldLeftMs": 0, "seq": 0, "born": born,
 	}
 	if service == "models" {
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -276,7 +276,7 @@
 
 // checkPlacement returns how long a prompt may wait at the endpoint that a dispatcher chose
 // before it must begin, according to this daemon's state; 0: it must not be sent there. It
-// sets the endpoint's software version.
+// sets the endpoint's software version and the start of its incarnation.
 //
 // A dispatcher that has lost the store sees neither newly named weights nor endpoints
 // that are draining. If its answer were accepted unchecked, prompts would begin on
@@ -288,7 +288,7 @@
 	if e == nil || e.ID != p.Target.ID || e.Service != req.Service.Name || d.state.roster.Unusable(time.Now(), p.Target.Key) {
 		return 0
 	}
-	p.Build = e.Build
+	p.Build, p.Target.Born = e.Build, e.Born
 	if o := req.Origin; o != nil && (o.Build == "" || *o != streamorigin.Origin{Service: e.Service, Build: e.Build}) {
 		return 0
 	}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -55,6 +55,7 @@
 	conns        map[*simulatedConn]bool       // open connections of daemons to endpoints
 	peers        map[string]*simulatedListener // of the daemons, by address
 	killed       map[*Router]bool              // daemons that have ended without shutting down
+	sameIDs      bool                          // endpoints keep their IDs over a restart
 }
 
 const (
@@ -315,10 +316,23 @@
 	truncatedBody = "cut"
 )
 
-func (e *simulatedEndpoint) id() string { return fmt.Sprintf("e%d-%d", e.index, e.incarnation) }
+func (e *simulatedEndpoint) id() string {
+	if e.f.sameIDs {
+		return fmt.Sprintf("e%d", e.index)
+	}
+	return fmt.Sprintf("e%d-%d", e.index, e.incarnation)
+}
+
+// born returns the start of the incarnation that the endpoint reports; 0: it reports none.
+func (e *simulatedEndpoint) born() int64 {
+	if e.f.sameIDs {
+		return int64(1 + e.incarnation)
+	}
+	return 0
+}
 
 func (e *simulatedEndpoint) entry() directory.Entry {
-	entry := directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Build: e.build, Slots: 24}
+	entry := directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Build: e.build, Born: e.born(), Slots: 24}
 	if e.f.table.Services["s"].Engine != nil {
 		entry.Models = map[string]int64{fleetModel: 1}
 	}
@@ -390,6 +404,15 @@
 		if err != nil {
 			return
 		}
+		if req.URL.Path == identityPath {
+			e.f.mu.Lock()
+			born := strconv.FormatInt(e.born(), 10)
+			e.f.mu.Unlock()
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(born), born); err != nil {
+				return
+			}
+			continue
+		}
 		if !e.run(c, daemon, req, string(body)) {
 			return
 		}
@@ -515,6 +538,18 @@
 	return in
 }
 
+// identityPath is where simulated endpoints state the start of their incarnation.
+const identityPath = "/identity"
+
+// IdentityPath implements forward.IdentityCodec.
+func (testWire) IdentityPath() string { return identityPath }
+
+// DecodeIdentity implements forward.IdentityCodec.
+func (testWire) DecodeIdentity(body []byte) int64 {
+	born, _ := strconv.ParseInt(string(body), 10, 64)
+	return born
+}
+
 func (testWire) EncodeRequest(h http.Header, o *forward.RouterInfo) {
 	h.Set("Instance", o.EndpointID)
 	if o.LastEvent != forward.NoEvent {
--- a/router/placer.go
+++ b/router/placer.go
@@ -430,7 +430,7 @@
 	defer p.state.mu.Unlock()
 	out := forward.Placement{
 		ID: r.ID, Reason: d.Reason.String(), Wait: d.ExpectedFirstToken, Cached: d.ExpectedCached, Age: d.LoadAge,
-		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address}, Build: e.Build,
+		Target: forward.Target{Key: e.Key, ID: e.ID, Address: e.Address, Born: e.Born}, Build: e.Build,
 		Out:   forward.RouterInfo{EndpointID: e.ID, Version: to.version, Urgency: forward.NoUrgency},
 		Notes: forward.PlacerState{Held: !r.Exclusive},
 	}
--- a/router/stream_builds_test.go
+++ b/router/stream_builds_test.go
@@ -431,6 +431,51 @@
 	}
 }
 
+// upgradeInTurn restarts one endpoint after another as v2, under its ID and address. Daemons
+// read its new entry after a delay.
+func (f *simulatedFleet) upgradeInTurn(every, entryDelay time.Duration) {
+	for i, e := range f.endpoints {
+		time.AfterFunc(time.Duration(i+1)*every, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			e.incarnation++
+			e.build = "v2"
+			entry := e.entry()
+			for c := range e.conns {
+				_ = c.Close()
+			}
+			clear(e.conns)
+			f.notifyDaemons(entryDelay, func(r *Router) { r.addEndpoint(entry) })
+		})
+	}
+}
+
+// Guards against a stream that continues at an endpoint that has restarted under its ID and
+// address with another software version, of which the daemon has not read yet.
+func TestStreamDoesNotContinueAtAnUpgradedEndpoint(t *testing.T) {
+	const every = 1200 * time.Millisecond
+	for kind, tokens := range promptLengths {
+		for name, breakAt := range map[string]int{"endpoints restart": 0, "callers lose their connections": streamBreakAt} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleetOfBuilds(t, 4, oneBuild, tokens)
+					f.sameIDs = true
+					for i := range f.endpoints {
+						old := fmt.Sprintf("e%d-0", i)
+						for _, r := range f.daemons {
+							r.removeEndpoint(old)
+						}
+						f.setBuild(i, "v1")
+					}
+					f.upgradeInTurn(every, time.Second)
+					lasts := every * time.Duration(len(f.endpoints)+2)
+					runStreams(f, lasts, breakAt, func(before int) int { return (before + 1) % 4 }).check(t)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a stream that continues at any software version because the caller names its
 // first attempt wrongly, or not at all, or that of another organisation or path.
 func TestStreamThatIsNamedWronglyIsRefusedWhileVersionsDiffer(t *testing.T) {
--- a/router/stream_origins.go
+++ b/router/stream_origins.go
@@ -76,6 +76,12 @@
 	return o.state.roster.OnlyBuild(at, service, streamorigin.Window)
 }
 
+// Single implements forward.Origins.
+func (o *streamOrigins) Single(service string) bool {
+	_, ok := o.Only(o.clock(), service)
+	return ok
+}
+
 // run sends records that owners have come to need until the context ends.
 func (o *streamOrigins) run(ctx context.Context) {
 	for n := 0; pause.Tick(ctx, originInterval) == nil; n++ {
