Send records of streams on the daemon's own tick

The node of stream origins woke up 20 times a second by itself; it runs on the tick that is there. Texts longer than a message holds are cut instead of encoded wrongly.

--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -57,11 +57,12 @@
 // originPlacer places all requests on one endpoint and keeps their origins.
 type originPlacer struct {
 	listPlacer
-	origins []*streamorigin.Origin
+	origins  []*streamorigin.Origin
+	resuming bool // of the last request
 }
 
 func (p *originPlacer) Place(ctx context.Context, req *PlacementRequest) (Placement, error) {
-	p.origins = append(p.origins, req.Origin)
+	p.origins, p.resuming = append(p.origins, req.Origin), req.Resuming
 	return p.listPlacer.Place(ctx, req)
 }
 
@@ -127,8 +128,8 @@
 		if got.StatusCode != http.StatusServiceUnavailable || report.Code != c.code || len(report.Attempts) > 0 || report.Origin == nil {
 			t.Errorf("%s: status %d, code %q, attempts %+v", name, got.StatusCode, report.Code, report.Attempts)
 		}
-		if c.code == "none_left" && (len(p.origins) != 1 || *p.origins[0] != s) || c.code != "none_left" && len(p.origins) > 0 {
-			t.Errorf("%s: placed with %v", name, p.origins)
+		if c.code == "none_left" && (len(p.origins) != 1 || *p.origins[0] != s || !p.resuming) || c.code != "none_left" && len(p.origins) > 0 {
+			t.Errorf("%s: placed with %v, resuming %v", name, p.origins, p.resuming)
 		}
 	}
 	o := &testOrigins{}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -171,7 +171,6 @@
 		r.addEndpoint(e)
 	}
 	go r.runPeriodic(ctx)
-	go r.origins.run(ctx)
 	go f.confirmEndpoints(ctx, r)
 	go r.quarantine.Run(ctx)
 	go r.endpointLimits.Run(ctx)
--- a/router/router.go
+++ b/router/router.go
@@ -275,7 +275,6 @@
 		r.neighbours.allowReads()
 	}
 	go r.limits.run(work)
-	go r.origins.run(work)
 	go r.quarantine.Run(work)
 	go r.endpointLimits.Run(work)
 	go r.paths.Run(work)
@@ -388,6 +387,7 @@
 		r.state.mu.Unlock()
 		r.placer.reportWaiting(now)
 		r.dispatch.expire(now)
+		r.origins.tick()
 		if ready := r.ready(); ready != wasReady {
 			wasReady = ready
 			r.log.Info("Readiness changed.", "ready", ready, "keys_age_ms", r.keysAge().Milliseconds(), "leaving", r.shuttingDown.Load())
@@ -405,6 +405,7 @@
 func (r *Router) runEverySecond(now time.Time) {
 	r.state.view.Expire(now)
 	r.placer.expireSegments(now)
+	r.origins.expire()
 	r.updateGauges()
 	r.state.mu.Lock()
 	r.state.roster.Expire(now)
--- a/router/stream_origins.go
+++ b/router/stream_origins.go
@@ -8,7 +8,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/streamorigin"
 )
@@ -21,8 +20,6 @@
 	// originTimeout is when the origin is unknown unless a daemon has replied that it knows
 	// it.
 	originTimeout = 75 * time.Millisecond
-	// originInterval is how often records are sent that owners have come to need.
-	originInterval = 50 * time.Millisecond
 )
 
 // streamOrigins implements forward.Origins on top of a streamorigin.Node, whose messages it
@@ -82,18 +79,20 @@
 	return ok
 }
 
-// run sends records that owners have come to need until the context ends.
-func (o *streamOrigins) run(ctx context.Context) {
-	for n := 0; pause.Tick(ctx, originInterval) == nil; n++ {
-		o.mu.Lock()
-		o.node.Tick(o.clock())
-		if n%20 == 0 {
-			o.node.Expire(o.clock())
-			o.scope.Gauge("stream_records").Update(float64(o.node.Records()))
-		}
-		o.sendPending()
-		o.mu.Unlock()
-	}
+// tick sends records that owners have come to need.
+func (o *streamOrigins) tick() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.Tick(o.clock())
+	o.sendPending()
+}
+
+// expire drops records whose time is over.
+func (o *streamOrigins) expire() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.Expire(o.clock())
+	o.scope.Gauge("stream_records").Update(float64(o.node.Records()))
 }
 
 // receive passes a message of another daemon to the node.
--- a/streamorigin/message.go
+++ b/streamorigin/message.go
@@ -37,7 +37,9 @@
 	lifetime time.Duration
 }
 
+// appendText appends a text, cut to maxText: an origin that does not fit matches no endpoint.
 func appendText(b []byte, text string) []byte {
+	text = text[:min(len(text), maxText)]
 	return append(append(b, byte(len(text))), text...)
 }
 
