--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -56,6 +57,7 @@
 	peers        map[string]*simulatedListener // of the daemons, by address
 	killed       map[*Router]bool              // daemons that have ended without shutting down
 	sameIDs      bool                          // endpoints keep their IDs over a restart
+	confirming   atomic.Bool                   // the store confirms the lists of endpoints
 }
 
 const (
@@ -84,6 +86,7 @@
 		t: t, ctx: ctx, began: time.Now(), rng: rand.New(rand.NewPCG(uint64(daemons), 29)), disconnected: map[netip.AddrPort]bool{},
 		zoneOf: zoneOf, cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{}, killed: map[*Router]bool{},
 	}
+	f.confirming.Store(true)
 	t.Cleanup(func() {
 		cancel()
 		f.mu.Lock()
@@ -181,7 +184,9 @@
 // confirmEndpoints confirms the daemon's list of endpoints as reads of the store do.
 func (f *simulatedFleet) confirmEndpoints(ctx context.Context, r *Router) {
 	for pause.Tick(ctx, 500*time.Millisecond) == nil {
-		r.state.endpoints.RecordAnswer(f.clock(), f.clock())
+		if f.confirming.Load() {
+			r.state.endpoints.RecordAnswer(f.clock(), f.clock())
+		}
 	}
 }
 
--- a/router/stream_builds_test.go
+++ b/router/stream_builds_test.go
@@ -230,6 +230,33 @@
 	})
 }
 
+// Guards against a daemon that is cut off from the store, or shuts down, and takes a version
+// for the only one because it does not hear of others.
+func TestOutdatedListShowsNoSingleVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOfBuilds(t, 2, oneBuild, 300)
+		time.Sleep(releaseBegins)
+		r := f.daemons[0]
+		if !r.origins.Single("s") || r.origins.Single("unheard of") {
+			t.Error("the version of a service that has had one for long is not known, or that of one without endpoints is")
+		}
+		f.confirming.Store(false)
+		time.Sleep(r.options.Settings.DrainWithin + time.Second)
+		if r.origins.Single("s") {
+			t.Error("an outdated list shows a single version")
+		}
+		f.confirming.Store(true)
+		time.Sleep(time.Second)
+		if !r.origins.Single("s") {
+			t.Error("the version is not known again")
+		}
+		r.shuttingDown.Store(true)
+		if r.origins.Single("s") {
+			t.Error("a daemon that shuts down answers for a single version")
+		}
+	})
+}
+
 // Guards against a stream that continues at the software version that a dispatcher of an
 // earlier release chose, which ignores where the stream began.
 func TestDispatcherThatIgnoresTheOriginIsNotFollowed(t *testing.T) {
