Hand over records of streams although one among them has expired

Streams of daemons that shut down would have been refused as unknown. An ambiguous record became certain when it was handed over.

The lifetime of a stream is that of its request, which the operator bounds, no longer what its caller names, which could fill the table. IDs are computed for streams only.

go test ./streamorigin -run WhatCounts fails before in both points.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -134,7 +134,6 @@
 	headerSent bool   // the answer's header was sent
 	build      string // software version of the endpoint that answers
 	stream     streamorigin.ID
-	lifetime   time.Duration // how long the caller may take the stream up
 	events     eventSplitter
 	answer     *bufferedAnswer // a 5xx answer of an endpoint, sent if no other attempt succeeds
 	charge     quotaCharge
@@ -299,7 +298,6 @@
 	if c.in.Patience > 0 && c.in.Patience < limit {
 		limit = c.in.Patience
 	}
-	c.lifetime = max(limit, c.in.Patience)
 	c.req.Deadline = c.req.Arrived.Add(limit)
 	c.report.Deadline, c.report.Target = limit, c.req.Route.TargetLatency
 }
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -22,8 +22,8 @@
 
 // Origins knows where the streams of all daemons began.
 type Origins interface {
-	// Began records where a stream began that its caller may take up until its lifetime is
-	// over. It is called before the caller receives the first event.
+	// Began records where a stream began that its caller may take up, and that lasts for the
+	// lifetime at most. It is called before the caller receives the first event.
 	Began(id streamorigin.ID, o streamorigin.Origin, lifetime time.Duration)
 	// Ended reports that the caller has received the stream whole.
 	Ended(id streamorigin.ID)
@@ -45,6 +45,9 @@
 
 // setStream sets the ID of a stream that its caller may take up.
 func (c *call) setStream() {
+	if c.req.Route.Kind != routes.Stream {
+		return
+	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.stream = streamorigin.IDOf(c.report.Organisation, c.r.Method, c.r.Host, path, c.firstAttempt())
 }
@@ -84,7 +87,7 @@
 	}
 	c.req.Origin = &streamorigin.Origin{Service: c.req.Service.Name, Build: c.build}
 	if c.recordsOrigin() {
-		c.o.Origins.Began(c.stream, *c.req.Origin, c.lifetime)
+		c.o.Origins.Began(c.stream, *c.req.Origin, c.report.Deadline)
 	}
 }
 
--- a/streamorigin/node.go
+++ b/streamorigin/node.go
@@ -50,8 +50,8 @@
 	return out
 }
 
-// Began records where a stream began that lasts for the lifetime at most, the attempts by
-// which its caller takes it up included. Call it before the caller receives the first event.
+// Began records where a stream began that lasts for the lifetime at most. Call it before the
+// caller receives the first event.
 func (n *Node) Began(now time.Duration, id ID, o Origin, lifetime time.Duration) {
 	r := n.records.put(now, id, o, max(lifetime, Window))
 	if only, ok := n.builds.Only(now, o.Service); !ok || only != o.Build || lifetime > Window {
@@ -72,7 +72,7 @@
 // tell sends a record to the owners of its stream.
 func (n *Node) tell(now time.Duration, id ID, r *record) {
 	delete(n.untold, id)
-	message := appendRecord([]byte{kindTell}, &toldRecord{id, r.origin, r.until - now})
+	message := appendRecord([]byte{kindTell}, r.told(now, id))
 	for _, d := range n.ownersOf(id) {
 		n.outbox = append(n.outbox, Datagram{d.Address, message})
 	}
@@ -111,10 +111,11 @@
 func (n *Node) HandOver(now time.Duration) {
 	messages := map[string][]byte{} // by address
 	clear(n.untold)
+	n.records.expire(now)
 	for id, r := range n.records.byID {
 		for _, d := range n.ownersOf(id) {
 			m := messages[d.Address]
-			next := appendRecord(nil, &toldRecord{id, r.origin, r.until - now})
+			next := appendRecord(nil, r.told(now, id))
 			if len(m)+len(next) > maxMessage {
 				n.outbox = append(n.outbox, Datagram{d.Address, m})
 				m = nil
--- a/streamorigin/node_test.go
+++ b/streamorigin/node_test.go
@@ -295,6 +295,28 @@
 	}
 }
 
+// Guards against records that are lost at a shutdown because one among them has expired, and
+// against an ambiguous one that becomes certain.
+func TestShutdownHandsOverWhatCounts(t *testing.T) {
+	c := newCluster(3, 3)
+	c.began(c.all[0], streamID("expired"), v1)
+	c.now += Window + time.Second
+	c.began(c.all[0], streamID("1"), v1)
+	c.began(c.all[0], streamID("twice"), v1)
+	c.began(c.all[0], streamID("twice"), v2)
+	c.start(c.all[1])
+	c.start(c.all[2])
+	c.nodes["a0"].HandOver(c.now)
+	c.deliver()
+	c.start(c.all[0])
+	if a := c.find(c.all[0], streamID("1")); !a.Known || a.Origin != v1 {
+		t.Errorf("handed over beside an expired record: %+v", a)
+	}
+	if a := c.find(c.all[0], streamID("twice")); a.Known {
+		t.Errorf("an ambiguous record that was handed over: %+v", a)
+	}
+}
+
 func TestRecordsExpire(t *testing.T) {
 	c := newCluster(3, 3)
 	id := streamID("1")
--- a/streamorigin/records.go
+++ b/streamorigin/records.go
@@ -18,6 +18,15 @@
 	until     time.Duration
 }
 
+// told returns the record as other daemons are sent it. An ambiguous one names no version.
+func (r *record) told(now time.Duration, id ID) *toldRecord {
+	out := &toldRecord{id, r.origin, r.until - now}
+	if r.ambiguous {
+		out.origin.Build = ""
+	}
+	return out
+}
+
 // records holds the records of a daemon.
 type records struct{ byID map[ID]*record }
 
