Keep the mixing of hashes in one place

The finaliser of SplitMix64 stood in placement and again in streamorigin. No behaviour changes: go test ./placement/... ./streamorigin pass, placements are the same.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -6,6 +6,7 @@
 
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -104,7 +105,7 @@
 		return 0
 	}
 	width := min(maxStalenessCost, stalenessCostRate*now.Sub(e.loadAt).Seconds())
-	return width * float64(mix(id^uint64(ep)<<32)) / math.MaxUint64
+	return width * float64(hash.Mix(id^uint64(ep)<<32)) / math.MaxUint64
 }
 
 // prior returns the probability that a preferred endpoint caches a prefix of which nothing
--- a/placement/place.go
+++ b/placement/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/prefix"
 )
 
@@ -161,7 +162,7 @@
 	var scores [MaxPreferred]uint64
 	key, n := t.key.Uint64(), 0
 	for _, ep := range p.members {
-		score := mix(key ^ v.endpoints[ep].hash)
+		score := hash.Mix(key ^ v.endpoints[ep].hash)
 		if n == MaxPreferred && score <= scores[n-1] {
 			continue
 		}
@@ -177,15 +178,6 @@
 	t.preferredCount, t.preferredEpoch = int32(n), p.epoch
 }
 
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // collectCandidates lists the endpoints to compare: the preferred ones first, then all
 // others of a small pool, or holders and samples of a large one.
 func (v *View) collectCandidates(p *pool, affinity *prefixEntry, r *Request, minAvailability Availability) {
@@ -211,7 +203,7 @@
 		return
 	}
 	for i := range uint64(sampleCount) {
-		at := mix(r.ID^i<<32) % uint64(len(p.members))
+		at := hash.Mix(r.ID^i<<32) % uint64(len(p.members))
 		v.addCandidate(p.members[at], r, minAvailability)
 	}
 }
@@ -262,7 +254,7 @@
 	if len(r.Only) == 0 {
 		return
 	}
-	first := int(mix(r.ID) % uint64(len(r.Only)))
+	first := int(hash.Mix(r.ID) % uint64(len(r.Only)))
 	for i := range r.Only {
 		if ep, known := v.byID[r.Only[(first+i)%len(r.Only)]]; known && v.inPool(p, ep) {
 			v.addCandidate(ep, r, minAvailability)
--- a/streamorigin/owners.go
+++ b/streamorigin/owners.go
@@ -57,7 +57,7 @@
 func (o *owners) of(id ID, n int) []Daemon {
 	best := make([][]ranked, o.zones) // by zone, at most n, in order
 	for i, zone := range o.zoneOf {
-		r := ranked{at: i, score: mix(id.hash() ^ o.hashes[i])}
+		r := ranked{at: i, score: hash.Mix(id.hash() ^ o.hashes[i])}
 		if len(best[zone]) == n && r.score <= best[zone][n-1].score {
 			continue
 		}
@@ -81,12 +81,3 @@
 	}
 	return out
 }
-
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
