Log the segments of a request's prompt

Which segments lost requests share, and whether requests with one of them were ever answered, was in no line: needed to tell a segment that crashes engines from a whole organisation. Bounded to eight IDs of 16 bytes.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/hash"
+	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/retry"
@@ -81,6 +82,7 @@
 	Deadline     time.Duration
 	Target       time.Duration        // latency objective for the first event; 0: none
 	Tokens       int                  // of the prompt
+	Segments     []prefix.Segment     // of the prompt
 	OutputTokens int                  // maximum requested by the caller
 	Continues    bool                 // the caller takes up a stream
 	Resumes      string               // attempt that brought the stream's first event; empty: not known
@@ -191,7 +193,7 @@
 	defer cancel()
 	c.ctx = ctx
 	c.req.In = &c.in
-	c.report.Tokens, c.report.OutputTokens = c.in.PromptTokens, c.in.OutputTokens
+	c.report.Tokens, c.report.OutputTokens, c.report.Segments = c.in.PromptTokens, c.in.OutputTokens, c.in.Parts
 	c.setStream()
 	service, ok := c.findOrigin(route.SelectBackend(hash.Text(c.firstAttempt())))
 	if !ok {
--- a/router/report.go
+++ b/router/report.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/freshness"
+	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/telemetry"
 )
@@ -85,6 +87,9 @@
 	if rep.Tokens > 0 {
 		fields = append(fields, "tokens", rep.Tokens, "output_tokens", rep.OutputTokens)
 	}
+	if len(rep.Segments) > 0 {
+		fields = append(fields, "segments", segmentsText(rep.Segments))
+	}
 	if f := rep.Refused; f != nil && f.Endpoint != "" {
 		fields = append(fields, "best", f.Endpoint, "wait_ms", f.Wait.Milliseconds(), "load_age_ms", f.Age.Milliseconds())
 	}
@@ -100,6 +105,33 @@
 	r.log.Info("Request ended.", fields...)
 }
 
+// Limits of the segments in a log line.
+const (
+	maxLoggedSegments  = 8
+	maxLoggedSegmentID = 16 // bytes
+)
+
+// segmentsText formats the IDs of the first segments of a prompt for a log line, separated
+// by commas. An ID that is cut off ends with "~", and a list with "...".
+func segmentsText(all []prefix.Segment) string {
+	var b strings.Builder
+	for i, s := range all {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		if i == maxLoggedSegments {
+			b.WriteString("...")
+			break
+		}
+		if len(s.ID) > maxLoggedSegmentID {
+			b.WriteString(s.ID[:maxLoggedSegmentID] + "~")
+			continue
+		}
+		b.WriteString(s.ID)
+	}
+	return b.String()
+}
+
 // attemptText formats one attempt for the log line of a request.
 func attemptText(a *forward.AttemptReport) string {
 	b := make([]byte, 0, 96)
