Test that a prompt segment that crashes endpoints is quarantined, failing

The segment is first, in the middle, beside a rare one or changing ones; crashes come after the first event, hosts are unreachable, messages are lost, two segments do it at once.

--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -12,7 +12,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -58,6 +60,8 @@
 	killed       map[*Router]bool              // daemons that have ended without shutting down
 	sameIDs      bool                          // endpoints keep their IDs over a restart
 	confirming   atomic.Bool                   // the store confirms the lists of endpoints
+	// crashingSegments crash each endpoint that answers a prompt with one of them.
+	crashingSegments []string
 }
 
 const (
@@ -241,7 +245,12 @@
 
 // request sends a request to a daemon and returns the answer. The status of an aborted
 // answer is 0.
-func (f *simulatedFleet) request(daemon int, key, body string) (answer *httptest.ResponseRecorder) {
+func (f *simulatedFleet) request(daemon int, key, body string) *httptest.ResponseRecorder {
+	return f.requestWith(daemon, key, body, func(http.Header) {})
+}
+
+// requestWith is request with further headers, which set adds.
+func (f *simulatedFleet) requestWith(daemon int, key, body string, set func(http.Header)) (answer *httptest.ResponseRecorder) {
 	f.mu.Lock()
 	r := f.daemons[daemon]
 	id := strconv.FormatUint(f.rng.Uint64(), 16)
@@ -253,6 +262,7 @@
 	if f.promptTokens > 0 {
 		req.Header.Set("Prompt", strconv.Itoa(f.promptTokens))
 	}
+	set(req.Header)
 	answer = httptest.NewRecorder()
 	defer func() {
 		if reason := recover(); reason != nil {
@@ -302,7 +312,14 @@
 	build           string             // its software version
 	events          int                // of its answers; 0: all at once, one event
 
-	arrivals []arrival
+	arrivals       []arrival
+	segmentCrashes []segmentCrash
+}
+
+// segmentCrash is a crash under a prompt with one of the crashing segments.
+type segmentCrash struct {
+	at      time.Time
+	segment string
 }
 
 // arrival is a request that reached an endpoint.
@@ -310,6 +327,7 @@
 	at       time.Time
 	daemon   int // that sent it
 	body     string
+	segments []string // of the prompt
 	ran      bool
 	rejected bool
 }
@@ -434,7 +452,7 @@
 	e.f.mu.Lock()
 	incarnation, ours := e.incarnation, req.Header.Get("Instance") == e.id()
 	rejected := ours && e.retryAfter != ""
-	e.arrivals = append(e.arrivals, arrival{at: time.Now(), daemon: daemon, body: body, ran: ours && !rejected, rejected: rejected})
+	e.arrivals = append(e.arrivals, arrival{at: time.Now(), daemon: daemon, body: body, segments: strings.Split(req.Header.Get("Segments"), ","), ran: ours && !rejected, rejected: rejected})
 	limit, retryAfter, leaving := e.limit, e.retryAfter, e.leaving
 	e.f.mu.Unlock()
 	head := "Attempt-Id: " + req.Header.Get("Attempt-Id") + "\r\nSignature: s\r\n"
@@ -469,6 +487,9 @@
 	} else {
 		time.Sleep(fleetServiceTime)
 	}
+	if e.crashOnSegment(c, head, req, incarnation) {
+		return false
+	}
 	if body == crashBody {
 		e.crash(incarnation)
 		return false
@@ -485,6 +506,32 @@
 	return err == nil
 }
 
+// crashOnSegment crashes the endpoint if the prompt has one of the crashing segments, after
+// the first event of an answer that has several.
+func (e *simulatedEndpoint) crashOnSegment(c net.Conn, head string, req *http.Request, incarnation int) bool {
+	segments := strings.Split(req.Header.Get("Segments"), ",")
+	at := slices.IndexFunc(e.f.crashingSegments, func(s string) bool { return slices.Contains(segments, s) })
+	if at < 0 {
+		return false
+	}
+	if e.events > 1 {
+		from := 0
+		if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+			from = last + 1
+		}
+		event := fmt.Sprintf("id: %d\ndata: one\n\n", from)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(event), event)
+		time.Sleep(streamPause)
+	}
+	e.f.mu.Lock()
+	if e.up && e.incarnation == incarnation {
+		e.segmentCrashes = append(e.segmentCrashes, segmentCrash{time.Now(), e.f.crashingSegments[at]})
+	}
+	e.f.mu.Unlock()
+	e.crash(incarnation)
+	return true
+}
+
 // crash stops the endpoint and all requests that it runs, unless that incarnation has
 // stopped already. The endpoint restarts under another id.
 func (e *simulatedEndpoint) crash(incarnation int) {
@@ -538,6 +585,13 @@
 	if tokens, err := strconv.Atoi(h.Get("Prompt")); err == nil {
 		in.Model, in.PromptTokens = fleetModel, tokens
 		in.Parts = []prefix.Segment{{ID: "shared", Tokens: tokens / 2}, {ID: in.AttemptID, Tokens: tokens - tokens/2}}
+		if text := h.Get("Segments"); text != "" {
+			in.Parts = nil
+			all := strings.Split(text, ",")
+			for _, id := range all {
+				in.Parts = append(in.Parts, prefix.Segment{ID: id, Tokens: tokens / len(all)})
+			}
+		}
 	}
 	return in
 }
