Quarantine segments of prompts that crash the endpoints that answer them

Cause: a query of death was recognised by the request as a whole (organisation, target, body). Requests that share a bad segment and differ otherwise counted as new ones, so that none was at three endpoints. Ruled out: the organisation or its first segment (264 of its requests on the route were answered among the crashes); counting that comes too late (holds were at all daemons within 2 ms).

Segments of the prompt but the last one now have fingerprints as the request has, counted by the same owners, with the same messages, holds and store records. What differs follows from segments being shared: complete successes acquit, by weights at least as new as those of the crash; a hold on a segment is enforced once daemons had the time to contradict it; a hold names the crashed endpoints, and does not apply to a request that lacks another held fingerprint at whose crashes they all are, so that what only stood beside the cause is let through, answered and acquitted. Server errors no longer acquit, nor does an unframed answer without content.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -30,7 +30,7 @@
 		end.Left = c.r.Context().Err() != nil
 		end.RelayLost = errors.Is(end.Cause, ErrRelayLost)
 		c.recordResult(&end)
-		c.reportToQuarantine(p.Target, &end)
+		c.reportToQuarantine(p, &end)
 		if end.mayHaveRun() {
 			c.charge.ran++
 		}
@@ -151,13 +151,14 @@
 		return AttemptEnd{Failure: retry.Broken, Error: true}
 	}
 	c.sendBuffered(answer)
-	return AttemptEnd{Whole: true, Error: !success && a.Status >= http.StatusInternalServerError}
+	return AttemptEnd{Whole: true, Generated: success && (len(body) > 0 || a.framed()), Error: !success && a.Status >= http.StatusInternalServerError}
 }
 
 // relayUnbuffered copies an answer that exceeds maxBufferedAnswer. begin is the
 // part of its body that was already read.
 func (c *call) relayUnbuffered(a *Answer, begin []byte) AttemptEnd {
 	c.sendHeader(a)
+	success := a.Status >= 200 && a.Status < 300
 	_, err := c.w.Write(begin)
 	if err == nil {
 		_, err = io.Copy(c.w, a.Body)
@@ -166,7 +167,7 @@
 	if err != nil {
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: err}
 	}
-	return AttemptEnd{Whole: true}
+	return AttemptEnd{Whole: true, Generated: success}
 }
 
 // sendHeader sends the header of an unbuffered answer, unless it was sent before.
@@ -184,6 +185,7 @@
 // relayStream relays a stream event by event.
 func (c *call) relayStream(a *Answer) AttemptEnd {
 	c.events.partial = nil
+	before := c.retryState.Delivered
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, readErr := a.Body.Read(buf)
@@ -195,7 +197,7 @@
 		}
 		switch {
 		case errors.Is(readErr, io.EOF):
-			return c.endStream(a)
+			return c.endStream(a, c.retryState.Delivered > before)
 		case readErr != nil:
 			a.Close(false)
 			return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: readErr}
@@ -231,8 +233,9 @@
 	return AttemptEnd{}, true
 }
 
-// endStream handles the end of an answer that is complete by its HTTP framing.
-func (c *call) endStream(a *Answer) AttemptEnd {
+// endStream handles the end of an answer that is complete by its HTTP framing. delivered
+// states that it brought an event.
+func (c *call) endStream(a *Answer, delivered bool) AttemptEnd {
 	a.Close(true)
 	if rest := c.events.incomplete(); len(rest) > 0 {
 		// A complete answer ends with a complete event.
@@ -241,5 +244,5 @@
 	c.sendHeader(a)
 	c.streamEnds()
 	_ = c.rc.SetWriteDeadline(time.Time{})
-	return AttemptEnd{Whole: true}
+	return AttemptEnd{Whole: true, Generated: delivered || a.framed()}
 }
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -441,8 +441,7 @@
 // complete states that the body was read to its end.
 func (a *Answer) Close(complete bool) {
 	alive := a.stopDeadline()
-	framed := a.Length != -1 || chunked(a.resp)
-	reusable := complete && alive && framed && !a.resp.Close
+	reusable := complete && alive && a.framed() && !a.resp.Close
 	if !reusable || !a.write.finished() || a.conn.r.Buffered() > 0 {
 		a.client.close(a.conn)
 		return
@@ -454,4 +453,5 @@
 	a.client.release(a.conn)
 }
 
-func chunked(r *http.Response) bool { return len(r.TransferEncoding) > 0 }
+// framed reports whether the end of the answer can be told from the end of its connection.
+func (a *Answer) framed() bool { return a.Length != -1 || len(a.resp.TransferEncoding) > 0 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -89,6 +89,8 @@
 	LastEvent    int64                // that the caller has received; NoEvent: none given
 	Origin       *streamorigin.Answer // of the stream that the caller takes up; nil: it was not looked for
 	Refused      *RefusedError        // by the placer; nil: not refused
+	Hold         *quarantine.Hold     // by which the request was refused; nil: none
+	HeldSegment  string               // ID of the segment with the hold; empty: the request itself
 	Quota        quota.Verdict        // the zero value: the organisation has no rate limit
 }
 
@@ -213,7 +215,7 @@
 		return
 	}
 	c.prepare()
-	c.setFingerprint()
+	c.setIdentity()
 	if c.refuseQuarantined() {
 		return
 	}
@@ -320,13 +322,6 @@
 	c.out.Host, c.out.Header = c.r.Host, header
 }
 
-// setFingerprint computes the fingerprint by which a repeated request is
-// recognised under any attempt id.
-func (c *call) setFingerprint() {
-	c.req.Fingerprint = quarantine.FingerprintOf(c.report.Organisation, c.out.Method, c.out.Host, c.out.URI, c.out.Body)
-	c.report.Fingerprint = c.req.Fingerprint
-}
-
 // attempts repeats attempts until the caller has an answer or no retry is allowed.
 func (c *call) attempts() {
 	for ; ; c.req.Attempt++ {
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -18,7 +18,7 @@
 	Table        *routes.Table
 	Organisation *routes.Organisation // nil on public routes
 	In           *RequestInfo
-	Fingerprint  quarantine.Fingerprint
+	Identity     quarantine.Identity
 	Arrived      time.Time
 	Deadline     time.Time
 	Excluded     []fleet.EndpointID // already tried
@@ -89,13 +89,16 @@
 // AttemptEnd describes how an attempt ended. It is encoded in messages between
 // daemons.
 type AttemptEnd struct {
-	Whole   bool // the answer was complete, whatever its status
-	Error   bool // the endpoint answered with a server error
-	NotRun  bool // the endpoint reported that it did not run the request
-	Failure retry.Failure
-	Lost    bool  // the connection was refused, lost or unresponsive
-	Cause   error `json:"-"` // of the loss; nil: the answer was incomplete on an intact connection
-	Left    bool  // the caller disconnected
+	Whole bool // the answer was complete, whatever its status
+	// Generated states that the answer was a complete success that only an endpoint which
+	// had run the request could send.
+	Generated bool `json:"-"`
+	Error     bool // the endpoint answered with a server error
+	NotRun    bool // the endpoint reported that it did not run the request
+	Failure   retry.Failure
+	Lost      bool  // the connection was refused, lost or unresponsive
+	Cause     error `json:"-"` // of the loss; nil: the answer was incomplete on an intact connection
+	Left      bool  // the caller disconnected
 	// RelayLost states that the daemon that relayed the connection was lost, which shows
 	// nothing about the endpoint.
 	RelayLost bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,8 +156,8 @@
 	deadline         time.Time
 	explicitDeadline bool // the deadline is the caller's, not RequestTimeout
 	// fingerprint identifies repetitions of the same request.
-	fingerprint quarantine.Fingerprint
-	report      Report
+	identity quarantine.Identity
+	report   Report
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -18,17 +18,17 @@
 	if c.g.o.Quarantine == nil {
 		return nil
 	}
-	c.fingerprint = quarantine.FingerprintOf(string(c.org.ID), c.r.Method, "", requestURI(c.r.URL), c.body)
-	left, held := c.g.o.Quarantine.Held(c.fingerprint)
+	c.identity.Request = quarantine.FingerprintOf(string(c.org.ID), c.r.Method, "", requestURI(c.r.URL), c.body)
+	hold, held := c.g.o.Quarantine.Held(&c.identity)
 	if !held {
 		return nil
 	}
-	return notRunRefusal(CodeQuarantined, quarantinedMessage, left)
+	return notRunRefusal(CodeQuarantined, quarantinedMessage, hold.Left)
 }
 
 // mayRetry reports whether the quarantine allows a retry after a failed attempt.
 func (c *call) mayRetry() bool {
-	return c.g.o.Quarantine == nil || c.g.o.Quarantine.MayRetry(c.fingerprint)
+	return c.g.o.Quarantine == nil || c.g.o.Quarantine.MayRetry(&c.identity)
 }
 
 // quarantineRefusal returns the refusal for a request that may not be retried.
@@ -45,9 +45,9 @@
 	switch {
 	case q == nil:
 	case res.Outcome == AttemptSucceeded:
-		q.Answered(c.fingerprint)
+		q.Answered(&c.identity, 0)
 	case res.Outcome == AttemptFailed:
-		q.Lost(c.fingerprint, incarnationKey(p), p.Address)
+		q.Lost(&c.identity, 0, quarantine.Endpoint{Key: incarnationKey(p), Address: p.Address})
 	}
 }
 
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -30,3 +30,13 @@
 		FingerprintOf("org", "POST", "host.example", "/a/b", body)
 	}
 }
+
+// BenchmarkSetSegments measures the fingerprints of a prompt with three segments.
+func BenchmarkSetSegments(b *testing.B) {
+	ids := []string{"5c1e07a2", "91bd3f06", "e4402b7d"}
+	b.ReportAllocs()
+	var id Identity
+	for b.Loop() {
+		id.SetSegments("sese880", "daka510000", ids)
+	}
+}
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -14,8 +15,8 @@
 
 // Message types. A change of the layout takes a new number.
 const (
-	kindReport = 0x31 // crashes with the requests that were running
-	kindHolds  = 0x32 // holds and clearances
+	kindReport = 0x33 // crashes with the requests and segments that were running
+	kindHolds  = 0x34 // holds and clearances
 )
 
 // IsMessage reports whether data is a message of this package.
@@ -26,16 +27,17 @@
 // Limits of messages. The longest one fits into a datagram at common MTUs.
 const (
 	maxReports   = 16
-	maxUpdates   = 32
+	maxUpdates   = 12
 	maxSyncHolds = 8 // holds per periodic message
 	maxRound     = 1 << 20
 )
 
-// report is a crash of an endpoint that was running a request.
+// report is a crash of an endpoint that was running a request or a prompt with a segment.
 type report struct {
 	fingerprint Fingerprint
 	endpoint    fleet.EndpointID
 	age         time.Duration
+	version     int64 // of the weights
 }
 
 // update is a hold or a clearance as exchanged between daemons. Of two updates for the
@@ -46,6 +48,8 @@
 	cleared     bool
 	crashAge    time.Duration // age of the first crash
 	left        time.Duration // until the entry expires
+	version     int64         // newest weights under which an endpoint crashed
+	crashes     crashSet
 }
 
 func encodeReports(all []report) []byte {
@@ -55,6 +59,7 @@
 		b = append(b, byte(len(r.endpoint)))
 		b = append(b, r.endpoint...)
 		b = binary.AppendUvarint(b, uint64(r.age/time.Millisecond))
+		b = binary.AppendUvarint(b, uint64(r.version))
 	}
 	return b
 }
@@ -70,6 +75,11 @@
 		b = binary.AppendUvarint(b, state)
 		b = binary.AppendUvarint(b, uint64(t.crashAge/time.Millisecond))
 		b = binary.AppendUvarint(b, uint64(t.left/time.Millisecond))
+		b = binary.AppendUvarint(b, uint64(t.version))
+		b = append(b, byte(len(t.crashes)))
+		for _, e := range t.crashes {
+			b = binary.LittleEndian.AppendUint32(b, e)
+		}
 	}
 	return b
 }
@@ -95,6 +105,7 @@
 	return decodeAll(b, kindReport, maxReports, func(r *wire.Reader) report {
 		return report{
 			fingerprint: Fingerprint(r.Bytes(fingerprintBytes)), endpoint: fleet.EndpointID(r.Text(maxEndpointBytes)), age: r.Millis(crashTTL),
+			version: int64(r.Uvarint(math.MaxInt64)),
 		}
 	})
 }
@@ -105,6 +116,10 @@
 		state := r.Uvarint(maxRound<<1 | 1)
 		u.round, u.cleared = state>>1, state&1 == 1
 		u.crashAge, u.left = r.Millis(HoldDuration+crashTTL), r.Millis(HoldDuration)
+		u.version = int64(r.Uvarint(math.MaxInt64))
+		for range min(r.Byte(), maxCrashSet) {
+			u.crashes.add(binary.LittleEndian.Uint32(r.Bytes(4)))
+		}
 		return u
 	})
 }
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -22,19 +22,21 @@
 type Node struct {
 	peers     *gossip.Peers
 	suspects  suspects
-	answers   answers
+	answers   [2]answers // to requests, and to prompts with segments; see answersOf
 	holds     map[Fingerprint]*hold
 	reports   []outgoingReport
 	syncIndex int // index of the last hold sent in a periodic message
 	changes   []Change
 }
 
-// hold is the state of a request that is or was held.
+// hold is the state of a request or segment that is or was held.
 type hold struct {
 	round      uint64
 	cleared    bool
 	firstCrash time.Duration
 	until      time.Duration // when the entry expires
+	version    int64         // newest weights under which an endpoint crashed
+	crashes    crashSet      // empty: not known
 	relaysLeft int           // remaining ticks at which it is sent to peers
 }
 
@@ -49,61 +51,151 @@
 
 // NewNode returns a Node without peers and holds.
 func NewNode(o Options) *Node {
-	return &Node{peers: gossip.NewPeers(o.Self, o.Rand), suspects: newSuspects(), answers: newAnswers(), holds: map[Fingerprint]*hold{}}
+	return &Node{peers: gossip.NewPeers(o.Self, o.Rand), suspects: newSuspects(), answers: [2]answers{newAnswers(), newAnswers()}, holds: map[Fingerprint]*hold{}}
+}
+
+// answersOf returns the answers among which those for the fingerprint are. Segments have
+// their own, so that no caller can displace those of requests by inventing segments.
+func (n *Node) answersOf(f Fingerprint) *answers {
+	if f.IsSegment() {
+		return &n.answers[1]
+	}
+	return &n.answers[0]
 }
 
 // SetPeers sets the list of all daemons.
 func (n *Node) SetPeers(all []gossip.Peer) { n.peers.Set(all) }
 
-// Held returns the hold of the request, and false if it is not held.
-func (n *Node) Held(now time.Duration, f Fingerprint) (Hold, bool) {
-	h := n.holds[f]
-	if h == nil || h.cleared || now >= h.until {
+// Held returns the hold by which the request is refused, and false if there is none.
+func (n *Node) Held(now time.Duration, id *Identity) (Hold, bool) {
+	if len(n.holds) == 0 {
 		return Hold{}, false
 	}
-	return Hold{Left: h.until - now, Crashes: n.suspects.count(f, now)}, true
+	own := id.fingerprints()
+	for _, f := range own {
+		if h := n.active(now, f); h != nil && now >= n.enforcedFrom(f, h) && !n.explained(now, h, own) {
+			return n.describe(now, f, h), true
+		}
+	}
+	return Hold{}, false
+}
+
+func (n *Node) describe(now time.Duration, f Fingerprint, h *hold) Hold {
+	return Hold{Fingerprint: f, Left: h.until - now, Crashes: len(h.crashes)}
+}
+
+// active returns the hold of a fingerprint, or nil if it was cleared or has expired.
+func (n *Node) active(now time.Duration, f Fingerprint) *hold {
+	if h := n.holds[f]; h != nil && !h.cleared && now < h.until {
+		return h
+	}
+	return nil
+}
+
+// enforcedFrom returns the time from which a hold is enforced.
+func (n *Node) enforcedFrom(f Fingerprint, h *hold) time.Duration {
+	decided := h.until - HoldDuration
+	switch {
+	case !f.IsSegment():
+		return decided
+	case len(n.peers.Others()) <= gossip.DirectFanout:
+		return decided + directConfirmation
+	default:
+		return decided + gossipConfirmation
+	}
+}
+
+// explained reports whether all crashes of a hold can be due to something else that is
+// held and that the request does not have. The request is then let through: its answer
+// acquits what it has, or its crash is one that the other hold does not explain.
+func (n *Node) explained(now time.Duration, h *hold, own []Fingerprint) bool {
+	if len(h.crashes) == 0 {
+		return false
+	}
+	for f, other := range n.holds {
+		if !other.cleared && now < other.until && other.crashes.contains(h.crashes) && !slices.Contains(own, f) {
+			return true
+		}
+	}
+	return false
 }
 
 // MayRetry reports whether this daemon may send the request to another endpoint after
 // the connection to one was lost.
-func (n *Node) MayRetry(now time.Duration, f Fingerprint) bool {
-	_, held := n.Held(now, f)
-	return !held && n.suspects.count(f, now) < crashesToStopRetries
+func (n *Node) MayRetry(now time.Duration, id *Identity) bool {
+	if _, held := n.Held(now, id); held {
+		return false
+	}
+	for _, f := range id.fingerprints() {
+		if n.suspects.count(f, now) >= crashesToStopRetries {
+			return false
+		}
+	}
+	return true
 }
 
-// EndpointCrashed records that an endpoint crashed while it ran this daemon's request.
-func (n *Node) EndpointCrashed(now time.Duration, f Fingerprint, e fleet.EndpointID) {
-	if n.answers.answeredSince(f, now) || len(e) > maxEndpointBytes {
-		return
+// EndpointCrashed records that an endpoint crashed while it ran this daemon's request on
+// weights of the given version. It returns the fingerprints that the crash counts against.
+func (n *Node) EndpointCrashed(now time.Duration, id *Identity, version int64, e fleet.EndpointID) []Fingerprint {
+	if len(e) > maxEndpointBytes {
+		return nil
+	}
+	var counted []Fingerprint
+	c := crash{e, now, version}
+	for _, f := range id.fingerprints() {
+		if n.answersOf(f).acquits(f, now, version) {
+			continue
+		}
+		counted = append(counted, f)
+		n.reports = append(n.reports, outgoingReport{fingerprint: f, crash: c, owners: n.owners(f), nextSend: now})
+		n.recordCrash(now, f, c)
 	}
-	n.reports = append(n.reports, outgoingReport{fingerprint: f, crash: crash{e, now}, owners: n.owners(f), nextSend: now})
-	n.recordCrash(now, f, crash{e, now})
 	n.sendReports(now)
+	return counted
 }
 
-// recordCrash counts a crash, and holds the request once it has crashesToHold of them.
+// recordCrash counts a crash, and begins a hold once there are crashesToHold of them.
 func (n *Node) recordCrash(now time.Duration, f Fingerprint, c crash) {
 	crashes := n.suspects.add(f, c)
+	if h := n.active(now, f); h != nil {
+		n.addCrash(now, f, h, c)
+		return
+	}
 	if len(crashes) < crashesToHold {
 		return
 	}
-	round := uint64(1)
+	u := update{fingerprint: f, round: 1, crashAge: now - firstCrash(crashes), left: HoldDuration}
 	if h := n.holds[f]; h != nil && now < h.until {
-		if !h.cleared {
-			return
-		}
-		round = h.round + 1
+		u.round = h.round + 1
+	}
+	for _, c := range crashes {
+		u.crashes.add(endpointHash(c.endpoint))
+		u.version = max(u.version, c.version)
 	}
-	if n.apply(now, update{fingerprint: f, round: round, crashAge: now - firstCrash(crashes), left: HoldDuration}, ReasonCrashes) {
+	if n.apply(now, u, ReasonCrashes) {
 		n.announce(now, f, gossip.DirectFanout)
 	}
 }
 
-// Answered records a complete answer to the request and ends its hold.
-func (n *Node) Answered(now time.Duration, f Fingerprint) {
-	n.answers.add(f, now)
-	n.suspects.clear(f)
-	n.endHold(now, f, ReasonAnswered)
+// addCrash adds a crash to a hold and sends it to the other daemons if it is new.
+func (n *Node) addCrash(now time.Duration, f Fingerprint, h *hold, c crash) {
+	h.version = max(h.version, c.version)
+	if h.crashes.add(endpointHash(c.endpoint)) {
+		h.relaysLeft = gossip.RelayRounds
+		n.announce(now, f, gossip.DirectFanout)
+	}
+}
+
+// Answered records a complete answer to the request on weights of the given version, and
+// ends the holds that it contradicts.
+func (n *Node) Answered(now time.Duration, id *Identity, version int64) {
+	for _, f := range id.fingerprints() {
+		n.answersOf(f).add(f, now, version)
+		n.suspects.acquit(f, version)
+		if h := n.holds[f]; h != nil && h.version <= version {
+			n.endHold(now, f, ReasonAnswered)
+		}
+	}
 }
 
 // Lift ends a hold on behalf of the operator. It returns false if there is none.
@@ -113,11 +205,11 @@
 }
 
 func (n *Node) endHold(now time.Duration, f Fingerprint, why Reason) bool {
-	h := n.holds[f]
-	if h == nil || h.cleared || now >= h.until {
+	h := n.active(now, f)
+	if h == nil {
 		return false
 	}
-	n.apply(now, update{fingerprint: f, round: h.round, cleared: true, crashAge: now - h.firstCrash, left: h.until - now}, why)
+	n.apply(now, update{fingerprint: f, round: h.round, cleared: true, crashAge: now - h.firstCrash, left: h.until - now, version: h.version}, why)
 	n.announce(now, f, gossip.DirectFanout)
 	return true
 }
@@ -126,6 +218,7 @@
 func (n *Node) apply(now time.Duration, u update, why Reason) bool {
 	h := n.holds[u.fingerprint]
 	if h != nil && now < h.until && !supersedes(u, h) {
+		n.merge(u, h)
 		return false
 	}
 	if h == nil {
@@ -133,6 +226,7 @@
 	}
 	n.holds[u.fingerprint] = &hold{
 		round: u.round, cleared: u.cleared, firstCrash: now - u.crashAge, until: now + u.left, relaysLeft: gossip.RelayRounds,
+		version: u.version, crashes: u.crashes,
 	}
 	change := Change{Fingerprint: u.fingerprint, Held: !u.cleared, Reason: why, Left: u.left}
 	for _, c := range n.suspects.crashes[u.fingerprint] {
@@ -145,6 +239,17 @@
 	return true
 }
 
+// merge adds the crashes that another daemon knows of to a hold of the same round.
+func (n *Node) merge(u update, h *hold) {
+	if u.round != h.round || u.cleared || h.cleared {
+		return
+	}
+	h.version = max(h.version, u.version)
+	if h.crashes.add(u.crashes...) {
+		h.relaysLeft = gossip.RelayRounds
+	}
+}
+
 // supersedes reports whether the update is newer than the hold. In the same round, a
 // clearance is newer than the hold that it ends.
 func supersedes(u update, h *hold) bool {
@@ -198,7 +303,7 @@
 		}
 		r.sent, r.nextSend = r.sent+1, now+reportInterval
 		for _, owner := range r.owners {
-			byOwner[owner] = append(byOwner[owner], report{r.fingerprint, r.crash.endpoint, now - r.crash.at})
+			byOwner[owner] = append(byOwner[owner], report{r.fingerprint, r.crash.endpoint, now - r.crash.at, r.crash.version})
 		}
 	}
 	for to, all := range byOwner {
@@ -232,6 +337,7 @@
 	h := n.holds[f]
 	return update{
 		fingerprint: f, round: h.round, cleared: h.cleared, crashAge: min(now-h.firstCrash, HoldDuration+crashTTL), left: max(h.until-now, 0),
+		version: h.version, crashes: h.crashes,
 	}
 }
 
@@ -266,21 +372,21 @@
 	return err
 }
 
-// handleReport counts a crash reported by another daemon, unless the request was
-// answered at this daemon since.
+// handleReport counts a crash reported by another daemon, unless an answer at this daemon
+// acquits the request or segment.
 func (n *Node) handleReport(now time.Duration, r report) {
-	if at := now - r.age; !n.answers.answeredSince(r.fingerprint, at) {
-		n.recordCrash(now, r.fingerprint, crash{r.endpoint, at})
+	if at := now - r.age; !n.answersOf(r.fingerprint).acquits(r.fingerprint, at, r.version) {
+		n.recordCrash(now, r.fingerprint, crash{r.endpoint, at, r.version})
 	}
 }
 
-// handleUpdate applies an update of another daemon. It ends a hold if the request was
-// answered at this daemon since the first crash.
+// handleUpdate applies an update of another daemon. It ends a hold that an answer at this
+// daemon contradicts.
 func (n *Node) handleUpdate(now time.Duration, u update) {
 	if u.left <= 0 || !n.apply(now, u, ReasonReceived) {
 		return
 	}
-	if !u.cleared && n.answers.answeredSince(u.fingerprint, now-u.crashAge) {
+	if !u.cleared && n.answersOf(u.fingerprint).acquits(u.fingerprint, now-u.crashAge, u.version) {
 		n.endHold(now, u.fingerprint, ReasonAnswered)
 	}
 }
@@ -291,21 +397,25 @@
 	Round       uint64        // of several holds for a request the highest round applies
 	Age         time.Duration // of the first crash
 	Left        time.Duration
+	Version     int64    // newest weights under which an endpoint crashed
+	Crashes     []uint32 // hashes of the crashed endpoints
 }
 
 // HoldToStore returns the hold of a request, and false if it is not held.
 func (n *Node) HoldToStore(now time.Duration, f Fingerprint) (StoredHold, bool) {
-	if _, held := n.Held(now, f); !held {
+	if n.active(now, f) == nil {
 		return StoredHold{}, false
 	}
 	u := n.updateOf(now, f)
-	return StoredHold{Fingerprint: f, Round: u.round, Age: u.crashAge, Left: u.left}, true
+	return StoredHold{Fingerprint: f, Round: u.round, Age: u.crashAge, Left: u.left, Version: u.version, Crashes: u.crashes}, true
 }
 
 // RestoreHold applies a stored hold. All daemons read the store, so it is not sent to
 // peers.
 func (n *Node) RestoreHold(now time.Duration, stored StoredHold) {
-	n.handleUpdate(now, update{fingerprint: stored.Fingerprint, round: stored.Round, crashAge: stored.Age, left: min(stored.Left, HoldDuration)})
+	u := update{fingerprint: stored.Fingerprint, round: stored.Round, crashAge: stored.Age, left: min(stored.Left, HoldDuration), version: stored.Version}
+	u.crashes.add(stored.Crashes...)
+	n.handleUpdate(now, u)
 	if h := n.holds[stored.Fingerprint]; h != nil && !h.cleared {
 		h.relaysLeft = 0
 	}
@@ -321,12 +431,12 @@
 	return out
 }
 
-// Holds returns all holds by fingerprint.
+// Holds returns all holds by fingerprint, also those that are not enforced yet.
 func (n *Node) Holds(now time.Duration) map[Fingerprint]Hold {
 	out := map[Fingerprint]Hold{}
 	for f := range n.holds {
-		if h, held := n.Held(now, f); held {
-			out[f] = h
+		if h := n.active(now, f); h != nil {
+			out[f] = n.describe(now, f, h)
 		}
 	}
 	return out
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,9 +24,16 @@
 	// weights changed.
 	clearMargin = 10 * time.Second
 
+	// directConfirmation and gossipConfirmation are the times after its decision from
+	// which a hold on a segment is enforced. Until then daemons that answered prompts with
+	// the segment contradict it: directly, or by gossip if there are more daemons than a
+	// decision is sent to.
+	directConfirmation = 250 * time.Millisecond
+	gossipConfirmation = 600 * time.Millisecond
+
 	maxSuspects = 8192
 	maxHolds    = 1024
-	maxAnswers  = 16_384
+	maxAnswers  = 16_384 // of requests; as many of segments
 	// maxEndpointBytes is the length of the longest endpoint key that is reported.
 	maxEndpointBytes = 48
 )
@@ -41,10 +48,11 @@
 	reportInterval = 100 * time.Millisecond
 )
 
-// Hold is the decision not to send a request to endpoints.
+// Hold is the decision not to send a request, or prompts with a segment, to endpoints.
 type Hold struct {
-	Left    time.Duration // until it ends
-	Crashes int           // crashed endpoints known to this daemon; 0 if another daemon counted them
+	Fingerprint Fingerprint
+	Left        time.Duration // until it ends
+	Crashes     int           // crashed endpoints known to this daemon
 }
 
 // Change is a hold that began or ended, for logs.
@@ -70,14 +78,20 @@
 
 // Gate decides whether a request is sent to an endpoint, and receives the results of attempts.
 type Gate interface {
-	// Held returns how long the request remains held, and false if it is not held.
-	Held(f Fingerprint) (left time.Duration, held bool)
+	// Held returns the hold by which the request is refused, and false if there is none.
+	Held(id *Identity) (Hold, bool)
 	// MayRetry reports whether the request may be sent to another endpoint after the
 	// connection to one was lost.
-	MayRetry(f Fingerprint) bool
-	// Lost reports an attempt whose connection was lost, possibly because the endpoint
-	// crashed. key identifies an incarnation of the endpoint.
-	Lost(f Fingerprint, key fleet.EndpointID, address string)
-	// Answered reports a complete answer to the request.
-	Answered(f Fingerprint)
+	MayRetry(id *Identity) bool
+	// Lost reports an attempt on weights of the given version whose connection was lost,
+	// possibly because the endpoint crashed.
+	Lost(id *Identity, version int64, at Endpoint)
+	// Answered reports a complete answer to the request on weights of the given version.
+	Answered(id *Identity, version int64)
+}
+
+// Endpoint is one incarnation of an endpoint, and where it listens.
+type Endpoint struct {
+	Key     fleet.EndpointID
+	Address string
 }
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -95,7 +95,7 @@
 // crashEndpoint simulates the crash of an endpoint that runs a request of the daemon.
 func (d *deployment) crashEndpoint(daemon int, f Fingerprint) {
 	d.crashes++
-	d.nodes[daemon].EndpointCrashed(d.now, f, fleet.EndpointID(fmt.Sprint("i-", d.crashes, "@0")))
+	d.nodes[daemon].EndpointCrashed(d.now, requestOf(f), 0, fleet.EndpointID(fmt.Sprint("i-", d.crashes, "@0")))
 	d.sendOutbox(daemon)
 }
 
@@ -111,13 +111,16 @@
 func (d *deployment) holding(f Fingerprint) int {
 	n := 0
 	for _, node := range d.nodes {
-		if _, held := node.Held(d.now, f); held {
+		if _, held := node.Held(d.now, requestOf(f)); held {
 			n++
 		}
 	}
 	return n
 }
 
+// requestOf returns the identity of a request without segments.
+func requestOf(f Fingerprint) *Identity { return &Identity{Request: f} }
+
 func testFingerprint(text string) Fingerprint {
 	return FingerprintOf("org", "POST", "h", "/", []byte(text))
 }
@@ -184,7 +187,7 @@
 	d := newDeployment(t, daemons, 0.05)
 	f := testFingerprint("hot")
 	for range 20 {
-		d.nodes[d.rng.IntN(daemons)].Answered(d.now, f)
+		d.nodes[d.rng.IntN(daemons)].Answered(d.now, requestOf(f), 0)
 		d.advance(50 * time.Millisecond)
 	}
 	for i := range daemons {
@@ -195,7 +198,7 @@
 		d.advance(50 * time.Millisecond)
 		held = max(held, d.holding(f))
 		if n := d.rng.IntN(daemons); d.now%7 == 0 {
-			d.nodes[n].Answered(d.now, f)
+			d.nodes[n].Answered(d.now, requestOf(f), 0)
 		}
 	}
 	if n := d.holding(f); n > 0 {
@@ -212,7 +215,7 @@
 	f := testFingerprint("warm")
 	d.crashEndpoint(1, f)
 	d.advance(time.Second)
-	d.nodes[2].Answered(d.now, f)
+	d.nodes[2].Answered(d.now, requestOf(f), 0)
 	d.advance(20 * time.Second)
 	d.crashEndpoint(3, f)
 	d.crashEndpoint(4, f)
@@ -264,8 +267,8 @@
 	d := newDeployment(t, 9, 0.05)
 	f := testFingerprint("once")
 	for i := range d.nodes {
-		d.nodes[i].EndpointCrashed(d.now, f, "i-1@0")
-		d.nodes[i].EndpointCrashed(d.now, f, "i-1@0")
+		d.nodes[i].EndpointCrashed(d.now, requestOf(f), 0, "i-1@0")
+		d.nodes[i].EndpointCrashed(d.now, requestOf(f), 0, "i-1@0")
 		d.sendOutbox(i)
 		d.advance(50 * time.Millisecond)
 	}
@@ -281,7 +284,7 @@
 	d := newDeployment(t, 9, 0)
 	for i := range 200_000 {
 		f := testFingerprint(fmt.Sprint(i))
-		d.nodes[0].Answered(d.now, f)
+		d.nodes[0].Answered(d.now, requestOf(f), 0)
 		if i%10 == 0 {
 			d.crashEndpoint(0, testFingerprint(fmt.Sprint("lost", i)))
 			d.now += time.Millisecond
@@ -289,14 +292,14 @@
 	}
 	d.advance(time.Second)
 	for i, n := range d.nodes {
-		if s, a := len(n.suspects.crashes), len(n.answers.current)+len(n.answers.previous); s > maxSuspects || a > maxAnswers {
+		if s, a := len(n.suspects.crashes), len(n.answers[0].current)+len(n.answers[0].previous); s > maxSuspects || a > maxAnswers {
 			t.Errorf("daemon %d keeps %d suspects and %d answers", i, s, a)
 		}
 	}
 	for i := range 2 * maxHolds {
 		f := testFingerprint(fmt.Sprint("held", i))
 		for e := range crashesToHold {
-			d.nodes[0].EndpointCrashed(d.now, f, fleet.EndpointID(fmt.Sprint(e)))
+			d.nodes[0].EndpointCrashed(d.now, requestOf(f), 0, fleet.EndpointID(fmt.Sprint(e)))
 		}
 		d.nodes[0].Outbox()
 		d.nodes[0].Changes()
@@ -325,8 +328,8 @@
 
 // Guards against messages from arbitrary senders that crash a daemon.
 func FuzzReceive(f *testing.F) {
-	f.Add(encodeReports([]report{{testFingerprint("a"), "i-1@0", time.Second}}))
-	f.Add(encodeHolds([]update{{fingerprint: testFingerprint("a"), round: 1, left: time.Second}}))
+	f.Add(encodeReports([]report{{testFingerprint("a"), "i-1@0", time.Second, 3}}))
+	f.Add(encodeHolds([]update{{fingerprint: testFingerprint("a"), round: 1, left: time.Second, crashes: crashSet{1, 2}}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		n := NewNode(Options{Self: gossip.Peer{Name: "a", Address: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
 		n.SetPeers([]gossip.Peer{{Name: "b", Address: "b"}})
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -11,6 +11,7 @@
 type crash struct {
 	endpoint fleet.EndpointID
 	at       time.Duration
+	version  int64 // of the weights; 0: none
 }
 
 // suspects holds the recent crashes for each request. It evicts the oldest requests
@@ -65,6 +66,18 @@
 
 func (s *suspects) clear(f Fingerprint) { delete(s.crashes, f) }
 
+// acquit removes the crashes under weights up to the given version.
+func (s *suspects) acquit(f Fingerprint, version int64) {
+	known, some := s.crashes[f]
+	if !some {
+		return
+	}
+	s.crashes[f] = slices.DeleteFunc(known, func(c crash) bool { return c.version <= version })
+	if len(s.crashes[f]) == 0 {
+		s.clear(f)
+	}
+}
+
 // evict removes the oldest requests beyond maxSuspects.
 func (s *suspects) evict() {
 	for len(s.order) > 0 && (len(s.crashes) > maxSuspects || len(s.order) > 2*maxSuspects) {
@@ -73,30 +86,46 @@
 	}
 }
 
-// answers records when requests last got a complete answer. It has two generations, so
-// that old entries are dropped together.
+// answer is the last complete answer to a request, or to a prompt with a segment.
+type answer struct {
+	at      time.Duration
+	version int64 // of the weights; 0: none
+}
+
+// answers records the last complete answers. It has two generations, so that old entries
+// are dropped together.
 type answers struct {
-	current, previous map[Fingerprint]time.Duration
+	current, previous map[Fingerprint]answer
 	startedAt         time.Duration // start of the current generation
 }
 
 func newAnswers() answers {
-	return answers{current: map[Fingerprint]time.Duration{}, previous: map[Fingerprint]time.Duration{}}
+	return answers{current: map[Fingerprint]answer{}, previous: map[Fingerprint]answer{}}
 }
 
-func (a *answers) add(f Fingerprint, now time.Duration) {
+// add records an answer. While both are recent, one of newer weights is kept, as it also
+// counts for older ones.
+func (a *answers) add(f Fingerprint, now time.Duration, version int64) {
+	if last, ok := a.last(f); ok && last.version > version && now-last.at <= clearMargin {
+		return
+	}
 	if now-a.startedAt > crashTTL+clearMargin || len(a.current) >= maxAnswers/2 {
-		a.current, a.previous, a.startedAt = map[Fingerprint]time.Duration{}, a.current, now
+		a.current, a.previous, a.startedAt = map[Fingerprint]answer{}, a.current, now
 	}
-	a.current[f] = now
+	a.current[f] = answer{now, version}
 }
 
-// answeredSince reports whether the request was answered after the given time or at most
-// clearMargin before it.
-func (a *answers) answeredSince(f Fingerprint, since time.Duration) bool {
-	at, ok := a.current[f]
-	if !ok {
-		at, ok = a.previous[f]
+func (a *answers) last(f Fingerprint) (answer, bool) {
+	if last, ok := a.current[f]; ok {
+		return last, true
 	}
-	return ok && at >= since-clearMargin
+	last, ok := a.previous[f]
+	return last, ok
+}
+
+// acquits reports whether there was an answer after the crash, or at most clearMargin
+// before it, by the same or newer weights.
+func (a *answers) acquits(f Fingerprint, at time.Duration, version int64) bool {
+	last, ok := a.last(f)
+	return ok && last.at >= at-clearMargin && last.version >= version
 }
--- a/quarantineguard/guard.go
+++ b/quarantineguard/guard.go
@@ -69,7 +69,13 @@
 	checkedAt time.Duration
 	done      bool
 	crashed   bool
-	waiting   []quarantine.Fingerprint // requests that wait for the result
+	waiting   []lostAttempt // wait for the result
+}
+
+// lostAttempt is an attempt whose connection was lost.
+type lostAttempt struct {
+	id      *quarantine.Identity
+	version int64 // of the weights
 }
 
 // New returns a Guard without holds.
@@ -125,13 +131,13 @@
 	var kept *quarantine.StoredHold
 	if c.Held {
 		g.held.Inc(1)
-		g.o.Log.Warn("Request is held.", "fingerprint", c.Fingerprint.String(), "reason", string(c.Reason), "ended", c.Crashed, "left_ms", c.Left.Milliseconds())
+		g.o.Log.Warn("Request is held.", "fingerprint", c.Fingerprint.String(), "segment", c.Fingerprint.IsSegment(), "reason", string(c.Reason), "ended", c.Crashed, "left_ms", c.Left.Milliseconds())
 		if k, held := g.node.HoldToStore(g.o.Clock(), c.Fingerprint); held && c.Reason == quarantine.ReasonCrashes {
 			kept = &k
 		}
 	} else {
 		g.lifted.Inc(1)
-		g.o.Log.Info("Request is no longer held.", "fingerprint", c.Fingerprint.String(), "reason", string(c.Reason))
+		g.o.Log.Info("Request is no longer held.", "fingerprint", c.Fingerprint.String(), "segment", c.Fingerprint.IsSegment(), "reason", string(c.Reason))
 	}
 	if g.o.OnChange != nil {
 		g.o.OnChange(c, kept)
@@ -153,55 +159,56 @@
 	g.node.SetPeers(all)
 }
 
-// Held returns how long the request is still held, and whether it is.
-func (g *Guard) Held(f quarantine.Fingerprint) (time.Duration, bool) {
+// Held returns the hold by which the request is refused, and false if there is none.
+func (g *Guard) Held(id *quarantine.Identity) (quarantine.Hold, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	hold, held := g.node.Held(g.o.Clock(), f)
+	hold, held := g.node.Held(g.o.Clock(), id)
 	if held {
 		g.refused.Inc(1)
 	}
-	return hold.Left, held
+	return hold, held
 }
 
 // MayRetry reports whether a request may be retried after it was lost at an endpoint.
-func (g *Guard) MayRetry(f quarantine.Fingerprint) bool {
+func (g *Guard) MayRetry(id *quarantine.Identity) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.node.MayRetry(g.o.Clock(), f)
+	return g.node.MayRetry(g.o.Clock(), id)
 }
 
-// Answered records that an endpoint gave a complete answer to the request.
-func (g *Guard) Answered(f quarantine.Fingerprint) {
+// Answered records that an endpoint gave a complete answer to the request on weights of
+// the given version.
+func (g *Guard) Answered(id *quarantine.Identity, version int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.node.Answered(g.o.Clock(), f)
+	g.node.Answered(g.o.Clock(), id, version)
 	g.flush()
 }
 
 // Lost records an attempt whose connection broke, and checks the endpoint unless it
 // is known to have crashed. An endpoint that aborted only one answer, or whose network
 // failed, may still run, so it counts as crashed only if it accepts no more connections.
-// key identifies one incarnation of the endpoint.
-func (g *Guard) Lost(f quarantine.Fingerprint, key fleet.EndpointID, address string) {
+func (g *Guard) Lost(id *quarantine.Identity, version int64, at quarantine.Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.checks[key]
+	lost := lostAttempt{id, version}
+	c := g.checks[at.Key]
 	switch {
 	case c == nil || c.done && !c.crashed:
-		c = &endpointCheck{waiting: []quarantine.Fingerprint{f}}
-		g.checks[key] = c
-		go g.check(c, key, address)
+		c = &endpointCheck{waiting: []lostAttempt{lost}}
+		g.checks[at.Key] = c
+		go g.check(c, at)
 	case !c.done:
-		c.waiting = append(c.waiting, f)
+		c.waiting = append(c.waiting, lost)
 	default:
-		g.recordCrash(f, key)
+		g.recordCrash(lost, at.Key)
 	}
 }
 
 // check determines whether the endpoint has crashed and records this for the waiting
-// requests.
-func (g *Guard) check(c *endpointCheck, key fleet.EndpointID, address string) {
+// attempts.
+func (g *Guard) check(c *endpointCheck, at quarantine.Endpoint) {
 	crashed := false
 	for n := 0; n < dialAttempts && !crashed; n++ {
 		if n > 0 {
@@ -209,14 +216,14 @@
 				return
 			}
 		}
-		crashed = g.unreachable(address)
+		crashed = g.unreachable(at.Address)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.checkedAt, c.done, c.crashed = g.o.Clock(), true, crashed
-	for _, f := range c.waiting {
+	for _, lost := range c.waiting {
 		if crashed {
-			g.recordCrash(f, key)
+			g.recordCrash(lost, at.Key)
 		}
 	}
 	c.waiting = nil
@@ -237,8 +244,28 @@
 
 // recordCrash records that an endpoint crashed while it ran the request. The caller must
 // hold mu.
-func (g *Guard) recordCrash(f quarantine.Fingerprint, key fleet.EndpointID) {
-	g.o.Log.Info("Endpoint crashed while it ran a request.", "fingerprint", f.String(), "endpoint", string(key))
-	g.node.EndpointCrashed(g.o.Clock(), f, key)
+func (g *Guard) recordCrash(lost lostAttempt, key fleet.EndpointID) {
+	counted := g.node.EndpointCrashed(g.o.Clock(), lost.id, lost.version, key)
+	g.o.Log.Info("Endpoint crashed while it ran a request.", "fingerprint", lost.id.Request.String(), "endpoint", string(key), "version", lost.version, "counted", countedText(lost.id, counted))
 	g.flush()
 }
+
+// Limits of the fingerprints in a log line.
+const (
+	maxLoggedFingerprints = 8
+	maxLoggedSegmentID    = 16 // bytes
+)
+
+// countedText formats the first fingerprints that a crash counts against, those of
+// segments after "ID=".
+func countedText(id *quarantine.Identity, counted []quarantine.Fingerprint) []string {
+	out := make([]string, 0, maxLoggedFingerprints)
+	for _, f := range counted[:min(len(counted), maxLoggedFingerprints)] {
+		text := f.String()
+		if segment := id.SegmentID(f); segment != "" {
+			text = segment[:min(len(segment), maxLoggedSegmentID)] + "=" + text
+		}
+		out = append(out, text)
+	}
+	return out
+}
--- a/quarantineguard/guard_test.go
+++ b/quarantineguard/guard_test.go
@@ -46,12 +46,13 @@
 
 var (
 	crashing  = quarantine.FingerprintOf("org", "POST", "h", "/x", []byte("deadly"))
+	request   = &quarantine.Identity{Request: crashing}
 	endpoints = []fleet.EndpointID{"i-1@0", "i-2@0", "i-3@0"}
 )
 
 func loseAtAll(g *Guard) {
 	for _, e := range endpoints {
-		g.Lost(crashing, e, "10.0.0.1:1")
+		g.Lost(request, 0, quarantine.Endpoint{Key: e, Address: "10.0.0.1:1"})
 	}
 	time.Sleep(time.Second) // virtual
 }
@@ -76,7 +77,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := newGuard(t, c.dial)
 				loseAtAll(g)
-				if _, held := g.Held(crashing); held != c.held {
+				if _, held := g.Held(request); held != c.held {
 					t.Errorf("held: %v", held)
 				}
 			})
@@ -115,7 +116,7 @@
 				t.Errorf("%s: %d", path, w.Code)
 			}
 		}
-		if _, held := g.Held(crashing); held {
+		if _, held := g.Held(request); held {
 			t.Error("it is still held")
 		}
 	})
--- a/quarantineguard/http.go
+++ b/quarantineguard/http.go
@@ -11,8 +11,9 @@
 // heldRequest is the JSON representation of a held request.
 type heldRequest struct {
 	Fingerprint string `json:"fingerprint"`
+	Segment     bool   `json:"segment"` // the fingerprint is that of a prompt segment
 	LeftSeconds int64  `json:"left_s"`
-	Ends        int    `json:"ends"` // crashed endpoints that this daemon knows of; 0 if another daemon counted them
+	Ends        int    `json:"ends"` // crashed endpoints that this daemon knows of
 }
 
 // RegisterHandlers registers the operators' API: GET /quarantine lists the held
@@ -28,7 +29,7 @@
 	g.mu.Unlock()
 	out := make([]heldRequest, 0, len(holds))
 	for f, hold := range holds {
-		out = append(out, heldRequest{Fingerprint: f.String(), LeftSeconds: int64(hold.Left.Seconds()), Ends: hold.Crashes})
+		out = append(out, heldRequest{Fingerprint: f.String(), Segment: f.IsSegment(), LeftSeconds: int64(hold.Left.Seconds()), Ends: hold.Crashes})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(out); err != nil {
--- a/router/quarantine_store.go
+++ b/router/quarantine_store.go
@@ -29,6 +29,10 @@
 	Round  uint64 `json:"round"`
 	Began  int64  `json:"began"`
 	Until  int64  `json:"until"`
+	// Version is the newest version of weights under which an endpoint crashed, and
+	// Crashes has hashes of the crashed endpoints.
+	Version int64    `json:"version,omitempty"`
+	Crashes []uint32 `json:"crashes,omitempty"`
 }
 
 // holdStore writes holds to the store, from which restarting daemons load them. Only
@@ -147,7 +151,10 @@
 		return
 	}
 	now := time.Now()
-	value, err := json.Marshal(storedHold{Daemon: s.self, Round: kept.Round, Began: now.Add(-kept.Age).UnixMilli(), Until: now.Add(kept.Left).UnixMilli()})
+	value, err := json.Marshal(storedHold{
+		Daemon: s.self, Round: kept.Round, Began: now.Add(-kept.Age).UnixMilli(), Until: now.Add(kept.Left).UnixMilli(),
+		Version: kept.Version, Crashes: kept.Crashes,
+	})
 	if err != nil {
 		s.log.Error("Hold cannot be encoded.", "fingerprint", c.Fingerprint.String(), "error", err.Error())
 		return
@@ -181,6 +188,7 @@
 	}
 	r.quarantine.Restore(quarantine.StoredHold{
 		Fingerprint: f, Round: stored.Round, Age: max(0, time.Since(time.UnixMilli(stored.Began))), Left: left,
+		Version: stored.Version, Crashes: stored.Crashes,
 	})
 	return true
 }
--- a/router/report.go
+++ b/router/report.go
@@ -93,6 +93,9 @@
 	if f := rep.Refused; f != nil && f.Endpoint != "" {
 		fields = append(fields, "best", f.Endpoint, "wait_ms", f.Wait.Milliseconds(), "load_age_ms", f.Age.Milliseconds())
 	}
+	if h := rep.Hold; h != nil {
+		fields = append(fields, "held_fingerprint", h.Fingerprint.String(), "held_segment", rep.HeldSegment, "held_crashes", h.Crashes, "held_left_ms", h.Left.Milliseconds())
+	}
 	if q := rep.Quota; rep.Code == forward.CodeRateLimited {
 		fields = append(fields, "quota_used", q.Used, "quota_owner", q.Owner, "quota_age_ms", q.Age.Milliseconds())
 	}
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -915,14 +915,14 @@
 		const daemons = 9
 		z := newZoneWithHeartbeats(t, daemons)
 		time.Sleep(zoneSettleTime)
-		f := quarantine.FingerprintOf("org", "POST", "h", "/x", nil)
-		lifted := quarantine.FingerprintOf("org", "POST", "h", "/y", nil)
+		f := &quarantine.Identity{Request: quarantine.FingerprintOf("org", "POST", "h", "/x", nil)}
+		lifted := &quarantine.Identity{Request: quarantine.FingerprintOf("org", "POST", "h", "/y", nil)}
 		for _, end := range []fleet.EndpointID{"a", "b", "c"} {
-			z.daemons[0].quarantine.Lost(f, end, "e")
-			z.daemons[0].quarantine.Lost(lifted, end, "e")
+			z.daemons[0].quarantine.Lost(f, 0, quarantine.Endpoint{Key: end, Address: "e"})
+			z.daemons[0].quarantine.Lost(lifted, 0, quarantine.Endpoint{Key: end, Address: "e"})
 		}
 		time.Sleep(zoneSettleTime)
-		z.daemons[0].quarantine.Answered(lifted)
+		z.daemons[0].quarantine.Answered(lifted, 0)
 		time.Sleep(zoneSettleTime)
 		z.startDaemons(daemons)
 		time.Sleep(zoneSettleTime)
