Do not send a request for which a hold began during its placement

A request that waits for a dispatcher's answer, or between two attempts, was sent although its segment or content was held meanwhile.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -334,6 +334,9 @@
 			c.answerUnplaced(err)
 			return
 		}
+		if c.heldSincePlacement(&p) {
+			return
+		}
 		c.chargeRetry()
 		done, failed := c.attempt(&p)
 		if done {
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -65,16 +65,24 @@
 
 func serveTable(t *testing.T, table *routes.Table, p Placer, l Limiter, stops time.Time) *httptest.Server {
 	t.Helper()
-	table.BuildIndex()
-	callers := NewCallerConns()
-	h := NewHandler(Options{
-		Codec: plainWire{}, Client: NewClient(plainWire{}, nil), Placer: p,
-		Table:     func() *routes.Table { return table },
-		KeysFresh: func() bool { return true }, KeysAge: func() time.Duration { return 0 },
+	return serveOptions(t, table, Options{
+		Placer: p, Limiter: l,
 		Draining: func() bool { return !stops.IsZero() }, ShutdownDeadline: func() time.Time { return stops },
-		Callers: callers, Limiter: l, Report: func(*Report) {},
 	})
-	s := httptest.NewUnstartedServer(h)
+}
+
+// serveOptions starts a server with the options that are set, and defaults for the others.
+func serveOptions(t *testing.T, table *routes.Table, o Options) *httptest.Server {
+	t.Helper()
+	table.BuildIndex()
+	callers := NewCallerConns()
+	o.Codec, o.Client, o.Callers, o.Report = plainWire{}, NewClient(plainWire{}, nil), callers, func(*Report) {}
+	o.Table = func() *routes.Table { return table }
+	o.KeysFresh, o.KeysAge = func() bool { return true }, func() time.Duration { return 0 }
+	if o.Draining == nil {
+		o.Draining, o.ShutdownDeadline = func() bool { return false }, func() time.Time { return time.Time{} }
+	}
+	s := httptest.NewUnstartedServer(NewHandler(o))
 	s.Config.ConnContext = callers.Context
 	s.Start()
 	t.Cleanup(s.Close)
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -37,13 +37,36 @@
 	}
 	hold, held := c.o.Quarantine.Held(&c.req.Identity)
 	if held {
-		c.report.Hold = &hold
-		c.report.HeldSegment = c.req.Identity.SegmentID(hold.Fingerprint)
+		c.reportHold(&hold)
 		c.refuse(http.StatusServiceUnavailable, quarantineCode(&hold), hold.Left)
 	}
 	return held
 }
 
+// heldSincePlacement answers a request for which a hold began while it waited for its
+// placement, and returns true.
+func (c *call) heldSincePlacement(p *Placement) bool {
+	if c.o.Quarantine == nil {
+		return false
+	}
+	hold, held := c.o.Quarantine.Held(&c.req.Identity)
+	if !held {
+		return false
+	}
+	c.o.Placer.AttemptEnded(p, AttemptEnd{Left: true})
+	c.reportHold(&hold)
+	if c.req.Attempt > 0 {
+		c.giveUp(retry.Decision{Code: retry.Code(quarantineCode(&hold))})
+	} else {
+		c.refuse(http.StatusServiceUnavailable, quarantineCode(&hold), hold.Left)
+	}
+	return true
+}
+
+func (c *call) reportHold(h *quarantine.Hold) {
+	c.report.Hold, c.report.HeldSegment = h, c.req.Identity.SegmentID(h.Fingerprint)
+}
+
 func quarantineCode(h *quarantine.Hold) string {
 	if h.Fingerprint.IsSegment() {
 		return CodeSegmentQuarantined
