Tell answers that end with their connection from those that a crash ends

An answer, a stream too, may have neither a length nor chunks and end with its connection. What callers would see: a segment that crashes engines after the first event is never quarantined where answers are unframed, as each crash between two events looked like a complete answer, which acquits; and an engine that crashes right after the header of an unframed answer gives an empty success.

Such a success now has the endpoint checked as after a lost connection, and acquits only if it accepts connections; one without an event or content counts as lost. Streams that end between events stay complete for their callers, as the platform says, and those that end inside one broken.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -138,6 +138,9 @@
 		return c.relayUnbuffered(a, body)
 	}
 	a.Close(err == nil)
+	if err == nil && success && len(body) == 0 && !a.framed() {
+		err = io.ErrUnexpectedEOF // nothing tells it from an answer that a crash cut off
+	}
 	if err != nil {
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: err}
 	}
@@ -151,7 +154,7 @@
 		return AttemptEnd{Failure: retry.Broken, Error: true}
 	}
 	c.sendBuffered(answer)
-	return AttemptEnd{Whole: true, Generated: success && (len(body) > 0 || a.framed()), Error: !success && a.Status >= http.StatusInternalServerError}
+	return AttemptEnd{Whole: true, Generated: success, Unframed: !a.framed(), Error: !success && a.Status >= http.StatusInternalServerError}
 }
 
 // relayUnbuffered copies an answer that exceeds maxBufferedAnswer. begin is the
@@ -167,7 +170,7 @@
 	if err != nil {
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: err}
 	}
-	return AttemptEnd{Whole: true, Generated: success}
+	return AttemptEnd{Whole: true, Generated: success, Unframed: !a.framed()}
 }
 
 // sendHeader sends the header of an unbuffered answer, unless it was sent before.
@@ -233,16 +236,17 @@
 	return AttemptEnd{}, true
 }
 
-// endStream handles the end of an answer that is complete by its HTTP framing. delivered
-// states that it brought an event.
+// endStream handles the end of an answer that is complete by its HTTP framing, or ended with
+// its connection. delivered states that it brought an event.
 func (c *call) endStream(a *Answer, delivered bool) AttemptEnd {
 	a.Close(true)
-	if rest := c.events.incomplete(); len(rest) > 0 {
-		// A complete answer ends with a complete event.
-		return AttemptEnd{Failure: retry.Broken, Lost: true}
+	if rest := c.events.incomplete(); len(rest) > 0 || !delivered && !a.framed() {
+		// A complete answer ends with a complete event, and nothing tells an unframed one
+		// without events from one that a crash cut off.
+		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: io.ErrUnexpectedEOF}
 	}
 	c.sendHeader(a)
 	c.streamEnds()
 	_ = c.rc.SetWriteDeadline(time.Time{})
-	return AttemptEnd{Whole: true, Generated: delivered || a.framed()}
+	return AttemptEnd{Whole: true, Generated: true, Unframed: !a.framed()}
 }
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -90,15 +90,17 @@
 // daemons.
 type AttemptEnd struct {
 	Whole bool // the answer was complete, whatever its status
-	// Generated states that the answer was a complete success that only an endpoint which
-	// had run the request could send.
+	// Generated states that the answer was a complete success.
 	Generated bool `json:"-"`
-	Error     bool // the endpoint answered with a server error
-	NotRun    bool // the endpoint reported that it did not run the request
-	Failure   retry.Failure
-	Lost      bool  // the connection was refused, lost or unresponsive
-	Cause     error `json:"-"` // of the loss; nil: the answer was incomplete on an intact connection
-	Left      bool  // the caller disconnected
+	// Unframed states that the answer ended with its connection, so that a crash of the
+	// endpoint may have ended it.
+	Unframed bool `json:"-"`
+	Error    bool // the endpoint answered with a server error
+	NotRun   bool // the endpoint reported that it did not run the request
+	Failure  retry.Failure
+	Lost     bool  // the connection was refused, lost or unresponsive
+	Cause    error `json:"-"` // of the loss; nil: the answer was incomplete on an intact connection
+	Left     bool  // the caller disconnected
 	// RelayLost states that the daemon that relayed the connection was lost, which shows
 	// nothing about the endpoint.
 	RelayLost bool
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -81,11 +81,14 @@
 
 // reportToQuarantine reports the end of an attempt to the quarantine.
 func (c *call) reportToQuarantine(p *Placement, end *AttemptEnd) {
+	at := quarantine.Endpoint{Key: p.Target.Key, Address: p.Target.Address}
 	switch {
 	case c.o.Quarantine == nil || end.NotRun || end.Left:
+	case end.Generated && end.Unframed:
+		c.o.Quarantine.Ended(&c.req.Identity, p.Out.Version, at)
 	case end.Generated:
 		c.o.Quarantine.Answered(&c.req.Identity, p.Out.Version)
 	case end.Lost && end.Failure != retry.NotSent && classifyLoss(end.Cause) != lossTimeout:
-		c.o.Quarantine.Lost(&c.req.Identity, p.Out.Version, quarantine.Endpoint{Key: p.Target.Key, Address: p.Target.Address})
+		c.o.Quarantine.Lost(&c.req.Identity, p.Out.Version, at)
 	}
 }
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -19,6 +22,7 @@
 	mu        sync.Mutex
 	questions int
 	answered  int
+	ended     int
 	lost      int
 }
 
@@ -37,6 +41,12 @@
 	g.lost++
 }
 
+func (g *recordingGate) Ended(*quarantine.Identity, int64, quarantine.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended++
+}
+
 func (g *recordingGate) Answered(*quarantine.Identity, int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -69,3 +79,77 @@
 		t.Errorf("%d requests reached the endpoint, ends %+v", len(seen), p.ends)
 	}
 }
+
+// closingEndpoint starts a server that closes each connection after one answer.
+func closingEndpoint(t *testing.T, answer string) Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(c, answer)
+			}
+			_ = c.Close()
+		}
+	}()
+	return Target{Key: "e@1", ID: "e", Address: l.Addr().String()}
+}
+
+// Guards against answers that end with their connection and are taken for complete although
+// the endpoint crashed, or for broken although they are complete.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n"
+	const event = "id: 0\ndata: one\n\n"
+	for name, c := range map[string]struct {
+		kind                  routes.Kind
+		answer                string
+		complete              bool
+		answered, ended, lost int
+	}{
+		"stream":                 {routes.Stream, head + "\r\n" + event, true, 0, 1, 0},
+		"stream with no event":   {routes.Stream, head + "\r\n", false, 0, 0, 1},
+		"stream inside event":    {routes.Stream, head + "\r\n" + event + "id: 1\nda", false, 0, 0, 1},
+		"framed stream":          {routes.Stream, head + "Content-Length: 17\r\n\r\n" + event, true, 1, 0, 0},
+		"framed, without event":  {routes.Stream, head + "Content-Length: 0\r\n\r\n", true, 1, 0, 0},
+		"plain":                  {routes.Safe, head + "\r\nwhole", true, 0, 1, 0},
+		"plain without content":  {routes.Safe, head + "\r\n", false, 0, 0, 1},
+		"framed without content": {routes.Safe, head + "Content-Length: 0\r\n\r\n", true, 1, 0, 0},
+		"server error":           {routes.Unsafe, "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n\r\nfailed", true, 0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := closingEndpoint(t, c.answer)
+			g := &recordingGate{}
+			s := serveGated(t, &listPlacer{places: []Placement{{Target: target}}}, g, c.kind)
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h"
+			req.Header.Set("Attempt-Id", "a1")
+			resp, err := s.Client().Do(req)
+			complete := false
+			if err == nil {
+				_, readErr := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				complete = readErr == nil && resp.Header.Get("Response-Signature") != ""
+			}
+			if complete != c.complete {
+				t.Errorf("complete at the caller: %v, %v", complete, err)
+			}
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if g.answered != c.answered || g.ended != c.ended || g.lost != c.lost {
+				t.Errorf("answered %d, ended %d, lost %d; expected %d, %d, %d", g.answered, g.ended, g.lost, c.answered, c.ended, c.lost)
+			}
+		})
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -86,6 +86,9 @@
 	// Lost reports an attempt on weights of the given version whose connection was lost,
 	// possibly because the endpoint crashed.
 	Lost(id *Identity, version int64, at Endpoint)
+	// Ended reports a success on weights of the given version that ended with its
+	// connection. It is complete unless the endpoint crashed.
+	Ended(id *Identity, version int64, at Endpoint)
 	// Answered reports a complete answer to the request on weights of the given version.
 	Answered(id *Identity, version int64)
 }
--- a/quarantineguard/guard.go
+++ b/quarantineguard/guard.go
@@ -72,10 +72,13 @@
 	waiting   []lostAttempt // wait for the result
 }
 
-// lostAttempt is an attempt whose connection was lost.
+// lostAttempt is an attempt whose connection was lost or ended with the answer.
 type lostAttempt struct {
 	id      *quarantine.Identity
 	version int64 // of the weights
+	// answered states that the connection ended with an answer, which is complete unless
+	// the endpoint has crashed.
+	answered bool
 }
 
 // New returns a Guard without holds.
@@ -190,9 +193,18 @@
 // is known to have crashed. An endpoint that aborted only one answer, or whose network
 // failed, may still run, so it counts as crashed only if it accepts no more connections.
 func (g *Guard) Lost(id *quarantine.Identity, version int64, at quarantine.Endpoint) {
+	g.checkFor(lostAttempt{id: id, version: version}, at)
+}
+
+// Ended records an answer that ended with its connection, and checks the endpoint as Lost
+// does.
+func (g *Guard) Ended(id *quarantine.Identity, version int64, at quarantine.Endpoint) {
+	g.checkFor(lostAttempt{id: id, version: version, answered: true}, at)
+}
+
+func (g *Guard) checkFor(lost lostAttempt, at quarantine.Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	lost := lostAttempt{id, version}
 	c := g.checks[at.Key]
 	switch {
 	case c == nil || c.done && !c.crashed:
@@ -222,11 +234,15 @@
 	defer g.mu.Unlock()
 	c.checkedAt, c.done, c.crashed = g.o.Clock(), true, crashed
 	for _, lost := range c.waiting {
-		if crashed {
+		switch {
+		case crashed:
 			g.recordCrash(lost, at.Key)
+		case lost.answered:
+			g.node.Answered(g.o.Clock(), lost.id, lost.version)
 		}
 	}
 	c.waiting = nil
+	g.flush()
 }
 
 // unreachable reports whether the address refuses connections or the host does not respond.
--- a/quarantineguard/guard_test.go
+++ b/quarantineguard/guard_test.go
@@ -121,3 +121,30 @@
 		}
 	})
 }
+
+// Guards against an answer that ended with its connection and acquits the request although
+// the endpoint crashed, or that counts as a crash of an endpoint that runs.
+func TestChecksEndpointsWhoseAnswersEndWithTheirConnection(t *testing.T) {
+	for name, crashed := range map[string]bool{"runs": false, "crashed": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				refusing := true
+				g := newGuard(t, func() (net.Conn, error) {
+					if refusing {
+						return refuseConnection()
+					}
+					near, _ := net.Pipe()
+					return near, nil
+				})
+				loseAtAll(g)
+				refusing = crashed
+				time.Sleep(2 * checkResultTTL)
+				g.Ended(request, 0, quarantine.Endpoint{Key: "i-4@0", Address: "10.0.0.1:1"})
+				time.Sleep(time.Second)
+				if _, held := g.Held(request); held != crashed {
+					t.Errorf("held: %v", held)
+				}
+			})
+		})
+	}
+}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -62,6 +62,7 @@
 	confirming   atomic.Bool                   // the store confirms the lists of endpoints
 	// crashingSegments crash each endpoint that answers a prompt with one of them.
 	crashingSegments []string
+	unframed         bool // answers have neither a length nor chunks and end with their connection
 }
 
 const (
@@ -502,6 +503,10 @@
 		return e.stream(c, head, req)
 	}
 	answer := "id: 0\ndata: one\n\n"
+	if e.f.unframed {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+answer)
+		return false
+	}
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
 	return err == nil
 }
@@ -520,8 +525,14 @@
 			from = last + 1
 		}
 		event := fmt.Sprintf("id: %d\ndata: one\n\n", from)
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(event), event)
+		if e.f.unframed {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+event)
+		} else {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(event), event)
+		}
 		time.Sleep(streamPause)
+	} else if e.f.unframed {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n")
 	}
 	e.f.mu.Lock()
 	if e.up && e.incarnation == incarnation {
--- a/router/segment_crash_test.go
+++ b/router/segment_crash_test.go
@@ -155,6 +155,7 @@
 	rareEvery          int
 	hostUnreachable    bool
 	lossRate           float64
+	unframed           bool
 }
 
 const crashLimit = 3 // requests that may reach endpoints later than the settling time after the fifth crash
@@ -165,17 +166,19 @@
 	stream := routes.Route{Kind: routes.Stream}
 	resumable := routes.Route{Kind: routes.Stream, Resumable: true}
 	for name, c := range map[string]segmentCase{
-		"in the middle":         {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}},
-		"first":                 {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{"bad", "b1"}}},
-		"not resumable":         {daemons: 6, endpoints: 18, route: stream, crashing: [][]string{{organisationSegment, "bad"}}},
-		"after the first event": {daemons: 6, endpoints: 18, route: resumable, events: 5, crashing: [][]string{{organisationSegment, "bad"}}},
-		"beside a rare one":     {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "rare", "bad"}}, rareEvery: 100},
-		"beside changing ones":  {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{"a1", "bad", "b1"}, {organisationSegment, "bad"}, {"bad"}, {organisationSegment, "b2", "bad"}}},
-		"two segments":          {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}, {organisationSegment, "worse"}}, bad: []string{"bad", "worse"}},
-		"seldom":                {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}, crashInterval: 700 * time.Millisecond},
-		"hosts unreachable":     {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}, hostUnreachable: true},
-		"messages lost":         {daemons: 24, endpoints: 48, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}, lossRate: 0.05},
-		"one daemon":            {daemons: 1, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}},
+		"in the middle":            {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}},
+		"first":                    {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{"bad", "b1"}}},
+		"not resumable":            {daemons: 6, endpoints: 18, route: stream, crashing: [][]string{{organisationSegment, "bad"}}},
+		"after the first event":    {daemons: 6, endpoints: 18, route: resumable, events: 5, crashing: [][]string{{organisationSegment, "bad"}}},
+		"beside a rare one":        {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "rare", "bad"}}, rareEvery: 100},
+		"beside changing ones":     {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{"a1", "bad", "b1"}, {organisationSegment, "bad"}, {"bad"}, {organisationSegment, "b2", "bad"}}},
+		"two segments":             {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}, {organisationSegment, "worse"}}, bad: []string{"bad", "worse"}},
+		"seldom":                   {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}, crashInterval: 700 * time.Millisecond},
+		"hosts unreachable":        {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}, hostUnreachable: true},
+		"messages lost":            {daemons: 24, endpoints: 48, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}, lossRate: 0.05},
+		"unframed":                 {daemons: 6, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}, unframed: true},
+		"unframed, after an event": {daemons: 6, endpoints: 18, route: resumable, events: 2, crashing: [][]string{{organisationSegment, "bad"}}, unframed: true},
+		"one daemon":               {daemons: 1, endpoints: 18, route: resumable, crashing: [][]string{{organisationSegment, "bad"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { c.play(t) })
@@ -188,7 +191,7 @@
 		c.bad = []string{"bad"}
 	}
 	f := newFleet(t, c.daemons, c.endpoints, c.route)
-	f.lossRate, f.crashingSegments = c.lossRate, c.bad
+	f.lossRate, f.crashingSegments, f.unframed = c.lossRate, c.bad, c.unframed
 	for _, e := range f.endpoints {
 		e.hostUnreachable, e.events = c.hostUnreachable, c.events
 	}
--- a/router/stream_callers_test.go
+++ b/router/stream_callers_test.go
@@ -35,16 +35,26 @@
 	e.f.mu.Lock()
 	build := e.build
 	e.f.mu.Unlock()
-	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+	if e.f.unframed {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n")
+	} else if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return false
 	}
 	for i := from; i < e.events; i++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, build)
+		if e.f.unframed {
+			_, _ = io.WriteString(c, event)
+			time.Sleep(streamPause)
+			continue
+		}
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
 		}
 		time.Sleep(streamPause)
 	}
+	if e.f.unframed {
+		return false
+	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
