Keep costs of endpoints finite where answers arrive all at once

What callers see: where answers arrive with their header (plain services, one event), the mean time from the first token to the last approaches 0. The arrival rate that is derived from it then dominates every cost, in virtual time it is infinite, and the comparison picks the first endpoint of the list whatever its load. Found by the test of a daemon with most connections: costs of 1e15 s and infinity for all six candidates.

The mean is at least 10 ms. go test ./placement -run WithoutDuration: a full endpoint is chosen before, not after.

--- a/placement/view.go
+++ b/placement/view.go
@@ -182,6 +182,10 @@
 
 const minHalfLife = 200 * time.Millisecond
 
+// minServiceTime bounds the mean time from the first token to the last. Answers that arrive
+// all at once would bring it to 0, and the rates that are derived from it to infinity.
+const minServiceTime = 10 * time.Millisecond
+
 // Finished ends a request whose complete answer has arrived.
 func (v *View) Finished(now time.Time, id uint64) {
 	i, ok := v.byOwner[id]
@@ -189,7 +193,7 @@
 		return
 	}
 	if first := v.reservations[i].firstTokenAt; !first.IsZero() {
-		v.serviceTime += smoothingGain * (now.Sub(first).Seconds() - v.serviceTime)
+		v.serviceTime = max(minServiceTime.Seconds(), v.serviceTime+smoothingGain*(now.Sub(first).Seconds()-v.serviceTime))
 	}
 	v.release(i)
 }
