Avoid an endpoint for a moment after it rejects a request for want of room

Cause: a rejection changed nothing for a full endpoint but its load. A daemon that sends nearly all requests has one fresh report, that of the endpoint which just rejected it; unknown loads are taken for typical, so the others count as full as well, and the rank of the prefix decides: 604 of 640 requests a second went to one of six engines. The state keeps itself going.

A rejection for want of room now makes the endpoint the last choice for 10 ms, doubled with each further one up to 160 ms, and reset by an answer. It is a cost, so that nothing is refused where all are full. Weighed: suspending it as other rejections do (empties the service), a shorter trust in reports (the same state, slower).

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -80,6 +80,9 @@
 		c.cost += recomputeWeight * (m.tokens - m.reusable(c)) / e.prefillRate
 	}
 	c.cost += batchFillCost * batchFill(e)
+	if now.Before(e.fullUntil) {
+		c.cost += fullCost
+	}
 	if !m.exclusive {
 		c.cost += v.stalenessCost(now, e, c.endpoint, m.id)
 	}
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -61,6 +61,10 @@
 	loadAt  time.Time
 	retired [maxRetired]fleet.Incarnation
 	waits   [contract.PriorityCount]observedWait
+	// rejections counts the rejections for want of room since the last answer. Until
+	// fullUntil other endpoints are preferred.
+	rejections int
+	fullUntil  time.Time
 }
 
 var noReport = &reported{}
@@ -308,6 +312,18 @@
 	v.applyLoad(e, l)
 }
 
+// Rejected records that the endpoint rejected a request for want of room. It is then avoided
+// for a moment, and longer after each further rejection.
+func (v *View) Rejected(now time.Time, id fleet.EndpointID) {
+	e := v.endpointOf(id)
+	if e == nil {
+		return
+	}
+	e.ownReport()
+	e.fullUntil = now.Add(min(minFullPause<<min(e.rejections, maxFullDoublings), maxFullPause))
+	e.rejections++
+}
+
 // applyLoad replaces an older report and covers the reservations that the new one already
 // counts.
 func (v *View) applyLoad(e *endpoint, l fleet.Load) {
--- a/placement/place.go
+++ b/placement/place.go
@@ -49,11 +49,23 @@
 	stalenessCostRate = 0.1
 	// maxStalenessCost is the upper bound of that range, in seconds.
 	maxStalenessCost = 0.06
+	// fullCost is the cost of an endpoint that has just rejected a request for want of room.
+	// It exceeds that of recomputing a long prompt elsewhere: a rejection leads there too,
+	// later and at the expense of the retry budget.
+	fullCost = 10.0
 	// maxPrefillShare is the fraction of one endpoint's prefill time that a prefix may use
 	// before another preferred endpoint is added for it.
 	maxPrefillShare = 0.5
 )
 
+// Pauses after rejections for want of room. Places become free all the time, so that the
+// first pause is short.
+const (
+	minFullPause     = 10 * time.Millisecond
+	maxFullPause     = 160 * time.Millisecond
+	maxFullDoublings = 4
+)
+
 // candidate is an endpoint considered for one request.
 type candidate struct {
 	endpoint       int32
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -104,6 +104,13 @@
 	s.view.LoadReported(id, l)
 }
 
+// Rejected calls View.Rejected under the lock.
+func (s *SharedView) Rejected(now time.Time, id fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Rejected(now, id)
+}
+
 // EventsLost calls View.EventsLost under the lock.
 func (s *SharedView) EventsLost(id fleet.EndpointID) {
 	s.mu.Lock()
--- a/placement/view.go
+++ b/placement/view.go
@@ -74,6 +74,9 @@
 	if e == nil || !v.accept(e, a.Incarnation, now) {
 		return
 	}
+	if e.rejections > 0 {
+		e.rejections = 0
+	}
 	if a.Load != nil {
 		v.applyLoad(e, *a.Load)
 	}
--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -20,6 +20,7 @@
 	serviceTime    time.Duration
 	rejectionLimit *float64 // rejections/s above which it crashes, as reported; nil: none
 	enforced       bool     // whether it crashes already
+	reportsNothing bool     // its answers have no load
 
 	mu               sync.Mutex
 	running, waiting int
@@ -92,7 +93,10 @@
 func (k *simulatedCapacity) header() string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := fmt.Sprintf("Load: %d,%d,%d\r\n", k.running, k.waiting, k.slots)
+	out := ""
+	if !k.reportsNothing {
+		out = fmt.Sprintf("Load: %d,%d,%d\r\n", k.running, k.waiting, k.slots)
+	}
 	if k.rejectionLimit != nil {
 		out += "Brittle: " + strconv.FormatFloat(*k.rejectionLimit, 'g', -1, 64) + "\r\n"
 	}
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -222,14 +222,16 @@
 
 // handleRejection excludes an endpoint for a short time after it did not run a request
 // because it is a different endpoint, has other weights or is loading new ones. An
-// endpoint that is merely full is not excluded.
+// endpoint that is merely full is not excluded, but avoided for a moment.
 func (p *placer) handleRejection(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
-	p.state.mu.Lock()
-	defer p.state.mu.Unlock()
 	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
-	if info.Misplaced || !full {
-		p.state.roster.Suspend(now, pl.Target.Key, refusalSuspension)
+	if full && !info.Misplaced {
+		p.state.view.Rejected(now, pl.Target.Key)
+		return
 	}
+	p.state.mu.Lock()
+	defer p.state.mu.Unlock()
+	p.state.roster.Suspend(now, pl.Target.Key, refusalSuspension)
 }
 
 // AttemptEnded implements forward.Placer.
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -312,6 +312,7 @@
 	capacity        *simulatedCapacity // nil: it runs any number of requests at once
 	build           string             // its software version
 	events          int                // of its answers; 0: all at once, one event
+	failing         float64            // fraction of the requests that it answers with a server error
 
 	arrivals       []arrival
 	segmentCrashes []segmentCrash
@@ -488,6 +489,10 @@
 	} else {
 		time.Sleep(fleetServiceTime)
 	}
+	if e.failing > 0 && e.f.draw() < e.failing {
+		_, err := io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\n"+head+"Content-Length: 0\r\n\r\n")
+		return err == nil
+	}
 	if e.crashOnSegment(c, head, req, incarnation) {
 		return false
 	}
