Send a request again if no byte of it was sent on an idle connection

What callers see: requests that may run once get 502 outcome_unknown when the idle connections of a daemon have been reset without a sign that a look at them shows.

The request is written to another connection, dialled if no idle one is left; a failed first write on a new connection counts as not sent. go test ./forward -run NothingWasSent fails before.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -325,18 +325,10 @@
 // context ends, the connection is closed, which makes most endpoints cancel the
 // request.
 func (c *Client) Send(ctx context.Context, t Target, o *EndpointRequest) (*Answer, error) {
-	k, err := c.acquire(ctx, t)
+	k, w, stop, err := c.start(ctx, t, o)
 	if err != nil {
 		return nil, err
 	}
-	if o.SameIncarnation {
-		if err := c.verify(ctx, k, t); err != nil {
-			c.close(k)
-			return nil, err
-		}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
-	w := c.write(k, o)
 	a, err := c.receive(k, o)
 	if err != nil {
 		stop()
@@ -350,6 +342,34 @@
 	return a, nil
 }
 
+// start writes the request to a connection, which ends with the context until stop is
+// called. One that was idle may have ended unnoticed: while no byte of the request was sent,
+// it is written to another connection.
+func (c *Client) start(ctx context.Context, t Target, o *EndpointRequest) (k *conn, w *requestWrite, stop func() bool, err error) {
+	for {
+		if k, err = c.acquire(ctx, t); err != nil {
+			return nil, nil, nil, err
+		}
+		if o.SameIncarnation {
+			if err := c.verify(ctx, k, t); err != nil {
+				c.close(k)
+				return nil, nil, nil, err
+			}
+		}
+		to := k
+		stop = context.AfterFunc(ctx, func() { _ = to.SetDeadline(time.Unix(1, 0)) })
+		if w = c.write(k, o); !w.failedUnsent() {
+			return k, w, stop, nil
+		}
+		stop()
+		c.close(k)
+		if k.idleSince.IsZero() {
+			return nil, nil, nil, fmt.Errorf("%w: %w", ErrNotSent, w.err)
+		}
+		c.Suspect(t)
+	}
+}
+
 // attemptError is the error of a request that was sent and not answered.
 type attemptError struct {
 	via string // daemon that relayed it; empty: none
@@ -362,13 +382,24 @@
 // Via returns the name of the daemon that relayed the request; empty: none.
 func (a *Answer) Via() string { return a.conn.via() }
 
-// requestWrite is a write of a request that may still be in progress. err is
+// requestWrite is a write of a request that may still be in progress. sent and err are
 // valid once done is closed.
 type requestWrite struct {
 	done chan struct{}
+	sent int64 // bytes
 	err  error
 }
 
+// failedUnsent reports whether the write has ended before any byte was sent.
+func (w *requestWrite) failedUnsent() bool {
+	select {
+	case <-w.done:
+		return w.err != nil && w.sent == 0
+	default:
+		return false
+	}
+}
+
 func (w *requestWrite) finished() bool {
 	select {
 	case <-w.done:
@@ -382,7 +413,7 @@
 	w := &requestWrite{done: make(chan struct{})}
 	send := func() {
 		defer close(w.done)
-		w.err = writeRequest(k.Conn, o)
+		w.sent, w.err = writeRequest(k.Conn, o)
 	}
 	if len(o.Body) <= maxInlineBody {
 		send()
@@ -392,11 +423,11 @@
 	return w
 }
 
-func writeRequest(to io.Writer, o *EndpointRequest) error {
+func writeRequest(to io.Writer, o *EndpointRequest) (int64, error) {
 	var head bytes.Buffer
 	head.WriteString(o.Method + " " + o.URI + " HTTP/1.1\r\nHost: " + o.Host + "\r\n")
 	if err := o.Header.Write(&head); err != nil {
-		return err
+		return 0, err
 	}
 	if o.HasBody {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(o.Body)) + "\r\n")
@@ -406,8 +437,7 @@
 	if len(o.Body) > 0 {
 		buffers = append(buffers, o.Body)
 	}
-	_, err := buffers.WriteTo(to)
-	return err
+	return buffers.WriteTo(to)
 }
 
 // receive reads responses until the one to this attempt. An endpoint may have
--- a/forward/conn_test.go
+++ b/forward/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -257,3 +258,30 @@
 		t.Errorf("%d connections are left", n)
 	}
 }
+
+// endedConn is a connection that has ended without a sign of it: the first write fails.
+type endedConn struct{ net.Conn }
+
+func (endedConn) Write([]byte) (int, error) {
+	return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.EPIPE}
+}
+
+// Guards against a request that may run once and gets an unknown outcome although the idle
+// connection had ended before any byte of it was sent.
+func TestRequestIsSentAgainIfNothingWasSent(t *testing.T) {
+	target, seen := endpoint(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 2\r\n\r\nok")
+	c := NewClient(plainWire{}, nil)
+	raw, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", target.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.idle[target.Key] = []*conn{{Conn: endedConn{raw}, key: target.Key, address: target.Address, r: bufio.NewReader(raw), idleSince: time.Now(), maxIdle: time.Minute}}
+	c.open[target.Key] = 1
+	if body, err := sendAndRead(t, c, target, "a1"); err != nil || body != "ok" || len(seen) != 1 {
+		t.Errorf("%q, %v, %d requests", body, err, len(seen))
+	}
+	unreachable := NewClient(plainWire{}, func(context.Context, string, string) (net.Conn, error) { return endedConn{raw}, nil })
+	if _, err := sendAndRead(t, unreachable, target, "a1"); !errors.Is(err, ErrNotSent) {
+		t.Errorf("%v on a new connection", err)
+	}
+}
