--- a/placement/view.go
+++ b/placement/view.go
@@ -187,7 +187,7 @@
 
 // minServiceTime bounds the mean time from the first token to the last. Answers that arrive
 // all at once would bring it to 0, and the rates that are derived from it to infinity.
-const minServiceTime = 10 * time.Millisecond
+const minServiceTime = time.Microsecond
 
 // Finished ends a request whose complete answer has arrived.
 func (v *View) Finished(now time.Time, id uint64) {
