Spread requests over endpoints that report no load

What callers see: services whose endpoints report no load have one do all the work at low load, and at more all fill up, reject and are left alone at the same moments, at every daemon.

Cause: without a report the batch counts as empty and the random part of the cost as 0, so that equal costs are decided by the order of a list, the same at all daemons; a request that has been answered in part counts no more; and a rejection without a load takes the endpoint out of use for 0.4 s, which moves the load on to the rest.

Prompts are placed as before.

Not tried: 295 and 1,100 daemons, unequal speeds, the product's own path, endpoints that stop reporting.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -83,8 +83,11 @@
 	if now.Before(e.fullUntil) {
 		c.cost += fullCost
 	}
+	if m.tokens == 0 && e.loadAt.IsZero() {
+		c.cost += unreportedCost * float64(e.underWay)
+	}
 	if !m.exclusive {
-		c.cost += v.stalenessCost(now, e, c.endpoint, m.id)
+		c.cost += m.stalenessCost(now, e, c.endpoint)
 	}
 	c.cost += delayWeight * v.arrivalRate(e) * c.prepareTime * c.prepareTime / 2
 	if c.rank >= m.preferred {
@@ -101,14 +104,18 @@
 }
 
 // stalenessCost returns a pseudo-random cost for the request and the endpoint. Its range
-// grows with the age of the endpoint's load report. It is 0 for an endpoint that never
-// reported, so that this gets its first requests.
-func (v *View) stalenessCost(now time.Time, e *endpoint, ep int32, id uint64) float64 {
-	if e.loadAt.IsZero() {
-		return 0
+// grows with the age of the endpoint's load report. For an endpoint that never reported it
+// is 0, so that this gets its first prompts, and small for other requests, which nothing else
+// would spread over such endpoints.
+func (m *costModel) stalenessCost(now time.Time, e *endpoint, ep int32) float64 {
+	width := 0.0
+	switch {
+	case !e.loadAt.IsZero():
+		width = min(maxStalenessCost, stalenessCostRate*now.Sub(e.loadAt).Seconds())
+	case m.tokens == 0:
+		width = unreportedCost
 	}
-	width := min(maxStalenessCost, stalenessCostRate*now.Sub(e.loadAt).Seconds())
-	return width * float64(hash.Mix(id^uint64(ep)<<32)) / math.MaxUint64
+	return width * float64(hash.Mix(m.id^uint64(ep)<<32)) / math.MaxUint64
 }
 
 // prior returns the probability that a preferred endpoint caches a prefix of which nothing
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -51,6 +51,7 @@
 	lastReservation  int32
 	pending          [contract.PriorityCount]int // prompt tokens of those reservations
 	pendingCount     int                         // their number
+	underWay         int                         // reservations, of requests that have not ended
 }
 
 // reported is the state of an endpoint that exists only after a report or a request. All
--- a/placement/full_test.go
+++ b/placement/full_test.go
@@ -51,3 +51,31 @@
 		t.Errorf("%s was chosen after a pause that an answer had reset", d.Endpoint)
 	}
 }
+
+// Guards against endpoints that report no load and are all taken for idle in the same order,
+// so that the first one gets everything.
+func TestEndpointsThatReportNothingShareRequests(t *testing.T) {
+	now := epoch
+	v := queueView("a", "b", "c", "d")
+	count := map[fleet.EndpointID]int{}
+	for i := range uint64(40) { // all under way at once
+		d := place(t, v, now, Request{ID: i + 1, Pool: "p"})
+		v.Answered(now, Answer{ID: i + 1, Endpoint: d.Endpoint})
+		count[d.Endpoint]++
+	}
+	for id, n := range count {
+		if n > 11 || len(count) != 4 {
+			t.Errorf("%s has %d of 40 requests", id, n)
+		}
+	}
+	for i := range uint64(400) { // one after the other
+		d := place(t, v, now, Request{ID: 100 + i, Pool: "p"})
+		v.Finished(now, 100+i)
+		count[d.Endpoint]++
+	}
+	for id, n := range count {
+		if n > 150 {
+			t.Errorf("%s has had %d of 440 requests", id, n)
+		}
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -53,6 +53,10 @@
 	// It exceeds that of recomputing a long prompt elsewhere: a rejection leads there too,
 	// later and at the expense of the retry budget.
 	fullCost = 10.0
+	// unreportedCost is the cost of each request that this daemon has under way at an
+	// endpoint that never reported its load, and the range of the random cost that separates
+	// such endpoints.
+	unreportedCost = 0.004
 	// maxPrefillShare is the fraction of one endpoint's prefill time that a prefix may use
 	// before another preferred endpoint is added for it.
 	maxPrefillShare = 0.5
--- a/placement/reservations.go
+++ b/placement/reservations.go
@@ -61,6 +61,7 @@
 	e.lastReservation = i
 	e.pending[r.Priority] += tokens
 	e.pendingCount++
+	e.underWay++
 }
 
 // PendingPrompts returns the number of prompts that this daemon sent to the endpoint and
@@ -109,7 +110,9 @@
 
 func (v *View) release(i int32) {
 	r := &v.reservations[i]
-	v.cover(&v.endpoints[r.endpoint], i)
+	e := &v.endpoints[r.endpoint]
+	v.cover(e, i)
+	e.underWay--
 	delete(v.byOwner, r.owner)
 	*r = reservation{}
 	v.freeReservations = append(v.freeReservations, i)
--- a/router/uneven_test.go
+++ b/router/uneven_test.go
@@ -118,6 +118,12 @@
 	}
 }
 
+// Guards against the same where endpoints do not report their load.
+func TestDaemonWithMostConnectionsServesAsOftenWithoutLoads(t *testing.T) {
+	l := unevenLoad{daemons: 6, endpoints: 6, fraction: 0.5}
+	l.check(t)
+}
+
 func (l unevenLoad) check(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
