Use an idle engine before a prompt is refused for its wait

Cause: the cheapest candidate alone decided on a refusal. The wait of a cached engine is longer than the bound while reading the segment again elsewhere costs more than waiting; an engine of the pool for short prompts is a last resort whose penalty exceeds any wait. Traced for the silent cut: a prompt that the dispatcher had sent before the cut keeps its engine waiting until its deadline (3.9 s, backlog 3.8 s), the other engine has no wait, and each refusal names the first.

A prompt that would be refused goes to the engine with the lowest wait if that is within a fifth of the objective, whatever it caches. Nothing changes while the cheapest candidate is accepted.

--- a/router/candidates.go
+++ b/router/candidates.go
@@ -158,8 +158,39 @@
 // engine that can begin in time.
 func bestCandidate(now time.Time, v evaluator, r placement.Request, all []candidate, target time.Duration) (evaluatedCandidate, error) {
 	var best evaluatedCandidate
-	var preferred fleet.EndpointID
 	err := placement.ErrNoEndpoint
+	eachCandidate(now, v, r, all, func(i int, next *evaluatedCandidate) bool {
+		if err != nil || next.cost(target) < best.cost(target) {
+			best, err = *next, nil
+		}
+		return i > 0 || !next.lowWait(target)
+	})
+	return best, err
+}
+
+// idleCandidate returns the candidate with the lowest cost among those with a low wait,
+// and false if there is none. Engines are compared by their wait alone, not by what they
+// cache.
+func idleCandidate(now time.Time, v evaluator, r placement.Request, all []candidate, target time.Duration) (evaluatedCandidate, bool) {
+	byWait := slices.DeleteFunc(slices.Clone(all), func(c candidate) bool { return c.nonPreferred })
+	for i := range byWait {
+		byWait[i].levels, byWait[i].held = func() []prefix.Level { return nil }, nil
+	}
+	var best evaluatedCandidate
+	found := false
+	eachCandidate(now, v, r, byWait, func(_ int, next *evaluatedCandidate) bool {
+		if next.lowWait(target) && (!found || next.cost(target) < best.cost(target)) {
+			best, found = *next, true
+		}
+		return true
+	})
+	return best, found
+}
+
+// eachCandidate passes the candidates that have an engine which can begin in time to visit,
+// with their index, until it returns false.
+func eachCandidate(now time.Time, v evaluator, r placement.Request, all []candidate, visit func(i int, next *evaluatedCandidate) bool) {
+	var preferred fleet.EndpointID
 	for i, at := range all {
 		if at.nonPreferred && preferred == "" {
 			continue
@@ -172,8 +203,8 @@
 		if at.nonPreferred {
 			next.request.Avoid = append(slices.Clone(r.Avoid), preferred)
 		}
-		d, selectErr := v.Select(now, next.request)
-		if selectErr != nil {
+		d, err := v.Select(now, next.request)
+		if err != nil {
 			continue // another candidate may have an engine
 		}
 		if i == 0 {
@@ -186,12 +217,8 @@
 		if at.nonPreferred {
 			next.decision.Reason, next.decision.AlternateEndpoint = placement.ReasonSpill, preferred
 		}
-		if err != nil || next.cost(target) < best.cost(target) {
-			best, err = next, nil
-		}
-		if i == 0 && next.lowWait(target) {
-			break
+		if !visit(i, &next) {
+			return
 		}
 	}
-	return best, err
 }
--- a/router/placer.go
+++ b/router/placer.go
@@ -255,7 +255,7 @@
 	}
 	// A stream that resumes on another engine is not refused, as its caller has
 	// received a part of it.
-	if !req.Resuming && best.decision.ExpectedWait > time.Duration(modelWaitFractions[in]*float64(req.Route.TargetLatency)) {
+	if !req.Resuming && exceedsMaxWait(req, &best.decision) {
 		p.releaseLimits(best.decision.Endpoint, r)
 		return forward.Placement{}, &forward.RefusedError{
 			Code: codeOverloaded, RetryAfter: p.overloadRetryAfter(),
@@ -316,6 +316,11 @@
 		if err != nil {
 			break
 		}
+		if exceedsMaxWait(req, &best.decision) {
+			if idle, ok := idleCandidate(now, p.state.view, try, all, req.Route.TargetLatency); ok {
+				best = idle
+			}
+		}
 		if best.endpoint = tries.acquire(now, best.decision.Endpoint, req.Route.Repeatable()); best.endpoint != nil {
 			return best, nil
 		}
@@ -331,6 +336,12 @@
 // even when late, and are refused only when the wait is far beyond the objective.
 var modelWaitFractions = [subpoolCount]float64{subpoolLong: 0.6, subpoolShort: 3}
 
+// exceedsMaxWait reports whether a prompt has to wait longer than it is accepted for.
+func exceedsMaxWait(req *forward.PlacementRequest, d *placement.Decision) bool {
+	most := modelWaitFractions[subpoolOf(req.In.PromptTokens)]
+	return d.ExpectedWait > time.Duration(most*float64(req.Route.TargetLatency))
+}
+
 // overloadRetryAfter returns a random retry delay.
 func (p *placer) overloadRetryAfter() time.Duration {
 	return minOverloadRetryAfter + time.Duration(p.randomFraction()*float64(maxOverloadRetryAfter-minOverloadRetryAfter))
