Tell crashes of one endpoint apart in holds

What callers would see: where endpoints restart under their keys, requests with a segment that crashes them are let through for ever. The crashes of the segment and those of the first request with it, which is held as well and explains them, stay the same set, as a second crash of an endpoint counted as the first.

A hold counts the crashes of each endpoint that are at least 1.5 s apart. go test ./quarantine -run RepeatedCrashes: 0 of 9 daemons refuse the cause before, all after.

--- a/quarantine/crashset.go
+++ b/quarantine/crashset.go
@@ -10,15 +10,18 @@
 // maxCrashSet bounds the crashes that are kept with a hold.
 const maxCrashSet = 12
 
-// crashSet is a set of crashed endpoints, as sorted hashes of their keys.
+// crashSet is a set of crashes, as sorted hashes.
 type crashSet []uint32
 
-func endpointHash(e fleet.EndpointID) uint32 { return uint32(hash.Text(string(e))) }
+// crashHash returns the hash of the n-th crash of an endpoint.
+func crashHash(e fleet.EndpointID, n int) uint32 {
+	return uint32(hash.Mix(hash.Text(string(e)) + uint64(n)))
+}
 
-// add adds endpoints and reports whether the set has grown.
-func (s *crashSet) add(endpoints ...uint32) bool {
+// add adds crashes and reports whether the set has grown.
+func (s *crashSet) add(crashes ...uint32) bool {
 	grown := false
-	for _, e := range endpoints {
+	for _, e := range crashes {
 		at, known := slices.BinarySearch(*s, e)
 		if known || len(*s) >= maxCrashSet {
 			continue
@@ -29,7 +32,7 @@
 	return grown
 }
 
-// contains reports whether all endpoints of the other set are in the set.
+// contains reports whether all crashes of the other set are in the set.
 func (s crashSet) contains(other crashSet) bool {
 	if len(other) > len(s) {
 		return false
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -34,10 +34,11 @@
 	round      uint64
 	cleared    bool
 	firstCrash time.Duration
-	until      time.Duration // when the entry expires
-	version    int64         // newest weights under which an endpoint crashed
-	crashes    crashSet      // empty: not known
-	relaysLeft int           // remaining ticks at which it is sent to peers
+	until      time.Duration                      // when the entry expires
+	version    int64                              // newest weights under which an endpoint crashed
+	crashes    crashSet                           // empty: not known
+	lastCrash  map[fleet.EndpointID]endpointCrash // by endpoint, as far as this daemon knows
+	relaysLeft int                                // remaining ticks at which it is sent to peers
 }
 
 // outgoingReport is a report that is sent maxReportSends times.
@@ -168,11 +169,13 @@
 	if h := n.holds[f]; h != nil && now < h.until {
 		u.round = h.round + 1
 	}
+	first := hold{}
 	for _, c := range crashes {
-		u.crashes.add(endpointHash(c.endpoint))
+		u.crashes.add(first.count(c))
 		u.version = max(u.version, c.version)
 	}
 	if n.apply(now, u, ReasonCrashes) {
+		n.holds[f].lastCrash = first.lastCrash
 		n.announce(now, f, gossip.DirectFanout)
 	}
 }
@@ -180,12 +183,35 @@
 // addCrash adds a crash to a hold and sends it to the other daemons if it is new.
 func (n *Node) addCrash(now time.Duration, f Fingerprint, h *hold, c crash) {
 	h.version = max(h.version, c.version)
-	if h.crashes.add(endpointHash(c.endpoint)) {
+	if h.crashes.add(h.count(c)) {
 		h.relaysLeft = gossip.RelayRounds
 		n.announce(now, f, gossip.DirectFanout)
 	}
 }
 
+// endpointCrash is the last known crash of an endpoint under what is held.
+type endpointCrash struct {
+	at    time.Duration
+	count int
+}
+
+// count counts a crash and returns its hash. An endpoint may crash again under its key after
+// a restart; reports within minCrashInterval are of the same crash.
+func (h *hold) count(c crash) uint32 {
+	last := h.lastCrash[c.endpoint]
+	if last.count == 0 || c.at-last.at >= minCrashInterval {
+		if h.lastCrash == nil {
+			h.lastCrash = map[fleet.EndpointID]endpointCrash{}
+		}
+		last.count++
+		last.at = c.at
+		if len(h.lastCrash) < maxCrashSet || last.count > 1 {
+			h.lastCrash[c.endpoint] = last
+		}
+	}
+	return crashHash(c.endpoint, last.count)
+}
+
 // Answered records a complete answer to the request on weights of the given version, and
 // ends the holds that it contradicts.
 func (n *Node) Answered(now time.Duration, id *Identity, version int64) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -19,6 +19,9 @@
 	HoldDuration = 10 * time.Minute
 	// crashTTL is how long a crashed endpoint counts against a request.
 	crashTTL = 2 * time.Minute
+	// minCrashInterval is the shortest time between two crashes of an endpoint that are
+	// told apart. Daemons find one crash up to a second apart.
+	minCrashInterval = 1500 * time.Millisecond
 	// clearMargin is how long before a crash a complete answer still clears a request.
 	// An older answer does not count: a request may crash endpoints since their
 	// weights changed.
--- a/quarantine/segment_test.go
+++ b/quarantine/segment_test.go
@@ -241,3 +241,28 @@
 		t.Errorf("refused after a restart: %d with the cause, %d without", d.refusing(promptOf("next", "bad")), d.refusing(promptOf("sound", "rare")))
 	}
 }
+
+// Guards against a cause that is let through for ever because all its crashes were at the
+// endpoints of a request that is held as well, and that restart under their keys.
+func TestRepeatedCrashesOfTheSameEndpointsTellCauseApart(t *testing.T) {
+	const daemons = 9
+	d := newDeployment(t, daemons, 0)
+	crash := func(daemon int, id *Identity, endpoint int) {
+		d.nodes[daemon].EndpointCrashed(d.now, id, 1, fleet.EndpointID(fmt.Sprint("i-", endpoint)))
+		d.sendOutbox(daemon)
+	}
+	for e := range crashesToHold {
+		crash(e, promptOf("first", "bad"), e)
+	}
+	d.advance(spreadTime)
+	crash(5, promptOf("second", "bad"), 1)
+	d.advance(spreadTime)
+	if n := d.refusing(promptOf("third", "bad")); n < daemons {
+		t.Errorf("%d of %d daemons refuse the cause", n, daemons)
+	}
+	crash(6, promptOf("second", "bad"), 1)
+	crash(7, promptOf("second", "bad"), 1)
+	if n := len(d.nodes[6].holds[SegmentFingerprint("org", "model", "bad")].crashes); n > crashesToHold+2 {
+		t.Errorf("%d crashes are counted of five", n)
+	}
+}
