--- a/gateway/model.go
+++ b/gateway/model.go
@@ -60,6 +60,9 @@
 	if err != nil {
 		return nil, resolveRefusal(err)
 	}
+	if refusal := c.checkMessages(m); refusal != nil {
+		return nil, refusal
+	}
 	cancel, refusal := c.setPriorityAndDeadline(m.Priority, milliseconds(m.DeadlineMs))
 	if refusal != nil {
 		return nil, refusal
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"strconv"
 
@@ -9,7 +12,7 @@
 )
 
 // quarantinedMessage is the message of refusals with CodeQuarantined.
-const quarantinedMessage = "endpoints that ran this request have ended"
+const quarantinedMessage = "endpoints that ran this request, or one with a message of it, have ended"
 
 // checkQuarantine computes the request's fingerprint and returns a refusal if the
 // request is quarantined. It runs before anything is sent to an endpoint. The
@@ -26,6 +29,29 @@
 	return notRunRefusal(CodeQuarantined, quarantinedMessage, hold.Left)
 }
 
+// messageIDBytes is the length of the digest by which messages are told apart.
+const messageIDBytes = 16
+
+// checkMessages adds the fingerprints of a prompt's messages to the request's, and returns
+// a refusal if one of them is quarantined. The last message, the question, belongs to the
+// request alone.
+func (c *call) checkMessages(m *modelRequest) *Refusal {
+	if c.g.o.Quarantine == nil || len(m.levelEnds) < 2 {
+		return nil
+	}
+	ids, begin := make([]string, 0, len(m.levelEnds)), 0
+	for _, end := range m.levelEnds {
+		sum := sha256.Sum256(bytes.Trim(m.prompt[begin:end], ", \t\r\n"))
+		ids, begin = append(ids, hex.EncodeToString(sum[:messageIDBytes])), end
+	}
+	c.identity.SetSegments(string(c.org.ID), m.Model, ids)
+	hold, held := c.g.o.Quarantine.Held(&c.identity)
+	if !held {
+		return nil
+	}
+	return notRunRefusal(CodeQuarantined, quarantinedMessage, hold.Left)
+}
+
 // mayRetry reports whether the quarantine allows a retry after a failed attempt.
 func (c *call) mayRetry() bool {
 	return c.g.o.Quarantine == nil || c.g.o.Quarantine.MayRetry(&c.identity)
--- a/lab/cluster/crash_test.go
+++ b/lab/cluster/crash_test.go
@@ -49,3 +49,43 @@
 		}
 	})
 }
+
+// Guards against a document that crashes one runner after another because each request asks
+// another question about it.
+func TestQuarantinesDocumentThatCrashesRunners(t *testing.T) {
+	const deadly = "deadly document"
+	ends := func(body string) bool { return strings.Contains(body, deadly) }
+	withCluster(t, Options{Daemons: 3, Runners: 8, NoOrders: true, Crashes: ends}, func(t *testing.T, c *Cluster) {
+		const settled = 3 * time.Second
+		var third time.Time
+		var unserved atomic.Int64
+		before, began := int64(0), time.Now()
+		for i := 0; time.Since(began) < 30*time.Second; i++ {
+			c.askOn(t, i%len(c.Nodes), deadly, fmt.Sprint("question ", i), 5)
+			go func() {
+				if a := c.ask(t, (i+1)%len(c.Nodes), fmt.Sprint("question ", i), 5); !a.isComplete(5) && time.Since(began) > 10*time.Second {
+					unserved.Add(1)
+				}
+			}()
+			time.Sleep(200 * time.Millisecond) // virtual
+			n := c.crashes.Load()
+			if third.IsZero() && n >= 3 {
+				third = time.Now()
+			}
+			if third.IsZero() || time.Since(third) < settled {
+				before = n
+			}
+		}
+		time.Sleep(time.Second) // virtual
+		t.Logf("%d runners crashed, %d of them after the settling time; %d other requests not served", c.crashes.Load(), c.crashes.Load()-before, unserved.Load())
+		if n := c.crashes.Load() - before; n > 3 {
+			t.Errorf("%d runners crashed after the settling time", n)
+		}
+		if n := unserved.Load(); n > 0 {
+			t.Errorf("%d other requests were not served", n)
+		}
+		if a := c.askOn(t, 0, deadly, "another question", 5); a.status != http.StatusServiceUnavailable || a.outcome != "not_run" {
+			t.Errorf("another question: %s", a)
+		}
+	})
+}
