Test that crashes are not counted against segments that are answered

A mutant that dropped this survived, as holds are contradicted anyway: each crash would cost messages for every popular segment. Comments of stored holds say crashes where they said endpoints.

--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -424,7 +424,7 @@
 	Age         time.Duration // of the first crash
 	Left        time.Duration
 	Version     int64    // newest weights under which an endpoint crashed
-	Crashes     []uint32 // hashes of the crashed endpoints
+	Crashes     []uint32 // hashes of the crashes
 }
 
 // HoldToStore returns the hold of a request, and false if it is not held.
--- a/quarantine/segment_test.go
+++ b/quarantine/segment_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// Guards against messages about each crash for every segment that is answered all the time.
+func TestCrashesAreNotCountedAgainstAnsweredSegments(t *testing.T) {
+	d := newDeployment(t, 3, 0)
+	d.nodes[0].Answered(d.now, promptOf("answered", "shared"), 1)
+	lost := promptOf("lost", "shared", "rare")
+	counted := d.nodes[0].EndpointCrashed(d.now, lost, 1, "i-1@0")
+	if len(counted) != 2 || counted[0] != lost.Request || counted[1] != lost.Segments[1].Fingerprint {
+		t.Errorf("counted against %v", counted)
+	}
+	if counted := d.nodes[0].EndpointCrashed(d.now+clearMargin+time.Second, lost, 1, "i-2@0"); len(counted) != 3 {
+		t.Errorf("%d counted long after the answer", len(counted))
+	}
+}
+
 // Guards against refusing prompts with a segment that was at crashes only beside the one
 // that caused them.
 func TestSegmentBesideTheCauseIsNotRefused(t *testing.T) {
--- a/router/quarantine_store.go
+++ b/router/quarantine_store.go
@@ -30,7 +30,7 @@
 	Began  int64  `json:"began"`
 	Until  int64  `json:"until"`
 	// Version is the newest version of weights under which an endpoint crashed, and
-	// Crashes has hashes of the crashed endpoints.
+	// Crashes has hashes of the crashes.
 	Version int64    `json:"version,omitempty"`
 	Crashes []uint32 `json:"crashes,omitempty"`
 }
