Wait for the announcement itself in the test of a runner that announces its shutdown

The test took a request that reached the other runner for a sign that the announcement had been read. The test now waits until a request has reached the runner after it began to announce, whose answer carries the announcement, and allows none after that: as strict, and the check and its bound are unchanged.

--- a/lab/routed/leaving_test.go
+++ b/lab/routed/leaving_test.go
@@ -18,9 +18,9 @@
 	} {
 		runner := w.runnerOf(send())
 		runner.SetLeaving(true)
+		before := len(runner.Runs())
 		w.waitUntil("the announcement is read", func() bool {
-			before := len(runner.Runs())
-			return send().status == http.StatusOK && len(runner.Runs()) == before
+			return send().status == http.StatusOK && len(runner.Runs()) > before
 		})
 		told := len(runner.Runs())
 		for end := time.Now().Add(time.Second); time.Now().Before(end); {
