Take answers to HEAD for complete without a length

What callers would see: 502 for HEAD requests whose answer names no length, since answers that end with their connection and bring no content count as cut off. Found when the change was read: such an answer has no body and ends with its header. go test ./forward -run AnswerToHead: 502 before, 200 after.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -484,4 +484,7 @@
 }
 
 // framed reports whether the end of the answer can be told from the end of its connection.
-func (a *Answer) framed() bool { return a.Length != -1 || len(a.resp.TransferEncoding) > 0 }
+// An answer to HEAD ends with its header.
+func (a *Answer) framed() bool {
+	return a.Length != -1 || len(a.resp.TransferEncoding) > 0 || a.resp.Request.Method == http.MethodHead
+}
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -153,3 +153,26 @@
 		})
 	}
 }
+
+// Guards against taking the answer to HEAD, which has no body, for one that was cut off.
+func TestAnswerToHeadIsComplete(t *testing.T) {
+	target := closingEndpoint(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n\r\n")
+	g := &recordingGate{}
+	s := serveGated(t, &listPlacer{places: []Placement{{Target: target}}}, g, routes.Safe)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodHead, s.URL+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Attempt-Id", "a1")
+	resp, err := s.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if resp.StatusCode != http.StatusOK || g.answered != 1 || g.lost != 0 {
+		t.Errorf("status %d, answered %d, lost %d", resp.StatusCode, g.answered, g.lost)
+	}
+}
