--- a/quarantineguard/guard_test.go
+++ b/quarantineguard/guard_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -128,16 +129,17 @@
 	for name, crashed := range map[string]bool{"runs": false, "crashed": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				refusing := true
+				var refusing atomic.Bool
+				refusing.Store(true)
 				g := newGuard(t, func() (net.Conn, error) {
-					if refusing {
+					if refusing.Load() {
 						return refuseConnection()
 					}
 					near, _ := net.Pipe()
 					return near, nil
 				})
 				loseAtAll(g)
-				refusing = crashed
+				refusing.Store(crashed)
 				time.Sleep(2 * checkResultTTL)
 				g.Ended(request, 0, quarantine.Endpoint{Key: "i-4@0", Address: "10.0.0.1:1"})
 				time.Sleep(time.Second)
