Start the requests of load tests when they are sent

The new tests of even use and of one daemon with most connections ran up to 18 cases at a time, each of which started a goroutine for every request of its 16 to 24 s at once. They now start one when the request is sent, as does the test of segments that crash endpoints; loads, checks and bounds are unchanged.

--- a/router/even_use_test.go
+++ b/router/even_use_test.go
@@ -67,7 +67,6 @@
 	sent, unserved := 0, 0
 	send := func(at time.Duration, count bool) {
 		all.Go(func() {
-			time.Sleep(at)
 			got := f.request(f.randomDaemon(), fleetKey, fmt.Sprint("ordinary ", at))
 			mu.Lock()
 			defer mu.Unlock()
@@ -80,13 +79,14 @@
 			}
 		})
 	}
-	for at := time.Duration(0); at < evenLasts; at += step {
-		send(at, at >= counted)
-	}
 	if l.burst {
-		for at := counted - 3*time.Second; at < counted-time.Second; at += time.Duration(float64(time.Second) / (2 * borne)) {
-			send(at+1, false)
-		}
+		all.Go(func() {
+			time.Sleep(counted - 3*time.Second)
+			for at, step := time.Duration(0), time.Duration(float64(time.Second)/(2*borne)); at < 2*time.Second; at += step {
+				time.Sleep(step)
+				send(at, false)
+			}
+		})
 	}
 	if l.crashes {
 		time.AfterFunc(counted-fleetRestartTime-fleetListDelay-2*time.Second, func() {
@@ -95,6 +95,10 @@
 			}
 		})
 	}
+	for at := time.Duration(0); at < evenLasts; at += step {
+		time.Sleep(step) // here, so that only requests under way have goroutines
+		send(at, at >= counted)
+	}
 	all.Wait()
 	most := 0
 	for _, e := range f.endpoints {
--- a/router/segment_crash_test.go
+++ b/router/segment_crash_test.go
@@ -42,17 +42,18 @@
 
 func (l *segmentLoad) run() {
 	var all sync.WaitGroup
-	for at := time.Duration(0); at < l.duration; at += l.interval {
+	if len(l.crashing) > 0 {
 		all.Go(func() {
-			time.Sleep(at)
-			l.sendOrdinary(at)
+			time.Sleep(l.calm)
+			for turn := range int((l.duration - l.calm) / l.crashInterval) {
+				time.Sleep(l.crashInterval)
+				all.Go(func() { l.sendCrashing(turn) })
+			}
 		})
 	}
-	for at := l.calm; at < l.duration && len(l.crashing) > 0; at += l.crashInterval {
-		all.Go(func() {
-			time.Sleep(at)
-			l.sendCrashing(int((at - l.calm) / l.crashInterval))
-		})
+	for at := time.Duration(0); at < l.duration; at += l.interval {
+		time.Sleep(l.interval) // here, so that only requests under way have goroutines
+		all.Go(func() { l.sendOrdinary(at) })
 	}
 	all.Wait()
 }
--- a/router/uneven_test.go
+++ b/router/uneven_test.go
@@ -58,8 +58,8 @@
 	var waits sync.WaitGroup
 	var mu sync.Mutex
 	for at := time.Duration(0); at < unevenEven+unevenFirst+unevenSecond; at += step {
+		time.Sleep(step) // here, so that only requests under way have goroutines
 		waits.Go(func() {
-			time.Sleep(at)
 			phase, since := 0, at
 			daemon := f.randomDaemon()
 			for n, lasts := range []time.Duration{unevenEven, unevenFirst} {
