Share what the tests of quarantine and of whole daemons had written again

Read as a newcomer: closingEndpoint was replyOnce, three tests built the request that ask sends, four tests of lab/routed started daemons and waited for them in the same lines, the two checks for a hold asked the gate each for itself, and success was told from the status in two places. Nothing changes for callers; go test ./forward ./lab/routed pass as before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -116,7 +116,7 @@
 
 // relayAnswer relays the answer to the caller, and returns how the attempt ended.
 func (c *call) relayAnswer(a *Answer) AttemptEnd {
-	success := a.Status >= 200 && a.Status < 300
+	success := a.succeeded()
 	switch {
 	case a.Info.NotRun:
 		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedAnswer))
@@ -161,7 +161,6 @@
 // part of its body that was already read.
 func (c *call) relayUnbuffered(a *Answer, begin []byte) AttemptEnd {
 	c.sendHeader(a)
-	success := a.Status >= 200 && a.Status < 300
 	_, err := c.w.Write(begin)
 	if err == nil {
 		_, err = io.Copy(c.w, a.Body)
@@ -170,7 +169,7 @@
 	if err != nil {
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: err}
 	}
-	return AttemptEnd{Whole: true, Generated: success, Unframed: !a.framed()}
+	return AttemptEnd{Whole: true, Generated: a.succeeded(), Unframed: !a.framed()}
 }
 
 // sendHeader sends the header of an unbuffered answer, unless it was sent before.
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -483,6 +483,8 @@
 	a.client.release(a.conn)
 }
 
+func (a *Answer) succeeded() bool { return a.Status >= 200 && a.Status < 300 }
+
 // framed reports whether the end of the answer can be told from the end of its connection.
 // An answer to HEAD ends with its header.
 func (a *Answer) framed() bool {
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -97,15 +97,21 @@
 	closes     bool
 }
 
-func ask(t *testing.T, s *httptest.Server) reply {
+// exchange sends a request to the route of the server.
+func exchange(t *testing.T, s *httptest.Server, method string) (*http.Response, error) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", nil)
+	req, err := http.NewRequestWithContext(t.Context(), method, s.URL+"/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h"
 	req.Header.Set("Attempt-Id", "a1")
-	resp, err := s.Client().Do(req)
+	return s.Client().Do(req)
+}
+
+func ask(t *testing.T, s *httptest.Server) reply {
+	t.Helper()
+	resp, err := exchange(t, s, http.MethodPost)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -29,44 +29,45 @@
 	c.report.Fingerprint = id.Request
 }
 
-// refuseQuarantined refuses a quarantined request and returns true. It is called
-// before the request is sent to any endpoint.
-func (c *call) refuseQuarantined() bool {
+// held returns the hold by which the request is refused and reports it; nil: none.
+func (c *call) held() *quarantine.Hold {
 	if c.o.Quarantine == nil {
-		return false
+		return nil
 	}
 	hold, held := c.o.Quarantine.Held(&c.req.Identity)
-	if held {
-		c.reportHold(&hold)
-		c.refuse(http.StatusServiceUnavailable, quarantineCode(&hold), hold.Left)
+	if !held {
+		return nil
+	}
+	c.report.Hold, c.report.HeldSegment = &hold, c.req.Identity.SegmentID(hold.Fingerprint)
+	return &hold
+}
+
+// refuseQuarantined refuses a quarantined request and returns true. It is called
+// before the request is sent to any endpoint.
+func (c *call) refuseQuarantined() bool {
+	hold := c.held()
+	if hold != nil {
+		c.refuse(http.StatusServiceUnavailable, quarantineCode(hold), hold.Left)
 	}
-	return held
+	return hold != nil
 }
 
 // heldSincePlacement answers a request for which a hold began while it waited for its
 // placement, and returns true.
 func (c *call) heldSincePlacement(p *Placement) bool {
-	if c.o.Quarantine == nil {
-		return false
-	}
-	hold, held := c.o.Quarantine.Held(&c.req.Identity)
-	if !held {
+	hold := c.held()
+	if hold == nil {
 		return false
 	}
 	c.o.Placer.AttemptEnded(p, AttemptEnd{Left: true})
-	c.reportHold(&hold)
 	if c.req.Attempt > 0 {
-		c.giveUp(retry.Decision{Code: retry.Code(quarantineCode(&hold))})
+		c.giveUp(retry.Decision{Code: retry.Code(quarantineCode(hold))})
 	} else {
-		c.refuse(http.StatusServiceUnavailable, quarantineCode(&hold), hold.Left)
+		c.refuse(http.StatusServiceUnavailable, quarantineCode(hold), hold.Left)
 	}
 	return true
 }
 
-func (c *call) reportHold(h *quarantine.Hold) {
-	c.report.Hold, c.report.HeldSegment = h, c.req.Identity.SegmentID(h.Fingerprint)
-}
-
 func quarantineCode(h *quarantine.Hold) string {
 	if h.Fingerprint.IsSegment() {
 		return CodeSegmentQuarantined
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -80,30 +78,6 @@
 	}
 }
 
-// closingEndpoint starts a server that closes each connection after one answer.
-func closingEndpoint(t *testing.T, answer string) Target {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, answer)
-			}
-			_ = c.Close()
-		}
-	}()
-	return Target{Key: "e@1", ID: "e", Address: l.Addr().String()}
-}
-
 // Guards against answers that end with their connection and are taken for complete although
 // the endpoint crashed, or for broken although they are complete.
 func TestAnswersThatEndWithTheirConnection(t *testing.T) {
@@ -126,16 +100,10 @@
 		"server error":           {routes.Unsafe, "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n\r\nfailed", true, 0, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			target := closingEndpoint(t, c.answer)
+			target := Target{Key: "e@1", ID: "e", Address: replyOnce(t, c.answer)}
 			g := &recordingGate{}
 			s := serveGated(t, &listPlacer{places: []Placement{{Target: target}}}, g, c.kind)
-			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			req.Host = "h"
-			req.Header.Set("Attempt-Id", "a1")
-			resp, err := s.Client().Do(req)
+			resp, err := exchange(t, s, http.MethodPost)
 			complete := false
 			if err == nil {
 				_, readErr := io.ReadAll(resp.Body)
@@ -156,16 +124,10 @@
 
 // Guards against taking the answer to HEAD, which has no body, for one that was cut off.
 func TestAnswerToHeadIsComplete(t *testing.T) {
-	target := closingEndpoint(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n\r\n")
+	target := Target{Key: "e@1", ID: "e", Address: replyOnce(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n\r\n")}
 	g := &recordingGate{}
 	s := serveGated(t, &listPlacer{places: []Placement{{Target: target}}}, g, routes.Safe)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodHead, s.URL+"/x", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h"
-	req.Header.Set("Attempt-Id", "a1")
-	resp, err := s.Client().Do(req)
+	resp, err := exchange(t, s, http.MethodHead)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/routed/builds_test.go
+++ b/lab/routed/builds_test.go
@@ -146,14 +146,7 @@
 		runners[i] = v
 	}
 	var mu sync.Mutex
-	daemons := make([]daemon, buildDaemons)
-	for i := range daemons {
-		daemons[i] = w.addDaemon(fmt.Sprint("built-front-", i), "", metastore.FreeAddress(t), nil)
-	}
-	for i, d := range daemons {
-		w.waitUntil(fmt.Sprint("daemon ", i, " is ready"), func() bool { return isReadyAt(d.ready) })
-	}
-	<-time.After(1500 * time.Millisecond) // until the daemons know each other
+	daemons := w.addDaemons("built-front", buildDaemons)
 	rng := rand.New(rand.NewPCG(seed, 9))
 	front := func(n int) string {
 		mu.Lock()
--- a/lab/routed/partition_test.go
+++ b/lab/routed/partition_test.go
@@ -170,10 +170,7 @@
 		cuts[i] = &cuttable{conns: map[*cutConn]bool{}}
 		daemons[i] = w.addDaemon(fmt.Sprint("cut-", i), "", metastore.FreeAddress(t), cuts[i].dial)
 	}
-	for i, d := range daemons {
-		w.waitUntil(fmt.Sprint("daemon ", i, " is ready"), func() bool { return isReadyAt(d.ready) })
-	}
-	<-time.After(1500 * time.Millisecond) // until the daemons know each other
+	w.waitForDaemons(daemons)
 	rng := rand.New(rand.NewPCG(seed, 5))
 	for round := range partitionRounds {
 		count := 1 + rng.IntN(partitionDaemons-1)
--- a/lab/routed/segment_crash_test.go
+++ b/lab/routed/segment_crash_test.go
@@ -136,14 +136,7 @@
 		runners[i].start()
 		t.Cleanup(runners[i].stop)
 	}
-	daemons := make([]daemon, segmentDaemons)
-	for i := range daemons {
-		daemons[i] = w.addDaemon(fmt.Sprint("segment-front-", i), "", metastore.FreeAddress(t), nil)
-	}
-	for i, d := range daemons {
-		w.waitUntil(fmt.Sprint("daemon ", i, " is ready"), func() bool { return isReadyAt(d.ready) })
-	}
-	<-time.After(1500 * time.Millisecond) // until the daemons know each other
+	daemons := w.addDaemons("segment-front", segmentDaemons)
 	rng := rand.New(rand.NewPCG(3, 11))
 	var all sync.WaitGroup
 	var mu sync.Mutex
--- a/lab/routed/testbed_test.go
+++ b/lab/routed/testbed_test.go
@@ -112,6 +112,27 @@
 	return d
 }
 
+// addDaemons starts daemons that exchange messages, and returns when all are ready and know
+// each other.
+func (w *testbed) addDaemons(name string, count int) []daemon {
+	w.t.Helper()
+	out := make([]daemon, count)
+	for i := range out {
+		out[i] = w.addDaemon(fmt.Sprint(name, "-", i), "", metastore.FreeAddress(w.t), nil)
+	}
+	w.waitForDaemons(out)
+	return out
+}
+
+// waitForDaemons waits until daemons that were just started are ready and know each other.
+func (w *testbed) waitForDaemons(all []daemon) {
+	w.t.Helper()
+	for i, d := range all {
+		w.waitUntil(fmt.Sprint("daemon ", i, " is ready"), func() bool { return isReadyAt(d.ready) })
+	}
+	<-time.After(1500 * time.Millisecond) // until they have read each other's announcements
+}
+
 func settingsText(front, ready, store string) string {
 	return fmt.Sprintf(`nodeName=front-1
 zone=z1
--- a/lab/routed/uneven_test.go
+++ b/lab/routed/uneven_test.go
@@ -7,8 +7,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/merlindock/merlindock/lab/metastore"
 )
 
 // Sizes and times of the test with most connections at one daemon.
@@ -28,14 +26,7 @@
 		w.addRunner(fmt.Sprint("uneven-llm-", i), "models", streamEvents)
 		w.addRunner(fmt.Sprint("uneven-app-", i), "app", 0)
 	}
-	daemons := make([]daemon, unevenDaemons)
-	for i := range daemons {
-		daemons[i] = w.addDaemon(fmt.Sprint("uneven-front-", i), "", metastore.FreeAddress(t), nil)
-	}
-	for i, d := range daemons {
-		w.waitUntil(fmt.Sprint("daemon ", i, " is ready"), func() bool { return isReadyAt(d.ready) })
-	}
-	<-time.After(1500 * time.Millisecond) // until the daemons know each other
+	daemons := w.addDaemons("uneven-front", unevenDaemons)
 	rng := rand.New(rand.NewPCG(5, 17))
 	var all sync.WaitGroup
 	var mu sync.Mutex
