State when a hold ends also to callers whose request one endpoint rejected

What callers see: a request that one endpoint rejected (not run) and that is held before it is sent to the next is refused with a Retry-After of 100 ms, comes back at once and is refused again until its time is over. Cause: after the first attempt the answer was that of an abandoned retry, whatever the reason.

A request that is held and has not run is refused until the hold ends, at each of the three checks; one that may have run gets 502 as before. Found when the change was read again. go test ./forward -run HoldAfterRejection: 100 ms before, the rest of the hold after.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -216,7 +216,7 @@
 	}
 	c.prepare()
 	c.setIdentity()
-	if c.refuseQuarantined() {
+	if c.refuseHeld() {
 		return
 	}
 	c.o.Placer.CountFirstAttempt()
@@ -326,6 +326,9 @@
 func (c *call) attempts() {
 	for ; ; c.req.Attempt++ {
 		if !c.mayRetry() {
+			if c.refuseHeld() {
+				return
+			}
 			c.giveUp(retry.Decision{Code: CodeQuarantined})
 			return
 		}
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -76,7 +76,10 @@
 	t.Helper()
 	table.BuildIndex()
 	callers := NewCallerConns()
-	o.Codec, o.Client, o.Callers, o.Report = plainWire{}, NewClient(plainWire{}, nil), callers, func(*Report) {}
+	o.Codec, o.Client, o.Callers = plainWire{}, NewClient(plainWire{}, nil), callers
+	if o.Report == nil {
+		o.Report = func(*Report) {}
+	}
 	o.Table = func() *routes.Table { return table }
 	o.KeysFresh, o.KeysAge = func() bool { return true }, func() time.Duration { return 0 }
 	if o.Draining == nil {
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -42,29 +42,33 @@
 	return &hold
 }
 
-// refuseQuarantined refuses a quarantined request and returns true. It is called
-// before the request is sent to any endpoint.
-func (c *call) refuseQuarantined() bool {
+// refuseHeld gives the final answer to a request that is held and returns true. One that
+// has not run is refused until the hold ends.
+func (c *call) refuseHeld() bool {
 	hold := c.held()
 	if hold != nil {
-		c.refuse(http.StatusServiceUnavailable, quarantineCode(hold), hold.Left)
+		c.answerHeld(hold)
 	}
 	return hold != nil
 }
 
-// heldSincePlacement answers a request for which a hold began while it waited for its
-// placement, and returns true.
+func (c *call) answerHeld(hold *quarantine.Hold) {
+	if c.headerSent || c.answer != nil || c.mayHaveRun() {
+		c.giveUp(retry.Decision{Code: retry.Code(quarantineCode(hold))})
+		return
+	}
+	c.refuse(http.StatusServiceUnavailable, quarantineCode(hold), hold.Left)
+}
+
+// heldSincePlacement ends a placement and gives the final answer if a hold on the request
+// began meanwhile, and returns true.
 func (c *call) heldSincePlacement(p *Placement) bool {
 	hold := c.held()
 	if hold == nil {
 		return false
 	}
 	c.o.Placer.AttemptEnded(p, AttemptEnd{Left: true})
-	if c.req.Attempt > 0 {
-		c.giveUp(retry.Decision{Code: retry.Code(quarantineCode(hold))})
-	} else {
-		c.refuse(http.StatusServiceUnavailable, quarantineCode(hold), hold.Left)
-	}
+	c.answerHeld(hold)
 	return true
 }
 
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -16,6 +16,7 @@
 // questions on.
 type recordingGate struct {
 	heldFrom int
+	noRetry  bool
 
 	mu        sync.Mutex
 	questions int
@@ -31,7 +32,7 @@
 	return quarantine.Hold{Left: time.Minute}, g.heldFrom > 0 && g.questions >= g.heldFrom
 }
 
-func (g *recordingGate) MayRetry(*quarantine.Identity) bool { return true }
+func (g *recordingGate) MayRetry(*quarantine.Identity) bool { return !g.noRetry }
 
 func (g *recordingGate) Lost(*quarantine.Identity, int64, quarantine.Endpoint) {
 	g.mu.Lock()
@@ -53,15 +54,21 @@
 
 // serveGated starts a server for one route with the gate.
 func serveGated(t *testing.T, p Placer, g quarantine.Gate, kind routes.Kind) *httptest.Server {
+	t.Helper()
+	return serveReported(t, p, g, kind, nil)
+}
+
+// serveReported is serveGated with a function that receives the reports.
+func serveReported(t *testing.T, p Placer, g quarantine.Gate, kind routes.Kind, report func(*Report)) *httptest.Server {
 	t.Helper()
 	table := &routes.Table{
 		Services: map[string]*routes.Service{"s": {Name: "s"}},
 		Routes: []routes.Route{{
 			Name: "r", Host: "h", PathPrefix: "/", Kind: kind, Timeout: time.Second,
-			MaxAttempts: 1, Public: true, Backends: []routes.Backend{{Service: "s", Weight: 1}},
+			MaxAttempts: 2, Public: true, Backends: []routes.Backend{{Service: "s", Weight: 1}},
 		}},
 	}
-	return serveOptions(t, table, Options{Placer: p, Quarantine: g})
+	return serveOptions(t, table, Options{Placer: p, Quarantine: g, Report: report})
 }
 
 // Guards against sending a request for which a hold began while it waited for its placement.
@@ -78,6 +85,23 @@
 	}
 }
 
+// Guards against telling a caller to come back at once whose request was rejected by one
+// endpoint and held before it was sent to the next.
+func TestHoldAfterRejectionStatesWhenItEnds(t *testing.T) {
+	full, _ := endpoint(t, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	for _, noRetry := range []bool{false, true} {
+		p := &listPlacer{places: []Placement{{Target: full}, {Target: full}}}
+		reports := make(chan *Report, 1)
+		s := serveReported(t, p, &recordingGate{heldFrom: 3, noRetry: noRetry}, routes.Safe, func(r *Report) { reports <- r })
+		if got := ask(t, s); got.status != http.StatusServiceUnavailable || got.body != CodeQuarantined+"\n" {
+			t.Errorf("%+v", got)
+		}
+		if r := <-reports; r.RetryAfter != time.Minute || len(r.Attempts) != 1 {
+			t.Errorf("Retry-After %v after %d attempts", r.RetryAfter, len(r.Attempts))
+		}
+	}
+}
+
 // Guards against answers that end with their connection and are taken for complete although
 // the endpoint crashed, or for broken although they are complete.
 func TestAnswersThatEndWithTheirConnection(t *testing.T) {
