Take the wait of the request that was sent last for the present one

Cause: when an engine answers again, the answers to all that waited arrive at once, and the wait that was observed last counts, in whatever order they are read: that of the oldest request, 1.4 s, decays to the bound of three objectives in a second. Ruled out: the wait of requests that are still unanswered, which answers overwrite.

An answer to a request that was sent before the one whose wait is recorded no longer changes it. Where answers come in the order of requests, as from a queue under load, nothing changes.

--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -81,8 +81,12 @@
 type observedWait struct {
 	wait       time.Duration
 	observedAt time.Time
+	answered   bool // the wait is over
 }
 
+// sentAt returns when the request that waited was sent.
+func (w *observedWait) sentAt() time.Time { return w.observedAt.Add(-w.wait) }
+
 // pool is the set of endpoints that can serve one kind of request.
 type pool struct {
 	members []int32 // in order
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -166,3 +166,27 @@
 		}
 	}
 }
+
+// Guards against an endpoint that counts as waiting after a pause because the answer to the
+// oldest request happened to be read last.
+func TestLatestSentRequestShowsTheWait(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for name, waits := range map[string][]time.Duration{
+		"oldest last":   {100 * time.Millisecond, 700 * time.Millisecond, 1400 * time.Millisecond},
+		"oldest first":  {1400 * time.Millisecond, 100 * time.Millisecond},
+		"in the middle": {700 * time.Millisecond, 100 * time.Millisecond, 1400 * time.Millisecond},
+	} {
+		v := queueView("a")
+		v.ObserveWait(now.Add(-10*time.Millisecond), "a", contract.PriorityStandard, 1390*time.Millisecond, false)
+		for _, w := range waits {
+			v.ObserveWait(now, "a", contract.PriorityStandard, w, true)
+		}
+		if d, _ := v.Place(now, longPrompt(1)); d.ExpectedWait > 100*time.Millisecond {
+			t.Errorf("%s: expected wait %v", name, d.ExpectedWait)
+		}
+		v.ObserveWait(now.Add(time.Second), "a", contract.PriorityStandard, 800*time.Millisecond, true)
+		if d, _ := v.Place(now.Add(time.Second), longPrompt(2)); d.ExpectedWait < 700*time.Millisecond {
+			t.Errorf("%s: expected wait %v after a request that was sent later waited longer", name, d.ExpectedWait)
+		}
+	}
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -91,15 +91,20 @@
 //
 // A full endpoint answers late, so its load report is old when it arrives, and callers that
 // give up get no answer at all. Requests that have been waiting for long show the queue
-// without delay.
+// without delay. Of answers the one to the request that was sent last shows the present
+// queue: after a pause of the endpoint all arrive at once, in any order.
 func (v *View) ObserveWait(now time.Time, id fleet.EndpointID, p contract.Priority, wait time.Duration, answered bool) {
 	e := v.endpointOf(id)
 	if e == nil {
 		return
 	}
+	wait = max(wait, 0)
+	if answered && e.waits[p].answered && e.waits[p].sentAt().After(now.Add(-wait)) {
+		return
+	}
 	if answered || wait > v.decayedWait(now, e, p) {
 		e.ownReport()
-		e.waits[p] = observedWait{wait: max(wait, 0), observedAt: now}
+		e.waits[p] = observedWait{wait: wait, observedAt: now, answered: answered}
 	}
 }
 
