--- a/gateway/defaults.go
+++ b/gateway/defaults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/internal/hash"
 )
 
 // ErrNoEndpoint means that no endpoint can be used for an attempt.
@@ -89,15 +90,6 @@
 	_, _ = h.Write([]byte(r.Target.Model + r.Target.Version + r.Target.Adapter))
 	_, _ = h.Write(prompt)
 	_, _ = h.Write([]byte(id))
-	return mix(h.Sum64())
-}
-
-// mix is the finaliser of splitmix64. It spreads the last hashed bytes over all
-// bits: FNV sums of inputs that differ only in the last bytes are close together.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	// FNV sums of inputs that differ only in the last bytes are close together.
+	return hash.Mix(h.Sum64())
 }
