Log what a daemon knew of a brittle endpoint that rejected a request

What operators saw: a rejection by an endpoint that rejections crash was one more attempt not_run. Whether the daemon limited its requests there, at how many, and how old its evidence was could not be read.

The line "Brittle endpoint rejected a request." and the counter brittle_rejections tell the hypotheses apart. The load of the brittle tests may be even and have a disruption; its cases are unchanged.

--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -58,6 +58,8 @@
 	shrunkAt time.Duration // last reduction
 	freeAt   time.Duration // before it, no request may be sent
 	sentAt   time.Duration // last request
+
+	answeredAt, rejectedAt time.Duration // last answer and last rejection; 0: none
 }
 
 // Table holds the limits of one daemon. Times are those of one monotonic clock.
@@ -145,24 +147,43 @@
 	Load  *fleet.Load // nil: not reported
 }
 
-// Answered adjusts the limit of an endpoint by an answer. It reports whether the endpoint
-// is limited from now on.
-func (t *Table) Answered(now time.Duration, to Target, a Answer) (began bool) {
+// Rejection is what the daemon knew of an endpoint that rejected a request for want of room.
+type Rejection struct {
+	Limited  bool    // the daemon limited its requests there
+	InFlight int     // requests under way, with the rejected one
+	Limit    float64 // on them
+	// AnswerAge and RejectionAge are the times since the previous answer and the previous
+	// rejection; negative: there was none.
+	AnswerAge, RejectionAge time.Duration
+}
+
+// Observation is what an answer told of the limit of an endpoint.
+type Observation struct {
+	Began     bool       // the endpoint is limited from now on
+	Rejection *Rejection // nil: it is not a rejection by a brittle endpoint
+}
+
+// Answered adjusts the limit of an endpoint by an answer.
+func (t *Table) Answered(now time.Duration, to Target, a Answer) (out Observation) {
 	if a.Limit == nil && t.windows[to.ID] == nil {
-		return false
+		return out
 	}
 	w := t.window(now, to)
-	w.answered = true
+	if a.Rejected && a.Limit != nil {
+		out.Rejection = w.rejection(now)
+		w.rejectedAt = now
+	}
+	w.answered, w.answeredAt = true, now
 	if a.Load != nil && a.Load.Slots > 0 {
 		w.slots = a.Load.Slots
 	}
 	if a.Limit == nil {
 		w.brittle, w.freeAt = false, 0
-		return false
+		return out
 	}
 	t.brittle[to.Service] = brittleService{reportedAt: now, slots: w.slots}
 	if !w.brittle {
-		began = true
+		out.Began = true
 		t.begin(w)
 	}
 	switch {
@@ -175,7 +196,22 @@
 		w.reached = false
 		w.limit += growthFraction * float64(w.slots) / float64(t.daemons) / max(w.limit, 1)
 	}
-	return began
+	return out
+}
+
+func (w *window) rejection(now time.Duration) *Rejection {
+	return &Rejection{
+		Limited: w.brittle, InFlight: w.inFlight, Limit: w.limit,
+		AnswerAge: age(now, w.answeredAt), RejectionAge: age(now, w.rejectedAt),
+	}
+}
+
+// age returns the time since at; negative if at is 0.
+func age(now, at time.Duration) time.Duration {
+	if at == 0 {
+		return -1
+	}
+	return now - at
 }
 
 func (t *Table) shrink(now time.Duration, w *window, factor float64) {
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -38,7 +38,7 @@
 // Guards against a limit that outlasts the report, or that never begins.
 func TestLimitHoldsWhileReported(t *testing.T) {
 	table := newTable(4)
-	if !table.Answered(time.Second, target, Answer{Limit: brittle(5)}) {
+	if !table.Answered(time.Second, target, Answer{Limit: brittle(5)}).Began {
 		t.Error("the beginning is not reported")
 	}
 	if n := table.acquireAll(time.Second, target); n != 2 {
@@ -113,6 +113,22 @@
 	}
 }
 
+// Guards against rejections of which the log does not tell what the daemon knew.
+func TestRejectionsAreExplained(t *testing.T) {
+	table := newTable(4)
+	rejected := Answer{Limit: brittle(5), Rejected: true, Load: &fleet.Load{Running: 8, Waiting: 2, Slots: 8}}
+	table.Acquire(time.Second, target)
+	if got := table.Answered(time.Second, target, rejected).Rejection; got == nil || got.Limited || got.InFlight != 1 || got.AnswerAge >= 0 || got.RejectionAge >= 0 {
+		t.Errorf("first answer: %+v", got)
+	}
+	if got := table.Answered(3*time.Second, target, rejected).Rejection; got == nil || !got.Limited || got.AnswerAge != 2*time.Second || got.RejectionAge != 2*time.Second {
+		t.Errorf("second answer: %+v", got)
+	}
+	if got := table.Answered(4*time.Second, target, Answer{Limit: brittle(5)}).Rejection; got != nil {
+		t.Errorf("an answer that is no rejection: %+v", got)
+	}
+}
+
 // Guards against memory that grows with every endpoint that ever was.
 func TestForgetsEndpoints(t *testing.T) {
 	table := newTable(2)
--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -107,8 +107,10 @@
 type brittleLoad struct {
 	daemons, endpoints int
 	slots              int
-	fraction           float64 // of what the slots bear
-	rejectionLimit     float64 // rejections/s
+	fraction           float64                 // of what the slots bear
+	rejectionLimit     float64                 // rejections/s
+	even               bool                    // all daemons get the same load
+	disrupt            func(f *simulatedFleet) // called when the endpoints begin to crash; nil: not
 }
 
 // brittleResult counts requests that were sent while the endpoints crashed on rejections.
@@ -124,7 +126,7 @@
 	brittleLasts       = 12 * time.Second
 )
 
-// run sends the load to uneven daemons: each next one gets three quarters of the requests
+// run sends the load. Unless it is even, each next daemon gets three quarters of the requests
 // of the one before.
 func (l brittleLoad) run(t *testing.T) (out brittleResult) {
 	f := newFleet(t, l.daemons, l.endpoints, routes.Route{Kind: routes.Unsafe})
@@ -142,6 +144,9 @@
 	}
 	time.AfterFunc(brittleBegins, all(func(k *simulatedCapacity) { k.rejectionLimit = &l.rejectionLimit }))
 	time.AfterFunc(brittleBegins+brittleSettle, all(func(k *simulatedCapacity) { k.room, k.enforced, k.rejections = 2, true, 0 }))
+	if l.disrupt != nil {
+		time.AfterFunc(brittleBegins+brittleSettle, func() { l.disrupt(f) })
+	}
 	perSecond := l.fraction * float64(l.endpoints*l.slots) / brittleServiceTime.Seconds()
 	step := time.Duration(float64(time.Second) / perSecond)
 	var waits sync.WaitGroup
@@ -150,7 +155,10 @@
 		waits.Go(func() {
 			time.Sleep(at)
 			daemon := 0
-			for f.draw() < 0.75 && daemon < l.daemons-1 {
+			if l.even {
+				daemon = f.randomDaemon()
+			}
+			for !l.even && f.draw() < 0.75 && daemon < l.daemons-1 {
 				daemon++
 			}
 			got := f.request(daemon, fleetKey, fmt.Sprint("ordinary ", at))
@@ -200,7 +208,7 @@
 // take, and against callers that are refused while slots are idle.
 func TestBrittleEndpointsDoNotCrashOnRejections(t *testing.T) {
 	for _, l := range []brittleLoad{
-		{3, 6, 8, 0.46, 5}, {3, 6, 8, 2, 5}, {3, 6, 8, 2, 0}, {6, 3, 6, 0.7, 5}, {6, 3, 6, 2, 5}, {6, 3, 6, 1.2, 8}, {24, 6, 6, 1.5, 5},
+		{daemons: 3, endpoints: 6, slots: 8, fraction: 0.46, rejectionLimit: 5}, {daemons: 3, endpoints: 6, slots: 8, fraction: 2, rejectionLimit: 5}, {daemons: 3, endpoints: 6, slots: 8, fraction: 2, rejectionLimit: 0}, {daemons: 6, endpoints: 3, slots: 6, fraction: 0.7, rejectionLimit: 5}, {daemons: 6, endpoints: 3, slots: 6, fraction: 2, rejectionLimit: 5}, {daemons: 6, endpoints: 3, slots: 6, fraction: 1.2, rejectionLimit: 8}, {daemons: 24, endpoints: 6, slots: 6, fraction: 1.5, rejectionLimit: 5},
 	} {
 		t.Run(fmt.Sprintf("%d daemons, %d endpoints, load %v, limit %v", l.daemons, l.endpoints, l.fraction, l.rejectionLimit), func(t *testing.T) {
 			t.Parallel()
--- a/router/headroom.go
+++ b/router/headroom.go
@@ -70,9 +70,8 @@
 	s.table.Retain(s.clock(), known)
 }
 
-// answered adjusts the limit of the endpoint that gave an answer, and reports whether the
-// endpoint began to report that rejections crash it.
-func (s *sharedHeadroom) answered(to headroom.Target, info *forward.AnswerInfo) (began bool) {
+// answered adjusts the limit of the endpoint that gave an answer.
+func (s *sharedHeadroom) answered(to headroom.Target, info *forward.AnswerInfo) headroom.Observation {
 	load := info.Load
 	rejected := info.NotRun && (load == nil || load.Running+load.Waiting >= load.Slots)
 	s.mu.Lock()
@@ -86,9 +85,53 @@
 	if !usable || info.Misplaced {
 		return
 	}
-	if p.headroom.answered(to, info) {
+	got := p.headroom.answered(to, info)
+	if got.Began {
 		p.log.Info("Endpoint reports that rejections crash it.", "endpoint", string(to.ID), "limit", *info.RejectionLimit)
 	}
+	if got.Rejection != nil {
+		p.reportRejection(pl, info, to.ID, got.Rejection)
+	}
+}
+
+// rejectionsPerSecond bounds the log lines of rejections by brittle endpoints. Each such
+// rejection counts toward a crash, so that there are few unless the limits fail.
+const rejectionsPerSecond = 20
+
+// reportRejection logs and counts a rejection by a brittle endpoint, with what this daemon
+// knew of the endpoint.
+func (p *placer) reportRejection(pl *forward.Placement, info *forward.AnswerInfo, from fleet.EndpointID, r *headroom.Rejection) {
+	knowledge := "answers"
+	switch {
+	case !r.Limited:
+		knowledge = "unlimited"
+	case r.AnswerAge < 0:
+		knowledge = "no_answer"
+	}
+	p.rejections.Tagged(map[string]string{"knowledge": knowledge}).Counter("brittle_rejections").Inc(1)
+	write, suppressed := p.rejectionLog.allow(time.Now())
+	if !write {
+		return
+	}
+	fields := []any{
+		"endpoint", string(from), "limit", *info.RejectionLimit, "knowledge", knowledge, "under_way", r.InFlight, "allowed", r.Limit,
+		"answer_age_ms", ageMs(r.AnswerAge), "rejection_age_ms", ageMs(r.RejectionAge), "dispatcher", pl.Notes.Dispatcher,
+	}
+	if l := info.Load; l != nil {
+		fields = append(fields, "running", l.Running, "waiting", l.Waiting, "slots", l.Slots)
+	}
+	if suppressed > 0 {
+		fields = append(fields, "suppressed", suppressed)
+	}
+	p.log.Info("Brittle endpoint rejected a request.", fields...)
+}
+
+// ageMs returns an age in milliseconds; -1 for a negative one.
+func ageMs(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
 }
 
 // holdHeadroom counts a request that a dispatcher placed. It returns false if the endpoint
--- a/router/placer.go
+++ b/router/placer.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/endpointlimit"
@@ -67,6 +69,8 @@
 	cacheTracker   *cacheTracker          // nil: cache contents are unknown
 	endpointLimits *endpointlimit.Limiter // nil: limits of endpoints are not enforced
 	headroom       *sharedHeadroom
+	rejections     tally.Scope // counts rejections by brittle endpoints
+	rejectionLog   lineLimiter
 	engines        weights.Engines
 	clock          func() time.Duration // boot clock
 	log            *logging.Logger
@@ -85,7 +89,7 @@
 }
 
 func newPlacer(s *state, set *Settings, engines weights.Engines, clock func() time.Duration, log *logging.Logger, rng *rand.Rand) *placer {
-	p := &placer{log: log, segments: newSegmentIndex(), unanswered: map[uint64]unanswered{}, state: s, engines: engines, clock: clock, versionBound: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
+	p := &placer{log: log, rejections: tally.NoopScope, rejectionLog: lineLimiter{perSecond: rejectionsPerSecond}, segments: newSegmentIndex(), unanswered: map[uint64]unanswered{}, state: s, engines: engines, clock: clock, versionBound: set.VersionWithin, rng: rng, budget: retry.NewBudget(retry.BudgetOptions{
 		Fraction: set.RetryRatio * retryBudgetFraction, Floor: 0.05, Burst: maxRetryBurst, Debt: 1,
 	})}
 	p.lastID.Store(rng.Uint64())
--- a/router/router.go
+++ b/router/router.go
@@ -150,6 +150,7 @@
 	r.connectEndpoints()
 	r.engines = o.NewEngines(r.paths.Dial)
 	r.placer = newPlacer(s, &o.Settings, r.engines, o.Clock, log, o.Rand)
+	r.placer.rejections = metrics.scope
 	var cacheFeed CacheFeed
 	if o.NewCacheFeed != nil {
 		cacheFeed = o.NewCacheFeed(r.paths.Dial)
