--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -109,7 +109,8 @@
 	slots              int
 	fraction           float64                 // of what the slots bear
 	rejectionLimit     float64                 // rejections/s
-	even               bool                    // all daemons get the same load
+	even               bool                    // all daemons get the same load, but for
+	atFirst            float64                 // the fraction that only the first one gets
 	disrupt            func(f *simulatedFleet) // called when the endpoints begin to crash; nil: not
 }
 
@@ -155,7 +156,7 @@
 		waits.Go(func() {
 			time.Sleep(at)
 			daemon := 0
-			if l.even {
+			if l.even && f.draw() >= l.atFirst {
 				daemon = f.randomDaemon()
 			}
 			for !l.even && f.draw() < 0.75 && daemon < l.daemons-1 {
@@ -227,3 +228,52 @@
 		})
 	}
 }
+
+// crashOne crashes an endpoint for a reason other than rejections.
+func crashOne(f *simulatedFleet) {
+	time.Sleep(time.Second)
+	f.endpoints[0].crash(0)
+}
+
+// restartThird restarts a third of the daemons.
+func restartThird(f *simulatedFleet) {
+	for i := range len(f.daemons) / 3 {
+		f.startDaemon(i)
+	}
+}
+
+// cutOffThird cuts a third of the daemons off from all endpoints.
+func cutOffThird(f *simulatedFleet) {
+	for i := range len(f.daemons) / 3 {
+		f.cut(i, cutReset)
+	}
+}
+
+// Guards against brittle endpoints that crash, and go on crashing when they return, because
+// there are more daemons than they have places and each of them may always send one request.
+func TestBrittleEndpointsOfManyDaemonsDoNotCrashOnRejections(t *testing.T) {
+	disruptions := map[string]func(f *simulatedFleet){
+		"none": nil, "crash of an endpoint": crashOne, "restart of daemons": restartThird, "daemons cut off": cutOffThird,
+		"daemons cut off and crash": func(f *simulatedFleet) { cutOffThird(f); crashOne(f) },
+	}
+	for name, disrupt := range disruptions {
+		for _, l := range []brittleLoad{
+			{daemons: 72, fraction: 0.6, rejectionLimit: 5}, {daemons: 72, fraction: 1.2, rejectionLimit: 5},
+			{daemons: 72, fraction: 2, rejectionLimit: 5}, {daemons: 72, fraction: 2, rejectionLimit: 2}, {daemons: 72, fraction: 2, rejectionLimit: 5, atFirst: 0.9},
+		} {
+			t.Run(fmt.Sprintf("%s, load %v, limit %v, %v at one daemon", name, l.fraction, l.rejectionLimit, l.atFirst), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					l.endpoints, l.slots, l.even, l.disrupt = 4, 6, true, disrupt
+					got := l.run(t)
+					if allowed := 2 + l.endpoints/10; got.falls > allowed {
+						t.Errorf("%d crashes because of rejections, %d are allowed", got.falls, allowed)
+					}
+					if borne := min(1, 1/l.fraction); float64(got.served) < 0.7*borne*float64(got.sent) {
+						t.Errorf("%d of %d requests were served, the slots bear %.0f%%", got.served, got.sent, 100*borne)
+					}
+				})
+			})
+		}
+	}
+}
