Test at real daemons that brittle runners do not crash on rejections

Twelve daemons in one process before two runners of two slots, 1.5 times what the slots bear, with the platform's headers.

--- a/lab/metastore/runner.go
+++ b/lab/metastore/runner.go
@@ -18,6 +18,7 @@
 	Pause  time.Duration // after each event, or before an answer that is not a stream
 	Build  string        // software version, which ends each event's data; empty: it does not
 	Born   int64         // start of the process that its report states; 0: none
+	Room   *Room         // nil: it runs any number of requests at once
 	// Ends is called with the body of each request that runs and returns whether the
 	// runner crashes. A nil Ends is the same as one that returns false.
 	Ends func(body []byte) bool
@@ -217,6 +218,17 @@
 func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
 	// The server notices a closed connection only after the body was read.
 	body, _ := io.ReadAll(req.Body)
+	if m := r.Room; m != nil {
+		entered := m.enter()
+		m.setHeader(w.Header())
+		if !entered {
+			w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer m.leave()
+	}
 	if r.rejectOrRecord(w, req) {
 		return
 	}
