Order engines with the oldest weights first by their reports, not their entries

What callers see: after a leader has restarted, engines with the oldest weights wait for their orders and stay behind a named version, while the first orders go to engines that loaded a newer one half a second before. Cause: a leader that has just restarted knows engines by entries, which are up to a second older than their weights. It asks each engine for its report before the order, but used the version in it only if it was the named one.

--- a/router/orders.go
+++ b/router/orders.go
@@ -285,7 +285,9 @@
 		l.router.log.Warn("Engine did not return a report.", "endpoint", e.ID, "error", err.Error())
 	case report.Leaving:
 		l.router.placer.endpointLeaving(time.Now(), e.Key, e.ID)
-	case report.Version >= version:
+	case report.Version >= version, report.Version > e.Version && !report.Busy:
+		// An engine whose entry was older than its weights gives way to those with the
+		// oldest ones.
 		l.recordLoaded(e, model, report.Version)
 		reply = weights.AlreadyHolds
 	case report.Busy:
--- a/router/restore_test.go
+++ b/router/restore_test.go
@@ -98,6 +98,7 @@
 	at     time.Time
 	holder string
 	token  int64
+	to     string // engine
 }
 
 // storeSettleTime is how long after a disturbance of the store the time bounds begin to
@@ -165,7 +166,7 @@
 	time.Sleep(neighbourLatency)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.orders = append(e.orders, receivedOrder{time.Now(), o.Holder, o.Token})
+	e.orders = append(e.orders, receivedOrder{time.Now(), o.Holder, o.Token, t.ID})
 	switch {
 	case e.engines[t.ID].silent:
 	case e.late != nil && e.late.IntN(2) == 0:
--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -56,6 +56,41 @@
 	}
 }
 
+// Guards against engines with the oldest weights that wait for their orders while others get
+// theirs first whose entries are older than their weights.
+func TestOldestEnginesAreOrderedFirstByTheirReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, e := newRolloutZone(t, 3, 18)
+		time.Sleep(zoneSettleTime)
+		newer := map[string]bool{"e0": true, "e1": true, "e10": true, "e11": true}
+		e.mu.Lock()
+		for id := range newer {
+			e.engines[id].version, e.engines[id].gone = 2, true
+		}
+		e.mu.Unlock()
+		e.name(3)
+		time.Sleep(3 * zoneSettings.VersionWithin)
+		if n := e.behind(3); n > 0 {
+			t.Errorf("%d engines are older than the named version", n)
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		first := map[string]time.Time{}
+		for _, o := range e.orders {
+			if first[o.to].IsZero() {
+				first[o.to] = o.at
+			}
+		}
+		for id := range newer {
+			for other, at := range first {
+				if !newer[other] && first[id].Before(at) {
+					t.Errorf("%s, whose weights are newer, got its order %v before %s", id, at.Sub(first[id]), other)
+				}
+			}
+		}
+	})
+}
+
 // Guards against rollouts that stand still because the leader is cut off from all engines
 // and keeps the lease.
 func TestLeaderCutFromEnginesPassesTheLease(t *testing.T) {
