--- a/permits/node_test.go
+++ b/permits/node_test.go
@@ -106,6 +106,9 @@
 	}
 	waiting := n.Ask(time.Second, target, time.Second, 0, func(Verdict) { t.Error("a cancelled request was decided") })
 	n.Cancel(time.Second, waiting)
+	if got := n.Accounts(time.Second); got[0].Waiting != 0 {
+		t.Errorf("%d requests wait after one was cancelled", got[0].Waiting)
+	}
 	for _, id := range all {
 		n.Release(time.Second, id, false)
 	}
