--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -38,6 +38,8 @@
 	// quarantine of a request. From then on the request may run maxQuarantinedRuns times.
 	quarantineDelay    = 3 * time.Second
 	maxQuarantinedRuns = 3
+	// brittleSettle is the time from the start of brittle runners until less may wait.
+	brittleSettle = 3 * time.Second
 )
 
 var daemonBinary string
@@ -125,8 +127,9 @@
 	runners      map[string]*metastore.Runner
 	runnerLinks  []*proxy // to the runners
 	daemons      []*process
-	faultKinds   int            // number of kinds that injectFault chooses from
-	storeCopy    metastore.Copy // from which the store is restored
+	rooms        []*metastore.Room // of the plain runners, if they are brittle
+	faultKinds   int               // number of kinds that injectFault chooses from
+	storeCopy    metastore.Copy    // from which the store is restored
 
 	mu         sync.Mutex
 	callerRand *rand.Rand // chooses the callers' requests
@@ -592,15 +595,46 @@
 	}
 }
 
+// firstSeedWithBrittleRunners is the lowest seed whose plain runners are brittle.
+const firstSeedWithBrittleRunners = 20_000
+
+func TestSoakWithBrittleRunners(t *testing.T) { runSeed(t, firstSeedWithBrittleRunners) }
+
+// makeBrittle makes the plain runners brittle, with less room than callers may take.
+func (s *soak) makeBrittle() {
+	for i := modelRunners; i < len(s.runnerLinks); i++ {
+		m := &metastore.Room{Slots: 2, Waiting: 1 << 10, Limit: 3, Reports: true, Restart: time.Second}
+		s.runners[s.runnerID(i)].Room = m
+		s.rooms = append(s.rooms, m)
+		time.AfterFunc(brittleSettle, func() { m.SetWaiting(1) })
+	}
+}
+
+// checkBrittle checks that brittle runners crashed at most twice because of rejections.
+func (s *soak) checkBrittle() {
+	crashes := 0
+	for _, m := range s.rooms {
+		crashes += m.Crashes()
+	}
+	s.t.Logf("%d crashes because of rejections", crashes)
+	if crashes > 2 {
+		s.t.Errorf("brittle runners crashed %d times because of rejections", crashes)
+	}
+}
+
 func runSeed(t *testing.T, seed int) {
 	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 		s := newSoak(t, uint64(seed))
 		s.faultKinds = 10
+		if seed >= firstSeedWithBrittleRunners {
+			s.makeBrittle()
+		}
 		if seed >= firstSeedWithAllFaults {
 			s.faultKinds = 13
 		}
 		s.storeCopy = s.store.Copy()
 		s.run(time.Duration(envInt("SOAK_SECONDS", 6)) * time.Second)
 		s.checkAttempts()
+		s.checkBrittle()
 	})
 }
