--- a/permits/node.go
+++ b/permits/node.go
@@ -105,7 +105,8 @@
 type Node struct {
 	o         Options
 	peers     *gossip.Peers
-	hashes    []uint64 // of the names of peers.Others
+	hashes    []uint64            // of the names of peers.Others
+	owners    map[key]gossip.Peer // first in order, avoided or not; of the present list of daemons
 	selfHash  uint64
 	notices   notices
 	endpoints map[fleet.EndpointID]*endpoint
@@ -124,7 +125,7 @@
 func NewNode(o Options) *Node {
 	n := &Node{
 		o: o, peers: gossip.NewPeers(o.Self, o.Rand), selfHash: hash.Text(o.Self.Name), endpoints: map[fleet.EndpointID]*endpoint{},
-		lastID: ID(o.Nonce) << 32, pending: map[ID]*pending{}, held: map[ID]*permit{}, avoided: map[string]time.Duration{},
+		lastID: ID(o.Nonce) << 32, pending: map[ID]*pending{}, held: map[ID]*permit{}, avoided: map[string]time.Duration{}, owners: map[key]gossip.Peer{},
 	}
 	n.notices = notices{peers: n.peers, reportedAt: map[key]time.Duration{}, relaysLeft: map[key]int{}}
 	n.owner = owner{accounts: map[key]*account{}, askers: map[string]incarnations{}, decide: n.decide}
@@ -139,6 +140,7 @@
 	if first {
 		n.peers.SendToSample(noticeSources, []byte{kindNoticeAsk})
 	}
+	clear(n.owners)
 	n.hashes = n.hashes[:0]
 	for _, p := range n.peers.Others() {
 		n.hashes = append(n.hashes, hash.Text(p.Name))
@@ -160,8 +162,28 @@
 	return n.notices.brittle(now, serviceKey(to.Service))
 }
 
+// maxOwners bounds the endpoints whose owner is kept.
+const maxOwners = 1 << 14
+
 // chooseOwner returns the daemon that lends the permits of an endpoint.
 func (n *Node) chooseOwner(now time.Duration, k key) gossip.Peer {
+	if len(n.avoided) > 0 {
+		return n.rankOwners(now, k)
+	}
+	first, known := n.owners[k]
+	if !known {
+		if len(n.owners) >= maxOwners {
+			clear(n.owners)
+		}
+		first = n.rankOwners(now, k)
+		n.owners[k] = first
+	}
+	return first
+}
+
+// rankOwners returns the daemon that is first in the order of an endpoint's owners and not
+// avoided.
+func (n *Node) rankOwners(now time.Duration, k key) gossip.Peer {
 	best, most, avoided := n.o.Self, hash.Mix(uint64(k)^n.selfHash), 0
 	for i, p := range n.peers.Others() {
 		if until, some := n.avoided[p.Address]; some && now < until {
@@ -442,7 +464,8 @@
 	}
 }
 
-// Retain removes the endpoints that are not known any more.
+// Retain removes the endpoints that are not known any more, and what has expired. Call it
+// about every second.
 func (n *Node) Retain(now time.Duration, known func(fleet.EndpointID) bool) {
 	for id, e := range n.endpoints {
 		if !known(id) || !e.brittle && now-e.answeredAt >= noticeTTL {
