--- a/router/attempts_test.go
+++ b/router/attempts_test.go
@@ -40,3 +40,24 @@
 		t.Error("reserved endpoints were included twice")
 	}
 }
+
+// Guards against requests that wait for a permit until it is of no use to their callers, and
+// against streams that are cut off for want of one sooner than need be.
+func TestPermitWait(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		objective, left time.Duration
+		resuming        bool
+		want            time.Duration
+	}{
+		{300 * time.Millisecond, 4 * time.Second, false, 150 * time.Millisecond},
+		{300 * time.Millisecond, 100 * time.Millisecond, false, 50 * time.Millisecond},
+		{0, 4 * time.Second, false, defaultPermitWait},
+		{300 * time.Millisecond, 4 * time.Second, true, 2 * time.Second},
+	} {
+		req := &forward.PlacementRequest{Route: &routes.Route{TargetLatency: c.objective}, Deadline: now.Add(c.left), Resuming: c.resuming}
+		if got := permitWait(now, req); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
--- a/router/permits.go
+++ b/router/permits.go
@@ -203,13 +203,18 @@
 	return forward.Placement{}, &forward.RefusedError{Code: codeAtLimits, RetryAfter: d.overloadRetryAfter(), Endpoint: string(p.Target.Key)}
 }
 
-// permitWait returns how long a request waits for a permit at most.
+// permitWait returns how long a request waits for a permit at most. The caller of a stream
+// that resumes has received a part of it.
 func permitWait(now time.Time, req *forward.PlacementRequest) time.Duration {
-	wait := time.Duration(permitWaitFraction * float64(req.Route.TargetLatency))
-	if wait <= 0 {
-		wait = defaultPermitWait
+	left := time.Duration(permitWaitFraction * float64(req.Deadline.Sub(now)))
+	objective := time.Duration(permitWaitFraction * float64(req.Route.TargetLatency))
+	switch {
+	case req.Resuming:
+		return left
+	case objective <= 0:
+		objective = defaultPermitWait
 	}
-	return min(wait, time.Duration(permitWaitFraction*float64(req.Deadline.Sub(now))))
+	return min(objective, left)
 }
 
 // permit obtains the permit that a placement needs. If there is none, it ends the placement
