--- a/permits/node.go
+++ b/permits/node.go
@@ -127,7 +127,7 @@
 		o: o, peers: gossip.NewPeers(o.Self, o.Rand), selfHash: hash.Text(o.Self.Name), endpoints: map[fleet.EndpointID]*endpoint{},
 		lastID: ID(o.Nonce) << 32, pending: map[ID]*pending{}, held: map[ID]*permit{}, avoided: map[string]time.Duration{}, owners: map[key]gossip.Peer{},
 	}
-	n.notices = notices{peers: n.peers, reportedAt: map[key]time.Duration{}, relaysLeft: map[key]int{}}
+	n.notices = notices{peers: n.peers, reportedAt: map[key]time.Duration{}}
 	n.owner = owner{accounts: map[key]*account{}, askers: map[string]incarnations{}, decide: n.decide}
 	return n
 }
--- a/permits/notices.go
+++ b/permits/notices.go
@@ -1,7 +1,6 @@
 package permits
 
 import (
-	"slices"
 	"time"
 
 	"github.com/merlindock/merlindock/gossip"
@@ -18,7 +17,6 @@
 type notices struct {
 	peers      *gossip.Peers
 	reportedAt map[key]time.Duration // the newest such answer
-	relaysLeft map[key]int           // ticks at which it is still sent to peers
 }
 
 // brittle reports whether endpoints of the service may be brittle.
@@ -40,9 +38,6 @@
 	if now-at >= noticeTTL || len(s.reportedAt) >= maxNotices && s.reportedAt[service] == 0 {
 		return
 	}
-	if !s.brittle(now, service) {
-		s.relaysLeft[service] = gossip.RelayRounds
-	}
 	s.reportedAt[service] = max(s.reportedAt[service], at)
 }
 
@@ -59,7 +54,6 @@
 	for service, at := range s.reportedAt {
 		if now-at >= noticeTTL {
 			delete(s.reportedAt, service)
-			delete(s.relaysLeft, service)
 			continue
 		}
 		all = append(all, notice{service: service, age: now - at})
@@ -67,20 +61,10 @@
 	return all
 }
 
-// tick sends the notices that are due. It is called every gossip.TickInterval.
+// tick sends all notices to a random daemon every gossip.SyncInterval. So those that the
+// first message did not reach learn of them within a few intervals, whatever their number.
 func (s *notices) tick(now time.Duration) {
-	all := s.list(now)
-	if len(all) == 0 {
-		return
-	}
-	recent := slices.DeleteFunc(slices.Clone(all), func(n notice) bool {
-		s.relaysLeft[n.service]--
-		return s.relaysLeft[n.service] < 0
-	})
-	if len(recent) > 0 {
-		s.peers.SendToSample(gossip.RelayFanout, encodeNotices(recent))
-	}
-	if s.peers.SyncDue(now) {
+	if all := s.list(now); len(all) > 0 && s.peers.SyncDue(now) {
 		s.peers.SendToSample(1, encodeNotices(all))
 	}
 }
--- a/permits/sim_test.go
+++ b/permits/sim_test.go
@@ -76,7 +76,11 @@
 	rejections  []time.Duration
 }
 
-const simLatency = 1500 * time.Microsecond
+const (
+	simLatency = 1500 * time.Microsecond
+	// drainTime is longer than a request waits and runs.
+	drainTime = 500 * time.Millisecond
+)
 
 func (s *simulation) after(d time.Duration, run func()) {
 	s.seq++
@@ -304,7 +308,7 @@
 	limit, room := s.limit, s.room
 	s.limit, s.room = math.MaxFloat64, 64
 	s.load(fraction, s.now+2*time.Second)
-	s.runUntil(s.now + 2*time.Second)
+	s.runUntil(s.now + 2*time.Second + drainTime)
 	s.limit, s.room = limit, room
 	s.sent, s.served, s.rejected, s.crashes, s.bytes = 0, 0, 0, 0, 0
 }
@@ -314,7 +318,7 @@
 	t.Helper()
 	s.load(fraction, s.now+lasts)
 	s.runUntil(s.now + lasts)
-	s.runUntil(s.now + 500*time.Millisecond) // until all requests have ended
+	s.runUntil(s.now + drainTime)
 	t.Logf("%d daemons, %d endpoints of %d slots, load %v: %d of %d served, %d rejections, %d crashes, %.0f B/s for each daemon",
 		len(s.daemons), len(s.endpoints), s.endpoints[0].slots, fraction, s.served, s.sent, s.rejected, s.crashes, float64(s.bytes)/lasts.Seconds()/float64(len(s.daemons)))
 	if allowed := 2 + len(s.endpoints)/10; s.crashes > allowed {
