--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -348,3 +349,36 @@
 	slots := float64(l.endpoints*l.slots) / brittleServiceTime.Seconds()
 	return slots * (l.fraction*seconds.Seconds() + brittleBurst.Seconds())
 }
+
+// Guards against requests that are refused although a permit is returned soon, and against
+// those that wait for one without a chance.
+func TestRequestsWaitBrieflyForPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1, routes.Route{Kind: routes.Safe})
+		k := newCapacity(f, 1, 0, brittleServiceTime)
+		limit := 0.0
+		f.endpoints[0].capacity, k.rejectionLimit = k, &limit
+		for i := range 6 {
+			if got := f.request(i%3, fleetKey, fmt.Sprint("before ", i)); got.Code != http.StatusOK {
+				t.Fatalf("%d %s", got.Code, got.Body)
+			}
+			time.Sleep(brittleServiceTime)
+		}
+		var waits sync.WaitGroup
+		var served, refused atomic.Int32
+		for i := range 5 {
+			waits.Go(func() {
+				began := time.Now()
+				if f.request(i%3, fleetKey, fmt.Sprint("at once ", i)).Code == http.StatusOK {
+					served.Add(1)
+				} else if time.Since(began) < brittleServiceTime/2 {
+					refused.Add(1)
+				}
+			})
+		}
+		waits.Wait()
+		if served.Load() != 2 || refused.Load() != 3 || k.rejections > 0 {
+			t.Errorf("%d requests served and %d refused at once, %d rejected, want 2 of 5, the others at once", served.Load(), refused.Load(), k.rejections)
+		}
+	})
+}
