Do not lower permits for rejections of requests that had none

What callers saw: at endpoints without load reports that name a Retry-After, 508 to 917 of the 1,200 requests that the slots bear were served at twice the load, while one endpoint was nearly idle for seconds.

Cause: while the daemons learn that a service is brittle, requests without a permit are rejected at an endpoint whose owner has lent one or two. That counted as their being too many, and from there permits grow by 0.02 an answer, at few answers a second. Ruled out: the backoff itself, which concerns one daemon each.

A rejection without a permit counts toward a crash only.

--- a/permits/answers.go
+++ b/permits/answers.go
@@ -62,6 +62,7 @@
 	e.brittle, e.limit, e.answeredAt = true, *a.Limit, now
 	n.notices.answered(now, serviceKey(to.Service))
 	r := answerReport(to, a)
+	r.permitted = h != nil
 	if h != nil && !a.Rejected {
 		h.answer, h.answeredAt = &r, now
 		return out
--- a/permits/message.go
+++ b/permits/message.go
@@ -85,12 +85,14 @@
 	id       ID   // of the request that has ended; 0: none has
 	lost     bool // the request's connection was lost, so that it may still run
 	rejected bool
-	answered bool // the fields below are those of an answer
-	reports  bool // the answer reported the load
-	occupied int  // requests that run and wait
-	waiting  int
-	slots    int
-	limit    float64
+	// permitted states that the rejected request had a permit.
+	permitted bool
+	answered  bool // the fields below are those of an answer
+	reports   bool // the answer reported the load
+	occupied  int  // requests that run and wait
+	waiting   int
+	slots     int
+	limit     float64
 }
 
 // Bits of the flags of a report.
@@ -99,13 +101,14 @@
 	flagAnswered
 	flagReports
 	flagLost
+	flagPermitted
 )
 
 func (p *report) encode() []byte {
 	b := binary.LittleEndian.AppendUint64([]byte{kindReport}, uint64(p.key))
 	b = binary.LittleEndian.AppendUint64(b, uint64(p.id))
 	var flags byte
-	for bit, set := range map[byte]bool{flagRejected: p.rejected, flagAnswered: p.answered, flagReports: p.reports, flagLost: p.lost} {
+	for bit, set := range map[byte]bool{flagRejected: p.rejected, flagAnswered: p.answered, flagReports: p.reports, flagLost: p.lost, flagPermitted: p.permitted} {
 		if set {
 			flags |= bit
 		}
@@ -123,7 +126,7 @@
 func decodeReport(r *wire.Reader) report {
 	p := report{key: key(r.Uint64()), id: ID(r.Uint64())}
 	flags := r.Byte()
-	p.lost = flags&flagLost != 0
+	p.lost, p.permitted = flags&flagLost != 0, flags&flagPermitted != 0
 	p.rejected, p.answered, p.reports = flags&flagRejected != 0, flags&flagAnswered != 0, flags&flagReports != 0
 	if p.answered {
 		p.occupied, p.waiting, p.slots = int(r.Uvarint(maxSlots)), int(r.Uvarint(maxSlots)), int(r.Uvarint(maxSlots))
--- a/permits/node_test.go
+++ b/permits/node_test.go
@@ -331,3 +331,20 @@
 		}
 	}
 }
+
+// Guards against an endpoint that stays idle because requests without a permit were rejected
+// there when few permits were lent.
+func TestRejectionsWithoutPermitLeavePermits(t *testing.T) {
+	n := known()
+	before := n.Accounts(time.Second)[0].Capacity
+	n.Answered(time.Second, target, 0, Answer{Limit: brittle(5), Rejected: true})
+	if after := n.Accounts(time.Second)[0].Capacity; after != before {
+		t.Errorf("%d permits after the rejection, %d before", after, before)
+	}
+	for range 4 {
+		n.Answered(time.Second, target, 0, Answer{Limit: brittle(5), Rejected: true})
+	}
+	if n.ask(time.Second) != 0 {
+		t.Error("a permit is lent after as many rejections as the endpoint survives")
+	}
+}
--- a/permits/owner.go
+++ b/permits/owner.go
@@ -33,7 +33,7 @@
 	windowShrink = 0.75
 	// windowGrowth is by how much an answer raises the permits beyond the listed slots, for
 	// each rejection/s that does not crash the endpoint, and probeGrowth beyond those lent at
-	// the last rejection; at most maxGrowth.
+	// the last rejection, the faster the longer ago that was; at most maxGrowth.
 	windowGrowth = 0.02
 	probeGrowth  = 0.004
 	maxGrowth    = 0.1
@@ -81,8 +81,10 @@
 	limit    float64 // rejections/s that crash it
 	window   float64 // permits lent at most, as learned from answers and rejections
 	full     float64 // permits lent at the first of the last rejections; 0: none
-	slow     bool    // no rejection since the account began
-	extra    float64 // permits lent beyond the slots
+	// rejectedAt is the time of the last rejection.
+	rejectedAt time.Duration
+	slow       bool    // no rejection since the account began
+	extra      float64 // permits lent beyond the slots
 
 	lent           map[holder]*loan
 	heldFor        time.Duration // mean time for which permits are held
@@ -259,7 +261,7 @@
 		a.rejected(now, r)
 		return
 	}
-	a.growWindow(r)
+	a.growWindow(now, r)
 	if !r.reports {
 		return
 	}
@@ -274,12 +276,13 @@
 }
 
 // rejected records a rejection, which counts toward a crash whatever its reason is. It shows
-// that the endpoint was full unless its load was far below the slots, as at an engine that
-// loads weights; the report may be some time old.
+// that the permits were too many unless the request had none, or the load was far below the
+// slots, as at an engine that loads weights; the report may be some time old.
 func (a *account) rejected(now time.Duration, r *report) {
 	first := len(a.rejections) == 0
 	a.rejections = append(a.rejections, now)
-	if r.reports && float64(r.occupied) < fullFraction*float64(a.slots) {
+	a.rejectedAt = now
+	if !r.permitted || r.reports && float64(r.occupied) < fullFraction*float64(a.slots) {
 		return
 	}
 	a.slow, a.extra = false, 0
@@ -300,7 +303,7 @@
 }
 
 // growWindow raises the permits lent at most after an answer that is no rejection.
-func (a *account) growWindow(r *report) {
+func (a *account) growWindow(now time.Duration, r *report) {
 	switch {
 	case a.slow && a.reported:
 		a.window = (1 + maxExtra) * float64(a.slots)
@@ -313,7 +316,8 @@
 	case a.slow:
 		a.window += min(windowGrowth*a.limit, maxGrowth)
 	default:
-		a.window += min(probeGrowth*a.limit, maxGrowth)
+		quiet := (now - a.rejectedAt).Seconds()
+		a.window += min(probeGrowth*a.limit*(1+quiet*quiet), maxGrowth)
 	}
 	if a.slots > 0 {
 		a.window = min(a.window, (1+maxExtra)*float64(a.slots))
--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -354,7 +354,10 @@
 
 // checkServed runs the load at a large fleet and checks what was served, and the crashes.
 func (l *brittleLoad) checkServed(t *testing.T) {
-	l.even, l.lasts = true, largeFleetLasts
+	l.even = true
+	if l.lasts == 0 {
+		l.lasts = largeFleetLasts
+	}
 	if l.endpoints == 0 {
 		l.endpoints, l.slots = 4, 6
 	}
@@ -370,12 +373,16 @@
 // Guards against brittle endpoints without load reports that serve little after they asked
 // daemons for a backoff.
 func TestBrittleEndpointsWithBackoffServeWhatTheirSlotsBear(t *testing.T) {
-	t.Parallel()
-	defer occupyMemory()()
-	synctest.Test(t, func(t *testing.T) {
-		l := brittleLoad{daemons: 72, fraction: 2, rejectionLimit: 5, reportsNothing: true, retryAfter: "1"}
-		l.checkServed(t)
-	})
+	for _, daemons := range []int{6, 24, 72} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			defer occupyMemory()()
+			synctest.Test(t, func(t *testing.T) {
+				l := brittleLoad{daemons: daemons, fraction: 2, rejectionLimit: 5, reportsNothing: true, retryAfter: "1", lasts: brittleLasts}
+				l.checkServed(t)
+			})
+		})
+	}
 }
 
 // borne returns how many of the requests that were sent while endpoints crash the slots bear.
