Return whether a permit was granted, and the sums of an owner's permits

Cause: the verdict carried the owner's name, which nothing read, and the metrics summed up a sorted list of accounts that only they used.

--- a/permits/node.go
+++ b/permits/node.go
@@ -72,7 +72,7 @@
 	sentAt time.Duration
 	until  time.Duration // when a queued one is given up; 0: not queued
 	again  bool          // it was sent twice
-	done   func(Verdict)
+	done   func(granted bool)
 }
 
 // permit is a permit that this daemon holds.
@@ -94,12 +94,6 @@
 	lost bool
 }
 
-// Verdict is the result of a request for a permit.
-type Verdict struct {
-	Granted bool
-	Owner   string // name of the daemon that decided
-}
-
 // Node asks for permits at one daemon and lends those of the endpoints that it owns.
 // Outgoing messages are collected until Outbox is called.
 type Node struct {
@@ -202,7 +196,7 @@
 
 // Ask requests a permit. wait is how long it may be queued; 0: it is decided at once. done
 // is called with the verdict, from within this call or a later one to the Node.
-func (n *Node) Ask(now time.Duration, to Target, wait time.Duration, priority byte, done func(Verdict)) ID {
+func (n *Node) Ask(now time.Duration, to Target, wait time.Duration, priority byte, done func(granted bool)) ID {
 	n.lastID++
 	limit := 0.0
 	if e := n.endpoints[to.ID]; e != nil {
@@ -258,7 +252,7 @@
 	if ok {
 		n.held[p.id] = &permit{key: p.key, target: p.target, owner: p.owner, renewedAt: now}
 	}
-	p.done(Verdict{Granted: ok, Owner: p.owner.Name})
+	p.done(ok)
 }
 
 // Cancel gives up a request for a permit. done is not called any more.
@@ -389,8 +383,8 @@
 	return out
 }
 
-// Accounts returns the endpoints that this daemon owns.
-func (n *Node) Accounts(now time.Duration) []Account { return n.owner.list(now) }
+// Usage returns the sums over the endpoints that this daemon owns.
+func (n *Node) Usage(now time.Duration) Usage { return n.owner.usage(now) }
 
 // validLimit returns a limit received from another daemon, or 0 if it is not a number.
 func validLimit(v float64) float64 {
--- a/permits/owner.go
+++ b/permits/owner.go
@@ -1,7 +1,6 @@
 package permits
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -372,19 +371,16 @@
 	}
 }
 
-// Account is the state of an endpoint at its owner.
-type Account struct {
-	Key      uint64
+// Usage is the state of endpoints at their owner.
+type Usage struct {
 	Lent     int // permits
 	Capacity int // permits lent at most
 	Waiting  int // requests for a permit
 }
 
-func (o *owner) list(now time.Duration) []Account {
-	out := make([]Account, 0, len(o.accounts))
-	for k, a := range o.accounts {
-		out = append(out, Account{Key: uint64(k), Lent: len(a.lent), Capacity: a.capacity(now), Waiting: len(a.queue)})
+func (o *owner) usage(now time.Duration) (out Usage) {
+	for _, a := range o.accounts {
+		out.Lent, out.Capacity, out.Waiting = out.Lent+len(a.lent), out.Capacity+a.capacity(now), out.Waiting+len(a.queue)
 	}
-	slices.SortFunc(out, func(a, b Account) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
--- a/router/permits.go
+++ b/router/permits.go
@@ -109,14 +109,19 @@
 
 // obtain requests a permit and waits for the verdict. It returns 0 if there is none.
 func (e *endpointPermits) obtain(ctx context.Context, to permits.Target, wait time.Duration, priority byte) permits.ID {
-	got := make(chan permits.Verdict, 1)
+	got := make(chan bool, 1)
 	var id permits.ID
 	e.do(func(now time.Duration) {
-		id = e.node.Ask(now, to, wait, priority, func(v permits.Verdict) { got <- v })
+		id = e.node.Ask(now, to, wait, priority, func(granted bool) { got <- granted })
 	})
 	select {
-	case v := <-got:
-		return e.count(id, v)
+	case granted := <-got:
+		if !granted {
+			e.scope.Counter("permits_denied").Inc(1)
+			return 0
+		}
+		e.scope.Counter("permits_granted").Inc(1)
+		return id
 	case <-ctx.Done():
 	}
 	e.do(func(now time.Duration) {
@@ -126,15 +131,6 @@
 	return 0
 }
 
-func (e *endpointPermits) count(id permits.ID, v permits.Verdict) permits.ID {
-	if !v.Granted {
-		e.scope.Counter("permits_denied").Inc(1)
-		return 0
-	}
-	e.scope.Counter("permits_granted").Inc(1)
-	return id
-}
-
 func (e *endpointPermits) release(id permits.ID, lost bool) {
 	e.do(func(now time.Duration) { e.node.Release(now, id, lost) })
 }
@@ -146,18 +142,14 @@
 
 // retain removes the endpoints that are not known any more, and updates the metrics.
 func (e *endpointPermits) retain(known func(fleet.EndpointID) bool) {
-	var all []permits.Account
+	var owned permits.Usage
 	e.do(func(now time.Duration) {
 		e.node.Retain(now, known)
-		all = e.node.Accounts(now)
+		owned = e.node.Usage(now)
 	})
-	var lent, capacity, waiting int
-	for i := range all {
-		lent, capacity, waiting = lent+all[i].Lent, capacity+all[i].Capacity, waiting+all[i].Waiting
-	}
-	e.scope.Gauge("permits_lent").Update(float64(lent))
-	e.scope.Gauge("permits_capacity").Update(float64(capacity))
-	e.scope.Gauge("permits_waiting").Update(float64(waiting))
+	e.scope.Gauge("permits_lent").Update(float64(owned.Lent))
+	e.scope.Gauge("permits_capacity").Update(float64(owned.Capacity))
+	e.scope.Gauge("permits_waiting").Update(float64(owned.Waiting))
 }
 
 // permitTarget returns an endpoint as package permits names it.
