--- a/quota/quota.go
+++ b/quota/quota.go
@@ -125,8 +125,8 @@
 	// denialStep spreads the next asks of daemons that were denied.
 	denialStep = 500 * time.Microsecond
 	// maxBurstOverdraft is the fraction of the burst by which requests of any size may
-	// overdraw a bucket. At 0.25, 1 in 100 requests of an organisation below its limit were
-	// refused if messages were delayed by up to 150 ms, at 0.5 1 in 400.
+	// overdraw a bucket. With a smaller one, organisations below their limits are refused
+	// while messages between daemons are delayed.
 	maxBurstOverdraft = 0.5
 	// minRetryFraction is the fraction of a limit at which retries are expected to be
 	// admitted at least, while new requests use the limit up.
