Keep rate limits in force at once after a restart of all daemons

Callers saw rate_limited for a quarter to a half of their requests in the first 1.5 s after a restart of all daemons, far below their limits. A daemon that did not know the list of daemons yet pledged its fraction (1/256) to itself for 1.2 s, and new buckets start empty. A daemon now waits for the list for up to a second, with its requests waiting at most 0.5 s as before, and a new bucket lends a sixteenth of the tolerance's slack, in proportion to the pledges that arrive within 1.5 s of its start.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -10,6 +10,8 @@
 	limit Limit
 	level float64 // units; negative after an overdraft
 	at    time.Duration
+	// initialUntil is when new pledges cease to add to the level.
+	initialUntil time.Duration
 	// promisedRetries is the cost in units of the rejected requests that are
 	// expected to be retried after their Retry-After.
 	promisedRetries float64
@@ -41,6 +43,15 @@
 	return b.limit.Burst * (1 + t.Overage) * fraction
 }
 
+// grantInitial adds the initial units of a newly pledged fraction to a new bucket. Without
+// them, all organisations are refused after a restart of all daemons until the limits have
+// accrued, since the bucket starts empty.
+func (b *bucket) grantInitial(now time.Duration, fraction float64, t Tolerance) {
+	if now < b.initialUntil {
+		b.level += fraction * min(b.limit.Burst, t.Slack*initialSlackFraction)
+	}
+}
+
 // lowest returns the lowest level at which the need is lent. It may be below zero, so that
 // a large request that overdraws the bucket does not cause small ones to be rejected that
 // a single bucket would admit. Below zero only the whole need is lent, since a daemon can't
--- a/quota/node.go
+++ b/quota/node.go
@@ -39,6 +39,8 @@
 	shards       [Shards]shard
 	daemons      int // number of listed daemons; 0: no list yet
 	seq          uint64
+	started      bool // limits were set
+	startedAt    time.Duration
 	shuttingDown bool
 	outbox       []Datagram
 }
@@ -119,6 +121,12 @@
 	return out
 }
 
+// awaitsDaemons reports whether the list of daemons is expected soon. A daemon that pledged
+// its fraction to itself meanwhile could not pledge it to an owner before that pledge ends.
+func (n *Node) awaitsDaemons(now time.Duration) bool {
+	return n.daemons == 0 && n.started && now-n.startedAt < maxDaemonsWait
+}
+
 // pledgeFraction returns this daemon's fraction of the limits.
 func (n *Node) pledgeFraction() float64 {
 	if n.daemons == 0 {
@@ -129,6 +137,9 @@
 
 // SetLimits sets the current limits. Organisations without one are not limited.
 func (n *Node) SetLimits(now time.Duration, limits map[Key]Limit) {
+	if !n.started {
+		n.started, n.startedAt = true, now
+	}
 	var byShard [Shards]map[Key]Limit
 	for i := range byShard {
 		byShard[i] = map[Key]Limit{}
@@ -234,6 +245,9 @@
 // ask sends the demand of a shard's organisations and the pledge to the owner.
 func (n *Node) ask(now time.Duration, i int) {
 	s := &n.shards[i]
+	if n.awaitsDaemons(now) {
+		return
+	}
 	n.seq++
 	q := ask{Nonce: n.o.Nonce, Seq: n.seq, Shard: i, Fraction: n.pledgeFraction()}
 	for _, key := range s.keys {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -49,7 +49,7 @@
 	for key, limit := range limits {
 		b := o.buckets[key]
 		if b == nil {
-			b = &bucket{at: now}
+			b = &bucket{at: now, initialUntil: now + initialPeriod}
 			o.buckets[key] = b
 		}
 		b.limit = limit
@@ -78,6 +78,11 @@
 	}
 	o.pledgedSum += p.fraction
 	fraction := o.lendableFraction(t)
+	if !known {
+		for _, b := range o.buckets {
+			b.grantInitial(now, p.fraction, t)
+		}
+	}
 	out := reply{Seq: a.Seq, Shard: a.Shard}
 	for i := range a.Entries {
 		e := &a.Entries[i]
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -104,6 +104,9 @@
 	ownerTimeout = 600 * time.Millisecond
 	// maxWait bounds how long a request waits for the reply of an owner.
 	maxWait = 500 * time.Millisecond
+	// maxDaemonsWait is how long after its start a daemon waits for the list of daemons
+	// before it lends to itself. The list is usually read within 100 ms.
+	maxDaemonsWait = time.Second
 	// unresponsiveTTL is how long a daemon that did not reply is skipped.
 	unresponsiveTTL = 3 * time.Second
 	// maxMissed is the number of consecutive daemons without a reply after which a
@@ -122,6 +125,11 @@
 	// maxAccrual bounds the time for which a limit accrues at once. While an owner
 	// was paused, others lent in its place.
 	maxAccrual = 300 * time.Millisecond
+	// initialSlackFraction is the part of the tolerance's slack that each new bucket may
+	// lend at once, as pledges arrive within initialPeriod of its start. Restarts of all
+	// daemons that follow each other within a measuring window add up.
+	initialSlackFraction = 1.0 / 16
+	initialPeriod        = 1500 * time.Millisecond
 	// denialStep spreads the next asks of daemons that were denied.
 	denialStep = 500 * time.Microsecond
 	// maxBurstOverdraft is the fraction of the burst by which requests of any size may
