Admit requests by shares while a service is short of capacity

Prompts of a service that is short are refused if their first token is expected later than the objective.

--- a/forward/placer.go
+++ b/forward/placer.go
@@ -66,6 +66,19 @@
 	Endpoint   string        // best candidate; empty: none
 	Wait       time.Duration // expected at that endpoint
 	Age        time.Duration // of that endpoint's last load report
+	// Share describes the share of the organisation; nil: the request was not refused
+	// because of it. It is not part of messages between daemons.
+	Share *ShareRefusal `json:"-"`
+}
+
+// ShareRefusal describes the admission of an organisation's requests to a service that is
+// short of capacity.
+type ShareRefusal struct {
+	Priority int           // of the request; 0 is the most urgent
+	Fraction float64       // of the organisation's work of this priority that is admitted
+	Owner    string        // daemon that set the fraction; empty: this one by itself
+	Age      time.Duration // of the owner's verdict
+	Short    bool          // whether the service is short of capacity
 }
 
 func (e *RefusedError) Error() string { return "forward: refused: " + e.Code }
--- a/placement/reservations.go
+++ b/placement/reservations.go
@@ -76,6 +76,20 @@
 	return n
 }
 
+// Idle reports whether the endpoint has no requests in progress: according to its last load
+// report, if this daemon sent it nothing since, or by this daemon's own count if it has
+// reported no load.
+func (v *View) Idle(id fleet.EndpointID) bool {
+	e := v.endpointOf(id)
+	switch {
+	case e == nil:
+		return false
+	case e.loadAt.IsZero():
+		return e.underWay == 0
+	}
+	return e.load.Running+e.load.Waiting == 0 && e.firstReservation == none
+}
+
 func (v *View) freeReservation() int32 {
 	if n := len(v.freeReservations); n > 0 {
 		i := v.freeReservations[n-1]
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -201,3 +201,10 @@
 	defer s.mu.Unlock()
 	return s.view.PendingPrompts(id)
 }
+
+// Idle calls View.Idle under the lock.
+func (s *SharedView) Idle(id fleet.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Idle(id)
+}
--- /dev/null
+++ b/router/admission.go
@@ -0,0 +1,669 @@
+package router
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/merlindock/merlindock/contract/shares"
+	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/gossip"
+	"github.com/merlindock/merlindock/internal/pause"
+	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/quota"
+	"github.com/merlindock/merlindock/routes"
+)
+
+// codeOverShare refuses a request of an organisation of whose work only a fraction is
+// admitted, as its service is short of capacity.
+const codeOverShare = "over_share"
+
+// Intervals and parameters of admission.
+const (
+	// slotsRefreshTicks is the number of ticks between two updates of the slots, of the
+	// metrics and of the state that is logged.
+	slotsRefreshTicks = 4
+	// statusLogInterval is the interval of the log lines of a service that is short.
+	statusLogInterval = time.Second
+	// lowestWindow is the time for which the lowest time to the first byte of a route is
+	// kept at least; it is kept for twice as long at most.
+	lowestWindow = 10 * time.Second
+	// maxLowestFraction bounds that lowest time as a fraction of the objective. After a
+	// restart under overload, the first answers have all waited.
+	maxLowestFraction = 0.5
+	// answeringWithin is how recently an endpoint must have answered for requests without
+	// an answer to count as waits. One that is silent may have crashed, which says nothing
+	// about the load of the others.
+	answeringWithin = time.Second
+	// defaultObjective and defaultCost are used for a route without a latency objective,
+	// and until a request of a route has ended.
+	defaultObjective = time.Second
+	defaultCost      = 0.1 // slot-seconds
+	// costWeight is the least weight of a new sample in the moving averages of costs.
+	costWeight = 0.02
+)
+
+// admission decides which requests of callers are placed while a service is short of
+// capacity. It passes the daemon's observations to a shares.Node, which is created when
+// the configuration first requires it.
+type admission struct {
+	clock   func() time.Duration // boot clock
+	state   *state
+	scope   tally.Scope
+	log     *logging.Logger
+	send    func(to string, data []byte)
+	random  func() uint64
+	self    shares.Daemon
+	setting bool // Settings.OverloadControl
+
+	active atomic.Bool
+	wake   chan struct{} // has an element after active was set
+
+	mu         sync.Mutex
+	node       *shares.Node // nil: it was never active
+	daemons    []shares.Daemon
+	services   map[shares.Service]*admittedService
+	estimates  map[estimateKey]*routeEstimate
+	open       map[uint64]*openRequest // by placement ID
+	answeredAt map[fleet.EndpointID]time.Time
+}
+
+// admittedService is a service, or the engines of one of its models.
+type admittedService struct {
+	name, model string
+	slots       float64
+	configured  bool // by the table in force; otherwise listed by an endpoint only
+	short       bool // as last logged
+	loggedAt    time.Duration
+	scale       costScale
+}
+
+// estimateKey identifies requests of a similar duration.
+type estimateKey struct {
+	route string
+	kind  int // 0: plain; else 1 + the subpool
+}
+
+// routeEstimate is what is known of the duration of a route's requests.
+type routeEstimate struct {
+	duration average // seconds in a slot, without the wait
+	uncached average // fraction of the prompt tokens that an engine has to read
+	lowest   lowestTime
+}
+
+// average is a moving average that begins with the mean of its first samples.
+type average struct {
+	value float64
+	n     int
+}
+
+func (a *average) add(sample float64) {
+	a.n++
+	a.value += max(1/float64(a.n), costWeight) * (sample - a.value)
+}
+
+// lowestTime is the lowest time of the present window and the one before.
+type lowestTime struct {
+	began             time.Time
+	present, previous time.Duration // 0: none
+}
+
+// add adds a sample and returns the lowest time.
+func (l *lowestTime) add(now time.Time, sample time.Duration) time.Duration {
+	sample = max(sample, 1)
+	switch since := now.Sub(l.began); {
+	case since >= 2*lowestWindow:
+		l.began, l.present, l.previous = now, 0, 0
+	case since >= lowestWindow:
+		l.began, l.previous, l.present = l.began.Add(lowestWindow), l.present, 0
+	}
+	if l.present == 0 || sample < l.present {
+		l.present = sample
+	}
+	return l.value()
+}
+
+func (l *lowestTime) value() time.Duration {
+	if l.previous == 0 || l.present != 0 && l.present < l.previous {
+		return l.present
+	}
+	return l.previous
+}
+
+// costScale makes the sum of the costs of prompts equal the slot time that they take.
+// The time that a prompt spends in the batch contains the pauses in which prompts of
+// others are read, so that the sum of both terms of the cost counts reading twice.
+type costScale struct{ raw, observed average }
+
+func (s *costScale) factor() float64 {
+	if s.raw.n == 0 || s.raw.value <= 0 || s.observed.value <= 0 {
+		return 1
+	}
+	return s.observed.value / s.raw.value
+}
+
+// openRequest is a request under way at an endpoint.
+type openRequest struct {
+	service   shares.Service
+	key       estimateKey
+	endpoint  fleet.EndpointID
+	placed    time.Time
+	objective time.Duration
+	read      float64       // slot-seconds of a prompt that reading takes
+	waited    time.Duration // at the endpoint
+	answered  bool
+	observed  bool // as a wait
+}
+
+// allowed returns the lowest time to the first byte and the wait that still lets the
+// answer be in time.
+func (o *openRequest) allowed(e *routeEstimate) (lowest, allowed time.Duration) {
+	lowest = min(e.lowest.value(), time.Duration(maxLowestFraction*float64(o.objective)))
+	return lowest, o.objective - lowest
+}
+
+func newAdmission(me Neighbour, set *Settings, s *state, clock func() time.Duration, random func() uint64, scope tally.Scope, log *logging.Logger, send func(to string, data []byte)) *admission {
+	a := &admission{
+		clock: clock, state: s, scope: scope, log: log, send: send, random: random, self: sharesDaemon(me), setting: set.OverloadControl,
+		wake:     make(chan struct{}, 1),
+		services: map[shares.Service]*admittedService{}, estimates: map[estimateKey]*routeEstimate{}, open: map[uint64]*openRequest{}, answeredAt: map[fleet.EndpointID]time.Time{},
+	}
+	if a.setting {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.activate()
+	}
+	return a
+}
+
+func sharesDaemon(n Neighbour) shares.Daemon {
+	return shares.Daemon{Peer: gossip.Peer{Name: n.Name, Address: n.Address}, Cores: n.Cores}
+}
+
+// activate creates the node. The caller must hold mu.
+func (a *admission) activate() {
+	if a.node == nil {
+		a.node = shares.NewNode(shares.Options{Self: a.self, Nonce: a.random(), Rand: rand.New(rand.NewPCG(a.random(), a.random()))})
+		a.node.SetDaemons(a.daemons)
+	}
+	a.active.Store(true)
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// enabled reports whether admission is in use.
+func (a *admission) enabled() bool { return a != nil && a.active.Load() }
+
+// run performs periodic work until the context ends.
+func (a *admission) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		if !a.enabled() {
+			select {
+			case <-a.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if pause.Tick(ctx, shares.TickInterval) != nil {
+			return
+		}
+		a.do(func(now time.Duration) { a.node.Tick(now) })
+		if n%slotsRefreshTicks == 0 {
+			a.refresh(time.Now())
+		}
+	}
+}
+
+// do runs a call to the node, and sends the messages that it brought about.
+func (a *admission) do(call func(now time.Duration)) {
+	a.mu.Lock()
+	if a.node == nil {
+		a.mu.Unlock()
+		return
+	}
+	call(a.clock())
+	out := a.node.Outbox()
+	a.mu.Unlock()
+	for _, m := range out {
+		a.send(m.To, m.Data)
+	}
+}
+
+// receive passes a message of another daemon to the node.
+func (a *admission) receive(from string, data []byte) {
+	if !a.enabled() {
+		return
+	}
+	a.do(func(now time.Duration) {
+		if err := a.node.Receive(now, from, data); err != nil {
+			a.scope.Counter("share_messages_malformed").Inc(1)
+			a.log.Info("Message of another daemon is malformed.", "from", from, "error", err.Error())
+		}
+	})
+}
+
+// setDaemons replaces the list of daemons.
+func (a *admission) setDaemons(all []Neighbour) {
+	var list []shares.Daemon
+	for _, d := range all {
+		if d.Address != "" {
+			list = append(list, sharesDaemon(d))
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.daemons = list
+	if a.node != nil {
+		a.node.SetDaemons(list)
+	}
+}
+
+// setConfiguration applies the weights and services of a configuration.
+func (a *admission) setConfiguration(t *routes.Table) {
+	weights, weighted := organisationWeights(t)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.services {
+		s.configured = false
+	}
+	for name, s := range t.Services {
+		switch {
+		case s.Store != nil:
+		case s.Engine == nil:
+			a.service(name, "").configured = true
+		default:
+			for _, model := range s.Engine.Models {
+				a.service(name, model).configured = true
+			}
+		}
+	}
+	for key := range a.estimates {
+		if !slices.ContainsFunc(t.Routes, func(r routes.Route) bool { return r.Name == key.route }) {
+			delete(a.estimates, key)
+		}
+	}
+	if !a.setting && !weighted {
+		a.active.Store(false)
+		clear(a.open)
+		return
+	}
+	a.activate()
+	a.node.SetWeights(weights, 1)
+}
+
+// service returns the state of a service. The caller must hold mu.
+func (a *admission) service(name, model string) *admittedService {
+	id := shares.ServiceOf(name, model)
+	s := a.services[id]
+	if s == nil {
+		s = &admittedService{name: name, model: model}
+		a.services[id] = s
+	}
+	return s
+}
+
+// organisationWeights returns the weights of the organisations, and whether the
+// configuration gives one to any of them. Organisations without have their rate limit as
+// weight, in multiples of the mean limit, and those without a limit 1. Limits in tokens and
+// in requests cannot be compared: if there are both, none of them counts.
+func organisationWeights(t *routes.Table) (weights map[shares.Organisation]float64, weighted bool) {
+	organisations := map[string]*routes.Organisation{}
+	for _, o := range t.Organisations {
+		organisations[o.Name] = o
+	}
+	sum, limits := 0.0, 0
+	units := map[quota.Unit]bool{}
+	for _, o := range organisations {
+		if o.Limit.PerSecond > 0 {
+			sum += o.Limit.PerSecond
+			limits++
+			units[o.Limit.Unit] = true
+		}
+	}
+	weights = map[shares.Organisation]float64{}
+	for name, o := range organisations {
+		switch {
+		case o.Weight > 0:
+			weights[shares.OrganisationOf(name)], weighted = o.Weight, true
+		case o.Limit.PerSecond > 0 && len(units) == 1:
+			if w := o.Limit.PerSecond / sum * float64(limits); w > 0 && !math.IsInf(w, 0) {
+				weights[shares.OrganisationOf(name)] = w
+			}
+		}
+	}
+	return weights, weighted
+}
+
+// refresh updates the slots of the services and the metrics, and logs the state of the
+// services that are short.
+func (a *admission) refresh(now time.Time) {
+	type target struct{ service, model string }
+	slots := map[target]float64{}
+	listed := map[fleet.EndpointID]bool{}
+	a.state.mu.Lock()
+	for key, e := range a.state.roster.All() {
+		listed[key] = true
+		usable := 0.0
+		if !a.state.roster.Unusable(now, key) {
+			usable = float64(max(e.Slots, 0))
+		}
+		if len(e.Models) == 0 {
+			slots[target{e.Service, ""}] += usable
+		}
+		for model := range e.Models {
+			slots[target{e.Service, model}] += usable
+		}
+	}
+	a.state.mu.Unlock()
+	a.do(func(clock time.Duration) {
+		for to, n := range slots {
+			a.service(to.service, to.model).slots = n
+		}
+		for id, s := range a.services {
+			n, used := slots[target{s.name, s.model}]
+			if !used && !s.configured {
+				a.node.SetSlots(id, 0)
+				delete(a.services, id)
+				continue
+			}
+			s.slots = n
+			a.node.SetSlots(id, n)
+		}
+		for key := range a.answeredAt {
+			if !listed[key] {
+				delete(a.answeredAt, key)
+			}
+		}
+		a.reportStatus(clock)
+	})
+}
+
+// reportStatus updates the metrics, and logs the services that are short. The caller must
+// hold mu.
+func (a *admission) reportStatus(now time.Duration) {
+	var capacity, wait float64
+	short := 0
+	for _, s := range a.node.Status(now) {
+		capacity += s.Capacity
+		wait = max(wait, s.Wait)
+		if s.Short {
+			short++
+		}
+		at := a.services[s.Service]
+		if at == nil {
+			continue // only known at other daemons
+		}
+		switch {
+		case s.Short && !at.short:
+			a.log.Info("Service is short of capacity.", "service", at.name, "model", at.model, "slots", at.slots, "owner", s.Owner, "wait", s.Wait)
+		case !s.Short && at.short:
+			a.log.Info("Service has capacity again.", "service", at.name, "model", at.model, "slots", at.slots, "owner", s.Owner, "wait", s.Wait)
+		}
+		at.short = s.Short
+		if s.Short && now-at.loggedAt >= statusLogInterval {
+			at.loggedAt = now
+			a.log.Info("Shares of a service that is short of capacity.", "service", at.name, "model", at.model, "owner", s.Owner, "verdict_age_ms", s.Age.Milliseconds(),
+				"offered", s.Offered, "admitted", s.Admitted, "capacity", s.Capacity, "slots", at.slots, "wait", s.Wait, "limited", s.Limited)
+		}
+	}
+	a.scope.Gauge("share_capacity").Update(capacity)
+	a.scope.Gauge("share_wait").Update(wait)
+	a.scope.Gauge("share_short").Update(float64(short))
+}
+
+// short reports whether the service that a request is for is short of capacity.
+func (a *admission) short(req *forward.PlacementRequest) bool {
+	if !a.enabled() {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.active.Load() && a.node.Short(serviceOf(req))
+}
+
+func serviceOf(req *forward.PlacementRequest) shares.Service {
+	if req.Service.Engine == nil {
+		return shares.ServiceOf(req.Service.Name, "")
+	}
+	return shares.ServiceOf(req.Service.Name, req.In.Model)
+}
+
+func objectiveOf(r *routes.Route) time.Duration {
+	if r.TargetLatency > 0 {
+		return r.TargetLatency
+	}
+	return defaultObjective
+}
+
+func estimateKeyOf(req *forward.PlacementRequest) estimateKey {
+	if req.Service.Engine == nil || req.In.Model == "" {
+		return estimateKey{route: req.Route.Name}
+	}
+	return estimateKey{route: req.Route.Name, kind: 1 + int(subpoolOf(req.In.PromptTokens))}
+}
+
+// estimate returns what is known of a kind of requests. The caller must hold mu.
+func (a *admission) estimate(key estimateKey) *routeEstimate {
+	e := a.estimates[key]
+	if e == nil {
+		e = &routeEstimate{}
+		a.estimates[key] = e
+	}
+	return e
+}
+
+// cost returns the expected endpoint time of a request in slot-seconds, and the part of it
+// that reading a prompt takes, before both are scaled. The caller must hold mu.
+//
+// An engine reads the prompts of its batch one after another, and all its slots wait
+// meanwhile.
+func (a *admission) cost(req *forward.PlacementRequest, e *routeEstimate) (cost, read float64) {
+	cost = defaultCost
+	if e.duration.n > 0 {
+		cost = e.duration.value
+	}
+	if req.Service.Engine == nil || req.In.Model == "" {
+		return cost, 0
+	}
+	uncached := 1.0
+	if e.uncached.n > 0 {
+		uncached = e.uncached.value
+	}
+	read = float64(max(req.In.PromptTokens, 0)) * uncached / prefillRate * float64(max(req.Service.Engine.Slots, 1))
+	return cost + read, read
+}
+
+// offer decides on a request of a caller. It returns nil if the request is not subject to
+// admission.
+func (a *admission) offer(req *forward.PlacementRequest) (*shares.Work, shares.Decision) {
+	if req.Attempt > 0 || req.Resuming || req.In.Continues {
+		return nil, shares.Decision{Admitted: true}
+	}
+	w := &shares.Work{
+		Service: serviceOf(req), Organisation: shares.OrganisationOf(""), Request: requestHash(req), Objective: objectiveOf(req.Route),
+		Priority: int(priorityOf(req.Route.EffectivePriority(req.Organisation))),
+	}
+	if req.Organisation != nil {
+		w.Organisation = shares.OrganisationOf(req.Organisation.Name)
+	}
+	known := false
+	var d shares.Decision
+	a.do(func(now time.Duration) {
+		s := a.services[w.Service]
+		if known = s != nil; !known {
+			return // callers may name any model, for which there would be state
+		}
+		w.Cost, _ = a.cost(req, a.estimate(estimateKeyOf(req)))
+		w.Cost *= s.scale.factor()
+		d = a.node.Offer(now, w)
+	})
+	if !known {
+		return nil, shares.Decision{Admitted: true}
+	}
+	name := "share_admitted"
+	if !d.Admitted {
+		name = "share_refused"
+	}
+	a.scope.Tagged(map[string]string{"priority": strconv.Itoa(w.Priority)}).Counter(name).Inc(1)
+	return w, d
+}
+
+// requestHash recognises a request that its caller sends again. It returns 0 if the request
+// has no fingerprint.
+func requestHash(req *forward.PlacementRequest) uint64 {
+	var out uint64
+	for _, b := range req.Identity.Request[:8] {
+		out = out<<8 | uint64(b)
+	}
+	return out
+}
+
+// refusal returns the error for a request that is not admitted.
+func (p *placer) refusal(w *shares.Work, d *shares.Decision) *forward.RefusedError {
+	code := codeOverloaded
+	if d.Fraction < 1 {
+		code = codeOverShare
+	}
+	after := d.RetryAfter
+	if after <= 0 {
+		after = p.overloadRetryAfter()
+	}
+	return &forward.RefusedError{Code: code, RetryAfter: after, Share: &forward.ShareRefusal{
+		Priority: w.Priority, Fraction: d.Fraction, Owner: d.Owner, Age: d.Age, Short: d.Short,
+	}}
+}
+
+// Place implements forward.Placer. A request is placed only if it is admitted.
+func (d *dispatchPlacer) Place(ctx context.Context, req *forward.PlacementRequest) (forward.Placement, error) {
+	if !d.admission.enabled() {
+		return d.placePermitted(ctx, req)
+	}
+	work, decision := d.admission.offer(req)
+	if !decision.Admitted {
+		return forward.Placement{}, d.refusal(work, &decision)
+	}
+	p, err := d.placePermitted(ctx, req)
+	switch {
+	case err == nil:
+		d.admission.placed(time.Now(), req, &p)
+	case work != nil:
+		d.admission.do(func(now time.Duration) { d.admission.node.Withdraw(now, work) })
+	}
+	return p, err
+}
+
+// placed records a request that is sent to an endpoint.
+func (a *admission) placed(now time.Time, req *forward.PlacementRequest, p *forward.Placement) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	service := serviceOf(req)
+	if a.services[service] == nil {
+		return
+	}
+	key := estimateKeyOf(req)
+	e := a.estimate(key)
+	if tokens := req.In.PromptTokens; tokens > 0 && key.kind > 0 {
+		e.uncached.add(1 - min(float64(p.Cached)/float64(tokens), 1))
+	}
+	_, read := a.cost(req, e)
+	a.open[p.ID] = &openRequest{service: service, key: key, endpoint: p.Target.Key, placed: now, objective: objectiveOf(req.Route), read: read}
+}
+
+// answerStarted observes the wait of a request, or that an endpoint rejected it for want of
+// capacity.
+func (a *admission) answerStarted(now time.Time, p *forward.Placement, info *forward.AnswerInfo) {
+	if !a.enabled() {
+		return
+	}
+	a.do(func(clock time.Duration) {
+		o := a.open[p.ID]
+		if o == nil || info.Misplaced {
+			return
+		}
+		a.answeredAt[o.endpoint] = now
+		if info.NotRun {
+			if lacksCapacity(p, info) && !o.observed {
+				o.observed = true
+				a.node.Observe(clock, o.service, shares.Wait{Waited: o.objective, Allowed: o.objective, Rejected: true})
+			}
+			return
+		}
+		e := a.estimate(o.key)
+		took := now.Sub(o.placed)
+		e.lowest.add(now, took)
+		lowest, allowed := o.allowed(e)
+		o.answered, o.waited = true, max(0, took-lowest)
+		if !o.observed {
+			o.observed = true
+			a.node.Observe(clock, o.service, shares.Wait{Waited: o.waited, Allowed: allowed})
+		}
+	})
+}
+
+// attemptEnded updates the costs by a request that has ended.
+func (a *admission) attemptEnded(now time.Time, p *forward.Placement, end *forward.AttemptEnd) {
+	if !a.enabled() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o := a.open[p.ID]
+	delete(a.open, p.ID)
+	if o == nil || !o.answered || !end.Whole || end.Error {
+		return
+	}
+	e := a.estimate(o.key)
+	served := max(0, now.Sub(o.placed)-o.waited).Seconds()
+	e.duration.add(served)
+	if s := a.services[o.service]; s != nil && o.key.kind > 0 {
+		s.scale.raw.add(e.duration.value + o.read)
+		s.scale.observed.add(served)
+	}
+}
+
+// observeWaiting observes the requests that have had no answer for longer than the allowed
+// wait, each once. Those at an endpoint that is lost, ejected or silent are left out.
+func (a *admission) observeWaiting(now time.Time) {
+	if !a.enabled() {
+		return
+	}
+	var late []*openRequest
+	a.mu.Lock()
+	for _, o := range a.open {
+		if o.observed || now.Sub(a.answeredAt[o.endpoint]) > answeringWithin {
+			continue
+		}
+		if lowest, allowed := o.allowed(a.estimate(o.key)); now.Sub(o.placed)-lowest > allowed {
+			late = append(late, o)
+		}
+	}
+	a.mu.Unlock()
+	if len(late) == 0 {
+		return
+	}
+	a.state.mu.Lock()
+	late = slices.DeleteFunc(late, func(o *openRequest) bool {
+		return a.state.roster.Find(o.endpoint) == nil || a.state.roster.Unusable(now, o.endpoint)
+	})
+	a.state.mu.Unlock()
+	a.do(func(clock time.Duration) {
+		for _, o := range late {
+			if o.observed {
+				continue
+			}
+			o.observed = true
+			lowest, allowed := o.allowed(a.estimate(o.key))
+			a.node.Observe(clock, o.service, shares.Wait{Waited: now.Sub(o.placed) - lowest, Allowed: allowed})
+		}
+	})
+}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -297,6 +297,7 @@
 	if p.Notes.Dispatcher != "" {
 		d.sendMessage(p.Notes.Dispatcher, kindAnswered, answeredMessage{ID: p.ID, Info: *info})
 	}
+	d.admission.answerStarted(time.Now(), p, info)
 	d.placer.AnswerStarted(p, info)
 }
 
@@ -305,6 +306,7 @@
 	if p.Notes.Dispatcher != "" {
 		d.sendMessage(p.Notes.Dispatcher, kindEnded, endedMessage{ID: p.ID, End: end})
 	}
+	d.admission.attemptEnded(time.Now(), p, &end)
 	d.placer.AttemptEnded(p, end)
 }
 
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -221,14 +221,20 @@
 	return &out
 }
 
+// lacksCapacity reports whether an endpoint rejected a request because it was full. A plain
+// one that reports no load is assumed to be.
+func lacksCapacity(pl *forward.Placement, info *forward.AnswerInfo) bool {
+	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
+	unknown := info.Load == nil && pl.Out.Version == 0
+	return (full || unknown) && !info.Misplaced
+}
+
 // handleRejection excludes an endpoint for a short time after it did not run a request
 // because it is a different endpoint, has other weights or is loading new ones. An
 // endpoint that is merely full is not excluded, but avoided for a moment, as is a plain
 // one that reports no load.
 func (p *placer) handleRejection(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
-	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
-	unknown := info.Load == nil && pl.Out.Version == 0
-	if (full || unknown) && !info.Misplaced {
+	if lacksCapacity(pl, info) {
 		p.state.view.Rejected(now, pl.Target.Key)
 		return
 	}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/merlindock/merlindock/contract/shares"
 	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
@@ -63,6 +65,8 @@
 	// crashingSegments crash each endpoint that answers a prompt with one of them.
 	crashingSegments []string
 	unframed         bool // answers have neither a length nor chunks and end with their connection
+	overloadControl  bool // Settings.OverloadControl of the daemons
+	sentShares       int  // messages of package shares between daemons
 }
 
 const (
@@ -86,6 +90,12 @@
 
 // newFleetOfZones is newFleet with the zone of each daemon.
 func newFleetOfZones(t *testing.T, daemons, endpoints int, route routes.Route, zoneOf func(daemon int) fleet.ZoneID) *simulatedFleet {
+	return newFleetWith(t, daemons, endpoints, route, zoneOf, func(*simulatedFleet) {})
+}
+
+// newFleetWith is newFleetOfZones with further properties, which set sets before daemons
+// start.
+func newFleetWith(t *testing.T, daemons, endpoints int, route routes.Route, zoneOf func(daemon int) fleet.ZoneID, set func(f *simulatedFleet)) *simulatedFleet {
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &simulatedFleet{
 		t: t, ctx: ctx, began: time.Now(), rng: rand.New(rand.NewPCG(uint64(daemons), 29)), disconnected: map[netip.AddrPort]bool{},
@@ -119,6 +129,7 @@
 			fleetKey: {Name: "org"}, "other": {Name: "other"},
 		},
 	}
+	set(f)
 	f.table.BuildIndex()
 	for i := range endpoints {
 		f.endpoints = append(f.endpoints, &simulatedEndpoint{f: f, index: i, up: true, build: "v1", conns: map[net.Conn]bool{}})
@@ -145,12 +156,14 @@
 		Settings: Settings{
 			Name: fmt.Sprint("front-", i), Zone: f.zoneOf(i), PeerAddress: daemonAddress(i).String(),
 			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio,
+			OverloadControl: f.overloadControl,
 		},
 		Clock: f.clock, Dial: f.dialFrom(i), DialPeer: f.dialFrom(i), Wire: testWire{}, NewEngines: func(forward.Dial) weights.Engines { return unresponsiveEngines{} }, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
 	}, noopMeters())
 	me := daemonAddress(i)
 	r.datagrams.write = func(to netip.AddrPort, data []byte) error { return f.deliver(me, to, data) }
 	r.state.table.Store(f.table)
+	r.placer.admission.setConfiguration(f.table)
 	r.state.operator.RecordAnswer(f.clock(), f.clock())
 	ctx, stop := context.WithCancel(f.ctx)
 	f.mu.Lock()
@@ -183,6 +196,7 @@
 	go r.quarantine.Run(ctx)
 	go r.endpointLimits.Run(ctx)
 	go r.placer.permits.run(ctx)
+	go r.placer.admission.run(ctx)
 	go r.paths.Run(ctx)
 	go r.serveNeighbours(f.listen(me.String()))
 }
@@ -228,6 +242,9 @@
 	defer f.mu.Unlock()
 	f.sentMessages++
 	f.sentBytes += len(data)
+	if shares.IsMessage(data) {
+		f.sentShares++
+	}
 	if f.disconnected[from] || f.disconnected[to] || f.rng.Float64() < f.lossRate {
 		return nil
 	}
@@ -252,12 +269,17 @@
 }
 
 // requestWith is request with further headers, which set adds.
-func (f *simulatedFleet) requestWith(daemon int, key, body string, set func(http.Header)) (answer *httptest.ResponseRecorder) {
+func (f *simulatedFleet) requestWith(daemon int, key, body string, set func(http.Header)) *httptest.ResponseRecorder {
+	return f.requestPath(daemon, "/x", key, body, set)
+}
+
+// requestPath is requestWith with a path.
+func (f *simulatedFleet) requestPath(daemon int, path, key, body string, set func(http.Header)) (answer *httptest.ResponseRecorder) {
 	f.mu.Lock()
 	r := f.daemons[daemon]
 	id := strconv.FormatUint(f.rng.Uint64(), 16)
 	f.mu.Unlock()
-	req := httptest.NewRequestWithContext(f.ctx, http.MethodPost, "/x", bytes.NewBufferString(body))
+	req := httptest.NewRequestWithContext(f.ctx, http.MethodPost, path, bytes.NewBufferString(body))
 	req.Host = fleetHost
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Key", key)
@@ -314,6 +336,7 @@
 	build           string             // its software version
 	events          int                // of its answers; 0: all at once, one event
 	failing         float64            // fraction of the requests that it answers with a server error
+	slots           int                // of its entry; 0: 24
 
 	arrivals       []arrival
 	segmentCrashes []segmentCrash
@@ -357,7 +380,7 @@
 }
 
 func (e *simulatedEndpoint) entry() directory.Entry {
-	entry := directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Build: e.build, Born: e.born(), Slots: 24}
+	entry := directory.Entry{ID: e.id(), Service: "s", Address: fmt.Sprintf("e:%d", e.index), Zone: "z", Build: e.build, Born: e.born(), Slots: cmp.Or(e.slots, 24)}
 	if e.f.table.Services["s"].Engine != nil {
 		entry.Models = map[string]int64{fleetModel: 1}
 	}
@@ -603,7 +626,7 @@
 		in.LastEvent = id
 	}
 	if tokens, err := strconv.Atoi(h.Get("Prompt")); err == nil {
-		in.Model, in.PromptTokens = fleetModel, tokens
+		in.Model, in.PromptTokens = cmp.Or(h.Get("Model"), fleetModel), tokens
 		in.Parts = []prefix.Segment{{ID: "shared", Tokens: tokens / 2}, {ID: in.AttemptID, Tokens: tokens - tokens/2}}
 		if text := h.Get("Segments"); text != "" {
 			in.Parts = nil
--- a/router/follower.go
+++ b/router/follower.go
@@ -328,6 +328,7 @@
 		}
 		r.state.table.Store(t)
 		r.limits.setLimits(t)
+		r.placer.admission.setConfiguration(t)
 		r.log.Info("Configuration is in force.", "version", t.Version, "offset", feed.Position(record.Offset),
 			"routes", len(t.Routes), "services", len(t.Services), "keys", len(t.Organisations))
 		return
--- a/router/paths.go
+++ b/router/paths.go
@@ -67,6 +67,7 @@
 	r.peerHosts.Store(&hosts)
 	r.paths.SetPeers(peers)
 	r.placer.permits.setPeers(peersOf(all))
+	r.placer.admission.setDaemons(all)
 }
 
 // isPeer reports whether a connection from the address may be that of another daemon.
--- a/router/permits.go
+++ b/router/permits.go
@@ -168,9 +168,9 @@
 	return permitTarget(e), true
 }
 
-// Place implements forward.Placer. A request for a brittle endpoint is sent only with a
+// placePermitted chooses an endpoint. A request for a brittle endpoint is sent only with a
 // permit. While there is none at the endpoints that suit it best, it waits briefly for one.
-func (d *dispatchPlacer) Place(ctx context.Context, req *forward.PlacementRequest) (forward.Placement, error) {
+func (d *dispatchPlacer) placePermitted(ctx context.Context, req *forward.PlacementRequest) (forward.Placement, error) {
 	if req.Service.Engine != nil && req.In.Model != "" {
 		d.recordArrival(time.Now(), req)
 	}
--- a/router/placer.go
+++ b/router/placer.go
@@ -67,6 +67,7 @@
 	cacheTracker   *cacheTracker          // nil: cache contents are unknown
 	endpointLimits *endpointlimit.Limiter // nil: limits of endpoints are not enforced
 	permits        *endpointPermits
+	admission      *admission // nil: all requests are admitted
 	engines        weights.Engines
 	clock          func() time.Duration // boot clock
 	log            *logging.Logger
@@ -249,13 +250,14 @@
 		first.Pool, first.Levels = all[0].pool, all[0].levels()
 		p.queryLoads(ctx, now, &first, req.In.Model)
 	}
-	best, err := p.chooseCandidate(now, req, r, all)
+	tooLate := p.lateness(req)
+	best, err := p.chooseCandidate(now, req, r, all, tooLate)
 	if err != nil {
 		return forward.Placement{}, err
 	}
 	// A stream that resumes on another engine is not refused, as its caller has
 	// received a part of it.
-	if !req.Resuming && exceedsMaxWait(req, &best.decision) {
+	if !req.Resuming && tooLate(&best.decision) {
 		p.releaseLimit(best.decision.Endpoint)
 		return forward.Placement{}, &forward.RefusedError{
 			Code: codeOverloaded, RetryAfter: p.overloadRetryAfter(),
@@ -294,7 +296,7 @@
 }
 
 // chooseCandidate returns the best candidate whose endpoint can take the request.
-func (p *placer) chooseCandidate(now time.Time, req *forward.PlacementRequest, r *placement.Request, all []candidate) (evaluatedCandidate, error) {
+func (p *placer) chooseCandidate(now time.Time, req *forward.PlacementRequest, r *placement.Request, all []candidate, tooLate func(*placement.Decision) bool) (evaluatedCandidate, error) {
 	try := *r
 	tries := p.newAttempts(req, r.Avoid, subpoolOf(req.In.PromptTokens) == subpoolShort)
 	for tries.next() {
@@ -306,7 +308,7 @@
 		if err != nil {
 			break
 		}
-		if exceedsMaxWait(req, &best.decision) {
+		if tooLate(&best.decision) {
 			if idle, ok := idleCandidate(now, p.state.view, try, all, req.Route.TargetLatency); ok {
 				best = idle
 			}
@@ -326,12 +328,32 @@
 // even when late, and are refused only when the wait is far beyond the objective.
 var modelWaitFractions = [subpoolCount]float64{subpoolLong: 0.6, subpoolShort: 3}
 
-// exceedsMaxWait reports whether a prompt has to wait longer than it is accepted for.
+// exceedsMaxWait reports whether a prompt has to wait longer than it is accepted for while
+// its service has capacity.
 func exceedsMaxWait(req *forward.PlacementRequest, d *placement.Decision) bool {
 	most := modelWaitFractions[subpoolOf(req.In.PromptTokens)]
 	return d.ExpectedWait > time.Duration(most*float64(req.Route.TargetLatency))
 }
 
+// lateness returns the function that decides whether a prompt is refused because it would
+// have to wait for too long at an endpoint.
+//
+// While its service is short of capacity, a prompt is refused if its first token is expected
+// later than its objective: it would take the place of one that can be answered in time. An
+// engine that is idle, or that has not been observed for longer than the objective, gets one
+// prompt of this daemon all the same, as nothing else would show that it can serve in time.
+func (p *placer) lateness(req *forward.PlacementRequest) func(*placement.Decision) bool {
+	if !p.admission.short(req) {
+		return func(d *placement.Decision) bool { return exceedsMaxWait(req, d) }
+	}
+	objective := objectiveOf(req.Route)
+	return func(d *placement.Decision) bool {
+		unobserved := d.LoadAge < 0 || d.LoadAge > objective
+		return d.ExpectedFirstToken > objective && !p.state.view.Idle(d.Endpoint) &&
+			(!unobserved || p.state.view.PendingPrompts(d.Endpoint) > 0)
+	}
+}
+
 // overloadRetryAfter returns a random retry delay.
 func (p *placer) overloadRetryAfter() time.Duration {
 	return minOverloadRetryAfter + time.Duration(p.randomFraction()*float64(maxOverloadRetryAfter-minOverloadRetryAfter))
--- a/router/report.go
+++ b/router/report.go
@@ -93,6 +93,10 @@
 	if f := rep.Refused; f != nil && f.Endpoint != "" {
 		fields = append(fields, "best", f.Endpoint, "wait_ms", f.Wait.Milliseconds(), "load_age_ms", f.Age.Milliseconds())
 	}
+	if f := rep.Refused; f != nil && f.Share != nil {
+		s := f.Share
+		fields = append(fields, "priority", s.Priority, "fraction", s.Fraction, "share_owner", s.Owner, "verdict_age_ms", s.Age.Milliseconds(), "service_short", s.Short)
+	}
 	if h := rep.Hold; h != nil {
 		fields = append(fields, "held_fingerprint", h.Fingerprint.String(), "held_segment", rep.HeldSegment, "held_crashes", h.Crashes, "held_left_ms", h.Left.Milliseconds())
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"github.com/merlindock/merlindock/contract/shares"
 	"github.com/merlindock/merlindock/endpointlimit"
 	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
@@ -166,6 +167,7 @@
 	r.endpointLimits = r.newEndpointLimits(me)
 	r.placer.endpointLimits = r.endpointLimits
 	r.placer.permits.connect(r.metrics.scope, r.datagrams.send)
+	r.placer.admission = newAdmission(me, &o.Settings, s, o.Clock, r.placer.randomNumber, r.metrics.scope, r.log, r.datagrams.send)
 	r.dispatch = newDispatchPlacer(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	r.origins = newStreamOrigins(me, &o.Settings, s, r.shuttingDown.Load, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	for t := range r.feeds {
@@ -274,12 +276,14 @@
 	} else {
 		r.limits.setDaemons([]Neighbour{r.neighbours.self})
 		r.origins.setDaemons([]Neighbour{r.neighbours.self})
+		r.placer.admission.setDaemons([]Neighbour{r.neighbours.self})
 		r.neighbours.allowReads()
 	}
 	go r.limits.run(work)
 	go r.quarantine.Run(work)
 	go r.endpointLimits.Run(work)
 	go r.placer.permits.run(work)
+	go r.placer.admission.run(work)
 	go r.paths.Run(work)
 	if r.options.MetricsPort != "" {
 		go r.serveMetrics()
@@ -300,6 +304,8 @@
 	switch {
 	case r.dispatch.receive(from, data):
 	case r.endpointLimits.Receive(from, data):
+	case shares.IsMessage(data):
+		r.placer.admission.receive(from, data)
 	case permits.IsMessage(data):
 		r.placer.permits.receive(from, data)
 	case streamorigin.IsMessage(data):
@@ -391,6 +397,7 @@
 		r.state.refresh(now)
 		r.state.mu.Unlock()
 		r.placer.reportWaiting(now)
+		r.placer.admission.observeWaiting(now)
 		r.dispatch.expire(now)
 		r.origins.tick()
 		if ready := r.ready(); ready != wasReady {
--- a/router/settings.go
+++ b/router/settings.go
@@ -40,4 +40,7 @@
 	// QuotaTolerance is by how much the requests of an organisation may exceed its rate
 	// limit.
 	QuotaTolerance quota.Tolerance
+	// OverloadControl enables admission by shares, see package contract/shares. It is also
+	// enabled while the configuration gives an organisation a weight.
+	OverloadControl bool
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -119,6 +119,9 @@
 	// zero value is no limit.
 	Limit    quota.Limit
 	QuotaKey quota.Key // of Name
+	// Weight is that of the organisation's share of a service that is short of capacity;
+	// 0: none is configured.
+	Weight float64
 }
 
 // RateLimits returns the limits of the organisations that have one.
