--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/merlindock/merlindock/contract/shares"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -474,6 +475,87 @@
 	}
 }
 
+// Guards against long prompts that count as one at the daemon of their caller and as another
+// one at the dispatcher.
+func TestDispatchedPromptsCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := overloadLoad{daemons: 4, endpoints: 3, slots: 6, room: 24, promptTokens: maxShortTokens + 1}
+		f := l.newFleet(t)
+		var all sync.WaitGroup
+		const sent = 12
+		for i := range sent {
+			all.Go(func() {
+				if got := f.request(i%l.daemons, fleetKey, fmt.Sprint(i)); got.Code != http.StatusOK {
+					t.Errorf("status %d %s", got.Code, got.Body)
+				}
+			})
+		}
+		time.Sleep(overloadServiceTime / 2)
+		open := 0
+		for i, r := range f.daemons {
+			r.placer.admission.mu.Lock()
+			n := len(r.placer.admission.open)
+			r.placer.admission.mu.Unlock()
+			if open += n; n != sent/l.daemons {
+				t.Errorf("daemon %d counts %d requests, its callers sent %d", i, n, sent/l.daemons)
+			}
+		}
+		all.Wait()
+		for i, r := range f.daemons {
+			if n := len(r.placer.admission.open); n > 0 {
+				t.Errorf("daemon %d counts %d requests that have ended", i, n)
+			}
+		}
+	})
+}
+
+// Guards against costs that count the reading of prompts twice, so that the sum of the work
+// exceeds the slots, and against long prompts that cost as little as short ones.
+func TestCostsOfPromptsAddUpToTheirSlotTime(t *testing.T) {
+	const slots = 16
+	a := newAdmission(Neighbour{}, &Settings{}, nil, BootClock, func() uint64 { return 1 }, nil, discardLog(), func(string, []byte) {})
+	a.active.Store(true)
+	a.node = shares.NewNode(shares.Options{})
+	a.service("s", "m")
+	s := &routes.Service{Name: "s", Engine: &routes.Engine{Slots: slots}}
+	request := func(route string, tokens int) *forward.PlacementRequest {
+		return &forward.PlacementRequest{Route: &routes.Route{Name: route, TargetLatency: time.Second}, Service: s, In: &forward.RequestInfo{Model: "m", PromptTokens: tokens}}
+	}
+	cost := func(req *forward.PlacementRequest) float64 {
+		c, _ := a.cost(req, a.estimate(estimateKeyOf(req)))
+		return c * a.services[serviceOf(req)].scale.factor()
+	}
+	now := time.Now()
+	short, long := request("short", 380), request("long", 17000)
+	const served = 400 * time.Millisecond // of either kind, with the reading of the batch
+	var id uint64
+	for range 200 {
+		for n := range 4 {
+			id++
+			req := short
+			if n == 0 {
+				req = long
+			}
+			p := &forward.Placement{ID: id}
+			a.placed(now, req, p)
+			now = now.Add(served / 2)
+			a.answerStarted(now, p, &forward.AnswerInfo{})
+			now = now.Add(served / 2)
+			a.attemptEnded(now, p, &forward.AttemptEnd{Whole: true})
+		}
+	}
+	mean := (3*cost(short) + cost(long)) / 4
+	if mean < 0.9*served.Seconds() || mean > 1.1*served.Seconds() {
+		t.Errorf("mean cost %.3f slot-seconds, want %.3f", mean, served.Seconds())
+	}
+	if ratio := cost(long) / cost(short); ratio < 4 {
+		t.Errorf("a prompt of 17,000 tokens costs %.1f times one of 380", ratio)
+	}
+	if len(a.open) > 0 {
+		t.Errorf("%d requests are open", len(a.open))
+	}
+}
+
 // Guards against memory that grows with the models that callers name.
 func TestAdmissionOfUnknownModelsKeepsNoState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
