Take the reading time of a prompt and failed answers out of observed waits

Prompts of one route differ in length, and an endpoint that fails at once would set the lowest time to the first byte. Requests that find all endpoints at their limits count as rejected.

--- a/router/admission.go
+++ b/router/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -36,9 +37,9 @@
 	// lowestWindow is the time for which the lowest time to the first byte of a route is
 	// kept at least; it is kept for twice as long at most.
 	lowestWindow = 10 * time.Second
-	// maxLowestFraction bounds that lowest time as a fraction of the objective. After a
-	// restart under overload, the first answers have all waited.
-	maxLowestFraction = 0.5
+	// maxIdleFraction bounds the time to the first byte at an idle endpoint, as a fraction of
+	// the objective. After a restart under overload, the first answers have all waited.
+	maxIdleFraction = 0.5
 	// answeringWithin is how recently an endpoint must have answered for requests without
 	// an answer to count as waits. One that is silent may have crashed, which says nothing
 	// about the load of the others.
@@ -94,9 +95,9 @@
 
 // routeEstimate is what is known of the duration of a route's requests.
 type routeEstimate struct {
-	duration average // seconds in a slot, without the wait
-	uncached average // fraction of the prompt tokens that an engine has to read
-	lowest   lowestTime
+	duration average    // seconds in a slot, without the wait
+	uncached average    // fraction of the prompt tokens that an engine has to read
+	lowest   lowestTime // to the first byte, without the time to read a prompt
 }
 
 // average is a moving average that begins with the mean of its first samples.
@@ -116,8 +117,8 @@
 	present, previous time.Duration // 0: none
 }
 
-// add adds a sample and returns the lowest time.
-func (l *lowestTime) add(now time.Time, sample time.Duration) time.Duration {
+// add adds a sample.
+func (l *lowestTime) add(now time.Time, sample time.Duration) {
 	sample = max(sample, 1)
 	switch since := now.Sub(l.began); {
 	case since >= 2*lowestWindow:
@@ -128,9 +129,10 @@
 	if l.present == 0 || sample < l.present {
 		l.present = sample
 	}
-	return l.value()
 }
 
+// value returns the lowest time; 0: none was added.
+
 func (l *lowestTime) value() time.Duration {
 	if l.previous == 0 || l.present != 0 && l.present < l.previous {
 		return l.present
@@ -157,17 +159,22 @@
 	endpoint  fleet.EndpointID
 	placed    time.Time
 	objective time.Duration
-	read      float64       // slot-seconds of a prompt that reading takes
-	waited    time.Duration // at the endpoint
-	answered  bool
-	observed  bool // as a wait
+	readCost  float64       // slot-seconds
+	readTime  time.Duration // expected, of the tokens that are not cached
+	firstByte time.Duration // from placed; 0: none was received
+	waited    time.Duration // part of firstByte
+	observed  bool          // as a wait
 }
 
-// allowed returns the lowest time to the first byte and the wait that still lets the
-// answer be in time.
-func (o *openRequest) allowed(e *routeEstimate) (lowest, allowed time.Duration) {
-	lowest = min(e.lowest.value(), time.Duration(maxLowestFraction*float64(o.objective)))
-	return lowest, o.objective - lowest
+// wait returns the wait of a request that has taken the given time to the first byte, or
+// has had none in that time.
+func (o *openRequest) wait(e *routeEstimate, took time.Duration) shares.Wait {
+	idle := e.lowest.value()
+	if idle == 0 {
+		idle = took
+	}
+	idle = min(idle+o.readTime, time.Duration(maxIdleFraction*float64(o.objective)))
+	return shares.Wait{Waited: max(0, took-idle), Allowed: o.objective - idle}
 }
 
 func newAdmission(me Neighbour, set *Settings, s *state, clock func() time.Duration, random func() uint64, scope tally.Scope, log *logging.Logger, send func(to string, data []byte)) *admission {
@@ -557,11 +564,24 @@
 	case err == nil:
 		d.admission.placed(time.Now(), req, &p)
 	case work != nil:
-		d.admission.do(func(now time.Duration) { d.admission.node.Withdraw(now, work) })
+		d.admission.withdraw(work, err)
 	}
 	return p, err
 }
 
+// withdraw records that an admitted request was not sent to an endpoint. If all endpoints are
+// at their limits, it counts as rejected by them.
+func (a *admission) withdraw(w *shares.Work, err error) {
+	var refused *forward.RefusedError
+	atLimits := errors.As(err, &refused) && refused.Code == codeAtLimits
+	a.do(func(now time.Duration) {
+		a.node.Withdraw(now, w)
+		if atLimits {
+			a.node.Observe(now, w.Service, shares.Wait{Waited: w.Objective, Allowed: w.Objective, Rejected: true})
+		}
+	})
+}
+
 // placed records a request that is sent to an endpoint.
 func (a *admission) placed(now time.Time, req *forward.PlacementRequest, p *forward.Placement) {
 	a.mu.Lock()
@@ -575,8 +595,12 @@
 	if tokens := req.In.PromptTokens; tokens > 0 && key.kind > 0 {
 		e.uncached.add(1 - min(float64(p.Cached)/float64(tokens), 1))
 	}
-	_, read := a.cost(req, e)
-	a.open[p.ID] = &openRequest{service: service, key: key, endpoint: p.Target.Key, placed: now, objective: objectiveOf(req.Route), read: read}
+	o := &openRequest{service: service, key: key, endpoint: p.Target.Key, placed: now, objective: objectiveOf(req.Route)}
+	if key.kind > 0 {
+		_, o.readCost = a.cost(req, e)
+		o.readTime = time.Duration(float64(max(0, req.In.PromptTokens-p.Cached)) / prefillRate * float64(time.Second))
+	}
+	a.open[p.ID] = o
 }
 
 // answerStarted observes the wait of a request, or that an endpoint rejected it for want of
@@ -598,19 +622,18 @@
 			}
 			return
 		}
-		e := a.estimate(o.key)
-		took := now.Sub(o.placed)
-		e.lowest.add(now, took)
-		lowest, allowed := o.allowed(e)
-		o.answered, o.waited = true, max(0, took-lowest)
+		o.firstByte = max(now.Sub(o.placed), 1)
+		w := o.wait(a.estimate(o.key), o.firstByte)
+		o.waited = w.Waited
 		if !o.observed {
 			o.observed = true
-			a.node.Observe(clock, o.service, shares.Wait{Waited: o.waited, Allowed: allowed})
+			a.node.Observe(clock, o.service, w)
 		}
 	})
 }
 
-// attemptEnded updates the costs by a request that has ended.
+// attemptEnded updates the estimates by a request that was answered in full. Errors may be
+// answered at once.
 func (a *admission) attemptEnded(now time.Time, p *forward.Placement, end *forward.AttemptEnd) {
 	if !a.enabled() {
 		return
@@ -619,14 +642,15 @@
 	defer a.mu.Unlock()
 	o := a.open[p.ID]
 	delete(a.open, p.ID)
-	if o == nil || !o.answered || !end.Whole || end.Error {
+	if o == nil || o.firstByte == 0 || !end.Whole || end.Error {
 		return
 	}
 	e := a.estimate(o.key)
+	e.lowest.add(now, o.firstByte-o.readTime)
 	served := max(0, now.Sub(o.placed)-o.waited).Seconds()
 	e.duration.add(served)
 	if s := a.services[o.service]; s != nil && o.key.kind > 0 {
-		s.scale.raw.add(e.duration.value + o.read)
+		s.scale.raw.add(e.duration.value + o.readCost)
 		s.scale.observed.add(served)
 	}
 }
@@ -643,7 +667,7 @@
 		if o.observed || now.Sub(a.answeredAt[o.endpoint]) > answeringWithin {
 			continue
 		}
-		if lowest, allowed := o.allowed(a.estimate(o.key)); now.Sub(o.placed)-lowest > allowed {
+		if w := o.wait(a.estimate(o.key), now.Sub(o.placed)); w.Waited > w.Allowed {
 			late = append(late, o)
 		}
 	}
@@ -662,8 +686,7 @@
 				continue
 			}
 			o.observed = true
-			lowest, allowed := o.allowed(a.estimate(o.key))
-			a.node.Observe(clock, o.service, shares.Wait{Waited: now.Sub(o.placed) - lowest, Allowed: allowed})
+			a.node.Observe(clock, o.service, o.wait(a.estimate(o.key), now.Sub(o.placed)))
 		}
 	})
 }
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -1,17 +1,21 @@
 package router
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/merlindock/merlindock/contract/shares"
+	"github.com/merlindock/merlindock/directory"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -509,6 +513,62 @@
 	})
 }
 
+// Guards against a service that counts as short of capacity because one of its endpoints is
+// silent, as after a crash, and against requests without an answer that never count.
+func TestSilentEndpointIsNoWaitOfItsService(t *testing.T) {
+	for name, c := range map[string]struct {
+		silent time.Duration // since its last answer
+		ended  bool          // its entry was removed
+		want   bool
+	}{
+		"answering": {silent: answeringWithin / 2, want: true},
+		"silent":    {silent: 2 * answeringWithin},
+		"removed":   {silent: answeringWithin / 2, ended: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetWith(t, 1, 2, routes.Route{Kind: routes.Safe}, func(int) fleet.ZoneID { return "z" }, func(f *simulatedFleet) { f.overloadControl = true })
+				time.Sleep(time.Second)
+				r := f.daemons[0]
+				a, now := r.placer.admission, time.Now()
+				key := directory.Key(f.endpoints[0].id(), f.endpoints[0].born())
+				if c.ended {
+					r.removeEndpoint(f.endpoints[0].id())
+					r.state.refreshIfChanged(now)
+				}
+				req := &forward.PlacementRequest{Route: &f.table.Routes[0], Service: f.table.Services["s"], In: &forward.RequestInfo{}}
+				for id := range uint64(20) {
+					a.placed(now.Add(-overloadObjective-time.Millisecond), req, &forward.Placement{ID: id, Target: forward.Target{Key: key}})
+				}
+				a.answeredAt[key] = now.Add(-c.silent)
+				a.observeWaiting(now)
+				if got := a.short(req); got != c.want {
+					t.Errorf("service is short: %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a refusal whose cause cannot be found from its log line.
+func TestLogLineOfRefusalNamesItsCause(t *testing.T) {
+	var lines bytes.Buffer
+	logs, err := logging.NewFactory(&lines, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Router{log: logs.For(logging.ComponentRouter), metrics: noopMeters()}
+	r.report(&forward.Report{
+		ID: "1", Organisation: "org", Status: http.StatusServiceUnavailable, Code: codeOverShare, RetryAfter: 120 * time.Millisecond,
+		Refused: (&placer{}).refusal(&shares.Work{Priority: 1}, &shares.Decision{RetryAfter: 120 * time.Millisecond, Short: true, Fraction: 0.25, Owner: "front-7", Age: 90 * time.Millisecond}),
+	})
+	for _, want := range []string{`"org":"org"`, `"code":"over_share"`, `"priority":1`, `"fraction":0.25`, `"share_owner":"front-7"`, `"verdict_age_ms":90`, `"service_short":true`, `"retry_after_ms":120`} {
+		if !strings.Contains(lines.String(), want) {
+			t.Errorf("no %s in %s", want, lines.String())
+		}
+	}
+}
+
 // Guards against costs that count the reading of prompts twice, so that the sum of the work
 // exceeds the slots, and against long prompts that cost as little as short ones.
 func TestCostsOfPromptsAddUpToTheirSlotTime(t *testing.T) {
