Create the admission with the placer

Daemons that tests build by hand had none, and failed with a nil pointer when the list of daemons changed. The tests of package router pass but for those that the stub of contract/shares fails.

--- a/router/admission.go
+++ b/router/admission.go
@@ -177,10 +177,12 @@
 	return shares.Wait{Waited: max(0, took-idle), Allowed: o.objective - idle}
 }
 
-func newAdmission(me Neighbour, set *Settings, s *state, clock func() time.Duration, random func() uint64, scope tally.Scope, log *logging.Logger, send func(to string, data []byte)) *admission {
+// newAdmission returns the admission of a daemon without other daemons.
+func newAdmission(set *Settings, s *state, clock func() time.Duration, random func() uint64, log *logging.Logger) *admission {
 	a := &admission{
-		clock: clock, state: s, scope: scope, log: log, send: send, random: random, self: sharesDaemon(me), setting: set.OverloadControl,
-		wake:     make(chan struct{}, 1),
+		clock: clock, state: s, scope: tally.NoopScope, log: log, send: func(string, []byte) {}, random: random,
+		self:    shares.Daemon{Peer: gossip.Peer{Name: set.Name, Address: set.PeerAddress}, Cores: set.Cores},
+		setting: set.OverloadControl, wake: make(chan struct{}, 1),
 		services: map[shares.Service]*admittedService{}, estimates: map[estimateKey]*routeEstimate{}, open: map[uint64]*openRequest{}, answeredAt: map[fleet.EndpointID]time.Time{},
 	}
 	if a.setting {
@@ -191,8 +193,9 @@
 	return a
 }
 
-func sharesDaemon(n Neighbour) shares.Daemon {
-	return shares.Daemon{Peer: gossip.Peer{Name: n.Name, Address: n.Address}, Cores: n.Cores}
+// connect sets how metrics are counted and messages are sent. It must be called before use.
+func (a *admission) connect(scope tally.Scope, send func(to string, data []byte)) {
+	a.scope, a.send = scope, send
 }
 
 // activate creates the node. The caller must hold mu.
@@ -209,7 +212,7 @@
 }
 
 // enabled reports whether admission is in use.
-func (a *admission) enabled() bool { return a != nil && a.active.Load() }
+func (a *admission) enabled() bool { return a.active.Load() }
 
 // run performs periodic work until the context ends.
 func (a *admission) run(ctx context.Context) {
@@ -264,7 +267,7 @@
 	var list []shares.Daemon
 	for _, d := range all {
 		if d.Address != "" {
-			list = append(list, sharesDaemon(d))
+			list = append(list, shares.Daemon{Peer: gossip.Peer{Name: d.Name, Address: d.Address}, Cores: d.Cores})
 		}
 	}
 	a.mu.Lock()
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -573,7 +573,7 @@
 // exceeds the slots, and against long prompts that cost as little as short ones.
 func TestCostsOfPromptsAddUpToTheirSlotTime(t *testing.T) {
 	const slots = 16
-	a := newAdmission(Neighbour{}, &Settings{}, nil, BootClock, func() uint64 { return 1 }, nil, discardLog(), func(string, []byte) {})
+	a := newAdmission(&Settings{}, nil, BootClock, func() uint64 { return 1 }, discardLog())
 	a.active.Store(true)
 	a.node = shares.NewNode(shares.Options{})
 	a.service("s", "m")
--- a/router/placer.go
+++ b/router/placer.go
@@ -67,7 +67,7 @@
 	cacheTracker   *cacheTracker          // nil: cache contents are unknown
 	endpointLimits *endpointlimit.Limiter // nil: limits of endpoints are not enforced
 	permits        *endpointPermits
-	admission      *admission // nil: all requests are admitted
+	admission      *admission
 	engines        weights.Engines
 	clock          func() time.Duration // boot clock
 	log            *logging.Logger
@@ -91,6 +91,7 @@
 	})}
 	p.lastID.Store(rng.Uint64())
 	p.permits = newEndpointPermits(gossip.Peer{Name: set.Name, Address: set.PeerAddress}, clock, log, rng)
+	p.admission = newAdmission(set, s, clock, p.randomNumber, log)
 	return p
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -167,7 +167,7 @@
 	r.endpointLimits = r.newEndpointLimits(me)
 	r.placer.endpointLimits = r.endpointLimits
 	r.placer.permits.connect(r.metrics.scope, r.datagrams.send)
-	r.placer.admission = newAdmission(me, &o.Settings, s, o.Clock, r.placer.randomNumber, r.metrics.scope, r.log, r.datagrams.send)
+	r.placer.admission.connect(r.metrics.scope, r.datagrams.send)
 	r.dispatch = newDispatchPlacer(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
 	r.origins = newStreamOrigins(me, &o.Settings, s, r.shuttingDown.Load, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	for t := range r.feeds {
