Implement shares of services that are short of capacity

Cause: contract/shares admitted everything, so that under 1.2 to 5 times the slot capacity queues at endpoints made nearly all answers late.

Change: daemons decide by credit, an owner divides the capacity by weighted max-min shares, and refused callers get successive retry times. The capacity follows the waits, the work in flight and the work answered. The water-filling of package contract moves to internal/maxmin, which both use.

--- a/contract/admission.go
+++ b/contract/admission.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/merlindock/merlindock/internal/maxmin"
 )
 
 // Admission decides which requests of which organisation run now at one
@@ -54,7 +56,7 @@
 	peerDemands   map[uint32]peerDemand
 	peerFloors    float64 // sum of the floors of the truncated digests
 	otherDaemons  float64 // estimated number of other daemons; fractional while one is taken over
-	fleetDemands  []fleetDemand
+	fleetDemands  []maxmin.Demand
 	sequence      uint64
 }
 
--- /dev/null
+++ b/contract/shares/allocate.go
@@ -0,0 +1,92 @@
+package shares
+
+import "github.com/merlindock/merlindock/internal/maxmin"
+
+const (
+	mostWithin   = 0.85
+	leastLimited = 0.02 // of the rate, for organisations that offer more than their shares
+)
+
+// demand is the work offered by one organisation, in slot-seconds per second.
+type demand struct {
+	organisation Organisation
+	weight       float64
+	offered      [Priorities]float64
+}
+
+func (d *demand) total() float64 {
+	sum := 0.0
+	for _, x := range d.offered {
+		sum += x
+	}
+	return sum
+}
+
+// allocation is the division of a capacity among organisations.
+type allocation struct {
+	level     float64 // slot-seconds per second for a weight of 1
+	fractions map[Organisation][Priorities]float64
+}
+
+// allocate divides a capacity by weighted max-min shares. Within a share, more urgent
+// priorities are served first. rate is the capacity without the correction for requests that
+// wait: organisations within their share of it keep all of their work, so that those that
+// offer more bear the correction.
+func allocate(demands []demand, rate, capacity float64) allocation {
+	a := allocation{fractions: make(map[Organisation][Priorities]float64, len(demands))}
+	sums := make([]maxmin.Demand, 0, len(demands))
+	for i := range demands {
+		if total := demands[i].total(); total > 0 {
+			sums = append(sums, maxmin.Demand{Weight: demands[i].weight, Total: total})
+		}
+	}
+	a.level = maxmin.Level(sums, capacity)
+	limitedLevel := a.level
+	if rate > capacity {
+		level := maxmin.Level(sums, rate)
+		within, weight := 0.0, 0.0
+		for _, x := range sums {
+			if x.Total <= x.Weight*level*(1+1e-9) {
+				within += x.Total
+			} else {
+				weight += x.Weight
+			}
+		}
+		// If nearly all work is within its shares, the rate is too high to tell who offers
+		// more than a share.
+		if weight > 0 && within <= mostWithin*rate {
+			a.level = level
+			limitedLevel = max(capacity-within, leastLimited*rate) / weight
+		}
+	}
+	for i := range demands {
+		d := &demands[i]
+		share := d.weight * a.level
+		if d.total() <= share*(1+1e-9) {
+			a.fractions[d.organisation] = [Priorities]float64{1, 1, 1}
+			continue
+		}
+		a.fractions[d.organisation] = split(d.offered, min(share, d.weight*limitedLevel))
+	}
+	return a
+}
+
+// split returns the fraction of each priority that fits into a share.
+func split(offered [Priorities]float64, share float64) (fractions [Priorities]float64) {
+	for p, x := range offered {
+		switch {
+		case x <= share:
+			fractions[p] = 1
+			share -= x
+		default:
+			fractions[p] = max(share, 0) / x
+			share = 0
+		}
+	}
+	// A priority without work has the fraction of the next more urgent one: its first
+	// request must not be served before more urgent ones that are refused.
+	for p := 1; p < Priorities; p++ {
+		fractions[p] = min(fractions[p], fractions[p-1])
+	}
+	return fractions
+}
--- /dev/null
+++ b/contract/shares/owner.go
@@ -0,0 +1,254 @@
+package shares
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	ownerAfterShort  = 2 * time.Second // verdicts after the last report of a daemon that is short
+	reportValid      = time.Second
+	reportIntervals  = 3
+	firstEvaluation  = 50 * time.Millisecond
+	maxReports       = 4096
+	plausibleFactor  = 1000
+	plausibleUnknown = 1e6 // slot-seconds per second if the slots are unknown
+)
+
+// knownReport is the last report of a daemon.
+type knownReport struct {
+	report
+	at time.Duration
+}
+
+// ownership is the state of a service at its owner.
+type ownership struct {
+	reports     map[string]*knownReport // by address; empty: this daemon
+	activeUntil time.Duration
+	control     control
+	counts      [bins]int // since they were last used
+	late        float64   // work that became late since the last evaluation, slot-seconds
+	evaluateAt  time.Duration
+	sentAt      time.Duration
+	evaluated   bool
+	verdict     verdict
+	entries     []verdictEntry
+}
+
+// ingest handles a report to this daemon as the owner.
+func (n *Node) ingest(now time.Duration, s *service, from string, m *report) {
+	if !plausible(m, s.slots) {
+		n.counters.Implausible++
+		return
+	}
+	if s.owner == nil {
+		if !m.short && !m.alarm && from == "" {
+			return
+		}
+		s.owner = &ownership{reports: map[string]*knownReport{}}
+	}
+	w := s.owner
+	known := w.reports[from]
+	switch {
+	case known == nil && len(w.reports) >= maxReports:
+		return
+	case known != nil && known.nonce == m.nonce && m.sequence <= known.sequence:
+		n.counters.Old++
+		return
+	}
+	w.reports[from] = &knownReport{report: *m, at: now}
+	for i, c := range m.counts {
+		w.counts[i] += c
+	}
+	w.late += float64(m.counts[binLate]) * m.meanCost
+	s.lastUsed = now
+	active := now < w.activeUntil || w.control.short
+	short := m.short || active && m.alarm || m.alarm && w.alarms(now) >= min(likelyAlarms, len(n.daemons))
+	if short {
+		w.activeUntil = now + ownerAfterShort
+	}
+	switch {
+	case short && !active:
+		// All daemons report when they receive a verdict.
+		w.evaluated, w.evaluateAt, w.counts = false, now+firstEvaluation, m.counts
+		w.verdict = verdict{service: s.id}
+		w.entries = nil
+		n.startReporting(now, s, 2*n.interval()+2*TickInterval)
+		n.broadcast(now, s)
+	case known == nil && from != "":
+		n.sendVerdict(s, from)
+	}
+	if now < w.activeUntil && !w.evaluated && len(w.reports) >= len(n.daemons) {
+		n.evaluate(now, s)
+	}
+}
+
+// alarms returns the number of daemons that lately reported an alarm.
+func (w *ownership) alarms(now time.Duration) int {
+	count := 0
+	for _, r := range w.reports {
+		if r.alarm && now-r.at < alarmPeriod {
+			count++
+		}
+	}
+	return count
+}
+
+// plausible reports whether the figures of a report are possible.
+func plausible(m *report, slots float64) bool {
+	most := plausibleUnknown
+	if slots > 0 {
+		most = plausibleFactor * slots
+	}
+	offered := map[Organisation]float64{}
+	for _, e := range m.entries {
+		offered[e.organisation] += e.offered
+		if offered[e.organisation] > most {
+			return false
+		}
+	}
+	return m.answered <= most && m.inFlight <= most*60
+}
+
+func (n *Node) tickOwner(now time.Duration, s *service) {
+	w := s.owner
+	if w == nil {
+		return
+	}
+	life := max(reportValid, reportIntervals*n.interval())
+	for from, r := range w.reports {
+		if now-r.at > life {
+			delete(w.reports, from)
+		}
+	}
+	if now >= w.activeUntil && !w.control.short || len(w.reports) == 0 {
+		if len(w.reports) == 0 {
+			s.owner = nil
+		}
+		return
+	}
+	n.startReporting(now, s, 2*n.interval()+2*TickInterval)
+	if now >= w.evaluateAt {
+		n.evaluate(now, s)
+	}
+}
+
+// evaluate finds the capacity and its division, and sends the verdict to all daemons.
+func (n *Node) evaluate(now time.Duration, s *service) {
+	w := s.owner
+	m, demands := n.summarise(s)
+	w.late = 0
+	if w.control.update(now, m) {
+		w.counts = [bins]int{}
+	}
+	c := &w.control
+	w.verdict = verdict{
+		service: s.id, short: c.short, covers: 2*len(w.reports) >= len(n.daemons), capacity: c.capacity, wait: c.wait,
+	}
+	w.entries = w.entries[:0]
+	if c.short {
+		a := allocate(demands, c.rate, c.capacity)
+		w.verdict.level, w.verdict.fractions = a.level, a.fractions
+		w.entries = limited(demands, a)
+	}
+	w.evaluated = true
+	s.verdict = receivedVerdict{verdict: w.verdict, at: now, owner: n.o.Self.Name}
+	interval := n.interval()
+	quick := !c.short || now-c.since < leadPeriod
+	if quick {
+		w.evaluateAt = now + max(TickInterval, interval/4)
+	} else {
+		w.evaluateAt = now + interval
+	}
+	w.evaluateAt -= TickInterval / 2 // ticks are not exact
+	if c.short && quick || now-w.sentAt >= interval-TickInterval/2 {
+		n.broadcast(now, s)
+	}
+}
+
+// summarise adds up the reports. The demands include each organisation once.
+func (n *Node) summarise(s *service) (*measured, []demand) {
+	w := s.owner
+	m := &measured{counts: w.counts, late: w.late, least: minMedian, interval: n.interval()}
+	if 2*len(w.reports) >= len(n.daemons) {
+		// With fewer reports, others use an unknown part of the slots.
+		m.slots = s.slots
+	}
+	byID := map[Organisation]*demand{}
+	rest, allowed := 0, 0.0
+	// In a fixed order, because sums of floating-point numbers depend on it.
+	for _, from := range slices.Sorted(maps.Keys(w.reports)) {
+		r := w.reports[from]
+		m.answered += r.answered
+		m.inFlight += r.inFlight
+		// Daemons count by their work, so that the means do not depend on idle ones.
+		m.residency += r.residency * r.answered
+		m.meanCost += r.meanCost * r.answered
+		m.allowed += r.allowed.Seconds() * r.answered
+		allowed = max(allowed, r.allowed.Seconds())
+		rest = max(rest, r.rest)
+		for _, e := range r.entries {
+			d := byID[e.organisation]
+			if d == nil {
+				d = &demand{organisation: e.organisation, weight: n.weight(e.organisation)}
+				byID[e.organisation] = d
+			}
+			d.offered[e.priority] += e.offered
+			m.offered += e.offered
+		}
+	}
+	if m.answered > 0 {
+		m.residency /= m.answered
+		m.meanCost /= m.answered
+		m.allowed /= m.answered
+	} else {
+		m.allowed = allowed
+	}
+	if d := byID[otherOrganisations]; d != nil {
+		d.weight = n.defaultWeight * float64(max(1, rest))
+	}
+	demands := make([]demand, 0, len(byID))
+	for _, d := range byID {
+		demands = append(demands, *d)
+	}
+	return m, demands
+}
+
+// limited returns the entries of a verdict: organisations of which less than everything is
+// admitted, the largest first.
+func limited(demands []demand, a allocation) []verdictEntry {
+	largest := slices.DeleteFunc(slices.Clone(demands), func(d demand) bool {
+		f := a.fractions[d.organisation]
+		return d.organisation == otherOrganisations || slices.Min(f[:]) >= 1
+	})
+	slices.SortFunc(largest, func(x, y demand) int {
+		return cmp.Or(cmp.Compare(y.total(), x.total()), cmp.Compare(x.organisation, y.organisation))
+	})
+	entries := make([]verdictEntry, 0, min(len(largest), maxVerdictEntries))
+	for i := range largest[:min(len(largest), maxVerdictEntries)] {
+		id := largest[i].organisation
+		entries = append(entries, verdictEntry{id, a.fractions[id]})
+	}
+	return entries
+}
+
+// broadcast sends the verdict to all daemons.
+func (n *Node) broadcast(now time.Duration, s *service) {
+	s.owner.sentAt = now
+	for _, d := range n.daemons {
+		if d.Name != n.o.Self.Name {
+			n.sendVerdict(s, d.Address)
+		}
+	}
+}
+
+func (n *Node) sendVerdict(s *service, to string) {
+	w := s.owner
+	sequence := uint64(0)
+	if r := w.reports[to]; r != nil {
+		sequence = r.sequence
+	}
+	n.outbox = append(n.outbox, Message{To: to, Data: w.verdict.encode(sequence, w.entries, n.maxBytes())})
+}
--- a/contract/shares/shares.go
+++ b/contract/shares/shares.go
@@ -66,6 +66,11 @@
 	Allowed time.Duration // that still lets the answer be in time
 	// Rejected states that an endpoint rejected the request for want of capacity.
 	Rejected bool
+	// Retried states that the request was sent to another endpoint after the rejection, and
+	// will be observed again.
+	Retried bool
+	// Cost is the Cost of the request; 0: the mean of the requests admitted at this daemon.
+	Cost float64
 }
 
 // Daemon is a daemon that may be an owner.
