Observe each admitted request once, with its cost

A request that is retried after a rejection stays in flight until its last attempt; one whose last attempt failed before an answer, or whose caller left, is withdrawn.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,7 +56,7 @@
 		if errors.As(err, &sent) {
 			c.report.Attempts[len(c.report.Attempts)-1].Via = sent.via
 		}
-		return false, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: failure}
+		return false, retry.FailedAttempt{Endpoint: p.Target.Key, Placement: p.ID, Failure: failure}
 	}
 	last := &c.report.Attempts[len(c.report.Attempts)-1]
 	last.Load, last.Limit = a.Info.Load, a.Info.Limit
@@ -64,7 +64,7 @@
 	c.o.Placer.AnswerStarted(p, &a.Info)
 	c.build = p.Build
 	end = c.relayAnswer(a)
-	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: end.Failure}
+	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Placement: p.ID, Failure: end.Failure}
 }
 
 // sendWithStartDeadline sends the request, and withdraws it if no answer has
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -129,6 +129,7 @@
 	Endpoint   fleet.EndpointID
 	Failure    Failure
 	RetryAfter time.Duration // requested by the endpoint; zero: none
+	Placement  uint64        // ID of the placement, for the placer
 }
 
 // Decision is the result of Decide. With Retry, the next attempt follows after Delay, not
--- a/router/admission.go
+++ b/router/admission.go
@@ -20,6 +20,7 @@
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/quota"
+	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -44,6 +45,8 @@
 	// an answer to count as waits. One that is silent may have crashed, which says nothing
 	// about the load of the others.
 	answeringWithin = time.Second
+	// abandonedAfter exceeds the pause before a retry.
+	abandonedAfter = time.Second
 	// defaultObjective and defaultCost are used for a route without a latency objective,
 	// and until a request of a route has ended.
 	defaultObjective = time.Second
@@ -73,7 +76,9 @@
 	daemons    []shares.Daemon
 	services   map[shares.Service]*admittedService
 	estimates  map[estimateKey]*routeEstimate
-	open       map[uint64]*openRequest // by placement ID
+	open       map[uint64]*openRequest                  // by placement ID
+	failed     map[uint64]unobserved                    // after an attempt failed, until it is decided whether to retry; by placement ID
+	retried    map[*forward.PlacementRequest]unobserved // until it is placed again
 	answeredAt map[fleet.EndpointID]time.Time
 }
 
@@ -163,7 +168,14 @@
 	readTime  time.Duration // expected, of the tokens that are not cached
 	firstByte time.Duration // from placed; 0: none was received
 	waited    time.Duration // part of firstByte
-	observed  bool          // as a wait
+	unobserved
+}
+
+// unobserved is an admitted request whose wait the node has not been told yet.
+type unobserved struct {
+	req   *forward.PlacementRequest // the same for all attempts of a request
+	work  *shares.Work              // nil: the node has been told, or was not asked
+	since time.Time
 }
 
 // wait returns the wait of a request that has taken the given time to the first byte, or
@@ -183,7 +195,7 @@
 		clock: clock, state: s, scope: tally.NoopScope, log: log, send: func(string, []byte) {}, random: random,
 		self:    shares.Daemon{Peer: gossip.Peer{Name: set.Name, Address: set.PeerAddress}, Cores: set.Cores},
 		setting: set.OverloadControl, wake: make(chan struct{}, 1),
-		services: map[shares.Service]*admittedService{}, estimates: map[estimateKey]*routeEstimate{}, open: map[uint64]*openRequest{}, answeredAt: map[fleet.EndpointID]time.Time{},
+		services: map[shares.Service]*admittedService{}, estimates: map[estimateKey]*routeEstimate{}, open: map[uint64]*openRequest{}, failed: map[uint64]unobserved{}, retried: map[*forward.PlacementRequest]unobserved{}, answeredAt: map[fleet.EndpointID]time.Time{},
 	}
 	if a.setting {
 		a.mu.Lock()
@@ -305,6 +317,8 @@
 	if !a.setting && !weighted {
 		a.active.Store(false)
 		clear(a.open)
+		clear(a.failed)
+		clear(a.retried)
 		return
 	}
 	a.activate()
@@ -394,6 +408,7 @@
 				delete(a.answeredAt, key)
 			}
 		}
+		a.withdrawAbandoned(clock, now)
 		a.reportStatus(clock)
 	})
 }
@@ -562,10 +577,13 @@
 	if !decision.Admitted {
 		return forward.Placement{}, d.refusal(work, &decision)
 	}
+	if req.Attempt > 0 {
+		work = d.admission.takeRetried(req)
+	}
 	p, err := d.placePermitted(ctx, req)
 	switch {
 	case err == nil:
-		d.admission.placed(time.Now(), req, &p)
+		d.admission.placed(time.Now(), req, &p, work)
 	case work != nil:
 		d.admission.withdraw(work, err)
 	}
@@ -580,13 +598,23 @@
 	a.do(func(now time.Duration) {
 		a.node.Withdraw(now, w)
 		if atLimits {
-			a.node.Observe(now, w.Service, shares.Wait{Waited: w.Objective, Allowed: w.Objective, Rejected: true})
+			a.node.Observe(now, w.Service, shares.Wait{Waited: w.Objective, Allowed: w.Objective, Rejected: true, Retried: true, Cost: w.Cost})
 		}
 	})
 }
 
-// placed records a request that is sent to an endpoint.
-func (a *admission) placed(now time.Time, req *forward.PlacementRequest, p *forward.Placement) {
+// takeRetried returns the work of a request that is placed again; nil: it was observed before.
+func (a *admission) takeRetried(req *forward.PlacementRequest) *shares.Work {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := a.retried[req]
+	delete(a.retried, req)
+	return u.work
+}
+
+// placed records a request that is sent to an endpoint. work is nil if its wait is not
+// observed.
+func (a *admission) placed(now time.Time, req *forward.PlacementRequest, p *forward.Placement, work *shares.Work) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	service := serviceOf(req)
@@ -598,7 +626,7 @@
 	if tokens := req.In.PromptTokens; tokens > 0 && key.kind > 0 {
 		e.uncached.add(1 - min(float64(p.Cached)/float64(tokens), 1))
 	}
-	o := &openRequest{service: service, key: key, endpoint: p.Target.Key, placed: now, objective: objectiveOf(req.Route)}
+	o := &openRequest{service: service, key: key, endpoint: p.Target.Key, placed: now, objective: objectiveOf(req.Route), unobserved: unobserved{req: req, work: work}}
 	if key.kind > 0 {
 		_, o.readCost = a.cost(req, e)
 		o.readTime = time.Duration(float64(max(0, req.In.PromptTokens-p.Cached)) / prefillRate * float64(time.Second))
@@ -619,22 +647,29 @@
 		}
 		a.answeredAt[o.endpoint] = now
 		if info.NotRun {
-			if lacksCapacity(p, info) && !o.observed {
-				o.observed = true
-				a.node.Observe(clock, o.service, shares.Wait{Waited: o.objective, Allowed: o.objective, Rejected: true})
+			if lacksCapacity(p, info) && o.work != nil {
+				// attemptEnded and retryDecided handle what becomes of the request.
+				a.node.Observe(clock, o.service, shares.Wait{Waited: o.objective, Allowed: o.objective, Rejected: true, Retried: true, Cost: o.work.Cost})
 			}
 			return
 		}
 		o.firstByte = max(now.Sub(o.placed), 1)
 		w := o.wait(a.estimate(o.key), o.firstByte)
 		o.waited = w.Waited
-		if !o.observed {
-			o.observed = true
-			a.node.Observe(clock, o.service, w)
-		}
+		a.observe(clock, o, w)
 	})
 }
 
+// observe passes the wait of a request to the node, once. The caller must hold mu.
+func (a *admission) observe(now time.Duration, o *openRequest, w shares.Wait) {
+	if o.work == nil {
+		return
+	}
+	w.Cost = o.work.Cost
+	a.node.Observe(now, o.service, w)
+	o.work = nil
+}
+
 // attemptEnded updates the estimates by a request that was answered in full. Errors may be
 // answered at once.
 func (a *admission) attemptEnded(now time.Time, p *forward.Placement, end *forward.AttemptEnd) {
@@ -645,6 +680,10 @@
 	defer a.mu.Unlock()
 	o := a.open[p.ID]
 	delete(a.open, p.ID)
+	if o != nil && o.work != nil {
+		o.since = now
+		a.failed[p.ID] = o.unobserved
+	}
 	if o == nil || o.firstByte == 0 || !end.Whole || end.Error {
 		return
 	}
@@ -658,6 +697,48 @@
 	}
 }
 
+// DecideRetry implements forward.Placer.
+func (d *dispatchPlacer) DecideRetry(r *retry.Request, f retry.FailedAttempt) retry.Decision {
+	out := d.placer.DecideRetry(r, f)
+	if d.admission.enabled() {
+		d.admission.retryDecided(f.Placement, out.Retry)
+	}
+	return out
+}
+
+// retryDecided records whether a request is placed again whose attempt failed before its wait
+// was observed. If not, it is withdrawn.
+func (a *admission) retryDecided(id uint64, again bool) {
+	a.do(func(now time.Duration) {
+		u, some := a.failed[id]
+		delete(a.failed, id)
+		switch {
+		case !some:
+		case again:
+			a.retried[u.req] = u
+		default:
+			a.node.Withdraw(now, u.work)
+		}
+	})
+}
+
+// withdrawAbandoned withdraws requests whose callers left between two attempts. The caller
+// must hold mu.
+func (a *admission) withdrawAbandoned(now time.Duration, wall time.Time) {
+	for id, u := range a.failed {
+		if wall.Sub(u.since) > abandonedAfter {
+			a.node.Withdraw(now, u.work)
+			delete(a.failed, id)
+		}
+	}
+	for req, u := range a.retried {
+		if wall.Sub(u.since) > abandonedAfter {
+			a.node.Withdraw(now, u.work)
+			delete(a.retried, req)
+		}
+	}
+}
+
 // observeWaiting observes the requests that have had no answer for longer than the allowed
 // wait, each once. Those at an endpoint that is lost, ejected or silent are left out.
 func (a *admission) observeWaiting(now time.Time) {
@@ -667,7 +748,7 @@
 	var late []*openRequest
 	a.mu.Lock()
 	for _, o := range a.open {
-		if o.observed || now.Sub(a.answeredAt[o.endpoint]) > answeringWithin {
+		if o.work == nil || now.Sub(a.answeredAt[o.endpoint]) > answeringWithin {
 			continue
 		}
 		if w := o.wait(a.estimate(o.key), now.Sub(o.placed)); w.Waited > w.Allowed {
@@ -685,11 +766,7 @@
 	a.state.mu.Unlock()
 	a.do(func(clock time.Duration) {
 		for _, o := range late {
-			if o.observed {
-				continue
-			}
-			o.observed = true
-			a.node.Observe(clock, o.service, o.wait(a.estimate(o.key), now.Sub(o.placed)))
+			a.observe(clock, o, o.wait(a.estimate(o.key), now.Sub(o.placed)))
 		}
 	})
 }
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -538,7 +538,8 @@
 				}
 				req := &forward.PlacementRequest{Route: &f.table.Routes[0], Service: f.table.Services["s"], In: &forward.RequestInfo{}}
 				for id := range uint64(20) {
-					a.placed(now.Add(-overloadObjective-time.Millisecond), req, &forward.Placement{ID: id, Target: forward.Target{Key: key}})
+					work := &shares.Work{Service: shares.ServiceOf("s", ""), Cost: 0.06}
+					a.placed(now.Add(-overloadObjective-time.Millisecond), req, &forward.Placement{ID: id, Target: forward.Target{Key: key}}, work)
 				}
 				a.answeredAt[key] = now.Add(-c.silent)
 				a.observeWaiting(now)
@@ -597,7 +598,7 @@
 				req = long
 			}
 			p := &forward.Placement{ID: id}
-			a.placed(now, req, p)
+			a.placed(now, req, p, nil)
 			now = now.Add(served / 2)
 			a.answerStarted(now, p, &forward.AnswerInfo{})
 			now = now.Add(served / 2)
