--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -26,6 +26,9 @@
 	likelyChance  = 1e-4
 	// likelyAlarms is the number of daemons with a likely alarm that suffices.
 	likelyAlarms = 2
+	// minResidency is the number of answers from which the time to the first byte is known well
+	// enough. Without it, the first requests of a daemon that starts would raise an alarm.
+	minResidency = 2 * minMedian
 	// One in alarmRejections rejected requests is an alarm too.
 	alarmRejections = 5
 )
@@ -114,7 +117,7 @@
 // requests at each of many daemons, chance alone often brings several together: their number
 // must also be improbable for this daemon's load and for its even part of the slots.
 func (n *Node) alarm(now time.Duration, s *service) alarm {
-	if now < s.report.nextAlarm || s.report.active || s.allowed == 0 || s.meanCost <= 0 {
+	if now < s.report.nextAlarm || s.report.active || s.allowed == 0 || s.meanCost <= 0 || s.flownAnswered < minResidency*s.meanCost {
 		return noAlarm
 	}
 	// Where few requests may wait, endpoints reject them before they have waited.
--- a/router/admission.go
+++ b/router/admission.go
@@ -33,6 +33,7 @@
 	// slotsRefreshTicks is the number of ticks between two updates of the slots, of the
 	// metrics and of the state that is logged.
 	slotsRefreshTicks = 4
+	startTicks        = 20
 	// statusLogInterval is the interval of the log lines of a service that is short.
 	statusLogInterval = time.Second
 	// lowestWindow is the time for which the lowest time to the first byte of a route is
@@ -240,7 +241,8 @@
 			return
 		}
 		a.do(func(now time.Duration) { a.node.Tick(now) })
-		if n%slotsRefreshTicks == 0 {
+		// A daemon that has just started does not know its endpoints at the first tick.
+		if n < startTicks || n%slotsRefreshTicks == 0 {
 			a.refresh(time.Now())
 		}
 	}
