--- a/contract/shares/observations.go
+++ b/contract/shares/observations.go
@@ -41,8 +41,9 @@
 // observations holds the waits observed at this daemon, and its work in flight.
 type observations struct {
 	buckets    [bucketCount]bucket
-	inFlight   []unanswered // the oldest first
-	unreported [bins]int    // observations since the last report
+	inFlight   []unanswered  // the oldest first
+	unreported [bins]int     // observations since the last report
+	begun      time.Duration // first admitted request
 	allowed    time.Duration
 	meanCost   float64
 	// The following sums decay with residencyMean: work in flight times time, work
@@ -116,7 +117,7 @@
 // launch adds an admitted request to the work in flight.
 func (o *observations) launch(now time.Duration, cost float64) {
 	if o.meanCost == 0 {
-		o.meanCost = cost
+		o.begun, o.meanCost = now, cost
 	}
 	o.meanCost += (cost - o.meanCost) / 64
 	at := bucketIndex(now)
--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -26,9 +26,6 @@
 	likelyChance  = 1e-4
 	// likelyAlarms is the number of daemons with a likely alarm that suffices.
 	likelyAlarms = 2
-	// minResidency is the number of answers from which the time to the first byte is known well
-	// enough. Without it, the first requests of a daemon that starts would raise an alarm.
-	minResidency = 2 * minMedian
 	// One in alarmRejections rejected requests is an alarm too.
 	alarmRejections = 5
 )
@@ -115,9 +112,11 @@
 // alarm returns likelyAlarm or certainAlarm if the work in flight would make requests wait for a
 // quarter of the allowed time, at the rate at which work was answered lately. With few
 // requests at each of many daemons, chance alone often brings several together: their number
-// must also be improbable for this daemon's load and for its even part of the slots.
+// must also be improbable for this daemon's load and for its even part of the slots. There is
+// no alarm until this load has been observed for answeredWindow, as the first requests of a
+// daemon that starts would raise one.
 func (n *Node) alarm(now time.Duration, s *service) alarm {
-	if now < s.report.nextAlarm || s.report.active || s.allowed == 0 || s.meanCost <= 0 || s.flownAnswered < minResidency*s.meanCost {
+	if now < s.report.nextAlarm || s.report.active || s.allowed == 0 || s.meanCost <= 0 || now-s.begun < answeredWindow {
 		return noAlarm
 	}
 	// Where few requests may wait, endpoints reject them before they have waited.
--- a/router/candidates.go
+++ b/router/candidates.go
@@ -106,6 +106,21 @@
 	return out
 }
 
+// shortageSubpoolPenalty replaces otherSubpoolPenalty while the service is short of capacity.
+// With the latter, prompts would wait for 0.4 of their objective while engines of the other
+// subpool have free slots, and others would be refused.
+const shortageSubpoolPenalty = 0.1
+
+// useOtherSubpool lets short prompts use the engines for long ones while the service is short
+// of capacity.
+func useOtherSubpool(all []candidate) {
+	for i := range all {
+		if all[i].subpool == subpoolLong {
+			all[i].penalty += shortageSubpoolPenalty - otherSubpoolPenalty
+		}
+	}
+}
+
 // prefixLocations returns where the prefix of a prompt is cached under a salt; nil:
 // unknown.
 type prefixLocations func(req *forward.PlacementRequest, salt string) *placement.PrefixLocations
--- a/router/placer.go
+++ b/router/placer.go
@@ -243,6 +243,9 @@
 	}
 	in := subpoolOf(req.In.PromptTokens)
 	all := listCandidates(req, v, in, p.prefixLocations())
+	if in == subpoolShort && p.admission.short(req) {
+		useOtherSubpool(all)
+	}
 	switch {
 	case r.Exclusive:
 		p.useSegmentLocations(now, req, all)
