Cover failures, bounds and retries of shares, and limit every organisation

Cause: a verdict listed fractions only of the organisations that fitted; the others were admitted in full. After half of the endpoints were lost, the work answered before was taken for proof of more slots.

Change: verdict entries take 6 bytes, so that all 96 fit, and a verdict states the fraction of limited organisations that are not listed. The work answered is scaled with the slots. A tenth instead of a quarter of an organisation's admitted work goes to retries with precedence.

--- a/contract/shares/allocate.go
+++ b/contract/shares/allocate.go
@@ -28,6 +28,11 @@
 	fractions map[Organisation][Priorities]float64
 }
 
+func (a *allocation) of(id Organisation) ([Priorities]float64, bool) {
+	f, ok := a.fractions[id]
+	return f, ok
+}
+
 // allocate divides a capacity by weighted max-min shares. Within a share, more urgent
 // priorities are served first. rate is the capacity without the correction for requests that
 // wait: organisations within their share of it keep all of their work, so that those that
@@ -71,22 +76,16 @@
 	return a
 }
 
-// split returns the fraction of each priority that fits into a share.
+// split returns the fraction of each priority that fits into a share. Nothing is admitted of
+// priorities that follow one of which a part is refused, also if they have no work so far.
 func split(offered [Priorities]float64, share float64) (fractions [Priorities]float64) {
 	for p, x := range offered {
-		switch {
-		case x <= share:
-			fractions[p] = 1
-			share -= x
-		default:
+		if x > share {
 			fractions[p] = max(share, 0) / x
-			share = 0
+			break
 		}
-	}
-	// A priority without work has the fraction of the next more urgent one: its first
-	// request must not be served before more urgent ones that are refused.
-	for p := 1; p < Priorities; p++ {
-		fractions[p] = min(fractions[p], fractions[p-1])
+		fractions[p] = 1
+		share -= x
 	}
 	return fractions
 }
--- a/contract/shares/control.go
+++ b/contract/shares/control.go
@@ -48,8 +48,9 @@
 	since     time.Duration // the service is short
 	evaluated time.Duration
 	calmSince time.Duration
-	longSince time.Duration // the wait is above longWait; 0: it is not
+	longFor   time.Duration // the wait was above longWait, less the time in which it was not
 	lateSince time.Duration // most requests were observed as late; 0: they were not
+	settles   time.Duration // until then, the work answered includes a time before a change
 	slots     float64       // for which rate was found
 	rate      float64
 	quick     int     // evaluations in a row in which the capacity was raised
@@ -77,7 +78,7 @@
 )
 
 func (c *control) enter(now time.Duration, m *measured) {
-	*c = control{short: true, since: now, evaluated: now, calmSince: now, longSince: now, observed: c.observed, wait: c.wait, slots: m.slots, history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
+	*c = control{short: true, since: now, evaluated: now, calmSince: now, observed: c.observed, wait: c.wait, slots: m.slots, settles: now + c.answeredMean(m), history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
 	c.rate = max(c.answered, 1e-3)
 	if c.answeredAt == 0 {
 		c.rate = max(m.answered, 1e-3)
@@ -153,14 +154,15 @@
 		}
 		return used
 	}
-	c.rescale(m)
-	steps := min(float64(now-c.evaluated)/float64(m.interval), 2)
+	c.rescale(now, m)
+	elapsed := now - c.evaluated
+	steps := min(float64(elapsed)/float64(m.interval), 2)
 	c.evaluated = now
 	c.wait = c.predictedWait(now, m)
 	if now-c.since < leadPeriod {
 		c.wait = max(c.wait, c.expectedWait(m))
 	}
-	c.adapt(now, m, steps)
+	c.adapt(now, elapsed, m, steps)
 	c.correct(now, m)
 	if m.offered >= calmLoad*c.capacity || c.wait >= calmWait {
 		c.calmSince = now
@@ -200,11 +202,12 @@
 }
 
 // rescale keeps the factor between the capacity and the slots when the slots change.
-func (c *control) rescale(m *measured) {
-	switch {
-	case m.slots == c.slots:
-	case m.slots > 0 && c.slots > 0:
+func (c *control) rescale(now time.Duration, m *measured) {
+	if m.slots != c.slots && m.slots > 0 && c.slots > 0 {
+		// The work answered until now was that of the former slots.
 		c.rate *= m.slots / c.slots
+		c.answered *= m.slots / c.slots
+		c.settles = now + 2*c.answeredMean(m)
 	}
 	c.slots = m.slots
 	if m.slots > 0 {
@@ -213,18 +216,20 @@
 }
 
 // adapt changes the slowly adapted capacity.
-func (c *control) adapt(now time.Duration, m *measured, steps float64) {
+func (c *control) adapt(now, elapsed time.Duration, m *measured, steps float64) {
 	late := c.mostlyLate()
-	switch {
-	case c.wait < longWait:
-		c.longSince, c.lateSince = 0, 0
-	case c.longSince == 0 || !late && c.lateSince > 0:
-		c.longSince, c.lateSince = now, 0
+	if c.wait >= longWait {
+		c.longFor = min(c.longFor+elapsed, 2*time.Second)
+	} else {
+		c.longFor = max(c.longFor-elapsed, 0)
 	}
-	if late && c.lateSince == 0 {
+	switch {
+	case !late:
+		c.lateSince = 0
+	case c.lateSince == 0:
 		c.lateSince = now
 	}
-	settled := now-c.since > c.answeredMean(m)
+	settled := now > c.settles
 	switch {
 	case c.answered > farOff*c.rate && settled && !late:
 		// More work is answered than the capacity that was assumed.
@@ -233,7 +238,6 @@
 		c.quick = 0
 		// While requests wait, the work answered is what the endpoints can serve. The time
 		// over which it was measured must not include one before.
-		waited := now - c.longSince
 		switch {
 		case late:
 			// The work answered until then may include a time before the shortage, so that it
@@ -244,9 +248,9 @@
 			if c.rate *= math.Pow(0.9, steps); farOff*c.answered < c.rate {
 				c.rate = 1.1 * c.answered
 			}
-		case c.observed >= longWait && farOff*c.answered < c.rate && waited >= max(m.interval, c.answeredMean(m)):
+		case c.observed >= longWait && farOff*c.answered < c.rate && c.longFor >= max(m.interval, c.answeredMean(m)):
 			c.rate = 1.1 * c.answered
-		case c.answered < c.rate && waited >= 2*m.interval+c.answeredMean(m):
+		case c.answered < c.rate && c.longFor >= 2*m.interval+c.answeredMean(m):
 			c.rate = max(c.answered, c.rate*math.Pow(0.9, steps))
 		}
 	case c.wait < targetWait && (m.offered > 0.88*c.capacity || m.slots == 0) && c.rate < 1.1*c.answered:
--- a/contract/shares/decision.go
+++ b/contract/shares/decision.go
@@ -20,18 +20,25 @@
 	at    time.Duration
 	from  string // address; empty: this daemon
 	owner string // name; empty: there is no verdict
+	alone bool   // this daemon is the owner and no other one reports to it
 	echo  uint64 // highest sequence number of a report that a verdict of this owner answered
 }
 
 // decisionState is the state that applies to the requests of a service.
 type decisionState struct {
-	short     bool
-	owner     string // empty: this daemon by itself
-	age       time.Duration
-	capacity  float64
-	wait      float64
-	level     float64
-	allocated map[Organisation][Priorities]float64
+	short    bool
+	owner    string // empty: this daemon by itself
+	age      time.Duration
+	capacity float64
+	wait     float64
+	level    float64
+	rest     float64 // admitted of limited organisations that are not listed
+	listed   listing
+}
+
+// listing holds the fractions of organisations.
+type listing interface {
+	of(id Organisation) (fractions [Priorities]float64, listed bool)
 }
 
 // verdictLife is the time for which a verdict is valid.
@@ -45,7 +52,10 @@
 	age := now - v.at
 	if v.owner != "" && age < n.verdictLife() {
 		d := decisionState{
-			short: v.short, owner: v.owner, age: age, capacity: v.capacity, wait: v.wait, level: v.level, allocated: v.fractions,
+			short: v.short, owner: v.owner, age: age, capacity: v.capacity, wait: v.wait, level: v.level, rest: v.rest, listed: &v.verdict,
+		}
+		if v.alone {
+			d.owner = ""
 		}
 		// An owner repeats that a service is not short only while it gets reports. Later, a
 		// shortage may have begun.
@@ -55,7 +65,7 @@
 	}
 	c := &s.local.control
 	return decisionState{
-		short: c.short, capacity: c.capacity, wait: c.wait, level: s.local.allocation.level, allocated: s.local.allocation.fractions,
+		short: c.short, capacity: c.capacity, wait: c.wait, level: s.local.allocation.level, rest: 1, listed: &s.local.allocation,
 	}
 }
 
@@ -66,7 +76,7 @@
 	if !d.short {
 		return all
 	}
-	if f, ok := d.allocated[id]; ok {
+	if f, ok := d.listed.of(id); ok {
 		return f
 	}
 	var offered [Priorities]float64
@@ -74,10 +84,15 @@
 		offered[p] = o.offered[p].rate(now, offeredMean)
 	}
 	share := n.weight(id) * d.level
-	if o.offeredRate(now) <= share {
-		return all
-	}
-	return split(offered, share)
+	switch local := o.offeredRate(now); {
+	case local > share:
+		return split(offered, share)
+	case d.rest < 1 && local*float64(len(n.daemons)) > share:
+		// There are more limited organisations than a verdict lists. This one is taken for one
+		// of them if it offers more than its share when other daemons get as much of it.
+		return [Priorities]float64{d.rest, d.rest, d.rest}
+	}
+	return all
 }
 
 // Offer decides on a request. It must be called once for each request of a caller, before
--- a/contract/shares/message.go
+++ b/contract/shares/message.go
@@ -26,10 +26,13 @@
 	maxCount          = 1 << 32
 	maxMilli          = 1e15 // thousandths of slot-seconds
 	maxDuration       = time.Hour
-	fractionUnits     = math.MaxUint16
+	// fractionUnits is the resolution of the number of priorities that are admitted: 1.25
+	// stands for all of priority 0 and a quarter of priority 1.
+	fractionUnits = math.MaxUint16 / Priorities
+	shortIDBits   = 32 // of an organisation's identifier in verdicts
 	// Sizes of the entry of the rest in a report, of its count, and of entries of a verdict.
 	restBytes    = Priorities*(8+1+8) + 5
-	verdictBytes = 8 + 2*Priorities
+	verdictBytes = 4 + 2
 
 	flagShort  = 1
 	flagCovers = 2 // of a verdict
@@ -163,6 +166,44 @@
 	wait      float64 // median
 	level     float64 // slot-seconds per second for a weight of 1
 	fractions map[Organisation][Priorities]float64
+	// rest is the part that is admitted of the organisations that are limited but not listed;
+	// 1 if there are none.
+	rest float64
+	// shortIDs states that fractions has only the first shortIDBits of organisations.
+	shortIDs bool
+}
+
+// of returns the fractions of a listed organisation.
+func (v *verdict) of(id Organisation) ([Priorities]float64, bool) {
+	if v.shortIDs {
+		id = shortID(id)
+	}
+	f, ok := v.fractions[id]
+	return f, ok
+}
+
+func shortID(id Organisation) Organisation { return id >> (64 - shortIDBits) }
+
+// admittedPriorities returns fractions as one number, since a priority is admitted in part
+// only if the more urgent ones are admitted in full.
+func admittedPriorities(fractions [Priorities]float64) uint16 {
+	sum := 0.0
+	for _, f := range fractions {
+		sum += min(max(f, 0), 1)
+	}
+	units := math.Round(sum * fractionUnits)
+	if sum > 0 {
+		units = max(units, 1)
+	}
+	return uint16(units)
+}
+
+func fractionsOf(units uint16) (fractions [Priorities]float64) {
+	left := float64(units) / fractionUnits
+	for p := range fractions {
+		fractions[p] = min(max(left-float64(p), 0), 1)
+	}
+	return fractions
 }
 
 type verdictEntry struct {
@@ -170,7 +211,7 @@
 	fractions    [Priorities]float64
 }
 
-func (v *verdict) encode(sequence uint64, entries []verdictEntry, most int) []byte {
+func (v *verdict) encode(sequence uint64, entries []verdictEntry) []byte {
 	b := make([]byte, 0, 64+min(len(entries)*verdictBytes, maxMessage))
 	b = append(b, kindVerdict, version)
 	b = binary.AppendUvarint(b, sequence)
@@ -180,18 +221,13 @@
 	b = binary.AppendUvarint(b, uint64(math.Round(min(max(v.wait, 0), 10)*100)))
 	// Weights may be rates of tokens, so that the level is far below a thousandth.
 	b = binary.LittleEndian.AppendUint64(b, math.Float64bits(v.level))
+	b = binary.LittleEndian.AppendUint16(b, admittedPriorities([Priorities]float64{v.rest}))
 	for _, e := range entries {
-		if len(b)+verdictBytes > most {
+		if len(b)+verdictBytes > maxMessage {
 			break
 		}
-		b = binary.LittleEndian.AppendUint64(b, uint64(e.organisation))
-		for _, f := range e.fractions {
-			units := math.Round(min(max(f, 0), 1) * fractionUnits)
-			if f > 0 {
-				units = max(units, 1)
-			}
-			b = binary.LittleEndian.AppendUint16(b, uint16(units))
-		}
+		b = binary.LittleEndian.AppendUint32(b, uint32(shortID(e.organisation)))
+		b = binary.LittleEndian.AppendUint16(b, admittedPriorities(e.fractions))
 	}
 	return b
 }
@@ -201,7 +237,7 @@
 	if r.Byte() != kindVerdict || r.Byte() != version {
 		return nil, ErrMalformed
 	}
-	v := &verdict{sequence: r.Uvarint(math.MaxUint64), service: Service(r.Uint64())}
+	v := &verdict{shortIDs: true, sequence: r.Uvarint(math.MaxUint64), service: Service(r.Uint64())}
 	flags := r.Byte()
 	v.short, v.covers = flags&flagShort != 0, flags&flagCovers != 0
 	v.capacity = float64(r.Uvarint(maxMilli)) / 1000
@@ -210,13 +246,11 @@
 	if v.level < 0 || math.IsNaN(v.level) || math.IsInf(v.level, 0) || flags > flagShort|flagCovers {
 		return nil, ErrMalformed
 	}
+	v.rest = min(float64(binary.LittleEndian.Uint16(r.Bytes(2)))/fractionUnits, 1)
 	v.fractions = map[Organisation][Priorities]float64{}
 	for r.More() {
-		id := Organisation(r.Uint64())
-		var f [Priorities]float64
-		for p := range f {
-			f[p] = float64(binary.LittleEndian.Uint16(r.Bytes(2))) / fractionUnits
-		}
+		id := Organisation(binary.LittleEndian.Uint32(r.Bytes(4)))
+		f := fractionsOf(binary.LittleEndian.Uint16(r.Bytes(2)))
 		if len(v.fractions) >= maxVerdictEntries {
 			return nil, ErrMalformed
 		}
--- a/contract/shares/owner.go
+++ b/contract/shares/owner.go
@@ -73,7 +73,7 @@
 	case short && !active:
 		// All daemons report when they receive a verdict.
 		w.evaluated, w.evaluateAt, w.counts = false, now+firstEvaluation, m.counts
-		w.verdict = verdict{service: s.id}
+		w.verdict = verdict{service: s.id, rest: 1}
 		w.entries = nil
 		n.startReporting(now, s, 2*n.interval()+2*TickInterval)
 		n.broadcast(now, s)
@@ -145,16 +145,18 @@
 	}
 	c := &w.control
 	w.verdict = verdict{
-		service: s.id, short: c.short, covers: 2*len(w.reports) >= len(n.daemons), capacity: c.capacity, wait: c.wait,
+		service: s.id, short: c.short, covers: 2*len(w.reports) >= len(n.daemons), capacity: c.capacity, wait: c.wait, rest: 1,
 	}
 	w.entries = w.entries[:0]
 	if c.short {
 		a := allocate(demands, c.rate, c.capacity)
 		w.verdict.level, w.verdict.fractions = a.level, a.fractions
-		w.entries = limited(demands, a)
+		w.entries, w.verdict.rest = limited(demands, a)
 	}
 	w.evaluated = true
-	s.verdict = receivedVerdict{verdict: w.verdict, at: now, owner: n.o.Self.Name}
+	s.verdict = receivedVerdict{
+		verdict: w.verdict, at: now, owner: n.o.Self.Name, alone: len(w.reports) == 1 && w.reports[""] != nil && len(n.daemons) > 1,
+	}
 	interval := n.interval()
 	quick := !c.short || now-c.since < leadPeriod
 	if quick {
@@ -216,22 +218,34 @@
 	return m, demands
 }
 
-// limited returns the entries of a verdict: organisations of which less than everything is
-// admitted, the largest first.
-func limited(demands []demand, a allocation) []verdictEntry {
+// limited returns the entries of a verdict, which are organisations of which less than
+// everything is admitted, the largest first, and the part that is admitted of the others.
+func limited(demands []demand, a allocation) (entries []verdictEntry, rest float64) {
 	largest := slices.DeleteFunc(slices.Clone(demands), func(d demand) bool {
 		f := a.fractions[d.organisation]
-		return d.organisation == otherOrganisations || slices.Min(f[:]) >= 1
+		return slices.Min(f[:]) >= 1
 	})
 	slices.SortFunc(largest, func(x, y demand) int {
 		return cmp.Or(cmp.Compare(y.total(), x.total()), cmp.Compare(x.organisation, y.organisation))
 	})
-	entries := make([]verdictEntry, 0, min(len(largest), maxVerdictEntries))
-	for i := range largest[:min(len(largest), maxVerdictEntries)] {
-		id := largest[i].organisation
-		entries = append(entries, verdictEntry{id, a.fractions[id]})
+	entries = make([]verdictEntry, 0, min(len(largest), maxVerdictEntries))
+	offered, admitted := 0.0, 0.0
+	for i := range largest {
+		d := &largest[i]
+		f := a.fractions[d.organisation]
+		if d.organisation != otherOrganisations && len(entries) < maxVerdictEntries {
+			entries = append(entries, verdictEntry{d.organisation, f})
+			continue
+		}
+		for p, x := range d.offered {
+			offered += x
+			admitted += x * f[p]
+		}
 	}
-	return entries
+	if offered == 0 {
+		return entries, 1
+	}
+	return entries, admitted / offered
 }
 
 // broadcast sends the verdict to all daemons.
@@ -242,6 +256,11 @@
 			n.sendVerdict(s, d.Address)
 		}
 	}
+	for _, from := range slices.Sorted(maps.Keys(s.owner.reports)) {
+		if _, listed := n.names[from]; !listed && from != "" {
+			n.sendVerdict(s, from) // it is not in this daemon's list yet
+		}
+	}
 }
 
 func (n *Node) sendVerdict(s *service, to string) {
@@ -250,5 +269,5 @@
 	if r := w.reports[to]; r != nil {
 		sequence = r.sequence
 	}
-	n.outbox = append(n.outbox, Message{To: to, Data: w.verdict.encode(sequence, w.entries, n.maxBytes())})
+	n.outbox = append(n.outbox, Message{To: to, Data: w.verdict.encode(sequence, w.entries)})
 }
--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -23,7 +23,7 @@
 	// of one daemon do not suffice: all daemons report after an alarm, and must not while there
 	// is capacity. An alarm above likelyChance sends no message.
 	certainChance = 1e-7
-	likelyChance  = 1e-4
+	likelyChance  = 3e-5
 	// likelyAlarms is the number of daemons with a likely alarm that suffices.
 	likelyAlarms = 2
 	// One in alarmRejections rejected requests is an alarm too.
@@ -186,14 +186,23 @@
 	if address != r.owner || r.silentSince < 0 {
 		r.owner, r.silentSince = address, now
 	}
-	n.outbox = append(n.outbox, Message{To: address, Data: m.encode(n.maxBytes())})
+	n.outbox = append(n.outbox, Message{To: address, Data: m.encode(n.maxReportBytes(s, m))})
 }
 
-// maxBytes is the largest size of a message. Beyond 256 daemons messages list fewer
-// organisations, which keeps the traffic of each daemon below 1 KB/s.
-func (n *Node) maxBytes() int {
-	const least, unscaled = 300, 256
-	return max(least, maxMessage*unscaled/max(unscaled, len(n.daemons)))
+// maxReportBytes is the largest size of a report. At many daemons reports list fewer
+// organisations, which keeps the mean traffic of a daemon below 1 KB/s with full verdicts. A
+// daemon at which much of a service's work arrives lists all of them.
+func (n *Node) maxReportBytes(s *service, m *report) int {
+	const least, unscaled, large = 200, 160, 20
+	daemons := len(n.daemons)
+	offered := 0.0
+	for _, e := range m.entries {
+		offered += e.offered
+	}
+	if offered*float64(daemons) > large*s.slots && s.slots > 0 {
+		return maxMessage
+	}
+	return max(least, maxMessage*unscaled/max(unscaled, daemons))
 }
 
 func (n *Node) buildReport(now time.Duration, s *service) *report {
--- a/contract/shares/returns.go
+++ b/contract/shares/returns.go
@@ -11,9 +11,9 @@
 	retryTolerance = 50 * time.Millisecond
 	retrySpread    = 0.1
 	// returnFraction is the part of an organisation's admitted work for which refused
-	// requests get successive retry times. With all of it, every request of an organisation
-	// at twice its share would need two attempts, since retries take precedence.
-	returnFraction = 0.25
+	// requests get successive retry times. Retries take precedence: with all of it, each
+	// served request of an organisation at twice its share would need two attempts.
+	returnFraction = 0.1
 )
 
 // refusal is a refused request and the retry time given to its caller.
