--- a/contract/shares/control.go
+++ b/contract/shares/control.go
@@ -50,6 +50,7 @@
 	calmSince time.Duration
 	longFor   time.Duration // the wait was above longWait, less the time in which it was not
 	lateSince time.Duration // most requests were observed as late; 0: they were not
+	settles   time.Duration // until then, the work answered includes a time before a change
 	slots     float64       // for which rate was found
 	rate      float64
 	quick     int     // evaluations in a row in which the capacity was raised
@@ -77,7 +78,7 @@
 )
 
 func (c *control) enter(now time.Duration, m *measured) {
-	*c = control{short: true, since: now, evaluated: now, calmSince: now, observed: c.observed, wait: c.wait, slots: m.slots, history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
+	*c = control{short: true, since: now, evaluated: now, calmSince: now, observed: c.observed, wait: c.wait, slots: m.slots, settles: now + c.answeredMean(m), history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
 	c.rate = max(c.answered, 1e-3)
 	if c.answeredAt == 0 {
 		c.rate = max(m.answered, 1e-3)
@@ -153,7 +154,7 @@
 		}
 		return used
 	}
-	c.rescale(m)
+	c.rescale(now, m)
 	elapsed := now - c.evaluated
 	steps := min(float64(elapsed)/float64(m.interval), 2)
 	c.evaluated = now
@@ -201,11 +202,12 @@
 }
 
 // rescale keeps the factor between the capacity and the slots when the slots change.
-func (c *control) rescale(m *measured) {
-	switch {
-	case m.slots == c.slots:
-	case m.slots > 0 && c.slots > 0:
+func (c *control) rescale(now time.Duration, m *measured) {
+	if m.slots != c.slots && m.slots > 0 && c.slots > 0 {
+		// The work answered until now was that of the former slots.
 		c.rate *= m.slots / c.slots
+		c.answered *= m.slots / c.slots
+		c.settles = now + 2*c.answeredMean(m)
 	}
 	c.slots = m.slots
 	if m.slots > 0 {
@@ -227,7 +229,7 @@
 	case c.lateSince == 0:
 		c.lateSince = now
 	}
-	settled := now-c.since > c.answeredMean(m)
+	settled := now > c.settles
 	switch {
 	case c.answered > farOff*c.rate && settled && !late:
 		// More work is answered than the capacity that was assumed.
--- a/contract/shares/decision.go
+++ b/contract/shares/decision.go
@@ -20,6 +20,7 @@
 	at    time.Duration
 	from  string // address; empty: this daemon
 	owner string // name; empty: there is no verdict
+	alone bool   // this daemon is the owner and no other one reports to it
 	echo  uint64 // highest sequence number of a report that a verdict of this owner answered
 }
 
@@ -32,7 +33,12 @@
 	wait     float64
 	level    float64
 	rest     float64 // admitted of limited organisations that are not listed
-	listed   func(Organisation) ([Priorities]float64, bool)
+	listed   listing
+}
+
+// listing holds the fractions of organisations.
+type listing interface {
+	of(id Organisation) (fractions [Priorities]float64, listed bool)
 }
 
 // verdictLife is the time for which a verdict is valid.
@@ -46,7 +52,10 @@
 	age := now - v.at
 	if v.owner != "" && age < n.verdictLife() {
 		d := decisionState{
-			short: v.short, owner: v.owner, age: age, capacity: v.capacity, wait: v.wait, level: v.level, rest: v.rest, listed: v.of,
+			short: v.short, owner: v.owner, age: age, capacity: v.capacity, wait: v.wait, level: v.level, rest: v.rest, listed: &v.verdict,
+		}
+		if v.alone {
+			d.owner = ""
 		}
 		// An owner repeats that a service is not short only while it gets reports. Later, a
 		// shortage may have begun.
@@ -56,7 +65,7 @@
 	}
 	c := &s.local.control
 	return decisionState{
-		short: c.short, capacity: c.capacity, wait: c.wait, level: s.local.allocation.level, rest: 1, listed: s.local.allocation.of,
+		short: c.short, capacity: c.capacity, wait: c.wait, level: s.local.allocation.level, rest: 1, listed: &s.local.allocation,
 	}
 }
 
@@ -67,7 +76,7 @@
 	if !d.short {
 		return all
 	}
-	if f, ok := d.listed(id); ok {
+	if f, ok := d.listed.of(id); ok {
 		return f
 	}
 	var offered [Priorities]float64
--- a/contract/shares/message.go
+++ b/contract/shares/message.go
@@ -211,7 +211,7 @@
 	fractions    [Priorities]float64
 }
 
-func (v *verdict) encode(sequence uint64, entries []verdictEntry, most int) []byte {
+func (v *verdict) encode(sequence uint64, entries []verdictEntry) []byte {
 	b := make([]byte, 0, 64+min(len(entries)*verdictBytes, maxMessage))
 	b = append(b, kindVerdict, version)
 	b = binary.AppendUvarint(b, sequence)
@@ -223,7 +223,7 @@
 	b = binary.LittleEndian.AppendUint64(b, math.Float64bits(v.level))
 	b = binary.LittleEndian.AppendUint16(b, admittedPriorities([Priorities]float64{v.rest}))
 	for _, e := range entries {
-		if len(b)+verdictBytes > most {
+		if len(b)+verdictBytes > maxMessage {
 			break
 		}
 		b = binary.LittleEndian.AppendUint32(b, uint32(shortID(e.organisation)))
--- a/contract/shares/owner.go
+++ b/contract/shares/owner.go
@@ -154,7 +154,9 @@
 		w.entries, w.verdict.rest = limited(demands, a)
 	}
 	w.evaluated = true
-	s.verdict = receivedVerdict{verdict: w.verdict, at: now, owner: n.o.Self.Name}
+	s.verdict = receivedVerdict{
+		verdict: w.verdict, at: now, owner: n.o.Self.Name, alone: len(w.reports) == 1 && w.reports[""] != nil && len(n.daemons) > 1,
+	}
 	interval := n.interval()
 	quick := !c.short || now-c.since < leadPeriod
 	if quick {
@@ -254,6 +256,11 @@
 			n.sendVerdict(s, d.Address)
 		}
 	}
+	for _, from := range slices.Sorted(maps.Keys(s.owner.reports)) {
+		if _, listed := n.names[from]; !listed && from != "" {
+			n.sendVerdict(s, from) // it is not in this daemon's list yet
+		}
+	}
 }
 
 func (n *Node) sendVerdict(s *service, to string) {
@@ -262,5 +269,5 @@
 	if r := w.reports[to]; r != nil {
 		sequence = r.sequence
 	}
-	n.outbox = append(n.outbox, Message{To: to, Data: w.verdict.encode(sequence, w.entries, maxMessage)})
+	n.outbox = append(n.outbox, Message{To: to, Data: w.verdict.encode(sequence, w.entries)})
 }
