Weigh the queues of plain endpoints by the time that requests take there

Placement estimated the wait in a queue from the time between the first token and the last, which is a microsecond for plain endpoints: requests that waited there counted for nothing, so that one endpoint had 25 waiting while another had 2. While admission is active, the observed slot time is used.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -191,7 +191,11 @@
 	}
 	waiting := v.remainingRequests(float64(e.load.Waiting), now.Sub(e.loadAt).Seconds())
 	if over := float64(e.load.Running+e.pendingCount+1-e.load.Slots) + waiting; e.load.Slots > 0 && over > 0 {
-		wait += over * v.serviceTime / float64(e.load.Slots)
+		serviceTime := v.serviceTime
+		if e.slotTime > 0 {
+			serviceTime = e.slotTime
+		}
+		wait += over * serviceTime / float64(e.load.Slots)
 	}
 	return wait
 }
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -41,6 +41,7 @@
 
 	*reported
 	prefillRate  float64 // prefill tokens/s
+	slotTime     float64 // seconds that a request occupies a slot; 0: View.serviceTime
 	idleHalfLife time.Duration
 
 	nextSeq          uint64    // of the cache events; 0: none seen
@@ -317,6 +318,15 @@
 	v.applyLoad(e, l)
 }
 
+// SetSlotTime sets how long a request occupies a slot of the endpoint; 0: as long as answers
+// take from the first token to the last. Plain endpoints send their answers at once, so that
+// the latter would make requests that wait there count for nothing.
+func (v *View) SetSlotTime(id fleet.EndpointID, d time.Duration) {
+	if e := v.endpointOf(id); e != nil {
+		e.slotTime = d.Seconds()
+	}
+}
+
 // Rejected records that the endpoint rejected a request for want of room. It is then avoided
 // for a moment, and longer after each further rejection.
 func (v *View) Rejected(now time.Time, id fleet.EndpointID) {
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -208,3 +208,10 @@
 	defer s.mu.Unlock()
 	return s.view.Idle(id)
 }
+
+// SetSlotTime calls View.SetSlotTime under the lock.
+func (s *SharedView) SetSlotTime(id fleet.EndpointID, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetSlotTime(id, d)
+}
--- a/router/admission.go
+++ b/router/admission.go
@@ -91,6 +91,7 @@
 	short       bool // as last logged
 	loggedAt    time.Duration
 	scale       costScale
+	duration    average // seconds in a slot of a plain endpoint
 }
 
 // estimateKey identifies requests of a similar duration.
@@ -317,7 +318,9 @@
 		}
 	}
 	if !a.setting && !weighted {
-		a.active.Store(false)
+		if a.active.Swap(false) {
+			a.state.clearSlotTimes()
+		}
 		clear(a.open)
 		clear(a.failed)
 		clear(a.retried)
@@ -376,6 +379,8 @@
 	type target struct{ service, model string }
 	slots := map[target]float64{}
 	listed := map[fleet.EndpointID]bool{}
+	var plain []fleet.EndpointID
+	var plainServices []string
 	a.state.mu.Lock()
 	for key, e := range a.state.roster.All() {
 		listed[key] = true
@@ -385,6 +390,7 @@
 		}
 		if len(e.Models) == 0 {
 			slots[target{e.Service, ""}] += usable
+			plain, plainServices = append(plain, key), append(plainServices, e.Service)
 		}
 		for model := range e.Models {
 			slots[target{e.Service, model}] += usable
@@ -410,6 +416,10 @@
 				delete(a.answeredAt, key)
 			}
 		}
+		for i, key := range plain {
+			seconds := a.service(plainServices[i], "").duration.value
+			a.state.view.SetSlotTime(key, time.Duration(seconds*float64(time.Second)))
+		}
 		a.withdrawAbandoned(clock, now)
 		a.reportStatus(clock)
 	})
@@ -693,7 +703,11 @@
 	e.lowest.add(now, o.firstByte-o.readTime)
 	served := max(0, now.Sub(o.placed)-o.waited).Seconds()
 	e.duration.add(served)
-	if s := a.services[o.service]; s != nil && o.key.kind > 0 {
+	switch s := a.services[o.service]; {
+	case s == nil:
+	case o.key.kind == 0:
+		s.duration.add(served)
+	default:
 		s.scale.raw.add(e.duration.value + o.readCost)
 		s.scale.observed.add(served)
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -175,6 +175,15 @@
 	return s.roster.MarkLeaving(now, key, id)
 }
 
+// clearSlotTimes undoes placement.View.SetSlotTime.
+func (s *state) clearSlotTimes() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.roster.All() {
+		s.view.SetSlotTime(key, 0)
+	}
+}
+
 // usable reports whether an endpoint is on the list.
 func (s *state) usable(key fleet.EndpointID) bool {
 	s.mu.Lock()
