Use the observed slot time of each service for engines as well

The time between the first token and the last is averaged over all endpoints, so that plain requests of other services make it too short.

--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -319,8 +319,8 @@
 }
 
 // SetSlotTime sets how long a request occupies a slot of the endpoint; 0: as long as answers
-// take from the first token to the last. Plain endpoints send their answers at once, so that
-// the latter would make requests that wait there count for nothing.
+// take from the first token to the last, at all endpoints together. Plain endpoints send their
+// answers at once, so that the latter would make requests that wait count for nothing.
 func (v *View) SetSlotTime(id fleet.EndpointID, d time.Duration) {
 	if e := v.endpointOf(id); e != nil {
 		e.slotTime = d.Seconds()
--- a/router/admission.go
+++ b/router/admission.go
@@ -90,8 +90,8 @@
 	configured  bool // by the table in force; otherwise listed by an endpoint only
 	short       bool // as last logged
 	loggedAt    time.Duration
-	scale       costScale
-	duration    average // seconds in a slot of a plain endpoint
+	raw         average // costs of prompts before they are scaled
+	duration    average // seconds of a request in a slot
 }
 
 // estimateKey identifies requests of a similar duration.
@@ -147,16 +147,14 @@
 	return l.previous
 }
 
-// costScale makes the sum of the costs of prompts equal the slot time that they take.
-// The time that a prompt spends in the batch contains the pauses in which prompts of
-// others are read, so that the sum of both terms of the cost counts reading twice.
-type costScale struct{ raw, observed average }
-
-func (s *costScale) factor() float64 {
-	if s.raw.n == 0 || s.raw.value <= 0 || s.observed.value <= 0 {
+// costFactor returns the factor that makes the sum of the costs of prompts equal the slot time
+// that they take. The time that a prompt spends in the batch contains the pauses in which
+// prompts of others are read, so that the sum of both terms of the cost counts reading twice.
+func (s *admittedService) costFactor() float64 {
+	if s.raw.value <= 0 || s.duration.value <= 0 {
 		return 1
 	}
-	return s.observed.value / s.raw.value
+	return s.duration.value / s.raw.value
 }
 
 // openRequest is a request under way at an endpoint.
@@ -379,8 +377,7 @@
 	type target struct{ service, model string }
 	slots := map[target]float64{}
 	listed := map[fleet.EndpointID]bool{}
-	var plain []fleet.EndpointID
-	var plainServices []string
+	serves := map[fleet.EndpointID][]target{}
 	a.state.mu.Lock()
 	for key, e := range a.state.roster.All() {
 		listed[key] = true
@@ -390,10 +387,11 @@
 		}
 		if len(e.Models) == 0 {
 			slots[target{e.Service, ""}] += usable
-			plain, plainServices = append(plain, key), append(plainServices, e.Service)
+			serves[key] = append(serves[key], target{e.Service, ""})
 		}
 		for model := range e.Models {
 			slots[target{e.Service, model}] += usable
+			serves[key] = append(serves[key], target{e.Service, model})
 		}
 	}
 	a.state.mu.Unlock()
@@ -416,8 +414,11 @@
 				delete(a.answeredAt, key)
 			}
 		}
-		for i, key := range plain {
-			seconds := a.service(plainServices[i], "").duration.value
+		for key, all := range serves {
+			seconds := 0.0
+			for _, to := range all {
+				seconds = max(seconds, a.service(to.service, to.model).duration.value)
+			}
 			a.state.view.SetSlotTime(key, time.Duration(seconds*float64(time.Second)))
 		}
 		a.withdrawAbandoned(clock, now)
@@ -541,7 +542,7 @@
 			return // callers may name any model, for which there would be state
 		}
 		w.Cost, _ = a.cost(req, a.estimate(estimateKeyOf(req)))
-		w.Cost *= s.scale.factor()
+		w.Cost *= s.costFactor()
 		d = a.node.Offer(now, w)
 	})
 	if !known {
@@ -703,13 +704,11 @@
 	e.lowest.add(now, o.firstByte-o.readTime)
 	served := max(0, now.Sub(o.placed)-o.waited).Seconds()
 	e.duration.add(served)
-	switch s := a.services[o.service]; {
-	case s == nil:
-	case o.key.kind == 0:
+	if s := a.services[o.service]; s != nil {
 		s.duration.add(served)
-	default:
-		s.scale.raw.add(e.duration.value + o.readCost)
-		s.scale.observed.add(served)
+		if o.key.kind > 0 {
+			s.raw.add(e.duration.value + o.readCost)
+		}
 	}
 }
 
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -591,7 +591,7 @@
 	}
 	cost := func(req *forward.PlacementRequest) float64 {
 		c, _ := a.cost(req, a.estimate(estimateKeyOf(req)))
-		return c * a.services[serviceOf(req)].scale.factor()
+		return c * a.services[serviceOf(req)].costFactor()
 	}
 	now := time.Now()
 	short, long := request("short", 380), request("long", 17000)
