--- a/router/admission.go
+++ b/router/admission.go
@@ -649,7 +649,7 @@
 
 // answerStarted observes the wait of a request, or that an endpoint rejected it for want of
 // capacity.
-func (a *admission) answerStarted(now time.Time, p *forward.Placement, info *forward.AnswerInfo) {
+func (a *admission) answerStarted(now time.Time, p *forward.Placement, info *forward.AnswerInfo, lacksCapacity bool) {
 	if !a.enabled() {
 		return
 	}
@@ -660,7 +660,7 @@
 		}
 		a.answeredAt[o.endpoint] = now
 		if info.NotRun {
-			if lacksCapacity(p, info) && o.work != nil {
+			if lacksCapacity && o.work != nil {
 				// attemptEnded and retryDecided handle what becomes of the request.
 				a.node.Observe(clock, o.service, shares.Wait{Waited: o.objective, Allowed: o.objective, Rejected: true, Retried: true, Cost: o.work.Cost})
 			}
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -607,7 +607,7 @@
 			p := &forward.Placement{ID: id}
 			a.placed(now, req, p, nil)
 			now = now.Add(served / 2)
-			a.answerStarted(now, p, &forward.AnswerInfo{})
+			a.answerStarted(now, p, &forward.AnswerInfo{}, false)
 			now = now.Add(served / 2)
 			a.attemptEnded(now, p, &forward.AttemptEnd{Whole: true})
 		}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -297,7 +297,7 @@
 	if p.Notes.Dispatcher != "" {
 		d.sendMessage(p.Notes.Dispatcher, kindAnswered, answeredMessage{ID: p.ID, Info: *info})
 	}
-	d.admission.answerStarted(time.Now(), p, info)
+	d.admission.answerStarted(time.Now(), p, info, info.NotRun && d.lacksCapacity(p, info))
 	d.placer.AnswerStarted(p, info)
 }
 
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -222,10 +222,12 @@
 }
 
 // lacksCapacity reports whether an endpoint rejected a request because it was full. A plain
-// one that reports no load is assumed to be.
-func lacksCapacity(pl *forward.Placement, info *forward.AnswerInfo) bool {
+// one that reports no load is assumed to be, and while admission is in use an engine that has
+// never reported one: without that, full engines would be excluded as if they were loading
+// weights.
+func (p *placer) lacksCapacity(pl *forward.Placement, info *forward.AnswerInfo) bool {
 	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
-	unknown := info.Load == nil && pl.Out.Version == 0
+	unknown := info.Load == nil && (pl.Out.Version == 0 || pl.Age < 0 && p.admission.enabled())
 	return (full || unknown) && !info.Misplaced
 }
 
@@ -234,7 +236,7 @@
 // endpoint that is merely full is not excluded, but avoided for a moment, as is a plain
 // one that reports no load.
 func (p *placer) handleRejection(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
-	if lacksCapacity(pl, info) {
+	if p.lacksCapacity(pl, info) {
 		p.state.view.Rejected(now, pl.Target.Key)
 		return
 	}
