--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -17,6 +17,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -558,6 +559,50 @@
 	}
 }
 
+// Guards against prompts that are sent to full engines while a service is short of capacity,
+// and against refusing those that an idle engine or one of unknown load could take.
+func TestPromptsOfShortServiceAreRefusedByObjective(t *testing.T) {
+	for name, c := range map[string]struct {
+		short   bool
+		running int
+		loadAge time.Duration
+		sent    bool // this daemon has just sent a prompt there
+		want    bool
+	}{
+		"service has capacity": {running: 5},
+		"full":                 {short: true, running: 5, want: true},
+		"idle":                 {short: true},
+		"idle, just sent one":  {short: true, sent: true, want: true},
+		"unobserved":           {short: true, running: 5, loadAge: overloadObjective + time.Millisecond},
+		"unobserved, probed":   {short: true, running: 5, loadAge: overloadObjective + time.Millisecond, sent: true, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := overloadLoad{daemons: 1, endpoints: 1, slots: 6, promptTokens: 300}
+				f := l.newFleet(t)
+				time.Sleep(time.Second)
+				p, now := f.daemons[0].placer, time.Now()
+				req := &forward.PlacementRequest{Route: &f.table.Routes[0], Service: f.table.Services["s"], In: &forward.RequestInfo{Model: fleetModel, PromptTokens: 300}}
+				d := placement.Decision{Endpoint: directory.Key(f.endpoints[0].id(), f.endpoints[0].born()), ExpectedFirstToken: overloadObjective + time.Millisecond, LoadAge: c.loadAge}
+				p.state.view.LoadReported(d.Endpoint, fleet.Load{At: now.Add(-c.loadAge), Running: c.running, Slots: 16})
+				if c.sent {
+					p.state.view.Reserve(now, placement.Request{ID: 1, Tokens: 300}, &d)
+				}
+				if c.short {
+					p.admission.do(func(clock time.Duration) {
+						for range 20 {
+							p.admission.node.Observe(clock, serviceOf(req), shares.Wait{Waited: time.Second, Allowed: overloadObjective})
+						}
+					})
+				}
+				if got := p.lateness(req)(&d); got != c.want {
+					t.Errorf("refused: %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a refusal whose cause cannot be found from its log line.
 func TestLogLineOfRefusalNamesItsCause(t *testing.T) {
 	var lines bytes.Buffer
