Let the target of waits recover while endpoints reject few requests

Change: the target recovers by 5 instead of 2 percent per interval, and a rejection counts as 7 instead of 6 times its part of the observations.

--- a/contract/shares/control.go
+++ b/contract/shares/control.go
@@ -175,7 +175,7 @@
 	case float64(m.counts[binRejected]) > fewRejections*float64(observed):
 		c.target = max(leastTarget, c.target*math.Pow(0.8, steps))
 	default:
-		c.target = min(targetWait, c.target*math.Pow(1.02, steps))
+		c.target = min(targetWait, c.target*math.Pow(1.05, steps))
 	}
 	c.adapt(now, elapsed, m, steps)
 	c.correct(now, m)
--- a/contract/shares/observations.go
+++ b/contract/shares/observations.go
@@ -240,7 +240,7 @@
 // of rejections times rejectionWait counts as a wait of up to maxRejectionWait; a larger
 // one would reduce the capacity too far, since rejections end as soon as a place is free.
 const (
-	rejectionWait    = 6
+	rejectionWait    = 7
 	maxRejectionWait = 0.6
 )
 
--- a/contract/shares/table_test.go
+++ b/contract/shares/table_test.go
@@ -103,7 +103,7 @@
 				before += s.inTime("", 1*sec, 3*sec) / seeds
 				after += s.inTime("", 13*sec, 14*sec) / seeds
 			}
-			t.Logf("steady in time %.3f in the first second, then %.3f; used %.3f; before %.3f, after %.3f", first, later, used, before, after)
+			t.Logf("%s: steady in time %.3f in the first second, then %.3f; used %.3f; before %.3f, after %.3f", c.name, first, later, used, before, after)
 			if first < 0.9 && strings.HasPrefix(c.name, "line ") {
 				t.Errorf("steady organisation in time in the first second: %.3f, want 0.9", first)
 			}
