--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,8 +61,11 @@
 	WaitingTokens int         `json:"waiting_tokens"` // prompt tokens queued and not yet prefilled
 	// TokensAhead is the part of WaitingTokens that would precede a new request of each
 	// priority, most urgent first. All zero: not reported.
-	TokensAhead  [3]int    `json:"tokens_ahead,omitzero"`
-	Slots        int       `json:"slots"`         // batch slots in all; 0 means not known
+	TokensAhead [3]int `json:"tokens_ahead,omitzero"`
+	Slots       int    `json:"slots"` // batch slots in all; 0 means not known
+	// DelayPercent is how long work currently takes, as a percentage of the usual time; 0
+	// means not known.
+	DelayPercent int       `json:"delay_percent,omitzero"`
 	CachedBlocks int       `json:"cached_blocks"` // blocks in the endpoint's cache
 	Draining     bool      `json:"draining"`      // the endpoint accepts no new requests
 	Weights      []Weights `json:"weights,omitempty"`
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 
 	"github.com/merlindock/merlindock/fleet"
@@ -206,6 +207,25 @@
 	return 0
 }
 
+// Subpool returns the subpool of an engine among those of its first model. Of an engine that
+// belongs to both or none, and of an endpoint without models, it returns Long.
+func (t *Table) Subpool(id fleet.EndpointID) Subpool {
+	m := t.members[id]
+	if m == nil || len(m.engines) == 0 {
+		return Long
+	}
+	e := m.engines[0]
+	i, found := e.model.find(e.version)
+	if !found {
+		return Long
+	}
+	v := e.model.versions[i]
+	if at, active := slices.BinarySearchFunc(v.active, m, compare); active && at < v.shortEnd && at < v.longFrom {
+		return Short
+	}
+	return Long
+}
+
 func (t *Table) modelOf(key modelKey) *model {
 	m := t.models[key]
 	if m == nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -393,6 +393,9 @@
 // Engines returns the number of usable engines of a model.
 func (r *Roster) Engines(service, model string) int { return r.pools.EngineCount(service, model) }
 
+// Subpool returns the subpool of an engine, see pools.Table.Subpool.
+func (r *Roster) Subpool(key fleet.EndpointID) pools.Subpool { return r.pools.Subpool(key) }
+
 // buildRetention is how long a software version that no endpoint has is remembered. OnlyBuild
 // must not be asked for a longer time.
 const buildRetention = time.Minute
