Spread requests over endpoints of which all daemons know the same loads

Cause: with exchanged reports all daemons chose the endpoint that was the least loaded in the report.

Change: a request with SharedWithin chooses at random, with probabilities that bring all endpoints to the same load within that time. Requests without it are placed as before.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -23,12 +23,14 @@
 	preferredWait  float64 // wait, in seconds, accepted to place an uncached prefix on a preferred endpoint
 	locations      *PrefixLocations
 	exclusive      bool
+	shared         bool // all daemons know the same loads
 }
 
 func (v *View) costModel(now time.Time, r *Request, affinity *prefixEntry) costModel {
 	m := costModel{
 		id: r.ID, priority: r.Priority, tokens: float64(r.Tokens), preferred: 1, storedTokens: v.storedTokens(now, r),
 		locations: r.Locations, exclusive: r.Exclusive,
+		shared: r.SharedWithin > 0 && !r.Exclusive,
 	}
 	if affinity == nil {
 		return m
@@ -75,18 +77,24 @@
 	}
 	c.wait = m.wait(v, now, c.endpoint) + (1-v.freshness(now, e, m.priority))*m.typicalWait
 	c.prepareTime = m.prepareTime(v, e, c)
-	c.cost = c.wait + c.prepareTime + v.roundTrip(c) + rankCost*float64(max(0, c.rank-m.preferred+1))
+	wait := c.wait
+	if m.shared {
+		wait = 0 // View.addSpreadCosts takes its place
+	}
+	c.cost = wait + c.prepareTime + v.roundTrip(c) + rankCost*float64(max(0, c.rank-m.preferred+1))
 	if c.rank >= m.preferred || m.preferred == 1 {
 		c.cost += recomputeWeight * (m.tokens - m.reusable(c)) / e.prefillRate
 	}
-	c.cost += batchFillCost * batchFill(e)
+	if !m.shared {
+		c.cost += batchFillCost * batchFill(e)
+	}
 	if now.Before(e.fullUntil) {
 		c.cost += fullCost
 	}
-	if m.tokens == 0 && e.loadAt.IsZero() {
+	if m.tokens == 0 && !m.shared && e.loadAt.IsZero() {
 		c.cost += unreportedCost * float64(e.underWay)
 	}
-	if !m.exclusive {
+	if !m.exclusive && !m.shared {
 		c.cost += m.stalenessCost(now, e, c.endpoint)
 	}
 	c.cost += delayWeight * v.arrivalRate(e) * c.prepareTime * c.prepareTime / 2
--- a/placement/place.go
+++ b/placement/place.go
@@ -89,6 +89,7 @@
 	slot       []int32  // candidate index by endpoint
 	stamp      []uint32 // round in which the endpoint's slot was set
 	round      uint32
+	spreads    []spread // of the candidates, while all daemons know the same loads
 }
 
 func (s *scratch) grow(endpoints int) {
@@ -354,10 +355,16 @@
 	if !r.Exclusive {
 		m.typicalWait = v.typicalWait(now, r.Priority)
 	}
+	for i := range v.scratch.candidates {
+		m.evaluate(v, now, &v.scratch.candidates[i])
+	}
+	if m.shared {
+		v.spreadLoads(now, r)
+		v.addSpreadCosts(r.ID)
+	}
 	var best *candidate
 	for i := range v.scratch.candidates {
 		c := &v.scratch.candidates[i]
-		m.evaluate(v, now, c)
 		if best == nil || c.cost < best.cost {
 			best = c
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -104,6 +104,11 @@
 	// Exclusive is set if this daemon places all requests of the pool: an endpoint that it
 	// sent nothing to is idle, however old its load report is.
 	Exclusive bool
+	// SharedWithin is set if all daemons know the same load reports, and is the age that a
+	// report has when they know of the next one. Requests are then spread at random, see
+	// View.spreadLoads.
+	SharedWithin time.Duration
+	SharedPool   string // all endpoints of the service, for SharedWithin
 }
 
 // PrefixLocations lists which endpoints cache the beginning of one prompt, as reported by
