Exchange load reports while a service is short and after a start

Cause: each daemon learns the load of an endpoint only from answers to its own requests; endpoints whose load is unknown are flooded.

Change: daemons send the reports that they receive to the owner of the service, which returns the merged ones (router/load_exchange.go). There is no exchange unless loadExchange.connect is called. The dispatcher is not sent loads with questions while the exchange is current. An engine that loads weights is removed.

--- a/placement/loadtable/table.go
+++ b/placement/loadtable/table.go
@@ -127,16 +127,16 @@
 // time, and reports whether it did.
 func (t *Table) removeOldest(before time.Duration) bool {
 	var oldest Key
+	found := false
 	for key, e := range t.entries {
 		if e.at < before {
-			oldest, before = key, e.at
+			oldest, before, found = key, e.at, true
 		}
 	}
-	if _, ok := t.entries[oldest]; !ok || t.entries[oldest].at != before {
-		return false
+	if found {
+		delete(t.entries, oldest)
 	}
-	delete(t.entries, oldest)
-	return true
+	return found
 }
 
 // Remove removes the load of an endpoint. Reports from before now are not accepted
--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -19,10 +19,11 @@
 	f              *simulatedFleet
 	slots, room    int // requests that run and that wait at most
 	serviceTime    time.Duration
-	rejectionLimit *float64 // rejections/s above which it crashes, as reported; nil: none
-	enforced       bool     // whether it crashes already
-	reportsNothing bool     // its answers have no load
-	retryAfter     string   // of its rejections; empty: none
+	firstAfter     time.Duration // from the beginning of a request to its answer's; 0: serviceTime
+	rejectionLimit *float64      // rejections/s above which it crashes, as reported; nil: none
+	enforced       bool          // whether it crashes already
+	reportsNothing bool          // its answers have no load
+	retryAfter     string        // of its rejections; empty: none
 
 	mu               sync.Mutex
 	running, waiting int
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -158,6 +158,22 @@
 	return group
 }
 
+// sole reports whether this daemon places all long prompts of a model.
+func (d *dispatchPlacer) sole(service, model string) bool {
+	d.state.mu.Lock()
+	groups := dispatchGroups(d.state.roster.Engines(service, model))
+	d.state.mu.Unlock()
+	to, some := d.dispatcher(service + "/" + model)
+	return model != "" && groups == 1 && some && to == d.self
+}
+
+// daemonCount returns the number of daemons.
+func (d *dispatchPlacer) daemonCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(1, len(d.daemons))
+}
+
 // dispatchGroups returns the number of groups into which the prompts of a model with
 // the given number of engines are divided.
 func dispatchGroups(engines int) int {
@@ -191,7 +207,9 @@
 		LeftMs: time.Until(req.Deadline).Milliseconds(), Avoid: append(d.unavailable(req), req.Excluded...), Resuming: req.Resuming, Origin: req.Origin,
 	}
 	m.In.APIKey = ""
-	m.Loads = d.takeObservedLoads(time.Now())
+	if !d.loads.current(req.Service.Name, req.In.Model, recipientTimeout) {
+		m.Loads = d.takeObservedLoads(time.Now())
+	}
 	if req.Organisation != nil {
 		m.Org, m.Isolated = req.Organisation.Name, req.Organisation.Isolated
 	}
@@ -294,6 +312,7 @@
 	if info.Load != nil && p.Out.Version != 0 {
 		d.observeLoad(p.Target.Key, info.Load)
 	}
+	d.loads.observeAnswer(p.Target.Key, info)
 	if p.Notes.Dispatcher != "" {
 		d.sendMessage(p.Notes.Dispatcher, kindAnswered, answeredMessage{ID: p.ID, Info: *info})
 	}
--- a/router/dispatch_messages.go
+++ b/router/dispatch_messages.go
@@ -259,9 +259,8 @@
 // applyReportedLoads applies loads that another daemon observed.
 func (d *dispatchPlacer) applyReportedLoads(now time.Time, loads []reportedLoad) {
 	for _, l := range loads {
-		d.state.view.LoadReported(l.Engine, fleet.Load{
+		d.applyRemoteLoad(l.Engine, fleet.Load{
 			At: now.Add(-time.Duration(l.AgeMs) * time.Millisecond), Running: l.Running, Waiting: l.Waiting, Slots: l.Slots,
-			WaitingTokens: d.estimateWaiting(subpoolShort, max(0, l.Waiting-d.state.view.PendingPrompts(l.Engine))),
-		})
+		}, true)
 	}
 }
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -91,10 +91,12 @@
 			if report.Leaving {
 				p.endpointLeaving(time.Now(), key, target.ID)
 			}
-			p.state.view.LoadReported(key, fleet.Load{
+			load := fleet.Load{
 				At: time.Now().Add(-loadReportAge), Running: report.Running, Waiting: report.Waiting,
 				WaitingTokens: p.estimateQueued(subpoolLong, &report),
-			})
+			}
+			p.state.view.LoadReported(key, load)
+			p.loads.observe(key, &load, loadReportAge)
 		}()
 	}
 	wg.Wait()
@@ -221,12 +223,15 @@
 	return &out
 }
 
+// reportsFull reports whether a load has no free slot.
+func reportsFull(l *fleet.Load) bool { return l != nil && l.Slots > 0 && l.Running >= l.Slots }
+
 // handleRejection excludes an endpoint for a short time after it did not run a request
 // because it is a different endpoint, has other weights or is loading new ones. An
 // endpoint that is merely full is not excluded, but avoided for a moment, as is a plain
 // one that reports no load.
 func (p *placer) handleRejection(now time.Time, pl *forward.Placement, info *forward.AnswerInfo) {
-	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
+	full := reportsFull(info.Load)
 	unknown := info.Load == nil && pl.Out.Version == 0
 	if (full || unknown) && !info.Misplaced {
 		p.state.view.Rejected(now, pl.Target.Key)
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -62,7 +62,9 @@
 	confirming   atomic.Bool                   // the store confirms the lists of endpoints
 	// crashingSegments crash each endpoint that answers a prompt with one of them.
 	crashingSegments []string
-	unframed         bool // answers have neither a length nor chunks and end with their connection
+	// shortageOf returns the shortage that a daemon is connected to; nil: loads are not exchanged.
+	shortageOf func(daemon int) shortage
+	unframed   bool // answers have neither a length nor chunks and end with their connection
 }
 
 const (
@@ -178,6 +180,9 @@
 	for _, e := range up {
 		r.addEndpoint(e)
 	}
+	if f.shortageOf != nil {
+		r.loads.connect(f.shortageOf(i), nil)
+	}
 	go r.runPeriodic(ctx)
 	go f.confirmEndpoints(ctx, r)
 	go r.quarantine.Run(ctx)
@@ -488,6 +493,9 @@
 		return err == nil
 	}
 	if k := e.capacity; k != nil {
+		if k.firstAfter > 0 {
+			return k.stream(c, head)
+		}
 		k.serve()
 		head += k.header()
 	} else {
--- a/router/placer.go
+++ b/router/placer.go
@@ -67,6 +67,7 @@
 	cacheTracker   *cacheTracker          // nil: cache contents are unknown
 	endpointLimits *endpointlimit.Limiter // nil: limits of endpoints are not enforced
 	permits        *endpointPermits
+	loads          *loadExchange // nil: loads are not exchanged
 	engines        weights.Engines
 	clock          func() time.Duration // boot clock
 	log            *logging.Logger
@@ -132,6 +133,7 @@
 	if err := p.bindToOrigin(req, &r); err != nil {
 		return forward.Placement{}, err
 	}
+	r.SharedWithin, r.SharedPool = p.loads.sharedWithin(req), r.Pool
 	if req.Service.Engine != nil && req.In.Model != "" {
 		return p.placeModel(ctx, now, req, &r)
 	}
--- a/router/report.go
+++ b/router/report.go
@@ -209,6 +209,7 @@
 		isolated = 1
 	}
 	r.metrics.scope.Gauge("isolated").Update(isolated)
+	r.loads.updateGauges()
 	r.metrics.scope.Gauge("lost_paths").Update(float64(r.paths.Lost()))
 	r.metrics.scope.Gauge("relayed_connections").Update(float64(r.relayServer.Open()))
 	r.metrics.scope.Gauge("store_generation").Update(float64(r.generation.Load()))
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/permits"
+	"github.com/merlindock/merlindock/placement/loadtable"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/quarantineguard"
 	"github.com/merlindock/merlindock/relay"
@@ -99,6 +100,7 @@
 	paths          *relay.Dialer          // connections to endpoints, through other daemons if need be
 	relayServer    *relay.Server
 	dispatch       *dispatchPlacer
+	loads          *loadExchange
 	origins        *streamOrigins
 	feeds          [topicCount]*feed.Feed
 	log            *logging.Logger
@@ -167,6 +169,9 @@
 	r.placer.endpointLimits = r.endpointLimits
 	r.placer.permits.connect(r.metrics.scope, r.datagrams.send)
 	r.dispatch = newDispatchPlacer(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
+	r.loads = newLoadExchange(r.placer, o.Clock, r.metrics.scope, r.log, r.datagrams.send)
+	r.loads.daemons, r.loads.sole = r.dispatch.daemonCount, r.dispatch.sole
+	r.placer.loads, s.weightsChanged = r.loads, r.loads.remove
 	r.origins = newStreamOrigins(me, &o.Settings, s, r.shuttingDown.Load, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	for t := range r.feeds {
 		r.feeds[t] = feed.New(Topic(t) != TopicLease)
@@ -300,6 +305,8 @@
 	switch {
 	case r.dispatch.receive(from, data):
 	case r.endpointLimits.Receive(from, data):
+	case loadtable.IsMessage(data):
+		r.loads.receive(from, data)
 	case permits.IsMessage(data):
 		r.placer.permits.receive(from, data)
 	case streamorigin.IsMessage(data):
@@ -392,6 +399,7 @@
 		r.state.mu.Unlock()
 		r.placer.reportWaiting(now)
 		r.dispatch.expire(now)
+		r.loads.tick()
 		r.origins.tick()
 		if ready := r.ready(); ready != wasReady {
 			wasReady = ready
--- a/router/state.go
+++ b/router/state.go
@@ -53,6 +53,8 @@
 	savedAt        map[prefix.Key]time.Time  // when a segment was last saved to the store
 	subpools       subpoolSplit
 	appliedLimited *map[fleet.EndpointID]bool // the value of limited last passed to the roster
+	// weightsChanged is called with mu for an engine that loads weights or has finished.
+	weightsChanged func(fleet.EndpointID)
 
 	view    *placement.SharedView
 	changes *viewChanges // forwards the roster's changes to view
@@ -106,7 +108,8 @@
 			Health:        health.Options{Rand: rng, Failures: ejectionFailures, Ejection: ejectionDuration, MaxEjection: maxEjection},
 			ShortFraction: initialShortFraction, Placement: changes,
 		}),
-		named: map[string]versionHistory{}, reported: map[string]versionHistory{},
+		weightsChanged: func(fleet.EndpointID) {},
+		named:          map[string]versionHistory{}, reported: map[string]versionHistory{},
 		savedAt: map[prefix.Key]time.Time{},
 		view:    view, changes: changes,
 	}
@@ -199,6 +202,9 @@
 		if e == nil {
 			continue
 		}
+		if e.Versions[u.Model] < u.Version {
+			s.weightsChanged(key)
+		}
 		switch {
 		case u.Loading && e.Versions[u.Model] < u.Version:
 			s.roster.Suspend(now, key, loadingUpdateLifetime)
