--- a/router/admission.go
+++ b/router/admission.go
@@ -90,6 +90,7 @@
 	configured  bool // by the table in force; otherwise listed by an endpoint only
 	short       bool // as last logged
 	loggedAt    time.Duration
+	reportsLoad bool    // some endpoint has reported its load
 	raw         average // costs of prompts before they are scaled
 	duration    average // seconds of a request in a slot
 }
@@ -275,6 +276,23 @@
 	})
 }
 
+// Short implements shortage.
+func (a *admission) Short(id shares.Service) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.node != nil && a.node.Short(id)
+}
+
+// Owner implements shortage.
+func (a *admission) Owner(now time.Duration, id shares.Service) (address string, self bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.node == nil {
+		return "", true
+	}
+	return a.node.Owner(now, id)
+}
+
 // setDaemons replaces the list of daemons.
 func (a *admission) setDaemons(all []Neighbour) {
 	var list []shares.Daemon
@@ -529,7 +547,9 @@
 	}
 	w := &shares.Work{
 		Service: serviceOf(req), Organisation: shares.OrganisationOf(""), Request: requestHash(req), Objective: objectiveOf(req.Route),
-		Priority: int(priorityOf(req.Route.EffectivePriority(req.Organisation))),
+		// Within the share of an organisation, its kinds of requests are served in the order of
+		// their routes, whatever the organisation's own priority.
+		Priority: int(priorityOf(req.Route.Priority)),
 	}
 	if req.Organisation != nil {
 		w.Organisation = shares.OrganisationOf(req.Organisation.Name)
@@ -659,6 +679,9 @@
 			return
 		}
 		a.answeredAt[o.endpoint] = now
+		if s := a.services[o.service]; s != nil && info.Load != nil {
+			s.reportsLoad = true
+		}
 		if info.NotRun {
 			if lacksCapacity && o.work != nil {
 				// attemptEnded and retryDecided handle what becomes of the request.
@@ -673,6 +696,22 @@
 	})
 }
 
+// withoutReports reports whether admission is in use and no endpoint of the placement's
+// service has reported its load.
+func (a *admission) withoutReports(p *forward.Placement) bool {
+	if !a.enabled() {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o := a.open[p.ID]
+	if o == nil {
+		return false
+	}
+	s := a.services[o.service]
+	return s != nil && !s.reportsLoad
+}
+
 // observe passes the wait of a request to the node, once. The caller must hold mu.
 func (a *admission) observe(now time.Duration, o *openRequest, w shares.Wait) {
 	if o.work == nil {
--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -91,10 +91,12 @@
 			if report.Leaving {
 				p.endpointLeaving(time.Now(), key, target.ID)
 			}
-			p.state.view.LoadReported(key, fleet.Load{
+			load := fleet.Load{
 				At: time.Now().Add(-loadReportAge), Running: report.Running, Waiting: report.Waiting,
 				WaitingTokens: p.estimateQueued(subpoolLong, &report),
-			})
+			}
+			p.state.view.LoadReported(key, load)
+			p.loads.observe(key, &load, loadReportAge)
 		}()
 	}
 	wg.Wait()
@@ -222,15 +224,17 @@
 }
 
 // lacksCapacity reports whether an endpoint rejected a request because it was full. A plain
-// one that reports no load is assumed to be, and while admission is in use an engine that has
-// never reported one: without that, full engines would be excluded as if they were loading
-// weights.
+// one that reports no load is assumed to be, and while admission is in use an engine of a
+// service without load reports: without that, full engines would be excluded as if they were
+// loading weights.
 func (p *placer) lacksCapacity(pl *forward.Placement, info *forward.AnswerInfo) bool {
-	full := info.Load != nil && info.Load.Slots > 0 && info.Load.Running >= info.Load.Slots
-	unknown := info.Load == nil && (pl.Out.Version == 0 || pl.Age < 0 && p.admission.enabled())
-	return (full || unknown) && !info.Misplaced
+	unknown := info.Load == nil && (pl.Out.Version == 0 || p.admission.withoutReports(pl))
+	return (reportsFull(info.Load) || unknown) && !info.Misplaced
 }
 
+// reportsFull reports whether a load has no free slot.
+func reportsFull(l *fleet.Load) bool { return l != nil && l.Slots > 0 && l.Running >= l.Slots }
+
 // handleRejection excludes an endpoint for a short time after it did not run a request
 // because it is a different endpoint, has other weights or is loading new ones. An
 // endpoint that is merely full is not excluded, but avoided for a moment, as is a plain
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -67,6 +67,8 @@
 	unframed         bool // answers have neither a length nor chunks and end with their connection
 	overloadControl  bool // Settings.OverloadControl of the daemons
 	sentShares       int  // messages of package shares between daemons
+	// shortageOf returns the shortage that a daemon is connected to; nil: loads are not exchanged.
+	shortageOf func(daemon int) shortage
 }
 
 const (
@@ -191,6 +193,9 @@
 	for _, e := range up {
 		r.addEndpoint(e)
 	}
+	if f.shortageOf != nil {
+		r.loads.connect(f.shortageOf(i), nil)
+	}
 	go r.runPeriodic(ctx)
 	go f.confirmEndpoints(ctx, r)
 	go r.quarantine.Run(ctx)
@@ -511,6 +516,9 @@
 		return err == nil
 	}
 	if k := e.capacity; k != nil {
+		if k.firstAfter > 0 {
+			return k.stream(c, head)
+		}
 		k.serve()
 		head += k.header()
 	} else {
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/permits"
+	"github.com/merlindock/merlindock/placement/loadtable"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/quarantineguard"
 	"github.com/merlindock/merlindock/relay"
@@ -100,6 +101,7 @@
 	paths          *relay.Dialer          // connections to endpoints, through other daemons if need be
 	relayServer    *relay.Server
 	dispatch       *dispatchPlacer
+	loads          *loadExchange
 	origins        *streamOrigins
 	feeds          [topicCount]*feed.Feed
 	log            *logging.Logger
@@ -169,6 +171,10 @@
 	r.placer.permits.connect(r.metrics.scope, r.datagrams.send)
 	r.placer.admission.connect(r.metrics.scope, r.datagrams.send)
 	r.dispatch = newDispatchPlacer(me, s, r.placer, o.Clock, r.log, r.datagrams.send)
+	r.loads = newLoadExchange(r.placer, o.Clock, r.metrics.scope, r.log, r.datagrams.send)
+	r.loads.daemons, r.loads.sole = r.dispatch.daemonCount, r.dispatch.sole
+	r.placer.loads, s.weightsChanged = r.loads, r.loads.remove
+	r.loads.connect(r.placer.admission, r.placer.admission.enabled)
 	r.origins = newStreamOrigins(me, &o.Settings, s, r.shuttingDown.Load, o.Clock, o.Rand, r.metrics.scope, r.log, r.datagrams.send)
 	for t := range r.feeds {
 		r.feeds[t] = feed.New(Topic(t) != TopicLease)
@@ -306,6 +312,8 @@
 	case r.endpointLimits.Receive(from, data):
 	case shares.IsMessage(data):
 		r.placer.admission.receive(from, data)
+	case loadtable.IsMessage(data):
+		r.loads.receive(from, data)
 	case permits.IsMessage(data):
 		r.placer.permits.receive(from, data)
 	case streamorigin.IsMessage(data):
@@ -399,6 +407,7 @@
 		r.placer.reportWaiting(now)
 		r.placer.admission.observeWaiting(now)
 		r.dispatch.expire(now)
+		r.loads.tick()
 		r.origins.tick()
 		if ready := r.ready(); ready != wasReady {
 			wasReady = ready
