End a shortage when too few requests are observed

While a service was short, fewer observations than the median needs were never used, since the time of the last evaluation was taken for that of the last use. After long waits a service without requests, or with few admitted ones, stayed short for ever, and its daemons kept sending reports.

--- a/contract/shares/control.go
+++ b/contract/shares/control.go
@@ -26,6 +26,9 @@
 	// that the slots are listed wrongly.
 	farOff    = 1.3
 	minMedian = 8 // observations for the median wait of an owner
+	// maxUnused is the time after which fewer observations are used, or none count as no wait.
+	// Otherwise, long waits would count until enough requests are admitted, which they prevent.
+	maxUnused = time.Second
 )
 
 // measured is what a control is given at each evaluation. Rates are in slot-seconds per
@@ -51,6 +54,7 @@
 	short     bool
 	since     time.Duration // the service is short
 	evaluated time.Duration
+	usedAt    time.Duration // last use of observations, or of the absence of any for maxUnused
 	calmSince time.Duration
 	longFor   time.Duration // the wait was above longWait, less the time in which it was not
 	lateSince time.Duration // most requests were observed as late; 0: they were not
@@ -83,7 +87,7 @@
 )
 
 func (c *control) enter(now time.Duration, m *measured) {
-	*c = control{short: true, since: now, evaluated: now, calmSince: now, observed: c.observed, target: targetWait, wait: c.wait, slots: m.slots, settles: now + c.answeredMean(m), history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
+	*c = control{short: true, since: now, evaluated: now, usedAt: now, calmSince: now, observed: c.observed, target: targetWait, wait: c.wait, slots: m.slots, settles: now + c.answeredMean(m), history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
 	c.rate = max(c.answered, 1e-3)
 	if c.answeredAt == 0 {
 		c.rate = max(m.answered, 1e-3)
@@ -140,12 +144,12 @@
 // update evaluates the state and returns whether the counts were used.
 func (c *control) update(now time.Duration, m *measured) (used bool) {
 	median, observed := medianWait(m.counts)
-	used = observed >= m.least || now-c.evaluated >= time.Second
+	used = observed >= m.least || now-c.usedAt >= maxUnused
 	for len(c.history) > 0 && now-c.history[0].at > historyPeriod {
 		c.history = c.history[1:]
 	}
 	if used {
-		c.observed = median
+		c.observed, c.usedAt = median, now
 	}
 	c.track(now, m)
 	c.history = append(c.history, flight{now, m.inFlight + c.late})
@@ -157,8 +161,6 @@
 		surge := c.wait >= calmWait && m.slots > 0 && m.offered > 1.1*m.slots
 		if c.wait >= longWait || surge {
 			c.enter(now, m)
-		} else if used {
-			c.evaluated = now
 		}
 		return used
 	}
