Stop the messages of shares after a shortage

An inactive owner answered each new daemon with a verdict for service 0. The daemon then held state for that service, reported on it, found the next owner silent and reported to the one after that, without end: 226 B/s per daemon at 12 daemons and 352 B/s at 72. Daemons also avoided the owner that had ended its verdicts after the shortage.

--- a/contract/shares/owner.go
+++ b/contract/shares/owner.go
@@ -47,7 +47,7 @@
 		if !m.short && !m.alarm && from == "" {
 			return
 		}
-		s.owner = &ownership{reports: map[string]*knownReport{}}
+		s.owner = &ownership{reports: map[string]*knownReport{}, verdict: verdict{service: s.id, rest: 1}}
 	}
 	w := s.owner
 	known := w.reports[from]
@@ -77,7 +77,9 @@
 		w.entries = nil
 		n.startReporting(now, s, 2*n.interval()+2*TickInterval)
 		n.broadcast(now, s)
-	case known == nil && from != "":
+	case known == nil && from != "" && active:
+		// Without a shortage there is no answer: daemons report after each verdict, so that the
+		// messages would never end.
 		n.sendVerdict(s, from)
 	}
 	if now < w.activeUntil && !w.evaluated && len(w.reports) >= len(n.daemons) {
--- a/contract/shares/recovery_test.go
+++ b/contract/shares/recovery_test.go
@@ -28,3 +28,23 @@
 		}
 	}
 }
+
+// Guards against messages that continue after a shortage has ended, and against verdicts
+// that name a service other than that of the report.
+func TestNoTrafficAfterAShortage(t *testing.T) {
+	for _, daemons := range []int{1, 3, 12, 72, 295} {
+		s := newSim(t, simConfig{
+			daemons: daemons, endpoints: 6, slots: 6, limit: 24, service: 60 * ms, objective: 300 * ms, listed: 1, seed: 16,
+			callers: []*simCaller{{name: "a", load: between(2*sec, 5*sec, 3, 0.2)}},
+		})
+		s.run(30 * sec)
+		if got := s.trafficPerDaemon(12*sec, 30*sec); got > 0 {
+			t.Errorf("%d daemons: traffic of %.1f B/s per daemon 7 s after the shortage, want none", daemons, got)
+		}
+		for i, n := range s.nodes {
+			if len(n.services) != 1 {
+				t.Fatalf("%d daemons: daemon %d has state for %d services, want 1", daemons, i, len(n.services))
+			}
+		}
+	}
+}
--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -79,7 +79,9 @@
 		return
 	}
 	interval := n.interval()
-	if r.silentSince >= 0 && now-r.silentSince > 2*interval {
+	// Owners send no verdicts after a shortage: only a daemon that needs one avoids its owner.
+	needed := s.local.control.short || now < r.alarmUntil || n.decide(now, s).short
+	if needed && r.silentSince >= 0 && now-r.silentSince > 2*interval {
 		n.avoidOwner(now, s)
 	}
 	if r.sent < quickReports {
