Raise the capacity again after endpoints did not answer

Where the slots are unknown, the capacity fell to a thousandth of a slot-second per second while no request was answered, and the owner took the mean cost for zero. Nothing was then admitted whose answer could raise it. At least one request of mean cost per second is admitted now.

--- a/contract/shares/control.go
+++ b/contract/shares/control.go
@@ -47,6 +47,16 @@
 	interval  time.Duration
 }
 
+// leastRate is the lowest capacity. Where the slots are unknown, it is one request of mean cost
+// per second: a lower one, after endpoints did not answer, would not be raised, since there
+// would be no answers to raise it.
+func (m *measured) leastRate() float64 {
+	if m.slots > 0 {
+		return 1e-3
+	}
+	return max(m.meanCost, 1e-3)
+}
+
 // control finds the capacity at which requests wait less than is allowed. The waits are the
 // integral of the excess of admitted work over the capacity. A slowly adapted capacity
 // (rate) is therefore combined with a correction in proportion to the wait, which damps it.
@@ -88,9 +98,9 @@
 
 func (c *control) enter(now time.Duration, m *measured) {
 	*c = control{short: true, since: now, evaluated: now, usedAt: now, calmSince: now, observed: c.observed, target: targetWait, wait: c.wait, slots: m.slots, settles: now + c.answeredMean(m), history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
-	c.rate = max(c.answered, 1e-3)
+	c.rate = max(c.answered, m.leastRate())
 	if c.answeredAt == 0 {
-		c.rate = max(m.answered, 1e-3)
+		c.rate = max(m.answered, m.leastRate())
 	}
 	if m.slots > 0 {
 		// More work than the slots could have answered shows that too few are listed. Engines
@@ -286,7 +296,7 @@
 	if m.slots > 0 {
 		c.rate = min(max(c.rate, minFactor*m.slots), maxFactor*m.slots)
 	}
-	c.rate = max(c.rate, 1e-3)
+	c.rate = max(c.rate, m.leastRate())
 }
 
 // correct sets the capacity from the adapted one and the wait, so that the wait reaches its
@@ -305,5 +315,5 @@
 		gain *= 2 // until requests are in time again, it is not known what can be served
 	}
 	correction := gain * (c.target - c.wait)
-	c.capacity = c.rate * (1 + min(max(correction, -0.85), 0.1))
+	c.capacity = max(c.rate*(1+min(max(correction, -0.85), 0.1)), m.leastRate())
 }
--- a/contract/shares/owner.go
+++ b/contract/shares/owner.go
@@ -185,7 +185,7 @@
 		m.slots = s.slots
 	}
 	byID := map[Organisation]*demand{}
-	rest, allowed := 0, 0.0
+	rest, allowed, meanCost := 0, 0.0, 0.0
 	// In a fixed order, because sums of floating-point numbers depend on it.
 	for _, from := range slices.Sorted(maps.Keys(w.reports)) {
 		r := w.reports[from]
@@ -196,6 +196,7 @@
 		m.meanCost += r.meanCost * r.answered
 		m.allowed += r.allowed.Seconds() * r.answered
 		allowed = max(allowed, r.allowed.Seconds())
+		meanCost = max(meanCost, r.meanCost)
 		rest = max(rest, r.rest)
 		for _, e := range r.entries {
 			d := byID[e.organisation]
@@ -212,7 +213,7 @@
 		m.meanCost /= m.answered
 		m.allowed /= m.answered
 	} else {
-		m.allowed = allowed
+		m.allowed, m.meanCost = allowed, meanCost
 	}
 	if d := byID[otherOrganisations]; d != nil {
 		d.weight = n.defaultWeight * float64(max(1, rest))
--- a/contract/shares/recovery_test.go
+++ b/contract/shares/recovery_test.go
@@ -48,3 +48,28 @@
 		}
 	}
 }
+
+// Guards against a capacity that fell to almost nothing while endpoints did not answer, and
+// that the few requests admitted since cannot raise.
+func TestCapacityRecoversAfterAnOutage(t *testing.T) {
+	for _, listed := range []float64{0, 1} {
+		for _, daemons := range []int{1, 12, 72} {
+			s := newSim(t, simConfig{
+				daemons: daemons, endpoints: 6, slots: 6, limit: 24, service: 60 * ms, objective: 300 * ms, listed: listed, seed: 17,
+				callers: []*simCaller{{name: "a", load: constant(0.6)}},
+			})
+			s.run(3 * sec)
+			for _, e := range s.ends {
+				e.slow = 50 // 3 s for a request
+			}
+			s.run(13 * sec)
+			for _, e := range s.ends {
+				e.slow = 1
+			}
+			s.run(31 * sec)
+			if got := s.inTime("a", 28*sec, 30*sec); got < 0.95 {
+				t.Errorf("slots × %v, %d daemons: in time 15 s after the outage: %.3f, want 0.95", listed, daemons, got)
+			}
+		}
+	}
+}
