--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -160,12 +160,14 @@
 	if float64(k) <= mean {
 		return 1
 	}
-	term := math.Exp(-mean)
-	for i := 1; i <= k; i++ {
-		term *= mean / float64(i)
+	if mean <= 0 {
+		return 0
 	}
+	// By logarithms, since exp(-mean) is 0 for means above 745.
+	logFactorial, _ := math.Lgamma(float64(k) + 1)
+	term := math.Exp(float64(k)*math.Log(mean) - mean - logFactorial)
 	// Each further term is smaller by at least mean/(k+1).
-	return term / (1 - mean/float64(k+1))
+	return min(term/(1-mean/float64(k+1)), 1)
 }
 
 // sendReport sends a report to the owner of the service, which may be this daemon.
