Limit the work in reports to what owners accept

With a request of huge cost, the surge average of the offered work exceeded the plausible rate. Each owner dropped the daemon's reports, so that it got no verdict.

--- a/contract/shares/owner.go
+++ b/contract/shares/owner.go
@@ -15,6 +15,7 @@
 	maxReports       = 4096
 	plausibleFactor  = 1000
 	plausibleUnknown = 1e6 // slot-seconds per second if the slots are unknown
+	plausibleSeconds = 60  // of work at the largest plausible rate that may be in flight
 )
 
 // knownReport is the last report of a daemon.
@@ -100,10 +101,7 @@
 
 // plausible reports whether the figures of a report are possible.
 func plausible(m *report, slots float64) bool {
-	most := plausibleUnknown
-	if slots > 0 {
-		most = plausibleFactor * slots
-	}
+	most := plausibleRate(slots)
 	offered := map[Organisation]float64{}
 	for _, e := range m.entries {
 		offered[e.organisation] += e.offered
@@ -111,7 +109,15 @@
 			return false
 		}
 	}
-	return m.answered <= most && m.inFlight <= most*60
+	return m.answered <= most && m.inFlight <= most*plausibleSeconds
+}
+
+// plausibleRate is the largest rate of work, in slot-seconds per second, that a report may name.
+func plausibleRate(slots float64) float64 {
+	if slots > 0 {
+		return plausibleFactor * slots
+	}
+	return plausibleUnknown
 }
 
 func (n *Node) tickOwner(now time.Duration, s *service) {
--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -216,13 +216,19 @@
 	}
 	_, m.answered = s.window(now, n.interval())
 	m.inFlight, _ = s.flying()
+	// A few requests of huge cost must not make the owner drop the report. It may know fewer
+	// slots than this daemon.
+	most := plausibleRate(s.slots) / 2
+	m.answered, m.inFlight = min(m.answered, most), min(m.inFlight, most*plausibleSeconds)
 	demands := n.localDemands(now, s, s.report.sent <= quickReports)
 	slices.SortFunc(demands, func(a, b demand) int {
 		return cmp.Or(cmp.Compare(b.total(), a.total()), cmp.Compare(a.organisation, b.organisation))
 	})
 	for i := range demands {
 		d := &demands[i]
+		scale := min(1, most/d.total())
 		for p, x := range d.offered {
+			x *= scale
 			if milli(x) == 0 {
 				continue
 			}
--- a/contract/shares/reports_test.go
+++ b/contract/shares/reports_test.go
@@ -22,3 +22,18 @@
 		t.Errorf("probability %v of 4 events where none is expected, want 0", got)
 	}
 }
+
+// Guards against a request of huge cost that makes the owner drop its daemon's reports, so that the
+// daemon gets no verdict.
+func TestHugeCostsAreReported(t *testing.T) {
+	n := node(1)
+	n.SetSlots(tested, 10)
+	for now := sec; now < 3*sec; now += 10 * ms {
+		n.Offer(now, &Work{Service: tested, Organisation: 1, Cost: 1e9, Objective: sec})
+		n.Observe(now, tested, Wait{Waited: sec, Allowed: sec, Cost: 0.01})
+		n.Tick(now)
+	}
+	if n.Counters().Implausible != 0 || n.services[tested].owner == nil {
+		t.Errorf("%+v; the owner has a report: %v", n.Counters(), n.services[tested].owner != nil)
+	}
+}
