--- a/contract/shares/bounds_test.go
+++ b/contract/shares/bounds_test.go
@@ -193,6 +193,35 @@
 	}
 }
 
+// Guards against weights whose sum is infinite or whose quotients are: all shares would be 0, or
+// daemons would drop the verdict.
+func TestExtremeWeights(t *testing.T) {
+	for _, w := range []float64{1e-320, 1e-12, 1e15, 1e308} {
+		n := node(1)
+		n.SetSlots(tested, 10)
+		n.SetWeights(map[Organisation]float64{1: w, 2: w}, 1)
+		now := sec
+		for shortage(n, now); now < 3*sec; now += 10 * ms {
+			for o := range Organisation(2) {
+				n.Offer(now, &Work{Service: tested, Organisation: o + 1, Cost: 0.1, Objective: sec})
+			}
+			n.Observe(now, tested, Wait{Waited: sec * 35 / 100, Allowed: sec, Cost: 0.1})
+			if now%TickInterval == 0 {
+				n.Tick(now)
+			}
+		}
+		v := n.services[tested].verdict
+		for o := range Organisation(2) {
+			if f := v.fractions[o+1]; !v.short || f[0] < 0.3 || f[0] > 0.7 {
+				t.Errorf("weight %v: organisation %d has fractions %v, want 0.5", w, o+1, f)
+			}
+		}
+		if _, err := decodeVerdict(v.encode(1, nil)); err != nil {
+			t.Errorf("weight %v: %v (level %v)", w, err, v.level)
+		}
+	}
+}
+
 // Guards against requests with invalid figures that make rates infinite or panic.
 func TestInvalidWorkIsServed(t *testing.T) {
 	n := node(1)
--- a/contract/shares/node.go
+++ b/contract/shares/node.go
@@ -19,6 +19,9 @@
 	serviceIdle = time.Minute
 	// maxCost bounds the cost of one request, in slot-seconds.
 	maxCost = 10_000
+	// Bounds of weights. The sum of several of 1e308 is infinite, with which all shares are 0.
+	// Rate limits in tokens per second are far within them.
+	minWeight, maxWeight = 1e-12, 1e15
 )
 
 // Node is the state of one daemon. It is not safe for concurrent use.
@@ -76,25 +79,28 @@
 }
 
 // SetWeights replaces the weights of organisations. It returns the organisations whose
-// weight is not finite and above 0; they have the default. Organisations without a weight,
+// weight is not from minWeight to maxWeight; they have the default. Organisations without a weight,
 // and requests without an organisation, have defaultWeight, or 1 if that is invalid.
 func (n *Node) SetWeights(weights map[Organisation]float64, defaultWeight float64) (dropped []Organisation) {
 	n.weights = make(map[Organisation]float64, len(weights))
 	for o, w := range weights {
-		if !validWeight(w) {
+		if !usableWeight(w) {
 			dropped = append(dropped, o)
 			continue
 		}
 		n.weights[o] = w
 	}
 	n.defaultWeight = 1
-	if validWeight(defaultWeight) {
+	if usableWeight(defaultWeight) {
 		n.defaultWeight = defaultWeight
 	}
 	slices.Sort(dropped)
 	return dropped
 }
 
+// usableWeight reports whether sums and quotients with a weight stay finite.
+func usableWeight(w float64) bool { return w >= minWeight && w <= maxWeight }
+
 func validWeight(w float64) bool { return w > 0 && !math.IsInf(w, 0) }
 
 func (n *Node) weight(o Organisation) float64 {
