--- a/contract/shares/decision.go
+++ b/contract/shares/decision.go
@@ -115,6 +115,10 @@
 	}
 	o.offered[w.priority()].add(now, offeredMean, cost)
 	o.surge[w.priority()].add(now, surgeMean, cost)
+	if !d.short {
+		// Credit and debt of one shortage do not count in the next one.
+		o.begun = [Priorities]bool{}
+	}
 	fraction := d.fractions(n, now, id, o)[w.priority()]
 	decision := Decision{Short: d.short, Fraction: fraction, Owner: d.owner, Age: d.age}
 	if !d.short || fraction >= 1 || o.admit(now, n.o.Rand, w.priority(), cost, fraction, returned && x.promised) {
--- a/contract/shares/node_test.go
+++ b/contract/shares/node_test.go
@@ -98,3 +98,29 @@
 		}
 	}
 }
+
+// Guards against a debt of a large request that limits its organisation in a later shortage.
+func TestDebtEndsWithTheShortage(t *testing.T) {
+	n, now := limitedNode(t)
+	o := n.services[tested].byID[1]
+	o.credit[0] = -1000
+	for at := now + 5*sec; now < at; now += 10 * ms {
+		n.Offer(now, &Work{Service: tested, Organisation: 1, Cost: 0.001, Objective: sec})
+		n.Observe(now, tested, Wait{Allowed: sec, Cost: 0.001})
+		if now%TickInterval == 0 {
+			n.Tick(now)
+		}
+	}
+	if n.Short(tested) {
+		t.Fatal("the service is still short")
+	}
+	for i := 0; i < 20; i++ {
+		shortage(n, now)
+	}
+	for at := now + 2*sec; now < at; now += 10 * ms {
+		overload(n, now)
+	}
+	if !n.Short(tested) || o.credit[0] < -1 {
+		t.Errorf("short %v, credit %v", n.Short(tested), o.credit[0])
+	}
+}
