--- a/contract/shares/decision.go
+++ b/contract/shares/decision.go
@@ -151,7 +151,8 @@
 	cost := s.costOf(w)
 	o, _ := s.organisation(now, w.Organisation)
 	if n.decide(now, s).short && o.begun[w.priority()] {
-		o.credit[w.priority()] = min(o.credit[w.priority()]+cost, cost)
+		c := &o.credit[w.priority()]
+		*c = max(*c, min(*c+cost, cost)) // an offer may leave more than one request of credit
 	}
 	o.admitted.add(now, admittedMean, -cost)
 	o.admitted.sum = max(o.admitted.sum, 0)
--- a/contract/shares/returns_test.go
+++ b/contract/shares/returns_test.go
@@ -179,3 +179,18 @@
 		t.Errorf("the largest organisation has fraction %v", got)
 	}
 }
+
+// Guards against a withdrawn request that reduces the credit of its organisation.
+func TestWithdrawKeepsCredit(t *testing.T) {
+	n, now := limitedNode(t)
+	credit := &n.services[tested].byID[1].credit[0]
+	*credit = 0.1
+	w := &Work{Service: tested, Organisation: 1, Cost: 0.01, Objective: sec}
+	if d := n.Offer(now, w); !d.Admitted || d.Fraction >= 1 {
+		t.Fatalf("%+v", d)
+	}
+	before := *credit
+	if n.Withdraw(now, w); *credit < before {
+		t.Errorf("credit %v after the withdrawal, %v before", *credit, before)
+	}
+}
