--- a/contract/shares/control.go
+++ b/contract/shares/control.go
@@ -72,15 +72,16 @@
 	slots     float64       // for which rate was found
 	rate      float64
 	quick     int     // evaluations in a row in which the capacity was raised
-	target    float64 // wait
-	observed  float64 // last median wait
+	target    float64 // normalised wait at which the capacity is kept
+	// observedWait is the last median normalised wait.
+	observedWait float64
 	// answered is the mean of the work answered over about the time that requests take:
 	// endpoints that were filled at once also finish their requests at once.
 	answered   float64
 	answeredAt time.Duration
 	// late is an estimate of the work that passed the allowed wait and still waits.
 	late     float64
-	wait     float64 // expected for a request admitted now
+	wait     float64 // normalised, expected for a request admitted now
 	capacity float64
 	history  []flight // the oldest first, of the last historyPeriod
 }
@@ -97,7 +98,11 @@
 )
 
 func (c *control) enter(now time.Duration, m *measured) {
-	*c = control{short: true, since: now, evaluated: now, usedAt: now, calmSince: now, observed: c.observed, target: targetWait, wait: c.wait, slots: m.slots, settles: now + c.answeredMean(m), history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
+	*c = control{
+		short: true, since: now, evaluated: now, usedAt: now, calmSince: now, settles: now + c.answeredMean(m),
+		observedWait: c.observedWait, target: targetWait, wait: c.wait, slots: m.slots,
+		history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late,
+	}
 	c.rate = max(c.answered, m.leastRate())
 	if c.answeredAt == 0 {
 		c.rate = max(m.answered, m.leastRate())
@@ -118,7 +123,7 @@
 	rate := c.rate
 	switch {
 	case c.short:
-	case c.observed >= calmWait:
+	case c.observedWait >= calmWait:
 		// Requests wait, so that the work answered is what can be served.
 		rate = c.answered
 	case m.slots > 0:
@@ -137,9 +142,9 @@
 // change counts, so that requests whose end is never observed do not matter.
 func (c *control) predictedWait(now time.Duration, m *measured) float64 {
 	if c.rate <= 0 || m.allowed <= 0 || len(c.history) == 0 {
-		return c.observed
+		return c.observedWait
 	}
-	delay := m.interval.Seconds()/2 + m.residency + min(c.observed, 1)*m.allowed
+	delay := m.interval.Seconds()/2 + m.residency + min(c.observedWait, 1)*m.allowed
 	then := now - time.Duration(delay*float64(time.Second))
 	past := c.history[0].work
 	for _, f := range c.history {
@@ -148,7 +153,7 @@
 		}
 		past = f.work
 	}
-	return min(max(0, c.observed+(m.inFlight+c.late-past)/c.rate/m.allowed), maxWait)
+	return min(max(0, c.observedWait+(m.inFlight+c.late-past)/c.rate/m.allowed), maxWait)
 }
 
 // update evaluates the state and returns whether the counts were used.
@@ -159,12 +164,12 @@
 		c.history = c.history[1:]
 	}
 	if used {
-		c.observed, c.usedAt = median, now
+		c.observedWait, c.usedAt = median, now
 	}
 	c.track(now, m)
 	c.history = append(c.history, flight{now, m.inFlight + c.late})
 	if !c.short {
-		c.wait = c.observed
+		c.wait = c.observedWait
 		if m.slots == 0 || m.offered > calmLoad*m.slots {
 			c.wait = max(c.wait, c.expectedWait(m))
 		}
@@ -221,7 +226,7 @@
 
 // mostlyLate reports whether most requests were observed as late. Late requests have no
 // answer yet: their rate is that of requests admitted earlier, not of work answered.
-func (c *control) mostlyLate() bool { return c.observed > 1 }
+func (c *control) mostlyLate() bool { return c.observedWait > 1 }
 
 // answeredMean is the averaging time of the work answered.
 func (c *control) answeredMean(m *measured) time.Duration {
@@ -275,7 +280,7 @@
 			if c.rate *= math.Pow(0.9, steps); farOff*c.answered < c.rate {
 				c.rate = 1.1 * c.answered
 			}
-		case c.observed >= longWait && farOff*c.answered < c.rate && c.longFor >= max(m.interval, c.answeredMean(m)):
+		case c.observedWait >= longWait && farOff*c.answered < c.rate && c.longFor >= max(m.interval, c.answeredMean(m)):
 			c.rate = 1.1 * c.answered
 		case c.answered < c.rate && c.longFor >= 2*m.interval+c.answeredMean(m):
 			c.rate = max(c.answered, c.rate*math.Pow(0.9, steps))
@@ -283,7 +288,7 @@
 	case c.wait < c.target && (m.offered > 0.88*c.capacity || m.slots == 0) && c.rate < 1.1*c.answered:
 		step := 0.03 * (c.target - c.wait) / c.target
 		// The work of the last increase must have been answered before a larger one.
-		if c.observed < calmWait*0.6 && c.answered > 0.85*c.capacity && now-c.since > m.interval {
+		if c.observedWait < calmWait*0.6 && c.answered > 0.85*c.capacity && now-c.since > m.interval {
 			c.quick++
 			step = max(step, min(0.03*math.Pow(2, float64(c.quick-1)), 0.25))
 		} else {
@@ -311,7 +316,7 @@
 	if m.allowed > 0 {
 		gain = min(m.allowed/(2.2*delay.Seconds()), 1)
 	}
-	if c.observed >= 1 {
+	if c.observedWait >= 1 {
 		gain *= 2 // until requests are in time again, it is not known what can be served
 	}
 	correction := gain * (c.target - c.wait)
--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -10,8 +10,8 @@
 const (
 	// reportAfterShort is how long a daemon reports after the service was short at it.
 	reportAfterShort = 2 * time.Second
-	avoidOwner       = 2 * time.Second
-	decideAlone      = time.Second
+	avoidPeriod      = 2 * time.Second // of an owner that sent no verdict
+	alonePeriod      = time.Second     // without reports, after two such owners
 	// quickReports are sent at a quarter of the interval, since the capacity that is divided
 	// changes most when a shortage begins.
 	quickReports = 4
@@ -95,10 +95,10 @@
 // avoidOwner handles an owner that sent no verdict.
 func (n *Node) avoidOwner(now time.Duration, s *service) {
 	r := &s.report
-	n.avoided[r.owner] = now + avoidOwner
+	n.avoided[r.owner] = now + avoidPeriod
 	r.silentSince, r.sent = -1, 0
 	if r.failed++; r.failed >= 2 {
-		r.failed, r.aloneUntil = 0, now+decideAlone
+		r.failed, r.aloneUntil = 0, now+alonePeriod
 	}
 }
 
@@ -212,7 +212,8 @@
 func (n *Node) buildReport(now time.Duration, s *service) *report {
 	m := &report{
 		nonce: n.o.Nonce, sequence: s.report.sequence, service: s.id, interval: n.interval(), counts: s.unreported,
-		short: s.local.control.short || now < s.report.certainUntil, alarm: now < s.report.alarmUntil, allowed: s.allowed, residency: s.residency(), meanCost: s.meanCost,
+		short: s.local.control.short || now < s.report.certainUntil, alarm: now < s.report.alarmUntil,
+		allowed: s.allowed, residency: s.residency(), meanCost: s.meanCost,
 	}
 	_, m.answered = s.window(now, n.interval())
 	m.inFlight, _ = s.flying()
--- a/contract/shares/returns_test.go
+++ b/contract/shares/returns_test.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// Guards requirement 3: callers that return when told make at most 1.3 attempts per served
+// Guards requirement 3: callers that retry at the time given make at most 1.3 attempts per served
 // request at twice the load, and cost the other organisation nothing.
-func TestAttemptsOfCallersThatReturnWhenTold(t *testing.T) {
+func TestAttemptsOfCallersThatRetryAtTheTimeGiven(t *testing.T) {
 	for _, daemons := range []int{3, 12, 72} {
 		s := newSim(t, simConfig{
 			daemons: daemons, endpoints: 6, slots: 6, limit: 24, service: 60 * ms, objective: 300 * ms, listed: 1, seed: 14,
--- a/contract/shares/table_test.go
+++ b/contract/shares/table_test.go
@@ -37,14 +37,14 @@
 }
 
 func tableCases() []simCase {
-	told := func(c *simCase) { c.repeat = 1 }
+	atTimeGiven := func(c *simCase) { c.repeat = 1 }
 	hasty := func(c *simCase) { c.repeat, c.hasty = 5, true }
 	skewed := func(c *simCase) { c.skewed = true }
 	listed := func(x float64) func(c *simCase) { return func(c *simCase) { c.c.listed, c.wrong = x, true } }
 	return []simCase{
 		plainCase("line 1", 3, 3, 12, 2),
 		plainCase("line 2", 12, 6, 24, 3),
-		plainCase("line 3", 12, 6, 24, 3).with(told),
+		plainCase("line 3", 12, 6, 24, 3).with(atTimeGiven),
 		plainCase("line 4", 12, 6, 48, 1.2),
 		plainCase("line 5", 72, 4, 24, 3),
 		engineCase("line 6", 12, 6, 48),
