--- a/contract/shares/control.go
+++ b/contract/shares/control.go
@@ -26,6 +26,9 @@
 	// that the slots are listed wrongly.
 	farOff    = 1.3
 	minMedian = 8 // observations for the median wait of an owner
+	// maxUnused is the time after which fewer observations are used, or none count as no wait.
+	// Otherwise, long waits would count until enough requests are admitted, which they prevent.
+	maxUnused = time.Second
 )
 
 // measured is what a control is given at each evaluation. Rates are in slot-seconds per
@@ -44,6 +47,16 @@
 	interval  time.Duration
 }
 
+// leastRate is the lowest capacity. Where the slots are unknown, it is one request of mean cost
+// per second: a lower one, after endpoints did not answer, would not be raised, since there
+// would be no answers to raise it.
+func (m *measured) leastRate() float64 {
+	if m.slots > 0 {
+		return 1e-3
+	}
+	return max(m.meanCost, 1e-3)
+}
+
 // control finds the capacity at which requests wait less than is allowed. The waits are the
 // integral of the excess of admitted work over the capacity. A slowly adapted capacity
 // (rate) is therefore combined with a correction in proportion to the wait, which damps it.
@@ -51,6 +64,7 @@
 	short     bool
 	since     time.Duration // the service is short
 	evaluated time.Duration
+	usedAt    time.Duration // last use of observations, or of the absence of any for maxUnused
 	calmSince time.Duration
 	longFor   time.Duration // the wait was above longWait, less the time in which it was not
 	lateSince time.Duration // most requests were observed as late; 0: they were not
@@ -58,15 +72,16 @@
 	slots     float64       // for which rate was found
 	rate      float64
 	quick     int     // evaluations in a row in which the capacity was raised
-	target    float64 // wait
-	observed  float64 // last median wait
+	target    float64 // normalised wait at which the capacity is kept
+	// observedWait is the last median normalised wait.
+	observedWait float64
 	// answered is the mean of the work answered over about the time that requests take:
 	// endpoints that were filled at once also finish their requests at once.
 	answered   float64
 	answeredAt time.Duration
 	// late is an estimate of the work that passed the allowed wait and still waits.
 	late     float64
-	wait     float64 // expected for a request admitted now
+	wait     float64 // normalised, expected for a request admitted now
 	capacity float64
 	history  []flight // the oldest first, of the last historyPeriod
 }
@@ -83,10 +98,14 @@
 )
 
 func (c *control) enter(now time.Duration, m *measured) {
-	*c = control{short: true, since: now, evaluated: now, calmSince: now, observed: c.observed, target: targetWait, wait: c.wait, slots: m.slots, settles: now + c.answeredMean(m), history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late}
-	c.rate = max(c.answered, 1e-3)
+	*c = control{
+		short: true, since: now, evaluated: now, usedAt: now, calmSince: now, settles: now + c.answeredMean(m),
+		observedWait: c.observedWait, target: targetWait, wait: c.wait, slots: m.slots,
+		history: c.history, answered: c.answered, answeredAt: c.answeredAt, late: c.late,
+	}
+	c.rate = max(c.answered, m.leastRate())
 	if c.answeredAt == 0 {
-		c.rate = max(m.answered, 1e-3)
+		c.rate = max(m.answered, m.leastRate())
 	}
 	if m.slots > 0 {
 		// More work than the slots could have answered shows that too few are listed. Engines
@@ -104,7 +123,7 @@
 	rate := c.rate
 	switch {
 	case c.short:
-	case c.observed >= calmWait:
+	case c.observedWait >= calmWait:
 		// Requests wait, so that the work answered is what can be served.
 		rate = c.answered
 	case m.slots > 0:
@@ -123,9 +142,9 @@
 // change counts, so that requests whose end is never observed do not matter.
 func (c *control) predictedWait(now time.Duration, m *measured) float64 {
 	if c.rate <= 0 || m.allowed <= 0 || len(c.history) == 0 {
-		return c.observed
+		return c.observedWait
 	}
-	delay := m.interval.Seconds()/2 + m.residency + min(c.observed, 1)*m.allowed
+	delay := m.interval.Seconds()/2 + m.residency + min(c.observedWait, 1)*m.allowed
 	then := now - time.Duration(delay*float64(time.Second))
 	past := c.history[0].work
 	for _, f := range c.history {
@@ -134,31 +153,29 @@
 		}
 		past = f.work
 	}
-	return min(max(0, c.observed+(m.inFlight+c.late-past)/c.rate/m.allowed), maxWait)
+	return min(max(0, c.observedWait+(m.inFlight+c.late-past)/c.rate/m.allowed), maxWait)
 }
 
 // update evaluates the state and returns whether the counts were used.
 func (c *control) update(now time.Duration, m *measured) (used bool) {
 	median, observed := medianWait(m.counts)
-	used = observed >= m.least || now-c.evaluated >= time.Second
+	used = observed >= m.least || now-c.usedAt >= maxUnused
 	for len(c.history) > 0 && now-c.history[0].at > historyPeriod {
 		c.history = c.history[1:]
 	}
 	if used {
-		c.observed = median
+		c.observedWait, c.usedAt = median, now
 	}
 	c.track(now, m)
 	c.history = append(c.history, flight{now, m.inFlight + c.late})
 	if !c.short {
-		c.wait = c.observed
+		c.wait = c.observedWait
 		if m.slots == 0 || m.offered > calmLoad*m.slots {
 			c.wait = max(c.wait, c.expectedWait(m))
 		}
 		surge := c.wait >= calmWait && m.slots > 0 && m.offered > 1.1*m.slots
 		if c.wait >= longWait || surge {
 			c.enter(now, m)
-		} else if used {
-			c.evaluated = now
 		}
 		return used
 	}
@@ -209,7 +226,7 @@
 
 // mostlyLate reports whether most requests were observed as late. Late requests have no
 // answer yet: their rate is that of requests admitted earlier, not of work answered.
-func (c *control) mostlyLate() bool { return c.observed > 1 }
+func (c *control) mostlyLate() bool { return c.observedWait > 1 }
 
 // answeredMean is the averaging time of the work answered.
 func (c *control) answeredMean(m *measured) time.Duration {
@@ -263,7 +280,7 @@
 			if c.rate *= math.Pow(0.9, steps); farOff*c.answered < c.rate {
 				c.rate = 1.1 * c.answered
 			}
-		case c.observed >= longWait && farOff*c.answered < c.rate && c.longFor >= max(m.interval, c.answeredMean(m)):
+		case c.observedWait >= longWait && farOff*c.answered < c.rate && c.longFor >= max(m.interval, c.answeredMean(m)):
 			c.rate = 1.1 * c.answered
 		case c.answered < c.rate && c.longFor >= 2*m.interval+c.answeredMean(m):
 			c.rate = max(c.answered, c.rate*math.Pow(0.9, steps))
@@ -271,7 +288,7 @@
 	case c.wait < c.target && (m.offered > 0.88*c.capacity || m.slots == 0) && c.rate < 1.1*c.answered:
 		step := 0.03 * (c.target - c.wait) / c.target
 		// The work of the last increase must have been answered before a larger one.
-		if c.observed < calmWait*0.6 && c.answered > 0.85*c.capacity && now-c.since > m.interval {
+		if c.observedWait < calmWait*0.6 && c.answered > 0.85*c.capacity && now-c.since > m.interval {
 			c.quick++
 			step = max(step, min(0.03*math.Pow(2, float64(c.quick-1)), 0.25))
 		} else {
@@ -284,7 +301,7 @@
 	if m.slots > 0 {
 		c.rate = min(max(c.rate, minFactor*m.slots), maxFactor*m.slots)
 	}
-	c.rate = max(c.rate, 1e-3)
+	c.rate = max(c.rate, m.leastRate())
 }
 
 // correct sets the capacity from the adapted one and the wait, so that the wait reaches its
@@ -299,9 +316,9 @@
 	if m.allowed > 0 {
 		gain = min(m.allowed/(2.2*delay.Seconds()), 1)
 	}
-	if c.observed >= 1 {
+	if c.observedWait >= 1 {
 		gain *= 2 // until requests are in time again, it is not known what can be served
 	}
 	correction := gain * (c.target - c.wait)
-	c.capacity = c.rate * (1 + min(max(correction, -0.85), 0.1))
+	c.capacity = max(c.rate*(1+min(max(correction, -0.85), 0.1)), m.leastRate())
 }
--- a/contract/shares/decision.go
+++ b/contract/shares/decision.go
@@ -115,6 +115,10 @@
 	}
 	o.offered[w.priority()].add(now, offeredMean, cost)
 	o.surge[w.priority()].add(now, surgeMean, cost)
+	if !d.short {
+		// Credit and debt of one shortage do not count in the next one.
+		o.begun = [Priorities]bool{}
+	}
 	fraction := d.fractions(n, now, id, o)[w.priority()]
 	decision := Decision{Short: d.short, Fraction: fraction, Owner: d.owner, Age: d.age}
 	if !d.short || fraction >= 1 || o.admit(now, n.o.Rand, w.priority(), cost, fraction, returned && x.promised) {
@@ -147,7 +151,8 @@
 	cost := s.costOf(w)
 	o, _ := s.organisation(now, w.Organisation)
 	if n.decide(now, s).short && o.begun[w.priority()] {
-		o.credit[w.priority()] = min(o.credit[w.priority()]+cost, cost)
+		c := &o.credit[w.priority()]
+		*c = max(*c, min(*c+cost, cost)) // an offer may leave more than one request of credit
 	}
 	o.admitted.add(now, admittedMean, -cost)
 	o.admitted.sum = max(o.admitted.sum, 0)
--- a/contract/shares/owner.go
+++ b/contract/shares/owner.go
@@ -15,6 +15,7 @@
 	maxReports       = 4096
 	plausibleFactor  = 1000
 	plausibleUnknown = 1e6 // slot-seconds per second if the slots are unknown
+	plausibleSeconds = 60  // of work at the largest plausible rate that may be in flight
 )
 
 // knownReport is the last report of a daemon.
@@ -47,7 +48,7 @@
 		if !m.short && !m.alarm && from == "" {
 			return
 		}
-		s.owner = &ownership{reports: map[string]*knownReport{}}
+		s.owner = &ownership{reports: map[string]*knownReport{}, verdict: verdict{service: s.id, rest: 1}}
 	}
 	w := s.owner
 	known := w.reports[from]
@@ -77,7 +78,9 @@
 		w.entries = nil
 		n.startReporting(now, s, 2*n.interval()+2*TickInterval)
 		n.broadcast(now, s)
-	case known == nil && from != "":
+	case known == nil && from != "" && active:
+		// Without a shortage there is no answer: daemons report after each verdict, so that the
+		// messages would never end.
 		n.sendVerdict(s, from)
 	}
 	if now < w.activeUntil && !w.evaluated && len(w.reports) >= len(n.daemons) {
@@ -98,10 +101,7 @@
 
 // plausible reports whether the figures of a report are possible.
 func plausible(m *report, slots float64) bool {
-	most := plausibleUnknown
-	if slots > 0 {
-		most = plausibleFactor * slots
-	}
+	most := plausibleRate(slots)
 	offered := map[Organisation]float64{}
 	for _, e := range m.entries {
 		offered[e.organisation] += e.offered
@@ -109,7 +109,15 @@
 			return false
 		}
 	}
-	return m.answered <= most && m.inFlight <= most*60
+	return m.answered <= most && m.inFlight <= most*plausibleSeconds
+}
+
+// plausibleRate is the largest rate of work, in slot-seconds per second, that a report may name.
+func plausibleRate(slots float64) float64 {
+	if slots > 0 {
+		return plausibleFactor * slots
+	}
+	return plausibleUnknown
 }
 
 func (n *Node) tickOwner(now time.Duration, s *service) {
@@ -183,7 +191,7 @@
 		m.slots = s.slots
 	}
 	byID := map[Organisation]*demand{}
-	rest, allowed := 0, 0.0
+	rest, allowed, meanCost := 0, 0.0, 0.0
 	// In a fixed order, because sums of floating-point numbers depend on it.
 	for _, from := range slices.Sorted(maps.Keys(w.reports)) {
 		r := w.reports[from]
@@ -194,6 +202,7 @@
 		m.meanCost += r.meanCost * r.answered
 		m.allowed += r.allowed.Seconds() * r.answered
 		allowed = max(allowed, r.allowed.Seconds())
+		meanCost = max(meanCost, r.meanCost)
 		rest = max(rest, r.rest)
 		for _, e := range r.entries {
 			d := byID[e.organisation]
@@ -210,7 +219,7 @@
 		m.meanCost /= m.answered
 		m.allowed /= m.answered
 	} else {
-		m.allowed = allowed
+		m.allowed, m.meanCost = allowed, meanCost
 	}
 	if d := byID[otherOrganisations]; d != nil {
 		d.weight = n.defaultWeight * float64(max(1, rest))
--- a/contract/shares/reports.go
+++ b/contract/shares/reports.go
@@ -10,8 +10,8 @@
 const (
 	// reportAfterShort is how long a daemon reports after the service was short at it.
 	reportAfterShort = 2 * time.Second
-	avoidOwner       = 2 * time.Second
-	decideAlone      = time.Second
+	avoidPeriod      = 2 * time.Second // of an owner that sent no verdict
+	alonePeriod      = time.Second     // without reports, after two such owners
 	// quickReports are sent at a quarter of the interval, since the capacity that is divided
 	// changes most when a shortage begins.
 	quickReports = 4
@@ -79,7 +79,9 @@
 		return
 	}
 	interval := n.interval()
-	if r.silentSince >= 0 && now-r.silentSince > 2*interval {
+	// Owners send no verdicts after a shortage: only a daemon that needs one avoids its owner.
+	needed := s.local.control.short || now < r.alarmUntil || n.decide(now, s).short
+	if needed && r.silentSince >= 0 && now-r.silentSince > 2*interval {
 		n.avoidOwner(now, s)
 	}
 	if r.sent < quickReports {
@@ -93,10 +95,10 @@
 // avoidOwner handles an owner that sent no verdict.
 func (n *Node) avoidOwner(now time.Duration, s *service) {
 	r := &s.report
-	n.avoided[r.owner] = now + avoidOwner
+	n.avoided[r.owner] = now + avoidPeriod
 	r.silentSince, r.sent = -1, 0
 	if r.failed++; r.failed >= 2 {
-		r.failed, r.aloneUntil = 0, now+decideAlone
+		r.failed, r.aloneUntil = 0, now+alonePeriod
 	}
 }
 
@@ -160,12 +162,14 @@
 	if float64(k) <= mean {
 		return 1
 	}
-	term := math.Exp(-mean)
-	for i := 1; i <= k; i++ {
-		term *= mean / float64(i)
+	if mean <= 0 {
+		return 0
 	}
+	// By logarithms, since exp(-mean) is 0 for means above 745.
+	logFactorial, _ := math.Lgamma(float64(k) + 1)
+	term := math.Exp(float64(k)*math.Log(mean) - mean - logFactorial)
 	// Each further term is smaller by at least mean/(k+1).
-	return term / (1 - mean/float64(k+1))
+	return min(term/(1-mean/float64(k+1)), 1)
 }
 
 // sendReport sends a report to the owner of the service, which may be this daemon.
@@ -210,17 +214,24 @@
 func (n *Node) buildReport(now time.Duration, s *service) *report {
 	m := &report{
 		nonce: n.o.Nonce, sequence: s.report.sequence, service: s.id, interval: n.interval(), counts: s.unreported,
-		short: s.local.control.short || now < s.report.certainUntil, alarm: now < s.report.alarmUntil, allowed: s.allowed, residency: s.residency(), meanCost: s.meanCost,
+		short: s.local.control.short || now < s.report.certainUntil, alarm: now < s.report.alarmUntil,
+		allowed: s.allowed, residency: s.residency(), meanCost: s.meanCost,
 	}
 	_, m.answered = s.window(now, n.interval())
 	m.inFlight, _ = s.flying()
+	// A few requests of huge cost must not make the owner drop the report. It may know fewer
+	// slots than this daemon.
+	most := plausibleRate(s.slots) / 2
+	m.answered, m.inFlight = min(m.answered, most), min(m.inFlight, most*plausibleSeconds)
 	demands := n.localDemands(now, s, s.report.sent <= quickReports)
 	slices.SortFunc(demands, func(a, b demand) int {
 		return cmp.Or(cmp.Compare(b.total(), a.total()), cmp.Compare(a.organisation, b.organisation))
 	})
 	for i := range demands {
 		d := &demands[i]
+		scale := min(1, most/d.total())
 		for p, x := range d.offered {
+			x *= scale
 			if milli(x) == 0 {
 				continue
 			}
--- a/contract/shares/returns_test.go
+++ b/contract/shares/returns_test.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// Guards requirement 3: callers that return when told make at most 1.3 attempts per served
+// Guards requirement 3: callers that retry at the time given make at most 1.3 attempts per served
 // request at twice the load, and cost the other organisation nothing.
-func TestAttemptsOfCallersThatReturnWhenTold(t *testing.T) {
+func TestAttemptsOfCallersThatRetryAtTheTimeGiven(t *testing.T) {
 	for _, daemons := range []int{3, 12, 72} {
 		s := newSim(t, simConfig{
 			daemons: daemons, endpoints: 6, slots: 6, limit: 24, service: 60 * ms, objective: 300 * ms, listed: 1, seed: 14,
@@ -179,3 +179,18 @@
 		t.Errorf("the largest organisation has fraction %v", got)
 	}
 }
+
+// Guards against a withdrawn request that reduces the credit of its organisation.
+func TestWithdrawKeepsCredit(t *testing.T) {
+	n, now := limitedNode(t)
+	credit := &n.services[tested].byID[1].credit[0]
+	*credit = 0.1
+	w := &Work{Service: tested, Organisation: 1, Cost: 0.01, Objective: sec}
+	if d := n.Offer(now, w); !d.Admitted || d.Fraction >= 1 {
+		t.Fatalf("%+v", d)
+	}
+	before := *credit
+	if n.Withdraw(now, w); *credit < before {
+		t.Errorf("credit %v after the withdrawal, %v before", *credit, before)
+	}
+}
