Refuse less urgent requests of an organisation at its limit first

Cause: an organisation above its rate limit had requests of all priorities refused alike. A long prompt of low urgency took the tokens of 45 short urgent ones.

Change: with quota.Options.PreferUrgent, which router sets if the new Settings.OverloadControl is set, a request yields if its daemon has seen a more urgent one of the organisation, by the priority of the route, in the last ten minutes. An ask has an entry for each yielding request, after the account's own entry and with the same key; the layout of messages is unchanged. The owner lends the whole cost or nothing for it, and, while the organisation requests more than its limit, only if a tenth of the bucket is left for each more urgent priority. A refusal holds for 50 to 150 ms at the daemon without a further ask, has a Retry-After, and the log line has quota_less_urgent. quota.Node.Admit and forward.Limiter.Admit take the priority; existing tests are changed in their calls only.

TestLessUrgentRequestsAreRejectedFirst (all 45 cases), TestUrgentRequestsBeyondLimitLeaveNothingToOthers and TestMiddlePriorityPrecedesLeastUrgent fail without the option. TestSurgeOfLessUrgentRequestsBelowLimitIsAdmitted fails if requests yield below the limit, and if urgent requests that arrive later use the units lent for yielding ones.

Left: daemons that receive no urgent requests of an organisation do not know of them; bursts smaller than one less urgent request (docs/design/rate-limits.md).

--- a/endpointlimit/endpointlimit.go
+++ b/endpointlimit/endpointlimit.go
@@ -244,7 +244,7 @@
 // admit requests the admission of one request. The caller holds mu.
 func (l *Limiter) admit(key quota.Key) bool {
 	admitted, decided, returned := false, false, false
-	v, now := l.quota.Admit(l.o.Clock(), key, -1, func(v quota.Verdict) {
+	v, now := l.quota.Admit(l.o.Clock(), key, -1, 0, func(v quota.Verdict) {
 		if !returned { // decided by this daemon itself
 			admitted, decided = v.Admitted, true
 			return
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -16,9 +16,9 @@
 // Limiter enforces the rate limits of organisations across all daemons. tokens is
 // RequestInfo.QuotaTokens.
 type Limiter interface {
-	// Admit decides on a request. It may wait for the answer of another daemon,
+	// Admit decides on a request. priority is that of its route. It may wait for the answer of another daemon,
 	// and returns an error only if the context ends first.
-	Admit(ctx context.Context, org *routes.Organisation, tokens int) (quota.Verdict, error)
+	Admit(ctx context.Context, org *routes.Organisation, tokens, priority int) (quota.Verdict, error)
 	// Refund returns the units of an admitted request that did not run.
 	Refund(org *routes.Organisation, tokens int)
 	// Charge takes the units of a further run of an admitted request.
@@ -38,7 +38,7 @@
 	if c.o.Limiter == nil || org == nil || org.Limit.PerSecond <= 0 {
 		return true
 	}
-	v, err := c.o.Limiter.Admit(c.r.Context(), org, c.in.QuotaTokens)
+	v, err := c.o.Limiter.Admit(c.r.Context(), org, c.in.QuotaTokens, c.req.Route.Priority)
 	if err != nil {
 		c.callerLeft()
 	}
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,11 +22,15 @@
 type countingLimiter struct {
 	verdict quota.Verdict
 
-	mu      sync.Mutex
-	charged int
+	mu         sync.Mutex
+	charged    int
+	priorities []int // of the requests
 }
 
-func (l *countingLimiter) Admit(context.Context, *routes.Organisation, int) (quota.Verdict, error) {
+func (l *countingLimiter) Admit(_ context.Context, _ *routes.Organisation, _, priority int) (quota.Verdict, error) {
+	l.mu.Lock()
+	l.priorities = append(l.priorities, priority)
+	l.mu.Unlock()
 	if l.verdict.Admitted {
 		l.add(1)
 	}
@@ -154,3 +159,24 @@
 		t.Errorf("%d connections for sequential requests", len(conns))
 	}
 }
+
+// The limiter prefers urgent requests of an organisation by the priority of their routes.
+// The organisation's own priority would make all of its requests equal.
+func TestLimiterGetsPriorityOfRoute(t *testing.T) {
+	org := &routes.Organisation{Name: "o", Limit: quota.Limit{PerSecond: 1}, Priority: 1, HasPriority: true}
+	table := &routes.Table{
+		KeysRequired: true, Organisations: map[string]*routes.Organisation{"": org},
+		Services: map[string]*routes.Service{"s": {Name: "s"}},
+		Routes: []routes.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: routes.Stream, Priority: 3, Timeout: 5 * time.Second,
+			MaxAttempts: 1, Backends: []routes.Backend{{Service: "s", Weight: 1}},
+		}},
+	}
+	l := &countingLimiter{verdict: quota.Verdict{RetryAfter: time.Second, LessUrgent: true}}
+	if got := ask(t, serveTable(t, table, &listPlacer{}, l, time.Time{})); got.status != http.StatusTooManyRequests {
+		t.Errorf("status %d", got.status)
+	}
+	if !slices.Equal(l.priorities, []int{3}) {
+		t.Errorf("priorities %v, want that of the route", l.priorities)
+	}
+}
--- a/quota/account.go
+++ b/quota/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 	retryAfter  time.Duration // reported by the owner
 	used        float64       // fraction of the limit, reported by the owner
 	updatedAt   time.Duration // when the owner last replied for the account
+
+	urgency urgency // used with Options.PreferUrgent only
 }
 
 // waiter is a request that waits for the owner's reply.
@@ -36,6 +39,9 @@
 	since time.Duration
 	asked bool // included in an ask
 	done  func(Verdict)
+	// priority and rank are 0 without Options.PreferUrgent. A request with a rank above 0
+	// yields to more urgent ones, see urgency.
+	priority, rank int
 }
 
 // roundingError is the tolerance in units for rounding errors of sums.
@@ -80,21 +86,41 @@
 
 func (a *account) decayDemand(now time.Duration) {
 	if dt := now - a.demandAt; dt > 0 {
-		a.demand *= math.Exp(-dt.Seconds() / smoothingTime.Seconds())
+		decay := math.Exp(-dt.Seconds() / smoothingTime.Seconds())
+		a.demand *= decay
+		a.urgency.demand *= decay
 		a.demandAt = now
 	}
 }
 
+// enqueue adds a waiting request, after those that are as urgent or more urgent.
+func (a *account) enqueue(w waiter) {
+	i := len(a.waiters)
+	for i > 0 && a.waiters[i-1].priority > w.priority {
+		i--
+	}
+	a.waiters = slices.Insert(a.waiters, i, w)
+}
+
+// waitingBefore reports whether a request that is as urgent or more urgent waits.
+func (a *account) waitingBefore(priority int) bool {
+	return len(a.waiters) > 0 && a.waiters[0].priority <= priority
+}
+
 // buildEntry returns the entry of the account for an ask, and false if there is
 // nothing to ask for or to report. It resets the rejected units.
 func (a *account) buildEntry(now time.Duration) (askEntry, bool) {
 	a.decayDemand(now)
 	e := askEntry{Key: a.key, Rejected: a.rejected}
 	for i := range a.waiters {
-		e.Need += a.waiters[i].cost
-		a.waiters[i].asked = true
+		if a.waiters[i].rank == 0 {
+			e.Need += a.waiters[i].cost
+			a.waiters[i].asked = true
+		}
+	}
+	if e.Need = max(0, e.Need-a.balance()); e.Need > 0 {
+		e.Need += a.reserve(now)
 	}
-	e.Need = max(0, e.Need-a.balance())
 	// Tokens are requested in advance only if several requests will probably use
 	// them before they expire.
 	if ahead := a.demand * lendAhead.Seconds(); ahead >= 2*a.last {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -14,8 +14,11 @@
 	// expected to be retried after their Retry-After.
 	promisedRetries float64
 	lent            float64 // units/s, smoothed
-	denied          int     // asks denied in the current denialWindow
-	deniedAt        time.Duration
+	// excess is the requested units, also those of rejected requests, less the units that
+	// accrued. It is positive if the organisation requests more than its limit.
+	excess   float64
+	denied   int // asks denied in the current denialWindow
+	deniedAt time.Duration
 }
 
 // denialWindow is the time over which denied asks are counted.
@@ -30,6 +33,7 @@
 	}
 	b.at = now
 	b.level = min(b.level+b.limit.PerSecond*fraction*dt, b.capacity(fraction, t))
+	b.excess = max(b.excess-b.limit.PerSecond*fraction*dt, -b.capacity(fraction, t))
 	b.promisedRetries = max(0, b.promisedRetries-b.retryRate(fraction)*dt)
 	b.lent *= math.Exp(-dt / smoothingTime.Seconds())
 }
@@ -59,6 +63,7 @@
 // and the Retry-After for callers.
 func (b *bucket) lend(now time.Duration, fraction float64, t Tolerance, e *askEntry) (lent float64, again, retry time.Duration) {
 	b.promisedRetries += e.Rejected
+	b.countRequested(e.Need+e.Rejected, fraction)
 	defer func() { b.lent += lent / smoothingTime.Seconds() }()
 	lowest := b.lowest(fraction, t, e.Need)
 	if b.level >= lowest {
@@ -72,6 +77,7 @@
 	if spare := b.level - b.capacity(fraction, t)/2; spare > 0 {
 		ahead := min(e.Expected, spare/2)
 		b.level -= ahead
+		b.countRequested(ahead, fraction)
 		lent += ahead
 	}
 	return lent, 0, 0
--- a/quota/faults_test.go
+++ b/quota/faults_test.go
@@ -216,7 +216,7 @@
 	ran := 0
 	for i := range 10_000 {
 		var v Verdict
-		if got, decided := n.Admit(now, key, 500, func(later Verdict) { v = later }); decided {
+		if got, decided := n.Admit(now, key, 500, 0, func(later Verdict) { v = later }); decided {
 			v = got
 		}
 		switch {
--- a/quota/node.go
+++ b/quota/node.go
@@ -28,6 +28,9 @@
 	Tolerance Tolerance
 	Nonce     uint64     // random, new for each process
 	Rand      *rand.Rand // seeded; spreads the Retry-After times
+	// PreferUrgent makes less urgent requests of an organisation at its limit be rejected
+	// before its more urgent ones.
+	PreferUrgent bool
 }
 
 // Node enforces the limits at one daemon: it asks the owners for tokens, and is
@@ -167,25 +170,43 @@
 }
 
 // Admit decides on a request. tokens is negative if the request states no token
-// count. If an owner has to be asked first, decided is false, and done is called
-// with the verdict, from within this call or a later one to the Node.
-func (n *Node) Admit(now time.Duration, key Key, tokens int, done func(Verdict)) (v Verdict, decided bool) {
+// count. priority 0 is the most urgent. If an owner has to be asked first, decided is
+// false, and done is called with the verdict, from within this call or a later one to the
+// Node.
+func (n *Node) Admit(now time.Duration, key Key, tokens, priority int, done func(Verdict)) (v Verdict, decided bool) {
 	a := n.accounts[key]
 	if a == nil {
 		return Verdict{Admitted: true}, true
 	}
 	a.expireLent(now)
 	cost := a.limit.Cost(tokens)
-	a.countDemand(now, cost)
+	rank := 0
+	if n.o.PreferUrgent {
+		priority = clampPriority(priority)
+		a.urgency.seenUntil[priority] = now + urgentMemory
+		rank = a.urgency.rank(now, priority)
+	} else {
+		priority = 0
+	}
+	if rank == 0 {
+		a.countDemand(now, cost)
+		a.urgency.demand += cost / smoothingTime.Seconds()
+	}
 	s := &n.shards[a.shard]
-	if len(a.waiters) == 0 && a.spend(cost) {
+	if !a.waitingBefore(priority) && a.spendRanked(now, cost, rank) {
+		if rank > 0 {
+			a.countDemand(now, cost)
+		}
 		return Verdict{Admitted: true, Owner: s.owner.Name, Age: now - a.updatedAt, Used: a.used}, true
 	}
 	if now < a.deniedUntil {
 		a.rejected += cost
-		return n.rejection(now, a, s.owner.Name), true
+		return n.rejection(now, a, a.deniedUntil, s.owner.Name), true
+	}
+	if rank > 0 && now < a.urgency.yieldsUntil[priority] {
+		return n.rejectLessUrgent(now, a, cost, priority, s.owner.Name), true
 	}
-	a.waiters = append(a.waiters, waiter{cost: cost, since: now, done: done})
+	a.enqueue(waiter{cost: cost, since: now, done: done, priority: priority, rank: rank})
 	if s.pendingAsk.seq == 0 {
 		n.ask(now, a.shard)
 	}
@@ -222,8 +243,9 @@
 	}
 }
 
-func (n *Node) rejection(now time.Duration, a *account, owner string) Verdict {
-	after := max(a.retryAfter, a.deniedUntil-now)
+// rejection returns the verdict for a request that can't be admitted before the given time.
+func (n *Node) rejection(now time.Duration, a *account, until time.Duration, owner string) Verdict {
+	after := max(a.retryAfter, until-now)
 	spread := time.Duration(float64(after) * n.o.Rand.Float64() / 4)
 	if after += spread; after > maxRetryAfter {
 		after = maxRetryAfter - spread
@@ -239,9 +261,14 @@
 	for _, key := range s.keys {
 		a := n.accounts[key]
 		a.expireLent(now)
-		a.admitWaiting(s.owner.Name)
-		if e, some := a.buildEntry(now); some && len(q.Entries) < maxEntries {
-			q.Entries = append(q.Entries, e)
+		a.admitWaiting(now, s.owner.Name)
+		e, some := a.buildEntry(now)
+		if len(q.Entries) >= maxEntries {
+			continue
+		}
+		yielding := a.yieldEntries(min(maxYieldEntries, maxEntries-len(q.Entries)-1))
+		if some || len(yielding) > 0 {
+			q.Entries = append(append(q.Entries, e), yielding...)
 		}
 	}
 	if s.ownPledge.to == s.owner.Address || s.ownPledge.until <= now {
@@ -323,15 +350,19 @@
 		n.skipOwner(now, i, leavingTTL)
 		return
 	}
-	for _, e := range r.Entries {
+	for j, e := range r.Entries {
+		if j > 0 && r.Entries[j-1].Key == e.Key {
+			continue // for a yielding request
+		}
 		a := n.accounts[e.Key]
 		if a == nil || a.shard != i {
 			continue
 		}
 		a.expireLent(now)
-		a.add(e.Lent)
 		a.updatedAt, a.used = now, e.Used
 		a.retryAfter, a.deniedUntil = e.RetryAfter, now+e.AskAfter
+		n.resolveYielding(now, a, a.addYielding(r.Entries[j+1:]), s.owner.Name)
+		a.add(e.Lent)
 		n.resolveAsked(now, a, s.owner.Name)
 	}
 	for _, key := range s.keys {
@@ -343,11 +374,14 @@
 }
 
 // admitWaiting admits the waiting requests that the lent tokens cover.
-func (a *account) admitWaiting(owner string) {
+func (a *account) admitWaiting(now time.Duration, owner string) {
 	waiting := a.waiters
 	a.waiters = nil
 	for _, w := range waiting {
-		if a.spend(w.cost) {
+		if a.spendRanked(now, w.cost, w.rank) {
+			if w.rank > 0 {
+				a.countDemand(now, w.cost)
+			}
 			w.done(Verdict{Admitted: true, Owner: owner, Used: a.used})
 		} else {
 			a.waiters = append(a.waiters, w)
@@ -359,7 +393,7 @@
 // rejected if the owner had no more. If it lent all that was asked for, the balance
 // has shrunk since the ask (by expired tokens or a charge), and they are asked for again.
 func (n *Node) resolveAsked(now time.Duration, a *account, owner string) {
-	a.admitWaiting(owner)
+	a.admitWaiting(now, owner)
 	waiting := a.waiters
 	a.waiters = nil
 	for _, w := range waiting {
@@ -367,10 +401,10 @@
 			a.waiters = append(a.waiters, w)
 			continue
 		}
-		if !w.asked {
+		if !w.asked || w.rank > 0 {
 			a.rejected += w.cost
 		}
-		w.done(n.rejection(now, a, owner))
+		w.done(n.rejection(now, a, a.deniedUntil, owner))
 	}
 }
 
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -87,6 +87,11 @@
 			continue
 		}
 		b.accrue(now, fraction, t)
+		if i > 0 && a.Entries[i-1].Key == e.Key {
+			lent, retryAfter := b.lendYielding(fraction, t, e)
+			out.Entries = append(out.Entries, replyEntry{Key: e.Key, Lent: lent, RetryAfter: retryAfter, Used: b.used()})
+			continue
+		}
 		lent, askAfter, retryAfter := b.lend(now, fraction, t, e)
 		out.Entries = append(out.Entries, replyEntry{Key: e.Key, Lent: lent, AskAfter: askAfter, RetryAfter: retryAfter, Used: b.used()})
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -78,6 +78,9 @@
 	Owner      string        // name of the daemon that decided; empty: none answered
 	Age        time.Duration // of that daemon's last reply
 	Used       float64       // fraction of the limit that all daemons used recently, by that reply
+	// LessUrgent reports that the request was rejected to leave the limit to more urgent
+	// requests of the organisation.
+	LessUrgent bool
 }
 
 // Timeouts, intervals and limits.
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -32,6 +32,13 @@
 	// delay returns the additional delay of a message to a daemon; nil: none.
 	delay     func(to *simDaemon) time.Duration
 	onVerdict func(key Key, cost float64, v Verdict) // nil: not called
+	// longPriority is the priority of long prompts.
+	longPriority int
+	preferUrgent bool // see Options; setPreferUrgent sets it
+	// shortPriority is the priority of short prompts.
+	shortPriority int
+	// retryAfter replaces the Retry-After by which callersRetry retries; 0: none.
+	retryAfter time.Duration
 }
 
 type packet struct {
@@ -100,7 +107,15 @@
 }
 
 func (sim *simulation) process(m *simDaemon) *Node {
-	return NewNode(Options{Self: m.me, Tolerance: sim.tol, Nonce: sim.rng.Uint64(), Rand: sim.rng})
+	return NewNode(Options{Self: m.me, Tolerance: sim.tol, Nonce: sim.rng.Uint64(), Rand: sim.rng, PreferUrgent: sim.preferUrgent})
+}
+
+// setPreferUrgent sets the option at all daemons.
+func (sim *simulation) setPreferUrgent() {
+	sim.preferUrgent = true
+	for _, m := range sim.nodes {
+		m.node.o.PreferUrgent = true
+	}
 }
 
 // restart replaces the process of a daemon by a new one, which gets the list and the
@@ -199,6 +214,10 @@
 
 // request sends a request of an organisation to a daemon.
 func (sim *simulation) request(m *simDaemon, key Key, tokens int) {
+	sim.requestWithPriority(m, key, tokens, 0)
+}
+
+func (sim *simulation) requestWithPriority(m *simDaemon, key Key, tokens, priority int) {
 	if m.down || m.paused {
 		return
 	}
@@ -211,9 +230,13 @@
 			sim.onVerdict(key, h.limit.Cost(tokens), v)
 		}
 		if sim.callersRetry && !v.Admitted {
-			at := sim.now + max(time.Millisecond, v.RetryAfter.Truncate(time.Millisecond))
+			after := v.RetryAfter
+			if sim.retryAfter > 0 {
+				after = sim.retryAfter
+			}
+			at := sim.now + max(time.Millisecond, after.Truncate(time.Millisecond))
 			sim.retries[at] = append(sim.retries[at], func() {
-				sim.request(sim.nodes[sim.rng.IntN(len(sim.nodes))], key, tokens)
+				sim.requestWithPriority(sim.nodes[sim.rng.IntN(len(sim.nodes))], key, tokens, priority)
 			})
 		}
 	}
@@ -221,7 +244,7 @@
 		done(Verdict{Admitted: sim.fractions.admit(m.index, key, h.limit.Cost(tokens))})
 		return
 	}
-	if v, decided := m.node.Admit(sim.now+m.skew, key, tokens, done); decided {
+	if v, decided := m.node.Admit(sim.now+m.skew, key, tokens, priority, done); decided {
 		done(v)
 	}
 	sim.post(m)
@@ -287,10 +310,11 @@
 
 // demand is the traffic of one organisation: requests of two sizes.
 type demand struct {
-	key   Key
-	long  float64 // requests/s with a long prompt
-	short float64 // requests/s with a short one
-	plain float64 // requests/s without a token count
+	key    Key
+	long   float64 // requests/s with a long prompt
+	short  float64 // requests/s with a short one
+	middle float64 // requests/s of 2,000 tokens with priority 1
+	plain  float64 // requests/s without a token count
 	// at lists the daemons that receive the requests; nil: all.
 	at []int
 }
@@ -301,14 +325,15 @@
 		sim.step()
 		for i := range traffic {
 			d := &traffic[i]
-			sim.arrive(d, d.long, func() int { return longTokens(sim.rng) })
-			sim.arrive(d, d.short, func() int { return 390 })
-			sim.arrive(d, d.plain, func() int { return -1 })
+			sim.arrive(d, d.long, sim.longPriority, func() int { return longTokens(sim.rng) })
+			sim.arrive(d, d.short, sim.shortPriority, func() int { return 390 })
+			sim.arrive(d, d.middle, 1, func() int { return 2000 })
+			sim.arrive(d, d.plain, 0, func() int { return -1 })
 		}
 	}
 }
 
-func (sim *simulation) arrive(d *demand, perSecond float64, tokens func() int) {
+func (sim *simulation) arrive(d *demand, perSecond float64, priority int, tokens func() int) {
 	for expected := perSecond / 1000; expected > 0; expected-- {
 		if sim.rng.Float64() >= expected {
 			return
@@ -317,7 +342,7 @@
 		if d.at != nil {
 			at = d.at[sim.rng.IntN(len(d.at))]
 		}
-		sim.request(sim.nodes[at], d.key, tokens())
+		sim.requestWithPriority(sim.nodes[at], d.key, tokens(), priority)
 	}
 }
 
--- a/quota/size_test.go
+++ b/quota/size_test.go
@@ -45,7 +45,7 @@
 	done := func(Verdict) {}
 	b.ReportAllocs()
 	for b.Loop() {
-		if v, decided := n.Admit(sim.now, key, 390, done); !decided || !v.Admitted {
+		if v, decided := n.Admit(sim.now, key, 390, 0, done); !decided || !v.Admitted {
 			b.Fatal("refused")
 		}
 	}
--- a/quota/surge_test.go
+++ b/quota/surge_test.go
@@ -46,6 +46,17 @@
 // tokens that they lent, and daemons turned to other owners, to which hardly any
 // fractions were pledged: requests of organisations below their limits were rejected.
 func TestSurgeAtSlowDaemonsRejectsNothingBelowLimit(t *testing.T) {
+	runSurgeBelowLimit(t, false)
+}
+
+// Less urgent long prompts were rejected below the limit when they yielded because of an
+// empty bucket, or when urgent requests that arrived later used the units lent for them.
+func TestSurgeOfLessUrgentRequestsBelowLimitIsAdmitted(t *testing.T) {
+	runSurgeBelowLimit(t, true)
+}
+
+func runSurgeBelowLimit(t *testing.T, preferUrgent bool) {
+	t.Helper()
 	for _, delay := range []int{0, 50, 100, 150} {
 		asked, rejected, firstTwo, bytes := map[Key]int{}, map[Key]int{}, 0, 0
 		const seeds, span = 3, 7 * time.Second
@@ -53,6 +64,10 @@
 			limits, traffic := surgeTraffic(1)
 			_, surge := surgeTraffic(2.6)
 			sim := newSimulation(t, 200+seed, 61, limits)
+			if preferUrgent {
+				sim.longPriority = 2
+				sim.setPreferUrgent()
+			}
 			sim.run(warmUp, nil)
 			sim.run(5*time.Second, traffic)
 			sim.delay = func(*simDaemon) time.Duration {
--- a/router/quota.go
+++ b/router/quota.go
@@ -49,7 +49,8 @@
 		clock: clock, log: log, send: send, meters: map[string]*quotaMeters{}, scope: scope,
 		node: quota.NewNode(quota.Options{
 			Self: quota.Daemon{Name: me.Name, Address: me.Address}, Tolerance: set.QuotaTolerance,
-			Nonce: rng.Uint64(), Rand: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
+			PreferUrgent: set.OverloadControl,
+			Nonce:        rng.Uint64(), Rand: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
 		}),
 	}
 }
@@ -116,10 +117,10 @@
 }
 
 // Admit implements forward.Limiter.
-func (l *limiter) Admit(ctx context.Context, org *routes.Organisation, tokens int) (quota.Verdict, error) {
+func (l *limiter) Admit(ctx context.Context, org *routes.Organisation, tokens, priority int) (quota.Verdict, error) {
 	later := make(chan quota.Verdict, 1)
 	l.mu.Lock()
-	v, decided := l.node.Admit(l.clock(), org.QuotaKey, tokens, func(v quota.Verdict) { later <- v })
+	v, decided := l.node.Admit(l.clock(), org.QuotaKey, tokens, priority, func(v quota.Verdict) { later <- v })
 	l.sendPending()
 	l.mu.Unlock()
 	if decided {
--- a/router/report.go
+++ b/router/report.go
@@ -98,6 +98,9 @@
 	}
 	if q := rep.Quota; rep.Code == forward.CodeRateLimited {
 		fields = append(fields, "quota_used", q.Used, "quota_owner", q.Owner, "quota_age_ms", q.Age.Milliseconds())
+		if q.LessUrgent {
+			fields = append(fields, "quota_less_urgent", true)
+		}
 	}
 	if rep.RetryAfter > 0 {
 		fields = append(fields, "retry_after_ms", rep.RetryAfter.Milliseconds())
