Decide when a stalled stream is moved to another endpoint

Only a lost connection ended an attempt before.

TestStalledStreamsUseNoDebt fails if stalled streams may borrow.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -32,10 +32,14 @@
 	Rejected
 	// CallerLeft: the caller no longer waits for the answer.
 	CallerLeft
+	// Stalled: the endpoint may still have run the request, and the attempt was ended because
+	// its stream waited for an event far longer than usual.
+	Stalled
+
 	failureCount
 )
 
-var failureNames = [failureCount]string{"not_sent", "not_run", "unknown", "broken", "rejected", "caller_left"}
+var failureNames = [failureCount]string{"not_sent", "not_run", "unknown", "broken", "rejected", "caller_left", "stalled"}
 
 // String returns the failure's name in dumps and metrics.
 func (f Failure) String() string {
@@ -148,7 +152,7 @@
 // Decide decides what follows a failed attempt of the request. Delays are random, so that
 // requests that failed in the same crash are not all repeated at the same time.
 func Decide(now time.Time, r *Request, a FailedAttempt, budget *Budget, rng *rand.Rand) Decision {
-	if a.Failure == Unknown || a.Failure == Broken {
+	if a.Failure == Unknown || a.Failure == Broken || a.Failure == Stalled {
 		r.mayHaveRun = true
 	}
 	r.exclude(a.Endpoint)
@@ -160,7 +164,7 @@
 		return r.giveUp(now, CodeCallerLeft, a, budget)
 	case Rejected:
 		return Decision{Code: CodeRejected, Outcome: OutcomeRefused}
-	case NotSent, NotRun, Unknown, Broken:
+	case NotSent, NotRun, Unknown, Broken, Stalled:
 	}
 	if code := r.notRepeatableCode(a.Failure); code != "" {
 		return r.giveUp(now, code, a, budget)
@@ -182,6 +186,7 @@
 	if f == NotSent && r.MaxEndpoints > 0 {
 		return true
 	}
+	// A stalled stream may not borrow: it is not lost, as it can go on waiting.
 	if f == Broken && r.Resumable && r.Delivered > 0 {
 		return budget.SpendResume(now)
 	}
@@ -196,7 +201,7 @@
 	switch f {
 	case NotSent, NotRun:
 		return ""
-	case Broken:
+	case Broken, Stalled:
 		if r.Delivered > 0 && !r.Resumable {
 			return CodeStreamBroken
 		}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -41,6 +41,9 @@
 		"caller gone":               {Request{Idempotent: true}, CallerLeft, Decision{Code: CodeCallerLeft, Outcome: OutcomeNotRun}},
 		"too late for another":      {Request{Deadline: soon}, NotSent, Decision{Code: CodeDeadline, Outcome: OutcomeNotRun, RetryAfter: time.Second}},
 		"too late, may have run":    {Request{Idempotent: true, Deadline: soon}, Unknown, Decision{Code: CodeDeadline, Outcome: OutcomeUnknown, RetryAfter: time.Second}},
+		"stalled":                   {Request{Idempotent: true, Resumable: true, Delivered: 7}, Stalled, Decision{Retry: true, ResumeFrom: 7}},
+		"stalled, can't go on":      {Request{Idempotent: true, Delivered: 7}, Stalled, Decision{Code: CodeStreamBroken, Outcome: OutcomeUnknown, RetryAfter: time.Second}},
+		"booking stalled":           {Request{}, Stalled, Decision{Code: CodeNotRepeatable, Outcome: OutcomeUnknown}},
 		"broken before first token": {Request{Idempotent: true}, Broken, Decision{Retry: true}},
 	} {
 		r := c.request
@@ -167,6 +170,17 @@
 	}
 }
 
+// Guards against stalled streams that borrow retries. They are not lost if they go on waiting.
+func TestStalledStreamsUseNoDebt(t *testing.T) {
+	budget := NewBudget(BudgetOptions{})
+	for budget.Spend(epoch) {
+	}
+	r := Request{Idempotent: true, Resumable: true, Delivered: 3}
+	if d := Decide(epoch, &r, FailedAttempt{Endpoint: "e1", Failure: Stalled}, budget, newRand()); d.Retry || d.Code != CodeNoBudget {
+		t.Errorf("got %+v", d)
+	}
+}
+
 // A caller of this package that counts attempts itself passes the count each time; the
 // bound on attempts must hold there too.
 func TestRestoreRequestKeepsAttemptBound(t *testing.T) {
