Continue stalled streams at another endpoint

Cause: an attempt waited for events until the request's deadline as long as its connection was intact.

Reads of an attempt get a deadline by which its stream counts as stalled. The goroutine that reads then decides: it reserves capacity elsewhere and takes a retry, closes the old connection, and sends the request after the last event. If either fails, the stream goes on waiting. Nothing changes without Options.Stalls. The time of the last event is per attempt, so an endpoint's other streams show whether it is slow as well.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,6 +29,7 @@
 		// http.ErrAbortHandler.
 		end.Left = c.r.Context().Err() != nil
 		end.RelayLost = errors.Is(end.Cause, ErrRelayLost)
+		c.watch.ended()
 		c.recordResult(&end)
 		c.reportToQuarantine(p, &end)
 		if end.mayHaveRun() {
@@ -45,6 +46,9 @@
 	p.Out.Remaining = time.Until(c.req.Deadline)
 	p.Out.LastEvent = c.events.last
 	c.o.Codec.EncodeRequest(out.Header, &p.Out)
+	if c.watch = c.watchStalls(p); c.watch != nil {
+		out.Watch = c.watch
+	}
 	a, withdrawn, err := c.sendWithStartDeadline(p, &out)
 	if err != nil {
 		failure := retry.Unknown
@@ -52,11 +56,12 @@
 			failure = retry.NotSent
 		}
 		end = AttemptEnd{Failure: failure, Lost: !withdrawn, Withdrawn: withdrawn, Cause: err}
+		end.setStalled()
 		var sent *attemptError
 		if errors.As(err, &sent) {
 			c.report.Attempts[len(c.report.Attempts)-1].Via = sent.via
 		}
-		return false, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: failure}
+		return false, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: end.Failure}
 	}
 	last := &c.report.Attempts[len(c.report.Attempts)-1]
 	last.Load, last.Limit = a.Info.Load, a.Info.Limit
@@ -64,6 +69,7 @@
 	c.o.Placer.AnswerStarted(p, &a.Info)
 	c.build = p.Build
 	end = c.relayAnswer(a)
+	end.setStalled()
 	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Failure: end.Failure}
 }
 
@@ -217,6 +223,7 @@
 	if len(out) == 0 {
 		return AttemptEnd{}, true
 	}
+	c.watch.event()
 	c.sendHeader(a)
 	if c.report.FirstEvent == 0 {
 		c.report.FirstEvent = time.Since(c.req.Arrived)
@@ -232,6 +239,7 @@
 	if err := c.rc.Flush(); err != nil {
 		return AttemptEnd{Failure: retry.CallerLeft}, false
 	}
+	c.watch.eventSent()
 	return AttemptEnd{}, true
 }
 
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -145,6 +145,11 @@
 	idleSince time.Time
 	maxIdle   time.Duration // idle time after which it is not reused
 	verified  bool          // it leads to the incarnation that its key names
+
+	// watch ends the current attempt if its stream stalls; nil: it is not watched. ctx is that
+	// of the attempt.
+	watch StallWatch
+	ctx   context.Context
 }
 
 // Open returns the number of connections to the endpoint, idle or in use.
@@ -176,7 +181,9 @@
 	c.mu.Lock()
 	c.open[t.Key]++
 	c.mu.Unlock()
-	return &conn{Conn: raw, key: t.Key, address: t.Address, r: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	k := &conn{Conn: raw, key: t.Key, address: t.Address}
+	k.r = bufio.NewReaderSize(k, readBufferBytes)
+	return k, nil
 }
 
 func (c *Client) popIdle(key fleet.EndpointID) *conn {
@@ -198,6 +205,12 @@
 	if k.r.Buffered() > 0 {
 		return false
 	}
+	return k.nothingReceived()
+}
+
+// nothingReceived reports whether a read from the connection would wait. It returns true if
+// that is unknown.
+func (k *conn) nothingReceived() bool {
 	if relayed, ok := k.Conn.(RelayedConn); ok && relayed.Buffered() > 0 {
 		return false
 	}
@@ -302,6 +315,8 @@
 	HasBody   bool
 	// SameIncarnation states that no other incarnation of the endpoint may run the request.
 	SameIncarnation bool
+	// Watch ends the attempt if its stream stalls; nil: it is not watched.
+	Watch StallWatch
 }
 
 // Answer is an endpoint's answer whose body was not read yet. The caller of Send
@@ -329,6 +344,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Watch != nil {
+		k.watch, k.ctx = o.Watch, ctx
+	}
 	a, err := c.receive(k, o)
 	if err != nil {
 		stop()
@@ -476,6 +494,10 @@
 		a.client.close(a.conn)
 		return
 	}
+	if a.conn.watch != nil {
+		a.conn.watch, a.conn.ctx = nil, nil
+		_ = a.conn.SetReadDeadline(time.Time{})
+	}
 	a.conn.maxIdle = defaultReuse
 	if a.Info.KeepAlive > 0 {
 		a.conn.maxIdle = time.Duration(reuseFraction * float64(a.Info.KeepAlive))
--- a/forward/events.go
+++ b/forward/events.go
@@ -23,6 +23,9 @@
 type eventSplitter struct {
 	partial []byte
 	last    int64 // id of the newest complete event; NoEvent: none
+	// unnumbered states that an event without an id was passed on. Another endpoint can't
+	// continue after it, as it is unknown which events follow.
+	unnumbered bool
 }
 
 // add appends bytes of the stream and returns the events completed by them that
@@ -53,6 +56,7 @@
 		id, ok := eventID(complete[at : at+n])
 		switch {
 		case !ok:
+			e.unnumbered = true
 		case e.last != NoEvent && id <= e.last && from < at:
 			return nil, errEventOrder
 		case e.last != NoEvent && id <= e.last:
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -60,7 +60,9 @@
 	Limiter Limiter // nil: organisations have no rate limits
 	// Quarantine refuses requests whose endpoints crashed; nil: none are refused.
 	Quarantine quarantine.Gate
-	Report     func(*Report)
+	// Stalls moves stalled streams to other endpoints; nil: they wait until their deadline.
+	Stalls *StallControl
+	Report func(*Report)
 }
 
 // Report describes a request and its result, for logs and metrics.
@@ -114,6 +116,7 @@
 	Result   string
 	Lost     string        // how the connection was lost; empty: it was not
 	After    time.Duration // from the request's arrival to the attempt's end
+	Stall    *StallReport  // last stall of the stream; nil: none
 }
 
 // Handler is the http.Handler that forwards the requests of callers.
@@ -141,6 +144,8 @@
 	events     eventSplitter
 	answer     *bufferedAnswer // a 5xx answer of an endpoint, sent if no other attempt succeeds
 	charge     quotaCharge
+	watch      *stallWatch // of the current attempt; nil: stalls are not observed
+	move       *streamMove // of a stalled stream; nil: none
 }
 
 // bufferedAnswer is an answer that was read completely.
@@ -324,6 +329,7 @@
 
 // attempts repeats attempts until the caller has an answer or no retry is allowed.
 func (c *call) attempts() {
+	defer c.cancelMove()
 	for ; ; c.req.Attempt++ {
 		if !c.mayRetry() {
 			if c.refuseHeld() {
@@ -332,7 +338,7 @@
 			c.giveUp(retry.Decision{Code: CodeQuarantined})
 			return
 		}
-		p, err := c.o.Placer.Place(c.ctx, &c.req)
+		p, err := c.place()
 		if err != nil {
 			c.answerUnplaced(err)
 			return
@@ -349,7 +355,7 @@
 			c.callerLeft()
 			return
 		}
-		d := c.o.Placer.DecideRetry(&c.retryState, failed)
+		d := c.decideRetry(failed)
 		if !d.Retry {
 			c.giveUp(d)
 			return
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -106,6 +106,9 @@
 	RelayLost bool
 	// Withdrawn states that the answer had not begun by Placement.BeginBy.
 	Withdrawn bool
+	// Stalled states that the stream waited for an event far longer than usual and was moved
+	// to another endpoint.
+	Stalled bool
 }
 
 // mayHaveRun reports whether the endpoint may have run the request, in whole or
