Move stalled streams of routed daemons with overload control

Settings.OverloadControl enables it; Router.serviceShort is called for the capacity of the service. The attempt's part of a request's log line has the verdict with usual and observed wait, and stream_stalls counts verdicts. A moved attempt's wait is observed like one that has ended, and counts as a failure of the endpoint: after five in a row without a complete answer it is ejected.

--- a/router/engine_feedback.go
+++ b/router/engine_feedback.go
@@ -240,7 +240,7 @@
 // AttemptEnded implements forward.Placer.
 func (p *placer) AttemptEnded(pl *forward.Placement, end forward.AttemptEnd) {
 	now := time.Now()
-	p.finishWaiting(now, pl.ID, false)
+	p.finishWaiting(now, pl.ID, end.Stalled)
 	if pl.Notes.Permit != 0 {
 		p.permits.release(permits.ID(pl.Notes.Permit), !end.Whole && !end.NotRun && end.Failure != retry.NotSent)
 	}
@@ -265,7 +265,9 @@
 		// succeed.
 		p.state.roster.Suspend(now, pl.Target.Key, unreachableSuspension)
 	}
-	if end.Lost {
+	if end.Lost || end.Stalled {
+		// An endpoint that stalls on one stream after another serves nothing, even if it
+		// accepts connections. A complete answer resets the count of failures.
 		if !end.RelayLost {
 			p.state.roster.RecordFailure(now, pl.Target.Key)
 		}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -62,7 +62,9 @@
 	confirming   atomic.Bool                   // the store confirms the lists of endpoints
 	// crashingSegments crash each endpoint that answers a prompt with one of them.
 	crashingSegments []string
-	unframed         bool // answers have neither a length nor chunks and end with their connection
+	overloadControl  bool            // Settings.OverloadControl of the daemons that start from now on
+	configure        func(r *Router) // called for each daemon before it starts; nil: none
+	unframed         bool            // answers have neither a length nor chunks and end with their connection
 }
 
 const (
@@ -144,10 +146,13 @@
 	r := newRouter(Options{
 		Settings: Settings{
 			Name: fmt.Sprint("front-", i), Zone: f.zoneOf(i), PeerAddress: daemonAddress(i).String(),
-			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio,
+			DrainWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: time.Hour, RetryRatio: fleetRetryRatio, OverloadControl: f.overloadControl,
 		},
 		Clock: f.clock, Dial: f.dialFrom(i), DialPeer: f.dialFrom(i), Wire: testWire{}, NewEngines: func(forward.Dial) weights.Engines { return unresponsiveEngines{} }, Logs: logging.Discard(), Rand: rand.New(rand.NewPCG(seed, 1)),
 	}, noopMeters())
+	if f.configure != nil {
+		f.configure(r)
+	}
 	me := daemonAddress(i)
 	r.datagrams.write = func(to netip.AddrPort, data []byte) error { return f.deliver(me, to, data) }
 	r.state.table.Store(f.table)
@@ -305,15 +310,16 @@
 	up              bool
 	incarnation     int
 	conns           map[net.Conn]bool
-	limit           *float64           // requests/s that its answers report; nil: none
-	leaving         bool               // its answers announce its shutdown
-	retryAfter      string             // if set, it rejects all requests with this Retry-After
-	hostUnreachable bool               // its host is unreachable after a crash, instead of refusing connections
-	silentUntil     time.Time          // requests wait until then; zero: they do not
-	capacity        *simulatedCapacity // nil: it runs any number of requests at once
-	build           string             // its software version
-	events          int                // of its answers; 0: all at once, one event
-	failing         float64            // fraction of the requests that it answers with a server error
+	limit           *float64                      // requests/s that its answers report; nil: none
+	leaving         bool                          // its answers announce its shutdown
+	retryAfter      string                        // if set, it rejects all requests with this Retry-After
+	hostUnreachable bool                          // its host is unreachable after a crash, instead of refusing connections
+	silentUntil     time.Time                     // requests wait until then; zero: they do not
+	capacity        *simulatedCapacity            // nil: it runs any number of requests at once
+	build           string                        // its software version
+	events          int                           // of its answers; 0: all at once, one event
+	pauseBefore     func(event int) time.Duration // further pause before an event; nil: none
+	failing         float64                       // fraction of the requests that it answers with a server error
 
 	arrivals       []arrival
 	segmentCrashes []segmentCrash
--- a/router/report.go
+++ b/router/report.go
@@ -49,6 +49,11 @@
 		"kind": rep.Kind.String(), "code": code, "class": strconv.Itoa(rep.Status/100) + "xx",
 	}).Counter("requests").Inc(1)
 	m.attempts.Inc(int64(len(rep.Attempts)))
+	for i := range rep.Attempts {
+		if s := rep.Attempts[i].Stall; s != nil {
+			m.scope.Tagged(map[string]string{"result": s.Verdict.String()}).Counter("stream_stalls").Inc(1)
+		}
+	}
 	m.duration.RecordDuration(rep.Duration)
 	if rep.FirstEvent > 0 {
 		m.firstEvent.RecordDuration(rep.FirstEvent)
@@ -193,6 +198,14 @@
 		b = append(b, " lost="...)
 		b = append(b, a.Lost...)
 	}
+	if s := a.Stall; s != nil {
+		b = append(b, " stall="...)
+		b = append(b, s.Verdict.String()...)
+		b = append(b, " usual_ms="...)
+		b = strconv.AppendInt(b, s.Usual.Milliseconds(), 10)
+		b = append(b, " waited_ms="...)
+		b = strconv.AppendInt(b, s.Waited.Milliseconds(), 10)
+	}
 	return string(b)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -99,12 +99,15 @@
 	paths          *relay.Dialer          // connections to endpoints, through other daemons if need be
 	relayServer    *relay.Server
 	dispatch       *dispatchPlacer
-	origins        *streamOrigins
-	feeds          [topicCount]*feed.Feed
-	log            *logging.Logger
-	requestLog     lineLimiter // limits the lines of ordinary requests
-	endpointLog    lineLimiter // limits the lines of endpoints that are ready
-	metrics        *meters
+	// serviceShort reports whether the service of a request has too little capacity. It is set
+	// before requests are served; nil: never.
+	serviceShort func(req *forward.PlacementRequest) bool
+	origins      *streamOrigins
+	feeds        [topicCount]*feed.Feed
+	log          *logging.Logger
+	requestLog   lineLimiter // limits the lines of ordinary requests
+	endpointLog  lineLimiter // limits the lines of endpoints that are ready
+	metrics      *meters
 
 	peerHosts    atomic.Pointer[map[string]bool] // hosts of the other daemons
 	generation   atomic.Int64                    // of the store, as of the last complete read of a topic
@@ -183,6 +186,7 @@
 			Origins:          r.origins,
 			Limiter:          r.limits,
 			Quarantine:       r.quarantine,
+			Stalls:           r.newStallControl(),
 			Report:           r.report,
 		}),
 		ReadHeaderTimeout: headerTimeout,
@@ -208,6 +212,16 @@
 	return quarantineguard.New(o)
 }
 
+// newStallControl returns the control that moves stalled streams; nil: it is disabled.
+func (r *Router) newStallControl() *forward.StallControl {
+	if !r.options.Settings.OverloadControl {
+		return nil
+	}
+	return forward.NewStallControl(func(req *forward.PlacementRequest) bool {
+		return r.serviceShort != nil && r.serviceShort(req)
+	})
+}
+
 func (r *Router) newEndpointLimits(me Neighbour) *endpointlimit.Limiter {
 	return endpointlimit.New(endpointlimit.Options{
 		Me: gossip.Peer{Name: me.Name, Address: me.Address}, Clock: r.options.Clock, Rand: r.options.Rand,
--- a/router/settings.go
+++ b/router/settings.go
@@ -40,4 +40,6 @@
 	// QuotaTolerance is by how much the requests of an organisation may exceed its rate
 	// limit.
 	QuotaTolerance quota.Tolerance
+	// OverloadControl enables the decisions under overload.
+	OverloadControl bool
 }
--- a/router/stream_callers_test.go
+++ b/router/stream_callers_test.go
@@ -41,6 +41,9 @@
 		return false
 	}
 	for i := from; i < e.events; i++ {
+		if e.pauseBefore != nil {
+			time.Sleep(e.pauseBefore(i))
+		}
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, build)
 		if e.f.unframed {
 			_, _ = io.WriteString(c, event)
