Soak with overload control

Seeds from 30000 run daemons with overload control, two organisations of different weights, and plain runners with one slot each, which reject requests without crashing.

--- a/lab/metastore/room.go
+++ b/lab/metastore/room.go
@@ -13,6 +13,7 @@
 type Room struct {
 	Slots, Waiting int
 	Limit          float64       // rejections/s above which it crashes, as reported
+	Unlimited      bool          // rejections do not crash it, whatever Limit is
 	Reports        bool          // answers report the load
 	Restart        time.Duration // from a crash until it serves again
 
@@ -82,7 +83,7 @@
 		}
 	}
 	m.rejections = recent
-	if float64(len(recent)) > m.Limit {
+	if !m.Unlimited && float64(len(recent)) > m.Limit {
 		m.crashes++
 		m.rejections, m.downUntil = nil, now.Add(m.Restart)
 	}
@@ -98,7 +99,9 @@
 func (m *Room) setHeader(h http.Header) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h.Set("Server-Brittle", strconv.FormatFloat(m.Limit, 'g', -1, 64))
+	if !m.Unlimited {
+		h.Set("Server-Brittle", strconv.FormatFloat(m.Limit, 'g', -1, 64))
+	}
 	if m.Reports {
 		h.Set("Server-Load", fmt.Sprint(m.running, ",", m.waiting, ",", m.Slots))
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -138,6 +138,7 @@
 	config     map[string]any // the newest configuration
 	entries    map[string]any // the newest entries of runners
 	weights    int
+	overload   bool                 // daemons control overload
 	keys       []string             // valid keys besides stableKey
 	revoked    map[string]time.Time // time of the configuration without the key
 	requests   int
@@ -148,6 +149,7 @@
 	s := &soak{
 		t: t, faultRand: rand.New(rand.NewPCG(seed, 9)), callerRand: rand.New(rand.NewPCG(seed, 10)), store: metastore.New(),
 		entries: map[string]any{}, runners: map[string]*metastore.Runner{}, revoked: map[string]time.Time{}, weights: 1,
+		overload: seed >= firstSeedWithOverload,
 	}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
@@ -224,6 +226,9 @@
 		"heartbeatMs=300\nbounds.drainMs=400\nbounds.configApplyMs=2000\nbounds.graceS=4\nbounds.revokeMs=%d\nbounds.versionMs=15000\nbounds.leaseMs=300\n"+
 		"bounds.budgetRatio=0.5\nbounds.budgetWindowS=10\nbounds.retrySlack=50\ninternalPorts=%s\n",
 		i, p.front, metastore.FreeAddress(s.t), link.address(), revokeWithin.Milliseconds(), freePort(s.t))
+	if s.overload {
+		text += "contracts=base,pressure\n"
+	}
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -273,12 +278,26 @@
 		"limits":  map[string]any{"maxBodyBytes": 100000},
 		"tenants": []any{map[string]any{"name": "org-a", "apiKeys": append([]string{stableKey}, s.keys...)}},
 	}
+	if s.overload {
+		s.config["tenants"] = []any{
+			map[string]any{"name": "org-a", "weight": 2, "apiKeys": []string{stableKey}},
+			map[string]any{"name": "org-b", "apiKeys": s.keys},
+		}
+	}
 	s.store.Put("keyed.op", "config", s.config)
 	for _, key := range removed {
 		s.revoked[key] = time.Now()
 	}
 }
 
+// organisation returns the name of the organisation of a valid key.
+func (s *soak) organisation(key string) string {
+	if s.overload && key != stableKey {
+		return "org-b"
+	}
+	return "org-a"
+}
+
 // call sends a random request to a daemon and returns it with its answer.
 func (s *soak) call(client *http.Client, front string) attempt {
 	s.mu.Lock()
@@ -539,7 +558,7 @@
 			s.t.Errorf("%s ran %v after its key was revoked", a.id, a.sent.Sub(revokedAt))
 		}
 		for _, run := range ran {
-			if run.Header.Get("Tenant") != "org-a" || run.Header.Get("Api-Key") != "" {
+			if run.Header.Get("Tenant") != s.organisation(a.key) || run.Header.Get("Api-Key") != "" {
 				s.t.Errorf("%s reached a runner with %v", a.id, run.Header)
 			}
 		}
@@ -600,6 +619,19 @@
 
 func TestSoakWithBrittleRunners(t *testing.T) { runSeed(t, firstSeedWithBrittleRunners) }
 
+// firstSeedWithOverload is the lowest seed whose daemons control overload and whose plain
+// runners have fewer slots than callers take, without being brittle.
+const firstSeedWithOverload = 30_000
+
+func TestSoakWithOverload(t *testing.T) { runSeed(t, firstSeedWithOverload) }
+
+// limitSlots gives the plain runners few slots.
+func (s *soak) limitSlots() {
+	for i := modelRunners; i < len(s.runnerLinks); i++ {
+		s.runners[s.runnerID(i)].Room = &metastore.Room{Slots: 1, Waiting: 4, Unlimited: true, Reports: true}
+	}
+}
+
 // makeBrittle makes the plain runners brittle, with less room than callers may take.
 func (s *soak) makeBrittle() {
 	for i := modelRunners; i < len(s.runnerLinks); i++ {
@@ -626,7 +658,10 @@
 	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 		s := newSoak(t, uint64(seed))
 		s.faultKinds = 10
-		if seed >= firstSeedWithBrittleRunners {
+		switch {
+		case s.overload:
+			s.limitSlots()
+		case seed >= firstSeedWithBrittleRunners:
 			s.makeBrittle()
 		}
 		if seed >= firstSeedWithAllFaults {
