Leave no slot times or requests behind when admission is disabled

A refresh that was due when the configuration removed the last weight set the slot times again after they had been cleared, and a request placed at that time stayed in the map of open requests.

--- a/router/admission.go
+++ b/router/admission.go
@@ -414,6 +414,9 @@
 	}
 	a.state.mu.Unlock()
 	a.do(func(clock time.Duration) {
+		if !a.active.Load() {
+			return // setConfiguration has cleared the slot times since
+		}
 		for to, n := range slots {
 			a.service(to.service, to.model).slots = n
 		}
@@ -651,7 +654,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	service := serviceOf(req)
-	if a.services[service] == nil {
+	if !a.active.Load() || a.services[service] == nil {
 		return
 	}
 	key := estimateKeyOf(req)
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -457,6 +457,41 @@
 	})
 }
 
+// Guards against slot times and open requests that remain when a refresh, or the placement of
+// a request, ends after the configuration disabled admission. Placement would differ from
+// that of a daemon without admission until the next restart.
+func TestDisabledAdmissionLeavesNoState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1, routes.Route{})
+		r := f.daemons[0]
+		a := r.placer.admission
+		table := *f.table
+		table.Organisations = map[string]*routes.Organisation{fleetKey: {Name: "org", Weight: 2}}
+		a.setConfiguration(&table)
+		time.Sleep(time.Second)
+		a.mu.Lock()
+		a.service("s", "").duration.add(60)
+		a.mu.Unlock()
+		key, now := directory.Key(f.endpoints[0].id(), f.endpoints[0].born()), time.Now()
+		r.state.view.LoadReported(key, fleet.Load{At: now, Running: 6, Waiting: 6, Slots: 6})
+		backlog := r.state.view.Backlog(now, key)
+		a.refresh(now)
+		if got := r.state.view.Backlog(now, key); got == backlog {
+			t.Fatal("admission sets no slot time")
+		}
+		a.setConfiguration(f.table)
+		a.refresh(now)
+		if got := r.state.view.Backlog(now, key); got != backlog {
+			t.Errorf("backlog %s without admission, want %s", got, backlog)
+		}
+		req := &forward.PlacementRequest{Route: &f.table.Routes[0], Service: f.table.Services["s"], In: &forward.RequestInfo{}}
+		a.placed(time.Now(), req, &forward.Placement{ID: 1, Target: forward.Target{Key: key}}, nil)
+		if len(a.open) > 0 {
+			t.Error("a request is recorded without admission")
+		}
+	})
+}
+
 // Guards against weights that depend on the unit of rate limits or on how many keys an
 // organisation has.
 func TestOrganisationWeights(t *testing.T) {
