Observe the work of a moved stream at the other endpoint

The work of a stream that was moved before its first event was withdrawn after a second, although the request ran, and its answer was not counted as work.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,7 +56,7 @@
 			failure = retry.NotSent
 		}
 		end = AttemptEnd{Failure: failure, Lost: !withdrawn, Withdrawn: withdrawn, Cause: err}
-		end.setStalled()
+		c.setStalled(&end)
 		var sent *attemptError
 		if errors.As(err, &sent) {
 			c.report.Attempts[len(c.report.Attempts)-1].Via = sent.via
@@ -69,7 +69,7 @@
 	c.o.Placer.AnswerStarted(p, &a.Info)
 	c.build = p.Build
 	end = c.relayAnswer(a)
-	end.setStalled()
+	c.setStalled(&end)
 	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Placement: p.ID, Failure: end.Failure}
 }
 
--- a/forward/placer.go
+++ b/forward/placer.go
@@ -122,6 +122,8 @@
 	// Stalled states that the stream waited for an event far longer than usual and was moved
 	// to another endpoint.
 	Stalled bool
+	// MovedTo is the ID of the placement to which the stream is moved; 0: it is not.
+	MovedTo uint64 `json:"-"`
 }
 
 // mayHaveRun reports whether the endpoint may have run the request, in whole or
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -437,8 +437,9 @@
 
 // setStalled changes the end of an attempt whose stream is moved. It shows no fault of the
 // connection.
-func (e *AttemptEnd) setStalled() {
+func (c *call) setStalled(e *AttemptEnd) {
 	if errors.Is(e.Cause, errStalled) {
 		e.Stalled, e.Lost, e.Withdrawn, e.Failure = true, false, false, retry.Stalled
+		e.MovedTo = c.move.to.ID
 	}
 }
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -116,7 +116,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			stalled, closed := stallingEndpoint(t, c.first, c.rest, 800*time.Millisecond)
 			other, seen := endpoint(t, streamHead+c.second+end)
-			p := &listPlacer{places: []Placement{{Target: stalled}, {Target: other}}}
+			p := &listPlacer{places: []Placement{{ID: 1, Target: stalled}, {ID: 2, Target: other}}}
 			l := &countingLimiter{verdict: quota.Verdict{Admitted: true}}
 			var report Report
 			reported := make(chan bool)
@@ -137,7 +137,7 @@
 			if len(seen) != 1 {
 				t.Errorf("%d requests at the other endpoint", len(seen))
 			}
-			if len(p.ends) != 2 || !p.ends[0].Stalled || p.ends[0].Lost || p.ends[0].Failure != retry.Stalled || !p.ends[1].Whole {
+			if len(p.ends) != 2 || !p.ends[0].Stalled || p.ends[0].MovedTo != 2 || p.ends[0].Lost || p.ends[0].Failure != retry.Stalled || !p.ends[1].Whole {
 				t.Errorf("attempts ended %+v", p.ends)
 			}
 			if n := l.runs(); n != 2 {
--- a/router/admission.go
+++ b/router/admission.go
@@ -737,7 +737,11 @@
 	delete(a.open, p.ID)
 	if o != nil && o.work != nil {
 		o.since = now
-		a.failed[p.ID] = o.unobserved
+		if to := a.open[end.MovedTo]; end.MovedTo != 0 && to != nil {
+			to.unobserved = o.unobserved
+		} else {
+			a.failed[p.ID] = o.unobserved
+		}
 	}
 	if o == nil || o.firstByte == 0 || !end.Whole || end.Error {
 		return
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -704,6 +704,22 @@
 	}
 }
 
+// Guards against a request that is withdrawn while it runs: the work of a stream that is moved
+// before its first event is observed at the other endpoint.
+func TestWorkOfMovedStreamIsObservedAtOtherEndpoint(t *testing.T) {
+	a := newAdmission(&Settings{OverloadControl: true}, nil, BootClock, func() uint64 { return 1 }, discardLog())
+	a.service("s", "")
+	req := &forward.PlacementRequest{Route: &routes.Route{Name: "r"}, Service: &routes.Service{Name: "s"}, In: &forward.RequestInfo{}}
+	moved := *req
+	now, work := time.Now(), &shares.Work{Service: shares.ServiceOf("s", ""), Cost: 0.1}
+	a.placed(now, req, &forward.Placement{ID: 1}, work)
+	a.placed(now, &moved, &forward.Placement{ID: 2}, nil)
+	a.attemptEnded(now, &forward.Placement{ID: 1}, &forward.AttemptEnd{Stalled: true, MovedTo: 2})
+	if len(a.failed) > 0 || a.open[2].work != work || a.open[2].req != req {
+		t.Errorf("failed %v, work at the other endpoint %v", a.failed, a.open[2].work)
+	}
+}
+
 // Guards against memory that grows with the models that callers name.
 func TestAdmissionOfUnknownModelsKeepsNoState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
