--- a/router/admission.go
+++ b/router/admission.go
@@ -742,6 +742,7 @@
 		} else {
 			a.failed[p.ID] = o.unobserved
 		}
+		o.work = nil // observeWaiting may still hold o
 	}
 	if o == nil || o.firstByte == 0 || !end.Whole || end.Error {
 		return
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/quota"
+	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -720,6 +722,41 @@
 	}
 }
 
+// Guards against a wait that is counted although its attempt ended meanwhile: the work would
+// be observed, and withdrawn afterwards.
+func TestAttemptThatEndsWhileWaitsAreObservedIsNotCountedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWith(t, 1, 1, routes.Route{Kind: routes.Safe}, func(int) fleet.ZoneID { return "z" }, func(f *simulatedFleet) { f.overloadControl = true })
+		time.Sleep(time.Second)
+		r := f.daemons[0]
+		a, now := r.placer.admission, time.Now()
+		key := directory.Key(f.endpoints[0].id(), f.endpoints[0].born())
+		req := &forward.PlacementRequest{Route: &f.table.Routes[0], Service: f.table.Services["s"], In: &forward.RequestInfo{}}
+		a.mu.Lock()
+		a.answeredAt[key] = now
+		a.mu.Unlock()
+		const requests = 20
+		for id := range uint64(requests) {
+			work := &shares.Work{Service: shares.ServiceOf("s", ""), Cost: 0.06}
+			a.placed(now.Add(-overloadObjective-time.Millisecond), req, &forward.Placement{ID: id, Target: forward.Target{Key: key}}, work)
+		}
+		r.state.mu.Lock()
+		go a.observeWaiting(now)
+		// A mutex does not count as durably blocked, so that synctest.Wait cannot be used.
+		for range 1000 {
+			runtime.Gosched()
+		}
+		for id := range uint64(requests) {
+			a.attemptEnded(now, &forward.Placement{ID: id}, &forward.AttemptEnd{Failure: retry.Unknown})
+		}
+		r.state.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		if a.short(req) {
+			t.Error("waits of attempts that have ended are observed")
+		}
+	})
+}
+
 // Guards against memory that grows with the models that callers name.
 func TestAdmissionOfUnknownModelsKeepsNoState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
