--- a/forward/limit.go
+++ b/forward/limit.go
@@ -16,8 +16,8 @@
 // Limiter enforces the rate limits of organisations across all daemons. tokens is
 // RequestInfo.QuotaTokens.
 type Limiter interface {
-	// Admit decides on a request. priority is that of its route. It may wait for the answer of another daemon,
-	// and returns an error only if the context ends first.
+	// Admit decides on a request. priority is that of its route. It may wait for the
+	// answer of another daemon, and returns an error only if the context ends first.
 	Admit(ctx context.Context, org *routes.Organisation, tokens, priority int) (quota.Verdict, error)
 	// Refund returns the units of an admitted request that did not run.
 	Refund(org *routes.Organisation, tokens int)
--- a/router/admission.go
+++ b/router/admission.go
@@ -69,6 +69,8 @@
 	self    shares.Daemon
 	setting bool // Settings.OverloadControl
 
+	malformedLog lineLimiter
+
 	active atomic.Bool
 	wake   chan struct{} // has an element after active was set
 
@@ -140,7 +142,6 @@
 }
 
 // value returns the lowest time; 0: none was added.
-
 func (l *lowestTime) value() time.Duration {
 	if l.previous == 0 || l.present != 0 && l.present < l.previous {
 		return l.present
@@ -196,7 +197,8 @@
 		clock: clock, state: s, scope: tally.NoopScope, log: log, send: func(string, []byte) {}, random: random,
 		self:    shares.Daemon{Peer: gossip.Peer{Name: set.Name, Address: set.PeerAddress}, Cores: set.Cores},
 		setting: set.OverloadControl, wake: make(chan struct{}, 1),
-		services: map[shares.Service]*admittedService{}, estimates: map[estimateKey]*routeEstimate{}, open: map[uint64]*openRequest{}, failed: map[uint64]unobserved{}, retried: map[*forward.PlacementRequest]unobserved{}, answeredAt: map[fleet.EndpointID]time.Time{},
+		malformedLog: lineLimiter{perSecond: malformedPerSecond},
+		services:     map[shares.Service]*admittedService{}, estimates: map[estimateKey]*routeEstimate{}, open: map[uint64]*openRequest{}, failed: map[uint64]unobserved{}, retried: map[*forward.PlacementRequest]unobserved{}, answeredAt: map[fleet.EndpointID]time.Time{},
 	}
 	if a.setting {
 		a.mu.Lock()
@@ -268,12 +270,15 @@
 	if !a.enabled() {
 		return
 	}
-	a.do(func(now time.Duration) {
-		if err := a.node.Receive(now, from, data); err != nil {
-			a.scope.Counter("share_messages_malformed").Inc(1)
-			a.log.Info("Message of another daemon is malformed.", "from", from, "error", err.Error())
-		}
-	})
+	var err error
+	a.do(func(now time.Duration) { err = a.node.Receive(now, from, data) })
+	if err == nil {
+		return
+	}
+	a.scope.Counter("share_messages_malformed").Inc(1)
+	if write, _ := a.malformedLog.allow(time.Now()); write {
+		a.log.Info("Message of another daemon is malformed.", "from", from, "error", err.Error())
+	}
 }
 
 // Short implements shortage.
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -659,6 +659,24 @@
 	}
 }
 
+// Guards against a log that is filled by a daemon that sends malformed messages.
+func TestLogLinesOfMalformedShareMessagesAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		logs, err := logging.NewFactory(&lines, "info")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := newAdmission(&Settings{OverloadControl: true}, nil, BootClock, func() uint64 { return 1 }, logs.For(logging.ComponentRouter))
+		for range 10 * malformedPerSecond {
+			a.receive("b:1", []byte{0x71})
+		}
+		if n := strings.Count(lines.String(), "malformed"); n == 0 || n > 2*malformedPerSecond {
+			t.Errorf("%d lines", n)
+		}
+	})
+}
+
 // Guards against costs that count the reading of prompts twice, so that the sum of the work
 // exceeds the slots, and against long prompts that cost as little as short ones.
 func TestCostsOfPromptsAddUpToTheirSlotTime(t *testing.T) {
