--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/placement"
 	"github.com/merlindock/merlindock/quota"
+	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -457,6 +459,41 @@
 	})
 }
 
+// Guards against slot times and open requests that remain when a refresh, or the placement of
+// a request, ends after the configuration disabled admission. Placement would differ from
+// that of a daemon without admission until the next restart.
+func TestDisabledAdmissionLeavesNoState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1, routes.Route{})
+		r := f.daemons[0]
+		a := r.placer.admission
+		table := *f.table
+		table.Organisations = map[string]*routes.Organisation{fleetKey: {Name: "org", Weight: 2}}
+		a.setConfiguration(&table)
+		time.Sleep(time.Second)
+		a.mu.Lock()
+		a.service("s", "").duration.add(60)
+		a.mu.Unlock()
+		key, now := directory.Key(f.endpoints[0].id(), f.endpoints[0].born()), time.Now()
+		r.state.view.LoadReported(key, fleet.Load{At: now, Running: 6, Waiting: 6, Slots: 6})
+		backlog := r.state.view.Backlog(now, key)
+		a.refresh(now)
+		if got := r.state.view.Backlog(now, key); got == backlog {
+			t.Fatal("admission sets no slot time")
+		}
+		a.setConfiguration(f.table)
+		a.refresh(now)
+		if got := r.state.view.Backlog(now, key); got != backlog {
+			t.Errorf("backlog %s without admission, want %s", got, backlog)
+		}
+		req := &forward.PlacementRequest{Route: &f.table.Routes[0], Service: f.table.Services["s"], In: &forward.RequestInfo{}}
+		a.placed(time.Now(), req, &forward.Placement{ID: 1, Target: forward.Target{Key: key}}, nil)
+		if len(a.open) > 0 {
+			t.Error("a request is recorded without admission")
+		}
+	})
+}
+
 // Guards against weights that depend on the unit of rate limits or on how many keys an
 // organisation has.
 func TestOrganisationWeights(t *testing.T) {
@@ -622,6 +659,24 @@
 	}
 }
 
+// Guards against a log that is filled by a daemon that sends malformed messages.
+func TestLogLinesOfMalformedShareMessagesAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		logs, err := logging.NewFactory(&lines, "info")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := newAdmission(&Settings{OverloadControl: true}, nil, BootClock, func() uint64 { return 1 }, logs.For(logging.ComponentRouter))
+		for range 10 * malformedPerSecond {
+			a.receive("b:1", []byte{0x71})
+		}
+		if n := strings.Count(lines.String(), "malformed"); n == 0 || n > 2*malformedPerSecond {
+			t.Errorf("%d lines", n)
+		}
+	})
+}
+
 // Guards against costs that count the reading of prompts twice, so that the sum of the work
 // exceeds the slots, and against long prompts that cost as little as short ones.
 func TestCostsOfPromptsAddUpToTheirSlotTime(t *testing.T) {
@@ -669,6 +724,57 @@
 	}
 }
 
+// Guards against a request that is withdrawn while it runs: the work of a stream that is moved
+// before its first event is observed at the other endpoint.
+func TestWorkOfMovedStreamIsObservedAtOtherEndpoint(t *testing.T) {
+	a := newAdmission(&Settings{OverloadControl: true}, nil, BootClock, func() uint64 { return 1 }, discardLog())
+	a.service("s", "")
+	req := &forward.PlacementRequest{Route: &routes.Route{Name: "r"}, Service: &routes.Service{Name: "s"}, In: &forward.RequestInfo{}}
+	moved := *req
+	now, work := time.Now(), &shares.Work{Service: shares.ServiceOf("s", ""), Cost: 0.1}
+	a.placed(now, req, &forward.Placement{ID: 1}, work)
+	a.placed(now, &moved, &forward.Placement{ID: 2}, nil)
+	a.attemptEnded(now, &forward.Placement{ID: 1}, &forward.AttemptEnd{Stalled: true, MovedTo: 2})
+	if len(a.failed) > 0 || a.open[2].work != work || a.open[2].req != req {
+		t.Errorf("failed %v, work at the other endpoint %v", a.failed, a.open[2].work)
+	}
+}
+
+// Guards against a wait that is counted although its attempt ended meanwhile: the work would
+// be observed, and withdrawn afterwards.
+func TestAttemptThatEndsWhileWaitsAreObservedIsNotCountedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWith(t, 1, 1, routes.Route{Kind: routes.Safe}, func(int) fleet.ZoneID { return "z" }, func(f *simulatedFleet) { f.overloadControl = true })
+		time.Sleep(time.Second)
+		r := f.daemons[0]
+		a, now := r.placer.admission, time.Now()
+		key := directory.Key(f.endpoints[0].id(), f.endpoints[0].born())
+		req := &forward.PlacementRequest{Route: &f.table.Routes[0], Service: f.table.Services["s"], In: &forward.RequestInfo{}}
+		a.mu.Lock()
+		a.answeredAt[key] = now
+		a.mu.Unlock()
+		const requests = 20
+		for id := range uint64(requests) {
+			work := &shares.Work{Service: shares.ServiceOf("s", ""), Cost: 0.06}
+			a.placed(now.Add(-overloadObjective-time.Millisecond), req, &forward.Placement{ID: id, Target: forward.Target{Key: key}}, work)
+		}
+		r.state.mu.Lock()
+		go a.observeWaiting(now)
+		// A mutex does not count as durably blocked, so that synctest.Wait cannot be used.
+		for range 1000 {
+			runtime.Gosched()
+		}
+		for id := range uint64(requests) {
+			a.attemptEnded(now, &forward.Placement{ID: id}, &forward.AttemptEnd{Failure: retry.Unknown})
+		}
+		r.state.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		if a.short(req) {
+			t.Error("waits of attempts that have ended are observed")
+		}
+	})
+}
+
 // Guards against memory that grows with the models that callers name.
 func TestAdmissionOfUnknownModelsKeepsNoState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
