--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -300,8 +300,19 @@
 		"line 3": {daemons: 12, endpoints: 6, slots: 6, room: 24, demand: 3, retries: retryAtTime},
 		"line 4": {daemons: 12, endpoints: 6, slots: 6, room: 48, demand: 1.2},
 		"line 5": {daemons: 72, endpoints: 4, slots: 6, room: 24, demand: 3},
-		"line 6": {daemons: 12, endpoints: 6, slots: 16, room: 48, demand: 2, promptTokens: 300},
-		"line 7": {daemons: 72, endpoints: 12, slots: 16, room: 48, demand: 2, promptTokens: 300},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { l.run(t).check(t) })
+		})
+	}
+}
+
+// Guards against the same where endpoints are engines.
+func TestSteadyOrganisationIsServedInTimeByEnginesUnderOverload(t *testing.T) {
+	for name, l := range map[string]overloadLoad{
+		"line 6":          {daemons: 12, endpoints: 6, slots: 16, room: 48, demand: 2, promptTokens: 300},
+		"line 7":          {daemons: 72, endpoints: 12, slots: 16, room: 48, demand: 2, promptTokens: 300},
+		"no load reports": {daemons: 6, endpoints: 3, slots: 16, room: 48, demand: 2, promptTokens: 300, reportsNothing: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { l.run(t).check(t) })
@@ -313,11 +324,10 @@
 // requests, and on how often refused requests are repeated.
 func TestSharesHoldForUnevenDaemonsAndImmediateRetries(t *testing.T) {
 	for name, l := range map[string]overloadLoad{
-		"no load reports":          {daemons: 12, endpoints: 6, slots: 6, room: 24, demand: 3, reportsNothing: true},
-		"nine tenths at one":       {daemons: 12, endpoints: 6, slots: 6, room: 24, demand: 2, atFirst: 0.9},
-		"immediate retries":        {daemons: 6, endpoints: 2, slots: 6, room: 24, demand: 2, retries: retryAtOnce},
-		"five times the capacity":  {daemons: 6, endpoints: 3, slots: 6, room: 24, demand: 5},
-		"prompts, no load reports": {daemons: 6, endpoints: 3, slots: 16, room: 48, demand: 2, promptTokens: 300, reportsNothing: true},
+		"no load reports":         {daemons: 12, endpoints: 6, slots: 6, room: 24, demand: 3, reportsNothing: true},
+		"nine tenths at one":      {daemons: 12, endpoints: 6, slots: 6, room: 24, demand: 2, atFirst: 0.9},
+		"immediate retries":       {daemons: 6, endpoints: 2, slots: 6, room: 24, demand: 2, retries: retryAtOnce},
+		"five times the capacity": {daemons: 6, endpoints: 3, slots: 6, room: 24, demand: 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { l.run(t).check(t) })
