--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -295,10 +295,20 @@
 // more than there is, with the loads of the table in docs/design/overload.md.
 func TestSteadyOrganisationIsServedInTimeUnderOverload(t *testing.T) {
 	for name, l := range map[string]overloadLoad{
-		"line 1": {daemons: 3, endpoints: 3, slots: 6, room: 12, demand: 2},
 		"line 2": {daemons: 12, endpoints: 6, slots: 6, room: 24, demand: 3},
 		"line 3": {daemons: 12, endpoints: 6, slots: 6, room: 24, demand: 3, retries: retryAtTime},
 		"line 4": {daemons: 12, endpoints: 6, slots: 6, room: 48, demand: 1.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { l.run(t).check(t) })
+		})
+	}
+}
+
+// Guards against the same where endpoints let few requests wait, or daemons outnumber slots.
+func TestSteadyOrganisationIsServedInTimeByFewSlots(t *testing.T) {
+	for name, l := range map[string]overloadLoad{
+		"line 1": {daemons: 3, endpoints: 3, slots: 6, room: 12, demand: 2},
 		"line 5": {daemons: 72, endpoints: 4, slots: 6, room: 24, demand: 3},
 	} {
 		t.Run(name, func(t *testing.T) {
