--- a/contract/shares/returns_test.go
+++ b/contract/shares/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -194,3 +195,18 @@
 		t.Errorf("credit %v after the withdrawal, %v before", *credit, before)
 	}
 }
+
+// Guards against callers that return at the same moment because their organisation's backlog
+// is beyond the longest Retry-After.
+func TestRetriesBeyondTheLongestTimeAreSpread(t *testing.T) {
+	o, rng := &organisation{}, rand.New(rand.NewPCG(1, 2))
+	first, last := time.Hour, time.Duration(0)
+	for i := range 100 {
+		w := &Work{Request: uint64(i + 1), Cost: 1, Objective: 100 * ms}
+		x := o.schedule(0, rng, w, w.Cost, 1e-9)
+		first, last = min(first, x.due), max(last, x.due)
+	}
+	if last > maxRetryAfter || last-first < maxRetryAfter/20 {
+		t.Errorf("retries are due from %v to %v after the refusals", first, last)
+	}
+}
