End orders to engines that have loaded older weights instead

Cause: an engine that is loading an older version when the leader asks for its report counts as under the order to the named version for max(4 s, three mean absences), although it will never carry that order out. The end of the older load was ignored, so that up to all four places stayed occupied for seconds. When the engine was ordered again, its absence counted from the first request for its report: 14.7 s for a load of 1.8 s, after which orders were held to expire after 19 s. This occurs after a change of leaders, and when a version is named while late orders are carried out. The poll of loading engines now ends such an order.

--- a/router/orders.go
+++ b/router/orders.go
@@ -341,7 +341,10 @@
 			call, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
 			report, err := l.router.engines.Report(call, e.engine.Target, e.model)
-			if err == nil && !report.Busy && report.Version >= e.version {
+			if err != nil || report.Busy || report.Version <= e.engine.Version {
+				return
+			}
+			if report.Version >= e.version || l.endSuperseded(e) {
 				l.recordLoaded(e.engine, e.model, report.Version)
 			}
 		}()
@@ -349,6 +352,14 @@
 	all.Wait()
 }
 
+// endSuperseded ends the order to an engine that has loaded older weights than ordered. It
+// returns false if another order was sent to the engine since e was listed.
+func (l *leader) endSuperseded(e loadingEngine) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loading[e.engine.Key] == e && l.plans[e.model].EndSuperseded(l.router.clock(), e.engine.Key, e.version)
+}
+
 // pendingLoads returns the engines that were ordered to load and are not known to have
 // finished.
 func (l *leader) pendingLoads(now time.Duration) []loadingEngine {
--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/merlindock/merlindock/weights"
 )
 
 // lastHolder returns the index of the daemon that gave the last order.
@@ -56,6 +58,41 @@
 	}
 }
 
+// Guards against a rollout that stands still for seconds: engines that are still loading an
+// older version when they are due for an order would count as under that order long after
+// the load has ended.
+func TestEndedLoadOfOlderVersionLeavesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, e := newRolloutZone(t, 3, 18)
+		time.Sleep(zoneSettleTime)
+		loading := map[string]bool{"e0": true, "e10": true, "e11": true, "e12": true} // the first four by key
+		e.mu.Lock()
+		for id := range loading {
+			e.carryOut(id, weights.Order{Version: 2})
+		}
+		e.mu.Unlock()
+		e.name(3)
+		named := time.Now()
+		time.Sleep(3 * zoneSettings.VersionWithin / 2)
+		if n := e.behind(3); n > 0 {
+			t.Errorf("%d engines are older than the named version", n)
+		}
+		e.checkOrders(t)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		first := e.orders[0]
+		t.Logf("the first order was given to %s after %v", first.to, first.at.Sub(named))
+		if loading[first.to] {
+			t.Errorf("%s got an order before engines with older weights", first.to)
+		}
+		// The next poll after a load shows its end.
+		least, most := rolloutLoadTime, rolloutLoadTime+2*loadPollInterval
+		if after := first.at.Sub(named); after < least || after > most {
+			t.Errorf("the first order was given %v after the version was named, want %v to %v", after, least, most)
+		}
+	})
+}
+
 // Guards against engines with the oldest weights that wait for their orders while others get
 // theirs first whose entries are older than their weights.
 func TestOldestEnginesAreOrderedFirstByTheirReports(t *testing.T) {
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -71,6 +71,8 @@
 	loading bool          // the engine may be loading
 	// unanswered states that it is not known whether the engine will carry out the order.
 	unanswered bool
+	// awaitingReply states that Replied has not been called yet.
+	awaitingReply bool
 }
 
 // NewPlan returns a Plan without orders.
@@ -171,7 +173,7 @@
 // Sent records that an order is about to be sent to an engine. Until Replied is called, the
 // engine counts as loading.
 func (p *Plan) Sent(now time.Duration, key fleet.EndpointID, version int64) {
-	p.orders[key] = sentOrder{version: version, sent: p.firstSent(now, key, version), until: now + maxReplyTime, loading: true}
+	p.orders[key] = sentOrder{version: version, sent: p.firstSent(now, key, version), until: now + maxReplyTime, loading: true, awaitingReply: true}
 }
 
 // firstSent returns when an order that may be repeated was first sent.
@@ -194,6 +196,19 @@
 	}
 }
 
+// EndSuperseded ends an order to an engine that has loaded older weights than ordered since
+// the order was sent: it was loading them already, or carried out an earlier order late. It
+// will not carry out this order, which would otherwise count until it expires. EndSuperseded
+// returns false, and changes nothing, if the reply to the order is awaited or the last order
+// was to another version.
+func (p *Plan) EndSuperseded(now time.Duration, key fleet.EndpointID, version int64) bool {
+	if o := p.orders[key]; o.awaitingReply || o.version != version {
+		return false
+	}
+	p.Replied(now, key, version, AlreadyHolds)
+	return true
+}
+
 // RemoveUnknown removes the state of engines that are not in known.
 func (p *Plan) RemoveUnknown(known map[fleet.EndpointID]bool) {
 	for key := range p.orders {
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -263,3 +263,29 @@
 		t.Errorf("%d of %d engines have unanswered orders, want %d", ordered, len(all), want)
 	}
 }
+
+// Guards against an engine that holds up others after it has loaded older weights than
+// ordered, against an absence that includes that load, and against an engine that is ordered
+// again while the reply to an order is awaited.
+func TestEndSupersededMakesRoomForOthers(t *testing.T) {
+	p, all := NewPlan(), engines(1, 1)
+	first := p.Next(0, all, 3)[0].Key
+	p.Sent(0, first, 3)
+	if p.EndSuperseded(100*time.Millisecond, first, 3) || len(p.Next(100*time.Millisecond, all, 3)) > 0 {
+		t.Error("an order was ended while its reply was awaited")
+	}
+	p.Replied(200*time.Millisecond, first, 3, Accepted)
+	if p.EndSuperseded(time.Second, first, 2) || len(p.Next(time.Second, all, 3)) > 0 {
+		t.Error("the order was ended as one to another version")
+	}
+	if !p.EndSuperseded(2*time.Second, first, 3) {
+		t.Error("the order was not ended")
+	}
+	if next := p.Next(2*time.Second, all, 3); len(next) != 1 || next[0].Key == first {
+		t.Errorf("%v are ordered after the load of older weights", next)
+	}
+	p.Sent(4*time.Second, first, 3)
+	if o := p.orders[first]; o.sent != 4*time.Second {
+		t.Errorf("the absence counts from %v", o.sent)
+	}
+}
