--- a/router/admission.go
+++ b/router/admission.go
@@ -173,10 +173,10 @@
 	unobserved
 }
 
-// unobserved is an admitted request whose wait the node has not been told yet.
+// unobserved is an admitted request whose wait was not passed to the node yet.
 type unobserved struct {
 	req   *forward.PlacementRequest // the same for all attempts of a request
-	work  *shares.Work              // nil: the node has been told, or was not asked
+	work  *shares.Work              // nil: the wait was passed on, or the request was not offered
 	since time.Time
 }
 
