--- a/review/cases/case1.go
+++ b/review/cases/case1.go
@@ -15,16 +15,16 @@
 func init() { cases["1"] = longAnswersBreakOff }
 
 const (
-	longAnswer      = 1 << 20 // bytes
+	longAnswer      = 2 << 20 // bytes
 	longAnswerWork  = 30 * time.Millisecond
 	longAnswerRate  = 24 // requests/s, as extrait on the sheet
-	longAnswerFor   = 60 * time.Second
+	longAnswerFor   = 90 * time.Second
 	longAnswerLimit = 2500 * time.Millisecond
 	// Dose of garble: for garbleFor out of every garbleEvery, half of the runners break off
 	// this share of their answers.
-	garbleShare = 0.05
+	garbleShare = 0.02
 	garbleFor   = 5 * time.Second
-	garbleEvery = 8 * time.Second
+	garbleEvery = 7 * time.Second
 )
 
 // runBody returns the body of a run, which differs from that of any other run.
--- a/review/cases/requester.go
+++ b/review/cases/requester.go
@@ -39,15 +39,15 @@
 	return &channel{c, bufio.NewReader(c)}, nil
 }
 
-// send sends a request over the channel and reads its answer.
-func (c *channel) send(id, method, path string, limit time.Duration, body []byte) outcome {
+// send sends a request over the channel and reads its answer. headers are further lines.
+func (c *channel) send(id, method, path, headers string, limit time.Duration, body []byte) outcome {
 	o := outcome{attempt: id, header: http.Header{}}
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\n", method, path, hostName, id, limit.Milliseconds(), apiKey)
 	if method != http.MethodGet {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
-	head.WriteString("\r\n")
+	head.WriteString(headers + "\r\n")
 	_ = c.conn.SetDeadline(time.Now().Add(limit))
 	if _, o.err = c.conn.Write(append([]byte(head.String()), body...)); o.err != nil {
 		return o
@@ -66,10 +66,15 @@
 
 // sendNew sends a request over a new channel.
 func sendNew(front, id, method, path string, limit time.Duration, body []byte) outcome {
+	return sendNewWith(front, id, method, path, "", limit, body)
+}
+
+// sendNewWith is sendNew with further header lines.
+func sendNewWith(front, id, method, path, headers string, limit time.Duration, body []byte) outcome {
 	c, err := openChannel(front)
 	if err != nil {
 		return outcome{attempt: id, header: http.Header{}, err: err}
 	}
 	defer c.conn.Close()
-	return c.send(id, method, path, limit, body)
+	return c.send(id, method, path, headers, limit, body)
 }
