--- a/review/cases/case1.go
+++ b/review/cases/case1.go
@@ -95,6 +95,7 @@
 		go func() {
 			defer all.Done()
 			id := b.attemptID()
+			b.note("%s is sent to %s", id, d.name)
 			o := sendNew(d.front, id, http.MethodGet, "/extrait/"+id, longAnswerLimit, nil)
 			ok := o.complete && o.status == http.StatusOK
 			if !ok {
--- a/review/cases/case2.go
+++ b/review/cases/case2.go
@@ -160,9 +160,11 @@
 		go func() {
 			defer requests.Done()
 			id := b.attemptID()
+			b.note("%s is sent to %s", id, d.name)
 			o := sendNewWith(d.front, id, http.MethodPost, "/verif/"+id, modelHeaders(id), spoiltLimit, []byte("prompt"))
 			if o.complete && o.status == http.StatusOK {
 				whole.Add(1)
+				b.note("%s gets a whole answer of %s", id, o.signature())
 				return
 			}
 			cut.Add(1)
