Log what an attempt received, and long heads before they end

A daemon that its platform kills for its memory writes no line about the request that it was reading, so the logs could not tell an answer without end in its head from one in its body, nor from bytes that callers or the store hold.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -59,7 +59,8 @@
 		c.setStalled(&end)
 		var sent *attemptError
 		if errors.As(err, &sent) {
-			c.report.Attempts[len(c.report.Attempts)-1].Via = sent.via
+			last := &c.report.Attempts[len(c.report.Attempts)-1]
+			last.Via, last.Received = sent.via, sent.received
 		}
 		return false, retry.FailedAttempt{Endpoint: p.Target.Key, Placement: p.ID, Failure: end.Failure}
 	}
@@ -69,6 +70,7 @@
 	c.o.Placer.AnswerStarted(p, &a.Info)
 	c.build = p.Build
 	end = c.relayAnswer(a)
+	last.HeadRead, last.Received = true, a.Received()
 	c.setStalled(&end)
 	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Placement: p.ID, Failure: end.Failure}
 }
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -51,6 +51,8 @@
 	maxInlineBody   = 4 << 10
 	readBufferBytes = 4 << 10
 	maxTrailing     = 64
+	// longHeadBytes is the length from which the head of an answer is logged before it ends.
+	longHeadBytes = 64 << 10
 )
 
 // Errors of an attempt.
@@ -90,6 +92,9 @@
 	idle      map[fleet.EndpointID][]*conn
 	open      map[fleet.EndpointID]int
 	suspected map[fleet.EndpointID]bool // see MayHaveRestarted
+
+	// LongHead is called when the head of an answer to an attempt exceeds longHeadBytes; nil: not.
+	LongHead func(attempt string, from fleet.EndpointID, bytes int64)
 }
 
 // NewClient returns a client without connections. If dial is nil, it uses the
@@ -150,6 +155,19 @@
 	// of the attempt.
 	watch StallWatch
 	ctx   context.Context
+
+	received   int64  // bytes since the current request was sent
+	headEnded  bool   // the head of the answer to it was read
+	onLongHead func() // called once its head is longer than longHeadBytes; nil: was called
+}
+
+// count counts bytes of the answer to the current request.
+func (k *conn) count(n int) {
+	k.received += int64(n)
+	if !k.headEnded && k.received > longHeadBytes && k.onLongHead != nil {
+		k.onLongHead()
+		k.onLongHead = nil
+	}
 }
 
 // Open returns the number of connections to the endpoint, idle or in use.
@@ -333,6 +351,7 @@
 	resp         *http.Response
 	write        *requestWrite
 	stopDeadline func() bool
+	received     int64 // bytes; set by Close
 }
 
 // Send sends the request and waits for the header of its answer. The error wraps
@@ -347,14 +366,19 @@
 	if o.Watch != nil {
 		k.watch, k.ctx = o.Watch, ctx
 	}
+	k.received, k.headEnded = 0, false
+	if c.LongHead != nil {
+		k.onLongHead = func() { c.LongHead(o.AttemptID, t.Key, k.received) }
+	}
 	a, err := c.receive(k, o)
+	k.headEnded = err == nil
 	if err != nil {
 		stop()
 		c.close(k)
 		if k.via() == "" && classifyLoss(err) == lossSilent {
 			c.CloseIdleDirect(k.address) // they are on the same path
 		}
-		return nil, &attemptError{via: k.via(), err: err}
+		return nil, &attemptError{via: k.via(), err: err, received: k.received}
 	}
 	a.write, a.stopDeadline = w, stop
 	return a, nil
@@ -390,8 +414,9 @@
 
 // attemptError is the error of a request that was sent and not answered.
 type attemptError struct {
-	via string // daemon that relayed it; empty: none
-	err error
+	via      string // daemon that relayed it; empty: none
+	err      error
+	received int64 // bytes
 }
 
 func (e *attemptError) Error() string   { return ErrNoAnswer.Error() + ": " + e.err.Error() }
@@ -400,6 +425,9 @@
 // Via returns the name of the daemon that relayed the request; empty: none.
 func (a *Answer) Via() string { return a.conn.via() }
 
+// Received returns the number of bytes received for the request. It is valid after Close.
+func (a *Answer) Received() int64 { return a.received }
+
 // requestWrite is a write of a request that may still be in progress. sent and err are
 // valid once done is closed.
 type requestWrite struct {
@@ -488,6 +516,7 @@
 // Close returns the connection to the pool, or closes it if it can't be reused.
 // complete states that the body was read to its end.
 func (a *Answer) Close(complete bool) {
+	a.received = a.conn.received
 	alive := a.stopDeadline()
 	reusable := complete && alive && a.framed() && !a.resp.Close
 	if !reusable || !a.write.finished() || a.conn.r.Buffered() > 0 {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -113,6 +113,8 @@
 	Leaving  bool          // the answer announced the endpoint's shutdown
 	Backoff  time.Duration // that the endpoint asked for; 0: none
 	Via      string        // daemon that relayed the connection; empty: none
+	Received int64         // bytes that the endpoint sent for it
+	HeadRead bool          // the head of its answer was read
 	Result   string
 	Lost     string        // how the connection was lost; empty: it was not
 	After    time.Duration // from the request's arrival to the attempt's end
--- a/router/report.go
+++ b/router/report.go
@@ -204,6 +204,13 @@
 	if a.Lost != "" {
 		b = append(b, " lost="...)
 		b = append(b, a.Lost...)
+		b = append(b, " received="...)
+		b = strconv.AppendInt(b, a.Received, 10)
+		if a.HeadRead {
+			b = append(b, "/body"...)
+		} else {
+			b = append(b, "/head"...)
+		}
 	}
 	if s := a.Stall; s != nil {
 		b = append(b, " stall="...)
