Bound the heads of answers, and reject bytes that are no response at once

Cause: http.ReadResponse reads the status line and the fields from the bare connection and has no limit of its own (net/http's client limits what it hands in); the only bound was the request's deadline.

Now package response reads the answers to attempts, to the question for an endpoint's identity and to the request for a relayed connection. A scanner without I/O checks each byte of a head as it arrives: the heads of one request, interim ones included, may have 32 KiB and 256 fields, and the first byte that can't belong to a response ends the attempt, as one that may have run, so that a safe request goes on elsewhere without waiting for more bytes or for its deadline. The line of the request says bound=head, fields or syntax. What net/http then reads is what the scanner has passed; where the scanner has rejected a byte nothing more is read, as net/http takes a cut line for a whole one and reads on.

Failed before (go test ./forward -run 'Endless|NoResponse'; one case at a time, address space of 8 GB, 10 s of deadline): zeros, text, a status line, a name or a value without end: out of memory; fields, lines of a field, an interim head without end: 287 MB to 1,027 MB read until the deadline. A zero and then silence held the request for 10 s. Now all end within 2 s, and a safe request is served by the second endpoint. FuzzHead: 1.9 million inputs in 20 s, no head accepted that net/http rejects, none rejected but for what its comment names.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/merlindock/merlindock/response"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -107,6 +108,10 @@
 	r.After = time.Since(c.req.Arrived)
 	if end.Lost {
 		r.Lost = classifyLoss(end.Cause)
+		var exceeded *response.Error
+		if errors.As(end.Cause, &exceeded) {
+			r.Bound = exceeded.Bound
+		}
 	}
 	switch {
 	case end.Left:
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -18,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/response"
 )
 
 // Timeouts and limits of connections to endpoints.
@@ -48,11 +48,7 @@
 	// maxInlineBody is the largest body that is written before the answer is
 	// read. It fits into the socket buffer. A larger body is written
 	// concurrently, since an endpoint may answer before it has read all of it.
-	maxInlineBody   = 4 << 10
-	readBufferBytes = 4 << 10
-	maxTrailing     = 64
-	// longHeadBytes is the length from which the head of an answer is logged before it ends.
-	longHeadBytes = 64 << 10
+	maxInlineBody = 4 << 10
 )
 
 // Errors of an attempt.
@@ -92,9 +88,6 @@
 	idle      map[fleet.EndpointID][]*conn
 	open      map[fleet.EndpointID]int
 	suspected map[fleet.EndpointID]bool // see MayHaveRestarted
-
-	// LongHead is called when the head of an answer to an attempt exceeds longHeadBytes; nil: not.
-	LongHead func(attempt string, from fleet.EndpointID, bytes int64)
 }
 
 // NewClient returns a client without connections. If dial is nil, it uses the
@@ -146,7 +139,7 @@
 	net.Conn
 	key       fleet.EndpointID
 	address   string
-	r         *bufio.Reader
+	r         *response.Reader
 	idleSince time.Time
 	maxIdle   time.Duration // idle time after which it is not reused
 	verified  bool          // it leads to the incarnation that its key names
@@ -155,19 +148,6 @@
 	// of the attempt.
 	watch StallWatch
 	ctx   context.Context
-
-	received   int64  // bytes since the current request was sent
-	headEnded  bool   // the head of the answer to it was read
-	onLongHead func() // called once its head is longer than longHeadBytes; nil: was called
-}
-
-// count counts bytes of the answer to the current request.
-func (k *conn) count(n int) {
-	k.received += int64(n)
-	if !k.headEnded && k.received > longHeadBytes && k.onLongHead != nil {
-		k.onLongHead()
-		k.onLongHead = nil
-	}
 }
 
 // Open returns the number of connections to the endpoint, idle or in use.
@@ -200,7 +180,7 @@
 	c.open[t.Key]++
 	c.mu.Unlock()
 	k := &conn{Conn: raw, key: t.Key, address: t.Address}
-	k.r = bufio.NewReaderSize(k, readBufferBytes)
+	k.r = response.NewReader(k)
 	return k, nil
 }
 
@@ -366,19 +346,14 @@
 	if o.Watch != nil {
 		k.watch, k.ctx = o.Watch, ctx
 	}
-	k.received, k.headEnded = 0, false
-	if c.LongHead != nil {
-		k.onLongHead = func() { c.LongHead(o.AttemptID, t.Key, k.received) }
-	}
 	a, err := c.receive(k, o)
-	k.headEnded = err == nil
 	if err != nil {
 		stop()
 		c.close(k)
 		if k.via() == "" && classifyLoss(err) == lossSilent {
 			c.CloseIdleDirect(k.address) // they are on the same path
 		}
-		return nil, &attemptError{via: k.via(), err: err, received: k.received}
+		return nil, &attemptError{via: k.via(), err: err, received: k.r.Received()}
 	}
 	a.write, a.stopDeadline = w, stop
 	return a, nil
@@ -490,8 +465,9 @@
 // answered an earlier request on the connection twice; without a comparison of
 // the attempt id, the duplicate would be taken for the answer to this request.
 func (c *Client) receive(k *conn, o *EndpointRequest) (*Answer, error) {
+	k.r.Begin()
 	for range maxStrayAnswers {
-		resp, err := http.ReadResponse(k.r, &http.Request{Method: o.Method}) //nolint:bodyclose // its owner closes the connection
+		resp, err := k.r.Next(o.Method) //nolint:bodyclose // its owner closes the connection
 		if err != nil {
 			return nil, err
 		}
@@ -516,7 +492,7 @@
 // Close returns the connection to the pool, or closes it if it can't be reused.
 // complete states that the body was read to its end.
 func (a *Answer) Close(complete bool) {
-	a.received = a.conn.received
+	a.received = a.conn.r.Received()
 	alive := a.stopDeadline()
 	reusable := complete && alive && a.framed() && !a.resp.Close
 	if !reusable || !a.write.finished() || a.conn.r.Buffered() > 0 {
--- a/forward/conn_test.go
+++ b/forward/conn_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/merlindock/merlindock/response"
 )
 
 // plainWire is a HeaderCodec for the headers that these tests use.
@@ -275,7 +277,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.idle[target.Key] = []*conn{{Conn: endedConn{raw}, key: target.Key, address: target.Address, r: bufio.NewReader(raw), idleSince: time.Now(), maxIdle: time.Minute}}
+	c.idle[target.Key] = []*conn{{Conn: endedConn{raw}, key: target.Key, address: target.Address, r: response.NewReader(raw), idleSince: time.Now(), maxIdle: time.Minute}}
 	c.open[target.Key] = 1
 	if body, err := sendAndRead(t, c, target, "a1"); err != nil || body != "ok" || len(seen) != 1 {
 		t.Errorf("%q, %v, %d requests", body, err, len(seen))
--- /dev/null
+++ b/forward/endless_test.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/response/responsetest"
+	"github.com/merlindock/merlindock/routes"
+)
+
+// endlessAnswers are answers that can't become one to the request, by what they lack.
+var endlessAnswers = map[string]struct{ prefix, filler string }{
+	"no response":       {"", "\x00"},
+	"no response, text": {"", "HTTP"},
+	"status line":       {"HTTP/1.1 200 OK", "k"},
+	"name of a field":   {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "x"},
+	"value of a field":  {"HTTP/1.1 200 OK\r\nAttempt-Id: ", "x"},
+	"fields":            {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+	"lines of a field":  {"HTTP/1.1 200 OK\r\na: b\r\n", " c\r\n"},
+	"zeros in a head":   {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "\x00"},
+	"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"interim head":      {"HTTP/1.1 100 Continue\r\n", "a: b\r\n"},
+	"answers to others": {"", "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"},
+}
+
+const (
+	// endlessLimit bounds what an endless answer may send: the limits of this package and
+	// what the sockets of both ends hold.
+	endlessLimit = 16 << 20
+	// cutOffWithin is far below the deadlines of the requests.
+	cutOffWithin    = 2 * time.Second
+	endlessDeadline = 10 * time.Second
+)
+
+// Guards against answers whose head never ends: each filled the daemon's memory or its link until the request's deadline.
+func TestEndlessAnswersAreCutOff(t *testing.T) {
+	for name, c := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, c.prefix, c.filler)
+			client := NewClient(plainWire{}, nil)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
+			defer cancel()
+			o := outgoing("a1")
+			o.Header.Set("Attempt-Id", "a1")
+			_, err := client.Send(ctx, Target{Key: "e", Address: e.Address}, o)
+			if !errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+				t.Errorf("error %v", err)
+			}
+			if !e.AwaitClose(cutOffWithin) {
+				t.Errorf("the connection was not closed within %v", cutOffWithin)
+			}
+			if n := e.Sent(); n > endlessLimit {
+				t.Errorf("the endpoint sent %d bytes", n)
+			}
+		})
+	}
+}
+
+// Guards against a request that waits for its deadline although the bytes received can't
+// become a response, so that no other endpoint is tried.
+func TestBytesThatAreNoResponseEndTheAttemptAtOnce(t *testing.T) {
+	for name, prefix := range map[string]string{
+		"a zero": "\x00", "half a line": "HTTP/1.1 2x", "a name": "HTTP/1.1 200 OK\r\n\x00", "a value": "HTTP/1.1 200 OK\r\nA: \x00",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, prefix, "")
+			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
+			defer cancel()
+			began := time.Now()
+			_, err := NewClient(plainWire{}, nil).Send(ctx, Target{Key: "e", Address: e.Address}, outgoing("a1"))
+			if !errors.Is(err, ErrNoAnswer) || time.Since(began) > cutOffWithin {
+				t.Errorf("%v after %v", err, time.Since(began))
+			}
+		})
+	}
+}
+
+// Guards against a safe request that is lost with the endpoint whose answer never ends,
+// although another one would serve it.
+func TestSafeRequestGoesOnElsewhereAfterEndlessAnswer(t *testing.T) {
+	for name, c := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, c.prefix, c.filler)
+			sound, _ := endpoint(t, signedAnswer)
+			s, reports := serveEndpoints(t, routes.Safe, Target{Key: "e", Address: e.Address}, sound)
+			began := time.Now()
+			got := ask(t, s)
+			if took := time.Since(began); got.status != http.StatusOK || got.body != "right" || took > cutOffWithin {
+				t.Errorf("%+v after %v, reports %+v", got, took, reports())
+			}
+		})
+	}
+}
+
+// serveEndpoints starts a server with one route whose requests are sent to the given endpoints
+// in turn. The result returns the reports of the requests so far.
+func serveEndpoints(t *testing.T, kind routes.Kind, targets ...Target) (*httptest.Server, func() []Report) {
+	t.Helper()
+	p := &listPlacer{}
+	for i, target := range targets {
+		p.places = append(p.places, Placement{ID: uint64(i), Target: target})
+	}
+	var mu sync.Mutex
+	var reports []Report
+	table := &routes.Table{
+		Services: map[string]*routes.Service{"s": {Name: "s"}},
+		Routes: []routes.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: kind, Timeout: endlessDeadline, MaxAttempts: len(targets), Public: true,
+			Backends: []routes.Backend{{Service: "s", Weight: 1}},
+		}},
+	}
+	s := serveOptions(t, table, Options{Placer: p, Report: func(r *Report) {
+		mu.Lock()
+		defer mu.Unlock()
+		reports = append(reports, *r)
+	}})
+	return s, func() []Report {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(reports)
+	}
+}
+
+const signedAnswer = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nright"
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -14,6 +14,7 @@
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/quota"
+	"github.com/merlindock/merlindock/response"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 	"github.com/merlindock/merlindock/streamorigin"
@@ -116,9 +117,10 @@
 	Received int64         // bytes that the endpoint sent for it
 	HeadRead bool          // the head of its answer was read
 	Result   string
-	Lost     string        // how the connection was lost; empty: it was not
-	After    time.Duration // from the request's arrival to the attempt's end
-	Stall    *StallReport  // last stall of the stream; nil: none
+	Lost     string         // how the connection was lost; empty: it was not
+	Bound    response.Bound // limit that the answer exceeded; empty: none
+	After    time.Duration  // from the request's arrival to the attempt's end
+	Stall    *StallReport   // last stall of the stream; nil: none
 }
 
 // Handler is the http.Handler that forwards the requests of callers.
--- a/forward/identity.go
+++ b/forward/identity.go
@@ -79,7 +79,8 @@
 	if _, err := io.WriteString(k.Conn, "GET "+codec.IdentityPath()+" HTTP/1.1\r\nHost: "+k.address+"\r\n\r\n"); err != nil {
 		return 0, err
 	}
-	resp, err := http.ReadResponse(k.r, nil)
+	k.r.Begin()
+	resp, err := k.r.Next(http.MethodGet)
 	if err != nil {
 		return 0, err
 	}
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"github.com/merlindock/merlindock/response"
 )
 
 // Causes for the loss of a connection to an endpoint, as logged.
@@ -18,13 +20,17 @@
 	lossRelay       = "relay"       // the daemon that relayed the connection was lost
 	lossUnreachable = "unreachable" // other daemons do not reach the endpoint either
 	lossMalformed   = "malformed"   // the response can't be parsed or is incomplete
+	lossTooLong     = "too_long"    // a part of the response exceeds its limit
 	lossRestarted   = "restarted"   // another incarnation has the endpoint's address
 )
 
 // classifyLoss returns how a connection was lost, by the error of the attempt.
 func classifyLoss(cause error) string {
 	var timeout net.Error
+	var exceeded *response.Error
 	switch {
+	case errors.As(cause, &exceeded) && exceeded.Bound != response.BoundSyntax:
+		return lossTooLong
 	case errors.Is(cause, os.ErrDeadlineExceeded):
 		return lossTimeout
 	case errors.Is(cause, ErrOtherIncarnation):
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -176,12 +176,6 @@
 
 // Read implements io.Reader. It ends with errStalled if the watch decides so.
 func (k *conn) Read(b []byte) (int, error) {
-	n, err := k.readWatched(b)
-	k.count(n)
-	return n, err
-}
-
-func (k *conn) readWatched(b []byte) (int, error) {
 	for {
 		if k.watch == nil {
 			return k.Conn.Read(b)
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -10,6 +9,7 @@
 	"syscall"
 
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/response"
 )
 
 // Bytes to the endpoint are relayed as they are. Bytes from it are framed: each frame is a
@@ -28,7 +28,7 @@
 // conn is a connection to an endpoint through another daemon.
 type conn struct {
 	net.Conn
-	r      *bufio.Reader
+	r      *response.Reader
 	helper string
 	left   int   // bytes of the current frame
 	ended  error // after the last frame
@@ -36,7 +36,7 @@
 
 // newConn returns the connection to an endpoint over one to the daemon that relays it.
 func newConn(raw net.Conn, helper string) *conn {
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferSize), helper: helper}
+	return &conn{Conn: raw, r: response.NewReader(raw), helper: helper}
 }
 
 // Via implements forward.RelayedConn.
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -36,8 +36,7 @@
 	firstHelpers = 2
 	maxHelpers   = 3
 	// probeTick is how often the Dialer checks whether a probe is due.
-	probeTick      = 50 * time.Millisecond
-	readBufferSize = 4 << 10
+	probeTick = 50 * time.Millisecond
 )
 
 var errNoHelper = errors.New("relay: no other daemon relays the connection")
@@ -232,7 +231,8 @@
 		return nil, fmt.Errorf("relay: request to daemon %s: %w", h.Name, err)
 	}
 	c := newConn(raw, h.Name)
-	answer, err := http.ReadResponse(c.r, nil) //nolint:bodyclose // the connection is closed or taken over
+	c.r.Begin()
+	answer, err := c.r.Next(http.MethodPost) //nolint:bodyclose // the connection is closed or taken over
 	if err != nil {
 		return nil, fmt.Errorf("relay: answer of daemon %s: %w", h.Name, err)
 	}
--- /dev/null
+++ b/response/doc.go
@@ -0,0 +1,40 @@
+// Package response reads HTTP/1.1 responses within limits. A faulty sender may send bytes that
+// are no response, or a head or body that never ends: what is held of it is bounded, and
+// reading ends with an *Error as soon as the bytes can't become a usable response.
+package response
+
+import "fmt"
+
+// Limits of a response.
+const (
+	// MaxHeadBytes bounds the heads of the responses to one request, interim and unrelated
+	// ones included. Other proxies accept 8 to 60 KiB.
+	MaxHeadBytes = 32 << 10
+	// maxFields bounds the header fields of these heads, as each takes more memory than its
+	// bytes.
+	maxFields = 256
+)
+
+// Bound names the limit that bytes exceeded, for logs and metrics.
+type Bound string
+
+// Bounds.
+const (
+	BoundSyntax Bound = "syntax" // the bytes can't be part of a response
+	BoundHead   Bound = "head"   // bytes of heads
+	BoundFields Bound = "fields" // header fields
+)
+
+// Error reports bytes that are no response, or exceed a limit.
+type Error struct {
+	Bound Bound
+	Limit int64 // bytes, for BoundFields fields; 0 for BoundSyntax
+	Read  int64 // bytes of the part that is limited, as far as they were read
+}
+
+func (e *Error) Error() string {
+	if e.Bound == BoundSyntax {
+		return fmt.Sprintf("response: malformed after %d bytes", e.Read)
+	}
+	return fmt.Sprintf("response: limit %q of %d exceeded after %d bytes", string(e.Bound), e.Limit, e.Read)
+}
--- /dev/null
+++ b/response/reader_test.go
@@ -0,0 +1,178 @@
+package response
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// boundOf returns the limit that an error names; empty: the error is none of this package.
+func boundOf(err error) Bound {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Bound
+	}
+	return ""
+}
+
+// repeated yields the prefix and then the filler without end.
+func repeated(prefix, filler string) io.Reader {
+	return io.MultiReader(strings.NewReader(prefix), &cycle{text: filler})
+}
+
+type cycle struct {
+	text string
+	at   int
+}
+
+func (c *cycle) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = c.text[c.at]
+		c.at = (c.at + 1) % len(c.text)
+	}
+	return len(b), nil
+}
+
+// Guards against a head without end, in whatever part the end is missing.
+func TestHeadWithoutEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		prefix, filler string
+		want           Bound
+	}{
+		"zeros":           {"", "\x00", BoundSyntax},
+		"version":         {"", "HTTP/1.", BoundSyntax},
+		"status":          {"HTTP/1.1 ", "2", BoundHead},
+		"blanks":          {"HTTP/1.1", " ", BoundHead},
+		"status text":     {"HTTP/1.1 200 ", "x", BoundHead},
+		"field name":      {"HTTP/1.1 200 OK\r\n", "x", BoundHead},
+		"field value":     {"HTTP/1.1 200 OK\r\na:", "x", BoundHead},
+		"fields":          {"HTTP/1.1 200 OK\r\n", "a:b\r\n", BoundFields},
+		"continued field": {"HTTP/1.1 200 OK\r\na:b\r\n", " c\n", BoundHead},
+		"first continued": {"HTTP/1.1 200 OK\r\n", " c\r\n", BoundSyntax},
+		"carriage return": {"HTTP/1.1 200 OK", "\r", BoundSyntax},
+		"zeros in name":   {"HTTP/1.1 200 OK\r\na", "\x00", BoundSyntax},
+	} {
+		for pieces, reader := range map[string]io.Reader{"whole": repeated(c.prefix, c.filler), "bytes": iotest.OneByteReader(repeated(c.prefix, c.filler))} {
+			r := NewReader(reader)
+			r.Begin()
+			if _, err := r.Next(http.MethodGet); boundOf(err) != c.want {
+				t.Errorf("%s, %s: %v, want bound %s", name, pieces, err, c.want)
+			}
+			if n := r.Received(); n > MaxHeadBytes+readBufferBytes {
+				t.Errorf("%s, %s: %d bytes were read", name, pieces, n)
+			}
+		}
+	}
+}
+
+// Guards against interim responses without end, each of which is short.
+func TestHeadsOfOneRequestAreLimitedTogether(t *testing.T) {
+	r := NewReader(repeated("", "HTTP/1.1 103 Early\r\na: b\r\n\r\n"))
+	r.Begin()
+	n := 0
+	var err error
+	for ; err == nil; n++ {
+		_, err = r.Next(http.MethodGet)
+	}
+	if boundOf(err) != BoundFields || n > maxFields+1 {
+		t.Errorf("%v after %d responses", err, n)
+	}
+	r.Begin()
+	if _, err := r.Next(http.MethodGet); err != nil {
+		t.Errorf("%v for the next request", err)
+	}
+}
+
+// Guards against a head that is read beyond its end, or a body that is taken for a head.
+func TestResponsesFollowEachOther(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\x00\r\n\x00HTTP/1.1 204 None\r\n\r\nHTTP/1.1  200  Fine\nA : b\r\n  c\r\nContent-Length: 2\n\nok"
+	for pieces, reader := range map[string]io.Reader{"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text))} {
+		r := NewReader(reader)
+		r.Begin()
+		for i, want := range []string{"\x00\r\n\x00", "", "ok"} {
+			resp, err := r.Next(http.MethodGet)
+			if err != nil {
+				t.Fatalf("%s, response %d: %v", pieces, i, err)
+			}
+			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != want {
+				t.Errorf("%s, response %d: %q, %v", pieces, i, body, err)
+			}
+		}
+		if _, err := r.Next(http.MethodGet); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%s: %v at the end", pieces, err)
+		}
+	}
+}
+
+// Guards against heads that net/http reads and this package rejects, and against a head that
+// is not rejected although it exceeds the limits.
+func FuzzHead(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.0 404\n\n", "HTTP/1.1 200 OK\r\nA : b\r\n\tc\r\n\r\nbody", "\x00", "HTTP/1.1 1x",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n: x\r\n\r\n",
+	} {
+		f.Add([]byte(seed), byte(1))
+	}
+	f.Fuzz(func(t *testing.T, text []byte, piece byte) {
+		want, wantErr := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), &http.Request{Method: http.MethodGet})
+		r := NewReader(&pieces{text: text, size: int(piece) + 1})
+		r.Begin()
+		got, err := r.Next(http.MethodGet)
+		if n := r.Received(); err != nil && n > MaxHeadBytes+readBufferBytes {
+			t.Fatalf("%d bytes read: %v", n, err)
+		}
+		switch {
+		case err == nil && wantErr != nil:
+			t.Fatalf("accepted what net/http rejects: %v", wantErr)
+		case err == nil:
+			if got.StatusCode != want.StatusCode || len(got.Header) != len(want.Header) {
+				t.Fatalf("%d %v, want %d %v", got.StatusCode, got.Header, want.StatusCode, want.Header)
+			}
+			a, errA := io.ReadAll(io.LimitReader(got.Body, 1<<20))
+			b, errB := io.ReadAll(io.LimitReader(want.Body, 1<<20))
+			if !bytes.Equal(a, b) || (errA == nil) != (errB == nil) {
+				t.Fatalf("body %q, %v, want %q, %v", a, errA, b, errB)
+			}
+		case wantErr == nil && !stricter(text, err):
+			t.Fatalf("rejected what net/http accepts: %v", err)
+		}
+	})
+}
+
+// stricter reports whether the head is one that only this package rejects: of another version
+// than 1.x, longer than the limits, or with control bytes in its status line.
+func stricter(text []byte, err error) bool {
+	if bound := boundOf(err); bound == BoundHead || bound == BoundFields {
+		return true
+	}
+	line, _, _ := bytes.Cut(text, []byte("\n"))
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	control := bytes.ContainsFunc(line, func(c rune) bool { return c < ' ' || c == 0x7f })
+	_, status, _ := bytes.Cut(line, []byte(" "))
+	status = bytes.TrimLeft(status, " ")
+	digits := len(status) >= 3
+	for _, c := range status[:min(3, len(status))] {
+		digits = digits && c >= '0' && c <= '9'
+	}
+	return control || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !digits
+}
+
+// pieces yields a text in pieces of one size.
+type pieces struct {
+	text []byte
+	size int
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if len(p.text) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b[:min(len(b), p.size)], p.text)
+	p.text = p.text[n:]
+	return n, nil
+}
--- a/router/paths.go
+++ b/router/paths.go
@@ -29,10 +29,6 @@
 		PathsBack: func() { r.client.CloseIdleRelayed() },
 	}, reach.NewTracker(random()), reach.NewHelpers(string(o.Settings.Zone), random()))
 	r.client = forward.NewClient(o.Wire, r.paths.Dial)
-	r.client.LongHead = func(attempt string, from fleet.EndpointID, bytes int64) {
-		r.metrics.scope.Counter("endpoint_long_heads").Inc(1)
-		r.log.Warn("Head of an endpoint's answer is long.", "id", attempt, "endpoint", string(from), "bytes", bytes)
-	}
 	r.relayServer = relay.NewServer(relay.ServerOptions{
 		Dial: direct, Known: r.state.hasEndpointAt, Peer: r.isPeer, Log: r.log,
 		Unable: func() bool { return r.paths.Isolated() || r.shuttingDown.Load() },
--- a/router/report.go
+++ b/router/report.go
@@ -211,6 +211,10 @@
 		} else {
 			b = append(b, "/head"...)
 		}
+		if a.Bound != "" {
+			b = append(b, " bound="...)
+			b = append(b, a.Bound...)
+		}
 	}
 	if s := a.Stall; s != nil {
 		b = append(b, " stall="...)
