Bound the bodies of answers to other requests

What callers saw: a request whose connection brought an answer to another attempt without end waited for its deadline and then failed, without a second attempt; its daemon read up to 44 GB in 10 s on loopback meanwhile (600 MB in 6 s on a link of 125 MB/s), for nothing.

Cause: the body of an answer to another attempt is read to reach the answer behind it, however long it is. Now nothing is read where no answer can follow (a body that ends with its connection, Connection: close), and 512 KiB at most otherwise, which is what a plain answer is held to. The attempt ends as one that may have run (bound=stray), the connection is closed, and a safe request goes on elsewhere.

Failed before (go test ./forward -run Endless, 10 s of deadline): a chunked answer 1,365 MB, one until the connection ends 44,232 MB, one with Connection: close 1,655 MB read until the deadline. Now cut off within 2 s.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -45,6 +45,9 @@
 	// maxStrayAnswers bounds the responses read for one request: interim
 	// responses, and answers to other requests, are skipped.
 	maxStrayAnswers = 4
+	// maxStrayBytes bounds the bodies of answers to other requests, which are read to reach
+	// the answer behind them.
+	maxStrayBytes = 512 << 10
 	// maxInlineBody is the largest body that is written before the answer is
 	// read. It fits into the socket buffer. A larger body is written
 	// concurrently, since an endpoint may answer before it has read all of it.
@@ -466,6 +469,7 @@
 // the attempt id, the duplicate would be taken for the answer to this request.
 func (c *Client) receive(k *conn, o *EndpointRequest) (*Answer, error) {
 	k.r.Begin()
+	strayBytes := int64(0)
 	for range maxStrayAnswers {
 		resp, err := k.r.Next(o.Method) //nolint:bodyclose // its owner closes the connection
 		if err != nil {
@@ -482,13 +486,28 @@
 				Length: resp.ContentLength, client: c, conn: k, resp: resp,
 			}, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if strayBytes, err = skipStray(resp, strayBytes); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errStrayAnswers
 }
 
+// skipStray reads the body of an answer to another request. read is the length of those
+// before; it returns the length of all. If no answer can follow, or only behind more than
+// maxStrayBytes, the error is a *response.Error.
+func skipStray(resp *http.Response, read int64) (int64, error) {
+	left := maxStrayBytes - read
+	if resp.Close || resp.ContentLength > left {
+		return read, &response.Error{Bound: response.BoundStray, Limit: maxStrayBytes, Read: read}
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, left+1))
+	if err == nil && n > left {
+		err = &response.Error{Bound: response.BoundStray, Limit: maxStrayBytes, Read: read + n}
+	}
+	return read + n, err
+}
+
 // Close returns the connection to the pool, or closes it if it can't be reused.
 // complete states that the body was read to its end.
 func (a *Answer) Close(complete bool) {
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -16,17 +16,21 @@
 
 // endlessAnswers are answers that can't become one to the request, by what they lack.
 var endlessAnswers = map[string]struct{ prefix, filler string }{
-	"no response":       {"", "\x00"},
-	"no response, text": {"", "HTTP"},
-	"status line":       {"HTTP/1.1 200 OK", "k"},
-	"name of a field":   {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "x"},
-	"value of a field":  {"HTTP/1.1 200 OK\r\nAttempt-Id: ", "x"},
-	"fields":            {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
-	"lines of a field":  {"HTTP/1.1 200 OK\r\na: b\r\n", " c\r\n"},
-	"zeros in a head":   {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "\x00"},
-	"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-	"interim head":      {"HTTP/1.1 100 Continue\r\n", "a: b\r\n"},
-	"answers to others": {"", "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"},
+	"no response":                     {"", "\x00"},
+	"no response, text":               {"", "HTTP"},
+	"status line":                     {"HTTP/1.1 200 OK", "k"},
+	"name of a field":                 {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "x"},
+	"value of a field":                {"HTTP/1.1 200 OK\r\nAttempt-Id: ", "x"},
+	"fields":                          {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+	"lines of a field":                {"HTTP/1.1 200 OK\r\na: b\r\n", " c\r\n"},
+	"zeros in a head":                 {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "\x00"},
+	"interim responses":               {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"interim head":                    {"HTTP/1.1 100 Continue\r\n", "a: b\r\n"},
+	"answers to others":               {"", "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"},
+	"answer to another, chunks":       {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	"answer to another, long":         {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 9000000000\r\n\r\n", "x"},
+	"answer to another, until closed": {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n\r\n", "x"},
+	"answer to another, last":         {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
 }
 
 const (
@@ -38,7 +42,8 @@
 	endlessDeadline = 10 * time.Second
 )
 
-// Guards against answers whose head never ends: each filled the daemon's memory or its link until the request's deadline.
+// Guards against answers whose head never ends, or that belong to another request and never
+// end: each filled the daemon's memory or its link until the request's deadline.
 func TestEndlessAnswersAreCutOff(t *testing.T) {
 	for name, c := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
--- a/response/doc.go
+++ b/response/doc.go
@@ -23,6 +23,7 @@
 	BoundSyntax Bound = "syntax" // the bytes can't be part of a response
 	BoundHead   Bound = "head"   // bytes of heads
 	BoundFields Bound = "fields" // header fields
+	BoundStray  Bound = "stray"  // bytes of responses to other requests
 )
 
 // Error reports bytes that are no response, or exceed a limit.
