Do not wait for, or reuse a connection behind, the body of a rejection

What callers saw: a request that an endpoint had rejected as not run waited for the rejection's body, until its deadline if that didn't come, instead of going to another endpoint. If the body was longer than 512 KiB and what had arrived ended just there, the connection counted as wholly read, so that the next request on it took the rest of the body for its answer.

Cause: relayAnswer copied the body through a LimitReader, whose end at the limit looks like the end of the body. Now a rejection is closed unread unless its length is known or chunked and 16 KiB at most; such a rest is waited for for 20 ms, after which the connection is used again as before.

Failed before (go test ./forward -run UnreadRejection): a stated length that never comes: the request took 10 s, its deadline, and failed; 512 KiB of 512 KiB and one byte: the connection was kept. A body of endless length happened to be closed in two of three framings, and wasn't with a stated length. Now the second endpoint serves the request and the connection is closed within 2 s.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -132,8 +132,7 @@
 	success := a.succeeded()
 	switch {
 	case a.Info.NotRun:
-		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedAnswer))
-		a.Close(err == nil)
+		a.CloseUnread()
 		return AttemptEnd{NotRun: true, Failure: retry.NotRun}
 	case success && !a.Info.Signed:
 		a.Close(false)
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -48,6 +48,10 @@
 	// maxStrayBytes bounds the bodies of answers to other requests, which are read to reach
 	// the answer behind them.
 	maxStrayBytes = 512 << 10
+	// maxDrainBytes and drainTimeout bound what is read of an answer that is of no use, so
+	// that its connection can be reused. A new connection costs less than a longer wait.
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 20 * time.Millisecond
 	// maxInlineBody is the largest body that is written before the answer is
 	// read. It fits into the socket buffer. A larger body is written
 	// concurrently, since an endpoint may answer before it has read all of it.
@@ -508,6 +512,22 @@
 	return read + n, err
 }
 
+// CloseUnread is Close for an answer whose body is of no use. It waits a moment for a short
+// rest, after which the connection can be reused.
+func (a *Answer) CloseUnread() {
+	if a.Length > maxDrainBytes || !a.framed() {
+		a.Close(false)
+		return
+	}
+	a.conn.watch = nil
+	if err := a.conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
+		a.Close(false)
+		return
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDrainBytes+1))
+	a.Close(err == nil && n <= maxDrainBytes)
+}
+
 // Close returns the connection to the pool, or closes it if it can't be reused.
 // complete states that the body was read to its end.
 func (a *Answer) Close(complete bool) {
@@ -518,10 +538,8 @@
 		a.client.close(a.conn)
 		return
 	}
-	if a.conn.watch != nil {
-		a.conn.watch, a.conn.ctx = nil, nil
-		_ = a.conn.SetReadDeadline(time.Time{})
-	}
+	a.conn.watch, a.conn.ctx = nil, nil
+	_ = a.conn.SetReadDeadline(time.Time{})
 	a.conn.maxIdle = defaultReuse
 	if a.Info.KeepAlive > 0 {
 		a.conn.maxIdle = time.Duration(reuseFraction * float64(a.Info.KeepAlive))
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -88,6 +89,36 @@
 	}
 }
 
+// Guards against a connection that is used again although a part of a rejection was not read:
+// the next request would take that part for its answer.
+func TestConnectionWithUnreadRejectionIsNotReused(t *testing.T) {
+	for name, c := range map[string]struct{ prefix, filler string }{
+		"chunks":       {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"length":       {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nContent-Length: 9000000000\r\n\r\n", "x"},
+		"until closed": {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\n\r\n", "x"},
+		"silence":      {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\n", ""},
+		"a part":       {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nContent-Length: 524289\r\n\r\n" + strings.Repeat("x", 512<<10), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, c.prefix, c.filler)
+			sound, _ := endpoint(t, signedAnswer)
+			s, reports := serveEndpoints(t, routes.Safe, Target{Key: "e", Address: e.Address}, sound)
+			began := time.Now()
+			got := ask(t, s)
+			if took := time.Since(began); got.status != http.StatusOK || took > cutOffWithin {
+				t.Errorf("%+v after %v, reports %+v", got, took, reports())
+			}
+			if !e.AwaitClose(cutOffWithin) {
+				t.Error("the connection to the rejecting endpoint is kept")
+			}
+			if n := e.Sent(); n > endlessLimit {
+				t.Errorf("the endpoint sent %d bytes", n)
+			}
+		})
+	}
+}
+
 // Guards against a safe request that is lost with the endpoint whose answer never ends,
 // although another one would serve it.
 func TestSafeRequestGoesOnElsewhereAfterEndlessAnswer(t *testing.T) {
@@ -106,6 +137,30 @@
 	}
 }
 
+// Guards against an event that never ends and is held until the request's deadline.
+func TestEndlessEventIsCutOff(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\nResponse-Signature: s\r\n"
+	for name, c := range map[string]struct{ prefix, filler string }{
+		"until closed": {head + "\r\n", "x"},
+		"chunks":       {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"chunk line":   {head + "Transfer-Encoding: chunked\r\n\r\n4;", "x"},
+		"trailer":      {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, c.prefix, c.filler)
+			s, reports := serveEndpoints(t, routes.Stream, Target{Key: "e", Address: e.Address})
+			began := time.Now()
+			if got := ask(t, s); got.status == http.StatusOK || time.Since(began) > cutOffWithin {
+				t.Errorf("%+v after %v, reports %+v", got, time.Since(began), reports())
+			}
+			if n := e.Sent(); !e.AwaitClose(cutOffWithin) || n > endlessLimit {
+				t.Errorf("%d bytes sent", n)
+			}
+		})
+	}
+}
+
 // serveEndpoints starts a server with one route whose requests are sent to the given endpoints
 // in turn. The result returns the reports of the requests so far.
 func serveEndpoints(t *testing.T, kind routes.Kind, targets ...Target) (*httptest.Server, func() []Report) {
