Keep the platform's field names out of the endless server

platform/TestPlatformNamesStayInThisPackage failed since the server of the tests for answers without end read the attempt's ID from its request. The tests know the ID, so the server has no need of it.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -20,11 +20,11 @@
 	"no response":                     {"", "\x00"},
 	"no response, text":               {"", "HTTP"},
 	"status line":                     {"HTTP/1.1 200 OK", "k"},
-	"name of a field":                 {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "x"},
+	"name of a field":                 {"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n", "x"},
 	"value of a field":                {"HTTP/1.1 200 OK\r\nAttempt-Id: ", "x"},
 	"fields":                          {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
 	"lines of a field":                {"HTTP/1.1 200 OK\r\na: b\r\n", " c\r\n"},
-	"zeros in a head":                 {"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\n", "\x00"},
+	"zeros in a head":                 {"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n", "\x00"},
 	"interim responses":               {"", "HTTP/1.1 100 Continue\r\n\r\n"},
 	"interim head":                    {"HTTP/1.1 100 Continue\r\n", "a: b\r\n"},
 	"answers to others":               {"", "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"},
@@ -53,9 +53,7 @@
 			client := NewClient(plainWire{}, nil)
 			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
 			defer cancel()
-			o := outgoing("a1")
-			o.Header.Set("Attempt-Id", "a1")
-			_, err := client.Send(ctx, Target{Key: "e", Address: e.Address}, o)
+			_, err := client.Send(ctx, Target{Key: "e", Address: e.Address}, outgoing("a1"))
 			if !errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) || ctx.Err() != nil {
 				t.Errorf("error %v", err)
 			}
@@ -93,11 +91,11 @@
 // the next request would take that part for its answer.
 func TestConnectionWithUnreadRejectionIsNotReused(t *testing.T) {
 	for name, c := range map[string]struct{ prefix, filler string }{
-		"chunks":       {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
-		"length":       {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nContent-Length: 9000000000\r\n\r\n", "x"},
-		"until closed": {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\n\r\n", "x"},
-		"silence":      {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\n", ""},
-		"a part":       {"HTTP/1.1 503 No\r\nAttempt-Id: %ID\r\nNot-Executed: 1\r\nContent-Length: 524289\r\n\r\n" + strings.Repeat("x", 512<<10), ""},
+		"chunks":       {"HTTP/1.1 503 No\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"length":       {"HTTP/1.1 503 No\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 9000000000\r\n\r\n", "x"},
+		"until closed": {"HTTP/1.1 503 No\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\n\r\n", "x"},
+		"silence":      {"HTTP/1.1 503 No\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\n", ""},
+		"a part":       {"HTTP/1.1 503 No\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 524289\r\n\r\n" + strings.Repeat("x", 512<<10), ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -139,7 +137,7 @@
 
 // Guards against an event that never ends and is held until the request's deadline.
 func TestEndlessEventIsCutOff(t *testing.T) {
-	head := "HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\nResponse-Signature: s\r\n"
+	head := "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\n"
 	for name, c := range map[string]struct{ prefix, filler string }{
 		"until closed": {head + "\r\n", "x"},
 		"chunks":       {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
--- a/response/responsetest/endless.go
+++ b/response/responsetest/endless.go
@@ -16,16 +16,14 @@
 // Endless is a server that reads a request and sends bytes without end.
 type Endless struct {
 	Address string
-	// Pause is the time between writes. Change it before the first request.
-	Pause time.Duration
 
 	sent   atomic.Int64
 	closed chan struct{} // receives a value when a client has closed its connection
 }
 
-// NewEndless starts a server that answers with the prefix and then, if filler is not empty,
-// repeats filler until the client closes the connection. Otherwise it keeps silent. Each "%ID" in the prefix stands for the
-// Attempt-Id of the request.
+// NewEndless starts a server that answers each connection's first request with the prefix, and
+// then repeats the filler until the client closes the connection. With an empty filler it keeps
+// silent after the prefix.
 func NewEndless(t testing.TB, prefix, filler string) *Endless {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -75,12 +73,10 @@
 	defer c.Close()
 	defer func() { e.closed <- struct{}{} }()
 	request := make([]byte, pieceBytes)
-	n, err := c.Read(request)
-	if err != nil {
+	if _, err := c.Read(request); err != nil {
 		return
 	}
-	text := bytes.ReplaceAll([]byte(prefix), []byte("%ID"), attemptID(request[:n]))
-	if err := e.write(c, text); err != nil {
+	if err := e.write(c, []byte(prefix)); err != nil {
 		return
 	}
 	if filler == "" {
@@ -89,7 +85,6 @@
 	}
 	piece := bytes.Repeat([]byte(filler), pieceBytes/len(filler))
 	for e.write(c, piece) == nil {
-		time.Sleep(e.Pause)
 	}
 }
 
@@ -98,10 +93,3 @@
 	e.sent.Add(int64(n))
 	return err
 }
-
-// attemptID returns the value of the field Attempt-Id of a request.
-func attemptID(request []byte) []byte {
-	_, rest, _ := bytes.Cut(request, []byte("Attempt-Id: "))
-	id, _, _ := bytes.Cut(rest, []byte("\r\n"))
-	return id
-}
