Bound the heads that clients of endpoints, the store and daemons hold

The clients of reports, orders, cache events, the store and neighbours use net/http's transport, which holds a head up to 10 MB, and a multiple of that while it grows. A leader asks all loading engines for their reports at a time (1,799 at the fleet's size), and a daemon follows up to 75 holders of cache events there, so that engines that answer with heads without end can take more than the memory of a daemon together, though none does by itself.

Connections to endpoints and neighbours pass the scanner of heads too (response.Guard), so that bytes that are no response end a call at once and the error names the bound; not those to the store, whose appends may be answered before they are written whole. Servers for other daemons, the balancer and operators accept 16 KiB of header (net/http's default is 1 MB); the client of the gateway's platform has the limit as well.

--- a/ports/httplog/httplog.go
+++ b/ports/httplog/httplog.go
@@ -20,6 +20,7 @@
 
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/ports"
+	"github.com/merlindock/merlindock/response"
 )
 
 // Paths below the platform's base address.
@@ -56,7 +57,7 @@
 	BaseURL string        // for example http://10.0.0.5:7400
 	Token   string        // sent as a bearer token, if any
 	Timeout time.Duration // of one call; 0 means DefaultTimeout
-	Client  *http.Client  // nil means a client with the default transport
+	Client  *http.Client  // nil means a client with the default transport and a limit for heads
 }
 
 // Client implements ports.Log and ports.VMList. It is safe for concurrent use.
@@ -82,11 +83,22 @@
 		c.timeout = DefaultTimeout
 	}
 	if c.http == nil {
-		c.http = &http.Client{}
+		c.http = &http.Client{Transport: defaultTransport()}
 	}
 	return c, nil
 }
 
+// defaultTransport returns net/http's default transport with a limit for heads.
+func defaultTransport() http.RoundTripper {
+	shared, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultTransport // the program has replaced it
+	}
+	t := shared.Clone()
+	t.MaxResponseHeaderBytes = response.MaxControlHeadBytes
+	return t
+}
+
 // Append implements ports.Log.
 func (c *Client) Append(ctx context.Context, s ports.Stream, data []byte) (ports.Offset, error) {
 	var a AppendResult
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/reach"
+	"github.com/merlindock/merlindock/response/responsetest"
 )
 
 // testbed is a daemon that cannot reach an endpoint, and one that relays for it.
@@ -218,3 +219,29 @@
 		t.Error("the path counts as lost")
 	}
 }
+
+// Guards against a relaying daemon whose answer never ends, and is held or read until the time
+// limit of each helper.
+func TestEndlessHelperIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ prefix, filler string }{
+		"no response": {"", "\x00"},
+		"fields":      {"HTTP/1.1 101 Switching Protocols\r\n", "a: b\r\n"},
+		"value":       {"HTTP/1.1 101 Switching Protocols\r\na: ", "b"},
+		"refusal":     {"HTTP/1.1 503 Busy\r\nContent-Length: 9000000000\r\n\r\n", "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, c.prefix, c.filler)
+			d := NewDialer(Options{Peers: (&net.Dialer{}).DialContext}, nil, nil)
+			began := time.Now()
+			_, err := d.ask(t.Context(), reach.Peer{Name: "helper", Address: e.Address}, "127.0.0.1:1")
+			if took := time.Since(began); err == nil || errors.Is(err, context.DeadlineExceeded) || took > helperTimeout {
+				t.Errorf("%v after %v", err, took)
+			}
+			const socketBytes = 8 << 20
+			if !e.AwaitClose(time.Second) || e.Sent() > socketBytes {
+				t.Errorf("%d bytes were sent", e.Sent())
+			}
+		})
+	}
+}
--- a/response/doc.go
+++ b/response/doc.go
@@ -10,6 +10,9 @@
 	// MaxHeadBytes bounds the heads of the responses to one request, interim and unrelated
 	// ones included. Other proxies accept 8 to 60 KiB.
 	MaxHeadBytes = 32 << 10
+	// MaxControlHeadBytes is the limit for reports, cache events, orders, the store and other
+	// daemons, whose heads are a few hundred bytes.
+	MaxControlHeadBytes = 16 << 10
 	// maxFields bounds the header fields of these heads, as each takes more memory than its
 	// bytes.
 	maxFields = 256
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -18,6 +18,7 @@
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/readtree"
 	"github.com/merlindock/merlindock/relay"
+	"github.com/merlindock/merlindock/response"
 )
 
 // Thresholds and timeouts for reading through neighbours.
@@ -131,9 +132,9 @@
 func newNeighbours(me Neighbour, set *Settings, dialer net.Dialer, clock func() time.Duration, log *logging.Logger) *neighbours {
 	grace := time.Duration(relayTimeoutFraction * float64(set.ConfigWithin))
 	dialer.Timeout = grace
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: int(topicCount), IdleConnTimeout: 10 * time.Second, DisableCompression: true,
-	}}
+	transport := response.NewTransport(response.Guard(dialer.DialContext))
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = int(topicCount), 10*time.Second
+	client := &http.Client{Transport: transport}
 	return &neighbours{
 		self: me, clock: clock, log: log, choice: readtree.New(me.reader()), listed: make(chan struct{}),
 		grace: grace, secondWait: time.Duration(relaySecondWaitFraction * float64(set.ConfigWithin)),
@@ -353,7 +354,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(relayPath, r.handleRelayedRead)
 	mux.Handle(relay.Path, r.relayServer)
-	s := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: mux}
+	s := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxControlHeaderBytes, Handler: mux}
 	if err := s.Serve(l); err != nil {
 		r.log.Error("Reads of neighbours are no longer served.", "error", err.Error())
 	}
--- a/router/neighbours_test.go
+++ b/router/neighbours_test.go
@@ -16,6 +16,7 @@
 	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/hash"
+	"github.com/merlindock/merlindock/response/responsetest"
 )
 
 // relayServer starts a daemon that serves relayed reads, and returns its address.
@@ -171,3 +172,27 @@
 		t.Error("still detached after an answer of the store")
 	}
 }
+
+// Guards against a daemon, or another process at its former address, whose answer never ends.
+func TestEndlessAnswerOfNeighbourIsCutOff(t *testing.T) {
+	for name, c := range map[string]struct{ prefix, filler string }{
+		"no response": {"", "\x00"},
+		"fields":      {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+		"body":        {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "\x00"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, c.prefix, c.filler)
+			n := newNeighbours(Neighbour{Name: "a"}, &Settings{ConfigWithin: 10 * time.Second}, net.Dialer{}, fixedClock(0), discardLog())
+			began := time.Now()
+			_, err := n.request(t.Context(), e.Address, TopicOperator, feed.Query{From: -1})
+			if took := time.Since(began); err == nil || took > 2*time.Second {
+				t.Errorf("%v after %v", err, took)
+			}
+			const limit = feed.MaxAnswerBytes + 9<<20 // with what the sockets hold
+			if !e.AwaitClose(time.Second) || e.Sent() > limit {
+				t.Errorf("%d bytes were sent", e.Sent())
+			}
+		})
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -54,6 +54,8 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 120 * time.Second
 	maxHeaderBytes = 64 << 10
+	// maxControlHeaderBytes bounds those of other daemons, the balancer and operators.
+	maxControlHeaderBytes = 16 << 10
 )
 
 // Options configures a Router.
@@ -385,7 +387,7 @@
 }
 
 func (r *Router) serveReady(l net.Listener) {
-	s := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := &http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxControlHeaderBytes, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !r.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -397,7 +399,7 @@
 
 func (r *Router) serveMetrics() {
 	address := net.JoinHostPort(r.options.Settings.MetricsHost, r.options.MetricsPort)
-	s := &http.Server{Addr: address, ReadHeaderTimeout: headerTimeout, Handler: r.operationsHandler()}
+	s := &http.Server{Addr: address, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxControlHeaderBytes, Handler: r.operationsHandler()}
 	if err := s.ListenAndServe(); err != nil {
 		r.log.Error("Metrics are not served.", "address", address, "error", err.Error())
 	}
