Cut off answers without end to the question for an endpoint's identity

What callers saw: a request that depends on the incarnation of its endpoint (a stream that its caller takes up) stayed without an answer for as long as the endpoint sent, beyond its own deadline.

Cause: askIdentity read 1 MiB of the body at most, but closed the body afterwards, which makes net/http read it to its end; the deferred end of its time limit had run by then, so that no deadline was left on the connection. What was read was taken for a whole answer besides. Now the body isn't closed (the connection is, if anything failed), and one longer than 256 KiB is an error of bound body.

Failed before (go test ./forward -run EndlessIdentity): a stated length of 9 GB was read whole, in 2.3 s on loopback, against a limit of 0.4 s. Its two cases of heads without end passed since the heads of answers are bounded.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/response"
 	"github.com/merlindock/merlindock/response/responsetest"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -189,3 +190,28 @@
 }
 
 const signedAnswer = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nright"
+
+// Guards against an answer without end to the question for an endpoint's identity.
+func TestEndlessIdentityIsCutOff(t *testing.T) {
+	for name, c := range map[string]struct{ prefix, filler string }{
+		"no response": {"", "\x00"},
+		"fields":      {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+		"body":        {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "7"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := responsetest.NewEndless(t, c.prefix, c.filler)
+			client := NewClient(identityWire{}, nil)
+			o := outgoing("a1")
+			o.SameIncarnation = true
+			_, err := client.Send(t.Context(), Target{Key: "e@7", ID: "e", Address: e.Address, Born: 7}, o)
+			var exceeded *response.Error
+			if !errors.Is(err, ErrNotSent) || !errors.As(err, &exceeded) {
+				t.Errorf("error %v", err)
+			}
+			if !e.AwaitClose(cutOffWithin) || e.Sent() > endlessLimit {
+				t.Errorf("%d bytes were sent", e.Sent())
+			}
+		})
+	}
+}
--- a/forward/identity.go
+++ b/forward/identity.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/merlindock/merlindock/response"
 )
 
 // IdentityCodec is implemented by a HeaderCodec whose endpoints state which incarnation they
@@ -26,7 +28,7 @@
 	// identityTimeout bounds the request for an endpoint's identity, which is answered from
 	// memory.
 	identityTimeout  = 400 * time.Millisecond
-	maxIdentityBytes = 1 << 20
+	maxIdentityBytes = 256 << 10
 )
 
 // Suspect records that connections to the endpoint were lost: it may have restarted under its
@@ -80,15 +82,17 @@
 		return 0, err
 	}
 	k.r.Begin()
-	resp, err := k.r.Next(http.MethodGet)
+	// The body isn't closed, as net/http would read it to its end.
+	resp, err := k.r.Next(http.MethodGet) //nolint:bodyclose // the connection's owner closes it
 	if err != nil {
 		return 0, err
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxIdentityBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxIdentityBytes+1))
 	switch {
 	case err != nil:
 		return 0, err
+	case len(body) > maxIdentityBytes:
+		return 0, &response.Error{Bound: response.BoundBody, Limit: maxIdentityBytes, Read: int64(len(body))}
 	case resp.Close || k.r.Buffered() > 0 || !stop():
 		return 0, errors.New("forward: connection can't be used after the request for the identity")
 	case resp.StatusCode != http.StatusOK:
--- a/response/doc.go
+++ b/response/doc.go
@@ -27,6 +27,7 @@
 	BoundHead   Bound = "head"   // bytes of heads
 	BoundFields Bound = "fields" // header fields
 	BoundStray  Bound = "stray"  // bytes of responses to other requests
+	BoundBody   Bound = "body"   // bytes of a body that is read as a whole
 )
 
 // Error reports bytes that are no response, or exceed a limit.
