Soak daemons beside runners whose answers never end

The proxies before the runners replace answers with bytes without end (zeros, a status line, fields, a field, interim answers and answers to other requests), and the memory of each daemon's process is watched: at most half of its limit of 200 MB. Seeds from 40,000 on; those below keep their faults.

--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"net"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,8 +17,21 @@
 	silent           // connections stay open, nothing is forwarded
 	oneWay           // data from the server is dropped
 	modeCount
+	endless // answers are replaced by bytes that never end; not chosen as one of the above
 )
 
+// endlessAnswers are what a proxy sends in the mode endless: a beginning, and what is repeated.
+var endlessAnswers = [][2]string{
+	{"", "\x00"},
+	{"HTTP/1.1 200 OK", "k"},
+	{"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+	{"HTTP/1.1 200 OK\r\na: ", "b"},
+	{"", "HTTP/1.1 100 Continue\r\na: b\r\n\r\n"},
+	{"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 9000000000\r\n\r\n", "b"},
+	{"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	{"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n\r\n", "b"},
+}
+
 const slowDelay = 150 * time.Millisecond
 
 // proxy forwards connections from listenAddress to targetAddress.
@@ -28,6 +43,7 @@
 	interrupted bool // the listener is closed temporarily
 	closed      bool
 	mode        mode
+	spoilt      int // answers replaced in the mode endless
 	conns       map[net.Conn]struct{}
 }
 
@@ -119,6 +135,23 @@
 	}
 }
 
+// spoil sends bytes that never end until the client closes the connection.
+func (p *proxy) spoil(client net.Conn) {
+	p.mu.Lock()
+	answer := endlessAnswers[p.spoilt%len(endlessAnswers)]
+	p.spoilt++
+	p.mu.Unlock()
+	if _, err := client.Write([]byte(answer[0])); err != nil {
+		return
+	}
+	piece := []byte(strings.Repeat(answer[1], 16<<10/len(answer[1])))
+	for {
+		if _, err := client.Write(piece); err != nil {
+			return
+		}
+	}
+}
+
 // relay copies data in one direction and applies the proxy's mode. answers is true for
 // data from the server.
 func (p *proxy) relay(dst, src net.Conn, answers bool) {
@@ -142,6 +175,10 @@
 		case m == oneWay && answers:
 			n = 0
 		}
+		if answers && p.currentMode() == endless && bytes.HasPrefix(buf[:n], []byte("HTTP/1.")) {
+			p.spoil(dst)
+			return
+		}
 		if n > 0 {
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -66,6 +66,7 @@
 	store           *proxy
 	cmd             *exec.Cmd
 	exited          chan struct{}
+	pid             atomic.Int64
 }
 
 // start starts the process unless it is running. Faults overlap, and the ends of two of
@@ -84,6 +85,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
 	p.exited = make(chan struct{})
 	go func() {
 		_ = p.cmd.Wait() // the test checks the answers, not the exit status
@@ -142,6 +144,8 @@
 	keys       []string             // valid keys besides stableKey
 	revoked    map[string]time.Time // time of the configuration without the key
 	requests   int
+
+	residentMB int // largest of any daemon so far
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -398,6 +402,9 @@
 		r := s.runners[s.runnerID(s.faultRand.IntN(len(s.runnerLinks)))]
 		r.RejectAll("0.8")
 		return func() { r.RejectAll("") }
+	case 13, 14, 15:
+		link.setMode(endless)
+		return func() { link.setMode(passThrough) }
 	}
 	return func() {}
 }
@@ -625,6 +632,55 @@
 
 func TestSoakWithOverload(t *testing.T) { runSeed(t, firstSeedWithOverload) }
 
+// firstSeedWithEndlessAnswers is the lowest seed whose runners also send bytes that are no
+// answer and never end.
+const firstSeedWithEndlessAnswers = 40_000
+
+func TestSoakWithEndlessAnswers(t *testing.T) { runSeed(t, firstSeedWithEndlessAnswers) }
+
+// maxResidentMB is half of limits.memoryMb in the settings of the daemons.
+const maxResidentMB = 100
+
+// watchMemory records the largest resident memory of the daemons, in MB, until stop is closed.
+func (s *soak) watchMemory(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		for _, d := range s.daemons {
+			s.residentMB = max(s.residentMB, residentMB(int(d.pid.Load())))
+		}
+	}
+}
+
+// residentMB returns the resident memory of a process in MB; 0: it has ended.
+func residentMB(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(fields[1])
+	return pages * os.Getpagesize() >> 20
+}
+
+// checkMemory checks that no daemon has taken more than half of its memory.
+func (s *soak) checkMemory() {
+	spoilt := 0
+	for _, link := range s.runnerLinks {
+		spoilt += link.spoilt
+	}
+	s.t.Logf("%d MB resident at most, %d answers without end", s.residentMB, spoilt)
+	if s.residentMB > maxResidentMB {
+		s.t.Errorf("a daemon had %d MB, %d are allowed", s.residentMB, maxResidentMB)
+	}
+}
+
 // limitSlots gives the plain runners few slots.
 func (s *soak) limitSlots() {
 	for i := modelRunners; i < len(s.runnerLinks); i++ {
@@ -667,8 +723,19 @@
 		if seed >= firstSeedWithAllFaults {
 			s.faultKinds = 13
 		}
+		if seed >= firstSeedWithEndlessAnswers {
+			s.faultKinds = 16
+		}
 		s.storeCopy = s.store.Copy()
+		stop, watched := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(watched)
+			s.watchMemory(stop)
+		}()
 		s.run(time.Duration(envInt("SOAK_SECONDS", 6)) * time.Second)
+		close(stop)
+		<-watched
+		s.checkMemory()
 		s.checkAttempts()
 		s.checkBrittle()
 	})
