--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -150,6 +150,9 @@
 	defer held.Release()
 	var exceeded *response.Error
 	if errors.As(err, &exceeded) {
+		if exceeded.Bound == response.BoundBudget {
+			c.o.Client.Limits.Observe("answer", c.in.AttemptID, c.report.Attempts[len(c.report.Attempts)-1].Endpoint, err)
+		}
 		return c.relayUnbuffered(a, body, &held)
 	}
 	a.Close(err == nil)
