Search each piece of a stream once for the end of an event

What callers saw: nothing yet; the same class as the limits on answers without end.

Cause: each read searched all that was held of the event again, so that the time grew with the square of its length. Now only what arrived is searched, and the byte before it.

What is passed on is the same: the property test cuts streams into pieces of any size, down to one byte.

--- a/forward/events.go
+++ b/forward/events.go
@@ -39,14 +39,17 @@
 // add appends bytes of the stream and returns the events completed by them that
 // the caller does not have yet. The result is valid until the next call.
 func (e *eventSplitter) add(b []byte) ([]byte, error) {
+	// The end may lie across the border. What came before it has none.
+	searched := max(0, len(e.partial)-len(eventEnd)+1)
 	e.partial = append(e.partial, b...)
-	end := bytes.LastIndex(e.partial, eventEnd)
+	end := bytes.LastIndex(e.partial[searched:], eventEnd)
 	if end < 0 {
 		if len(e.partial) > maxEventBytes {
 			return nil, &response.Error{Bound: response.BoundEvent, Limit: maxEventBytes, Read: int64(len(e.partial))}
 		}
 		return nil, e.held.Resize(int64(len(e.partial)))
 	}
+	end += searched
 	e.held.Release()
 	complete := e.partial[:end+len(eventEnd)]
 	rest := append([]byte(nil), e.partial[end+len(eventEnd):]...)
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -51,3 +51,16 @@
 }
 
 func itoa(i int) string { return string(rune('0'+i/10)) + string(rune('0'+i%10)) }
+
+// An event without end is refused after its limit; the time until then grows with its length.
+func BenchmarkEventWithoutEnd(b *testing.B) {
+	piece := []byte(strings.Repeat("x", relayBufferBytes))
+	for b.Loop() {
+		var e eventSplitter
+		for {
+			if _, err := e.add(piece); err != nil {
+				break
+			}
+		}
+	}
+}
