--- a/response/reader_test.go
+++ b/response/reader_test.go
@@ -83,6 +83,9 @@
 		t.Errorf("%v after %d responses", err, n)
 	}
 	r.Begin()
+	if n := r.Received(); n != 0 {
+		t.Errorf("%d bytes count for the next request", n)
+	}
 	if _, err := r.Next(http.MethodGet); err != nil {
 		t.Errorf("%v for the next request", err)
 	}
