Test that nothing is read behind an answer to another request that is the last of its connection

A mutant that reads on there survived, as the limit of bytes ended it too. The test sends a part of such an answer and then nothing; the mutant waits for the deadline and fails.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -74,7 +74,8 @@
 // become a response, so that no other endpoint is tried.
 func TestBytesThatAreNoResponseEndTheAttemptAtOnce(t *testing.T) {
 	for name, prefix := range map[string]string{
-		"a zero": "\x00", "a continued first field": "HTTP/1.1 200 OK\r\n c", "half a line": "HTTP/1.1 2x", "a name": "HTTP/1.1 200 OK\r\n\x00", "a value": "HTTP/1.1 200 OK\r\nA: \x00",
+		"a zero": "\x00", "a continued first field": "HTTP/1.1 200 OK\r\n c",
+		"an answer to another, last": "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nConnection: close\r\nContent-Length: 9\r\n\r\n", "half a line": "HTTP/1.1 2x", "a name": "HTTP/1.1 200 OK\r\n\x00", "a value": "HTTP/1.1 200 OK\r\nA: \x00",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
