--- a/forward/handler.go
+++ b/forward/handler.go
@@ -146,8 +146,8 @@
 	build      string // software version of the endpoint that answers
 	stream     streamorigin.ID
 	events     eventSplitter
-	answer     *bufferedAnswer // a 5xx answer of an endpoint, sent if no other attempt succeeds
-	keptBytes  response.Holding
+	answer     *bufferedAnswer  // a 5xx answer of an endpoint, sent if no other attempt succeeds
+	keptBytes  response.Holding // of answer
 	charge     quotaCharge
 	watch      *stallWatch // of the current attempt; nil: stalls are not observed
 	move       *streamMove // of a stalled stream; nil: none
