Give the proxies of each soak process an address of its own

An interrupted proxy closes its listener for 0.6 s; another process can take its port for a proxy of its own in that time, and then runs what the first process's daemons send there, under attempt IDs (a1, a2, ...) and runner IDs that both use. The checks are unchanged; proxies listen at an address that follows from the process's ID.

--- a/lab/soak/proxy_test.go
+++ b/lab/soak/proxy_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -47,8 +49,15 @@
 	conns       map[net.Conn]struct{}
 }
 
+// proxyHost returns the loopback address of this process's proxies. Another process that runs
+// this test must not take the port of a proxy that is interrupted.
+func proxyHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
+}
+
 func newProxy(to string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", proxyHost()+":0")
 	if err != nil {
 		return nil, err
 	}
