Reset the read deadline where a rejection sets it

Cause: since rejections are read for a moment, Close reset the read deadline of every connection that is reused, also of those that no one had given one.

Now CloseUnread resets what it has set, and Close again resets only that of a watched stream. If the context ends meanwhile, its deadline may be overwritten, but Close does not reuse the connection then.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -241,12 +241,14 @@
 		a.Close(false)
 		return
 	}
-	a.conn.watch = nil
+	a.conn.watch, a.conn.ctx = nil, nil
 	if err := a.conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
 		a.Close(false)
 		return
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDrainBytes+1))
+	// If the context has ended meanwhile, Close does not reuse the connection.
+	_ = a.conn.SetReadDeadline(time.Time{})
 	a.Close(err == nil && n <= maxDrainBytes)
 }
 
@@ -260,8 +262,10 @@
 		a.client.close(a.conn)
 		return
 	}
-	a.conn.watch, a.conn.ctx = nil, nil
-	_ = a.conn.SetReadDeadline(time.Time{})
+	if a.conn.watch != nil {
+		a.conn.watch, a.conn.ctx = nil, nil
+		_ = a.conn.SetReadDeadline(time.Time{})
+	}
 	a.conn.maxIdle = defaultReuse
 	if a.Info.KeepAlive > 0 {
 		a.conn.maxIdle = time.Duration(reuseFraction * float64(a.Info.KeepAlive))
