Play watched attempts and reused connections in virtual time

Two tests of forward/stall_test.go slept on the real clock (150 and 20 ms), and one bounded a wait of 20 ms by 3 s. Endpoints answer over pipes in a synctest bubble now; the bound is 40 ms. As strict as before: without the reset of the deadline in Close the first fails, without the check of the context in setReadDeadline the other ends after 5.04 s and fails.

--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/merlindock/merlindock/quota"
@@ -242,25 +243,46 @@
 // Guards against a connection that keeps the deadline of a watched attempt and ends the next
 // one by it.
 func TestConnectionIsReusedAfterWatchedStream(t *testing.T) {
-	target, seen := endpoint(t, streamAnswer, streamAnswer)
-	client := NewClient(plainWire{}, nil)
-	for _, watch := range []StallWatch{fixedWatch{time.Now().Add(100 * time.Millisecond)}, nil} {
-		o := outgoing("a1")
-		o.Watch = watch
-		a, err := client.Send(t.Context(), target, o)
-		if err != nil {
-			t.Fatal(err)
+	synctest.Test(t, func(t *testing.T) {
+		e := &pipeEndpoint{answers: []string{streamAnswer, streamAnswer}}
+		client := NewClient(plainWire{}, e.dial)
+		for _, watch := range []StallWatch{fixedWatch{time.Now().Add(100 * time.Millisecond)}, nil} {
+			o := outgoing("a1")
+			o.Watch = watch
+			a, err := client.Send(t.Context(), Target{Key: "e"}, o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err = io.ReadAll(a.Body); err != nil {
+				t.Fatal(err)
+			}
+			a.Close(true)
+			time.Sleep(150 * time.Millisecond)
 		}
-		_, err = io.ReadAll(a.Body)
+		if e.dialled != 1 || client.Open("e") != 1 {
+			t.Errorf("%d connections were opened, %d are open", e.dialled, client.Open("e"))
+		}
+		client.CloseIdleDirect("")
+	})
+}
+
+// Guards against a connection that keeps the deadline within which a rejection was read.
+func TestConnectionIsReusedAfterRejection(t *testing.T) {
+	const rejection = "HTTP/1.1 503 No\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+	synctest.Test(t, func(t *testing.T) {
+		e := &pipeEndpoint{answers: []string{rejection, streamAnswer}, pause: 2 * drainTimeout}
+		client := NewClient(plainWire{}, e.dial)
+		a, err := client.Send(t.Context(), Target{Key: "e"}, outgoing("a1"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		a.Close(true)
-		time.Sleep(150 * time.Millisecond)
-	}
-	if len(seen) != 2 || client.Open(target.Key) != 1 {
-		t.Errorf("%d requests, %d connections", len(seen), client.Open(target.Key))
-	}
+		a.CloseUnread()
+		body, err := sendAndRead(t, client, Target{Key: "e"}, "a1")
+		if err != nil || body != "id: 0\ndata: one\n\n" || e.dialled != 1 {
+			t.Errorf("%q, %v, %d connections were opened", body, err, e.dialled)
+		}
+		client.CloseIdleDirect("")
+	})
 }
 
 // cancellingWatch ends the context of the attempt while it decides on a stall, and then lets
@@ -282,15 +304,49 @@
 // Guards against an attempt that outlives its context because the watch sets a later deadline
 // after the end of the context has set one.
 func TestWatchedAttemptEndsWithContext(t *testing.T) {
-	target, _ := silentEndpoint(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	o := outgoing("a1")
-	o.Watch = &cancellingWatch{cancel: cancel, deadline: time.Now().Add(20 * time.Millisecond)}
-	began := time.Now()
-	if _, err := NewClient(plainWire{}, nil).Send(ctx, target, o); err == nil || time.Since(began) > 3*time.Second {
-		t.Errorf("ended after %v: %v", time.Since(began), err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		e := &pipeEndpoint{answers: []string{""}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		o := outgoing("a1")
+		o.Watch = &cancellingWatch{cancel: cancel, deadline: time.Now().Add(20 * time.Millisecond)}
+		began := time.Now()
+		if _, err := NewClient(plainWire{}, e.dial).Send(ctx, Target{Key: "e"}, o); err == nil || time.Since(began) > 40*time.Millisecond {
+			t.Errorf("ended after %v: %v", time.Since(began), err)
+		}
+	})
+}
+
+// pipeEndpoint answers the requests of each connection in turn, over pipes, so that tests run
+// in virtual time. An empty answer is none.
+type pipeEndpoint struct {
+	answers []string
+	pause   time.Duration // before each answer but the first
+	dialled int
+}
+
+func (e *pipeEndpoint) dial(context.Context, string, string) (net.Conn, error) {
+	e.dialled++
+	client, server := net.Pipe()
+	go func() {
+		defer server.Close()
+		r := bufio.NewReader(server)
+		for i, answer := range e.answers {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if i > 0 {
+				time.Sleep(e.pause)
+			}
+			if _, err := io.WriteString(server, answer); err != nil {
+				return
+			}
+		}
+		_, _ = r.ReadByte() // until the client closes the connection
+	}()
+	return client, nil
 }
 
 // Guards against attempts that are still watched after their end.
