Test that answers and relayed bytes without end follow the pace of their readers

Two rows of the table of places that read had no test: an answer that is passed on while its caller does not read, and bytes that are relayed for another daemon.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -163,6 +163,33 @@
 	}
 }
 
+// Guards against an answer that is passed on and is held, or read on, while its caller does not
+// read, and against one that is read on after the caller has left.
+func TestEndlessAnswerFollowsThePaceOfItsCaller(t *testing.T) {
+	e := responsetest.NewEndless(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s\r\nContent-Length: 9000000000\r\n\r\n", "x")
+	s, _ := serveEndpoints(t, routes.Safe, Target{Key: "e", Address: e.Address})
+	resp, err := exchange(t, s, http.MethodGet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sent int64
+	for before := int64(-1); before != sent; { // until the sockets are full
+		before = sent
+		time.Sleep(100 * time.Millisecond) // sockets need the real clock
+		sent = e.Sent()
+	}
+	if sent > 2*endlessLimit { // two connections
+		t.Errorf("the endpoint sent %d bytes", sent)
+	}
+	if n := limitsOf(s).Held(); n != 0 {
+		t.Errorf("%d bytes are held", n)
+	}
+	_ = resp.Body.Close()
+	if !e.AwaitClose(cutOffWithin) {
+		t.Error("the connection to the endpoint is kept")
+	}
+}
+
 // serveEndpoints starts a server with one route whose requests are sent to the given endpoints
 // in turn. The result returns the reports of the requests so far.
 func serveEndpoints(t *testing.T, kind routes.Kind, targets ...Target) (*httptest.Server, func() []Report) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -245,3 +245,31 @@
 		})
 	}
 }
+
+// Guards against bytes without end that the relaying daemon holds while the other one does not
+// read, and against those that it goes on reading after the other has closed the connection.
+func TestEndlessBytesAreRelayedAtThePaceOfTheReader(t *testing.T) {
+	w := newTestbed(t)
+	e := responsetest.NewEndless(t, "", "x")
+	c, err := w.dialer.ask(t.Context(), reach.Peer{Name: "helper", Address: w.helper.Listener.Addr().String()}, e.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "a request"); err != nil {
+		t.Fatal(err)
+	}
+	var sent int64
+	for before := int64(-1); before != sent || sent == 0; { // until the sockets are full
+		before = sent
+		time.Sleep(100 * time.Millisecond) // sockets need the real clock
+		sent = e.Sent()
+	}
+	const socketBytes = 32 << 20 // of two connections
+	if sent > socketBytes {
+		t.Errorf("%d bytes were sent", sent)
+	}
+	_ = c.Close()
+	if !e.AwaitClose(time.Second) {
+		t.Error("the connection to the endpoint is kept")
+	}
+}
