Share the request beside an endless endpoint between two tests

Both served the same request from a second endpoint with the same bounds; the one on rejections checks the body as well now. Tests only; they pass as before.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -104,13 +104,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e := responsetest.NewEndless(t, c.prefix, c.filler)
-			sound, _ := endpoint(t, signedAnswer)
-			s, reports := serveEndpoints(t, routes.Safe, Target{Key: "e", Address: e.Address}, sound)
-			began := time.Now()
-			got := ask(t, s)
-			if took := time.Since(began); got.status != http.StatusOK || took > cutOffWithin {
-				t.Errorf("%+v after %v, reports %+v", got, took, reports())
-			}
+			expectServedElsewhere(t, e)
 			if !e.AwaitClose(cutOffWithin) {
 				t.Error("the connection to the rejecting endpoint is kept")
 			}
@@ -121,20 +115,26 @@
 	}
 }
 
+// expectServedElsewhere sends a safe request to the endpoint, which a sound one has to answer
+// long before its deadline.
+func expectServedElsewhere(t *testing.T, e *responsetest.Endless) {
+	t.Helper()
+	sound, _ := endpoint(t, signedAnswer)
+	s, reports := serveEndpoints(t, routes.Safe, Target{Key: "e", Address: e.Address}, sound)
+	began := time.Now()
+	got := ask(t, s)
+	if took := time.Since(began); got.status != http.StatusOK || got.body != "right" || took > cutOffWithin {
+		t.Errorf("%+v after %v, reports %+v", got, took, reports())
+	}
+}
+
 // Guards against a safe request that is lost with the endpoint whose answer never ends,
 // although another one would serve it.
 func TestSafeRequestGoesOnElsewhereAfterEndlessAnswer(t *testing.T) {
 	for name, c := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			e := responsetest.NewEndless(t, c.prefix, c.filler)
-			sound, _ := endpoint(t, signedAnswer)
-			s, reports := serveEndpoints(t, routes.Safe, Target{Key: "e", Address: e.Address}, sound)
-			began := time.Now()
-			got := ask(t, s)
-			if took := time.Since(began); got.status != http.StatusOK || got.body != "right" || took > cutOffWithin {
-				t.Errorf("%+v after %v, reports %+v", got, took, reports())
-			}
+			expectServedElsewhere(t, responsetest.NewEndless(t, c.prefix, c.filler))
 		})
 	}
 }
