Test what survived when limits were taken out of the code

Tests had looked at the time and the bytes, but not at the limit, the account of the budget and the report.

--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -52,6 +53,38 @@
 	}
 }
 
+// Guards against an incomplete event that is not counted, and against its bytes that stay counted
+// after it or its stream has ended.
+func TestIncompleteEventIsHeld(t *testing.T) {
+	limits := response.NewLimits(1<<20, nil)
+	piece := []byte(strings.Repeat("x", 50<<10))
+	e := eventSplitter{last: NoEvent}
+	add := func(b []byte, held bool) {
+		t.Helper()
+		if _, err := e.add(b); err != nil || (limits.Held() > 0) != held {
+			t.Errorf("%d bytes are held, %v", limits.Held(), err)
+		}
+	}
+	e.begin(limits)
+	add(piece, true)
+	add([]byte("\n\nid: 1"), false)
+	add(piece, true)
+	e.end()
+	if n := limits.Held(); n != 0 {
+		t.Errorf("%d bytes are held after the stream", n)
+	}
+	e.begin(limits)
+	var exceeded *response.Error
+	var err error
+	for err == nil {
+		_, err = e.add(piece)
+	}
+	if !errors.As(err, &exceeded) || exceeded.Bound != response.BoundBudget {
+		t.Errorf("error %v", err)
+	}
+	e.end()
+}
+
 func itoa(i int) string { return string(rune('0'+i/10)) + string(rune('0'+i%10)) }
 
 // An event without end is refused after its limit; the time until then grows with its length.
