Bound the socket buffers in tests that count what endless answers send

Cause: the test counts what the server hands to its kernel, and allowed 9 MiB for what the sockets hold. The kernel lets a receive buffer grow to 32 MiB on the machine of that run, and grows it the more the slower the reader is: 4 of 480 runs beside eight such processes failed, with 28.2 to 31.1 MB. The daemon read its 16 MiB in each of them. Change: the tests dial with a receive buffer of 64 KiB and the server sends with one, so that both sockets hold less than 320 KiB. The caller's own connection in TestEndlessAnswerFollowsThePaceOfItsCaller keeps the kernel's buffers and 16 MiB for them.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -40,9 +41,10 @@
 }
 
 const (
-	// endlessLimit bounds what an endless answer may send: the limits of this package and
-	// what the sockets of both ends hold.
-	endlessLimit = 16 << 20
+	// endlessLimit bounds what an endless answer may send: the highest limit of this package,
+	// that of events, which come in chunks of four bytes in nine, and what the sockets of both
+	// ends hold.
+	endlessLimit = (maxEventBytes+relayBufferBytes)*9/4 + responsetest.SocketBytes
 	// cutOffWithin is far below the deadlines of the requests.
 	cutOffWithin    = 2 * time.Second
 	endlessDeadline = 10 * time.Second
@@ -50,6 +52,12 @@
 	testBudget = 8 << 20
 )
 
+// smallBuffers opens connections that hold few bytes which were not read.
+func smallBuffers(ctx context.Context, network, address string) (net.Conn, error) {
+	d := responsetest.Dialer()
+	return d.DialContext(ctx, network, address)
+}
+
 // Guards against answers whose head never ends, or that belong to another request and never
 // end: each filled the daemon's memory or its link until the request's deadline.
 func TestEndlessAnswersAreCutOff(t *testing.T) {
@@ -57,7 +65,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e := responsetest.NewEndless(t, c.prefix, c.filler)
-			client := NewClient(plainWire{}, nil)
+			client := NewClient(plainWire{}, smallBuffers)
 			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
 			defer cancel()
 			_, err := client.Send(ctx, Target{Key: "e", Address: e.Address}, outgoing("a1"))
@@ -91,7 +99,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
 			defer cancel()
 			began := time.Now()
-			_, err := NewClient(plainWire{}, nil).Send(ctx, Target{Key: "e", Address: e.Address}, outgoing("a1"))
+			_, err := NewClient(plainWire{}, smallBuffers).Send(ctx, Target{Key: "e", Address: e.Address}, outgoing("a1"))
 			if !errors.Is(err, ErrNoAnswer) || time.Since(began) > cutOffWithin {
 				t.Errorf("%v after %v", err, time.Since(began))
 			}
@@ -188,7 +196,8 @@
 		time.Sleep(100 * time.Millisecond) // sockets need the real clock
 		sent = e.Sent()
 	}
-	if sent > 2*endlessLimit { // two connections
+	const callerSocketBytes = 16 << 20 // by the kernel's own limits
+	if sent > endlessLimit+callerSocketBytes {
 		t.Errorf("the endpoint sent %d bytes", sent)
 	}
 	if n := limitsOf(s).Held(); n != 0 {
@@ -208,7 +217,7 @@
 	}
 	for bytes, served := range map[int]bool{maxStrayBytes / 3: true, maxStrayBytes/3 + 1: false} {
 		target, _ := endpoint(t, strings.Repeat(stray(bytes), 3)+signedAnswer)
-		body, err := sendAndRead(t, NewClient(plainWire{}, nil), target, "a1")
+		body, err := sendAndRead(t, NewClient(plainWire{}, smallBuffers), target, "a1")
 		var exceeded *response.Error
 		if served != (body == "right") || served != (err == nil) || !served && (!errors.As(err, &exceeded) || exceeded.Bound != response.BoundStray) {
 			t.Errorf("three of %d bytes: %q, %v", bytes, body, err)
@@ -338,7 +347,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e := responsetest.NewEndless(t, c.prefix, c.filler)
-			client := NewClient(identityWire{}, nil)
+			client := NewClient(identityWire{}, smallBuffers)
 			o := outgoing("a1")
 			o.SameIncarnation = true
 			_, err := client.Send(t.Context(), Target{Key: "e@7", ID: "e", Address: e.Address, Born: 7}, o)
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -77,7 +77,7 @@
 	t.Helper()
 	table.BuildIndex()
 	callers := NewCallerConns()
-	o.Codec, o.Client, o.Callers = plainWire{}, NewClient(plainWire{}, nil), callers
+	o.Codec, o.Client, o.Callers = plainWire{}, NewClient(plainWire{}, smallBuffers), callers
 	o.Client.Limits = response.NewLimits(testBudget, nil)
 	if o.Report == nil {
 		o.Report = func(*Report) {}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/reach"
+	"github.com/merlindock/merlindock/response"
 	"github.com/merlindock/merlindock/response/responsetest"
 )
 
@@ -232,14 +233,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e := responsetest.NewEndless(t, c.prefix, c.filler)
-			d := NewDialer(Options{Peers: (&net.Dialer{}).DialContext}, nil, nil)
+			peers := responsetest.Dialer()
+			d := NewDialer(Options{Peers: peers.DialContext}, nil, nil)
 			began := time.Now()
 			_, err := d.ask(t.Context(), reach.Peer{Name: "helper", Address: e.Address}, "127.0.0.1:1")
 			if took := time.Since(began); err == nil || errors.Is(err, context.DeadlineExceeded) || took > helperTimeout {
 				t.Errorf("%v after %v", err, took)
 			}
-			const socketBytes = 8 << 20
-			if !e.AwaitClose(time.Second) || e.Sent() > socketBytes {
+			if !e.AwaitClose(time.Second) || e.Sent() > response.MaxHeadBytes+responsetest.SocketBytes {
 				t.Errorf("%d bytes were sent", e.Sent())
 			}
 		})
--- a/router/neighbours_test.go
+++ b/router/neighbours_test.go
@@ -184,14 +184,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e := responsetest.NewEndless(t, c.prefix, c.filler)
-			n := newNeighbours(Neighbour{Name: "a"}, &Settings{ConfigWithin: 10 * time.Second}, net.Dialer{}, fixedClock(0), discardLog())
+			n := newNeighbours(Neighbour{Name: "a"}, &Settings{ConfigWithin: 10 * time.Second}, responsetest.Dialer(), fixedClock(0), discardLog())
 			began := time.Now()
 			_, err := n.request(t.Context(), e.Address, TopicOperator, feed.Query{From: -1})
 			var exceeded *response.Error
 			if took := time.Since(began); err == nil || took > 2*time.Second || name != "body" && !errors.As(err, &exceeded) {
 				t.Errorf("%v after %v", err, took)
 			}
-			const limit = feed.MaxAnswerBytes + 9<<20 // with what the sockets hold
+			const limit = feed.MaxAnswerBytes + 64<<10 + responsetest.SocketBytes // with the buffers of the client
 			if !e.AwaitClose(time.Second) || e.Sent() > limit {
 				t.Errorf("%d bytes were sent", e.Sent())
 			}
