End calls of every HTTP client at bytes that are no response

What callers saw: on the product's own interface an engine whose answer begins with a zero, and then falls silent, held the attempt for the 2 minutes of its time limit, so that no other engine was tried; an order and a status for their 10 s, a call of the platform's log for its 10 s. Only clients that send a request by one write could have the scanner of heads, as it took a write for the beginning of the next answer; engine, orders, the store's client and ports/httplog had net/http's limit for heads alone. A trial of the guard on a request that is written while its answer is read rejected the body of a sound answer ("malformed after 1 bytes"). Change: response.Transport is told by net/http which connection a request got; the next bytes received on it begin the head. All clients use it. It also names the limit where net/http names a sound line that the limit cut off, which the guard did with read buffers of 1 KiB ("malformed MIME header line").

--- a/engine/client.go
+++ b/engine/client.go
@@ -13,11 +13,12 @@
 
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/response"
 )
 
 // Limits on the memory and time that one endpoint may occupy at a daemon.
 const (
-	DefaultMaxHeaderBytes  = 32 << 10
+	DefaultMaxHeaderBytes  = response.MaxHeadBytes
 	DefaultMaxEventBytes   = 256 << 10
 	DefaultMaxAnswerBytes  = 16 << 20
 	DefaultDialTimeout     = 500 * time.Millisecond
@@ -45,20 +46,23 @@
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
 	options   Options
-	keepAlive *http.Transport // keeps idle connections
-	singleUse *http.Transport // opens a new connection for each request
+	keepAlive *response.Transport // keeps idle connections
+	singleUse *response.Transport // opens a new connection for each request
 }
 
 // New returns a Client with the given options.
 func New(o Options) *Client {
 	o = o.withDefaults()
-	c := &Client{options: o, keepAlive: newTransport(&o), singleUse: newTransport(&o)}
+	singleUse := newTransport(&o)
 	// A non-idempotent request gets a new connection. An idle connection may
 	// already have been closed by the endpoint. The daemon cannot distinguish that
 	// from an endpoint that received the request and crashed, and the caller would
 	// get "outcome unknown" without need.
-	c.singleUse.DisableKeepAlives = true
-	return c
+	singleUse.DisableKeepAlives = true
+	return &Client{
+		options:   o,
+		keepAlive: response.NewTransport(newTransport(&o), o.MaxHeaderBytes), singleUse: response.NewTransport(singleUse, o.MaxHeaderBytes),
+	}
 }
 
 func (o Options) withDefaults() Options {
@@ -90,14 +94,13 @@
 			defer cancel()
 			return dial(ctx, network, address)
 		},
-		DisableCompression:     true,
-		MaxIdleConns:           0, // limited per endpoint only
-		MaxIdleConnsPerHost:    o.IdlePerEndpoint,
-		IdleConnTimeout:        DefaultIdleTimeout,
-		ResponseHeaderTimeout:  o.HeaderTimeout,
-		MaxResponseHeaderBytes: o.MaxHeaderBytes,
-		ReadBufferSize:         connBufferBytes,
-		WriteBufferSize:        connBufferBytes,
+		DisableCompression:    true,
+		MaxIdleConns:          0, // limited per endpoint only
+		MaxIdleConnsPerHost:   o.IdlePerEndpoint,
+		IdleConnTimeout:       DefaultIdleTimeout,
+		ResponseHeaderTimeout: o.HeaderTimeout,
+		ReadBufferSize:        connBufferBytes,
+		WriteBufferSize:       connBufferBytes,
 	}
 }
 
--- a/orders/sender.go
+++ b/orders/sender.go
@@ -15,29 +15,24 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/response"
 	"github.com/merlindock/merlindock/rollout"
 )
 
 // Limits of connections to endpoints.
 const (
-	dialTimeout    = time.Second
-	maxHeaderBytes = 16 << 10
-	maxRetryAfter  = 10 * time.Minute
+	dialTimeout   = time.Second
+	maxRetryAfter = 10 * time.Minute
 )
 
 // NewTransport returns a transport for orders. It opens a connection for each order:
 // net/http retries a request by itself if a reused connection was lost, and an order
 // must not be sent twice. If dial is nil, it uses TCP.
-func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+func NewTransport(dial response.Dial) *response.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &http.Transport{
-		DialContext:            dial,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	return response.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}, response.MaxControlHeadBytes)
 }
 
 // sender sends orders to endpoints and reads their statuses.
--- a/orders/sender_test.go
+++ b/orders/sender_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/response"
+	"github.com/merlindock/merlindock/response/responsetest"
 	"github.com/merlindock/merlindock/rollout"
 )
 
@@ -122,3 +124,23 @@
 		t.Errorf("status %+v and error %v", s, err)
 	}
 }
+
+// Guards against an order, or a request for a status, that waits for its time limit although the
+// bytes received can't become an answer.
+func TestBytesThatAreNoResponseEndTheCallAtOnce(t *testing.T) {
+	s := testSender()
+	for name, prefix := range map[string]string{"a zero": "\x00", "half a head": "HTTP/1.1 200 OK\r\na\x00"} {
+		address := responsetest.NewEndless(t, prefix, "").Address
+		began := time.Now()
+		var malformed *response.Error
+		if _, err := s.postOrder(t.Context(), rollout.Order{Fence: 7}, address, always); !errors.Is(err, ErrUnknown) {
+			t.Errorf("%s: order %v", name, err)
+		}
+		if _, err := s.readStatus(t.Context(), address); !errors.As(err, &malformed) {
+			t.Errorf("%s: status %v", name, err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("%s: %v", name, took)
+		}
+	}
+}
--- a/ports/httplog/httplog.go
+++ b/ports/httplog/httplog.go
@@ -94,9 +94,7 @@
 	if !ok {
 		return http.DefaultTransport // the program has replaced it
 	}
-	t := shared.Clone()
-	t.MaxResponseHeaderBytes = response.MaxControlHeadBytes
-	return t
+	return response.NewTransport(shared.Clone(), response.MaxControlHeadBytes)
 }
 
 // Append implements ports.Log.
--- a/ports/httplog/list_test.go
+++ b/ports/httplog/list_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
+
+	"github.com/merlindock/merlindock/ports"
+	"github.com/merlindock/merlindock/response"
+	"github.com/merlindock/merlindock/response/responsetest"
 )
 
 // Guards against a cached list that hides a change: a leaving endpoint would
@@ -48,3 +54,22 @@
 	body = `[{"id":"d"}]`
 	read("d")
 }
+
+// Guards against a call that waits for its time limit although the bytes received can't become
+// an answer of the platform.
+func TestBytesThatAreNoResponseEndTheCallAtOnce(t *testing.T) {
+	for name, prefix := range map[string]string{"a zero": "\x00", "half a head": "HTTP/1.1 200 OK\r\na\x00"} {
+		c, err := New(Options{BaseURL: "http://" + responsetest.NewEndless(t, prefix, "").Address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		var malformed *response.Error
+		if _, err := c.Endpoints(t.Context()); !errors.As(err, &malformed) || time.Since(began) > time.Second {
+			t.Errorf("%s: list %v after %v", name, err, time.Since(began))
+		}
+		if _, err := c.Append(t.Context(), "s", []byte("x")); !errors.As(err, &malformed) || errors.Is(err, ports.ErrNotAppended) || time.Since(began) > time.Second {
+			t.Errorf("%s: append %v after %v", name, err, time.Since(began))
+		}
+	}
+}
--- a/response/head.go
+++ b/response/head.go
@@ -24,10 +24,10 @@
 	state    headState
 	matched  int // bytes of statusLine
 	maxBytes int64
-	bytes    int64 // of all heads since reset
-	fields   int   // of all heads since reset
-	folds    bool  // a field was begun, so a line may continue it
-	rejected error // of a byte before; it stands until reset, as net/http may read on after it
+	bytes    int64  // of all heads since reset
+	fields   int    // of all heads since reset
+	folds    bool   // a field was begun, so a line may continue it
+	rejected *Error // of a byte before; it stands until reset, as net/http may read on after it
 }
 
 // reset begins the heads of the responses to another request.
@@ -37,7 +37,7 @@
 func (s *headScanner) next() { s.state, s.matched, s.folds = inStatusLine, 0, false }
 
 // scan checks bytes, up to the end of the head.
-func (s *headScanner) scan(b []byte) error {
+func (s *headScanner) scan(b []byte) *Error {
 	for _, c := range b {
 		if s.rejected != nil || s.state == headComplete {
 			break
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -132,9 +132,9 @@
 func newNeighbours(me Neighbour, set *Settings, dialer net.Dialer, clock func() time.Duration, log *logging.Logger) *neighbours {
 	grace := time.Duration(relayTimeoutFraction * float64(set.ConfigWithin))
 	dialer.Timeout = grace
-	transport := response.NewTransport(response.Guard(dialer.DialContext))
-	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = int(topicCount), 10*time.Second
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: response.NewTransport(&http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: int(topicCount), IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+	}, response.MaxControlHeadBytes)}
 	return &neighbours{
 		self: me, clock: clock, log: log, choice: readtree.New(me.reader()), listed: make(chan struct{}),
 		grace: grace, secondWait: time.Duration(relaySecondWaitFraction * float64(set.ConfigWithin)),
