--- a/response/transport_test.go
+++ b/response/transport_test.go
@@ -1,10 +1,13 @@
 package response_test
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -112,6 +115,44 @@
 	}
 }
 
+// Guards against encrypted bytes that are taken for a malformed head, against a head without a
+// limit where the scanner can't read it, and against connections of another dialer.
+func TestTransportWithTLS(t *testing.T) {
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		bytes, _ := strconv.Atoi(r.Header.Get("Bytes"))
+		w.Header().Set("a", strings.Repeat("b", bytes))
+	}))
+	defer s.Close()
+	base, ok := s.Client().Transport.(*http.Transport)
+	if !ok {
+		t.Fatalf("transport %T", s.Client().Transport)
+	}
+	var dialed int
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialed++
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	transport := response.NewTransport(base, response.MaxControlHeadBytes)
+	defer transport.CloseIdleConnections()
+	for bytes, accepted := range map[int]bool{0: true, 10 << 10: true, 2 * response.MaxControlHeadBytes: false} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Bytes", strconv.Itoa(bytes))
+		resp, err := transport.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if (err == nil) != accepted {
+			t.Errorf("a head of %d bytes: %v", bytes, err)
+		}
+	}
+	if dialed == 0 {
+		t.Error("the dialer was not used")
+	}
+}
+
 // post sends a request that net/http does not repeat on another connection.
 func post(t *testing.T, transport http.RoundTripper, address string) (string, error) {
 	t.Helper()
