Let a soak have more daemons and callers

SOAK_DAEMONS and SOAK_CALLERS set the size of a soak, which was 3 daemons and 12 callers always; a run as large as the machine's limits bear was not possible.

--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -22,8 +22,6 @@
 )
 
 const (
-	daemonCount   = 3
-	callerCount   = 12
 	revokeWithin  = 1500 * time.Millisecond
 	recoverWithin = 15 * time.Second
 	streamEvents  = 5
@@ -42,6 +40,12 @@
 	brittleSettle = 3 * time.Second
 )
 
+// Size of a run. A seed has the same faults at the same size only.
+var (
+	daemonCount = envInt("SOAK_DAEMONS", 3)
+	callerCount = envInt("SOAK_CALLERS", 4*daemonCount)
+)
+
 var daemonBinary string
 
 func TestMain(m *testing.M) {
