--- a/response/transport_test.go
+++ b/response/transport_test.go
@@ -127,9 +127,9 @@
 	if !ok {
 		t.Fatalf("transport %T", s.Client().Transport)
 	}
-	var dialed int
+	var calls int
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		dialed++
+		calls++
 		return new(net.Dialer).DialContext(ctx, network, address)
 	}
 	transport := response.NewTransport(base, response.MaxControlHeadBytes)
@@ -148,7 +148,7 @@
 			t.Errorf("a head of %d bytes: %v", bytes, err)
 		}
 	}
-	if dialed == 0 {
+	if calls == 0 {
 		t.Error("the dialer was not used")
 	}
 }
