Never join the answers of two attempts into one

Cause: a long answer is passed on as it comes; after it broke, the retry counted only events of streams as delivered, and the second long answer was written behind the first, as no place that sends asked what had been sent. On the same paths: a stream whose events have no numbers was sent again from its beginning; a long error answer was written into a stream that had begun; a caller that did not read a long answer held its endpoint beyond the deadline, and was counted as a loss of it. Change: package delivery (pure) owns what the caller was sent; all places that send or retry ask it. A broken long answer is cut: its stated Content-Length or chunks reach the caller and the connection is closed early, the code is answer_broken, sent_bytes stands in the request's line. A long answer without a length ends with the caller's connection. Long answers have a write deadline at the request's.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/merlindock/merlindock/response"
@@ -168,7 +169,7 @@
 		c.keepAnswer(answer, &held)
 		return AttemptEnd{Error: true, Failure: retry.Broken}
 	}
-	if c.headerSent {
+	if !c.sent.Nothing() {
 		return AttemptEnd{Failure: retry.Broken, Error: true}
 	}
 	c.sendBuffered(answer)
@@ -177,31 +178,71 @@
 
 // relayUnbuffered copies an answer that exceeds maxBufferedAnswer, or what the process may hold
 // of answers. begin is the part of its body that was already read, for which held is released
-// once it is written.
+// once it is written. If the endpoint breaks off, the caller sees the answer cut: it has the
+// endpoint's framing, and its connection is closed early.
 func (c *call) relayUnbuffered(a *Answer, begin []byte, held *response.Holding) AttemptEnd {
-	c.sendHeader(a)
-	_, err := c.w.Write(begin)
+	if !c.sent.BeginBody() {
+		a.Close(false)
+		return AttemptEnd{Failure: retry.Broken, Error: true}
+	}
+	c.setHeader(a)
+	switch {
+	case a.Length >= 0:
+		c.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	case !a.framed():
+		c.w.Header().Set("Transfer-Encoding", "identity") // net/http ends it with the connection
+	}
+	c.w.WriteHeader(a.Status)
+	// A caller that stops reading must not occupy the endpoint beyond the request's deadline.
+	_ = c.rc.SetWriteDeadline(c.req.Deadline.Add(answerGrace))
+	w := bodyWriter{c: c}
+	_, err := w.Write(begin)
 	held.Release()
 	if err == nil {
-		_, err = io.Copy(c.w, a.Body)
+		_, err = io.CopyBuffer(&w, a.Body, make([]byte, relayBufferBytes))
 	}
 	a.Close(err == nil)
-	if err != nil {
+	switch {
+	case w.failed:
+		return AttemptEnd{Failure: retry.CallerLeft}
+	case err != nil:
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: err}
 	}
+	c.sent.End()
+	_ = c.rc.SetWriteDeadline(time.Time{})
 	return AttemptEnd{Whole: true, Generated: a.succeeded(), Unframed: !a.framed()}
 }
 
-// sendHeader sends the header of an unbuffered answer, unless it was sent before.
-func (c *call) sendHeader(a *Answer) {
-	if c.headerSent {
-		return
+// bodyWriter writes a body to the caller as it comes.
+type bodyWriter struct {
+	c      *call
+	failed bool // the caller could not be written to
+}
+
+// Write implements io.Writer.
+func (w *bodyWriter) Write(b []byte) (int, error) {
+	n, err := w.c.w.Write(b)
+	w.c.sent.AddBody(int64(n))
+	w.failed = err != nil
+	return n, err
+}
+
+// beginStream sends the header of a stream, unless it was sent before, and returns false if the
+// caller was sent another answer.
+func (c *call) beginStream(a *Answer) bool {
+	sendHead, ok := c.sent.BeginStream()
+	if sendHead {
+		c.setHeader(a)
+		c.w.WriteHeader(a.Status)
 	}
-	c.headerSent = true
+	return ok
+}
+
+// setHeader sets the header of an answer that is sent as it comes.
+func (c *call) setHeader(a *Answer) {
 	c.report.Status = a.Status
 	copyHeader(c.w.Header(), a.Header)
 	c.closeIfDraining()
-	c.w.WriteHeader(a.Status)
 }
 
 // relayStream relays a stream event by event.
@@ -243,7 +284,9 @@
 		return AttemptEnd{}, true
 	}
 	c.watch.event()
-	c.sendHeader(a)
+	if !c.beginStream(a) {
+		return AttemptEnd{Failure: retry.Broken, Error: true}, false
+	}
 	if c.report.FirstEvent == 0 {
 		c.report.FirstEvent = time.Since(c.req.Arrived)
 	}
@@ -252,10 +295,12 @@
 	// A caller that stops reading must not occupy the engine's slot beyond the
 	// request's deadline.
 	_ = c.rc.SetWriteDeadline(c.req.Deadline.Add(answerGrace))
-	if _, err := c.w.Write(out); err != nil {
-		return AttemptEnd{Failure: retry.CallerLeft}, false
+	_, err = c.w.Write(out)
+	if err == nil {
+		err = c.rc.Flush()
 	}
-	if err := c.rc.Flush(); err != nil {
+	c.sent.AddEvents(len(out), err == nil && !c.events.unnumbered)
+	if err != nil {
 		return AttemptEnd{Failure: retry.CallerLeft}, false
 	}
 	c.watch.eventSent()
@@ -271,7 +316,10 @@
 		// without events from one that a crash cut off.
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: io.ErrUnexpectedEOF}
 	}
-	c.sendHeader(a)
+	if !c.beginStream(a) {
+		return AttemptEnd{Failure: retry.Broken, Error: true}
+	}
+	c.sent.End()
 	c.streamEnds()
 	_ = c.rc.SetWriteDeadline(time.Time{})
 	return AttemptEnd{Whole: true, Generated: true, Unframed: !a.framed()}
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -301,17 +301,28 @@
 // serveEndpoints starts a server with one route whose requests are sent to the given endpoints
 // in turn. The result returns the reports of the requests so far.
 func serveEndpoints(t *testing.T, kind routes.Kind, targets ...Target) (*httptest.Server, func() []Report) {
+	t.Helper()
+	return serveWithin(t, kind, false, endlessDeadline, targets...)
+}
+
+// serveWithin is serveEndpoints with a timeout for requests, and for streams that may be resumed.
+func serveWithin(t *testing.T, kind routes.Kind, resumable bool, timeout time.Duration, targets ...Target) (*httptest.Server, func() []Report) {
 	t.Helper()
 	p := &listPlacer{}
 	for i, target := range targets {
 		p.places = append(p.places, Placement{ID: uint64(i), Target: target})
 	}
+	return servePlaces(t, kind, resumable, timeout, p)
+}
+
+func servePlaces(t *testing.T, kind routes.Kind, resumable bool, timeout time.Duration, p *listPlacer) (*httptest.Server, func() []Report) {
+	t.Helper()
 	var mu sync.Mutex
 	var reports []Report
 	table := &routes.Table{
 		Services: map[string]*routes.Service{"s": {Name: "s"}},
 		Routes: []routes.Route{{
-			Name: "r", Host: "h", PathPrefix: "/", Kind: kind, Timeout: endlessDeadline, MaxAttempts: len(targets), Public: true,
+			Name: "r", Host: "h", PathPrefix: "/", Kind: kind, Resumable: resumable, Timeout: timeout, MaxAttempts: len(p.places), Public: true,
 			Backends: []routes.Backend{{Service: "s", Weight: 1}},
 		}},
 	}
--- a/forward/events.go
+++ b/forward/events.go
@@ -68,7 +68,7 @@
 		id, ok := eventID(complete[at : at+n])
 		switch {
 		case !ok:
-			e.unnumbered = true
+			e.unnumbered = e.unnumbered || !isComment(complete[at:at+n])
 		case e.last != NoEvent && id <= e.last && from < at:
 			return nil, errEventOrder
 		case e.last != NoEvent && id <= e.last:
@@ -84,6 +84,16 @@
 // incomplete returns the bytes received after the last complete event.
 func (e *eventSplitter) incomplete() []byte { return e.partial }
 
+// isComment reports whether a block of a stream has comments only, which are no event.
+func isComment(block []byte) bool {
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the id field of an event, and false if it has none or it is
 // not a number.
 func eventID(event []byte) (int64, bool) {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/merlindock/merlindock/delivery"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/prefix"
@@ -78,6 +79,7 @@
 	Attempts     []AttemptReport
 	Arrived      time.Time
 	Duration     time.Duration
+	SentBytes    int64         // of the answer's body or events that were written to the caller
 	FirstEvent   time.Duration // from the arrival; 0: none
 	RetryAfter   time.Duration
 	TableVersion int64
@@ -142,15 +144,15 @@
 	retryState retry.Request
 	report     Report
 
-	headerSent bool   // the answer's header was sent
-	build      string // software version of the endpoint that answers
-	stream     streamorigin.ID
-	events     eventSplitter
-	answer     *bufferedAnswer  // a 5xx answer of an endpoint, sent if no other attempt succeeds
-	keptBytes  response.Holding // of answer
-	charge     quotaCharge
-	watch      *stallWatch // of the current attempt; nil: stalls are not observed
-	move       *streamMove // of a stalled stream; nil: none
+	sent      delivery.Sent
+	build     string // software version of the endpoint that answers
+	stream    streamorigin.ID
+	events    eventSplitter
+	answer    *bufferedAnswer  // a 5xx answer of an endpoint, sent if no other attempt succeeds
+	keptBytes response.Holding // of answer
+	charge    quotaCharge
+	watch     *stallWatch // of the current attempt; nil: stalls are not observed
+	move      *streamMove // of a stalled stream; nil: none
 }
 
 // bufferedAnswer is an answer that was read completely.
@@ -173,7 +175,7 @@
 	c.report.Continues, c.report.Resumes, c.report.LastEvent = c.in.Continues, c.in.Resumes, c.in.LastEvent
 	defer func() {
 		c.keptBytes.Release()
-		c.report.Duration = time.Since(c.req.Arrived)
+		c.report.Duration, c.report.SentBytes = time.Since(c.req.Arrived), c.sent.Bytes()
 		h.o.Report(&c.report)
 	}()
 	c.serve()
@@ -367,7 +369,7 @@
 			return
 		}
 		c.req.Excluded = c.retryState.Excluded()
-		c.req.Resuming = c.req.Resuming || c.headerSent
+		c.req.Resuming = c.req.Resuming || !c.sent.Nothing()
 		if !c.pause(d.Delay) {
 			return
 		}
@@ -396,7 +398,7 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.callerLeft()
-	case c.headerSent:
+	case !c.sent.Nothing():
 		c.report.Code = refused.Code
 		c.abort()
 	case c.answer != nil:
@@ -415,7 +417,7 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.callerLeft()
-	case c.headerSent:
+	case !c.sent.Nothing():
 		c.report.Code = string(d.Code)
 		if time.Now().After(c.req.Deadline) {
 			c.report.Code = string(retry.CodeDeadline)
@@ -434,6 +436,9 @@
 
 // refuse sends an answer of the router's own with the error code as its body.
 func (c *call) refuse(status int, code string, retryAfter time.Duration) {
+	if !c.sent.BeginBody() {
+		c.abort()
+	}
 	c.report.Status, c.report.Code, c.report.RetryAfter = status, code, retryAfter
 	h := c.w.Header()
 	c.o.Codec.EncodeRefusal(h, c.in.AttemptID, retryAfter)
@@ -441,6 +446,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, code+"\n")
+	c.sent.End()
 }
 
 func (c *call) closeIfDraining() {
@@ -461,6 +467,9 @@
 
 // sendBuffered sends a buffered answer to the caller.
 func (c *call) sendBuffered(a *bufferedAnswer) {
+	if !c.sent.BeginBody() {
+		c.abort()
+	}
 	c.report.Status = a.status
 	copyHeader(c.w.Header(), a.header)
 	c.closeIfDraining()
@@ -468,7 +477,9 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	c.w.WriteHeader(a.status)
-	_, _ = c.w.Write(a.body)
+	n, _ := c.w.Write(a.body)
+	c.sent.AddBody(int64(n))
+	c.sent.End()
 }
 
 // keepAnswer keeps a 5xx answer, and what it holds, until the request ends.
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -53,7 +53,7 @@
 }
 
 func (c *call) answerHeld(hold *quarantine.Hold) {
-	if c.headerSent || c.answer != nil || c.mayHaveRun() {
+	if !c.sent.Nothing() || c.answer != nil || c.mayHaveRun() {
 		c.giveUp(retry.Decision{Code: retry.Code(quarantineCode(hold))})
 		return
 	}
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -342,7 +342,7 @@
 	req := c.req
 	req.Attempt++
 	req.Excluded = append(slices.Clone(req.Excluded), w.p.Target.Key)
-	req.Resuming = req.Resuming || c.headerSent
+	req.Resuming = req.Resuming || !c.sent.Nothing()
 	p, err := c.o.Placer.Place(c.ctx, &req)
 	if err != nil {
 		return stream.StallNoEndpoint
@@ -409,6 +409,9 @@
 // decideRetry decides what follows a failed attempt. For a stalled one this was decided before
 // the attempt was ended.
 func (c *call) decideRetry(failed retry.FailedAttempt) retry.Decision {
+	if !c.sent.Continuable() {
+		return retry.Decision{Code: c.brokenCode(failed.Failure), Outcome: retry.OutcomeUnknown}
+	}
 	if m := c.move; m != nil && !m.decided {
 		m.decided = true
 		if !c.watch.stall(time.Now()).Movable() {
@@ -420,6 +423,17 @@
 	return c.o.Placer.DecideRetry(&c.retryState, failed)
 }
 
+// brokenCode returns the code for an answer that no other attempt can continue.
+func (c *call) brokenCode(f retry.Failure) retry.Code {
+	switch {
+	case f == retry.CallerLeft:
+		return retry.CodeCallerLeft
+	case c.req.Route.Kind == routes.Stream:
+		return retry.CodeStreamBroken
+	}
+	return retry.CodeAnswerBroken
+}
+
 // cancelMove returns the capacity reserved for a move if the request ended before it.
 func (c *call) cancelMove() {
 	if m := c.move; m != nil && !m.placed {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -70,6 +70,7 @@
 	CodeAttempts      Code = "attempts_exhausted"
 	CodeNotRepeatable Code = "outcome_unknown"
 	CodeStreamBroken  Code = "stream_broken"
+	CodeAnswerBroken  Code = "answer_broken"
 	CodeRejected      Code = "rejected_by_endpoint"
 	CodeCallerLeft    Code = "caller_left"
 )
--- a/router/report.go
+++ b/router/report.go
@@ -111,6 +111,9 @@
 			fields = append(fields, "quota_less_urgent", true)
 		}
 	}
+	if rep.Code != "" && rep.SentBytes > 0 {
+		fields = append(fields, "sent_bytes", rep.SentBytes)
+	}
 	if rep.RetryAfter > 0 {
 		fields = append(fields, "retry_after_ms", rep.RetryAfter.Milliseconds())
 	}
