Have the gateway ask package delivery what its caller was sent

No fault was seen: the gateway kept two flags, of services and of streams, and a whole stream event that could only be written in part was followed by an error event. Tests of gateway, lab/e2e, lab/history, lab/cluster and daemon pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/merlindock/merlindock/catalog"
 	"github.com/merlindock/merlindock/contract"
+	"github.com/merlindock/merlindock/delivery"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/quarantine"
@@ -157,6 +158,7 @@
 	explicitDeadline bool // the deadline is the caller's, not RequestTimeout
 	// fingerprint identifies repetitions of the same request.
 	identity quarantine.Identity
+	sent     delivery.Sent
 	report   Report
 }
 
@@ -186,9 +188,13 @@
 
 // writeRefusal sends the refusal as the complete answer.
 func (c *call) writeRefusal(r *Refusal) {
+	if !c.sent.BeginBody() {
+		panic(http.ErrAbortHandler)
+	}
 	c.report.Status, c.report.Code, c.report.Outcome = r.Status, r.Code, r.Outcome
 	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.WriteTimeout))
 	r.write(c.w, c.id)
+	c.sent.End()
 }
 
 // serve handles the request, or returns the refusal to send.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -221,7 +221,7 @@
 		return unknownOutcome(http.StatusRequestTimeout, CodeStreamCut, "the caller read too slowly")
 	}
 	if mc.out != nil {
-		if _, ok := mc.assembler.ResumePoint(); !ok {
+		if _, ok := mc.assembler.ResumePoint(); !ok || !mc.sent.Continuable() {
 			return unknownOutcome(http.StatusBadGateway, CodeStreamCut, "the endpoint failed and its stream cannot be resumed")
 		}
 	}
@@ -251,7 +251,7 @@
 // was sent yet, it returns the refusal to send as the complete answer.
 func (mc *modelCall) endWithError(r *Refusal) *Refusal {
 	mc.report.DuplicateTokens = mc.assembler.Duplicates()
-	if mc.out == nil || !mc.out.headerSent {
+	if mc.sent.Nothing() {
 		return r
 	}
 	// Tokens were delivered, so the request has run even if the last attempt did
@@ -263,6 +263,9 @@
 		refusal.Code = CodeStreamCut
 	}
 	mc.report.Code, mc.report.Outcome = refusal.Code, refusal.Outcome
+	if !mc.sent.Continuable() {
+		panic(http.ErrAbortHandler) // the caller may have a part of an event
+	}
 	mc.out.writeError(refusal)
 	return nil
 }
@@ -361,8 +364,8 @@
 	if ans.Status == http.StatusOK && !json.Valid(body) {
 		return ans.UnusableError(engine.ErrMalformed)
 	}
-	if mc.out != nil && mc.out.headerSent {
-		return ans.UnusableError(errEndpointStatus)
+	if !mc.sent.Nothing() {
+		return ans.UnusableError(errAnswerBegun)
 	}
 	res.FirstToken = time.Since(began)
 	if mc.report.Tokens = completionTokens(body); ans.Status == http.StatusOK {
@@ -375,6 +378,9 @@
 
 // writeAnswer sends a complete answer to the caller.
 func (c *call) writeAnswer(status int, contentType string, body []byte) {
+	if !c.sent.BeginBody() {
+		panic(http.ErrAbortHandler)
+	}
 	h := c.w.Header()
 	if contentType != "" {
 		h.Set("Content-Type", contentType)
@@ -385,6 +391,7 @@
 	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.WriteTimeout))
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write(body)
+	c.sent.End()
 }
 
 func (c *call) setCachedTokensHeader() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 var (
 	errEndpointStatus = errors.New("gateway: endpoint answered with an error status")
 	errCallerSlow     = errors.New("gateway: caller reads too slowly")
+	errAnswerBegun    = errors.New("gateway: caller was sent a part of another answer")
 )
 
 // relayStream relays the tokens of one attempt to the caller, each exactly once
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -33,7 +33,6 @@
 	idempotent bool
 	claim      Claim
 	mayHaveRun bool
-	headerSent bool // the answer's header was sent to the caller
 }
 
 func (c *call) serveService(s *catalog.Service, rest string) *Refusal {
@@ -165,7 +164,7 @@
 	if sc.ctx.Err() != nil {
 		return sc.contextRefusal(sc.mayHaveRun)
 	}
-	if sc.headerSent || class.MayHaveRun() && !sc.idempotent {
+	if !sc.sent.Continuable() || class.MayHaveRun() && !sc.idempotent {
 		return sc.attemptsExhausted(true)
 	}
 	sc.place.Exclude = append(sc.place.Exclude, p.Endpoint)
@@ -192,7 +191,7 @@
 // endWithError aborts the connection if part of the answer was sent, since a clean end
 // would make an incomplete answer look complete. Otherwise it returns the refusal.
 func (sc *serviceCall) endWithError(r *Refusal) *Refusal {
-	if !sc.headerSent {
+	if sc.sent.Nothing() {
 		return r
 	}
 	sc.report.Code, sc.report.Outcome = r.Code, r.Outcome
@@ -245,16 +244,19 @@
 	if !more {
 		sc.storeAnswer(ans, head)
 	}
+	if !sc.sent.BeginBody() {
+		return ans.UnusableError(errAnswerBegun)
+	}
 	copyEndToEndHeaders(sc.w.Header(), ans.Header)
 	if length := contentLength(ans, len(head), more); length >= 0 && allowsBody(ans.Status) {
 		sc.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	sc.report.Status = ans.Status
-	sc.headerSent = true
 	_ = sc.rc.SetWriteDeadline(time.Now().Add(sc.g.o.Limits.WriteTimeout))
 	sc.w.WriteHeader(ans.Status)
 	if !more {
 		_, _ = sc.w.Write(head)
+		sc.sent.End()
 		return nil
 	}
 	return sc.relayUnbuffered(ans, head)
@@ -286,6 +288,7 @@
 			return ans.UnusableError(werr)
 		}
 		if errors.Is(err, io.EOF) {
+			sc.sent.End()
 			return nil
 		}
 		if err != nil {
--- a/gateway/writer.go
+++ b/gateway/writer.go
@@ -54,6 +54,9 @@
 	if took := time.Since(began); took >= minStall {
 		w.stalled += took
 	}
+	if err != nil {
+		w.c.sent.Break()
+	}
 	if err != nil && isTimeout(err) || w.stalled > w.c.g.o.Limits.StallBudget {
 		w.c.report.CallerSlow = true
 		return errCallerSlow
@@ -81,8 +84,7 @@
 // callerStream writes an answer to a caller as server-sent events.
 type callerStream struct {
 	callerWriter
-	headerSent bool
-	frame      []byte // reused
+	frame []byte // reused
 }
 
 func newCallerStream(c *call) *callerStream {
@@ -90,10 +92,9 @@
 }
 
 func (s *callerStream) writeHeader() {
-	if s.headerSent {
+	if sendHead, _ := s.c.sent.BeginStream(); !sendHead {
 		return
 	}
-	s.headerSent = true
 	h := s.c.w.Header()
 	h.Set("Content-Type", contentEventStream)
 	h.Set("Cache-Control", "no-store")
@@ -110,7 +111,9 @@
 	if s.written > s.c.g.o.Limits.StreamBytes {
 		return engine.ErrTooLarge
 	}
-	return s.write(f)
+	err := s.write(f)
+	s.c.sent.AddEvents(len(f), err == nil)
+	return err
 }
 
 func appendID(f []byte, index int64) []byte {
@@ -141,6 +144,7 @@
 	if err := s.write(f); err != nil {
 		return err
 	}
+	s.c.sent.End()
 	return s.flush()
 }
 
