--- a/forward/delivery_test.go
+++ b/forward/delivery_test.go
@@ -111,6 +111,7 @@
 		want          string // complete; empty: the stream is cut off
 	}{
 		"numbered":                {head + "id: 0\ndata: a\n\nid: 1\nda", head + "id: 1\ndata: b\n\n", "id: 0\ndata: a\n\nid: 1\ndata: b\n\n"},
+		"a comment between":       {head + "id: 0\ndata: a\n\n: ping\n\nid: 1\nda", head + "id: 1\ndata: b\n\n", "id: 0\ndata: a\n\n: ping\n\nid: 1\ndata: b\n\n"},
 		"without numbers":         {head + "data: a\n\nda", head + "data: a\n\ndata: b\n\n", ""},
 		"one without a number":    {head + "id: 0\ndata: a\n\ndata: b\n\n", head + "id: 0\ndata: a\n\ndata: b\n\nid: 1\ndata: c\n\n", ""},
 		"a short error follows":   {head + "id: 0\ndata: a\n\nid", answerOf(http.StatusInternalServerError, "no", false, 2), ""},
@@ -137,6 +138,8 @@
 				t.Errorf("%q, %v, reports %+v", body, err, reports())
 			case c.want == "" && (err == nil || !strings.HasPrefix(c.first, head+string(body))):
 				t.Errorf("%.100q, %v, reports %+v", body, err, reports())
+			case c.want == "" && (awaitReports(t, reports)[0].Code == "" || reports()[0].Status != http.StatusOK || reports()[0].SentBytes != int64(len(body))):
+				t.Errorf("%d bytes, reports %+v", len(body), reports())
 			}
 		})
 	}
@@ -171,11 +174,7 @@
 	}
 	defer resp.Body.Close()
 	<-done
-	for end := time.Now().Add(cutOffWithin); len(reports()) == 0; time.Sleep(10 * time.Millisecond) { // sockets need the real clock
-		if time.Now().After(end) {
-			t.Fatal("the request has not ended")
-		}
-	}
+	awaitReports(t, reports)
 	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
 		t.Error("the answer is complete")
 	}
@@ -185,3 +184,14 @@
 		t.Errorf("report %+v, ends %+v", got, p.ends)
 	}
 }
+
+// awaitReports waits for the report of the first request.
+func awaitReports(t *testing.T, reports func() []Report) []Report {
+	t.Helper()
+	for end := time.Now().Add(cutOffWithin); len(reports()) == 0; time.Sleep(time.Millisecond) { // sockets need the real clock
+		if time.Now().After(end) {
+			t.Fatal("the request has not ended")
+		}
+	}
+	return reports()
+}
--- a/lab/e2e/service_test.go
+++ b/lab/e2e/service_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/merlindock/merlindock/engine"
+	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/gateway"
 	"github.com/merlindock/merlindock/lab/standin"
 )
@@ -212,16 +215,20 @@
 // answer would look complete.
 func TestTruncatedLongAnswerBreaksConnection(t *testing.T) {
 	runInTestbed(t, testbedOptions{limits: gateway.Limits{AnswerBufferBytes: 1000}}, func(tb *testbed) {
-		tb.addEndpoint("long", "counter", "10.0.3.1:8000", http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
-			for range 10 {
-				_, _ = rw.Write(make([]byte, 1000))
-				_ = http.NewResponseController(rw).Flush()
-			}
-			panic(http.ErrAbortHandler)
-		}))
+		var runs atomic.Int64
+		for i, id := range []fleet.EndpointID{"long", "longer"} {
+			tb.addEndpoint(id, "counter", fmt.Sprintf("10.0.3.%d:8000", i+1), http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				for range 10 {
+					_, _ = rw.Write(make([]byte, 1000))
+					_ = http.NewResponseController(rw).Flush()
+				}
+				panic(http.ErrAbortHandler)
+			}))
+		}
 		a := tb.send(tb.newRequest(http.MethodGet, "/receipts/1", registreKey, ""))
-		if a.status != http.StatusOK || a.err == nil {
-			t.Errorf("got %d with %d bytes and no error", a.status, len(a.body))
+		if a.status != http.StatusOK || a.err == nil || len(a.body) > 10_000 || runs.Load() != 1 {
+			t.Errorf("got %d with %d bytes and error %v after %d runs, want one answer cut off", a.status, len(a.body), a.err, runs.Load())
 		}
 	})
 }
