--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -73,7 +73,7 @@
 	c.o.Placer.AnswerStarted(p, &a.Info)
 	c.build = p.Build
 	end = c.relayAnswer(a)
-	last.HeadRead, last.Received = true, a.Received()
+	last.HeadRead, last.EndMark, last.Received = true, a.endMark(), a.Received()
 	c.setStalled(&end)
 	return end.Whole, retry.FailedAttempt{Endpoint: p.Target.Key, Placement: p.ID, Failure: end.Failure}
 }
@@ -189,21 +189,23 @@
 	switch {
 	case a.Length >= 0:
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+		c.report.EndMark = EndByLength
 	case !a.framed():
 		c.w.Header().Set("Transfer-Encoding", "identity") // net/http ends it with the connection
+		c.report.EndMark = EndByConnection
 	}
 	c.w.WriteHeader(a.Status)
 	// A caller that stops reading must not occupy the endpoint beyond the request's deadline.
 	_ = c.rc.SetWriteDeadline(c.req.Deadline.Add(answerGrace))
-	w := bodyWriter{c: c}
+	w := bodyWriter{c}
 	_, err := w.Write(begin)
 	held.Release()
 	if err == nil {
-		_, err = io.CopyBuffer(&w, a.Body, make([]byte, relayBufferBytes))
+		_, err = io.CopyBuffer(w, a.Body, make([]byte, relayBufferBytes))
 	}
 	a.Close(err == nil)
 	switch {
-	case w.failed:
+	case c.writeErr != nil:
 		return AttemptEnd{Failure: retry.CallerLeft}
 	case err != nil:
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: err}
@@ -214,16 +216,13 @@
 }
 
 // bodyWriter writes a body to the caller as it comes.
-type bodyWriter struct {
-	c      *call
-	failed bool // the caller could not be written to
-}
+type bodyWriter struct{ c *call }
 
 // Write implements io.Writer.
-func (w *bodyWriter) Write(b []byte) (int, error) {
+func (w bodyWriter) Write(b []byte) (int, error) {
 	n, err := w.c.w.Write(b)
 	w.c.sent.AddBody(int64(n))
-	w.failed = err != nil
+	w.c.writeErr = err
 	return n, err
 }
 
@@ -243,6 +242,10 @@
 	c.report.Status = a.Status
 	copyHeader(c.w.Header(), a.Header)
 	c.closeIfDraining()
+	c.report.EndMark = EndByChunks
+	if !c.r.ProtoAtLeast(1, 1) {
+		c.report.EndMark = EndByConnection
+	}
 }
 
 // relayStream relays a stream event by event.
@@ -300,7 +303,7 @@
 		err = c.rc.Flush()
 	}
 	c.sent.AddEvents(len(out), err == nil && !c.events.unnumbered)
-	if err != nil {
+	if c.writeErr = err; err != nil {
 		return AttemptEnd{Failure: retry.CallerLeft}, false
 	}
 	c.watch.eventSent()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -274,9 +274,3 @@
 }
 
 func (a *Answer) succeeded() bool { return a.Status >= 200 && a.Status < 300 }
-
-// framed reports whether the end of the answer can be told from the end of its connection.
-// An answer to HEAD ends with its header.
-func (a *Answer) framed() bool {
-	return a.Length != -1 || len(a.resp.TransferEncoding) > 0 || a.resp.Request.Method == http.MethodHead
-}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -79,6 +79,8 @@
 	Arrived      time.Time
 	Duration     time.Duration
 	SentBytes    int64         // of the answer's body or events that were written to the caller
+	Cut          CutCause      // of an answer that the caller got a part of; empty: it got all or nothing
+	EndMark      EndMark       // that tells the caller the end of an answer which is passed on as it comes; empty: none is
 	FirstEvent   time.Duration // from the arrival; 0: none
 	RetryAfter   time.Duration
 	TableVersion int64
@@ -117,6 +119,7 @@
 	Via      string        // daemon that relayed the connection; empty: none
 	Received int64         // bytes that the endpoint sent for it
 	HeadRead bool          // the head of its answer was read
+	EndMark  EndMark       // of its answer; empty: the head was not read
 	Result   string
 	Lost     string         // how the connection was lost; empty: it was not
 	Bound    response.Bound // limit that the answer exceeded; empty: none
@@ -144,6 +147,7 @@
 	report     Report
 
 	sent      delivery.Sent
+	writeErr  error  // of a write to the caller
 	build     string // software version of the endpoint that answers
 	stream    streamorigin.ID
 	events    eventSplitter
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -31,15 +33,28 @@
 	}
 }
 
-// callerLeft records that the caller disconnected and aborts the handler.
+// callerLeft records that the caller disconnected, or that it read too slowly, which ends the
+// context of its request too, and aborts the handler.
 func (c *call) callerLeft() {
+	if c.callerSlow() {
+		c.report.Code = string(retry.CodeCallerSlow)
+		c.abort()
+	}
 	c.report.Status, c.report.Code = statusCallerLeft, string(retry.CodeCallerLeft)
-	panic(http.ErrAbortHandler)
+	c.abort()
 }
 
+// callerSlow reports whether a write to the caller has reached the deadline for writes.
+func (c *call) callerSlow() bool { return errors.Is(c.writeErr, os.ErrDeadlineExceeded) }
+
 // abort ends a partly sent answer so that it can't be mistaken for a complete
 // one: the connection closes without the last chunk.
-func (c *call) abort() { panic(http.ErrAbortHandler) }
+func (c *call) abort() {
+	if !c.sent.Nothing() {
+		c.report.Cut = c.cutCause()
+	}
+	panic(http.ErrAbortHandler)
+}
 
 // sendBuffered sends a buffered answer to the caller.
 func (c *call) sendBuffered(a *bufferedAnswer) {
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -426,6 +426,8 @@
 // brokenCode returns the code for an answer that no other attempt can continue.
 func (c *call) brokenCode(f retry.Failure) retry.Code {
 	switch {
+	case f == retry.CallerLeft && c.callerSlow():
+		return retry.CodeCallerSlow
 	case f == retry.CallerLeft:
 		return retry.CodeCallerLeft
 	case c.req.Route.Kind == routes.Stream:
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -73,6 +73,7 @@
 	CodeAnswerBroken  Code = "answer_broken"
 	CodeRejected      Code = "rejected_by_endpoint"
 	CodeCallerLeft    Code = "caller_left"
+	CodeCallerSlow    Code = "caller_slow"
 )
 
 // Bounds and durations.
--- a/router/report.go
+++ b/router/report.go
@@ -114,6 +114,9 @@
 	if rep.Code != "" && rep.SentBytes > 0 {
 		fields = append(fields, "sent_bytes", rep.SentBytes)
 	}
+	if rep.Cut != "" {
+		fields = append(fields, "cut_by", string(rep.Cut), "end_mark", string(rep.EndMark))
+	}
 	if rep.RetryAfter > 0 {
 		fields = append(fields, "retry_after_ms", rep.RetryAfter.Milliseconds())
 	}
@@ -210,7 +213,8 @@
 		b = append(b, " received="...)
 		b = strconv.AppendInt(b, a.Received, 10)
 		if a.HeadRead {
-			b = append(b, "/body"...)
+			b = append(b, "/body end_mark="...)
+			b = append(b, a.EndMark...)
 		} else {
 			b = append(b, "/head"...)
 		}
