Do not take an old list of endpoints for evidence of where a stream began

Cause: a daemon that knows a single version of a service answered for all streams without a record. Its list may be as old as DrainWithin, and after 25 ms it decided by it although the daemons that hold the record had not replied, or had restarted and lost it. Silence is no evidence.

Change: that a service has a single version decides only if all daemons asked but one have known that version for Window and hold no record (two of them at least), or by a list of endpoints that holds all changes up to the question. Where the replies do not suffice, the daemon reads the list from the store at once, ten times a second at most and up to 100 daemons; a question waits 150 ms for it (75 before).

TestUnknownIsNoVersion asked that one daemon's word for a single version suffices while four others had lost their records. That is the fault; it now asks that it does not, and that all but one do. The simulated fleet confirmed lists beyond changes that a daemon had not read; it no longer does.

--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -22,6 +22,23 @@
 	}
 }
 
+// Unless waits as For does, and ends early, with woken set, if a value is received from wake.
+func Unless(ctx context.Context, d time.Duration, wake <-chan struct{}) (woken bool, err error) {
+	if err := ctx.Err(); err != nil || d <= 0 {
+		return false, err
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-wake:
+		return true, nil
+	case <-t.C:
+		return false, nil
+	}
+}
+
 var processStart = time.Now()
 
 // Tick waits until the next multiple of period since the start of the process.
--- a/roster/builds.go
+++ b/roster/builds.go
@@ -97,6 +97,16 @@
 	return r.builds.only(now.Add(-lasted), service)
 }
 
+// HasOtherBuild reports whether a usable endpoint of a service has another software version.
+func (r *Roster) HasOtherBuild(service, version string) bool {
+	for k := range r.builds.endpoints {
+		if k.service == service && k.version != version {
+			return true
+		}
+	}
+	return false
+}
+
 // WithBuild returns the usable endpoints of a service that run the version of its software,
 // sorted. An unknown version has none. The result may be shared and must not be modified.
 func (r *Roster) WithBuild(service, version string) []fleet.EndpointID {
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -63,6 +63,8 @@
 	killed       map[*Router]bool              // daemons that have ended without shutting down
 	sameIDs      bool                          // endpoints keep their IDs over a restart
 	confirming   atomic.Bool                   // the store confirms the lists of endpoints
+	unconfirmed  atomic.Pointer[Router]        // daemon that does not read the store; nil: all do
+	unread       map[*Router][]*listChange     // changes of the list that a daemon has not read
 	// crashingSegments crash each endpoint that answers a prompt with one of them.
 	crashingSegments []string
 	unframed         bool            // answers have neither a length nor chunks and end with their connection
@@ -103,7 +105,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &simulatedFleet{
 		t: t, ctx: ctx, began: time.Now(), rng: rand.New(rand.NewPCG(uint64(daemons), 29)), disconnected: map[netip.AddrPort]bool{},
-		zoneOf: zoneOf, cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{}, killed: map[*Router]bool{},
+		zoneOf: zoneOf, cuts: map[int]cutMode{}, conns: map[*simulatedConn]bool{}, peers: map[string]*simulatedListener{}, killed: map[*Router]bool{}, unread: map[*Router][]*listChange{},
 	}
 	f.confirming.Store(true)
 	t.Cleanup(func() {
@@ -211,15 +213,62 @@
 	go r.serveNeighbours(f.listen(me.String()))
 }
 
-// confirmEndpoints confirms the daemon's list of endpoints as reads of the store do.
+// confirmEndpoints confirms the daemon's list of endpoints as reads of the store do, up to the
+// oldest change that the daemon has not read. A read that is wanted brings all changes.
 func (f *simulatedFleet) confirmEndpoints(ctx context.Context, r *Router) {
-	for pause.Tick(ctx, 500*time.Millisecond) == nil {
-		if f.confirming.Load() {
-			r.state.endpoints.RecordAnswer(f.clock(), f.clock())
+	for ctx.Err() == nil {
+		wanted, _ := pause.Unless(ctx, 500*time.Millisecond, r.origins.listWanted)
+		if !f.confirming.Load() || f.unconfirmed.Load() == r {
+			continue
 		}
+		asOf := f.clock()
+		f.mu.Lock()
+		unread := slices.Clone(f.unread[r])
+		f.mu.Unlock()
+		if wanted {
+			_ = pause.For(ctx, 2*fleetLatency)
+		}
+		for _, c := range unread {
+			if wanted {
+				f.apply(r, c)
+			} else {
+				asOf = min(asOf, c.written)
+			}
+		}
+		r.state.endpoints.RecordAnswer(asOf, f.clock())
+		r.origins.listed(asOf)
+	}
+}
+
+// listChange is a change of the list of endpoints.
+type listChange struct {
+	written time.Duration
+	apply   func(r *Router)
+}
+
+// apply has a daemon read a change, unless it has.
+func (f *simulatedFleet) apply(r *Router, c *listChange) {
+	f.mu.Lock()
+	at := slices.Index(f.unread[r], c)
+	if at >= 0 {
+		f.unread[r] = slices.Delete(f.unread[r], at, at+1)
+	}
+	f.mu.Unlock()
+	if at >= 0 {
+		c.apply(r)
 	}
 }
 
+// readLater applies a change of the list of endpoints, which is written now, to a daemon that
+// reads it after a delay.
+func (f *simulatedFleet) readLater(r *Router, after time.Duration, change func(r *Router)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &listChange{written: f.clock(), apply: change}
+	f.unread[r] = append(f.unread[r], c)
+	time.AfterFunc(after, func() { f.apply(r, c) })
+}
+
 // addEndpoint adds an endpoint to the daemon's list, as its entry in the store does.
 func (r *Router) addEndpoint(e directory.Entry) {
 	r.state.mu.Lock()
--- a/router/follower.go
+++ b/router/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/merlindock/merlindock/directory"
@@ -272,14 +274,24 @@
 
 // followEndpoints maintains the list of endpoints.
 func (r *Router) followEndpoints(ctx context.Context) {
-	r.pollTopic(ctx, r.newEndpointsFollower())
+	r.pollTopic(ctx, r.newEndpointsFollower(), r.origins.listWanted)
 }
 
-// pollTopic reads a topic that changes constantly.
-func (r *Router) pollTopic(ctx context.Context, f *follower) {
+// pollTopic reads a topic that changes constantly. A value on wanted interrupts a pause, or a
+// read through a neighbour, for a read from the store.
+func (r *Router) pollTopic(ctx context.Context, f *follower, wanted <-chan struct{}) {
 	r.neighbours.awaitList(ctx)
+	now := false // read from the store itself
 	for ctx.Err() == nil {
-		p, err := f.read(ctx, 0)
+		var p readResult
+		var err error
+		if now && !f.needsFullRead() && !f.subscription.storeBackedOff() {
+			f.relayed = false
+			p, err = f.readStore(ctx, 0)
+			now = false
+		} else if p, now, err = f.readUnlessWanted(ctx, wanted); now {
+			continue
+		}
 		f.logStoreState(err)
 		if err != nil {
 			f.pauseAfterFailure(ctx)
@@ -287,14 +299,35 @@
 		}
 		if p.newer {
 			r.state.endpoints.RecordAnswer(f.subscription.confirmed, r.clock())
+			r.origins.listed(f.subscription.confirmed)
 		}
 		if p.more {
 			continue
 		}
-		_ = pause.For(ctx, f.endpointsPause())
+		now, _ = pause.Unless(ctx, f.endpointsPause(), wanted)
 	}
 }
 
+// readUnlessWanted makes one read. It ends early, with interrupted set, if a value is received
+// from wanted during a read through neighbours.
+func (f *follower) readUnlessWanted(ctx context.Context, wanted <-chan struct{}) (p readResult, interrupted bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var received atomic.Bool
+	var waiting sync.WaitGroup
+	waiting.Go(func() {
+		select {
+		case <-wanted:
+			received.Store(true)
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	p, err = f.read(ctx, 0)
+	cancel()
+	waiting.Wait()
+	return p, received.Load() && err != nil, err
+}
+
 // endpointsPause returns the time between two reads of the list of endpoints.
 func (f *follower) endpointsPause() time.Duration {
 	within := float64(f.router.options.Settings.DrainWithin)
--- a/router/stream_builds_test.go
+++ b/router/stream_builds_test.go
@@ -42,7 +42,7 @@
 			}
 			f.mu.Unlock()
 			for d, r := range all {
-				time.AfterFunc(lag*time.Duration(d)/time.Duration(len(all)), func() {
+				f.readLater(r, lag*time.Duration(d)/time.Duration(len(all)), func(r *Router) {
 					r.removeEndpoint(old)
 					r.addEndpoint(entry)
 				})
--- a/router/stream_origins.go
+++ b/router/stream_origins.go
@@ -17,9 +17,15 @@
 	// originRetry is when daemons that have not replied are asked again. Replies take a few
 	// milliseconds.
 	originRetry = 25 * time.Millisecond
-	// originTimeout is when the origin is unknown unless a daemon has replied that it knows
-	// it.
-	originTimeout = 75 * time.Millisecond
+	// originTimeout is when the origin is unknown unless the replies or a newer list of
+	// endpoints have shown it.
+	originTimeout = 150 * time.Millisecond
+	// listInterval bounds how often a daemon reads the list of endpoints from the store to
+	// learn where streams began.
+	listInterval = 100 * time.Millisecond
+	// maxListReaders is the number of daemons above which none does: each read brings all that
+	// endpoints have written since the last one.
+	maxListReaders = 100
 )
 
 // streamOrigins implements forward.Origins on top of a streamorigin.Node, whose messages it
@@ -33,12 +39,20 @@
 	stopping func() bool
 	send     func(to string, data []byte)
 
-	mu   sync.Mutex
-	node *streamorigin.Node
+	// listWanted receives a value when the list of endpoints should be read from the store at
+	// once.
+	listWanted chan struct{}
+
+	mu         sync.Mutex
+	node       *streamorigin.Node
+	daemons    int
+	listDue    bool          // listWanted will be sent a value
+	listAsked  time.Duration // when it last was
+	listedAsOf time.Duration // the list holds all changes up to this time
 }
 
 func newStreamOrigins(me Neighbour, set *Settings, s *state, stopping func() bool, clock func() time.Duration, rng *rand.Rand, scope tally.Scope, log *logging.Logger, send func(to string, data []byte)) *streamOrigins {
-	o := &streamOrigins{clock: clock, log: log, scope: scope, state: s, maxAge: set.DrainWithin, stopping: stopping, send: send}
+	o := &streamOrigins{clock: clock, log: log, scope: scope, state: s, maxAge: set.DrainWithin, stopping: stopping, send: send, listWanted: make(chan struct{}, 1)}
 	o.node = streamorigin.NewNode(originDaemon(me), o, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
 	return o
 }
@@ -58,6 +72,32 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.node.SetDaemons(list)
+	o.daemons = len(list)
+}
+
+// listed states that the list of endpoints now holds all changes up to a time.
+func (o *streamOrigins) listed(asOf time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.listedAsOf = max(o.listedAsOf, asOf)
+	o.node.Listed(o.clock(), asOf)
+}
+
+// wantList has the list of endpoints read from the store soon. The caller must hold mu.
+func (o *streamOrigins) wantList() {
+	if o.daemons > maxListReaders || o.listDue {
+		return
+	}
+	o.listDue = true
+	time.AfterFunc(max(0, o.listAsked+listInterval-o.clock()), func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.listDue, o.listAsked = false, o.clock()
+		select {
+		case o.listWanted <- struct{}{}:
+		default: // the read has not begun that was asked for before
+		}
+	})
 }
 
 // Only implements streamorigin.Builds. A daemon that shuts down says nothing of streams
@@ -75,6 +115,13 @@
 	return o.state.roster.OnlyBuild(at, service, streamorigin.Window)
 }
 
+// Differs implements streamorigin.Builds.
+func (o *streamOrigins) Differs(service, build string) bool {
+	o.state.mu.Lock()
+	defer o.state.mu.Unlock()
+	return o.state.roster.HasOtherBuild(service, build)
+}
+
 // Single implements forward.Origins.
 func (o *streamOrigins) Single(service string) bool {
 	_, ok := o.Only(o.clock(), service)
@@ -141,8 +188,9 @@
 // Find implements forward.Origins.
 func (o *streamOrigins) Find(ctx context.Context, id streamorigin.ID, service string) streamorigin.Answer {
 	decided := make(chan streamorigin.Answer, 1)
+	asked := o.clock()
 	o.mu.Lock()
-	q := o.node.Ask(o.clock(), id, service, func(a streamorigin.Answer) { decided <- a })
+	q := o.node.Ask(asked, id, service, streamorigin.Window, func(a streamorigin.Answer) { decided <- a })
 	o.sendPending()
 	o.mu.Unlock()
 	answer := o.await(ctx, q, decided)
@@ -165,7 +213,9 @@
 			return answer
 		case <-retry.C:
 			o.mu.Lock()
-			q.Retry()
+			if q.Retry() {
+				o.wantList()
+			}
 			o.sendPending()
 			o.mu.Unlock()
 		case <-timeout.C:
--- a/router/subscription.go
+++ b/router/subscription.go
@@ -119,6 +119,8 @@
 				s.progress = max(s.progress, s.neighbours.clock()-refused.Quiet)
 			}
 			continue // it has no data yet
+		case ctx.Err() != nil:
+			return feed.Answer{}, 0, false // no neighbour is at fault
 		case err != nil:
 			if age, some := s.age(); some {
 				s.neighbours.avoid(s.topic, d, "no answer", age)
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -683,7 +683,7 @@
 					known[r.options.Settings.Name] = time.Since(z.began)
 				}
 			}
-			r.pollTopic(ctx, f)
+			r.pollTopic(ctx, f, nil)
 		}
 		z.startDaemons(daemons)
 		time.Sleep(8 * time.Second)
@@ -942,3 +942,39 @@
 		}
 	})
 }
+
+// Guards against a list of endpoints that is not read when it is wanted, in a pause or in a read
+// through a neighbour that waits for changes, and against neighbours that are avoided for it.
+func TestWantedListIsReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons, span = 6, 20 * time.Second
+		z := newZoneWithHeartbeats(t, daemons)
+		callsIn := func(pauseBetween time.Duration, each func(r *Router)) int {
+			before := z.countStoreCalls()
+			for at := time.Duration(0); at < span; at += pauseBetween {
+				for _, r := range z.daemons {
+					each(r)
+				}
+				time.Sleep(pauseBetween)
+			}
+			return z.countStoreCalls() - before
+		}
+		time.Sleep(zoneSettleTime)
+		usual := callsIn(span, func(*Router) {})
+		reads := 0
+		callsIn(370*time.Millisecond, func(r *Router) {
+			reads++
+			asked := z.clock()
+			r.origins.listWanted <- struct{}{}
+			time.Sleep(2 * storeRoundTrip)
+			r.origins.mu.Lock()
+			defer r.origins.mu.Unlock()
+			if r.origins.listedAsOf < asked {
+				t.Errorf("%s: the list is from %v before the question", r.options.Settings.Name, asked-r.origins.listedAsOf)
+			}
+		})
+		if after := callsIn(span, func(*Router) {}); after > usual+daemons {
+			t.Errorf("%d calls to the store after %d reads that were wanted, %d before", after, reads, usual)
+		}
+	})
+}
--- a/streamorigin/node.go
+++ b/streamorigin/node.go
@@ -11,6 +11,9 @@
 	// Only returns the version of a service that has had no other one throughout Window. ok
 	// is false if it had, or if this daemon cannot know.
 	Only(now time.Duration, service string) (build string, ok bool)
+	// Differs reports whether a usable endpoint of the service is known that has another
+	// version.
+	Differs(service, build string) bool
 }
 
 // Datagram is a message to another daemon. It may be lost, delayed or duplicated.
@@ -84,6 +87,15 @@
 	return all[:min(len(all), toldOwners)]
 }
 
+// Listed states that this daemon's list of endpoints now holds all changes up to the time asOf.
+func (n *Node) Listed(now, asOf time.Duration) {
+	for _, q := range n.queries {
+		if q.at <= asOf {
+			q.listed(now)
+		}
+	}
+}
+
 // Expire drops records whose time is over. Call it about once a second.
 func (n *Node) Expire(now time.Duration) { n.records.expire(now) }
 
--- a/streamorigin/node_test.go
+++ b/streamorigin/node_test.go
@@ -16,6 +16,11 @@
 	return b[service], b[service] != ""
 }
 
+// Differs implements Builds.
+func (b testBuilds) Differs(service, build string) bool {
+	return b[service] != "" && b[service] != build
+}
+
 // cluster simulates the nodes of a deployment. Messages arrive at once.
 type cluster struct {
 	now    time.Duration
@@ -69,7 +74,7 @@
 // find asks from a daemon for a stream of service "s", with the retry and the timeout.
 func (c *cluster) find(d Daemon, id ID) Answer {
 	var out *Answer
-	q := c.nodes[d.Address].Ask(c.now, id, "s", func(a Answer) { out = &a })
+	q := c.nodes[d.Address].Ask(c.now, id, "s", 4*time.Second, func(a Answer) { out = &a })
 	c.deliver()
 	if out == nil {
 		q.Retry()
@@ -171,7 +176,13 @@
 	if a := c.find(c.all[1], id); a.Known {
 		t.Errorf("with a single version of another service: %+v", a)
 	}
-	c.builds["a4"]["s"] = "v2"
+	for _, known := range []string{"a4", "a3", "a2"} {
+		c.builds[known]["s"] = "v2"
+		if a := c.find(c.all[1], id); a.Known {
+			t.Errorf("with a single version at %s, and daemons that may have lost a record: %+v", known, a)
+		}
+	}
+	c.builds["a5"]["s"] = "v2" // all but one of those asked
 	if a := c.find(c.all[1], id); !a.Known || a.Origin != v2 || a.Evidence != EvidenceSingle {
 		t.Errorf("with a single version: %+v", a)
 	}
@@ -181,6 +192,61 @@
 	}
 }
 
+// Guards against a single version that this daemon knows by an old list, while those who may
+// know of another one are silent or have lost their records.
+func TestOldListIsNoEvidence(t *testing.T) {
+	for daemons := 2; daemons <= 9; daemons++ {
+		for name, away := range map[string]func(c *cluster, d Daemon){
+			"silent":    func(c *cluster, d Daemon) { c.nodes[d.Address] = nil },
+			"restarted": func(c *cluster, d Daemon) { c.start(d) },
+		} {
+			c := newCluster(daemons, 3)
+			id, outOfStep := streamID("1"), c.all[0]
+			c.builds["a0"]["s"] = "v1"
+			c.lost = func(_, to string) bool { return to == outOfStep.Address }
+			c.began(c.all[1], id, v2)
+			c.lost = func(string, string) bool { return false }
+			for _, d := range c.all[1:] {
+				away(c, d)
+			}
+			if a := c.find(outOfStep, id); a.Known {
+				t.Errorf("%d daemons, %s: %+v", daemons, name, a)
+			}
+		}
+	}
+}
+
+// Guards against a refusal although a list that is newer than the question shows a single
+// version, and against one that is older deciding.
+func TestNewerListDecides(t *testing.T) {
+	for _, c := range []struct {
+		asOf     time.Duration // relative to the question
+		lifetime time.Duration
+		own      string // single version of the list that was read; empty: it shows several
+		known    bool
+	}{
+		{0, Window, "v1", true}, {time.Millisecond, Window, "v1", true}, {-time.Millisecond, Window, "v1", false},
+		{time.Millisecond, Window, "", false}, {time.Millisecond, Window + 1, "v1", false},
+	} {
+		all := newCluster(6, 3)
+		all.builds["a0"]["s"] = "v1"
+		for _, d := range all.all[1:] {
+			all.nodes[d.Address] = nil
+		}
+		n, answer := all.nodes["a0"], Answer{}
+		q := n.Ask(all.now, streamID("1"), "s", c.lifetime, func(a Answer) { answer = a })
+		if wants := q.Retry(); wants != (c.lifetime <= Window) {
+			t.Errorf("%+v: wants a list %t", c, wants)
+		}
+		all.builds["a0"]["s"] = c.own
+		n.Listed(all.now+time.Millisecond, all.now+c.asOf)
+		q.Close()
+		if answer.Known != c.known || c.known && (answer.Origin != v1 || answer.Evidence != EvidenceList) {
+			t.Errorf("%+v: %+v", c, answer)
+		}
+	}
+}
+
 // Guards against a single version that a daemon knows taking precedence over a record: a
 // daemon learns of a second version later than those that send streams there.
 func TestRecordOverridesSingleVersion(t *testing.T) {
--- a/streamorigin/query.go
+++ b/streamorigin/query.go
@@ -6,7 +6,8 @@
 const (
 	EvidenceNone      = ""               // nothing is known of the stream
 	EvidenceRecord    = "record"         // of the daemon at which it began
-	EvidenceSingle    = "single_version" // the service has had no other one
+	EvidenceSingle    = "single_version" // the service has had no other one, say this daemon and others
+	EvidenceList      = "list"           // the service has had no other one by a list that was read after the question
 	EvidenceAmbiguous = "ambiguous"      // streams with the same ID began at different origins
 	EvidenceConflict  = "conflict"       // daemons know different single versions
 )
@@ -20,22 +21,37 @@
 	Age      time.Duration // since the record was made; 0: there is none
 }
 
+// Numbers of replies that stand for records which daemons that have not replied may hold.
+const (
+	// missingWitnesses is how many of the daemons asked need not reply: the stream may have
+	// begun at one that has ended since.
+	missingWitnesses = 1
+	// minWitnesses is how many must, if any is missing. A record that all of them lack was lost
+	// in as many messages.
+	minWitnesses = 2
+)
+
 // Query asks the owners of a stream where it began. Its methods must not be called
 // concurrently with those of its Node.
 type Query struct {
-	node    *Node
-	ask     ask
-	asked   []Daemon
-	silent  map[string]bool // addresses of daemons that have not replied
-	single  *Answer         // without a record; nil: no daemon knows one
-	clash   bool            // daemons know different single versions
-	decided func(Answer)    // nil once it was called
+	node      *Node
+	ask       ask
+	at        time.Duration
+	short     bool // the stream lasts for Window at most
+	mayList   bool // a newer list of endpoints may decide, as this daemon's own shows a single version
+	asked     []Daemon
+	silent    map[string]bool // addresses of daemons that have not replied
+	single    *Answer         // without a record; nil: no daemon knows one
+	witnesses int             // daemons asked that know a single version and have no record
+	clash     bool            // daemons know different single versions
+	decided   func(Answer)    // nil once it was called
 }
 
-// Ask asks the owners of a stream where it began, and calls decided once with the answer,
-// possibly before it returns. Without Retry and Close it may wait for replies that were lost.
-func (n *Node) Ask(now time.Duration, id ID, service string, decided func(Answer)) *Query {
-	q := &Query{node: n, ask: ask{nonce: n.rng.Uint64(), id: id, service: service}, silent: map[string]bool{}, decided: decided}
+// Ask asks the owners of a stream that lasts for the lifetime at most where it began, and calls
+// decided once with the answer, possibly before it returns. Without Retry and Close it may wait
+// for replies that were lost.
+func (n *Node) Ask(now time.Duration, id ID, service string, lifetime time.Duration, decided func(Answer)) *Query {
+	q := &Query{node: n, ask: ask{nonce: n.rng.Uint64(), id: id, service: service}, at: now, short: lifetime <= Window, silent: map[string]bool{}, decided: decided}
 	own := n.answer(now, id, service)
 	for _, d := range n.owners.of(id, askedOwners) {
 		if d.Name != n.self.Name {
@@ -44,10 +60,9 @@
 		}
 	}
 	n.queries[q.ask.nonce] = q
+	q.mayList = q.short && own.evidence == single
 	q.consider(n.self.Name, &own)
-	if q.decided != nil && len(q.silent) == 0 {
-		q.decide(q.withoutRecord())
-	}
+	q.decideIfReplied()
 	if q.decided != nil {
 		q.sendToSilent()
 	}
@@ -70,9 +85,20 @@
 		return
 	}
 	delete(q.silent, from)
+	if r.evidence == single {
+		q.witnesses++
+	}
 	q.consider(q.nameOf(from), r)
-	if q.decided != nil && len(q.silent) == 0 {
-		q.decide(q.withoutRecord())
+	q.decideIfReplied()
+}
+
+// decideIfReplied decides once all daemons have replied, unless a newer list may tell more.
+func (q *Query) decideIfReplied() {
+	if q.decided == nil || len(q.silent) > 0 {
+		return
+	}
+	if a := q.withoutRecord(); a.Known || q.clash || !q.mayList {
+		q.decide(a)
 	}
 }
 
@@ -101,26 +127,48 @@
 	}
 }
 
-// withoutRecord returns the answer if no daemon has a record.
+// withoutRecord returns the answer if no daemon has replied with a record.
+//
+// That a service has a single version says where the stream began only if no other daemon has
+// a record: a list of endpoints that shows one version may be older than the stream. Daemons
+// that have not replied may have a record, and those that started within Window have lost
+// theirs.
 func (q *Query) withoutRecord() Answer {
 	switch {
 	case q.clash:
 		return Answer{Evidence: EvidenceConflict}
-	case q.single != nil:
+	case q.single != nil && q.witnessed() && !q.node.builds.Differs(q.ask.service, q.single.Origin.Build):
 		return *q.single
 	}
 	return Answer{}
 }
 
-// Retry decides without a record if some daemon knows a single version, and otherwise asks
-// the silent daemons again. Call it when replies are overdue.
-func (q *Query) Retry() {
-	switch {
-	case q.decided == nil:
-	case q.single != nil:
-		q.decide(q.withoutRecord())
-	default:
-		q.sendToSilent()
+// witnessed reports whether the replies show that no daemon has a record.
+func (q *Query) witnessed() bool {
+	missing := len(q.asked) - q.witnesses
+	return q.short && (missing == 0 || missing <= missingWitnesses && q.witnesses >= minWitnesses)
+}
+
+// Retry decides if enough daemons have replied, and otherwise asks the silent ones again. It
+// reports whether a newer list of endpoints would decide, see Node.Listed. Call it when replies
+// are overdue.
+func (q *Query) Retry() (wantsList bool) {
+	if q.decided == nil {
+		return false
+	}
+	if a := q.withoutRecord(); a.Known {
+		q.decide(a)
+		return false
+	}
+	q.sendToSilent()
+	return q.mayList && !q.clash
+}
+
+// listed decides by a list of endpoints that holds all changes up to the question. A stream
+// that began before it at another version would have done so at an endpoint that it shows.
+func (q *Query) listed(now time.Duration) {
+	if build, ok := q.node.builds.Only(now, q.ask.service); ok && q.mayList {
+		q.decide(Answer{Origin: Origin{q.ask.service, build}, Known: true, Evidence: EvidenceList, From: q.node.self.Name})
 	}
 }
 
