Read a newer list before a stream of an unknown version is refused

What callers saw: a daemon that read late of endpoints with a new software version refused streams that had begun there (stream_version_gone), although another daemon had told it where they began.

Cause: the record and the list of endpoints are known at different times, and the list was not asked again.

Change: if the list shows no endpoint with the origin's version, the question waits for one that is newer than itself, up to the same 150 ms.

--- a/router/stream_origins.go
+++ b/router/stream_origins.go
@@ -49,10 +49,11 @@
 	listDue    bool          // listWanted will be sent a value
 	listAsked  time.Duration // when it last was
 	listedAsOf time.Duration // the list holds all changes up to this time
+	listChange chan struct{} // closed when listedAsOf changes
 }
 
 func newStreamOrigins(me Neighbour, set *Settings, s *state, stopping func() bool, clock func() time.Duration, rng *rand.Rand, scope tally.Scope, log *logging.Logger, send func(to string, data []byte)) *streamOrigins {
-	o := &streamOrigins{clock: clock, log: log, scope: scope, state: s, maxAge: set.DrainWithin, stopping: stopping, send: send, listWanted: make(chan struct{}, 1)}
+	o := &streamOrigins{clock: clock, log: log, scope: scope, state: s, maxAge: set.DrainWithin, stopping: stopping, send: send, listWanted: make(chan struct{}, 1), listChange: make(chan struct{})}
 	o.node = streamorigin.NewNode(originDaemon(me), o, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
 	return o
 }
@@ -81,6 +82,8 @@
 	defer o.mu.Unlock()
 	o.listedAsOf = max(o.listedAsOf, asOf)
 	o.node.Listed(o.clock(), asOf)
+	close(o.listChange)
+	o.listChange = make(chan struct{})
 }
 
 // wantList has the list of endpoints read from the store soon. The caller must hold mu.
@@ -194,6 +197,9 @@
 	o.sendPending()
 	o.mu.Unlock()
 	answer := o.await(ctx, q, decided)
+	if answer.Known {
+		o.awaitEndpoint(ctx, asked, answer.Origin)
+	}
 	evidence := answer.Evidence
 	if evidence == streamorigin.EvidenceNone {
 		evidence = "none"
@@ -226,6 +232,35 @@
 	}
 }
 
+// awaitEndpoint waits until the list of endpoints is newer than the question, if it shows none
+// with the origin's software version. The daemon at which the stream began may have read of it
+// earlier.
+func (o *streamOrigins) awaitEndpoint(ctx context.Context, asked time.Duration, at streamorigin.Origin) {
+	timeout := time.NewTimer(originTimeout - (o.clock() - asked))
+	defer timeout.Stop()
+	for {
+		o.state.mu.Lock()
+		listed := len(o.state.roster.WithBuild(at.Service, at.Build)) > 0
+		o.state.mu.Unlock()
+		o.mu.Lock()
+		newer, change := o.listedAsOf >= asked, o.listChange
+		if !listed && !newer {
+			o.wantList()
+		}
+		o.mu.Unlock()
+		if listed || newer {
+			return
+		}
+		select {
+		case <-change:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (o *streamOrigins) closeQuery(q *streamorigin.Query) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/router/stream_out_of_step_test.go
+++ b/router/stream_out_of_step_test.go
@@ -115,3 +115,25 @@
 		})
 	}
 }
+
+// Guards against streams that are refused at a daemon which reads late of endpoints with their
+// version, although others know where they began and the store would tell.
+func TestStreamsGoOnAtADaemonThatReadsLate(t *testing.T) {
+	const late = 0
+	for _, daemons := range []int{2, 3, 6} {
+		for kind, tokens := range promptLengths {
+			t.Run(fmt.Sprintf("%d daemons/%s", daemons, kind), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleetOfBuilds(t, daemons, oneBuild, tokens)
+					time.Sleep(releaseBegins)
+					f.replaceHalf(late)
+					got := runStreams(f, outOfStepFor, streamBreakAt, func(int) int { return late })
+					got.check(t)
+					if share(got.wentOn, got.takenUp) < 0.95 || share(got.others, got.attempts) > 0.05 {
+						t.Errorf("%d of %d streams that were taken up went on, %d of %d attempts brought nothing", got.wentOn, got.takenUp, got.others, got.attempts)
+					}
+				})
+			})
+		}
+	}
+}
