Take a single version for no evidence of streams that last longer than it was observed

Records are lost then, and a daemon knows a single version again after Window (20 s). Streams that last for Window at most are over by then and are refused meanwhile. Longer ones are not over: where the route's limit exceeds 20 s, a stream of the old version was taken for one of the only version that the service has had since.

Evidence: TestSingleVersionSaysNothingOfLongStreams fails without the lifetime in the question: known, at the new version.

Change: a question names how long streams of its route last, and beyond Window only a record answers it. A record is told, and kept, by the route's limit, as a caller's later attempt may have more time than the first one said.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -311,10 +311,7 @@
 }
 
 func (c *call) setDeadline() {
-	limit := c.req.Route.Timeout
-	if limit <= 0 {
-		limit = DefaultTimeout
-	}
+	limit := timeLimit(c.req.Route)
 	if c.in.Patience > 0 && c.in.Patience < limit {
 		limit = c.in.Patience
 	}
@@ -322,6 +319,14 @@
 	c.report.Deadline, c.report.Target = limit, c.req.Route.TargetLatency
 }
 
+// timeLimit returns how long requests of a route last at most.
+func timeLimit(r *routes.Route) time.Duration {
+	if r.Timeout > 0 {
+		return r.Timeout
+	}
+	return DefaultTimeout
+}
+
 // prepare sets the request that all attempts send, apart from the headers set by
 // the HeaderCodec. Hop-by-hop headers are removed.
 func (c *call) prepare() {
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -30,9 +30,9 @@
 	// Single reports whether a service is known to have had one software version for longer
 	// than streams last.
 	Single(service string) bool
-	// Find returns where a stream began. service is the one it belongs to unless another is
-	// known.
-	Find(ctx context.Context, id streamorigin.ID, service string) streamorigin.Answer
+	// Find returns where a stream began that lasts for the lifetime at most. service is the one
+	// it belongs to unless another is known.
+	Find(ctx context.Context, id streamorigin.ID, service string, lifetime time.Duration) streamorigin.Answer
 }
 
 // firstAttempt returns the attempt that brought the first event of the stream, or will.
@@ -63,7 +63,7 @@
 	if !c.continues() {
 		return service, true
 	}
-	answer := c.o.Origins.Find(c.ctx, c.stream, service)
+	answer := c.o.Origins.Find(c.ctx, c.stream, service, c.streamLifetime())
 	c.report.Origin = &answer
 	led := func(b routes.Backend) bool { return b.Service == answer.Origin.Service && b.Weight > 0 }
 	switch {
@@ -87,10 +87,13 @@
 	}
 	c.req.Origin = &streamorigin.Origin{Service: c.req.Service.Name, Build: c.build}
 	if c.recordsOrigin() {
-		c.o.Origins.Began(c.stream, *c.req.Origin, c.report.Deadline)
+		c.o.Origins.Began(c.stream, *c.req.Origin, c.streamLifetime())
 	}
 }
 
+// streamLifetime returns how long a stream of the route lasts at most over a caller's attempts.
+func (c *call) streamLifetime() time.Duration { return timeLimit(c.req.Route) }
+
 // streamEnds records that the caller has received the stream whole.
 func (c *call) streamEnds() {
 	if c.recordsOrigin() {
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -46,7 +46,7 @@
 	o.ended[id] = true
 }
 
-func (o *testOrigins) Find(_ context.Context, id streamorigin.ID, service string) streamorigin.Answer {
+func (o *testOrigins) Find(_ context.Context, id streamorigin.ID, service string, _ time.Duration) streamorigin.Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.services = append(o.services, service)
--- a/router/stream_origins.go
+++ b/router/stream_origins.go
@@ -189,11 +189,11 @@
 }
 
 // Find implements forward.Origins.
-func (o *streamOrigins) Find(ctx context.Context, id streamorigin.ID, service string) streamorigin.Answer {
+func (o *streamOrigins) Find(ctx context.Context, id streamorigin.ID, service string, lifetime time.Duration) streamorigin.Answer {
 	decided := make(chan streamorigin.Answer, 1)
 	asked := o.clock()
 	o.mu.Lock()
-	q := o.node.Ask(asked, id, service, streamorigin.Window, func(a streamorigin.Answer) { decided <- a })
+	q := o.node.Ask(asked, id, service, lifetime, func(a streamorigin.Answer) { decided <- a })
 	o.sendPending()
 	o.mu.Unlock()
 	answer := o.await(ctx, q, decided)
--- a/streamorigin/node_test.go
+++ b/streamorigin/node_test.go
@@ -247,6 +247,28 @@
 	}
 }
 
+// Guards against a stream that lasts longer than Window and is taken for one of the single
+// version that has come since: all daemons that had its record have restarted.
+func TestSingleVersionSaysNothingOfLongStreams(t *testing.T) {
+	c := newCluster(6, 3)
+	id := streamID("1")
+	c.nodes["a0"].Began(c.now, id, v1, Window+time.Second)
+	c.deliver()
+	for _, d := range c.all {
+		c.start(d)
+		c.builds[d.Address]["s"] = "v2"
+	}
+	for lifetime, known := range map[time.Duration]bool{Window: true, Window + time.Second: false} {
+		var answer Answer
+		q := c.nodes["a1"].Ask(c.now, id, "s", lifetime, func(a Answer) { answer = a })
+		c.deliver()
+		q.Close()
+		if answer.Known != known {
+			t.Errorf("lifetime %v: %+v", lifetime, answer)
+		}
+	}
+}
+
 // Guards against a single version that a daemon knows taking precedence over a record: a
 // daemon learns of a second version later than those that send streams there.
 func TestRecordOverridesSingleVersion(t *testing.T) {
