Let entries that name no endpoint name none

But an entry whose address can't be connected to, or with slots that no endpoint has, named an endpoint, and requests that can't be repeated were lost on it.

Change: directory.Entry.Check says what requests can be sent to (IP:port that can be connected to, 1 to 65,536 slots, texts that daemons can pass on); the platform's codec and daemons that read through each other use it. At most five lines a second say what is odd, as another program may write without end.

TestEntryRoundTrip drew entries that no endpoint has; it draws usable and unusable ones now, and asks for an error where Check gives one. Tests of daemons that read through each other give endpoints addresses.

--- a/directory/changes_test.go
+++ b/directory/changes_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
@@ -112,20 +113,33 @@
 	})
 }
 
+// Guards against an entry that daemons read differently from each other than from the store.
 func TestEntryRoundTrip(t *testing.T) {
-	text := rapid.StringN(0, 20, 60)
+	some, any := rapid.StringN(1, 20, 60), rapid.StringN(0, 20, 60)
+	address := rapid.OneOf(rapid.SampledFrom([]string{"10.0.0.1:80", "[2001:db8::1]:65535", "127.0.0.1:1"}), any)
+	usable := 0
 	rapid.Check(t, func(t *rapid.T) {
 		e := Entry{
-			ID: "a", Born: rapid.Int64().Draw(t, "born"), Service: text.Draw(t, "service"), Address: text.Draw(t, "address"),
-			Zone: fleet.ZoneID(text.Draw(t, "zone")), Build: text.Draw(t, "build"), Slots: rapid.IntRange(0, 1<<20).Draw(t, "slots"),
-			State: rapid.SampledFrom([]State{Ready, Draining}).Draw(t, "state"), Orders: rapid.Int64().Draw(t, "orders"),
-			Models: rapid.MapOfN(text, rapid.Int64(), 0, 5).Draw(t, "models"),
+			ID: "a", Born: rapid.Int64().Draw(t, "born"), Service: some.Draw(t, "service"), Address: address.Draw(t, "address"),
+			Zone: fleet.ZoneID(some.Draw(t, "zone")), Build: any.Draw(t, "build"), Slots: rapid.IntRange(0, maxSlots+9).Draw(t, "slots"),
+			State: rapid.SampledFrom([]State{Ready, Draining}).Draw(t, "state"), Orders: rapid.Int64Min(-9).Draw(t, "orders"),
+			Models: rapid.MapOfN(any, rapid.Int64Min(-9), 0, 5).Draw(t, "models"),
 		}
 		got, err := DecodeEntry("a", e.Append(nil))
+		if wrong := e.Check(); wrong != nil {
+			if !errors.Is(err, ErrNotEndpoint) {
+				t.Fatalf("%+v came as %+v, %v, though %v", e, got, err, wrong)
+			}
+			return
+		}
+		usable++
 		if err != nil || got.Orders != e.Orders || !got.EqualExceptOrders(e) {
 			t.Fatalf("%+v came as %+v, %v", e, got, err)
 		}
 	})
+	if usable == 0 {
+		t.Error("no entry was usable")
+	}
 }
 
 func FuzzDecodeEntry(f *testing.F) {
--- a/directory/wire.go
+++ b/directory/wire.go
@@ -49,7 +49,8 @@
 	return append(append(to, byte(len(text))), text...)
 }
 
-// DecodeEntry decodes the entry of the endpoint with the ID. The error is ErrMalformed.
+// DecodeEntry decodes the entry of the endpoint with the ID. The error is ErrMalformed or, as a
+// daemon of an earlier release may pass such an entry on, an ErrNotEndpoint.
 func DecodeEntry(id string, data []byte) (Entry, error) {
 	r := wire.Reader{Remaining: data}
 	format := r.Byte()
@@ -62,8 +63,11 @@
 		name := r.Text(maxTextBytes)
 		e.Models[name] = r.Varint()
 	}
-	if r.Malformed || len(r.Remaining) > 0 || format != entryFormat || e.State > Draining || id == "" {
+	if r.Malformed || len(r.Remaining) > 0 || format != entryFormat || e.State > Draining {
 		return Entry{}, ErrMalformed
 	}
+	if err := e.Check(); err != nil {
+		return Entry{}, err
+	}
 	return e, nil
 }
--- a/router/follower.go
+++ b/router/follower.go
@@ -428,7 +428,9 @@
 	entry, err := decode(record.Key, record.Value)
 	if err != nil {
 		r.state.roster.Remove(now, since, record.Key)
-		r.log.Warn("Endpoint entry is not usable.", "endpoint", record.Key, "offset", feed.Position(record.Offset), "error", err.Error())
+		if write, suppressed := r.unusableLog.allow(now); write {
+			r.log.Warn("Endpoint entry is not usable.", "endpoint", record.Key, "offset", feed.Position(record.Offset), "error", err.Error(), "suppressed", suppressed)
+		}
 		record.Value = nil
 		return record, true
 	}
--- a/router/line_limiter.go
+++ b/router/line_limiter.go
@@ -13,6 +13,10 @@
 // size the design is based on. Lines of all other requests are always written.
 const ordinaryPerSecond = 200
 
+// unusablePerSecond bounds the log lines in one second for entries that name no usable endpoint.
+// Another program may write them without end.
+const unusablePerSecond = 5
+
 // readyPerSecond bounds the log lines in one second for endpoints that registered or
 // changed and are ready. During a start or a release there are hundreds a second. Lines
 // of endpoints that leave are always written.
--- a/router/restore_test.go
+++ b/router/restore_test.go
@@ -262,7 +262,7 @@
 }
 
 func (rolloutCodec) Endpoint(id string, value []byte) (directory.Entry, error) {
-	out := directory.Entry{ID: id, Service: "s", Address: id}
+	out := directory.Entry{ID: id, Service: "s", Address: endpointAddress(id), Zone: "z", Slots: 1}
 	var version int64
 	var draining bool
 	_, err := fmt.Sscan(string(value), &version, &out.Orders, &draining)
--- a/router/router.go
+++ b/router/router.go
@@ -115,6 +115,7 @@
 	log          *logging.Logger
 	requestLog   lineLimiter // limits the lines of ordinary requests
 	endpointLog  lineLimiter // limits the lines of endpoints that are ready
+	unusableLog  lineLimiter // limits the lines of entries that name no usable endpoint
 	metrics      *meters
 
 	peerHosts    atomic.Pointer[map[string]bool] // hosts of the other daemons
@@ -156,7 +157,7 @@
 		callers:    forward.NewCallerConns(),
 		log:        log,
 		metrics:    metrics,
-		requestLog: lineLimiter{perSecond: ordinaryPerSecond}, endpointLog: lineLimiter{perSecond: readyPerSecond},
+		requestLog: lineLimiter{perSecond: ordinaryPerSecond}, endpointLog: lineLimiter{perSecond: readyPerSecond}, unusableLog: lineLimiter{perSecond: unusablePerSecond},
 	}
 	r.countStoreCalls()
 	r.answerLimits = newAnswerLimits(o.Settings.MemoryBytes, r.metrics.scope, log)
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -25,6 +25,7 @@
 	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/quarantine"
 	"github.com/merlindock/merlindock/readtree"
 	"github.com/merlindock/merlindock/routes"
@@ -574,7 +575,13 @@
 
 func (zoneCodec) Endpoint(id string, value []byte) (directory.Entry, error) {
 	orders, err := strconv.ParseInt(string(value), 10, 64)
-	return directory.Entry{ID: id, Service: "s", Address: id, Orders: orders}, err
+	return directory.Entry{ID: id, Service: "s", Address: endpointAddress(id), Zone: "z", Slots: 1, Orders: orders}, err
+}
+
+// endpointAddress returns an address of the endpoint's own.
+func endpointAddress(id string) string {
+	h := hash.Text(id)
+	return fmt.Sprintf("10.%d.%d.%d:80", byte(h>>16), byte(h>>8), byte(h))
 }
 
 func (zoneCodec) Daemon(name string, value []byte) (Neighbour, error) {
