Follow the linter: addresses are checked beside the messages between daemons

Decision packages import nothing of net. The check moves from directory to internal/wire; a test returns a status in place of a response. No behaviour changes.

--- a/directory/check.go
+++ b/directory/check.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"net/netip"
+
+	"github.com/merlindock/merlindock/internal/wire"
 )
 
 // maxSlots bounds the number of requests that an endpoint runs at once.
@@ -32,21 +33,8 @@
 			return fmt.Errorf("%w: model %.40q has version %d", ErrNotEndpoint, name, version)
 		}
 	}
-	if err := CheckAddress(e.Address); err != nil {
+	if err := wire.CheckAddress(e.Address); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotEndpoint, err)
 	}
 	return nil
 }
-
-// CheckAddress returns an error unless the text is an IP:port that a connection can be opened to.
-func CheckAddress(text string) error {
-	at, err := netip.ParseAddrPort(text)
-	broadcast := netip.AddrFrom4([4]byte{255, 255, 255, 255})
-	switch ip := at.Addr().Unmap(); {
-	case err != nil:
-		return fmt.Errorf("address %.60q is no IP:port", text)
-	case at.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast:
-		return fmt.Errorf("address %s can't be connected to", at)
-	}
-	return nil
-}
--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -115,7 +115,7 @@
 
 // askAs sends a request as a caller of the given version of HTTP, and reads the answer to its
 // end after begin was called. It returns whether the answer looks whole.
-func askAs(t *testing.T, address, version string, begin func()) (resp *http.Response, body string, whole bool) {
+func askAs(t *testing.T, address, version string, begin func()) (status int, body string, whole bool) {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -125,13 +125,13 @@
 	_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
 	_, _ = fmt.Fprintf(c, "POST /x HTTP/%s\r\nHost: h\r\nAttempt-Id: a1\r\nContent-Length: 0\r\n\r\n", version)
 	begin()
-	resp, err = http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
 	if err != nil {
-		return nil, "", false
+		return 0, "", false
 	}
 	defer resp.Body.Close()
 	all, err := io.ReadAll(resp.Body)
-	return resp, string(all), err == nil
+	return resp.StatusCode, string(all), err == nil
 }
 
 // Guards against an answer that was cut off and looks whole to its caller, for each way in which
@@ -155,13 +155,13 @@
 							limit = endlessDeadline // which a busy machine must not reach first
 						}
 						s, reports := serveWithin(t, kind, false, limit, answer.serve(t))
-						resp, body, whole := askAs(t, s.Listener.Addr().String(), version, func() { interfere(t, s, end, reports) })
+						status, body, whole := askAs(t, s.Listener.Addr().String(), version, func() { interfere(t, s, end, reports) })
 						report, want := awaitReports(t, reports)[0], cutCauses[end]
 						if report.SentBytes > 0 && (whole == (report.Cut != "") || want != "" && report.Cut != want) {
 							t.Errorf("cut by %q, whole %t: %+v", report.Cut, whole, report)
 						}
 						switch {
-						case whole && resp.StatusCode == http.StatusOK && (body != answer.body || end != endsWhole):
+						case whole && status == http.StatusOK && (body != answer.body || end != endsWhole):
 							t.Errorf("%d of %d bytes look whole: %+v", len(body), len(answer.body), reports())
 						case end == endsWhole && (!whole || body != answer.body):
 							t.Errorf("a whole answer was cut after %d of %d bytes: %+v", len(body), len(answer.body), reports())
--- a/streamorigin/node_test.go
+++ b/streamorigin/node_test.go
@@ -225,8 +225,11 @@
 		own      string // single version of the list that was read; empty: it shows several
 		known    bool
 	}{
-		{0, Window, "v1", true}, {time.Millisecond, Window, "v1", true}, {-time.Millisecond, Window, "v1", false},
-		{time.Millisecond, Window, "", false}, {time.Millisecond, Window + 1, "v1", false},
+		{0, Window, "v1", true},
+		{time.Millisecond, Window, "v1", true},
+		{-time.Millisecond, Window, "v1", false},
+		{time.Millisecond, Window, "", false},
+		{time.Millisecond, Window + 1, "v1", false},
 	} {
 		all := newCluster(6, 3)
 		all.builds["a0"]["s"] = "v1"
