Keep wanted reads of the list from holding up others

Found by reading once more, and by its test: a read of the list of endpoints that was wanted interrupted the pages of a full read again and again, so that a daemon that starts never knew the list; one that failed counted as the loss of the store and held the reader up for its full timeout; and a daemon that reads through neighbours paused after it as one that reads the store itself.

TestWantedListDoesNotHoldUpOthers fails before (the list is not known after 2 s); after, six daemons know it, and no list is older than half of DrainWithin while the store does not answer one of them.

--- a/router/follower.go
+++ b/router/follower.go
@@ -285,10 +285,11 @@
 	for ctx.Err() == nil {
 		var p readResult
 		var err error
-		if now && !f.needsFullRead() && !f.subscription.storeBackedOff() {
-			f.relayed = false
-			p, err = f.readStore(ctx, 0)
+		if now && f.mayReadNow() {
 			now = false
+			if p, err = f.readNow(ctx); err != nil {
+				continue // the usual reads tell whether the store is lost
+			}
 		} else if p, now, err = f.readUnlessWanted(ctx, wanted); now {
 			continue
 		}
@@ -308,9 +309,30 @@
 	}
 }
 
+// mayReadNow reports whether a read from the store may come before the usual one. It must not
+// repeat a full read, nor be tried while the store is lost.
+func (f *follower) mayReadNow() bool {
+	return !f.needsFullRead() && f.failedReads == 0 && !f.subscription.storeBackedOff()
+}
+
+// readNow makes one read from the store for as long as it is of use to what wanted it.
+func (f *follower) readNow(ctx context.Context) (readResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	relayed := f.relayed
+	f.relayed = false
+	p, err := f.readStore(ctx, 0)
+	f.relayed = relayed
+	return p, err
+}
+
 // readUnlessWanted makes one read. It ends early, with interrupted set, if a value is received
 // from wanted during a read through neighbours.
 func (f *follower) readUnlessWanted(ctx context.Context, wanted <-chan struct{}) (p readResult, interrupted bool, err error) {
+	if !f.relayed || !f.mayReadNow() {
+		p, err = f.read(ctx, 0)
+		return p, false, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	var received atomic.Bool
 	var waiting sync.WaitGroup
--- a/router/zone_test.go
+++ b/router/zone_test.go
@@ -985,3 +985,42 @@
 		}
 	})
 }
+
+// Guards against a list of endpoints that never becomes known, or becomes old, because it is
+// wanted again and again: while daemons start, and while the store does not answer one of them.
+func TestWantedListDoesNotHoldUpOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons = 6
+		z := newEmptyZone(t)
+		z.pageSize = zoneEndpoints / 10
+		go z.writeHeartbeats()
+		time.Sleep(2 * heartbeatInterval)
+		want := func(lasts time.Duration, each func(r *Router)) {
+			for at := time.Duration(0); at < lasts; at += 3 * time.Millisecond {
+				for _, r := range z.daemons {
+					select {
+					case r.origins.listWanted <- struct{}{}:
+					default:
+					}
+					each(r)
+				}
+				time.Sleep(3 * time.Millisecond)
+			}
+		}
+		z.startDaemons(daemons)
+		want(2*time.Second, func(*Router) {})
+		silent := z.daemons[daemons-1].options.Settings.Name
+		z.setFlag(z.storeSilent, true, silent)
+		oldest := time.Duration(0)
+		want(5*time.Second, func(r *Router) {
+			age, known := r.state.endpoints.Age(z.clock())
+			if !known {
+				t.Fatalf("%s does not know the list", r.options.Settings.Name)
+			}
+			oldest = max(oldest, age)
+		})
+		if oldest > zoneSettings.DrainWithin/2 {
+			t.Errorf("a list was %v old", oldest)
+		}
+	})
+}
