--- a/cutoff/cutoff_test.go
+++ b/cutoff/cutoff_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against an answer to a caller of HTTP/1.0 that looks whole though its handler has given
@@ -60,3 +61,26 @@
 		}
 	}
 }
+
+// Guards against an answer whose last bytes can't be written after its handler has returned.
+func TestAnswerThatIsNotFlushedLooksCut(t *testing.T) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c := http.NewResponseController(w)
+		_, _ = io.WriteString(w, "a part")
+		_ = c.Flush()
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+		_, _ = io.WriteString(w, " and the rest")
+	}))
+	Guard(s.Config)
+	s.Start()
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = fmt.Fprint(c, "GET / HTTP/1.0\r\n\r\n")
+	if got, err := io.ReadAll(c); err == nil {
+		t.Errorf("%q looks whole", got)
+	}
+}
--- a/router/stream_out_of_step_test.go
+++ b/router/stream_out_of_step_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // outOfStepFor is how long a daemon hears nothing of the others and reads nothing of the store.
@@ -137,3 +139,34 @@
 		}
 	}
 }
+
+// Guards against calls to the store that grow with the number of daemons: each read brings all
+// that endpoints have written since the last one.
+func TestListIsNotWantedByManyDaemons(t *testing.T) {
+	for daemons, want := range map[int]int{maxListReaders: 10, maxListReaders + 1: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFleetOfBuilds(t, 1, oneBuild, 0).daemons[0]
+			all := make([]Neighbour, daemons)
+			for i := range all {
+				all[i] = Neighbour{Name: fmt.Sprint("front-", i), Zone: "z", Address: daemonAddress(i).String()}
+			}
+			o := newStreamOrigins(all[0], &r.options.Settings, r.state, r.shuttingDown.Load, r.clock, r.options.Rand, tally.NoopScope, discardLog(), func(string, []byte) {})
+			o.setDaemons(all)
+			wanted := 0
+			for range 950 {
+				o.mu.Lock()
+				o.wantList()
+				o.mu.Unlock()
+				time.Sleep(time.Millisecond)
+				select {
+				case <-o.listWanted:
+					wanted++
+				default:
+				}
+			}
+			if wanted != want {
+				t.Errorf("%d daemons: wanted %d times in 0.95 s, want %d", daemons, wanted, want)
+			}
+		})
+	}
+}
