Share the test server for connections; close a server once the answer has begun

The tests of cut answers wrote the accept loop of package responsetest three times again; they use it now, as do those of broken answers. The case of a closed server waits for the head of the answer in place of a sleep, so that a busy machine does not close it before the request has come. What is asked of an answer is unchanged.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/response/responsetest"
 	"github.com/merlindock/merlindock/retry"
 	"github.com/merlindock/merlindock/routes"
 )
@@ -83,26 +83,12 @@
 
 func (a *cutAnswer) serve(t *testing.T) Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					a.write(c)
-				}
-			}()
+	address := responsetest.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			a.write(c)
 		}
-	}()
-	return Target{Key: "cut@1", ID: "cut", Address: l.Addr().String()}
+	})
+	return Target{Key: "cut@1", ID: "cut", Address: address}
 }
 
 // cutBody returns a body of at least the given length, which is a stream of numbered events.
@@ -115,8 +101,9 @@
 }
 
 // askAs sends a request as a caller of the given version of HTTP, and reads the answer to its
-// end after begin was called. It returns whether the answer looks whole.
-func askAs(t *testing.T, address, version string, begin func()) (status int, body string, whole bool) {
+// end. sent is called when the request was sent, and begun when the head of the answer was read.
+// It returns whether the answer looks whole.
+func askAs(t *testing.T, address, version string, sent, begun func()) (status int, body string, whole bool) {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -125,12 +112,13 @@
 	defer c.Close()
 	_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
 	_, _ = fmt.Fprintf(c, "POST /x HTTP/%s\r\nHost: h\r\nAttempt-Id: a1\r\nContent-Length: 0\r\n\r\n", version)
-	begin()
+	sent()
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return 0, "", false
 	}
 	defer resp.Body.Close()
+	begun()
 	all, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(all), err == nil
 }
@@ -159,7 +147,15 @@
 							limit = cutOffWithin / 2 // the same, until the sockets are full
 						}
 						s, reports := serveWithin(t, kind, false, limit, answer.serve(t))
-						status, body, whole := askAs(t, s.Listener.Addr().String(), version, func() { interfere(t, s, end, reports) })
+						status, body, whole := askAs(t, s.Listener.Addr().String(), version, func() {
+							if end == endsSlow {
+								awaitReports(t, reports)
+							}
+						}, func() {
+							if end == endsServer {
+								_ = s.Config.Close()
+							}
+						})
 						if end != endsServer || len(reports()) > 0 {
 							checkCutReport(t, awaitReports(t, reports)[0], &cutCase{kind, version, framing, end, whole})
 						}
@@ -211,15 +207,3 @@
 		return EndByConnection
 	}
 }
-
-// interfere does what ends an answer on the side of the caller or the server.
-func interfere(t *testing.T, s *httptest.Server, end string, reports func() []Report) {
-	t.Helper()
-	switch end {
-	case endsSlow:
-		awaitReports(t, reports)
-	case endsServer:
-		time.Sleep(cutTestLimit / 2) // sockets need the real clock: a part of the answer is passed on
-		_ = s.Config.Close()
-	}
-}
--- a/forward/delivery_test.go
+++ b/forward/delivery_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/merlindock/merlindock/response/responsetest"
 	"github.com/merlindock/merlindock/routes"
 )
 
@@ -17,35 +18,21 @@
 // the connection in the given way: "end", "reset" or "silence".
 func brokenEndpoint(t *testing.T, answer, how string) Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				request := make([]byte, 64<<10)
-				if _, err := c.Read(request); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, answer)
-				switch how {
-				case "reset":
-					time.Sleep(100 * time.Millisecond) // else the reset overtakes the answer
-					_ = c.(*net.TCPConn).SetLinger(0)
-				case "silence":
-					_, _ = c.Read(request)
-				}
-			}()
+	address := responsetest.Serve(t, func(c net.Conn) {
+		request := make([]byte, 64<<10)
+		if _, err := c.Read(request); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+		switch how {
+		case "reset":
+			time.Sleep(100 * time.Millisecond) // else the reset overtakes the answer
+			_ = c.(*net.TCPConn).SetLinger(0)
+		case "silence":
+			_, _ = c.Read(request)
 		}
-	}()
-	return Target{Key: "broken@1", ID: "broken", Address: l.Addr().String()}
+	})
+	return Target{Key: "broken@1", ID: "broken", Address: address}
 }
 
 // answerOf returns an answer with a body, whole or cut off.
--- a/lab/soak/cut_test.go
+++ b/lab/soak/cut_test.go
@@ -12,45 +12,30 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/merlindock/merlindock/response/responsetest"
 )
 
 // partialRunner answers each request with a part of an answer, and then keeps silent.
 type partialRunner struct {
 	framing string // a header field, or empty: the answer ends with its connection
-	sent    atomic.Int64
 }
 
 // serve listens until the end of the test and returns its address.
 func (p *partialRunner) serve(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				part := "id: 0\ndata: " + strings.Repeat("x", 700<<10) + "\n\n"
-				if strings.Contains(p.framing, "chunked") {
-					part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Signature: s\r\n"+p.framing+"\r\n"+part)
-				p.sent.Add(1)
-				_, _ = c.Read(make([]byte, 1))
-			}()
+	return responsetest.Serve(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return l.Addr().String()
+		part := "id: 0\ndata: " + strings.Repeat("x", 700<<10) + "\n\n"
+		if strings.Contains(p.framing, "chunked") {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Signature: s\r\n"+p.framing+"\r\n"+part)
+		_, _ = c.Read(make([]byte, 1))
+	})
 }
 
 // Guards against an answer that looks whole to its caller although the daemon's process ended
@@ -100,20 +85,18 @@
 func awaitServed(t *testing.T, front string) {
 	t.Helper()
 	for end := time.Now().Add(recoverWithin); ; time.Sleep(50 * time.Millisecond) {
-		var began atomic.Int64
+		served := false
 		c, err := net.DialTimeout("tcp", front, time.Second)
 		if err == nil {
 			_, _ = fmt.Fprintf(c, "POST /look/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: first\r\nApi-Key: %s\r\nContent-Length: 0\r\n\r\n", stableKey)
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			if err == nil {
 				_ = resp.Body.Close()
-				if resp.StatusCode == http.StatusOK {
-					began.Add(1)
-				}
+				served = resp.StatusCode == http.StatusOK
 			}
 			_ = c.Close()
 		}
-		if began.Load() > 0 {
+		if served {
 			return
 		}
 		if time.Now().After(end) {
--- a/response/responsetest/endless.go
+++ b/response/responsetest/endless.go
@@ -39,7 +39,7 @@
 // turn, then keeps silent, and returns its address. Each request must be sent at once.
 func Answering(t testing.TB, answers ...string) string {
 	t.Helper()
-	return serve(t, func(c net.Conn) {
+	return Serve(t, func(c net.Conn) {
 		request := make([]byte, pieceBytes)
 		for _, answer := range answers {
 			if _, err := c.Read(request); err != nil {
@@ -53,9 +53,9 @@
 	})
 }
 
-// serve starts a server for connections, which it closes at the end of the test, and returns its
+// Serve starts a server for connections, which it closes at the end of the test, and returns its
 // address.
-func serve(t testing.TB, handle func(c net.Conn)) string {
+func Serve(t testing.TB, handle func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -103,7 +103,7 @@
 func NewEndless(t testing.TB, prefix, filler string) *Endless {
 	t.Helper()
 	e := &Endless{closed: make(chan struct{}, 1024)}
-	e.Address = serve(t, func(c net.Conn) { e.serve(c, prefix, filler) })
+	e.Address = Serve(t, func(c net.Conn) { e.serve(c, prefix, filler) })
 	return e
 }
 
