--- a/cutoff/cutoff.go
+++ b/cutoff/cutoff.go
@@ -56,8 +56,12 @@
 
 // ServeHTTP implements http.Handler.
 func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		h.next.ServeHTTP(w, r)
+		return
+	}
 	tcp, _ := r.Context().Value(connKey{}).(*net.TCPConn)
-	if tcp == nil || r.ProtoAtLeast(1, 1) {
+	if tcp == nil {
 		h.next.ServeHTTP(w, r)
 		return
 	}
