Take what is held of answers from a budget of the process

What a daemon holds of others had three budgets that did not know of each other: response.Limits for answers, one in the gateway for bodies, and none in forward. Package bytebudget owns them all: each kind may take half of it, requests wait for room, one that holds room and makes no progress gives way to one that waits, a whole one never does, and one owner's requests take half of theirs at most. It reads and closes nothing. response.Limits takes its part from it; nothing else uses it yet, so no behaviour changes.

--- a/response/doc.go
+++ b/response/doc.go
@@ -5,7 +5,11 @@
 // docs/design/answer-limits.md lists all places that read what others send, with their limits.
 package response
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/merlindock/merlindock/bytebudget"
+)
 
 // Limits of a response.
 const (
@@ -20,7 +24,7 @@
 	maxFields = 256
 	// FreeBytes is how much of a body is held without taking it from the budget, so that short
 	// responses are read at any time.
-	FreeBytes = 16 << 10
+	FreeBytes = bytebudget.FreeBytes
 )
 
 // Bound names the limit that bytes exceeded, for logs and metrics.
--- a/response/limits.go
+++ b/response/limits.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"sync"
-	"sync/atomic"
+	"time"
+
+	"github.com/merlindock/merlindock/bytebudget"
 )
 
 // firstBodyBytes is the buffer size with which a body begins.
@@ -17,16 +19,20 @@
 // Limits bounds what a process holds of the bodies that it reads, all together. A nil *Limits
 // sets no bound on their sum. It is safe for concurrent use.
 type Limits struct {
-	budget   int64 // bytes
-	held     atomic.Int64
+	budget   *bytebudget.Budget
 	exceeded func(reader, id, from string, e *Error)
 	decoding sync.Mutex // held while a long body is decoded, which takes a multiple of its size
 }
 
-// NewLimits returns Limits with a budget in bytes. exceeded is called when a sender's bytes
+// NewLimits returns Limits with a budget in bytes that nothing else takes from. exceeded is called when a sender's bytes
 // exceed a limit, with the name of the reader, the ID of the attempt or "", and the sender; it
 // may be nil.
 func NewLimits(budget int64, exceeded func(reader, id, from string, e *Error)) *Limits {
+	return NewSharedLimits(bytebudget.New(bytebudget.SizeFor(budget), time.Now), exceeded)
+}
+
+// NewSharedLimits is NewLimits with the room for answers of a budget that others take from too.
+func NewSharedLimits(budget *bytebudget.Budget, exceeded func(reader, id, from string, e *Error)) *Limits {
 	return &Limits{budget: budget, exceeded: exceeded}
 }
 
@@ -43,7 +49,7 @@
 	if l == nil {
 		return 0
 	}
-	return l.held.Load()
+	return l.budget.Held(bytebudget.Answers)
 }
 
 // Holding is the part of the budget that one body takes. The zero value takes none and has no
@@ -67,9 +73,8 @@
 	if more == 0 {
 		return nil
 	}
-	if held := h.limits.held.Add(more); more > 0 && held > h.limits.budget {
-		h.limits.held.Add(-more)
-		return &Error{Bound: BoundBudget, Limit: h.limits.budget, Read: bytes}
+	if !h.limits.budget.TakeAnswer(more) {
+		return &Error{Bound: BoundBudget, Limit: h.limits.budget.Share(), Read: bytes}
 	}
 	h.taken = need
 	return nil
@@ -78,7 +83,7 @@
 // Release returns the part to the budget.
 func (h *Holding) Release() {
 	if h.taken > 0 {
-		h.limits.held.Add(-h.taken)
+		h.limits.budget.TakeAnswer(-h.taken)
 		h.taken = 0
 	}
 }
