Bound what callers may take of a routed daemon

Callers saw: while clients that do not behave were connected, a daemon ended for want of memory, or answered nobody for want of descriptors, and every caller of it lost its connection.

Cause: nothing owned what is held for callers. forward read each body with io.ReadAll, with a limit for one and none for all, before the request's time limit began; a refusal of a request with an unread body waited for that body without a time limit; no listener bounded its connections; the configuration's limits for heads and idle connections were decoded and used nowhere, nor was limits.maxFds; a buffered answer had no time limit for its caller to read it.

Now connections and bodies are those of package ingress, bodies and answers share a budget of a quarter of the memory, the time limit of a request begins with its head, each write to a caller has a deadline, and the addresses for the balancer, operators and other daemons have bounds of their own.

Why it works: room is asked for before it is used, what has none stays with its sender, and whoever holds some without filling it gives way to whoever waits, so that neither bytes nor descriptors can be kept by doing nothing. Ruled out: memory of the Go runtime's collector (the live heap itself exceeded the limit), and kernel buffers (resident memory does not count them).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -207,7 +207,6 @@
 		return AttemptEnd{Failure: retry.Broken, Lost: true, Cause: err}
 	}
 	c.sent.End()
-	_ = c.rc.SetWriteDeadline(time.Time{})
 	return AttemptEnd{Whole: true, Generated: a.succeeded(), Unframed: !a.framed()}
 }
 
@@ -320,6 +319,5 @@
 	}
 	c.sent.End()
 	c.streamEnds()
-	_ = c.rc.SetWriteDeadline(time.Time{})
 	return AttemptEnd{Whole: true, Generated: true, Unframed: !a.framed()}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/merlindock/merlindock/bytebudget"
 	"github.com/merlindock/merlindock/delivery"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/ingress"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/prefix"
 	"github.com/merlindock/merlindock/quarantine"
@@ -38,6 +39,10 @@
 	// maxBufferedAnswer is the longest non-stream answer that is read completely
 	// before it is relayed, so that a truncated answer never reaches the caller.
 	maxBufferedAnswer = 512 << 10
+	// answerTimeout is how long a caller may take at least to read an answer that is ready.
+	answerTimeout = time.Second
+	// codeConnectionClosed is the code of a request whose connection was closed for another.
+	codeConnectionClosed = "connection_closed"
 	// statusCallerLeft is logged and counted for requests whose caller
 	// disconnected. It is never sent.
 	statusCallerLeft = 499
@@ -55,7 +60,7 @@
 	// ShutdownDeadline returns when the process ends. It is zero until the process
 	// stops and load balancers have had the time to remove it.
 	ShutdownDeadline func() time.Time
-	Callers          *CallerConns
+	Budget           *bytebudget.Budget // for the bodies of requests; nil: they are not bounded together
 	// Origins knows where streams began; nil: callers take them up at any endpoint.
 	Origins Origins
 	Limiter Limiter // nil: organisations have no rate limits
@@ -146,6 +151,8 @@
 	retryState retry.Request
 	report     Report
 
+	body      ingress.Body
+	bodyRead  bool // to its end
 	sent      delivery.Sent
 	writeErr  error  // of a write to the caller
 	build     string // software version of the endpoint that answers
@@ -167,7 +174,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !h.o.Callers.beginRequest(r.Context()) {
+	if !ingress.ConnOf(r.Context()).BeginRequest() {
 		panic(http.ErrAbortHandler)
 	}
 	c := &call{Handler: h, w: w, r: r, rc: http.NewResponseController(w), ctx: r.Context()}
@@ -178,6 +185,7 @@
 	c.report.Continues, c.report.Resumes, c.report.LastEvent = c.in.Continues, c.in.Resumes, c.in.LastEvent
 	defer func() {
 		c.keptBytes.Release()
+		c.body.Release()
 		c.report.Duration, c.report.SentBytes = time.Since(c.req.Arrived), c.sent.Bytes()
 		h.o.Report(&c.report)
 	}()
@@ -203,10 +211,10 @@
 		return
 	}
 	defer c.refundNotRun()
+	c.setDeadline()
 	if !c.readBody() {
 		return
 	}
-	c.setDeadline()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.req.Deadline.Add(answerGrace))
 	defer cancel()
 	c.ctx = ctx
@@ -279,33 +287,46 @@
 // readBody reads the whole body before the request is placed, so that it can be
 // sent again. If that fails, it refuses the request and returns false.
 func (c *call) readBody() bool {
-	limit := c.bodyLimit()
-	if c.r.ContentLength > limit {
-		c.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	owner := ""
+	if c.req.Organisation != nil {
+		owner = c.req.Organisation.Name
+	}
+	body, err := ingress.ReadBody(c.o.Budget, c.w, c.r, ingress.BodyOptions{Limit: c.bodyLimit(), Deadline: c.req.Deadline, Owner: owner})
+	if err != nil {
+		c.refuseBody(err)
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	c.body, c.bodyRead = body, true
+	c.out.Body = body.Bytes
+	c.out.HasBody = c.r.ContentLength >= 0 && c.r.Header.Get("Content-Length") != "" || len(body.Bytes) > 0
+	return true
+}
+
+// refuseBody refuses a request whose body was not read.
+func (c *call) refuseBody(err error) {
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, ingress.ErrTooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-		return false
-	case err != nil && c.r.Context().Err() != nil:
+	case errors.Is(err, ingress.ErrTimeout):
+		c.w.Header().Set("Connection", "close")
+		c.refuse(http.StatusRequestTimeout, "body_timeout", 0)
+	case errors.Is(err, ingress.ErrNoRoom):
+		c.w.Header().Set("Connection", "close")
+		c.refuse(http.StatusServiceUnavailable, "no_room_for_body", retryAfterOtherDaemon)
+	case errors.Is(err, ingress.ErrStopping):
+		c.w.Header().Set("Connection", "close")
+		c.refuse(http.StatusServiceUnavailable, "stopping", retryAfterOtherDaemon)
+	case c.r.Context().Err() != nil || ingress.ConnOf(c.r.Context()).Closed():
 		c.callerLeft()
-		return false
-	case err != nil:
+	default:
 		c.refuse(http.StatusBadRequest, "body_unreadable", 0)
-		return false
 	}
-	c.out.Body = body
-	c.out.HasBody = c.r.ContentLength >= 0 && c.r.Header.Get("Content-Length") != "" || len(body) > 0
-	return true
 }
 
 // bodyLimit returns the largest accepted body in bytes.
 func (c *call) bodyLimit() int64 {
-	if limit := c.req.Table.Limits.BodyBytes; limit > 0 {
-		return limit
+	if t := c.req.Table; t != nil && t.Limits.BodyBytes > 0 {
+		return t.Limits.BodyBytes
 	}
 	return defaultBodyBytes
 }
@@ -317,6 +338,8 @@
 	}
 	c.req.Deadline = c.req.Arrived.Add(limit)
 	c.report.Deadline, c.report.Target = limit, c.req.Route.TargetLatency
+	// Callers that stop reading are cut off by then, whatever is written to them.
+	_ = c.rc.SetWriteDeadline(c.req.Deadline.Add(answerGrace))
 }
 
 // timeLimit returns how long requests of a route last at most.
--- a/forward/handler_test.go
+++ b/forward/handler_test.go
@@ -77,8 +77,7 @@
 func serveOptions(t *testing.T, table *routes.Table, o Options) *httptest.Server {
 	t.Helper()
 	table.BuildIndex()
-	callers := NewCallerConns()
-	o.Codec, o.Client, o.Callers = plainWire{}, NewClient(plainWire{}, smallBuffers), callers
+	o.Codec, o.Client = plainWire{}, NewClient(plainWire{}, smallBuffers)
 	o.Client.Limits = response.NewLimits(testBudget, nil)
 	if o.Report == nil {
 		o.Report = func(*Report) {}
@@ -89,7 +88,6 @@
 		o.Draining, o.ShutdownDeadline = func() bool { return false }, func() time.Time { return time.Time{} }
 	}
 	s := httptest.NewUnstartedServer(NewHandler(o))
-	s.Config.ConnContext = callers.Context
 	cutoff.Guard(s.Config)
 	s.Start()
 	serverLimits.Store(s, o.Client.Limits)
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"time"
 
 	"github.com/merlindock/merlindock/quota"
 	"github.com/merlindock/merlindock/routes"
@@ -44,33 +42,13 @@
 	}
 	c.report.Quota = v
 	if !v.Admitted {
-		c.refuseUnread(http.StatusTooManyRequests, CodeRateLimited, v.RetryAfter)
+		c.refuse(http.StatusTooManyRequests, CodeRateLimited, v.RetryAfter)
 		return false
 	}
 	c.charge.charged = 1
 	return true
 }
 
-// refuseUnread refuses the request before its body is read, and then discards
-// the body.
-//
-// By default the server reads the body before it sends the answer. In full-duplex
-// mode it does not, but an unread rest of the body would be read together with
-// the next request and break the connection.
-func (c *call) refuseUnread(status int, code string, retryAfter time.Duration) {
-	duplex := c.rc.EnableFullDuplex()
-	c.refuse(status, code, retryAfter)
-	if duplex != nil {
-		return // the server reads the body itself, before it sends the refusal
-	}
-	if err := c.rc.Flush(); err != nil {
-		c.abort()
-	}
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(c.w, c.r.Body, c.bodyLimit())); err != nil {
-		c.abort() // the rest of the body would be parsed as the next request
-	}
-}
-
 // chargeRetry charges the next attempt if all charged ones may have run. A limit
 // counts what endpoints run, not what callers send.
 func (c *call) chargeRetry() {
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -95,7 +95,7 @@
 	t.Helper()
 	var report *Report
 	h := NewHandler(Options{
-		Codec: wire, Client: NewClient(wire, nil), Placer: p, Origins: o, Callers: NewCallerConns(),
+		Codec: wire, Client: NewClient(wire, nil), Placer: p, Origins: o,
 		Table: func() *routes.Table { return table }, Draining: func() bool { return false },
 		ShutdownDeadline: func() time.Time { return time.Time{} }, Report: func(r *Report) { report = r },
 	})
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -8,23 +8,35 @@
 	"strconv"
 	"time"
 
+	"github.com/merlindock/merlindock/ingress"
 	"github.com/merlindock/merlindock/response"
 	"github.com/merlindock/merlindock/retry"
 )
 
-// refuse sends an answer of the router's own with the error code as its body.
+// refuse sends an answer of the router's own with the error code as its body. It may be sent
+// before the body of the request was read.
 func (c *call) refuse(status int, code string, retryAfter time.Duration) {
 	if !c.sent.BeginBody() {
 		c.abort()
 	}
 	c.report.Status, c.report.Code, c.report.RetryAfter = status, code, retryAfter
+	_ = c.rc.SetWriteDeadline(time.Now().Add(answerTimeout))
+	if c.bodyRead {
+		c.writeRefusal()
+	} else if !ingress.Refuse(c.w, c.r, c.bodyLimit(), c.writeRefusal) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writeRefusal writes the refusal that the report describes.
+func (c *call) writeRefusal() {
 	h := c.w.Header()
-	c.o.Codec.EncodeRefusal(h, c.in.AttemptID, retryAfter)
+	c.o.Codec.EncodeRefusal(h, c.in.AttemptID, c.report.RetryAfter)
 	c.closeIfDraining()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	text := code + "\n"
+	text := c.report.Code + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	c.w.WriteHeader(status)
+	c.w.WriteHeader(c.report.Status)
 	_, _ = io.WriteString(c.w, text)
 	c.sent.End()
 }
@@ -43,6 +55,9 @@
 		c.abort()
 	}
 	c.report.Status, c.report.Code = statusCallerLeft, string(retry.CodeCallerLeft)
+	if ingress.ConnOf(c.r.Context()).Closed() {
+		c.report.Code = codeConnectionClosed
+	}
 	c.abort()
 }
 
@@ -69,12 +84,21 @@
 	if c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
+	// A caller that does not read must not hold the answer for longer.
+	_ = c.rc.SetWriteDeadline(latest(c.req.Deadline.Add(answerGrace), time.Now().Add(answerTimeout)))
 	c.w.WriteHeader(a.status)
 	n, _ := c.w.Write(a.body)
 	c.sent.AddBody(int64(n))
 	c.sent.End()
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // keepAnswer keeps a 5xx answer, and what it holds, until the request ends.
 func (c *call) keepAnswer(a *bufferedAnswer, held *response.Holding) {
 	c.keptBytes.Release()
--- a/router/answer_limits_test.go
+++ b/router/answer_limits_test.go
@@ -17,10 +17,11 @@
 // Guards against a budget that a setting makes too small for any long body, or larger than its
 // part of the memory.
 func TestAnswerBudgetFollowsFromMemory(t *testing.T) {
+	const least = 8 << 20
 	for memory, budget := range map[int64]int64{
-		-1: minAnswerBudgetBytes, 0: minAnswerBudgetBytes, 1 << 20: minAnswerBudgetBytes, 64 << 20: minAnswerBudgetBytes, 144 << 20: 18 << 20, 1 << 40: 1 << 37,
+		-1: least, 0: least, 1 << 20: least, 64 << 20: least, 144 << 20: 18 << 20, 1 << 40: 1 << 37,
 	} {
-		l := newAnswerLimits(memory, tally.NoopScope, discardLog())
+		l := newAnswerLimits(newHeldBudget(memory), tally.NoopScope, discardLog())
 		held := l.Hold()
 		var exceeded *response.Error
 		if err := held.Resize(budget); !errors.As(err, &exceeded) || exceeded.Limit != budget {
@@ -42,7 +43,7 @@
 			t.Fatal(err)
 		}
 		counters := tally.NewTestScope("", nil)
-		l := newAnswerLimits(1<<30, counters, logs.For(logging.ComponentRouter))
+		l := newAnswerLimits(newHeldBudget(1<<30), counters, logs.For(logging.ComponentRouter))
 		const exceeded = 100
 		for range exceeded {
 			l.Observe("attempt", "a1", "e1", &response.Error{Bound: response.BoundHead, Limit: 5, Read: 6})
--- a/router/neighbours.go
+++ b/router/neighbours.go
@@ -14,6 +14,7 @@
 
 	"github.com/merlindock/merlindock/feed"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/ingress"
 	"github.com/merlindock/merlindock/internal/hash"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/readtree"
@@ -354,8 +355,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(relayPath, r.handleRelayedRead)
 	mux.Handle(relay.Path, r.relayServer)
-	s := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxControlHeaderBytes, Handler: mux}
-	if err := s.Serve(l); err != nil {
+	conns := r.newControlConns("daemons", ingress.MaxPeerConns(r.options.Settings.descriptors()))
+	s := r.controlServer(conns, mux)
+	if err := s.Serve(conns.Listen(l)); err != nil {
 		r.log.Error("Reads of neighbours are no longer served.", "error", err.Error())
 	}
 }
--- a/router/report.go
+++ b/router/report.go
@@ -251,6 +251,7 @@
 	r.metrics.scope.Gauge("lost_paths").Update(float64(r.paths.Lost()))
 	r.metrics.scope.Gauge("relayed_connections").Update(float64(r.relayServer.Open()))
 	r.metrics.scope.Gauge("answer_bytes_held").Update(float64(r.answerLimits.Held()))
+	r.updateCallerGauges()
 	r.metrics.scope.Gauge("store_generation").Update(float64(r.generation.Load()))
 	daemons, steps := r.neighbours.position()
 	r.metrics.scope.Gauge("zone_daemons").Update(float64(daemons))
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"github.com/merlindock/merlindock/bytebudget"
 	"github.com/merlindock/merlindock/contract/shares"
 	"github.com/merlindock/merlindock/cutoff"
 	"github.com/merlindock/merlindock/endpointlimit"
@@ -18,6 +19,7 @@
 	"github.com/merlindock/merlindock/fleet"
 	"github.com/merlindock/merlindock/forward"
 	"github.com/merlindock/merlindock/gossip"
+	"github.com/merlindock/merlindock/ingress"
 	"github.com/merlindock/merlindock/internal/pause"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/permits"
@@ -56,6 +58,8 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 120 * time.Second
 	maxHeaderBytes = 64 << 10
+	// controlWriteTimeout is how long the balancer and operators may take to read an answer.
+	controlWriteTimeout = 30 * time.Second
 	// maxControlHeaderBytes bounds those of other daemons, the balancer and operators.
 	maxControlHeaderBytes = 16 << 10
 )
@@ -94,7 +98,8 @@
 	client       *forward.Client
 	answerLimits *response.Limits
 	callerServer *http.Server
-	callers      *forward.CallerConns
+	callers      *ingress.Conns
+	held         *bytebudget.Budget
 
 	neighbours     *neighbours
 	cacheTracker   *cacheTracker
@@ -154,13 +159,14 @@
 	log := o.Logs.For(logging.ComponentRouter)
 	r := &Router{
 		options: o, clock: o.Clock, state: s,
-		callers:    forward.NewCallerConns(),
 		log:        log,
 		metrics:    metrics,
 		requestLog: lineLimiter{perSecond: ordinaryPerSecond}, endpointLog: lineLimiter{perSecond: readyPerSecond}, unusableLog: lineLimiter{perSecond: unusablePerSecond},
 	}
 	r.countStoreCalls()
-	r.answerLimits = newAnswerLimits(o.Settings.MemoryBytes, r.metrics.scope, log)
+	r.held = newHeldBudget(o.Settings.MemoryBytes)
+	r.callers = r.newCallerConns()
+	r.answerLimits = newAnswerLimits(r.held, r.metrics.scope, log)
 	r.connectEndpoints()
 	r.engines = o.NewEngines(r.paths.Dial, r.answerLimits)
 	r.placer = newPlacer(s, &o.Settings, r.engines, o.Clock, log, o.Rand)
@@ -198,7 +204,7 @@
 			KeysAge:          r.keysAge,
 			Draining:         r.shuttingDown.Load,
 			ShutdownDeadline: r.stopTime,
-			Callers:          r.callers,
+			Budget:           r.held,
 			Origins:          r.origins,
 			Limiter:          r.limits,
 			Quarantine:       r.quarantine,
@@ -207,10 +213,10 @@
 		}),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		WriteTimeout:      forward.DefaultTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       r.callers.Context,
-		ConnState:         r.callers.State,
 	}
+	r.callers.Attach(r.callerServer)
 	cutoff.Guard(r.callerServer)
 	return r
 }
@@ -393,21 +399,27 @@
 }
 
 func (r *Router) serveReady(l net.Listener) {
-	s := &http.Server{ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxControlHeaderBytes, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	conns := r.newControlConns("balancer", r.controlConns())
+	s := r.controlServer(conns, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !r.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})}
-	if err := s.Serve(l); err != nil {
+	}))
+	if err := s.Serve(conns.Listen(l)); err != nil {
 		r.log.Error("Health checks of the balancer are no longer served.", "error", err.Error())
 	}
 }
 
 func (r *Router) serveMetrics() {
 	address := net.JoinHostPort(r.options.Settings.MetricsHost, r.options.MetricsPort)
-	s := &http.Server{Addr: address, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxControlHeaderBytes, Handler: r.operationsHandler()}
+	conns := r.newControlConns("operators", r.controlConns())
+	s := r.controlServer(conns, r.operationsHandler())
 	cutoff.Guard(s)
-	if err := s.ListenAndServe(); err != nil {
+	l, err := net.Listen("tcp", address)
+	if err == nil {
+		err = s.Serve(conns.Listen(l))
+	}
+	if err != nil {
 		r.log.Error("Metrics are not served.", "address", address, "error", err.Error())
 	}
 }
@@ -452,6 +464,7 @@
 	r.placer.expireSegments(now)
 	r.origins.expire()
 	r.updateGauges()
+	r.callers.CloseExpired()
 	r.state.mu.Lock()
 	r.state.roster.Expire(now)
 	for key, at := range r.state.savedAt {
--- a/router/settings.go
+++ b/router/settings.go
@@ -27,6 +27,7 @@
 	PeerAddress   string // IP:port for other daemons; empty: none
 	MetricsHost   string
 	MemoryBytes   int64
+	Descriptors   int     // that the process may open; 0: as many as its limit allows
 	Cores         float64 // processor cores that the daemon may use; 0: unknown
 	LinkMbps      float64 // speed of the VM's link; 0: unknown
 
