Bound what callers may take of the product's daemon with the same owner

Callers saw: some dozens of unfinished bodies took 334 MB of a daemon with 134 MB, and where their lengths were not stated everybody else was refused as overloaded until their time limit ended; callers with an unknown key, and operators, kept their connections as long as they liked; idle callers took all descriptors.

Cause: the gateway had a budget of its own of 256 MiB, whatever the memory, reserved the largest size for each body without a length and for each that was only announced, and let net/http wait for the rest of a refused body. Requests that arrived after a shutdown had begun, and unfinished ones, were waited for until its time was up, as the listener stayed open.

The gateway reads bodies and refuses requests through package ingress, whose budget follows from daemon.memory-bytes; the callers' and operators' listeners have bounded connections (new setting callers.connections, checked). Once the balancer has noticed a shutdown the callers' listener is closed, idle connections too, and unfinished bodies are refused as not run.

TestCutAnswerOfEachListenerIsReset passes its server as it is made now; what it checks is unchanged.

--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"github.com/merlindock/merlindock/ingress"
 	"github.com/merlindock/merlindock/settings"
 )
 
@@ -24,10 +25,11 @@
 	served := make(chan error, 1)
 	d := &Daemon{o: Options{Settings: settings.Settings{}}}
 	go func() {
-		served <- d.serve(ctx, ctx, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conns := ingress.NewConns(ingress.Options{})
+		served <- d.serve(ctx, ctx, conns.Listen(l), conns, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, strings.Repeat("x", 100<<10))
 			panic(http.ErrAbortHandler)
-		}))
+		})})
 	}()
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,10 +20,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/merlindock/merlindock/admin"
+	"github.com/merlindock/merlindock/bytebudget"
 	"github.com/merlindock/merlindock/cutoff"
 	"github.com/merlindock/merlindock/endpointlimit"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/gateway"
+	"github.com/merlindock/merlindock/ingress"
 	"github.com/merlindock/merlindock/logging"
 	"github.com/merlindock/merlindock/logio"
 	"github.com/merlindock/merlindock/peer"
@@ -78,6 +80,9 @@
 	guard          *quarantineguard.Guard
 	endpointLimits *endpointlimit.Limiter
 	gateway        *gateway.Gateway
+	held           *bytebudget.Budget // of callers' requests
+	callers        *ingress.Conns
+	operators      *ingress.Conns
 	claimer        *claimer
 	orderLeader    *orderLeader
 }
@@ -106,6 +111,8 @@
 		Seed:     seedOf(s.Daemon.ID, d.startedAt),
 		OnChange: d.onManifestChange,
 	})
+	d.held = bytebudget.New(ingress.HeldBytes(s.Daemon.MemoryBytes), o.Now)
+	d.callers, d.operators = d.newConns()
 	client := engine.New(engine.Options{DialContext: o.Dial})
 	d.fleet = newFleetView(d, client)
 	d.admission = newAdmission(d)
@@ -135,6 +142,7 @@
 		Observer:      newObserver(d.metrics.Scope, d.o.Logs.For(logging.ComponentGateway)),
 		Drainer:       d.drainer,
 		Quarantine:    d.guard,
+		Budget:        d.held,
 		Limits: gateway.Limits{
 			BodyBytes:      s.BodyBytes,
 			StallBudget:    s.WriteTimeout,
@@ -179,12 +187,16 @@
 	d.background(ctx, g)
 	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cut(nil)
-	g.Go(func() error { return d.serve(ctx, requests, listeners.Callers, d.gateway) })
-	g.Go(func() error { return d.serve(ctx, requests, listeners.Admin, d.AdminHandler()) })
+	g.Go(func() error {
+		return d.serve(ctx, requests, listeners.Callers, d.callers, &http.Server{Handler: d.gateway})
+	})
+	g.Go(func() error {
+		return d.serve(ctx, requests, listeners.Admin, d.operators, &http.Server{Handler: d.AdminHandler(), ReadTimeout: adminReadTimeout})
+	})
 	g.Go(func() error { return d.peers.Serve(ctx, listeners.Peers) })
 	g.Go(func() error {
 		defer cancel()
-		return d.shutdown.run(ctx, func() { cut(gateway.ErrShutdown) })
+		return d.shutdown.run(ctx, func() { d.closeIdle(listeners.Callers) }, func() { cut(gateway.ErrShutdown) })
 	})
 	d.log.Info("Daemon is serving.", "callers", listeners.Callers.Addr().String())
 	err = g.Wait()
@@ -220,29 +232,40 @@
 	})
 }
 
-// serve runs an HTTP server on l until ctx ends. Requests derive their contexts
-// from the context requests instead, so that a shutdown can end them with an
+// serve runs an HTTP server on l, whose connections are conns, until ctx ends. Requests derive
+// their contexts from the context requests instead, so that a shutdown can end them with an
 // explicit error before their connections are closed.
-func (d *Daemon) serve(ctx, requests context.Context, l net.Listener, h http.Handler) error {
-	srv := &http.Server{
-		Handler:           h,
-		BaseContext:       func(net.Listener) context.Context { return requests },
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    d.o.Settings.Callers.HeaderBytes,
-	}
+func (d *Daemon) serve(ctx, requests context.Context, l net.Listener, conns *ingress.Conns, srv *http.Server) error {
+	srv.BaseContext = func(net.Listener) context.Context { return requests }
+	srv.ReadHeaderTimeout, srv.IdleTimeout = readHeaderTimeout, idleTimeout
+	srv.WriteTimeout = gateway.DefaultWriteTimeout
+	srv.MaxHeaderBytes = d.o.Settings.Callers.HeaderBytes
+	conns.Attach(srv)
 	cutoff.Guard(srv)
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	err := srv.Serve(l)
+	if errors.Is(err, net.ErrClosed) {
+		<-ctx.Done() // requests under way go on without the listener
+		return srv.Close()
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return eris.Wrapf(err, "daemon: listener %s", l.Addr())
 }
 
+// closeIdle ends what callers have not finished once the balancer has noticed the shutdown: new
+// connections are refused by the kernel, idle ones closed, and requests whose bodies are not
+// complete refused. It is called periodically.
+func (d *Daemon) closeIdle(callers net.Listener) {
+	_ = callers.Close()
+	d.callers.CloseIdle()
+}
+
 // Timeouts of client connections.
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	adminReadTimeout  = 30 * time.Second
 )
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -32,6 +32,7 @@
 		}
 		*entry.l = opened
 	}
+	l.Callers, l.Admin = d.callers.Listen(l.Callers), d.operators.Listen(l.Admin)
 	if s.TLS.CallersCert == "" {
 		return l, nil
 	}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -66,10 +66,10 @@
 	return s.state.Advance(now)
 }
 
-// run returns when the shutdown is complete or ctx ends. It calls stop once
-// open requests must end with an explicit error; stop may be called more than
-// once.
-func (s *shutdown) run(ctx context.Context, stop func()) error {
+// run returns when the shutdown is complete or ctx ends. It calls closeIdle while open
+// requests are waited for, and stop once they must end with an explicit error; both may be
+// called more than once.
+func (s *shutdown) run(ctx context.Context, closeIdle, stop func()) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -81,6 +81,8 @@
 		switch s.advance() {
 		case drain.Done:
 			return nil
+		case drain.Closing:
+			closeIdle()
 		case drain.Stopping:
 			stop()
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,14 +15,15 @@
 	"net/http"
 	"path"
 	"strings"
-	"sync/atomic"
 	"time"
 
+	"github.com/merlindock/merlindock/bytebudget"
 	"github.com/merlindock/merlindock/catalog"
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/delivery"
 	"github.com/merlindock/merlindock/engine"
 	"github.com/merlindock/merlindock/fleet"
+	"github.com/merlindock/merlindock/ingress"
 	"github.com/merlindock/merlindock/quarantine"
 )
 
@@ -48,7 +49,6 @@
 // values mean the defaults.
 type Limits struct {
 	BodyBytes         int64         // of one request body
-	BodiesBytes       int64         // of all request bodies held at the same time
 	BodyTimeout       time.Duration // for reading one request body
 	AnswerBufferBytes int64         // of a plain service's answer held before relaying begins
 	StallBudget       time.Duration // total time that one caller may block an endpoint by reading slowly
@@ -62,7 +62,6 @@
 // Defaults of Limits.
 const (
 	DefaultBodyBytes         = 8 << 20
-	DefaultBodiesBytes       = 256 << 20
 	DefaultBodyTimeout       = 20 * time.Second
 	DefaultAnswerBufferBytes = 256 << 10
 	DefaultStallBudget       = 20 * time.Second
@@ -90,13 +89,13 @@
 	// Quarantine refuses requests that made endpoints crash. If nil, none is refused.
 	Quarantine quarantine.Gate
 	Limits     Limits
+	// Budget bounds the request bodies that are held at the same time. If nil, their sum has
+	// no bound.
+	Budget *bytebudget.Budget
 }
 
 // Gateway is the caller-facing http.Handler.
-type Gateway struct {
-	o           Options
-	bodiesInUse atomic.Int64 // bytes
-}
+type Gateway struct{ o Options }
 
 // New returns a Gateway with the given options.
 func New(o Options) *Gateway {
@@ -121,7 +120,6 @@
 
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.BodyBytes, DefaultBodyBytes)
-	setDefault(&l.BodiesBytes, DefaultBodiesBytes)
 	setDefault(&l.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&l.AnswerBufferBytes, DefaultAnswerBufferBytes)
 	setDefault(&l.StallBudget, DefaultStallBudget)
@@ -153,6 +151,7 @@
 	ctx              context.Context
 	bodyBuffer       []byte // maxSeedFieldBytes of free space, then the body
 	body             []byte
+	bodyRead         bool // to its end
 	priority         contract.Priority
 	deadline         time.Time
 	explicitDeadline bool // the deadline is the caller's, not RequestTimeout
@@ -164,6 +163,9 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !ingress.ConnOf(r.Context()).BeginRequest() {
+		panic(http.ErrAbortHandler)
+	}
 	g.o.Drainer.requestStarted()
 	defer g.o.Drainer.requestEnded()
 	c := &call{g: g, w: w, r: r, rc: http.NewResponseController(w), id: newID(), start: time.Now()}
@@ -193,8 +195,16 @@
 	}
 	c.report.Status, c.report.Code, c.report.Outcome = r.Status, r.Code, r.Outcome
 	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.o.Limits.WriteTimeout))
-	r.write(c.w, c.id)
+	reusable := true
+	if c.bodyRead {
+		r.write(c.w, c.id)
+	} else {
+		reusable = ingress.Refuse(c.w, c.r, c.g.o.Limits.BodyBytes, func() { r.write(c.w, c.id) })
+	}
 	c.sent.End()
+	if !reusable {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // serve handles the request, or returns the refusal to send.
@@ -224,7 +234,7 @@
 		if c.r.Method != http.MethodGet {
 			return c.methodNotAllowed(http.MethodGet)
 		}
-		return c.serveModels()
+		return c.withBody(c.serveModels)
 	}
 	service, rest, ok := c.index.Service(p)
 	if !ok {
--- a/settings/check.go
+++ b/settings/check.go
@@ -103,6 +103,7 @@
 	c.within("callers.body-bytes", s.BodyBytes, 1<<10, 1<<30)
 	c.within("callers.header-bytes", int64(s.HeaderBytes), 1<<10, 1<<20)
 	c.within("callers.stream-bytes", s.StreamBytes, 1<<10, 1<<32)
+	c.within("callers.connections", int64(s.Connections), 1, 1<<20)
 	c.within("callers.open-streams", int64(s.OpenStreams), 1, 1<<20)
 	c.atLeast("callers.write-timeout", s.WriteTimeout, minInterval)
 	c.atLeast("callers.deadline", s.Deadline, minInterval)
--- a/settings/flags.go
+++ b/settings/flags.go
@@ -12,6 +12,7 @@
 	defaultHeaderBytes    = 32 << 10
 	defaultStreamBytes    = 64 << 20
 	defaultOpenStreams    = 12000
+	defaultConnections    = 16000
 	defaultZonePairs      = 2
 	defaultPrefixes       = 200_000
 	defaultRunnerTokens   = 8000
@@ -48,6 +49,7 @@
 	fs.Int64Var(&s.Callers.BodyBytes, "callers.body-bytes", defaultBodyBytes, "maximum size of a request body in bytes")
 	fs.IntVar(&s.Callers.HeaderBytes, "callers.header-bytes", defaultHeaderBytes, "maximum size of the request header in bytes")
 	fs.Int64Var(&s.Callers.StreamBytes, "callers.stream-bytes", defaultStreamBytes, "maximum size of an answer in bytes")
+	fs.IntVar(&s.Callers.Connections, "callers.connections", defaultConnections, "maximum number of open connections of callers; at most two fifths of the descriptors of the process")
 	fs.IntVar(&s.Callers.OpenStreams, "callers.open-streams", defaultOpenStreams, "maximum number of open requests")
 	fs.DurationVar(&s.Callers.WriteTimeout, "callers.write-timeout", 20*time.Second, "maximum total time for which a slow caller may block its stream")
 	fs.DurationVar(&s.Callers.Deadline, "callers.deadline", 2*time.Minute, "deadline of a request that sets none")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,6 +61,7 @@
 	BodyBytes    int64         // maximum size of a request body
 	HeaderBytes  int           // maximum size of the request header
 	StreamBytes  int64         // maximum size of an answer
+	Connections  int           // maximum number of open connections
 	OpenStreams  int           // maximum number of open requests
 	WriteTimeout time.Duration // maximum total time for which a slow caller may block its stream
 	Deadline     time.Duration // of a request that sets none
