--- a/router/caller_limits.go
+++ b/router/caller_limits.go
@@ -79,7 +79,8 @@
 	r.metrics.scope.Gauge("requests_shed").Update(float64(r.held.Shed()))
 }
 
-// serveControl serves an address for the balancer or operators. Their requests have no body.
+// controlServer returns the server of an address for the balancer, operators or other daemons.
+// Their requests have no body.
 func (r *Router) controlServer(conns *ingress.Conns, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler: ingress.NoBody(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: controlWriteTimeout,
