Do not take endpoints that went on just now for sound ones

What was seen: TestStalledStreamsContinueElsewhere/all_frozen moved one stream needlessly in 9 of 400 runs. All engines freeze together and go on together; the third check of a stream falls on the instant at which they go on, events of others have been read, its own not yet, so most endpoints counted as fine.

Cause: an endpoint counted as fine from the event on that ended its own wait. Now one whose streams waited long counts as waiting for 20 ms longer, as this process reads what endpoints send one after the other: for streams in their middle by the last wait of each, for first events by the newest end of a long wait at the endpoint, also if a later attempt there was answered at once.

--- a/forward/stall.go
+++ b/forward/stall.go
@@ -28,6 +28,9 @@
 	// maxStallEndpoints bounds the endpoints of a route with a last answer, as endpoints come
 	// and go. The answers of the last second are enough.
 	maxStallEndpoints = 1024
+	// resumeSkew is how far the ends of a wait that several endpoints have together may lie
+	// apart, as this process reads what they send one after the other.
+	resumeSkew = 20 * time.Millisecond
 )
 
 // StallControl moves stalled streams to other endpoints. It is safe for concurrent use.
@@ -49,7 +52,12 @@
 }
 
 // answeredAttempt is an attempt that has brought an event.
-type answeredAttempt struct{ began, firstEvent time.Time }
+type answeredAttempt struct {
+	began, firstEvent time.Time
+	// slowUntil is when the last wait for a first event ended that counted against the
+	// endpoint, of any attempt.
+	slowUntil time.Time
+}
 
 // NewStallControl returns a StallControl without observations. short may be nil.
 func NewStallControl(short func(req *PlacementRequest) bool) *StallControl {
@@ -81,13 +89,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.route(w.c.req.Route)
+	slow := r.usual.Waits(&stream.Stall{Waited: waited, Expected: w.p.Wait, Objective: w.c.req.Route.TargetLatency})
 	r.usual.ObserveFirst(waited)
 	if len(r.answered) >= maxStallEndpoints {
 		clear(r.answered)
 	}
-	if w.start.After(r.answered[w.p.Target.Key].began) {
-		r.answered[w.p.Target.Key] = answeredAttempt{began: w.start, firstEvent: w.start.Add(waited)}
+	a, at := r.answered[w.p.Target.Key], w.start.Add(waited)
+	if w.start.After(a.began) {
+		a.began, a.firstEvent = w.start, at
+	}
+	if slow {
+		a.slowUntil = at
 	}
+	r.answered[w.p.Target.Key] = a
 }
 
 // add adds the watch of an attempt that begins.
@@ -130,7 +144,7 @@
 			switch waits := r.usual.Waits(&o); {
 			case waits && key == here:
 				e.Here++
-			case waits:
+			case waits, key != here && o.Waited < resumeSkew && other.wasSlow.Load():
 				list(key, true)
 			case key != here && o.Began && own.Began:
 				list(key, false)
@@ -141,7 +155,7 @@
 	recent := now.Add(-own.Waited / 2)
 	for key, a := range r.answered {
 		if key != here && a.began.After(now.Add(-own.Waited)) && a.firstEvent.After(recent) {
-			list(key, false)
+			list(key, now.Sub(a.slowUntil) < resumeSkew)
 		}
 	}
 	for _, waits := range slow {
@@ -220,6 +234,8 @@
 	start time.Time
 	since atomic.Int64 // from start to when the last event was sent to the caller, ns
 	began atomic.Bool  // an event was received
+	// wasSlow states that the wait before the last event counted against the endpoint.
+	wasSlow atomic.Bool
 
 	pauses     time.Duration // sum of the pauses between events
 	pauseCount int
@@ -242,7 +258,12 @@
 	if w == nil {
 		return
 	}
-	waited := w.wait(time.Now()).Waited
+	s := w.wait(time.Now())
+	waited := s.Waited
+	w.wasSlow.Store(false)
+	if waited > stream.MinWaiting {
+		w.c.o.Stalls.with(w.c.req.Route, func(u *stream.UsualTimes) { w.wasSlow.Store(u.Waits(&s)) })
+	}
 	if w.began.Load() {
 		w.pauses += waited
 		w.pauseCount++
--- a/stream/stall.go
+++ b/stream/stall.go
@@ -17,6 +17,8 @@
 	// waitingFraction is the fraction of the wait from which a stream is stalled above which
 	// its endpoint counts as slow too. It is above the fraction that usual waits have.
 	waitingFraction = 0.4
+	// MinWaiting is the longest wait that never counts against an endpoint, see Waits.
+	MinWaiting = time.Duration(waitingFraction * float64(minStall))
 	// minWaitingHere is the number of waiting streams at one endpoint from which a stream is
 	// moved although nothing is known of other endpoints. If they are as slow, the first
 	// stream that is moved shows it.
