Test memory beside slow callers in both directions; share the steps of the crowd tests

The new test has 500 that send and 500 that read slowly. A lower soft limit was not taken, as the daemons of the whole fleet are at theirs without a crowd (docs/CAPACITY.md).

The tests of both daemons had the same steps twice; crowds, bounds and what is checked are unchanged.

--- a/lab/crowd/process_test.go
+++ b/lab/crowd/process_test.go
@@ -49,9 +49,11 @@
 
 // process is a daemon in a process of its own.
 type process struct {
-	cmd    *exec.Cmd
-	log    lockedBuffer
-	exited chan struct{}
+	cmd            *exec.Cmd
+	log            lockedBuffer
+	exited         chan struct{}
+	maxDescriptors int
+	maxMemoryMB    int // that may be resident
 
 	mu          sync.Mutex
 	descriptors int // most that were open at the same time
@@ -62,7 +64,7 @@
 // until the end of the test. env is a further variable of its environment.
 func startProcess(t *testing.T, descriptors int, env string, args ...string) *process {
 	t.Helper()
-	p := &process{exited: make(chan struct{})}
+	p := &process{exited: make(chan struct{}), maxDescriptors: descriptors, maxMemoryMB: smallestMemoryMB}
 	limit := fmt.Sprintf(`ulimit -n %d; exec "$@"`, descriptors)
 	p.cmd = exec.Command("sh", append([]string{"-c", limit, "sh", daemonBinary}, args...)...)
 	p.cmd.Env = append(os.Environ(), env)
@@ -114,7 +116,7 @@
 }
 
 // checkLimits checks that the process lives and has stayed within its memory and descriptors.
-func (p *process) checkLimits(t *testing.T, descriptors int) {
+func (p *process) checkLimits(t *testing.T) {
 	t.Helper()
 	select {
 	case <-p.exited:
@@ -123,15 +125,56 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t.Logf("%d MB resident at most of %d, %d descriptors of %d", p.peakKB>>10, smallestMemoryMB, p.descriptors, descriptors)
-	if p.peakKB > smallestMemoryMB<<10 {
-		t.Errorf("%d MB were resident, the machine has %d", p.peakKB>>10, smallestMemoryMB)
+	t.Logf("%d MB resident at most of %d, %d descriptors of %d", p.peakKB>>10, p.maxMemoryMB, p.descriptors, p.maxDescriptors)
+	if p.peakKB > p.maxMemoryMB<<10 {
+		t.Errorf("%d MB were resident, %d are allowed", p.peakKB>>10, p.maxMemoryMB)
 	}
-	if p.descriptors >= descriptors {
-		t.Errorf("all %d descriptors were open", descriptors)
+	if p.descriptors >= p.maxDescriptors {
+		t.Errorf("all %d descriptors were open", p.maxDescriptors)
 	}
 }
 
+// stopBeside checks that the daemon ends within its time although the requests of a crowd are
+// not finished, and that it counts none of them as cut: its log has the given text.
+func (p *process) stopBeside(t *testing.T, address string, do client, noneCut string) {
+	t.Helper()
+	c := gather(40, address, do)
+	defer c.dismiss()
+	time.Sleep(crowdTime / 4)
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(waitTimeout):
+		t.Fatal("the daemon has not ended")
+	}
+	if !strings.Contains(p.log.last(64<<10), noneCut) {
+		t.Errorf("requests were under way at the end of the shutdown:\n%s", p.log.last(1<<10))
+	}
+}
+
+// daemon is a daemon with ordinary callers.
+type daemon interface {
+	// ordinary returns a request of an ordinary caller with a body of the given size.
+	ordinary(bytes int) request
+	checkLimits(t *testing.T)
+}
+
+// withstand checks that the daemon lives through a crowd, within its limits, and answers.
+func withstand(t *testing.T, d daemon, n int, address string, do client) {
+	t.Helper()
+	d.ordinary(maxBodyBytes).mustAnswer(t, "in calm")
+	c := gather(n, address, do)
+	time.Sleep(crowdTime)
+	d.ordinary(2<<10).mustAnswer(t, "beside the crowd")
+	d.checkLimits(t)
+	c.dismiss()
+	d.ordinary(2<<10).mustAnswer(t, "after the crowd")
+	d.ordinary(maxBodyBytes).mustAnswer(t, "after the crowd, of the largest size,")
+	d.checkLimits(t)
+}
+
 // lockedBuffer keeps what a process writes.
 type lockedBuffer struct {
 	mu   sync.Mutex
--- a/lab/crowd/product_test.go
+++ b/lab/crowd/product_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -24,7 +23,6 @@
 type product struct {
 	*process
 	callers, admin, peers string
-	descriptors           int
 }
 
 const adminToken = "token"
@@ -39,7 +37,7 @@
 	for _, s := range w.Services {
 		s.Delay = 100 * time.Millisecond
 	}
-	p := &product{callers: metastore.FreeAddress(t), admin: metastore.FreeAddress(t), peers: metastore.FreeAddress(t), descriptors: descriptors}
+	p := &product{callers: metastore.FreeAddress(t), admin: metastore.FreeAddress(t), peers: metastore.FreeAddress(t)}
 	w.SetDaemons([]ports.Daemon{{ID: "daemon-1", Zone: world.Zones[0], PeerAddress: p.peers, State: fleet.VMLive}})
 	dir := t.TempDir()
 	text := fmt.Sprintf(`[daemon]
@@ -125,20 +123,6 @@
 	}
 }
 
-// withstand checks that the daemon lives through a crowd, within its limits, and answers.
-func (p *product) withstand(t *testing.T, n int, address string, do client) {
-	t.Helper()
-	p.ordinary(maxBodyBytes).mustAnswer(t, "in calm")
-	c := gather(n, address, do)
-	time.Sleep(crowdTime)
-	p.ordinary(2<<10).mustAnswer(t, "beside the crowd")
-	p.checkLimits(t, p.descriptors)
-	c.dismiss()
-	p.ordinary(2<<10).mustAnswer(t, "after the crowd")
-	p.ordinary(maxBodyBytes).mustAnswer(t, "after the crowd, of the largest size,")
-	p.checkLimits(t, p.descriptors)
-}
-
 // Guards against a process that ends for want of memory because of what callers of the product's
 // own interface send and do not finish.
 func TestProductDaemonWithstandsBodies(t *testing.T) {
@@ -161,7 +145,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := startProduct(t, usualDescriptors)
-			p.withstand(t, clients, p.callers, c.do)
+			withstand(t, p, clients, p.callers, c.do)
 		})
 	}
 }
@@ -175,7 +159,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := startProduct(t, usualDescriptors)
-			p.withstand(t, clients, p.callers, begin(c.text))
+			withstand(t, p, clients, p.callers, begin(c.text))
 		})
 	}
 }
@@ -202,7 +186,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := startProduct(t, fewDescriptors)
-			p.withstand(t, clients, c.address(p), c.do)
+			withstand(t, p, clients, c.address(p), c.do)
 		})
 	}
 }
@@ -211,18 +195,5 @@
 func TestProductDaemonStopsBesideUnfinishedRequests(t *testing.T) {
 	p := startProduct(t, usualDescriptors)
 	p.ordinary(2<<10).mustAnswer(t, "in calm")
-	c := gather(40, p.callers, trickle(receipts(world.APIKey(0)), 1<<10))
-	defer c.dismiss()
-	time.Sleep(crowdTime / 4)
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case <-p.exited:
-	case <-time.After(waitTimeout):
-		t.Fatal("the daemon has not ended")
-	}
-	if text := p.log.last(64 << 10); !strings.Contains(text, `"cut":0`) {
-		t.Errorf("requests were under way at the end of the shutdown:\n%s", p.log.last(1<<10))
-	}
+	p.stopBeside(t, p.callers, trickle(receipts(world.APIKey(0)), 1<<10), `"cut":0`)
 }
--- a/lab/crowd/routed_test.go
+++ b/lab/crowd/routed_test.go
@@ -9,8 +9,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -29,10 +29,16 @@
 type routed struct {
 	*process
 	front, ready, metrics, peers string
-	descriptors                  int
 }
 
 func startRouted(t *testing.T, descriptors int) *routed {
+	t.Helper()
+	return startRoutedWith(t, descriptors, smallestMemoryMB, 500<<10)
+}
+
+// startRoutedWith starts a routed daemon with the given memory and a service whose answers have
+// the given length.
+func startRoutedWith(t *testing.T, descriptors, memoryMB, answerBytes int) *routed {
 	t.Helper()
 	store := metastore.New()
 	server := httptest.NewServer(store)
@@ -41,7 +47,7 @@
 		runner := &metastore.Runner{ID: fmt.Sprint("app-", i), Pause: 100 * time.Millisecond}
 		register(t, store, runner.ID, "app", runner)
 	}
-	register(t, store, "long-0", "long", http.HandlerFunc(longAnswer))
+	register(t, store, "long-0", "long", longAnswer(answerBytes))
 	route := func(name, path, service string, public bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "pathPrefix": path, "kind": "safe", "timeoutMs": 10000,
@@ -60,7 +66,6 @@
 	})
 	r := &routed{
 		front: metastore.FreeAddress(t), ready: metastore.FreeAddress(t), metrics: metastore.FreeAddress(t), peers: metastore.FreeAddress(t),
-		descriptors: descriptors,
 	}
 	settings := filepath.Join(t.TempDir(), "node.conf")
 	text := fmt.Sprintf(`nodeName=front-1
@@ -82,7 +87,7 @@
 bounds.budgetRatio=0.5
 bounds.budgetWindowS=10
 bounds.retrySlack=50
-`, r.front, r.ready, portOf(r.peers), server.Listener.Addr(), smallestMemoryMB, descriptors)
+`, r.front, r.ready, portOf(r.peers), server.Listener.Addr(), memoryMB, descriptors)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -111,11 +116,14 @@
 	})
 }
 
-// longAnswer answers with as much as a daemon reads ahead.
-func longAnswer(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	w.Header().Set("Response-Signature", "s")
-	_, _ = w.Write([]byte(strings.Repeat("x", 500<<10)))
+// longAnswer answers with the given length. A daemon reads up to 512 KiB ahead.
+func longAnswer(length int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Response-Signature", "s")
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		_, _ = w.Write(make([]byte, length))
+	})
 }
 
 // look returns a request that runners serve.
@@ -131,20 +139,6 @@
 	}
 }
 
-// withstand checks that the daemon lives through a crowd, within its limits, and answers.
-func (r *routed) withstand(t *testing.T, n int, address string, do client) {
-	t.Helper()
-	r.ordinary(maxBodyBytes).mustAnswer(t, "in calm")
-	c := gather(n, address, do)
-	time.Sleep(crowdTime)
-	r.ordinary(2<<10).mustAnswer(t, "beside the crowd")
-	r.checkLimits(t, r.descriptors)
-	c.dismiss()
-	r.ordinary(2<<10).mustAnswer(t, "after the crowd")
-	r.ordinary(maxBodyBytes).mustAnswer(t, "after the crowd, of the largest size,")
-	r.checkLimits(t, r.descriptors)
-}
-
 // Guards against a process that ends for want of memory because of what callers send and do not
 // finish.
 func TestRoutedDaemonWithstandsBodies(t *testing.T) {
@@ -167,7 +161,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := startRouted(t, usualDescriptors)
-			r.withstand(t, clients, r.front, c.do)
+			withstand(t, r, clients, r.front, c.do)
 		})
 	}
 }
@@ -183,7 +177,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := startRouted(t, usualDescriptors)
-			r.withstand(t, clients, r.front, begin(c.text))
+			withstand(t, r, clients, r.front, begin(c.text))
 		})
 	}
 }
@@ -207,7 +201,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := startRouted(t, fewDescriptors)
-			r.withstand(t, clients, r.front, c.do)
+			withstand(t, r, clients, r.front, c.do)
 		})
 	}
 }
@@ -233,28 +227,30 @@
 		} {
 			t.Run(c.name+", "+what.name, func(t *testing.T) {
 				r := startRouted(t, fewDescriptors)
-				r.withstand(t, clients, c.address(r), what.do)
+				withstand(t, r, clients, c.address(r), what.do)
 			})
 		}
 	}
 }
 
+// Guards against callers that send and read slowly, and together hold so much that nothing is
+// left for the rest of the process: it may take three fifths of its memory.
+func TestRoutedDaemonKeepsMemoryBesideSlowCallers(t *testing.T) {
+	const clientsEachWay = 500
+	for _, memoryMB := range []int{128, 284, 1024} {
+		t.Run(fmt.Sprint(memoryMB, " MB"), func(t *testing.T) {
+			r := startRoutedWith(t, usualDescriptors, memoryMB, maxBodyBytes)
+			r.maxMemoryMB = memoryMB * 3 / 5
+			readers := gather(clientsEachWay, r.front, neverReads(target{"GET /long/a", look("key-a").fields}))
+			defer readers.dismiss()
+			withstand(t, r, clientsEachWay, r.front, trickle(look("key-a"), maxBodyBytes-1<<20))
+		})
+	}
+}
+
 // Guards against a shutdown that unfinished requests keep from ending before its time is up.
 func TestRoutedDaemonStopsBesideUnfinishedRequests(t *testing.T) {
 	r := startRouted(t, usualDescriptors)
 	r.ordinary(2<<10).mustAnswer(t, "in calm")
-	c := gather(40, r.front, trickle(look("key-a"), 1<<10))
-	defer c.dismiss()
-	time.Sleep(crowdTime / 4)
-	if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case <-r.exited:
-	case <-time.After(waitTimeout):
-		t.Fatal("the daemon has not ended")
-	}
-	if text := r.log.last(64 << 10); !strings.Contains(text, `"requests_cut":0`) {
-		t.Errorf("requests were under way at the end of the shutdown:\n%s", r.log.last(1<<10))
-	}
+	r.stopBeside(t, r.front, trickle(look("key-a"), 1<<10), `"requests_cut":0`)
 }
