Test what mutants of the limits of callers showed untested

Of 14 mutants that compiled, three survived: room given to a request that ended while it waited, a whole request that still counts as an unfinished one, and heads of one connection that add up. Each has a test now.

--- a/bytebudget/budget_test.go
+++ b/bytebudget/budget_test.go
@@ -170,6 +170,26 @@
 	})
 }
 
+// Guards against room that goes to a request which has ended while it waited, and is never
+// returned.
+func TestEndedRequestGetsNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(testSize, time.Now)
+		first, waiting := b.Request("a", nil), b.Request("b", nil)
+		if err := first.Grow(t.Context(), b.Share()); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- waiting.Grow(t.Context(), 1) }()
+		synctest.Wait()
+		waiting.Release()
+		first.Release()
+		if err := <-ended; err == nil || b.Held(Requests) != 0 {
+			t.Errorf("%v, %d bytes are held", err, b.Held(Requests))
+		}
+	})
+}
+
 // Guards against an owner who leaves no room for others, and whose waiting requests hold up
 // theirs.
 func TestOwnerDoesNotFillTheRoomOfAll(t *testing.T) {
--- a/ingress/limits_test.go
+++ b/ingress/limits_test.go
@@ -221,7 +221,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newServer(t, Options{Max: 2})
-			working := s.dial(request("/hold", "Content-Length: 0"))
+			working := s.dial(request("/hold", "Content-Length: 5") + "whole")
+			waitFor(t, func() bool { return s.states()[StateServing] == 1 })
 			stalled := s.dial(begun)
 			if got := answer(t, s.dial(request("/", "Content-Length: 0"))); got != "200 0 bytes" {
 				t.Errorf("%q", got)
@@ -252,6 +253,13 @@
 		t.Errorf("a head beyond the limit: %q", got)
 	}
 	ended(t, c)
+	again := s.dial("")
+	for i := range 40 {
+		_, _ = io.WriteString(again, "GET / HTTP/1.1\r\nHost: h\r\na: "+strings.Repeat("x", 1<<10)+"\r\n\r\n")
+		if got := answer(t, again); got != "200 0 bytes" {
+			t.Fatalf("request %d of a connection: %q", i, got)
+		}
+	}
 	waitFor(t, func() bool { return s.budget.Held(bytebudget.Requests) == 0 })
 	full := s.budget.Request("other", nil)
 	if err := full.Grow(t.Context(), s.budget.Share()); err != nil {
