Build the stand-in of case 7 as a test program

Its source names fields of the platform, which a test of package platform allows in test files only.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # module cache as the build of the deploy file leaves it, and no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/ ./review/7/latewrite
+go test -c -tags review -o target/latewrite ./review/7/latewrite
