Show that a crowd of unfinished bodies takes daemons over their memory

A script: 700 clients at each of two daemons of 134 MB stop just short of the end of bodies of legal size. The stand-in for the platform counts resident memory and bytes that were received and not read, as the users' page on memory says.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go test -c -tags review -o target/latewrite ./review/7/latewrite
+go test -c -tags review -o target/crowdmemory ./review/8/crowdmemory
