Reject answers whose status is not from 100 to 599, and 101 that nobody asked for

What callers saw: an endpoint that answered with the status 000 left a routed request waiting for the endpoint's next bytes until its deadline (504 after 10 s), as statuses below 100 were skipped like interim ones; statuses above 599 were passed on. Cause: net/http takes any three digits. Who reads an answer tells interim ones by "below 200". On connections of net/http's client the scanner of heads ended with the first head, so a broken one behind an interim one was not seen. Change: the scanner that both readers of answers share rejects the status at its last digit, and what follows it if that is no blank or end of line. It goes on to the head behind an interim one. Errors name the rule that was broken. Only connections that ask a daemon to relay take a 101. Changed tests: TestHeadWithoutEnd asked that a status of endless digits be read up to the limit of heads; it is rejected at its fourth digit. FuzzHead knows the rule from its own description of it, and fails too if a head is accepted against it.

--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,40 @@
 		}
 	}
 }
+
+// Guards against an answer with a broken head that is taken for one, or for a refusal.
+func TestBrokenHeadsEndTheAttempt(t *testing.T) {
+	for _, a := range responsetest.BrokenAnswers("Merlin-Attempt: a1\r\nMerlin-Not-Run: true\r\n") {
+		for _, nonIdempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/%t", a.Name, nonIdempotent), func(t *testing.T) {
+				t.Parallel()
+				began := time.Now()
+				body, err := attempt(t, responsetest.Answering(t, a.Text), []byte("x"), nonIdempotent)
+				if rule := ruleOf(err); ClassOf(err) != OutcomeUnknown || rule != a.Rule || time.Since(began) > time.Second {
+					t.Errorf("%q, %v after %v, want outcome unknown and rule %s", body, err, time.Since(began), a.Rule)
+				}
+			})
+		}
+	}
+}
+
+// attempt sends a request with a body and reads its answer.
+func attempt(t *testing.T, address string, body []byte, nonIdempotent bool) (string, error) {
+	t.Helper()
+	answer, err := New(Options{}).Send(t.Context(), &Attempt{ID: "a1", Endpoint: "e", Address: address, Method: "POST", Path: "/", Body: body, NonIdempotent: nonIdempotent})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	all, err := answer.ReadAll()
+	return string(all), err
+}
+
+// ruleOf returns the rule that an error names; empty: none.
+func ruleOf(err error) string {
+	var e *response.Error
+	if !errors.As(err, &e) {
+		return ""
+	}
+	return string(e.Rule)
+}
--- a/orders/sender_test.go
+++ b/orders/sender_test.go
@@ -125,6 +125,22 @@
 	}
 }
 
+// Guards against an order that counts as accepted, or a status that is used, although the head of
+// the answer is broken.
+func TestBrokenHeadsAreRejected(t *testing.T) {
+	s := testSender()
+	for _, a := range responsetest.BrokenAnswers("") {
+		address := responsetest.Answering(t, a.Text)
+		if _, err := s.postOrder(t.Context(), rollout.Order{Fence: 7}, address, always); !errors.Is(err, ErrUnknown) {
+			t.Errorf("%s: order %v", a.Name, err)
+		}
+		var broken *response.Error
+		if _, err := s.readStatus(t.Context(), address); !errors.As(err, &broken) || string(broken.Rule) != a.Rule {
+			t.Errorf("%s: status %v, want rule %s", a.Name, err, a.Rule)
+		}
+	}
+}
+
 // Guards against an order, or a request for a status, that waits for its time limit although the
 // bytes received can't become an answer.
 func TestBytesThatAreNoResponseEndTheCallAtOnce(t *testing.T) {
--- a/ports/httplog/list_test.go
+++ b/ports/httplog/list_test.go
@@ -55,6 +55,23 @@
 	read("d")
 }
 
+// Guards against an answer of the platform that is used although its head is broken.
+func TestBrokenHeadsAreRejected(t *testing.T) {
+	for _, a := range responsetest.BrokenAnswers("") {
+		c, err := New(Options{BaseURL: "http://" + responsetest.Answering(t, a.Text)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var broken *response.Error
+		if _, err := c.Endpoints(t.Context()); !errors.As(err, &broken) || string(broken.Rule) != a.Rule {
+			t.Errorf("%s: list %v, want rule %s", a.Name, err, a.Rule)
+		}
+		if _, err := c.Append(t.Context(), "s", []byte("x")); !errors.As(err, &broken) || errors.Is(err, ports.ErrNotAppended) {
+			t.Errorf("%s: append %v", a.Name, err)
+		}
+	}
+}
+
 // Guards against a call that waits for its time limit although the bytes received can't become
 // an answer of the platform.
 func TestBytesThatAreNoResponseEndTheCallAtOnce(t *testing.T) {
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -231,6 +231,7 @@
 		return nil, fmt.Errorf("relay: request to daemon %s: %w", h.Name, err)
 	}
 	c := newConn(raw, h.Name)
+	c.r.AcceptUpgrade()
 	c.r.Begin()
 	answer, err := c.r.Next(http.MethodPost) //nolint:bodyclose // the connection is closed or taken over
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// Guards against a connection that counts as relayed although the head of the helper's answer is
+// broken.
+func TestBrokenAnswerOfHelperIsRejected(t *testing.T) {
+	for _, a := range responsetest.BrokenAnswers("Connection: Upgrade\r\nUpgrade: " + protocol + "\r\n") {
+		if a.Rule == string(response.RuleUpgrade) {
+			continue // the helper is asked for another protocol
+		}
+		w := newTestbed(t)
+		random := rand.New(rand.NewPCG(1, 2))
+		helpers := reach.NewHelpers("z", random)
+		helpers.Set([]reach.Peer{{Name: "helper", Address: responsetest.Answering(t, strings.ReplaceAll(a.Text, " 200", " 101")), Zone: "z"}})
+		d := NewDialer(w.dialer.o, reach.NewTracker(random), helpers)
+		if c, err := d.Dial(t.Context(), "tcp", w.endpoint.Addr().String()); err == nil {
+			t.Errorf("%s: connected", a.Name)
+			_ = c.Close()
+		}
+	}
+}
+
 // Guards against a daemon that connects anyone to anything.
 func TestRelaysOnlyForDaemonsToEndpoints(t *testing.T) {
 	w := newTestbed(t)
--- a/response/doc.go
+++ b/response/doc.go
@@ -1,6 +1,7 @@
 // Package response reads HTTP/1.1 responses within limits. A faulty sender may send bytes that
 // are no response, or a head or body that never ends: what is held of it is bounded, and
-// reading ends with an *Error as soon as the bytes can't become a usable response.
+// reading ends with an *Error as soon as the bytes can't become a usable response. A response
+// that breaks a rule is rejected as a whole.
 //
 // docs/design/answer-limits.md lists all places that read what others send, with their limits.
 package response
@@ -32,7 +33,7 @@
 
 // Bounds.
 const (
-	BoundSyntax Bound = "syntax" // the bytes can't be part of a response
+	BoundSyntax Bound = "syntax" // the bytes can't be part of a response, see Rule
 	BoundHead   Bound = "head"   // bytes of heads
 	BoundFields Bound = "fields" // header fields
 	BoundStray  Bound = "stray"  // bytes of responses to other requests
@@ -41,16 +42,32 @@
 	BoundBudget Bound = "budget" // bytes that the process holds of all bodies
 )
 
+// Rule names the rule that a malformed response breaks, for logs and metrics.
+type Rule string
+
+// Rules for heads.
+const (
+	RuleVersion   Rule = "version"   // HTTP/1.x
+	RuleStatus    Rule = "status"    // three digits, from 100 to 599
+	RuleUpgrade   Rule = "upgrade"   // no 101 to a request that asked for no other protocol
+	RuleName      Rule = "name"      // the name of a field is a token
+	RuleValue     Rule = "value"     // no control bytes in values and in the status text
+	RuleLineEnd   Rule = "line_end"  // a carriage return ends its line
+	RuleContinued Rule = "continued" // a continued line continues a field
+	RuleOther     Rule = "other"     // net/http rejects the head
+)
+
 // Error reports bytes that are no response, or exceed a limit.
 type Error struct {
 	Bound Bound
+	Rule  Rule  // for BoundSyntax
 	Limit int64 // bytes, for BoundFields fields; 0 for BoundSyntax
 	Read  int64 // bytes of the part that is limited, as far as they were read
 }
 
 func (e *Error) Error() string {
 	if e.Bound == BoundSyntax {
-		return fmt.Sprintf("response: malformed after %d bytes", e.Read)
+		return fmt.Sprintf("response: malformed after %d bytes, rule %q", e.Read, string(e.Rule))
 	}
 	return fmt.Sprintf("response: limit %q of %d exceeded after %d bytes", string(e.Bound), e.Limit, e.Read)
 }
--- a/response/head.go
+++ b/response/head.go
@@ -1,13 +1,19 @@
 package response
 
 // statusLine is the beginning of a response. '#' stands for a digit.
-const statusLine = "HTTP/1.# ###"
+const (
+	statusLine  = "HTTP/1.# ###"
+	statusAt    = len("HTTP/1.# ")
+	leastStatus = 100
+	mostStatus  = 599
+)
 
 // headState is what the next byte of a head belongs to.
 type headState uint8
 
 const (
 	inStatusLine headState = iota // the part given by statusLine
+	afterStatus
 	inStatusText
 	atLineStart
 	inName
@@ -21,34 +27,44 @@
 // belong to a response, so that bytes that are no response are told from a head whose rest is
 // still to come. It keeps nothing of them.
 type headScanner struct {
-	state    headState
-	matched  int // bytes of statusLine
-	maxBytes int64
-	bytes    int64  // of all heads since reset
-	fields   int    // of all heads since reset
-	folds    bool   // a field was begun, so a line may continue it
-	rejected *Error // of a byte before; it stands until reset, as net/http may read on after it
+	state      headState
+	matched    int // bytes of statusLine
+	status     int // as far as its digits were read
+	maxBytes   int64
+	bytes      int64  // of all heads since reset
+	fields     int    // of all heads since reset
+	folds      bool   // a field was begun, so a line may continue it
+	rejected   *Error // of a byte before; it stands until reset, as net/http may read on after it
+	upgrade    bool   // the request asked for another protocol
+	continuous bool   // the head of another response follows that of an interim one
 }
 
 // reset begins the heads of the responses to another request.
-func (s *headScanner) reset() { *s = headScanner{maxBytes: s.maxBytes} }
+func (s *headScanner) reset() {
+	*s = headScanner{maxBytes: s.maxBytes, upgrade: s.upgrade, continuous: s.continuous}
+}
 
 // next begins another head.
-func (s *headScanner) next() { s.state, s.matched, s.folds = inStatusLine, 0, false }
+func (s *headScanner) next() {
+	s.state, s.matched, s.status, s.folds = inStatusLine, 0, 0, false
+}
 
 // scan checks bytes, up to the end of the head.
 func (s *headScanner) scan(b []byte) *Error {
 	for _, c := range b {
+		if s.state == headComplete && s.continuous && s.interim() {
+			s.next()
+		}
 		if s.rejected != nil || s.state == headComplete {
 			break
 		}
 		s.bytes++
-		ok := s.step(c)
+		broken := s.step(c)
 		switch {
 		case s.bytes > s.maxBytes:
 			s.rejected = &Error{Bound: BoundHead, Limit: s.maxBytes, Read: s.bytes}
-		case !ok:
-			s.rejected = &Error{Bound: BoundSyntax, Read: s.bytes}
+		case broken != "":
+			s.rejected = &Error{Bound: BoundSyntax, Rule: broken, Read: s.bytes}
 		case s.fields > maxFields:
 			s.rejected = &Error{Bound: BoundFields, Limit: maxFields, Read: s.bytes}
 		}
@@ -56,56 +72,92 @@
 	return s.rejected
 }
 
-// step returns false if the byte can't follow those before.
-func (s *headScanner) step(c byte) bool {
+// interim reports whether another response to the request follows the one whose head was read.
+func (s *headScanner) interim() bool { return s.status/100 == 1 && s.status != 101 }
+
+// step returns the rule that the byte breaks behind those before; empty: none.
+func (s *headScanner) step(c byte) Rule {
 	switch s.state {
 	case inStatusLine:
 		return s.stepStatusLine(c)
+	case afterStatus:
+		s.state = inStatusText
+		if c != ' ' && c != '\r' && c != '\n' {
+			return RuleStatus
+		}
+		return s.stepText(c)
 	case atLineStart:
 		return s.stepLineStart(c)
 	case inName:
-		if c == ':' {
+		switch {
+		case c == ':':
 			s.state = inValue
-			return true
+		case !isNameByte(c) && c != ' ': // net/http accepts blanks before the colon
+			return RuleName
 		}
-		return isNameByte(c) || c == ' ' // net/http accepts blanks before the colon
+		return ""
 	case inStatusText, inValue:
-		switch c {
-		case '\r':
-			s.state = atLineEnd
-		case '\n':
-			s.state = atLineStart
-		default:
-			return isTextByte(c)
-		}
-		return true
+		return s.stepText(c)
 	case atLineEnd:
+		if c != '\n' {
+			return RuleLineEnd
+		}
 		s.state = atLineStart
-		return c == '\n'
+		return ""
 	case atHeadEnd:
+		if c != '\n' {
+			return RuleLineEnd
+		}
 		s.state = headComplete
-		return c == '\n'
+		return ""
 	}
-	return false
+	return RuleOther
 }
 
-func (s *headScanner) stepStatusLine(c byte) bool {
+// stepText takes a byte of a value or of the status text.
+func (s *headScanner) stepText(c byte) Rule {
+	switch {
+	case c == '\r':
+		s.state = atLineEnd
+	case c == '\n':
+		s.state = atLineStart
+	case !isTextByte(c):
+		return RuleValue
+	}
+	return ""
+}
+
+func (s *headScanner) stepStatusLine(c byte) Rule {
 	want := statusLine[s.matched]
 	isDigit := c >= '0' && c <= '9'
+	broken := RuleVersion
+	if s.matched >= statusAt {
+		broken = RuleStatus
+	}
 	if c == ' ' && s.matched > 0 && statusLine[s.matched-1] == ' ' {
-		return true // net/http accepts several blanks
+		return "" // net/http accepts several blanks
 	}
 	if c != want && (want != '#' || !isDigit) {
-		return false
+		return broken
+	}
+	if s.matched >= statusAt {
+		s.status = s.status*10 + int(c-'0')
 	}
 	s.matched++
-	if s.matched == len(statusLine) {
-		s.state = inStatusText
+	if s.matched < len(statusLine) {
+		return ""
+	}
+	s.state = afterStatus
+	switch {
+	case s.status < leastStatus || s.status > mostStatus:
+		return RuleStatus
+	case s.status == 101 && !s.upgrade:
+		return RuleUpgrade
 	}
-	return true
+	return ""
 }
 
-func (s *headScanner) stepLineStart(c byte) bool {
+func (s *headScanner) stepLineStart(c byte) Rule {
 	switch c {
 	case '\r':
 		s.state = atHeadEnd
@@ -113,13 +165,17 @@
 		s.state = headComplete
 	case ' ', '\t':
 		s.state = inValue
-		return s.folds
+		if !s.folds {
+			return RuleContinued
+		}
 	default:
 		s.state, s.folds = inName, true
 		s.fields++
-		return isNameByte(c)
+		if !isNameByte(c) {
+			return RuleName
+		}
 	}
-	return true
+	return ""
 }
 
 // isNameByte reports whether the byte may be part of a field's name (RFC 9110, token).
--- a/response/reader.go
+++ b/response/reader.go
@@ -22,6 +22,10 @@
 	return r
 }
 
+// AcceptUpgrade states that the requests ask for another protocol, to which the connection may
+// switch.
+func (r *Reader) AcceptUpgrade() { r.guard.head.upgrade = true }
+
 // Begin states that a request was sent: limits and Received count from here.
 func (r *Reader) Begin() {
 	r.guard.received = 0
@@ -48,7 +52,7 @@
 	case g.readErr != nil:
 		return nil, err
 	default:
-		return nil, &Error{Bound: BoundSyntax, Read: g.head.bytes}
+		return nil, &Error{Bound: BoundSyntax, Rule: RuleOther, Read: g.head.bytes}
 	}
 }
 
--- a/response/reader_test.go
+++ b/response/reader_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -55,7 +56,7 @@
 	}{
 		"zeros":           {"", "\x00", BoundSyntax},
 		"version":         {"", "HTTP/1.", BoundSyntax},
-		"status":          {"HTTP/1.1 ", "2", BoundHead},
+		"status":          {"HTTP/1.1 ", "2", BoundSyntax},
 		"blanks":          {"HTTP/1.1", " ", BoundHead},
 		"status text":     {"HTTP/1.1 200 ", "x", BoundHead},
 		"field name":      {"HTTP/1.1 200 OK\r\n", "x", BoundHead},
@@ -121,12 +122,13 @@
 	}
 }
 
-// Guards against heads that net/http reads and this package rejects, and against a head that
-// is not rejected although it exceeds the limits.
+// Guards against heads that net/http reads and this package rejects without a rule, or accepts
+// against one, and against a head that is not rejected although it exceeds the limits.
 func FuzzHead(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.0 404\n\n", "HTTP/1.1 200 OK\r\nA : b\r\n\tc\r\n\r\nbody", "\x00", "HTTP/1.1 1x",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n: x\r\n\r\n",
+		"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 101 OK\r\n\r\n",
 	} {
 		f.Add([]byte(seed), byte(1))
 	}
@@ -141,6 +143,8 @@
 		switch {
 		case err == nil && wantErr != nil:
 			t.Fatalf("accepted what net/http rejects: %v", wantErr)
+		case err == nil && breaksRule(text):
+			t.Fatalf("accepted against a rule: %d %v", got.StatusCode, got.Header)
 		case err == nil:
 			if got.StatusCode != want.StatusCode || len(got.Header) != len(want.Header) {
 				t.Fatalf("%d %v, want %d %v", got.StatusCode, got.Header, want.StatusCode, want.Header)
@@ -156,8 +160,8 @@
 	})
 }
 
-// stricter reports whether the head is one that only this package rejects: of another version
-// than 1.x, longer than the limits, or with control bytes in its status line.
+// stricter reports whether the head is one that only this package rejects: longer than the
+// limits, with control bytes in its status line, or against a rule.
 func stricter(text []byte, err error) bool {
 	if bound := boundOf(err); bound == BoundHead || bound == BoundFields {
 		return true
@@ -165,13 +169,21 @@
 	line, _, _ := bytes.Cut(text, []byte("\n"))
 	line = bytes.TrimSuffix(line, []byte("\r"))
 	control := bytes.ContainsFunc(line, func(c rune) bool { return c < ' ' || c == 0x7f })
-	_, status, _ := bytes.Cut(line, []byte(" "))
-	status = bytes.TrimLeft(status, " ")
-	digits := len(status) >= 3
-	for _, c := range status[:min(3, len(status))] {
-		digits = digits && c >= '0' && c <= '9'
+	return control || breaksRule(text)
+}
+
+var (
+	soundStatus = regexp.MustCompile(`^HTTP/1\.[0-9] +[1-5][0-9]{2}( |$)`)
+)
+
+// breaksRule reports whether the head breaks a rule that net/http does not know.
+func breaksRule(text []byte) bool {
+	lines := strings.Split(string(text), "\n")
+	status := strings.TrimSuffix(lines[0], "\r")
+	if !soundStatus.MatchString(status) || strings.HasPrefix(strings.TrimLeft(status[len("HTTP/1.1"):], " "), "101") {
+		return true
 	}
-	return control || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !digits
+	return false
 }
 
 // pieces yields a text in pieces of one size.
--- /dev/null
+++ b/response/responsetest/broken.go
@@ -0,0 +1,52 @@
+package responsetest
+
+import (
+	"strings"
+)
+
+// Answer is an answer to a request, and the rule that its head breaks; empty: none.
+type Answer struct{ Name, Rule, Text string }
+
+// body is that of the sound answers, and of the broken ones as far as they have one.
+const body = "ok"
+
+// BrokenAnswers returns answers whose heads break a rule each. All have the given header lines.
+func BrokenAnswers(lines string) []Answer {
+	sound := "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 2\r\n\r\n" + body
+	all := []Answer{
+		{"no version", "version", "HTTP 200 OK\r\n"},
+		{"status 000", "status", "HTTP/1.1 000 None\r\n"},
+		{"status 099", "status", "HTTP/1.1 099 None\r\n"},
+		{"status 600", "status", "HTTP/1.1 600 None\r\n"},
+		{"status of four digits", "status", "HTTP/1.1 2000 OK\r\n"},
+		{"status of two digits", "status", "HTTP/1.1 20 OK\r\n"},
+		{"no blank behind the status", "status", "HTTP/1.1 200OK\r\n"},
+		{"switch of protocols", "upgrade", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n"},
+	}
+	for i := range all {
+		all[i].Text += sound[len("HTTP/1.1 200 OK\r\n"):]
+	}
+	all = append(all, []Answer{
+		{"status 000, no content", "status", "HTTP/1.1 000 None\r\n" + lines + "Content-Length: 0\r\n\r\n"},
+		{"status 099, no length", "status", "HTTP/1.1 099 None\r\n" + lines + "\r\n"},
+		{"status 000 after an interim answer", "status", "HTTP/1.1 100 Continue\r\n\r\n" + strings.Replace(sound, "200", "000", 1)},
+	}...)
+	return all
+}
+
+// SoundAnswers returns answers with the body "ok" that break no rule, though some are unusual.
+// All have the given header lines.
+func SoundAnswers(lines string) []Answer {
+	all := []Answer{
+		{"length", "", "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 2\r\n\r\nok"},
+		{"highest status", "", "HTTP/1.1 599 X\r\n" + lines + "Content-Length: 2\r\n\r\nok"},
+		{"no status text", "", "HTTP/1.1 200\r\n" + lines + "Content-Length: 2\r\n\r\nok"},
+		{"same length twice", "", "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 2\r\ncontent-length:2\t\r\n\r\nok"},
+		{"chunks", "", "HTTP/1.1 200 OK\r\n" + lines + "transfer-encoding:  Chunked \r\n\r\n2\r\nok\r\n0\r\nSum: 1\r\n\r\n"},
+		{"continued field", "", "HTTP/1.1 200 OK\r\n" + lines + "a: b\r\n c\r\nContent-Length: 2\r\n\r\nok"},
+		{"lines without carriage return", "", "HTTP/1.1 200 OK\n" + lines + "Content-Length: 2\n\nok"},
+		{"bytes beyond ASCII in a value", "", "HTTP/1.1 200 OK\r\n" + lines + "a: \xe9\r\nContent-Length: 2\r\n\r\nok"},
+		{"names like those of framing", "", "HTTP/1.1 200 OK\r\n" + lines + "Content-Lengths: x\r\nX-Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"},
+	}
+	return append(all, Answer{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\na: b\r\n\r\n" + all[0].Text})
+}
--- a/response/transport.go
+++ b/response/transport.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: c, head: headScanner{maxBytes: maxHeadBytes, state: headComplete}}, nil
+		return &guardedConn{Conn: c, head: headScanner{maxBytes: maxHeadBytes, state: headComplete, continuous: true}}, nil
 	}
 	// The scanner is stricter, and its errors name the limit. net/http's limit is for
 	// connections that the scanner can't read.
--- a/router/neighbours_test.go
+++ b/router/neighbours_test.go
@@ -174,6 +174,18 @@
 	}
 }
 
+// Guards against an answer of another daemon that is used although its head is broken.
+func TestBrokenAnswerOfNeighbourIsRejected(t *testing.T) {
+	n := newNeighbours(Neighbour{Name: "a"}, &Settings{ConfigWithin: 10 * time.Second}, responsetest.Dialer(), fixedClock(0), discardLog())
+	for _, a := range responsetest.BrokenAnswers("") {
+		_, err := n.request(t.Context(), responsetest.Answering(t, a.Text), TopicOperator, feed.Query{From: -1})
+		var broken *response.Error
+		if !errors.As(err, &broken) || string(broken.Rule) != a.Rule {
+			t.Errorf("%s: %v, want rule %s", a.Name, err, a.Rule)
+		}
+	}
+}
+
 // Guards against a daemon, or another process at its former address, whose answer never ends.
 func TestEndlessAnswerOfNeighbourIsCutOff(t *testing.T) {
 	for name, c := range map[string]struct{ prefix, filler string }{
