Reject answers in which the name of a field is no token

What callers saw: a 200 with chunk sizes or other bytes that were not the endpoint's body, or a wait until the deadline for the end of a body that never ends (504), where a length or a coding stood under a name with a blank; an answer passed on as sound where another line was odd; a refusal with such a line taken for "not run", so that an unsafe request ran again. Cause: the scanner let blanks into names, as net/http's reader does, which keeps such a field under its odd name and frames the body without it. Change: a blank anywhere in a name, before its colon too, rejects the whole head, for both readers and also in interim answers. RFC 9112 has a proxy remove a blank before the colon; then it has to guess which of two fields frames the body, so it is another endpoint that is asked. Changed tests: TestResponsesFollowEachOther had a sound answer with a blank before a colon, which now stands among the broken ones. FuzzHead knows the rule.

--- a/response/doc.go
+++ b/response/doc.go
@@ -50,7 +50,7 @@
 	RuleVersion   Rule = "version"   // HTTP/1.x
 	RuleStatus    Rule = "status"    // three digits, from 100 to 599
 	RuleUpgrade   Rule = "upgrade"   // no 101 to a request that asked for no other protocol
-	RuleName      Rule = "name"      // the name of a field is a token
+	RuleName      Rule = "name"      // the name of a field is a token, directly followed by a colon
 	RuleValue     Rule = "value"     // no control bytes in values and in the status text
 	RuleLineEnd   Rule = "line_end"  // a carriage return ends its line
 	RuleContinued Rule = "continued" // a continued line continues a field
--- a/response/head.go
+++ b/response/head.go
@@ -92,7 +92,7 @@
 		switch {
 		case c == ':':
 			s.state = inValue
-		case !isNameByte(c) && c != ' ': // net/http accepts blanks before the colon
+		case !isNameByte(c):
 			return RuleName
 		}
 		return ""
--- a/response/reader_test.go
+++ b/response/reader_test.go
@@ -103,7 +103,7 @@
 
 // Guards against a head that is read beyond its end, or a body that is taken for a head.
 func TestResponsesFollowEachOther(t *testing.T) {
-	text := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\x00\r\n\x00HTTP/1.1 204 None\r\n\r\nHTTP/1.1  200  Fine\nA : b\r\n  c\r\nContent-Length: 2\n\nok"
+	text := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\x00\r\n\x00HTTP/1.1 204 None\r\n\r\nHTTP/1.1  200  Fine\nA: b\r\n  c\r\nContent-Length: 2\n\nok"
 	for pieces, reader := range map[string]io.Reader{"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text))} {
 		r := NewReader(reader)
 		r.Begin()
@@ -174,6 +174,7 @@
 
 var (
 	soundStatus = regexp.MustCompile(`^HTTP/1\.[0-9] +[1-5][0-9]{2}( |$)`)
+	soundField  = regexp.MustCompile("^[!#$%&'*+\\-.^_`|~0-9A-Za-z]+:")
 )
 
 // breaksRule reports whether the head breaks a rule that net/http does not know.
@@ -183,6 +184,15 @@
 	if !soundStatus.MatchString(status) || strings.HasPrefix(strings.TrimLeft(status[len("HTTP/1.1"):], " "), "101") {
 		return true
 	}
+	for _, line := range lines[1:] {
+		line = strings.TrimSuffix(line, "\r")
+		if line == "" {
+			break
+		}
+		if line[0] != ' ' && line[0] != '\t' && !soundField.MatchString(line) {
+			return true
+		}
+	}
 	return false
 }
 
--- a/response/responsetest/broken.go
+++ b/response/responsetest/broken.go
@@ -13,6 +13,8 @@
 // BrokenAnswers returns answers whose heads break a rule each. All have the given header lines.
 func BrokenAnswers(lines string) []Answer {
 	sound := "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 2\r\n\r\n" + body
+	ok := "HTTP/1.1 200 OK\r\n" + lines
+	chunks := "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 	all := []Answer{
 		{"no version", "version", "HTTP 200 OK\r\n"},
 		{"status 000", "status", "HTTP/1.1 000 None\r\n"},
@@ -30,7 +32,26 @@
 		{"status 000, no content", "status", "HTTP/1.1 000 None\r\n" + lines + "Content-Length: 0\r\n\r\n"},
 		{"status 099, no length", "status", "HTTP/1.1 099 None\r\n" + lines + "\r\n"},
 		{"status 000 after an interim answer", "status", "HTTP/1.1 100 Continue\r\n\r\n" + strings.Replace(sound, "200", "000", 1)},
+		{"interim answer with a blank in a name", "name", "HTTP/1.1 103 Early Hints\r\na b: c\r\n\r\n" + sound},
 	}...)
+	for _, c := range []struct{ name, rule, line string }{
+		{"blank before the colon", "name", "a : b"},
+		{"tab before the colon", "name", "a\t: b"},
+		{"blank in a name", "name", "a b: c"},
+		{"control byte in a name", "name", "a\x01: b"},
+		{"byte beyond ASCII in a name", "name", "a\xe9: b"},
+		{"separator in a name", "name", "a(b): c"},
+		{"empty name", "name", ": b"},
+		{"no colon", "name", "ab"},
+		{"control byte in a value", "value", "a: b\x00"},
+		{"carriage return in a value", "line_end", "a: b\rc: d"},
+		{"hidden length", "name", "Content-Length : 2\r\nContent-Length: 1"},
+	} {
+		all = append(all, Answer{c.name, c.rule, ok + c.line + "\r\n\r\n" + body})
+	}
+	for _, name := range []string{"Transfer-Encoding ", "Transfer-Encoding\x01", "Transfer Encoding"} {
+		all = append(all, Answer{"chunks under the name " + strings.ToValidUTF8(name, "?"), "name", ok + name + ": chunked" + chunks})
+	}
 	return all
 }
 
