Reject answers whose framing is ambiguous or unknown

What callers saw: the chunks of an answer of HTTP/1.0, with their sizes, as its body; answers with a length and a coding, framed by one of the two; interim answers and such without content that announced a body; refusals with the same heads taken for "not run", so that an unsafe request ran again. The same length twice stays accepted, as RFC 9112 allows.

--- a/response/doc.go
+++ b/response/doc.go
@@ -53,7 +53,10 @@
 	RuleName      Rule = "name"      // the name of a field is a token, directly followed by a colon
 	RuleValue     Rule = "value"     // no control bytes in values and in the status text
 	RuleLineEnd   Rule = "line_end"  // a carriage return ends its line
-	RuleContinued Rule = "continued" // a continued line continues a field
+	RuleContinued Rule = "continued" // a continued line continues a field that does not frame the body
+	RuleLength    Rule = "length"    // one decimal length of 63 bits; 0 where no body can follow
+	RuleCoding    Rule = "coding"    // chunked only, and only where a body can follow
+	RuleFraming   Rule = "framing"   // not both a length and a coding
 	RuleOther     Rule = "other"     // net/http rejects the head
 )
 
--- a/response/head.go
+++ b/response/head.go
@@ -3,6 +3,7 @@
 // statusLine is the beginning of a response. '#' stands for a digit.
 const (
 	statusLine  = "HTTP/1.# ###"
+	minorAt     = len("HTTP/1.")
 	statusAt    = len("HTTP/1.# ")
 	leastStatus = 100
 	mostStatus  = 599
@@ -25,11 +26,13 @@
 
 // headScanner checks the bytes of heads as they arrive. It rejects the first byte that can't
 // belong to a response, so that bytes that are no response are told from a head whose rest is
-// still to come. It keeps nothing of them.
+// still to come. It keeps nothing of them but the fields that frame the body.
 type headScanner struct {
 	state      headState
-	matched    int // bytes of statusLine
-	status     int // as far as its digits were read
+	matched    int  // bytes of statusLine
+	minor      byte // digit of the version
+	status     int  // as far as its digits were read
+	framing    framing
 	maxBytes   int64
 	bytes      int64  // of all heads since reset
 	fields     int    // of all heads since reset
@@ -46,7 +49,7 @@
 
 // next begins another head.
 func (s *headScanner) next() {
-	s.state, s.matched, s.status, s.folds = inStatusLine, 0, 0, false
+	s.state, s.matched, s.status, s.folds, s.framing = inStatusLine, 0, 0, false, framing{}
 }
 
 // scan checks bytes, up to the end of the head.
@@ -92,7 +95,10 @@
 		switch {
 		case c == ':':
 			s.state = inValue
-		case !isNameByte(c):
+			s.framing.endName()
+		case isNameByte(c):
+			s.framing.addToName(c)
+		default:
 			return RuleName
 		}
 		return ""
@@ -102,14 +108,12 @@
 		if c != '\n' {
 			return RuleLineEnd
 		}
-		s.state = atLineStart
-		return ""
+		return s.endLine()
 	case atHeadEnd:
 		if c != '\n' {
 			return RuleLineEnd
 		}
-		s.state = headComplete
-		return ""
+		return s.endHead()
 	}
 	return RuleOther
 }
@@ -120,13 +124,25 @@
 	case c == '\r':
 		s.state = atLineEnd
 	case c == '\n':
-		s.state = atLineStart
+		return s.endLine()
 	case !isTextByte(c):
 		return RuleValue
+	case s.framing.field != otherField:
+		s.framing.addToValue(c)
 	}
 	return ""
 }
 
+func (s *headScanner) endLine() Rule {
+	s.state = atLineStart
+	return s.framing.endValue(s.minor)
+}
+
+func (s *headScanner) endHead() Rule {
+	s.state = headComplete
+	return s.framing.endHead(s.status)
+}
+
 func (s *headScanner) stepStatusLine(c byte) Rule {
 	want := statusLine[s.matched]
 	isDigit := c >= '0' && c <= '9'
@@ -140,7 +156,10 @@
 	if c != want && (want != '#' || !isDigit) {
 		return broken
 	}
-	if s.matched >= statusAt {
+	switch {
+	case s.matched == minorAt:
+		s.minor = c
+	case s.matched >= statusAt:
 		s.status = s.status*10 + int(c-'0')
 	}
 	s.matched++
@@ -162,10 +181,10 @@
 	case '\r':
 		s.state = atHeadEnd
 	case '\n':
-		s.state = headComplete
+		return s.endHead()
 	case ' ', '\t':
 		s.state = inValue
-		if !s.folds {
+		if !s.folds || s.framing.last != otherField {
 			return RuleContinued
 		}
 	default:
@@ -174,6 +193,7 @@
 		if !isNameByte(c) {
 			return RuleName
 		}
+		s.framing.beginName(c)
 	}
 	return ""
 }
--- a/response/reader_test.go
+++ b/response/reader_test.go
@@ -128,7 +128,9 @@
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.0 404\n\n", "HTTP/1.1 200 OK\r\nA : b\r\n\tc\r\n\r\nbody", "\x00", "HTTP/1.1 1x",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n: x\r\n\r\n",
-		"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 101 OK\r\n\r\n",
+		"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 101 OK\r\n\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 204 OK\r\nContent-Length: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length:\r\n 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	} {
 		f.Add([]byte(seed), byte(1))
 	}
@@ -175,6 +177,8 @@
 var (
 	soundStatus = regexp.MustCompile(`^HTTP/1\.[0-9] +[1-5][0-9]{2}( |$)`)
 	soundField  = regexp.MustCompile("^[!#$%&'*+\\-.^_`|~0-9A-Za-z]+:")
+	frames      = regexp.MustCompile(`(?i)^(content-length|transfer-encoding):[ \t]*(.*?)[ \t]*$`)
+	soundLength = regexp.MustCompile(`^[0-9]{1,24}$`)
 )
 
 // breaksRule reports whether the head breaks a rule that net/http does not know.
@@ -184,16 +188,40 @@
 	if !soundStatus.MatchString(status) || strings.HasPrefix(strings.TrimLeft(status[len("HTTP/1.1"):], " "), "101") {
 		return true
 	}
+	code := strings.TrimLeft(status[len("HTTP/1.1"):], " ")[:3]
+	bodiless := code[0] == '1' || code == "204"
+	var lengths, codings int
+	var last string
 	for _, line := range lines[1:] {
 		line = strings.TrimSuffix(line, "\r")
 		if line == "" {
 			break
 		}
-		if line[0] != ' ' && line[0] != '\t' && !soundField.MatchString(line) {
+		if line[0] == ' ' || line[0] == '\t' {
+			if frames.MatchString(last) {
+				return true
+			}
+			continue
+		}
+		last = line
+		field := frames.FindStringSubmatch(line)
+		switch {
+		case !soundField.MatchString(line):
 			return true
+		case field == nil:
+		case strings.EqualFold(field[1], "Content-Length"):
+			lengths++
+			if !soundLength.MatchString(field[2]) || bodiless && strings.Trim(field[2], "0") != "" {
+				return true
+			}
+		default:
+			codings++
+			if codings > 1 || !strings.EqualFold(field[2], "chunked") || bodiless || strings.HasPrefix(status, "HTTP/1.0") {
+				return true
+			}
 		}
 	}
-	return false
+	return lengths > 0 && codings > 0
 }
 
 // pieces yields a text in pieces of one size.
--- a/response/responsetest/broken.go
+++ b/response/responsetest/broken.go
@@ -33,6 +33,10 @@
 		{"status 099, no length", "status", "HTTP/1.1 099 None\r\n" + lines + "\r\n"},
 		{"status 000 after an interim answer", "status", "HTTP/1.1 100 Continue\r\n\r\n" + strings.Replace(sound, "200", "000", 1)},
 		{"interim answer with a blank in a name", "name", "HTTP/1.1 103 Early Hints\r\na b: c\r\n\r\n" + sound},
+		{"interim answer with chunks", "coding", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + sound},
+		{"answer without content, with chunks", "coding", "HTTP/1.1 204 No Content\r\n" + lines + "Transfer-Encoding: chunked" + chunks},
+		{"answer without content, with a length", "length", "HTTP/1.1 204 No Content\r\n" + lines + "Content-Length: 2\r\n\r\n" + body},
+		{"chunks of an older version", "coding", "HTTP/1.0 200 OK\r\n" + lines + "Transfer-Encoding: chunked" + chunks},
 	}...)
 	for _, c := range []struct{ name, rule, line string }{
 		{"blank before the colon", "name", "a : b"},
@@ -46,6 +50,18 @@
 		{"control byte in a value", "value", "a: b\x00"},
 		{"carriage return in a value", "line_end", "a: b\rc: d"},
 		{"hidden length", "name", "Content-Length : 2\r\nContent-Length: 1"},
+		{"two lengths", "length", "Content-Length: 2\r\nContent-Length: 3"},
+		{"list of lengths", "length", "Content-Length: 2, 2"},
+		{"signed length", "length", "Content-Length: +2"},
+		{"empty length", "length", "Content-Length:"},
+		{"length beyond 63 bits", "length", "Content-Length: 9223372036854775808"},
+		{"length on two lines", "continued", "Content-Length: 2\r\n 2"},
+		{"coding on a second line", "coding", "Transfer-Encoding:\r\n chunked"},
+		{"unknown coding", "coding", "Transfer-Encoding: gzip"},
+		{"two codings", "coding", "Transfer-Encoding: gzip, chunked"},
+		{"coding named twice", "coding", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"},
+		{"length and chunks", "framing", "Content-Length: 2\r\nTransfer-Encoding: chunked"},
+		{"chunks and length", "framing", "Transfer-Encoding: chunked\r\nContent-Length: 2"},
 	} {
 		all = append(all, Answer{c.name, c.rule, ok + c.line + "\r\n\r\n" + body})
 	}
