Reject answers without a length that end before their request was received

What callers saw: a part of an answer as a complete one, where an endpoint answered a long upload at once, without a length or chunks, and reset the connection while the upload was written. Cause: the write of the request and the read of the answer share one socket, and the kernel reports its error once. If the write gets it, the read sees an ordinary end, which is how such an answer ends when it is whole. A reset behind an end isn't reported to the read at all. Change: at the end of a body that nothing else tells, a write that still waits is ended, the whole request must have been written without an error, and the other end must have acknowledged all of it and not have sent a reset (internal/socket). The rule stands in one place (response/body.go) for both readers; forward knows its own write, connections of net/http's client count what is written behind the request's head. What follows is what follows any answer that breaks off: another endpoint for safe requests, 502 for others, a lost connection for health and quarantine. Answers with a length or chunks are used whatever becomes of the rest of the request. TestSoundEarlyAnswersReachCallers and TestTransportAcceptsEarlyAnswers keep early answers that are sound: with a length, chunks, and without either where the endpoint reads the request to its end.

--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -61,6 +62,26 @@
 	}
 }
 
+// Guards against an answer that is taken for whole although it was cut while the request was
+// written, and against one that is taken for cut although it is whole.
+func TestEarlyAnswersAreToldFromWholeOnes(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nMerlin-Attempt: a1\r\n\r\n"
+	for _, nonIdempotent := range []bool{false, true} {
+		for range 50 {
+			early := responsetest.NewEarly(t, head+"part", responsetest.EndsByReset)
+			if body, err := attempt(t, early.Address, make([]byte, 16<<20), nonIdempotent); err == nil || ClassOf(err) != OutcomeUnknown {
+				t.Errorf("%q, %v", body, err)
+			}
+		}
+		for _, bytes := range []int{0, 1, 16 << 20} {
+			address := responsetest.Serve(t, func(c net.Conn) { responsetest.AnswerEarly(c, head+"whole") })
+			if body, err := attempt(t, address, make([]byte, bytes), nonIdempotent); err != nil || body != "whole" {
+				t.Errorf("%d bytes: %q, %v", bytes, body, err)
+			}
+		}
+	}
+}
+
 // attempt sends a request with a body and reads its answer.
 func attempt(t *testing.T, address string, body []byte, nonIdempotent bool) (string, error) {
 	t.Helper()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -150,7 +150,7 @@
 	body, held, err := c.o.Client.Limits.ReadBody(a.Body, maxBufferedAnswer)
 	defer held.Release()
 	var exceeded *response.Error
-	if errors.As(err, &exceeded) {
+	if errors.As(err, &exceeded) && exceeded.Bound != response.BoundSyntax {
 		if exceeded.Bound == response.BoundBudget {
 			c.o.Client.Limits.Observe("answer", c.in.AttemptID, c.report.Attempts[len(c.report.Attempts)-1].Endpoint, err)
 		}
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -88,3 +89,73 @@
 		})
 	}
 }
+
+const (
+	// uploadBytes is the largest body, more than the sockets and an Early take of a request.
+	uploadBytes = defaultBodyBytes
+	earlyRuns   = 25
+)
+
+// earlyAnswers are answers to uploads that are cut off. The stream has whole events.
+var earlyAnswers = map[routes.Kind]string{
+	routes.Safe: "part of an answer", routes.Unsafe: "part of an answer", routes.Stream: "id: 0\ndata: one\n\n",
+}
+
+// Guards against an answer without a length that is passed on as whole although its connection
+// was reset while the request was written.
+func TestEarlyAnswersThatAreResetAreNotWhole(t *testing.T) {
+	for kind, part := range earlyAnswers {
+		for _, how := range []string{responsetest.EndsByReset, responsetest.EndsByResetFIN} {
+			t.Run(fmt.Sprintf("%v/%s", kind, how), func(t *testing.T) {
+				t.Parallel()
+				for range earlyRuns {
+					e := responsetest.NewEarly(t, "HTTP/1.1 200 OK\r\n"+answerLines+"\r\n"+part, how)
+					s, reports := serveEndpoints(t, kind, Target{Key: "e@1", ID: "e", Address: e.Address})
+					status, body, err := postUpload(t, s, uploadBytes)
+					if status == http.StatusOK && err == nil {
+						t.Errorf("%q looks whole: %+v", body, awaitReports(t, reports)[0])
+					}
+					s.Close()
+				}
+			})
+		}
+	}
+}
+
+// Guards against a safe request that fails, or an unsafe one that runs twice, after an early
+// answer that was cut.
+func TestRequestsAfterEarlyAnswers(t *testing.T) {
+	for kind, want := range map[routes.Kind]int{routes.Safe: http.StatusOK, routes.Unsafe: http.StatusBadGateway} {
+		e := responsetest.NewEarly(t, "HTTP/1.1 200 OK\r\n"+answerLines+"\r\npart", responsetest.EndsByReset)
+		sound, _ := endpoint(t, "HTTP/1.1 200 OK\r\n"+answerLines+"Content-Length: 5\r\n\r\nsound")
+		s, _ := serveEndpoints(t, kind, Target{Key: "e@1", ID: "e", Address: e.Address}, sound)
+		if status, body, err := postUpload(t, s, uploadBytes); status != want || err != nil || (status == http.StatusOK && body != "sound") {
+			t.Errorf("%v: status %d, body %q, %v, want %d", kind, status, body, err, want)
+		}
+	}
+}
+
+// Guards against an early answer with a stated end that is taken for a broken one, and against
+// one without that is, although its endpoint has read the whole request.
+func TestSoundEarlyAnswersReachCallers(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": "Content-Length: 5\r\n\r\nearly", "chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nearly\r\n0\r\n\r\n",
+		"connection": "\r\nearly",
+	} {
+		for _, bytes := range []int{maxInlineBody + 1, uploadBytes} {
+			t.Run(fmt.Sprintf("%s/%d", name, bytes), func(t *testing.T) {
+				t.Parallel()
+				for range earlyRuns {
+					address := responsetest.Serve(t, func(c net.Conn) {
+						responsetest.AnswerEarly(c, "HTTP/1.1 200 OK\r\n"+answerLines+head)
+					})
+					s, _ := serveEndpoints(t, routes.Unsafe, Target{Key: "e@1", ID: "e", Address: address})
+					if status, body, err := postUpload(t, s, bytes); status != http.StatusOK || body != "early" || err != nil {
+						t.Errorf("status %d, body %q, %v", status, body, err)
+					}
+					s.Close()
+				}
+			})
+		}
+	}
+}
--- a/forward/endmark.go
+++ b/forward/endmark.go
@@ -1,8 +1,9 @@
 package forward
 
 import (
-	"net/http"
 	"time"
+
+	"github.com/merlindock/merlindock/response"
 )
 
 // EndMark is what tells the end of an answer, for logs.
@@ -18,12 +19,12 @@
 // endMark returns what tells the end of the endpoint's answer.
 func (a *Answer) endMark() EndMark {
 	switch {
-	case a.Length != -1 || a.resp.Request.Method == http.MethodHead:
-		return EndByLength
+	case response.EndsWithConnection(a.resp):
+		return EndByConnection
 	case len(a.resp.TransferEncoding) > 0:
 		return EndByChunks
 	default:
-		return EndByConnection
+		return EndByLength
 	}
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/merlindock/merlindock/internal/socket"
 	"github.com/merlindock/merlindock/response"
 )
 
@@ -75,7 +76,7 @@
 	if o.Watch != nil {
 		k.watch, k.ctx = o.Watch, ctx
 	}
-	a, err := c.receive(k, o)
+	a, err := c.receive(k, w, o)
 	if err != nil {
 		stop()
 		c.close(k)
@@ -135,6 +136,7 @@
 // requestWrite is a write of a request that may still be in progress. sent and err are
 // valid once done is closed.
 type requestWrite struct {
+	conn net.Conn
 	done chan struct{}
 	sent int64 // bytes
 	err  error
@@ -159,8 +161,16 @@
 	}
 }
 
+// Written implements response.RequestWrite.
+func (w *requestWrite) Written() bool {
+	// The connection has ended. A write that waits for room in its buffer would wait on.
+	_ = w.conn.SetWriteDeadline(time.Unix(1, 0))
+	<-w.done
+	return w.err == nil && socket.Delivered(w.conn)
+}
+
 func (c *Client) write(k *conn, o *EndpointRequest) *requestWrite {
-	w := &requestWrite{done: make(chan struct{})}
+	w := &requestWrite{conn: k.Conn, done: make(chan struct{})}
 	send := func() {
 		defer close(w.done)
 		w.sent, w.err = writeRequest(k.Conn, o)
@@ -193,8 +203,8 @@
 // receive reads responses until the one to this attempt. An endpoint may have
 // answered an earlier request on the connection twice; without a comparison of
 // the attempt id, the duplicate would be taken for the answer to this request.
-func (c *Client) receive(k *conn, o *EndpointRequest) (*Answer, error) {
-	k.r.Begin()
+func (c *Client) receive(k *conn, w *requestWrite, o *EndpointRequest) (*Answer, error) {
+	k.r.Begin(w)
 	strayBytes := int64(0)
 	for range maxStrayAnswers {
 		resp, err := k.r.Next(o.Method) //nolint:bodyclose // its owner closes the connection
--- a/forward/identity.go
+++ b/forward/identity.go
@@ -82,7 +82,7 @@
 	if _, err := io.WriteString(k.Conn, "GET "+codec.IdentityPath()+" HTTP/1.1\r\nHost: "+k.address+"\r\n\r\n"); err != nil {
 		return 0, err
 	}
-	k.r.Begin()
+	k.r.Begin(nil)
 	// The body isn't closed, as net/http would read it to its end.
 	resp, err := k.r.Next(http.MethodGet)
 	if err != nil {
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -232,7 +232,7 @@
 	}
 	c := newConn(raw, h.Name)
 	c.r.AcceptUpgrade()
-	c.r.Begin()
+	c.r.Begin(nil)
 	answer, err := c.r.Next(http.MethodPost) //nolint:bodyclose // the connection is closed or taken over
 	if err != nil {
 		return nil, fmt.Errorf("relay: answer of daemon %s: %w", h.Name, err)
--- a/response/doc.go
+++ b/response/doc.go
@@ -60,6 +60,14 @@
 	RuleOther     Rule = "other"     // net/http rejects the head
 )
 
+// Rules for bodies.
+const (
+	// RuleEarlyEnd: a response that ends with its connection is whole only if the request was
+	// written before. The kernel reports a reset once: where the writer of the request gets it,
+	// the reader sees an ordinary end.
+	RuleEarlyEnd Rule = "early_end"
+)
+
 // Error reports bytes that are no response, or exceed a limit.
 type Error struct {
 	Bound Bound
--- a/response/head.go
+++ b/response/head.go
@@ -78,6 +78,12 @@
 // interim reports whether another response to the request follows the one whose head was read.
 func (s *headScanner) interim() bool { return s.status/100 == 1 && s.status != 101 }
 
+// endsWithConnection reports whether nothing but the end of the connection tells the end of the
+// response whose head was read.
+func (s *headScanner) endsWithConnection() bool {
+	return s.state == headComplete && !s.framing.hasLength && !s.framing.hasCoding
+}
+
 // step returns the rule that the byte breaks behind those before; empty: none.
 func (s *headScanner) step(c byte) Rule {
 	switch s.state {
--- a/response/reader.go
+++ b/response/reader.go
@@ -12,6 +12,8 @@
 type Reader struct {
 	buffer *bufio.Reader
 	guard  guard
+	write  RequestWrite
+	body   checkedBody // of the response that is read
 }
 
 // NewReader returns a Reader of a connection.
@@ -26,10 +28,12 @@
 // switch.
 func (r *Reader) AcceptUpgrade() { r.guard.head.upgrade = true }
 
-// Begin states that a request was sent: limits and Received count from here.
-func (r *Reader) Begin() {
+// Begin states that a request is sent: limits and Received count from here. If a response ends
+// with its connection, write tells whether it is whole; nil: the request was written whole.
+func (r *Reader) Begin(write RequestWrite) {
 	r.guard.received = 0
 	r.guard.head.reset()
+	r.write = write
 }
 
 // Next reads the head of the next response to a request of the given method. The body of the
@@ -46,6 +50,7 @@
 	resp, err := http.ReadResponse(r.buffer, &http.Request{Method: method})
 	switch {
 	case err == nil && g.head.rejected == nil:
+		checkBody(resp, &r.body, r.write)
 		return resp, nil
 	case g.head.rejected != nil:
 		return nil, g.head.rejected
--- a/response/responsetest/broken.go
+++ b/response/responsetest/broken.go
@@ -1,7 +1,14 @@
 package responsetest
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
 )
 
 // Answer is an answer to a request, and the rule that its head breaks; empty: none.
@@ -87,3 +94,70 @@
 	}
 	return append(all, Answer{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\na: b\r\n\r\n" + all[0].Text})
 }
+
+// Early is a server that answers before it has read the request, and resets the connection.
+type Early struct {
+	Address string
+	reads   atomic.Int64
+}
+
+// Requests returns the number of requests whose head was read.
+func (e *Early) Requests() int64 { return e.reads.Load() }
+
+// Ways in which an Early ends its connections.
+const (
+	EndsByReset    = "reset"           // while the request is read
+	EndsByResetFIN = "end, then reset" // the answer ends, the request is still coming, then a reset
+)
+
+const (
+	// earlyAnswerPause lets a client read a part of the answer before it ends.
+	earlyAnswerPause = 5 * time.Millisecond
+	// readBehindBytes is read of the rest of a request while it is answered.
+	readBehindBytes = 512 << 10
+)
+
+// NewEarly starts a server that sends the answer as soon as it has read the head of a request,
+// reads on for a part of the request's body, and ends the connection in the given way.
+func NewEarly(t testing.TB, answer, how string) *Early {
+	t.Helper()
+	e := &Early{}
+	e.Address = Serve(t, func(c net.Conn) {
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return
+		}
+		_ = tcp.SetReadBuffer(bufferBytes)
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		e.reads.Add(1)
+		if _, err := io.WriteString(c, answer); err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, r, readBehindBytes)
+		time.Sleep(earlyAnswerPause) // real sockets: the reset must not overtake the answer
+		if how == EndsByResetFIN {
+			_ = tcp.CloseWrite()
+			time.Sleep(earlyAnswerPause)
+		}
+		_ = tcp.SetLinger(0)
+	})
+	return e
+}
+
+// AnswerEarly answers after the first byte of a request, reads the request to its end and then
+// closes the connection.
+func AnswerEarly(c net.Conn, answer string) {
+	r := bufio.NewReader(c)
+	if _, err := r.Peek(1); err != nil {
+		return
+	}
+	if _, err := io.WriteString(c, answer); err != nil {
+		return
+	}
+	if req, err := http.ReadRequest(r); err == nil {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
+}
