Reject answers in whose trailer the name of a field is no token

What callers saw: an answer in chunks as whole although a name in its trailer held blanks. The trailer isn't passed on, but who writes such a line is in trouble. Cause: net/http keeps such names in trailers as in heads, and the scanner sees heads only. Other bytes net/http rejects itself; a line with an empty name it skips, which stays.

--- a/response/broken_test.go
+++ b/response/broken_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// Guards against a body that is taken for whole although its trailer is broken.
+func TestReadersRejectBrokenTrailers(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	for _, trailer := range []string{"a b: c", "a : b", "a(b): c", "a\x01: b", "a: \x00", "ab", "a: b", ""} {
+		text := chunks + trailer + "\r\n\r\n"
+		if trailer == "" {
+			text = chunks + "\r\n"
+		}
+		sound := trailer == "" || trailer == "a: b"
+		if _, body, err := readAnswer(strings.NewReader(text)); (err == nil) != sound || sound && body != "ok" {
+			t.Errorf("%q, Reader: body %q, %v", trailer, body, err)
+		}
+		transport := response.NewTransport(&http.Transport{}, response.MaxControlHeadBytes)
+		if body, err := post(t, transport, responsetest.Answering(t, text)); (err == nil) != sound || sound && body != "ok" {
+			t.Errorf("%q, Transport: body %q, %v", trailer, body, err)
+		}
+		transport.CloseIdleConnections()
+	}
+}
+
 // upload sends a request with a body of the given size, and reads the response. A stated length
 // is known before the body is read.
 func upload(t *testing.T, address string, bytes int, stated bool) (string, error) {
--- a/response/doc.go
+++ b/response/doc.go
@@ -62,6 +62,7 @@
 
 // Rules for bodies.
 const (
+	RuleTrailer Rule = "trailer" // as RuleName, for fields behind chunks
 	// RuleEarlyEnd: a response that ends with its connection is whole only if the request was
 	// written before. The kernel reports a reset once: where the writer of the request gets it,
 	// the reader sees an ordinary end.
