Tell a reset from an end at the far side of relayed connections

The relaying daemon writes the request and reads the answer on one socket, too; what its write got, its read didn't see, and it told the other daemon that the endpoint had ended. That one had handed its whole request to the relay. TestEndBehindAWholeRequestIsRelayed keeps whole ones.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -104,8 +104,9 @@
 }
 
 // copyFrom relays until the endpoint closes the connection or it is lost, and returns the
-// first error of a write.
-func (w *frameWriter) copyFrom(endpoint io.Reader) error {
+// first error of a write. An endpoint that has ended is lost if requested then returns false:
+// it has not received all that it was sent.
+func (w *frameWriter) copyFrom(endpoint io.Reader, requested func() bool) error {
 	for {
 		n, err := endpoint.Read(w.buf[headerBytes:])
 		if n > 0 {
@@ -115,7 +116,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && requested():
 			return w.finish(frameEnd)
 		case err != nil:
 			return w.finish(frameAborted)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -138,6 +139,53 @@
 	})
 }
 
+// Guards against a part of an answer that looks complete, as the endpoint has reset its
+// connection while the request was relayed to it: the write of the request gets the reset.
+func TestResetDuringARequestIsNotTakenForTheEndOfAnAnswer(t *testing.T) {
+	for _, how := range []string{responsetest.EndsByReset, responsetest.EndsByResetFIN} {
+		for range 50 {
+			w := newTestbed(t)
+			early := responsetest.NewEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", how)
+			daemon, err := w.dialer.Dial(t.Context(), "tcp", early.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				_, _ = io.WriteString(daemon, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n")
+				_, _ = daemon.Write(make([]byte, 16<<20))
+			}()
+			if got, err := io.ReadAll(daemon); err == nil {
+				t.Errorf("%s: %q looks whole", how, got)
+			}
+			_ = daemon.Close()
+			w.helper.Close()
+		}
+	}
+}
+
+// Guards against a whole answer without a length that is taken for a part.
+func TestEndBehindAWholeRequestIsRelayed(t *testing.T) {
+	for _, bytes := range []int{0, 16 << 20} {
+		for range 20 {
+			w := newTestbed(t)
+			address := responsetest.Serve(t, func(c net.Conn) { responsetest.AnswerEarly(c, "HTTP/1.1 200 OK\r\n\r\nwhole") })
+			daemon, err := w.dialer.Dial(t.Context(), "tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				_, _ = fmt.Fprintf(daemon, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", bytes)
+				_, _ = daemon.Write(make([]byte, bytes))
+			}()
+			if got, err := io.ReadAll(daemon); err != nil || !strings.HasSuffix(string(got), "whole") {
+				t.Errorf("%d bytes: %q, %v", bytes, got, err)
+			}
+			_ = daemon.Close()
+			w.helper.Close()
+		}
+	}
+}
+
 // Guards against an endpoint that works on for a caller that has left.
 func TestClosedConnectionIsClosedAtTheEndpoint(t *testing.T) {
 	w := newTestbed(t)
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/merlindock/merlindock/forward"
+	"github.com/merlindock/merlindock/internal/socket"
 	"github.com/merlindock/merlindock/logging"
 )
 
@@ -113,20 +114,41 @@
 // connection, most endpoints stop to work on its request, so it is passed on at once.
 func (s *Server) relay(caller net.Conn, from *bufio.Reader, endpoint net.Conn) {
 	up := make(chan struct{})
+	to := requestWriter{to: endpoint}
+	var ended atomic.Bool // by the endpoint
 	go func() {
 		defer close(up)
-		_, _ = io.Copy(writerOnly{endpoint}, from)
-		_ = endpoint.Close()
+		_, _ = io.Copy(&to, from)
+		if !ended.Load() {
+			_ = endpoint.Close()
+		}
 	}()
 	frames := frameWriter{to: caller}
-	_ = frames.copyFrom(endpoint)
+	_ = frames.copyFrom(endpoint, func() bool {
+		ended.Store(true)
+		// Nothing more is read of the caller, and a write that waits for room is given up.
+		_ = caller.SetReadDeadline(time.Unix(1, 0))
+		_ = endpoint.SetWriteDeadline(time.Unix(1, 0))
+		<-up
+		return to.err == nil && socket.Delivered(endpoint) && socket.Drained(caller)
+	})
 	_ = caller.Close()
 	<-up
 }
 
-// writerOnly hides ReadFrom, which would splice the sockets through a pipe and take two
-// more descriptors.
-type writerOnly struct{ io.Writer }
+// requestWriter writes to an endpoint and keeps the error. It also hides ReadFrom, which would
+// splice the sockets through a pipe and take two more descriptors.
+type requestWriter struct {
+	to  io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(b []byte) (int, error) {
+	n, err := w.to.Write(b)
+	w.err = err
+	return n, err
+}
 
 // statusOfDial returns the status for an endpoint that was not reached.
 func statusOfDial(err error) int {
