Hold encrypted answers to the same rules

What callers saw: nothing yet; the platform's log and lists, read with TLS, gave broken answers as sound ones (17 of 42 broken heads were accepted, the others rejected by net/http). Cause: the scanner sat below TLS and read encrypted bytes, so that it left such connections to net/http. Change: response.Transport makes the handshake itself and puts its connection above TLS, for HTTP/1.1. If the server chooses HTTP/2, which has its own framing, net/http gets the connection as before. Through an HTTP proxy TLS stays net/http's. Evidence: response/TestRulesHoldWithTLS failed before; TestTransportWithTLS passes unchanged; ./response, ./ports/httplog twice with the race detector.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -32,6 +32,9 @@
 }
 
 func ask(c net.Conn, question func(fd int) bool) bool {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn() // of TLS
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/response/transport.go
+++ b/response/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -18,7 +19,8 @@
 type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Transport is an http.RoundTripper that fails with an *Error as soon as the bytes received
-// can't be the head of a response. Heads that are encrypted have net/http's limit only.
+// can't be the head of a response. Of HTTP/2, and of TLS through a proxy, heads have net/http's
+// rules and limit only.
 type Transport struct{ transport *http.Transport }
 
 // NewTransport returns a Transport that uses t, which it changes, with a limit for heads in
@@ -28,12 +30,24 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
+	guarded := func(c net.Conn) net.Conn {
+		return &guardedConn{Conn: c, head: headScanner{maxBytes: maxHeadBytes, state: headComplete, continuous: true}}
+	}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: c, head: headScanner{maxBytes: maxHeadBytes, state: headComplete, continuous: true}}, nil
+		return guarded(c), nil
+	}
+	if t.DialTLSContext == nil {
+		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialTLS(ctx, t, dial, network, address)
+			if err != nil || c.ConnectionState().NegotiatedProtocol == protocolHTTP2 {
+				return c, err // net/http looks for the type of the connection
+			}
+			return guarded(c), nil
+		}
 	}
 	// The scanner is stricter, and its errors name the limit. net/http's limit is for
 	// connections that the scanner can't read.
@@ -41,6 +55,39 @@
 	return &Transport{t}
 }
 
+// protocolHTTP2 is the name of HTTP/2 in the handshake of TLS.
+const protocolHTTP2 = "h2"
+
+// dialTLS opens an encrypted connection as t does without a dialer of its own.
+func dialTLS(ctx context.Context, t *http.Transport, dial Dial, network, address string) (*tls.Conn, error) {
+	config := t.TLSClientConfig.Clone()
+	if config == nil {
+		config = &tls.Config{}
+	}
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		config.ServerName = host
+	}
+	raw, err := dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if t.TLSHandshakeTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, t.TLSHandshakeTimeout)
+		defer cancel()
+	}
+	c := tls.Client(raw, config)
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	x := &roundTrip{bodyBytes: req.ContentLength}
--- a/response/transport_test.go
+++ b/response/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -168,3 +169,62 @@
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
+
+// Guards against rules that hold for plain connections only, and against encrypted ones that net/http
+// no longer takes for HTTP/2.
+func TestRulesHoldWithTLS(t *testing.T) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Proto) }))
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	clientOf := func(http2 bool) *response.Transport {
+		base := s.Client().Transport.(*http.Transport).Clone()
+		base.ForceAttemptHTTP2 = http2
+		base.TLSClientConfig.NextProtos = nil
+		return response.NewTransport(base, response.MaxControlHeadBytes)
+	}
+	read := func(transport *response.Transport, url string) (string, error) {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader("u"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return string(body), err
+	}
+	for http2, want := range map[bool]string{false: "HTTP/1.1", true: "HTTP/2.0"} {
+		transport := clientOf(http2)
+		if body, err := read(transport, s.URL); err != nil || body != want {
+			t.Errorf("%q, %v, want %s", body, err, want)
+		}
+		transport.CloseIdleConnections()
+	}
+	encrypted := &tls.Config{Certificates: s.TLS.Certificates}
+	answering := func(text string) string {
+		return responsetest.Serve(t, func(raw net.Conn) {
+			c := tls.Server(raw, encrypted)
+			if _, err := c.Read(make([]byte, 64<<10)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+			_ = c.CloseWrite()
+			_, _ = c.Read(make([]byte, 1))
+		})
+	}
+	transport := clientOf(false)
+	defer transport.CloseIdleConnections()
+	for _, a := range responsetest.BrokenAnswers("") {
+		if body, err := read(transport, "https://"+answering(a.Text)); ruleOf(err) != a.Rule {
+			t.Errorf("%s: %q, %v, want rule %s", a.Name, body, err, a.Rule)
+		}
+	}
+	for _, a := range append(responsetest.SoundAnswers(""), responsetest.Answer{Name: "until closed", Text: "HTTP/1.1 200 OK\r\n\r\nok"}) {
+		if body, err := read(transport, "https://"+answering(a.Text)); body != "ok" || err != nil {
+			t.Errorf("%s: %q, %v", a.Name, body, err)
+		}
+	}
+}
