Name the rule that a malformed answer breaks in logs and metrics

What operators saw: that an attempt was lost as malformed, and after how many bytes, but not why. Change: "Answer exceeds a limit." has the rule, the attempts of "Request ended." have rule=, the counter malformed_answers counts by reader and rule. The product's daemon, which said nothing of malformed answers, has "Answer is malformed." with the endpoint, the rule and the place in the head, 20 lines a second at most, and the same counter. No byte of an answer is logged.

--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -1,14 +1,22 @@
 package daemon
 
 import (
+	"errors"
+
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/merlindock/merlindock/contract"
 	"github.com/merlindock/merlindock/gateway"
 	"github.com/merlindock/merlindock/logging"
+	"github.com/merlindock/merlindock/response"
 	"github.com/merlindock/merlindock/telemetry"
 )
 
+// malformedPerSecond bounds the log lines on malformed answers. An endpoint in trouble may send
+// one for each request.
+const malformedPerSecond = 20
+
 // observer updates the request metrics from the gateway's reports.
 type observer struct {
 	scope      tally.Scope
@@ -20,6 +28,7 @@
 	resumes    tally.Counter
 	callerLeft tally.Counter
 	callerSlow tally.Counter
+	malformed  *rate.Limiter // of log lines
 }
 
 type priorityMetrics struct {
@@ -41,6 +50,7 @@
 		resumes:    scope.Counter("streams_resumed"),
 		callerLeft: scope.Counter("callers_left"),
 		callerSlow: scope.Counter("callers_slow"),
+		malformed:  rate.NewLimiter(malformedPerSecond, malformedPerSecond),
 	}
 	for outcome, name := range attemptLabels {
 		o.attempts[outcome] = scope.Tagged(map[string]string{"outcome": name}).Counter("attempts")
@@ -100,10 +110,18 @@
 }
 
 // Attempt counts a completed attempt.
-func (o *observer) Attempt(_ *gateway.PlaceRequest, _ *gateway.Placement, res *gateway.AttemptResult) {
+func (o *observer) Attempt(_ *gateway.PlaceRequest, p *gateway.Placement, res *gateway.AttemptResult) {
 	if attempts, known := o.attempts[res.Outcome]; known {
 		attempts.Inc(1)
 	}
+	var malformed *response.Error
+	if !errors.As(res.Err, &malformed) || malformed.Rule == "" {
+		return
+	}
+	o.scope.Tagged(map[string]string{"reader": "attempt", "rule": string(malformed.Rule)}).Counter("malformed_answers").Inc(1)
+	if o.malformed.Allow() {
+		o.log.Warn("Answer is malformed.", "endpoint", string(p.Endpoint), "rule", string(malformed.Rule), "read", malformed.Read)
+	}
 }
 
 var attemptLabels = map[gateway.AttemptOutcome]string{
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -112,7 +112,7 @@
 		r.Lost = classifyLoss(end.Cause)
 		var exceeded *response.Error
 		if errors.As(end.Cause, &exceeded) {
-			r.Bound = exceeded.Bound
+			r.Bound, r.Rule = exceeded.Bound, exceeded.Rule
 		}
 	}
 	switch {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -128,6 +128,7 @@
 	Result   string
 	Lost     string         // how the connection was lost; empty: it was not
 	Bound    response.Bound // limit that the answer exceeded; empty: none
+	Rule     response.Rule  // rule that a malformed answer breaks; empty: none
 	After    time.Duration  // from the request's arrival to the attempt's end
 	Stall    *StallReport   // last stall of the stream; nil: none
 }
--- a/lab/routed/endless_test.go
+++ b/lab/routed/endless_test.go
@@ -33,7 +33,7 @@
 			if n, sent := app.Connections(), app.Sent(); n == 0 || sent > n*perConnection {
 				t.Errorf("%d bytes were sent over %d connections", sent, n)
 			}
-			if text := w.metricsText(); !strings.Contains(text, `bound="`+c.bound+`"`) || !strings.Contains(text, `reader="attempt"`) {
+			if text := w.metricsText("answer_limits_exceeded"); !strings.Contains(text, `bound="`+c.bound+`"`) || !strings.Contains(text, `reader="attempt"`) {
 				t.Errorf("metrics lack the bound %q:\n%s", c.bound, text)
 			}
 		})
@@ -51,8 +51,8 @@
 	}
 }
 
-// metricsText returns the lines of the daemon's metrics on limits of answers.
-func (w *testbed) metricsText() string {
+// metricsText returns the lines of one of the daemon's metrics.
+func (w *testbed) metricsText(name string) string {
 	resp, err := http.Get("http://" + w.metrics + "/metrics")
 	if err != nil {
 		w.t.Fatal(err)
@@ -64,7 +64,7 @@
 	}
 	var lines []string
 	for line := range strings.Lines(string(text)) {
-		if strings.Contains(line, "answer_limits_exceeded") {
+		if strings.Contains(line, name) {
 			lines = append(lines, line)
 		}
 	}
--- a/router/answer_limits_test.go
+++ b/router/answer_limits_test.go
@@ -65,3 +65,21 @@
 		}
 	})
 }
+
+// Guards against a malformed answer whose rule operators can't see.
+func TestRulesOfMalformedAnswersAreCountedAndLogged(t *testing.T) {
+	var out bytes.Buffer
+	logs, err := logging.NewFactory(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counters := tally.NewTestScope("", nil)
+	l := newAnswerLimits(newHeldBudget(1<<30), counters, logs.For(logging.ComponentRouter))
+	l.Observe("attempt", "a1", "e1", &response.Error{Bound: response.BoundSyntax, Rule: response.RuleName, Read: 20})
+	if n := counters.Snapshot().Counters()["malformed_answers+reader=attempt,rule=name"].Value(); n != 1 {
+		t.Errorf("%d were counted", n)
+	}
+	if want := `"id":"a1","from":"e1","bound":"syntax","limit":0,"read":20,"rule":"name"`; !strings.Contains(out.String(), want) {
+		t.Errorf("no line has %s", want)
+	}
+}
--- a/router/report.go
+++ b/router/report.go
@@ -222,6 +222,10 @@
 			b = append(b, " bound="...)
 			b = append(b, a.Bound...)
 		}
+		if a.Rule != "" {
+			b = append(b, " rule="...)
+			b = append(b, a.Rule...)
+		}
 	}
 	if s := a.Stall; s != nil {
 		b = append(b, " stall="...)
