Refuse late requests of a planned stop that could be answered only after its end

What callers saw: no answer to requests that came late in a planned stop behind a stream, on its connection, were passed on, among them such that may not be repeated, and were cut at the end of the process: those whose deadline lay in the last 60 ms before it. Cause: a request is refused if its deadline lies behind the end of the process. It may be answered 60 ms after the deadline (answerGrace), and the answer has to be written then. Change: it is refused, as not run, if its deadline, these 60 ms and 100 ms in which the answer is written lie behind the end. A request that was sent and not read yet may still find its idle connection closed; it was not run. Not changed: requests taken in the first 2.3 s, until balancers have noticed, whose deadline lies behind the end.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -26,6 +26,9 @@
 	// answerGrace is how long the handler waits beyond the deadline that it gives
 	// to the endpoint, so that the endpoint's own timeout answer is still relayed.
 	answerGrace = 60 * time.Millisecond
+	// lastAnswerReserve is the time from the last moment at which a request may be answered to
+	// the end of the process, in which its answer is written.
+	lastAnswerReserve = 100 * time.Millisecond
 	// DefaultTimeout bounds requests on routes without a timeout.
 	DefaultTimeout = 60 * time.Second
 	// retryAfterNoConfig is the Retry-After of a daemon without a configuration.
@@ -248,8 +251,8 @@
 	c.attempts()
 }
 
-// exceedsShutdown reports whether the request's deadline lies behind the end of
-// the process.
+// exceedsShutdown reports whether the request may be answered behind the end of
+// the process, or too shortly before.
 //
 // A connection that was serving a stream when the shutdown began can bring
 // another request seconds later. If it were accepted, it would be interrupted by
@@ -257,7 +260,7 @@
 // it can be sent to another daemon at once.
 func (c *call) exceedsShutdown() bool {
 	end := c.o.ShutdownDeadline()
-	return !end.IsZero() && c.req.Deadline.After(end)
+	return !end.IsZero() && c.req.Deadline.Add(answerGrace+lastAnswerReserve).After(end)
 }
 
 // authenticate sets the organisation that the API key belongs to. If there is
--- a/lab/routed/testbed_test.go
+++ b/lab/routed/testbed_test.go
@@ -34,6 +34,7 @@
 	storeAddress string
 	stop         context.CancelFunc // starts a graceful shutdown, as SIGTERM does
 	done         chan error
+	lines        *logLines // of the daemon
 	version      int
 	requests     atomic.Int64
 	limit        map[string]any // rate limit of the organisation, as fields of the configuration
@@ -57,7 +58,7 @@
 	w.storeAddress = store.Listener.Addr().String()
 	w.metrics = metastore.FreeAddress(t)
 	d := w.addDaemon("front-1", w.metrics, "", nil)
-	w.front, w.ready, w.stop, w.done = d.front, d.ready, d.stop, d.done
+	w.front, w.ready, w.stop, w.done, w.lines = d.front, d.ready, d.stop, d.done, d.lines
 	w.waitUntil("the daemon is ready", w.isReady)
 	return w
 }
@@ -67,6 +68,7 @@
 	front, ready string // addresses
 	stop         context.CancelFunc
 	done         chan error
+	lines        *logLines
 }
 
 // addDaemon starts a daemon. peers is its address for other daemons, and dial opens its
@@ -89,13 +91,14 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	var lines logLines
+	lines := &logLines{}
+	d.lines = lines
 	w.t.Cleanup(func() {
 		if w.t.Failed() {
 			w.t.Logf("lines of %s:\n%s", name, lines.last())
 		}
 	})
-	logs, err := logging.NewFactory(&lines, "info")
+	logs, err := logging.NewFactory(lines, "info")
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -230,6 +233,9 @@
 	}
 }
 
+// log returns the last lines of the daemon.
+func (w *testbed) log() string { return string(w.lines.last()) }
+
 func (w *testbed) isReady() bool { return isReadyAt(w.ready) }
 
 func isReadyAt(address string) bool {
