Keep that heads which stop at any place give no answer

Asked after a report of a 200 with an empty or short body from a head that stopped. It can't happen here: forward/TestHeadsThatStopDoNotReachCallers and engine/TestHeadsThatStopEndTheAttempt stop a head after each of its bytes, by an end and by a reset, and pass on as well. No code changed.

--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -62,6 +63,23 @@
 	}
 }
 
+// Guards against a head that stops at any place and is taken for an answer with a short body.
+func TestHeadsThatStopEndTheAttempt(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nMerlin-Attempt: a1\r\nContent-Length: 2\r\n\r\nok"
+	for _, linger := range []int{0, -1} { // reset, end
+		for at := range len(whole) {
+			address := responsetest.Serve(t, func(c net.Conn) {
+				_, _ = c.Read(make([]byte, 64<<10))
+				_, _ = io.WriteString(c, whole[:at])
+				_ = c.(*net.TCPConn).SetLinger(linger)
+			})
+			if body, err := attempt(t, address, []byte("x"), true); ClassOf(err) != OutcomeUnknown {
+				t.Errorf("linger %d, %d bytes: %q, %v", linger, at, body, err)
+			}
+		}
+	}
+}
+
 // Guards against an answer that is taken for whole although it was cut while the request was
 // written, and against one that is taken for cut although it is whole.
 func TestEarlyAnswersAreToldFromWholeOnes(t *testing.T) {
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// Guards against a head that stops at any place and is passed on with a short body.
+func TestHeadsThatStopDoNotReachCallers(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\n" + answerLines + "Content-Length: 2\r\n\r\nok"
+	for _, how := range []string{"end", "reset"} {
+		for at := range len(whole) {
+			t.Run(fmt.Sprintf("%s/%d", how, at), func(t *testing.T) {
+				t.Parallel()
+				s, _ := serveEndpoints(t, routes.Unsafe, brokenEndpoint(t, whole[:at], how))
+				if status, body, err := postUpload(t, s, 1); status != http.StatusBadGateway {
+					t.Errorf("status %d, body %q, %v", status, body, err)
+				}
+			})
+		}
+	}
+}
+
 const (
 	// uploadBytes is the largest body, more than the sockets and an Early take of a request.
 	uploadBytes = defaultBodyBytes
