--- a/response/doc.go
+++ b/response/doc.go
@@ -3,7 +3,8 @@
 // reading ends with an *Error as soon as the bytes can't become a usable response. A response
 // that breaks a rule is rejected as a whole.
 //
-// docs/design/answer-limits.md lists all places that read what others send, with their limits.
+// docs/design/answer-limits.md lists all places that read what others send, with their limits,
+// docs/design/broken-answers.md the rules.
 package response
 
 import (
