Take what the kernel doesn't tell of a socket for unknown, not for a cut

Found by reading: a kernel that refuses the questions about bytes that are not acknowledged, not read, or about a reset would have had each whole answer without a length rejected as early_end. Such an answer counts as unknown now, as without a socket; a closed connection still counts as cut. The page of the package says that a reset is reported once. A parameter of the relay has a clearer name.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -9,25 +9,24 @@
 )
 
 // Delivered reports whether the other end has acknowledged all bytes that were written to the
-// connection, and has not reset it. It returns true for connections without a socket, of which
-// that is not known, and false for closed ones.
+// connection, and has not reset it. It returns true where that is not known, as without a socket,
+// and false for closed connections. A reset is reported once.
 func Delivered(c net.Conn) bool {
 	return ask(c, func(fd int) bool {
-		queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-		if err != nil || queued > 0 {
+		if queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil && queued > 0 {
 			return false
 		}
 		reset, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
-		return err == nil && reset == 0
+		return err != nil || reset == 0
 	})
 }
 
 // Drained reports whether all bytes that the connection has received were read. It returns true
-// for connections without a socket, and false for closed ones.
+// where that is not known, and false for closed connections.
 func Drained(c net.Conn) bool {
 	return ask(c, func(fd int) bool {
 		unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
-		return err == nil && unread == 0
+		return err != nil || unread == 0
 	})
 }
 
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -104,9 +104,9 @@
 }
 
 // copyFrom relays until the endpoint closes the connection or it is lost, and returns the
-// first error of a write. An endpoint that has ended is lost if requested then returns false:
-// it has not received all that it was sent.
-func (w *frameWriter) copyFrom(endpoint io.Reader, requested func() bool) error {
+// first error of a write. At the endpoint's end, requestReceived tells whether the endpoint has
+// received all that came for it; if not, it counts as lost.
+func (w *frameWriter) copyFrom(endpoint io.Reader, requestReceived func() bool) error {
 	for {
 		n, err := endpoint.Read(w.buf[headerBytes:])
 		if n > 0 {
@@ -116,7 +116,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && requested():
+		case errors.Is(err, io.EOF) && requestReceived():
 			return w.finish(frameEnd)
 		case err != nil:
 			return w.finish(frameAborted)
