Remove a count that no test reads

responsetest.Early counted requests; nothing asked for it. Found on reading the change. ./response and ./relay pass; no product code changed.

--- a/response/responsetest/broken.go
+++ b/response/responsetest/broken.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -96,13 +95,7 @@
 }
 
 // Early is a server that answers before it has read the request, and resets the connection.
-type Early struct {
-	Address string
-	reads   atomic.Int64
-}
-
-// Requests returns the number of requests whose head was read.
-func (e *Early) Requests() int64 { return e.reads.Load() }
+type Early struct{ Address string }
 
 // Ways in which an Early ends its connections.
 const (
@@ -121,8 +114,7 @@
 // reads on for a part of the request's body, and ends the connection in the given way.
 func NewEarly(t testing.TB, answer, how string) *Early {
 	t.Helper()
-	e := &Early{}
-	e.Address = Serve(t, func(c net.Conn) {
+	return &Early{Serve(t, func(c net.Conn) {
 		tcp, ok := c.(*net.TCPConn)
 		if !ok {
 			return
@@ -132,7 +124,6 @@
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
-		e.reads.Add(1)
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
@@ -143,8 +134,7 @@
 			time.Sleep(earlyAnswerPause)
 		}
 		_ = tcp.SetLinger(0)
-	})
-	return e
+	})}
 }
 
 // AnswerEarly answers after the first byte of a request, reads the request to its end and then
